Prove groups and configuration under failure with real processes

Cause: the promises had only in-process tests; nothing had killed, paused or cut off a real daemon.

A leader that stepped down forgot when it was last confirmed, so `status` could not say how stale it is; it now keeps that. A voter that lost its disk in the log's first term was let in again as if it were new, which could have lost acknowledged entries; a leader now remembers whom it has counted.

Conclusion: mended both causes; the naming of ports also changed, because a port chosen early could be taken by an outgoing connection (127.0.0.1), so each daemon of a test has an address of its own.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -13,6 +13,8 @@
     pub(crate) next: LogIndex,
     /// Highest index known to be synced there.
     pub(crate) matched: LogIndex,
+    /// Whether the follower was ever counted in this term; a disk that is empty after that was lost.
+    pub(crate) counted: bool,
     /// When the follower last answered.
     pub(crate) contact: Option<Instant>,
     /// Latest round that the follower echoed.
@@ -103,6 +105,7 @@
         Self {
             next: LogIndex(*last + 1),
             matched: LogIndex(0),
+            counted: false,
             contact: None,
             round: 0,
             snapshot_sent: None,
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -454,6 +454,9 @@
                 return;
             }
         }
+        if let ReplicaRole::Leader(role) = &self.role {
+            self.confirmed = self.confirmed.max(Some(role.confirmed));
+        }
         self.role = ReplicaRole::Follower { leader };
         self.reset_deadline(now);
     }
@@ -619,7 +622,7 @@
             entries,
             commit,
             round,
-            founding: founding && *progress.matched == 0,
+            founding: founding && !progress.counted,
             confirmed_ms: confirmed.as_millis() as u64,
         };
         self.early.push((to.clone(), LogMessage::Append(request)));
@@ -716,6 +719,7 @@
         if reply.accepted {
             if reply.counts {
                 progress.matched = progress.matched.max(reply.matched);
+                progress.counted = true;
             }
             progress.next = progress.next.max(LogIndex(*reply.matched + 1));
             progress.snapshot_sent = None;
--- /dev/null
+++ b/crates/testkit/src/cluster.rs
@@ -0,0 +1,453 @@
+//! Real daemons as processes, with a fault-injecting proxy on each link between them.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use hollowbarrow_schema::{NodeId, ZoneId, keys};
+use hyper::Method;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+use crate::caller::{CallReply, CallerCall};
+use crate::fleet::{FleetConfig, StandinFleet};
+use crate::proxy::{FaultMode, FaultProxy};
+
+/// Key of callers of a test cluster.
+pub const CALLER_KEY: &str = "test-caller-key";
+/// Key of operators of a test cluster.
+pub const OPERATOR_KEY: &str = "test-operator-key";
+/// Longest wait for a cluster to come to a state.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Pause between two looks at a cluster.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Which daemons a cluster has and how they are started.
+#[derive(Clone, Debug)]
+pub struct ClusterConfig {
+    program: PathBuf,
+    arguments: Vec<String>,
+    zones: Vec<(ZoneId, u32)>,
+    fleet: FleetConfig,
+    timing: Value,
+    limits: Value,
+    seed: u64,
+}
+
+impl ClusterConfig {
+    /// Creates a cluster of zones with some daemons each, the first of each with a disk.
+    ///
+    /// The program is started with the arguments and the path of a settings file.
+    pub fn new(
+        program: &Path,
+        arguments: &[&str],
+        zones: &[(ZoneId, u32)],
+        fleet: FleetConfig,
+    ) -> Self {
+        Self {
+            program: program.to_owned(),
+            arguments: arguments.iter().map(|argument| (*argument).to_owned()).collect(),
+            zones: zones.to_vec(),
+            fleet,
+            timing: json!({"probe_ms": 150, "digest_ms": 150, "lease_ms": 900, "election_ms": 400,
+                "authority_ms": 800, "platform_ms": 500, "balancer_ms": 300, "drain_ms": 10_000}),
+            limits: json!({}),
+            seed: 1,
+        }
+    }
+
+    /// Sets the daemons' times.
+    pub fn with_timing(mut self, timing: Value) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// Sets the daemons' limits.
+    pub fn with_limits(mut self, limits: Value) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Sets the seed of the proxies' faults.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+struct DaemonProcess {
+    id: String,
+    zone: ZoneId,
+    settings: PathBuf,
+    data: Option<PathBuf>,
+    log: PathBuf,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    child: Option<Child>,
+}
+
+/// A running cluster.
+pub struct Cluster {
+    config: ClusterConfig,
+    folder: TempDir,
+    daemons: Vec<DaemonProcess>,
+    links: BTreeMap<(String, String), FaultProxy>,
+    detours: BTreeMap<(ZoneId, NodeId), FaultProxy>,
+    fleet: StandinFleet,
+}
+
+/// An address that no other test process and no other daemon of this one uses.
+///
+/// Outgoing connections come from 127.0.0.1, so none of them can take a port of
+/// such an address while its daemon is not yet up, or down.
+fn fresh_address() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = 1 + std::process::id() % 200;
+    let [_, _, high, low] = number.to_be_bytes();
+    Ipv4Addr::new(127, u8::try_from(process).unwrap_or(1), high, low)
+}
+
+/// A port that the kernel gives on an address.
+fn free_port(address: Ipv4Addr) -> SocketAddr {
+    let listener = TcpListener::bind((address, 0)).expect("the kernel gives a free port");
+    listener.local_addr().expect("a bound socket has an address")
+}
+
+impl Cluster {
+    /// Starts stand-ins, proxies and daemons on the current runtime.
+    pub fn start(config: ClusterConfig) -> Self {
+        let folder = tempfile::tempdir().expect("a folder can be made");
+        let fleet = StandinFleet::start(&config.fleet);
+        let mut cluster = Self {
+            config,
+            folder,
+            daemons: Vec::new(),
+            links: BTreeMap::new(),
+            detours: BTreeMap::new(),
+            fleet,
+        };
+        cluster.build();
+        for position in 0..cluster.daemons.len() {
+            cluster.spawn(position);
+        }
+        cluster
+    }
+
+    fn build(&mut self) {
+        let seed = self.config.seed;
+        let mut peers = Vec::new();
+        for (zone, count) in &self.config.zones {
+            for number in 0..*count {
+                let own = free_port(fresh_address());
+                peers.push((format!("{}{number}", **zone), zone.clone(), own, number == 0));
+            }
+        }
+        for (zone, _) in &self.config.zones {
+            for node in self.fleet.model_nodes().into_iter().chain(self.fleet.service_nodes()) {
+                let Some(address) = self.fleet.address(&node) else { continue };
+                if self.fleet.zone(&node).as_ref() != Some(zone) {
+                    let proxy = FaultProxy::start(address, seed);
+                    self.fleet.set_detour(zone, &node, proxy.address());
+                    self.detours.insert((zone.clone(), node), proxy);
+                }
+            }
+        }
+        for (id, zone, own, voter) in &peers {
+            let mut listed = Vec::new();
+            for (other, other_zone, address, other_voter) in &peers {
+                let reached = if other == id {
+                    *own
+                } else {
+                    let proxy = FaultProxy::start(*address, seed ^ listed.len() as u64);
+                    self.links.insert((id.clone(), other.clone()), proxy.clone());
+                    proxy.address()
+                };
+                listed.push(json!({"id": other, "zone": **other_zone,
+                    "address": reached.to_string(), "voter": other_voter}));
+            }
+            let data = voter.then(|| self.folder.path().join(id));
+            let daemon = DaemonProcess {
+                id: id.clone(),
+                zone: zone.clone(),
+                settings: self.folder.path().join(format!("{id}.jsonc")),
+                data: data.clone(),
+                log: self.folder.path().join(format!("{id}.log")),
+                callers: free_port(fresh_address()),
+                operators: free_port(fresh_address()),
+                child: None,
+            };
+            let settings = json!({
+                "id": id, "zone": **zone, "listen": daemon.callers.to_string(),
+                "operator_listen": daemon.operators.to_string(), "peer_listen": own.to_string(),
+                "data": data.map(|data| data.to_string_lossy().into_owned()),
+                "peers": listed,
+                "cluster_keys": ["test-cluster-key-1"],
+                "platform": self.fleet.platform_url_from(zone),
+                "organisations": [{"id": "campers", "keys": [{"sha256": keys::hash_key(CALLER_KEY)}],
+                    "tokens_per_second": 10_000_000, "concurrent": 100_000}],
+                "operators": [{"name": "tests", "keys": [{"sha256": keys::hash_key(OPERATOR_KEY)}]}],
+                "routes": [
+                    {"path": "/pitches", "service": "booking", "urgency": "urgent"},
+                    {"path": "/holds", "service": "booking", "urgency": "urgent",
+                        "not_repeatable": true, "timeout_ms": 8000}],
+                "timing": self.config.timing, "limits": self.config.limits,
+            });
+            std::fs::write(&daemon.settings, settings.to_string()).expect("the folder is writable");
+            self.daemons.push(daemon);
+        }
+    }
+
+    fn spawn(&mut self, position: usize) {
+        let daemon = &mut self.daemons[position];
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&daemon.log)
+            .expect("the folder is writable");
+        let child = Command::new(&self.config.program)
+            .args(&self.config.arguments)
+            .arg(&daemon.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the daemon's program starts");
+        daemon.child = Some(child);
+    }
+
+    /// The stand-ins.
+    pub fn fleet(&self) -> &StandinFleet {
+        &self.fleet
+    }
+
+    /// Names of all daemons.
+    pub fn ids(&self) -> Vec<String> {
+        self.daemons.iter().map(|daemon| daemon.id.clone()).collect()
+    }
+
+    /// Names of the daemons of a zone.
+    pub fn ids_in(&self, zone: &ZoneId) -> Vec<String> {
+        self.daemons.iter().filter(|d| d.zone == *zone).map(|d| d.id.clone()).collect()
+    }
+
+    fn position(&self, id: &str) -> usize {
+        self.daemons.iter().position(|daemon| daemon.id == id).expect("the daemon is known")
+    }
+
+    /// Where a daemon takes callers.
+    pub fn callers(&self, id: &str) -> SocketAddr {
+        self.daemons[self.position(id)].callers
+    }
+
+    /// Whether a daemon's process runs and is not stopped in place.
+    pub fn is_running(&self, id: &str) -> bool {
+        self.daemons[self.position(id)].child.is_some()
+    }
+
+    /// Process of a daemon.
+    pub fn pid(&self, id: &str) -> Option<u32> {
+        self.daemons[self.position(id)].child.as_ref().map(Child::id)
+    }
+
+    /// What a daemon has logged.
+    pub fn log(&self, id: &str) -> String {
+        std::fs::read_to_string(&self.daemons[self.position(id)].log).unwrap_or_default()
+    }
+
+    /// Folder of a daemon's state, if it has a disk.
+    pub fn data(&self, id: &str) -> Option<&Path> {
+        self.daemons[self.position(id)].data.as_deref()
+    }
+
+    /// Ends a daemon at once.
+    pub fn kill(&mut self, id: &str) {
+        let position = self.position(id);
+        if let Some(mut child) = self.daemons[position].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts a daemon that was ended.
+    pub fn restart(&mut self, id: &str) {
+        let position = self.position(id);
+        if self.daemons[position].child.is_none() {
+            self.spawn(position);
+        }
+    }
+
+    fn signal(&self, id: &str, signal: &str) {
+        if let Some(pid) = self.pid(id) {
+            let _ = Command::new("kill").args([signal, &pid.to_string()]).status();
+        }
+    }
+
+    /// Stops a daemon in place.
+    pub fn pause(&self, id: &str) {
+        self.signal(id, "-STOP");
+    }
+
+    /// Lets a daemon that was stopped in place go on.
+    pub fn resume(&self, id: &str) {
+        self.signal(id, "-CONT");
+    }
+
+    /// Asks a daemon to stop as planned and waits for it; returns its exit code.
+    pub async fn stop(&mut self, id: &str) -> Option<i32> {
+        self.signal(id, "-TERM");
+        let position = self.position(id);
+        let mut child = self.daemons[position].child.take()?;
+        let exited = tokio::task::spawn_blocking(move || child.wait()).await.ok()?.ok()?;
+        exited.code()
+    }
+
+    /// Changes what happens on the way from one daemon to another.
+    pub fn set_link(&self, from: &str, to: &str, mode: FaultMode) {
+        if let Some(proxy) = self.links.get(&(from.to_owned(), to.to_owned())) {
+            proxy.set_mode(mode);
+        }
+    }
+
+    /// Changes what happens on all ways to and from a daemon.
+    pub fn set_daemon_links(&self, id: &str, mode: FaultMode) {
+        for other in self.ids() {
+            self.set_link(id, &other, mode);
+            self.set_link(&other, id, mode);
+        }
+    }
+
+    /// Changes what happens on all links between daemons.
+    pub fn set_all_links(&self, mode: FaultMode) {
+        self.links.values().for_each(|proxy| proxy.set_mode(mode));
+    }
+
+    /// Changes what happens on all ways into and out of a zone, to nodes too.
+    pub fn set_zone_links(&self, zone: &ZoneId, mode: FaultMode) {
+        let inside = self.ids_in(zone);
+        for ((from, to), proxy) in &self.links {
+            if inside.contains(from) != inside.contains(to) {
+                proxy.set_mode(mode);
+            }
+        }
+        for ((from, node), proxy) in &self.detours {
+            if from == zone || self.fleet.zone(node).as_ref() == Some(zone) {
+                proxy.set_mode(mode);
+            }
+        }
+    }
+
+    /// Asks a daemon's operators' interface.
+    pub async fn operate(&self, id: &str, method: Method, path: &str, body: &Value) -> CallReply {
+        let address = self.daemons[self.position(id)].operators;
+        let text = if body.is_null() { String::new() } else { body.to_string() };
+        CallerCall::new(method, path, OPERATOR_KEY)
+            .with_body(&text)
+            .with_timeout(Duration::from_secs(12))
+            .send(address)
+            .await
+    }
+
+    /// Reads a page of a daemon's operators' interface, null where it does not answer in time.
+    pub async fn read(&self, id: &str, path: &str) -> Value {
+        let address = self.daemons[self.position(id)].operators;
+        let call = CallerCall::new(Method::GET, path, OPERATOR_KEY)
+            .with_timeout(Duration::from_millis(500));
+        let reply = call.send(address).await;
+        serde_json::from_str(&reply.body).unwrap_or_default()
+    }
+
+    /// Submits a change through a daemon until it is accepted.
+    pub async fn change(&self, id: &str, change_id: &str, command: &Value) -> CallReply {
+        let body = json!({"id": change_id, "author": "tests", "command": command});
+        let begun = Instant::now();
+        loop {
+            let reply = self.operate(id, Method::POST, "/changes", &body).await;
+            let again = matches!(reply.status, 0 | 503 | 504);
+            if !again || begun.elapsed() > PATIENCE {
+                return reply;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Gives all nodes to hollowbarrow.
+    pub async fn label_all(&self) {
+        let first = self.ids()[0].clone();
+        for node in self.fleet.model_nodes() {
+            let command =
+                json!({"change_labels": {"node": *node, "set": {"given": "hollowbarrow"}}});
+            let reply = self.change(&first, &format!("label {}", *node), &command).await;
+            assert_eq!(reply.status, 200, "a label was refused: {}", reply.body);
+        }
+    }
+
+    /// Number of a group's replicas that serve, as a daemon sees it.
+    pub async fn serving(&self, id: &str, group: &str) -> u64 {
+        let groups = self.read(id, "/groups").await;
+        let found = groups.as_array().into_iter().flatten().find(|g| g["spec"]["name"] == group);
+        found.and_then(|group| group["serving"].as_u64()).unwrap_or(0)
+    }
+
+    /// Waits until a daemon sees a number of a group's replicas serve; false when it gives up.
+    pub async fn wait_serving(&self, id: &str, group: &str, wanted: u64) -> bool {
+        let begun = Instant::now();
+        while self.serving(id, group).await != wanted {
+            if begun.elapsed() > PATIENCE {
+                return false;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        true
+    }
+
+    /// Waits until a daemon answers that it is ready.
+    pub async fn wait_ready(&self) {
+        for id in self.ids() {
+            let begun = Instant::now();
+            loop {
+                let call = CallerCall::new(Method::GET, "/ready", CALLER_KEY)
+                    .with_timeout(Duration::from_secs(1));
+                if call.send(self.callers(&id)).await.status == 200 {
+                    break;
+                }
+                assert!(
+                    begun.elapsed() < PATIENCE,
+                    "{id} does not become ready: {}",
+                    self.log(&id)
+                );
+                tokio::time::sleep(POLL).await;
+            }
+        }
+    }
+
+    /// Serving replicas that a daemon knows of: group, zone and members.
+    pub async fn serving_replicas(&self, id: &str, group: &str) -> Vec<(String, Vec<String>)> {
+        let explained = self.read(id, &format!("/explain/{group}")).await;
+        let replicas = explained["replicas"].as_array().cloned().unwrap_or_default();
+        replicas
+            .iter()
+            .filter(|replica| replica["state"] == "serving")
+            .map(|replica| {
+                let members = replica["members"].as_array().cloned().unwrap_or_default();
+                let members = members.iter().filter_map(|m| m.as_str().map(str::to_owned));
+                (replica["zone"].as_str().unwrap_or_default().to_owned(), members.collect())
+            })
+            .collect()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            if let Some(mut child) = daemon.child.take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,8 @@
 //! delays, repeats or damages what passes. Stand-ins record what they ran, so
 //! that a checker can hold it against what callers were told.
 
+mod caller;
+mod cluster;
 mod fleet;
 mod model;
 mod proxy;
@@ -12,6 +14,8 @@
 mod serve;
 mod service;
 
+pub use caller::{CallReply, CallerCall};
+pub use cluster::{CALLER_KEY, Cluster, ClusterConfig, OPERATOR_KEY};
 pub use fleet::{FleetConfig, StandinFleet};
 pub use model::{ModelConfig, expected_token};
 pub use proxy::{FaultMode, FaultProxy};
--- a/crates/testkit/src/record.rs
+++ b/crates/testkit/src/record.rs
@@ -10,12 +10,10 @@
     pub key: String,
     /// Node that ran it.
     pub node: String,
-    /// Whether the replica lacked a member when it began.
-    pub incomplete: bool,
+    /// Milliseconds for which the replica had lacked a member when it began, 0 where it was whole.
+    pub missing_ms: u64,
     /// Whether the node's replica had been told to drain when it began.
     pub draining: bool,
-    /// Milliseconds by which the deadline had passed when it began.
-    pub late_ms: u64,
 }
 
 /// All executions, in order.
--- a/crates/testkit/src/serve.rs
+++ b/crates/testkit/src/serve.rs
@@ -87,6 +87,7 @@
 pub(crate) struct NodePort {
     pub(crate) address: SocketAddr,
     power: watch::Sender<Power>,
+    switched: Arc<std::sync::Mutex<tokio::time::Instant>>,
 }
 
 impl NodePort {
@@ -102,13 +103,20 @@
         let (power, watcher) = watch::channel(Power::On);
         listener.set_nonblocking(true).expect("a fresh socket can be made nonblocking");
         tokio::spawn(run_port(address, listener, Arc::new(handler), watcher));
-        Self { address, power }
+        let switched = Arc::new(std::sync::Mutex::new(tokio::time::Instant::now()));
+        Self { address, power, switched }
     }
 
     pub(crate) fn set_power(&self, power: Power) {
+        *self.switched.lock().expect("no holder of the lock panics") = tokio::time::Instant::now();
         self.power.send_replace(power);
     }
 
+    /// When the power was last switched.
+    pub(crate) fn switched(&self) -> tokio::time::Instant {
+        *self.switched.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn power(&self) -> Power {
         *self.power.borrow()
     }
