Move replicas of a lost domain sooner, and measure groups under faults

And a node that came back within two leases was lost again on old word of its loss: the desk's replica was not repaired within 9 s after its member had returned.

Change: patience follows urgency (0.5, 2 and 5 s); a zone gets more of one group at a time, on a report made after its last change; word of a loss carries its age. `hollowbarrow-measure groups` runs 16 faults on nine processes.

The desk's domain_lost stays down by design: it keeps no spare, so nothing can take the replicas until nodes return.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -44,6 +44,8 @@
     pub(crate) ready: AtomicBool,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: AtomicU32,
+    /// Whether any loss dissolves every replica of the zone; only for comparisons.
+    pub(crate) rebuild_all: bool,
 }
 
 impl DaemonCore {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -141,7 +141,20 @@
     ///
     /// Fails where a socket, folder or file that the settings name cannot be used.
     pub fn start(settings: Settings, listeners: DaemonListeners) -> Result<Self, StartDaemonError> {
-        let core = Arc::new(build_core(settings)?);
+        Self::start_with(settings, listeners, false)
+    }
+
+    /// Starts a daemon that, for comparisons, may rebuild all replicas at any loss.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Daemon::start`].
+    pub fn start_with(
+        settings: Settings,
+        listeners: DaemonListeners,
+        rebuild_all: bool,
+    ) -> Result<Self, StartDaemonError> {
+        let core = Arc::new(DaemonCore { rebuild_all, ..build_core(settings)? });
         let (stop, stopped) = watch::channel(false);
         let callers =
             listeners.callers.local_addr().map_err(|source| StartDaemonError::Listen {
@@ -243,6 +256,7 @@
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         in_flight: AtomicU32::new(0),
+        rebuild_all: false,
         settings,
     })
 }
--- a/crates/daemon/src/digest.rs
+++ b/crates/daemon/src/digest.rs
@@ -9,7 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowbarrow_schema::{DaemonId, NodeId, ObserverDigest, PeerMessage, Term, ZoneId};
+use hollowbarrow_schema::{
+    DaemonId, GoneDigest, LogIndex, NodeId, ObserverDigest, PeerMessage, Term, ZoneId,
+};
 use hollowbarrow_zone::choose_observers;
 use tokio::time::Instant;
 
@@ -34,7 +36,8 @@
 
 fn compose(core: &DaemonCore, to: &DaemonId, zone: &ZoneId, voter: bool) -> ObserverDigest {
     let now = Instant::now();
-    let capacity = if voter { zone_capacity(core, now) } else { Vec::new() };
+    let (applied, capacity) =
+        if voter { zone_capacity(core, now) } else { (LogIndex(0), Vec::new()) };
     let observed = nodes_to_probe(core);
     let fleet = core.fleet();
     let peer = fleet.peers.get(to);
@@ -55,11 +58,14 @@
         Vec::new()
     };
     let lately = |at: &Instant| now.saturating_duration_since(*at) < core.lease() * 2;
-    let gone: Vec<NodeId> = fleet
+    let gone: Vec<GoneDigest> = fleet
         .gone
         .iter()
         .filter(|(_, at)| follows_nodes && lately(at))
-        .map(|(id, _)| id.clone())
+        .map(|(id, at)| {
+            let age = now.saturating_duration_since(*at).as_millis() + 1;
+            GoneDigest { n: id.clone(), a: u32::try_from(age).unwrap_or(u32::MAX) }
+        })
         .collect();
     let own_rank = fleet.table_rank(own_zone);
     let wants_table = peer.is_some_and(|peer| peer.table_rank < own_rank);
@@ -75,6 +81,7 @@
         table: if wants_table { fleet.tables.get(own_zone).cloned() } else { None },
         table_term: Term(their_rank.0),
         table_version: their_rank.1,
+        applied,
         capacity,
     }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,8 +10,8 @@
 
 use hollowbarrow_planner::NodeView;
 use hollowbarrow_schema::{
-    Allocation, DaemonId, GroupName, Labels, NodeId, ObserverDigest, PlatformList, PlatformNode,
-    PlatformState, Selector, ServiceName, ZoneCapacity, ZoneId, ZoneTable,
+    Allocation, DaemonId, GroupName, Labels, LogIndex, NodeId, ObserverDigest, PlatformList,
+    PlatformNode, PlatformState, Selector, ServiceName, ZoneCapacity, ZoneId, ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
 use hollowbarrow_zone::{LeaseTable, NodeSighting};
@@ -46,13 +46,22 @@
     pub(crate) table_rank: (u64, u64),
 }
 
+/// What a zone's authority said that it could run.
+#[derive(Clone, Debug)]
+pub(crate) struct ReportedCapacity {
+    pub(crate) at: Instant,
+    /// How far the authority had applied the configuration when it said so.
+    pub(crate) applied: LogIndex,
+    pub(crate) groups: Vec<ZoneCapacity>,
+}
+
 /// What a daemon knows of nodes and of other daemons.
 pub(crate) struct FleetView {
     pub(crate) nodes: BTreeMap<NodeId, KnownNode>,
     pub(crate) leases: LeaseTable,
     pub(crate) tables: BTreeMap<ZoneId, ZoneTable>,
     pub(crate) peers: BTreeMap<DaemonId, KnownPeer>,
-    pub(crate) capacity: BTreeMap<ZoneId, (Instant, Vec<ZoneCapacity>)>,
+    pub(crate) capacity: BTreeMap<ZoneId, ReportedCapacity>,
     /// Nodes at which this daemon lately found nothing listening.
     pub(crate) gone: BTreeMap<NodeId, Instant>,
     /// Nodes that refused an order in the name of another owner.
@@ -150,9 +159,11 @@
                 }
             }
             for node in &digest.gone {
-                self.leases.observe_loss(node, base + held);
-                if self.leases.sighting(node).is_none() {
-                    self.gone.entry(node.clone()).or_insert(base + held);
+                let age = Duration::from_millis(u64::from(node.a));
+                let Some(at) = (base + held).checked_sub(age) else { continue };
+                self.leases.observe_loss(&node.n, at);
+                if self.leases.sighting(&node.n).is_none() {
+                    self.gone.entry(node.n.clone()).or_insert(at);
                 }
             }
             for replica in &digest.replicas {
@@ -160,7 +171,8 @@
             }
         }
         if !digest.capacity.is_empty() {
-            self.capacity.insert(zone.clone(), (now, digest.capacity));
+            let (applied, groups) = (digest.applied, digest.capacity);
+            self.capacity.insert(zone.clone(), ReportedCapacity { at: now, applied, groups });
         }
         let table_rank = (*digest.table_term, digest.table_version);
         let peer = KnownPeer { heard: now, stamp: digest.sent, table_rank };
@@ -188,12 +200,11 @@
     }
 
     /// Capacity that zones' authorities reported lately.
-    pub(crate) fn fresh_capacity(&self, now: Instant) -> BTreeMap<&ZoneId, &[ZoneCapacity]> {
-        self.capacity
-            .iter()
-            .filter(|(_, (at, _))| now.saturating_duration_since(*at) < CAPACITY_LIFETIME)
-            .map(|(zone, (_, capacity))| (zone, capacity.as_slice()))
-            .collect()
+    pub(crate) fn fresh_capacity(&self, now: Instant) -> BTreeMap<&ZoneId, &ReportedCapacity> {
+        let fresh = |report: &ReportedCapacity| {
+            now.saturating_duration_since(report.at) < CAPACITY_LIFETIME
+        };
+        self.capacity.iter().filter(|(_, report)| fresh(report)).collect()
     }
 
     pub(crate) fn address(&self, id: &NodeId) -> Option<SocketAddr> {
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -19,8 +19,8 @@
 };
 use hollowbarrow_schema::{
     Allocation, AllocationPhase, AuthorityMessage, DaemonId, Epoch, FencedOrder, GroupName,
-    GroupSpec, LoadOrder, NodeId, NodeOrder, NodeState, PeerMessage, ZoneCapacity, ZoneId,
-    ZoneTable,
+    GroupSpec, LoadOrder, LogIndex, NodeId, NodeOrder, NodeState, PeerMessage, ZoneCapacity,
+    ZoneId, ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
 use hollowbarrow_upstream::{EngineClient, GiveOrderError};
@@ -171,18 +171,19 @@
     GroupPlanner::new(zone_demands(config, zone)).with_nodes(nodes).with_replicas(replicas)
 }
 
-/// What each group could run in the own zone; empty unless this daemon is its authority.
-pub(crate) fn zone_capacity(core: &DaemonCore, now: Instant) -> Vec<ZoneCapacity> {
+/// What each group could run in the own zone, and how far the configuration was applied then;
+/// empty unless this daemon is the zone's authority.
+pub(crate) fn zone_capacity(core: &DaemonCore, now: Instant) -> (LogIndex, Vec<ZoneCapacity>) {
     let holds = core.authorities().get(core.zone()).is_some_and(|m| m.remaining(now).is_some());
     if !holds {
-        return Vec::new();
+        return (LogIndex(0), Vec::new());
     }
     core.config_log.read(|config| {
         let planner = zone_planner(core, config, now);
         let fleet = core.fleet();
         let allocations: Vec<&Allocation> =
             fleet.tables.get(core.zone()).iter().flat_map(|table| &table.allocations).collect();
-        zone_demands(config, core.zone())
+        let groups = zone_demands(config, core.zone())
             .iter()
             .map(|demand| {
                 let own = allocations.iter().filter(|a| a.group == demand.spec.name);
@@ -193,7 +194,8 @@
                     serving: u32::try_from(serving).unwrap_or(u32::MAX),
                 }
             })
-            .collect()
+            .collect();
+        (config.applied(), groups)
     })
 }
 
@@ -341,7 +343,11 @@
             })
             .collect();
         let demands = zone_demands(config, core.zone());
-        GroupPlanner::new(demands).with_nodes(nodes).with_replicas(replicas).plan()
+        GroupPlanner::new(demands)
+            .with_nodes(nodes)
+            .with_replicas(replicas)
+            .with_rebuild_all(core.rebuild_all)
+            .plan()
     }
 
     /// Whether a replica that should be there is known not to be what was ordered.
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -6,7 +6,7 @@
 //! run as many more as they can until it is back, because that buys uptime with
 //! accelerators that would be idle.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,12 +17,11 @@
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
+use crate::fleet::ReportedCapacity;
 use crate::keeper::zone_capacity;
 
 /// Pause between two looks at the quotas.
-const STEP: Duration = Duration::from_millis(500);
-/// How long a zone's lack of room must last before its replicas move elsewhere.
-const SHORTAGE_PATIENCE: Duration = Duration::from_secs(5);
+const STEP: Duration = Duration::from_millis(200);
 /// Name under which the leader makes changes.
 const AUTHOR: &str = "hollowbarrow/quota";
 
@@ -94,64 +93,89 @@
                 base: None,
                 command: ConfigCommand::SetQuota(quota),
             };
-            let deadline = Instant::now() + STEP * 4;
+            let deadline = Instant::now() + STEP * 10;
             let _ = core.propose(LogName::Config, EntryPayload::Config(change), deadline).await;
         }
     }
 }
 
 /// Quotas that differ from the present ones.
+///
+/// A zone that has not yet applied its last quota reports room that is taken
+/// already, and two groups may be offered the same nodes; so a zone gets more
+/// of one group at a time, and only on a report made after the last change.
 fn wanted_quotas(
     core: &DaemonCore,
     short_since: &mut BTreeMap<(GroupName, ZoneId), Instant>,
 ) -> Vec<Quota> {
     let now = Instant::now();
-    let own = zone_capacity(core, now);
-    if !own.is_empty() {
-        core.fleet_mut().capacity.insert(core.zone().clone(), (now, own));
+    let (applied, groups) = zone_capacity(core, now);
+    if !groups.is_empty() {
+        let report = ReportedCapacity { at: now, applied, groups };
+        core.fleet_mut().capacity.insert(core.zone().clone(), report);
     }
-    let zones: Vec<ZoneId> = core.settings.peers.iter().map(|peer| peer.zone.clone()).collect();
+    let zones: BTreeSet<&ZoneId> = core.settings.peers.iter().map(|peer| &peer.zone).collect();
     core.config_log.read(|config| {
         let fleet = core.fleet();
         let capacity = fleet.fresh_capacity(now);
+        let last = config.quotas().values().map(|quota| *quota.revision).max().unwrap_or(0);
+        let mut taken: BTreeSet<&ZoneId> =
+            capacity.iter().filter(|(_, r)| *r.applied < last).map(|(zone, _)| *zone).collect();
         let mut quotas = Vec::new();
-        for recorded in config.groups().values() {
-            let spec = &recorded.value;
+        for spec in config.groups().values().map(|recorded| &recorded.value) {
             let empty = BTreeMap::new();
             let present = config.quotas().get(&spec.name).map_or(&empty, |q| &q.value.counts);
             let mut rooms = BTreeMap::new();
             for zone in &zones {
-                let reported = capacity
-                    .get(zone)
-                    .and_then(|reports| reports.iter().find(|report| report.group == spec.name));
-                let had = present.get(&**zone).copied().unwrap_or(0);
-                let possible = reported.map(|report| {
-                    be_patient(short_since, (&spec.name, zone), report.possible, had, now)
+                let had = present.get(zone.as_str()).copied().unwrap_or(0);
+                let possible = capacity.get(zone).map(|report| {
+                    let found = report.groups.iter().find(|group| group.group == spec.name);
+                    let possible = found.map_or(had, |found| found.possible);
+                    let possible = if taken.contains(zone) { possible.min(had) } else { possible };
+                    be_patient(short_since, (spec, zone), possible, had, now)
                 });
-                rooms.insert(zone.clone(), ZoneRoom { possible });
+                rooms.insert((*zone).clone(), ZoneRoom { possible });
             }
             let counts = divide_replicas(spec, present, &rooms);
-            if counts != *present {
-                quotas.push(Quota { group: spec.name.clone(), counts });
+            if counts == *present {
+                continue;
             }
+            taken.extend(zones.iter().filter(|zone| {
+                counts.get(zone.as_str()).copied().unwrap_or(0)
+                    > present.get(zone.as_str()).copied().unwrap_or(0)
+            }));
+            quotas.push(Quota { group: spec.name.clone(), counts });
         }
         quotas
     })
 }
 
+/// How long a zone's lack of room must last before a group's replicas move elsewhere.
+///
+/// Moving costs a load of weights elsewhere, and the node may be back first; the
+/// more pressing the group, the less it waits for that.
+fn shortage_patience(urgency: Urgency) -> Duration {
+    match urgency {
+        Urgency::Urgent => Duration::from_millis(500),
+        Urgency::Normal => Duration::from_secs(2),
+        Urgency::Batch => Duration::from_secs(5),
+    }
+}
+
 /// A zone's room, with a shortage counted only once it has lasted.
 fn be_patient(
     short_since: &mut BTreeMap<(GroupName, ZoneId), Instant>,
-    of: (&GroupName, &ZoneId),
+    of: (&GroupSpec, &ZoneId),
     possible: u32,
     had: u32,
     now: Instant,
 ) -> u32 {
-    let key = (of.0.clone(), of.1.clone());
+    let key = (of.0.name.clone(), of.1.clone());
     if possible >= had {
         short_since.remove(&key);
         return possible;
     }
     let since = *short_since.entry(key).or_insert(now);
-    if now.saturating_duration_since(since) < SHORTAGE_PATIENCE { had } else { possible }
+    let waited = now.saturating_duration_since(since);
+    if waited < shortage_patience(of.0.urgency) { had } else { possible }
 }
--- /dev/null
+++ b/crates/measure/src/doors.rs
@@ -0,0 +1,7 @@
+//! pending
+pub(crate) fn command() -> clap::Command {
+    clap::Command::new("doors")
+}
+pub(crate) fn run() -> anyhow::Result<()> {
+    Ok(())
+}
--- /dev/null
+++ b/crates/measure/src/groups.rs
@@ -0,0 +1,289 @@
+//! Group downtime and stranded accelerators under a list of faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result, ensure};
+use clap::{Arg, ArgMatches, Command};
+use hollowbarrow_schema::{NodeId, ZoneId};
+use hollowbarrow_testkit::{
+    CALLER_KEY, CallerCall, Cluster, ClusterConfig, FaultMode, FleetConfig,
+};
+use hyper::Method;
+use serde_json::{Value, json};
+
+use crate::sampler::{SampledCase, WantedGroups, sample};
+
+/// How long a case is watched after its fault.
+const WATCH: Duration = Duration::from_secs(9);
+/// Pause between two requests of the load.
+const LOAD_PAUSE: Duration = Duration::from_millis(8);
+/// Milliseconds of a heartbeat's lease in the clusters of these measurements.
+const LEASE_MS: u64 = 900;
+
+const CASES: &[&str] = &[
+    "member_killed",
+    "member_paused",
+    "member_returns",
+    "second_loss",
+    "domain_lost",
+    "authority_killed",
+    "leader_killed",
+    "leader_paused",
+    "leader_cut_silently",
+    "zone_cut",
+    "zone_cut_one_way",
+    "links_delayed",
+    "links_damaged",
+    "disk_full",
+    "leader_cut_and_member_killed",
+    "zone_cut_and_member_killed",
+];
+
+/// How a user weighs downtime against idle accelerators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UserPolicy {
+    Taborttuz,
+    SettlementDesk,
+    Naive,
+}
+
+impl UserPolicy {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Taborttuz => "taborttuz",
+            Self::SettlementDesk => "settlement_desk",
+            Self::Naive => "naive",
+        }
+    }
+
+    fn groups(self) -> Vec<Value> {
+        let group = |name: &str, size: u32, count: u32, urgency: &str, spares: u32| {
+            json!({"put_group": {"name": name, "model": name, "version": "1", "size": size,
+                "count": count, "urgency": urgency, "spares": spares,
+                "selector": {"match_labels": {"given": "hollowbarrow"}}}})
+        };
+        match self {
+            // Four nodes a domain: one spare stands beside each replica of three.
+            Self::Taborttuz | Self::Naive => {
+                vec![group("assistant", 3, 3, "urgent", 1), group("nightly", 3, 2, "batch", 0)]
+            }
+            // Every node works: a loss means waiting for the node or moving.
+            Self::SettlementDesk => {
+                vec![group("disputes", 2, 6, "normal", 0), group("billing", 2, 6, "batch", 0)]
+            }
+        }
+    }
+}
+
+pub(crate) fn command() -> Command {
+    Command::new("groups")
+        .about("Runs the list of faults on nine processes with both users' policies")
+        .arg(Arg::new("case").long("case").help("Only this case"))
+        .arg(Arg::new("policy").long("policy").help("Only this policy"))
+}
+
+pub(crate) fn run(arguments: &ArgMatches) -> Result<()> {
+    let only = arguments.get_one::<String>("case").map(String::as_str);
+    let policy = arguments.get_one::<String>("policy").map(String::as_str);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        for case in CASES.iter().filter(|case| only.is_none_or(|only| only == **case)) {
+            let policies = [UserPolicy::Taborttuz, UserPolicy::SettlementDesk, UserPolicy::Naive];
+            let chosen = policies.iter().filter(|p| policy.is_none_or(|name| name == p.name()));
+            let runs: Vec<_> = chosen.map(|p| tokio::spawn(run_case(case, *p))).collect();
+            for run in runs {
+                println!("{}", run.await??);
+            }
+        }
+        Ok(())
+    })
+}
+
+async fn run_case(case: &'static str, policy: UserPolicy) -> Result<String> {
+    let mut cluster = start_cluster(case, policy).await?;
+    let wanted: WantedGroups = policy
+        .groups()
+        .iter()
+        .map(|group| {
+            let spec = &group["put_group"];
+            let count = spec["count"].as_u64().unwrap_or(0);
+            (spec["name"].as_str().unwrap_or_default().to_owned(), count)
+        })
+        .collect();
+    let load = spawn_load(&cluster, &wanted);
+    let mut sampled = SampledCase::default();
+    inflict(&mut cluster, case, &wanted, &mut sampled).await?;
+    sample(&cluster, &wanted, WATCH, &mut sampled).await;
+    load.abort();
+    let history = cluster.fleet().history().to_vec();
+    let incomplete = history.iter().filter(|run| run.missing_ms > LEASE_MS).count();
+    let overridden = cluster.fleet().overridden();
+    let repair = sampled.repair_s.map_or("never".to_owned(), |repair| format!("{repair:.2}"));
+    let served = history.len();
+    Ok(format!(
+        "case={case} policy={} served={served} group_downtime_s={:.2} stranded_accelerator_s={:.2} repair_s={repair} \
+         two_groups={} served_incomplete={incomplete} reverted={}",
+        policy.name(),
+        sampled.down_s,
+        sampled.stranded_s,
+        sampled.two_groups + overridden,
+        sampled.reverted,
+    ))
+}
+
+/// Keeps asking for short completions through all daemons, so that a replica that serves when
+/// it must not is caught at it.
+fn spawn_load(cluster: &Cluster, wanted: &WantedGroups) -> tokio::task::JoinHandle<()> {
+    let doors: Vec<SocketAddr> = cluster.ids().iter().map(|id| cluster.callers(id)).collect();
+    let models: Vec<String> = wanted.keys().cloned().collect();
+    tokio::spawn(async move {
+        for number in 0_usize.. {
+            let model = &models[number % models.len()];
+            let body = json!({"model": model, "max_tokens": 2, "prompt": format!("{number}")});
+            let call = CallerCall::new(Method::POST, "/v1/completions", CALLER_KEY)
+                .with_body(&body.to_string())
+                .with_timeout(Duration::from_secs(2));
+            let door = doors[number % doors.len()];
+            tokio::spawn(async move { call.send(door).await });
+            tokio::time::sleep(LOAD_PAUSE).await;
+        }
+    })
+}
+
+async fn start_cluster(case: &str, policy: UserPolicy) -> Result<Cluster> {
+    let zones = ["a", "b", "c"].map(ZoneId::from);
+    let fleet = FleetConfig::new(&zones, 2, 4).with_unchecked(true);
+    let counts: Vec<(ZoneId, u32)> = zones.iter().map(|zone| (zone.clone(), 3)).collect();
+    let program = std::env::current_exe().context("the measurement knows its own program")?;
+    let arguments: &[&str] =
+        if policy == UserPolicy::Naive { &["daemon", "--rebuild-all"] } else { &["daemon"] };
+    let mut config = ClusterConfig::new(&program, arguments, &counts, fleet);
+    if case == "disk_full" {
+        // Enough for the start and the labels, but not for what follows.
+        config = config.with_file_blocks("a0", 24);
+    }
+    let cluster = Cluster::start(config);
+    cluster.wait_ready().await;
+    cluster.label_all().await;
+    for (number, group) in policy.groups().iter().enumerate() {
+        let reply = cluster.change("b1", &format!("group {number}"), group).await;
+        ensure!(reply.status == 200, "a group was refused: {}", reply.body);
+    }
+    for group in policy.groups() {
+        let spec = &group["put_group"];
+        let name = spec["name"].as_str().unwrap_or_default();
+        let count = spec["count"].as_u64().unwrap_or(0);
+        ensure!(cluster.wait_serving("b1", name, count).await, "{name} does not serve at first");
+    }
+    Ok(cluster)
+}
+
+/// A serving replica's members, in a zone if one is named.
+async fn some_members(cluster: &Cluster, wanted: &WantedGroups, zone: &str) -> Result<Vec<NodeId>> {
+    for id in cluster.ids().iter().filter(|id| id.starts_with(zone)) {
+        for group in wanted.keys() {
+            let replicas = cluster.serving_replicas(id, group).await;
+            let found = replicas.into_iter().find(|(of, _)| of.starts_with(zone));
+            if let Some((_, members)) = found {
+                return Ok(members.iter().map(|member| NodeId::from(member.as_str())).collect());
+            }
+        }
+    }
+    anyhow::bail!("nothing serves")
+}
+
+async fn status_of(cluster: &Cluster, id: &str, field: &str) -> Result<String> {
+    let status = cluster.read(id, "/status").await;
+    let value = status[field].as_str().map(str::to_owned);
+    value.with_context(|| format!("{id} knows no {field}"))
+}
+
+async fn inflict(
+    cluster: &mut Cluster,
+    case: &str,
+    wanted: &WantedGroups,
+    sampled: &mut SampledCase,
+) -> Result<()> {
+    let second = Duration::from_secs(1);
+    let members = some_members(cluster, wanted, "").await?;
+    let leader = status_of(cluster, "b1", "leader").await?;
+    let far = ZoneId::from("c");
+    match case {
+        "member_killed" => cluster.fleet().kill(&members[0]),
+        "member_paused" => {
+            cluster.fleet().pause(&members[0]);
+            sample(cluster, wanted, second * 4, sampled).await;
+            cluster.fleet().resume(&members[0]);
+        }
+        "member_returns" => {
+            cluster.fleet().kill(&members[1]);
+            sample(cluster, wanted, second, sampled).await;
+            cluster.fleet().revive_unchanged(&members[1]);
+        }
+        "second_loss" => {
+            cluster.fleet().kill(&members[0]);
+            sample(cluster, wanted, second * 3, sampled).await;
+            if let Ok(next) = some_members(cluster, wanted, "a").await {
+                cluster.fleet().kill(&next[1]);
+            }
+        }
+        "domain_lost" => {
+            let domain = members[0].rsplit_once('-').map_or("", |(domain, _)| domain).to_owned();
+            for node in cluster.fleet().model_nodes().iter().filter(|n| n.starts_with(&domain)) {
+                cluster.fleet().kill(node);
+            }
+        }
+        "authority_killed" => {
+            let authority = status_of(cluster, "a1", "authority").await?;
+            cluster.kill(&authority);
+            let alive = if authority == "a1" { "a2" } else { "a1" };
+            if let Ok(own) = some_members(cluster, wanted, alive).await {
+                cluster.fleet().kill(&own[0]);
+            } else {
+                cluster.fleet().kill(&members[0]);
+            }
+        }
+        "leader_killed" => cluster.kill(&leader),
+        "leader_paused" => {
+            cluster.pause(&leader);
+            sample(cluster, wanted, second * 5, sampled).await;
+            cluster.resume(&leader);
+        }
+        "leader_cut_silently" => cluster.set_daemon_links(&leader, FaultMode::Silence),
+        "zone_cut" => {
+            cluster.set_zone_links(&far, FaultMode::Silence);
+            sample(cluster, wanted, second * 6, sampled).await;
+            cluster.set_zone_links(&far, FaultMode::Pass);
+        }
+        "zone_cut_one_way" => {
+            for from in cluster.ids_in(&far) {
+                for to in cluster.ids().iter().filter(|id| !id.starts_with('c')) {
+                    cluster.set_link(&from, to, FaultMode::Silence);
+                }
+            }
+        }
+        "links_delayed" => cluster.set_all_links(FaultMode::Delay(Duration::from_millis(60))),
+        "links_damaged" => cluster.set_all_links(FaultMode::Damage),
+        "disk_full" => {
+            for number in 0..150 {
+                let command = json!({"change_labels": {"node": *members[0],
+                    "set": {"round": number.to_string()}}});
+                let reply = cluster.change("b1", &format!("fill {number}"), &command).await;
+                ensure!(reply.status == 200, "a full disk of one voter stopped the log");
+            }
+            let fault = cluster.read("a0", "/status").await["fault"].clone();
+            ensure!(fault.is_string(), "the voter with the full disk does not say so: {fault}");
+        }
+        "leader_cut_and_member_killed" => {
+            cluster.set_daemon_links(&leader, FaultMode::Silence);
+            cluster.fleet().kill(&members[0]);
+        }
+        _ => {
+            cluster.set_zone_links(&far, FaultMode::Silence);
+            let own = some_members(cluster, wanted, "c").await?;
+            cluster.fleet().kill(&own[0]);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/measure/src/load.rs
@@ -0,0 +1,1 @@
+//! pending
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,3 +1,35 @@
 //! Measures the product against naive versions and its budgets.
+//!
+//! Each subcommand prints one line of `key=value` pairs for each case, and
+//! nothing is printed that was not measured in the same run.
 
-fn main() {}
+mod capacity;
+mod daemon;
+mod doors;
+mod groups;
+mod load;
+mod requests;
+mod sampler;
+mod stats;
+
+use clap::Command;
+
+fn main() -> anyhow::Result<()> {
+    let matches = Command::new("hollowbarrow-measure")
+        .about("Measures hollowbarrow")
+        .subcommand_required(true)
+        .subcommand(groups::command())
+        .subcommand(requests::command())
+        .subcommand(doors::command())
+        .subcommand(capacity::command())
+        .subcommand(daemon::command())
+        .get_matches();
+    match matches.subcommand() {
+        Some(("groups", arguments)) => groups::run(arguments),
+        Some(("requests", arguments)) => requests::run(arguments),
+        Some(("doors", _)) => doors::run(),
+        Some(("capacity", arguments)) => capacity::run(arguments),
+        Some((_, arguments)) => daemon::run(arguments),
+        None => Ok(()),
+    }
+}
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -147,6 +147,7 @@
     nodes: Vec<NodeView>,
     index: BTreeMap<NodeId, usize>,
     replicas: Vec<ReplicaView>,
+    rebuild_all: bool,
 }
 
 impl GroupPlanner {
@@ -169,6 +170,12 @@
         self
     }
 
+    /// Makes any loss dissolve every replica: the naive way, kept to be compared with.
+    pub fn with_rebuild_all(mut self, rebuild_all: bool) -> Self {
+        self.rebuild_all = rebuild_all;
+        self
+    }
+
     /// Makes the plan.
     pub fn plan(&self) -> ZonePlan {
         let drains = self.plan_drains();
@@ -259,6 +266,12 @@
         if let Some(reason) = self.member_loss(allocation) {
             return Some(reason);
         }
+        if self.rebuild_all {
+            let others = self.replicas.iter().map(|replica| &replica.allocation);
+            if let Some(reason) = others.filter_map(|other| self.member_loss(other)).next() {
+                return Some(reason);
+            }
+        }
         if replica.failed {
             return Some(DrainReason::LoadFailed);
         }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -969,6 +969,20 @@
         value.clone()
     }
 }
+///A node at which nothing listened.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GoneDigest {
+    ///Age of that finding in milliseconds when the digest left.
+    pub a: u32,
+    pub n: NodeId,
+}
+impl ::std::convert::From<&GoneDigest> for GoneDigest {
+    fn from(value: &GoneDigest) -> Self {
+        value.clone()
+    }
+}
 ///Why a group stands as it does in one availability zone.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -1719,6 +1733,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct ObserverDigest {
+    #[serde(default = "defaults::observer_digest_applied")]
+    pub applied: LogIndex,
     ///From a zone's authority: what each group could run there.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub capacity: ::std::vec::Vec<ZoneCapacity>,
@@ -1727,7 +1743,7 @@
     pub echo: ::std::option::Option<u64>,
     ///Nodes at which nothing listens any more.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub gone: ::std::vec::Vec<NodeId>,
+    pub gone: ::std::vec::Vec<GoneDigest>,
     ///Milliseconds between receiving the echoed digest and sending this one.
     #[serde(default)]
     pub held: u32,
@@ -2898,6 +2914,9 @@
     pub(super) fn label_change_set() -> super::Labels {
         super::Labels([].into_iter().collect())
     }
+    pub(super) fn observer_digest_applied() -> super::LogIndex {
+        super::LogIndex(0_u64)
+    }
     pub(super) fn observer_digest_table_term() -> super::Term {
         super::Term(0_u64)
     }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -36,6 +36,7 @@
     timing: Value,
     limits: Value,
     seed: u64,
+    file_blocks: BTreeMap<String, u32>,
 }
 
 impl ClusterConfig {
@@ -57,6 +58,7 @@
                 "authority_ms": 800, "platform_ms": 500, "balancer_ms": 300, "drain_ms": 10_000}),
             limits: json!({}),
             seed: 1,
+            file_blocks: BTreeMap::new(),
         }
     }
 
@@ -72,6 +74,12 @@
         self
     }
 
+    /// Bounds the files that a daemon may write, in blocks of 512 bytes, as a full disk would.
+    pub fn with_file_blocks(mut self, id: &str, blocks: u32) -> Self {
+        self.file_blocks.insert(id.to_owned(), blocks);
+        self
+    }
+
     /// Sets the seed of the proxies' faults.
     pub fn with_seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -79,6 +87,11 @@
     }
 }
 
+/// Variable that names a folder to which daemons' logs are copied at the end.
+const KEEP_LOGS: &str = "HOLLOWBARROW_KEEP_LOGS";
+/// Starts a program that may not write files beyond a number of blocks, as on a full disk.
+const FULL_DISK_SCRIPT: &str = "trap '' XFSZ; ulimit -f \"$1\"; shift; exec \"$@\"";
+
 struct DaemonProcess {
     id: String,
     zone: ZoneId,
@@ -209,7 +222,16 @@
             .append(true)
             .open(&daemon.log)
             .expect("the folder is writable");
-        let child = Command::new(&self.config.program)
+        let mut command = match self.config.file_blocks.get(&daemon.id) {
+            Some(blocks) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", FULL_DISK_SCRIPT, "sh", &blocks.to_string()]);
+                shell.arg(&self.config.program);
+                shell
+            }
+            None => Command::new(&self.config.program),
+        };
+        let child = command
             .args(&self.config.arguments)
             .arg(&daemon.settings)
             .stdin(Stdio::null())
@@ -449,5 +471,13 @@
                 let _ = child.wait();
             }
         }
+        // For looking into a failure: HOLLOWBARROW_KEEP_LOGS names a folder.
+        if let Some(kept) = std::env::var_os(KEEP_LOGS) {
+            let kept = Path::new(&kept);
+            let _ = std::fs::create_dir_all(kept);
+            for daemon in &self.daemons {
+                let _ = std::fs::copy(&daemon.log, kept.join(format!("{}.log", daemon.id)));
+            }
+        }
     }
 }
