--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -34,6 +34,8 @@
 
 /// Prompt blocks whose holders are remembered.
 const PREFIX_BLOCKS: usize = 65_536;
+/// Callers that may wait to be accepted.
+const CALLER_BACKLOG: u32 = 4096;
 /// Pause between two tidyings of the picker's counts.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between two looks at what is still in flight while stopping.
@@ -92,7 +94,7 @@
 }
 
 impl DaemonListeners {
-    /// Binds the addresses that the settings name.
+    /// Binds the addresses that the settings name; must be called on a runtime.
     ///
     /// # Errors
     ///
@@ -105,8 +107,12 @@
                 source,
             })
         };
+        let callers = listen_with_backlog(&settings.listen).map_err(|source| {
+            let address = settings.listen.clone();
+            StartDaemonError::Listen { field: "listen", address, source }
+        })?;
         Ok(Self {
-            callers: bind("listen", &settings.listen)?,
+            callers,
             peers: bind("peer_listen", &settings.peer_listen)?,
             operators: settings.operator_listen.parse().map_err(|_| StartDaemonError::Listen {
                 field: "operator_listen",
@@ -123,6 +129,23 @@
     }
 }
 
+/// Listens for callers with a queue long enough for a burst of them.
+///
+/// The standard library's queue of 128 made the rest of 400 callers at once wait a second for
+/// their second try.
+fn listen_with_backlog(address: &str) -> std::io::Result<TcpListener> {
+    let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidInput);
+    let address: SocketAddr = address.parse().map_err(|_| invalid())?;
+    let socket = if address.is_ipv4() {
+        tokio::net::TcpSocket::new_v4()?
+    } else {
+        tokio::net::TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(CALLER_BACKLOG)?.into_std()
+}
+
 /// One entry node.
 pub struct Daemon {
     core: Arc<DaemonCore>,
--- a/crates/daemon/src/digest.rs
+++ b/crates/daemon/src/digest.rs
@@ -16,29 +16,45 @@
 
 use hollowbarrow_schema::{
     DaemonId, GoneDigest, LogIndex, NodeId, ObserverDigest, PeerMessage, PeerSettings,
-    ReplicaDigest, Term, ZoneId,
+    ReplicaDigest, ReplicaSet, Term, ZoneId,
 };
 use hollowbarrow_zone::{choose_observers, own_members};
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
-use crate::fleet::FleetView;
+use crate::fleet::{FleetView, ListedSet};
 use crate::keeper::zone_capacity;
 use crate::observer::nodes_to_probe;
 
+/// A daemon that has nothing to tell greets once in this many rounds.
+const GREETING_ROUNDS: u64 = 4;
+
 /// Sends digests at an even pace.
 pub(crate) async fn send_digests(core: Arc<DaemonCore>) {
     let mut interval = tokio::time::interval(Duration::from_millis(core.settings.timing.digest_ms));
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
+    for round in 0_u64.. {
         interval.tick().await;
         for peer in digest_targets(&core) {
             let digest = compose(&core, peer);
-            core.send(&peer.id, PeerMessage::Digest(digest));
+            // A greeting only keeps an echo alive, and an echo ages without harm.
+            if tells_something(&digest) || round.is_multiple_of(GREETING_ROUNDS) {
+                core.send(&peer.id, PeerMessage::Digest(digest));
+            }
         }
     }
 }
 
+fn tells_something(digest: &ObserverDigest) -> bool {
+    !digest.nodes.is_empty()
+        || !digest.replicas.is_empty()
+        || digest.set.digest != 0
+        || !digest.gone.is_empty()
+        || !digest.capacity.is_empty()
+        || digest.table.is_some()
+        || digest.echo.is_none()
+}
+
 /// Daemons that are to hear from this one.
 fn digest_targets(core: &DaemonCore) -> Vec<&PeerSettings> {
     let leader = core.config_log.view().leader;
@@ -74,6 +90,8 @@
     let nodes =
         if follows_nodes { fleet.leases.to_digests(observed.iter(), now) } else { Vec::new() };
     let replicas = if reports { report_replicas(&fleet, own_zone, now) } else { Vec::new() };
+    let known = peer.map_or(0, |peer| peer.known_set);
+    let (set, replicas) = name_fresh(replicas, known, core.lease());
     let lately = |at: &Instant| now.saturating_duration_since(*at) < core.lease() * 2;
     let gone: Vec<GoneDigest> = fleet
         .gone
@@ -99,6 +117,8 @@
         held: u32::try_from(held.as_millis()).unwrap_or(u32::MAX),
         nodes,
         replicas,
+        set,
+        known_set: peer.map_or(0, |peer| peer.listed.digest),
         gone,
         speaks_for,
         use_,
@@ -110,6 +130,65 @@
     }
 }
 
+/// Names the replicas that are fresh together, in place of listing them, where the receiver
+/// keeps their list; the others are listed.
+fn name_fresh(
+    replicas: Vec<ReplicaDigest>,
+    known: u64,
+    lease: Duration,
+) -> (ReplicaSet, Vec<ReplicaDigest>) {
+    // One that is nearly silent must not make all others seem as old.
+    let fresh_ms = u32::try_from(lease.as_millis() / 2).unwrap_or(u32::MAX);
+    let (fresh, stale): (Vec<_>, Vec<_>) =
+        replicas.into_iter().partition(|replica| replica.a <= fresh_ms);
+    let digest = digest_set(&fresh);
+    let oldest = fresh.iter().map(|replica| replica.a).max().unwrap_or(0);
+    if digest == known {
+        let loads = fresh.iter().map(|r| u16::try_from(r.l).unwrap_or(u16::MAX)).collect();
+        return (ReplicaSet { digest, oldest, loads }, stale);
+    }
+    let listed = fresh.into_iter().chain(stale).collect();
+    (ReplicaSet { digest, oldest, loads: Vec::new() }, listed)
+}
+
+/// Digest of heads and epochs in order, 0 for none.
+fn digest_set(replicas: &[ReplicaDigest]) -> u64 {
+    replicas.iter().fold(0, extend_digest)
+}
+
+fn extend_digest(digest: u64, replica: &ReplicaDigest) -> u64 {
+    let text = format!("{}/{}", *replica.h, *replica.e);
+    xxhash_rust::xxh3::xxh3_64_with_seed(text.as_bytes(), digest).max(1)
+}
+
+/// Writes a named set out again, with the list that was kept of it.
+pub(crate) fn list_set(set: &ReplicaSet, kept: &ListedSet) -> Vec<ReplicaDigest> {
+    if set.digest == 0 || set.digest != kept.digest || set.loads.len() != kept.replicas.len() {
+        return Vec::new();
+    }
+    let named = kept.replicas.iter().zip(&set.loads);
+    named
+        .map(|((head, epoch), load)| ReplicaDigest {
+            h: head.clone(),
+            e: *epoch,
+            a: set.oldest,
+            l: u32::from(*load),
+        })
+        .collect()
+}
+
+/// The list of a set that came in full, to be kept.
+pub(crate) fn keep_set(set: &ReplicaSet, listed: &[ReplicaDigest]) -> Option<ListedSet> {
+    // The fresh ones come first; how many they are shows where the digest fits.
+    let mut digest = 0;
+    let count = listed.iter().position(|replica| {
+        digest = extend_digest(digest, replica);
+        digest == set.digest
+    })?;
+    let fresh = listed[..=count].iter().map(|replica| (replica.h.clone(), replica.e));
+    Some(ListedSet { digest: set.digest, replicas: fresh.collect() })
+}
+
 /// Serving replicas and plain services of a zone.
 fn report_replicas(fleet: &FleetView, zone: &ZoneId, now: Instant) -> Vec<ReplicaDigest> {
     let allocations = fleet.tables.get(zone).into_iter().flat_map(|table| &table.allocations);
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,13 +10,15 @@
 
 use hollowbarrow_planner::NodeView;
 use hollowbarrow_schema::{
-    Allocation, DaemonId, GroupName, Labels, LogIndex, NodeId, ObserverDigest, PlatformList,
+    Allocation, DaemonId, Epoch, GroupName, Labels, LogIndex, NodeId, ObserverDigest, PlatformList,
     PlatformNode, PlatformState, Selector, ServiceName, ZoneCapacity, ZoneId, ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
 use hollowbarrow_zone::{LeaseTable, NodeSighting};
 use tokio::time::Instant;
 
+use crate::digest::{keep_set, list_set};
+
 /// Label with which operators drain one node.
 pub(crate) const DRAIN_LABEL: &str = "drain";
 /// How long a node that is neither listed nor seen is remembered.
@@ -44,6 +46,17 @@
     pub(crate) stamp: u64,
     /// Newest version of this daemon's zone's table that it holds.
     pub(crate) table_rank: (u64, u64),
+    /// Digest of the set of this daemon's replicas that it keeps the list of.
+    pub(crate) known_set: u64,
+    /// The set of its replicas that it last listed.
+    pub(crate) listed: ListedSet,
+}
+
+/// Heads and epochs of replicas that are named by a digest.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ListedSet {
+    pub(crate) digest: u64,
+    pub(crate) replicas: Vec<(NodeId, Epoch)>,
 }
 
 /// What a zone's authority said that it could run.
@@ -166,16 +179,21 @@
                     self.gone.entry(node.n.clone()).or_insert(at);
                 }
             }
-            for replica in &digest.replicas {
+            let kept = self.peers.get(id).map(|peer| peer.listed.clone()).unwrap_or_default();
+            for replica in digest.replicas.iter().chain(&list_set(&digest.set, &kept)) {
                 self.leases.observe_replica(replica, base, held);
             }
         }
+        let listed = keep_set(&digest.set, &digest.replicas)
+            .or_else(|| self.peers.get(id).map(|peer| peer.listed.clone()))
+            .unwrap_or_default();
         if !digest.capacity.is_empty() {
             let (applied, groups) = (digest.applied, digest.capacity);
             self.capacity.insert(zone.clone(), ReportedCapacity { at: now, applied, groups });
         }
         let table_rank = (*digest.table_term, digest.table_version);
-        let peer = KnownPeer { heard: now, stamp: digest.sent, table_rank };
+        let known_set = digest.known_set;
+        let peer = KnownPeer { heard: now, stamp: digest.sent, table_rank, known_set, listed };
         self.peers.insert(id.clone(), peer);
         digest.table.is_some_and(|table| self.take_table(table))
     }
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -19,16 +19,17 @@
 };
 use hollowbarrow_schema::{
     Allocation, AllocationPhase, AuthorityMessage, DaemonId, Epoch, FencedOrder, GroupName,
-    GroupSpec, LoadOrder, LogIndex, NodeId, NodeOrder, NodeState, PeerMessage, ZoneCapacity,
-    ZoneId, ZoneTable,
+    GroupSpec, LogIndex, NodeId, NodeOrder, NodeState, PeerMessage, ZoneCapacity, ZoneId,
+    ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
 use hollowbarrow_upstream::{EngineClient, GiveOrderError};
 use hollowbarrow_zone::{Draining, Forming, Loading, ReplicaLife, Serving};
 use tokio::time::Instant;
 
-use crate::core::{DaemonCore, wall_ms};
+use crate::core::DaemonCore;
 use crate::fleet::FleetView;
+use crate::table_change::{NodeOrderEntry, ReplicaName, TableChange, drain_order, load_orders};
 
 /// Pause between two steps.
 const STEP: Duration = Duration::from_millis(50);
@@ -37,9 +38,6 @@
 /// Pause before an order without effect is given again.
 const ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Name of one replica within a zone.
-type ReplicaName = (GroupName, u32);
-
 /// Where a replica is in its life.
 #[derive(Clone, Debug)]
 enum ReplicaStage {
@@ -450,7 +448,7 @@
     }
 
     fn give_orders(&mut self, table: &ZoneTable, now: Instant) {
-        let mut orders: Vec<(NodeId, Epoch, NodeOrder)> = Vec::new();
+        let mut orders: Vec<NodeOrderEntry> = Vec::new();
         {
             let fleet = self.core.fleet();
             for allocation in &table.allocations {
@@ -540,91 +538,6 @@
     }
 }
 
-fn load_orders(fleet: &FleetView, allocation: &Allocation) -> Vec<(NodeId, Epoch, NodeOrder)> {
-    let wants_order = |member: &NodeId| {
-        fleet.leases.sighting(member).is_some_and(|sighting| sighting.epoch < allocation.epoch)
-    };
-    allocation
-        .members
-        .iter()
-        .zip(0..)
-        .filter(|(member, _)| wants_order(member))
-        .map(|(member, rank)| {
-            let order = LoadOrder {
-                group: allocation.group.clone(),
-                model: allocation.model.clone(),
-                version: allocation.version.clone(),
-                adapter: allocation.adapter.clone(),
-                rank,
-                members: allocation.members.clone(),
-            };
-            (member.clone(), allocation.epoch, NodeOrder::Load(order))
-        })
-        .collect()
-}
-
-fn drain_order(fleet: &FleetView, allocation: &Allocation) -> Option<(NodeId, Epoch, NodeOrder)> {
-    let head = allocation.head();
-    let ready = fleet.leases.sighting(head).is_some_and(|s| s.state == NodeState::Ready);
-    ready.then(|| (head.clone(), allocation.epoch, NodeOrder::Drain))
-}
-
-/// One change of the zone's table.
-struct TableChange {
-    loaded: BTreeMap<ReplicaName, Vec<hollowbarrow_schema::StartId>>,
-    released: BTreeSet<ReplicaName>,
-    losses: BTreeSet<ReplicaName>,
-    drains: BTreeSet<ReplicaName>,
-    forms: Vec<NewReplica>,
-    unneeded: u64,
-    specs: BTreeMap<GroupName, GroupSpec>,
-}
-
-impl TableChange {
-    fn apply(self, table: &mut ZoneTable) {
-        let name = |allocation: &Allocation| (allocation.group.clone(), allocation.slot);
-        table.allocations.retain(|allocation| {
-            let name = name(allocation);
-            !self.released.contains(&name) && !self.losses.contains(&name)
-        });
-        for allocation in &mut table.allocations {
-            let name = name(allocation);
-            if let Some(starts) = self.loaded.get(&name) {
-                allocation.starts = starts.clone();
-            }
-            if self.drains.contains(&name) {
-                allocation.phase = AllocationPhase::Draining;
-            }
-        }
-        table.high_epoch = Epoch(*table.high_epoch + self.unneeded);
-        for form in self.forms {
-            let Some(spec) = self.specs.get(&form.group) else { continue };
-            table.high_epoch = Epoch(*table.high_epoch + 1);
-            log::info!(
-                "event=replica_form group={} slot={} epoch={} domain={} members={}",
-                *form.group,
-                form.slot,
-                *table.high_epoch,
-                *form.domain,
-                form.members.iter().map(|member| member.as_str()).collect::<Vec<_>>().join(",")
-            );
-            table.allocations.push(Allocation {
-                group: form.group,
-                slot: form.slot,
-                epoch: table.high_epoch,
-                members: form.members,
-                domain: form.domain,
-                phase: AllocationPhase::Active,
-                model: spec.model.clone(),
-                version: spec.version.clone(),
-                adapter: spec.adapter.clone(),
-                starts: Vec::new(),
-                since_ms: wall_ms(),
-            });
-        }
-    }
-}
-
 /// Whether a drain reason leaves requests in flight to wait for.
 pub(crate) fn describe_drain(reason: &DrainReason) -> String {
     let how = if reason.is_loss() { "dissolved at once" } else { "drained" };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod quota;
 mod relay;
 mod routes;
+mod table_change;
 mod telemetry;
 
 pub use answer::error_catalogue;
--- a/crates/daemon/src/operator_view.rs
+++ b/crates/daemon/src/operator_view.rs
@@ -116,6 +116,7 @@
         slot: allocation.slot,
         epoch: allocation.epoch,
         members: allocation.members.clone(),
+        since_ms: allocation.since_ms,
         state,
         reason,
         in_flight: fleet.leases.load(allocation).map_or(0, |(load, _)| load),
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -111,15 +111,15 @@
                     }
                     StreamChunk::Done => return Err(self.broken("it ended without a reason")),
                     StreamChunk::Error => return Err(self.broken("the engine reported an error")),
-                    StreamChunk::Finish { .. } => finished = true,
-                    StreamChunk::Token { index, ref text, .. } => {
-                        if !self.take_token(index, text)? {
+                    StreamChunk::Finish => finished = true,
+                    StreamChunk::Token { index, text } => {
+                        if !self.take_token(index, &text)? {
                             continue;
                         }
                         self.note_token(core, request);
                     }
-                    StreamChunk::Other { .. } if self.tokens > 0 => continue,
-                    StreamChunk::Other { .. } => {}
+                    StreamChunk::Other if self.tokens > 0 => continue,
+                    StreamChunk::Other => {}
                 }
                 self.pass(&event, request).await;
             }
--- /dev/null
+++ b/crates/daemon/src/table_change.rs
@@ -0,0 +1,106 @@
+//! A change of a zone's table, and the orders that follow from a settled one.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hollowbarrow_planner::NewReplica;
+use hollowbarrow_schema::{
+    Allocation, AllocationPhase, Epoch, GroupName, GroupSpec, LoadOrder, NodeId, NodeOrder,
+    NodeState, StartId, ZoneTable,
+};
+
+use crate::core::wall_ms;
+use crate::fleet::FleetView;
+
+/// Name of one replica within a zone.
+pub(crate) type ReplicaName = (GroupName, u32);
+
+/// An order for a node, with the epoch that fences it.
+pub(crate) type NodeOrderEntry = (NodeId, Epoch, NodeOrder);
+
+/// One change of the zone's table.
+pub(crate) struct TableChange {
+    pub(crate) loaded: BTreeMap<ReplicaName, Vec<StartId>>,
+    pub(crate) released: BTreeSet<ReplicaName>,
+    pub(crate) losses: BTreeSet<ReplicaName>,
+    pub(crate) drains: BTreeSet<ReplicaName>,
+    pub(crate) forms: Vec<NewReplica>,
+    pub(crate) unneeded: u64,
+    pub(crate) specs: BTreeMap<GroupName, GroupSpec>,
+}
+
+impl TableChange {
+    /// Applies the change to a table.
+    pub(crate) fn apply(self, table: &mut ZoneTable) {
+        let name = |allocation: &Allocation| (allocation.group.clone(), allocation.slot);
+        table.allocations.retain(|allocation| {
+            let name = name(allocation);
+            !self.released.contains(&name) && !self.losses.contains(&name)
+        });
+        for allocation in &mut table.allocations {
+            let name = name(allocation);
+            if let Some(starts) = self.loaded.get(&name) {
+                allocation.starts = starts.clone();
+            }
+            if self.drains.contains(&name) {
+                allocation.phase = AllocationPhase::Draining;
+            }
+        }
+        table.high_epoch = Epoch(*table.high_epoch + self.unneeded);
+        for form in self.forms {
+            let Some(spec) = self.specs.get(&form.group) else { continue };
+            table.high_epoch = Epoch(*table.high_epoch + 1);
+            log::info!(
+                "event=replica_form group={} slot={} epoch={} domain={} members={}",
+                *form.group,
+                form.slot,
+                *table.high_epoch,
+                *form.domain,
+                form.members.iter().map(|member| member.as_str()).collect::<Vec<_>>().join(",")
+            );
+            table.allocations.push(Allocation {
+                group: form.group,
+                slot: form.slot,
+                epoch: table.high_epoch,
+                members: form.members,
+                domain: form.domain,
+                phase: AllocationPhase::Active,
+                model: spec.model.clone(),
+                version: spec.version.clone(),
+                adapter: spec.adapter.clone(),
+                starts: Vec::new(),
+                since_ms: wall_ms(),
+            });
+        }
+    }
+}
+
+/// Load orders for the members of a replica that have not taken theirs.
+pub(crate) fn load_orders(fleet: &FleetView, allocation: &Allocation) -> Vec<NodeOrderEntry> {
+    let wants_order = |member: &NodeId| {
+        fleet.leases.sighting(member).is_some_and(|sighting| sighting.epoch < allocation.epoch)
+    };
+    allocation
+        .members
+        .iter()
+        .zip(0..)
+        .filter(|(member, _)| wants_order(member))
+        .map(|(member, rank)| {
+            let order = LoadOrder {
+                group: allocation.group.clone(),
+                model: allocation.model.clone(),
+                version: allocation.version.clone(),
+                adapter: allocation.adapter.clone(),
+                rank,
+                members: allocation.members.clone(),
+            };
+            (member.clone(), allocation.epoch, NodeOrder::Load(order))
+        })
+        .collect()
+}
+
+/// A drain order for a replica's head, unless it drains already.
+pub(crate) fn drain_order(fleet: &FleetView, allocation: &Allocation) -> Option<NodeOrderEntry> {
+    let head = allocation.head();
+    let ready = fleet.leases.sighting(head).is_some_and(|s| s.state == NodeState::Ready);
+    ready.then(|| (head.clone(), allocation.epoch, NodeOrder::Drain))
+}
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -7,19 +7,22 @@
 //! Trial elections keep a returning replica from disturbing a healthy leader;
 //! a leader that a majority has not confirmed for an election time steps down.
 
+mod election;
+mod replication;
+mod voters;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hollowbarrow_schema::{
-    AppendReply, AppendRequest, DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage,
-    LogSnapshot, SnapshotRequest, Term, VoteReply, VoteRequest,
+    DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot, Term,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use thiserror::Error;
 use tokio::time::Instant;
 
-use crate::leader::{FollowerProgress, LeaderRole};
+use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, StoreLogError, VoteRecord};
 
 /// Most entries in one message.
@@ -308,22 +311,6 @@
         }
     }
 
-    fn may_propose(&self, payload: &EntryPayload) -> bool {
-        let EntryPayload::Voters(voters) = payload else { return true };
-        let wanted: BTreeSet<&DaemonId> = voters.iter().collect();
-        let current: BTreeSet<&DaemonId> = self.voters.iter().collect();
-        let pending = self
-            .storage
-            .window()
-            .entries_from(LogIndex(*self.commit + 1), usize::MAX)
-            .any(|entry| matches!(entry.payload, EntryPayload::Voters(_)));
-        let known = wanted.iter().all(|id| self.config.peers.contains(*id));
-        !pending
-            && known
-            && !wanted.is_empty()
-            && wanted.symmetric_difference(&current).count() == 1
-    }
-
     /// Acts on a message from another replica.
     pub fn step(&mut self, from: &DaemonId, message: LogMessage, now: Instant) {
         match message {
@@ -335,34 +322,10 @@
         }
     }
 
-    fn is_voter(&self) -> bool {
-        self.voters.contains(&self.config.id)
-    }
-
     fn storage_fault(&self) -> Option<&ReplicaFault> {
         self.fault.as_ref().filter(|fault| matches!(fault, ReplicaFault::Storage(_)))
     }
 
-    /// Whether this replica may count in a quorum; notes why where it may not.
-    fn check_quorum_member(&mut self) -> bool {
-        if self.storage_fault().is_some() {
-            return false;
-        }
-        self.fault = None;
-        if !self.is_voter() {
-            return false;
-        }
-        if !self.storage.is_durable() {
-            self.fault = Some(ReplicaFault::NoDisk);
-            return false;
-        }
-        if !self.storage.vote().initialised {
-            self.fault = Some(ReplicaFault::LostDisk);
-            return false;
-        }
-        true
-    }
-
     fn is_blank(&self) -> bool {
         *self.storage.window().last_index() == 0
     }
@@ -400,48 +363,6 @@
         true
     }
 
-    /// Reads the voters from the latest entry that names them, the snapshot or the settings.
-    fn refresh_voters(&mut self) {
-        let window = self.storage.window();
-        let named = window.newest_first().find_map(|entry| match &entry.payload {
-            EntryPayload::Voters(voters) => Some(voters),
-            _ => None,
-        });
-        let voters = named
-            .or_else(|| window.snapshot().map(|snapshot| &snapshot.voters))
-            .unwrap_or(&self.config.first_voters)
-            .clone();
-        self.set_voters(voters);
-    }
-
-    fn set_voters(&mut self, voters: Vec<DaemonId>) {
-        let joined = voters.contains(&self.config.id)
-            && !self.voters.is_empty()
-            && !self.voters.contains(&self.config.id);
-        self.voters = voters;
-        if joined && !self.storage.vote().initialised {
-            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
-            self.save_vote(vote);
-        }
-        self.track_followers();
-    }
-
-    fn track_followers(&mut self) {
-        let last = self.storage.window().last_index();
-        let followers = self.followers();
-        if let ReplicaRole::Leader(role) = &mut self.role {
-            for id in followers {
-                role.progress.entry(id).or_insert_with(|| FollowerProgress::new(last));
-            }
-        }
-    }
-
-    /// Daemons that this replica sends entries to when it leads.
-    fn followers(&self) -> BTreeSet<DaemonId> {
-        let learners = self.config.peers.iter().filter(|_| self.config.learners);
-        learners.chain(&self.voters).filter(|id| **id != self.config.id).cloned().collect()
-    }
-
     fn reset_deadline(&mut self, now: Instant) {
         let jitter = self.rng.random_range(1.0..2.0);
         self.deadline = now + self.config.election.mul_f64(jitter);
@@ -461,321 +382,6 @@
         self.reset_deadline(now);
     }
 
-    fn campaign(&mut self, now: Instant, trial: bool, founding: bool) {
-        let term = Term(*self.term() + 1);
-        if !trial {
-            let initialised = self.storage.vote().initialised || founding;
-            let vote = VoteRecord { term, vote: Some(self.config.id.clone()), initialised };
-            if !self.save_vote(vote) {
-                return;
-            }
-        }
-        let own = BTreeSet::from([self.config.id.clone()]);
-        let blank = if self.is_blank() { own.clone() } else { BTreeSet::new() };
-        self.role = ReplicaRole::Candidate { trial, granted: own, blank, founding };
-        let window = self.storage.window();
-        let request = VoteRequest {
-            term,
-            last_index: window.last_index(),
-            last_term: window.last_term(),
-            trial,
-            founding,
-        };
-        for voter in self.voters.iter().filter(|voter| **voter != self.config.id) {
-            self.late.push((voter.clone(), LogMessage::Vote(request.clone())));
-        }
-        self.count_votes(now);
-    }
-
-    fn on_vote(&mut self, from: &DaemonId, request: &VoteRequest, now: Instant) {
-        if self.storage_fault().is_some() {
-            return;
-        }
-        let follows_leader = self.is_leader()
-            || self
-                .heard
-                .is_some_and(|heard| now.saturating_duration_since(heard) < self.config.election);
-        if follows_leader && self.leader() != Some(from) {
-            return self.answer_vote(from, request, false);
-        }
-        if !request.trial && request.term > self.term() {
-            self.step_down(request.term, None, now);
-        }
-        if request.founding && self.is_blank() && self.storage.is_durable() && !request.trial {
-            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
-            self.save_vote(vote);
-        }
-        let window = self.storage.window();
-        let current =
-            (request.last_term, request.last_index) >= (window.last_term(), window.last_index());
-        let free = request.term > self.term()
-            || (request.term == self.term()
-                && self.storage.vote().vote.as_ref().is_none_or(|vote| vote == from));
-        let mut granted = current && free && self.check_quorum_member();
-        if granted && !request.trial {
-            let term = request.term;
-            granted =
-                self.save_vote(VoteRecord { term, vote: Some(from.clone()), initialised: true });
-            self.reset_deadline(now);
-        }
-        self.answer_vote(from, request, granted);
-    }
-
-    fn answer_vote(&mut self, from: &DaemonId, request: &VoteRequest, granted: bool) {
-        let term = if granted { request.term } else { self.term() };
-        let blank = self.is_blank() && self.is_voter() && self.storage.is_durable();
-        let reply = VoteReply { term, granted, trial: request.trial, blank };
-        self.late.push((from.clone(), LogMessage::VoteReply(reply)));
-    }
-
-    fn on_vote_reply(&mut self, from: &DaemonId, reply: &VoteReply, now: Instant) {
-        if !reply.granted && reply.term > self.term() {
-            return self.step_down(reply.term, None, now);
-        }
-        let expected = Term(*self.term() + 1);
-        let own_term = self.term();
-        let ReplicaRole::Candidate { trial, granted, blank, .. } = &mut self.role else { return };
-        if *trial != reply.trial {
-            return;
-        }
-        if reply.blank {
-            blank.insert(from.clone());
-        }
-        let term = if *trial { expected } else { own_term };
-        if reply.granted && reply.term == term {
-            granted.insert(from.clone());
-        }
-        self.count_votes(now);
-    }
-
-    fn count_votes(&mut self, now: Instant) {
-        let ReplicaRole::Candidate { trial, granted, blank, founding } = &self.role else { return };
-        let majority = self.voters.len() / 2 + 1;
-        let votes = self.voters.iter().filter(|voter| granted.contains(*voter)).count();
-        let all_blank = self.voters.iter().all(|voter| blank.contains(voter));
-        let (trial, founding) = (*trial, *founding);
-        if trial && all_blank {
-            self.campaign(now, false, true);
-        } else if trial && votes >= majority && self.check_quorum_member() {
-            self.campaign(now, false, false);
-        } else if !trial && votes >= majority && self.check_quorum_member() {
-            self.lead(now, founding);
-        }
-    }
-
-    fn lead(&mut self, now: Instant, founding: bool) {
-        let last = self.storage.window().last_index();
-        let followers = self.followers();
-        let role = LeaderRole::new(now, followers.into_iter(), last, founding);
-        self.role = ReplicaRole::Leader(role);
-        let entry =
-            LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: EntryPayload::Noop };
-        if self.append(&[entry]) {
-            self.broadcast(now, true);
-        }
-    }
-
-    fn broadcast(&mut self, now: Instant, heartbeat: bool) {
-        let interval = self.config.election / HEARTBEATS_PER_ELECTION;
-        let ReplicaRole::Leader(role) = &mut self.role else { return };
-        if heartbeat {
-            role.start_round(now, interval);
-            role.confirm_rounds(&self.config.id, &self.voters);
-        }
-        let followers: Vec<DaemonId> = role.progress.keys().cloned().collect();
-        for follower in followers {
-            self.send_append(&follower, heartbeat, now);
-        }
-    }
-
-    /// Sends what a follower lacks; without a heartbeat only where there is something.
-    fn send_append(&mut self, to: &DaemonId, heartbeat: bool, now: Instant) {
-        let term = self.term();
-        let commit = self.commit;
-        let window = self.storage.window();
-        let ReplicaRole::Leader(role) = &mut self.role else { return };
-        let confirmed = now.saturating_duration_since(role.confirmed);
-        let (round, founding) = (role.round, role.founding);
-        let Some(progress) = role.progress.get_mut(to) else { return };
-        let previous_index = LogIndex(progress.next.saturating_sub(1));
-        let Some(previous_term) = window.term_at(previous_index) else {
-            let due = progress
-                .snapshot_sent
-                .is_none_or(|sent| now.saturating_duration_since(sent) > self.config.election);
-            if let (true, Some(snapshot)) = (due, window.snapshot()) {
-                progress.snapshot_sent = Some(now);
-                let request = SnapshotRequest { term, snapshot: snapshot.clone() };
-                self.early.push((to.clone(), LogMessage::Snapshot(request)));
-            }
-            return;
-        };
-        let entries: Vec<LogEntry> =
-            window.entries_from(progress.next, BATCH_ENTRIES).cloned().collect();
-        if entries.is_empty() && !heartbeat {
-            return;
-        }
-        progress.next = LogIndex(*progress.next + entries.len() as u64);
-        let request = AppendRequest {
-            term,
-            previous_index,
-            previous_term,
-            entries,
-            commit,
-            round,
-            founding: founding && !progress.counted,
-            confirmed_ms: confirmed.as_millis() as u64,
-        };
-        self.early.push((to.clone(), LogMessage::Append(request)));
-    }
-
-    fn on_append(&mut self, from: &DaemonId, request: AppendRequest, now: Instant) {
-        if self.storage_fault().is_some() {
-            return;
-        }
-        if request.term < self.term() {
-            return self.answer_append(from, false, LogIndex(0), request.round);
-        }
-        self.step_down(request.term, Some(from.clone()), now);
-        self.heard = Some(now);
-        self.confirmed =
-            now.checked_sub(Duration::from_millis(request.confirmed_ms)).max(self.confirmed);
-        if request.founding && self.is_blank() && self.storage.is_durable() {
-            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
-            self.save_vote(vote);
-        }
-        let snapshot = self.storage.window().snapshot_index();
-        let found = self.storage.window().term_at(request.previous_index);
-        if request.previous_index >= snapshot && found != Some(request.previous_term) {
-            let hint = self.conflict_hint(request.previous_index);
-            return self.answer_append(from, false, hint, request.round);
-        }
-        let matched = LogIndex(*request.previous_index + request.entries.len() as u64);
-        if !self.take_entries(request.entries) {
-            return;
-        }
-        self.commit = self.commit.max(request.commit.min(matched));
-        self.answer_append(from, true, matched, request.round);
-    }
-
-    /// Index up to which the leader should try next, after a mismatch.
-    fn conflict_hint(&self, index: LogIndex) -> LogIndex {
-        let window = self.storage.window();
-        if index > window.last_index() {
-            return window.last_index();
-        }
-        let term = window.term_at(index);
-        let mut hint = index;
-        while *hint > *window.snapshot_index() && window.term_at(hint) == term {
-            hint = LogIndex(*hint - 1);
-        }
-        hint
-    }
-
-    /// Appends the entries that are not held yet, dropping those that conflict.
-    fn take_entries(&mut self, entries: Vec<LogEntry>) -> bool {
-        let window = self.storage.window();
-        let held = |entry: &LogEntry| {
-            entry.index <= window.snapshot_index()
-                || window.term_at(entry.index) == Some(entry.term)
-        };
-        let fresh: Vec<LogEntry> = entries.into_iter().skip_while(held).collect();
-        let Some(first) = fresh.first() else { return true };
-        if first.index <= self.commit {
-            // What was accepted never reverts, whoever asks.
-            self.fault = Some(ReplicaFault::Diverged);
-            return false;
-        }
-        if first.index <= window.last_index() {
-            if let Err(error) = self.storage.truncate_from(first.index) {
-                self.fail(error.into());
-                return false;
-            }
-            self.refresh_voters();
-        }
-        self.append(&fresh)
-    }
-
-    fn answer_append(&mut self, to: &DaemonId, accepted: bool, matched: LogIndex, round: u64) {
-        // A learner's answer only moves its own progress, so it needs no disk; a
-        // voter's counts in a quorum, and says so where it must not be counted.
-        let counts = !self.is_voter() || self.check_quorum_member();
-        let reply = AppendReply { term: self.term(), accepted, matched, counts, round };
-        self.late.push((to.clone(), LogMessage::AppendReply(reply)));
-    }
-
-    fn on_append_reply(&mut self, from: &DaemonId, reply: &AppendReply, now: Instant) {
-        if reply.term > self.term() {
-            return self.step_down(reply.term, None, now);
-        }
-        let last = self.storage.window().last_index();
-        let ReplicaRole::Leader(role) = &mut self.role else { return };
-        let Some(progress) = role.progress.get_mut(from) else { return };
-        progress.contact = Some(now);
-        if reply.counts {
-            progress.round = progress.round.max(reply.round);
-        } else {
-            progress.matched = LogIndex(0);
-        }
-        if reply.accepted {
-            if reply.counts {
-                progress.matched = progress.matched.max(reply.matched);
-                progress.counted = true;
-            }
-            progress.next = progress.next.max(LogIndex(*reply.matched + 1));
-            progress.snapshot_sent = None;
-        } else {
-            progress.next = LogIndex(reply.matched.min(last).saturating_add(1));
-        }
-        let behind = progress.next <= last;
-        role.confirm_rounds(&self.config.id, &self.voters);
-        self.advance_commit(now);
-        if behind {
-            self.send_append(from, false, now);
-        }
-    }
-
-    fn advance_commit(&mut self, now: Instant) {
-        let term = self.term();
-        let ReplicaRole::Leader(role) = &self.role else { return };
-        let index = role.majority_index(&self.config.id, &self.voters);
-        if index <= self.commit || self.storage.window().term_at(index) != Some(term) {
-            return;
-        }
-        self.commit = index;
-        let removed = !self.is_voter();
-        // Followers hear of the commit at once, so that they apply it within a message.
-        self.announce_commit(now);
-        if removed {
-            self.step_down(term, None, now);
-        }
-    }
-
-    fn announce_commit(&mut self, now: Instant) {
-        let ReplicaRole::Leader(role) = &self.role else { return };
-        let followers: Vec<DaemonId> = role.progress.keys().cloned().collect();
-        for follower in followers {
-            self.send_append(&follower, true, now);
-        }
-    }
-
-    fn on_snapshot(&mut self, from: &DaemonId, request: SnapshotRequest, now: Instant) {
-        if self.storage_fault().is_some() || request.term < self.term() {
-            return;
-        }
-        self.step_down(request.term, Some(from.clone()), now);
-        self.heard = Some(now);
-        let index = request.snapshot.index;
-        if index > self.commit {
-            if let Err(error) = self.storage.install_snapshot(request.snapshot) {
-                return self.fail(error.into());
-            }
-            self.refresh_voters();
-            self.commit = index;
-            self.installed = true;
-        }
-        self.answer_append(from, true, self.commit, 0);
-    }
-
     /// Replaces the applied entries by a snapshot of the state that they led to.
     pub fn compact(&mut self, state: Vec<u8>) {
         let window = self.storage.window();
@@ -789,21 +395,6 @@
         }
     }
 
-    fn voters_at(&self, index: LogIndex) -> Vec<DaemonId> {
-        let window = self.storage.window();
-        let named =
-            window.newest_first().filter(|entry| entry.index <= index).find_map(
-                |entry| match &entry.payload {
-                    EntryPayload::Voters(voters) => Some(voters),
-                    _ => None,
-                },
-            );
-        named
-            .or_else(|| window.snapshot().map(|snapshot| &snapshot.voters))
-            .unwrap_or(&self.config.first_voters)
-            .clone()
-    }
-
     /// When each follower last answered; empty where this replica does not lead.
     pub fn contacts(&self) -> BTreeMap<DaemonId, Option<Instant>> {
         match &self.role {
--- /dev/null
+++ b/crates/log/src/replica/election.rs
@@ -0,0 +1,128 @@
+//! Elections: trials, votes and who leads.
+
+use std::collections::BTreeSet;
+
+use hollowbarrow_schema::{
+    DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, Term, VoteReply, VoteRequest,
+};
+use tokio::time::Instant;
+
+use super::{LogReplica, ReplicaRole};
+use crate::leader::LeaderRole;
+use crate::storage::{LogStorage, VoteRecord};
+
+impl<S: LogStorage> LogReplica<S> {
+    pub(super) fn campaign(&mut self, now: Instant, trial: bool, founding: bool) {
+        let term = Term(*self.term() + 1);
+        if !trial {
+            let initialised = self.storage.vote().initialised || founding;
+            let vote = VoteRecord { term, vote: Some(self.config.id.clone()), initialised };
+            if !self.save_vote(vote) {
+                return;
+            }
+        }
+        let own = BTreeSet::from([self.config.id.clone()]);
+        let blank = if self.is_blank() { own.clone() } else { BTreeSet::new() };
+        self.role = ReplicaRole::Candidate { trial, granted: own, blank, founding };
+        let window = self.storage.window();
+        let request = VoteRequest {
+            term,
+            last_index: window.last_index(),
+            last_term: window.last_term(),
+            trial,
+            founding,
+        };
+        for voter in self.voters.iter().filter(|voter| **voter != self.config.id) {
+            self.late.push((voter.clone(), LogMessage::Vote(request.clone())));
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn on_vote(&mut self, from: &DaemonId, request: &VoteRequest, now: Instant) {
+        if self.storage_fault().is_some() {
+            return;
+        }
+        let follows_leader = self.is_leader()
+            || self
+                .heard
+                .is_some_and(|heard| now.saturating_duration_since(heard) < self.config.election);
+        if follows_leader && self.leader() != Some(from) {
+            return self.answer_vote(from, request, false);
+        }
+        if !request.trial && request.term > self.term() {
+            self.step_down(request.term, None, now);
+        }
+        if request.founding && self.is_blank() && self.storage.is_durable() && !request.trial {
+            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
+            self.save_vote(vote);
+        }
+        let window = self.storage.window();
+        let current =
+            (request.last_term, request.last_index) >= (window.last_term(), window.last_index());
+        let free = request.term > self.term()
+            || (request.term == self.term()
+                && self.storage.vote().vote.as_ref().is_none_or(|vote| vote == from));
+        let mut granted = current && free && self.check_quorum_member();
+        if granted && !request.trial {
+            let term = request.term;
+            granted =
+                self.save_vote(VoteRecord { term, vote: Some(from.clone()), initialised: true });
+            self.reset_deadline(now);
+        }
+        self.answer_vote(from, request, granted);
+    }
+
+    pub(super) fn answer_vote(&mut self, from: &DaemonId, request: &VoteRequest, granted: bool) {
+        let term = if granted { request.term } else { self.term() };
+        let blank = self.is_blank() && self.is_voter() && self.storage.is_durable();
+        let reply = VoteReply { term, granted, trial: request.trial, blank };
+        self.late.push((from.clone(), LogMessage::VoteReply(reply)));
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: &DaemonId, reply: &VoteReply, now: Instant) {
+        if !reply.granted && reply.term > self.term() {
+            return self.step_down(reply.term, None, now);
+        }
+        let expected = Term(*self.term() + 1);
+        let own_term = self.term();
+        let ReplicaRole::Candidate { trial, granted, blank, .. } = &mut self.role else { return };
+        if *trial != reply.trial {
+            return;
+        }
+        if reply.blank {
+            blank.insert(from.clone());
+        }
+        let term = if *trial { expected } else { own_term };
+        if reply.granted && reply.term == term {
+            granted.insert(from.clone());
+        }
+        self.count_votes(now);
+    }
+
+    pub(super) fn count_votes(&mut self, now: Instant) {
+        let ReplicaRole::Candidate { trial, granted, blank, founding } = &self.role else { return };
+        let majority = self.voters.len() / 2 + 1;
+        let votes = self.voters.iter().filter(|voter| granted.contains(*voter)).count();
+        let all_blank = self.voters.iter().all(|voter| blank.contains(voter));
+        let (trial, founding) = (*trial, *founding);
+        if trial && all_blank {
+            self.campaign(now, false, true);
+        } else if trial && votes >= majority && self.check_quorum_member() {
+            self.campaign(now, false, false);
+        } else if !trial && votes >= majority && self.check_quorum_member() {
+            self.lead(now, founding);
+        }
+    }
+
+    pub(super) fn lead(&mut self, now: Instant, founding: bool) {
+        let last = self.storage.window().last_index();
+        let followers = self.followers();
+        let role = LeaderRole::new(now, followers.into_iter(), last, founding);
+        self.role = ReplicaRole::Leader(role);
+        let entry =
+            LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: EntryPayload::Noop };
+        if self.append(&[entry]) {
+            self.broadcast(now, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/log/src/replica/voters.rs
@@ -0,0 +1,108 @@
+//! Who votes, and whether this replica may be counted.
+
+use std::collections::BTreeSet;
+
+use hollowbarrow_schema::{DaemonId, EntryPayload, LogIndex};
+
+use super::{LogReplica, ReplicaFault, ReplicaRole};
+use crate::leader::FollowerProgress;
+use crate::storage::{LogStorage, VoteRecord};
+
+impl<S: LogStorage> LogReplica<S> {
+    pub(super) fn may_propose(&self, payload: &EntryPayload) -> bool {
+        let EntryPayload::Voters(voters) = payload else { return true };
+        let wanted: BTreeSet<&DaemonId> = voters.iter().collect();
+        let current: BTreeSet<&DaemonId> = self.voters.iter().collect();
+        let pending = self
+            .storage
+            .window()
+            .entries_from(LogIndex(*self.commit + 1), usize::MAX)
+            .any(|entry| matches!(entry.payload, EntryPayload::Voters(_)));
+        let known = wanted.iter().all(|id| self.config.peers.contains(*id));
+        !pending
+            && known
+            && !wanted.is_empty()
+            && wanted.symmetric_difference(&current).count() == 1
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.voters.contains(&self.config.id)
+    }
+
+    /// Reads the voters from the latest entry that names them, the snapshot or the settings.
+    pub(super) fn refresh_voters(&mut self) {
+        let window = self.storage.window();
+        let named = window.newest_first().find_map(|entry| match &entry.payload {
+            EntryPayload::Voters(voters) => Some(voters),
+            _ => None,
+        });
+        let voters = named
+            .or_else(|| window.snapshot().map(|snapshot| &snapshot.voters))
+            .unwrap_or(&self.config.first_voters)
+            .clone();
+        self.set_voters(voters);
+    }
+
+    pub(super) fn set_voters(&mut self, voters: Vec<DaemonId>) {
+        let joined = voters.contains(&self.config.id)
+            && !self.voters.is_empty()
+            && !self.voters.contains(&self.config.id);
+        self.voters = voters;
+        if joined && !self.storage.vote().initialised {
+            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
+            self.save_vote(vote);
+        }
+        self.track_followers();
+    }
+
+    pub(super) fn track_followers(&mut self) {
+        let last = self.storage.window().last_index();
+        let followers = self.followers();
+        if let ReplicaRole::Leader(role) = &mut self.role {
+            for id in followers {
+                role.progress.entry(id).or_insert_with(|| FollowerProgress::new(last));
+            }
+        }
+    }
+
+    /// Daemons that this replica sends entries to when it leads.
+    pub(super) fn followers(&self) -> BTreeSet<DaemonId> {
+        let learners = self.config.peers.iter().filter(|_| self.config.learners);
+        learners.chain(&self.voters).filter(|id| **id != self.config.id).cloned().collect()
+    }
+
+    pub(super) fn voters_at(&self, index: LogIndex) -> Vec<DaemonId> {
+        let window = self.storage.window();
+        let named =
+            window.newest_first().filter(|entry| entry.index <= index).find_map(
+                |entry| match &entry.payload {
+                    EntryPayload::Voters(voters) => Some(voters),
+                    _ => None,
+                },
+            );
+        named
+            .or_else(|| window.snapshot().map(|snapshot| &snapshot.voters))
+            .unwrap_or(&self.config.first_voters)
+            .clone()
+    }
+
+    /// Whether this replica may count in a quorum; notes why where it may not.
+    pub(super) fn check_quorum_member(&mut self) -> bool {
+        if self.storage_fault().is_some() {
+            return false;
+        }
+        self.fault = None;
+        if !self.is_voter() {
+            return false;
+        }
+        if !self.storage.is_durable() {
+            self.fault = Some(ReplicaFault::NoDisk);
+            return false;
+        }
+        if !self.storage.vote().initialised {
+            self.fault = Some(ReplicaFault::LostDisk);
+            return false;
+        }
+        true
+    }
+}
--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -44,6 +44,8 @@
     Command::new("capacity")
         .about("Measures the slopes of docs/CAPACITY.md again")
         .arg(Arg::new("plots").long("plots").help("Folder for a plot of each slope"))
+        .arg(Arg::new("resident").long("resident").hide(true))
+        .arg(Arg::new("size").long("size").value_parser(clap::value_parser!(usize)).hide(true))
         .arg(Arg::new("only").long("only").help("Only slopes whose name contains this"))
 }
 
@@ -68,7 +70,7 @@
         let medians: Vec<(f64, f64)> =
             points.iter().map(|(size, runs)| (*size as f64, spread(runs).1)).collect();
         let (slope, intercept) = fit_line(&medians);
-        let at_target = intercept + slope * case.target;
+        let at_target = between(&medians, case.target).unwrap_or(intercept + slope * case.target);
         let listed: Vec<String> = points
             .iter()
             .map(|(size, runs)| {
@@ -104,6 +106,15 @@
     }
 }
 
+/// Value between the two measured points that enclose a size; none beyond the points.
+///
+/// Within what was measured no line is needed, and a curve would bend it.
+fn between(points: &[(f64, f64)], size: f64) -> Option<f64> {
+    let pair = points.windows(2).find(|pair| (pair[0].0..=pair[1].0).contains(&size))?;
+    let part = (size - pair[0].0) / (pair[1].0 - pair[0].0);
+    Some(pair[0].1 + part * (pair[1].1 - pair[0].1))
+}
+
 fn plot(
     folder: &Path,
     case: &SlopeCase,
@@ -133,6 +144,11 @@
 }
 
 pub(crate) fn run(arguments: &ArgMatches) -> Result<()> {
+    if let Some(what) = arguments.get_one::<String>("resident") {
+        let size = arguments.get_one::<usize>("size").copied().unwrap_or(0);
+        println!("{}", resident_growth(what, size)?);
+        return Ok(());
+    }
     let report = SlopeReport { plots: arguments.get_one::<String>("plots").cloned() };
     let only = arguments.get_one::<String>("only").cloned().unwrap_or_default();
     let wanted = |name: &str| only.is_empty() || name.contains(&only);
@@ -365,19 +381,40 @@
     })?;
     let mut memory = per_change("state_memory", "MB", day, 64.0);
     memory.role = "follower";
-    report.measure(&memory, |size| resident_growth(|| filled_state(size)))
+    report.measure(&memory, |size| resident_elsewhere("state", size))
 }
 
-/// Growth of this process's resident memory while a value is made, in MB.
-fn resident_growth<T>(make: impl FnOnce() -> T) -> Result<f64> {
+/// Growth of a fresh process's resident memory while a state is filled, in MB.
+///
+/// It is measured in a process of its own, because here the allocator would fill the state into
+/// what an earlier measurement left.
+fn resident_elsewhere(what: &str, size: usize) -> Result<f64> {
+    let output = std::process::Command::new(std::env::current_exe()?)
+        .args(["capacity", "--resident", what, "--size", &size.to_string()])
+        .output()?;
+    Ok(String::from_utf8(output.stdout)?.trim().parse()?)
+}
+
+fn resident_growth(what: &str, size: usize) -> Result<f64> {
     let own = std::process::id();
     let (_, before) = process_use(own).context("this process can be read")?;
-    let made = make();
+    let (state, claims) = match what {
+        "state" => (Some(filled_state(size)), None),
+        _ => (None, Some(filled_claims(size))),
+    };
     let (_, after) = process_use(own).context("this process can be read")?;
-    drop(made);
+    drop((state, claims));
     Ok(after.saturating_sub(before) as f64 / 1e6)
 }
 
+fn filled_claims(size: usize) -> ClaimState {
+    let mut state = ClaimState::new();
+    for number in 0..size {
+        state.apply_command(&open_claim(number));
+    }
+    state
+}
+
 fn open_claim(number: usize) -> ClaimCommand {
     ClaimCommand::Open(ClaimOpen {
         key: ClaimKey(format!("{number:064x}")),
@@ -397,17 +434,10 @@
         target: SHARD_KEYS,
         budget,
     };
-    let fill = |size: usize| {
-        let mut state = ClaimState::new();
-        for number in 0..size {
-            state.apply_command(&open_claim(number));
-        }
-        state
-    };
-    report.measure(&case("key_memory", "MB", 64.0), |size| resident_growth(|| fill(size)))?;
+    report.measure(&case("key_memory", "MB", 64.0), |size| resident_elsewhere("claims", size))?;
     report.measure(&case("open_time", "ms", 3_600_000.0), |size| {
         let begun = Instant::now();
-        std::hint::black_box(fill(size));
+        std::hint::black_box(filled_claims(size));
         Ok(begun.elapsed().as_secs_f64() * 1000.0)
     })
 }
@@ -441,7 +471,7 @@
     let mut memory = Vec::new();
     let mut cpu = Vec::new();
     for size in sizes {
-        let (mut memory_runs, mut cpu_runs) = (Vec::new(), Vec::new());
+        let mut memory_runs = Vec::new();
         for seed in 0..RUNS as u64 {
             let mix = LoadMix { name: "streams", streams: 1000, reads: 0, holds: 0 };
             // Each stream lasts a little over a second, so the rate is the number in flight.
@@ -449,16 +479,13 @@
             let time = Duration::from_millis(2500);
             let plan = LoadPlan { mix, doors: vec![door], rate, time, seed };
             let (before, _) = process_use(pid).context("a0 can be read")?;
-            let begun = Instant::now();
             let outcome = drive(plan).await;
             let (after, resident) = process_use(pid).context("a0 can be read")?;
             ensure!(outcome.lost + outcome.unknown == 0, "streams failed while measuring");
             memory_runs.push(resident as f64 / 1e6);
-            let _ = begun;
-            cpu_runs.push((after - before) * 1000.0 / (outcome.tokens as f64 / 1000.0));
+            cpu.push((outcome.tokens as f64, (after - before) * 1000.0));
         }
         memory.push((*size, memory_runs));
-        cpu.push((*size, cpu_runs));
     }
     let case = SlopeCase {
         role: "door",
@@ -470,13 +497,16 @@
         budget: 512.0,
     };
     report.finish(&case, &memory)?;
-    let per_thousand: Vec<f64> = cpu.iter().flat_map(|(_, runs)| runs.clone()).collect();
-    let (least, median, most) = spread(&per_thousand);
-    let at_target = median / 1000.0 * DAEMON_TOKENS / 1000.0;
+    // What the daemon does anyway in the time of a run is the line's intercept.
+    let (slope, intercept) = fit_line(&cpu);
+    let at_target = slope * DAEMON_TOKENS / 1000.0;
+    let points: Vec<String> =
+        cpu.iter().map(|(tokens, ms)| format!("{tokens:.0}:{ms:.0}")).collect();
     println!(
-        "role=door quantity=token_cpu unit=ms/1000_tokens slope={median:.3} spread={least:.3}..{most:.3} \
-         target={DAEMON_TOKENS} at_target={at_target:.3} budget=1 holds={}",
-        at_target <= 1.0
+        "role=door quantity=token_cpu unit=cpu_ms/token slope={slope:.6} intercept={intercept:.1} \
+         target={DAEMON_TOKENS} at_target={at_target:.3} budget=1 holds={} points={}",
+        at_target <= 1.0,
+        points.join(",")
     );
     Ok(())
 }
--- a/crates/measure/src/doors.rs
+++ b/crates/measure/src/doors.rs
@@ -240,7 +240,10 @@
 fn serve_hyper() -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(async {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        // The queue that the product's own door has.
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = socket.listen(4096)?;
         announce(listener.local_addr()?);
         loop {
             let (stream, _) = listener.accept().await?;
@@ -257,6 +260,7 @@
 /// Body whose tokens come at the pace.
 struct PacedBody {
     left: usize,
+    paced: bool,
     timer: std::pin::Pin<Box<tokio::time::Sleep>>,
 }
 
@@ -271,7 +275,9 @@
         if self.left == 0 {
             return std::task::Poll::Ready(None);
         }
-        std::task::ready!(self.timer.as_mut().poll(context));
+        if self.paced {
+            std::task::ready!(self.timer.as_mut().poll(context));
+        }
         self.left -= 1;
         self.timer.as_mut().reset(Instant::now() + PACE);
         let frame = hyper::body::Frame::data(bytes::Bytes::from_static(TOKEN));
@@ -282,8 +288,8 @@
 async fn answer_hyper(
     request: hyper::Request<hyper::body::Incoming>,
 ) -> Result<hyper::Response<PacedBody>, std::convert::Infallible> {
-    let left = if request.uri().path() == "/stream" { TOKENS } else { 1 };
-    let wait = if left == 1 { Duration::ZERO } else { PACE };
-    let timer = Box::pin(tokio::time::sleep(wait));
-    Ok(hyper::Response::new(PacedBody { left, timer }))
+    let paced = request.uri().path() == "/stream";
+    let left = if paced { TOKENS } else { 1 };
+    let timer = Box::pin(tokio::time::sleep(PACE));
+    Ok(hyper::Response::new(PacedBody { left, paced, timer }))
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1747,11 +1747,16 @@
     ///Milliseconds between receiving the echoed digest and sending this one.
     #[serde(default)]
     pub held: u32,
+    ///Digest of the set that the receiver last listed and the sender keeps; 0 for none.
+    #[serde(default)]
+    pub known_set: u64,
     pub nodes: ::std::vec::Vec<NodeDigest>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub replicas: ::std::vec::Vec<ReplicaDigest>,
     ///Sender's clock in milliseconds; echoed back, compared only with itself.
     pub sent: u64,
+    #[serde(default = "defaults::observer_digest_set")]
+    pub set: ReplicaSet,
     ///How many daemons the demand below is the sum of.
     #[serde(default = "defaults::default_u64::<u32, 1>")]
     pub speaks_for: u32,
@@ -2159,6 +2164,23 @@
         value.clone()
     }
 }
+///Replicas that are fresh together: listed one by one once, afterwards named by the digest of that list.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ReplicaSet {
+    ///Digest of heads and epochs, in order; 0 for no set.
+    pub digest: u64,
+    ///Requests running and queued, in the order of the list.
+    pub loads: ::std::vec::Vec<u16>,
+    ///Age of the oldest member's sighting in milliseconds when the digest left.
+    pub oldest: u32,
+}
+impl ::std::convert::From<&ReplicaSet> for ReplicaSet {
+    fn from(value: &ReplicaSet) -> Self {
+        value.clone()
+    }
+}
 ///One replica as this daemon sees it.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -2170,6 +2192,9 @@
     pub in_flight: u32,
     pub members: ::std::vec::Vec<NodeId>,
     pub reason: ::std::string::String,
+    ///When it was formed, in milliseconds since 1970 by the authority's clock.
+    #[serde(default)]
+    pub since_ms: u64,
     pub slot: u32,
     pub state: ::std::string::String,
     pub zone: ZoneId,
@@ -2926,6 +2951,13 @@
     pub(super) fn observer_digest_applied() -> super::LogIndex {
         super::LogIndex(0_u64)
     }
+    pub(super) fn observer_digest_set() -> super::ReplicaSet {
+        super::ReplicaSet {
+            digest: 0_u64,
+            loads: vec![],
+            oldest: 0_u32,
+        }
+    }
     pub(super) fn observer_digest_table_term() -> super::Term {
         super::Term(0_u64)
     }
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -34,6 +34,8 @@
     Repeat,
     /// Now and then leaves the end of a buffer out.
     Truncate,
+    /// Now and then puts the second half of a buffer before the first.
+    Reorder,
 }
 
 /// A running proxy to one address.
@@ -133,6 +135,7 @@
                 bytes[position] ^= 1 << rng.random_range(0..8);
             }
             FaultMode::Repeat if harm => bytes.extend_from_within(..),
+            FaultMode::Reorder if harm => bytes.rotate_left(length / 2),
             FaultMode::Truncate if harm => bytes.truncate(rng.random_range(0..bytes.len())),
             _ => {}
         }
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -1,6 +1,9 @@
 //! Reads server-sent events of engines.
 
-use serde_json::Value;
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use serde::de::IgnoredAny;
 use thiserror::Error;
 
 /// Largest event taken; an engine's chunk is a few hundred bytes.
@@ -93,7 +96,7 @@
 }
 
 /// One step of a streamed completion.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamChunk {
     /// Text of one or more tokens.
     Token {
@@ -101,25 +104,44 @@
         index: Option<u32>,
         /// The text.
         text: String,
-        /// The chunk as it came.
-        raw: Value,
     },
     /// The engine says why the answer ends.
-    Finish {
-        /// The chunk as it came.
-        raw: Value,
-    },
+    Finish,
     /// Something without text, such as the role.
-    Other {
-        /// The chunk as it came.
-        raw: Value,
-    },
+    Other,
     /// The engine reports an error within the stream.
     Error,
     /// The stream is complete.
     Done,
 }
 
+/// The fields of a chunk that matter here; engines send many more.
+#[derive(Deserialize)]
+struct ChunkFields<'a> {
+    #[serde(default, borrow)]
+    choices: Vec<ChoiceFields<'a>>,
+    #[serde(default)]
+    token_index: Option<u32>,
+    #[serde(default)]
+    error: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct ChoiceFields<'a> {
+    #[serde(default, borrow)]
+    delta: Option<DeltaFields<'a>>,
+    #[serde(default, borrow)]
+    text: Option<Cow<'a, str>>,
+    #[serde(default)]
+    finish_reason: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct DeltaFields<'a> {
+    #[serde(default, borrow)]
+    content: Option<Cow<'a, str>>,
+}
+
 /// Reads an event's data as a chunk of a chat or text completion.
 ///
 /// # Errors
@@ -129,28 +151,19 @@
     if data.trim() == DONE {
         return Ok(StreamChunk::Done);
     }
-    let raw: Value = serde_json::from_str(data).map_err(|_| ParseEventError::NotChunk)?;
-    if raw.get("error").is_some() {
+    let fields: ChunkFields = serde_json::from_str(data).map_err(|_| ParseEventError::NotChunk)?;
+    if fields.error.is_some() {
         return Ok(StreamChunk::Error);
     }
-    let choice = raw.get("choices").and_then(|choices| choices.get(0));
-    let Some(choice) = choice else {
-        return if raw.is_object() {
-            Ok(StreamChunk::Other { raw })
-        } else {
-            Err(ParseEventError::NotChunk)
-        };
-    };
-    if choice.get("finish_reason").is_some_and(|reason| !reason.is_null()) {
-        return Ok(StreamChunk::Finish { raw });
+    let Some(choice) = fields.choices.into_iter().next() else { return Ok(StreamChunk::Other) };
+    if choice.finish_reason.is_some() {
+        return Ok(StreamChunk::Finish);
     }
-    let text = choice["delta"]["content"].as_str().or_else(|| choice["text"].as_str());
+    let text = choice.delta.and_then(|delta| delta.content).or(choice.text);
     match text {
         Some(text) if !text.is_empty() => {
-            let index = raw["token_index"].as_u64().and_then(|index| u32::try_from(index).ok());
-            let text = text.to_owned();
-            Ok(StreamChunk::Token { index, text, raw })
+            Ok(StreamChunk::Token { index: fields.token_index, text: text.into_owned() })
         }
-        _ => Ok(StreamChunk::Other { raw }),
+        _ => Ok(StreamChunk::Other),
     }
 }
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,7 +1,11 @@
 //! `hollowbarrow explain`
 
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
 use clap::{ArgMatches, Command};
 
+use serde_json::Value;
+
 use super::client::OperatorClient;
 use super::table::{print_json, print_rows};
 use super::{CommandResult, positional, text};
@@ -26,15 +30,20 @@
         explanation["zone"].as_str().unwrap_or("-"),
         explanation["wanted_here"]
     );
+    let mut listed = explanation["replicas"].clone();
+    for replica in listed.as_array_mut().into_iter().flatten() {
+        replica["since"] = Value::from(describe_age(replica["since_ms"].as_u64().unwrap_or(0)));
+    }
     let replicas = [
         ("zone", "/zone"),
         ("slot", "/slot"),
         ("epoch", "/epoch"),
+        ("formed", "/since"),
         ("state", "/state"),
         ("reason", "/reason"),
         ("members", "/members"),
     ];
-    print_rows(&explanation["replicas"], &replicas, false);
+    print_rows(&listed, &replicas, false);
     print_rows(
         &explanation["nodes"],
         &[("node", "/node"), ("taken", "/taken"), ("reason", "/reason")],
@@ -45,3 +54,12 @@
     }
     Ok(())
 }
+
+/// How long ago a moment was, by this machine's clock.
+fn describe_age(since_ms: u64) -> String {
+    let since = UNIX_EPOCH + Duration::from_millis(since_ms);
+    match SystemTime::now().duration_since(since) {
+        Ok(age) => format!("{} s ago", age.as_secs()),
+        Err(_) => "just now".to_owned(),
+    }
+}
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -195,6 +195,7 @@
 #[case::damage(FaultMode::Damage)]
 #[case::repeat(FaultMode::Repeat)]
 #[case::truncate(FaultMode::Truncate)]
+#[case::reorder(FaultMode::Reorder)]
 #[tokio::test(flavor = "multi_thread")]
 async fn change_over_bad_links(#[case] mode: FaultMode) {
     let cluster = Cluster::start(nine_daemons());
