--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -21,6 +21,8 @@
 const RECORD_PATIENCE: Duration = Duration::from_secs(1);
 /// Time beyond the deadline after which an unfinished claim counts as unknown.
 const CLAIM_GRACE: Duration = Duration::from_secs(5);
+/// Bytes of the digest that names a claim; no two keys will ever share 128 bits.
+const KEY_BYTES: usize = 16;
 /// Pause between two sweeps of the claims.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -45,7 +47,8 @@
         digest.update((organisation.len() as u64).to_le_bytes());
         digest.update(organisation.as_bytes());
         digest.update(key.as_bytes());
-        let key: String = digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
+        let digest = digest.finalize();
+        let key = digest[..KEY_BYTES].iter().map(|byte| format!("{byte:02x}")).collect();
         let seed = xxhash_rust::xxh3::xxh3_64(target.as_bytes());
         let fingerprint = xxhash_rust::xxh3::xxh3_64_with_seed(body, seed);
         Self { key: ClaimKey(key), fingerprint }
--- a/crates/daemon/src/digest.rs
+++ b/crates/daemon/src/digest.rs
@@ -38,7 +38,8 @@
         for peer in digest_targets(&core) {
             let digest = compose(&core, peer);
             // A greeting only keeps an echo alive, and an echo ages without harm.
-            if tells_something(&digest) || round.is_multiple_of(GREETING_ROUNDS) {
+            let greets = round.is_multiple_of(GREETING_ROUNDS) || round < 2 * GREETING_ROUNDS;
+            if greets || tells_something(&digest) {
                 core.send(&peer.id, PeerMessage::Digest(digest));
             }
         }
@@ -52,7 +53,6 @@
         || !digest.gone.is_empty()
         || !digest.capacity.is_empty()
         || digest.table.is_some()
-        || digest.echo.is_none()
 }
 
 /// Daemons that are to hear from this one.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -5,11 +5,9 @@
 
 use bytes::Bytes;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RequestFacts, RetryStep, decide_retry};
-use hollowbarrow_routing::{
-    LimitRequestError, RouteCandidate, ShedRequestError, UpstreamKey, hash_prefix,
-};
+use hollowbarrow_routing::{RouteCandidate, UpstreamKey, hash_prefix};
 use hollowbarrow_schema::{ClaimOutcome, ErrorRan, StoredAnswer};
-use hollowbarrow_upstream::{SendRequestError, SentAnswer, UpstreamRequest};
+use hollowbarrow_upstream::{SentAnswer, UpstreamRequest};
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
@@ -18,17 +16,16 @@
 use crate::claims::{ClaimIdentity, HeldClaim};
 use crate::core::DaemonCore;
 use crate::facts::{CallerRequest, RequestKind, headers};
-use crate::proposals::ProposeEntryError;
+use crate::refusals::{
+    UPSTREAM_RETRY, to_attempt_error, to_claim_error, to_limit_error, to_propose_error,
+    to_send_error, to_shed_error,
+};
 use crate::relay::{StreamRelay, read_whole};
 use crate::routes::{RouteEntry, RouteTarget};
 use crate::telemetry::HopSpan;
 
 /// Pause before the upstreams are looked at again when none has room.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
-/// When a caller may come back after an upstream was lacking.
-const UPSTREAM_RETRY: Duration = Duration::from_secs(2);
-/// When a caller may come back after the claims were not to be had.
-const CLAIMS_RETRY: Duration = Duration::from_secs(2);
 
 /// How a request ended, for logs and metrics.
 #[derive(Debug)]
@@ -549,19 +546,6 @@
     }
 }
 
-fn to_send_error(error: SendRequestError) -> AttemptUpstreamError {
-    match error {
-        SendRequestError::Connect(_) => AttemptUpstreamError::NotReached,
-        unsent if unsent.is_unsent() => AttemptUpstreamError::NotSent,
-        SendRequestError::Timeout => AttemptUpstreamError::DeadlinePassed { sent: true },
-        SendRequestError::OtherRequest(_) => {
-            let reason = "it is for another request";
-            AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 }
-        }
-        _ => AttemptUpstreamError::NoAnswer,
-    }
-}
-
 fn whole_answer(id: &str, status: StatusCode, content_type: &str, body: Bytes) -> CallerAnswer {
     let mut builder = Response::builder().status(status).header("x-request-id", id);
     if let Ok(kind) = HeaderValue::try_from(content_type) {
@@ -569,69 +553,3 @@
     }
     builder.body(AnswerBody::whole(body)).expect("the headers are valid")
 }
-
-fn to_limit_error(error: &LimitRequestError) -> CallerError {
-    let told = CallerError::not_run(ErrorCode::LimitReached, error.to_string());
-    match error {
-        LimitRequestError::RateUsed { retry_after } => told.with_retry_after(*retry_after),
-        _ => told.with_retry_after(Duration::from_secs(1)),
-    }
-}
-
-fn to_shed_error(error: &ShedRequestError) -> CallerError {
-    match error {
-        ShedRequestError::QueueFull { retry_after } => {
-            CallerError::not_run(ErrorCode::QueueFull, error.to_string())
-                .with_retry_after(*retry_after)
-        }
-        ShedRequestError::DeadlinePassed => {
-            CallerError::not_run(ErrorCode::DeadlinePassed, error.to_string())
-        }
-    }
-}
-
-fn to_claim_error(outcome: &ClaimOutcome) -> CallerError {
-    let (code, ran, message) = match outcome {
-        ClaimOutcome::InProgress => (
-            ErrorCode::InProgress,
-            ErrorRan::Unknown,
-            "the first request with this key is still running",
-        ),
-        ClaimOutcome::Ran => (
-            ErrorCode::AnswerNotKept,
-            ErrorRan::Ran,
-            "the first request with this key ran; its answer was not kept",
-        ),
-        ClaimOutcome::Mismatch => (
-            ErrorCode::KeyReused,
-            ErrorRan::NotRun,
-            "this key was used for another request; this one was not run",
-        ),
-        _ => (
-            ErrorCode::OutcomeUnknown,
-            ErrorRan::Unknown,
-            "the first request with this key may have run; it is not run again",
-        ),
-    };
-    CallerError::not_run(code, message).with_ran(ran)
-}
-
-fn to_propose_error(error: ProposeEntryError) -> CallerError {
-    let message = format!("it cannot be made sure that the request runs only once: {error}");
-    CallerError::not_run(ErrorCode::ClaimsUnavailable, message).with_retry_after(CLAIMS_RETRY)
-}
-
-fn to_attempt_error(error: &AttemptUpstreamError, ran: ErrorRan) -> CallerError {
-    let code = match error {
-        AttemptUpstreamError::DeadlinePassed { .. } => ErrorCode::DeadlinePassed,
-        _ => ErrorCode::UpstreamFailed,
-    };
-    let told = CallerError::not_run(code, error.to_string()).with_ran(ran);
-    match error {
-        AttemptUpstreamError::Refused { retry_after: Some(after), .. } => {
-            told.with_retry_after(*after)
-        }
-        _ if ran == ErrorRan::NotRun => told.with_retry_after(UPSTREAM_RETRY),
-        _ => told,
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod operator_view;
 mod proposals;
 mod quota;
+mod refusals;
 mod relay;
 mod routes;
 mod table_change;
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -265,7 +265,10 @@
     }
 
     fn propose_voters(&mut self, payload: EntryPayload, sender: Sender<ProposalOutcome>) {
-        if self.replica.is_leader() {
+        if self.replica.is_leader() && self.is_present_voters(&payload) {
+            // Asked for again after a lost answer: it is so already.
+            let _ = sender.send(ProposalOutcome::VotersChanged);
+        } else if self.replica.is_leader() {
             match self.replica.propose(vec![payload], Instant::now()) {
                 Some(index) => {
                     self.waiters.insert(index, (self.replica.term(), sender));
@@ -279,6 +282,16 @@
         }
     }
 
+    fn is_present_voters(&self, payload: &EntryPayload) -> bool {
+        let EntryPayload::Voters(wanted) = payload else { return false };
+        let sorted = |voters: &[DaemonId]| {
+            let mut voters = voters.to_vec();
+            voters.sort();
+            voters
+        };
+        sorted(wanted) == sorted(self.replica.voters())
+    }
+
     fn propose_batch(
         &mut self,
         payloads: Vec<EntryPayload>,
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -18,9 +18,12 @@
             role.start_round(now, interval);
             role.confirm_rounds(&self.config.id, &self.voters);
         }
+        // Learners count in no quorum, so they need to hear from the leader only now and then.
+        let learners_too = role.round.is_multiple_of(u64::from(HEARTBEATS_PER_ELECTION));
         let followers: Vec<DaemonId> = role.progress.keys().cloned().collect();
         for follower in followers {
-            self.send_append(&follower, heartbeat, now);
+            let due = heartbeat && (learners_too || self.voters.contains(&follower));
+            self.send_append(&follower, due, now);
         }
     }
 
--- a/crates/measure/src/doors.rs
+++ b/crates/measure/src/doors.rs
@@ -10,11 +10,10 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, ArgMatches, Command};
-use hollowbarrow_testkit::{CALLER_KEY, CallerCall};
+use hollowbarrow_testkit::{CALLER_KEY, CallerCall, join_all};
 use hyper::Method;
 use tokio::time::Instant;
 
-use crate::sampler::join_all;
 use crate::stats::{TimeSeries, process_use};
 
 /// Time between two tokens, as the users want it at the target.
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -22,7 +22,7 @@
     Open { lifetime_ms: u64 },
     Unknown,
     Ran,
-    Answered(StoredAnswer),
+    Answered(Box<StoredAnswer>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,7 +91,7 @@
             ClaimPhase::Open { .. } => ClaimOutcome::InProgress,
             ClaimPhase::Unknown => ClaimOutcome::Unknown,
             ClaimPhase::Ran => ClaimOutcome::Ran,
-            ClaimPhase::Answered(answer) => ClaimOutcome::Answered(answer.clone()),
+            ClaimPhase::Answered(answer) => ClaimOutcome::Answered((**answer).clone()),
         }
     }
 
@@ -102,7 +102,7 @@
         let settled = matches!(record.phase, ClaimPhase::Ran | ClaimPhase::Answered(_));
         if !settled {
             record.phase = match &close.answer {
-                Some(answer) => ClaimPhase::Answered(answer.clone()),
+                Some(answer) => ClaimPhase::Answered(Box::new(answer.clone())),
                 None if close.ran => ClaimPhase::Ran,
                 None => ClaimPhase::Unknown,
             };
@@ -163,12 +163,6 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        match ciborium::from_reader(snapshot) {
-            Ok(state) => {
-                *self = state;
-                true
-            }
-            Err(_) => false,
-        }
+        crate::restore_cbor(self, snapshot)
     }
 }
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -14,13 +14,14 @@
 use hollowbarrow_schema::settings::check_group;
 use hollowbarrow_schema::{
     ChangeConflict, ChangeId, ChangeOutcome, ConfigChange, ConfigCommand, EndpointSpec,
-    EntryPayload, FieldFault, GroupName, GroupSpec, Labels, LogEntry, LogIndex, NodeId,
-    ProposalOutcome, Quota, Revision,
+    EntryPayload, FieldFault, GroupName, GroupSpec, LabelChange, Labels, LogEntry, LogIndex,
+    NodeId, ProposalOutcome, Quota, Revision,
 };
 use serde::{Deserialize, Serialize};
 
-/// How many changes' outcomes are remembered: more than a day of them at the target size.
-const REMEMBERED_CHANGES: usize = 65_536;
+/// How many changes' outcomes are remembered: seven hours of them at the target size. A change is
+/// sent again within minutes or not at all.
+const REMEMBERED_CHANGES: usize = 16_384;
 
 /// An object with its revision and who last changed it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +34,29 @@
     pub author: String,
 }
 
+/// What became of a change, in little room for the common case.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum RememberedOutcome {
+    Accepted(Revision),
+    Other(Box<ChangeOutcome>),
+}
+
+impl RememberedOutcome {
+    fn new(outcome: &ChangeOutcome) -> Self {
+        match outcome {
+            ChangeOutcome::Accepted(revision) => Self::Accepted(*revision),
+            other => Self::Other(Box::new(other.clone())),
+        }
+    }
+
+    fn to_outcome(&self) -> ChangeOutcome {
+        match self {
+            Self::Accepted(revision) => ChangeOutcome::Accepted(*revision),
+            Self::Other(outcome) => (**outcome).clone(),
+        }
+    }
+}
+
 /// State machine of the configuration's log.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigState {
@@ -40,8 +64,7 @@
     labels: BTreeMap<NodeId, Recorded<Labels>>,
     endpoints: BTreeMap<String, Recorded<EndpointSpec>>,
     quotas: BTreeMap<GroupName, Recorded<Quota>>,
-    last: BTreeMap<String, Recorded<ConfigCommand>>,
-    outcomes: BTreeMap<ChangeId, ChangeOutcome>,
+    outcomes: BTreeMap<ChangeId, RememberedOutcome>,
     order: VecDeque<ChangeId>,
     applied: LogIndex,
 }
@@ -85,7 +108,7 @@
     /// Applies one change at a log index and returns what came of it.
     pub fn apply_change(&mut self, index: LogIndex, change: &ConfigChange) -> ChangeOutcome {
         if let Some(outcome) = self.outcomes.get(&change.id) {
-            return outcome.clone();
+            return outcome.to_outcome();
         }
         let outcome = self.decide(index, change);
         self.remember(&change.id, &outcome);
@@ -100,23 +123,51 @@
         let object = change.command.object();
         let present = self.revision_of(&change.command);
         if change.base.is_some_and(|base| base != present) {
-            let winner = self.last.get(&object);
+            let winner = self.present_command(&change.command);
             return ChangeOutcome::Conflict(ChangeConflict {
                 object,
                 wanted: change.base.unwrap_or_default(),
                 found: present,
-                theirs: winner.map(|winner| winner.value.clone()),
-                author: winner.map(|winner| winner.author.clone()).unwrap_or_default(),
+                theirs: winner.as_ref().map(|winner| winner.value.clone()),
+                author: winner.map(|winner| winner.author).unwrap_or_default(),
             });
         }
         let revision = Revision(*index);
         self.perform(&change.command, revision, &change.author);
-        let recorded =
-            Recorded { value: change.command.clone(), revision, author: change.author.clone() };
-        self.last.insert(object, recorded);
         ChangeOutcome::Accepted(revision)
     }
 
+    /// The command that would make the object what it is now, with who made it so; none where it
+    /// does not exist.
+    fn present_command(&self, command: &ConfigCommand) -> Option<Recorded<ConfigCommand>> {
+        fn remade<T: Clone>(
+            recorded: Option<&Recorded<T>>,
+            remake: impl Fn(T) -> ConfigCommand,
+        ) -> Option<Recorded<ConfigCommand>> {
+            recorded.map(|recorded| Recorded {
+                value: remake(recorded.value.clone()),
+                revision: recorded.revision,
+                author: recorded.author.clone(),
+            })
+        }
+        match command {
+            ConfigCommand::PutGroup(GroupSpec { name, .. }) | ConfigCommand::DeleteGroup(name) => {
+                remade(self.groups.get(name), ConfigCommand::PutGroup)
+            }
+            ConfigCommand::ChangeLabels(change) => remade(self.labels.get(&change.node), |set| {
+                let node = change.node.clone();
+                ConfigCommand::ChangeLabels(LabelChange { node, set, remove: Vec::new() })
+            }),
+            ConfigCommand::PutEndpoint(EndpointSpec { name, .. })
+            | ConfigCommand::DeleteEndpoint(name) => {
+                remade(self.endpoints.get(name), ConfigCommand::PutEndpoint)
+            }
+            ConfigCommand::SetQuota(quota) => {
+                remade(self.quotas.get(&quota.group), ConfigCommand::SetQuota)
+            }
+        }
+    }
+
     /// Performs a command on a copy of the state, to see what would follow from it.
     pub fn try_command(&mut self, command: &ConfigCommand) {
         let revision = Revision(*self.applied + 1);
@@ -149,7 +200,6 @@
             ConfigCommand::DeleteGroup(name) => {
                 self.groups.remove(name);
                 self.quotas.remove(name);
-                self.last.remove(&format!("quota/{}", **name));
             }
             ConfigCommand::ChangeLabels(change) => {
                 let mut labels = self
@@ -177,7 +227,7 @@
     }
 
     fn remember(&mut self, id: &ChangeId, outcome: &ChangeOutcome) {
-        self.outcomes.insert(id.clone(), outcome.clone());
+        self.outcomes.insert(id.clone(), RememberedOutcome::new(outcome));
         self.order.push_back(id.clone());
         if self.order.len() > REMEMBERED_CHANGES
             && let Some(oldest) = self.order.pop_front()
@@ -227,12 +277,6 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        match ciborium::from_reader(snapshot) {
-            Ok(state) => {
-                *self = state;
-                true
-            }
-            Err(_) => false,
-        }
+        crate::restore_cbor(self, snapshot)
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,12 @@
 pub use claims::ClaimState;
 pub use config::{ConfigState, Recorded};
 
+/// Replaces a state machine by what a snapshot holds; false where it cannot be read.
+fn restore_cbor<T: serde::de::DeserializeOwned>(state: &mut T, snapshot: &[u8]) -> bool {
+    let read = ciborium::from_reader(snapshot);
+    read.map(|restored| *state = restored).is_ok()
+}
+
 /// Encodes a state machine for a snapshot.
 fn to_cbor<T: serde::Serialize>(state: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
--- /dev/null
+++ b/crates/testkit/src/join.rs
@@ -0,0 +1,24 @@
+//! Waits for several calls at once.
+
+use std::task::Poll;
+
+/// Waits for all futures at once and returns their results in order.
+pub async fn join_all<F: Future>(futures: Vec<F>) -> Vec<F::Output> {
+    let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
+    let mut results: Vec<Option<F::Output>> = pinned.iter().map(|_| None).collect();
+    std::future::poll_fn(|context| {
+        for (future, result) in pinned.iter_mut().zip(results.iter_mut()) {
+            if result.is_none()
+                && let Poll::Ready(value) = future.as_mut().poll(context)
+            {
+                *result = Some(value);
+            }
+        }
+        if results.iter().all(Option::is_some) {
+            return Poll::Ready(());
+        }
+        Poll::Pending
+    })
+    .await;
+    results.into_iter().flatten().collect()
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod cluster;
 mod fleet;
+mod join;
 mod model;
 mod proxy;
 mod record;
@@ -17,6 +18,7 @@
 pub use caller::{CallReply, CallerCall};
 pub use cluster::{CALLER_KEY, Cluster, ClusterConfig, OPERATOR_KEY};
 pub use fleet::{FleetConfig, StandinFleet};
+pub use join::join_all;
 pub use model::{ModelConfig, expected_token};
 pub use proxy::{FaultMode, FaultProxy};
 pub use record::{RunHistory, RunRecord};
