--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -13,8 +13,8 @@
 use hollowbarrow_peer::{MeshTraffic, PeerMesh};
 use hollowbarrow_schema::settings::{ReadSettingsError, read_document};
 use hollowbarrow_schema::{
-    ChangeOutcome, ConfigChange, ConfigCommand, EntryPayload, FieldFault, GroupName, LogName,
-    OperatorFault, ProposalOutcome, VoterChange, keys,
+    ChangeOutcome, ConfigChange, ConfigCommand, DaemonId, EntryPayload, FieldFault, GroupName,
+    LogName, OperatorFault, ProposalOutcome, VoterChange, keys,
 };
 use rouille::{Request, Response};
 use tokio::runtime::Handle;
@@ -178,6 +178,20 @@
 /// Exchanges voters of both logs, one daemon at a time.
 fn change_voters(core: &Arc<DaemonCore>, runtime: &Handle, change: &VoterChange) -> Response {
     let mut voters = core.config_log.view().voters;
+    let known = |id: &DaemonId| core.settings.peers.iter().any(|peer| peer.id == *id);
+    let unknown = [("remove", &change.remove), ("add", &change.add)]
+        .into_iter()
+        .filter_map(|(field, daemon)| Some((field, daemon.as_ref().filter(|id| !known(id))?)))
+        .map(|(field, daemon)| FieldFault {
+            field: field.to_owned(),
+            line: None,
+            found: format!("{:?}", **daemon),
+            allowed: "the id of one of the peers".to_owned(),
+        })
+        .collect::<Vec<_>>();
+    if !unknown.is_empty() {
+        return faults(422, "the voters' change names no known daemon", unknown);
+    }
     let steps = [(change.remove.as_ref(), false), (change.add.as_ref(), true)];
     for (daemon, adds) in steps {
         let Some(daemon) = daemon else { continue };
--- a/crates/measure/src/requests.rs
+++ b/crates/measure/src/requests.rs
@@ -18,6 +18,10 @@
 const FAULT_AT: Duration = Duration::from_secs(3);
 /// When the fault ends, where it does.
 const FAULT_END: Duration = Duration::from_secs(7);
+/// Places of each door in the case in which streams fill them.
+const FEW_PLACES: u32 = 10;
+/// Places of each door otherwise.
+const MANY_PLACES: u32 = 512;
 /// Requests a second over all doors.
 const RATE: f64 = 120.0;
 
@@ -32,6 +36,7 @@
     "zone_cut",
     "links_slow",
     "load_doubled",
+    "door_saturated",
 ];
 
 pub(crate) fn command() -> Command {
@@ -61,12 +66,14 @@
     ModelConfig { token: Duration::from_millis(20), ..ModelConfig::default() }
 }
 
-async fn start_cluster(count: u32, model: ModelConfig) -> Result<Cluster> {
+async fn start_cluster(count: u32, model: ModelConfig, places: u32) -> Result<Cluster> {
     let zones = ["a", "b", "c"].map(ZoneId::from);
     let fleet = FleetConfig::new(&zones, 2, 4).with_model(model);
     let counts: Vec<(ZoneId, u32)> = zones.iter().map(|zone| (zone.clone(), 3)).collect();
     let program = std::env::current_exe().context("the measurement knows its own program")?;
-    let cluster = Cluster::start(ClusterConfig::new(&program, &["daemon"], &counts, fleet));
+    let config = ClusterConfig::new(&program, &["daemon"], &counts, fleet)
+        .with_limits(json!({"streams": places}));
+    let cluster = Cluster::start(config);
     cluster.wait_ready().await;
     cluster.label_all().await;
     let group = json!({"put_group": {"name": "drafts", "model": "m", "version": "1", "size": 3,
@@ -83,8 +90,11 @@
 }
 
 async fn run_case(case: &'static str, mix: LoadMix) -> Result<String> {
-    let mut cluster = start_cluster(6, slow_engine()).await?;
-    let rate = if case == "load_doubled" { RATE * 2.0 } else { RATE };
+    let saturated = case == "door_saturated";
+    let places = if saturated { FEW_PLACES } else { MANY_PLACES };
+    let mut cluster = start_cluster(6, slow_engine(), places).await?;
+    let doubled = saturated || case == "load_doubled";
+    let rate = if doubled { RATE * 2.0 } else { RATE };
     let doors: Vec<SocketAddr> = cluster.ids().iter().map(|id| cluster.callers(id)).collect();
     let naive = naive_doors(&cluster).await?;
     let plan = LoadPlan { mix, doors, rate, time: LOAD_TIME, seed: 7 };
@@ -217,7 +227,7 @@
 
 /// What the door adds, and what one core carries.
 async fn measure_door() -> Result<String> {
-    let cluster = start_cluster(3, ModelConfig::default()).await?;
+    let cluster = start_cluster(3, ModelConfig::default(), MANY_PLACES).await?;
     let direct = naive_doors(&cluster).await?.services[0];
     let door = cluster.callers("a1");
     let reads = LoadMix { name: "door_reads", streams: 0, reads: 1000, holds: 0 };
--- a/crates/zone/tests/lease.rs
+++ b/crates/zone/tests/lease.rs
@@ -88,7 +88,7 @@
     #[test]
     fn digest_never_too_young(
         stamp_ms in 0u64..1000, there_ms in 0u64..2000, seen_before_ms in 0u64..3000,
-        held_ms in 0u64..2000, back_ms in 0u64..2000,
+        held_ms in 0u64..2000,
     ) {
         // True times, all on one clock: our stamp left, arrived, the node spoke, the digest left.
         let begun = Instant::now() + Duration::from_secs(10);
@@ -105,7 +105,6 @@
         table.observe_digest(&digest, at(stamp_ms), Duration::from_millis(held_ms));
         let seen = table.sighting(&node(0)).map(|sighting| sighting.seen);
         prop_assert!(seen.is_some_and(|seen| seen <= spoke), "it seems younger than it is");
-        let _ = back_ms;
     }
 }
 
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -170,6 +170,17 @@
     accepted(&cluster.change("b1", "after", &group("drafts", 0)).await);
 }
 
+/// A change of voters that names nobody is refused with the field that does.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn change_unknown_voter() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    let reply = cluster.operate("a0", Method::POST, "/voters", &json!({"remove": "nobody"})).await;
+    let fault: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+    assert_eq!((reply.status, &fault["faults"][0]["field"]), (422, &json!("remove")), "{fault}");
+}
+
 /// Damaged, repeated and cut-short bytes between daemons do no harm.
 #[rstest]
 #[case::damage(FaultMode::Damage)]
--- a/tests/all/door.rs
+++ b/tests/all/door.rs
@@ -89,9 +89,7 @@
     for (name, bytes) in cases {
         let answer = exchange(address, bytes.as_bytes()).await;
         assert!(!answer.contains(" 200 "), "{name} was let through: {answer}");
-        let mut answers = answer.matches("HTTP/1.1 ").count();
-        answers -=
-            usize::from(name == "length and chunks" && answer.contains(" 400 ") && answers == 2);
+        let answers = answer.matches("HTTP/1.1 ").count();
         assert!(answers <= 1, "{name} got {answers} answers: {answer}");
     }
     assert!(cluster.fleet().history().to_vec().is_empty(), "a refused request ran");
