--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use hollowbarrow_schema::NodeId;
-use hollowbarrow_testkit::{CALLER_KEY, CallReply, CallerCall, Cluster, FaultMode, expected_token};
+use hollowbarrow_testkit::{
+    CALLER_KEY, CallReply, CallerCall, Cluster, FaultMode, FleetConfig, expected_token,
+};
 use hyper::Method;
 use rstest::rstest;
 use serde_json::json;
 
-use crate::support::{nine_daemons, pause, serving_cluster, zones};
+use crate::support::{nine_daemons, nine_daemons_before, pause, serving_cluster, zones};
 
 /// Streams an answer of some tokens.
 pub async fn stream(address: SocketAddr, prompt: &str, tokens: u32) -> CallReply {
@@ -90,10 +92,18 @@
 /// What callers were told about holds, by key.
 type Told = BTreeMap<String, Vec<CallReply>>;
 
-/// Sends holds, resending each through another daemon until the answer is final.
+/// A hold on its way: its key and what its caller was told.
+type HoldTask = tokio::task::JoinHandle<(String, Vec<CallReply>)>;
+
+/// Sends holds and waits for them.
 async fn send_holds(cluster: &Cluster, from: u32, count: u32, told: &mut Told) {
+    finish_holds(start_holds(cluster, from, count), told).await;
+}
+
+/// Sends holds, resending each through another daemon until the answer is final.
+fn start_holds(cluster: &Cluster, from: u32, count: u32) -> Vec<HoldTask> {
     let ids: Vec<String> = cluster.ids().into_iter().filter(|id| cluster.is_running(id)).collect();
-    let tasks: Vec<_> = (from..from + count)
+    (from..from + count)
         .map(|number| {
             let doors: Vec<SocketAddr> = ids.iter().map(|id| cluster.callers(id)).collect();
             tokio::spawn(async move {
@@ -112,7 +122,10 @@
                 (key, replies)
             })
         })
-        .collect();
+        .collect()
+}
+
+async fn finish_holds(tasks: Vec<HoldTask>, told: &mut Told) {
     for task in tasks {
         let (key, replies) = task.await.expect("the hold's task ends");
         told.entry(key).or_default().extend(replies);
@@ -168,6 +181,25 @@
     assert!(confirmed >= 150, "only {confirmed} of 180 holds were confirmed");
 }
 
+/// A daemon is killed while holds that it sent are running, so that their answers are lost; their
+/// callers ask again elsewhere, and nothing runs twice.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_answer_lost() {
+    let slow = FleetConfig::new(&zones(), 1, 1).with_service_delay(Duration::from_millis(400));
+    let mut cluster = Cluster::start(nine_daemons_before(slow));
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let mut told = Told::new();
+    let running = start_holds(&cluster, 0, 60);
+    pause(250).await;
+    let ran = cluster.fleet().history().counts().len();
+    cluster.kill("b1");
+    finish_holds(running, &mut told).await;
+    check_holds(&cluster, &told);
+    assert!(ran > 0, "no hold was running when its daemon was killed");
+}
+
 /// The claims' leader is killed while holds run.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -20,8 +20,12 @@
 
 /// Nine daemons in three zones before two fabric domains of four nodes in each.
 pub fn nine_daemons() -> ClusterConfig {
+    nine_daemons_before(FleetConfig::new(&zones(), 2, 4).with_unchecked(true))
+}
+
+/// Nine daemons in three zones before given stand-ins.
+pub fn nine_daemons_before(fleet: FleetConfig) -> ClusterConfig {
     let zones = zones();
-    let fleet = FleetConfig::new(&zones, 2, 4).with_unchecked(true);
     let counts: Vec<(ZoneId, u32)> = zones.into_iter().map(|zone| (zone, 3)).collect();
     let program = Path::new(env!("CARGO_BIN_EXE_hollowbarrow"));
     ClusterConfig::new(program, &["serve", "--settings"], &counts, fleet)
