--- /dev/null
+++ b/crates/controller/src/api.rs
@@ -0,0 +1,129 @@
+//! Calls of workers and operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowbarrow_fleet::DeploymentFault;
+use hollowbarrow_member::{AnswerBody, HttpAnswer, HttpHandler};
+use hollowbarrow_schema::{
+    DeploymentDocument, EntryPayload, ProposalOutcome, WorkerId, WorkerReport,
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use tokio::time::Instant;
+
+use crate::controller::ControllerCore;
+use crate::protocol::{ControlAnswer, ControlCall};
+use crate::sync::{pass_on, take_report};
+
+/// Largest body of a call.
+const MAX_CALL_BYTES: usize = 16 << 20;
+/// Longest time for a configuration to be committed.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Longest time to make sure of leading before the configuration is read.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause between two looks at whether leading was confirmed.
+const CONFIRM_POLL: Duration = Duration::from_millis(10);
+
+/// Answers workers and operators.
+pub(crate) struct ControlHandler(pub(crate) Arc<ControllerCore>);
+
+impl HttpHandler for ControlHandler {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+        let core = &self.0;
+        let (head, body) = request.into_parts();
+        let answer = match Limited::new(body, MAX_CALL_BYTES).collect().await {
+            Ok(body) => {
+                let call = core.protocol.read_call(&head, &body.to_bytes());
+                answer_call(core, call, head.uri.path()).await
+            }
+            Err(_) => ControlAnswer::Invalid(vec!["the body did not come whole".to_owned()]),
+        };
+        let (status, headers, body) = core.protocol.write_answer(&answer);
+        let mut response = Response::new(AnswerBody::whole(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
+
+async fn answer_call(core: &ControllerCore, call: ControlCall, path: &str) -> ControlAnswer {
+    match call {
+        ControlCall::Report(report) => take_worker(core, *report),
+        ControlCall::Remove(worker) => remove_worker(core, &worker),
+        ControlCall::Replace(text) => replace_deployment(core, text, path).await,
+        ControlCall::Fetch => fetch_deployment(core, path).await,
+        ControlCall::Unreadable(reason) => ControlAnswer::Invalid(vec![reason]),
+        ControlCall::Unknown => ControlAnswer::Unknown,
+    }
+}
+
+fn take_worker(core: &ControllerCore, report: WorkerReport) -> ControlAnswer {
+    take_report(core, report);
+    ControlAnswer::Taken
+}
+
+fn remove_worker(core: &ControllerCore, worker: &WorkerId) -> ControlAnswer {
+    let known = core.fleet().table().get(worker).is_some();
+    if !known {
+        return ControlAnswer::NotNow("the worker is not known here");
+    }
+    let removed = core.fleet().remove(worker, Instant::now());
+    if let Some(report) = removed {
+        log::info!("event=worker_removed worker={}", **worker);
+        pass_on(core, report);
+    }
+    ControlAnswer::Taken
+}
+
+async fn replace_deployment(core: &ControllerCore, text: String, path: &str) -> ControlAnswer {
+    let version = match core.protocol.read_deployment(&text) {
+        Ok(deployment) => match deployment.check() {
+            faults if faults.is_empty() => deployment.version,
+            faults => return invalid(&faults),
+        },
+        Err(faults) => return invalid(&faults),
+    };
+    if version <= core.log.read(|state| state.version()) {
+        return ControlAnswer::Taken;
+    }
+    if !core.log.view().leads {
+        return core.elsewhere(path);
+    }
+    let document = DeploymentDocument { version, text };
+    let outcome = core.log.propose(EntryPayload::Deployment(document));
+    match tokio::time::timeout(COMMIT_TIMEOUT, outcome.recv_async()).await {
+        Ok(Ok(ProposalOutcome::Held)) => ControlAnswer::Taken,
+        Ok(Ok(ProposalOutcome::NoLeader)) => core.elsewhere(path),
+        _ => ControlAnswer::NotNow("it is not known whether the configuration was committed"),
+    }
+}
+
+fn invalid(faults: &[DeploymentFault]) -> ControlAnswer {
+    let reasons: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    log::warn!("event=configuration_refused faults={:?}", reasons.join("; "));
+    ControlAnswer::Invalid(reasons)
+}
+
+/// Reads the newest configuration, which only a leader that is still confirmed can know.
+async fn fetch_deployment(core: &ControllerCore, path: &str) -> ControlAnswer {
+    let asked = Instant::now();
+    loop {
+        let view = core.log.view();
+        if !view.leads {
+            return core.elsewhere(path);
+        }
+        if view.current && view.confirmed.is_some_and(|confirmed| confirmed >= asked) {
+            let document = core.newest_document();
+            return match document {
+                Some(document) => ControlAnswer::Document(document.text),
+                None => ControlAnswer::NotNow("no configuration was put in force"),
+            };
+        }
+        if asked.elapsed() > CONFIRM_TIMEOUT {
+            return ControlAnswer::NotNow("a majority does not confirm that this daemon leads");
+        }
+        tokio::time::sleep(CONFIRM_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,27 @@
+//! Keeps the configuration, the workers and the replicas.
+//!
+//! A few controllers with disks hold the configuration in a replicated log.
+//! Each takes registrations of workers and tells gateways and the other
+//! controllers. The leader of the log alone plans replicas and orders workers,
+//! while it is sure that it leads. How workers and operators spell their
+//! messages comes from a [`ControlProtocol`].
+//!
+//! Invariants:
+//!
+//! - A configuration is acknowledged only after a majority of disks holds it.
+//! - An order is given only while a majority has confirmed the leader within
+//!   the election time.
+//! - What a controller tells gateways about the configuration is committed.
+
+mod api;
+mod controller;
+mod fleet;
+mod liveness;
+mod orders;
+mod protocol;
+mod reconcile;
+mod sync;
+mod voters;
+
+pub use controller::{Controller, StartControllerError};
+pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, OrderMessage};
--- /dev/null
+++ b/crates/controller/src/protocol.rs
@@ -0,0 +1,75 @@
+//! How workers and operators spell what a controller decides on.
+
+use bytes::Bytes;
+use hollowbarrow_fleet::{Deployment, DeploymentFault, OrderOutcome, WorkerOrder};
+use hollowbarrow_schema::{WorkerId, WorkerReport};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, StatusCode};
+
+/// A call of a worker or an operator.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ControlCall {
+    /// A worker registers, or renews its registration.
+    Report(Box<WorkerReport>),
+    /// A worker goes.
+    Remove(WorkerId),
+    /// An operator puts a whole configuration in force.
+    Replace(String),
+    /// An operator reads the newest configuration.
+    Fetch,
+    /// The call is one of those, but cannot be read.
+    Unreadable(String),
+    /// No such call.
+    Unknown,
+}
+
+/// What a call is answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ControlAnswer {
+    /// It was taken.
+    Taken,
+    /// The configuration, as it was sent.
+    Document(String),
+    /// It is not valid, for these reasons.
+    Invalid(Vec<String>),
+    /// Another daemon answers it.
+    Elsewhere(String),
+    /// It cannot be answered now.
+    NotNow(&'static str),
+    /// No such call.
+    Unknown,
+}
+
+/// A message that carries an order to a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderMessage {
+    /// Path.
+    pub path: &'static str,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Translates between the messages of a platform and a controller.
+pub trait ControlProtocol: Send + Sync + 'static {
+    /// Reads a whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Lists what cannot be read.
+    fn read_deployment(&self, text: &str) -> Result<Deployment, Vec<DeploymentFault>>;
+
+    /// Reads a call.
+    fn read_call(&self, head: &Parts, body: &[u8]) -> ControlCall;
+
+    /// Status, headers and body of an answer to a call.
+    fn write_answer(&self, answer: &ControlAnswer) -> (StatusCode, HeaderMap, Bytes);
+
+    /// Writes an order; `fence` grows with each leader.
+    fn write_order(&self, order: &WorkerOrder, fence: u64) -> OrderMessage;
+
+    /// Reads the answer to an order.
+    fn read_order_answer(&self, status: StatusCode) -> OrderOutcome;
+
+    /// Path at which a worker tells how it is.
+    fn probe_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/crates/controller/src/reconcile.rs
@@ -0,0 +1,265 @@
+//! What the leader does: judges workers, keeps replicas, orders, and tells gateways.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowbarrow_fleet::replicas::WorkerState;
+use hollowbarrow_fleet::{
+    OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, Service, WorkerStanding,
+};
+use hollowbarrow_log::LogView;
+use hollowbarrow_schema::{FleetMessage, FleetView, ServiceName, Term, WorkerId, WorkerLoad};
+use tokio::time::Instant;
+
+use crate::controller::ControllerCore;
+use crate::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_holders};
+use crate::orders::{give_order, probe_worker};
+use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters};
+
+/// Longest pause between two steps.
+const STEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest pause between two steps.
+const STEP_PAUSE: Duration = Duration::from_millis(10);
+/// Pause between two views for gateways, unless something that matters has changed.
+const VIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between two looks at the voters.
+const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
+/// Heartbeats after which a leader that has just started has heard of every worker.
+const SETTLED_BEATS: f64 = 2.5;
+/// Time after which a leader that has run for longer believes what it has heard.
+const SHORT_SETTLED: Duration = Duration::from_millis(500);
+/// Silence after which a worker is forgotten.
+const FORGET_SILENCE: Duration = Duration::from_secs(60);
+/// Time for an order to show in the worker's report before it is given again.
+const ORDER_REPEAT: Duration = Duration::from_millis(1800);
+/// Longest time for the requests of a replica to end before it is taken apart.
+const CLOSE_TIME: Duration = Duration::from_millis(1500);
+
+/// Something that came back from a worker.
+pub(crate) enum WorkerNews {
+    Order(ServiceName, OrderTicket, OrderOutcome),
+    Probe(WorkerId, ProbeOutcome),
+}
+
+/// What a leader keeps for the length of its term.
+struct Leadership {
+    term: Term,
+    replicas: BTreeMap<ServiceName, ReplicaController>,
+    settled: Instant,
+    loads_from: Instant,
+    view_number: u64,
+    view_due: Instant,
+    withheld: Vec<WorkerId>,
+    voters_due: Instant,
+}
+
+/// Acts as leader whenever this daemon leads, until the process ends.
+pub(crate) async fn keep_fleet(core: Arc<ControllerCore>, news: flume::Receiver<WorkerNews>) {
+    let mut judge = LivenessJudge::new();
+    let mut leadership: Option<Leadership> = None;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(STEP_INTERVAL) => {}
+            () = core.changed.notified() => tokio::time::sleep(STEP_PAUSE).await,
+            received = news.recv_async() => {
+                let Ok(received) = received else { return };
+                take_news(received, &mut judge, leadership.as_mut());
+            }
+        }
+        for received in news.try_iter() {
+            take_news(received, &mut judge, leadership.as_mut());
+        }
+        let now = Instant::now();
+        core.fleet().expire(FORGET_SILENCE, now);
+        let view = core.log.view();
+        if !core.is_sure_to_lead(&view, now) {
+            if leadership.take().is_some() {
+                log::info!("event=leadership_lost");
+            }
+            continue;
+        }
+        if leadership.as_ref().is_none_or(|held| held.term != view.term) {
+            leadership = Some(begin_term(&core, &view, now));
+            judge = LivenessJudge::new();
+        }
+        if let Some(held) = &mut leadership {
+            step(&core, held, &mut judge, &view, now);
+        }
+    }
+}
+
+fn take_news(news: WorkerNews, judge: &mut LivenessJudge, held: Option<&mut Leadership>) {
+    let now = Instant::now();
+    match news {
+        WorkerNews::Probe(worker, outcome) => judge.end_probe(&worker, outcome, now),
+        WorkerNews::Order(service, ticket, outcome) => {
+            log::info!(
+                "event=order_answered worker={} order={} replica={} outcome={outcome:?}",
+                *ticket.worker,
+                ticket.order.verb(),
+                ticket.order.name().to_text()
+            );
+            if let Some(controller) = held.and_then(|held| held.replicas.get_mut(&service)) {
+                controller.note_outcome(&ticket, outcome, now);
+            }
+        }
+    }
+}
+
+fn begin_term(core: &ControllerCore, view: &LogView, now: Instant) -> Leadership {
+    let heartbeat = core.heartbeat();
+    let settle = if core.settings.found {
+        Duration::ZERO
+    } else if now.duration_since(core.started) > heartbeat.mul_f64(SETTLED_BEATS) {
+        SHORT_SETTLED
+    } else {
+        heartbeat.mul_f64(SETTLED_BEATS)
+    };
+    log::info!("event=leadership_begun term={} settle_ms={}", *view.term, settle.as_millis());
+    let window = Duration::from_secs(core.settings.load_window_s.into());
+    let fresh = core.settings.found && !core.fleet().has_served();
+    Leadership {
+        term: view.term,
+        replicas: BTreeMap::new(),
+        settled: now + settle,
+        loads_from: if fresh { now } else { now + window },
+        view_number: 0,
+        view_due: now,
+        withheld: Vec::new(),
+        voters_due: now,
+    }
+}
+
+fn step(
+    core: &Arc<ControllerCore>,
+    held: &mut Leadership,
+    judge: &mut LivenessJudge,
+    view: &LogView,
+    now: Instant,
+) {
+    if now >= held.voters_due {
+        held.voters_due = now + VOTERS_INTERVAL;
+        keep_voters(core, view, now);
+    }
+    let services = core.engine_services();
+    let fleet = core.fleet();
+    judge.tidy(&fleet);
+    let uses = fleet.uses();
+    let holders = find_holders(&fleet);
+    let facts = LivenessFacts { uses: &uses, holders: &holders, heartbeat: core.heartbeat(), now };
+    let warming_up = core.settings.found && !fleet.has_served();
+    let mut standings: HashMap<WorkerId, WorkerStanding> = HashMap::new();
+    let mut probes = Vec::new();
+    for entry in fleet.table().iter() {
+        let worker = &entry.report.id;
+        let controller = held.replicas.get(&entry.report.service);
+        let head = controller.and_then(|controller| controller.serving_head_of(worker));
+        let judgement = judge.judge(entry, head, &facts);
+        if judgement.probe {
+            probes.push((worker.clone(), entry.report.address.clone()));
+        }
+        standings.insert(worker.clone(), judgement.standing);
+    }
+    for (worker, address) in probes {
+        judge.begin_probe(&worker, now);
+        spawn_probe(core, worker, address);
+    }
+    let mut withheld: Vec<WorkerId> = standings
+        .iter()
+        .filter(|(_, standing)| **standing != WorkerStanding::Usable)
+        .map(|(worker, _)| worker.clone())
+        .collect();
+    for service in &services {
+        let Some(engine) = &service.engine else { continue };
+        let workers: Vec<WorkerState<'_>> = fleet
+            .table()
+            .of_service(&service.name)
+            .map(|entry| WorkerState {
+                report: &entry.report,
+                standing: standings[&entry.report.id],
+            })
+            .collect();
+        let timing = timing_of(core);
+        let (term, settled, loads_from) = (held.term, held.settled, held.loads_from);
+        let controller = held
+            .replicas
+            .entry(service.name.clone())
+            .or_insert_with(|| ReplicaController::new(timing, term, settled, loads_from));
+        for ticket in controller.step(engine, &workers, warming_up, now) {
+            spawn_order(core, &service.name, ticket, held.term);
+        }
+        withheld.extend(controller.withheld());
+    }
+    withheld.sort();
+    withheld.dedup();
+    if now >= held.view_due || withheld != held.withheld {
+        held.view_due = now + VIEW_INTERVAL;
+        held.view_number += 1;
+        held.withheld = withheld;
+        let gateways = fleet.gateways(false);
+        let loads = uses.iter().map(|(worker, sum)| WorkerLoad {
+            worker: worker.clone(),
+            active: sum.active,
+            waiting_ms: sum.waiting_ms,
+            progress_ms: None,
+        });
+        let message = FleetView {
+            term: held.term,
+            number: held.view_number,
+            controllers: core.known_controllers(),
+            withheld: held.withheld.clone(),
+            loads: loads.collect(),
+        };
+        for gateway in gateways {
+            core.links().send(&gateway, FleetMessage::View(message.clone()));
+        }
+    }
+}
+
+fn timing_of(core: &ControllerCore) -> ReplicaTiming {
+    ReplicaTiming {
+        stall: Duration::from_millis(core.settings.stall_ms.into()),
+        repeat: ORDER_REPEAT,
+        close: CLOSE_TIME,
+        load_window: Duration::from_secs(core.settings.load_window_s.into()),
+    }
+}
+
+fn keep_voters(core: &ControllerCore, view: &LogView, now: Instant) {
+    let own = core.links().id();
+    let (present, lost_disks) = {
+        let fleet = core.fleet();
+        (fleet.controllers(REPLACED_AFTER, now), fleet.lost_disks())
+    };
+    let facts =
+        VoterFacts { own, voters: &view.voters, present: &present, lost_disks: &lost_disks };
+    let Some(voters) = next_voters(&facts) else { return };
+    let names: Vec<&str> = voters.iter().map(|voter| voter.as_str()).collect();
+    log::info!("event=voters_proposed voters={}", names.join(","));
+    // The outcome shows in the next look.
+    drop(core.log.propose(hollowbarrow_schema::EntryPayload::Voters(voters)));
+}
+
+fn spawn_probe(core: &Arc<ControllerCore>, worker: WorkerId, address: String) {
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        let outcome = probe_worker(&*core.protocol, &address).await;
+        log::info!("event=worker_probed worker={} outcome={outcome:?}", *worker);
+        let _ = core.news.send(WorkerNews::Probe(worker, outcome));
+    });
+}
+
+fn spawn_order(core: &Arc<ControllerCore>, service: &ServiceName, ticket: OrderTicket, term: Term) {
+    let core = Arc::clone(core);
+    let service = service.clone();
+    tokio::spawn(async move {
+        let outcome = give_order(&*core.protocol, &ticket, *term).await;
+        let _ = core.news.send(WorkerNews::Order(service, ticket, outcome));
+    });
+}
+
+/// Services whose workers form replicas.
+pub(crate) fn has_replicas(service: &Service) -> bool {
+    service.engine.as_ref().is_some_and(|engine| !engine.models.is_empty())
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -381,6 +381,8 @@
 
 fn take_message(core: &Arc<DaemonCore>, from: &DaemonId, message: PeerMessage) {
     match message {
+        // Gateways and controllers form clusters of their own.
+        PeerMessage::Fleet(_) => log::debug!("event=message_refused peer={}", **from),
         PeerMessage::Log { name: LogName::Config, message } => {
             core.config_log.deliver(from, message);
         }
--- /dev/null
+++ b/crates/fleet/src/deployment.rs
@@ -0,0 +1,311 @@
+//! A whole configuration: routes, services, tenants and limits.
+//!
+//! Invariant: a [`Deployment`] that [`Deployment::check`] found no fault in can
+//! be put in force as it is.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hollowbarrow_schema::{ModelName, OrganisationId, ServiceName};
+use thiserror::Error;
+
+/// What may be repeated of a route's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeatability {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request may run at most once.
+    AtMostOnce,
+    /// The answer is a stream of events; it may run at most once.
+    Stream,
+    /// The answer is a stream of events that another worker can go on with.
+    ResumableStream,
+}
+
+impl Repeatability {
+    /// Whether a request may be sent again although it may have run.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// Where requests for a host and path go, and what they are promised.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name in logs.
+    pub name: String,
+    /// Host that callers name.
+    pub host: String,
+    /// Beginning of the path; it starts and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Repeatability,
+    /// Longest time that a request is held.
+    pub timeout: Duration,
+    /// Time within which an answer, or a stream's first event, is worth most.
+    pub objective: Duration,
+    /// Longest pause between two events that is still in time.
+    pub gap_objective: Option<Duration>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Services and their weights.
+    pub split: Vec<(ServiceName, u32)>,
+    /// Most workers that one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether no key is needed.
+    pub public: bool,
+}
+
+/// A model that replicas of a service can load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSpec {
+    /// Name by which requests ask for it.
+    pub name: ModelName,
+    /// Workers in one replica.
+    pub size: usize,
+    /// Share of the service's work.
+    pub share: f64,
+    /// Factor on all times of the engine.
+    pub pace: f64,
+    /// Time to load the weights from the store.
+    pub load: Duration,
+    /// Time to load the weights from the worker's own host.
+    pub warm: Duration,
+}
+
+/// How a service's model engines behave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Requests that a replica works on at once.
+    pub slots: u32,
+    /// Tokens that a replica's memory holds.
+    pub memory_tokens: u64,
+    /// Models that its workers can form replicas of.
+    pub models: Vec<ModelSpec>,
+    /// Time of one step without requests.
+    pub step: Duration,
+    /// Additional time of a step for each request that writes, in milliseconds.
+    pub step_per_request_ms: f64,
+    /// Prompt tokens read in a second.
+    pub read_per_second: f64,
+    /// Steps in one pass while a request writes.
+    pub stride: u32,
+    /// Loads from the weight store that may begin in a second.
+    pub loads_per_second: f64,
+    /// Loads that run at once without slowing each other.
+    pub loads_at_once: usize,
+    /// Time from the order to open until a replica serves.
+    pub form: Duration,
+}
+
+/// A set of workers that answer alike.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceName,
+    /// Path of its health check.
+    pub health_path: String,
+    /// Connections that one worker accepts from all callers together.
+    pub max_connections: u32,
+    /// Present where the workers are model engines.
+    pub engine: Option<Engine>,
+}
+
+/// An organisation and the keys that it calls with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    /// Name that workers are told.
+    pub name: OrganisationId,
+    /// Keys in force.
+    pub keys: Vec<String>,
+    /// Rank that goes before the route's, if there is one.
+    pub priority: Option<u8>,
+}
+
+/// Bounds on what a caller may send and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request in bytes.
+    pub body_bytes: usize,
+    /// Longest time to send a head.
+    pub header_time: Duration,
+    /// Longest time that a connection may rest.
+    pub idle_time: Duration,
+}
+
+/// A whole configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// Version; the highest prevails.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Limits on callers.
+    pub limits: CallerLimits,
+    /// Tenants; none means that no request needs a key.
+    pub tenants: Option<Vec<Tenant>>,
+}
+
+/// Why a configuration cannot be put in force.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum DeploymentFault {
+    /// The text is not what it should be.
+    #[error("{field}: {reason}")]
+    Unreadable {
+        /// Where in the document.
+        field: String,
+        /// What is wrong.
+        reason: String,
+    },
+    /// A route names a service that the document does not hold.
+    #[error("routes.{route}: the service {service} is not in the document")]
+    UnknownService {
+        /// Name of the route.
+        route: String,
+        /// Name of the service.
+        service: String,
+    },
+    /// Two routes share a host and prefix.
+    #[error("routes.{second}: {host}{prefix} is already the place of {first}")]
+    SamePlace {
+        /// Route that came first.
+        first: String,
+        /// Route that came second.
+        second: String,
+        /// Host that both name.
+        host: String,
+        /// Prefix that both name.
+        prefix: String,
+    },
+    /// The weights of a route add up to nothing.
+    #[error("routes.{route}.weights: they add up to 0")]
+    NoWeight {
+        /// Name of the route.
+        route: String,
+    },
+    /// A route gives its requests no time.
+    #[error("routes.{route}.timeout: it is 0")]
+    NoTimeout {
+        /// Name of the route.
+        route: String,
+    },
+    /// A prefix does not begin and end with a slash.
+    #[error("routes.{route}.prefix: {prefix:?} does not begin and end with a slash")]
+    BadPrefix {
+        /// Name of the route.
+        route: String,
+        /// The prefix.
+        prefix: String,
+    },
+    /// Two services share a name.
+    #[error("services.{name}: the name stands twice")]
+    SameService {
+        /// The name.
+        name: String,
+    },
+    /// Two tenants share a key.
+    #[error("tenants.{second}: a key is already one of {first}")]
+    SharedKey {
+        /// Tenant that came first.
+        first: String,
+        /// Tenant that came second.
+        second: String,
+    },
+    /// A model has no members.
+    #[error("services.{service}.models.{model}: its size is 0")]
+    NoMembers {
+        /// Name of the service.
+        service: String,
+        /// Name of the model.
+        model: String,
+    },
+}
+
+impl Deployment {
+    /// Lists everything that keeps the configuration from being put in force.
+    pub fn check(&self) -> Vec<DeploymentFault> {
+        let mut faults = Vec::new();
+        self.check_services(&mut faults);
+        self.check_routes(&mut faults);
+        self.check_tenants(&mut faults);
+        faults
+    }
+
+    /// The service of a name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == *name)
+    }
+
+    fn check_services(&self, faults: &mut Vec<DeploymentFault>) {
+        let mut names = BTreeSet::new();
+        for service in &self.services {
+            if !names.insert(&service.name) {
+                faults.push(DeploymentFault::SameService { name: service.name.to_string() });
+            }
+            let models = service.engine.iter().flat_map(|engine| &engine.models);
+            for model in models.filter(|model| model.size == 0) {
+                faults.push(DeploymentFault::NoMembers {
+                    service: service.name.to_string(),
+                    model: model.name.to_string(),
+                });
+            }
+        }
+    }
+
+    fn check_routes(&self, faults: &mut Vec<DeploymentFault>) {
+        let services: BTreeSet<&ServiceName> =
+            self.services.iter().map(|service| &service.name).collect();
+        let mut places: BTreeMap<(&str, &str), &str> = BTreeMap::new();
+        for route in &self.routes {
+            let name = || route.name.clone();
+            for (service, _) in route.split.iter().filter(|(name, _)| !services.contains(name)) {
+                let service = service.to_string();
+                faults.push(DeploymentFault::UnknownService { route: name(), service });
+            }
+            if let Some(first) = places.insert((&route.host, &route.prefix), &route.name) {
+                faults.push(DeploymentFault::SamePlace {
+                    first: first.to_owned(),
+                    second: name(),
+                    host: route.host.clone(),
+                    prefix: route.prefix.clone(),
+                });
+            }
+            if route.split.iter().all(|(_, weight)| *weight == 0) {
+                faults.push(DeploymentFault::NoWeight { route: name() });
+            }
+            if route.timeout.is_zero() {
+                faults.push(DeploymentFault::NoTimeout { route: name() });
+            }
+            if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+                let prefix = route.prefix.clone();
+                faults.push(DeploymentFault::BadPrefix { route: name(), prefix });
+            }
+        }
+    }
+
+    fn check_tenants(&self, faults: &mut Vec<DeploymentFault>) {
+        let mut holders: BTreeMap<&str, &OrganisationId> = BTreeMap::new();
+        for tenant in self.tenants.iter().flatten() {
+            for key in &tenant.keys {
+                match holders.insert(key, &tenant.name) {
+                    Some(first) if *first != tenant.name => {
+                        faults.push(DeploymentFault::SharedKey {
+                            first: first.to_string(),
+                            second: tenant.name.to_string(),
+                        });
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,33 @@
+//! Registered workers, whole configurations and the life of replicas, without
+//! input or output.
+//!
+//! Gateways and controllers share these types and decisions. Everything here is
+//! driven by its caller with reports and the time, so that tests can play any
+//! order of events. Nothing here knows how a platform spells its messages.
+//!
+//! Invariants:
+//!
+//! - Of two reports of one worker the one with the higher number counts.
+//! - A replica is opened only after each member itself said that it is ready
+//!   under the replica's name and epoch.
+//! - A worker is ordered into a replica only after its former replica's head
+//!   can no longer serve.
+
+pub mod deployment;
+pub mod loads;
+pub mod placement;
+pub mod replicas;
+pub mod routes;
+pub mod workers;
+
+pub use deployment::{
+    CallerLimits, Deployment, DeploymentFault, Engine, ModelSpec, Repeatability, Route, Service,
+    Tenant,
+};
+pub use loads::LoadLimiter;
+pub use placement::{PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas};
+pub use replicas::{
+    OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, WorkerOrder, WorkerStanding,
+};
+pub use routes::RouteTable;
+pub use workers::{MergeOutcome, WorkerTable};
--- /dev/null
+++ b/crates/fleet/src/placement.rs
@@ -0,0 +1,173 @@
+//! Decides which free workers form which replicas.
+//!
+//! A pure function: the same workers, replicas and demands give the same plan.
+//! It never moves a replica that stands.
+//!
+//! Trade-off: a part of each fabric domain is kept free, so that a lost member
+//! is replaced within a second by a worker that holds the weights already. The
+//! reserve gives way where a model would otherwise fall below its share.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hollowbarrow_schema::{DomainId, ModelName, WorkerId};
+
+/// Part of a domain's workers that is kept free while replicas are spread.
+const RESERVE_SHARE: f64 = 0.2;
+
+/// What is wanted of one model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacementDemand {
+    /// The model.
+    pub model: ModelName,
+    /// Workers in one replica.
+    pub size: usize,
+    /// Share of the work.
+    pub share: f64,
+}
+
+/// A worker that is in no replica and may be ordered into one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementWorker {
+    /// Its identity.
+    pub id: WorkerId,
+    /// Its fabric domain.
+    pub domain: DomainId,
+    /// Model whose weights it holds in memory.
+    pub model: Option<ModelName>,
+    /// Models whose weights lie on its host.
+    pub staged: Vec<ModelName>,
+}
+
+impl PlacementWorker {
+    /// How soon it can serve a model: 0 at once, 1 from its host, 2 from the store.
+    fn distance(&self, model: &ModelName) -> u8 {
+        if self.model.as_ref() == Some(model) {
+            0
+        } else if self.staged.contains(model) {
+            1
+        } else {
+            2
+        }
+    }
+}
+
+/// A replica to be formed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedReplica {
+    /// Its model.
+    pub model: ModelName,
+    /// Its members; the first is the head.
+    pub members: Vec<WorkerId>,
+}
+
+/// Plans replicas over the free workers.
+///
+/// `standing` counts the replicas of each model in each domain, and `workers`
+/// all usable workers of each domain, those in replicas included.
+pub fn plan_replicas(
+    demands: &[PlacementDemand],
+    standing: &BTreeMap<(DomainId, ModelName), usize>,
+    workers: &BTreeMap<DomainId, usize>,
+    free: &[PlacementWorker],
+) -> Vec<PlannedReplica> {
+    let mut planner = ReplicaPlanner::new(demands, standing, workers, free);
+    let mut planned = Vec::new();
+    while let Some(replica) = planner.place_next(true) {
+        planned.push(replica);
+    }
+    while let Some(replica) = planner.place_next(false) {
+        planned.push(replica);
+    }
+    planned
+}
+
+struct ReplicaPlanner<'a> {
+    demands: &'a [PlacementDemand],
+    counts: BTreeMap<ModelName, usize>,
+    hosted: BTreeSet<(DomainId, ModelName)>,
+    wanted: BTreeMap<ModelName, usize>,
+    workers: &'a BTreeMap<DomainId, usize>,
+    free: BTreeMap<DomainId, Vec<&'a PlacementWorker>>,
+}
+
+impl<'a> ReplicaPlanner<'a> {
+    fn new(
+        demands: &'a [PlacementDemand],
+        standing: &BTreeMap<(DomainId, ModelName), usize>,
+        workers: &'a BTreeMap<DomainId, usize>,
+        free: &'a [PlacementWorker],
+    ) -> Self {
+        let mut counts: BTreeMap<ModelName, usize> = BTreeMap::new();
+        let mut hosted = BTreeSet::new();
+        for ((domain, model), count) in standing {
+            *counts.entry(model.clone()).or_default() += count;
+            hosted.insert((domain.clone(), model.clone()));
+        }
+        let mut by_domain: BTreeMap<DomainId, Vec<&PlacementWorker>> = BTreeMap::new();
+        for worker in free {
+            by_domain.entry(worker.domain.clone()).or_default().push(worker);
+        }
+        let wanted = wanted_counts(demands, workers.values().sum());
+        Self { demands, counts, hosted, wanted, workers, free: by_domain }
+    }
+
+    /// Places one replica of the model that is furthest below its share.
+    fn place_next(&mut self, keep_reserve: bool) -> Option<PlannedReplica> {
+        let mut order: Vec<&PlacementDemand> = self.demands.iter().collect();
+        order.sort_by(|a, b| self.fill_of(a).total_cmp(&self.fill_of(b)));
+        for demand in order {
+            let count = self.counts.get(&demand.model).copied().unwrap_or_default();
+            let wanted = self.wanted.get(&demand.model).copied().unwrap_or_default();
+            if !keep_reserve && count >= wanted {
+                continue;
+            }
+            if let Some(domain) = self.choose_domain(demand, keep_reserve) {
+                return Some(self.place(demand, &domain));
+            }
+        }
+        None
+    }
+
+    /// Replicas of a model in proportion to its share.
+    fn fill_of(&self, demand: &PlacementDemand) -> f64 {
+        let count = self.counts.get(&demand.model).copied().unwrap_or_default();
+        count as f64 / demand.share.max(f64::MIN_POSITIVE)
+    }
+
+    fn choose_domain(&self, demand: &PlacementDemand, keep_reserve: bool) -> Option<DomainId> {
+        let fits = |domain: &DomainId, free: usize| {
+            let total = self.workers.get(domain).copied().unwrap_or_default();
+            let reserve = (total as f64 * RESERVE_SHARE).ceil() as usize;
+            free >= demand.size + if keep_reserve { reserve } else { 0 }
+        };
+        let candidates = self.free.iter().filter(|(domain, free)| fits(domain, free.len()));
+        candidates
+            .max_by_key(|(domain, free)| {
+                let warm = free.iter().filter(|worker| worker.distance(&demand.model) == 0).count();
+                let near = free.iter().filter(|worker| worker.distance(&demand.model) < 2).count();
+                let size = demand.size;
+                let key = ((*domain).clone(), demand.model.clone());
+                let spread = !self.hosted.contains(&key);
+                (warm.min(size), near.min(size), spread, free.len())
+            })
+            .map(|(domain, _)| domain.clone())
+    }
+
+    fn place(&mut self, demand: &PlacementDemand, domain: &DomainId) -> PlannedReplica {
+        let free = self.free.get_mut(domain).expect("a domain that was chosen has free workers");
+        free.sort_by_key(|worker| (worker.distance(&demand.model), worker.id.clone()));
+        let members = free.drain(..demand.size).map(|worker| worker.id.clone()).collect();
+        *self.counts.entry(demand.model.clone()).or_default() += 1;
+        self.hosted.insert((domain.clone(), demand.model.clone()));
+        PlannedReplica { model: demand.model.clone(), members }
+    }
+}
+
+/// Replicas of each model that this many workers should carry, with the reserve left out.
+fn wanted_counts(demands: &[PlacementDemand], workers: usize) -> BTreeMap<ModelName, usize> {
+    let usable = workers as f64 * (1.0 - RESERVE_SHARE);
+    let shares: f64 = demands.iter().map(|demand| demand.share * demand.size as f64).sum();
+    let sets = usable / shares.max(f64::MIN_POSITIVE);
+    let count = |demand: &PlacementDemand| ((sets * demand.share).round() as usize).max(1);
+    demands.iter().map(|demand| (demand.model.clone(), count(demand))).collect()
+}
--- /dev/null
+++ b/crates/fleet/src/replicas/life.rs
@@ -0,0 +1,298 @@
+//! Moves each replica through its life, and orders what the next step needs.
+
+use hollowbarrow_schema::{Epoch, MembershipState, ModelName, WorkerId, WorkerReport};
+
+use super::orders::{OrderTicket, WorkerOrder};
+use super::{Replica, ReplicaController, ReplicaPhase, StepView, WorkerStanding};
+
+/// Part of the stall time that is waited beyond it before a silent head counts as given up.
+const STALL_MARGIN: f64 = 0.25;
+/// Factor by which loads are shorter before the first request.
+const WARM_UP_FACTOR: u32 = 10;
+/// Loads that run at once before the first request, for each that may run at once afterwards.
+const WARM_UP_AT_ONCE: usize = 2;
+
+/// What became of a replica in a step.
+enum LifeStep {
+    Stay,
+    Move(ReplicaPhase),
+    Release(&'static str),
+}
+
+impl ReplicaController {
+    /// Moves replicas on as far as the reports allow.
+    pub(super) fn advance_replicas(&mut self, view: &StepView<'_>) {
+        let epochs: Vec<Epoch> = self.replicas.keys().copied().collect();
+        for epoch in epochs {
+            let replica = &self.replicas[&epoch];
+            match self.next_phase(replica, view) {
+                LifeStep::Stay => {}
+                LifeStep::Move(phase) => self.enter(epoch, phase),
+                LifeStep::Release(reason) => self.release(epoch, reason),
+            }
+        }
+        let workers = &view.workers;
+        self.orders.retain(|worker| workers.contains_key(worker));
+    }
+
+    fn enter(&mut self, epoch: Epoch, phase: ReplicaPhase) {
+        let Some(replica) = self.replicas.get_mut(&epoch) else { return };
+        log::info!(
+            "event=replica_moved replica={} from={:?} to={phase:?}",
+            replica.name.to_text(),
+            replica.phase
+        );
+        replica.phase = phase;
+        if phase == ReplicaPhase::Opening {
+            replica.opened = true;
+        }
+    }
+
+    fn release(&mut self, epoch: Epoch, reason: &str) {
+        if let Some(replica) = self.replicas.remove(&epoch) {
+            log::info!(
+                "event=replica_released replica={} reason={reason:?}",
+                replica.name.to_text()
+            );
+            self.retired.insert(epoch);
+        }
+    }
+
+    /// A member has seen a newer epoch: the members are planned anew under a higher one.
+    pub(super) fn give_up_forming(&mut self, epoch: Epoch) {
+        let forming = self.replicas.get(&epoch).is_some_and(|replica| !replica.opened);
+        if forming {
+            self.release(epoch, "a member has seen a newer epoch");
+        }
+    }
+
+    fn next_phase(&self, replica: &Replica, view: &StepView<'_>) -> LifeStep {
+        match replica.phase {
+            ReplicaPhase::Forming => self.next_of_forming(replica, view),
+            ReplicaPhase::Opening => next_of_opening(replica, view),
+            ReplicaPhase::Serving => self.next_of_serving(replica, view),
+            ReplicaPhase::Closing { until } => {
+                let ended = head_state(replica, view) != Some(MembershipState::Closing)
+                    && head_state(replica, view) != Some(MembershipState::Open);
+                if ended || view.now >= until {
+                    LifeStep::Move(ReplicaPhase::Leaving)
+                } else {
+                    LifeStep::Stay
+                }
+            }
+            ReplicaPhase::Leaving => next_of_leaving(replica, view),
+            ReplicaPhase::Quarantined { since } => self.next_of_quarantined(replica, since, view),
+        }
+    }
+
+    fn next_of_forming(&self, replica: &Replica, view: &StepView<'_>) -> LifeStep {
+        if worst_standing(replica, view) != WorkerStanding::Usable {
+            return if replica.opened {
+                LifeStep::Move(ReplicaPhase::Leaving)
+            } else {
+                LifeStep::Release("a member was lost before the replica was opened")
+            };
+        }
+        let ready = |member: &WorkerId| {
+            let state = view.report(member).and_then(|report| replica.state_in(report));
+            matches!(state, Some(MembershipState::Ready | MembershipState::Open))
+        };
+        if replica.members.iter().all(ready) {
+            LifeStep::Move(ReplicaPhase::Opening)
+        } else {
+            LifeStep::Stay
+        }
+    }
+
+    fn next_of_serving(&self, replica: &Replica, view: &StepView<'_>) -> LifeStep {
+        let own = |member: &WorkerId| {
+            view.report(member).is_some_and(|report| replica.state_in(report).is_some())
+        };
+        let serves = head_state(replica, view) == Some(MembershipState::Open);
+        match worst_standing(replica, view) {
+            _ if !serves => LifeStep::Move(ReplicaPhase::Leaving),
+            WorkerStanding::Usable if replica.members.iter().all(own) => LifeStep::Stay,
+            WorkerStanding::Leaving => {
+                LifeStep::Move(ReplicaPhase::Closing { until: view.now + self.timing.close })
+            }
+            _ => LifeStep::Move(ReplicaPhase::Leaving),
+        }
+    }
+
+    fn next_of_quarantined(
+        &self,
+        replica: &Replica,
+        since: tokio::time::Instant,
+        view: &StepView<'_>,
+    ) -> LifeStep {
+        let head = replica.head();
+        if replica.headed && view.standing(head) == WorkerStanding::Dead {
+            return LifeStep::Release("the head has ended");
+        }
+        if replica.headed && has_left(replica, head, view) {
+            return LifeStep::Release("the head has left");
+        }
+        let waits = |member: &&WorkerId| {
+            view.standing(member) == WorkerStanding::Usable && !has_left(replica, member, view)
+        };
+        if replica.members.iter().any(|member| waits(&member)) {
+            // The time counts from when the last one left.
+            return LifeStep::Move(ReplicaPhase::Quarantined { since: view.now });
+        }
+        if view.now >= since + self.timing.stall.mul_f64(1.0 + STALL_MARGIN) {
+            LifeStep::Release("the head must have given up")
+        } else {
+            LifeStep::Stay
+        }
+    }
+
+    /// Orders what each replica needs next.
+    pub(super) fn order_replicas(
+        &mut self,
+        view: &StepView<'_>,
+        warming_up: bool,
+        tickets: &mut Vec<OrderTicket>,
+    ) {
+        let epochs: Vec<Epoch> = self.replicas.keys().copied().collect();
+        for epoch in epochs {
+            let replica = self.replicas[&epoch].clone();
+            let name = || replica.name.clone();
+            let head = replica.head().clone();
+            match replica.phase {
+                ReplicaPhase::Forming => self.order_joins(&replica, view, warming_up, tickets),
+                ReplicaPhase::Opening => {
+                    self.give(&head, WorkerOrder::Open { name: name() }, view, tickets);
+                }
+                ReplicaPhase::Serving => {}
+                ReplicaPhase::Closing { .. } => {
+                    if head_state(&replica, view) == Some(MembershipState::Open) {
+                        self.give(&head, WorkerOrder::Close { name: name() }, view, tickets);
+                    }
+                }
+                ReplicaPhase::Leaving => {
+                    self.give(&head, WorkerOrder::Leave { name: name() }, view, tickets);
+                }
+                ReplicaPhase::Quarantined { .. } => {
+                    for member in &replica.members {
+                        if !has_left(&replica, member, view) {
+                            self.give(member, WorkerOrder::Leave { name: name() }, view, tickets);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn order_joins(
+        &mut self,
+        replica: &Replica,
+        view: &StepView<'_>,
+        warming_up: bool,
+        tickets: &mut Vec<OrderTicket>,
+    ) {
+        let order =
+            WorkerOrder::Join { name: replica.name.clone(), members: replica.members.clone() };
+        for member in &replica.members {
+            let Some(report) = view.report(member) else { continue };
+            if replica.state_in(report).is_some() {
+                continue;
+            }
+            let model = &replica.name.model;
+            if self.may_join(report, &order, model, view, warming_up) {
+                self.give(member, order.clone(), view, tickets);
+            }
+        }
+    }
+
+    /// Whether a join may go out now; counts the load that it begins.
+    pub(super) fn may_join(
+        &mut self,
+        report: &WorkerReport,
+        order: &WorkerOrder,
+        model: &ModelName,
+        view: &StepView<'_>,
+        warming_up: bool,
+    ) -> bool {
+        if !self.orders.may_give(&report.id, order, view.now) {
+            return false;
+        }
+        let held = report.model.as_ref() == Some(model) || report.staged.contains(model);
+        // A join that is given again begins no second load.
+        if held || self.orders.was_given(&report.id, order) {
+            return true;
+        }
+        let engine = view.engine;
+        let spec = engine.models.iter().find(|spec| spec.name == *model);
+        let Some(load) = spec.map(|spec| spec.load) else { return false };
+        if warming_up {
+            let at_once = engine.loads_at_once * WARM_UP_AT_ONCE;
+            self.loads.take(f64::INFINITY, at_once, load / WARM_UP_FACTOR, view.now)
+        } else {
+            view.now >= self.loads_from
+                && self.loads.take(engine.loads_per_second, engine.loads_at_once, load, view.now)
+        }
+    }
+
+    pub(super) fn give(
+        &mut self,
+        worker: &WorkerId,
+        order: WorkerOrder,
+        view: &StepView<'_>,
+        tickets: &mut Vec<OrderTicket>,
+    ) {
+        let Some(report) = view.report(worker) else { return };
+        if !self.orders.may_give(worker, &order, view.now) {
+            return;
+        }
+        let ticket = OrderTicket { worker: worker.clone(), address: report.address.clone(), order };
+        self.orders.give(&ticket, view.now);
+        tickets.push(ticket);
+    }
+}
+
+fn next_of_opening(replica: &Replica, view: &StepView<'_>) -> LifeStep {
+    if worst_standing(replica, view) != WorkerStanding::Usable {
+        return LifeStep::Move(ReplicaPhase::Leaving);
+    }
+    match head_state(replica, view) {
+        Some(MembershipState::Open) => LifeStep::Move(ReplicaPhase::Serving),
+        Some(MembershipState::Ready | MembershipState::Joining) => LifeStep::Stay,
+        _ => LifeStep::Move(ReplicaPhase::Leaving),
+    }
+}
+
+fn next_of_leaving(replica: &Replica, view: &StepView<'_>) -> LifeStep {
+    let head = replica.head();
+    match view.standing(head) {
+        _ if has_left(replica, head, view) => LifeStep::Release("the head has left"),
+        WorkerStanding::Dead => LifeStep::Release("the head has ended"),
+        WorkerStanding::Lost => LifeStep::Move(ReplicaPhase::Quarantined { since: view.now }),
+        WorkerStanding::Usable | WorkerStanding::Leaving => LifeStep::Stay,
+    }
+}
+
+/// Whether a worker is certainly no member: it said so, or answered an order to leave.
+fn has_left(replica: &Replica, member: &WorkerId, view: &StepView<'_>) -> bool {
+    let answered = replica.left.contains(member);
+    let reported = view.report(member).is_some_and(|report| replica.state_in(report).is_none());
+    answered || reported
+}
+
+fn head_state(replica: &Replica, view: &StepView<'_>) -> Option<MembershipState> {
+    view.report(replica.head()).and_then(|report| replica.state_in(report))
+}
+
+fn worst_standing(replica: &Replica, view: &StepView<'_>) -> WorkerStanding {
+    let rank = |standing: &WorkerStanding| match standing {
+        WorkerStanding::Usable => 0,
+        WorkerStanding::Leaving => 1,
+        WorkerStanding::Lost => 2,
+        WorkerStanding::Dead => 3,
+    };
+    replica
+        .members
+        .iter()
+        .map(|member| view.standing(member))
+        .max_by_key(rank)
+        .unwrap_or(WorkerStanding::Dead)
+}
--- /dev/null
+++ b/crates/fleet/src/replicas/mod.rs
@@ -0,0 +1,334 @@
+//! The life of the replicas of one service, from the first order to the last.
+//!
+//! The controller is stepped with what workers say of themselves and answers
+//! with orders. It keeps no durable state: epochs grow with the election term
+//! of who leads, and a new leader learns the replicas from the workers'
+//! reports.
+//!
+//! Invariants:
+//!
+//! - `Open` is ordered only after each member itself reported that it is ready
+//!   under the replica's name and epoch.
+//! - A worker is ordered into another replica only after the head of its former
+//!   one has left it, has ended, or must have given up because a member left it
+//!   longer than the stall time ago.
+//! - A worker has at most one order under way.
+
+mod adopt;
+mod life;
+mod names;
+mod orders;
+mod standby;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hollowbarrow_schema::{
+    DomainId, Epoch, MembershipState, ModelName, Term, WorkerId, WorkerMembership, WorkerReport,
+};
+use tokio::time::Instant;
+
+use crate::deployment::Engine;
+use crate::loads::LoadLimiter;
+use crate::placement::{PlacementDemand, PlacementWorker, plan_replicas};
+
+pub use names::{ReplicaKind, ReplicaName};
+pub use orders::{OrderOutcome, OrderTicket, WorkerOrder};
+
+/// Bits of an epoch that count within a term.
+const EPOCH_TERM_SHIFT: u32 = 20;
+
+/// What is known of a worker's ability to take part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkerStanding {
+    /// It reports and may be ordered.
+    Usable,
+    /// It said that it leaves.
+    Leaving,
+    /// It is silent, and may or may not run.
+    Lost,
+    /// Its process has certainly ended.
+    Dead,
+}
+
+/// A worker as the controller sees it at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerState<'a> {
+    /// Its newest report.
+    pub report: &'a WorkerReport,
+    /// Whether it can take part.
+    pub standing: WorkerStanding,
+}
+
+/// Times that the life of a replica is measured against.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaTiming {
+    /// Time after which a replica that lacks a member gives up by itself.
+    pub stall: Duration,
+    /// Time for an order to show in the worker's report before it is given again.
+    pub repeat: Duration,
+    /// Longest time for the requests of a replica to end before it is taken apart.
+    pub close: Duration,
+    /// Window in which loads are counted.
+    pub load_window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplicaPhase {
+    /// Members are joining.
+    Forming,
+    /// All members are ready, and the head was told to serve.
+    Opening,
+    /// The head takes requests.
+    Serving,
+    /// The head takes nothing new and ends what it has.
+    Closing { until: Instant },
+    /// The head is being told to leave.
+    Leaving,
+    /// The head cannot be asked; what is left waits until it must have given up.
+    Quarantined { since: Instant },
+}
+
+#[derive(Clone, Debug)]
+struct Replica {
+    name: ReplicaName,
+    members: Vec<WorkerId>,
+    phase: ReplicaPhase,
+    /// Whether the head may ever have been told to serve.
+    opened: bool,
+    /// Whether the first member is the head; false where the head was never heard of.
+    headed: bool,
+    /// Members that answered an order to leave.
+    left: BTreeSet<WorkerId>,
+}
+
+impl Replica {
+    fn head(&self) -> &WorkerId {
+        &self.members[0]
+    }
+
+    fn is_own(&self, membership: &WorkerMembership) -> bool {
+        membership.epoch == self.name.epoch && membership.replica == self.name.to_text()
+    }
+
+    /// The state that a report gives of its worker's part in this replica.
+    fn state_in(&self, report: &WorkerReport) -> Option<MembershipState> {
+        let membership = report.membership.as_ref()?;
+        self.is_own(membership).then_some(membership.state)
+    }
+}
+
+/// Everything that one step sees.
+struct StepView<'a> {
+    workers: BTreeMap<&'a WorkerId, WorkerState<'a>>,
+    engine: &'a Engine,
+    now: Instant,
+}
+
+impl<'a> StepView<'a> {
+    fn standing(&self, id: &WorkerId) -> WorkerStanding {
+        self.workers.get(id).map_or(WorkerStanding::Lost, |state| state.standing)
+    }
+
+    fn report(&self, id: &WorkerId) -> Option<&'a WorkerReport> {
+        self.workers.get(id).map(|state| state.report)
+    }
+}
+
+/// Forms, opens, watches and takes apart the replicas of one service.
+#[derive(Debug)]
+pub struct ReplicaController {
+    timing: ReplicaTiming,
+    term: Term,
+    counter: u64,
+    settled: Instant,
+    replicas: BTreeMap<Epoch, Replica>,
+    standbys: BTreeMap<WorkerId, ReplicaName>,
+    retired: BTreeSet<Epoch>,
+    orders: orders::OrderBook,
+    loads: LoadLimiter,
+    loads_from: Instant,
+}
+
+impl ReplicaController {
+    /// Creates a controller for a term that this daemon leads.
+    ///
+    /// Until `settled` it only takes over replicas that are whole; from then on it believes that
+    /// it has heard of every worker. Loads from the store wait until `loads_from`, since the
+    /// leader before may have used the allowed rate up.
+    pub fn new(timing: ReplicaTiming, term: Term, settled: Instant, loads_from: Instant) -> Self {
+        Self {
+            timing,
+            term,
+            counter: 0,
+            settled,
+            replicas: BTreeMap::new(),
+            standbys: BTreeMap::new(),
+            retired: BTreeSet::new(),
+            orders: orders::OrderBook::new(timing.repeat),
+            loads: LoadLimiter::new(timing.load_window),
+            loads_from,
+        }
+    }
+
+    /// Acts on what workers reported; returns the orders to give.
+    ///
+    /// `warming_up` says that no request has come yet, so that loads are cheap and not counted.
+    pub fn step(
+        &mut self,
+        engine: &Engine,
+        workers: &[WorkerState<'_>],
+        warming_up: bool,
+        now: Instant,
+    ) -> Vec<OrderTicket> {
+        let workers = workers.iter().map(|state| (&state.report.id, *state)).collect();
+        let view = StepView { workers, engine, now };
+        self.adopt_reported(&view);
+        self.advance_replicas(&view);
+        if now >= self.settled {
+            self.place_free(&view);
+            self.keep_standbys(&view);
+        }
+        let mut tickets = Vec::new();
+        self.order_replicas(&view, warming_up, &mut tickets);
+        self.order_standbys(&view, warming_up, &mut tickets);
+        tickets
+    }
+
+    /// Takes the outcome of an order in.
+    pub fn note_outcome(&mut self, ticket: &OrderTicket, outcome: OrderOutcome, now: Instant) {
+        self.orders.note_outcome(ticket, outcome, now);
+        let epoch = ticket.order.name().epoch;
+        match (&ticket.order, outcome) {
+            (WorkerOrder::Leave { .. }, outcome) if outcome.is_settled() => {
+                if let Some(replica) = self.replicas.get_mut(&epoch) {
+                    replica.left.insert(ticket.worker.clone());
+                }
+            }
+            (WorkerOrder::Join { .. }, OrderOutcome::Fenced) => self.give_up_forming(epoch),
+            _ => {}
+        }
+    }
+
+    /// Heads that must get no new requests.
+    pub fn withheld(&self) -> Vec<WorkerId> {
+        let serving = |replica: &&Replica| {
+            matches!(replica.phase, ReplicaPhase::Serving | ReplicaPhase::Opening)
+        };
+        self.replicas
+            .values()
+            .filter(|replica| !serving(replica))
+            .map(|replica| replica.head().clone())
+            .collect()
+    }
+
+    /// Replicas that serve, by model, for logs and metrics.
+    pub fn serving(&self) -> BTreeMap<ModelName, usize> {
+        let mut counts = BTreeMap::new();
+        let serving = self.replicas.values().filter(|r| r.phase == ReplicaPhase::Serving);
+        for replica in serving {
+            *counts.entry(replica.name.model.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Members of the replica that a worker heads.
+    pub fn members_of_head(&self, head: &WorkerId) -> Vec<WorkerId> {
+        let mut replicas = self.replicas.values();
+        replicas
+            .find(|replica| replica.head() == head)
+            .map_or_else(Vec::new, |replica| replica.members.clone())
+    }
+
+    /// Head of the replica that a worker is a member of, where that replica serves.
+    pub fn serving_head_of(&self, member: &WorkerId) -> Option<&WorkerId> {
+        let serving = |replica: &&Replica| {
+            replica.phase == ReplicaPhase::Serving && replica.members.contains(member)
+        };
+        self.replicas.values().find(serving).map(Replica::head)
+    }
+
+    fn next_epoch(&mut self) -> Epoch {
+        self.counter += 1;
+        Epoch((*self.term << EPOCH_TERM_SHIFT) + self.counter)
+    }
+
+    /// Plans replicas over the workers that are in none.
+    fn place_free(&mut self, view: &StepView<'_>) {
+        let demands: Vec<PlacementDemand> = view
+            .engine
+            .models
+            .iter()
+            .map(|model| PlacementDemand {
+                model: model.name.clone(),
+                size: model.size,
+                share: model.share,
+            })
+            .collect();
+        let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
+        let mut free = Vec::new();
+        let members: BTreeSet<&WorkerId> =
+            self.replicas.values().flat_map(|replica| &replica.members).collect();
+        for state in view.workers.values().filter(|s| s.standing == WorkerStanding::Usable) {
+            let domain = domain_of(state.report);
+            *domains.entry(domain.clone()).or_default() += 1;
+            if !members.contains(&state.report.id) {
+                free.push(PlacementWorker {
+                    id: state.report.id.clone(),
+                    domain,
+                    model: state.report.model.clone(),
+                    staged: state.report.staged.clone(),
+                });
+            }
+        }
+        let standing = self.count_standing(view);
+        for planned in plan_replicas(&demands, &standing, &domains, &free) {
+            let epoch = self.next_epoch();
+            let name = ReplicaName { kind: ReplicaKind::Serving, model: planned.model, epoch };
+            for member in &planned.members {
+                self.standbys.remove(member);
+            }
+            log::info!(
+                "event=replica_planned replica={} model={} members={}",
+                name.to_text(),
+                *name.model,
+                join_ids(&planned.members)
+            );
+            self.insert(name, planned.members, ReplicaPhase::Forming, false);
+        }
+    }
+
+    fn insert(
+        &mut self,
+        name: ReplicaName,
+        members: Vec<WorkerId>,
+        phase: ReplicaPhase,
+        opened: bool,
+    ) {
+        let epoch = name.epoch;
+        let left = BTreeSet::new();
+        let replica = Replica { name, members, phase, opened, headed: true, left };
+        self.replicas.insert(epoch, replica);
+    }
+
+    fn count_standing(&self, view: &StepView<'_>) -> BTreeMap<(DomainId, ModelName), usize> {
+        let mut counts = BTreeMap::new();
+        for replica in self.replicas.values() {
+            let report = replica.members.iter().find_map(|member| view.report(member));
+            if let Some(report) = report {
+                let key = (domain_of(report), replica.name.model.clone());
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
+
+/// A worker's domain; one that names none is alone in its own.
+fn domain_of(report: &WorkerReport) -> DomainId {
+    report.domain.clone().unwrap_or_else(|| DomainId::from(report.id.as_str()))
+}
+
+fn join_ids(ids: &[WorkerId]) -> String {
+    ids.iter().map(|id| id.as_str()).collect::<Vec<_>>().join(",")
+}
--- /dev/null
+++ b/crates/fleet/src/routes.rs
@@ -0,0 +1,91 @@
+//! Looks up routes and tenants of the configuration in force.
+//!
+//! Invariant: a lookup takes time by the length of the path, not by the number
+//! of routes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hollowbarrow_schema::ServiceName;
+
+use crate::deployment::{CallerLimits, Deployment, Route, Service, Tenant};
+
+/// A configuration, indexed for lookups.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    version: u64,
+    routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    services: HashMap<ServiceName, Arc<Service>>,
+    tenants: Option<HashMap<String, Arc<Tenant>>>,
+    limits: CallerLimits,
+}
+
+impl RouteTable {
+    /// Indexes a configuration that was checked.
+    pub fn new(deployment: &Deployment) -> Self {
+        let mut routes: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in &deployment.routes {
+            let host = normalise_host(&route.host);
+            routes.entry(host).or_default().insert(route.prefix.clone(), Arc::new(route.clone()));
+        }
+        let services = deployment.services.iter();
+        let services =
+            services.map(|service| (service.name.clone(), Arc::new(service.clone()))).collect();
+        let tenants = deployment.tenants.as_ref().map(|tenants| index_keys(tenants));
+        Self { version: deployment.version, routes, services, tenants, limits: deployment.limits }
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Limits on callers.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// The route of the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(&normalise_host(host))?;
+        let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
+        slashes.map(|(position, _)| &path[..=position]).find_map(|prefix| routes.get(prefix))
+    }
+
+    /// The service of a name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Whether requests of routes that are not public need a key.
+    pub fn needs_keys(&self) -> bool {
+        self.tenants.is_some()
+    }
+
+    /// The tenant that holds a key.
+    pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
+        self.tenants.as_ref()?.get(key)
+    }
+}
+
+fn index_keys(tenants: &[Tenant]) -> HashMap<String, Arc<Tenant>> {
+    let mut holders = HashMap::new();
+    for tenant in tenants {
+        let holder = Arc::new(tenant.clone());
+        for key in &tenant.keys {
+            holders.insert(key.clone(), Arc::clone(&holder));
+        }
+    }
+    holders
+}
+
+/// A host without its port, in lower case.
+fn normalise_host(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,192 @@
+//! One request to one worker, and whether another may follow.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowbarrow_fleet::{Route, Service, Tenant};
+use hollowbarrow_routing::retry::AttemptUpstreamError;
+use hollowbarrow_schema::{ErrorRan, WorkerId};
+use hollowbarrow_upstream::{SendRequestError, SentAnswer, UpstreamRequest};
+use hyper::{HeaderMap, Method};
+use tokio::time::Instant;
+
+use crate::core::{Flight, GatewayCore};
+use crate::picker::{NoWorker, PickFacts};
+use crate::protocol::{CallerHead, SendFacts};
+use crate::refusal::Refusal;
+
+/// Most times that a request is sent, turned away ones included.
+const MAX_SENDS: u32 = 4;
+/// Rank of a request where neither its route nor its tenant names one.
+const LOWEST_RANK: u8 = 9;
+
+/// A request whose route, tenant and body are known.
+pub(crate) struct CallerRequest {
+    pub(crate) head: CallerHead,
+    pub(crate) method: Method,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<Service>,
+    pub(crate) tenant: Option<Arc<Tenant>>,
+    pub(crate) received: Instant,
+    pub(crate) deadline: Instant,
+}
+
+impl CallerRequest {
+    fn priority(&self) -> u8 {
+        let tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        tenant.unwrap_or(self.route.priority).min(LOWEST_RANK)
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Logs why the request failed.
+    pub(crate) fn log_failure(&self, refusal: Refusal, tries: &Tries) {
+        log::warn!(
+            "event=request_failed request={:?} route={} status={} cause={} held_ms={} sends={} last={:?}",
+            self.head.id,
+            self.route.name,
+            refusal.status().as_u16(),
+            refusal.name(),
+            self.received.elapsed().as_millis(),
+            tries.sends,
+            tries.story,
+        );
+    }
+}
+
+/// What was tried for a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    sends: u32,
+    runs: u32,
+    excluded: Vec<WorkerId>,
+    /// Worker and outcome of each attempt, for logs.
+    story: String,
+}
+
+impl Tries {
+    /// Workers that were tried.
+    pub(crate) fn excluded(&self) -> &[WorkerId] {
+        &self.excluded
+    }
+
+    /// Notes a failed attempt.
+    pub(crate) fn note_failure(&mut self, worker: &WorkerId, error: &AttemptUpstreamError) {
+        self.excluded.push(worker.clone());
+        if !self.story.is_empty() {
+            self.story.push_str("; ");
+        }
+        self.story.push_str(&format!("{}: {error}", **worker));
+    }
+
+    /// Whether the request may be sent to another worker after this failure.
+    pub(crate) fn may_repeat(
+        &self,
+        core: &GatewayCore,
+        request: &CallerRequest,
+        error: &AttemptUpstreamError,
+    ) -> bool {
+        let ran = error.ran();
+        let safe = ran == ErrorRan::NotRun || request.route.kind.may_repeat();
+        let counted = ran == ErrorRan::NotRun || self.runs < request.route.max_attempts;
+        let now = Instant::now();
+        if !safe || !counted || self.sends >= MAX_SENDS || now >= request.deadline {
+            return false;
+        }
+        // What never arrived at a worker is not counted there either.
+        let arrived =
+            !matches!(error, AttemptUpstreamError::NotReached | AttemptUpstreamError::NotSent);
+        !arrived || core.budget.take(now)
+    }
+}
+
+/// Chooses a worker for the next attempt.
+pub(crate) fn choose_worker(
+    core: &Arc<GatewayCore>,
+    request: &CallerRequest,
+    tries: &Tries,
+) -> Result<Flight, NoWorker> {
+    core.begin_flight(&PickFacts {
+        service: &request.service,
+        model: request.head.model.as_ref(),
+        prompt_tokens: request.head.prompt_tokens,
+        excluded: tries.excluded(),
+    })
+}
+
+/// Sends a request to a worker and waits for the head of its answer.
+///
+/// Answers by which a worker turns a request away are failures here.
+pub(crate) async fn send_to_worker(
+    core: &GatewayCore,
+    request: &CallerRequest,
+    flight: &Flight,
+    tries: &mut Tries,
+    resume_after: Option<&str>,
+    patience: Instant,
+) -> Result<SentAnswer, AttemptUpstreamError> {
+    if tries.sends == 0 {
+        core.budget.note_request();
+    }
+    tries.sends += 1;
+    let worker = &flight.worker;
+    let limit = request.deadline.min(patience);
+    let preparing = core.client.prepare(worker.address, true);
+    let lease = match tokio::time::timeout_at(limit, preparing).await {
+        Ok(Ok(lease)) => lease,
+        _ => return Err(AttemptUpstreamError::NotReached),
+    };
+    let remaining = request.remaining();
+    if remaining.is_zero() {
+        return Err(AttemptUpstreamError::DeadlinePassed { sent: false });
+    }
+    let facts = SendFacts {
+        worker: &worker.id,
+        tenant: request.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+        remaining,
+        resume_after,
+        priority: request.priority(),
+    };
+    let message = UpstreamRequest {
+        request_id: request.head.id.clone(),
+        method: request.method.clone(),
+        target: request.head.target.clone(),
+        headers: core.protocol.upstream_headers(&request.headers, &facts),
+        body: request.body.clone(),
+        reuse: true,
+    };
+    let sent = core.client.send(lease, &message, limit).await;
+    let answer = sent.map_err(|error| to_attempt_error(&error, request))?;
+    let facts = core.protocol.read_answer(answer.status, &answer.headers);
+    let status = answer.status.as_u16();
+    if facts.not_run || facts.misdirected {
+        answer.lease.give_back_after(answer.body);
+        return Err(AttemptUpstreamError::Refused { status, retry_after: None });
+    }
+    tries.runs += 1;
+    if answer.status.is_success() && !facts.signed {
+        return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is not signed", tokens: 0 });
+    }
+    Ok(answer)
+}
+
+fn to_attempt_error(error: &SendRequestError, request: &CallerRequest) -> AttemptUpstreamError {
+    match error {
+        SendRequestError::Connect(_) => AttemptUpstreamError::NotReached,
+        SendRequestError::NotWritten | SendRequestError::Unwritable(_) => {
+            AttemptUpstreamError::NotSent
+        }
+        SendRequestError::Timeout if Instant::now() >= request.deadline => {
+            AttemptUpstreamError::DeadlinePassed { sent: true }
+        }
+        SendRequestError::OtherRequest(_) => {
+            AttemptUpstreamError::BrokenAnswer { reason: "it is for another request", tokens: 0 }
+        }
+        SendRequestError::NoAnswer(_) | SendRequestError::Timeout => AttemptUpstreamError::NoAnswer,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,158 @@
+//! What every part of a gateway uses.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+
+use hollowbarrow_fleet::RouteTable;
+use hollowbarrow_routing::retry::{RetryBudget, RetryLimits};
+use hollowbarrow_schema::{MemberSettings, WorkerId};
+use hollowbarrow_upstream::UpstreamClient;
+use tokio::time::Instant;
+
+use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
+use crate::protocol::CallerProtocol;
+
+/// Part of the allowed repeats that is earned by requests; the rest is slack for the window's ends.
+const EARNED_SHARE: f64 = 0.75;
+/// Gateways among which the slack is divided.
+const SLACK_DIVISOR: f64 = 12.0;
+/// Repeats earned each second whatever the traffic, for each one of slack.
+const FLOOR_SHARE: f64 = 0.02;
+
+/// State and tools of a gateway.
+pub(crate) struct GatewayCore {
+    pub(crate) settings: MemberSettings,
+    pub(crate) protocol: Arc<dyn CallerProtocol>,
+    pub(crate) client: UpstreamClient,
+    pub(crate) budget: RetryBudget,
+    pub(crate) stopping: AtomicBool,
+    routes: RwLock<Option<Arc<RouteTable>>>,
+    picker: Mutex<WorkerPicker>,
+    in_flight: AtomicU32,
+}
+
+impl GatewayCore {
+    pub(crate) fn new(settings: MemberSettings, protocol: Arc<dyn CallerProtocol>) -> Self {
+        let slack = f64::from(settings.retry_slack) / SLACK_DIVISOR;
+        let limits = RetryLimits {
+            ratio: f64::from(settings.retry_permille) / 1000.0 * EARNED_SHARE,
+            floor: slack * FLOOR_SHARE,
+            most: slack,
+        };
+        Self {
+            client: UpstreamClient::new().with_identity(protocol.identity_header()),
+            budget: RetryBudget::with_limits(limits, Instant::now()),
+            stopping: AtomicBool::new(false),
+            routes: RwLock::new(None),
+            picker: Mutex::new(WorkerPicker::new(&settings.zone)),
+            in_flight: AtomicU32::new(0),
+            settings,
+            protocol,
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.routes.read().expect("no holder of the lock panics").clone()
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub(crate) fn put_in_force(&self, table: RouteTable) -> bool {
+        let mut routes = self.routes.write().expect("no holder of the lock panics");
+        let newer = routes.as_ref().is_none_or(|held| table.version() > held.version());
+        if newer {
+            *routes = Some(Arc::new(table));
+        }
+        newer
+    }
+
+    /// Version of the configuration in force; 0 means none.
+    pub(crate) fn version(&self) -> u64 {
+        self.routes().map_or(0, |routes| routes.version())
+    }
+
+    pub(crate) fn picker(&self) -> MutexGuard<'_, WorkerPicker> {
+        self.picker.lock().expect("no holder of the lock panics")
+    }
+
+    /// Whether new callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let told = self.routes().is_some() && !self.picker().is_empty();
+        told && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Requests under way.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Chooses a worker and counts the request there until the flight is dropped.
+    pub(crate) fn begin_flight(
+        self: &Arc<Self>,
+        facts: &PickFacts<'_>,
+    ) -> Result<Flight, NoWorker> {
+        let mut picker = self.picker();
+        let worker = picker.pick(facts, Instant::now())?;
+        picker.begin(&worker.id, worker.reading_ms);
+        drop(picker);
+        Ok(Flight { core: Arc::clone(self), worker, reading: true })
+    }
+
+    /// Notes how a request ended at a worker.
+    pub(crate) fn note_outcome(&self, worker: &WorkerId, good: bool) {
+        if self.picker().note_outcome(worker, good, Instant::now()) {
+            log::info!("event=worker_left_out worker={}", **worker);
+        }
+    }
+
+    /// Whether a worker has sent something of any answer within this time.
+    pub(crate) fn has_progress(&self, worker: &WorkerId, within: Duration) -> bool {
+        let progress = self.picker().progress(worker);
+        progress.is_some_and(|at| at.elapsed() < within)
+    }
+}
+
+/// Counts a request as under way here.
+pub(crate) struct InFlight(Arc<GatewayCore>);
+
+impl InFlight {
+    pub(crate) fn new(core: &Arc<GatewayCore>) -> Self {
+        core.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(core))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request as under way at a worker.
+pub(crate) struct Flight {
+    core: Arc<GatewayCore>,
+    pub(crate) worker: PickedWorker,
+    reading: bool,
+}
+
+impl Flight {
+    /// Notes that something of the answer came.
+    pub(crate) fn note_progress(&mut self) {
+        let mut picker = self.core.picker();
+        if std::mem::take(&mut self.reading) {
+            picker.end_reading(&self.worker.id, self.worker.reading_ms);
+        }
+        picker.note_progress(&self.worker.id, Instant::now());
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut picker = self.core.picker();
+        if self.reading {
+            picker.end_reading(&self.worker.id, self.worker.reading_ms);
+        }
+        picker.end(&self.worker.id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,87 @@
+//! Cuts a stream into whole events.
+//!
+//! Invariant: what comes out is what went in, cut only between events; a part
+//! of an event stays inside until its end has come.
+
+use bytes::{Bytes, BytesMut};
+
+/// Most bytes of one event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Whole events that came together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct EventPiece {
+    /// Their bytes.
+    pub(crate) bytes: Bytes,
+    /// Number of the last one that has a number.
+    pub(crate) last_id: Option<u64>,
+}
+
+/// An event that is larger than any can be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event is too large")]
+pub(crate) struct LongEventError;
+
+/// Collects bytes until events are whole.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    held: BytesMut,
+}
+
+impl EventSplitter {
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes bytes in; returns the events that are whole now, without those that the reader has.
+    pub(crate) fn push(
+        &mut self,
+        bytes: &[u8],
+        after: Option<u64>,
+    ) -> Result<Option<EventPiece>, LongEventError> {
+        self.held.extend_from_slice(bytes);
+        let mut piece = BytesMut::new();
+        let mut last_id = None;
+        while let Some(end) = find_event_end(&self.held) {
+            let event = self.held.split_to(end);
+            let id = event_id(&event);
+            if let (Some(id), Some(after)) = (id, after)
+                && id <= after
+            {
+                continue;
+            }
+            last_id = id.or(last_id);
+            piece.unsplit(event);
+        }
+        if self.held.len() > MAX_EVENT_BYTES {
+            return Err(LongEventError);
+        }
+        let piece = EventPiece { bytes: piece.freeze(), last_id };
+        Ok((!piece.bytes.is_empty()).then_some(piece))
+    }
+
+    /// Bytes of an event whose end has not come.
+    pub(crate) fn rest(&self) -> &[u8] {
+        &self.held
+    }
+}
+
+/// Where the first event ends: behind an empty line.
+fn find_event_end(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(offset) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+        let line = start + offset + 1;
+        match &bytes[line..] {
+            [b'\n', ..] => return Some(line + 1),
+            [b'\r', b'\n', ..] => return Some(line + 2),
+            _ => start = line,
+        }
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let text = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(text).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,124 @@
+//! Puts a gateway together, runs it and stops it.
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use hollowbarrow_member::http::bind_http;
+use hollowbarrow_member::{HttpLimits, MemberLinks, StartLinksError, serve_http};
+use hollowbarrow_schema::MemberSettings;
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::core::GatewayCore;
+use crate::intake::{CallerHandler, ReadinessHandler};
+use crate::links::{report_to_controllers, take_message};
+use crate::protocol::CallerProtocol;
+
+/// Bounds on callers before a configuration is in force; the body's bound comes with it.
+const CALLER_LIMITS: HttpLimits =
+    HttpLimits { head_bytes: 32 << 10, idle: Duration::from_secs(15) };
+/// Time in which whoever hands out callers notices that this gateway is not ready.
+const BALANCER_TIME: Duration = Duration::from_millis(2500);
+/// Time that is kept for the process to end before it is ended.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between two looks at what is still under way while stopping.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Why a gateway could not start.
+#[derive(Debug, Error)]
+pub enum StartGatewayError {
+    /// A setting that a gateway needs is not there.
+    #[error("the setting {0} is missing")]
+    Missing(&'static str),
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}, set as {field}")]
+    Listen {
+        /// Setting that names the address.
+        field: &'static str,
+        /// The address.
+        address: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Other daemons cannot be served.
+    #[error("cannot serve other daemons")]
+    Links(#[from] StartLinksError),
+}
+
+/// A running gateway.
+pub struct Gateway {
+    core: Arc<GatewayCore>,
+    stop: watch::Sender<bool>,
+}
+
+impl Gateway {
+    /// Starts a gateway on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting that is missing or whose address cannot be listened on.
+    pub fn start(
+        settings: MemberSettings,
+        protocol: Arc<dyn CallerProtocol>,
+    ) -> Result<Self, StartGatewayError> {
+        let callers = listen("callers", settings.callers.as_deref())?;
+        let readiness = listen("readiness", settings.readiness.as_deref())?;
+        let core = Arc::new(GatewayCore::new(settings, protocol));
+        let links = start_links(&core)?;
+        let (stop, stopped) = watch::channel(false);
+        let handler = Arc::new(CallerHandler(Arc::clone(&core)));
+        tokio::spawn(serve_http(callers, CALLER_LIMITS, stopped, handler));
+        let handler = Arc::new(ReadinessHandler(Arc::clone(&core)));
+        tokio::spawn(async move {
+            // Readiness is told until the process ends: nobody sends on this channel.
+            let (_open, never) = watch::channel(false);
+            serve_http(readiness, CALLER_LIMITS, never, handler).await;
+        });
+        tokio::spawn(report_to_controllers(Arc::clone(&core), links));
+        log::info!("event=started role=gateway name={}", core.settings.name);
+        Ok(Self { core, stop })
+    }
+
+    /// Stops as planned: calls itself not ready, serves on until no new callers come, lets what
+    /// is under way end, and returns.
+    pub async fn stop(&self) {
+        let core = &self.core;
+        let limit = Instant::now() + Duration::from_millis(core.settings.stop_ms.into());
+        let limit = limit.checked_sub(END_MARGIN).unwrap_or(limit);
+        log::info!("event=stopping in_flight={}", core.in_flight());
+        core.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep(BALANCER_TIME).await;
+        self.stop.send_replace(true);
+        while core.in_flight() > 0 && Instant::now() < limit {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        log::info!("event=stopped in_flight={}", core.in_flight());
+    }
+}
+
+fn listen(
+    field: &'static str,
+    address: Option<&str>,
+) -> Result<tokio::net::TcpListener, StartGatewayError> {
+    let address = address.ok_or(StartGatewayError::Missing(field))?;
+    bind_http(address).map_err(|source| StartGatewayError::Listen {
+        field,
+        address: address.to_owned(),
+        source,
+    })
+}
+
+fn start_links(core: &Arc<GatewayCore>) -> Result<Arc<MemberLinks>, StartLinksError> {
+    let slot: Arc<OnceLock<Arc<MemberLinks>>> = Arc::default();
+    let (handler_core, handler_slot) = (Arc::clone(core), Arc::clone(&slot));
+    let links = MemberLinks::start(&core.settings, move |from, message| {
+        if let Some(links) = handler_slot.get() {
+            take_message(&handler_core, links, from, message);
+        }
+    })?;
+    let links = Arc::new(links);
+    let _ = slot.set(Arc::clone(&links));
+    Ok(links)
+}
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,150 @@
+//! Takes requests from callers: reads, routes, authenticates and hands them on.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use hollowbarrow_fleet::{Route, RouteTable, Tenant};
+use hollowbarrow_member::http::plain_answer;
+use hollowbarrow_member::{HttpAnswer, HttpHandler};
+use hollowbarrow_schema::ServiceName;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::attempt::CallerRequest;
+use crate::core::{GatewayCore, InFlight};
+use crate::protocol::CallerHead;
+use crate::refusal::Refusal;
+use crate::stream::run_stream;
+use crate::whole::run_whole;
+
+/// Answers readiness checks.
+pub(crate) struct ReadinessHandler(pub(crate) Arc<GatewayCore>);
+
+impl HttpHandler for ReadinessHandler {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+        let (head, _) = request.into_parts();
+        if !self.0.protocol.is_readiness_check(&head) {
+            return plain_answer(StatusCode::NOT_FOUND, "no such path");
+        }
+        if self.0.is_ready() {
+            plain_answer(StatusCode::OK, "ready")
+        } else {
+            plain_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+    }
+}
+
+/// Answers callers.
+pub(crate) struct CallerHandler(pub(crate) Arc<GatewayCore>);
+
+impl HttpHandler for CallerHandler {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+        let core = Arc::clone(&self.0);
+        let _in_flight = InFlight::new(&core);
+        let mut answer = match read_request(&core, request).await {
+            Ok(request) if request.route.kind.is_stream() => {
+                run_stream(Arc::clone(&core), request).await
+            }
+            Ok(request) => run_whole(Arc::clone(&core), request).await,
+            Err((id, refusal)) => {
+                log::warn!(
+                    "event=request_refused request={id:?} status={} cause={}",
+                    refusal.status().as_u16(),
+                    refusal.name()
+                );
+                refusal.to_answer()
+            }
+        };
+        if core.stopping.load(Ordering::Relaxed) {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
+
+/// Reads a request; a refusal comes with the identity of the request, if it has one.
+async fn read_request(
+    core: &GatewayCore,
+    request: Request<Incoming>,
+) -> Result<CallerRequest, (String, Refusal)> {
+    let received = Instant::now();
+    let (parts, body) = request.into_parts();
+    let head = core.protocol.read_head(&parts).map_err(|_| (String::new(), Refusal::BadRequest))?;
+    let id = head.id.clone();
+    let routed = route_request(core, &head).map_err(|refusal| (id.clone(), refusal))?;
+    let limit = routed.table.limits().body_bytes;
+    let body = read_body(body, limit, &routed).await.map_err(|refusal| (id, refusal))?;
+    Ok(to_request(parts, head, routed, body, received))
+}
+
+struct RoutedRequest {
+    table: Arc<RouteTable>,
+    route: Arc<Route>,
+    service: Arc<hollowbarrow_fleet::Service>,
+    tenant: Option<Arc<Tenant>>,
+}
+
+fn route_request(core: &GatewayCore, head: &CallerHead) -> Result<RoutedRequest, Refusal> {
+    let table = core.routes().ok_or(Refusal::NoDeployment)?;
+    let route = table.find(&head.host, &head.path).ok_or(Refusal::NoRoute)?;
+    let tenant = if table.needs_keys() && !route.public {
+        let key = head.key.as_deref().ok_or(Refusal::BadKey)?;
+        Some(Arc::clone(table.tenant(key).ok_or(Refusal::BadKey)?))
+    } else {
+        None
+    };
+    let name = choose_service(route, &head.id);
+    let service = table.service(name).ok_or(Refusal::NoRoute)?;
+    let (route, service) = (Arc::clone(route), Arc::clone(service));
+    Ok(RoutedRequest { table, route, service, tenant })
+}
+
+/// The service that a request goes to, by the route's weights and the request's identity.
+fn choose_service<'a>(route: &'a Route, id: &str) -> &'a ServiceName {
+    let total: u64 = route.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
+    let mut place = xxh3_64(id.as_bytes()) % total.max(1);
+    for (service, weight) in &route.split {
+        if place < u64::from(*weight) {
+            return service;
+        }
+        place -= u64::from(*weight);
+    }
+    &route.split[0].0
+}
+
+async fn read_body(body: Incoming, limit: usize, routed: &RoutedRequest) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout(routed.route.timeout, reading).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        _ => Err(Refusal::BodyCut),
+    }
+}
+
+fn to_request(
+    parts: Parts,
+    head: CallerHead,
+    routed: RoutedRequest,
+    body: Bytes,
+    received: Instant,
+) -> CallerRequest {
+    let timeout = routed.route.timeout;
+    let patience = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    CallerRequest {
+        head,
+        method: parts.method,
+        headers: parts.headers,
+        body,
+        route: routed.route,
+        service: routed.service,
+        tenant: routed.tenant,
+        received,
+        deadline: received + patience,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! Takes requests of callers to workers.
+//!
+//! A gateway holds no durable state. What it needs to know (the configuration
+//! in force, the workers, what others have under way) controllers tell it
+//! several times a second, and it goes on with what it last heard. How callers
+//! and workers spell their messages comes from a [`CallerProtocol`].
+//!
+//! Invariants:
+//!
+//! - A caller gets a worker's whole answer to its own request, or an answer
+//!   that cannot be taken for one.
+//! - Only where the request certainly did not run is the caller told so.
+//! - A request that may run only once is sent again only where it certainly did
+//!   not run.
+
+mod attempt;
+mod core;
+mod events;
+mod gateway;
+mod intake;
+mod links;
+mod picker;
+mod protocol;
+mod refusal;
+mod stream;
+mod whole;
+
+pub use gateway::{Gateway, StartGatewayError};
+pub use protocol::{AnswerFacts, CallerHead, CallerProtocol, HeadFault, SendFacts};
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,82 @@
+//! What a gateway tells controllers and hears from them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowbarrow_fleet::RouteTable;
+use hollowbarrow_member::MemberLinks;
+use hollowbarrow_schema::{DaemonId, DeploymentDocument, FleetMessage, GatewayHello, PeerMessage};
+use tokio::time::Instant;
+
+use crate::core::GatewayCore;
+
+/// Pause between two reports to controllers.
+const HELLO_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which workers that have gone are forgotten.
+const TABLE_SILENCE: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// Tells controllers of this gateway until the process ends.
+pub(crate) async fn report_to_controllers(core: Arc<GatewayCore>, links: Arc<MemberLinks>) {
+    let mut ticks = tokio::time::interval(HELLO_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        let version = core.version();
+        let hello = {
+            let mut picker = core.picker();
+            picker.tidy(TABLE_SILENCE, now);
+            GatewayHello {
+                zone: core.settings.zone.clone(),
+                deployment: version,
+                workers: picker.digest(),
+                loads: picker.loads(now),
+            }
+        };
+        core.client.drop_expired();
+        for controller in links.controllers() {
+            links.send(&controller, FleetMessage::Gateway(hello.clone()));
+        }
+    }
+}
+
+/// Takes a message of a controller.
+pub(crate) fn take_message(
+    core: &GatewayCore,
+    links: &MemberLinks,
+    from: &DaemonId,
+    message: PeerMessage,
+) {
+    let PeerMessage::Fleet(message) = message else { return };
+    match message {
+        FleetMessage::Workers(reports) => core.picker().merge(reports, Instant::now()),
+        FleetMessage::View(view) => {
+            links.learn_controllers(&view.controllers);
+            core.picker().take_view(&view);
+        }
+        FleetMessage::Deployment(document) => put_in_force(core, from, &document),
+        FleetMessage::Gateway(_) | FleetMessage::Controller(_) | FleetMessage::Stalled(_) => {}
+    }
+}
+
+fn put_in_force(core: &GatewayCore, from: &DaemonId, document: &DeploymentDocument) {
+    if document.version <= core.version() {
+        return;
+    }
+    match core.protocol.read_deployment(&document.text) {
+        Ok(deployment) => {
+            if core.put_in_force(RouteTable::new(&deployment)) {
+                log::info!(
+                    "event=configuration_in_force version={} from={}",
+                    document.version,
+                    **from
+                );
+            }
+        }
+        Err(faults) => log::error!(
+            "event=configuration_unreadable version={} faults={}",
+            document.version,
+            faults.len()
+        ),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/picker.rs
@@ -0,0 +1,396 @@
+//! Chooses the worker for a request.
+//!
+//! Candidates follow from the workers' reports: a replica takes requests while
+//! its head says that it is open, no member says that it leaves, and the
+//! leading controller does not withhold it. Among them the one with the
+//! shortest estimated time to the first event is chosen, from the engine's
+//! figures, this gateway's requests and what others were reported to have.
+//!
+//! Trade-off: figures of other gateways are up to half a second old. That is
+//! why the choice counts what this gateway sent since, and is not repeated.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollowbarrow_fleet::replicas::{ReplicaKind, ReplicaName};
+use hollowbarrow_fleet::{Engine, ModelSpec, Service, WorkerTable};
+use hollowbarrow_schema::{
+    Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId, WorkerLoad,
+    WorkerReport, ZoneId,
+};
+use tokio::time::Instant;
+
+/// Estimated cost of reaching a worker in another zone, in milliseconds.
+const OTHER_ZONE_MS: f64 = 12.0;
+/// Cost of each request under way at a replica, in milliseconds.
+const ACTIVE_MS: f64 = 3.0;
+/// Cost of a worker that fails every request, in milliseconds.
+const FAILING_MS: f64 = 400.0;
+/// Weight of the newest outcome in a worker's share of failures.
+const OUTCOME_WEIGHT: f64 = 0.2;
+/// Failures in a row after which a worker is left out for a time.
+const FAILURES_TO_EJECT: u32 = 2;
+/// Shortest and longest time for which a worker is left out.
+const EJECTION: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(6));
+/// Requests that plain workers are given at once for each of their slots.
+const PLAIN_SLOT_FACTOR: u32 = 2;
+
+/// Why no worker was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoWorker {
+    /// None takes requests.
+    Unknown,
+    /// All have as much as they can work on.
+    Full,
+}
+
+/// A worker that was chosen.
+#[derive(Clone, Debug)]
+pub(crate) struct PickedWorker {
+    pub(crate) id: WorkerId,
+    pub(crate) address: SocketAddr,
+    /// Estimated time to read the prompt.
+    pub(crate) reading_ms: f64,
+    /// Estimated time to the first event.
+    pub(crate) first_ms: f64,
+    /// Estimated time of one pass, within which a stream should move.
+    pub(crate) pass_ms: f64,
+}
+
+/// What a request asks of a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PickFacts<'a> {
+    pub(crate) service: &'a Service,
+    pub(crate) model: Option<&'a ModelName>,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) excluded: &'a [WorkerId],
+}
+
+#[derive(Clone, Debug)]
+struct Candidate {
+    id: WorkerId,
+    address: SocketAddr,
+    near: bool,
+    slots: u32,
+}
+
+/// What this gateway knows of a worker by its own requests.
+#[derive(Clone, Debug, Default)]
+struct OwnLoad {
+    active: u32,
+    waiting_ms: f64,
+    progress: Option<Instant>,
+    failing: f64,
+    failures: u32,
+    ejected_until: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct SharedLoad {
+    active: u32,
+    waiting_ms: f64,
+}
+
+/// Knows the workers and chooses among them.
+#[derive(Debug)]
+pub(crate) struct WorkerPicker {
+    zone: ZoneId,
+    table: WorkerTable,
+    indexed: u64,
+    replicas: HashMap<(ServiceName, ModelName), Vec<Candidate>>,
+    plain: HashMap<ServiceName, Vec<Candidate>>,
+    withheld: HashSet<WorkerId>,
+    view: (Term, u64),
+    own: HashMap<WorkerId, OwnLoad>,
+    reported: HashMap<WorkerId, SharedLoad>,
+    others: HashMap<WorkerId, SharedLoad>,
+}
+
+impl WorkerPicker {
+    pub(crate) fn new(zone: &ZoneId) -> Self {
+        Self {
+            zone: zone.clone(),
+            table: WorkerTable::new(),
+            indexed: 0,
+            replicas: HashMap::new(),
+            plain: HashMap::new(),
+            withheld: HashSet::new(),
+            view: (Term(0), 0),
+            own: HashMap::new(),
+            reported: HashMap::new(),
+            others: HashMap::new(),
+        }
+    }
+
+    /// Takes reports of workers in.
+    pub(crate) fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) {
+        for report in reports {
+            self.table.merge(report, now);
+        }
+    }
+
+    /// Takes the leading controller's view in; older ones are passed over.
+    pub(crate) fn take_view(&mut self, view: &FleetView) {
+        let rank = (view.term, view.number);
+        if rank <= self.view {
+            return;
+        }
+        self.view = rank;
+        self.withheld = view.withheld.iter().cloned().collect();
+        self.others.clear();
+        for load in &view.loads {
+            let own = self.reported.get(&load.worker).copied().unwrap_or_default();
+            let others = SharedLoad {
+                active: load.active.saturating_sub(own.active),
+                waiting_ms: (f64::from(load.waiting_ms) - own.waiting_ms).max(0.0),
+            };
+            self.others.insert(load.worker.clone(), others);
+        }
+    }
+
+    pub(crate) fn digest(&self) -> u64 {
+        self.table.digest()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Forgets workers that have gone.
+    pub(crate) fn tidy(&mut self, silence: Duration, now: Instant) {
+        self.table.expire(silence, now);
+        let table = &self.table;
+        self.own.retain(|id, own| own.active > 0 || table.get(id).is_some());
+    }
+
+    /// What this gateway has under way, to be told to controllers.
+    pub(crate) fn loads(&mut self, now: Instant) -> Vec<WorkerLoad> {
+        let mut loads = Vec::new();
+        self.reported.clear();
+        for (id, own) in &self.own {
+            let recent = own.progress.map(|at| now.saturating_duration_since(at));
+            let idle = recent.is_none_or(|elapsed| elapsed > Duration::from_secs(10));
+            if own.active == 0 && idle {
+                continue;
+            }
+            let waiting_ms = own.waiting_ms.max(0.0);
+            self.reported.insert(id.clone(), SharedLoad { active: own.active, waiting_ms });
+            loads.push(WorkerLoad {
+                worker: id.clone(),
+                active: own.active,
+                waiting_ms: waiting_ms as u32,
+                progress_ms: recent.map(|elapsed| elapsed.as_millis() as u32),
+            });
+        }
+        loads
+    }
+
+    /// Chooses a worker.
+    pub(crate) fn pick(
+        &mut self,
+        facts: &PickFacts<'_>,
+        now: Instant,
+    ) -> Result<PickedWorker, NoWorker> {
+        self.index();
+        let engine = facts.service.engine.as_ref();
+        match engine.filter(|engine| !engine.models.is_empty()) {
+            Some(engine) => self.pick_replica(facts, engine, now),
+            None => self.pick_plain(facts, now),
+        }
+    }
+
+    fn pick_replica(
+        &self,
+        facts: &PickFacts<'_>,
+        engine: &Engine,
+        now: Instant,
+    ) -> Result<PickedWorker, NoWorker> {
+        let model = facts.model.ok_or(NoWorker::Unknown)?;
+        let spec = engine.models.iter().find(|spec| spec.name == *model);
+        let spec = spec.ok_or(NoWorker::Unknown)?;
+        let key = (facts.service.name.clone(), model.clone());
+        let candidates = self.replicas.get(&key).map_or(&[][..], Vec::as_slice);
+        let estimate = |candidate: &Candidate| {
+            let load = self.load_of(&candidate.id);
+            let pass = pass_ms(engine, spec, load.active + 1);
+            let reading = reading_ms(engine, spec, facts.prompt_tokens);
+            let first_ms = load.waiting_ms + reading + pass * 1.5;
+            PickedWorker {
+                id: candidate.id.clone(),
+                address: candidate.address,
+                reading_ms: reading,
+                first_ms,
+                pass_ms: pass,
+            }
+        };
+        let cost = |candidate: &Candidate| {
+            let load = self.load_of(&candidate.id);
+            let full = load.active >= engine.slots;
+            (!full).then(|| estimate(candidate).first_ms + f64::from(load.active) * ACTIVE_MS)
+        };
+        self.choose(candidates, facts, cost, now).map(estimate)
+    }
+
+    fn pick_plain(&self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
+        let candidates = self.plain.get(&facts.service.name).map_or(&[][..], Vec::as_slice);
+        let cost = |candidate: &Candidate| {
+            let load = self.load_of(&candidate.id);
+            let most = candidate.slots.max(1) * PLAIN_SLOT_FACTOR;
+            let part = f64::from(load.active) / f64::from(candidate.slots.max(1));
+            (load.active < most).then_some(part * 100.0)
+        };
+        let chosen = self.choose(candidates, facts, cost, now)?;
+        Ok(PickedWorker {
+            id: chosen.id.clone(),
+            address: chosen.address,
+            reading_ms: 0.0,
+            first_ms: 0.0,
+            pass_ms: 0.0,
+        })
+    }
+
+    /// The cheapest candidate; workers that are left out are used only where no other is there.
+    fn choose<'a>(
+        &self,
+        candidates: &'a [Candidate],
+        facts: &PickFacts<'_>,
+        cost: impl Fn(&Candidate) -> Option<f64>,
+        now: Instant,
+    ) -> Result<&'a Candidate, NoWorker> {
+        let usable = |candidate: &&Candidate| {
+            !self.withheld.contains(&candidate.id) && !facts.excluded.contains(&candidate.id)
+        };
+        let mut known = false;
+        let mut best: Option<(bool, f64, &Candidate)> = None;
+        for candidate in candidates.iter().filter(usable) {
+            known = true;
+            let Some(cost) = cost(candidate) else { continue };
+            let own = self.own.get(&candidate.id);
+            let ejected = own.and_then(|own| own.ejected_until).is_some_and(|until| now < until);
+            let failing = own.map_or(0.0, |own| own.failing);
+            let distance = if candidate.near { 0.0 } else { OTHER_ZONE_MS };
+            let total = cost + failing * FAILING_MS + distance + rand::random::<f64>();
+            if best.is_none_or(|(left_out, least, _)| (ejected, total) < (left_out, least)) {
+                best = Some((ejected, total, candidate));
+            }
+        }
+        match best {
+            Some((_, _, candidate)) => Ok(candidate),
+            None if known => Err(NoWorker::Full),
+            None => Err(NoWorker::Unknown),
+        }
+    }
+
+    fn load_of(&self, id: &WorkerId) -> SharedLoad {
+        let own = self.own.get(id);
+        let others = self.others.get(id).copied().unwrap_or_default();
+        SharedLoad {
+            active: own.map_or(0, |own| own.active) + others.active,
+            waiting_ms: own.map_or(0.0, |own| own.waiting_ms) + others.waiting_ms,
+        }
+    }
+
+    /// Notes that a request went to a worker.
+    pub(crate) fn begin(&mut self, id: &WorkerId, reading_ms: f64) {
+        let own = self.own.entry(id.clone()).or_default();
+        own.active += 1;
+        own.waiting_ms += reading_ms;
+    }
+
+    /// Notes that a prompt was read, or will not be.
+    pub(crate) fn end_reading(&mut self, id: &WorkerId, reading_ms: f64) {
+        if let Some(own) = self.own.get_mut(id) {
+            own.waiting_ms = (own.waiting_ms - reading_ms).max(0.0);
+        }
+    }
+
+    /// Notes that a request is no longer under way.
+    pub(crate) fn end(&mut self, id: &WorkerId) {
+        if let Some(own) = self.own.get_mut(id) {
+            own.active = own.active.saturating_sub(1);
+        }
+    }
+
+    /// Notes that something of an answer came.
+    pub(crate) fn note_progress(&mut self, id: &WorkerId, now: Instant) {
+        self.own.entry(id.clone()).or_default().progress = Some(now);
+    }
+
+    /// When something of an answer last came from a worker.
+    pub(crate) fn progress(&self, id: &WorkerId) -> Option<Instant> {
+        self.own.get(id).and_then(|own| own.progress)
+    }
+
+    /// Notes how a request ended at a worker; true where the worker is left out now.
+    pub(crate) fn note_outcome(&mut self, id: &WorkerId, good: bool, now: Instant) -> bool {
+        let own = self.own.entry(id.clone()).or_default();
+        own.failing += OUTCOME_WEIGHT * (if good { 0.0 } else { 1.0 } - own.failing);
+        if good {
+            own.failures = 0;
+            own.ejected_until = None;
+            return false;
+        }
+        own.failures += 1;
+        if own.failures < FAILURES_TO_EJECT {
+            return false;
+        }
+        let doublings = (own.failures - FAILURES_TO_EJECT).min(8);
+        let time = (EJECTION.0 * 2u32.pow(doublings)).min(EJECTION.1);
+        own.ejected_until = Some(now + time);
+        true
+    }
+
+    /// Candidates, made anew where a report has changed something.
+    fn index(&mut self) {
+        if self.indexed == self.table.revision() {
+            return;
+        }
+        self.indexed = self.table.revision();
+        self.replicas.clear();
+        self.plain.clear();
+        let leaving = leaving_epochs(&self.table);
+        for entry in self.table.iter() {
+            let report = &entry.report;
+            let Some(candidate) = self.candidate_of(report) else { continue };
+            let Some(membership) = &report.membership else {
+                self.plain.entry(report.service.clone()).or_default().push(candidate);
+                continue;
+            };
+            let open = membership.rank == 0 && membership.state == MembershipState::Open;
+            let name = ReplicaName::from_text(&membership.replica);
+            if let Some(name) = name.filter(|name| name.kind == ReplicaKind::Serving)
+                && open
+                && !leaving.contains(&membership.epoch)
+            {
+                let key = (report.service.clone(), name.model);
+                self.replicas.entry(key).or_default().push(candidate);
+            }
+        }
+    }
+
+    fn candidate_of(&self, report: &WorkerReport) -> Option<Candidate> {
+        if report.leaving || report.gone {
+            return None;
+        }
+        let address = report.address.parse().ok()?;
+        let near = report.zone == self.zone;
+        Some(Candidate { id: report.id.clone(), address, near, slots: report.slots })
+    }
+}
+
+/// Epochs of the replicas of which a member leaves.
+fn leaving_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
+    let leaving = table.iter().filter(|entry| entry.report.leaving || entry.report.gone);
+    leaving.filter_map(|entry| entry.report.membership.as_ref()).map(|m| m.epoch).collect()
+}
+
+fn pass_ms(engine: &Engine, spec: &ModelSpec, active: u32) -> f64 {
+    let step = engine.step.as_secs_f64() * 1000.0;
+    let step = step + engine.step_per_request_ms * f64::from(active);
+    step * f64::from(engine.stride.max(1)) * spec.pace
+}
+
+fn reading_ms(engine: &Engine, spec: &ModelSpec, tokens: u32) -> f64 {
+    f64::from(tokens) * 1000.0 / engine.read_per_second.max(1.0) * spec.pace
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,104 @@
+//! Answers that a gateway gives by itself, and the log line that explains each.
+
+use std::time::Duration;
+
+use hollowbarrow_member::{AnswerBody, HttpAnswer};
+use hollowbarrow_routing::retry::AttemptUpstreamError;
+use hollowbarrow_schema::ErrorRan;
+use hyper::header::RETRY_AFTER;
+use hyper::{Response, StatusCode};
+
+use crate::picker::NoWorker;
+
+/// When to come back where all workers are full.
+const FULL_PAUSE: Duration = Duration::from_millis(300);
+/// When to come back where no worker is known, or the configuration is not there yet.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
+/// When to come back where a worker turned the request away.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Why a gateway answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// The request is not what it should be.
+    BadRequest,
+    /// No configuration is in force yet.
+    NoDeployment,
+    /// No route is for the host and path.
+    NoRoute,
+    /// The route needs a key that is known.
+    BadKey,
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The body did not come whole.
+    BodyCut,
+    /// No worker takes the request.
+    NoWorker(NoWorker),
+    /// The workers that were asked did not run the request.
+    NotRun,
+    /// A worker may have run the request, and no answer came.
+    Unknown,
+    /// The time for the request ran out while a worker may have run it.
+    TimedOut,
+}
+
+impl Refusal {
+    /// The refusal after a failed attempt that is not followed by another.
+    pub(crate) fn from_attempt(error: &AttemptUpstreamError) -> Self {
+        match (error, error.ran()) {
+            (_, ErrorRan::NotRun) => Self::NotRun,
+            (AttemptUpstreamError::DeadlinePassed { .. }, _) => Self::TimedOut,
+            _ => Self::Unknown,
+        }
+    }
+
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BadKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyCut => StatusCode::REQUEST_TIMEOUT,
+            Self::NoDeployment | Self::NoWorker(_) | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Name in logs and answers.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::NoDeployment => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::BadKey => "bad_key",
+            Self::TooLarge => "too_large",
+            Self::BodyCut => "body_cut",
+            Self::NoWorker(NoWorker::Unknown) => "no_worker",
+            Self::NoWorker(NoWorker::Full) => "workers_full",
+            Self::NotRun => "not_run",
+            Self::Unknown => "outcome_unknown",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NoDeployment | Self::NoWorker(NoWorker::Unknown) => Some(UNKNOWN_PAUSE),
+            Self::NoWorker(NoWorker::Full) => Some(FULL_PAUSE),
+            Self::NotRun => Some(TURNED_AWAY_PAUSE),
+            _ => None,
+        }
+    }
+
+    /// The refusal as an answer.
+    pub(crate) fn to_answer(self) -> HttpAnswer {
+        let mut builder = Response::builder().status(self.status());
+        if let Some(pause) = self.retry_after() {
+            builder = builder.header(RETRY_AFTER, format!("{:.3}", pause.as_secs_f64()));
+        }
+        builder.body(AnswerBody::whole(self.name())).expect("the headers are valid")
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,334 @@
+//! Streams: events are passed on as they come, and a broken stream is taken up
+//! by another worker where its route allows.
+//!
+//! The head of the answer goes to the caller with the first event, so that a
+//! worker that fails before can be replaced unseen. Afterwards only whole
+//! events are passed on: where a worker breaks off within an event, what the
+//! next one sends from the last whole event on fits.
+//!
+//! Invariant: the events of one answer rise without a gap or a repeat, and the
+//! answer ends as whole only where its last worker ended it as whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use hollowbarrow_fleet::Repeatability;
+use hollowbarrow_member::{AnswerBody, CutAnswerError, HttpAnswer};
+use hollowbarrow_routing::retry::AttemptUpstreamError;
+use hollowbarrow_upstream::{ConnectionLease, SentAnswer};
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::attempt::{CallerRequest, Tries, choose_worker, send_to_worker};
+use crate::core::{Flight, GatewayCore, InFlight};
+use crate::events::{EventPiece, EventSplitter};
+use crate::refusal::Refusal;
+use crate::whole::{passed_headers, read_whole};
+
+/// Shortest silence of a started stream after which it counts as stalled.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(700);
+/// Passes of silence after which a stream counts as stalled.
+const SILENT_PASSES: f64 = 8.0;
+/// Silence that is borne where the same worker goes on with other streams, as a multiple.
+const BUSY_FACTOR: u32 = 3;
+/// Time for the first event beyond the estimate, as a multiple of the estimate.
+const FIRST_FACTOR: f64 = 3.0;
+
+/// A worker's stream that is being read.
+struct OpenStream {
+    body: Incoming,
+    lease: ConnectionLease,
+    flight: Flight,
+    splitter: EventSplitter,
+}
+
+/// What reading a stream led to.
+enum ReadStep {
+    Piece(EventPiece),
+    End,
+    Broken(AttemptUpstreamError),
+}
+
+/// A request whose answer is a stream.
+struct StreamRun {
+    core: Arc<GatewayCore>,
+    request: CallerRequest,
+    tries: Tries,
+    open: Option<OpenStream>,
+    last_id: Option<u64>,
+    _in_flight: InFlight,
+}
+
+/// Sends a request until its stream has begun, and answers the caller.
+pub(crate) async fn run_stream(core: Arc<GatewayCore>, request: CallerRequest) -> HttpAnswer {
+    let in_flight = InFlight::new(&core);
+    let mut run = StreamRun {
+        core,
+        request,
+        tries: Tries::default(),
+        open: None,
+        last_id: None,
+        _in_flight: in_flight,
+    };
+    loop {
+        match run.begin().await {
+            BeginStep::Answer(answer) => return answer,
+            BeginStep::Streaming(head, first) => return run.into_answer(head, first),
+            BeginStep::Failed(error) => {
+                if !run.tries.may_repeat(&run.core, &run.request, &error) {
+                    return run.refuse(Refusal::from_attempt(&error));
+                }
+            }
+            BeginStep::NoWorker(refusal) => return run.refuse(refusal),
+        }
+    }
+}
+
+enum BeginStep {
+    Answer(HttpAnswer),
+    Streaming(hyper::http::response::Parts, Option<Bytes>),
+    Failed(AttemptUpstreamError),
+    NoWorker(Refusal),
+}
+
+impl StreamRun {
+    fn refuse(&self, refusal: Refusal) -> HttpAnswer {
+        self.request.log_failure(refusal, &self.tries);
+        refusal.to_answer()
+    }
+
+    /// Makes one attempt up to its first event.
+    async fn begin(&mut self) -> BeginStep {
+        let flight = match choose_worker(&self.core, &self.request, &self.tries) {
+            Ok(flight) => flight,
+            Err(reason) => return BeginStep::NoWorker(Refusal::NoWorker(reason)),
+        };
+        let worker = flight.worker.id.clone();
+        let answer = match self.send(&flight, None).await {
+            Ok(answer) => answer,
+            Err(error) => return BeginStep::Failed(self.fail(&worker, error)),
+        };
+        if !answer.status.is_success() {
+            return self.take_failure(answer, flight).await;
+        }
+        let (mut head, ()) = Response::new(()).into_parts();
+        head.status = answer.status;
+        head.headers = passed_headers(&answer.headers);
+        self.open = Some(OpenStream {
+            body: answer.body,
+            lease: answer.lease,
+            flight,
+            splitter: EventSplitter::new(),
+        });
+        match self.read().await {
+            ReadStep::Piece(piece) => {
+                self.note_piece(&piece);
+                BeginStep::Streaming(head, Some(piece.bytes))
+            }
+            ReadStep::End => {
+                self.finish();
+                BeginStep::Streaming(head, None)
+            }
+            ReadStep::Broken(error) => {
+                self.open = None;
+                BeginStep::Failed(self.fail(&worker, error))
+            }
+        }
+    }
+
+    async fn send(
+        &mut self,
+        flight: &Flight,
+        resume_after: Option<&str>,
+    ) -> Result<SentAnswer, AttemptUpstreamError> {
+        let patience = if self.may_repeat() {
+            Instant::now() + first_patience(flight)
+        } else {
+            self.request.deadline
+        };
+        let (core, request) = (&self.core, &self.request);
+        send_to_worker(core, request, flight, &mut self.tries, resume_after, patience).await
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.request.route.kind == Repeatability::ResumableStream
+    }
+
+    fn fail(
+        &mut self,
+        worker: &hollowbarrow_schema::WorkerId,
+        error: AttemptUpstreamError,
+    ) -> AttemptUpstreamError {
+        self.core.note_outcome(worker, false);
+        self.tries.note_failure(worker, &error);
+        error
+    }
+
+    /// A worker's own failure goes to the caller, unless another worker may do better.
+    async fn take_failure(&mut self, answer: SentAnswer, mut flight: Flight) -> BeginStep {
+        let worker = flight.worker.id.clone();
+        let failed = answer.status.is_server_error();
+        let whole = read_whole(answer, self.request.deadline).await;
+        flight.note_progress();
+        match whole {
+            Ok(answer) if !failed => BeginStep::Answer(answer.into_http()),
+            Ok(answer) => {
+                let error = self.fail(&worker, AttemptUpstreamError::NoAnswer);
+                if self.tries.may_repeat(&self.core, &self.request, &error) {
+                    BeginStep::Failed(error)
+                } else {
+                    BeginStep::Answer(answer.into_http())
+                }
+            }
+            Err(error) => BeginStep::Failed(self.fail(&worker, error)),
+        }
+    }
+
+    /// The answer, whose further events follow as they come.
+    fn into_answer(self, head: hyper::http::response::Parts, first: Option<Bytes>) -> HttpAnswer {
+        let Some(first) = first else {
+            return Response::from_parts(head, AnswerBody::whole(Bytes::new()));
+        };
+        let pieces = unfold((self, Some(first)), |(mut run, first)| async move {
+            if let Some(first) = first {
+                return Some((Ok(first), (run, None)));
+            }
+            let piece = run.next_piece().await?;
+            Some((piece, (run, None)))
+        });
+        Response::from_parts(head, AnswerBody::Pieces(Box::pin(pieces)))
+    }
+
+    /// The next events; none where the stream is whole.
+    async fn next_piece(&mut self) -> Option<Result<Bytes, CutAnswerError>> {
+        loop {
+            let error = match self.read().await {
+                ReadStep::Piece(piece) => {
+                    self.note_piece(&piece);
+                    return Some(Ok(piece.bytes));
+                }
+                ReadStep::End => {
+                    self.finish();
+                    return None;
+                }
+                ReadStep::Broken(error) => error,
+            };
+            if let Err(error) = self.resume(error).await {
+                self.request.log_failure(Refusal::from_attempt(&error), &self.tries);
+                return Some(Err(CutAnswerError));
+            }
+        }
+    }
+
+    fn note_piece(&mut self, piece: &EventPiece) {
+        self.last_id = piece.last_id.or(self.last_id);
+    }
+
+    /// The stream is whole: its connection may carry another request.
+    fn finish(&mut self) {
+        if let Some(open) = self.open.take() {
+            open.lease.give_back();
+            self.core.note_outcome(&open.flight.worker.id, true);
+        }
+    }
+
+    /// Has other workers go on from the last event until one does.
+    async fn resume(&mut self, error: AttemptUpstreamError) -> Result<(), AttemptUpstreamError> {
+        let Some(open) = self.open.take() else { return Err(error) };
+        let worker = open.flight.worker.id.clone();
+        drop(open);
+        let mut error = self.fail(&worker, error);
+        loop {
+            let possible = self.may_repeat() && self.last_id.is_some();
+            if !possible || !self.tries.may_repeat(&self.core, &self.request, &error) {
+                return Err(error);
+            }
+            let Ok(flight) = choose_worker(&self.core, &self.request, &self.tries) else {
+                return Err(error);
+            };
+            log::info!(
+                "event=stream_resumed request={:?} from={} to={} after={:?} cause={:?}",
+                self.request.head.id,
+                *worker,
+                *flight.worker.id,
+                self.last_id,
+                error.to_string()
+            );
+            let after = self.last_id.map(|id| id.to_string());
+            match self.send(&flight, after.as_deref()).await {
+                Ok(answer) if answer.status.is_success() => {
+                    let splitter = EventSplitter::new();
+                    let (body, lease) = (answer.body, answer.lease);
+                    self.open = Some(OpenStream { body, lease, flight, splitter });
+                    return Ok(());
+                }
+                Ok(_) => {
+                    error = self.fail(&flight.worker.id, AttemptUpstreamError::NoAnswer);
+                }
+                Err(failed) => error = self.fail(&flight.worker.id, failed),
+            }
+        }
+    }
+
+    /// Reads until whole events are there.
+    async fn read(&mut self) -> ReadStep {
+        let may_move = self.may_repeat();
+        let after = self.last_id;
+        let Some(open) = &mut self.open else { return ReadStep::End };
+        let patience = if after.is_some() {
+            silence_patience(&open.flight)
+        } else {
+            first_patience(&open.flight)
+        };
+        let mut since = Instant::now();
+        loop {
+            let limit = if may_move { since + patience } else { self.request.deadline };
+            let limit = limit.min(self.request.deadline);
+            let frame = match tokio::time::timeout_at(limit, open.body.frame()).await {
+                Err(_) if Instant::now() >= self.request.deadline => {
+                    return ReadStep::Broken(AttemptUpstreamError::DeadlinePassed { sent: true });
+                }
+                Err(_) => {
+                    let worker = &open.flight.worker.id;
+                    let busy = self.core.has_progress(worker, patience / 2);
+                    if busy && since.elapsed() < patience * BUSY_FACTOR {
+                        since += patience / 2;
+                        continue;
+                    }
+                    return ReadStep::Broken(broken("it stands still"));
+                }
+                Ok(None) if open.splitter.rest().is_empty() => return ReadStep::End,
+                Ok(None) => return ReadStep::Broken(broken("it ended within an event")),
+                Ok(Some(Err(_))) => return ReadStep::Broken(broken("its connection broke")),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Some(bytes) = frame.data_ref() else { continue };
+            open.flight.note_progress();
+            match open.splitter.push(bytes, after) {
+                Ok(Some(piece)) => return ReadStep::Piece(piece),
+                Ok(None) => {}
+                Err(_) => return ReadStep::Broken(broken("an event is too large")),
+            }
+        }
+    }
+}
+
+fn broken(reason: &'static str) -> AttemptUpstreamError {
+    AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 }
+}
+
+/// How long a started stream may be silent.
+fn silence_patience(flight: &Flight) -> Duration {
+    let passes = Duration::from_secs_f64(flight.worker.pass_ms * SILENT_PASSES / 1000.0);
+    passes.max(SHORTEST_SILENCE)
+}
+
+/// How long a stream's first event may take.
+fn first_patience(flight: &Flight) -> Duration {
+    let estimate = Duration::from_secs_f64(flight.worker.first_ms * FIRST_FACTOR / 1000.0);
+    estimate + SHORTEST_SILENCE
+}
--- /dev/null
+++ b/crates/gateway/src/whole.rs
@@ -0,0 +1,122 @@
+//! Requests whose answer is passed on when it is there whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hollowbarrow_member::{AnswerBody, HttpAnswer};
+use hollowbarrow_routing::retry::AttemptUpstreamError;
+use hollowbarrow_upstream::{SentAnswer, is_hop_header};
+use http_body_util::{BodyExt, Limited};
+use hyper::header::CONTENT_LENGTH;
+use hyper::{HeaderMap, Response, StatusCode};
+use tokio::time::Instant;
+
+use crate::attempt::{CallerRequest, Tries, choose_worker, send_to_worker};
+use crate::core::GatewayCore;
+use crate::refusal::Refusal;
+
+/// Largest answer that is held whole.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// A worker's whole answer.
+pub(crate) struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl WholeAnswer {
+    pub(crate) fn into_http(self) -> HttpAnswer {
+        let mut answer = Response::new(AnswerBody::whole(self.body));
+        *answer.status_mut() = self.status;
+        *answer.headers_mut() = passed_headers(&self.headers);
+        answer
+    }
+}
+
+/// Headers of a worker's answer that concern the caller.
+pub(crate) fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let passed = headers
+        .iter()
+        .filter(|(name, _)| !is_hop_header(name) && **name != CONTENT_LENGTH)
+        .map(|(name, value)| (name.clone(), value.clone()));
+    passed.collect()
+}
+
+/// Sends a request until it is answered, and answers the caller.
+pub(crate) async fn run_whole(core: Arc<GatewayCore>, request: CallerRequest) -> HttpAnswer {
+    let mut tries = Tries::default();
+    let mut failure: Option<WholeAnswer> = None;
+    loop {
+        let refusal = match attempt(&core, &request, &mut tries).await {
+            Ok(answer) => {
+                let failed = answer.status.is_server_error();
+                let error = AttemptUpstreamError::NoAnswer;
+                if !failed || !tries.may_repeat(&core, &request, &error) {
+                    return answer.into_http();
+                }
+                failure = Some(answer);
+                continue;
+            }
+            Err(AttemptEnd::Failed(error)) => {
+                if tries.may_repeat(&core, &request, &error) {
+                    continue;
+                }
+                Refusal::from_attempt(&error)
+            }
+            Err(AttemptEnd::NoWorker(refusal)) => refusal,
+        };
+        // A worker's own failure says more than that nobody else was there.
+        if let Some(answer) = failure {
+            return answer.into_http();
+        }
+        request.log_failure(refusal, &tries);
+        return refusal.to_answer();
+    }
+}
+
+enum AttemptEnd {
+    Failed(AttemptUpstreamError),
+    NoWorker(Refusal),
+}
+
+async fn attempt(
+    core: &Arc<GatewayCore>,
+    request: &CallerRequest,
+    tries: &mut Tries,
+) -> Result<WholeAnswer, AttemptEnd> {
+    let mut flight = choose_worker(core, request, tries)
+        .map_err(|reason| AttemptEnd::NoWorker(Refusal::NoWorker(reason)))?;
+    let patience = request.deadline;
+    let sent = send_to_worker(core, request, &flight, tries, None, patience).await;
+    let answer = match sent {
+        Ok(answer) => read_whole(answer, request.deadline).await,
+        Err(error) => Err(error),
+    };
+    let worker = flight.worker.id.clone();
+    flight.note_progress();
+    let good = answer.as_ref().is_ok_and(|answer| !answer.status.is_server_error());
+    core.note_outcome(&worker, good);
+    answer.map_err(|error| {
+        tries.note_failure(&worker, &error);
+        AttemptEnd::Failed(error)
+    })
+}
+
+/// Reads an answer to its end and gives its connection back.
+pub(crate) async fn read_whole(
+    answer: SentAnswer,
+    deadline: Instant,
+) -> Result<WholeAnswer, AttemptUpstreamError> {
+    let reading = Limited::new(answer.body, MAX_ANSWER_BYTES).collect();
+    let body = match tokio::time::timeout_at(deadline, reading).await {
+        Err(_) => return Err(AttemptUpstreamError::DeadlinePassed { sent: true }),
+        Ok(Err(_)) => {
+            let reason = "it did not come whole";
+            return Err(AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 });
+        }
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    answer.lease.give_back();
+    Ok(WholeAnswer { status: answer.status, headers: answer.headers, body })
+}
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -79,6 +79,8 @@
     Message(DaemonId, LogMessage),
     /// A proposal and where its outcome goes.
     Propose(EntryPayload, Sender<ProposalOutcome>),
+    /// A peer that was learned of after the start.
+    AddPeer(DaemonId),
     /// Give up leadership, because this daemon is about to stop.
     HandOver,
     /// End the thread.
@@ -100,6 +102,11 @@
     pub confirmed: Option<Instant>,
     /// Daemons that vote.
     pub voters: Vec<DaemonId>,
+    /// Whether this daemon leads and has committed an entry of its own term, so that what it has
+    /// applied holds everything acknowledged before.
+    pub current: bool,
+    /// Whether this daemon is a voter whose disk came back empty.
+    pub lost_disk: bool,
     /// Why this replica does not vote although it should.
     pub fault: Option<String>,
 }
@@ -171,6 +178,11 @@
         receiver
     }
 
+    /// Adds a peer that was learned of after the start; it follows the log.
+    pub fn add_peer(&self, peer: &DaemonId) {
+        let _ = self.inputs.send(DriverInput::AddPeer(peer.clone()));
+    }
+
     /// Gives up leadership.
     pub fn hand_over(&self) {
         let _ = self.inputs.send(DriverInput::HandOver);
@@ -254,6 +266,10 @@
                     payloads.push(payload);
                     senders.push(sender);
                 }
+                DriverInput::AddPeer(peer) => {
+                    self.config.replica.add_peer(&peer);
+                    self.replica.add_peer(peer);
+                }
                 DriverInput::HandOver => self.replica.hand_over(Instant::now()),
                 DriverInput::Stop => return false,
             }
@@ -396,6 +412,8 @@
             applied: self.replica.commit(),
             confirmed: self.replica.confirmed(),
             voters: self.replica.voters().to_vec(),
+            current: self.replica.is_current(),
+            lost_disk: matches!(self.replica.fault(), Some(crate::ReplicaFault::LostDisk)),
             fault: self.replica.fault().map(ToString::to_string),
         };
         self.view.send_replace(view);
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -37,6 +37,7 @@
     peers: BTreeSet<DaemonId>,
     first_voters: Vec<DaemonId>,
     learners: bool,
+    founding: bool,
     election: Duration,
     seed: u64,
 }
@@ -49,17 +50,29 @@
             peers: peers.iter().cloned().collect(),
             first_voters: first_voters.to_vec(),
             learners: true,
+            founding: true,
             election: Duration::from_millis(1000),
             seed: 0,
         }
     }
 
+    /// Adds a peer.
+    pub(crate) fn add_peer(&mut self, peer: &DaemonId) {
+        self.peers.insert(peer.clone());
+    }
+
     /// Sets whether peers that do not vote follow the log too.
     pub fn with_learners(mut self, learners: bool) -> Self {
         self.learners = learners;
         self
     }
 
+    /// Sets whether this replica may found a log together with others whose disks are empty too.
+    pub fn with_founding(mut self, founding: bool) -> Self {
+        self.founding = founding;
+        self
+    }
+
     /// Sets the silence after which a voter stands for election.
     pub fn with_election(mut self, election: Duration) -> Self {
         self.election = election;
@@ -149,6 +162,13 @@
         replica
     }
 
+    /// Adds a peer that was learned of after the start: it follows the log, and may become a voter.
+    pub fn add_peer(&mut self, peer: DaemonId) {
+        if self.config.peers.insert(peer) {
+            self.track_followers();
+        }
+    }
+
     /// Name of this replica's daemon.
     pub fn id(&self) -> &DaemonId {
         &self.config.id
@@ -169,6 +189,11 @@
         matches!(self.role, ReplicaRole::Leader(_))
     }
 
+    /// Whether this replica leads and has committed an entry of its own term.
+    pub fn is_current(&self) -> bool {
+        self.is_leader() && self.storage.window().term_at(self.commit) == Some(self.term())
+    }
+
     /// The leader of the current term, as far as known.
     pub fn leader(&self) -> Option<&DaemonId> {
         match &self.role {
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -105,7 +105,7 @@
         let votes = self.voters.iter().filter(|voter| granted.contains(*voter)).count();
         let all_blank = self.voters.iter().all(|voter| blank.contains(voter));
         let (trial, founding) = (*trial, *founding);
-        if trial && all_blank {
+        if trial && all_blank && self.config.founding {
             self.campaign(now, false, true);
         } else if trial && votes >= majority && self.check_quorum_member() {
             self.campaign(now, false, false);
--- /dev/null
+++ b/crates/member/src/links.rs
@@ -0,0 +1,104 @@
+//! Links to other daemons.
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use hollowbarrow_peer::{MeshConfig, PeerMesh, StartMeshError};
+use hollowbarrow_schema::{
+    DaemonId, FleetMessage, LogMessage, LogName, MemberSettings, PeerMessage,
+};
+use thiserror::Error;
+
+use crate::settings::{member_id, seed_ids};
+
+/// Longest time to make a connection or to write to it.
+const STEP_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Silence after which a connection is made anew.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1600);
+
+/// Why a daemon cannot be reached by others.
+#[derive(Debug, Error)]
+pub enum StartLinksError {
+    /// The address for other daemons cannot be listened on.
+    #[error("cannot listen on {address}, set as ip and mesh_port")]
+    Listen {
+        /// The address.
+        address: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The connections cannot be served.
+    #[error("cannot serve other daemons")]
+    Mesh(#[from] StartMeshError),
+}
+
+/// Sends messages to other daemons and knows which controllers there are.
+pub struct MemberLinks {
+    id: DaemonId,
+    mesh: PeerMesh,
+    seeds: Vec<DaemonId>,
+    controllers: Mutex<BTreeSet<DaemonId>>,
+}
+
+impl MemberLinks {
+    /// Starts listening; each message that comes is given to the handler.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be listened on.
+    pub fn start(
+        settings: &MemberSettings,
+        handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
+    ) -> Result<Self, StartLinksError> {
+        let id = member_id(&settings.ip, settings.mesh_port);
+        let fail = |source| StartLinksError::Listen { address: id.to_string(), source };
+        let address: SocketAddr =
+            id.parse().map_err(|_| fail(std::io::Error::from(std::io::ErrorKind::InvalidInput)))?;
+        let listener = TcpListener::bind(address).map_err(fail)?;
+        let config = MeshConfig::new(&id, &settings.cluster_keys)
+            .with_addressed_peers()
+            .with_patience(STEP_TIMEOUT, SILENCE_TIMEOUT);
+        let mesh = PeerMesh::start(config, listener, handler)?;
+        let seeds: Vec<DaemonId> = seed_ids(settings);
+        Ok(Self { id, mesh, seeds, controllers: Mutex::default() })
+    }
+
+    /// Name of this daemon.
+    pub fn id(&self) -> &DaemonId {
+        &self.id
+    }
+
+    /// Daemons that the settings name as seeds.
+    pub fn seeds(&self) -> &[DaemonId] {
+        &self.seeds
+    }
+
+    /// Controllers to talk to: those heard of, or the seeds before any was; without this daemon.
+    pub fn controllers(&self) -> Vec<DaemonId> {
+        let known = self.lock();
+        let all = known.iter().chain(self.seeds.iter().filter(|seed| !known.contains(*seed)));
+        all.filter(|id| **id != self.id).cloned().collect()
+    }
+
+    /// Adds controllers that were heard of; returns those that are new.
+    pub fn learn_controllers(&self, heard: &[DaemonId]) -> Vec<DaemonId> {
+        let mut known = self.lock();
+        heard.iter().filter(|id| known.insert((*id).clone())).cloned().collect()
+    }
+
+    /// Sends a message about the fleet; false where it was dropped at once.
+    pub fn send(&self, to: &DaemonId, message: FleetMessage) -> bool {
+        self.mesh.send(to, PeerMessage::Fleet(message))
+    }
+
+    /// Sends a message of the configuration's log.
+    pub fn send_log(&self, to: &DaemonId, message: LogMessage) -> bool {
+        self.mesh.send(to, PeerMessage::Log { name: LogName::Config, message })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<DaemonId>> {
+        self.controllers.lock().expect("no holder of the lock panics")
+    }
+}
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -23,12 +23,12 @@
 
 /// Messages that may wait for one peer.
 const QUEUE_MESSAGES: usize = 2048;
-/// Longest time for a connection, a proof or a write.
+/// Longest time for a connection, a proof or a write, unless it is set.
 const STEP_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time between two pings on a connection.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-/// Silence after which a connection is given up.
+/// Silence after which a connection is given up, unless it is set.
 const PONG_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pings that fit into the longest silence.
+const PINGS_PER_SILENCE: u32 = 4;
 /// Shortest and longest pause before a connection is tried again.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 const DIAL_PURPOSE: &str = "hollowbarrow dial";
@@ -75,12 +75,45 @@
     id: DaemonId,
     peers: HashMap<DaemonId, SocketAddr>,
     keys: Vec<String>,
+    addressed: bool,
+    step: Duration,
+    silence: Duration,
 }
 
 impl MeshConfig {
     /// Creates the configuration; the first key is used and all are accepted.
     pub fn new(id: &DaemonId, keys: &[String]) -> Self {
-        Self { id: id.clone(), peers: HashMap::new(), keys: keys.to_vec() }
+        Self {
+            id: id.clone(),
+            peers: HashMap::new(),
+            keys: keys.to_vec(),
+            addressed: false,
+            step: STEP_TIMEOUT,
+            silence: PONG_TIMEOUT,
+        }
+    }
+
+    /// Takes every daemon that holds a key for a peer, whose name is its address.
+    ///
+    /// Such a mesh needs no list of its peers: who is heard of can be written to.
+    pub fn with_addressed_peers(mut self) -> Self {
+        self.addressed = true;
+        self
+    }
+
+    /// Sets the longest time of one step, and the silence after which a connection is given up.
+    pub fn with_patience(mut self, step: Duration, silence: Duration) -> Self {
+        self.step = step;
+        self.silence = silence;
+        self
+    }
+
+    fn address_of(&self, peer: &DaemonId) -> Option<SocketAddr> {
+        match self.peers.get(peer) {
+            Some(address) => Some(*address),
+            None if self.addressed => peer.parse().ok(),
+            None => None,
+        }
     }
 
     /// Adds a peer and where it listens.
@@ -151,7 +184,7 @@
 
     /// Sends a message if its queue has room; returns whether it had.
     pub fn send(&self, to: &DaemonId, message: PeerMessage) -> bool {
-        let Some(address) = self.config.peers.get(to).copied() else { return false };
+        let Some(address) = self.config.address_of(to) else { return false };
         let mut queues = self.queues.lock().expect("no holder of the lock panics");
         let queue = queues.entry(to.clone()).or_insert_with(|| {
             let (sender, receiver) = flume::bounded(QUEUE_MESSAGES);
@@ -212,11 +245,12 @@
     }
 
     async fn connect(&self) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
-        let stream = within(async { Ok(TcpStream::connect(self.address).await?) }).await?;
+        let step = self.config.step;
+        let stream = within(step, async { Ok(TcpStream::connect(self.address).await?) }).await?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{}/peer", self.address);
-        let (mut socket, _) = within(async { Ok(client_async(url, stream).await?) }).await?;
-        let challenge: PeerChallenge = receive(&mut socket).await?;
+        let (mut socket, _) = within(step, async { Ok(client_async(url, stream).await?) }).await?;
+        let challenge: PeerChallenge = receive(&mut socket, step).await?;
         if challenge.version != PROTOCOL_VERSION {
             return Err(ConnectPeerError::Version(challenge.version));
         }
@@ -234,8 +268,8 @@
             nonce: nonce.clone(),
             mac: facts.code(key, DIAL_PURPOSE),
         };
-        send(&mut socket, &proof).await?;
-        let welcome: PeerWelcome = receive(&mut socket).await?;
+        send(&mut socket, &proof, step).await?;
+        let welcome: PeerWelcome = receive(&mut socket, step).await?;
         if !same_code(&welcome.mac, &facts.code(key, ACCEPT_PURPOSE)) {
             return Err(ConnectPeerError::Key);
         }
@@ -245,7 +279,7 @@
     /// Sends what is queued until the connection fails; says why it ended.
     async fn pump(&self, socket: PeerSocket, mut sealer: FrameSealer) -> &'static str {
         let (mut writer, mut reader) = socket.split();
-        let mut ping = tokio::time::interval(PING_INTERVAL);
+        let mut ping = tokio::time::interval(self.config.silence / PINGS_PER_SILENCE);
         let mut heard = tokio::time::Instant::now();
         loop {
             let frame = tokio::select! {
@@ -258,7 +292,7 @@
                     Err(_) => return "stopping",
                 },
                 _ = ping.tick() => {
-                    if heard.elapsed() > PONG_TIMEOUT {
+                    if heard.elapsed() > self.config.silence {
                         return "silent";
                     }
                     Message::Ping(Vec::new().into())
@@ -271,7 +305,7 @@
                     _ => return "closed",
                 },
             };
-            match tokio::time::timeout(STEP_TIMEOUT, writer.send(frame)).await {
+            match tokio::time::timeout(self.config.step, writer.send(frame)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return "write failed",
                 Err(_) => return "write stalled",
@@ -310,12 +344,13 @@
     traffic: &MeshTraffic,
 ) -> Result<(), ConnectPeerError> {
     stream.set_nodelay(true)?;
-    let mut socket = within(async { Ok(accept_async(stream).await?) }).await?;
+    let step = config.step;
+    let mut socket = within(step, async { Ok(accept_async(stream).await?) }).await?;
     let accept_nonce = fresh_nonce();
     let challenge = PeerChallenge { version: PROTOCOL_VERSION, nonce: accept_nonce.clone() };
-    send(&mut socket, &challenge).await?;
-    let proof: PeerProof = receive(&mut socket).await?;
-    if proof.to != config.id || !config.peers.contains_key(&proof.from) {
+    send(&mut socket, &challenge, step).await?;
+    let proof: PeerProof = receive(&mut socket, step).await?;
+    if proof.to != config.id || config.address_of(&proof.from).is_none() {
         return Err(ConnectPeerError::Identity);
     }
     let facts = ConnectionFacts {
@@ -329,7 +364,7 @@
         .iter()
         .find(|key| same_code(&proof.mac, &facts.code(key, DIAL_PURPOSE)))
         .ok_or(ConnectPeerError::Key)?;
-    send(&mut socket, &PeerWelcome { mac: facts.code(key, ACCEPT_PURPOSE) }).await?;
+    send(&mut socket, &PeerWelcome { mac: facts.code(key, ACCEPT_PURPOSE) }, step).await?;
     let mut opener = FrameOpener::new(facts.code(key, SESSION_PURPOSE));
     while let Some(frame) = socket.next().await {
         if let Message::Binary(bytes) = frame? {
@@ -355,19 +390,27 @@
 }
 
 async fn within<T>(
+    limit: Duration,
     step: impl Future<Output = Result<T, ConnectPeerError>>,
 ) -> Result<T, ConnectPeerError> {
-    tokio::time::timeout(STEP_TIMEOUT, step).await.map_err(|_| ConnectPeerError::Timeout)?
+    tokio::time::timeout(limit, step).await.map_err(|_| ConnectPeerError::Timeout)?
 }
 
-async fn send<T: Serialize>(socket: &mut PeerSocket, value: &T) -> Result<(), ConnectPeerError> {
+async fn send<T: Serialize>(
+    socket: &mut PeerSocket,
+    value: &T,
+    limit: Duration,
+) -> Result<(), ConnectPeerError> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).map_err(|_| ConnectPeerError::Protocol)?;
-    within(async { Ok(socket.send(Message::binary(bytes)).await?) }).await
+    within(limit, async { Ok(socket.send(Message::binary(bytes)).await?) }).await
 }
 
-async fn receive<T: DeserializeOwned>(socket: &mut PeerSocket) -> Result<T, ConnectPeerError> {
-    within(async {
+async fn receive<T: DeserializeOwned>(
+    socket: &mut PeerSocket,
+    limit: Duration,
+) -> Result<T, ConnectPeerError> {
+    within(limit, async {
         match socket.next().await {
             Some(Ok(Message::Binary(bytes))) => {
                 ciborium::from_reader(&bytes[..]).map_err(|_| ConnectPeerError::Protocol)
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -115,6 +115,23 @@
     if facts.answer_started { RetryStep::Resume } else { RetryStep::Again }
 }
 
+/// How many retries are allowed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimits {
+    /// Retries earned by each first attempt.
+    pub ratio: f64,
+    /// Retries earned each second whatever the traffic.
+    pub floor: f64,
+    /// Most retries saved up.
+    pub most: f64,
+}
+
+impl Default for RetryLimits {
+    fn default() -> Self {
+        Self { ratio: BUDGET_RATIO, floor: BUDGET_FLOOR, most: BUDGET_MOST }
+    }
+}
+
 #[derive(Debug)]
 struct BudgetState {
     tokens: f64,
@@ -124,19 +141,26 @@
 /// Bounds retries to a part of the traffic, so that they cannot amplify an outage.
 #[derive(Debug)]
 pub struct RetryBudget {
+    limits: RetryLimits,
     state: Mutex<BudgetState>,
 }
 
 impl RetryBudget {
     /// Creates a budget with one second's floor in it.
     pub fn new(now: Instant) -> Self {
-        Self { state: Mutex::new(BudgetState { tokens: BUDGET_FLOOR, filled: now }) }
+        Self::with_limits(RetryLimits::default(), now)
+    }
+
+    /// Creates a budget with other limits.
+    pub fn with_limits(limits: RetryLimits, now: Instant) -> Self {
+        let tokens = limits.floor.min(limits.most);
+        Self { limits, state: Mutex::new(BudgetState { tokens, filled: now }) }
     }
 
     /// Notes a first attempt, which earns a part of a retry.
     pub fn note_request(&self) {
         let mut state = self.state.lock().expect("no holder of the lock panics");
-        state.tokens = (state.tokens + BUDGET_RATIO).min(BUDGET_MOST);
+        state.tokens = (state.tokens + self.limits.ratio).min(self.limits.most);
     }
 
     /// Takes one retry, if there is one.
@@ -144,8 +168,9 @@
         let mut state = self.state.lock().expect("no holder of the lock panics");
         let elapsed = now.saturating_duration_since(state.filled).as_secs_f64();
         state.filled = now;
-        let refilled = state.tokens + (elapsed * BUDGET_FLOOR).min(BUDGET_FLOOR);
-        state.tokens = refilled.min(BUDGET_MOST);
+        let floor = self.limits.floor;
+        let refilled = state.tokens + (elapsed * floor).min(floor);
+        state.tokens = refilled.min(self.limits.most);
         if state.tokens < 1.0 {
             return false;
         }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -561,6 +561,23 @@
         Self::SetQuota(value)
     }
 }
+///What a controller tells the others several times a second.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ControllerHello {
+    pub beats: ::std::vec::Vec<WorkerBeat>,
+    ///True where the controller came back with an empty disk and must be admitted anew as a voter.
+    pub lost_disk: bool,
+    ///Digest of the controller's table of workers.
+    pub workers: u64,
+    pub zone: ZoneId,
+}
+impl ::std::convert::From<&ControllerHello> for ControllerHello {
+    fn from(value: &ControllerHello) -> Self {
+        value.clone()
+    }
+}
 ///Name of one entry node of hollowbarrow.
 ///
 #[derive(
@@ -638,6 +655,19 @@
         value.clone()
     }
 }
+///A whole configuration as the operator sent it.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DeploymentDocument {
+    pub text: ::std::string::String,
+    pub version: u64,
+}
+impl ::std::convert::From<&DeploymentDocument> for DeploymentDocument {
+    fn from(value: &DeploymentDocument) -> Self {
+        value.clone()
+    }
+}
 ///Name of a fabric domain; a replica never spans two.
 ///
 #[derive(
@@ -715,6 +745,8 @@
     Config(ConfigChange),
     #[serde(rename = "claim")]
     Claim(ClaimCommand),
+    #[serde(rename = "deployment")]
+    Deployment(DeploymentDocument),
 }
 impl ::std::convert::From<&Self> for EntryPayload {
     fn from(value: &EntryPayload) -> Self {
@@ -736,6 +768,11 @@
         Self::Claim(value)
     }
 }
+impl ::std::convert::From<DeploymentDocument> for EntryPayload {
+    fn from(value: DeploymentDocument) -> Self {
+        Self::Deployment(value)
+    }
+}
 ///Number that fences orders to a node; only grows within an availability zone; 0 means none.
 ///
 #[derive(
@@ -942,6 +979,77 @@
         value.clone()
     }
 }
+///What gateways and controllers say to each other.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+pub enum FleetMessage {
+    #[serde(rename = "gateway")]
+    Gateway(GatewayHello),
+    #[serde(rename = "controller")]
+    Controller(ControllerHello),
+    #[serde(rename = "view")]
+    View(FleetView),
+    #[serde(rename = "deployment")]
+    Deployment(DeploymentDocument),
+    #[serde(rename = "workers")]
+    Workers(::std::vec::Vec<WorkerReport>),
+    #[serde(rename = "stalled")]
+    Stalled(WorkerId),
+}
+impl ::std::convert::From<&Self> for FleetMessage {
+    fn from(value: &FleetMessage) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<GatewayHello> for FleetMessage {
+    fn from(value: GatewayHello) -> Self {
+        Self::Gateway(value)
+    }
+}
+impl ::std::convert::From<ControllerHello> for FleetMessage {
+    fn from(value: ControllerHello) -> Self {
+        Self::Controller(value)
+    }
+}
+impl ::std::convert::From<FleetView> for FleetMessage {
+    fn from(value: FleetView) -> Self {
+        Self::View(value)
+    }
+}
+impl ::std::convert::From<DeploymentDocument> for FleetMessage {
+    fn from(value: DeploymentDocument) -> Self {
+        Self::Deployment(value)
+    }
+}
+impl ::std::convert::From<::std::vec::Vec<WorkerReport>> for FleetMessage {
+    fn from(value: ::std::vec::Vec<WorkerReport>) -> Self {
+        Self::Workers(value)
+    }
+}
+impl ::std::convert::From<WorkerId> for FleetMessage {
+    fn from(value: WorkerId) -> Self {
+        Self::Stalled(value)
+    }
+}
+///What the leading controller tells every gateway.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetView {
+    pub controllers: ::std::vec::Vec<DaemonId>,
+    ///Sums over all gateways.
+    pub loads: ::std::vec::Vec<WorkerLoad>,
+    ///Rises with each view of a term.
+    pub number: u64,
+    pub term: Term,
+    ///Workers that must get no new requests.
+    pub withheld: ::std::vec::Vec<WorkerId>,
+}
+impl ::std::convert::From<&FleetView> for FleetView {
+    fn from(value: &FleetView) -> Self {
+        value.clone()
+    }
+}
 ///A proposal on its way to a log's leader.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -969,6 +1077,23 @@
         value.clone()
     }
 }
+///What a gateway tells a controller several times a second; the answer is what it lacks.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayHello {
+    ///Version of the configuration in force at the gateway; 0 means none.
+    pub deployment: u64,
+    pub loads: ::std::vec::Vec<WorkerLoad>,
+    ///Digest of the gateway's table of workers.
+    pub workers: u64,
+    pub zone: ZoneId,
+}
+impl ::std::convert::From<&GatewayHello> for GatewayHello {
+    fn from(value: &GatewayHello) -> Self {
+        value.clone()
+    }
+}
 ///A node at which nothing listened.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -1445,6 +1570,145 @@
         value.clone()
     }
 }
+///Settings of a gateway or a controller.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct MemberSettings {
+    ///IP number and port for callers; gateways only.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub callers: ::std::option::Option<::std::string::String>,
+    ///Keys with which daemons prove themselves; the first is used, all are accepted.
+    pub cluster_keys: ::std::vec::Vec<::std::string::String>,
+    ///IP number and port for workers and operators; controllers only.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub control: ::std::option::Option<::std::string::String>,
+    ///Folder for durable state; controllers only.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub data: ::std::option::Option<::std::string::String>,
+    ///True only at the first start of the whole system, when the seeds become the first voters.
+    #[serde(default)]
+    pub found: bool,
+    ///Time between two registrations of a worker.
+    #[serde(default = "defaults::default_u64::<u32, 1200>")]
+    pub heartbeat_ms: u32,
+    ///IP number under which other daemons reach this one.
+    pub ip: ::std::string::String,
+    ///Length of the window in which loads of weights are counted.
+    #[serde(default = "defaults::default_u64::<u32, 5>")]
+    pub load_window_s: u32,
+    ///Port for traffic between daemons; the same on every machine.
+    pub mesh_port: u16,
+    ///Name of the daemon in logs.
+    pub name: ::std::string::String,
+    ///IP number and port for readiness checks; gateways only.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub readiness: ::std::option::Option<::std::string::String>,
+    ///Repeated sends allowed for each thousand requests, over all gateways.
+    #[serde(default = "defaults::default_u64::<u32, 200>")]
+    pub retry_permille: u32,
+    ///Repeated sends allowed beyond that in a window, over all gateways.
+    #[serde(default = "defaults::default_u64::<u32, 100>")]
+    pub retry_slack: u32,
+    ///Length of the window in which repeated sends are counted.
+    #[serde(default = "defaults::default_u64::<u32, 10>")]
+    pub retry_window_s: u32,
+    ///IP numbers (a port may follow and is passed over) of controllers to ask first; some may be down.
+    pub seeds: ::std::vec::Vec<::std::string::String>,
+    ///Time after which a replica that lacks a member gives up.
+    #[serde(default = "defaults::default_u64::<u32, 4000>")]
+    pub stall_ms: u32,
+    ///Time from a request to stop until the process is ended.
+    #[serde(default = "defaults::default_u64::<u32, 8000>")]
+    pub stop_ms: u32,
+    pub zone: ZoneId,
+}
+impl ::std::convert::From<&MemberSettings> for MemberSettings {
+    fn from(value: &MemberSettings) -> Self {
+        value.clone()
+    }
+}
+///How far a worker is in the replica that it belongs to.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum MembershipState {
+    #[serde(rename = "joining")]
+    Joining,
+    #[serde(rename = "ready")]
+    Ready,
+    #[serde(rename = "open")]
+    Open,
+    #[serde(rename = "closing")]
+    Closing,
+    #[serde(rename = "broken")]
+    Broken,
+}
+impl ::std::convert::From<&Self> for MembershipState {
+    fn from(value: &MembershipState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for MembershipState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Joining => f.write_str("joining"),
+            Self::Ready => f.write_str("ready"),
+            Self::Open => f.write_str("open"),
+            Self::Closing => f.write_str("closing"),
+            Self::Broken => f.write_str("broken"),
+        }
+    }
+}
+impl ::std::str::FromStr for MembershipState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "joining" => Ok(Self::Joining),
+            "ready" => Ok(Self::Ready),
+            "open" => Ok(Self::Open),
+            "closing" => Ok(Self::Closing),
+            "broken" => Ok(Self::Broken),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for MembershipState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for MembershipState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for MembershipState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Name of a model as callers ask for it.
 ///
 #[derive(
@@ -1926,6 +2190,8 @@
     Call(ForwardCall),
     #[serde(rename = "reply")]
     Reply(ForwardReply),
+    #[serde(rename = "fleet")]
+    Fleet(FleetMessage),
 }
 impl ::std::convert::From<&Self> for PeerMessage {
     fn from(value: &PeerMessage) -> Self {
@@ -1947,6 +2213,11 @@
         Self::Reply(value)
     }
 }
+impl ::std::convert::From<FleetMessage> for PeerMessage {
+    fn from(value: FleetMessage) -> Self {
+        Self::Fleet(value)
+    }
+}
 ///Answer of who opened the connection: who it is, and that it holds a cluster key.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -2114,6 +2385,8 @@
     VotersChanged,
     #[serde(rename = "busy")]
     Busy,
+    #[serde(rename = "held")]
+    Held,
     #[serde(rename = "config")]
     Config(ChangeOutcome),
     #[serde(rename = "claim")]
@@ -2852,6 +3125,136 @@
         }
     }
 }
+///A renewed registration that changed nothing.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerBeat {
+    pub id: WorkerId,
+    pub seq: u64,
+}
+impl ::std::convert::From<&WorkerBeat> for WorkerBeat {
+    fn from(value: &WorkerBeat) -> Self {
+        value.clone()
+    }
+}
+///Identity of one life of a registered worker; each start of its process takes a new one.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct WorkerId(pub ::std::string::String);
+impl ::std::ops::Deref for WorkerId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<WorkerId> for ::std::string::String {
+    fn from(value: WorkerId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&WorkerId> for WorkerId {
+    fn from(value: &WorkerId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<::std::string::String> for WorkerId {
+    fn from(value: ::std::string::String) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for WorkerId {
+    type Err = ::std::convert::Infallible;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::fmt::Display for WorkerId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///Requests that gateways have under way at a worker.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerLoad {
+    pub active: u32,
+    ///Milliseconds since the worker last sent anything of an answer; none if it has not since this daemon started.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub progress_ms: ::std::option::Option<u32>,
+    ///Estimated time to read the prompts that have had no first event yet.
+    pub waiting_ms: u32,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&WorkerLoad> for WorkerLoad {
+    fn from(value: &WorkerLoad) -> Self {
+        value.clone()
+    }
+}
+///The replica that a worker says it belongs to.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerMembership {
+    pub epoch: Epoch,
+    ///Place among the members; 0 is the head.
+    pub rank: u32,
+    ///Name of the replica.
+    pub replica: ::std::string::String,
+    pub state: MembershipState,
+}
+impl ::std::convert::From<&WorkerMembership> for WorkerMembership {
+    fn from(value: &WorkerMembership) -> Self {
+        value.clone()
+    }
+}
+///What a worker last said of itself when it registered or renewed its registration.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerReport {
+    ///IP number and port of its HTTP interface.
+    pub address: ::std::string::String,
+    ///Its fabric domain, if it is part of one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub domain: ::std::option::Option<DomainId>,
+    ///True once it has deregistered.
+    pub gone: bool,
+    pub id: WorkerId,
+    ///True once it has said that it takes no new requests.
+    pub leaving: bool,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub membership: ::std::option::Option<WorkerMembership>,
+    ///Model whose weights it holds in memory.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub model: ::std::option::Option<ModelName>,
+    ///Number of the call; of two reports the one with the higher number is newer.
+    pub seq: u64,
+    pub service: ServiceName,
+    ///Requests that it works on at once.
+    pub slots: u32,
+    ///Models whose weights lie on its host.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub staged: ::std::vec::Vec<ModelName>,
+    pub zone: ZoneId,
+}
+impl ::std::convert::From<&WorkerReport> for WorkerReport {
+    fn from(value: &WorkerReport) -> Self {
+        value.clone()
+    }
+}
 ///How many replicas of a group a zone could run with what it has.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -46,7 +46,8 @@
     ModelName,
     ChangeId,
     ServiceName,
-    ClaimKey
+    ClaimKey,
+    WorkerId
 );
 
 impl ConfigCommand {
--- /dev/null
+++ b/crates/state/src/deployment.rs
@@ -0,0 +1,56 @@
+//! Whole configurations under a version that only grows.
+//!
+//! The document is kept as the operator sent it, so that it can be read back
+//! unchanged. What it means is not known here: it is checked before it is
+//! proposed.
+//!
+//! Invariant: the version held never goes down, and the text held under a
+//! version never changes.
+
+use hollowbarrow_log::StateMachine;
+use hollowbarrow_schema::{DeploymentDocument, EntryPayload, LogEntry, ProposalOutcome};
+use serde::{Deserialize, Serialize};
+
+use crate::{restore_cbor, to_cbor};
+
+/// State machine of the log of whole configurations.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeploymentState {
+    newest: Option<DeploymentDocument>,
+}
+
+impl DeploymentState {
+    /// Creates a state without a configuration.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The configuration with the highest version, if there is one.
+    pub fn newest(&self) -> Option<&DeploymentDocument> {
+        self.newest.as_ref()
+    }
+
+    /// Version held; 0 means none.
+    pub fn version(&self) -> u64 {
+        self.newest.as_ref().map_or(0, |document| document.version)
+    }
+}
+
+impl StateMachine for DeploymentState {
+    fn apply(&mut self, entry: &LogEntry) -> ProposalOutcome {
+        if let EntryPayload::Deployment(document) = &entry.payload
+            && document.version > self.version()
+        {
+            self.newest = Some(document.clone());
+        }
+        ProposalOutcome::Held
+    }
+
+    fn to_snapshot(&self) -> Vec<u8> {
+        to_cbor(self)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> bool {
+        restore_cbor(self, snapshot)
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,14 +1,17 @@
 //! The state that daemons agree on, as state machines over the replicated log.
 //!
 //! [`ConfigState`] is the accepted configuration; [`ClaimState`] remembers which
-//! not repeatable requests were given the right to run. Both are deterministic:
+//! not repeatable requests were given the right to run; [`DeploymentState`] holds
+//! whole configurations under a growing version. All are deterministic:
 //! they see only log entries, never a clock or a random number.
 
 mod claims;
 mod config;
+mod deployment;
 
 pub use claims::ClaimState;
 pub use config::{ConfigState, Recorded};
+pub use deployment::DeploymentState;
 
 /// Replaces a state machine by what a snapshot holds; false where it cannot be read.
 fn restore_cbor<T: serde::de::DeserializeOwned>(state: &mut T, snapshot: &[u8]) -> bool {
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -24,8 +24,13 @@
 const IDLE_PER_UPSTREAM: usize = 32;
 /// How long a connection may stay idle.
 const IDLE_LIFETIME: Duration = Duration::from_secs(15);
+/// Part of the time for which an upstream keeps idle connections that is used, so that its close
+/// does not cross with a request.
+const USED_IDLE: f64 = 0.7;
 /// Longest time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer that is read only to keep its connection.
+const SHORT_ANSWER_BYTES: usize = 4 << 10;
 /// Header by which an upstream repeats the identity of the request that it answers.
 pub(crate) const REQUEST_HEADER: &str = "x-request-id";
 /// Headers that are about one connection only.
@@ -108,15 +113,40 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// A connection that waits for its next request.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: Sender,
+    since: Instant,
+    /// How long the upstream said that it keeps idle connections, if it did.
+    kept_for: Option<Duration>,
+}
+
 #[derive(Debug, Default)]
 struct IdleConnections {
-    by_address: HashMap<SocketAddr, Vec<(Sender, Instant)>>,
+    by_address: HashMap<SocketAddr, Vec<IdleConnection>>,
+}
+
+/// How requests name themselves to upstreams.
+#[derive(Clone, Debug)]
+struct RequestIdentity {
+    header: HeaderName,
+    /// Whether every answer must repeat the name.
+    required: bool,
 }
 
 /// Sends requests and keeps idle connections.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UpstreamClient {
     idle: Arc<Mutex<IdleConnections>>,
+    identity: RequestIdentity,
+}
+
+impl Default for UpstreamClient {
+    fn default() -> Self {
+        let header = HeaderName::from_static(REQUEST_HEADER);
+        Self { idle: Arc::default(), identity: RequestIdentity { header, required: false } }
+    }
 }
 
 /// A connection in use.
@@ -125,9 +155,26 @@
     client: UpstreamClient,
     address: SocketAddr,
     sender: Sender,
+    reused: bool,
+    kept_for: Option<Duration>,
 }
 
 impl ConnectionLease {
+    /// Whether the connection has carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Keeps the connection once a short answer that nobody needs has been read to its end.
+    pub fn give_back_after(self, body: Incoming) {
+        tokio::spawn(async move {
+            let reading = Limited::new(body, SHORT_ANSWER_BYTES).collect();
+            if let Ok(Ok(_)) = tokio::time::timeout(CONNECT_TIMEOUT, reading).await {
+                self.give_back();
+            }
+        });
+    }
+
     /// Keeps the connection for another request; the answer's body was read whole.
     pub fn give_back(self) {
         if self.sender.is_closed() {
@@ -136,7 +183,8 @@
         let mut idle = self.client.idle.lock().expect("no holder of the lock panics");
         let kept = idle.by_address.entry(self.address).or_default();
         if kept.len() < IDLE_PER_UPSTREAM {
-            kept.push((self.sender, Instant::now()));
+            let since = Instant::now();
+            kept.push(IdleConnection { sender: self.sender, since, kept_for: self.kept_for });
         }
     }
 }
@@ -147,17 +195,37 @@
         Self::default()
     }
 
+    /// Names requests by another header, which every answer must repeat.
+    pub fn with_identity(mut self, header: HeaderName) -> Self {
+        self.identity = RequestIdentity { header, required: true };
+        self
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let kept = idle.by_address.get_mut(&address)?;
-        while let Some((sender, since)) = kept.pop() {
-            if since.elapsed() < IDLE_LIFETIME && sender.is_ready() {
-                return Some(sender);
+        while let Some(connection) = kept.pop() {
+            let limit = connection.kept_for.map_or(IDLE_LIFETIME, |kept| kept.mul_f64(USED_IDLE));
+            if connection.since.elapsed() < limit && connection.sender.is_ready() {
+                return Some(connection.sender);
             }
         }
         None
     }
 
+    /// Drops the idle connections that are too old to be used, and closes them.
+    pub fn drop_expired(&self) {
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        for kept in idle.by_address.values_mut() {
+            kept.retain(|connection| {
+                let limit =
+                    connection.kept_for.map_or(IDLE_LIFETIME, |kept| kept.mul_f64(USED_IDLE));
+                connection.since.elapsed() < limit && !connection.sender.is_closed()
+            });
+        }
+        idle.by_address.retain(|_, kept| !kept.is_empty());
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SendRequestError> {
         let fail = || SendRequestError::Connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -185,11 +253,12 @@
         reuse: bool,
     ) -> Result<ConnectionLease, SendRequestError> {
         let kept = if reuse { self.take_idle(address) } else { None };
+        let reused = kept.is_some();
         let sender = match kept {
             Some(sender) => sender,
             None => self.connect(address).await?,
         };
-        Ok(ConnectionLease { client: self.clone(), address, sender })
+        Ok(ConnectionLease { client: self.clone(), address, sender, reused, kept_for: None })
     }
 
     /// Sends a request and waits for the head of its answer until the deadline.
@@ -203,11 +272,11 @@
         request: &UpstreamRequest,
         deadline: Instant,
     ) -> Result<SentAnswer, SendRequestError> {
-        let message = to_message(lease.address, request)?;
+        let message = to_message(lease.address, request, &self.identity.header)?;
         let answer = tokio::time::timeout_at(deadline, lease.sender.try_send_request(message));
         match answer.await {
             Err(_) => Err(SendRequestError::Timeout),
-            Ok(Ok(response)) => check_identity(response, request, lease),
+            Ok(Ok(response)) => check_identity(response, request, lease, &self.identity),
             Ok(Err(mut error)) => {
                 // The message comes back only where none of it was written.
                 if error.take_message().is_some() {
@@ -222,6 +291,7 @@
 fn to_message(
     address: SocketAddr,
     request: &UpstreamRequest,
+    identity: &HeaderName,
 ) -> Result<Request<Full<Bytes>>, SendRequestError> {
     let mut message = Request::builder()
         .method(request.method.clone())
@@ -231,22 +301,38 @@
     let headers = message.headers_mut();
     headers.extend(request.headers.clone());
     let unwritable = |_| SendRequestError::Unwritable("a header".to_owned());
-    headers.insert("host", HeaderValue::try_from(address.to_string()).map_err(unwritable)?);
-    headers.insert(REQUEST_HEADER, HeaderValue::try_from(&request.request_id).map_err(unwritable)?);
+    if !headers.contains_key(HOST) {
+        headers.insert(HOST, HeaderValue::try_from(address.to_string()).map_err(unwritable)?);
+    }
+    let id = HeaderValue::try_from(&request.request_id).map_err(unwritable)?;
+    headers.insert(identity.clone(), id);
     Ok(message)
 }
 
 fn check_identity(
     response: Response<Incoming>,
     request: &UpstreamRequest,
-    lease: ConnectionLease,
+    mut lease: ConnectionLease,
+    identity: &RequestIdentity,
 ) -> Result<SentAnswer, SendRequestError> {
     let (parts, body) = response.into_parts();
-    if let Some(named) = parts.headers.get(REQUEST_HEADER)
-        && named.as_bytes() != request.request_id.as_bytes()
-    {
-        let named = String::from_utf8_lossy(named.as_bytes()).into_owned();
-        return Err(SendRequestError::OtherRequest(named));
+    let named = parts.headers.get(&identity.header);
+    let matches = match named {
+        Some(named) => named.as_bytes() == request.request_id.as_bytes(),
+        None => !identity.required,
+    };
+    if !matches {
+        let named = named.map(|named| String::from_utf8_lossy(named.as_bytes()).into_owned());
+        return Err(SendRequestError::OtherRequest(named.unwrap_or_default()));
     }
+    lease.kept_for = read_keep_alive(&parts.headers);
     Ok(SentAnswer { status: parts.status, headers: parts.headers, body, lease })
 }
+
+/// How long an upstream says that it keeps idle connections.
+fn read_keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let parameters = text.split(',').map(str::trim);
+    let seconds = parameters.filter_map(|part| part.strip_prefix("timeout=")).next()?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -12,7 +12,9 @@
 mod events;
 mod platform;
 
-pub use client::{SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest, is_hop_header};
+pub use client::{
+    ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest, is_hop_header,
+};
 pub use engine::{EngineClient, EngineFuture, GiveOrderError, HttpEngine, ProbeNodeError};
 pub use events::{EventParser, ParseEventError, StreamChunk, parse_chunk};
 pub use platform::{ListNodesError, list_nodes};
--- /dev/null
+++ b/src/commands/member.rs
@@ -0,0 +1,90 @@
+//! `hollowbarrow gateway` and `hollowbarrow controller`
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use clap::{Arg, ArgMatches, Command};
+use hollowbarrow_controller::Controller;
+use hollowbarrow_daemon::start_logging;
+use hollowbarrow_gateway::Gateway;
+use hollowbarrow_member::read_member_settings;
+use hollowbarrow_platform::{PlatformControl, PlatformRequests};
+use hollowbarrow_schema::MemberSettings;
+use tokio::runtime::Runtime;
+
+use super::serve::wait_for_signal;
+use super::{CommandError, CommandResult, text};
+
+/// Variable that holds the path of the settings where no argument does.
+const SETTINGS_VARIABLE: &str = "HOLLOWBARROW_CONFIG";
+
+pub(crate) fn gateway_command() -> Command {
+    let about = "Runs a gateway, which takes requests of callers to workers";
+    with_arguments(Command::new("gateway").about(about))
+}
+
+pub(crate) fn controller_command() -> Command {
+    let about = "Runs a controller, which keeps the configuration, the workers and the replicas";
+    with_arguments(Command::new("controller").about(about))
+}
+
+fn with_arguments(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .env(SETTINGS_VARIABLE)
+                .required(true)
+                .help("Settings file, JSON with comments"),
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .env("HOLLOWBARROW_LOG")
+                .default_value("info")
+                .help("Levels to log, as info or warn,hollowbarrow_log=debug"),
+        )
+}
+
+pub(crate) fn run_gateway(arguments: &ArgMatches) -> CommandResult {
+    let settings = load_member_settings(text(arguments, "settings"))?;
+    let logger = start_logging(text(arguments, "log")).context("cannot start logging")?;
+    start_runtime()?.block_on(async {
+        let protocol = Arc::new(PlatformRequests::new());
+        let gateway = Gateway::start(settings, protocol).context("cannot start")?;
+        wait_for_signal().await.context("cannot wait for signals")?;
+        gateway.stop().await;
+        anyhow::Ok(())
+    })?;
+    logger.flush();
+    Ok(())
+}
+
+pub(crate) fn run_controller(arguments: &ArgMatches) -> CommandResult {
+    let settings = load_member_settings(text(arguments, "settings"))?;
+    let logger = start_logging(text(arguments, "log")).context("cannot start logging")?;
+    start_runtime()?.block_on(async {
+        let protocol = Arc::new(PlatformControl::new());
+        let controller = Controller::start(settings, protocol).context("cannot start")?;
+        wait_for_signal().await.context("cannot wait for signals")?;
+        controller.stop().await;
+        anyhow::Ok(())
+    })?;
+    logger.flush();
+    Ok(())
+}
+
+/// One thread: the machines have a part of one core, and switching threads costs time there.
+fn start_runtime() -> anyhow::Result<Runtime> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")
+}
+
+/// Reads and checks settings of a gateway or a controller.
+pub(crate) fn load_member_settings(path: &str) -> Result<MemberSettings, CommandError> {
+    let contents = std::fs::read_to_string(path)
+        .map_err(|error| CommandError::BadInput(format!("cannot read {path}: {error}")))?;
+    Ok(read_member_settings(path, &contents)?)
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -12,6 +12,7 @@
 mod groups;
 mod hash_key;
 mod label;
+mod member;
 mod nodes;
 mod serve;
 mod status;
@@ -36,6 +37,8 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve::command())
+        .subcommand(member::gateway_command())
+        .subcommand(member::controller_command())
         .subcommand(check::command())
         .subcommand(demo::command())
         .subcommand(client::with_client_args(nodes::command()))
@@ -74,6 +77,8 @@
 fn dispatch(name: &str, arguments: &ArgMatches) -> CommandResult {
     match name {
         "serve" => serve::run(arguments),
+        "gateway" => member::run_gateway(arguments),
+        "controller" => member::run_controller(arguments),
         "check" => check::run(arguments),
         "demo" => demo::run(arguments),
         "nodes" => nodes::run(arguments),
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -45,12 +45,17 @@
     Ok(())
 }
 
-async fn wait_for_signal() -> std::io::Result<()> {
+/// Waits until the process is asked to stop. A request to read the settings again changes nothing:
+/// what may change while running comes from other daemons.
+pub(crate) async fn wait_for_signal() -> std::io::Result<()> {
+    let mut reload = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = reload.recv() => log::info!("event=reload_asked"),
+        }
     }
-    Ok(())
 }
