Find lost members sooner: probe once a replica stands still for 0.6 s

Cause: a lost member was found 2.4 s after its end, and one that was found lost counted as usable again once its replica was taken apart. Ruled out: waiting for heartbeats alone (1.2 s apart, and late at times). Change: two probes of 250 ms, 300 ms apart, from 0.6 s without progress on; lost until heard.

--- a/crates/controller/src/liveness.rs
+++ b/crates/controller/src/liveness.rs
@@ -15,18 +15,17 @@
 
 use crate::fleet::{FleetState, WorkerUse};
 
-/// Heartbeats that may be missing before a worker is probed, and before it counts as silent.
+/// Heartbeats that may be missing before a worker is probed.
 const PROBED_BEATS: f64 = 1.6;
-const SILENT_BEATS: f64 = 2.2;
 /// Probes without an answer that make a worker lost.
 const LOST_PROBES: u32 = 2;
 /// Pause between two probes of a worker, and of one that is lost already.
-const PROBE_PAUSE: Duration = Duration::from_millis(500);
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
 const LOST_PROBE_PAUSE: Duration = Duration::from_millis(2500);
 /// Time without anything of an answer after which a replica with requests stands still.
-const STILL_TIME: Duration = Duration::from_millis(900);
+const STILL_TIME: Duration = Duration::from_millis(600);
 /// Time for which something of an answer proves that all members run.
-const PROOF_TIME: Duration = Duration::from_millis(1200);
+const PROOF_TIME: Duration = Duration::from_millis(600);
 /// Time after which a worker that said that it goes has ended.
 const GONE_TIME: Duration = Duration::from_secs(12);
 
@@ -104,15 +103,14 @@
         let still = head.is_some() && head_use.active > 0 && !moving(STILL_TIME);
         let overdue = silence > facts.heartbeat.mul_f64(PROBED_BEATS);
         let answered = probe.answered.is_some_and(|at| at > entry.heard);
-        if !(overdue || still) || (head.is_some() && moving(PROOF_TIME)) {
+        let unheard = probe.silent >= LOST_PROBES;
+        if !(overdue || still || unheard) || (head.is_some() && moving(PROOF_TIME)) {
             return settled(WorkerStanding::Usable);
         }
-        let silent = silence > facts.heartbeat.mul_f64(SILENT_BEATS);
-        let lost = probe.silent >= LOST_PROBES && (silent || still);
-        let pause = if lost { LOST_PROBE_PAUSE } else { PROBE_PAUSE };
+        let pause = if unheard { LOST_PROBE_PAUSE } else { PROBE_PAUSE };
         let due = probe.sent.is_none_or(|at| facts.now.saturating_duration_since(at) >= pause);
         let waits = answered && !still && !due;
-        let standing = if lost { WorkerStanding::Lost } else { WorkerStanding::Usable };
+        let standing = if unheard { WorkerStanding::Lost } else { WorkerStanding::Usable };
         Judgement { standing, probe: due && !probe.under_way && !waits }
     }
 
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -15,7 +15,7 @@
 /// Longest time for an order to be answered.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Longest time for a probe to be answered.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Type of the body of an order.
 const JSON: &str = "application/json";
 
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -52,6 +52,8 @@
     view_due: Instant,
     withheld: Vec<WorkerId>,
     voters_due: Instant,
+    /// Replicas that served, by service, when they were last logged.
+    logged: BTreeMap<ServiceName, String>,
 }
 
 /// Acts as leader whenever this daemon leads, until the process ends.
@@ -109,8 +111,8 @@
 
 fn begin_term(core: &ControllerCore, view: &LogView, now: Instant) -> Leadership {
     let heartbeat = core.heartbeat();
-    let settle = if core.settings.found {
-        Duration::ZERO
+    let settle = if core.settings.found && !core.fleet().has_served() {
+        SHORT_SETTLED
     } else if now.duration_since(core.started) > heartbeat.mul_f64(SETTLED_BEATS) {
         SHORT_SETTLED
     } else {
@@ -128,6 +130,7 @@
         view_due: now,
         withheld: Vec::new(),
         voters_due: now,
+        logged: BTreeMap::new(),
     }
 }
 
@@ -190,6 +193,11 @@
             spawn_order(core, &service.name, ticket, held.term);
         }
         withheld.extend(controller.withheld());
+        let summary = controller.summary();
+        if held.logged.get(&service.name) != Some(&summary) {
+            log::info!("event=replicas service={} {summary}", *service.name);
+            held.logged.insert(service.name.clone(), summary);
+        }
     }
     withheld.sort();
     withheld.dedup();
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -222,14 +222,19 @@
             .collect()
     }
 
-    /// Replicas that serve, by model, for logs and metrics.
-    pub fn serving(&self) -> BTreeMap<ModelName, usize> {
-        let mut counts = BTreeMap::new();
-        let serving = self.replicas.values().filter(|r| r.phase == ReplicaPhase::Serving);
-        for replica in serving {
-            *counts.entry(replica.name.model.clone()).or_default() += 1;
+    /// Replicas that serve and those that do not, by model, as a log line has them.
+    pub fn summary(&self) -> String {
+        let mut counts: BTreeMap<&ModelName, (usize, usize)> = BTreeMap::new();
+        for replica in self.replicas.values() {
+            let (serving, other) = counts.entry(&replica.name.model).or_default();
+            let count = if replica.phase == ReplicaPhase::Serving { serving } else { other };
+            *count += 1;
         }
-        counts
+        let parts = counts.iter().map(|(model, (serving, other))| {
+            format!("model={} serving={serving} other={other}", ***model)
+        });
+        let standbys = format!("standbys={}", self.standbys.len());
+        parts.chain([standbys]).collect::<Vec<_>>().join(" ")
     }
 
     /// Members of the replica that a worker heads.
