Let members leave a replica by themselves before they join another

Ruled out: waiting out the stall time for each silent head (5 s of downtime a time, and still no proof where the head's link comes back). Change: only a new life under the same address proves an end; a worker that still reports a replica is told to leave it before it joins another, unless that replica's head has left.

--- a/crates/controller/src/liveness.rs
+++ b/crates/controller/src/liveness.rs
@@ -2,8 +2,8 @@
 //!
 //! Silence alone proves nothing: a worker may be cut off from controllers while
 //! it serves gateways. While a replica's answers move, all its members run. A
-//! refused connection proves that a process has ended; a probe without an
-//! answer counts only together with silence or with a replica that stands still.
+//! refused connection proves nothing either, since a cut may refuse it; only a
+//! new life under the same address proves that the old one has ended.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -34,8 +34,8 @@
 pub(crate) enum ProbeOutcome {
     /// The worker answered.
     Answered,
-    /// Nobody listens at its address, or somebody else does.
-    Ended,
+    /// A connection to its address was refused.
+    Refused,
     /// No answer came in time.
     Silent,
 }
@@ -45,7 +45,6 @@
     silent: u32,
     answered: Option<Instant>,
     sent: Option<Instant>,
-    ended: bool,
     under_way: bool,
 }
 
@@ -89,7 +88,7 @@
         let settled = |standing| Judgement { standing, probe: false };
         let holder = facts.holders.get(&entry.report.address);
         let replaced = holder.is_some_and(|holder| *holder != entry.report.id);
-        if probe.ended || replaced {
+        if replaced {
             return settled(WorkerStanding::Dead);
         }
         if entry.report.gone || entry.report.leaving {
@@ -130,7 +129,8 @@
                 probe.silent = 0;
                 probe.answered = Some(now);
             }
-            ProbeOutcome::Ended => probe.ended = true,
+            // A cut may refuse connections too, so that this proves nothing by itself.
+            ProbeOutcome::Refused => probe.silent += LOST_PROBES,
             ProbeOutcome::Silent => probe.silent += 1,
         }
     }
@@ -142,7 +142,6 @@
             let heard = fleet.table().get(worker).map(|entry| entry.heard);
             if heard > probe.sent && !probe.under_way {
                 probe.silent = 0;
-                probe.ended = false;
             }
         }
     }
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -48,10 +48,10 @@
         .uri(protocol.probe_path())
         .header(HOST, address)
         .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return ProbeOutcome::Ended };
+    let Ok(request) = request else { return ProbeOutcome::Refused };
     match call_once(address, request, PROBE_TIMEOUT).await {
         Ok(_) => ProbeOutcome::Answered,
-        Err(CallError::Refused | CallError::Address(_)) => ProbeOutcome::Ended,
+        Err(CallError::Refused | CallError::Address(_)) => ProbeOutcome::Refused,
         Err(CallError::Unreached | CallError::NoAnswer) => ProbeOutcome::Silent,
     }
 }
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -227,7 +227,6 @@
 
 fn timing_of(core: &ControllerCore) -> ReplicaTiming {
     ReplicaTiming {
-        stall: Duration::from_millis(core.settings.stall_ms.into()),
         repeat: ORDER_REPEAT,
         close: CLOSE_TIME,
         load_window: Duration::from_secs(core.settings.load_window_s.into()),
--- a/crates/fleet/src/replicas/adopt.rs
+++ b/crates/fleet/src/replicas/adopt.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use hollowbarrow_schema::{Epoch, MembershipState, WorkerId, WorkerReport};
-use tokio::time::Instant;
-
 use super::names::{ReplicaKind, ReplicaName};
-use super::{ReplicaController, ReplicaPhase, StepView};
+use super::{ReplicaController, ReplicaPhase, StepView, WorkerStanding};
+use hollowbarrow_schema::{Epoch, MembershipState, WorkerId, WorkerReport};
 
 /// Members of one replica that this controller has not formed, by rank.
 #[derive(Default)]
@@ -19,13 +17,13 @@
         self.members.len() == size && self.members.keys().copied().eq(0..size as u32)
     }
 
-    fn phase(&self, now: Instant) -> ReplicaPhase {
+    /// How far the replica is, if all its members are there.
+    fn phase(&self) -> ReplicaPhase {
         let state = |report: &&WorkerReport| report.membership.as_ref().map(|m| m.state);
         match self.members.get(&0).and_then(state) {
             Some(MembershipState::Open) => ReplicaPhase::Serving,
             Some(MembershipState::Joining | MembershipState::Ready) => ReplicaPhase::Forming,
-            Some(MembershipState::Closing | MembershipState::Broken) => ReplicaPhase::Leaving,
-            None => ReplicaPhase::Quarantined { since: now },
+            _ => ReplicaPhase::Leaving,
         }
     }
 }
@@ -38,8 +36,9 @@
             let Some(membership) = &state.report.membership else { continue };
             let Some(name) = ReplicaName::from_text(&membership.replica) else { continue };
             let known = self.replicas.contains_key(&name.epoch)
-                || self.retired.contains(&name.epoch)
-                || state.report.gone;
+                || self.vacated.contains(&name.epoch)
+                || self.departed.get(&state.report.id) == Some(&name.epoch)
+                || state.standing != WorkerStanding::Usable;
             if known {
                 continue;
             }
@@ -65,7 +64,9 @@
     fn adopt(&mut self, name: ReplicaName, reported: &ReportedReplica<'_>, view: &StepView<'_>) {
         let model = view.engine.models.iter().find(|model| model.name == name.model);
         let whole = model.is_some_and(|model| reported.is_whole(model.size));
-        if !whole && view.now < self.settled {
+        // Without its head a replica needs nothing: its members leave it when they are needed.
+        let headed = reported.members.contains_key(&0);
+        if !whole && (view.now < self.settled || !headed) {
             return;
         }
         let members: Vec<WorkerId> =
@@ -74,12 +75,7 @@
             // A member was ordered elsewhere and has not said so yet.
             return;
         }
-        let headed = reported.members.contains_key(&0);
-        let phase = match reported.phase(view.now) {
-            phase if whole => phase,
-            _ if headed => ReplicaPhase::Leaving,
-            _ => ReplicaPhase::Quarantined { since: view.now },
-        };
+        let phase = if whole { reported.phase() } else { ReplicaPhase::Leaving };
         log::info!(
             "event=replica_adopted replica={} phase={phase:?} members={}",
             name.to_text(),
@@ -89,10 +85,6 @@
             self.standbys.remove(member);
         }
         // The leader before may have told the head to serve.
-        let epoch = name.epoch;
         self.insert(name, members, phase, true);
-        if let Some(replica) = self.replicas.get_mut(&epoch) {
-            replica.headed = headed;
-        }
     }
 }
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -2,11 +2,10 @@
 
 use hollowbarrow_schema::{Epoch, MembershipState, ModelName, WorkerId, WorkerReport};
 
+use super::names::{ReplicaKind, ReplicaName};
 use super::orders::{OrderTicket, WorkerOrder};
 use super::{Replica, ReplicaController, ReplicaPhase, StepView, WorkerStanding};
 
-/// Part of the stall time that is waited beyond it before a silent head counts as given up.
-const STALL_MARGIN: f64 = 0.25;
 /// Factor by which loads are shorter before the first request.
 const WARM_UP_FACTOR: u32 = 10;
 /// Loads that run at once before the first request, for each that may run at once afterwards.
@@ -17,6 +16,8 @@
     Stay,
     Move(ReplicaPhase),
     Release(&'static str),
+    /// The head has surely left, so that nothing of the replica can serve.
+    HeadLeft,
 }
 
 impl ReplicaController {
@@ -29,10 +30,15 @@
                 LifeStep::Stay => {}
                 LifeStep::Move(phase) => self.enter(epoch, phase),
                 LifeStep::Release(reason) => self.release(epoch, reason),
+                LifeStep::HeadLeft => {
+                    self.vacated.insert(epoch);
+                    self.release(epoch, "the head has left");
+                }
             }
         }
         let workers = &view.workers;
         self.orders.retain(|worker| workers.contains_key(worker));
+        self.departed.retain(|worker, _| workers.contains_key(worker));
     }
 
     fn enter(&mut self, epoch: Epoch, phase: ReplicaPhase) {
@@ -54,7 +60,9 @@
                 "event=replica_released replica={} reason={reason:?}",
                 replica.name.to_text()
             );
-            self.retired.insert(epoch);
+            if replica.head_left || !replica.opened {
+                self.vacated.insert(epoch);
+            }
         }
     }
 
@@ -81,7 +89,6 @@
                 }
             }
             ReplicaPhase::Leaving => next_of_leaving(replica, view),
-            ReplicaPhase::Quarantined { since } => self.next_of_quarantined(replica, since, view),
         }
     }
 
@@ -119,33 +126,6 @@
         }
     }
 
-    fn next_of_quarantined(
-        &self,
-        replica: &Replica,
-        since: tokio::time::Instant,
-        view: &StepView<'_>,
-    ) -> LifeStep {
-        let head = replica.head();
-        if replica.headed && view.standing(head) == WorkerStanding::Dead {
-            return LifeStep::Release("the head has ended");
-        }
-        if replica.headed && has_left(replica, head, view) {
-            return LifeStep::Release("the head has left");
-        }
-        let waits = |member: &&WorkerId| {
-            view.standing(member) == WorkerStanding::Usable && !has_left(replica, member, view)
-        };
-        if replica.members.iter().any(|member| waits(&member)) {
-            // The time counts from when the last one left.
-            return LifeStep::Move(ReplicaPhase::Quarantined { since: view.now });
-        }
-        if view.now >= since + self.timing.stall.mul_f64(1.0 + STALL_MARGIN) {
-            LifeStep::Release("the head must have given up")
-        } else {
-            LifeStep::Stay
-        }
-    }
-
     /// Orders what each replica needs next.
     pub(super) fn order_replicas(
         &mut self,
@@ -172,13 +152,6 @@
                 ReplicaPhase::Leaving => {
                     self.give(&head, WorkerOrder::Leave { name: name() }, view, tickets);
                 }
-                ReplicaPhase::Quarantined { .. } => {
-                    for member in &replica.members {
-                        if !has_left(&replica, member, view) {
-                            self.give(member, WorkerOrder::Leave { name: name() }, view, tickets);
-                        }
-                    }
-                }
             }
         }
     }
@@ -197,6 +170,9 @@
             if replica.state_in(report).is_some() {
                 continue;
             }
+            if self.leave_former(report, view, tickets) {
+                continue;
+            }
             let model = &replica.name.model;
             if self.may_join(report, &order, model, view, warming_up) {
                 self.give(member, order.clone(), view, tickets);
@@ -204,6 +180,27 @@
         }
     }
 
+    /// Has a worker leave the replica that it reports, unless that one cannot serve any more; true
+    /// where it must leave before it joins another.
+    pub(super) fn leave_former(
+        &mut self,
+        report: &WorkerReport,
+        view: &StepView<'_>,
+        tickets: &mut Vec<OrderTicket>,
+    ) -> bool {
+        let Some(membership) = &report.membership else { return false };
+        let former = ReplicaName::from_text(&membership.replica);
+        let Some(name) = former.filter(|name| name.kind == ReplicaKind::Serving) else {
+            return false;
+        };
+        let departed = self.departed.get(&report.id) == Some(&name.epoch);
+        if departed || self.vacated.contains(&name.epoch) {
+            return false;
+        }
+        self.give(&report.id, WorkerOrder::Leave { name }, view, tickets);
+        true
+    }
+
     /// Whether a join may go out now; counts the load that it begins.
     pub(super) fn may_join(
         &mut self,
@@ -263,21 +260,16 @@
 
 fn next_of_leaving(replica: &Replica, view: &StepView<'_>) -> LifeStep {
     let head = replica.head();
+    let reported = view.report(head).is_some_and(|report| replica.state_in(report).is_none());
     match view.standing(head) {
-        _ if has_left(replica, head, view) => LifeStep::Release("the head has left"),
-        WorkerStanding::Dead => LifeStep::Release("the head has ended"),
-        WorkerStanding::Lost => LifeStep::Move(ReplicaPhase::Quarantined { since: view.now }),
+        _ if replica.head_left || reported => LifeStep::HeadLeft,
+        WorkerStanding::Dead => LifeStep::HeadLeft,
+        // The members leave one by one when they are needed elsewhere.
+        WorkerStanding::Lost => LifeStep::Release("the head is lost"),
         WorkerStanding::Usable | WorkerStanding::Leaving => LifeStep::Stay,
     }
 }
 
-/// Whether a worker is certainly no member: it said so, or answered an order to leave.
-fn has_left(replica: &Replica, member: &WorkerId, view: &StepView<'_>) -> bool {
-    let answered = replica.left.contains(member);
-    let reported = view.report(member).is_some_and(|report| replica.state_in(report).is_none());
-    answered || reported
-}
-
 fn head_state(replica: &Replica, view: &StepView<'_>) -> Option<MembershipState> {
     view.report(replica.head()).and_then(|report| replica.state_in(report))
 }
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -9,9 +9,8 @@
 //!
 //! - `Open` is ordered only after each member itself reported that it is ready
 //!   under the replica's name and epoch.
-//! - A worker is ordered into another replica only after the head of its former
-//!   one has left it, has ended, or must have given up because a member left it
-//!   longer than the stall time ago.
+//! - A worker is ordered into another replica only after it has left its former
+//!   one itself, or after that one's head has.
 //! - A worker has at most one order under way.
 
 mod adopt;
@@ -63,8 +62,6 @@
 /// Times that the life of a replica is measured against.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaTiming {
-    /// Time after which a replica that lacks a member gives up by itself.
-    pub stall: Duration,
     /// Time for an order to show in the worker's report before it is given again.
     pub repeat: Duration,
     /// Longest time for the requests of a replica to end before it is taken apart.
@@ -85,8 +82,6 @@
     Closing { until: Instant },
     /// The head is being told to leave.
     Leaving,
-    /// The head cannot be asked; what is left waits until it must have given up.
-    Quarantined { since: Instant },
 }
 
 #[derive(Clone, Debug)]
@@ -96,10 +91,8 @@
     phase: ReplicaPhase,
     /// Whether the head may ever have been told to serve.
     opened: bool,
-    /// Whether the first member is the head; false where the head was never heard of.
-    headed: bool,
-    /// Members that answered an order to leave.
-    left: BTreeSet<WorkerId>,
+    /// Whether the head answered an order to leave.
+    head_left: bool,
 }
 
 impl Replica {
@@ -144,7 +137,10 @@
     settled: Instant,
     replicas: BTreeMap<Epoch, Replica>,
     standbys: BTreeMap<WorkerId, ReplicaName>,
-    retired: BTreeSet<Epoch>,
+    /// Replicas whose head has left, so that nothing of them can serve.
+    vacated: BTreeSet<Epoch>,
+    /// Workers that answered an order to leave a replica, which their report may still name.
+    departed: BTreeMap<WorkerId, Epoch>,
     orders: orders::OrderBook,
     loads: LoadLimiter,
     loads_from: Instant,
@@ -164,7 +160,8 @@
             settled,
             replicas: BTreeMap::new(),
             standbys: BTreeMap::new(),
-            retired: BTreeSet::new(),
+            vacated: BTreeSet::new(),
+            departed: BTreeMap::new(),
             orders: orders::OrderBook::new(timing.repeat),
             loads: LoadLimiter::new(timing.load_window),
             loads_from,
@@ -201,8 +198,9 @@
         let epoch = ticket.order.name().epoch;
         match (&ticket.order, outcome) {
             (WorkerOrder::Leave { .. }, outcome) if outcome.is_settled() => {
+                self.departed.insert(ticket.worker.clone(), epoch);
                 if let Some(replica) = self.replicas.get_mut(&epoch) {
-                    replica.left.insert(ticket.worker.clone());
+                    replica.head_left |= *replica.head() == ticket.worker;
                 }
             }
             (WorkerOrder::Join { .. }, OrderOutcome::Fenced) => self.give_up_forming(epoch),
@@ -311,14 +309,14 @@
         opened: bool,
     ) {
         let epoch = name.epoch;
-        let left = BTreeSet::new();
-        let replica = Replica { name, members, phase, opened, headed: true, left };
+        let replica = Replica { name, members, phase, opened, head_left: false };
         self.replicas.insert(epoch, replica);
     }
 
     fn count_standing(&self, view: &StepView<'_>) -> BTreeMap<(DomainId, ModelName), usize> {
         let mut counts = BTreeMap::new();
-        for replica in self.replicas.values() {
+        let kept = |replica: &&Replica| replica.phase != ReplicaPhase::Leaving;
+        for replica in self.replicas.values().filter(kept) {
             let report = replica.members.iter().find_map(|member| view.report(member));
             if let Some(report) = report {
                 let key = (domain_of(report), replica.name.model.clone());
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -66,6 +66,9 @@
             if joined {
                 continue;
             }
+            if self.leave_former(report, view, tickets) {
+                continue;
+            }
             let model = name.model.clone();
             let order = WorkerOrder::Join { name, members: vec![worker.clone()] };
             if self.may_join(report, &order, &model, view, warming_up) {
