Plan replicas only over workers that hold their weights; stage second models

Cause: a replica that waited 16 s for one member's load kept its other members idle. Ruled out: more loads at once (they slow each other in proportion). Change: once requests have come, only workers with the weights in memory or on their host are planned; free workers load what their domain lacks least, and stage the other model.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -11,6 +11,8 @@
 
 use hollowbarrow_schema::{DomainId, ModelName, WorkerId};
 
+/// Distance of a worker that must load a model from the store.
+const FAR: u8 = 2;
 /// Part of a domain's workers that is kept free while replicas are spread.
 const RESERVE_SHARE: f64 = 0.2;
 
@@ -39,14 +41,14 @@
 }
 
 impl PlacementWorker {
-    /// How soon it can serve a model: 0 at once, 1 from its host, 2 from the store.
+    /// How soon it can serve a model: 0 at once, 1 from its host, [`FAR`] from the store.
     fn distance(&self, model: &ModelName) -> u8 {
         if self.model.as_ref() == Some(model) {
             0
         } else if self.staged.contains(model) {
             1
         } else {
-            2
+            FAR
         }
     }
 }
@@ -62,6 +64,9 @@
 
 /// Plans replicas over the free workers.
 ///
+/// Unless `may_load`, only workers that hold a model's weights or have them on their host take
+/// part: a replica that waits for a load would keep its other members from any other use.
+///
 /// `standing` counts the replicas of each model in each domain, and `workers`
 /// all usable workers of each domain, those in replicas included.
 pub fn plan_replicas(
@@ -69,8 +74,10 @@
     standing: &BTreeMap<(DomainId, ModelName), usize>,
     workers: &BTreeMap<DomainId, usize>,
     free: &[PlacementWorker],
+    may_load: bool,
 ) -> Vec<PlannedReplica> {
     let mut planner = ReplicaPlanner::new(demands, standing, workers, free);
+    planner.may_load = may_load;
     let mut planned = Vec::new();
     while let Some(replica) = planner.place_next(true) {
         planned.push(replica);
@@ -88,6 +95,7 @@
     wanted: BTreeMap<ModelName, usize>,
     workers: &'a BTreeMap<DomainId, usize>,
     free: BTreeMap<DomainId, Vec<&'a PlacementWorker>>,
+    may_load: bool,
 }
 
 impl<'a> ReplicaPlanner<'a> {
@@ -108,7 +116,7 @@
             by_domain.entry(worker.domain.clone()).or_default().push(worker);
         }
         let wanted = wanted_counts(demands, workers.values().sum());
-        Self { demands, counts, hosted, wanted, workers, free: by_domain }
+        Self { demands, counts, hosted, wanted, workers, free: by_domain, may_load: true }
     }
 
     /// Places one replica of the model that is furthest below its share.
@@ -134,17 +142,24 @@
         count as f64 / demand.share.max(f64::MIN_POSITIVE)
     }
 
+    fn is_eligible(&self, worker: &PlacementWorker, model: &ModelName) -> bool {
+        self.may_load || worker.distance(model) < FAR
+    }
+
     fn choose_domain(&self, demand: &PlacementDemand, keep_reserve: bool) -> Option<DomainId> {
-        let fits = |domain: &DomainId, free: usize| {
+        let fits = |domain: &DomainId, free: &[&PlacementWorker]| {
             let total = self.workers.get(domain).copied().unwrap_or_default();
             let reserve = (total as f64 * RESERVE_SHARE).ceil() as usize;
-            free >= demand.size + if keep_reserve { reserve } else { 0 }
+            let eligible = free.iter().filter(|worker| self.is_eligible(worker, &demand.model));
+            let spared = if keep_reserve { reserve } else { 0 };
+            eligible.count() >= demand.size && free.len() >= demand.size + spared
         };
-        let candidates = self.free.iter().filter(|(domain, free)| fits(domain, free.len()));
+        let candidates = self.free.iter().filter(|(domain, free)| fits(domain, free));
         candidates
             .max_by_key(|(domain, free)| {
                 let warm = free.iter().filter(|worker| worker.distance(&demand.model) == 0).count();
-                let near = free.iter().filter(|worker| worker.distance(&demand.model) < 2).count();
+                let near =
+                    free.iter().filter(|worker| worker.distance(&demand.model) < FAR).count();
                 let size = demand.size;
                 let key = ((*domain).clone(), demand.model.clone());
                 let spread = !self.hosted.contains(&key);
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -218,6 +218,16 @@
         if held || self.orders.was_given(&report.id, order) {
             return true;
         }
+        self.take_load(model, view, warming_up)
+    }
+
+    /// Counts a load that is about to begin; false where it must wait.
+    pub(super) fn take_load(
+        &mut self,
+        model: &ModelName,
+        view: &StepView<'_>,
+        warming_up: bool,
+    ) -> bool {
         let engine = view.engine;
         let spec = engine.models.iter().find(|spec| spec.name == *model);
         let Some(load) = spec.map(|spec| spec.load) else { return false };
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -137,6 +137,8 @@
     settled: Instant,
     replicas: BTreeMap<Epoch, Replica>,
     standbys: BTreeMap<WorkerId, ReplicaName>,
+    /// Models that workers are copying to their hosts, and since when.
+    staging: BTreeMap<WorkerId, (ModelName, Instant)>,
     /// Replicas whose head has left, so that nothing of them can serve.
     vacated: BTreeSet<Epoch>,
     /// Workers that answered an order to leave a replica, which their report may still name.
@@ -160,6 +162,7 @@
             settled,
             replicas: BTreeMap::new(),
             standbys: BTreeMap::new(),
+            staging: BTreeMap::new(),
             vacated: BTreeSet::new(),
             departed: BTreeMap::new(),
             orders: orders::OrderBook::new(timing.repeat),
@@ -183,12 +186,15 @@
         self.adopt_reported(&view);
         self.advance_replicas(&view);
         if now >= self.settled {
-            self.place_free(&view);
+            self.place_free(&view, warming_up);
             self.keep_standbys(&view);
         }
         let mut tickets = Vec::new();
         self.order_replicas(&view, warming_up, &mut tickets);
         self.order_standbys(&view, warming_up, &mut tickets);
+        if now >= self.settled && !warming_up {
+            self.order_staging(&view, &mut tickets);
+        }
         tickets
     }
 
@@ -257,7 +263,7 @@
     }
 
     /// Plans replicas over the workers that are in none.
-    fn place_free(&mut self, view: &StepView<'_>) {
+    fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
         let demands: Vec<PlacementDemand> = view
             .engine
             .models
@@ -285,7 +291,7 @@
             }
         }
         let standing = self.count_standing(view);
-        for planned in plan_replicas(&demands, &standing, &domains, &free) {
+        for planned in plan_replicas(&demands, &standing, &domains, &free, warming_up) {
             let epoch = self.next_epoch();
             let name = ReplicaName { kind: ReplicaKind::Serving, model: planned.model, epoch };
             for member in &planned.members {
--- a/crates/fleet/src/replicas/orders.rs
+++ b/crates/fleet/src/replicas/orders.rs
@@ -28,6 +28,11 @@
         /// The replica.
         name: ReplicaName,
     },
+    /// Copy a model's weights to the worker's host, beside all else.
+    Stage {
+        /// A name of the model without an epoch.
+        name: ReplicaName,
+    },
     /// Leave a replica at once.
     Leave {
         /// The replica.
@@ -42,6 +47,7 @@
             Self::Join { name, .. }
             | Self::Open { name }
             | Self::Close { name }
+            | Self::Stage { name }
             | Self::Leave { name } => name,
         }
     }
@@ -52,6 +58,7 @@
             Self::Join { .. } => "join",
             Self::Open { .. } => "open",
             Self::Close { .. } => "close",
+            Self::Stage { .. } => "stage",
             Self::Leave { .. } => "leave",
         }
     }
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -6,44 +6,64 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hollowbarrow_schema::{DomainId, ModelName, WorkerId, WorkerReport};
+use hollowbarrow_schema::{DomainId, Epoch, ModelName, WorkerId, WorkerReport};
+
+use crate::deployment::ModelSpec;
 
 use super::names::{ReplicaKind, ReplicaName};
 use super::orders::{OrderTicket, WorkerOrder};
 use super::{ReplicaController, StepView, WorkerStanding, domain_of};
 
+/// Time after which copying a model to a host counts as failed, as a multiple of its length.
+const STAGING_PATIENCE: u32 = 3;
+
+/// Free workers of each domain that can serve a model without the store, or soon will.
+type NearCounts = BTreeMap<(DomainId, ModelName), usize>;
+
 impl ReplicaController {
     /// Gives each free worker without weights a model to hold.
     pub(super) fn keep_standbys(&mut self, view: &StepView<'_>) {
         let usable = |id: &WorkerId| view.standing(id) == WorkerStanding::Usable;
         self.standbys.retain(|worker, _| usable(worker));
-        let members: BTreeSet<WorkerId> =
-            self.replicas.values().flat_map(|replica| replica.members.iter().cloned()).collect();
-        let free: Vec<&WorkerReport> = view
-            .workers
-            .values()
-            .filter(|state| state.standing == WorkerStanding::Usable)
-            .map(|state| state.report)
-            .filter(|report| !members.contains(&report.id))
-            .collect();
-        let mut held: BTreeMap<(DomainId, ModelName), usize> = BTreeMap::new();
-        for report in &free {
-            if let Some(model) = self.model_of_free(report) {
-                *held.entry((domain_of(report), model)).or_default() += 1;
-            }
-        }
+        let free = self.free_workers(view);
+        let mut near = self.count_near(&free);
         for report in free {
             if self.model_of_free(report).is_some() {
                 continue;
             }
-            let Some(model) = choose_model(report, &held, view) else { continue };
-            *held.entry((domain_of(report), model.clone())).or_default() += 1;
+            let Some(model) = choose_model(report, &near, view, &[]) else { continue };
+            *near.entry((domain_of(report), model.clone())).or_default() += 1;
             let epoch = self.next_epoch();
             let name = ReplicaName { kind: ReplicaKind::Standby, model, epoch };
             self.standbys.insert(report.id.clone(), name);
         }
     }
 
+    /// Usable workers that are in no replica that serves or will.
+    fn free_workers<'a>(&self, view: &StepView<'a>) -> Vec<&'a WorkerReport> {
+        let members: BTreeSet<&WorkerId> =
+            self.replicas.values().flat_map(|replica| &replica.members).collect();
+        let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
+        usable.map(|state| state.report).filter(|report| !members.contains(&report.id)).collect()
+    }
+
+    fn count_near(&self, free: &[&WorkerReport]) -> NearCounts {
+        let mut near = NearCounts::new();
+        for report in free {
+            let staging = self.staging.get(&report.id).map(|(model, _)| model.clone());
+            let models: BTreeSet<ModelName> = self
+                .model_of_free(report)
+                .into_iter()
+                .chain(report.staged.iter().cloned())
+                .chain(staging)
+                .collect();
+            for model in models {
+                *near.entry((domain_of(report), model)).or_default() += 1;
+            }
+        }
+        near
+    }
+
     /// Model that a free worker holds or was told to hold.
     fn model_of_free(&self, report: &WorkerReport) -> Option<ModelName> {
         let told = self.standbys.get(&report.id).map(|name| name.model.clone());
@@ -63,10 +83,7 @@
             let Some(report) = view.report(&worker) else { continue };
             let text = name.to_text();
             let joined = report.membership.as_ref().is_some_and(|m| m.replica == text);
-            if joined {
-                continue;
-            }
-            if self.leave_former(report, view, tickets) {
+            if joined || self.leave_former(report, view, tickets) {
                 continue;
             }
             let model = name.model.clone();
@@ -76,29 +93,56 @@
             }
         }
     }
+
+    /// Has free workers copy a second model to their hosts, so that each can serve either soon.
+    pub(super) fn order_staging(&mut self, view: &StepView<'_>, tickets: &mut Vec<OrderTicket>) {
+        self.forget_staged(view);
+        let free = self.free_workers(view);
+        let mut near = self.count_near(&free);
+        for report in free {
+            let Some(held) = report.model.clone() else { continue };
+            let second = report.staged.iter().any(|model| *model != held);
+            if second || self.staging.contains_key(&report.id) {
+                continue;
+            }
+            let Some(model) = choose_model(report, &near, view, &[held]) else { continue };
+            let name = ReplicaName { kind: ReplicaKind::Standby, model, epoch: Epoch(0) };
+            let order = WorkerOrder::Stage { name: name.clone() };
+            let may_give = self.orders.may_give(&report.id, &order, view.now);
+            if !may_give || !self.take_load(&name.model, view, false) {
+                continue;
+            }
+            *near.entry((domain_of(report), name.model.clone())).or_default() += 1;
+            self.staging.insert(report.id.clone(), (name.model, view.now));
+            self.give(&report.id, order, view, tickets);
+        }
+    }
+
+    /// Forgets copies that are there, that failed or whose worker is not there any more.
+    fn forget_staged(&mut self, view: &StepView<'_>) {
+        let longest = view.engine.models.iter().map(|model| model.load).max().unwrap_or_default();
+        self.staging.retain(|worker, (model, since)| {
+            let Some(report) = view.report(worker) else { return false };
+            let late = view.now.duration_since(*since) > longest * STAGING_PATIENCE;
+            !report.staged.contains(model) && !late
+        });
+    }
 }
 
-/// The model whose standbys in the worker's domain are fewest for its replicas' size; what lies on
-/// the worker's host goes first where it is needed as much.
+/// The model of which the worker's domain lacks the fewest workers for another replica; what lies
+/// on the worker's host goes first where it is needed as much.
 fn choose_model(
     report: &WorkerReport,
-    held: &BTreeMap<(DomainId, ModelName), usize>,
+    near: &NearCounts,
     view: &StepView<'_>,
+    excluded: &[ModelName],
 ) -> Option<ModelName> {
     let domain = domain_of(report);
-    let need = |size: usize, model: &ModelName| {
-        let count = held.get(&(domain.clone(), model.clone())).copied().unwrap_or_default();
-        count as f64 / size.max(1) as f64
+    let lacking = |spec: &ModelSpec| {
+        let count = near.get(&(domain.clone(), spec.name.clone())).copied().unwrap_or_default();
+        let size = spec.size.max(1);
+        (size - count % size, !report.staged.contains(&spec.name))
     };
-    view.engine
-        .models
-        .iter()
-        .min_by(|a, b| {
-            let rank = |model: &crate::deployment::ModelSpec| {
-                (need(model.size, &model.name), !report.staged.contains(&model.name))
-            };
-            let ((need_a, far_a), (need_b, far_b)) = (rank(a), rank(b));
-            need_a.total_cmp(&need_b).then(far_a.cmp(&far_b))
-        })
-        .map(|model| model.name.clone())
+    let models = view.engine.models.iter().filter(|spec| !excluded.contains(&spec.name));
+    models.min_by_key(|spec| lacking(spec)).map(|spec| spec.name.clone())
 }
