--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -129,8 +129,28 @@
     }
 }
 
-/// The model of which the worker's domain lacks the fewest workers for another replica; what lies
-/// on the worker's host goes first where it is needed as much.
+/// How much one more worker near a model is worth to its domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum SpareValue {
+    /// There are enough for now: the fewer there are for the model's size, the better.
+    Further { missing_permille: usize },
+    /// It is the first that could replace a lost member; larger replicas lose one sooner.
+    FirstSpare { size: usize },
+    /// It completes the members of another replica.
+    Completes { size: usize },
+}
+
+fn value_of(spec: &ModelSpec, count: usize) -> SpareValue {
+    let size = spec.size.max(1);
+    match count {
+        0 => SpareValue::FirstSpare { size },
+        count if (count + 1).is_multiple_of(size) => SpareValue::Completes { size },
+        count => SpareValue::Further { missing_permille: 1000 - (count * 1000 / size).min(1000) },
+    }
+}
+
+/// The model that a worker should hold for the good of its domain; what lies on its host already
+/// goes before anything that must be loaded.
 fn choose_model(
     report: &WorkerReport,
     near: &NearCounts,
@@ -138,11 +158,10 @@
     excluded: &[ModelName],
 ) -> Option<ModelName> {
     let domain = domain_of(report);
-    let lacking = |spec: &ModelSpec| {
+    let rank = |spec: &ModelSpec| {
         let count = near.get(&(domain.clone(), spec.name.clone())).copied().unwrap_or_default();
-        let size = spec.size.max(1);
-        (size - count % size, !report.staged.contains(&spec.name))
+        (report.staged.contains(&spec.name), value_of(spec, count))
     };
     let models = view.engine.models.iter().filter(|spec| !excluded.contains(&spec.name));
-    models.min_by_key(|spec| lacking(spec)).map(|spec| spec.name.clone())
+    models.max_by_key(|spec| rank(spec)).map(|spec| spec.name.clone())
 }
