Spread a replica over domains only as a last resort

Cause: leftovers in several domains idle while a model has almost no replica. Change: only while fewer than a third of the wanted replicas stand. Conclusion: kept for starved models only.

--- a/crates/fleet/src/deployment.rs
+++ b/crates/fleet/src/deployment.rs
@@ -99,6 +99,8 @@
     pub loads_per_second: f64,
     /// Loads that run at once without slowing each other.
     pub loads_at_once: usize,
+    /// Factor on all times of a replica whose members are in several fabric domains.
+    pub far: f64,
     /// Time from the order to open until a replica serves.
     pub form: Duration,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,7 +25,9 @@
     Tenant,
 };
 pub use loads::LoadLimiter;
-pub use placement::{PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas};
+pub use placement::{
+    PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
+};
 pub use replicas::{
     OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, WorkerOrder, WorkerStanding,
 };
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,12 +7,15 @@
 //! is replaced within a second by a worker that holds the weights already. The
 //! reserve gives way where a model would otherwise fall below its share.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use hollowbarrow_schema::{DomainId, ModelName, WorkerId};
 
 /// Distance of a worker that must load a model from the store.
 const FAR: u8 = 2;
+/// Replicas of a model are spread over domains only while this many times their number is not wanted.
+const LAST_RESORT: usize = 3;
 /// Part of a domain's workers that is kept free while replicas are spread.
 const RESERVE_SHARE: f64 = 0.2;
 
@@ -88,6 +91,25 @@
     planned
 }
 
+/// Plans replicas of workers from several domains, which are slower but better than none.
+///
+/// For when no domain can form another replica alone; the arguments are those of
+/// [`plan_replicas`].
+pub fn plan_scattered(
+    demands: &[PlacementDemand],
+    standing: &BTreeMap<(DomainId, ModelName), usize>,
+    workers: &BTreeMap<DomainId, usize>,
+    free: &[PlacementWorker],
+) -> Vec<PlannedReplica> {
+    let mut planner = ReplicaPlanner::new(demands, standing, workers, free);
+    planner.may_load = false;
+    let mut planned = Vec::new();
+    while let Some(replica) = planner.place_scattered() {
+        planned.push(replica);
+    }
+    planned
+}
+
 struct ReplicaPlanner<'a> {
     demands: &'a [PlacementDemand],
     counts: BTreeMap<ModelName, usize>,
@@ -136,6 +158,29 @@
         None
     }
 
+    /// Places one replica over several domains, of a model that is below its share.
+    fn place_scattered(&mut self) -> Option<PlannedReplica> {
+        let mut order: Vec<&PlacementDemand> = self.demands.iter().collect();
+        order.sort_by(|a, b| self.fill_of(a).total_cmp(&self.fill_of(b)));
+        let demand = order.into_iter().find(|demand| {
+            let count = self.counts.get(&demand.model).copied().unwrap_or_default();
+            let wanted = self.wanted.get(&demand.model).copied().unwrap_or_default();
+            let near: usize = self.free.values().map(|free| near_of(free, &demand.model)).sum();
+            count * LAST_RESORT <= wanted && near >= demand.size
+        })?;
+        let mut domains: Vec<DomainId> = self.free.keys().cloned().collect();
+        domains.sort_by_key(|domain| Reverse(near_of(&self.free[domain], &demand.model)));
+        let mut members = Vec::with_capacity(demand.size);
+        for domain in domains {
+            let free = self.free.get_mut(&domain).expect("the domain was just listed");
+            free.sort_by_key(|worker| (worker.distance(&demand.model), worker.id.clone()));
+            let near = near_of(free, &demand.model).min(demand.size - members.len());
+            members.extend(free.drain(..near).map(|worker| worker.id.clone()));
+        }
+        *self.counts.entry(demand.model.clone()).or_default() += 1;
+        Some(PlannedReplica { model: demand.model.clone(), members })
+    }
+
     /// Replicas of a model in proportion to its share.
     fn fill_of(&self, demand: &PlacementDemand) -> f64 {
         let count = self.counts.get(&demand.model).copied().unwrap_or_default();
@@ -158,8 +203,7 @@
         candidates
             .max_by_key(|(domain, free)| {
                 let warm = free.iter().filter(|worker| worker.distance(&demand.model) == 0).count();
-                let near =
-                    free.iter().filter(|worker| worker.distance(&demand.model) < FAR).count();
+                let near = near_of(free, &demand.model);
                 let size = demand.size;
                 let key = ((*domain).clone(), demand.model.clone());
                 let spread = !self.hosted.contains(&key);
@@ -178,6 +222,11 @@
     }
 }
 
+/// Workers that need no load from the store for a model.
+fn near_of(free: &[&PlacementWorker], model: &ModelName) -> usize {
+    free.iter().filter(|worker| worker.distance(model) < FAR).count()
+}
+
 /// Replicas of each model that this many workers should carry, with the reserve left out.
 fn wanted_counts(demands: &[PlacementDemand], workers: usize) -> BTreeMap<ModelName, usize> {
     let usable = workers as f64 * (1.0 - RESERVE_SHARE);
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -41,7 +41,7 @@
         self.departed.retain(|worker, _| workers.contains_key(worker));
     }
 
-    fn enter(&mut self, epoch: Epoch, phase: ReplicaPhase) {
+    pub(super) fn enter(&mut self, epoch: Epoch, phase: ReplicaPhase) {
         let Some(replica) = self.replicas.get_mut(&epoch) else { return };
         log::info!(
             "event=replica_moved replica={} from={:?} to={phase:?}",
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -27,9 +27,11 @@
 };
 use tokio::time::Instant;
 
-use crate::deployment::Engine;
+use crate::deployment::{Engine, ModelSpec};
 use crate::loads::LoadLimiter;
-use crate::placement::{PlacementDemand, PlacementWorker, plan_replicas};
+use crate::placement::{
+    PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
+};
 
 pub use names::{ReplicaKind, ReplicaName};
 pub use orders::{OrderOutcome, OrderTicket, WorkerOrder};
@@ -186,6 +188,7 @@
         self.adopt_reported(&view);
         self.advance_replicas(&view);
         if now >= self.settled {
+            self.disband_scattered(&view);
             self.place_free(&view, warming_up);
             self.keep_standbys(&view);
         }
@@ -264,49 +267,75 @@
 
     /// Plans replicas over the workers that are in none.
     fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
-        let demands: Vec<PlacementDemand> = view
-            .engine
-            .models
-            .iter()
-            .map(|model| PlacementDemand {
-                model: model.name.clone(),
-                size: model.size,
-                share: model.share,
-            })
-            .collect();
+        let demands: Vec<PlacementDemand> = view.engine.models.iter().map(to_demand).collect();
+        let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
         let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
-        let mut free = Vec::new();
-        let members: BTreeSet<&WorkerId> =
-            self.replicas.values().flat_map(|replica| &replica.members).collect();
-        for state in view.workers.values().filter(|s| s.standing == WorkerStanding::Usable) {
-            let domain = domain_of(state.report);
-            *domains.entry(domain.clone()).or_default() += 1;
-            if !members.contains(&state.report.id) {
-                free.push(PlacementWorker {
-                    id: state.report.id.clone(),
-                    domain,
-                    model: state.report.model.clone(),
-                    staged: state.report.staged.clone(),
-                });
-            }
+        for state in usable {
+            *domains.entry(domain_of(state.report)).or_default() += 1;
+        }
+        let free = self.free_for_placement(view);
+        let standing = self.count_standing(view);
+        let planned = plan_replicas(&demands, &standing, &domains, &free, warming_up);
+        self.form(planned);
+        let disbanding =
+            self.replicas.values().any(|r| matches!(r.phase, ReplicaPhase::Closing { .. }));
+        if warming_up || disbanding {
+            return;
         }
+        let free = self.free_for_placement(view);
         let standing = self.count_standing(view);
-        for planned in plan_replicas(&demands, &standing, &domains, &free, warming_up) {
+        self.form(plan_scattered(&demands, &standing, &domains, &free));
+    }
+
+    fn free_for_placement(&self, view: &StepView<'_>) -> Vec<PlacementWorker> {
+        let to_worker = |report: &WorkerReport| PlacementWorker {
+            id: report.id.clone(),
+            domain: domain_of(report),
+            model: report.model.clone(),
+            staged: report.staged.clone(),
+        };
+        self.free_workers(view).into_iter().map(to_worker).collect()
+    }
+
+    /// Begins to form planned replicas.
+    fn form(&mut self, planned: Vec<PlannedReplica>) {
+        for replica in planned {
             let epoch = self.next_epoch();
-            let name = ReplicaName { kind: ReplicaKind::Serving, model: planned.model, epoch };
-            for member in &planned.members {
+            let name = ReplicaName { kind: ReplicaKind::Serving, model: replica.model, epoch };
+            for member in &replica.members {
                 self.standbys.remove(member);
             }
             log::info!(
                 "event=replica_planned replica={} model={} members={}",
                 name.to_text(),
                 *name.model,
-                join_ids(&planned.members)
+                join_ids(&replica.members)
             );
-            self.insert(name, planned.members, ReplicaPhase::Forming, false);
+            self.insert(name, replica.members, ReplicaPhase::Forming, false);
         }
     }
 
+    /// Takes apart a replica over several domains once one of them can form it alone.
+    fn disband_scattered(&mut self, view: &StepView<'_>) {
+        let near = self.count_near(&self.free_workers(view));
+        let mut serving = self.replicas.values().filter(|r| r.phase == ReplicaPhase::Serving);
+        let found = serving.find(|replica| {
+            let model = &replica.name.model;
+            let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
+            for report in replica.members.iter().filter_map(|member| view.report(member)) {
+                *domains.entry(domain_of(report)).or_default() += 1;
+            }
+            let enough = |(domain, members): (&DomainId, &usize)| {
+                let free = near.get(&(domain.clone(), model.clone())).copied().unwrap_or_default();
+                members + free >= replica.members.len()
+            };
+            domains.len() > 1 && domains.iter().any(enough)
+        });
+        let Some(epoch) = found.map(|replica| replica.name.epoch) else { return };
+        let until = view.now + self.timing.close;
+        self.enter(epoch, ReplicaPhase::Closing { until });
+    }
+
     fn insert(
         &mut self,
         name: ReplicaName,
@@ -333,6 +362,10 @@
     }
 }
 
+fn to_demand(model: &ModelSpec) -> PlacementDemand {
+    PlacementDemand { model: model.name.clone(), size: model.size, share: model.share }
+}
+
 /// A worker's domain; one that names none is alone in its own.
 fn domain_of(report: &WorkerReport) -> DomainId {
     report.domain.clone().unwrap_or_else(|| DomainId::from(report.id.as_str()))
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -18,7 +18,7 @@
 const STAGING_PATIENCE: u32 = 3;
 
 /// Free workers of each domain that can serve a model without the store, or soon will.
-type NearCounts = BTreeMap<(DomainId, ModelName), usize>;
+pub(super) type NearCounts = BTreeMap<(DomainId, ModelName), usize>;
 
 impl ReplicaController {
     /// Gives each free worker without weights a model to hold.
@@ -40,14 +40,14 @@
     }
 
     /// Usable workers that are in no replica that serves or will.
-    fn free_workers<'a>(&self, view: &StepView<'a>) -> Vec<&'a WorkerReport> {
+    pub(super) fn free_workers<'a>(&self, view: &StepView<'a>) -> Vec<&'a WorkerReport> {
         let members: BTreeSet<&WorkerId> =
             self.replicas.values().flat_map(|replica| &replica.members).collect();
         let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
         usable.map(|state| state.report).filter(|report| !members.contains(&report.id)).collect()
     }
 
-    fn count_near(&self, free: &[&WorkerReport]) -> NearCounts {
+    pub(super) fn count_near(&self, free: &[&WorkerReport]) -> NearCounts {
         let mut near = NearCounts::new();
         for report in free {
             let staging = self.staging.get(&report.id).map(|(model, _)| model.clone());
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -16,8 +16,8 @@
 use hollowbarrow_fleet::replicas::{ReplicaKind, ReplicaName};
 use hollowbarrow_fleet::{Engine, ModelSpec, Service, WorkerTable};
 use hollowbarrow_schema::{
-    Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId, WorkerLoad,
-    WorkerReport, ZoneId,
+    DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
+    WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
@@ -73,6 +73,8 @@
     address: SocketAddr,
     near: bool,
     slots: u32,
+    /// Whether the replica's members are in several fabric domains.
+    scattered: bool,
 }
 
 /// What this gateway knows of a worker by its own requests.
@@ -213,8 +215,9 @@
         let candidates = self.replicas.get(&key).map_or(&[][..], Vec::as_slice);
         let estimate = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
-            let pass = pass_ms(engine, spec, load.active + 1);
-            let reading = reading_ms(engine, spec, facts.prompt_tokens);
+            let slower = if candidate.scattered { engine.far } else { 1.0 };
+            let pass = pass_ms(engine, spec, load.active + 1) * slower;
+            let reading = reading_ms(engine, spec, facts.prompt_tokens) * slower;
             let first_ms = load.waiting_ms + reading + pass * 1.5;
             PickedWorker {
                 id: candidate.id.clone(),
@@ -350,6 +353,7 @@
         self.replicas.clear();
         self.plain.clear();
         let leaving = leaving_epochs(&self.table);
+        let scattered = scattered_epochs(&self.table);
         for entry in self.table.iter() {
             let report = &entry.report;
             let Some(candidate) = self.candidate_of(report) else { continue };
@@ -364,6 +368,8 @@
                 && !leaving.contains(&membership.epoch)
             {
                 let key = (report.service.clone(), name.model);
+                let scattered = scattered.contains(&membership.epoch);
+                let candidate = Candidate { scattered, ..candidate };
                 self.replicas.entry(key).or_default().push(candidate);
             }
         }
@@ -375,7 +381,8 @@
         }
         let address = report.address.parse().ok()?;
         let near = report.zone == self.zone;
-        Some(Candidate { id: report.id.clone(), address, near, slots: report.slots })
+        let (id, slots) = (report.id.clone(), report.slots);
+        Some(Candidate { id, address, near, slots, scattered: false })
     }
 }
 
@@ -385,6 +392,20 @@
     leaving.filter_map(|entry| entry.report.membership.as_ref()).map(|m| m.epoch).collect()
 }
 
+/// Epochs of the replicas whose members are in several fabric domains.
+fn scattered_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
+    let mut domains: HashMap<Epoch, Option<&DomainId>> = HashMap::new();
+    let mut scattered = BTreeSet::new();
+    for report in table.iter().map(|entry| &entry.report).filter(|report| !report.gone) {
+        let Some(membership) = &report.membership else { continue };
+        let domain = report.domain.as_ref();
+        if *domains.entry(membership.epoch).or_insert(domain) != domain {
+            scattered.insert(membership.epoch);
+        }
+    }
+    scattered
+}
+
 fn pass_ms(engine: &Engine, spec: &ModelSpec, active: u32) -> f64 {
     let step = engine.step.as_secs_f64() * 1000.0;
     let step = step + engine.step_per_request_ms * f64::from(active);
