Share a replica's places among gateways by what each last told

Cause: gateways know of each other's requests half a second late, so that together they sent more than a replica has places for; what waits at a worker is late. Change: a gateway may have what it had when it last told, and its part of the places free then; loads and views every 150 ms.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -22,7 +22,7 @@
 /// Shortest pause between two steps.
 const STEP_PAUSE: Duration = Duration::from_millis(10);
 /// Pause between two views for gateways, unless something that matters has changed.
-const VIEW_INTERVAL: Duration = Duration::from_millis(250);
+const VIEW_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause between two looks at the voters.
 const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which a leader that has just started has heard of every worker.
@@ -215,6 +215,7 @@
         let message = FleetView {
             term: held.term,
             number: held.view_number,
+            gateways: u32::try_from(gateways.len()).unwrap_or(u32::MAX),
             controllers: core.known_controllers(),
             withheld: held.withheld.clone(),
             loads: loads.collect(),
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -11,7 +11,7 @@
 use crate::core::GatewayCore;
 
 /// Pause between two reports to controllers.
-const HELLO_INTERVAL: Duration = Duration::from_millis(250);
+const HELLO_INTERVAL: Duration = Duration::from_millis(150);
 /// Time after which workers that have gone are forgotten.
 const TABLE_SILENCE: Duration = Duration::from_secs(24 * 60 * 60);
 
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -33,6 +33,8 @@
 const FAILURES_TO_EJECT: u32 = 2;
 /// Shortest and longest time for which a worker is left out.
 const EJECTION: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(6));
+/// Part of its even share of free places that a gateway uses; gateways get uneven shares of callers.
+const FREE_SHARE: f64 = 2.0;
 /// Requests that plain workers are given at once for each of their slots.
 const PLAIN_SLOT_FACTOR: u32 = 2;
 
@@ -94,6 +96,16 @@
     waiting_ms: f64,
 }
 
+/// What the leading controller last told.
+#[derive(Clone, Debug, Default)]
+struct SharedView {
+    rank: (Term, u64),
+    gateways: u32,
+    withheld: HashSet<WorkerId>,
+    /// What all gateways together had under way, and this one of it.
+    loads: HashMap<WorkerId, (SharedLoad, SharedLoad)>,
+}
+
 /// Knows the workers and chooses among them.
 #[derive(Debug)]
 pub(crate) struct WorkerPicker {
@@ -102,11 +114,9 @@
     indexed: u64,
     replicas: HashMap<(ServiceName, ModelName), Vec<Candidate>>,
     plain: HashMap<ServiceName, Vec<Candidate>>,
-    withheld: HashSet<WorkerId>,
-    view: (Term, u64),
+    view: SharedView,
     own: HashMap<WorkerId, OwnLoad>,
     reported: HashMap<WorkerId, SharedLoad>,
-    others: HashMap<WorkerId, SharedLoad>,
 }
 
 impl WorkerPicker {
@@ -117,11 +127,9 @@
             indexed: 0,
             replicas: HashMap::new(),
             plain: HashMap::new(),
-            withheld: HashSet::new(),
-            view: (Term(0), 0),
+            view: SharedView::default(),
             own: HashMap::new(),
             reported: HashMap::new(),
-            others: HashMap::new(),
         }
     }
 
@@ -135,20 +143,21 @@
     /// Takes the leading controller's view in; older ones are passed over.
     pub(crate) fn take_view(&mut self, view: &FleetView) {
         let rank = (view.term, view.number);
-        if rank <= self.view {
+        if rank <= self.view.rank {
             return;
         }
-        self.view = rank;
-        self.withheld = view.withheld.iter().cloned().collect();
-        self.others.clear();
-        for load in &view.loads {
-            let own = self.reported.get(&load.worker).copied().unwrap_or_default();
-            let others = SharedLoad {
-                active: load.active.saturating_sub(own.active),
-                waiting_ms: (f64::from(load.waiting_ms) - own.waiting_ms).max(0.0),
-            };
-            self.others.insert(load.worker.clone(), others);
-        }
+        let own = |load: &WorkerLoad| self.reported.get(&load.worker).copied().unwrap_or_default();
+        let all = |load: &WorkerLoad| SharedLoad {
+            active: load.active,
+            waiting_ms: f64::from(load.waiting_ms),
+        };
+        let loads = view.loads.iter().map(|load| (load.worker.clone(), (all(load), own(load))));
+        self.view = SharedView {
+            rank,
+            gateways: view.gateways,
+            withheld: view.withheld.iter().cloned().collect(),
+            loads: loads.collect(),
+        };
     }
 
     pub(crate) fn digest(&self) -> u64 {
@@ -229,7 +238,7 @@
         };
         let cost = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
-            let full = load.active >= engine.slots;
+            let full = self.own_active(&candidate.id) >= self.own_limit(candidate, engine.slots);
             (!full).then(|| estimate(candidate).first_ms + f64::from(load.active) * ACTIVE_MS)
         };
         self.choose(candidates, facts, cost, now).map(estimate)
@@ -262,7 +271,7 @@
         now: Instant,
     ) -> Result<&'a Candidate, NoWorker> {
         let usable = |candidate: &&Candidate| {
-            !self.withheld.contains(&candidate.id) && !facts.excluded.contains(&candidate.id)
+            !self.view.withheld.contains(&candidate.id) && !facts.excluded.contains(&candidate.id)
         };
         let mut known = false;
         let mut best: Option<(bool, f64, &Candidate)> = None;
@@ -285,15 +294,36 @@
         }
     }
 
+    /// Requests under way at a worker: this gateway's now, and those of others as last told.
     fn load_of(&self, id: &WorkerId) -> SharedLoad {
         let own = self.own.get(id);
-        let others = self.others.get(id).copied().unwrap_or_default();
+        let (all, reported) = self.view.loads.get(id).copied().unwrap_or_default();
+        let others = all.active.saturating_sub(reported.active);
+        let others_ms = (all.waiting_ms - reported.waiting_ms).max(0.0);
         SharedLoad {
-            active: own.map_or(0, |own| own.active) + others.active,
-            waiting_ms: own.map_or(0.0, |own| own.waiting_ms) + others.waiting_ms,
+            active: own.map_or(0, |own| own.active) + others,
+            waiting_ms: own.map_or(0.0, |own| own.waiting_ms) + others_ms,
         }
     }
 
+    fn own_active(&self, id: &WorkerId) -> u32 {
+        self.own.get(id).map_or(0, |own| own.active)
+    }
+
+    /// Requests that this gateway may have under way at a worker: what it had when it last told,
+    /// and its part of the places that were free then.
+    ///
+    /// So all gateways together stay near the worker's places although each knows of the others
+    /// late: once none is free, each begins a request only when one of its own has ended.
+    fn own_limit(&self, candidate: &Candidate, slots: u32) -> u32 {
+        let (all, reported) = self.view.loads.get(&candidate.id).copied().unwrap_or_default();
+        let free = f64::from(slots.saturating_sub(all.active));
+        let part = free * FREE_SHARE / f64::from(self.view.gateways.max(1));
+        // A part of a place is given now and then.
+        let part = (part + rand::random::<f64>()).floor() as u32;
+        reported.active + part
+    }
+
     /// Notes that a request went to a worker.
     pub(crate) fn begin(&mut self, id: &WorkerId, reading_ms: f64) {
         let own = self.own.entry(id.clone()).or_default();
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1037,6 +1037,8 @@
 #[serde(deny_unknown_fields)]
 pub struct FleetView {
     pub controllers: ::std::vec::Vec<DaemonId>,
+    ///Gateways that were heard of lately.
+    pub gateways: u32,
     ///Sums over all gateways.
     pub loads: ::std::vec::Vec<WorkerLoad>,
     ///Rises with each view of a term.
