--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -33,8 +33,9 @@
 const FAILURES_TO_EJECT: u32 = 2;
 /// Shortest and longest time for which a worker is left out.
 const EJECTION: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(6));
-/// Part of its even share of free places that a gateway uses; gateways get uneven shares of callers.
-const FREE_SHARE: f64 = 2.0;
+/// Part of its even share of free places that a gateway uses: somewhat more, since gateways get
+/// uneven shares of callers.
+const FREE_SHARE: f64 = 1.2;
 /// Requests that plain workers are given at once for each of their slots.
 const PLAIN_SLOT_FACTOR: u32 = 2;
 
