--- /dev/null
+++ b/crates/fleet/tests/deployment.rs
@@ -0,0 +1,108 @@
+//! Checks of whole configurations, and lookups of routes against a naive search.
+
+use std::time::Duration;
+
+use hollowbarrow_fleet::{
+    CallerLimits, Deployment, DeploymentFault, Repeatability, Route, RouteTable, Service, Tenant,
+};
+use hollowbarrow_schema::{OrganisationId, ServiceName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Repeatability::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        gap_objective: None,
+        priority: 1,
+        split: vec![(ServiceName("chat".to_owned()), 1)],
+        max_attempts: 1,
+        public: false,
+    }
+}
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    let keys = keys.iter().map(|key| (*key).to_owned()).collect();
+    Tenant { name: OrganisationId(name.to_owned()), keys, priority: None }
+}
+
+fn deployment(routes: Vec<Route>) -> Deployment {
+    let name = ServiceName("chat".to_owned());
+    let service = Service { name, health_path: "/".to_owned(), max_connections: 10, engine: None };
+    Deployment {
+        version: 1,
+        routes,
+        services: vec![service],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+        tenants: Some(vec![tenant("family", &["k1", "k2"])]),
+    }
+}
+
+#[rstest]
+fn check_sound_configuration() {
+    assert_eq!(deployment(vec![route("r", "h", "/a/")]).check(), Vec::new());
+}
+
+#[rstest]
+#[case::unknown_service(|d: &mut Deployment| d.routes[0].split[0].0 = ServiceName("x".to_owned()),
+    "routes.r: the service x is not in the document")]
+#[case::same_place(|d: &mut Deployment| d.routes.push(route("s", "h", "/a/")),
+    "routes.s: h/a/ is already the place of r")]
+#[case::no_weight(|d: &mut Deployment| d.routes[0].split[0].1 = 0,
+    "routes.r.weights: they add up to 0")]
+#[case::no_timeout(|d: &mut Deployment| d.routes[0].timeout = Duration::ZERO,
+    "routes.r.timeout: it is 0")]
+#[case::bad_prefix(|d: &mut Deployment| d.routes[0].prefix = "/a".to_owned(),
+    "routes.r.prefix: \"/a\" does not begin and end with a slash")]
+#[case::shared_key(|d: &mut Deployment| {
+        d.tenants.as_mut().expect("there are tenants").push(tenant("owner", &["k2"]));
+    }, "tenants.owner: a key is already one of family")]
+fn check_fault(#[case] spoil: fn(&mut Deployment), #[case] expected: &str) {
+    let mut spoilt = deployment(vec![route("r", "h", "/a/")]);
+    spoil(&mut spoilt);
+    let faults: Vec<String> = spoilt.check().iter().map(DeploymentFault::to_string).collect();
+    assert_eq!(faults, vec![expected.to_owned()]);
+}
+
+#[rstest]
+fn tenant_known_key() {
+    let table = RouteTable::new(&deployment(vec![route("r", "h", "/a/")]));
+    assert!(table.needs_keys());
+    assert_eq!(table.tenant("k2").map(|tenant| tenant.name.as_str()), Some("family"));
+    assert!(table.tenant("k3").is_none());
+}
+
+#[rstest]
+#[case::with_port("Camp.Example:8080", true)]
+#[case::plain("camp.example", true)]
+#[case::other("owner.example", false)]
+fn find_host(#[case] host: &str, #[case] found: bool) {
+    let table = RouteTable::new(&deployment(vec![route("r", "camp.example", "/a/")]));
+    assert_eq!(table.find(host, "/a/b").is_some(), found);
+}
+
+proptest! {
+    #[test]
+    fn find_longest_prefix(
+        prefixes in proptest::collection::btree_set("/([ab]/){0,3}", 1..8),
+        path in "/([ab]/){0,4}[ab]{0,2}",
+    ) {
+        let routes = prefixes.iter().map(|prefix| route(prefix, "h", prefix)).collect();
+        let table = RouteTable::new(&deployment(routes));
+        let naive = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(prefix.as_str()))
+            .max_by_key(|prefix| prefix.len());
+        let found = table.find("h", &path).map(|route| &route.prefix);
+        prop_assert_eq!(found, naive);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/workers.rs
@@ -0,0 +1,120 @@
+//! The table of workers against a naive one: whatever the order, the newest report of each counts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hollowbarrow_fleet::{MergeOutcome, WorkerTable};
+use hollowbarrow_schema::{ServiceName, WorkerBeat, WorkerId, WorkerReport, ZoneId};
+use proptest::prelude::*;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn report(id: u8, seq: u64, leaving: bool) -> WorkerReport {
+    WorkerReport {
+        id: WorkerId(format!("w{id}")),
+        seq,
+        service: ServiceName("chat".to_owned()),
+        address: format!("127.0.0.1:{}", 9000 + u16::from(id)),
+        zone: ZoneId("a".to_owned()),
+        slots: 4,
+        leaving,
+        gone: false,
+        domain: None,
+        model: None,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+#[rstest]
+#[case::older(3, MergeOutcome::Stale)]
+#[case::same(5, MergeOutcome::Stale)]
+#[case::newer(6, MergeOutcome::Renewed)]
+fn merge_same_content(#[case] seq: u64, #[case] expected: MergeOutcome) {
+    let now = Instant::now();
+    let mut table = WorkerTable::new();
+    assert_eq!(table.merge(report(1, 5, false), now), MergeOutcome::Changed);
+    assert_eq!(table.merge(report(1, seq, false), now), expected);
+}
+
+#[rstest]
+fn merge_late_report_after_removal() {
+    let now = Instant::now();
+    let mut table = WorkerTable::new();
+    table.merge(report(1, 5, false), now);
+    let removed = table.remove(&WorkerId::from("w1"), now).expect("the worker was there");
+    assert!(removed.gone);
+    assert_eq!(table.remove(&WorkerId::from("w1"), now), None);
+    table.merge(report(1, 9, false), now);
+    assert!(table.get(&WorkerId::from("w1")).expect("it is remembered").report.gone);
+}
+
+#[rstest]
+fn renew_moves_only_forward() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(1);
+    let mut table = WorkerTable::new();
+    table.merge(report(1, 5, false), start);
+    let beat = |seq| WorkerBeat { id: WorkerId::from("w1"), seq };
+    assert!(table.renew(&beat(4), later));
+    assert_eq!(table.get(&WorkerId::from("w1")).expect("there").heard, start);
+    assert!(table.renew(&beat(6), later));
+    assert_eq!(table.get(&WorkerId::from("w1")).expect("there").heard, later);
+    assert!(!table.renew(&WorkerBeat { id: WorkerId::from("w9"), seq: 1 }, later));
+}
+
+#[rstest]
+fn digest_same_content_under_other_numbers() {
+    let now = Instant::now();
+    let (mut one, mut other) = (WorkerTable::new(), WorkerTable::new());
+    one.merge(report(1, 5, false), now);
+    other.merge(report(1, 8, false), now);
+    assert_eq!(one.digest(), other.digest());
+    other.merge(report(1, 9, true), now);
+    assert_ne!(one.digest(), other.digest());
+}
+
+proptest! {
+    /// Two tables that got the same reports in other orders, some of them twice, are equal, and
+    /// hold what a naive table holds.
+    #[test]
+    fn merge_any_order(
+        reports in proptest::collection::vec((0u8..4, 1u64..12, any::<bool>()), 1..40),
+        order in any::<u64>(),
+    ) {
+        let now = Instant::now();
+        // One number names one content, as with real workers.
+        let mut contents: BTreeMap<(u8, u64), bool> = BTreeMap::new();
+        for (id, seq, leaving) in &reports {
+            contents.entry((*id, *seq)).or_insert(*leaving);
+        }
+        let sent: Vec<WorkerReport> =
+            reports.iter().map(|(id, seq, _)| report(*id, *seq, contents[&(*id, *seq)])).collect();
+        let mut shuffled = sent.clone();
+        let length = shuffled.len();
+        for index in 0..length {
+            let other = (order.rotate_left(index as u32) as usize) % length;
+            shuffled.swap(index, other);
+        }
+        let (mut one, mut other) = (WorkerTable::new(), WorkerTable::new());
+        for sent in &sent {
+            one.merge(sent.clone(), now);
+        }
+        for sent in shuffled.iter().chain(&shuffled) {
+            other.merge(sent.clone(), now);
+        }
+        prop_assert_eq!(one.digest(), other.digest());
+        let mut naive: BTreeMap<WorkerId, WorkerReport> = BTreeMap::new();
+        for sent in &sent {
+            let newest = naive.entry(sent.id.clone()).or_insert_with(|| sent.clone());
+            if sent.seq > newest.seq {
+                *newest = sent.clone();
+            }
+        }
+        for (id, newest) in &naive {
+            let held = one.get(id).expect("every worker is held");
+            prop_assert_eq!(held.seq, newest.seq);
+            prop_assert_eq!(held.report.leaving, newest.leaving);
+        }
+    }
+}
