--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -18,7 +18,7 @@
 use crate::fleet::FleetState;
 use crate::protocol::{ControlAnswer, ControlProtocol};
 use crate::reconcile::{WorkerNews, has_replicas, keep_fleet};
-use crate::sync::{greet_controllers, push_deployments, take_message};
+use crate::sync::{greet_controllers, log_quorum, push_deployments, take_message};
 
 /// Silence after which a voter stands for election.
 const ELECTION_TIME: Duration = Duration::from_millis(600);
@@ -175,6 +175,7 @@
         tokio::spawn(serve_http(listener, CONTROL_LIMITS, stopped, handler));
         tokio::spawn(greet_controllers(Arc::clone(&core)));
         tokio::spawn(push_deployments(Arc::clone(&core)));
+        tokio::spawn(log_quorum(Arc::clone(&core)));
         tokio::spawn(keep_fleet(Arc::clone(&core), news_receiver));
         log::info!("event=started role=controller name={}", core.settings.name);
         Ok(Self { core, stop })
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -111,13 +111,12 @@
 
 fn begin_term(core: &ControllerCore, view: &LogView, now: Instant) -> Leadership {
     let heartbeat = core.heartbeat();
-    let settle = if core.settings.found && !core.fleet().has_served() {
-        SHORT_SETTLED
-    } else if now.duration_since(core.started) > heartbeat.mul_f64(SETTLED_BEATS) {
-        SHORT_SETTLED
-    } else {
-        heartbeat.mul_f64(SETTLED_BEATS)
-    };
+    let settling = heartbeat.mul_f64(SETTLED_BEATS);
+    // At the first start there is nothing to take over, and later a leader that has run for a
+    // while has heard of every worker.
+    let first = core.settings.found && !core.fleet().has_served();
+    let settle =
+        if first || now.duration_since(core.started) > settling { SHORT_SETTLED } else { settling };
     log::info!("event=leadership_begun term={} settle_ms={}", *view.term, settle.as_millis());
     let window = Duration::from_secs(core.settings.load_window_s.into());
     let fresh = core.settings.found && !core.fleet().has_served();
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -39,6 +39,28 @@
     }
 }
 
+/// Logs who leads and who votes whenever that changes, until the process ends.
+pub(crate) async fn log_quorum(core: Arc<ControllerCore>) {
+    let mut views = core.log.watch();
+    let mut logged = String::new();
+    loop {
+        let line = {
+            let view = views.borrow_and_update();
+            let voters: Vec<&str> = view.voters.iter().map(|voter| voter.as_str()).collect();
+            let leader = view.leader.as_ref().map_or("none", |leader| leader.as_str());
+            let (voters, lost_disk) = (voters.join(","), view.lost_disk);
+            format!("leader={leader} term={} voters={voters} lost_disk={lost_disk}", *view.term)
+        };
+        if line != logged {
+            log::info!("event=quorum {line}");
+            logged = line;
+        }
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Pushes each configuration to the gateways of this zone as soon as it is committed.
 pub(crate) async fn push_deployments(core: Arc<ControllerCore>) {
     loop {
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -158,6 +158,10 @@
             rng,
         };
         replica.refresh_voters();
+        if !replica.config.founding {
+            // Where no log is being founded, a voter with an empty disk has lost it.
+            replica.check_quorum_member();
+        }
         replica.reset_deadline(now);
         replica
     }
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,114 @@
+//! The whole path through real processes, before stand-in workers of the platform.
+
+mod system;
+mod worker;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use system::{KEY, System, configuration};
+use worker::{EVENTS, Fleet, Worker, event};
+
+struct Deployment {
+    system: System,
+    fleet: Arc<Fleet>,
+    engines: Vec<Arc<Worker>>,
+    _plain: Arc<Worker>,
+}
+
+async fn deploy(block: u8) -> Deployment {
+    let system = System::start(block);
+    let fleet = Fleet::new(system.controllers.clone());
+    let engines: Vec<Arc<Worker>> =
+        (0..9).map(|n| Worker::start(&fleet, &format!("e{n}"), "models", true)).collect();
+    let plain = Worker::start(&fleet, "p0", "bookings", false);
+    assert_eq!(system.replace(&configuration(3)).await, 200);
+    system.wait_ready().await;
+    Deployment { system, fleet, engines, _plain: plain }
+}
+
+fn whole_stream() -> String {
+    (1..=EVENTS).map(event).collect()
+}
+
+#[rstest]
+#[tokio::test]
+async fn serve_whole_path() {
+    let deployment = deploy(1).await;
+    let system = &deployment.system;
+    let body = system.call_until_served("/chat/1", "first").await;
+    assert_eq!(String::from_utf8_lossy(&body), whole_stream());
+    let body = system.call_until_served("/hold/1", "hold").await;
+    assert_eq!(&body[..], b"tenant family");
+    let status = async |path: &str, key: Option<&str>| {
+        let answer = system.call(0, path, "refused", key).await.expect("it is answered");
+        answer.status().as_u16()
+    };
+    assert_eq!(status("/chat/1", Some("other")).await, 401);
+    assert_eq!(status("/chat/1", None).await, 401);
+    assert_eq!(status("/none/1", Some(KEY)).await, 404);
+    assert_eq!(deployment.fleet.runs("refused"), 0);
+    assert_eq!(system.fetch().await, configuration(3));
+    let mut bad = configuration(4);
+    bad["routes"][0]["timeout_ms"] = 0.into();
+    assert_eq!(system.replace(&bad).await, 400);
+    assert_eq!(system.replace(&configuration(2)).await, 200, "an older one changes nothing");
+    assert_eq!(system.fetch().await, configuration(3));
+}
+
+#[rstest]
+#[tokio::test]
+async fn stream_resumed_after_lost_member() {
+    let deployment = deploy(2).await;
+    let system = &deployment.system;
+    system.call_until_served("/chat/1", "warm").await;
+    let streams = futures_util::future::join_all((0..6).map(|n| {
+        let id = format!("stream-{n}");
+        async move { system.call(n % 2, "/chat/1", &id, Some(KEY)).await }
+    }));
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let member = deployment.engines.iter().find(|engine| {
+            engine
+                .membership()
+                .is_some_and(|(name, state)| name.starts_with("serving") && state == "ready")
+        });
+        member.expect("a replica has members").kill();
+    };
+    let (answers, ()) = tokio::join!(streams, kill);
+    for answer in answers {
+        let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", system.logs()));
+        assert_eq!(answer.status().as_u16(), 200);
+        assert_eq!(String::from_utf8_lossy(answer.body()), whole_stream());
+    }
+}
+
+#[rstest]
+#[case::killed(3, false)]
+#[case::wiped(4, true)]
+#[tokio::test]
+async fn replace_survives_lost_controllers(#[case] block: u8, #[case] wiped: bool) {
+    let mut deployment = deploy(block).await;
+    for (index, version) in [(0, 5), (1, 6), (2, 7)] {
+        let system = &mut deployment.system;
+        system.kill_controller(index);
+        assert_eq!(system.replace(&configuration(version)).await, 200);
+        system.restart_controller(index, wiped);
+        assert_eq!(system.fetch().await, configuration(version));
+        // The next loss comes only once this one has caught up: it votes again.
+        wait_for_voter(system, index).await;
+    }
+    deployment.system.call_until_served("/chat/1", "after").await;
+}
+
+/// Waits until a controller that came back is a voter again.
+async fn wait_for_voter(system: &System, index: usize) {
+    for _ in 0..600 {
+        if system.votes(index) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("controller {index} does not vote again: {}", system.logs());
+}
--- /dev/null
+++ b/tests/platform/system.rs
@@ -0,0 +1,275 @@
+//! Controllers and gateways as real processes on addresses of the loopback range.
+
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowbarrow_member::http::{CallError, call_once};
+use http_body_util::Full;
+use hyper::{Method, Request, Response};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+/// Longest wait for anything that must happen.
+const PATIENCE: Duration = Duration::from_secs(60);
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+pub const HOST: &str = "camp.example";
+pub const KEY: &str = "key-of-family";
+
+/// One process.
+struct Daemon {
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Daemon {
+    fn start(&mut self) {
+        let log = std::fs::File::options().create(true).append(true).open(&self.log);
+        let child = Command::new(env!("CARGO_BIN_EXE_hollowbarrow"))
+            .arg(self.role)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stderr(log.expect("the log can be written"))
+            .stdout(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the binary starts"));
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// A whole system.
+pub struct System {
+    daemons: Vec<Daemon>,
+    pub controllers: Vec<String>,
+    pub gateways: Vec<String>,
+    readiness: Vec<String>,
+    _folder: TempDir,
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("it is bound").port()
+}
+
+impl System {
+    /// Starts three controllers and two gateways; `block` keeps tests that run at once apart.
+    pub fn start(block: u8) -> Self {
+        let folder = tempfile::tempdir().expect("a folder can be made");
+        let (mesh, control) = (free_port(), free_port());
+        let ip = |number: u8| format!("127.77.{block}.{number}");
+        let controllers: Vec<String> = (1..=3).map(|n| format!("{}:{control}", ip(n))).collect();
+        let (callers, ready) = (free_port(), free_port());
+        let gateways: Vec<String> = (4..=5).map(|n| format!("{}:{callers}", ip(n))).collect();
+        let readiness: Vec<String> = (4..=5).map(|n| format!("{}:{ready}", ip(n))).collect();
+        let mut daemons = Vec::new();
+        for number in 1..=5u8 {
+            let controller = number <= 3;
+            let mut settings = json!({"name": format!("d{number}"), "zone": "a",
+                "ip": ip(number), "mesh_port": mesh, "seeds": controllers,
+                "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true});
+            if controller {
+                settings["control"] = json!(controllers[usize::from(number) - 1]);
+                settings["data"] = json!(folder.path().join(format!("data{number}")));
+            } else {
+                settings["callers"] = json!(gateways[usize::from(number) - 4]);
+                settings["readiness"] = json!(readiness[usize::from(number) - 4]);
+            }
+            let path = folder.path().join(format!("d{number}.json"));
+            std::fs::write(&path, settings.to_string()).expect("settings can be written");
+            let mut daemon = Daemon {
+                role: if controller { "controller" } else { "gateway" },
+                settings: path,
+                log: folder.path().join(format!("d{number}.log")),
+                child: None,
+            };
+            daemon.start();
+            daemons.push(daemon);
+        }
+        Self { daemons, controllers, gateways, readiness, _folder: folder }
+    }
+
+    /// Kills a controller.
+    pub fn kill_controller(&mut self, index: usize) {
+        self.daemons[index].kill();
+    }
+
+    /// Starts a controller again; its disk is as it was, or empty.
+    pub fn restart_controller(&mut self, index: usize, wiped: bool) {
+        let daemon = &mut self.daemons[index];
+        let text = std::fs::read_to_string(&daemon.settings).expect("settings can be read");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
+        settings["found"] = json!(false);
+        if wiped {
+            let data = settings["data"].as_str().expect("it has a folder").to_owned();
+            std::fs::remove_dir_all(data).expect("the folder can be removed");
+        }
+        std::fs::write(&daemon.settings, settings.to_string()).expect("settings can be written");
+        daemon.start();
+    }
+
+    /// Whether a controller says that it votes, with a disk that holds what it should.
+    pub fn votes(&self, index: usize) -> bool {
+        let log = std::fs::read_to_string(&self.daemons[index].log).unwrap_or_default();
+        let last = log.lines().rev().find(|line| line.contains("event=quorum"));
+        let ip = self.controllers[index].split(':').next().unwrap_or_default();
+        last.is_some_and(|line| {
+            line.contains(&format!("{ip}:")) && line.contains("lost_disk=false")
+        })
+    }
+
+    /// Log of all daemons, for a failure's message.
+    pub fn logs(&self) -> String {
+        let read = |daemon: &Daemon| std::fs::read_to_string(&daemon.log).unwrap_or_default();
+        self.daemons.iter().map(read).collect::<Vec<_>>().join("\n----\n")
+    }
+
+    /// Puts a configuration in force, at whichever controller takes it; the status of the last.
+    pub async fn replace(&self, configuration: &Value) -> u16 {
+        let deadline = Instant::now() + PATIENCE;
+        let body = Bytes::from(configuration.to_string());
+        loop {
+            for controller in &self.controllers {
+                let status = self.post(controller, "/-/config/replace", &body).await;
+                if status == 200 || status == 400 {
+                    return status;
+                }
+            }
+            assert!(Instant::now() < deadline, "no controller takes it: {}", self.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn post(&self, address: &str, path: &str, body: &Bytes) -> u16 {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header("host", address)
+            .body(Full::new(body.clone()))
+            .expect("sound");
+        let answer = call_once(address, request, CALL_TIMEOUT).await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// The configuration that some controller is sure of.
+    pub async fn fetch(&self) -> Value {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            for controller in &self.controllers {
+                let request = Request::builder()
+                    .uri("/-/config/fetch")
+                    .header("host", controller)
+                    .body(Full::new(Bytes::new()))
+                    .expect("sound");
+                let answer = call_once(controller, request, CALL_TIMEOUT).await;
+                if let Ok(answer) = answer
+                    && answer.status().as_u16() == 200
+                {
+                    return serde_json::from_slice(answer.body()).expect("it is JSON");
+                }
+            }
+            assert!(Instant::now() < deadline, "no controller tells it: {}", self.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Waits until every gateway calls itself ready.
+    pub async fn wait_ready(&self) {
+        for address in &self.readiness {
+            let deadline = Instant::now() + PATIENCE;
+            while self.ready_status(address).await != 200 {
+                assert!(Instant::now() < deadline, "{address} is not ready: {}", self.logs());
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    async fn ready_status(&self, address: &str) -> u16 {
+        let request = Request::builder()
+            .uri("/-/readyz")
+            .header("host", address)
+            .body(Full::new(Bytes::new()))
+            .expect("sound");
+        let answer = call_once(address, request, CALL_TIMEOUT).await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Sends a request to a gateway.
+    pub async fn call(
+        &self,
+        gateway: usize,
+        path: &str,
+        id: &str,
+        key: Option<&str>,
+    ) -> Result<Response<Bytes>, CallError> {
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header("host", HOST)
+            .header("request-id", id)
+            .header("model", "m")
+            .header("token-usage", "100,200")
+            .header("deadline-ms", "8000");
+        if let Some(key) = key {
+            request = request.header("api-key", key);
+        }
+        let request = request.body(Full::new(Bytes::from_static(b"{}"))).expect("sound");
+        call_once(&self.gateways[gateway], request, CALL_TIMEOUT).await
+    }
+
+    /// Sends requests until one is answered with 200; its body.
+    pub async fn call_until_served(&self, path: &str, name: &str) -> Bytes {
+        let deadline = Instant::now() + PATIENCE;
+        let mut number = 0;
+        loop {
+            number += 1;
+            let id = format!("{name}-{number}");
+            if let Ok(answer) = self.call(number % 2, path, &id, Some(KEY)).await
+                && answer.status().as_u16() == 200
+            {
+                return answer.into_body();
+            }
+            assert!(Instant::now() < deadline, "{path} is not served: {}", self.logs());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        self.daemons.iter_mut().for_each(Daemon::kill);
+    }
+}
+
+/// A configuration with a streaming route, a plain one and one tenant.
+pub fn configuration(version: u64) -> Value {
+    json!({"version": version,
+        "routes": [
+            {"name": "chat", "host": HOST, "path_prefix": "/chat/", "kind": "streaming",
+             "timeout_ms": 8000, "target_latency_ms": 300, "priority": 1, "service": "models",
+             "max_attempts": 3, "stream_resume": true, "gap_target_ms": 300},
+            {"name": "hold", "host": HOST, "path_prefix": "/hold/", "kind": "non_idempotent",
+             "timeout_ms": 4000, "target_latency_ms": 100, "priority": 2, "service": "bookings",
+             "max_attempts": 1}],
+        "services": [
+            {"name": "models", "health_path": "/healthz", "max_conns": 100,
+             "engine": {"slots": 8, "kv_capacity_tokens": 100000, "stride": 7, "step_ms": 2.0,
+                "per_seq_ms": 0.05, "read_per_s": 50000.0, "loads_per_s": 10.0,
+                "loads_at_once": 9, "form_ms": 50.0, "far_x": 2.5,
+                "models": [{"name": "m", "size": 3, "share": 1.0, "pace": 1.0,
+                            "load_s": 0.1, "warm_s": 0.1}]}},
+            {"name": "bookings", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "family", "api_keys": [KEY], "priority": 1}]})
+}
