--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -9,7 +9,9 @@
     OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, Service, WorkerStanding,
 };
 use hollowbarrow_log::LogView;
-use hollowbarrow_schema::{FleetMessage, FleetView, ServiceName, Term, WorkerId, WorkerLoad};
+use hollowbarrow_schema::{
+    DaemonId, FleetMessage, FleetView, ServiceName, Term, WorkerId, WorkerLoad,
+};
 use tokio::time::Instant;
 
 use crate::controller::ControllerCore;
@@ -29,6 +31,8 @@
 const SETTLED_BEATS: f64 = 2.5;
 /// Time after which a leader that has run for longer believes what it has heard.
 const SHORT_SETTLED: Duration = Duration::from_millis(500);
+/// Time for a new voter to catch up before its disk counts as lost again.
+const CATCH_UP_TIME: Duration = Duration::from_secs(5);
 /// Silence after which a worker is forgotten.
 const FORGET_SILENCE: Duration = Duration::from_secs(60);
 /// Time for an order to show in the worker's report before it is given again.
@@ -52,6 +56,8 @@
     view_due: Instant,
     withheld: Vec<WorkerId>,
     voters_due: Instant,
+    /// Controllers that were made voters lately, and until when they are left alone.
+    admitted: BTreeMap<DaemonId, Instant>,
     /// Replicas that served, by service, when they were last logged.
     logged: BTreeMap<ServiceName, String>,
 }
@@ -129,6 +135,7 @@
         view_due: now,
         withheld: Vec::new(),
         voters_due: now,
+        admitted: BTreeMap::new(),
         logged: BTreeMap::new(),
     }
 }
@@ -142,7 +149,7 @@
 ) {
     if now >= held.voters_due {
         held.voters_due = now + VOTERS_INTERVAL;
-        keep_voters(core, view, now);
+        keep_voters(core, held, view, now);
     }
     let services = core.engine_services();
     let fleet = core.fleet();
@@ -233,15 +240,21 @@
     }
 }
 
-fn keep_voters(core: &ControllerCore, view: &LogView, now: Instant) {
+fn keep_voters(core: &ControllerCore, held: &mut Leadership, view: &LogView, now: Instant) {
     let own = core.links().id();
-    let (present, lost_disks) = {
+    let (present, mut lost_disks) = {
         let fleet = core.fleet();
         (fleet.controllers(REPLACED_AFTER, now), fleet.lost_disks())
     };
+    // A voter that was just admitted says that its disk is lost until it has caught up.
+    held.admitted.retain(|_, until| *until > now);
+    lost_disks.retain(|id| !held.admitted.contains_key(id));
     let facts =
         VoterFacts { own, voters: &view.voters, present: &present, lost_disks: &lost_disks };
     let Some(voters) = next_voters(&facts) else { return };
+    for added in voters.iter().filter(|voter| !view.voters.contains(voter)) {
+        held.admitted.insert(added.clone(), now + CATCH_UP_TIME);
+    }
     let names: Vec<&str> = voters.iter().map(|voter| voter.as_str()).collect();
     log::info!("event=voters_proposed voters={}", names.join(","));
     // The outcome shows in the next look.
--- a/crates/log/src/storage.rs
+++ b/crates/log/src/storage.rs
@@ -149,7 +149,8 @@
     /// Term of the entry at an index; known for the snapshot's last index too, and 0 for index 0.
     pub fn term_at(&self, index: LogIndex) -> Option<Term> {
         if *index == 0 {
-            return Some(Term(0));
+            // What stands before a snapshot is not known any more, the beginning included.
+            return self.snapshot.is_none().then_some(Term(0));
         }
         match &self.snapshot {
             Some(snapshot) if snapshot.index == index => Some(snapshot.term),
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -1,9 +1,10 @@
 //! Who may found a log, and who has lost its disk.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hollowbarrow_log::{LogReplica, MemoryStorage, ReplicaConfig, ReplicaFault};
-use hollowbarrow_schema::DaemonId;
+use hollowbarrow_schema::{DaemonId, EntryPayload};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -28,3 +29,99 @@
     replica.add_peer(peer.clone());
     assert!(!replica.voters().contains(&peer), "a peer that is learned of does not vote");
 }
+
+/// Replicas that hear each other at once.
+struct Cluster {
+    now: Instant,
+    replicas: BTreeMap<DaemonId, LogReplica<MemoryStorage>>,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let ids = ids();
+        let replicas = ids.iter().map(|id| (id.clone(), replica_of(id, true))).collect();
+        Self { now: Instant::now(), replicas }
+    }
+
+    /// Lets time pass in small steps, and delivers every message.
+    fn run(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.now += Duration::from_millis(10);
+            let now = self.now;
+            for replica in self.replicas.values_mut() {
+                replica.tick(now);
+            }
+            self.deliver();
+        }
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let mut messages = Vec::new();
+            for (id, replica) in &mut self.replicas {
+                let sent = replica.flush(self.now);
+                messages.extend(sent.into_iter().map(|(to, message)| (id.clone(), to, message)));
+                replica.take_installed();
+                replica.take_committed();
+            }
+            if messages.is_empty() {
+                return;
+            }
+            for (from, to, message) in messages {
+                if let Some(replica) = self.replicas.get_mut(&to) {
+                    replica.step(&from, message, self.now);
+                }
+            }
+        }
+    }
+
+    fn leader(&mut self) -> &mut LogReplica<MemoryStorage> {
+        self.replicas.values_mut().find(|replica| replica.is_leader()).expect("one leads")
+    }
+
+    fn propose(&mut self, payload: EntryPayload) {
+        let now = self.now;
+        self.leader().propose(vec![payload], now).expect("the leader takes it");
+        self.deliver();
+    }
+}
+
+fn ids() -> Vec<DaemonId> {
+    ["a", "b", "c"].map(DaemonId::from).to_vec()
+}
+
+fn replica_of(id: &DaemonId, founding: bool) -> LogReplica<MemoryStorage> {
+    let config = ReplicaConfig::new(id, &ids(), &ids())
+        .with_founding(founding)
+        .with_election(Duration::from_millis(100))
+        .with_seed(u64::from(id.as_bytes()[0]));
+    LogReplica::new(config, MemoryStorage::new().with_durable(true), Instant::now())
+}
+
+#[rstest]
+#[case::entries_kept(false)]
+#[case::entries_compacted(true)]
+fn wiped_voter_is_admitted_anew(#[case] compacted: bool) {
+    let mut cluster = Cluster::new();
+    cluster.run(100);
+    for _ in 0..20 {
+        cluster.propose(EntryPayload::Noop);
+    }
+    if compacted {
+        for replica in cluster.replicas.values_mut() {
+            replica.compact(b"state".to_vec());
+        }
+    }
+    let leader = cluster.leader().id().clone();
+    let wiped = ids().into_iter().find(|id| *id != leader).expect("there are three");
+    cluster.replicas.insert(wiped.clone(), replica_of(&wiped, false));
+    cluster.run(50);
+    let others: Vec<DaemonId> = ids().into_iter().filter(|id| *id != wiped).collect();
+    cluster.propose(EntryPayload::Voters(others));
+    cluster.run(50);
+    assert_eq!(cluster.replicas[&wiped].voters().len(), 2, "it hears of its removal");
+    cluster.propose(EntryPayload::Voters(ids()));
+    cluster.run(50);
+    assert!(cluster.replicas[&wiped].fault().is_none(), "it votes again");
+    assert_eq!(cluster.replicas[&wiped].commit(), cluster.leader().commit());
+}
--- a/tests/all/reference.rs
+++ b/tests/all/reference.rs
@@ -49,6 +49,7 @@
         "# Settings\n\nGenerated from the schema. Required fields have no default.\n".to_owned();
     for name in [
         "Settings",
+        "MemberSettings",
         "PeerSettings",
         "OrganisationSettings",
         "OperatorSettings",
@@ -120,7 +121,7 @@
 #[rstest]
 fn reference_events() {
     let mut files = Vec::new();
-    for name in ["daemon", "log", "peer", "zone"] {
+    for name in ["controller", "daemon", "fleet", "gateway", "log", "member", "peer", "zone"] {
         rust_files(&root().join("crates").join(name).join("src"), &mut files);
     }
     let mut events: BTreeMap<String, Vec<String>> = BTreeMap::new();
@@ -129,7 +130,11 @@
         for piece in text.split("\"event=").skip(1) {
             let line = format!("event={}", piece.split('"').next().unwrap_or_default());
             let (event, fields) = fields_of(&line);
-            events.insert(event, fields);
+            // Several daemons log some events, with other fields.
+            let known = events.entry(event).or_default();
+            known.extend(
+                fields.into_iter().filter(|field| !known.contains(field)).collect::<Vec<_>>(),
+            );
         }
     }
     let mut page = "# Log events\n\nGenerated from the code. One line an event; each begins with \
