--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod check_member;
 mod client;
 mod completions;
 mod delete;
@@ -18,6 +19,7 @@
 mod status;
 mod table;
 mod voters;
+mod why;
 
 use std::process::ExitCode;
 
@@ -40,6 +42,8 @@
         .subcommand(member::gateway_command())
         .subcommand(member::controller_command())
         .subcommand(check::command())
+        .subcommand(check_member::command())
+        .subcommand(why::command())
         .subcommand(demo::command())
         .subcommand(client::with_client_args(nodes::command()))
         .subcommand(client::with_client_args(label::command()))
@@ -79,6 +83,8 @@
         "serve" => serve::run(arguments),
         "gateway" => member::run_gateway(arguments),
         "controller" => member::run_controller(arguments),
+        "check-member" => check_member::run(arguments),
+        "why" => why::run(arguments),
         "check" => check::run(arguments),
         "demo" => demo::run(arguments),
         "nodes" => nodes::run(arguments),
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -43,6 +43,48 @@
     assert!(told.contains("organisations: found nothing"), "{told}");
 }
 
+#[rstest]
+fn check_member_faults() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let path = folder.path().join("member.jsonc");
+    let sound = r#"{"name": "g", "zone": "a", "ip": "10.0.0.1", "mesh_port": 7000,
+        "seeds": ["10.0.0.2:80"], "cluster_keys": ["k"], "callers": "10.0.0.1:80"}"#;
+    std::fs::write(&path, sound).expect("writable");
+    let check = || hollowbarrow(&["check-member", &path.to_string_lossy()]);
+    let output = check();
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    assert!(text(&output.stdout).contains("for a gateway"));
+    std::fs::write(&path, sound.replace("10.0.0.2:80", "camp")).expect("writable");
+    let output = check();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("seeds[0]"), "{}", text(&output.stderr));
+}
+
+#[rstest]
+fn why_tells_story() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let gateway = folder.path().join("gateway.log");
+    let controller = folder.path().join("controller.log");
+    let at = |second: u32, rest: &str| {
+        format!("time=2026-12-02T10:00:{second:02}.000Z level=info {rest}\n")
+    };
+    let failed = "event=request_failed request=\"q1\" route=r status=502 cause=outcome_unknown held_ms=9 sends=1 last=\"w-1: the upstream did not answer\"";
+    let other = "event=request_failed request=\"q2\" route=r status=503 cause=workers_full held_ms=1 sends=0 last=\"\"";
+    std::fs::write(&gateway, at(20, failed) + &at(21, other)).expect("writable");
+    let probed = at(19, "event=worker_probed worker=w-1 outcome=Silent");
+    let early = at(2, "event=worker_probed worker=w-1 outcome=Answered");
+    let unrelated = at(20, "event=worker_probed worker=w-2 outcome=Silent");
+    std::fs::write(&controller, early + &probed + &unrelated).expect("writable");
+    let files = [gateway.to_string_lossy(), controller.to_string_lossy()];
+    let output = hollowbarrow(&["why", "q1", &files[0], &files[1]]);
+    let told = text(&output.stdout);
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!(lines.len(), 2, "{told}");
+    assert!(lines[0].contains("worker_probed worker=w-1 outcome=Silent"), "{told}");
+    assert!(lines[1].contains("request=\"q1\""), "{told}");
+    assert_eq!(hollowbarrow(&["why", "q9", &files[0]]).status.code(), Some(3));
+}
+
 #[rstest]
 #[case::no_subcommand(&[], 2)]
 #[case::unknown_subcommand(&["explode"], 2)]
