Take a model's share as one of the workers, and plan no model beyond it

Cause: on the grown site the replicas of 16 workers were hardly ever formed: shares counted replicas, and while workers registered one after the other the small model filled the domains. Change: a model is planned up to its share of the workers.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -26,7 +26,7 @@
     pub model: ModelName,
     /// Workers in one replica.
     pub size: usize,
-    /// Share of the work.
+    /// Share of the work, and so of the workers.
     pub share: f64,
 }
 
@@ -148,7 +148,7 @@
         for demand in order {
             let count = self.counts.get(&demand.model).copied().unwrap_or_default();
             let wanted = self.wanted.get(&demand.model).copied().unwrap_or_default();
-            if !keep_reserve && count >= wanted {
+            if count >= wanted {
                 continue;
             }
             if let Some(domain) = self.choose_domain(demand, keep_reserve) {
@@ -181,10 +181,10 @@
         Some(PlannedReplica { model: demand.model.clone(), members })
     }
 
-    /// Replicas of a model in proportion to its share.
+    /// Workers in replicas of a model in proportion to its share.
     fn fill_of(&self, demand: &PlacementDemand) -> f64 {
         let count = self.counts.get(&demand.model).copied().unwrap_or_default();
-        count as f64 / demand.share.max(f64::MIN_POSITIVE)
+        (count * demand.size) as f64 / demand.share.max(f64::MIN_POSITIVE)
     }
 
     fn is_eligible(&self, worker: &PlacementWorker, model: &ModelName) -> bool {
@@ -230,8 +230,10 @@
 /// Replicas of each model that this many workers should carry, with the reserve left out.
 fn wanted_counts(demands: &[PlacementDemand], workers: usize) -> BTreeMap<ModelName, usize> {
     let usable = workers as f64 * (1.0 - RESERVE_SHARE);
-    let shares: f64 = demands.iter().map(|demand| demand.share * demand.size as f64).sum();
-    let sets = usable / shares.max(f64::MIN_POSITIVE);
-    let count = |demand: &PlacementDemand| ((sets * demand.share).round() as usize).max(1);
+    let shares: f64 = demands.iter().map(|demand| demand.share).sum();
+    let count = |demand: &PlacementDemand| {
+        let part = usable * demand.share / shares.max(f64::MIN_POSITIVE);
+        ((part / demand.size as f64).round() as usize).max(1)
+    };
     demands.iter().map(|demand| (demand.model.clone(), count(demand))).collect()
 }
