--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -186,6 +186,7 @@
             .of_service(&service.name)
             .map(|entry| WorkerState {
                 report: &entry.report,
+                active: uses.get(&entry.report.id).map_or(0, |sum| sum.active),
                 standing: standings[&entry.report.id],
             })
             .collect();
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -36,6 +36,8 @@
 pub use names::{ReplicaKind, ReplicaName};
 pub use orders::{OrderOutcome, OrderTicket, WorkerOrder};
 
+/// Weight of a model's given share against how full its replicas are.
+const EVEN_USE: f64 = 0.5;
 /// Bits of an epoch that count within a term.
 const EPOCH_TERM_SHIFT: u32 = 20;
 
@@ -57,6 +59,8 @@
 pub struct WorkerState<'a> {
     /// Its newest report.
     pub report: &'a WorkerReport,
+    /// Requests that gateways have under way there.
+    pub active: u32,
     /// Whether it can take part.
     pub standing: WorkerStanding,
 }
@@ -267,7 +271,8 @@
 
     /// Plans replicas over the workers that are in none.
     fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
-        let demands: Vec<PlacementDemand> = view.engine.models.iter().map(to_demand).collect();
+        let demands: Vec<PlacementDemand> =
+            view.engine.models.iter().map(|model| self.demand_of(model, view)).collect();
         let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
         let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
         for state in usable {
@@ -287,6 +292,22 @@
         self.form(plan_scattered(&demands, &standing, &domains, &free));
     }
 
+    /// What is wanted of a model: its share, and more the fuller its replicas are.
+    ///
+    /// Only what is planned next depends on it; no replica that stands is moved.
+    fn demand_of(&self, model: &ModelSpec, view: &StepView<'_>) -> PlacementDemand {
+        let serving = self.replicas.values().filter(|replica| {
+            replica.name.model == model.name && replica.phase == ReplicaPhase::Serving
+        });
+        let heads: Vec<&WorkerId> = serving.map(Replica::head).collect();
+        let active: u32 =
+            heads.iter().filter_map(|head| view.workers.get(*head)).map(|head| head.active).sum();
+        let places = heads.len() as u32 * view.engine.slots;
+        let used = f64::from(active) / f64::from(places.max(1));
+        let share = model.share * (EVEN_USE + used.min(1.0));
+        PlacementDemand { model: model.name.clone(), size: model.size, share }
+    }
+
     fn free_for_placement(&self, view: &StepView<'_>) -> Vec<PlacementWorker> {
         let to_worker = |report: &WorkerReport| PlacementWorker {
             id: report.id.clone(),
@@ -362,10 +383,6 @@
     }
 }
 
-fn to_demand(model: &ModelSpec) -> PlacementDemand {
-    PlacementDemand { model: model.name.clone(), size: model.size, share: model.share }
-}
-
 /// A worker's domain; one that names none is alone in its own.
 fn domain_of(report: &WorkerReport) -> DomainId {
     report.domain.clone().unwrap_or_else(|| DomainId::from(report.id.as_str()))
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -313,6 +313,7 @@
             .iter()
             .map(|(report, alive)| WorkerState {
                 report,
+                active: 0,
                 standing: if *alive { WorkerStanding::Usable } else { WorkerStanding::Lost },
             })
             .collect();
