Wait less for connections to machines that are starting; tell no older configuration

Cause: after all machines lost power, gateways got a configuration a second late: a connection begun before its peer was up waited for the kernel's second opening packet. Change: connections between daemons are given up after 350 ms, to workers tried again after 150 ms; a controller tells gateways once a confirmed leader was heard, or after 2 s without one.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -22,6 +22,8 @@
 
 /// Silence after which a voter stands for election.
 const ELECTION_TIME: Duration = Duration::from_millis(600);
+/// Time after which a controller that has heard of no leader tells what it holds.
+const LEADERLESS_TIME: Duration = Duration::from_secs(2);
 /// Entries after which a snapshot replaces them; whole configurations are large.
 const SNAPSHOT_ENTRIES: usize = 16;
 /// Bounds on callers.
@@ -109,6 +111,14 @@
         parsed.clone()
     }
 
+    /// Whether what is committed here may be told to gateways: after a start this daemon may lack
+    /// what was committed last, until a leader that a majority confirms has said so. Where none
+    /// comes up, an older configuration is better than none.
+    pub(crate) fn may_tell(&self, now: Instant) -> bool {
+        let confirmed = self.log.view().confirmed.is_some_and(|at| at > self.started);
+        confirmed || now.saturating_duration_since(self.started) > LEADERLESS_TIME
+    }
+
     /// Notes when the newest configuration was committed here.
     pub(crate) fn note_applied(&self, now: Instant) {
         *self.applied_at.lock().expect("no holder of the lock panics") = now;
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -103,6 +103,9 @@
     if core.fleet().take_gateway(from, hello, now) {
         send_table(core, from);
     }
+    if !core.may_tell(now) {
+        return;
+    }
     let Some(document) = core.newest_document() else { return };
     let waited = near || core.applied_for(now) > FAR_DELAY;
     if document.version > version && waited {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -13,6 +13,8 @@
 use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
 use crate::protocol::CallerProtocol;
 
+/// Time after which a connection to a worker that does not come up is tried a second time.
+const FIRST_CONNECT: Duration = Duration::from_millis(150);
 /// Part of the allowed repeats that is earned by requests; the rest is slack for the window's ends.
 const EARNED_SHARE: f64 = 0.75;
 /// Gateways among which the slack is divided.
@@ -41,7 +43,9 @@
             most: slack,
         };
         Self {
-            client: UpstreamClient::new().with_identity(protocol.identity_header()),
+            client: UpstreamClient::new()
+                .with_identity(protocol.identity_header())
+                .with_first_connect(FIRST_CONNECT),
             budget: RetryBudget::with_limits(limits, Instant::now()),
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -10,31 +10,36 @@
 
 /// Whole events that came together.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct EventPiece {
+pub struct EventPiece {
     /// Their bytes.
-    pub(crate) bytes: Bytes,
+    pub bytes: Bytes,
     /// Number of the last one that has a number.
-    pub(crate) last_id: Option<u64>,
+    pub last_id: Option<u64>,
 }
 
 /// An event that is larger than any can be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("an event is too large")]
-pub(crate) struct LongEventError;
+pub struct LongEventError;
 
 /// Collects bytes until events are whole.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     held: BytesMut,
 }
 
 impl EventSplitter {
-    pub(crate) fn new() -> Self {
+    /// Creates a splitter without bytes.
+    pub fn new() -> Self {
         Self::default()
     }
 
     /// Takes bytes in; returns the events that are whole now, without those that the reader has.
-    pub(crate) fn push(
+    ///
+    /// # Errors
+    ///
+    /// Fails where an event is larger than any can be.
+    pub fn push(
         &mut self,
         bytes: &[u8],
         after: Option<u64>,
@@ -61,7 +66,7 @@
     }
 
     /// Bytes of an event whose end has not come.
-    pub(crate) fn rest(&self) -> &[u8] {
+    pub fn rest(&self) -> &[u8] {
         &self.held
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,11 +15,11 @@
 
 mod attempt;
 mod core;
-mod events;
+pub mod events;
 mod gateway;
 mod intake;
 mod links;
-mod picker;
+pub mod picker;
 mod protocol;
 mod refusal;
 mod stream;
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -41,7 +41,7 @@
 
 /// Why no worker was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NoWorker {
+pub enum NoWorker {
     /// None takes requests.
     Unknown,
     /// All have as much as they can work on.
@@ -50,24 +50,30 @@
 
 /// A worker that was chosen.
 #[derive(Clone, Debug)]
-pub(crate) struct PickedWorker {
-    pub(crate) id: WorkerId,
-    pub(crate) address: SocketAddr,
+pub struct PickedWorker {
+    /// Its identity.
+    pub id: WorkerId,
+    /// Where it listens.
+    pub address: SocketAddr,
     /// Estimated time to read the prompt.
-    pub(crate) reading_ms: f64,
+    pub reading_ms: f64,
     /// Estimated time to the first event.
-    pub(crate) first_ms: f64,
+    pub first_ms: f64,
     /// Estimated time of one pass, within which a stream should move.
-    pub(crate) pass_ms: f64,
+    pub pass_ms: f64,
 }
 
 /// What a request asks of a worker.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct PickFacts<'a> {
-    pub(crate) service: &'a Service,
-    pub(crate) model: Option<&'a ModelName>,
-    pub(crate) prompt_tokens: u32,
-    pub(crate) excluded: &'a [WorkerId],
+pub struct PickFacts<'a> {
+    /// The service that it goes to.
+    pub service: &'a Service,
+    /// The model that it asks for.
+    pub model: Option<&'a ModelName>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Workers that were tried already.
+    pub excluded: &'a [WorkerId],
 }
 
 #[derive(Clone, Debug)]
@@ -109,7 +115,7 @@
 
 /// Knows the workers and chooses among them.
 #[derive(Debug)]
-pub(crate) struct WorkerPicker {
+pub struct WorkerPicker {
     zone: ZoneId,
     table: WorkerTable,
     indexed: u64,
@@ -121,7 +127,8 @@
 }
 
 impl WorkerPicker {
-    pub(crate) fn new(zone: &ZoneId) -> Self {
+    /// Creates a picker of a gateway in this zone, which knows no worker yet.
+    pub fn new(zone: &ZoneId) -> Self {
         Self {
             zone: zone.clone(),
             table: WorkerTable::new(),
@@ -135,14 +142,14 @@
     }
 
     /// Takes reports of workers in.
-    pub(crate) fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) {
+    pub fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) {
         for report in reports {
             self.table.merge(report, now);
         }
     }
 
     /// Takes the leading controller's view in; older ones are passed over.
-    pub(crate) fn take_view(&mut self, view: &FleetView) {
+    pub fn take_view(&mut self, view: &FleetView) {
         let rank = (view.term, view.number);
         if rank <= self.view.rank {
             return;
@@ -161,23 +168,25 @@
         };
     }
 
-    pub(crate) fn digest(&self) -> u64 {
+    /// Digest of the table of workers.
+    pub fn digest(&self) -> u64 {
         self.table.digest()
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
+    /// Whether no worker is known.
+    pub fn is_empty(&self) -> bool {
         self.table.is_empty()
     }
 
     /// Forgets workers that have gone.
-    pub(crate) fn tidy(&mut self, silence: Duration, now: Instant) {
+    pub fn tidy(&mut self, silence: Duration, now: Instant) {
         self.table.expire(silence, now);
         let table = &self.table;
         self.own.retain(|id, own| own.active > 0 || table.get(id).is_some());
     }
 
     /// What this gateway has under way, to be told to controllers.
-    pub(crate) fn loads(&mut self, now: Instant) -> Vec<WorkerLoad> {
+    pub fn loads(&mut self, now: Instant) -> Vec<WorkerLoad> {
         let mut loads = Vec::new();
         self.reported.clear();
         for (id, own) in &self.own {
@@ -199,11 +208,11 @@
     }
 
     /// Chooses a worker.
-    pub(crate) fn pick(
-        &mut self,
-        facts: &PickFacts<'_>,
-        now: Instant,
-    ) -> Result<PickedWorker, NoWorker> {
+    ///
+    /// # Errors
+    ///
+    /// Says whether none takes requests, or all have as much as they can work on.
+    pub fn pick(&mut self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
         self.index();
         let engine = facts.service.engine.as_ref();
         match engine.filter(|engine| !engine.models.is_empty()) {
@@ -326,38 +335,38 @@
     }
 
     /// Notes that a request went to a worker.
-    pub(crate) fn begin(&mut self, id: &WorkerId, reading_ms: f64) {
+    pub fn begin(&mut self, id: &WorkerId, reading_ms: f64) {
         let own = self.own.entry(id.clone()).or_default();
         own.active += 1;
         own.waiting_ms += reading_ms;
     }
 
     /// Notes that a prompt was read, or will not be.
-    pub(crate) fn end_reading(&mut self, id: &WorkerId, reading_ms: f64) {
+    pub fn end_reading(&mut self, id: &WorkerId, reading_ms: f64) {
         if let Some(own) = self.own.get_mut(id) {
             own.waiting_ms = (own.waiting_ms - reading_ms).max(0.0);
         }
     }
 
     /// Notes that a request is no longer under way.
-    pub(crate) fn end(&mut self, id: &WorkerId) {
+    pub fn end(&mut self, id: &WorkerId) {
         if let Some(own) = self.own.get_mut(id) {
             own.active = own.active.saturating_sub(1);
         }
     }
 
     /// Notes that something of an answer came.
-    pub(crate) fn note_progress(&mut self, id: &WorkerId, now: Instant) {
+    pub fn note_progress(&mut self, id: &WorkerId, now: Instant) {
         self.own.entry(id.clone()).or_default().progress = Some(now);
     }
 
     /// When something of an answer last came from a worker.
-    pub(crate) fn progress(&self, id: &WorkerId) -> Option<Instant> {
+    pub fn progress(&self, id: &WorkerId) -> Option<Instant> {
         self.own.get(id).and_then(|own| own.progress)
     }
 
     /// Notes how a request ended at a worker; true where the worker is left out now.
-    pub(crate) fn note_outcome(&mut self, id: &WorkerId, good: bool, now: Instant) -> bool {
+    pub fn note_outcome(&mut self, id: &WorkerId, good: bool, now: Instant) -> bool {
         let own = self.own.entry(id.clone()).or_default();
         own.failing += OUTCOME_WEIGHT * (if good { 0.0 } else { 1.0 } - own.failing);
         if good {
--- /dev/null
+++ b/crates/gateway/tests/events.rs
@@ -0,0 +1,71 @@
+//! The splitter against the whole text: however the bytes are cut, the same events come out.
+
+use hollowbarrow_gateway::events::EventSplitter;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn event(number: u64, end: &str) -> String {
+    format!("id: {number}{end}data: token {number}{end}{end}")
+}
+
+#[rstest]
+#[case::lines("\n")]
+#[case::carriage_returns("\r\n")]
+fn push_whole_events(#[case] end: &str) {
+    let text = event(1, end) + &event(2, end) + "id: 3";
+    let mut splitter = EventSplitter::new();
+    let piece = splitter.push(text.as_bytes(), None).expect("short").expect("two are whole");
+    assert_eq!(piece.bytes, event(1, end) + &event(2, end));
+    assert_eq!(piece.last_id, Some(2));
+    assert_eq!(splitter.rest(), b"id: 3");
+}
+
+#[rstest]
+fn push_drops_events_that_the_reader_has() {
+    let text = event(4, "\n") + &event(5, "\n") + &event(6, "\n");
+    let mut splitter = EventSplitter::new();
+    let piece = splitter.push(text.as_bytes(), Some(5)).expect("short").expect("one is new");
+    assert_eq!(piece.bytes, event(6, "\n"));
+}
+
+#[rstest]
+fn push_event_without_end_is_bounded() {
+    let mut splitter = EventSplitter::new();
+    let piece = vec![b'x'; 1 << 19];
+    assert!(splitter.push(&piece, None).is_ok());
+    assert!(splitter.push(&piece, None).is_ok());
+    assert!(splitter.push(b"x", None).is_err());
+}
+
+proptest! {
+    #[test]
+    fn push_any_cut(count in 1u64..12, cuts in proptest::collection::vec(1usize..40, 1..60)) {
+        let text: String = (1..=count).map(|number| event(number, "\n")).collect();
+        let mut splitter = EventSplitter::new();
+        let mut out = Vec::new();
+        let mut last = None;
+        let mut rest = text.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (now, later) = rest.split_at((*cut).min(rest.len()));
+            rest = later;
+            if let Some(piece) = splitter.push(now, None).expect("short") {
+                prop_assert!(piece.last_id > last, "numbers rise");
+                last = piece.last_id;
+                out.extend_from_slice(&piece.bytes);
+            }
+        }
+        prop_assert_eq!(String::from_utf8(out).expect("text"), text);
+        prop_assert!(splitter.rest().is_empty());
+    }
+
+    #[test]
+    fn push_any_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..400), after in any::<u64>()) {
+        let mut splitter = EventSplitter::new();
+        let piece = splitter.push(&bytes, Some(after)).expect("short");
+        let out = piece.map_or(0, |piece| piece.bytes.len());
+        prop_assert!(out + splitter.rest().len() <= bytes.len());
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/picker.rs
@@ -0,0 +1,214 @@
+//! The choice of workers: who may be chosen at all, and how gateways share places.
+
+use std::time::Duration;
+
+use hollowbarrow_fleet::{Engine, ModelSpec, Service};
+use hollowbarrow_gateway::picker::{NoWorker, PickFacts, WorkerPicker};
+use hollowbarrow_schema::{
+    DaemonId, DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
+    WorkerLoad, WorkerMembership, WorkerReport, ZoneId,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const SLOTS: u32 = 26;
+
+fn service() -> Service {
+    let model = ModelSpec {
+        name: ModelName::from("m"),
+        size: 2,
+        share: 1.0,
+        pace: 1.0,
+        load: Duration::from_secs(16),
+        warm: Duration::from_secs(1),
+    };
+    Service {
+        name: ServiceName("chat".to_owned()),
+        health_path: "/".to_owned(),
+        max_connections: 100,
+        engine: Some(Engine {
+            slots: SLOTS,
+            memory_tokens: 1_590_000,
+            models: vec![model],
+            step: Duration::from_millis(6),
+            step_per_request_ms: 0.05,
+            read_per_second: 50_000.0,
+            stride: 7,
+            loads_per_second: 4.5,
+            loads_at_once: 6,
+            far: 2.5,
+            form: Duration::from_millis(300),
+        }),
+    }
+}
+
+fn report(id: &str, replica: u64, rank: u32, state: MembershipState) -> WorkerReport {
+    WorkerReport {
+        id: WorkerId::from(id),
+        seq: 1,
+        service: ServiceName("chat".to_owned()),
+        address: "127.0.0.1:9000".to_owned(),
+        zone: ZoneId::from("a"),
+        slots: SLOTS,
+        leaving: false,
+        gone: false,
+        domain: Some(DomainId::from("d")),
+        model: Some(ModelName::from("m")),
+        staged: Vec::new(),
+        membership: Some(WorkerMembership {
+            replica: format!("serving.{replica}.m"),
+            epoch: Epoch(replica),
+            rank,
+            state,
+        }),
+    }
+}
+
+/// Two replicas of two workers each.
+fn replicas() -> Vec<WorkerReport> {
+    vec![
+        report("a0", 1, 0, MembershipState::Open),
+        report("a1", 1, 1, MembershipState::Ready),
+        report("b0", 2, 0, MembershipState::Open),
+        report("b1", 2, 1, MembershipState::Ready),
+    ]
+}
+
+fn picker(reports: Vec<WorkerReport>) -> WorkerPicker {
+    let mut picker = WorkerPicker::new(&ZoneId::from("a"));
+    picker.merge(reports, Instant::now());
+    picker.take_view(&view(1, 1, &[], &[]));
+    picker
+}
+
+fn view(number: u64, gateways: u32, withheld: &[&str], loads: &[(&str, u32)]) -> FleetView {
+    FleetView {
+        term: Term(1),
+        number,
+        gateways,
+        controllers: vec![DaemonId::from("c")],
+        withheld: withheld.iter().map(|id| WorkerId::from(*id)).collect(),
+        loads: loads
+            .iter()
+            .map(|(id, active)| WorkerLoad {
+                worker: WorkerId::from(*id),
+                active: *active,
+                waiting_ms: 0,
+                progress_ms: None,
+            })
+            .collect(),
+    }
+}
+
+fn pick(picker: &mut WorkerPicker, service: &Service) -> Result<String, NoWorker> {
+    let model = ModelName::from("m");
+    let facts = PickFacts { service, model: Some(&model), prompt_tokens: 500, excluded: &[] };
+    picker.pick(&facts, Instant::now()).map(|worker| worker.id.to_string())
+}
+
+fn picked(picker: &mut WorkerPicker) -> Vec<String> {
+    let service = service();
+    let mut ids: Vec<String> = (0..40).filter_map(|_| pick(picker, &service).ok()).collect();
+    ids.sort();
+    ids.dedup();
+    ids
+}
+
+#[rstest]
+fn pick_open_heads_only() {
+    assert_eq!(picked(&mut picker(replicas())), ["a0", "b0"]);
+    let mut closing = replicas();
+    closing[0].membership.as_mut().expect("a member").state = MembershipState::Closing;
+    assert_eq!(picked(&mut picker(closing)), ["b0"]);
+}
+
+#[rstest]
+fn pick_none_of_which_a_member_leaves() {
+    let mut leaving = replicas();
+    leaving[3].leaving = true;
+    assert_eq!(picked(&mut picker(leaving)), ["a0"]);
+}
+
+#[rstest]
+fn pick_none_that_is_withheld() {
+    let mut picker = picker(replicas());
+    picker.take_view(&view(2, 1, &["a0"], &[]));
+    assert_eq!(picked(&mut picker), ["b0"]);
+    picker.take_view(&view(1, 1, &[], &[]));
+    assert_eq!(picked(&mut picker), ["b0"], "an older view changes nothing");
+}
+
+#[rstest]
+fn pick_failing_worker_last() {
+    let mut picker = picker(replicas());
+    let failing = WorkerId::from("a0");
+    let now = Instant::now();
+    assert!(!picker.note_outcome(&failing, false, now));
+    assert!(picker.note_outcome(&failing, false, now), "two failures in a row leave it out");
+    assert_eq!(picked(&mut picker), ["b0"]);
+    picker.take_view(&view(2, 1, &["b0"], &[]));
+    assert_eq!(picked(&mut picker), ["a0"], "it is used where no other is there");
+}
+
+#[rstest]
+fn pick_unknown_model() {
+    let service = service();
+    let other = ModelName::from("other");
+    let mut picker = picker(replicas());
+    let facts =
+        PickFacts { service: &service, model: Some(&other), prompt_tokens: 1, excluded: &[] };
+    let picked = picker.pick(&facts, Instant::now()).map(|worker| worker.id);
+    assert_eq!(picked, Err(NoWorker::Unknown));
+}
+
+#[rstest]
+fn pick_full_replicas() {
+    let mut picker = picker(replicas());
+    picker.take_view(&view(2, 3, &[], &[("a0", SLOTS), ("b0", SLOTS)]));
+    assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Full));
+}
+
+/// Gateways that take requests as fast as they may, and hear of each other one round late, stay
+/// near the places of the replicas; each counting only its own would pass them by far.
+#[rstest]
+#[case::three(3)]
+#[case::nine(9)]
+fn pick_shares_places(#[case] count: usize) {
+    let service = service();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut gateways: Vec<WorkerPicker> = (0..count).map(|_| picker(replicas())).collect();
+    let mut under_way: Vec<Vec<WorkerId>> = vec![Vec::new(); count];
+    let mut most = 0;
+    for round in 0..60 {
+        let now = Instant::now();
+        let told: Vec<Vec<WorkerLoad>> =
+            gateways.iter_mut().map(|gateway| gateway.loads(now)).collect();
+        let sum = |id: &str| {
+            let loads = told.iter().flatten().filter(|load| load.worker.as_str() == id);
+            loads.map(|load| load.active).sum::<u32>()
+        };
+        let loads = [("a0", sum("a0")), ("b0", sum("b0"))];
+        for (gateway, under_way) in gateways.iter_mut().zip(&mut under_way) {
+            gateway.take_view(&view(round + 2, count as u32, &[], &loads));
+            under_way.retain(|id| {
+                let ends = rng.random_bool(0.1);
+                if ends {
+                    gateway.end(id);
+                }
+                !ends
+            });
+            for _ in 0..20 {
+                let Ok(id) = pick(gateway, &service) else { break };
+                let id = WorkerId(id);
+                gateway.begin(&id, 0.0);
+                under_way.push(id);
+            }
+        }
+        most = most.max(under_way.iter().map(Vec::len).sum::<usize>());
+    }
+    let places = 2 * SLOTS as usize;
+    assert!(most >= places * 3 / 4, "places stay empty: {most} of {places}");
+    assert!(most <= places * 3 / 2, "places are passed by far: {most} of {places}");
+}
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -13,7 +13,9 @@
 
 use crate::settings::{member_id, seed_ids};
 
-/// Longest time to make a connection or to write to it.
+/// Longest time for a connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time of one step on a connection that is up.
 const STEP_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Silence after which a connection is made anew.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1600);
@@ -59,6 +61,7 @@
         let listener = TcpListener::bind(address).map_err(fail)?;
         let config = MeshConfig::new(&id, &settings.cluster_keys)
             .with_addressed_peers()
+            .with_connect(CONNECT_TIMEOUT)
             .with_patience(STEP_TIMEOUT, SILENCE_TIMEOUT);
         let mesh = PeerMesh::start(config, listener, handler)?;
         let seeds: Vec<DaemonId> = seed_ids(settings);
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -76,6 +76,7 @@
     peers: HashMap<DaemonId, SocketAddr>,
     keys: Vec<String>,
     addressed: bool,
+    connect: Duration,
     step: Duration,
     silence: Duration,
 }
@@ -88,6 +89,7 @@
             peers: HashMap::new(),
             keys: keys.to_vec(),
             addressed: false,
+            connect: STEP_TIMEOUT,
             step: STEP_TIMEOUT,
             silence: PONG_TIMEOUT,
         }
@@ -101,6 +103,15 @@
         self
     }
 
+    /// Sets the longest time for a connection to come up.
+    ///
+    /// Shorter than the time after which the opening packet is sent again, since a machine that
+    /// is just starting answers the next attempt sooner.
+    pub fn with_connect(mut self, connect: Duration) -> Self {
+        self.connect = connect;
+        self
+    }
+
     /// Sets the longest time of one step, and the silence after which a connection is given up.
     pub fn with_patience(mut self, step: Duration, silence: Duration) -> Self {
         self.step = step;
@@ -246,7 +257,9 @@
 
     async fn connect(&self) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
         let step = self.config.step;
-        let stream = within(step, async { Ok(TcpStream::connect(self.address).await?) }).await?;
+        let stream =
+            within(self.config.connect, async { Ok(TcpStream::connect(self.address).await?) })
+                .await?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{}/peer", self.address);
         let (mut socket, _) = within(step, async { Ok(client_async(url, stream).await?) }).await?;
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -140,12 +140,17 @@
 pub struct UpstreamClient {
     idle: Arc<Mutex<IdleConnections>>,
     identity: RequestIdentity,
+    first_connect: Duration,
 }
 
 impl Default for UpstreamClient {
     fn default() -> Self {
         let header = HeaderName::from_static(REQUEST_HEADER);
-        Self { idle: Arc::default(), identity: RequestIdentity { header, required: false } }
+        Self {
+            idle: Arc::default(),
+            identity: RequestIdentity { header, required: false },
+            first_connect: CONNECT_TIMEOUT,
+        }
     }
 }
 
@@ -195,6 +200,12 @@
         Self::default()
     }
 
+    /// Sets after what time a connection that does not come up is tried a second time.
+    pub fn with_first_connect(mut self, limit: Duration) -> Self {
+        self.first_connect = limit;
+        self
+    }
+
     /// Names requests by another header, which every answer must repeat.
     pub fn with_identity(mut self, header: HeaderName) -> Self {
         self.identity = RequestIdentity { header, required: true };
@@ -226,12 +237,22 @@
         idle.by_address.retain(|_, kept| !kept.is_empty());
     }
 
+    /// Opens a connection; one whose opening packet may have been lost is tried once more, since
+    /// the kernel would send that packet again only after a second.
+    async fn open_stream(&self, address: SocketAddr) -> Option<TcpStream> {
+        let first = tokio::time::timeout(self.first_connect, TcpStream::connect(address)).await;
+        match first {
+            Ok(connected) => connected.ok(),
+            Err(_) => {
+                let second = TcpStream::connect(address);
+                tokio::time::timeout(CONNECT_TIMEOUT, second).await.ok()?.ok()
+            }
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SendRequestError> {
         let fail = || SendRequestError::Connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-            .await
-            .map_err(|_| fail())?
-            .map_err(|_| fail())?;
+        let stream = self.open_stream(address).await.ok_or_else(fail)?;
         stream.set_nodelay(true).map_err(|_| fail())?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|_| fail())?;
