--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -14,6 +14,8 @@
 
 /// Distance of a worker that must load a model from the store.
 const FAR: u8 = 2;
+/// Part of all workers that replicas are planned for, while no domain's reserve forbids it.
+const USED_SHARE: f64 = 0.92;
 /// Replicas of a model are spread over domains only while this many times their number is not wanted.
 const LAST_RESORT: usize = 3;
 /// Part of a domain's workers that is kept free while replicas are spread.
@@ -229,7 +231,7 @@
 
 /// Replicas of each model that this many workers should carry, with the reserve left out.
 fn wanted_counts(demands: &[PlacementDemand], workers: usize) -> BTreeMap<ModelName, usize> {
-    let usable = workers as f64 * (1.0 - RESERVE_SHARE);
+    let usable = workers as f64 * USED_SHARE;
     let shares: f64 = demands.iter().map(|demand| demand.share).sum();
     let count = |demand: &PlacementDemand| {
         let part = usable * demand.share / shares.max(f64::MIN_POSITIVE);
