Tell loads to the leader, and to the other controllers once a second

Cause: control traffic of a gateway grew with the number of controllers. Change: reports with loads every 150 ms to the leader, every 0.9 s to the others.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -26,6 +26,13 @@
     lost_disk: bool,
 }
 
+impl HeardDaemon {
+    fn new(zone: &ZoneId, heard: Instant) -> Self {
+        let zone = zone.clone();
+        Self { zone, heard, mismatches: 0, loads: Vec::new(), lost_disk: false }
+    }
+}
+
 /// Requests under way at a worker, over all gateways.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct WorkerUse {
@@ -100,13 +107,8 @@
     ) -> bool {
         self.served |= !hello.loads.is_empty();
         let (near, own) = (hello.zone == self.zone, self.table.digest());
-        let daemon = self.gateways.entry(from.clone()).or_insert_with(|| HeardDaemon {
-            zone: hello.zone.clone(),
-            heard: now,
-            mismatches: 0,
-            loads: Vec::new(),
-            lost_disk: false,
-        });
+        let daemon =
+            self.gateways.entry(from.clone()).or_insert_with(|| HeardDaemon::new(&hello.zone, now));
         daemon.heard = now;
         daemon.loads = hello.loads;
         count_mismatch(daemon, near, hello.workers, own)
@@ -123,13 +125,10 @@
             self.table.renew(beat, now);
         }
         let own = self.table.digest();
-        let daemon = self.controllers.entry(from.clone()).or_insert_with(|| HeardDaemon {
-            zone: hello.zone.clone(),
-            heard: now,
-            mismatches: 0,
-            loads: Vec::new(),
-            lost_disk: false,
-        });
+        let daemon = self
+            .controllers
+            .entry(from.clone())
+            .or_insert_with(|| HeardDaemon::new(&hello.zone, now));
         daemon.heard = now;
         daemon.lost_disk = hello.lost_disk;
         count_mismatch(daemon, true, hello.workers, own)
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,13 +6,15 @@
 
 use hollowbarrow_fleet::RouteTable;
 use hollowbarrow_routing::retry::{RetryBudget, RetryLimits};
-use hollowbarrow_schema::{MemberSettings, WorkerId};
+use hollowbarrow_schema::{DaemonId, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
 use tokio::time::Instant;
 
 use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
 use crate::protocol::CallerProtocol;
 
+/// Silence after which a gateway tells every controller what it would tell the leader.
+const LEADER_SILENCE: Duration = Duration::from_millis(600);
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
 /// Part of the allowed repeats that is earned by requests; the rest is slack for the window's ends.
@@ -31,6 +33,8 @@
     pub(crate) stopping: AtomicBool,
     routes: RwLock<Option<Arc<RouteTable>>>,
     picker: Mutex<WorkerPicker>,
+    /// Controller that last sent a view, and when.
+    leader: Mutex<Option<(DaemonId, Instant)>>,
     in_flight: AtomicU32,
 }
 
@@ -50,6 +54,7 @@
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
             picker: Mutex::new(WorkerPicker::new(&settings.zone)),
+            leader: Mutex::new(None),
             in_flight: AtomicU32::new(0),
             settings,
             protocol,
@@ -80,6 +85,18 @@
         self.picker.lock().expect("no holder of the lock panics")
     }
 
+    /// The leading controller, if it was heard of lately.
+    pub(crate) fn leader(&self, now: Instant) -> Option<DaemonId> {
+        let leader = self.leader.lock().expect("no holder of the lock panics");
+        let recent = |at: Instant| now.saturating_duration_since(at) < LEADER_SILENCE;
+        leader.as_ref().filter(|(_, at)| recent(*at)).map(|(id, _)| id.clone())
+    }
+
+    /// Notes that a controller acts as leader.
+    pub(crate) fn note_leader(&self, id: &DaemonId, now: Instant) {
+        *self.leader.lock().expect("no holder of the lock panics") = Some((id.clone(), now));
+    }
+
     /// Whether new callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let told = self.routes().is_some() && !self.picker().is_empty();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -12,6 +12,8 @@
 
 /// Pause between two reports to controllers.
 const HELLO_INTERVAL: Duration = Duration::from_millis(150);
+/// Reports to the leader for each one that goes to the other controllers too.
+const HELLOS_TO_LEADER: u32 = 6;
 /// Time after which workers that have gone are forgotten.
 const TABLE_SILENCE: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -19,8 +21,10 @@
 pub(crate) async fn report_to_controllers(core: Arc<GatewayCore>, links: Arc<MemberLinks>) {
     let mut ticks = tokio::time::interval(HELLO_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut number = 0u32;
     loop {
         ticks.tick().await;
+        number = number.wrapping_add(1);
         let now = Instant::now();
         let version = core.version();
         let hello = {
@@ -34,7 +38,12 @@
             }
         };
         core.client.drop_expired();
+        let leader = core.leader(now);
+        let to_all = leader.is_none() || number.is_multiple_of(HELLOS_TO_LEADER);
         for controller in links.controllers() {
+            if !to_all && leader.as_ref() != Some(&controller) {
+                continue;
+            }
             links.send(&controller, FleetMessage::Gateway(hello.clone()));
         }
     }
@@ -52,6 +61,7 @@
         FleetMessage::Workers(reports) => core.picker().merge(reports, Instant::now()),
         FleetMessage::View(view) => {
             links.learn_controllers(&view.controllers);
+            core.note_leader(from, Instant::now());
             core.picker().take_view(&view);
         }
         FleetMessage::Deployment(document) => put_in_force(core, from, &document),
