Take the content of a report although later numbers were heard of

A controller that was cut off heard beats with later numbers before the content that it had missed, and then refused that content as old. As the next leader it joined a worker elsewhere whose replica it did not know to be open. Ruled out: orders that came late (none were under way on that worker). Change: only the number under which content was last confirmed makes a report old; controllers send each other the table at the first difference; a new leader settles for a second. Shares are rounded down, so that a lone model leaves a spare (a test of the life of replicas said so). Tests: merge_content_missed_before_beats (failed before), merge_older_content_after_confirmation.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -13,6 +13,8 @@
 const DAEMON_SILENCE: Duration = Duration::from_secs(5);
 /// Hellos with another digest after which a daemon of the same zone gets the whole table.
 const NEAR_MISMATCHES: u32 = 2;
+/// The same for a controller, which may have to lead with what it knows.
+const CONTROLLER_MISMATCHES: u32 = 1;
 /// The same for a daemon of another zone, whose own controller comes first.
 const FAR_MISMATCHES: u32 = 6;
 
@@ -111,7 +113,12 @@
             self.gateways.entry(from.clone()).or_insert_with(|| HeardDaemon::new(&hello.zone, now));
         daemon.heard = now;
         daemon.loads = hello.loads;
-        count_mismatch(daemon, near, hello.workers, own)
+        let most = match (near, hello.workers) {
+            (true, 0) => 1,
+            (true, _) => NEAR_MISMATCHES,
+            (false, _) => FAR_MISMATCHES,
+        };
+        count_mismatch(daemon, most, hello.workers, own)
     }
 
     /// Takes another controller's hello; true where it needs the whole table.
@@ -131,7 +138,7 @@
             .or_insert_with(|| HeardDaemon::new(&hello.zone, now));
         daemon.heard = now;
         daemon.lost_disk = hello.lost_disk;
-        count_mismatch(daemon, true, hello.workers, own)
+        count_mismatch(daemon, CONTROLLER_MISMATCHES, hello.workers, own)
     }
 
     /// Renewed registrations since the last call.
@@ -182,17 +189,13 @@
     }
 }
 
-fn count_mismatch(daemon: &mut HeardDaemon, near: bool, digest: u64, own: u64) -> bool {
+/// Counts hellos with another digest; true where there were so many that the table is due.
+fn count_mismatch(daemon: &mut HeardDaemon, most: u32, digest: u64, own: u64) -> bool {
     if digest == own {
         daemon.mismatches = 0;
         return false;
     }
     daemon.mismatches += 1;
-    let most = match (near, digest) {
-        (true, 0) => 1,
-        (true, _) => NEAR_MISMATCHES,
-        (false, _) => FAR_MISMATCHES,
-    };
     if daemon.mismatches < most {
         return false;
     }
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -29,8 +29,11 @@
 const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which a leader that has just started has heard of every worker.
 const SETTLED_BEATS: f64 = 2.5;
-/// Time after which a leader that has run for longer believes what it has heard.
-const SHORT_SETTLED: Duration = Duration::from_millis(500);
+/// Time after which the first leader of all plans: workers are registering meanwhile.
+const FIRST_SETTLED: Duration = Duration::from_millis(500);
+/// Time after which a leader that has run for longer believes what it has heard: controllers that
+/// were cut off from each other have told each other what they missed by then.
+const SHORT_SETTLED: Duration = Duration::from_millis(1000);
 /// Time for a new voter to catch up before its disk counts as lost again.
 const CATCH_UP_TIME: Duration = Duration::from_secs(5);
 /// Silence after which a worker is forgotten.
@@ -121,8 +124,13 @@
     // At the first start there is nothing to take over, and later a leader that has run for a
     // while has heard of every worker.
     let first = core.settings.found && !core.fleet().has_served();
-    let settle =
-        if first || now.duration_since(core.started) > settling { SHORT_SETTLED } else { settling };
+    let settle = if first {
+        FIRST_SETTLED
+    } else if now.duration_since(core.started) > settling {
+        SHORT_SETTLED
+    } else {
+        settling
+    };
     log::info!("event=leadership_begun term={} settle_ms={}", *view.term, settle.as_millis());
     let window = Duration::from_secs(core.settings.load_window_s.into());
     let fresh = core.settings.found && !core.fleet().has_served();
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -235,7 +235,7 @@
     let shares: f64 = demands.iter().map(|demand| demand.share).sum();
     let count = |demand: &PlacementDemand| {
         let part = usable * demand.share / shares.max(f64::MIN_POSITIVE);
-        ((part / demand.size as f64).round() as usize).max(1)
+        ((part / demand.size as f64).floor() as usize).max(1)
     };
     demands.iter().map(|demand| (demand.model.clone(), count(demand))).collect()
 }
--- a/crates/fleet/src/workers.rs
+++ b/crates/fleet/src/workers.rs
@@ -30,7 +30,7 @@
 /// What is held of one worker.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
-    /// Newest report; its number is that of the report that last changed something.
+    /// Newest report; its number is the highest under which its content was told.
     pub report: WorkerReport,
     /// Highest number heard of.
     pub seq: u64,
@@ -58,16 +58,17 @@
             self.insert(report, now);
             return MergeOutcome::Changed;
         };
-        if report.seq <= entry.seq {
-            // The same report may reach a daemon that had only heard of its number.
-            let missed = report.seq == entry.seq && report.seq > entry.report.seq;
-            if !missed {
-                return MergeOutcome::Stale;
-            }
+        // Beats may have told of later numbers without their content, so only the number under
+        // which the content was last confirmed counts.
+        if report.seq <= entry.report.seq {
+            return MergeOutcome::Stale;
+        }
+        if report.seq > entry.seq {
+            entry.seq = report.seq;
+            entry.heard = now;
         }
-        entry.seq = report.seq;
-        entry.heard = now;
         if entry.report.gone || is_same_content(&entry.report, &report) {
+            entry.report.seq = report.seq;
             return MergeOutcome::Renewed;
         }
         self.digest ^= mark_of(&entry.report) ^ mark_of(&report);
--- a/crates/fleet/tests/workers.rs
+++ b/crates/fleet/tests/workers.rs
@@ -63,6 +63,27 @@
     assert!(!table.renew(&WorkerBeat { id: WorkerId::from("w9"), seq: 1 }, later));
 }
 
+/// A daemon that heard only of later numbers still takes the content that it missed.
+#[rstest]
+fn merge_content_missed_before_beats() {
+    let now = Instant::now();
+    let mut table = WorkerTable::new();
+    table.merge(report(1, 5, false), now);
+    assert!(table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9 }, now));
+    assert_eq!(table.merge(report(1, 7, true), now), MergeOutcome::Changed);
+    assert!(table.get(&WorkerId::from("w1")).expect("there").report.leaving);
+}
+
+/// What a worker confirmed under a later number is not undone by an older report.
+#[rstest]
+fn merge_older_content_after_confirmation() {
+    let now = Instant::now();
+    let mut table = WorkerTable::new();
+    table.merge(report(1, 5, false), now);
+    assert_eq!(table.merge(report(1, 9, false), now), MergeOutcome::Renewed);
+    assert_eq!(table.merge(report(1, 7, true), now), MergeOutcome::Stale);
+}
+
 #[rstest]
 fn digest_same_content_under_other_numbers() {
     let now = Instant::now();
