Bound connections by the configuration in force; drop what nothing uses

Cause: callers' connections were closed after 15 s whatever the configuration allows; a message and a setting were left from a first draft. Change: the limits of a connection are those in force when it is accepted; the message stalled and the setting stall_ms are gone.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::DeploymentFault;
-use hollowbarrow_member::{AnswerBody, HttpAnswer, HttpHandler};
+use hollowbarrow_member::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits};
 use hollowbarrow_schema::{
     DeploymentDocument, EntryPayload, ProposalOutcome, WorkerId, WorkerReport,
 };
@@ -19,6 +19,9 @@
 
 /// Largest body of a call.
 const MAX_CALL_BYTES: usize = 16 << 20;
+/// Bounds on connections of workers and operators.
+const CONTROL_LIMITS: HttpLimits =
+    HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
 /// Longest time for a configuration to be committed.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest time to make sure of leading before the configuration is read.
@@ -30,6 +33,10 @@
 pub(crate) struct ControlHandler(pub(crate) Arc<ControllerCore>);
 
 impl HttpHandler for ControlHandler {
+    fn limits(&self) -> HttpLimits {
+        CONTROL_LIMITS
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
         let core = &self.0;
         let (head, body) = request.into_parts();
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_fleet::{Deployment, Service};
 use hollowbarrow_log::{DriverConfig, LogDriver, LogView, ReplicaConfig, StoreLogError};
 use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{HttpLimits, MemberLinks, StartLinksError, serve_http};
+use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http};
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, EntryPayload, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use thiserror::Error;
@@ -26,9 +26,6 @@
 const LEADERLESS_TIME: Duration = Duration::from_secs(2);
 /// Entries after which a snapshot replaces them; whole configurations are large.
 const SNAPSHOT_ENTRIES: usize = 16;
-/// Bounds on callers.
-const CONTROL_LIMITS: HttpLimits =
-    HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
 /// Time for a handed-over leadership to be taken up before the process ends.
 const HAND_OVER_PAUSE: Duration = Duration::from_millis(400);
 
@@ -182,7 +179,7 @@
         start_links(&core)?;
         let (stop, stopped) = watch::channel(false);
         let handler = Arc::new(ControlHandler(Arc::clone(&core)));
-        tokio::spawn(serve_http(listener, CONTROL_LIMITS, stopped, handler));
+        tokio::spawn(serve_http(listener, stopped, handler));
         tokio::spawn(greet_controllers(Arc::clone(&core)));
         tokio::spawn(push_deployments(Arc::clone(&core)));
         tokio::spawn(log_quorum(Arc::clone(&core)));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{HttpLimits, MemberLinks, StartLinksError, serve_http};
+use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http};
 use hollowbarrow_schema::MemberSettings;
 use thiserror::Error;
 use tokio::sync::watch;
@@ -16,9 +16,6 @@
 use crate::links::{report_to_controllers, take_message};
 use crate::protocol::CallerProtocol;
 
-/// Bounds on callers before a configuration is in force; the body's bound comes with it.
-const CALLER_LIMITS: HttpLimits =
-    HttpLimits { head_bytes: 32 << 10, idle: Duration::from_secs(15) };
 /// Time in which whoever hands out callers notices that this gateway is not ready.
 const BALANCER_TIME: Duration = Duration::from_millis(2500);
 /// Time that is kept for the process to end before it is ended.
@@ -69,12 +66,12 @@
         let links = start_links(&core)?;
         let (stop, stopped) = watch::channel(false);
         let handler = Arc::new(CallerHandler(Arc::clone(&core)));
-        tokio::spawn(serve_http(callers, CALLER_LIMITS, stopped, handler));
+        tokio::spawn(serve_http(callers, stopped, handler));
         let handler = Arc::new(ReadinessHandler(Arc::clone(&core)));
         tokio::spawn(async move {
             // Readiness is told until the process ends: nobody sends on this channel.
             let (_open, never) = watch::channel(false);
-            serve_http(readiness, CALLER_LIMITS, never, handler).await;
+            serve_http(readiness, never, handler).await;
         });
         tokio::spawn(report_to_controllers(Arc::clone(&core), links));
         log::info!("event=started role=gateway name={}", core.settings.name);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hollowbarrow_fleet::{Route, RouteTable, Tenant};
 use hollowbarrow_member::http::plain_answer;
-use hollowbarrow_member::{HttpAnswer, HttpHandler};
+use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits};
 use hollowbarrow_schema::ServiceName;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -23,10 +24,17 @@
 use crate::stream::run_stream;
 use crate::whole::run_whole;
 
+/// Bounds on connections before a configuration is in force, and least room for a head.
+const FIRST_LIMITS: HttpLimits = HttpLimits { head_bytes: 32 << 10, idle: Duration::from_secs(15) };
+
 /// Answers readiness checks.
 pub(crate) struct ReadinessHandler(pub(crate) Arc<GatewayCore>);
 
 impl HttpHandler for ReadinessHandler {
+    fn limits(&self) -> HttpLimits {
+        FIRST_LIMITS
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
         let (head, _) = request.into_parts();
         if !self.0.protocol.is_readiness_check(&head) {
@@ -44,6 +52,14 @@
 pub(crate) struct CallerHandler(pub(crate) Arc<GatewayCore>);
 
 impl HttpHandler for CallerHandler {
+    fn limits(&self) -> HttpLimits {
+        self.0.routes().map_or(FIRST_LIMITS, |routes| {
+            let limits = routes.limits();
+            let head_bytes = limits.header_bytes.max(FIRST_LIMITS.head_bytes);
+            HttpLimits { head_bytes, idle: limits.idle_time }
+        })
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
         let core = Arc::clone(&self.0);
         let _in_flight = InFlight::new(&core);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -65,7 +65,7 @@
             core.picker().take_view(&view);
         }
         FleetMessage::Deployment(document) => put_in_force(core, from, &document),
-        FleetMessage::Gateway(_) | FleetMessage::Controller(_) | FleetMessage::Stalled(_) => {}
+        FleetMessage::Gateway(_) | FleetMessage::Controller(_) => {}
     }
 }
 
--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -95,6 +95,9 @@
 
 /// Answers requests.
 pub trait HttpHandler: Send + Sync + 'static {
+    /// Bounds on a connection that is accepted now.
+    fn limits(&self) -> HttpLimits;
+
     /// Answers one request; the future is dropped where the caller goes away.
     fn answer(
         self: Arc<Self>,
@@ -128,7 +131,6 @@
 /// Serves connections until told to stop.
 pub async fn serve_http<H: HttpHandler>(
     listener: TcpListener,
-    limits: HttpLimits,
     mut stop: watch::Receiver<bool>,
     handler: Arc<H>,
 ) {
@@ -142,6 +144,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
+        let limits = handler.limits();
         tokio::spawn(serve_connection(stream, limits, stop.clone(), Arc::clone(&handler)));
     }
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -993,8 +993,6 @@
     Deployment(DeploymentDocument),
     #[serde(rename = "workers")]
     Workers(::std::vec::Vec<WorkerReport>),
-    #[serde(rename = "stalled")]
-    Stalled(WorkerId),
 }
 impl ::std::convert::From<&Self> for FleetMessage {
     fn from(value: &FleetMessage) -> Self {
@@ -1026,11 +1024,6 @@
         Self::Workers(value)
     }
 }
-impl ::std::convert::From<WorkerId> for FleetMessage {
-    fn from(value: WorkerId) -> Self {
-        Self::Stalled(value)
-    }
-}
 ///What the leading controller tells every gateway.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -1617,9 +1610,6 @@
     pub retry_window_s: u32,
     ///IP numbers (a port may follow and is passed over) of controllers to ask first; some may be down.
     pub seeds: ::std::vec::Vec<::std::string::String>,
-    ///Time after which a replica that lacks a member gives up.
-    #[serde(default = "defaults::default_u64::<u32, 4000>")]
-    pub stall_ms: u32,
     ///Time from a request to stop until the process is ended.
     #[serde(default = "defaults::default_u64::<u32, 8000>")]
     pub stop_ms: u32,
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -98,7 +98,7 @@
             fleet: Arc::clone(fleet),
             stop,
         });
-        tokio::spawn(serve_http(listener, LIMITS, stopped, Arc::clone(&worker)));
+        tokio::spawn(serve_http(listener, stopped, Arc::clone(&worker)));
         tokio::spawn(Arc::clone(&worker).beat());
         worker
     }
@@ -264,6 +264,10 @@
 }
 
 impl HttpHandler for Worker {
+    fn limits(&self) -> HttpLimits {
+        LIMITS
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
