Keep twice as many voters as may be lost, and one more

Ruled out: a fault in the log (a majority of its voters was lost). Change: the setting losses says how many may be lost; the leader adds controllers up to twice that and one. Test: next_voters_cases.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -21,7 +21,7 @@
 mod protocol;
 mod reconcile;
 mod sync;
-mod voters;
+pub mod voters;
 
 pub use controller::{Controller, StartControllerError};
 pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, OrderMessage};
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -17,7 +17,7 @@
 use crate::controller::ControllerCore;
 use crate::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_holders};
 use crate::orders::{give_order, probe_worker};
-use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters};
+use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters, voters_for};
 
 /// Longest pause between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -258,8 +258,14 @@
     // A voter that was just admitted says that its disk is lost until it has caught up.
     held.admitted.retain(|_, until| *until > now);
     lost_disks.retain(|id| !held.admitted.contains_key(id));
-    let facts =
-        VoterFacts { own, voters: &view.voters, present: &present, lost_disks: &lost_disks };
+    let wanted = voters_for(core.settings.losses);
+    let facts = VoterFacts {
+        wanted,
+        own,
+        voters: &view.voters,
+        present: &present,
+        lost_disks: &lost_disks,
+    };
     let Some(voters) = next_voters(&facts) else { return };
     for added in voters.iter().filter(|voter| !view.voters.contains(voter)) {
         held.admitted.insert(added.clone(), now + CATCH_UP_TIME);
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1592,6 +1592,9 @@
     ///Length of the window in which loads of weights are counted.
     #[serde(default = "defaults::default_u64::<u32, 5>")]
     pub load_window_s: u32,
+    ///Controllers that may be lost at once, their disks included; the log has twice as many voters and one more.
+    #[serde(default = "defaults::default_u64::<u32, 1>")]
+    pub losses: u32,
     ///Port for traffic between daemons; the same on every machine.
     pub mesh_port: u16,
     ///Name of the daemon in logs.
