Tell no disk as lost while the log is being founded

A voter that is asked for a trial vote before the founding counts its empty disk as lost for a moment; where its report fell into that moment, the new leader removed it, and the next loss left no majority. Ruled out: load (the logs show the removal 70 ms after the founding) and the test's waits. Change: a controller of the first start never says that its disk is lost. Test: serve_whole_path now sees that no voters are proposed.

--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -23,7 +23,8 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let lost_disk = core.log.view().lost_disk;
+        // While the log is being founded every disk is empty, and none is lost.
+        let lost_disk = core.log.view().lost_disk && !core.settings.found;
         let hello = {
             let mut fleet = core.fleet();
             ControllerHello {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -55,6 +55,8 @@
     assert_eq!(system.replace(&bad).await, 400);
     assert_eq!(system.replace(&configuration(2)).await, 200, "an older one changes nothing");
     assert_eq!(system.fetch().await, configuration(3));
+    let logs = system.logs();
+    assert!(!logs.contains("event=voters_proposed"), "no voter was lost: {logs}");
 }
 
 #[rstest]
