Name the worker in orders and probes; prove the end of a life by two beats of the next

A beat of an old life that comes late made its successor count as ended, so that its replica was taken for vacated and its members were joined elsewhere while its head was open. Orders and probes also did not say whom they were for: a new life at the address would have taken what was meant for the old one.

Ruled out: relying on refused connections (a cut refuses them too).

Change: orders and probes carry the worker's name; a probe that another worker answers proves the end at once; otherwise the newer life must go on registering for two heartbeats while the old one is silent.

Before: case old_life_is_heard_late, written against the former rule, marks the new life as ended.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -9,6 +9,8 @@
 };
 use tokio::time::Instant;
 
+use crate::liveness::WorkerUse;
+
 /// Silence after which a daemon is not written to any more.
 const DAEMON_SILENCE: Duration = Duration::from_secs(5);
 /// Hellos with another digest after which a daemon of the same zone gets the whole table.
@@ -35,15 +37,6 @@
     }
 }
 
-/// Requests under way at a worker, over all gateways.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct WorkerUse {
-    pub(crate) active: u32,
-    pub(crate) waiting_ms: u32,
-    /// When something of an answer last came, as far as gateways told.
-    pub(crate) progress: Option<Instant>,
-}
-
 /// Soft state of a controller.
 #[derive(Debug)]
 pub(crate) struct FleetState {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,7 +16,7 @@
 mod api;
 mod controller;
 mod fleet;
-mod liveness;
+pub mod liveness;
 mod orders;
 mod protocol;
 mod reconcile;
@@ -24,4 +24,4 @@
 pub mod voters;
 
 pub use controller::{Controller, StartControllerError};
-pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, OrderMessage};
+pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, WorkerMessage};
--- a/crates/controller/src/liveness.rs
+++ b/crates/controller/src/liveness.rs
@@ -3,18 +3,18 @@
 //! Silence alone proves nothing: a worker may be cut off from controllers while
 //! it serves gateways. While a replica's answers move, all its members run. A
 //! refused connection proves nothing either, since a cut may refuse it; only a
-//! new life under the same address proves that the old one has ended.
+//! new life under the same address proves that the old one has ended. That life
+//! says so itself when it is probed, or goes on registering while the old one
+//! is silent. One registration is not enough: the old one's may come late.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use hollowbarrow_fleet::WorkerStanding;
 use hollowbarrow_fleet::workers::WorkerEntry;
+use hollowbarrow_fleet::{WorkerStanding, WorkerTable};
 use hollowbarrow_schema::WorkerId;
 use tokio::time::Instant;
 
-use crate::fleet::{FleetState, WorkerUse};
-
 /// Heartbeats that may be missing before a worker is probed.
 const PROBED_BEATS: f64 = 1.6;
 /// Probes without an answer that make a worker lost.
@@ -26,14 +26,18 @@
 const STILL_TIME: Duration = Duration::from_millis(600);
 /// Time for which something of an answer proves that all members run.
 const PROOF_TIME: Duration = Duration::from_millis(600);
+/// Heartbeats for which a new life must go on registering before the old one counts as ended.
+const SUCCESSOR_BEATS: f64 = 2.0;
 /// Time after which a worker that said that it goes has ended.
 const GONE_TIME: Duration = Duration::from_secs(12);
 
 /// What a probe found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ProbeOutcome {
+pub enum ProbeOutcome {
     /// The worker answered.
     Answered,
+    /// Another worker has the address.
+    Replaced,
     /// A connection to its address was refused.
     Refused,
     /// No answer came in time.
@@ -46,38 +50,55 @@
     answered: Option<Instant>,
     sent: Option<Instant>,
     under_way: bool,
+    replaced: bool,
+}
+
+/// Requests under way at a worker, over all gateways.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkerUse {
+    /// Requests that were sent and not answered whole.
+    pub active: u32,
+    /// Estimated time to read the prompts that have had no first event yet.
+    pub waiting_ms: u32,
+    /// When something of an answer last came, as far as gateways told.
+    pub progress: Option<Instant>,
 }
 
 /// Standing of each worker, kept by who leads.
 #[derive(Debug, Default)]
-pub(crate) struct LivenessJudge {
+pub struct LivenessJudge {
     probes: HashMap<WorkerId, ProbeRecord>,
 }
 
 /// What a judgement rests on.
-pub(crate) struct LivenessFacts<'a> {
-    pub(crate) uses: &'a BTreeMap<WorkerId, WorkerUse>,
-    /// Worker that was heard of last under each address.
-    pub(crate) holders: &'a HashMap<String, WorkerId>,
-    pub(crate) heartbeat: Duration,
-    pub(crate) now: Instant,
+pub struct LivenessFacts<'a> {
+    /// Requests under way at each worker.
+    pub uses: &'a BTreeMap<WorkerId, WorkerUse>,
+    /// Workers whose address another life has taken, see [`find_ended`].
+    pub ended: &'a HashSet<WorkerId>,
+    /// Time between two registrations of a worker.
+    pub heartbeat: Duration,
+    /// When the judgement is made.
+    pub now: Instant,
 }
 
 /// What was found of one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Judgement {
-    pub(crate) standing: WorkerStanding,
+pub struct Judgement {
+    /// Whether it can take part.
+    pub standing: WorkerStanding,
     /// Whether it should be probed now.
-    pub(crate) probe: bool,
+    pub probe: bool,
 }
 
 impl LivenessJudge {
-    pub(crate) fn new() -> Self {
+    /// Creates a judge that has probed nobody yet.
+    pub fn new() -> Self {
         Self::default()
     }
 
     /// Judges a worker; `head` is the head of the serving replica that it is a member of.
-    pub(crate) fn judge(
+    pub fn judge(
         &self,
         entry: &WorkerEntry,
         head: Option<&WorkerId>,
@@ -86,9 +107,7 @@
         let probe = self.probes.get(&entry.report.id).copied().unwrap_or_default();
         let silence = facts.now.saturating_duration_since(entry.heard);
         let settled = |standing| Judgement { standing, probe: false };
-        let holder = facts.holders.get(&entry.report.address);
-        let replaced = holder.is_some_and(|holder| *holder != entry.report.id);
-        if replaced {
+        if probe.replaced || facts.ended.contains(&entry.report.id) {
             return settled(WorkerStanding::Dead);
         }
         if entry.report.gone || entry.report.leaving {
@@ -114,14 +133,14 @@
     }
 
     /// Notes that a probe goes out.
-    pub(crate) fn begin_probe(&mut self, worker: &WorkerId, now: Instant) {
+    pub fn begin_probe(&mut self, worker: &WorkerId, now: Instant) {
         let probe = self.probes.entry(worker.clone()).or_default();
         probe.sent = Some(now);
         probe.under_way = true;
     }
 
     /// Notes what a probe found.
-    pub(crate) fn end_probe(&mut self, worker: &WorkerId, outcome: ProbeOutcome, now: Instant) {
+    pub fn end_probe(&mut self, worker: &WorkerId, outcome: ProbeOutcome, now: Instant) {
         let probe = self.probes.entry(worker.clone()).or_default();
         probe.under_way = false;
         match outcome {
@@ -129,6 +148,7 @@
                 probe.silent = 0;
                 probe.answered = Some(now);
             }
+            ProbeOutcome::Replaced => probe.replaced = true,
             // A cut may refuse connections too, so that this proves nothing by itself.
             ProbeOutcome::Refused => probe.silent += LOST_PROBES,
             ProbeOutcome::Silent => probe.silent += 1,
@@ -136,10 +156,10 @@
     }
 
     /// Forgets silent probes of workers that were heard of since, and workers that are not known.
-    pub(crate) fn tidy(&mut self, fleet: &FleetState) {
-        self.probes.retain(|worker, _| fleet.table().get(worker).is_some());
+    pub fn tidy(&mut self, table: &WorkerTable) {
+        self.probes.retain(|worker, _| table.get(worker).is_some());
         for (worker, probe) in &mut self.probes {
-            let heard = fleet.table().get(worker).map(|entry| entry.heard);
+            let heard = table.get(worker).map(|entry| entry.heard);
             if heard > probe.sent && !probe.under_way {
                 probe.silent = 0;
             }
@@ -147,11 +167,25 @@
     }
 }
 
-/// The worker that was heard of last under each address; the others there have ended.
-pub(crate) fn find_holders(fleet: &FleetState) -> HashMap<String, WorkerId> {
-    let mut entries: Vec<&WorkerEntry> =
-        fleet.table().iter().filter(|entry| !entry.report.gone).collect();
-    entries.sort_by_key(|entry| entry.heard);
-    let holder = |entry: &WorkerEntry| (entry.report.address.clone(), entry.report.id.clone());
-    entries.into_iter().map(holder).collect()
+/// Workers that have ended, because another life registers under their address.
+pub fn find_ended(table: &WorkerTable, heartbeat: Duration) -> HashSet<WorkerId> {
+    let mut lives: HashMap<&str, Vec<&WorkerEntry>> = HashMap::new();
+    for entry in table.iter() {
+        lives.entry(entry.report.address.as_str()).or_default().push(entry);
+    }
+    let shared = lives.into_values().filter(|entries| entries.len() > 1);
+    let ended = shared.flat_map(|entries| {
+        let ended = entries
+            .iter()
+            .filter(|old| entries.iter().any(|new| is_successor(new, old, heartbeat)));
+        ended.map(|old| old.report.id.clone()).collect::<Vec<_>>()
+    });
+    ended.collect()
+}
+
+/// Whether `new` has gone on registering for long enough since `old` was last heard of.
+fn is_successor(new: &WorkerEntry, old: &WorkerEntry, heartbeat: Duration) -> bool {
+    let since = new.first.max(old.heard);
+    let later = new.first >= old.first && new.report.id != old.report.id;
+    later && new.heard.saturating_duration_since(since) >= heartbeat.mul_f64(SUCCESSOR_BEATS)
 }
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -5,19 +5,18 @@
 use bytes::Bytes;
 use hollowbarrow_fleet::{OrderOutcome, OrderTicket};
 use hollowbarrow_member::http::{CallError, call_once};
+use hollowbarrow_schema::WorkerId;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST};
-use hyper::{Method, Request};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Uri};
 
 use crate::liveness::ProbeOutcome;
-use crate::protocol::ControlProtocol;
+use crate::protocol::{ControlProtocol, WorkerMessage};
 
 /// Longest time for an order to be answered.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Longest time for a probe to be answered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Type of the body of an order.
-const JSON: &str = "application/json";
 
 /// Gives an order and says what came of it.
 pub(crate) async fn give_order(
@@ -25,14 +24,8 @@
     ticket: &OrderTicket,
     fence: u64,
 ) -> OrderOutcome {
-    let message = protocol.write_order(&ticket.order, fence);
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(message.path)
-        .header(HOST, &ticket.address)
-        .header(CONTENT_TYPE, JSON)
-        .body(Full::new(message.body));
-    let Ok(request) = request else { return OrderOutcome::Refused };
+    let message = protocol.write_order(&ticket.worker, &ticket.order, fence);
+    let Some(request) = to_request(&ticket.address, message) else { return OrderOutcome::Refused };
     match call_once(&ticket.address, request, ORDER_TIMEOUT).await {
         Ok(answer) => protocol.read_order_answer(answer.status()),
         Err(CallError::NoAnswer) => OrderOutcome::Unknown,
@@ -43,15 +36,27 @@
 }
 
 /// Asks a worker how it is.
-pub(crate) async fn probe_worker(protocol: &dyn ControlProtocol, address: &str) -> ProbeOutcome {
-    let request = Request::builder()
-        .uri(protocol.probe_path())
-        .header(HOST, address)
-        .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return ProbeOutcome::Refused };
+pub(crate) async fn probe_worker(
+    protocol: &dyn ControlProtocol,
+    worker: &WorkerId,
+    address: &str,
+) -> ProbeOutcome {
+    let message = protocol.write_probe(worker);
+    let Some(request) = to_request(address, message) else { return ProbeOutcome::Refused };
     match call_once(address, request, PROBE_TIMEOUT).await {
+        Ok(answer) if protocol.is_other_worker(answer.status()) => ProbeOutcome::Replaced,
         Ok(_) => ProbeOutcome::Answered,
         Err(CallError::Refused | CallError::Address(_)) => ProbeOutcome::Refused,
         Err(CallError::Unreached | CallError::NoAnswer) => ProbeOutcome::Silent,
     }
 }
+
+/// The message as a request; none where the address cannot be a host.
+fn to_request(address: &str, message: WorkerMessage) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(message.body));
+    *request.method_mut() = message.method;
+    *request.uri_mut() = Uri::from_static(message.path);
+    *request.headers_mut() = message.headers;
+    request.headers_mut().insert(HOST, HeaderValue::from_str(address).ok()?);
+    Some(request)
+}
--- a/crates/controller/src/protocol.rs
+++ b/crates/controller/src/protocol.rs
@@ -4,7 +4,7 @@
 use hollowbarrow_fleet::{Deployment, DeploymentFault, OrderOutcome, WorkerOrder};
 use hollowbarrow_schema::{WorkerId, WorkerReport};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 
 /// A call of a worker or an operator.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,11 +40,15 @@
     Unknown,
 }
 
-/// A message that carries an order to a worker.
+/// A call to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OrderMessage {
+pub struct WorkerMessage {
+    /// Method.
+    pub method: Method,
     /// Path.
     pub path: &'static str,
+    /// Headers; one of them names the worker, so that another one at its address refuses the call.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -64,12 +68,15 @@
     /// Status, headers and body of an answer to a call.
     fn write_answer(&self, answer: &ControlAnswer) -> (StatusCode, HeaderMap, Bytes);
 
-    /// Writes an order; `fence` grows with each leader.
-    fn write_order(&self, order: &WorkerOrder, fence: u64) -> OrderMessage;
+    /// Writes an order to a worker; `fence` grows with each leader.
+    fn write_order(&self, worker: &WorkerId, order: &WorkerOrder, fence: u64) -> WorkerMessage;
 
     /// Reads the answer to an order.
     fn read_order_answer(&self, status: StatusCode) -> OrderOutcome;
 
-    /// Path at which a worker tells how it is.
-    fn probe_path(&self) -> &'static str;
+    /// Asks a worker how it is.
+    fn write_probe(&self, worker: &WorkerId) -> WorkerMessage;
+
+    /// Whether the answer to a probe says that another worker has the address.
+    fn is_other_worker(&self, status: StatusCode) -> bool;
 }
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::controller::ControllerCore;
-use crate::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_holders};
+use crate::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_ended};
 use crate::orders::{give_order, probe_worker};
 use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters, voters_for};
 
@@ -156,10 +156,11 @@
     }
     let services = core.engine_services();
     let fleet = core.fleet();
-    held.judge.tidy(&fleet);
+    held.judge.tidy(fleet.table());
     let uses = fleet.uses();
-    let holders = find_holders(&fleet);
-    let facts = LivenessFacts { uses: &uses, holders: &holders, heartbeat: core.heartbeat(), now };
+    let heartbeat = core.heartbeat();
+    let ended = find_ended(fleet.table(), heartbeat);
+    let facts = LivenessFacts { uses: &uses, ended: &ended, heartbeat, now };
     let warming_up = core.settings.found && !fleet.has_served();
     let mut standings: HashMap<WorkerId, WorkerStanding> = HashMap::new();
     let mut probes = Vec::new();
@@ -274,7 +275,7 @@
 fn spawn_probe(core: &Arc<ControllerCore>, worker: WorkerId, address: String) {
     let core = Arc::clone(core);
     tokio::spawn(async move {
-        let outcome = probe_worker(&*core.protocol, &address).await;
+        let outcome = probe_worker(&*core.protocol, &worker, &address).await;
         log::info!("event=worker_probed worker={} outcome={outcome:?}", *worker);
         let _ = core.news.send(WorkerNews::Probe(worker, outcome));
     });
--- /dev/null
+++ b/crates/controller/tests/liveness.rs
@@ -0,0 +1,77 @@
+//! Which workers count as usable, lost or ended.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hollowbarrow_controller::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_ended};
+use hollowbarrow_fleet::{WorkerStanding, WorkerTable};
+use hollowbarrow_schema::{ServiceName, WorkerId, WorkerReport, ZoneId};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const HEARTBEAT: Duration = Duration::from_millis(1000);
+
+fn report(id: &str, seq: u64) -> WorkerReport {
+    WorkerReport {
+        id: WorkerId::from(id),
+        seq,
+        service: ServiceName("chat".to_owned()),
+        address: "10.0.0.1:80".to_owned(),
+        zone: ZoneId("a".to_owned()),
+        slots: 1,
+        leaving: false,
+        gone: false,
+        domain: None,
+        model: None,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+/// The table after registrations that come at given times, in milliseconds.
+fn table_after(start: Instant, registrations: &[(u64, &str, u64)]) -> WorkerTable {
+    let mut table = WorkerTable::new();
+    for (at, id, seq) in registrations {
+        table.merge(report(id, *seq), start + Duration::from_millis(*at));
+    }
+    table
+}
+
+/// The old life has the address `x` first; the new one takes it over.
+#[rstest]
+#[case::new_life_goes_on(&[(0, "old", 1), (1000, "new", 1), (2000, "new", 2), (3000, "new", 3)], &["old"])]
+#[case::new_life_just_came(&[(0, "old", 1), (1000, "new", 1), (2000, "new", 2)], &[])]
+#[case::old_life_is_heard_late(
+    &[(0, "old", 1), (1000, "new", 1), (2000, "new", 2), (3000, "new", 3), (3100, "old", 2)], &[])]
+#[case::old_life_is_first_heard_late(&[(0, "new", 1), (1000, "new", 2), (1500, "old", 7)], &[])]
+#[case::told_at_once_by_another_controller(
+    &[(0, "old", 5), (0, "new", 3), (1000, "new", 4), (2000, "new", 5)], &["old"])]
+fn find_ended_lives(#[case] registrations: &[(u64, &str, u64)], #[case] expected: &[&str]) {
+    let table = table_after(Instant::now(), registrations);
+    let mut ended: Vec<String> =
+        find_ended(&table, HEARTBEAT).iter().map(ToString::to_string).collect();
+    ended.sort();
+    assert_eq!(ended, expected);
+}
+
+#[rstest]
+#[case::answered(&[ProbeOutcome::Answered], WorkerStanding::Usable)]
+#[case::another_worker_answered(&[ProbeOutcome::Replaced], WorkerStanding::Dead)]
+#[case::silent_once(&[ProbeOutcome::Silent], WorkerStanding::Usable)]
+#[case::silent_twice(&[ProbeOutcome::Silent, ProbeOutcome::Silent], WorkerStanding::Lost)]
+#[case::refused(&[ProbeOutcome::Refused], WorkerStanding::Lost)]
+fn judge_probed_worker(#[case] outcomes: &[ProbeOutcome], #[case] expected: WorkerStanding) {
+    let start = Instant::now();
+    let table = table_after(start, &[(0, "w", 1)]);
+    let worker = WorkerId::from("w");
+    let now = start + HEARTBEAT * 2;
+    let mut judge = LivenessJudge::new();
+    for outcome in outcomes {
+        judge.begin_probe(&worker, now);
+        judge.end_probe(&worker, *outcome, now);
+    }
+    let (uses, ended) = (BTreeMap::new(), find_ended(&table, HEARTBEAT));
+    let facts = LivenessFacts { uses: &uses, ended: &ended, heartbeat: HEARTBEAT, now };
+    let entry = table.get(&worker).expect("it has registered");
+    assert_eq!(judge.judge(entry, None, &facts).standing, expected);
+}
--- a/crates/fleet/src/workers.rs
+++ b/crates/fleet/src/workers.rs
@@ -34,6 +34,8 @@
     pub report: WorkerReport,
     /// Highest number heard of.
     pub seq: u64,
+    /// When it was first heard of here.
+    pub first: Instant,
     /// When it was last heard of.
     pub heard: Instant,
 }
@@ -80,7 +82,7 @@
     fn insert(&mut self, report: WorkerReport, now: Instant) {
         self.digest ^= mark_of(&report);
         self.revision += 1;
-        let entry = WorkerEntry { seq: report.seq, heard: now, report };
+        let entry = WorkerEntry { seq: report.seq, first: now, heard: now, report };
         self.entries.insert(entry.report.id.clone(), entry);
     }
 
