Send news, views and loads by way of each zone's controllers

The leader heard 59 gateways seven times a second and answered each; each change of a worker went from one controller to every daemon as a message of its own, encoded anew for each; and whole tables went out whenever a digest differed, also while news travelled.

Ruled out: the log (followers that were reachable confirmed within a round trip), the links' bandwidth (no 'write stalled' before the overload).

Change: each gateway has a home, a controller of its zone that passes views and news on. Loads are summed there and go to the leader once for all its gateways. News are gathered for 15 ms (none while a worker leaves), encoded once, and go to controllers, which relay them to the gateways they are home of. Digests that were passed lately count as equal; tables are paced; what waits for a peer is bounded in bytes. A gateway whose home passes no views on asks everyone.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -16,6 +16,7 @@
 
 use crate::api::ControlHandler;
 use crate::fleet::FleetState;
+use crate::news::{PendingNews, tell_news};
 use crate::protocol::{ControlAnswer, ControlProtocol};
 use crate::reconcile::{WorkerNews, has_replicas, keep_fleet};
 use crate::sync::{greet_controllers, log_quorum, push_deployments, take_message};
@@ -60,10 +61,13 @@
     pub(crate) changed: Notify,
     /// Told when a configuration was committed.
     pub(crate) applied: Arc<Notify>,
+    /// Told when there is news of workers to send out.
+    pub(crate) news_due: Notify,
     pub(crate) news: flume::Sender<WorkerNews>,
     pub(crate) started: Instant,
     links: Arc<OnceLock<MemberLinks>>,
     fleet: Mutex<FleetState>,
+    pending: Mutex<PendingNews>,
     parsed: Mutex<Option<Arc<Deployment>>>,
     applied_at: Mutex<Instant>,
 }
@@ -77,6 +81,10 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    pub(crate) fn pending(&self) -> MutexGuard<'_, PendingNews> {
+        self.pending.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn heartbeat(&self) -> Duration {
         Duration::from_millis(self.settings.heartbeat_ms.into())
     }
@@ -129,19 +137,15 @@
 
     /// Adds a controller that was heard of: it follows the log, and may vote one day.
     pub(crate) fn learn_controller(&self, id: &DaemonId) {
-        for new in self.links().learn_controllers(std::slice::from_ref(id)) {
+        if id == self.links().id() {
+            return;
+        }
+        for new in self.links().learn_controllers([id]) {
             log::info!("event=controller_learned id={}", *new);
             self.log.add_peer(&new);
         }
     }
 
-    /// All controllers known, this one among them.
-    pub(crate) fn known_controllers(&self) -> Vec<DaemonId> {
-        let mut known = self.links().controllers();
-        known.push(self.links().id().clone());
-        known
-    }
-
     /// Sends a caller to the leader, if it is known.
     pub(crate) fn elsewhere(&self, path: &str) -> ControlAnswer {
         let leader = self.log.view().leader.filter(|leader| leader != self.links().id());
@@ -181,6 +185,7 @@
         let handler = Arc::new(ControlHandler(Arc::clone(&core)));
         tokio::spawn(serve_http(listener, stopped, handler));
         tokio::spawn(greet_controllers(Arc::clone(&core)));
+        tokio::spawn(tell_news(Arc::clone(&core)));
         tokio::spawn(push_deployments(Arc::clone(&core)));
         tokio::spawn(log_quorum(Arc::clone(&core)));
         tokio::spawn(keep_fleet(Arc::clone(&core), news_receiver));
@@ -209,16 +214,19 @@
     let applied = Arc::new(Notify::new());
     let log = start_log(&settings, data, &links, &applied)?;
     let now = Instant::now();
-    let fleet = Mutex::new(FleetState::new(&settings.zone));
+    let own = hollowbarrow_member::member_id(&settings.ip, settings.mesh_port);
+    let fleet = Mutex::new(FleetState::new(&own, &settings.zone));
     Ok(ControllerCore {
         protocol,
         log,
         changed: Notify::new(),
+        news_due: Notify::new(),
         applied,
         news,
         started: now,
         links,
         fleet,
+        pending: Mutex::default(),
         parsed: Mutex::new(None),
         applied_at: Mutex::new(now),
         settings,
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -5,54 +5,70 @@
 
 use hollowbarrow_fleet::{MergeOutcome, WorkerTable};
 use hollowbarrow_schema::{
-    ControllerHello, DaemonId, GatewayHello, WorkerBeat, WorkerId, WorkerLoad, WorkerReport, ZoneId,
+    ControllerHello, ControllerPlace, DaemonId, GatewayHello, WorkerBeat, WorkerId, WorkerLoad,
+    WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
+use crate::digests::DigestHistory;
 use crate::liveness::WorkerUse;
+use crate::tables::TableRequests;
 
 /// Silence after which a daemon is not written to any more.
 const DAEMON_SILENCE: Duration = Duration::from_secs(5);
+/// Silence after which what a controller told of its gateways counts no more.
+const LOADS_SILENCE: Duration = Duration::from_millis(1500);
 /// Hellos with another digest after which a daemon of the same zone gets the whole table.
 const NEAR_MISMATCHES: u32 = 2;
 /// The same for a controller, which may have to lead with what it knows.
-const CONTROLLER_MISMATCHES: u32 = 1;
+const CONTROLLER_MISMATCHES: u32 = 2;
 /// The same for a daemon of another zone, whose own controller comes first.
 const FAR_MISMATCHES: u32 = 6;
 
-/// A daemon that was heard of.
+/// A gateway that was heard of.
 #[derive(Clone, Debug)]
-struct HeardDaemon {
+struct HeardGateway {
     zone: ZoneId,
+    home: Option<DaemonId>,
     heard: Instant,
     mismatches: u32,
     loads: Vec<WorkerLoad>,
-    lost_disk: bool,
 }
 
-impl HeardDaemon {
-    fn new(zone: &ZoneId, heard: Instant) -> Self {
-        let zone = zone.clone();
-        Self { zone, heard, mismatches: 0, loads: Vec::new(), lost_disk: false }
-    }
+/// A controller that was heard of.
+#[derive(Clone, Debug)]
+struct HeardController {
+    zone: ZoneId,
+    heard: Instant,
+    mismatches: u32,
+    lost_disk: bool,
+    gateways: u32,
+    loads: Vec<WorkerLoad>,
+    loads_at: Instant,
 }
 
 /// Soft state of a controller.
 #[derive(Debug)]
 pub(crate) struct FleetState {
+    own: DaemonId,
     zone: ZoneId,
     table: WorkerTable,
-    gateways: BTreeMap<DaemonId, HeardDaemon>,
-    controllers: BTreeMap<DaemonId, HeardDaemon>,
+    digests: DigestHistory,
+    tables: TableRequests,
+    gateways: BTreeMap<DaemonId, HeardGateway>,
+    controllers: BTreeMap<DaemonId, HeardController>,
     beats: BTreeMap<WorkerId, u64>,
     served: bool,
 }
 
 impl FleetState {
-    pub(crate) fn new(zone: &ZoneId) -> Self {
+    pub(crate) fn new(own: &DaemonId, zone: &ZoneId) -> Self {
         Self {
+            own: own.clone(),
             zone: zone.clone(),
             table: WorkerTable::new(),
+            digests: DigestHistory::default(),
+            tables: TableRequests::default(),
             gateways: BTreeMap::new(),
             controllers: BTreeMap::new(),
             beats: BTreeMap::new(),
@@ -74,12 +90,10 @@
         outcome
     }
 
-    /// Takes reports in that another controller passed on; true where one was news.
-    pub(crate) fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) -> bool {
-        let mut changed = false;
-        for report in reports {
-            changed |= self.table.merge(report, now) == MergeOutcome::Changed;
-        }
+    /// Takes reports in that another controller passed on; returns those that were news.
+    pub(crate) fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) -> Vec<WorkerReport> {
+        let mut changed = reports;
+        changed.retain(|report| self.table.merge(report.clone(), now) == MergeOutcome::Changed);
         changed
     }
 
@@ -89,49 +103,75 @@
 
     pub(crate) fn expire(&mut self, silence: Duration, now: Instant) {
         self.table.expire(silence, now);
-        let heard = |daemon: &HeardDaemon| now.duration_since(daemon.heard) < DAEMON_SILENCE;
-        self.gateways.retain(|_, daemon| heard(daemon));
+        self.gateways.retain(|_, gateway| now.duration_since(gateway.heard) < DAEMON_SILENCE);
     }
 
-    /// Takes a gateway's hello; true where it needs the whole table.
-    pub(crate) fn take_gateway(
-        &mut self,
-        from: &DaemonId,
-        hello: GatewayHello,
-        now: Instant,
-    ) -> bool {
+    /// Notes that what is new in the table goes out.
+    pub(crate) fn note_told(&mut self, now: Instant) {
+        self.digests.note(self.table.digest(), now);
+    }
+
+    /// Daemons to send the whole table to now.
+    pub(crate) fn tables_due(&mut self, now: Instant) -> Vec<DaemonId> {
+        self.tables.take(now)
+    }
+
+    /// Takes a gateway's hello; one that lacks something will get the whole table.
+    pub(crate) fn take_gateway(&mut self, from: &DaemonId, hello: GatewayHello, now: Instant) {
         self.served |= !hello.loads.is_empty();
-        let (near, own) = (hello.zone == self.zone, self.table.digest());
-        let daemon =
-            self.gateways.entry(from.clone()).or_insert_with(|| HeardDaemon::new(&hello.zone, now));
-        daemon.heard = now;
-        daemon.loads = hello.loads;
+        let near = hello.zone == self.zone;
+        let own = self.table.digest();
+        let covered = self.digests.covers(hello.workers, own, now);
+        let former = self.gateways.get(from).map_or(0, |gateway| gateway.mismatches);
+        let mismatches = if covered { 0 } else { former + 1 };
         let most = match (near, hello.workers) {
             (true, 0) => 1,
             (true, _) => NEAR_MISMATCHES,
             (false, _) => FAR_MISMATCHES,
         };
-        count_mismatch(daemon, most, hello.workers, own)
+        if mismatches >= most {
+            self.tables.ask(from);
+        }
+        let GatewayHello { zone, home, loads, .. } = hello;
+        let mismatches = mismatches % most;
+        let gateway = HeardGateway { zone, home, heard: now, mismatches, loads };
+        self.gateways.insert(from.clone(), gateway);
     }
 
-    /// Takes another controller's hello; true where it needs the whole table.
+    /// Takes another controller's hello; one that lacks something will get the whole table.
     pub(crate) fn take_controller(
         &mut self,
         from: &DaemonId,
-        hello: &ControllerHello,
+        hello: ControllerHello,
         now: Instant,
-    ) -> bool {
+    ) {
         for beat in &hello.beats {
             self.table.renew(beat, now);
         }
+        self.served |= hello.served;
         let own = self.table.digest();
-        let daemon = self
-            .controllers
-            .entry(from.clone())
-            .or_insert_with(|| HeardDaemon::new(&hello.zone, now));
-        daemon.heard = now;
-        daemon.lost_disk = hello.lost_disk;
-        count_mismatch(daemon, CONTROLLER_MISMATCHES, hello.workers, own)
+        let covered = self.digests.covers(hello.workers, own, now);
+        let former = self.controllers.get(from);
+        let mismatches = if covered { 0 } else { former.map_or(0, |held| held.mismatches) + 1 };
+        let most = if hello.workers == 0 { 1 } else { CONTROLLER_MISMATCHES };
+        if mismatches >= most {
+            self.tables.ask(from);
+        }
+        let (loads, loads_at) = match (hello.loads, former) {
+            (Some(loads), _) => (loads, now),
+            (None, Some(held)) => (held.loads.clone(), held.loads_at),
+            (None, None) => (Vec::new(), now),
+        };
+        let controller = HeardController {
+            zone: hello.zone,
+            heard: now,
+            mismatches: mismatches % most,
+            lost_disk: hello.lost_disk,
+            gateways: hello.gateways,
+            loads,
+            loads_at,
+        };
+        self.controllers.insert(from.clone(), controller);
     }
 
     /// Renewed registrations since the last call.
@@ -140,20 +180,51 @@
         beats.into_iter().map(|(id, seq)| WorkerBeat { id, seq }).collect()
     }
 
-    /// Gateways to tell something, those of this zone only or all.
-    pub(crate) fn gateways(&self, near_only: bool) -> Vec<DaemonId> {
-        let wanted = |daemon: &HeardDaemon| !near_only || daemon.zone == self.zone;
-        let heard = self.gateways.iter().filter(|(_, daemon)| wanted(daemon));
-        heard.map(|(id, _)| id.clone()).collect()
+    /// Gateways of this zone.
+    pub(crate) fn near_gateways(&self) -> Vec<DaemonId> {
+        self.gateways_where(|gateway| gateway.zone == self.zone)
+    }
+
+    /// Gateways that hear of workers from this controller: those whose home it is, and those that
+    /// look for one.
+    pub(crate) fn attached_gateways(&self) -> Vec<DaemonId> {
+        self.gateways_where(|gateway| self.serves(gateway))
+    }
+
+    /// Gateways that hear the leader's views from this controller: the attached ones, and those
+    /// of this zone whose home is in another one, so that they may come here.
+    pub(crate) fn view_gateways(&self) -> Vec<DaemonId> {
+        self.gateways_where(|gateway| {
+            let home = gateway.home.as_ref().and_then(|home| self.controllers.get(home));
+            let homed_far = home.is_some_and(|home| home.zone != self.zone);
+            self.serves(gateway) || (gateway.zone == self.zone && homed_far)
+        })
+    }
+
+    fn serves(&self, gateway: &HeardGateway) -> bool {
+        gateway.home.as_ref().is_none_or(|home| *home == self.own)
+    }
+
+    fn gateways_where(&self, wanted: impl Fn(&HeardGateway) -> bool) -> Vec<DaemonId> {
+        let gateways = self.gateways.iter().filter(|(_, gateway)| wanted(gateway));
+        gateways.map(|(id, _)| id.clone()).collect()
     }
 
     /// Controllers that were heard of within a time.
     pub(crate) fn controllers(&self, within: Duration, now: Instant) -> BTreeSet<DaemonId> {
-        let heard = |daemon: &HeardDaemon| now.duration_since(daemon.heard) < within;
+        let heard = |daemon: &HeardController| now.duration_since(daemon.heard) < within;
         let controllers = self.controllers.iter().filter(|(_, daemon)| heard(daemon));
         controllers.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Controllers that were ever heard of, and where they are; this one is among them.
+    pub(crate) fn places(&self) -> Vec<ControllerPlace> {
+        let place =
+            |id: &DaemonId, zone: &ZoneId| ControllerPlace { id: id.clone(), zone: zone.clone() };
+        let others = self.controllers.iter().map(|(id, held)| place(id, &held.zone));
+        others.chain([place(&self.own, &self.zone)]).collect()
+    }
+
     /// Controllers that said that their disk came back empty.
     pub(crate) fn lost_disks(&self) -> Vec<DaemonId> {
         let lost = self.controllers.iter().filter(|(_, daemon)| daemon.lost_disk);
@@ -165,33 +236,63 @@
         self.served
     }
 
-    /// Requests under way at each worker.
-    pub(crate) fn uses(&self) -> BTreeMap<WorkerId, WorkerUse> {
-        let mut uses: BTreeMap<WorkerId, WorkerUse> = BTreeMap::new();
-        for daemon in self.gateways.values() {
-            for load in &daemon.loads {
-                let sum = uses.entry(load.worker.clone()).or_default();
-                sum.active += load.active;
-                sum.waiting_ms += load.waiting_ms;
-                let elapsed = load.progress_ms.map(|ms| Duration::from_millis(ms.into()));
-                let progress = elapsed.and_then(|elapsed| daemon.heard.checked_sub(elapsed));
-                sum.progress = sum.progress.max(progress);
-            }
-        }
-        uses
+    /// Gateways whose home is this controller.
+    pub(crate) fn count_homed(&self) -> u32 {
+        let homed = |gateway: &HeardGateway| gateway.home.as_ref() == Some(&self.own);
+        u32::try_from(self.gateways_where(homed).len()).unwrap_or(u32::MAX)
     }
-}
 
-/// Counts hellos with another digest; true where there were so many that the table is due.
-fn count_mismatch(daemon: &mut HeardDaemon, most: u32, digest: u64, own: u64) -> bool {
-    if digest == own {
-        daemon.mismatches = 0;
-        return false;
+    /// What the gateways whose home is this controller have under way, by worker.
+    pub(crate) fn homed_loads(&self, now: Instant) -> Vec<WorkerLoad> {
+        let homed = |gateway: &&HeardGateway| gateway.home.as_ref() == Some(&self.own);
+        let gateways = self.gateways.values().filter(homed);
+        let uses = sum_uses(gateways.map(|gateway| (gateway.loads.as_slice(), gateway.heard)));
+        let elapsed = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        let load = |(worker, sum): (WorkerId, WorkerUse)| WorkerLoad {
+            worker,
+            active: sum.active,
+            waiting_ms: sum.waiting_ms,
+            progress_ms: sum.progress.map(elapsed),
+        };
+        uses.into_iter().map(load).collect()
+    }
+
+    /// Gateways of the whole system, as far as controllers told.
+    pub(crate) fn count_gateways(&self, now: Instant) -> u32 {
+        let recent = |held: &&HeardController| self.is_recent(held.heard, now);
+        let others: u32 = self.controllers.values().filter(recent).map(|held| held.gateways).sum();
+        others + u32::try_from(self.attached_gateways().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests under way at each worker, over all gateways.
+    pub(crate) fn uses(&self, now: Instant) -> BTreeMap<WorkerId, WorkerUse> {
+        let gateways = self.gateways.values().filter(|gateway| self.serves(gateway));
+        let controllers =
+            self.controllers.values().filter(|held| self.is_recent(held.loads_at, now));
+        let told = gateways.map(|gateway| (gateway.loads.as_slice(), gateway.heard));
+        let passed_on = controllers.map(|held| (held.loads.as_slice(), held.loads_at));
+        sum_uses(told.chain(passed_on))
     }
-    daemon.mismatches += 1;
-    if daemon.mismatches < most {
-        return false;
+
+    fn is_recent(&self, at: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(at) < LOADS_SILENCE
+    }
+}
+
+/// Adds up loads that were told at some time each.
+fn sum_uses<'a>(
+    told: impl Iterator<Item = (&'a [WorkerLoad], Instant)>,
+) -> BTreeMap<WorkerId, WorkerUse> {
+    let mut uses: BTreeMap<WorkerId, WorkerUse> = BTreeMap::new();
+    for (loads, at) in told {
+        for load in loads {
+            let sum = uses.entry(load.worker.clone()).or_default();
+            sum.active += load.active;
+            sum.waiting_ms += load.waiting_ms;
+            let elapsed = load.progress_ms.map(|ms| Duration::from_millis(ms.into()));
+            let progress = elapsed.and_then(|elapsed| at.checked_sub(elapsed));
+            sum.progress = sum.progress.max(progress);
+        }
     }
-    daemon.mismatches = 0;
-    true
+    uses
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,12 +15,15 @@
 
 mod api;
 mod controller;
+pub mod digests;
 mod fleet;
 pub mod liveness;
+mod news;
 mod orders;
 mod protocol;
 mod reconcile;
 mod sync;
+pub mod tables;
 pub mod voters;
 
 pub use controller::{Controller, StartControllerError};
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -20,11 +20,11 @@
 use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters, voters_for};
 
 /// Longest pause between two steps.
-const STEP_INTERVAL: Duration = Duration::from_millis(100);
+const STEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Shortest pause between two steps.
 const STEP_PAUSE: Duration = Duration::from_millis(10);
 /// Pause between two views for gateways, unless something that matters has changed.
-const VIEW_INTERVAL: Duration = Duration::from_millis(150);
+const VIEW_INTERVAL: Duration = Duration::from_millis(90);
 /// Pause between two looks at the voters.
 const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which a leader that has just started has heard of every worker.
@@ -157,7 +157,7 @@
     let services = core.engine_services();
     let fleet = core.fleet();
     held.judge.tidy(fleet.table());
-    let uses = fleet.uses();
+    let uses = fleet.uses(now);
     let heartbeat = core.heartbeat();
     let ended = find_ended(fleet.table(), heartbeat);
     let facts = LivenessFacts { uses: &uses, ended: &ended, heartbeat, now };
@@ -216,24 +216,23 @@
         held.view_due = now + VIEW_INTERVAL;
         held.view_number += 1;
         held.withheld = withheld;
-        let gateways = fleet.gateways(false);
         let loads = uses.iter().map(|(worker, sum)| WorkerLoad {
             worker: worker.clone(),
             active: sum.active,
             waiting_ms: sum.waiting_ms,
             progress_ms: None,
         });
-        let message = FleetView {
+        let view = FleetView {
             term: held.term,
             number: held.view_number,
-            gateways: u32::try_from(gateways.len()).unwrap_or(u32::MAX),
-            controllers: core.known_controllers(),
+            gateways: fleet.count_gateways(now),
+            controllers: fleet.places(),
             withheld: held.withheld.clone(),
             loads: loads.collect(),
         };
-        for gateway in gateways {
-            core.links().send(&gateway, FleetMessage::View(message.clone()));
-        }
+        let mut daemons = fleet.view_gateways();
+        daemons.extend(core.links().controllers());
+        core.links().send_to_all(&daemons, FleetMessage::View(view));
     }
 }
 
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -11,32 +11,49 @@
 
 use crate::controller::ControllerCore;
 
-/// Pause between two hellos to other controllers.
-const HELLO_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between two hellos to the leader, which needs to know what gateways have under way.
+const LEADER_INTERVAL: Duration = Duration::from_millis(75);
+/// Hellos to the leader for each one that goes to the other controllers too.
+const HELLOS_TO_LEADER: u32 = 3;
 /// Time after which a gateway of another zone gets a configuration that its own zone's controller
 /// has not told it.
 const FAR_DELAY: Duration = Duration::from_millis(400);
 
 /// Tells other controllers of this one until the process ends.
 pub(crate) async fn greet_controllers(core: Arc<ControllerCore>) {
-    let mut ticks = tokio::time::interval(HELLO_INTERVAL);
+    let mut ticks = tokio::time::interval(LEADER_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut number = 0u32;
     loop {
         ticks.tick().await;
-        // While the log is being founded every disk is empty, and none is lost.
-        let lost_disk = core.log.view().lost_disk && !core.settings.found;
-        let hello = {
-            let mut fleet = core.fleet();
-            ControllerHello {
-                zone: core.settings.zone.clone(),
-                workers: fleet.table().digest(),
-                beats: fleet.take_beats(),
-                lost_disk,
-            }
-        };
-        for controller in core.links().controllers() {
-            core.links().send(&controller, FleetMessage::Controller(hello.clone()));
+        number = number.wrapping_add(1);
+        let controllers = core.links().controllers();
+        let leader = core.log.view().leader;
+        let (leaders, others): (Vec<DaemonId>, Vec<DaemonId>) =
+            controllers.into_iter().partition(|id| leader.as_ref().is_none_or(|l| l == id));
+        let to_all = number.is_multiple_of(HELLOS_TO_LEADER);
+        let hello = write_hello(&core, to_all);
+        if to_all {
+            let brief = ControllerHello { loads: None, ..hello.clone() };
+            core.links().send_to_all(&others, FleetMessage::Controller(brief));
         }
+        core.links().send_to_all(&leaders, FleetMessage::Controller(hello));
+    }
+}
+
+/// What this controller tells the leader; beats only where the others are told too.
+fn write_hello(core: &ControllerCore, with_beats: bool) -> ControllerHello {
+    // While the log is being founded every disk is empty, and none is lost.
+    let lost_disk = core.log.view().lost_disk && !core.settings.found;
+    let mut fleet = core.fleet();
+    ControllerHello {
+        zone: core.settings.zone.clone(),
+        workers: fleet.table().digest(),
+        beats: if with_beats { fleet.take_beats() } else { Vec::new() },
+        lost_disk,
+        gateways: fleet.count_homed(),
+        served: fleet.has_served(),
+        loads: Some(fleet.homed_loads(Instant::now())),
     }
 }
 
@@ -69,10 +86,8 @@
         core.note_applied(Instant::now());
         let Some(document) = core.newest_document() else { continue };
         log::info!("event=configuration_committed version={}", document.version);
-        let gateways = core.fleet().gateways(true);
-        for gateway in gateways {
-            core.links().send(&gateway, FleetMessage::Deployment(document.clone()));
-        }
+        let gateways = core.fleet().near_gateways();
+        core.links().send_to_all(&gateways, FleetMessage::Deployment(document));
         core.changed.notify_one();
     }
 }
@@ -85,15 +100,16 @@
         PeerMessage::Fleet(FleetMessage::Gateway(hello)) => take_gateway(core, from, hello, now),
         PeerMessage::Fleet(FleetMessage::Controller(hello)) => {
             core.learn_controller(from);
-            if core.fleet().take_controller(from, &hello, now) {
-                send_table(core, from);
-            }
+            core.fleet().take_controller(from, hello, now);
         }
-        PeerMessage::Fleet(FleetMessage::Workers(reports)) => {
-            if core.fleet().merge(reports, now) {
-                core.changed.notify_one();
+        PeerMessage::Fleet(FleetMessage::View(view)) => {
+            for place in &view.controllers {
+                core.learn_controller(&place.id);
             }
+            let gateways = core.fleet().view_gateways();
+            core.links().send_to_all(&gateways, FleetMessage::View(view));
         }
+        PeerMessage::Fleet(FleetMessage::Workers(reports)) => relay_news(core, reports, now),
         _ => log::debug!("event=message_refused peer={}", **from),
     }
 }
@@ -101,9 +117,7 @@
 fn take_gateway(core: &ControllerCore, from: &DaemonId, hello: GatewayHello, now: Instant) {
     let near = hello.zone == core.settings.zone;
     let version = hello.deployment;
-    if core.fleet().take_gateway(from, hello, now) {
-        send_table(core, from);
-    }
+    core.fleet().take_gateway(from, hello, now);
     if !core.may_tell(now) {
         return;
     }
@@ -114,11 +128,17 @@
     }
 }
 
-fn send_table(core: &ControllerCore, to: &DaemonId) {
-    let reports = core.fleet().table().reports();
-    if !reports.is_empty() {
-        core.links().send(to, FleetMessage::Workers(reports));
+/// Takes in what another controller heard of workers, and passes on what is new.
+fn relay_news(core: &ControllerCore, reports: Vec<WorkerReport>, now: Instant) {
+    let changed = core.fleet().merge(reports, now);
+    if changed.is_empty() {
+        return;
     }
+    let mut pending = core.pending();
+    changed.into_iter().for_each(|report| pending.add_relayed(report));
+    drop(pending);
+    core.news_due.notify_one();
+    core.changed.notify_one();
 }
 
 /// Takes a worker's own report in and passes on what is new in it.
@@ -132,10 +152,7 @@
 
 /// Tells every gateway and controller of a worker.
 pub(crate) fn pass_on(core: &ControllerCore, report: WorkerReport) {
-    let gateways = core.fleet().gateways(false);
-    let message = FleetMessage::Workers(vec![report]);
-    for daemon in gateways.into_iter().chain(core.links().controllers()) {
-        core.links().send(&daemon, message.clone());
-    }
+    core.pending().add_own(report);
+    core.news_due.notify_one();
     core.changed.notify_one();
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -90,7 +90,7 @@
     /// Sends a message to another daemon if there is a connection to be had.
     pub(crate) fn send(&self, to: &DaemonId, message: PeerMessage) {
         if let Some(mesh) = self.mesh.get() {
-            mesh.send(to, message);
+            mesh.send(to, &message);
         }
     }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -302,7 +302,7 @@
     let outbox = Arc::clone(outbox);
     let send = move |to: &DaemonId, message: LogMessage| {
         if let Some(mesh) = outbox.get() {
-            mesh.send(to, PeerMessage::Log { name: log, message });
+            mesh.send(to, &PeerMessage::Log { name: log, message });
         }
     };
     LogDriver::start(DriverConfig::new(replica, folder), machine, send)
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,15 +6,14 @@
 
 use hollowbarrow_fleet::RouteTable;
 use hollowbarrow_routing::retry::{RetryBudget, RetryLimits};
-use hollowbarrow_schema::{DaemonId, MemberSettings, WorkerId};
+use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
 use tokio::time::Instant;
 
+use crate::home::HomeChoice;
 use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
 use crate::protocol::CallerProtocol;
 
-/// Silence after which a gateway tells every controller what it would tell the leader.
-const LEADER_SILENCE: Duration = Duration::from_millis(600);
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
 /// Part of the allowed repeats that is earned by requests; the rest is slack for the window's ends.
@@ -33,13 +32,13 @@
     pub(crate) stopping: AtomicBool,
     routes: RwLock<Option<Arc<RouteTable>>>,
     picker: Mutex<WorkerPicker>,
-    /// Controller that last sent a view, and when.
-    leader: Mutex<Option<(DaemonId, Instant)>>,
+    home: Mutex<HomeChoice>,
     in_flight: AtomicU32,
 }
 
 impl GatewayCore {
     pub(crate) fn new(settings: MemberSettings, protocol: Arc<dyn CallerProtocol>) -> Self {
+        let own = hollowbarrow_member::member_id(&settings.ip, settings.mesh_port);
         let slack = f64::from(settings.retry_slack) / SLACK_DIVISOR;
         let limits = RetryLimits {
             ratio: f64::from(settings.retry_permille) / 1000.0 * EARNED_SHARE,
@@ -54,7 +53,7 @@
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
             picker: Mutex::new(WorkerPicker::new(&settings.zone)),
-            leader: Mutex::new(None),
+            home: Mutex::new(HomeChoice::new(&own, &settings.zone)),
             in_flight: AtomicU32::new(0),
             settings,
             protocol,
@@ -85,16 +84,17 @@
         self.picker.lock().expect("no holder of the lock panics")
     }
 
-    /// The leading controller, if it was heard of lately.
-    pub(crate) fn leader(&self, now: Instant) -> Option<DaemonId> {
-        let leader = self.leader.lock().expect("no holder of the lock panics");
-        let recent = |at: Instant| now.saturating_duration_since(at) < LEADER_SILENCE;
-        leader.as_ref().filter(|(_, at)| recent(*at)).map(|(id, _)| id.clone())
+    /// The controller through which this gateway hears of the others, if one is there.
+    pub(crate) fn home(&self, now: Instant) -> Option<DaemonId> {
+        self.home.lock().expect("no holder of the lock panics").choose(now)
     }
 
-    /// Notes that a controller acts as leader.
-    pub(crate) fn note_leader(&self, id: &DaemonId, now: Instant) {
-        *self.leader.lock().expect("no holder of the lock panics") = Some((id.clone(), now));
+    /// Takes in a view that a controller passed on.
+    pub(crate) fn take_view(&self, from: &DaemonId, view: &FleetView, now: Instant) {
+        if self.picker().take_view(view) {
+            let mut home = self.home.lock().expect("no holder of the lock panics");
+            home.note_view(from, &view.controllers, now);
+        }
     }
 
     /// Whether new callers may be sent here.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod core;
 pub mod events;
 mod gateway;
+pub mod home;
 mod intake;
 mod links;
 pub mod picker;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -10,10 +10,12 @@
 
 use crate::core::GatewayCore;
 
-/// Pause between two reports to controllers.
-const HELLO_INTERVAL: Duration = Duration::from_millis(150);
-/// Reports to the leader for each one that goes to the other controllers too.
-const HELLOS_TO_LEADER: u32 = 6;
+/// Pause between two reports to the home.
+const HELLO_INTERVAL: Duration = Duration::from_millis(75);
+/// Reports to the home for each one that goes to the other controllers too.
+const HELLOS_TO_HOME: u32 = 12;
+/// Reports to all controllers while there is no home: one in so many intervals.
+const SEEKING_INTERVALS: u32 = 4;
 /// Time after which workers that have gone are forgotten.
 const TABLE_SILENCE: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -27,24 +29,29 @@
         number = number.wrapping_add(1);
         let now = Instant::now();
         let version = core.version();
+        let home = core.home(now);
         let hello = {
             let mut picker = core.picker();
             picker.tidy(TABLE_SILENCE, now);
             GatewayHello {
                 zone: core.settings.zone.clone(),
+                home: home.clone(),
                 deployment: version,
                 workers: picker.digest(),
                 loads: picker.loads(now),
             }
         };
         core.client.drop_expired();
-        let leader = core.leader(now);
-        let to_all = leader.is_none() || number.is_multiple_of(HELLOS_TO_LEADER);
-        for controller in links.controllers() {
-            if !to_all && leader.as_ref() != Some(&controller) {
-                continue;
+        let others = links.controllers().into_iter().filter(|id| home.as_ref() != Some(id));
+        let others: Vec<DaemonId> = others.collect();
+        if let Some(home) = &home {
+            links.send(home, FleetMessage::Gateway(hello.clone()));
+            if number.is_multiple_of(HELLOS_TO_HOME) {
+                let brief = GatewayHello { loads: Vec::new(), ..hello };
+                links.send_to_all(&others, FleetMessage::Gateway(brief));
             }
-            links.send(&controller, FleetMessage::Gateway(hello.clone()));
+        } else if number.is_multiple_of(SEEKING_INTERVALS) {
+            links.send_to_all(&others, FleetMessage::Gateway(hello));
         }
     }
 }
@@ -60,9 +67,8 @@
     match message {
         FleetMessage::Workers(reports) => core.picker().merge(reports, Instant::now()),
         FleetMessage::View(view) => {
-            links.learn_controllers(&view.controllers);
-            core.note_leader(from, Instant::now());
-            core.picker().take_view(&view);
+            links.learn_controllers(view.controllers.iter().map(|place| &place.id));
+            core.take_view(from, &view, Instant::now());
         }
         FleetMessage::Deployment(document) => put_in_force(core, from, &document),
         FleetMessage::Gateway(_) | FleetMessage::Controller(_) => {}
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -36,6 +36,8 @@
 /// Part of its even share of free places that a gateway uses: somewhat more, since gateways get
 /// uneven shares of callers.
 const FREE_SHARE: f64 = 1.2;
+/// Views by which one that comes by another way may be late.
+const LATE_VIEWS: u64 = 3;
 /// Requests that plain workers are given at once for each of their slots.
 const PLAIN_SLOT_FACTOR: u32 = 2;
 
@@ -148,11 +150,12 @@
         }
     }
 
-    /// Takes the leading controller's view in; older ones are passed over.
-    pub fn take_view(&mut self, view: &FleetView) {
+    /// Takes the leading controller's view in; older ones are passed over. False for one that is
+    /// so old that whoever passed it on is cut off from the leader.
+    pub fn take_view(&mut self, view: &FleetView) -> bool {
         let rank = (view.term, view.number);
         if rank <= self.view.rank {
-            return;
+            return (view.term, view.number + LATE_VIEWS) >= self.view.rank;
         }
         let own = |load: &WorkerLoad| self.reported.get(&load.worker).copied().unwrap_or_default();
         let all = |load: &WorkerLoad| SharedLoad {
@@ -166,6 +169,7 @@
             withheld: view.withheld.iter().cloned().collect(),
             loads: loads.collect(),
         };
+        true
     }
 
     /// Digest of the table of workers.
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -5,7 +5,7 @@
 use hollowbarrow_fleet::{Engine, ModelSpec, Service};
 use hollowbarrow_gateway::picker::{NoWorker, PickFacts, WorkerPicker};
 use hollowbarrow_schema::{
-    DaemonId, DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
+    DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
     WorkerLoad, WorkerMembership, WorkerReport, ZoneId,
 };
 use rand::{RngExt, SeedableRng};
@@ -88,7 +88,7 @@
         term: Term(1),
         number,
         gateways,
-        controllers: vec![DaemonId::from("c")],
+        controllers: Vec::new(),
         withheld: withheld.iter().map(|id| WorkerId::from(*id)).collect(),
         loads: loads
             .iter()
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -86,19 +86,27 @@
     }
 
     /// Adds controllers that were heard of; returns those that are new.
-    pub fn learn_controllers(&self, heard: &[DaemonId]) -> Vec<DaemonId> {
+    pub fn learn_controllers<'a>(
+        &self,
+        heard: impl IntoIterator<Item = &'a DaemonId>,
+    ) -> Vec<DaemonId> {
         let mut known = self.lock();
-        heard.iter().filter(|id| known.insert((*id).clone())).cloned().collect()
+        heard.into_iter().filter(|id| known.insert((*id).clone())).cloned().collect()
     }
 
     /// Sends a message about the fleet; false where it was dropped at once.
     pub fn send(&self, to: &DaemonId, message: FleetMessage) -> bool {
-        self.mesh.send(to, PeerMessage::Fleet(message))
+        self.mesh.send(to, &PeerMessage::Fleet(message))
+    }
+
+    /// Sends a message about the fleet to several daemons and encodes it once.
+    pub fn send_to_all(&self, to: &[DaemonId], message: FleetMessage) {
+        self.mesh.send_to_all(to, &PeerMessage::Fleet(message));
     }
 
     /// Sends a message of the configuration's log.
     pub fn send_log(&self, to: &DaemonId, message: LogMessage) -> bool {
-        self.mesh.send(to, PeerMessage::Log { name: LogName::Config, message })
+        self.mesh.send(to, &PeerMessage::Log { name: LogName::Config, message })
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeSet<DaemonId>> {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,10 +8,13 @@
 //! matters sends it again.
 //!
 //! Invariants: a message is handed on only if it came whole from the daemon
-//! that it names; queues are bounded, and a full one drops what comes next.
+//! that it names; queues are bounded in messages and bytes, and a full one drops what comes
+//! next.
 
 mod mesh;
+mod queue;
 mod seal;
 
 pub use mesh::{MeshConfig, MeshTraffic, PeerMesh, StartMeshError};
-pub use seal::{FrameOpener, FrameSealer, OpenFrameError};
+pub use queue::{PeerQueue, QueuedMessages, new_queue};
+pub use seal::{EncodedMessage, FrameOpener, FrameSealer, OpenFrameError};
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -6,7 +6,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use flume::{Receiver, Sender};
 use futures_util::{SinkExt, StreamExt};
 use hollowbarrow_schema::{
     DaemonId, PROTOCOL_VERSION, PeerChallenge, PeerMessage, PeerProof, PeerWelcome,
@@ -19,10 +18,11 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 
-use crate::seal::{ConnectionFacts, FrameOpener, FrameSealer, NONCE_BYTES, same_code};
+use crate::queue::{PeerQueue, QueuedMessages, new_queue};
+use crate::seal::{
+    ConnectionFacts, EncodedMessage, FrameOpener, FrameSealer, NONCE_BYTES, same_code,
+};
 
-/// Messages that may wait for one peer.
-const QUEUE_MESSAGES: usize = 2048;
 /// Longest time for a connection, a proof or a write, unless it is set.
 const STEP_TIMEOUT: Duration = Duration::from_secs(3);
 /// Silence after which a connection is given up, unless it is set.
@@ -138,7 +138,7 @@
 #[derive(Clone)]
 pub struct PeerMesh {
     config: Arc<MeshConfig>,
-    queues: Arc<Mutex<HashMap<DaemonId, Sender<PeerMessage>>>>,
+    queues: Arc<Mutex<HashMap<DaemonId, PeerQueue>>>,
     runtime: tokio::runtime::Handle,
     traffic: Arc<MeshTraffic>,
 }
@@ -194,22 +194,39 @@
     }
 
     /// Sends a message if its queue has room; returns whether it had.
-    pub fn send(&self, to: &DaemonId, message: PeerMessage) -> bool {
+    pub fn send(&self, to: &DaemonId, message: &PeerMessage) -> bool {
+        self.send_encoded(to, &EncodedMessage::new(message))
+    }
+
+    /// Sends a message to several daemons and encodes it once.
+    pub fn send_to_all(&self, to: &[DaemonId], message: &PeerMessage) {
+        if to.is_empty() {
+            return;
+        }
+        let message = EncodedMessage::new(message);
+        for peer in to {
+            self.send_encoded(peer, &message);
+        }
+    }
+
+    fn send_encoded(&self, to: &DaemonId, message: &EncodedMessage) -> bool {
         let Some(address) = self.config.address_of(to) else { return false };
         let mut queues = self.queues.lock().expect("no holder of the lock panics");
-        let queue = queues.entry(to.clone()).or_insert_with(|| {
-            let (sender, receiver) = flume::bounded(QUEUE_MESSAGES);
-            let dialer = PeerDialer {
-                config: Arc::clone(&self.config),
-                to: to.clone(),
-                address,
-                queue: receiver,
-                traffic: Arc::clone(&self.traffic),
-            };
-            self.runtime.spawn(dialer.run());
-            sender
-        });
-        queue.try_send(message).is_ok()
+        let queue = queues.entry(to.clone()).or_insert_with(|| self.start_dialer(to, address));
+        queue.push(message.clone())
+    }
+
+    fn start_dialer(&self, to: &DaemonId, address: SocketAddr) -> PeerQueue {
+        let (queue, messages) = new_queue();
+        let dialer = PeerDialer {
+            config: Arc::clone(&self.config),
+            to: to.clone(),
+            address,
+            queue: messages,
+            traffic: Arc::clone(&self.traffic),
+        };
+        self.runtime.spawn(dialer.run());
+        queue
     }
 }
 
@@ -218,7 +235,7 @@
     config: Arc<MeshConfig>,
     to: DaemonId,
     address: SocketAddr,
-    queue: Receiver<PeerMessage>,
+    queue: QueuedMessages,
     traffic: Arc<MeshTraffic>,
 }
 
@@ -244,14 +261,14 @@
                 }
                 Err(_) => {}
             }
-            if self.queue.is_disconnected() {
+            if self.queue.is_closed() {
                 return;
             }
             let jitter = rand::rng().random_range(0.5..1.0);
             tokio::time::sleep(pause.mul_f64(jitter)).await;
             pause = (pause * 2).min(BACKOFF.1);
             // What waited for a dead connection is stale; its senders send again.
-            self.queue.drain().for_each(drop);
+            self.queue.clear();
         }
     }
 
@@ -296,13 +313,13 @@
         let mut heard = tokio::time::Instant::now();
         loop {
             let frame = tokio::select! {
-                message = self.queue.recv_async() => match message {
-                    Ok(message) => {
-                        let frame = sealer.seal(&message);
+                message = self.queue.next() => match message {
+                    Some(message) => {
+                        let frame = sealer.seal_encoded(&message);
                         self.traffic.sent.fetch_add(frame.len() as u64, Ordering::Relaxed);
                         Message::binary(frame)
                     }
-                    Err(_) => return "stopping",
+                    None => return "stopping",
                 },
                 _ = ping.tick() => {
                     if heard.elapsed() > self.config.silence {
--- a/crates/peer/src/seal.rs
+++ b/crates/peer/src/seal.rs
@@ -1,5 +1,6 @@
 //! Proofs and frame codes made with the cluster key.
 
+use bytes::Bytes;
 use hmac::{Hmac, KeyInit, Mac};
 use hollowbarrow_schema::{DaemonId, PROTOCOL_VERSION, PeerMessage};
 use sha2::Sha256;
@@ -76,6 +77,24 @@
     mac.finalize().into_bytes()[..CODE_BYTES].to_vec()
 }
 
+/// A message in the form in which it goes over connections, made once for all that it goes to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedMessage(Bytes);
+
+impl EncodedMessage {
+    /// Encodes a message.
+    pub fn new(message: &PeerMessage) -> Self {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(message, &mut bytes).expect("writing to memory does not fail");
+        Self(bytes.into())
+    }
+
+    /// Bytes of the message, without what a connection adds.
+    pub fn size(&self) -> usize {
+        self.0.len()
+    }
+}
+
 /// Seals the frames of one connection.
 #[derive(Debug)]
 pub struct FrameSealer {
@@ -91,11 +110,15 @@
 
     /// Encodes a message as the next frame.
     pub fn seal(&mut self, message: &PeerMessage) -> Vec<u8> {
-        let mut body = Vec::new();
-        ciborium::into_writer(message, &mut body).expect("writing to memory does not fail");
+        self.seal_encoded(&EncodedMessage::new(message))
+    }
+
+    /// Makes an encoded message the next frame.
+    pub fn seal_encoded(&mut self, message: &EncodedMessage) -> Vec<u8> {
+        let body = &message.0;
         let mut frame = Vec::with_capacity(NUMBER_BYTES + CODE_BYTES + body.len());
         frame.extend(self.next.to_le_bytes());
-        frame.extend(frame_code(&self.key, self.next, &body));
+        frame.extend(frame_code(&self.key, self.next, body));
         frame.extend(body);
         self.next += 1;
         frame
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -39,7 +39,7 @@
         });
     let dialer = dialer.expect("it starts");
     for _ in 0..60 {
-        dialer.send(&two, message(7));
+        dialer.send(&two, &message(7));
         tokio::time::sleep(Duration::from_millis(25)).await;
         if let Ok(received) = receiver.try_recv() {
             assert_eq!(received, (one, Some(7)));
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -567,8 +567,14 @@
 #[serde(deny_unknown_fields)]
 pub struct ControllerHello {
     pub beats: ::std::vec::Vec<WorkerBeat>,
+    ///Gateways that have this controller as their home.
+    pub gateways: u32,
+    ///Sums over those gateways; none where they are not told this time.
+    pub loads: ::std::option::Option<::std::vec::Vec<WorkerLoad>>,
     ///True where the controller came back with an empty disk and must be admitted anew as a voter.
     pub lost_disk: bool,
+    ///True once any gateway has told of a request.
+    pub served: bool,
     ///Digest of the controller's table of workers.
     pub workers: u64,
     pub zone: ZoneId,
@@ -578,6 +584,19 @@
         value.clone()
     }
 }
+///A controller and the zone that it is in.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ControllerPlace {
+    pub id: DaemonId,
+    pub zone: ZoneId,
+}
+impl ::std::convert::From<&ControllerPlace> for ControllerPlace {
+    fn from(value: &ControllerPlace) -> Self {
+        value.clone()
+    }
+}
 ///Name of one entry node of hollowbarrow.
 ///
 #[derive(
@@ -1024,12 +1043,12 @@
         Self::Workers(value)
     }
 }
-///What the leading controller tells every gateway.
+///What the leading controller tells every gateway, by way of the gateway's home.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FleetView {
-    pub controllers: ::std::vec::Vec<DaemonId>,
+    pub controllers: ::std::vec::Vec<ControllerPlace>,
     ///Gateways that were heard of lately.
     pub gateways: u32,
     ///Sums over all gateways.
@@ -1079,6 +1098,10 @@
 pub struct GatewayHello {
     ///Version of the configuration in force at the gateway; 0 means none.
     pub deployment: u64,
+    ///Controller that passes on to this gateway what the others tell; none while it looks for one, so that all do.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub home: ::std::option::Option<DaemonId>,
+    ///Told to the home only, or to all where there is none.
     pub loads: ::std::vec::Vec<WorkerLoad>,
     ///Digest of the gateway's table of workers.
     pub workers: u64,
