Soak real processes under overlapping disturbances drawn from a seed

Change: tests/platform/soak.rs plays disturbances of thirteen kinds in three series that overlap (kills, freezes, planned ends, a lost disk, all controllers at once, links cut, silent in one direction or slow, workers that end, leave, are cut off from control or carry orders out late) while callers, an operator and a reader go on. It checks whole own answers, at most once, refusals that did not run, whole replicas, workers in one replica, and configurations that are read back as they were acknowledged; afterwards every gateway must serve. So that a proxy can stand on each link, a daemon may listen and connect from an address other than the one it is reached under (bind_ip).

Ruled out: one proxy a daemon with one mode, since it cannot tell who sends and so cannot cut one link.

--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -58,11 +58,16 @@
         let fail = |source| StartLinksError::Listen { address: id.to_string(), source };
         let address: SocketAddr =
             id.parse().map_err(|_| fail(std::io::Error::from(std::io::ErrorKind::InvalidInput)))?;
-        let listener = TcpListener::bind(address).map_err(fail)?;
-        let config = MeshConfig::new(&id, &settings.cluster_keys)
+        let bind_ip = settings.bind_ip.as_ref().and_then(|ip| ip.parse().ok());
+        let bound = SocketAddr::new(bind_ip.unwrap_or(address.ip()), address.port());
+        let listener = TcpListener::bind(bound).map_err(fail)?;
+        let mut config = MeshConfig::new(&id, &settings.cluster_keys)
             .with_addressed_peers()
             .with_connect(CONNECT_TIMEOUT)
             .with_patience(STEP_TIMEOUT, SILENCE_TIMEOUT);
+        if let Some(ip) = bind_ip {
+            config = config.with_source(ip);
+        }
         let mesh = PeerMesh::start(config, listener, handler)?;
         let seeds: Vec<DaemonId> = seed_ids(settings);
         Ok(Self { id, mesh, seeds, controllers: Mutex::default() })
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -44,6 +44,9 @@
     if settings.ip.parse::<IpAddr>().is_err() {
         fault("ip", &settings.ip, "an IP number");
     }
+    if let Some(ip) = settings.bind_ip.as_ref().filter(|ip| ip.parse::<IpAddr>().is_err()) {
+        fault("bind_ip", ip, "an IP number");
+    }
     let addresses = [
         ("callers", &settings.callers),
         ("readiness", &settings.readiness),
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -1,7 +1,7 @@
 //! Opens and accepts the connections.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 
@@ -76,6 +76,7 @@
     peers: HashMap<DaemonId, SocketAddr>,
     keys: Vec<String>,
     addressed: bool,
+    source: Option<IpAddr>,
     connect: Duration,
     step: Duration,
     silence: Duration,
@@ -89,6 +90,7 @@
             peers: HashMap::new(),
             keys: keys.to_vec(),
             addressed: false,
+            source: None,
             connect: STEP_TIMEOUT,
             step: STEP_TIMEOUT,
             silence: PONG_TIMEOUT,
@@ -103,6 +105,12 @@
         self
     }
 
+    /// Sets the IP number from which connections are made.
+    pub fn with_source(mut self, ip: IpAddr) -> Self {
+        self.source = Some(ip);
+        self
+    }
+
     /// Sets the longest time for a connection to come up.
     ///
     /// Shorter than the time after which the opening packet is sent again, since a machine that
@@ -274,9 +282,7 @@
 
     async fn connect(&self) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
         let step = self.config.step;
-        let stream =
-            within(self.config.connect, async { Ok(TcpStream::connect(self.address).await?) })
-                .await?;
+        let stream = within(self.config.connect, async { Ok(self.open_stream().await?) }).await?;
         stream.set_nodelay(true)?;
         let url = format!("ws://{}/peer", self.address);
         let (mut socket, _) = within(step, async { Ok(client_async(url, stream).await?) }).await?;
@@ -306,6 +312,15 @@
         Ok((socket, FrameSealer::new(facts.code(key, SESSION_PURPOSE))))
     }
 
+    async fn open_stream(&self) -> std::io::Result<TcpStream> {
+        let Some(source) = self.config.source else {
+            return TcpStream::connect(self.address).await;
+        };
+        let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(self.address).await
+    }
+
     /// Sends what is queued until the connection fails; says why it ended.
     async fn pump(&self, socket: PeerSocket, mut sealer: FrameSealer) -> &'static str {
         let (mut writer, mut reader) = socket.split();
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1593,6 +1593,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct MemberSettings {
+    ///IP number on which the daemon listens for others and from which it connects to them, where that is not `ip`: behind a relay or a translated address.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub bind_ip: ::std::option::Option<::std::string::String>,
     ///IP number and port for callers; gateways only.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub callers: ::std::option::Option<::std::string::String>,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -20,5 +20,5 @@
 pub use fleet::{FleetConfig, StandinFleet};
 pub use join::join_all;
 pub use model::{ModelConfig, expected_token};
-pub use proxy::{FaultMode, FaultProxy};
+pub use proxy::{FaultMode, FaultProxy, LinkProxy};
 pub use record::{RunHistory, RunRecord};
--- /dev/null
+++ b/tests/platform/disturbance.rs
@@ -0,0 +1,106 @@
+//! Disturbances of a soak, drawn from a seed.
+//!
+//! Several series run over each other: each disturbance begins at a time of its own and lasts for
+//! a while, whatever else is under way. Disks are lost one at a time, since that is what the
+//! system is set up to bear.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time in which disturbances begin.
+pub const DISTURBED_TIME: Duration = Duration::from_secs(8);
+/// Series that run over each other.
+const SERIES: usize = 3;
+/// Bounds of the length of a disturbance and of the pause after it, in milliseconds.
+const LENGTH_MS: (u64, u64) = (300, 2500);
+const PAUSE_MS: (u64, u64) = (100, 1200);
+
+/// What is done to the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DisturbanceKind {
+    /// A daemon is killed and started again.
+    Kill,
+    /// A daemon stands still and goes on.
+    Freeze,
+    /// A daemon is told to end, and started again.
+    Terminate,
+    /// A controller is killed and its disk is lost.
+    Wipe,
+    /// All controllers are killed at once.
+    KillControllers,
+    /// A daemon is cut off from all others.
+    CutOff,
+    /// One direction of a link is silent.
+    SilenceLink,
+    /// A link's connections are closed and refused.
+    CutLink,
+    /// A link is slow.
+    DelayLink,
+    /// A worker ends, and another life comes.
+    KillWorker,
+    /// A worker is cut off from controllers, while gateways reach it.
+    CutWorker,
+    /// A worker leaves orders unanswered and carries them out late.
+    LateOrders,
+    /// A worker says that it leaves, ends, and another life comes.
+    DrainWorker,
+}
+
+const KINDS: [DisturbanceKind; 13] = [
+    DisturbanceKind::Kill,
+    DisturbanceKind::Freeze,
+    DisturbanceKind::Terminate,
+    DisturbanceKind::Wipe,
+    DisturbanceKind::KillControllers,
+    DisturbanceKind::CutOff,
+    DisturbanceKind::SilenceLink,
+    DisturbanceKind::CutLink,
+    DisturbanceKind::DelayLink,
+    DisturbanceKind::KillWorker,
+    DisturbanceKind::CutWorker,
+    DisturbanceKind::LateOrders,
+    DisturbanceKind::DrainWorker,
+];
+
+/// One disturbance.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// When it begins.
+    pub at: Duration,
+    /// For how long it lasts.
+    pub length: Duration,
+    /// What is done.
+    pub kind: DisturbanceKind,
+    /// Numbers by which daemons or workers are chosen.
+    pub first: usize,
+    /// The second end of a link.
+    pub second: usize,
+}
+
+/// The disturbances of a seed, in the order in which they begin.
+pub fn draw_disturbances(seed: u64) -> Vec<Disturbance> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut drawn = Vec::new();
+    for _ in 0..SERIES {
+        let mut at = draw_ms(&mut rng, PAUSE_MS);
+        while at < DISTURBED_TIME {
+            let length = draw_ms(&mut rng, LENGTH_MS);
+            drawn.push(Disturbance {
+                at,
+                length,
+                kind: KINDS[rng.random_range(0..KINDS.len())],
+                first: rng.random_range(0..1000),
+                second: rng.random_range(0..1000),
+            });
+            at += length + draw_ms(&mut rng, PAUSE_MS);
+        }
+    }
+    drawn.sort_by_key(|disturbance| disturbance.at);
+    drawn
+}
+
+fn draw_ms(rng: &mut ChaCha8Rng, (least, most): (u64, u64)) -> Duration {
+    Duration::from_millis(rng.random_range(least..most))
+}
--- /dev/null
+++ b/tests/platform/observer.rs
@@ -0,0 +1,182 @@
+//! Callers and operators of a soak, and what they saw that must not be.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+use rand::RngExt;
+use serde_json::Value;
+
+use crate::system::{KEY, call_gateway, configuration, fetch_at, replace_at};
+use crate::worker::Fleet;
+
+/// Pause between two requests of the load.
+const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two changes of the configuration.
+const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two reads of it.
+const READ_PAUSE: Duration = Duration::from_millis(120);
+
+/// What callers and operators saw.
+#[derive(Default)]
+pub struct Observer {
+    breaches: Mutex<Vec<String>>,
+    /// Requests that may run once, and were told to have not run.
+    refused: Mutex<Vec<String>>,
+    /// Every configuration that was sent, by version.
+    sent: Mutex<BTreeMap<u64, Value>>,
+    acknowledged: AtomicU64,
+    served: AtomicU64,
+    ended: AtomicBool,
+}
+
+impl Observer {
+    pub fn new() -> Arc<Self> {
+        Arc::default()
+    }
+
+    /// Requests that were answered with success.
+    pub fn served(&self) -> u64 {
+        self.served.load(Ordering::Relaxed)
+    }
+
+    /// Highest version that was acknowledged.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged.load(Ordering::SeqCst)
+    }
+
+    /// Has load and changes stop.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+
+    fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    fn report(&self, breach: String) {
+        lock(&self.breaches).push(breach);
+    }
+
+    /// Everything that must not be, with what the workers counted.
+    pub fn breaches(&self, fleet: &Fleet) -> Vec<String> {
+        let mut breaches = lock(&self.breaches).clone();
+        breaches.extend(fleet.breaches());
+        for id in lock(&self.refused).iter().filter(|id| fleet.runs(id) > 0) {
+            breaches.push(format!("{id} was told not to have run, and ran"));
+        }
+        for (id, runs) in fleet.all_runs() {
+            if id.starts_with("hold") && runs > 1 {
+                breaches.push(format!("{id} ran {runs} times"));
+            }
+        }
+        breaches
+    }
+
+    /// Notes a configuration that goes out, or may have.
+    pub fn note_sent(&self, version: u64, content: &Value) {
+        lock(&self.sent).insert(version, content.clone());
+    }
+
+    /// Notes that a version was acknowledged.
+    pub fn note_acknowledged(&self, version: u64) {
+        self.acknowledged.fetch_max(version, Ordering::SeqCst);
+    }
+
+    /// Checks what was read after a version had been acknowledged.
+    pub fn check_read(&self, before: u64, read: &Value) {
+        let version = read["version"].as_u64().unwrap_or_default();
+        if version < before {
+            self.report(format!("version {version} was read after {before} was acknowledged"));
+        }
+        if lock(&self.sent).get(&version) != Some(read) {
+            self.report(format!("version {version} was read with other content"));
+        }
+    }
+
+    /// Checks one answer.
+    fn check_answer(&self, id: &str, stream: &str, answer: &Response<Bytes>) {
+        let status = answer.status().as_u16();
+        let body = String::from_utf8_lossy(answer.body());
+        let hold = id.starts_with("hold");
+        match status {
+            200 => {
+                self.served.fetch_add(1, Ordering::Relaxed);
+                let expected =
+                    if hold { format!("tenant family request {id}") } else { stream.to_owned() };
+                if body != expected {
+                    self.report(format!("{id} got {body:?}"));
+                }
+            }
+            408 | 421 | 429 | 503 if hold => lock(&self.refused).push(id.to_owned()),
+            502..=504 => {}
+            other => self.report(format!("{id} got status {other}: {body}")),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("not poisoned")
+}
+
+/// Sends requests to all gateways in turn until the observer ends.
+pub async fn send_load(observer: Arc<Observer>, gateways: Vec<String>, stream: String) {
+    let stream: Arc<str> = stream.into();
+    let mut number = 0usize;
+    let mut calls = Vec::new();
+    while !observer.has_ended() {
+        number += 1;
+        let (kind, path) =
+            if number.is_multiple_of(3) { ("hold", "/hold/1") } else { ("chat", "/chat/1") };
+        let id = format!("{kind}-{number}");
+        let gateway = gateways[number % gateways.len()].clone();
+        let (observer, stream) = (Arc::clone(&observer), Arc::clone(&stream));
+        calls.push(tokio::spawn(async move {
+            if let Ok(answer) = call_gateway(&gateway, path, &id, Some(KEY)).await {
+                observer.check_answer(&id, &stream, &answer);
+            }
+        }));
+        tokio::time::sleep(REQUEST_PAUSE).await;
+    }
+    futures_util::future::join_all(calls).await;
+}
+
+/// Changes the configuration again and again, at whichever controller, until the observer ends.
+pub async fn send_changes(observer: Arc<Observer>, controllers: Vec<String>, first: u64) {
+    let mut version = first;
+    while !observer.has_ended() {
+        version += rand::rng().random_range(1..4);
+        let content = configuration(version);
+        observer.note_sent(version, &content);
+        let body = Bytes::from(content.to_string());
+        let start = rand::rng().random_range(0..controllers.len());
+        for offset in 0..controllers.len() {
+            let controller = &controllers[(start + offset) % controllers.len()];
+            match replace_at(controller, &body).await {
+                200 => {
+                    observer.note_acknowledged(version);
+                    break;
+                }
+                0 | 307 | 503 => {}
+                other => observer.report(format!("version {version} got status {other}")),
+            }
+        }
+        tokio::time::sleep(CHANGE_PAUSE).await;
+    }
+}
+
+/// Reads the configuration at one controller after the other until the observer ends.
+pub async fn read_changes(observer: Arc<Observer>, controllers: Vec<String>) {
+    let mut number = 0;
+    while !observer.has_ended() {
+        number += 1;
+        let before = observer.acknowledged();
+        if let Some(read) = fetch_at(&controllers[number % controllers.len()]).await {
+            observer.check_read(before, &read);
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/tests/platform/soak.rs
@@ -0,0 +1,299 @@
+//! Disturbances at random over real processes, with proxies between them and signals.
+//!
+//! Whatever comes, callers get their own whole answers, what may run once runs once, what was told
+//! not to have run has not, no replica serves without each member, no worker is in two, and no
+//! acknowledged configuration is lost or shown older. Afterwards everything serves again.
+//!
+//! CI plays a few seeds. `HOLLOWBARROW_SOAK_RUNS=50` draws so many fresh ones, and
+//! `HOLLOWBARROW_SOAK_SEED=N` plays one again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowbarrow_testkit::FaultMode;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::disturbance::{DISTURBED_TIME, Disturbance, DisturbanceKind, draw_disturbances};
+use crate::observer::{Observer, read_changes, send_changes, send_load};
+use crate::system::{CONTROLLERS, Layout, Signal, System, configuration};
+use crate::worker::{Fleet, Worker};
+
+/// Variable with the number of fresh seeds to play.
+const RUNS: &str = "HOLLOWBARROW_SOAK_RUNS";
+/// Variable with the one seed to play.
+const SEED: &str = "HOLLOWBARROW_SOAK_SEED";
+/// First block of addresses of the soak's systems.
+const FIRST_BLOCK: u8 = 100;
+/// Engine workers of each zone.
+const ENGINES: usize = 5;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Version of the first configuration.
+const FIRST_VERSION: u64 = 3;
+/// Delay of a slow link.
+const LINK_DELAY: Duration = Duration::from_millis(250);
+/// Time for which a worker that leaves goes on.
+const DRAIN_TIME: Duration = Duration::from_millis(600);
+
+/// A system, its workers and what was done to them.
+struct Soak {
+    system: System,
+    fleet: Arc<Fleet>,
+    engines: Vec<(Arc<Worker>, &'static str)>,
+    _plain: Vec<Arc<Worker>>,
+    lives: usize,
+    /// The controller whose disk was lost, until it votes again.
+    wiped: Option<usize>,
+    /// Daemons that are down, standing still or ending, each under one disturbance.
+    down: Vec<usize>,
+}
+
+impl Soak {
+    fn start(block: u8) -> Self {
+        let system = System::start_with(block, Layout::zoned_behind_proxies());
+        let fleet = Fleet::new(system.controllers.clone());
+        let mut soak = Self {
+            system,
+            fleet,
+            engines: Vec::new(),
+            _plain: Vec::new(),
+            lives: 0,
+            wiped: None,
+            down: Vec::new(),
+        };
+        for zone in ZONES {
+            for _ in 0..ENGINES {
+                let worker = soak.new_life(zone);
+                soak.engines.push((worker, zone));
+            }
+            let id = format!("plain-{zone}");
+            let worker = Worker::start_in(&soak.fleet, &id, "bookings", false, zone);
+            soak._plain.push(worker);
+        }
+        soak
+    }
+
+    fn new_life(&mut self, zone: &'static str) -> Arc<Worker> {
+        self.lives += 1;
+        let id = format!("engine-{zone}-{}", self.lives);
+        Worker::start_in(&self.fleet, &id, "models", true, zone)
+    }
+
+    fn renew_worker(&mut self, index: usize) {
+        let zone = self.engines[index].1;
+        self.engines[index].0.kill();
+        let worker = self.new_life(zone);
+        self.engines[index] = (worker, zone);
+    }
+
+    /// Begins a disturbance; false where it cannot be borne now, or meets one of the same daemon.
+    fn begin(&mut self, disturbance: &Disturbance) -> bool {
+        let daemon = disturbance.first % self.system.daemon_count();
+        let controller = disturbance.first % CONTROLLERS;
+        let worker = &self.engines[disturbance.first % self.engines.len()].0;
+        match disturbance.kind {
+            DisturbanceKind::Kill => self.take_down(daemon, Signal::Kill),
+            DisturbanceKind::Freeze => self.take_down(daemon, Signal::Stop),
+            DisturbanceKind::Terminate => self.take_down(daemon, Signal::Terminate),
+            DisturbanceKind::Wipe => {
+                let bearable = self.wiped.is_none_or(|wiped| self.system.votes(wiped));
+                if !bearable || !self.take_down(controller, Signal::Kill) {
+                    return false;
+                }
+                self.wiped = Some(controller);
+                true
+            }
+            DisturbanceKind::KillControllers => {
+                let free = (0..CONTROLLERS).all(|daemon| !self.down.contains(&daemon));
+                free && (0..CONTROLLERS).all(|daemon| self.take_down(daemon, Signal::Kill))
+            }
+            DisturbanceKind::CutOff => self.cut_off(daemon, FaultMode::Silence),
+            DisturbanceKind::SilenceLink => self.set_link(disturbance, FaultMode::Silence),
+            DisturbanceKind::CutLink => self.set_link(disturbance, FaultMode::Cut),
+            DisturbanceKind::DelayLink => self.set_link(disturbance, FaultMode::Delay(LINK_DELAY)),
+            DisturbanceKind::KillWorker => {
+                worker.kill();
+                true
+            }
+            DisturbanceKind::CutWorker => {
+                worker.set_cut(true);
+                true
+            }
+            DisturbanceKind::LateOrders => {
+                worker.set_late(true);
+                true
+            }
+            DisturbanceKind::DrainWorker => {
+                worker.leave();
+                true
+            }
+        }
+    }
+
+    /// Ends a disturbance that was begun.
+    async fn end(&mut self, disturbance: &Disturbance) {
+        let daemon = disturbance.first % self.system.daemon_count();
+        let controller = disturbance.first % CONTROLLERS;
+        let index = disturbance.first % self.engines.len();
+        let terminated = disturbance.kind == DisturbanceKind::Terminate;
+        match disturbance.kind {
+            DisturbanceKind::Kill | DisturbanceKind::Freeze | DisturbanceKind::Terminate => {
+                self.bring_back(daemon, terminated).await;
+            }
+            DisturbanceKind::Wipe => {
+                self.system.restart_controller(controller, true);
+                self.down.retain(|down| *down != controller);
+            }
+            DisturbanceKind::KillControllers => {
+                for daemon in 0..CONTROLLERS {
+                    self.bring_back(daemon, false).await;
+                }
+            }
+            DisturbanceKind::CutOff => {
+                self.cut_off(daemon, FaultMode::Pass);
+            }
+            DisturbanceKind::SilenceLink
+            | DisturbanceKind::CutLink
+            | DisturbanceKind::DelayLink => {
+                self.set_link(disturbance, FaultMode::Pass);
+            }
+            DisturbanceKind::KillWorker => self.renew_worker(index),
+            DisturbanceKind::CutWorker => self.engines[index].0.set_cut(false),
+            DisturbanceKind::LateOrders => self.engines[index].0.set_late(false),
+            DisturbanceKind::DrainWorker => {
+                tokio::time::sleep(DRAIN_TIME).await;
+                self.renew_worker(index);
+            }
+        }
+    }
+
+    fn take_down(&mut self, daemon: usize, signal: Signal) -> bool {
+        if self.down.contains(&daemon) {
+            return false;
+        }
+        self.down.push(daemon);
+        self.system.signal(daemon, signal);
+        true
+    }
+
+    async fn bring_back(&mut self, daemon: usize, ending: bool) {
+        self.system.revive(daemon, ending).await;
+        self.down.retain(|down| *down != daemon);
+    }
+
+    fn cut_off(&self, daemon: usize, mode: FaultMode) -> bool {
+        for other in (0..self.system.daemon_count()).filter(|other| *other != daemon) {
+            self.system.set_link(daemon, other, mode);
+            self.system.set_link(other, daemon, mode);
+        }
+        true
+    }
+
+    fn set_link(&self, disturbance: &Disturbance, mode: FaultMode) -> bool {
+        let count = self.system.daemon_count();
+        let (from, to) = (disturbance.first % count, disturbance.second % count);
+        if from == to {
+            return false;
+        }
+        self.system.set_link(from, to, mode);
+        true
+    }
+
+    /// Plays the disturbances of a seed, each from its beginning to its end.
+    async fn disturb(&mut self, seed: u64) {
+        let start = Instant::now();
+        let mut waiting = draw_disturbances(seed);
+        let mut running: Vec<(Instant, Disturbance)> = Vec::new();
+        while !waiting.is_empty() || !running.is_empty() {
+            let begins = waiting.first().map(|disturbance| start + disturbance.at);
+            let ends = running.iter().map(|(end, _)| *end).min();
+            let next = begins.into_iter().chain(ends).min().expect("something is left");
+            tokio::time::sleep_until(next).await;
+            if begins == Some(next) {
+                let disturbance = waiting.remove(0);
+                let begun = self.begin(&disturbance);
+                println!("seed {seed}: {disturbance:?} begun={begun}");
+                if begun {
+                    running.push((Instant::now() + disturbance.length, disturbance));
+                }
+            } else if let Some(index) = running.iter().position(|(end, _)| *end == next) {
+                let (_, disturbance) = running.swap_remove(index);
+                self.end(&disturbance).await;
+            }
+        }
+    }
+
+    /// Waits until every gateway serves, and checks the configuration.
+    async fn check_recovered(&self, observer: &Observer) {
+        self.system.wait_ready().await;
+        for gateway in 0..self.system.gateways.len() {
+            for (path, name) in [("/chat/1", "after-chat"), ("/hold/1", "after-hold")] {
+                let name = format!("{name}-{gateway}");
+                self.system.call_gateway_until_served(gateway, path, &name).await;
+            }
+        }
+        let acknowledged = observer.acknowledged();
+        observer.check_read(acknowledged, &self.system.fetch().await);
+    }
+}
+
+/// Plays one seed; says what must not be.
+async fn play(seed: u64, block: u8) -> Vec<String> {
+    println!("soak seed {seed}, disturbed for {} s", DISTURBED_TIME.as_secs());
+    let mut soak = Soak::start(block);
+    let observer = Observer::new();
+    let first = configuration(FIRST_VERSION);
+    observer.note_sent(FIRST_VERSION, &first);
+    assert_eq!(soak.system.replace(&first).await, 200);
+    observer.note_acknowledged(FIRST_VERSION);
+    soak.system.wait_ready().await;
+    soak.system.call_until_served("/chat/1", "warm").await;
+    let (gateways, controllers) = (soak.system.gateways.clone(), soak.system.controllers.clone());
+    let load = tokio::spawn(send_load(Arc::clone(&observer), gateways, crate::whole_stream()));
+    let changes =
+        tokio::spawn(send_changes(Arc::clone(&observer), controllers.clone(), FIRST_VERSION));
+    let reads = tokio::spawn(read_changes(Arc::clone(&observer), controllers));
+    soak.disturb(seed).await;
+    observer.end();
+    for task in [load, changes, reads] {
+        task.await.expect("the observer does not fail");
+    }
+    soak.check_recovered(&observer).await;
+    println!("seed {seed}: {} served, version {}", observer.served(), observer.acknowledged());
+    let breaches = observer.breaches(&soak.fleet);
+    if !breaches.is_empty() {
+        println!("{}", soak.system.logs());
+    }
+    breaches
+}
+
+#[rstest]
+#[case(1, 0)]
+#[case(2, 1)]
+#[case(3, 2)]
+#[tokio::test]
+async fn soak_keeps_promises(#[case] seed: u64, #[case] block: u8) {
+    assert_eq!(play(seed, FIRST_BLOCK + block).await, Vec::<String>::new(), "seed {seed}");
+}
+
+/// Fresh seeds, by hand; without the variables nothing is played.
+#[rstest]
+#[tokio::test]
+async fn soak_fresh_seeds() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let seeds: Vec<u64> = match (number(SEED), number(RUNS)) {
+        (Some(seed), _) => vec![seed],
+        (None, Some(runs)) => (0..runs).map(|_| rand::random_range(0..1 << 40)).collect(),
+        (None, None) => Vec::new(),
+    };
+    let mut failed = Vec::new();
+    for (number, seed) in seeds.iter().enumerate() {
+        let block = FIRST_BLOCK + 10 + (number % 100) as u8;
+        let breaches = play(*seed, block).await;
+        println!("seed {seed}: {} breaches", breaches.len());
+        if !breaches.is_empty() {
+            failed.push((*seed, breaches));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
