Choose replicas that seem to stand still last

Cause: a replica that lost a member goes on to take requests and answers none. The leader proves it only after 600 ms of silence and two probes; until then gateways sent one request in a dozen there, each late for sure.

Ruled out: withholding such heads at the leader, which has no way back where every replica is silent for a moment.

Change: a replica at which requests are under way and nothing has come for two and a half passes and the prompts that wait, and 120 ms (350 ms for what other gateways told), is chosen only where no other is. Views carry how long ago something came. The load of a worker moves to a module of its own.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -220,7 +220,9 @@
             worker: worker.clone(),
             active: sum.active,
             waiting_ms: sum.waiting_ms,
-            progress_ms: None,
+            progress_ms: sum
+                .progress
+                .map(|at| now.saturating_duration_since(at).as_millis() as u32),
         });
         let view = FleetView {
             term: held.term,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -91,7 +91,7 @@
 
     /// Takes in a view that a controller passed on.
     pub(crate) fn take_view(&self, from: &DaemonId, view: &FleetView, now: Instant) {
-        if self.picker().take_view(view) {
+        if self.picker().take_view(view, now) {
             let mut home = self.home.lock().expect("no holder of the lock panics");
             home.note_view(from, &view.controllers, now);
         }
@@ -114,8 +114,9 @@
         facts: &PickFacts<'_>,
     ) -> Result<Flight, NoWorker> {
         let mut picker = self.picker();
-        let worker = picker.pick(facts, Instant::now())?;
-        picker.begin(&worker.id, worker.reading_ms);
+        let now = Instant::now();
+        let worker = picker.pick(facts, now)?;
+        picker.begin(&worker.id, worker.reading_ms, now);
         drop(picker);
         Ok(Flight { core: Arc::clone(self), worker, reading: true })
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod home;
 mod intake;
 mod links;
+mod loads;
 pub mod picker;
 mod protocol;
 mod refusal;
--- /dev/null
+++ b/crates/gateway/src/loads.rs
@@ -0,0 +1,81 @@
+//! What is under way at a worker, as one gateway knows it.
+//!
+//! A replica that lost a member goes on to take requests while nothing moves. It shows in what
+//! has come of its answers lately, here or at other gateways, long before it is proved.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Passes without anything of an answer after which a worker seems to stand still.
+const STILL_PASSES: f64 = 2.5;
+/// Silence that is borne beyond that where this gateway's own answers are awaited.
+const OWN_SLACK: Duration = Duration::from_millis(120);
+/// The same for what other gateways told, which is older.
+const SHARED_SLACK: Duration = Duration::from_millis(350);
+
+/// What this gateway knows of a worker by its own requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnLoad {
+    pub(crate) active: u32,
+    pub(crate) waiting_ms: f64,
+    /// When something of an answer last came.
+    pub(crate) progress: Option<Instant>,
+    /// Since when requests have been under way without a break.
+    pub(crate) busy_since: Option<Instant>,
+    pub(crate) failing: f64,
+    pub(crate) failures: u32,
+    pub(crate) ejected_until: Option<Instant>,
+}
+
+/// What all gateways together have under way at a worker.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SharedLoad {
+    pub(crate) active: u32,
+    pub(crate) waiting_ms: f64,
+    /// When something of an answer last came to any gateway.
+    pub(crate) progress: Option<Instant>,
+}
+
+impl OwnLoad {
+    pub(crate) fn begin(&mut self, reading_ms: f64, now: Instant) {
+        if self.active == 0 {
+            self.busy_since = Some(now);
+        }
+        self.active += 1;
+        self.waiting_ms += reading_ms;
+    }
+
+    pub(crate) fn end(&mut self) {
+        self.active = self.active.saturating_sub(1);
+    }
+
+    /// Since when an answer has been awaited in vain, if one is.
+    fn silent_since(&self) -> Option<Instant> {
+        let busy = self.busy_since.filter(|_| self.active > 0)?;
+        Some(self.progress.map_or(busy, |at| at.max(busy)))
+    }
+}
+
+/// Whether nothing has come from a worker for longer than its passes and the prompts that it has
+/// to read explain.
+pub(crate) fn stands_still(
+    own: Option<&OwnLoad>,
+    shared: &SharedLoad,
+    expected_ms: f64,
+    now: Instant,
+) -> bool {
+    let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1000.0);
+    let silence = |since: Instant| now.saturating_duration_since(since);
+    let own_since = own.and_then(OwnLoad::silent_since);
+    if let Some(since) = own_since {
+        return silence(since) > expected + OWN_SLACK;
+    }
+    let shared_since = shared.progress.filter(|_| shared.active > 0);
+    shared_since.is_some_and(|since| silence(since) > expected + SHARED_SLACK)
+}
+
+/// Time within which something should come from a worker that is busy.
+pub(crate) fn expected_silence_ms(pass_ms: f64, waiting_ms: f64) -> f64 {
+    pass_ms * STILL_PASSES + waiting_ms
+}
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -21,6 +21,8 @@
 };
 use tokio::time::Instant;
 
+use crate::loads::{OwnLoad, SharedLoad, expected_silence_ms, stands_still};
+
 /// Estimated cost of reaching a worker in another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 12.0;
 /// Cost of each request under way at a replica, in milliseconds.
@@ -88,23 +90,6 @@
     scattered: bool,
 }
 
-/// What this gateway knows of a worker by its own requests.
-#[derive(Clone, Debug, Default)]
-struct OwnLoad {
-    active: u32,
-    waiting_ms: f64,
-    progress: Option<Instant>,
-    failing: f64,
-    failures: u32,
-    ejected_until: Option<Instant>,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct SharedLoad {
-    active: u32,
-    waiting_ms: f64,
-}
-
 /// What the leading controller last told.
 #[derive(Clone, Debug, Default)]
 struct SharedView {
@@ -152,7 +137,7 @@
 
     /// Takes the leading controller's view in; older ones are passed over. False for one that is
     /// so old that whoever passed it on is cut off from the leader.
-    pub fn take_view(&mut self, view: &FleetView) -> bool {
+    pub fn take_view(&mut self, view: &FleetView, now: Instant) -> bool {
         let rank = (view.term, view.number);
         if rank <= self.view.rank {
             return (view.term, view.number + LATE_VIEWS) >= self.view.rank;
@@ -161,6 +146,9 @@
         let all = |load: &WorkerLoad| SharedLoad {
             active: load.active,
             waiting_ms: f64::from(load.waiting_ms),
+            progress: load
+                .progress_ms
+                .and_then(|ms| now.checked_sub(Duration::from_millis(ms.into()))),
         };
         let loads = view.loads.iter().map(|load| (load.worker.clone(), (all(load), own(load))));
         self.view = SharedView {
@@ -200,7 +188,8 @@
                 continue;
             }
             let waiting_ms = own.waiting_ms.max(0.0);
-            self.reported.insert(id.clone(), SharedLoad { active: own.active, waiting_ms });
+            let shared = SharedLoad { active: own.active, waiting_ms, progress: own.progress };
+            self.reported.insert(id.clone(), shared);
             loads.push(WorkerLoad {
                 worker: id.clone(),
                 active: own.active,
@@ -255,7 +244,12 @@
             let full = self.own_active(&candidate.id) >= self.own_limit(candidate, engine.slots);
             (!full).then(|| estimate(candidate).first_ms + f64::from(load.active) * ACTIVE_MS)
         };
-        self.choose(candidates, facts, cost, now).map(estimate)
+        let still = |candidate: &Candidate| {
+            let (load, shared) = (self.load_of(&candidate.id), self.shared(&candidate.id));
+            let expected = expected_silence_ms(estimate(candidate).pass_ms, load.waiting_ms);
+            stands_still(self.own.get(&candidate.id), &shared, expected, now)
+        };
+        self.choose(candidates, facts, cost, still, now).map(estimate)
     }
 
     fn pick_plain(&self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
@@ -266,7 +260,7 @@
             let part = f64::from(load.active) / f64::from(candidate.slots.max(1));
             (load.active < most).then_some(part * 100.0)
         };
-        let chosen = self.choose(candidates, facts, cost, now)?;
+        let chosen = self.choose(candidates, facts, cost, |_| false, now)?;
         Ok(PickedWorker {
             id: chosen.id.clone(),
             address: chosen.address,
@@ -276,12 +270,14 @@
         })
     }
 
-    /// The cheapest candidate; workers that are left out are used only where no other is there.
+    /// The cheapest candidate; workers that are left out, or seem to stand still, are used only
+    /// where no other is there.
     fn choose<'a>(
         &self,
         candidates: &'a [Candidate],
         facts: &PickFacts<'_>,
         cost: impl Fn(&Candidate) -> Option<f64>,
+        still: impl Fn(&Candidate) -> bool,
         now: Instant,
     ) -> Result<&'a Candidate, NoWorker> {
         let usable = |candidate: &&Candidate| {
@@ -294,6 +290,7 @@
             let Some(cost) = cost(candidate) else { continue };
             let own = self.own.get(&candidate.id);
             let ejected = own.and_then(|own| own.ejected_until).is_some_and(|until| now < until);
+            let ejected = ejected || still(candidate);
             let failing = own.map_or(0.0, |own| own.failing);
             let distance = if candidate.near { 0.0 } else { OTHER_ZONE_MS };
             let total = cost + failing * FAILING_MS + distance + rand::random::<f64>();
@@ -317,9 +314,15 @@
         SharedLoad {
             active: own.map_or(0, |own| own.active) + others,
             waiting_ms: own.map_or(0.0, |own| own.waiting_ms) + others_ms,
+            progress: all.progress,
         }
     }
 
+    /// What all gateways had under way at a worker, as last told.
+    fn shared(&self, id: &WorkerId) -> SharedLoad {
+        self.view.loads.get(id).map_or_else(SharedLoad::default, |(all, _)| *all)
+    }
+
     fn own_active(&self, id: &WorkerId) -> u32 {
         self.own.get(id).map_or(0, |own| own.active)
     }
@@ -339,10 +342,8 @@
     }
 
     /// Notes that a request went to a worker.
-    pub fn begin(&mut self, id: &WorkerId, reading_ms: f64) {
-        let own = self.own.entry(id.clone()).or_default();
-        own.active += 1;
-        own.waiting_ms += reading_ms;
+    pub fn begin(&mut self, id: &WorkerId, reading_ms: f64, now: Instant) {
+        self.own.entry(id.clone()).or_default().begin(reading_ms, now);
     }
 
     /// Notes that a prompt was read, or will not be.
@@ -355,7 +356,7 @@
     /// Notes that a request is no longer under way.
     pub fn end(&mut self, id: &WorkerId) {
         if let Some(own) = self.own.get_mut(id) {
-            own.active = own.active.saturating_sub(1);
+            own.end();
         }
     }
 
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -79,7 +79,7 @@
 fn picker(reports: Vec<WorkerReport>) -> WorkerPicker {
     let mut picker = WorkerPicker::new(&ZoneId::from("a"));
     picker.merge(reports, Instant::now());
-    picker.take_view(&view(1, 1, &[], &[]));
+    picker.take_view(&view(1, 1, &[], &[]), Instant::now());
     picker
 }
 
@@ -134,9 +134,9 @@
 #[rstest]
 fn pick_none_that_is_withheld() {
     let mut picker = picker(replicas());
-    picker.take_view(&view(2, 1, &["a0"], &[]));
+    picker.take_view(&view(2, 1, &["a0"], &[]), Instant::now());
     assert_eq!(picked(&mut picker), ["b0"]);
-    picker.take_view(&view(1, 1, &[], &[]));
+    picker.take_view(&view(1, 1, &[], &[]), Instant::now());
     assert_eq!(picked(&mut picker), ["b0"], "an older view changes nothing");
 }
 
@@ -148,10 +148,53 @@
     assert!(!picker.note_outcome(&failing, false, now));
     assert!(picker.note_outcome(&failing, false, now), "two failures in a row leave it out");
     assert_eq!(picked(&mut picker), ["b0"]);
-    picker.take_view(&view(2, 1, &["b0"], &[]));
+    picker.take_view(&view(2, 1, &["b0"], &[]), Instant::now());
     assert_eq!(picked(&mut picker), ["a0"], "it is used where no other is there");
 }
 
+/// What is known of `a0` a while after a request went there; `b0` answers as it should.
+#[rstest]
+#[case::answer_awaited(100, None, true)]
+#[case::answer_late(400, None, false)]
+#[case::something_came(400, Some(350), true)]
+#[case::nothing_since(600, Some(100), false)]
+fn pick_worker_that_moves(
+    #[case] now_ms: u64,
+    #[case] progress_ms: Option<u64>,
+    #[case] expected: bool,
+) {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut picker = picker(replicas());
+    let (service, model) = (service(), ModelName::from("m"));
+    let still = WorkerId::from("a0");
+    picker.begin(&still, 10.0, start);
+    if let Some(ms) = progress_ms {
+        picker.note_progress(&still, at(ms));
+    }
+    let facts =
+        PickFacts { service: &service, model: Some(&model), prompt_tokens: 500, excluded: &[] };
+    // The other replica has more to do, so that this one is chosen unless it stands still.
+    for _ in 0..6 {
+        picker.begin(&WorkerId::from("b0"), 10.0, at(now_ms));
+    }
+    let picked = picker.pick(&facts, at(now_ms)).map(|worker| worker.id == still);
+    assert_eq!(picked, Ok(expected));
+}
+
+/// Other gateways have requests at `a0`, and nothing has come to them for a while.
+#[rstest]
+#[case::lately(100, true)]
+#[case::long_ago(900, false)]
+fn pick_worker_that_moves_elsewhere(#[case] progress_ms: u32, #[case] expected: bool) {
+    let mut told = view(2, 2, &[], &[("a0", 3), ("b0", 9)]);
+    told.loads[0].progress_ms = Some(progress_ms);
+    told.loads[1].progress_ms = Some(20);
+    let mut picker = picker(replicas());
+    picker.take_view(&told, Instant::now());
+    assert_eq!(picked(&mut picker).contains(&"a0".to_owned()), expected);
+}
+
 #[rstest]
 fn pick_unknown_model() {
     let service = service();
@@ -166,7 +209,7 @@
 #[rstest]
 fn pick_full_replicas() {
     let mut picker = picker(replicas());
-    picker.take_view(&view(2, 3, &[], &[("a0", SLOTS), ("b0", SLOTS)]));
+    picker.take_view(&view(2, 3, &[], &[("a0", SLOTS), ("b0", SLOTS)]), Instant::now());
     assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Full));
 }
 
@@ -191,7 +234,7 @@
         };
         let loads = [("a0", sum("a0")), ("b0", sum("b0"))];
         for (gateway, under_way) in gateways.iter_mut().zip(&mut under_way) {
-            gateway.take_view(&view(round + 2, count as u32, &[], &loads));
+            gateway.take_view(&view(round + 2, count as u32, &[], &loads), now);
             under_way.retain(|id| {
                 let ends = rng.random_bool(0.1);
                 if ends {
@@ -202,7 +245,7 @@
             for _ in 0..20 {
                 let Ok(id) = pick(gateway, &service) else { break };
                 let id = WorkerId(id);
-                gateway.begin(&id, 0.0);
+                gateway.begin(&id, 0.0, now);
                 under_way.push(id);
             }
         }
