Load first what completes a replica, and think again while a load waits

Loads went out in the order of the workers' names, for a model chosen when the worker came.

Ruled out: more loads at once (each takes longer in proportion).

Change: loads go out by how many members a domain lacks for a replica, and a worker whose load has not begun may be given another model.

--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -248,6 +248,22 @@
         parts.chain([standbys]).collect::<Vec<_>>().join(" ")
     }
 
+    /// Free workers of each domain by what they hold and what they load, as a log line has them:
+    /// `domain:model+second/loading`, where a model that is being loaded stands behind the stroke.
+    fn describe_free(&self, view: &StepView<'_>) -> String {
+        let mut free: Vec<String> = Vec::new();
+        for report in self.free_workers(view) {
+            let mut held: Vec<&str> =
+                report.model.iter().chain(&report.staged).map(|model| model.as_str()).collect();
+            held.dedup();
+            let told = self.standbys.get(&report.id).map(|name| name.model.as_str());
+            let loading = told.filter(|model| !held.contains(model)).unwrap_or_default();
+            free.push(format!("{}:{}/{loading}", *domain_of(report), held.join("+")));
+        }
+        free.sort();
+        free.join(",")
+    }
+
     /// Members of the replica that a worker heads.
     pub fn members_of_head(&self, head: &WorkerId) -> Vec<WorkerId> {
         let mut replicas = self.replicas.values();
@@ -290,6 +306,7 @@
         let free = self.free_for_placement(view);
         let standing = self.count_standing(view);
         self.form(plan_scattered(&demands, &standing, &domains, &free));
+        log::info!("event=free_workers free={}", self.describe_free(view));
     }
 
     /// What is wanted of a model: its share, and more the fuller its replicas are.
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -28,17 +28,34 @@
         let free = self.free_workers(view);
         let mut near = self.count_near(&free);
         for report in free {
-            if self.model_of_free(report).is_some() {
+            let domain = domain_of(report);
+            let told = self.standbys.get(&report.id).cloned();
+            if report.model.is_some()
+                || told.as_ref().is_some_and(|name| self.was_told(report, name))
+            {
                 continue;
             }
+            // What waits for its load may still change its mind: others came and went meanwhile.
+            if let Some(name) = &told {
+                let count = near.entry((domain.clone(), name.model.clone())).or_default();
+                *count = count.saturating_sub(1);
+            }
             let Some(model) = choose_model(report, &near, view, &[]) else { continue };
-            *near.entry((domain_of(report), model.clone())).or_default() += 1;
+            *near.entry((domain, model.clone())).or_default() += 1;
+            if told.is_some_and(|name| name.model == model) {
+                continue;
+            }
             let epoch = self.next_epoch();
             let name = ReplicaName { kind: ReplicaKind::Standby, model, epoch };
             self.standbys.insert(report.id.clone(), name);
         }
     }
 
+    /// Whether a worker was ordered to hold what was chosen for it.
+    fn was_told(&self, report: &WorkerReport, name: &ReplicaName) -> bool {
+        self.orders.was_given(&report.id, &standby_order(name, &report.id))
+    }
+
     /// Usable workers that are in no replica that serves or will.
     pub(super) fn free_workers<'a>(&self, view: &StepView<'a>) -> Vec<&'a WorkerReport> {
         let members: BTreeSet<&WorkerId> =
@@ -77,9 +94,7 @@
         warming_up: bool,
         tickets: &mut Vec<OrderTicket>,
     ) {
-        let standbys: Vec<(WorkerId, ReplicaName)> =
-            self.standbys.iter().map(|(id, name)| (id.clone(), name.clone())).collect();
-        for (worker, name) in standbys {
+        for (worker, name) in self.standbys_by_urgency(view) {
             let Some(report) = view.report(&worker) else { continue };
             let text = name.to_text();
             let joined = report.membership.as_ref().is_some_and(|m| m.replica == text);
@@ -87,13 +102,38 @@
                 continue;
             }
             let model = name.model.clone();
-            let order = WorkerOrder::Join { name, members: vec![worker.clone()] };
+            let order = standby_order(&name, &worker);
             if self.may_join(report, &order, &model, view, warming_up) {
                 self.give(&worker, order, view, tickets);
             }
         }
     }
 
+    /// The standbys, first those whose load completes the members of a replica soonest: loads are
+    /// few, and a replica that lacks one member is worth nothing.
+    fn standbys_by_urgency(&self, view: &StepView<'_>) -> Vec<(WorkerId, ReplicaName)> {
+        let mut held = NearCounts::new();
+        for report in self.free_workers(view) {
+            let told = self.standbys.get(&report.id).filter(|name| self.was_told(report, name));
+            let models = report.model.iter().chain(&report.staged);
+            let models: BTreeSet<&ModelName> = models.chain(told.map(|name| &name.model)).collect();
+            for model in models {
+                *held.entry((domain_of(report), model.clone())).or_default() += 1;
+            }
+        }
+        let missing = |worker: &WorkerId, name: &ReplicaName| {
+            let spec = view.engine.models.iter().find(|spec| spec.name == name.model);
+            let size = spec.map_or(1, |spec| spec.size.max(1));
+            let domain = view.report(worker).map(domain_of);
+            let count = domain.and_then(|domain| held.get(&(domain, name.model.clone())).copied());
+            size - count.unwrap_or_default() % size
+        };
+        let mut standbys: Vec<(WorkerId, ReplicaName)> =
+            self.standbys.iter().map(|(id, name)| (id.clone(), name.clone())).collect();
+        standbys.sort_by_key(|(worker, name)| missing(worker, name));
+        standbys
+    }
+
     /// Has free workers copy a second model to their hosts, so that each can serve either soon.
     pub(super) fn order_staging(&mut self, view: &StepView<'_>, tickets: &mut Vec<OrderTicket>) {
         self.forget_staged(view);
@@ -129,6 +169,11 @@
     }
 }
 
+/// The order by which a worker holds a model in a replica of its own.
+fn standby_order(name: &ReplicaName, worker: &WorkerId) -> WorkerOrder {
+    WorkerOrder::Join { name: name.clone(), members: vec![worker.clone()] }
+}
+
 /// How much one more worker near a model is worth to its domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum SpareValue {
