Show metrics of gateways and controllers, and bound their logs

Needed: the two roles showed no metrics, logged without bound, and a reader that did not read standard error held them up.

Found on the way: the soak and replace_survives_lost_controllers asked whether a restarted controller votes before its process had written a line, and read the answer of its former life. The same fault had failed soak (two disks lost at once), which is not a fault of the product.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_fleet::{Deployment, Service};
 use hollowbarrow_log::{DriverConfig, LogDriver, LogView, ReplicaConfig, StoreLogError};
 use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http};
+use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, EntryPayload, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use thiserror::Error;
@@ -16,6 +16,7 @@
 
 use crate::api::ControlHandler;
 use crate::fleet::FleetState;
+use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::news::{PendingNews, tell_news};
 use crate::protocol::{ControlAnswer, ControlProtocol};
 use crate::reconcile::{WorkerNews, has_replicas, keep_fleet};
@@ -64,6 +65,7 @@
     /// Told when there is news of workers to send out.
     pub(crate) news_due: Notify,
     pub(crate) news: flume::Sender<WorkerNews>,
+    pub(crate) metrics: ControllerMetrics,
     pub(crate) started: Instant,
     links: Arc<OnceLock<MemberLinks>>,
     fleet: Mutex<FleetState>,
@@ -89,6 +91,21 @@
         Duration::from_millis(self.settings.heartbeat_ms.into())
     }
 
+    /// The page of metrics.
+    fn metrics_text(&self) -> String {
+        let view = self.log.view();
+        let fleet = self.fleet();
+        self.metrics.to_text(&ControllerLevels {
+            leads: self.is_sure_to_lead(&view, Instant::now()),
+            term: *view.term,
+            voters: view.voters.len() as u64,
+            lost_disk: view.lost_disk,
+            version: self.log.read(DeploymentState::version),
+            workers: fleet.count_workers(),
+            gateways: fleet.count_homed().into(),
+        })
+    }
+
     /// Whether a majority has confirmed within the election time that this daemon leads.
     pub(crate) fn is_sure_to_lead(&self, view: &LogView, now: Instant) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < ELECTION_TIME;
@@ -189,6 +206,8 @@
         tokio::spawn(push_deployments(Arc::clone(&core)));
         tokio::spawn(log_quorum(Arc::clone(&core)));
         tokio::spawn(keep_fleet(Arc::clone(&core), news_receiver));
+        let shown = Arc::clone(&core);
+        serve_metrics(core.settings.metrics.as_deref(), move || shown.metrics_text());
         log::info!("event=started role=controller name={}", core.settings.name);
         Ok(Self { core, stop })
     }
@@ -221,6 +240,7 @@
         log,
         changed: Notify::new(),
         news_due: Notify::new(),
+        metrics: ControllerMetrics::new(),
         applied,
         news,
         started: now,
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::digests::DigestHistory;
 use crate::liveness::WorkerUse;
+use crate::metrics::WorkerCounts;
 use crate::tables::TableRequests;
 
 /// Silence after which a daemon is not written to any more.
@@ -80,6 +81,20 @@
         &self.table
     }
 
+    /// Workers by what they last said.
+    pub(crate) fn count_workers(&self) -> WorkerCounts {
+        let mut counts = WorkerCounts::default();
+        for entry in self.table.iter() {
+            let count = match (entry.report.gone, entry.report.leaving) {
+                (true, _) => &mut counts.gone,
+                (_, true) => &mut counts.leaving,
+                _ => &mut counts.ready,
+            };
+            *count += 1;
+        }
+        counts
+    }
+
     /// Takes a worker's own report in; one that only renews is told to other controllers later.
     pub(crate) fn take_report(&mut self, report: WorkerReport, now: Instant) -> MergeOutcome {
         let (id, seq) = (report.id.clone(), report.seq);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod digests;
 mod fleet;
 pub mod liveness;
+mod metrics;
 mod news;
 mod orders;
 mod protocol;
@@ -27,4 +28,5 @@
 pub mod voters;
 
 pub use controller::{Controller, StartControllerError};
+pub use metrics::CONTROLLER_METRICS;
 pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, WorkerMessage};
--- /dev/null
+++ b/crates/controller/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Metrics of a controller.
+
+use hollowbarrow_fleet::{OrderOutcome, WorkerOrder};
+use hollowbarrow_telemetry::MetricsPage;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge};
+
+/// Name, unit and meaning of each metric.
+pub const CONTROLLER_METRICS: &[(&str, &str, &str)] = &[
+    ("controller_orders", "1", "Orders that were given, by order and outcome."),
+    ("controller_probes", "1", "Probes of workers."),
+    (
+        "controller_tables_sent",
+        "1",
+        "Whole tables of workers that went to daemons that lacked something.",
+    ),
+    ("controller_leads", "1", "1 while this controller is sure to lead."),
+    ("controller_term", "1", "Election term."),
+    ("controller_voters", "1", "Voters of the log."),
+    ("controller_lost_disk", "1", "1 while this controller's disk counts as lost."),
+    ("controller_configuration_version", "1", "Version of the newest committed configuration."),
+    ("controller_workers", "1", "Workers that are known, by state: ready, leaving or gone."),
+    ("controller_gateways", "1", "Gateways whose home this controller is."),
+];
+
+/// What a controller counts.
+pub(crate) struct ControllerMetrics {
+    page: MetricsPage,
+    orders: Counter<u64>,
+    probes: Counter<u64>,
+    tables: Counter<u64>,
+    leads: Gauge<u64>,
+    term: Gauge<u64>,
+    voters: Gauge<u64>,
+    lost_disk: Gauge<u64>,
+    version: Gauge<u64>,
+    workers: Gauge<u64>,
+    gateways: Gauge<u64>,
+}
+
+/// Workers by what they last said.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkerCounts {
+    pub(crate) ready: u64,
+    pub(crate) leaving: u64,
+    pub(crate) gone: u64,
+}
+
+/// What stands now, as it is read when the page is asked for.
+pub(crate) struct ControllerLevels {
+    pub(crate) leads: bool,
+    pub(crate) term: u64,
+    pub(crate) voters: u64,
+    pub(crate) lost_disk: bool,
+    pub(crate) version: u64,
+    pub(crate) workers: WorkerCounts,
+    pub(crate) gateways: u64,
+}
+
+impl ControllerMetrics {
+    pub(crate) fn new() -> Self {
+        let page = MetricsPage::new();
+        let meter = page.meter();
+        Self {
+            orders: meter.u64_counter("controller_orders").build(),
+            probes: meter.u64_counter("controller_probes").build(),
+            tables: meter.u64_counter("controller_tables_sent").build(),
+            leads: meter.u64_gauge("controller_leads").build(),
+            term: meter.u64_gauge("controller_term").build(),
+            voters: meter.u64_gauge("controller_voters").build(),
+            lost_disk: meter.u64_gauge("controller_lost_disk").build(),
+            version: meter.u64_gauge("controller_configuration_version").build(),
+            workers: meter.u64_gauge("controller_workers").build(),
+            gateways: meter.u64_gauge("controller_gateways").build(),
+            page,
+        }
+    }
+
+    pub(crate) fn count_order(&self, order: &WorkerOrder, outcome: OrderOutcome) {
+        let outcome = KeyValue::new("outcome", outcome.name());
+        self.orders.add(1, &[KeyValue::new("order", order.verb()), outcome]);
+    }
+
+    pub(crate) fn count_probe(&self) {
+        self.probes.add(1, &[]);
+    }
+
+    pub(crate) fn count_tables(&self, daemons: usize) {
+        self.tables.add(daemons as u64, &[]);
+    }
+
+    /// The page of text.
+    pub(crate) fn to_text(&self, levels: &ControllerLevels) -> String {
+        self.leads.record(levels.leads.into(), &[]);
+        self.term.record(levels.term, &[]);
+        self.voters.record(levels.voters, &[]);
+        self.lost_disk.record(levels.lost_disk.into(), &[]);
+        self.version.record(levels.version, &[]);
+        self.gateways.record(levels.gateways, &[]);
+        let WorkerCounts { ready, leaving, gone } = levels.workers;
+        for (state, count) in [("ready", ready), ("leaving", leaving), ("gone", gone)] {
+            self.workers.record(count, &[KeyValue::new("state", state)]);
+        }
+        self.page.to_text()
+    }
+}
--- a/crates/controller/src/news.rs
+++ b/crates/controller/src/news.rs
@@ -86,6 +86,7 @@
         (daemons, reports)
     };
     if !reports.is_empty() {
+        core.metrics.count_tables(daemons.len());
         core.links().send_to_all(&daemons, FleetMessage::Workers(reports));
     }
 }
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -277,6 +277,7 @@
     let core = Arc::clone(core);
     tokio::spawn(async move {
         let outcome = probe_worker(&*core.protocol, &worker, &address).await;
+        core.metrics.count_probe();
         log::info!("event=worker_probed worker={} outcome={outcome:?}", *worker);
         let _ = core.news.send(WorkerNews::Probe(worker, outcome));
     });
@@ -287,6 +288,7 @@
     let service = service.clone();
     tokio::spawn(async move {
         let outcome = give_order(&*core.protocol, &ticket, *term).await;
+        core.metrics.count_order(&ticket.order, outcome);
         let _ = core.news.send(WorkerNews::Order(service, ticket, outcome));
     });
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,4 +33,4 @@
 pub use answer::error_catalogue;
 pub use daemon::{Daemon, DaemonHandle, DaemonListeners, StartDaemonError};
 pub use facts::headers;
-pub use telemetry::{metric_catalogue, start_logging};
+pub use telemetry::metric_catalogue;
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -1,9 +1,7 @@
-//! Logs, traces and metrics.
+//! Traces and metrics of a daemon.
 //!
-//! A log line is one event as key=value pairs. A trace has a span for each hop
-//! of a request (door, queue, claim, pick, upstream), and carries the W3C trace
-//! context in and out. Metrics are kept by the OpenTelemetry library and shown
-//! as text.
+//! A trace has a span for each hop of a request (door, queue, claim, pick,
+//! upstream), and carries the W3C trace context in and out.
 
 use std::fs::File;
 use std::io::Write;
@@ -11,19 +9,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use flexi_logger::{DeferredNow, Logger, LoggerHandle};
 use hollowbarrow_schema::{ErrorRan, GroupName, Urgency};
+use hollowbarrow_telemetry::MetricsPage;
 use hyper::Request;
 use hyper::body::Incoming;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Histogram, UpDownCounter};
 use opentelemetry::trace::{
     SpanContext, SpanId, TraceContextExt, TraceFlags, TraceId, TraceState, Tracer, TracerProvider,
 };
 use opentelemetry::{Context, KeyValue};
 use opentelemetry_sdk::error::{OTelSdkError, OTelSdkResult};
-use opentelemetry_sdk::metrics::data::{AggregatedMetrics, MetricData, ResourceMetrics};
-use opentelemetry_sdk::metrics::reader::MetricReader;
-use opentelemetry_sdk::metrics::{ManualReader, Pipeline, SdkMeterProvider};
 use opentelemetry_sdk::trace::{SdkTracerProvider, SpanData, SpanExporter};
 use serde_json::json;
 use tokio::time::Instant;
@@ -33,30 +28,6 @@
 use crate::facts::headers::TRACE_PARENT;
 
 const SCOPE: &str = "hollowbarrow";
-/// Bounds of histograms of times, in milliseconds.
-const TIME_BOUNDS: &[f64] = &[
-    1.0, 2.0, 5.0, 10.0, 20.0, 26.0, 50.0, 100.0, 200.0, 500.0, 860.0, 1000.0, 2000.0, 5000.0,
-    10_000.0, 30_000.0,
-];
-
-/// Starts logging to standard error, one line of key=value pairs an event.
-///
-/// # Errors
-///
-/// Fails where the specification of levels cannot be read or a logger runs already.
-pub fn start_logging(levels: &str) -> Result<LoggerHandle, flexi_logger::FlexiLoggerError> {
-    Logger::try_with_str(levels)?.format(format_line).log_to_stderr().start()
-}
-
-fn format_line(
-    writer: &mut dyn Write,
-    now: &mut DeferredNow,
-    record: &log::Record<'_>,
-) -> std::io::Result<()> {
-    let time = now.format("%Y-%m-%dT%H:%M:%S%.3fZ");
-    write!(writer, "time={time} level={} {}", record.level().as_str().to_lowercase(), record.args())
-}
-
 /// Name, unit and meaning of each metric.
 pub fn metric_catalogue() -> &'static [(&'static str, &'static str, &'static str)] {
     &[
@@ -81,39 +52,9 @@
     ]
 }
 
-/// Reader that shares one [`ManualReader`] between the provider and the page of metrics.
-#[derive(Clone, Debug)]
-struct SharedReader(Arc<ManualReader>);
-
-impl MetricReader for SharedReader {
-    fn register_pipeline(&self, pipeline: std::sync::Weak<Pipeline>) {
-        self.0.register_pipeline(pipeline);
-    }
-
-    fn collect(&self, metrics: &mut ResourceMetrics) -> OTelSdkResult {
-        self.0.collect(metrics)
-    }
-
-    fn force_flush(&self) -> OTelSdkResult {
-        self.0.force_flush()
-    }
-
-    fn shutdown_with_timeout(&self, timeout: Duration) -> OTelSdkResult {
-        self.0.shutdown_with_timeout(timeout)
-    }
-
-    fn temporality(
-        &self,
-        kind: opentelemetry_sdk::metrics::InstrumentKind,
-    ) -> opentelemetry_sdk::metrics::Temporality {
-        self.0.temporality(kind)
-    }
-}
-
 /// Traces and metrics of one daemon.
 pub(crate) struct Telemetry {
-    reader: SharedReader,
-    _meters: SdkMeterProvider,
+    page: MetricsPage,
     tracers: SdkTracerProvider,
     tracer: opentelemetry_sdk::trace::SdkTracer,
     requests: Counter<u64>,
@@ -134,9 +75,8 @@
     ///
     /// Fails where the file cannot be opened.
     pub(crate) fn new(trace_file: Option<&Path>) -> std::io::Result<Self> {
-        let reader = SharedReader(Arc::new(ManualReader::builder().build()));
-        let meters = SdkMeterProvider::builder().with_reader(reader.clone()).build();
-        let meter = meters.meter(SCOPE);
+        let page = MetricsPage::new();
+        let meter = page.meter();
         let mut tracers = SdkTracerProvider::builder();
         if let Some(path) = trace_file {
             let file = File::options().create(true).append(true).open(path)?;
@@ -146,22 +86,18 @@
             tracers = tracers.with_sampler(opentelemetry_sdk::trace::Sampler::AlwaysOff);
         }
         let tracers = tracers.build();
-        let histogram = |name: &'static str| {
-            meter.f64_histogram(name).with_boundaries(TIME_BOUNDS.to_vec()).build()
-        };
         Ok(Self {
             tracer: tracers.tracer(SCOPE),
             requests: meter.u64_counter("requests").build(),
             retries: meter.u64_counter("retries").build(),
-            queue: histogram("queue_ms"),
-            first_token: histogram("first_token_ms"),
-            token_gap: histogram("token_gap_ms"),
+            queue: page.time_histogram("queue_ms"),
+            first_token: page.time_histogram("first_token_ms"),
+            token_gap: page.time_histogram("token_gap_ms"),
             group_down: meter.f64_counter("group_down_seconds").build(),
             stranded_time: meter.f64_counter("stranded_accelerator_seconds").build(),
             stranded: meter.i64_up_down_counter("stranded_accelerators").build(),
             stranded_now: Mutex::new(0),
-            reader,
-            _meters: meters,
+            page,
             tracers,
         })
     }
@@ -253,20 +189,7 @@
 
     /// All metrics as text, a line each: name, labels and value.
     pub(crate) fn to_text(&self) -> String {
-        let mut metrics = ResourceMetrics::default();
-        if self.reader.collect(&mut metrics).is_err() {
-            return String::new();
-        }
-        let mut text = String::new();
-        for metric in metrics.scope_metrics().flat_map(|scope| scope.metrics()) {
-            let name = format!("hollowbarrow_{}", metric.name());
-            match metric.data() {
-                AggregatedMetrics::F64(data) => write_data(&mut text, &name, data),
-                AggregatedMetrics::U64(data) => write_data(&mut text, &name, data),
-                AggregatedMetrics::I64(data) => write_data(&mut text, &name, data),
-            }
-        }
-        text
+        self.page.to_text()
     }
 
     /// Writes out the spans that wait.
@@ -275,49 +198,6 @@
     }
 }
 
-fn write_data<T: Copy + std::fmt::Display>(text: &mut String, name: &str, data: &MetricData<T>) {
-    use std::fmt::Write as _;
-    match data {
-        MetricData::Sum(sum) => {
-            for point in sum.data_points() {
-                let labels = to_labels(point.attributes(), None);
-                let _ = writeln!(text, "{name}{labels} {}", point.value());
-            }
-        }
-        MetricData::Gauge(gauge) => {
-            for point in gauge.data_points() {
-                let labels = to_labels(point.attributes(), None);
-                let _ = writeln!(text, "{name}{labels} {}", point.value());
-            }
-        }
-        MetricData::Histogram(histogram) => {
-            for point in histogram.data_points() {
-                let mut sum = 0;
-                let bounds = point.bounds().map(|bound| bound.to_string());
-                let bounds = bounds.chain(std::iter::once("+Inf".to_owned()));
-                for (bound, count) in bounds.zip(point.bucket_counts()) {
-                    sum += count;
-                    let labels = to_labels(point.attributes(), Some(&bound));
-                    let _ = writeln!(text, "{name}_bucket{labels} {sum}");
-                }
-                let labels = to_labels(point.attributes(), None);
-                let _ = writeln!(text, "{name}_sum{labels} {}", point.sum());
-                let _ = writeln!(text, "{name}_count{labels} {}", point.count());
-            }
-        }
-        MetricData::ExponentialHistogram(_) => {}
-    }
-}
-
-fn to_labels<'a>(attributes: impl Iterator<Item = &'a KeyValue>, bound: Option<&str>) -> String {
-    let mut labels: Vec<String> = attributes
-        .map(|attribute| format!("{}={:?}", attribute.key, attribute.value.as_str()))
-        .collect();
-    labels.sort();
-    labels.extend(bound.map(|bound| format!("le={bound:?}")));
-    if labels.is_empty() { String::new() } else { format!("{{{}}}", labels.join(",")) }
-}
-
 /// The span of one hop of a request; it ends when dropped.
 #[derive(Clone)]
 pub(crate) struct HopSpan {
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -38,6 +38,8 @@
 
 /// Weight of a model's given share against how full its replicas are.
 const EVEN_USE: f64 = 0.5;
+/// Shortest time between two lines about the free workers.
+const FREE_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Bits of an epoch that count within a term.
 const EPOCH_TERM_SHIFT: u32 = 20;
 
@@ -152,6 +154,8 @@
     orders: orders::OrderBook,
     loads: LoadLimiter,
     loads_from: Instant,
+    free_logged: String,
+    free_logged_at: Option<Instant>,
 }
 
 impl ReplicaController {
@@ -174,6 +178,8 @@
             orders: orders::OrderBook::new(timing.repeat),
             loads: LoadLimiter::new(timing.load_window),
             loads_from,
+            free_logged: String::new(),
+            free_logged_at: None,
         }
     }
 
@@ -248,6 +254,20 @@
         parts.chain([standbys]).collect::<Vec<_>>().join(" ")
     }
 
+    /// Logs which free workers there are, if that has changed lately.
+    fn log_free(&mut self, view: &StepView<'_>) {
+        let due = self.free_logged_at.is_none_or(|at| view.now >= at + FREE_LOG_INTERVAL);
+        if !due {
+            return;
+        }
+        let free = self.describe_free(view);
+        if free != self.free_logged {
+            log::info!("event=free_workers free={free}");
+            self.free_logged = free;
+            self.free_logged_at = Some(view.now);
+        }
+    }
+
     /// Free workers of each domain by what they hold and what they load, as a log line has them:
     /// `domain:model+second/loading`, where a model that is being loaded stands behind the stroke.
     fn describe_free(&self, view: &StepView<'_>) -> String {
@@ -306,7 +326,7 @@
         let free = self.free_for_placement(view);
         let standing = self.count_standing(view);
         self.form(plan_scattered(&demands, &standing, &domains, &free));
-        log::info!("event=free_workers free={}", self.describe_free(view));
+        self.log_free(view);
     }
 
     /// What is wanted of a model: its share, and more the fuller its replicas are.
--- a/crates/fleet/src/replicas/orders.rs
+++ b/crates/fleet/src/replicas/orders.rs
@@ -95,6 +95,19 @@
 }
 
 impl OrderOutcome {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Begun => "begun",
+            Self::Done => "done",
+            Self::Misfit => "misfit",
+            Self::Fenced => "fenced",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+            Self::Unreached => "unreached",
+        }
+    }
+
     /// Whether a worker that was told to leave is certainly not a member now.
     pub(super) fn is_settled(self) -> bool {
         matches!(self, Self::Begun | Self::Done | Self::Misfit)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,8 +44,9 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Logs why the request failed.
-    pub(crate) fn log_failure(&self, refusal: Refusal, tries: &Tries) {
+    /// Counts the request as failed, and logs why.
+    pub(crate) fn note_failed(&self, core: &GatewayCore, refusal: Refusal, tries: &Tries) {
+        core.metrics.count_request(refusal.name());
         log::warn!(
             "event=request_failed request={:?} route={} status={} cause={} held_ms={} sends={} last={:?}",
             self.head.id,
@@ -134,6 +135,9 @@
         core.budget.note_request();
     }
     tries.sends += 1;
+    if tries.sends > 1 {
+        core.metrics.count_repeat(if resume_after.is_some() { "resumed" } else { "again" });
+    }
     let worker = &flight.worker;
     let limit = request.deadline.min(patience);
     let preparing = core.client.prepare(worker.address, true);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::home::HomeChoice;
+use crate::metrics::{GatewayLevels, GatewayMetrics};
 use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
 use crate::protocol::CallerProtocol;
 
@@ -29,6 +30,7 @@
     pub(crate) protocol: Arc<dyn CallerProtocol>,
     pub(crate) client: UpstreamClient,
     pub(crate) budget: RetryBudget,
+    pub(crate) metrics: GatewayMetrics,
     pub(crate) stopping: AtomicBool,
     routes: RwLock<Option<Arc<RouteTable>>>,
     picker: Mutex<WorkerPicker>,
@@ -50,6 +52,7 @@
                 .with_identity(protocol.identity_header())
                 .with_first_connect(FIRST_CONNECT),
             budget: RetryBudget::with_limits(limits, Instant::now()),
+            metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
             picker: Mutex::new(WorkerPicker::new(&settings.zone)),
@@ -103,6 +106,15 @@
         told && !self.stopping.load(Ordering::Relaxed)
     }
 
+    /// The page of metrics.
+    pub(crate) fn metrics_text(&self) -> String {
+        self.metrics.to_text(&GatewayLevels {
+            in_flight: self.in_flight().into(),
+            version: self.version(),
+            workers: self.picker().len() as u64,
+        })
+    }
+
     /// Requests under way.
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http};
+use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
 use hollowbarrow_schema::MemberSettings;
 use thiserror::Error;
 use tokio::sync::watch;
@@ -74,6 +74,8 @@
             serve_http(readiness, never, handler).await;
         });
         tokio::spawn(report_to_controllers(Arc::clone(&core), links));
+        let shown = Arc::clone(&core);
+        serve_metrics(core.settings.metrics.as_deref(), move || shown.metrics_text());
         log::info!("event=started role=gateway name={}", core.settings.name);
         Ok(Self { core, stop })
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -69,6 +69,7 @@
             }
             Ok(request) => run_whole(Arc::clone(&core), request).await,
             Err((id, refusal)) => {
+                core.metrics.count_request(refusal.name());
                 log::warn!(
                     "event=request_refused request={id:?} status={} cause={}",
                     refusal.status().as_u16(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod intake;
 mod links;
 mod loads;
+mod metrics;
 pub mod picker;
 mod protocol;
 mod refusal;
@@ -28,4 +29,5 @@
 mod whole;
 
 pub use gateway::{Gateway, StartGatewayError};
+pub use metrics::GATEWAY_METRICS;
 pub use protocol::{AnswerFacts, CallerHead, CallerProtocol, HeadFault, SendFacts};
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -165,6 +165,11 @@
         self.table.digest()
     }
 
+    /// Number of workers known.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
     /// Whether no worker is known.
     pub fn is_empty(&self) -> bool {
         self.table.is_empty()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -60,6 +60,8 @@
     tries: Tries,
     open: Option<OpenStream>,
     last_id: Option<u64>,
+    /// When the last piece went on to the caller.
+    last_piece: Option<Instant>,
     _in_flight: InFlight,
 }
 
@@ -72,6 +74,7 @@
         tries: Tries::default(),
         open: None,
         last_id: None,
+        last_piece: None,
         _in_flight: in_flight,
     };
     loop {
@@ -97,7 +100,7 @@
 
 impl StreamRun {
     fn refuse(&self, refusal: Refusal) -> HttpAnswer {
-        self.request.log_failure(refusal, &self.tries);
+        self.request.note_failed(&self.core, refusal, &self.tries);
         refusal.to_answer()
     }
 
@@ -175,12 +178,16 @@
         let whole = read_whole(answer, self.request.deadline).await;
         flight.note_progress();
         match whole {
-            Ok(answer) if !failed => BeginStep::Answer(answer.into_http()),
+            Ok(answer) if !failed => {
+                self.core.metrics.count_request("answered");
+                BeginStep::Answer(answer.into_http())
+            }
             Ok(answer) => {
                 let error = self.fail(&worker, AttemptUpstreamError::NoAnswer);
                 if self.tries.may_repeat(&self.core, &self.request, &error) {
                     BeginStep::Failed(error)
                 } else {
+                    self.core.metrics.count_request("answered");
                     BeginStep::Answer(answer.into_http())
                 }
             }
@@ -218,13 +225,19 @@
                 ReadStep::Broken(error) => error,
             };
             if let Err(error) = self.resume(error).await {
-                self.request.log_failure(Refusal::from_attempt(&error), &self.tries);
+                let refusal = Refusal::from_attempt(&error);
+                self.request.note_failed(&self.core, refusal, &self.tries);
                 return Some(Err(CutAnswerError));
             }
         }
     }
 
     fn note_piece(&mut self, piece: &EventPiece) {
+        let now = Instant::now();
+        match self.last_piece.replace(now) {
+            Some(last) => self.core.metrics.note_event_gap(now - last),
+            None => self.core.metrics.note_first_event(self.request.received.elapsed()),
+        }
         self.last_id = piece.last_id.or(self.last_id);
     }
 
@@ -233,6 +246,7 @@
         if let Some(open) = self.open.take() {
             open.lease.give_back();
             self.core.note_outcome(&open.flight.worker.id, true);
+            self.core.metrics.count_request("streamed");
         }
     }
 
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -53,6 +53,8 @@
                 let failed = answer.status.is_server_error();
                 let error = AttemptUpstreamError::NoAnswer;
                 if !failed || !tries.may_repeat(&core, &request, &error) {
+                    core.metrics.note_first_event(request.received.elapsed());
+                    core.metrics.count_request("answered");
                     return answer.into_http();
                 }
                 failure = Some(answer);
@@ -68,9 +70,10 @@
         };
         // A worker's own failure says more than that nobody else was there.
         if let Some(answer) = failure {
+            core.metrics.count_request("answered");
             return answer.into_http();
         }
-        request.log_failure(refusal, &tries);
+        request.note_failed(&core, refusal, &tries);
         return refusal.to_answer();
     }
 }
--- a/crates/measure/src/daemon.rs
+++ b/crates/measure/src/daemon.rs
@@ -2,8 +2,9 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use hollowbarrow_daemon::{Daemon, DaemonListeners, start_logging};
+use hollowbarrow_daemon::{Daemon, DaemonListeners};
 use hollowbarrow_schema::settings::read_settings;
+use hollowbarrow_telemetry::start_logging;
 use tokio::signal::unix::{SignalKind, signal};
 
 pub(crate) fn command() -> Command {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -10,8 +10,10 @@
 
 pub mod http;
 mod links;
+mod metrics;
 mod settings;
 
 pub use http::{AnswerBody, CutAnswerError, HttpAnswer, HttpHandler, HttpLimits, serve_http};
 pub use links::{MemberLinks, StartLinksError};
+pub use metrics::serve_metrics;
 pub use settings::{member_id, read_member_settings, seed_ids};
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -51,6 +51,7 @@
         ("callers", &settings.callers),
         ("readiness", &settings.readiness),
         ("control", &settings.control),
+        ("metrics", &settings.metrics),
     ];
     for (field, address) in addresses {
         if let Some(address) = address
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1623,6 +1623,9 @@
     pub losses: u32,
     ///Port for traffic between daemons; the same on every machine.
     pub mesh_port: u16,
+    ///IP number and port on which `/metrics` shows the process's metrics; none shows them nowhere.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub metrics: ::std::option::Option<::std::string::String>,
     ///Name of the daemon in logs.
     pub name: ::std::string::String,
     ///IP number and port for readiness checks; gateways only.
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -6,9 +6,10 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use hollowbarrow_daemon::{Daemon, DaemonListeners, start_logging};
+use hollowbarrow_daemon::{Daemon, DaemonListeners};
 use hollowbarrow_schema::settings::read_settings;
 use hollowbarrow_schema::{NodeId, Settings, ZoneId, keys};
+use hollowbarrow_telemetry::start_logging;
 use hollowbarrow_testkit::{FleetConfig, StandinFleet, expected_token};
 use serde_json::{Value, json};
 
--- a/src/commands/member.rs
+++ b/src/commands/member.rs
@@ -5,11 +5,11 @@
 use anyhow::Context;
 use clap::{Arg, ArgMatches, Command};
 use hollowbarrow_controller::Controller;
-use hollowbarrow_daemon::start_logging;
 use hollowbarrow_gateway::Gateway;
 use hollowbarrow_member::read_member_settings;
 use hollowbarrow_platform::{PlatformControl, PlatformRequests};
 use hollowbarrow_schema::MemberSettings;
+use hollowbarrow_telemetry::start_logging;
 use tokio::runtime::Runtime;
 
 use super::serve::wait_for_signal;
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -2,7 +2,8 @@
 
 use anyhow::Context;
 use clap::{Arg, ArgMatches, Command};
-use hollowbarrow_daemon::{Daemon, DaemonListeners, start_logging};
+use hollowbarrow_daemon::{Daemon, DaemonListeners};
+use hollowbarrow_telemetry::start_logging;
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::check::load_settings;
--- a/tests/all/reference.rs
+++ b/tests/all/reference.rs
@@ -6,7 +6,9 @@
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 
+use hollowbarrow_controller::CONTROLLER_METRICS;
 use hollowbarrow_daemon::{error_catalogue, metric_catalogue};
+use hollowbarrow_gateway::GATEWAY_METRICS;
 use rstest::rstest;
 use serde_json::Value;
 
@@ -86,6 +88,13 @@
     for (name, unit, meaning) in metric_catalogue() {
         let _ = writeln!(page, "| `{name}` | {unit} | {meaning} |");
     }
+    page.push_str(
+        "\n## Gateways and controllers\n\n`GET /metrics` of the address that the setting `metrics` names.\n\n\
+         | metric | unit | meaning |\n|---|---|---|\n",
+    );
+    for (name, unit, meaning) in GATEWAY_METRICS.iter().chain(CONTROLLER_METRICS) {
+        let _ = writeln!(page, "| `{name}` | {unit} | {meaning} |");
+    }
     check_page("metrics.md", &page);
 }
 
@@ -121,7 +130,9 @@
 #[rstest]
 fn reference_events() {
     let mut files = Vec::new();
-    for name in ["controller", "daemon", "fleet", "gateway", "log", "member", "peer", "zone"] {
+    for name in
+        ["controller", "daemon", "fleet", "gateway", "log", "member", "peer", "telemetry", "zone"]
+    {
         rust_files(&root().join("crates").join(name).join("src"), &mut files);
     }
     let mut events: BTreeMap<String, Vec<String>> = BTreeMap::new();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -63,6 +63,36 @@
     assert!(!logs.contains("event=voters_proposed"), "no voter was lost: {logs}");
 }
 
+#[rstest]
+#[tokio::test]
+async fn metrics_tell_what_happened() {
+    let deployment = deploy(5).await;
+    let system = &deployment.system;
+    system.call_until_served("/chat/1", "counted").await;
+    system.call(0, "/none/1", "no-route", Some(KEY)).await.expect("it is answered");
+    let gateways = system.metrics(3).await + &system.metrics(4).await;
+    for line in [
+        "hollowbarrow_gateway_requests{outcome=\"streamed\"} 1",
+        "hollowbarrow_gateway_requests{outcome=\"no_route\"} 1",
+        "hollowbarrow_gateway_event_gap_ms_count",
+        "hollowbarrow_gateway_configuration_version 3",
+    ] {
+        assert!(gateways.contains(line), "{line} is not in {gateways}");
+    }
+    let mut controllers = String::new();
+    for daemon in 0..system::CONTROLLERS {
+        controllers += &system.metrics(daemon).await;
+    }
+    for line in [
+        "hollowbarrow_controller_leads 1",
+        "hollowbarrow_controller_voters 3",
+        "hollowbarrow_controller_workers{state=\"ready\"} 10",
+        "hollowbarrow_controller_orders{order=\"open\",outcome=\"begun\"}",
+    ] {
+        assert!(controllers.contains(line), "{line} is not in {controllers}");
+    }
+}
+
 #[rstest]
 #[tokio::test]
 async fn stream_resumed_after_lost_member() {
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -96,7 +96,8 @@
             DisturbanceKind::Freeze => self.take_down(daemon, Signal::Stop),
             DisturbanceKind::Terminate => self.take_down(daemon, Signal::Terminate),
             DisturbanceKind::Wipe => {
-                let bearable = self.wiped.is_none_or(|wiped| self.system.votes(wiped));
+                let recovered = |wiped| !self.down.contains(&wiped) && self.system.votes(wiped);
+                let bearable = self.wiped.is_none_or(recovered);
                 if !bearable || !self.take_down(controller, Signal::Kill) {
                     return false;
                 }
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -82,11 +82,15 @@
     role: &'static str,
     settings: PathBuf,
     log: PathBuf,
+    /// Length of the log when the process was last started.
+    log_from: usize,
     child: Option<Child>,
 }
 
 impl Daemon {
     fn start(&mut self) {
+        let written = std::fs::metadata(&self.log).map_or(0, |metadata| metadata.len());
+        self.log_from = usize::try_from(written).expect("a log fits into memory");
         let log = std::fs::File::options().create(true).append(true).open(&self.log);
         let child = Command::new(env!("CARGO_BIN_EXE_hollowbarrow"))
             .arg(self.role)
@@ -124,6 +128,7 @@
     pub controllers: Vec<String>,
     pub gateways: Vec<String>,
     readiness: Vec<String>,
+    metrics: Vec<String>,
     /// Proxies before the daemons, by where each is bound; none without proxies.
     links: Vec<(IpAddr, LinkProxy)>,
     _folder: TempDir,
@@ -152,12 +157,14 @@
         let (callers, ready) = (free_port(), free_port());
         let gateways: Vec<String> = (4..=count).map(|n| format!("{}:{callers}", ip(n))).collect();
         let readiness: Vec<String> = (4..=count).map(|n| format!("{}:{ready}", ip(n))).collect();
+        let shown = free_port();
+        let metrics: Vec<String> = (1..=count).map(|n| format!("{}:{shown}", ip(n))).collect();
         let mut daemons = Vec::new();
         for number in 1..=count {
             let controller = usize::from(number) <= CONTROLLERS;
             let mut settings = json!({"name": format!("d{number}"), "zone": layout.zone(number),
                 "ip": ip(number), "mesh_port": mesh, "seeds": controllers,
-                "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true});
+                "metrics": metrics[usize::from(number) - 1], "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true});
             if layout.proxied {
                 settings["bind_ip"] = json!(bind_ip(number));
                 let at = |ip: String| format!("{ip}:{mesh}").parse().expect("an address");
@@ -178,12 +185,13 @@
                 role: if controller { "controller" } else { "gateway" },
                 settings: path,
                 log: folder.path().join(format!("d{number}.log")),
+                log_from: 0,
                 child: None,
             };
             daemon.start();
             daemons.push(daemon);
         }
-        Self { daemons, controllers, gateways, readiness, links, _folder: folder }
+        Self { daemons, controllers, gateways, readiness, metrics, links, _folder: folder }
     }
 
     /// Number of daemons; the controllers come first.
@@ -241,16 +249,31 @@
         daemon.start();
     }
 
-    /// Whether a controller says that it votes, with a disk that holds what it should.
+    /// Whether a controller says that it votes, with a disk that holds what it should, since it
+    /// was last started.
     pub fn votes(&self, index: usize) -> bool {
-        let log = std::fs::read_to_string(&self.daemons[index].log).unwrap_or_default();
-        let last = log.lines().rev().find(|line| line.contains("event=quorum"));
+        let daemon = &self.daemons[index];
+        let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+        let life = log.get(daemon.log_from..).unwrap_or_default();
+        let last = life.lines().rev().find(|line| line.contains("event=quorum"));
         let ip = self.controllers[index].split(':').next().unwrap_or_default();
         last.is_some_and(|line| {
             line.contains(&format!("{ip}:")) && line.contains("lost_disk=false")
         })
     }
 
+    /// The page of metrics of a daemon.
+    pub async fn metrics(&self, daemon: usize) -> String {
+        let address = &self.metrics[daemon];
+        let request = Request::builder()
+            .uri("/metrics")
+            .header("host", address)
+            .body(Full::new(Bytes::new()))
+            .expect("sound");
+        let answer = call_once(address, request, CALL_TIMEOUT).await.expect("it is shown");
+        String::from_utf8_lossy(answer.body()).into_owned()
+    }
+
     /// Log of all daemons, for a failure's message.
     pub fn logs(&self) -> String {
         let read = |daemon: &Daemon| std::fs::read_to_string(&daemon.log).unwrap_or_default();
