--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -43,6 +43,9 @@
 /// Longest time for the requests of a replica to end before it is taken apart.
 const CLOSE_TIME: Duration = Duration::from_millis(1500);
 
+/// Longest time after which an order that got no answer may still be carried out.
+const LATE_ORDER_TIME: Duration = Duration::from_secs(13);
+
 /// Something that came back from a worker.
 pub(crate) enum WorkerNews {
     Order(ServiceName, OrderTicket, OrderOutcome),
@@ -242,6 +245,7 @@
     ReplicaTiming {
         repeat: ORDER_REPEAT,
         close: CLOSE_TIME,
+        late: LATE_ORDER_TIME,
         load_window: Duration::from_secs(core.settings.load_window_s.into()),
     }
 }
--- a/crates/fleet/src/replicas/adopt.rs
+++ b/crates/fleet/src/replicas/adopt.rs
@@ -18,11 +18,13 @@
     }
 
     /// How far the replica is, if all its members are there.
+    ///
+    /// One that is not open yet is formed anew, under an epoch of this term: the leader before may
+    /// have ordered a member elsewhere, and that order may still come. The new epoch fences it.
     fn phase(&self) -> ReplicaPhase {
         let state = |report: &&WorkerReport| report.membership.as_ref().map(|m| m.state);
         match self.members.get(&0).and_then(state) {
             Some(MembershipState::Open) => ReplicaPhase::Serving,
-            Some(MembershipState::Joining | MembershipState::Ready) => ReplicaPhase::Forming,
             _ => ReplicaPhase::Leaving,
         }
     }
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -1,5 +1,7 @@
 //! Moves each replica through its life, and orders what the next step needs.
 
+use std::collections::BTreeMap;
+
 use hollowbarrow_schema::{Epoch, MembershipState, ModelName, WorkerId, WorkerReport};
 
 use super::names::{ReplicaKind, ReplicaName};
@@ -31,12 +33,18 @@
                 LifeStep::Move(phase) => self.enter(epoch, phase),
                 LifeStep::Release(reason) => self.release(epoch, reason),
                 LifeStep::HeadLeft => {
-                    self.vacated.insert(epoch);
+                    if let Some(replica) = self.replicas.get_mut(&epoch) {
+                        replica.head_left = true;
+                    }
                     self.release(epoch, "the head has left");
                 }
             }
         }
         let workers = &view.workers;
+        for joins in self.uncertain.values_mut() {
+            joins.retain(|_, until| view.now < *until);
+        }
+        self.uncertain.retain(|worker, joins| !joins.is_empty() && workers.contains_key(worker));
         self.orders.retain(|worker| workers.contains_key(worker));
         self.departed.retain(|worker, _| workers.contains_key(worker));
     }
@@ -60,12 +68,25 @@
                 "event=replica_released replica={} reason={reason:?}",
                 replica.name.to_text()
             );
-            if replica.head_left || !replica.opened {
+            // A head that may yet join once more is not sure to have left for good.
+            let uncertain = self.may_still_join(replica.head(), epoch);
+            if !uncertain && (replica.head_left || !replica.opened) {
                 self.vacated.insert(epoch);
             }
         }
     }
 
+    /// Whether an unanswered join of a worker may still be carried out under an epoch.
+    pub(super) fn may_still_join(&self, worker: &WorkerId, epoch: Epoch) -> bool {
+        self.uncertain.get(worker).is_some_and(|joins| joins.contains_key(&epoch))
+    }
+
+    /// Whether a worker may find itself back in a replica that it has left, whose head may serve.
+    fn may_fall_back(&self, worker: &WorkerId, next: Epoch) -> bool {
+        let joins = self.uncertain.get(worker).into_iter().flat_map(BTreeMap::keys);
+        joins.into_iter().any(|epoch| *epoch != next && !self.vacated.contains(epoch))
+    }
+
     /// A member has seen a newer epoch: the members are planned anew under a higher one.
     pub(super) fn give_up_forming(&mut self, epoch: Epoch) {
         let forming = self.replicas.get(&epoch).is_some_and(|replica| !replica.opened);
@@ -210,7 +231,10 @@
         view: &StepView<'_>,
         warming_up: bool,
     ) -> bool {
-        if !self.orders.may_give(&report.id, order, view.now) {
+        let next = order.name().epoch;
+        if !self.orders.may_give(&report.id, order, view.now)
+            || self.may_fall_back(&report.id, next)
+        {
             return false;
         }
         let held = report.model.as_ref() == Some(model) || report.staged.contains(model);
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -74,6 +74,8 @@
     pub repeat: Duration,
     /// Longest time for the requests of a replica to end before it is taken apart.
     pub close: Duration,
+    /// Longest time after which an order that got no answer may still be carried out.
+    pub late: Duration,
     /// Window in which loads are counted.
     pub load_window: Duration,
 }
@@ -152,6 +154,8 @@
     /// Workers that answered an order to leave a replica, which their report may still name.
     departed: BTreeMap<WorkerId, Epoch>,
     orders: orders::OrderBook,
+    /// Joins that got no answer, and until when each may still be carried out.
+    uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
     loads_from: Instant,
     free_logged: String,
@@ -176,6 +180,7 @@
             vacated: BTreeSet::new(),
             departed: BTreeMap::new(),
             orders: orders::OrderBook::new(timing.repeat),
+            uncertain: BTreeMap::new(),
             loads: LoadLimiter::new(timing.load_window),
             loads_from,
             free_logged: String::new(),
@@ -217,12 +222,19 @@
         let epoch = ticket.order.name().epoch;
         match (&ticket.order, outcome) {
             (WorkerOrder::Leave { .. }, outcome) if outcome.is_settled() => {
-                self.departed.insert(ticket.worker.clone(), epoch);
+                // One that may yet join once more has to leave once more, too.
+                if !self.may_still_join(&ticket.worker, epoch) {
+                    self.departed.insert(ticket.worker.clone(), epoch);
+                }
                 if let Some(replica) = self.replicas.get_mut(&epoch) {
                     replica.head_left |= *replica.head() == ticket.worker;
                 }
             }
             (WorkerOrder::Join { .. }, OrderOutcome::Fenced) => self.give_up_forming(epoch),
+            (WorkerOrder::Join { .. }, OrderOutcome::Unknown) => {
+                let joins = self.uncertain.entry(ticket.worker.clone()).or_default();
+                joins.insert(epoch, now + self.timing.late);
+            }
             _ => {}
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -48,9 +48,10 @@
     pub(crate) fn note_failed(&self, core: &GatewayCore, refusal: Refusal, tries: &Tries) {
         core.metrics.count_request(refusal.name());
         log::warn!(
-            "event=request_failed request={:?} route={} status={} cause={} held_ms={} sends={} last={:?}",
+            "event=request_failed request={:?} route={} model={:?} status={} cause={} held_ms={} sends={} last={:?}",
             self.head.id,
             self.route.name,
+            self.head.model.as_ref().map_or("", |model| model.as_str()),
             refusal.status().as_u16(),
             refusal.name(),
             self.received.elapsed().as_millis(),
--- a/src/commands/why.rs
+++ b/src/commands/why.rs
@@ -6,6 +6,10 @@
 
 use super::{CommandError, CommandResult, positional, text};
 
+/// Causes that lie with the whole fleet and not with a worker that was asked.
+const FLEET_CAUSES: [&str; 2] = ["cause=workers_full", "cause=no_worker"];
+/// Events that say how the fleet stood; the last of each before the request tells.
+const FLEET_EVENTS: [&str; 3] = ["event=quorum ", "event=replicas ", "event=free_workers "];
 /// Time around a request in which what happened to its workers belongs to its story, in seconds.
 const AROUND_SECONDS: f64 = 5.0;
 
@@ -96,5 +100,22 @@
         let about = workers.iter().any(|worker| line.text.contains(worker));
         line.names_request(request) || (control && about && near(line))
     };
-    if own.is_empty() { Vec::new() } else { lines.iter().filter(belongs).collect() }
+    if own.is_empty() {
+        return Vec::new();
+    }
+    let fleet = tell_fleet(&own, lines);
+    let is_fleet = |line: &&LogLine| fleet.iter().any(|known| std::ptr::eq(*known, *line));
+    lines.iter().filter(|line| belongs(line) || is_fleet(line)).collect()
+}
+
+/// How the fleet stood when it refused a request: the last line of each kind before.
+fn tell_fleet<'a>(own: &[&LogLine], lines: &'a [LogLine]) -> Vec<&'a LogLine> {
+    let refused =
+        own.iter().find(|line| FLEET_CAUSES.iter().any(|cause| line.text.contains(cause)));
+    let Some(refused) = refused else { return Vec::new() };
+    let before = |event: &&str| {
+        let mut earlier = lines.iter().rev().filter(|line| line.time <= refused.time);
+        earlier.find(|line| line.text.contains(*event))
+    };
+    FLEET_EVENTS.iter().filter_map(before).collect()
 }
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -85,6 +85,36 @@
     assert_eq!(hollowbarrow(&["why", "q9", &files[0]]).status.code(), Some(3));
 }
 
+/// Lines of a day that was played on the users' bench, cut to what concerns three requests.
+#[rstest]
+#[case::refused_without_a_worker(
+    "8c4d46f4c1ed1fea",
+    &["event=quorum leader=", "event=free_workers", "event=replicas service=tije0a", "cause=workers_full"]
+)]
+#[case::broken_off_twice(
+    "d565c4eee8d67e4c",
+    &["event=stream_resumed", "worker=i-1e19cea08e outcome=Answered", "cause=outcome_unknown"]
+)]
+#[case::outcome_unknown(
+    "3e321eda5668b2ee",
+    &["event=worker_left_out worker=i-a5deb5a671", "cause=outcome_unknown"]
+)]
+fn why_recorded_day(#[case] request: &str, #[case] expected: &[&str]) {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/all/recorded");
+    let mut arguments = vec!["why".to_owned(), request.to_owned()];
+    for entry in std::fs::read_dir(folder).expect("the recorded logs are there") {
+        arguments.push(entry.expect("readable").path().to_string_lossy().into_owned());
+    }
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let output = hollowbarrow(&arguments);
+    let told = text(&output.stdout);
+    let mut rest = told.as_str();
+    for words in expected {
+        let at = rest.find(words).unwrap_or_else(|| panic!("no {words:?}, in order, in {told}"));
+        rest = &rest[at + words.len()..];
+    }
+}
+
 #[rstest]
 #[case::no_subcommand(&[], 2)]
 #[case::unknown_subcommand(&["explode"], 2)]
