Divide the daemon's zone keeper by job and drop its name

Cause: crates/daemon/src/keeper.rs (538 lines) held the access to authorities, what a zone is asked for, and the control of its replicas, under a name that newcomers cannot look up; door.rs likewise.

Change: zone_authority (members of authorities), zone_demand (demand, planner, capacity) and zone_control (the loop, ZoneController); door.rs is callers.rs. Moved as it was; no behaviour changes.

--- a/crates/daemon/src/door.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,4 +1,4 @@
-//! The door towards callers.
+//! Takes callers' connections.
 //!
 //! Each connection has limits on its headers, bodies and idle time. A request
 //! runs in a task of its own: if its caller goes away, a repeatable request is
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,16 +21,17 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::callers::serve_callers;
 use crate::claims::sweep_claims;
 use crate::core::DaemonCore;
 use crate::digest::{send_digests, take_digest};
-use crate::door::serve_callers;
 use crate::fleet::FleetView;
-use crate::keeper::{keep_zones, take_authority, with_authority};
 use crate::observer::{probe_nodes, watch_platform};
 use crate::operator::serve_operators;
 use crate::quota::keep_quotas;
 use crate::telemetry::Telemetry;
+use crate::zone_authority::{take_authority, with_authority};
+use crate::zone_control::control_zones;
 
 /// Prompt blocks whose holders are remembered.
 const PREFIX_BLOCKS: usize = 65_536;
@@ -191,7 +192,7 @@
         tokio::spawn(watch_platform(Arc::clone(&core)));
         tokio::spawn(probe_nodes(Arc::clone(&core)));
         tokio::spawn(send_digests(Arc::clone(&core)));
-        tokio::spawn(keep_zones(Arc::clone(&core)));
+        tokio::spawn(control_zones(Arc::clone(&core)));
         tokio::spawn(keep_quotas(Arc::clone(&core)));
         tokio::spawn(sweep_claims(Arc::clone(&core)));
         tokio::spawn(follow_config(Arc::clone(&core)));
--- a/crates/daemon/src/digest.rs
+++ b/crates/daemon/src/digest.rs
@@ -23,8 +23,8 @@
 
 use crate::core::DaemonCore;
 use crate::fleet::{FleetView, ListedSet};
-use crate::keeper::zone_capacity;
 use crate::observer::nodes_to_probe;
+use crate::zone_demand::zone_capacity;
 
 /// A daemon that has nothing to tell greets once in this many rounds.
 const GREETING_ROUNDS: u64 = 4;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! One entry node of hollowbarrow.
 //!
 //! This crate puts the parts together: the doors towards callers and
-//! operators, the loops that observe nodes and exchange digests, the keeper of
+//! operators, the loops that observe nodes and exchange digests, the controller of
 //! the own availability zone, and the clients of the two logs. [`Daemon`] is
 //! what the command line starts.
 //!
@@ -10,15 +10,14 @@
 //! is given to one only after its claim was granted.
 
 mod answer;
+mod callers;
 mod claims;
 mod core;
 mod daemon;
 mod digest;
 mod dispatch;
-mod door;
 mod facts;
 mod fleet;
-mod keeper;
 mod observer;
 mod operator;
 mod operator_view;
@@ -29,6 +28,9 @@
 mod routes;
 mod table_change;
 mod telemetry;
+mod zone_authority;
+mod zone_control;
+mod zone_demand;
 
 pub use answer::error_catalogue;
 pub use daemon::{Daemon, DaemonHandle, DaemonListeners, StartDaemonError};
--- a/crates/daemon/src/operator_view.rs
+++ b/crates/daemon/src/operator_view.rs
@@ -12,7 +12,8 @@
 
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
-use crate::keeper::{describe_drain, zone_demands, zone_planner};
+use crate::zone_control::describe_drain;
+use crate::zone_demand::{zone_demands, zone_planner};
 
 /// How this daemon stands.
 pub(crate) fn daemon_status(core: &DaemonCore) -> DaemonStatus {
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -18,7 +18,7 @@
 
 use crate::core::DaemonCore;
 use crate::fleet::ReportedCapacity;
-use crate::keeper::zone_capacity;
+use crate::zone_demand::zone_capacity;
 
 /// Pause between two looks at the quotas.
 const STEP: Duration = Duration::from_millis(200);
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/zone_control.rs
@@ -2,7 +2,7 @@
 //!
 //! Each step compares the zone's table with what is asked for and what is
 //! observed, changes the table through the zone's members, and gives orders for
-//! what they have taken in. A keeper that is not the authority does nothing.
+//! what they have taken in. A controller that is not the authority does nothing.
 //!
 //! Invariants: an order is given only for an allocation in the settled table,
 //! under that allocation's epoch, and only if it surely ends before the
@@ -14,13 +14,10 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
-use hollowbarrow_planner::{
-    DrainReason, GroupDemand, GroupPlanner, NewReplica, ReplicaView, ZonePlan,
-};
+use hollowbarrow_planner::{DrainReason, GroupPlanner, NewReplica, ReplicaView, ZonePlan};
 use hollowbarrow_schema::{
-    Allocation, AllocationPhase, AuthorityMessage, DaemonId, Epoch, FencedOrder, GroupName,
-    GroupSpec, LogIndex, NodeId, NodeOrder, NodeState, PeerMessage, ZoneCapacity, ZoneId,
-    ZoneTable,
+    Allocation, AllocationPhase, Epoch, FencedOrder, GroupName, GroupSpec, NodeId, NodeOrder,
+    NodeState, ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
 use hollowbarrow_upstream::{EngineClient, GiveOrderError};
@@ -30,6 +27,8 @@
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
 use crate::table_change::{NodeOrderEntry, ReplicaName, TableChange, drain_order, load_orders};
+use crate::zone_authority::{tick_authorities, with_authority};
+use crate::zone_demand::{replica_view, zone_demands};
 
 /// Pause between two steps.
 const STEP: Duration = Duration::from_millis(50);
@@ -63,7 +62,7 @@
 }
 
 /// Keeps the groups of one zone.
-pub(crate) struct ZoneKeeper {
+pub(crate) struct ZoneController {
     core: Arc<DaemonCore>,
     stages: BTreeMap<ReplicaName, ReplicaStage>,
     ordered: BTreeMap<NodeId, (Epoch, Instant)>,
@@ -71,9 +70,9 @@
     last_step: Instant,
 }
 
-/// Runs the authorities that this daemon is a member of, and the keeper of its own zone.
-pub(crate) async fn keep_zones(core: Arc<DaemonCore>) {
-    let mut keeper = ZoneKeeper {
+/// Runs the authorities that this daemon is a member of, and the controller of its own zone.
+pub(crate) async fn control_zones(core: Arc<DaemonCore>) {
+    let mut controller = ZoneController {
         core: Arc::clone(&core),
         stages: BTreeMap::new(),
         ordered: BTreeMap::new(),
@@ -83,121 +82,11 @@
     loop {
         tokio::time::sleep(STEP).await;
         tick_authorities(&core);
-        keeper.step(Instant::now());
-    }
-}
-
-fn tick_authorities(core: &DaemonCore) {
-    let now = Instant::now();
-    let zones: Vec<ZoneId> = core.authorities().keys().cloned().collect();
-    for zone in zones {
-        with_authority(core, &zone, |member| member.tick(now));
-    }
-}
-
-/// Takes a message between the members of a zone.
-pub(crate) fn take_authority(
-    core: &DaemonCore,
-    from: &DaemonId,
-    zone: &ZoneId,
-    message: AuthorityMessage,
-) {
-    let now = Instant::now();
-    with_authority(core, zone, |member| member.step(from, message, now));
-}
-
-/// Acts on a member, sends what it wants sent, and shows its table to the routes.
-pub(crate) fn with_authority<T>(
-    core: &DaemonCore,
-    zone: &ZoneId,
-    action: impl FnOnce(&mut hollowbarrow_zone::AuthorityMember) -> T,
-) -> Option<T> {
-    let (result, outgoing, table) = {
-        let mut authorities = core.authorities();
-        let member = authorities.get_mut(zone)?;
-        let result = action(member);
-        (result, member.take_outgoing(), member.table().cloned())
-    };
-    for (to, message) in outgoing {
-        core.send(&to, PeerMessage::Authority { zone: zone.clone(), message });
-    }
-    if let Some(table) = table {
-        let known = core.fleet().table_rank(zone);
-        if known < (*table.term, table.version) && core.fleet_mut().take_table(table) {
-            core.rebuild_routes();
-        }
-    }
-    Some(result)
-}
-
-/// What the zone is asked to run, by the accepted configuration.
-pub(crate) fn zone_demands(config: &ConfigState, zone: &ZoneId) -> Vec<GroupDemand> {
-    config
-        .groups()
-        .values()
-        .map(|recorded| {
-            let quota = config.quotas().get(&recorded.value.name);
-            let wanted = quota.and_then(|quota| quota.value.counts.get(&**zone)).copied();
-            GroupDemand { spec: recorded.value.clone(), wanted: wanted.unwrap_or(0) }
-        })
-        .collect()
-}
-
-/// The planner's view of a replica.
-pub(crate) fn replica_view(
-    fleet: &FleetView,
-    allocation: &Allocation,
-    now: Instant,
-) -> ReplicaView {
-    ReplicaView {
-        serving: fleet.leases.serving_until(allocation, now).is_ok(),
-        draining: allocation.phase == AllocationPhase::Draining,
-        failed: false,
-        allocation: allocation.clone(),
-    }
-}
-
-/// The planner of a zone as this daemon sees it now.
-pub(crate) fn zone_planner(core: &DaemonCore, config: &ConfigState, now: Instant) -> GroupPlanner {
-    let fleet = core.fleet();
-    let zone = core.zone();
-    let settings = &core.settings;
-    let nodes = fleet.node_views(zone, config, &settings.managed, &settings.owner, now);
-    let table = fleet.tables.get(zone);
-    let replicas = table.iter().flat_map(|table| &table.allocations);
-    let replicas = replicas.map(|allocation| replica_view(&fleet, allocation, now)).collect();
-    GroupPlanner::new(zone_demands(config, zone)).with_nodes(nodes).with_replicas(replicas)
-}
-
-/// What each group could run in the own zone, and how far the configuration was applied then;
-/// empty unless this daemon is the zone's authority.
-pub(crate) fn zone_capacity(core: &DaemonCore, now: Instant) -> (LogIndex, Vec<ZoneCapacity>) {
-    let holds = core.authorities().get(core.zone()).is_some_and(|m| m.remaining(now).is_some());
-    if !holds {
-        return (LogIndex(0), Vec::new());
+        controller.step(Instant::now());
     }
-    core.config_log.read(|config| {
-        let planner = zone_planner(core, config, now);
-        let fleet = core.fleet();
-        let allocations: Vec<&Allocation> =
-            fleet.tables.get(core.zone()).iter().flat_map(|table| &table.allocations).collect();
-        let groups = zone_demands(config, core.zone())
-            .iter()
-            .map(|demand| {
-                let own = allocations.iter().filter(|a| a.group == demand.spec.name);
-                let serving = own.filter(|a| fleet.leases.serving_until(a, now).is_ok()).count();
-                ZoneCapacity {
-                    group: demand.spec.name.clone(),
-                    possible: planner.possible_replicas(demand),
-                    serving: u32::try_from(serving).unwrap_or(u32::MAX),
-                }
-            })
-            .collect();
-        (config.applied(), groups)
-    })
 }
 
-impl ZoneKeeper {
+impl ZoneController {
     fn step(&mut self, now: Instant) {
         self.take_results(now);
         let elapsed = now.saturating_duration_since(self.last_step);
@@ -518,7 +407,7 @@
     }
 }
 
-/// Stage of a replica that this keeper sees for the first time, as after a hand-over.
+/// Stage of a replica that this controller sees for the first time, as after a hand-over.
 fn first_stage(allocation: &Allocation, now: Instant) -> ReplicaStage {
     let loading = ReplicaLife::<Forming>::new(allocation, now).order_loading(now);
     if allocation.starts.is_empty() && allocation.phase == AllocationPhase::Active {
--- /dev/null
+++ b/crates/daemon/src/zone_demand.rs
@@ -0,0 +1,76 @@
+//! What is asked of an availability zone, and what it has room for.
+
+use hollowbarrow_planner::{GroupDemand, GroupPlanner, ReplicaView};
+use hollowbarrow_schema::{Allocation, AllocationPhase, LogIndex, ZoneCapacity, ZoneId};
+use hollowbarrow_state::ConfigState;
+use tokio::time::Instant;
+
+use crate::core::DaemonCore;
+use crate::fleet::FleetView;
+
+/// What the zone is asked to run, by the accepted configuration.
+pub(crate) fn zone_demands(config: &ConfigState, zone: &ZoneId) -> Vec<GroupDemand> {
+    config
+        .groups()
+        .values()
+        .map(|recorded| {
+            let quota = config.quotas().get(&recorded.value.name);
+            let wanted = quota.and_then(|quota| quota.value.counts.get(&**zone)).copied();
+            GroupDemand { spec: recorded.value.clone(), wanted: wanted.unwrap_or(0) }
+        })
+        .collect()
+}
+
+/// The planner's view of a replica.
+pub(crate) fn replica_view(
+    fleet: &FleetView,
+    allocation: &Allocation,
+    now: Instant,
+) -> ReplicaView {
+    ReplicaView {
+        serving: fleet.leases.serving_until(allocation, now).is_ok(),
+        draining: allocation.phase == AllocationPhase::Draining,
+        failed: false,
+        allocation: allocation.clone(),
+    }
+}
+
+/// The planner of a zone as this daemon sees it now.
+pub(crate) fn zone_planner(core: &DaemonCore, config: &ConfigState, now: Instant) -> GroupPlanner {
+    let fleet = core.fleet();
+    let zone = core.zone();
+    let settings = &core.settings;
+    let nodes = fleet.node_views(zone, config, &settings.managed, &settings.owner, now);
+    let table = fleet.tables.get(zone);
+    let replicas = table.iter().flat_map(|table| &table.allocations);
+    let replicas = replicas.map(|allocation| replica_view(&fleet, allocation, now)).collect();
+    GroupPlanner::new(zone_demands(config, zone)).with_nodes(nodes).with_replicas(replicas)
+}
+
+/// What each group could run in the own zone, and how far the configuration was applied then;
+/// empty unless this daemon is the zone's authority.
+pub(crate) fn zone_capacity(core: &DaemonCore, now: Instant) -> (LogIndex, Vec<ZoneCapacity>) {
+    let holds = core.authorities().get(core.zone()).is_some_and(|m| m.remaining(now).is_some());
+    if !holds {
+        return (LogIndex(0), Vec::new());
+    }
+    core.config_log.read(|config| {
+        let planner = zone_planner(core, config, now);
+        let fleet = core.fleet();
+        let allocations: Vec<&Allocation> =
+            fleet.tables.get(core.zone()).iter().flat_map(|table| &table.allocations).collect();
+        let groups = zone_demands(config, core.zone())
+            .iter()
+            .map(|demand| {
+                let own = allocations.iter().filter(|a| a.group == demand.spec.name);
+                let serving = own.filter(|a| fleet.leases.serving_until(a, now).is_ok()).count();
+                ZoneCapacity {
+                    group: demand.spec.name.clone(),
+                    possible: planner.possible_replicas(demand),
+                    serving: u32::try_from(serving).unwrap_or(u32::MAX),
+                }
+            })
+            .collect();
+        (config.applied(), groups)
+    })
+}
