Resume a broken stream once without drawing on the retry budget

A killed replica breaks all its streams at once; a daemon that has just started has 5 retries and a tenth of its requests saved up (11 for 12 streams), so that one stream too many, or a second failed attempt, finds the budget empty.

Change: the first resumption of an answer takes nothing from the budget. It goes on where the upstream stopped, so it cannot amplify an outage.

Before: stream_member_killed::case_2_many and decide_resume_of_broken_stream ::case_1_first failed. After: both pass.

--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -96,6 +96,10 @@
 }
 
 /// Decides what follows a failed attempt; the budget is asked only where a retry is safe.
+///
+/// The first resumption of an answer takes nothing from the budget: a replica that fails breaks all
+/// its answers at once, which may be more than the traffic has earned. It cannot amplify an outage,
+/// since each such answer had an upstream that worked, and goes on where that one stopped.
 pub fn decide_retry(
     facts: &RequestFacts,
     error: &AttemptUpstreamError,
@@ -109,7 +113,11 @@
     }
     let safe = ran == ErrorRan::NotRun || facts.repeatable;
     let possible = !facts.answer_started || facts.resumable;
-    if !safe || !possible || facts.attempts >= MAX_ATTEMPTS || !budget.take(now) {
+    if !safe || !possible || facts.attempts >= MAX_ATTEMPTS {
+        return give_up;
+    }
+    let first_resumption = facts.answer_started && facts.attempts == 1;
+    if !first_resumption && !budget.take(now) {
         return give_up;
     }
     if facts.answer_started { RetryStep::Resume } else { RetryStep::Again }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -106,6 +106,25 @@
     assert!((95..=110).contains(&retries), "{retries} retries of 1000 requests");
 }
 
+/// The first resumption of a stream needs nothing of the budget, any further one does.
+#[rstest]
+#[case::first(1, RetryStep::Resume)]
+#[case::second(2, RetryStep::GiveUp(ErrorRan::Unknown))]
+fn decide_resume_of_broken_stream(#[case] attempts: u32, #[case] expected: RetryStep) {
+    let now = Instant::now();
+    let budget = RetryBudget::new(now);
+    while budget.take(now) {}
+    let facts = RequestFacts {
+        repeatable: true,
+        resumable: true,
+        answer_started: true,
+        attempts,
+        deadline: now + Duration::from_secs(1),
+    };
+    let error = AttemptUpstreamError::BrokenAnswer { reason: "its connection broke", tokens: 78 };
+    assert_eq!(decide_retry(&facts, &error, &budget, now), expected);
+}
+
 /// Differential: two random choices by estimated load against purely random ones.
 #[rstest]
 fn pick_better_than_random() {
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -63,13 +63,16 @@
     }
 }
 
-/// A member is killed mid-stream; the caller sees one unbroken answer.
+/// A member is killed mid-stream; the caller sees one unbroken answer, also where a daemon that has
+/// just started loses more streams at once than its budget of retries has saved up.
 #[rstest]
+#[case::few(12)]
+#[case::many(60)]
 #[tokio::test(flavor = "multi_thread")]
-async fn stream_member_killed() {
+async fn stream_member_killed(#[case] count: u32) {
     let cluster = serving_cluster(nine_daemons(), 3).await;
     let address = cluster.callers("a1");
-    let streams: Vec<_> = (0..12)
+    let streams: Vec<_> = (0..count)
         .map(|number| {
             tokio::spawn(async move {
                 let prompt = format!("prompt {number}");
