Divide free places among the gateways that begin requests, not among all

Cause: a gateway took 1.2 of its even share of each replica's free places.

Ruled out: a lack of workers (64 to 80 of 296 stood free), slow replicas alone (refused, not late, was the larger part).

Change: the divisor is the number of requests that all gateways begin before they hear of each other (250 ms), at most the number of gateways: the larger of what the answers under way imply and of this gateway's own rate times their number. The engine's usual answer length is read for it.

--- a/crates/fleet/src/deployment.rs
+++ b/crates/fleet/src/deployment.rs
@@ -103,6 +103,8 @@
     pub far: f64,
     /// Time from the order to open until a replica serves.
     pub form: Duration,
+    /// Mean tokens of an answer; 0 where it is not known.
+    pub usual_answer: u32,
 }
 
 /// A set of workers that answer alike.
--- a/crates/fleet/tests/standins/mod.rs
+++ b/crates/fleet/tests/standins/mod.rs
@@ -39,6 +39,7 @@
         loads_at_once: 6,
         far: 2.5,
         form: Duration::from_millis(300),
+        usual_answer: 178,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod attempt;
 mod core;
+mod estimate;
 pub mod events;
 mod gateway;
 pub mod home;
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -14,13 +14,14 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::replicas::{ReplicaKind, ReplicaName};
-use hollowbarrow_fleet::{Engine, ModelSpec, Service, WorkerTable};
+use hollowbarrow_fleet::{Engine, Service, WorkerTable};
 use hollowbarrow_schema::{
     DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
     WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
+use crate::estimate::{ArrivalRate, arrivals_unheard, pass_ms, reading_ms};
 use crate::loads::{OwnLoad, SharedLoad, expected_silence_ms, stands_still};
 
 /// Estimated cost of reaching a worker in another zone, in milliseconds.
@@ -111,6 +112,8 @@
     view: SharedView,
     own: HashMap<WorkerId, OwnLoad>,
     reported: HashMap<WorkerId, SharedLoad>,
+    /// How often each model is asked for here.
+    arrivals: HashMap<(ServiceName, ModelName), ArrivalRate>,
 }
 
 impl WorkerPicker {
@@ -125,6 +128,7 @@
             view: SharedView::default(),
             own: HashMap::new(),
             reported: HashMap::new(),
+            arrivals: HashMap::new(),
         }
     }
 
@@ -220,7 +224,7 @@
     }
 
     fn pick_replica(
-        &self,
+        &mut self,
         facts: &PickFacts<'_>,
         engine: &Engine,
         now: Instant,
@@ -229,6 +233,9 @@
         let spec = engine.models.iter().find(|spec| spec.name == *model);
         let spec = spec.ok_or(NoWorker::Unknown)?;
         let key = (facts.service.name.clone(), model.clone());
+        let rate = self.arrivals.entry(key.clone()).or_insert_with(|| ArrivalRate::new(now));
+        rate.note(now);
+        let own_arrivals = rate.unheard(now);
         let candidates = self.replicas.get(&key).map_or(&[][..], Vec::as_slice);
         let estimate = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
@@ -244,9 +251,13 @@
                 pass_ms: pass,
             }
         };
+        let active = candidates.iter().map(|one| self.shared(&one.id).active).sum();
+        let answered = arrivals_unheard(engine, spec, active, candidates.len());
+        let competitors = self.competitors(own_arrivals, answered);
         let cost = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
-            let full = self.own_active(&candidate.id) >= self.own_limit(candidate, engine.slots);
+            let limit = self.own_limit(candidate, engine.slots, competitors);
+            let full = self.own_active(&candidate.id) >= limit;
             (!full).then(|| estimate(candidate).first_ms + f64::from(load.active) * ACTIVE_MS)
         };
         let still = |candidate: &Candidate| {
@@ -332,15 +343,26 @@
         self.own.get(id).map_or(0, |own| own.active)
     }
 
+    /// Gateways among which free places are divided: all, or as many as begin a request before they
+    /// hear of each other again, where those are fewer.
+    ///
+    /// Their requests are estimated from this gateway's own, and from what is under way: gateways
+    /// get uneven shares of callers, and what is refused is not under way.
+    fn competitors(&self, own_arrivals: f64, answered: Option<f64>) -> f64 {
+        let gateways = f64::from(self.view.gateways.max(1));
+        let Some(answered) = answered else { return gateways };
+        (own_arrivals * gateways).max(answered).clamp(1.0, gateways)
+    }
+
     /// Requests that this gateway may have under way at a worker: what it had when it last told,
     /// and its part of the places that were free then.
     ///
     /// So all gateways together stay near the worker's places although each knows of the others
     /// late: once none is free, each begins a request only when one of its own has ended.
-    fn own_limit(&self, candidate: &Candidate, slots: u32) -> u32 {
+    fn own_limit(&self, candidate: &Candidate, slots: u32, competitors: f64) -> u32 {
         let (all, reported) = self.view.loads.get(&candidate.id).copied().unwrap_or_default();
         let free = f64::from(slots.saturating_sub(all.active));
-        let part = free * FREE_SHARE / f64::from(self.view.gateways.max(1));
+        let part = free * FREE_SHARE / competitors;
         // A part of a place is given now and then.
         let part = (part + rand::random::<f64>()).floor() as u32;
         reported.active + part
@@ -455,13 +477,3 @@
     }
     scattered
 }
-
-fn pass_ms(engine: &Engine, spec: &ModelSpec, active: u32) -> f64 {
-    let step = engine.step.as_secs_f64() * 1000.0;
-    let step = step + engine.step_per_request_ms * f64::from(active);
-    step * f64::from(engine.stride.max(1)) * spec.pace
-}
-
-fn reading_ms(engine: &Engine, spec: &ModelSpec, tokens: u32) -> f64 {
-    f64::from(tokens) * 1000.0 / engine.read_per_second.max(1.0) * spec.pace
-}
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -40,6 +40,7 @@
             loads_at_once: 6,
             far: 2.5,
             form: Duration::from_millis(300),
+            usual_answer: 178,
         }),
     }
 }
@@ -213,6 +214,24 @@
     assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Full));
 }
 
+/// Few of many gateways that get a request a second begin one before they hear of each other again,
+/// so that places that are free are given out, and none where there are none.
+#[rstest]
+#[case::half_taken(SLOTS / 2, 1000..=1000)]
+#[case::one_free(SLOTS - 1, 100..=500)]
+#[case::none_free(SLOTS, 0..=0)]
+fn pick_of_many_gateways(#[case] active: u32, #[case] expected: std::ops::RangeInclusive<usize>) {
+    let service = service();
+    let mut picker = picker(replicas());
+    picker.take_view(&view(2, 80, &[], &[("a0", active), ("b0", active)]), Instant::now());
+    let (model, start) = (ModelName::from("m"), Instant::now());
+    let facts =
+        PickFacts { service: &service, model: Some(&model), prompt_tokens: 500, excluded: &[] };
+    let each_second = (0..1000).map(|second| start + Duration::from_secs(second));
+    let picked = each_second.filter(|at| picker.pick(&facts, *at).is_ok()).count();
+    assert!(expected.contains(&picked), "{picked} of 1000 were picked");
+}
+
 /// Gateways that take requests as fast as they may, and hear of each other one round late, stay
 /// near the places of the replicas; each counting only its own would pass them by far.
 #[rstest]
