Plan the first replicas once workers have registered, large ones first

Cause: at the first start the leader planned as soon as half a second had passed, over the workers that had registered by then. A plan over all workers was not much better: 3 of 4 in the test, since it went by shares alone.

Ruled out: the store (74 loads at once before the first request, all done 7 s before it), the reserve of a domain.

Change: the first plan waits until no worker has registered for 400 ms, at most 4 s; where nothing stands yet, each model's replicas are placed largest first.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -84,6 +84,9 @@
     let mut planner = ReplicaPlanner::new(demands, standing, workers, free);
     planner.may_load = may_load;
     let mut planned = Vec::new();
+    if standing.is_empty() {
+        planned.extend(planner.place_largest_first());
+    }
     while let Some(replica) = planner.place_next(true) {
         planned.push(replica);
     }
@@ -143,14 +146,35 @@
         Self { demands, counts, hosted, wanted, workers, free: by_domain, may_load: true }
     }
 
+    /// Places what is wanted of each model, the largest replicas first: where nothing stands yet
+    /// there is room for all, and small ones placed before would break up what large ones need.
+    fn place_largest_first(&mut self) -> Vec<PlannedReplica> {
+        let mut order: Vec<&PlacementDemand> = self.demands.iter().collect();
+        order.sort_by_key(|demand| Reverse(demand.size));
+        let mut planned = Vec::new();
+        for demand in order {
+            while self.is_wanted(demand)
+                && let Some(domain) = self.choose_domain(demand, true)
+            {
+                planned.push(self.place(demand, &domain));
+            }
+        }
+        planned
+    }
+
+    /// Whether fewer replicas of a model stand or are planned than its share asks for.
+    fn is_wanted(&self, demand: &PlacementDemand) -> bool {
+        let count = self.counts.get(&demand.model).copied().unwrap_or_default();
+        let wanted = self.wanted.get(&demand.model).copied().unwrap_or_default();
+        count < wanted
+    }
+
     /// Places one replica of the model that is furthest below its share.
     fn place_next(&mut self, keep_reserve: bool) -> Option<PlannedReplica> {
         let mut order: Vec<&PlacementDemand> = self.demands.iter().collect();
         order.sort_by(|a, b| self.fill_of(a).total_cmp(&self.fill_of(b)));
         for demand in order {
-            let count = self.counts.get(&demand.model).copied().unwrap_or_default();
-            let wanted = self.wanted.get(&demand.model).copied().unwrap_or_default();
-            if count >= wanted {
+            if !self.is_wanted(demand) {
                 continue;
             }
             if let Some(domain) = self.choose_domain(demand, keep_reserve) {
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -40,6 +40,10 @@
 const EVEN_USE: f64 = 0.5;
 /// Shortest time between two lines about the free workers.
 const FREE_LOG_INTERVAL: Duration = Duration::from_secs(2);
+/// Time without a new worker after which those of the first start have registered.
+const ARRIVAL_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time for which the first plan waits for workers that register.
+const LONGEST_ARRIVAL: Duration = Duration::from_secs(4);
 /// Bits of an epoch that count within a term.
 const EPOCH_TERM_SHIFT: u32 = 20;
 
@@ -158,6 +162,8 @@
     uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
     loads_from: Instant,
+    /// Most workers that were known at once, and since when.
+    arrived: (usize, Instant),
     free_logged: String,
     free_logged_at: Option<Instant>,
 }
@@ -183,6 +189,7 @@
             uncertain: BTreeMap::new(),
             loads: LoadLimiter::new(timing.load_window),
             loads_from,
+            arrived: (0, settled),
             free_logged: String::new(),
             free_logged_at: None,
         }
@@ -202,9 +209,12 @@
         let view = StepView { workers, engine, now };
         self.adopt_reported(&view);
         self.advance_replicas(&view);
+        let arriving = self.is_arriving(&view);
         if now >= self.settled {
             self.disband_scattered(&view);
-            self.place_free(&view, warming_up);
+            if !(warming_up && arriving) {
+                self.place_free(&view, warming_up);
+            }
             self.keep_standbys(&view);
         }
         let mut tickets = Vec::new();
@@ -216,6 +226,19 @@
         tickets
     }
 
+    /// Whether workers have registered lately, so that more are to come.
+    ///
+    /// A plan over a part of them would fill domains with replicas of small models, which need
+    /// few workers, and leave no room for large ones.
+    fn is_arriving(&mut self, view: &StepView<'_>) -> bool {
+        let (most, since) = &mut self.arrived;
+        if view.workers.len() > *most {
+            *most = view.workers.len();
+            *since = view.now;
+        }
+        view.now < (*since + ARRIVAL_PAUSE).min(self.settled + LONGEST_ARRIVAL)
+    }
+
     /// Takes the outcome of an order in.
     pub fn note_outcome(&mut self, ticket: &OrderTicket, outcome: OrderOutcome, now: Instant) {
         self.orders.note_outcome(ticket, outcome, now);
