Prefer kept connections, and let prompts that wait count as use of a model

Kept connections. Cause: with 82 gateways before 42 heads, each pair meets every six seconds, so that 4 in 10 requests opened a new connection, which is priced and takes a worker's time. Test: pick_kept_connection.

Cause: a model's demand counted places only. The model of 16 workers fills 9 of 23 places while a third of its time goes into reading prompts; the one of 4 fills 12 and reads a tenth. Change: the time to read what waits, against the time of a pass, counts as use too. Test that failed first: step_plans_for_busier_model::case_2_prompts_wait.

The engine's figures and the times that follow from them move from the gateway and from deployment.rs into one file, fleet/src/engine.rs.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -191,10 +191,14 @@
         let workers: Vec<WorkerState<'_>> = fleet
             .table()
             .of_service(&service.name)
-            .map(|entry| WorkerState {
-                report: &entry.report,
-                active: uses.get(&entry.report.id).map_or(0, |sum| sum.active),
-                standing: standings[&entry.report.id],
+            .map(|entry| {
+                let sum = uses.get(&entry.report.id).copied().unwrap_or_default();
+                WorkerState {
+                    report: &entry.report,
+                    active: sum.active,
+                    waiting_ms: sum.waiting_ms,
+                    standing: standings[&entry.report.id],
+                }
             })
             .collect();
         let timing = timing_of(core);
--- a/crates/fleet/src/deployment.rs
+++ b/crates/fleet/src/deployment.rs
@@ -6,9 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hollowbarrow_schema::{ModelName, OrganisationId, ServiceName};
+use hollowbarrow_schema::{OrganisationId, ServiceName};
 use thiserror::Error;
 
+use crate::engine::Engine;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeatability {
@@ -61,52 +63,6 @@
     pub public: bool,
 }
 
-/// A model that replicas of a service can load.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelSpec {
-    /// Name by which requests ask for it.
-    pub name: ModelName,
-    /// Workers in one replica.
-    pub size: usize,
-    /// Share of the service's work.
-    pub share: f64,
-    /// Factor on all times of the engine.
-    pub pace: f64,
-    /// Time to load the weights from the store.
-    pub load: Duration,
-    /// Time to load the weights from the worker's own host.
-    pub warm: Duration,
-}
-
-/// How a service's model engines behave.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Engine {
-    /// Requests that a replica works on at once.
-    pub slots: u32,
-    /// Tokens that a replica's memory holds.
-    pub memory_tokens: u64,
-    /// Models that its workers can form replicas of.
-    pub models: Vec<ModelSpec>,
-    /// Time of one step without requests.
-    pub step: Duration,
-    /// Additional time of a step for each request that writes, in milliseconds.
-    pub step_per_request_ms: f64,
-    /// Prompt tokens read in a second.
-    pub read_per_second: f64,
-    /// Steps in one pass while a request writes.
-    pub stride: u32,
-    /// Loads from the weight store that may begin in a second.
-    pub loads_per_second: f64,
-    /// Loads that run at once without slowing each other.
-    pub loads_at_once: usize,
-    /// Factor on all times of a replica whose members are in several fabric domains.
-    pub far: f64,
-    /// Time from the order to open until a replica serves.
-    pub form: Duration,
-    /// Mean tokens of an answer; 0 where it is not known.
-    pub usual_answer: u32,
-}
-
 /// A set of workers that answer alike.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //!   can no longer serve.
 
 pub mod deployment;
+pub mod engine;
 pub mod loads;
 pub mod placement;
 pub mod replicas;
@@ -22,9 +23,9 @@
 pub mod workers;
 
 pub use deployment::{
-    CallerLimits, Deployment, DeploymentFault, Engine, ModelSpec, Repeatability, Route, Service,
-    Tenant,
+    CallerLimits, Deployment, DeploymentFault, Repeatability, Route, Service, Tenant,
 };
+pub use engine::{Engine, ModelSpec};
 pub use loads::LoadLimiter;
 pub use placement::{
     PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -27,7 +27,7 @@
 };
 use tokio::time::Instant;
 
-use crate::deployment::{Engine, ModelSpec};
+use crate::engine::{Engine, ModelSpec};
 use crate::loads::LoadLimiter;
 use crate::placement::{
     PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
@@ -36,8 +36,10 @@
 pub use names::{ReplicaKind, ReplicaName};
 pub use orders::{OrderOutcome, OrderTicket, WorkerOrder};
 
-/// Weight of a model's given share against how full its replicas are.
+/// Weight of a model's given share against how busy its replicas are.
 const EVEN_USE: f64 = 0.5;
+/// Use beyond which a model gets no more.
+const MOST_USE: f64 = 2.0;
 /// Shortest time between two lines about the free workers.
 const FREE_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without a new worker after which those of the first start have registered.
@@ -67,6 +69,8 @@
     pub report: &'a WorkerReport,
     /// Requests that gateways have under way there.
     pub active: u32,
+    /// Estimated time to read their prompts that were not read yet, in milliseconds.
+    pub waiting_ms: u32,
     /// Whether it can take part.
     pub standing: WorkerStanding,
 }
@@ -364,20 +368,28 @@
         self.log_free(view);
     }
 
-    /// What is wanted of a model: its share, and more the fuller its replicas are.
+    /// What is wanted of a model: its share, and more the busier its replicas are.
     ///
     /// Only what is planned next depends on it; no replica that stands is moved.
     fn demand_of(&self, model: &ModelSpec, view: &StepView<'_>) -> PlacementDemand {
+        let share = model.share * (EVEN_USE + self.use_of(model, view).min(MOST_USE));
+        PlacementDemand { model: model.name.clone(), size: model.size, share }
+    }
+
+    /// How busy the replicas of a model are: the part of their places that is taken, and the part
+    /// of a pass that it takes to read the prompts that wait. Prompts that are read hold up all
+    /// other answers of a replica, also where places are free.
+    fn use_of(&self, model: &ModelSpec, view: &StepView<'_>) -> f64 {
         let serving = self.replicas.values().filter(|replica| {
             replica.name.model == model.name && replica.phase == ReplicaPhase::Serving
         });
-        let heads: Vec<&WorkerId> = serving.map(Replica::head).collect();
-        let active: u32 =
-            heads.iter().filter_map(|head| view.workers.get(*head)).map(|head| head.active).sum();
-        let places = heads.len() as u32 * view.engine.slots;
-        let used = f64::from(active) / f64::from(places.max(1));
-        let share = model.share * (EVEN_USE + used.min(1.0));
-        PlacementDemand { model: model.name.clone(), size: model.size, share }
+        let heads: Vec<&WorkerState<'_>> =
+            serving.filter_map(|replica| view.workers.get(replica.head())).collect();
+        let count = heads.len().max(1) as f64;
+        let active = heads.iter().map(|head| f64::from(head.active)).sum::<f64>() / count;
+        let waiting = heads.iter().map(|head| f64::from(head.waiting_ms)).sum::<f64>() / count;
+        let pass = view.engine.pass_ms(model, active).max(f64::MIN_POSITIVE);
+        active / f64::from(view.engine.slots.max(1)) + waiting / pass
     }
 
     fn free_for_placement(&self, view: &StepView<'_>) -> Vec<PlacementWorker> {
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -8,7 +8,7 @@
 
 use hollowbarrow_schema::{DomainId, Epoch, ModelName, WorkerId, WorkerReport};
 
-use crate::deployment::ModelSpec;
+use crate::engine::ModelSpec;
 
 use super::names::{ReplicaKind, ReplicaName};
 use super::orders::{OrderTicket, WorkerOrder};
--- a/crates/fleet/tests/arrival.rs
+++ b/crates/fleet/tests/planning.rs
@@ -1,4 +1,4 @@
-//! The first plan of a fleet whose workers register one after the other.
+//! What the leader plans: first, while workers register, and later, as replicas are used.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -8,7 +8,8 @@
     Engine, ModelSpec, OrderOutcome, ReplicaController, ReplicaTiming, WorkerOrder, WorkerStanding,
 };
 use hollowbarrow_schema::{
-    DomainId, Epoch, ModelName, ServiceName, Term, WorkerId, WorkerReport, ZoneId,
+    DomainId, Epoch, MembershipState, ModelName, ServiceName, Term, WorkerId, WorkerMembership,
+    WorkerReport, ZoneId,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -65,17 +66,25 @@
     }
 }
 
-/// Replicas that were begun while workers registered at this pace, by model.
-fn plan_arriving(pause: Duration) -> BTreeMap<String, usize> {
+fn usable(report: &WorkerReport, active: u32, waiting_ms: u32) -> WorkerState<'_> {
+    WorkerState { report, active, waiting_ms, standing: WorkerStanding::Usable }
+}
+
+fn new_controller(start: Instant) -> ReplicaController {
     let timing = ReplicaTiming {
         repeat: Duration::from_millis(1800),
         close: Duration::from_millis(1500),
         late: Duration::from_secs(13),
         load_window: Duration::from_secs(5),
     };
-    let start = Instant::now();
     let settled = start + Duration::from_millis(500);
-    let mut controller = ReplicaController::new(timing, Term(1), settled, start);
+    ReplicaController::new(timing, Term(1), settled, start)
+}
+
+/// Replicas that were begun while workers registered at this pace, by model.
+fn plan_arriving(pause: Duration) -> BTreeMap<String, usize> {
+    let start = Instant::now();
+    let mut controller = new_controller(start);
     let mut begun: BTreeSet<(Epoch, ModelName)> = BTreeSet::new();
     let mut loads: BTreeMap<WorkerId, (ModelName, Instant)> = BTreeMap::new();
     let total = DOMAINS * WORKERS_A_DOMAIN;
@@ -91,10 +100,8 @@
                 report
             })
             .collect();
-        let states: Vec<WorkerState<'_>> = reports
-            .iter()
-            .map(|report| WorkerState { report, active: 0, standing: WorkerStanding::Usable })
-            .collect();
+        let states: Vec<WorkerState<'_>> =
+            reports.iter().map(|report| usable(report, 0, 0)).collect();
         for ticket in controller.step(&engine(), &states, true, now) {
             controller.note_outcome(&ticket, OrderOutcome::Begun, now);
             let WorkerOrder::Join { name, .. } = &ticket.order else { continue };
@@ -121,3 +128,62 @@
     assert_eq!(counts.get("large"), Some(&DOMAINS), "{counts:?}");
     assert!(counts["small"] >= 4 * DOMAINS, "{counts:?}");
 }
+
+/// Reports of the members of a replica that serves.
+fn members_of(replica: u64, model: &str, size: usize, first: usize) -> Vec<WorkerReport> {
+    let member = |rank: usize| WorkerReport {
+        domain: Some(DomainId::from("d0")),
+        model: Some(ModelName::from(model)),
+        membership: Some(WorkerMembership {
+            replica: format!("serving.{replica}.{model}"),
+            epoch: Epoch(replica),
+            rank: rank as u32,
+            state: if rank == 0 { MembershipState::Open } else { MembershipState::Ready },
+        }),
+        ..report(first + rank)
+    };
+    (0..size).map(member).collect()
+}
+
+/// Where a model's answers are held up by prompts that are read, it comes before one whose places
+/// are fuller.
+#[rstest]
+#[case::places_fuller(0, 0, "small")]
+#[case::prompts_wait(71, 9, "large")]
+fn step_plans_for_busier_model(
+    #[case] large_waiting_ms: u32,
+    #[case] small_waiting_ms: u32,
+    #[case] expected: &str,
+) {
+    let mut engine = engine();
+    engine.models = vec![model("large", 4), model("small", 2)];
+    engine.models[1].pace = 0.6;
+    let mut reports: Vec<WorkerReport> =
+        (0..2).flat_map(|n| members_of(n + 1, "large", 4, 4 * n as usize)).collect();
+    reports.extend((0..4).flat_map(|n| members_of(n + 11, "small", 2, 8 + 2 * n as usize)));
+    reports.extend((16..24).map(|number| WorkerReport {
+        domain: Some(DomainId::from("d0")),
+        staged: vec![ModelName::from("large"), ModelName::from("small")],
+        ..report(number)
+    }));
+    let states: Vec<WorkerState<'_>> = reports
+        .iter()
+        .map(|report| match report.model.as_ref().map(|model| model.as_str()) {
+            Some("large") => usable(report, 9, large_waiting_ms),
+            Some(_) => usable(report, 12, small_waiting_ms),
+            None => usable(report, 0, 0),
+        })
+        .collect();
+    let start = Instant::now();
+    let mut controller = new_controller(start);
+    let mut planned = BTreeSet::new();
+    for step in 0..70 {
+        for ticket in controller.step(&engine, &states, false, start + STEP * step) {
+            let name = ticket.order.name();
+            if name.kind == ReplicaKind::Serving && *name.epoch > 20 {
+                planned.insert(name.model.to_string());
+            }
+        }
+    }
+    assert_eq!(planned, BTreeSet::from([expected.to_owned()]));
+}
--- a/crates/fleet/tests/standins/mod.rs
+++ b/crates/fleet/tests/standins/mod.rs
@@ -333,6 +333,7 @@
             .map(|(report, alive)| WorkerState {
                 report,
                 active: 0,
+                waiting_ms: 0,
                 standing: if *alive { WorkerStanding::Usable } else { WorkerStanding::Lost },
             })
             .collect();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,6 +118,7 @@
         model: request.head.model.as_ref(),
         prompt_tokens: request.head.prompt_tokens,
         excluded: tries.excluded(),
+        kept: &core.client.kept_addresses(),
     })
 }
 
--- a/crates/gateway/src/estimate.rs
+++ b/crates/gateway/src/estimate.rs
@@ -42,16 +42,6 @@
     }
 }
 
-/// Time of one pass of a replica that works on so many requests, in milliseconds.
-pub(crate) fn pass_ms(engine: &Engine, spec: &ModelSpec, active: u32) -> f64 {
-    step_ms(engine, spec, f64::from(active)) * f64::from(engine.stride.max(1))
-}
-
-/// Time to read a prompt, in milliseconds.
-pub(crate) fn reading_ms(engine: &Engine, spec: &ModelSpec, tokens: u32) -> f64 {
-    f64::from(tokens) * 1000.0 / engine.read_per_second.max(1.0) * spec.pace
-}
-
 /// Requests that gateways begin at a model's replicas before they hear of each other, where as many
 /// come as end: none where the length of answers is not known.
 pub(crate) fn arrivals_unheard(
@@ -61,13 +51,7 @@
     replicas: usize,
 ) -> Option<f64> {
     let each = f64::from(active) / replicas.max(1) as f64;
-    let usual_ms = step_ms(engine, spec, each) * f64::from(engine.usual_answer);
+    let usual_ms = engine.step_ms(spec, each) * f64::from(engine.usual_answer);
     let hearing_ms = HEARING_TIME.as_secs_f64() * 1000.0;
     (usual_ms > 0.0).then(|| f64::from(active) * hearing_ms / usual_ms)
 }
-
-/// Time of one token of each of so many requests, in milliseconds.
-fn step_ms(engine: &Engine, spec: &ModelSpec, active: f64) -> f64 {
-    let step = engine.step.as_secs_f64() * 1000.0;
-    (step + engine.step_per_request_ms * active) * spec.pace
-}
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -21,11 +21,14 @@
 };
 use tokio::time::Instant;
 
-use crate::estimate::{ArrivalRate, arrivals_unheard, pass_ms, reading_ms};
+use crate::estimate::{ArrivalRate, arrivals_unheard};
 use crate::loads::{OwnLoad, SharedLoad, expected_silence_ms, stands_still};
 
 /// Estimated cost of reaching a worker in another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 12.0;
+/// Cost of a new connection to a worker, in milliseconds: more than it takes, since workers accept
+/// few of them at a time.
+const NEW_CONNECTION_MS: f64 = 12.0;
 /// Cost of each request under way at a replica, in milliseconds.
 const ACTIVE_MS: f64 = 3.0;
 /// Cost of a worker that fails every request, in milliseconds.
@@ -79,6 +82,8 @@
     pub prompt_tokens: u32,
     /// Workers that were tried already.
     pub excluded: &'a [WorkerId],
+    /// Addresses to which a kept connection waits.
+    pub kept: &'a HashSet<SocketAddr>,
 }
 
 #[derive(Clone, Debug)]
@@ -240,8 +245,8 @@
         let estimate = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
             let slower = if candidate.scattered { engine.far } else { 1.0 };
-            let pass = pass_ms(engine, spec, load.active + 1) * slower;
-            let reading = reading_ms(engine, spec, facts.prompt_tokens) * slower;
+            let pass = engine.pass_ms(spec, f64::from(load.active + 1)) * slower;
+            let reading = engine.reading_ms(spec, facts.prompt_tokens) * slower;
             let first_ms = load.waiting_ms + reading + pass * 1.5;
             PickedWorker {
                 id: candidate.id.clone(),
@@ -309,7 +314,9 @@
             let ejected = ejected || still(candidate);
             let failing = own.map_or(0.0, |own| own.failing);
             let distance = if candidate.near { 0.0 } else { OTHER_ZONE_MS };
-            let total = cost + failing * FAILING_MS + distance + rand::random::<f64>();
+            let kept = facts.kept.contains(&candidate.address);
+            let connecting = if kept { 0.0 } else { NEW_CONNECTION_MS };
+            let total = cost + failing * FAILING_MS + distance + connecting + rand::random::<f64>();
             if best.is_none_or(|(left_out, least, _)| (ejected, total) < (left_out, least)) {
                 best = Some((ejected, total, candidate));
             }
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -1,5 +1,8 @@
 //! The choice of workers: who may be chosen at all, and how gateways share places.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, ModelSpec, Service};
@@ -103,9 +106,15 @@
     }
 }
 
+/// A request by a gateway that keeps no connection.
+fn facts<'a>(service: &'a Service, model: &'a ModelName) -> PickFacts<'a> {
+    static NONE_KEPT: LazyLock<HashSet<SocketAddr>> = LazyLock::new(HashSet::new);
+    PickFacts { service, model: Some(model), prompt_tokens: 500, excluded: &[], kept: &NONE_KEPT }
+}
+
 fn pick(picker: &mut WorkerPicker, service: &Service) -> Result<String, NoWorker> {
     let model = ModelName::from("m");
-    let facts = PickFacts { service, model: Some(&model), prompt_tokens: 500, excluded: &[] };
+    let facts = facts(service, &model);
     picker.pick(&facts, Instant::now()).map(|worker| worker.id.to_string())
 }
 
@@ -173,8 +182,7 @@
     if let Some(ms) = progress_ms {
         picker.note_progress(&still, at(ms));
     }
-    let facts =
-        PickFacts { service: &service, model: Some(&model), prompt_tokens: 500, excluded: &[] };
+    let facts = facts(&service, &model);
     // The other replica has more to do, so that this one is chosen unless it stands still.
     for _ in 0..6 {
         picker.begin(&WorkerId::from("b0"), 10.0, at(now_ms));
@@ -196,13 +204,32 @@
     assert_eq!(picked(&mut picker).contains(&"a0".to_owned()), expected);
 }
 
+/// A kept connection goes before a new one to another replica, unless that one has far less to do.
+#[rstest]
+#[case::alike(0, true)]
+#[case::somewhat_busier(2, true)]
+#[case::far_busier(9, false)]
+fn pick_kept_connection(#[case] busier: u32, #[case] expected: bool) {
+    let mut reports = replicas();
+    reports[2].address = "127.0.0.1:9001".to_owned();
+    let mut picker = picker(reports);
+    let told = view(2, 1, &[], &[("a0", 3), ("b0", 3 + busier)]);
+    picker.take_view(&told, Instant::now());
+    let (service, model) = (service(), ModelName::from("m"));
+    let kept = HashSet::from(["127.0.0.1:9001".parse().expect("an address")]);
+    let facts = PickFacts { kept: &kept, ..facts(&service, &model) };
+    for _ in 0..20 {
+        let picked = picker.pick(&facts, Instant::now()).expect("both have room");
+        assert_eq!(picked.id == WorkerId::from("b0"), expected);
+    }
+}
+
 #[rstest]
 fn pick_unknown_model() {
     let service = service();
     let other = ModelName::from("other");
     let mut picker = picker(replicas());
-    let facts =
-        PickFacts { service: &service, model: Some(&other), prompt_tokens: 1, excluded: &[] };
+    let facts = facts(&service, &other);
     let picked = picker.pick(&facts, Instant::now()).map(|worker| worker.id);
     assert_eq!(picked, Err(NoWorker::Unknown));
 }
@@ -225,8 +252,7 @@
     let mut picker = picker(replicas());
     picker.take_view(&view(2, 80, &[], &[("a0", active), ("b0", active)]), Instant::now());
     let (model, start) = (ModelName::from("m"), Instant::now());
-    let facts =
-        PickFacts { service: &service, model: Some(&model), prompt_tokens: 500, excluded: &[] };
+    let facts = facts(&service, &model);
     let each_second = (0..1000).map(|second| start + Duration::from_secs(second));
     let picked = each_second.filter(|at| picker.pick(&facts, *at).is_ok()).count();
     assert!(expected.contains(&picked), "{picked} of 1000 were picked");
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -4,7 +4,7 @@
 //! only once always gets a fresh connection: on a reused one, a close by the
 //! other end can cross with the request, and nobody could tell if it ran.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -122,6 +122,18 @@
     kept_for: Option<Duration>,
 }
 
+impl IdleConnection {
+    /// Whether it is young enough for the upstream not to close it at any moment.
+    fn is_young(&self) -> bool {
+        let limit = self.kept_for.map_or(IDLE_LIFETIME, |kept| kept.mul_f64(USED_IDLE));
+        self.since.elapsed() < limit
+    }
+
+    fn is_usable(&self) -> bool {
+        self.is_young() && self.sender.is_ready()
+    }
+}
+
 #[derive(Debug, Default)]
 struct IdleConnections {
     by_address: HashMap<SocketAddr, Vec<IdleConnection>>,
@@ -216,23 +228,26 @@
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let kept = idle.by_address.get_mut(&address)?;
         while let Some(connection) = kept.pop() {
-            let limit = connection.kept_for.map_or(IDLE_LIFETIME, |kept| kept.mul_f64(USED_IDLE));
-            if connection.since.elapsed() < limit && connection.sender.is_ready() {
+            if connection.is_usable() {
                 return Some(connection.sender);
             }
         }
         None
     }
 
+    /// Addresses to which a request can go now without a new connection.
+    pub fn kept_addresses(&self) -> HashSet<SocketAddr> {
+        let idle = self.idle.lock().expect("no holder of the lock panics");
+        let usable =
+            idle.by_address.iter().filter(|(_, kept)| kept.iter().any(|one| one.is_usable()));
+        usable.map(|(address, _)| *address).collect()
+    }
+
     /// Drops the idle connections that are too old to be used, and closes them.
     pub fn drop_expired(&self) {
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         for kept in idle.by_address.values_mut() {
-            kept.retain(|connection| {
-                let limit =
-                    connection.kept_for.map_or(IDLE_LIFETIME, |kept| kept.mul_f64(USED_IDLE));
-                connection.since.elapsed() < limit && !connection.sender.is_closed()
-            });
+            kept.retain(|connection| connection.is_young() && !connection.sender.is_closed());
         }
         idle.by_address.retain(|_, kept| !kept.is_empty());
     }
