--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -4,29 +4,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowbarrow_routing::retry::{AttemptUpstreamError, RequestFacts, RetryStep, decide_retry};
-use hollowbarrow_routing::{RouteCandidate, UpstreamKey, hash_prefix};
+use hollowbarrow_routing::retry::{RequestFacts, RetryStep, decide_retry};
+use hollowbarrow_routing::{UpstreamKey, hash_prefix};
 use hollowbarrow_schema::{ClaimOutcome, ErrorRan, StoredAnswer};
-use hollowbarrow_upstream::{SentAnswer, UpstreamRequest};
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
-use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink, ErrorCode};
+use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink};
+use crate::attempt::{AttemptEnd, Attempted, attempt_once, plain_attempt};
 use crate::claims::{ClaimIdentity, HeldClaim};
 use crate::core::DaemonCore;
-use crate::facts::{CallerRequest, RequestKind, headers};
+use crate::facts::{CallerRequest, RequestKind};
 use crate::refusals::{
-    UPSTREAM_RETRY, to_attempt_error, to_claim_error, to_limit_error, to_propose_error,
-    to_send_error, to_shed_error,
+    to_attempt_error, to_claim_error, to_limit_error, to_propose_error, to_shed_error,
 };
-use crate::relay::{StreamRelay, read_whole};
-use crate::routes::{RouteEntry, RouteTarget};
+use crate::relay::StreamRelay;
 use crate::telemetry::HopSpan;
 
-/// Pause before the upstreams are looked at again when none has room.
-const ROOM_PAUSE: Duration = Duration::from_millis(10);
-
 /// How a request ended, for logs and metrics.
 #[derive(Debug)]
 pub(crate) struct RequestEnd {
@@ -303,249 +298,6 @@
     }
 }
 
-/// What an attempt brought.
-pub(crate) enum Attempted {
-    /// The stream came whole and was passed on but for its end mark.
-    Streamed,
-    /// A whole answer.
-    Whole { status: StatusCode, content_type: String, body: Bytes },
-}
-
-/// Why an attempt brought nothing.
-pub(crate) enum AttemptEnd {
-    /// An upstream failed.
-    Failed(AttemptUpstreamError),
-    /// There was none to try.
-    Nothing(CallerError),
-}
-
-type AttemptResult = (Option<UpstreamKey>, Result<Attempted, AttemptEnd>);
-
-async fn plain_attempt(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
-    avoid: &[UpstreamKey],
-    span: &HopSpan,
-) -> AttemptResult {
-    // A plain call is never streamed, so nothing goes over this link.
-    let (link, _) = CallerLink::new();
-    let mut relay = StreamRelay::new(&Arc::new(link), false);
-    attempt_once(core, request, &[], avoid, span, &mut relay, false).await
-}
-
-/// Picks an upstream, sends the request and brings its answer.
-async fn attempt_once(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
-    blocks: &[u64],
-    avoid: &[UpstreamKey],
-    span: &HopSpan,
-    relay: &mut StreamRelay,
-    streamed: bool,
-) -> AttemptResult {
-    let pick_span = span.child("pick");
-    let entry = match pick_upstream(core, request, blocks, avoid).await {
-        Ok(entry) => entry,
-        Err(error) => return (None, Err(AttemptEnd::Nothing(error))),
-    };
-    drop(pick_span);
-    let attempt_span = span.child("upstream");
-    attempt_span.set("upstream", &entry.key.name);
-    let key = entry.key.clone();
-    let tally = PickerTally::new(core, &key, blocks);
-    let sending = send_to_upstream(core, request, &entry, &attempt_span, relay, streamed, &tally);
-    let outcome = tokio::select! {
-        outcome = sending => outcome,
-        // The answer of a replica that lost a member will not come; only what may run again
-        // is given up for that.
-        () = entry.lost(core), if !request.not_repeatable => {
-            Err(AttemptUpstreamError::BrokenAnswer { reason: "the replica lost a member", tokens: 0 })
-        }
-    };
-    if let Err(AttemptUpstreamError::Refused { .. }) = &outcome {
-        core.picker().note_refusal(&key);
-    }
-    if let Err(error) = &outcome {
-        attempt_span.set("error", &error.to_string());
-    }
-    drop(tally);
-    (Some(key), outcome.map_err(AttemptEnd::Failed))
-}
-
-/// Counts an attempt at its upstream until it ends.
-pub(crate) struct PickerTally<'a> {
-    core: &'a DaemonCore,
-    key: &'a UpstreamKey,
-    started: Instant,
-    first: std::sync::OnceLock<Instant>,
-}
-
-impl<'a> PickerTally<'a> {
-    fn new(core: &'a DaemonCore, key: &'a UpstreamKey, blocks: &[u64]) -> Self {
-        let started = Instant::now();
-        core.picker().note_start(key, blocks, started);
-        Self { core, key, started, first: std::sync::OnceLock::new() }
-    }
-
-    /// Notes that the first byte of the answer came.
-    pub(crate) fn note_first(&self) {
-        let _ = self.first.set(Instant::now());
-    }
-}
-
-impl Drop for PickerTally<'_> {
-    fn drop(&mut self) {
-        let first = self.first.get().map(|at| (*at - self.started).as_secs_f64() * 1000.0);
-        self.core.picker().note_end(self.key, first, Instant::now());
-    }
-}
-
-/// Chooses an upstream, waiting for room until the deadline.
-async fn pick_upstream(
-    core: &DaemonCore,
-    request: &CallerRequest,
-    blocks: &[u64],
-    avoid: &[UpstreamKey],
-) -> Result<RouteEntry, CallerError> {
-    loop {
-        let now = Instant::now();
-        if now >= request.deadline {
-            let message = "the deadline passed before an upstream had room";
-            return Err(CallerError::not_run(ErrorCode::DeadlinePassed, message));
-        }
-        let routes = core.routes();
-        let entries = match &request.kind {
-            RequestKind::Completion { model, .. } => routes.model(model),
-            RequestKind::Plain(route) => routes.service(&route.service),
-        };
-        let candidates = {
-            let fleet = core.fleet();
-            let open = entries.iter().filter_map(|entry| entry.to_candidate(&fleet, now));
-            open.collect::<Vec<RouteCandidate>>()
-        };
-        if candidates.is_empty() {
-            return Err(no_upstream(core, request, entries));
-        }
-        let fresh: Vec<RouteCandidate> =
-            candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
-        let pool = if fresh.is_empty() { &candidates } else { &fresh };
-        let choice = core.picker().pick(pool, blocks, &mut rand::rng());
-        if let Some(choice) = choice
-            && let Some(entry) = entries.iter().find(|entry| entry.key == choice.key)
-        {
-            return Ok(entry.clone());
-        }
-        tokio::time::sleep(ROOM_PAUSE).await;
-    }
-}
-
-fn no_upstream(core: &DaemonCore, request: &CallerRequest, entries: &[RouteEntry]) -> CallerError {
-    if let RequestKind::Completion { model, .. } = &request.kind {
-        let asked_for = core
-            .config_log
-            .read(|config| config.groups().values().any(|group| group.value.model == *model));
-        if entries.is_empty() && !asked_for {
-            let message = format!("no group or endpoint serves model {}", **model);
-            return CallerError::not_run(ErrorCode::NoSuchModel, message).with_field("model");
-        }
-    }
-    let message = "no upstream may take requests now";
-    CallerError::not_run(ErrorCode::NoUpstream, message).with_retry_after(UPSTREAM_RETRY)
-}
-
-async fn send_to_upstream(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
-    entry: &RouteEntry,
-    span: &HopSpan,
-    relay: &mut StreamRelay,
-    streamed: bool,
-    tally: &PickerTally<'_>,
-) -> Result<Attempted, AttemptUpstreamError> {
-    let reuse = !request.not_repeatable;
-    let lease = core
-        .client
-        .prepare(entry.address, reuse)
-        .await
-        .map_err(|_| AttemptUpstreamError::NotReached)?;
-    let message = to_upstream_request(request, entry, span, relay);
-    // From here on nothing may take time: the lease and the deadline are checked, then it goes.
-    let now = Instant::now();
-    if now >= request.deadline {
-        return Err(AttemptUpstreamError::DeadlinePassed { sent: false });
-    }
-    if entry.until(&core.fleet(), now).is_none() {
-        return Err(AttemptUpstreamError::NotSent);
-    }
-    let answer =
-        core.client.send(lease, &message, request.deadline).await.map_err(to_send_error)?;
-    tally.note_first();
-    let engine = matches!(entry.target, RouteTarget::Replica(_));
-    if engine && is_refusal(answer.status) {
-        return Err(to_refusal(&answer));
-    }
-    if engine && answer.status.is_server_error() {
-        return Err(AttemptUpstreamError::NoAnswer);
-    }
-    let event_stream = answer
-        .headers
-        .get("content-type")
-        .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-    if streamed && event_stream {
-        return relay.run(core, request, answer).await.map(|()| Attempted::Streamed);
-    }
-    if relay.has_started() {
-        let reason = "the resumed answer is no stream";
-        return Err(AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 });
-    }
-    read_whole(core, request, answer).await
-}
-
-/// Statuses by which an engine says that it ran nothing, as the upstream protocol promises.
-fn is_refusal(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::CONFLICT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
-fn to_refusal(answer: &SentAnswer) -> AttemptUpstreamError {
-    let seconds = answer.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
-    AttemptUpstreamError::Refused {
-        status: answer.status.as_u16(),
-        retry_after: seconds.map(Duration::from_secs),
-    }
-}
-
-fn to_upstream_request(
-    request: &CallerRequest,
-    entry: &RouteEntry,
-    span: &HopSpan,
-    relay: &StreamRelay,
-) -> UpstreamRequest {
-    let mut passed = request.headers.clone();
-    let mut put = |name: &'static str, value: String| {
-        if let Ok(value) = HeaderValue::try_from(value) {
-            passed.insert(name, value);
-        }
-    };
-    let left = request.deadline.saturating_duration_since(Instant::now());
-    put(headers::DEADLINE, left.as_millis().to_string());
-    put(headers::PRIORITY, request.urgency.to_string());
-    put(headers::TRACE_PARENT, span.trace_parent());
-    if *entry.key.epoch > 0 {
-        put(headers::EPOCH, entry.key.epoch.to_string());
-    }
-    UpstreamRequest {
-        request_id: request.id.clone(),
-        method: request.method.clone(),
-        target: request.target.clone(),
-        headers: passed,
-        body: relay.resume_body(request).unwrap_or_else(|| request.body.clone()),
-        reuse: !request.not_repeatable,
-    }
-}
-
 fn whole_answer(id: &str, status: StatusCode, content_type: &str, body: Bytes) -> CallerAnswer {
     let mut builder = Response::builder().status(status).header("x-request-id", id);
     if let Ok(kind) = HeaderValue::try_from(content_type) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 //! is given to one only after its claim was granted.
 
 mod answer;
+mod attempt;
 mod callers;
 mod claims;
 mod core;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -17,8 +17,8 @@
 use tokio::time::Instant;
 
 use crate::answer::CallerLink;
+use crate::attempt::Attempted;
 use crate::core::DaemonCore;
-use crate::dispatch::Attempted;
 use crate::facts::{CallerRequest, RequestKind};
 
 /// Event that ends a stream.
