Stand for election soon after the start of all controllers

Ruled out: the links (80 ms), the disks (a vote is synced in 1 ms), reading the log (committed 1 ms after the election).

Change: a voter that has started and heard of no leader since stands after 130 to 260 ms. It is a trial first, which whoever follows a leader refuses. A former leader that is cut off may count itself as sure for up to 600 ms beside the new one, as was possible before where one voter restarted; a new term waits a second before it plans, and orders of a former leader that come late are borne anyway (crates/fleet/tests/exhaustive.rs).

Test: new_stands_after_first_election.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -24,6 +24,8 @@
 
 /// Silence after which a voter stands for election.
 const ELECTION_TIME: Duration = Duration::from_millis(600);
+/// The same for one that has just started: where all ended at once, none leads.
+const FIRST_ELECTION_TIME: Duration = Duration::from_millis(130);
 /// Time after which a controller that has heard of no leader tells what it holds.
 const LEADERLESS_TIME: Duration = Duration::from_secs(2);
 /// Entries after which a snapshot replaces them; whole configurations are large.
@@ -264,6 +266,7 @@
     let replica = ReplicaConfig::new(&id, &voters, &voters)
         .with_founding(settings.found)
         .with_election(ELECTION_TIME)
+        .with_first_election(FIRST_ELECTION_TIME)
         .with_seed(rand::random());
     let (notify, outbox) = (Arc::clone(applied), Arc::clone(links));
     let config = DriverConfig::new(replica, Some(data.join("config")))
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -39,6 +39,7 @@
     learners: bool,
     founding: bool,
     election: Duration,
+    first_election: Option<Duration>,
     seed: u64,
 }
 
@@ -52,6 +53,7 @@
             learners: true,
             founding: true,
             election: Duration::from_millis(1000),
+            first_election: None,
             seed: 0,
         }
     }
@@ -79,6 +81,17 @@
         self
     }
 
+    /// Sets the time after which a voter that has just started, and has heard of no leader since,
+    /// stands for election; without it, it waits as if it missed a leader.
+    ///
+    /// Where one leads it comes to nothing, since who follows a leader refuses a trial. Votes that a
+    /// leader was given before a restart do not hold such a voter back, so that whoever counts on
+    /// a leader's confirmation must wait out an election time at the beginning of a term.
+    pub fn with_first_election(mut self, first_election: Duration) -> Self {
+        self.first_election = Some(first_election);
+        self
+    }
+
     /// Sets the seed of the jitter.
     pub fn with_seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -393,8 +406,15 @@
     }
 
     fn reset_deadline(&mut self, now: Instant) {
+        let first = self.config.first_election.filter(|_| self.is_starting());
+        let silence = first.unwrap_or(self.config.election);
         let jitter = self.rng.random_range(1.0..2.0);
-        self.deadline = now + self.config.election.mul_f64(jitter);
+        self.deadline = now + silence.mul_f64(jitter);
+    }
+
+    /// Whether no leader was heard of, and this one has not led, since the start.
+    fn is_starting(&self) -> bool {
+        self.heard.is_none() && self.confirmed.is_none()
     }
 
     fn step_down(&mut self, term: Term, leader: Option<DaemonId>, now: Instant) {
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -38,8 +38,11 @@
 
 impl Cluster {
     fn new() -> Self {
-        let ids = ids();
-        let replicas = ids.iter().map(|id| (id.clone(), replica_of(id, true))).collect();
+        Self::with_replicas(|id| replica_of(id, true))
+    }
+
+    fn with_replicas(create: impl Fn(&DaemonId) -> LogReplica<MemoryStorage>) -> Self {
+        let replicas = ids().iter().map(|id| (id.clone(), create(id))).collect();
         Self { now: Instant::now(), replicas }
     }
 
@@ -90,12 +93,33 @@
     ["a", "b", "c"].map(DaemonId::from).to_vec()
 }
 
-fn replica_of(id: &DaemonId, founding: bool) -> LogReplica<MemoryStorage> {
-    let config = ReplicaConfig::new(id, &ids(), &ids())
+fn config_of(id: &DaemonId, founding: bool) -> ReplicaConfig {
+    ReplicaConfig::new(id, &ids(), &ids())
         .with_founding(founding)
         .with_election(Duration::from_millis(100))
-        .with_seed(u64::from(id.as_bytes()[0]));
-    LogReplica::new(config, MemoryStorage::new().with_durable(true), Instant::now())
+        .with_seed(u64::from(id.as_bytes()[0]))
+}
+
+fn replica_of(id: &DaemonId, founding: bool) -> LogReplica<MemoryStorage> {
+    LogReplica::new(
+        config_of(id, founding),
+        MemoryStorage::new().with_durable(true),
+        Instant::now(),
+    )
+}
+
+/// Voters that have just started stand sooner than those that miss a leader.
+#[rstest]
+#[case::soon(20, true)]
+#[case::as_if_a_leader_were_missed(100, false)]
+fn new_stands_after_first_election(#[case] first_ms: u64, #[case] elected: bool) {
+    let first = Duration::from_millis(first_ms);
+    let mut cluster = Cluster::with_replicas(|id| {
+        let config = config_of(id, true).with_first_election(first);
+        LogReplica::new(config, MemoryStorage::new().with_durable(true), Instant::now())
+    });
+    cluster.run(8);
+    assert_eq!(cluster.replicas.values().any(LogReplica::is_leader), elected);
 }
 
 #[rstest]
