Sum loads for the leader only, and look at free workers every two seconds

Change: a hello is written where it goes somewhere, loads are summed where a leader hears them; the free workers are looked at every two seconds; is_first_start is one function. What is sent is the same.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::controller::ControllerCore;
+use crate::fleet::FleetState;
 use crate::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_ended};
 use crate::orders::{give_order, probe_worker};
 use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters, voters_for};
@@ -121,12 +122,17 @@
     }
 }
 
+/// Whether the system starts for the first time and no request has come yet.
+fn is_first_start(core: &ControllerCore, fleet: &FleetState) -> bool {
+    core.settings.found && !fleet.has_served()
+}
+
 fn begin_term(core: &ControllerCore, view: &LogView, now: Instant) -> Leadership {
     let heartbeat = core.heartbeat();
     let settling = heartbeat.mul_f64(SETTLED_BEATS);
     // At the first start there is nothing to take over, and later a leader that has run for a
     // while has heard of every worker.
-    let first = core.settings.found && !core.fleet().has_served();
+    let first = is_first_start(core, &core.fleet());
     let settle = if first {
         FIRST_SETTLED
     } else if now.duration_since(core.started) > settling {
@@ -136,13 +142,12 @@
     };
     log::info!("event=leadership_begun term={} settle_ms={}", *view.term, settle.as_millis());
     let window = Duration::from_secs(core.settings.load_window_s.into());
-    let fresh = core.settings.found && !core.fleet().has_served();
     Leadership {
         term: view.term,
         judge: LivenessJudge::new(),
         replicas: BTreeMap::new(),
         settled: now + settle,
-        loads_from: if fresh { now } else { now + window },
+        loads_from: if first { now } else { now + window },
         view_number: 0,
         view_due: now,
         withheld: Vec::new(),
@@ -164,7 +169,7 @@
     let heartbeat = core.heartbeat();
     let ended = find_ended(fleet.table(), heartbeat);
     let facts = LivenessFacts { uses: &uses, ended: &ended, heartbeat, now };
-    let warming_up = core.settings.found && !fleet.has_served();
+    let warming_up = is_first_start(core, &fleet);
     let mut standings: HashMap<WorkerId, WorkerStanding> = HashMap::new();
     let mut probes = Vec::new();
     for entry in fleet.table().iter() {
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -32,16 +32,22 @@
         let (leaders, others): (Vec<DaemonId>, Vec<DaemonId>) =
             controllers.into_iter().partition(|id| leader.as_ref().is_none_or(|l| l == id));
         let to_all = number.is_multiple_of(HELLOS_TO_LEADER);
+        if leaders.is_empty() && !to_all {
+            continue;
+        }
         let hello = write_hello(&core, to_all);
         if to_all {
-            let brief = ControllerHello { loads: None, ..hello.clone() };
-            core.links().send_to_all(&others, FleetMessage::Controller(brief));
+            core.links().send_to_all(&others, FleetMessage::Controller(hello.clone()));
+        }
+        if !leaders.is_empty() {
+            let loads = Some(core.fleet().homed_loads(Instant::now()));
+            let hello = ControllerHello { loads, ..hello };
+            core.links().send_to_all(&leaders, FleetMessage::Controller(hello));
         }
-        core.links().send_to_all(&leaders, FleetMessage::Controller(hello));
     }
 }
 
-/// What this controller tells the leader; beats only where the others are told too.
+/// What this controller tells others but for loads; beats only where all are told.
 fn write_hello(core: &ControllerCore, with_beats: bool) -> ControllerHello {
     // While the log is being founded every disk is empty, and none is lost.
     let lost_disk = core.log.view().lost_disk && !core.settings.found;
@@ -53,7 +59,7 @@
         lost_disk,
         gateways: fleet.count_homed(),
         served: fleet.has_served(),
-        loads: Some(fleet.homed_loads(Instant::now())),
+        loads: None,
     }
 }
 
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -40,7 +40,7 @@
 const EVEN_USE: f64 = 0.5;
 /// Use beyond which a model gets no more.
 const MOST_USE: f64 = 2.0;
-/// Shortest time between two lines about the free workers.
+/// Time between two looks at the free workers for the log.
 const FREE_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without a new worker after which those of the first start have registered.
 const ARRIVAL_PAUSE: Duration = Duration::from_millis(400);
@@ -293,17 +293,17 @@
         parts.chain([standbys]).collect::<Vec<_>>().join(" ")
     }
 
-    /// Logs which free workers there are, if that has changed lately.
+    /// Logs now and then which free workers there are, if that has changed.
     fn log_free(&mut self, view: &StepView<'_>) {
         let due = self.free_logged_at.is_none_or(|at| view.now >= at + FREE_LOG_INTERVAL);
         if !due {
             return;
         }
+        self.free_logged_at = Some(view.now);
         let free = self.describe_free(view);
         if free != self.free_logged {
             log::info!("event=free_workers free={free}");
             self.free_logged = free;
-            self.free_logged_at = Some(view.now);
         }
     }
 
