Give each gateway preferences of its own among replicas that are as good

Cause: all gateways hear the same loads, a quarter of a second late, and each chose the replica that looked best by them, but for a millisecond of chance. So all chose the same one until they heard of that: of 80 gateways with the same view of 8 replicas, 44 chose one and 36 another (pick_differs_among_gateways before the change). The prompts that came together there were read one after the other, which shows as late first events and pauses.

Ruled out: more replicas alone (8 in place of 5 left 4 in 10 answers of that model late).

Change: each gateway prefers some replicas by a hash of both identities, by up to 30 ms. That also has it come back to where its kept connections are. What may be chosen at all moves into candidates.rs, which picker.rs had grown by.

Test that failed first: pick_differs_among_gateways.

--- /dev/null
+++ b/crates/gateway/src/candidates.rs
@@ -0,0 +1,140 @@
+//! Which workers can be chosen at all, by what they report.
+//!
+//! A replica is a candidate while its head says that it is open and no member says that it leaves.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use hollowbarrow_fleet::WorkerTable;
+use hollowbarrow_fleet::replicas::{ReplicaKind, ReplicaName};
+use hollowbarrow_schema::{
+    DaemonId, DomainId, Epoch, MembershipState, ModelName, ServiceName, WorkerId, WorkerReport,
+    ZoneId,
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Largest difference that a gateway's own preference makes between two replicas, in milliseconds.
+///
+/// Gateways hear the same loads late. If each chose the best by them, all would choose the same
+/// one until they heard of that.
+const PREFERENCE_MS: f64 = 30.0;
+
+/// A worker that takes requests: a plain one, or the head of a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) id: WorkerId,
+    pub(crate) address: SocketAddr,
+    /// Whether it is in this gateway's availability zone.
+    pub(crate) near: bool,
+    pub(crate) slots: u32,
+    /// Whether the replica's members are in several fabric domains.
+    pub(crate) scattered: bool,
+    /// This gateway's preference against it, in milliseconds.
+    pub(crate) bias_ms: f64,
+}
+
+/// The candidates by what they serve, made anew where a report has changed something.
+#[derive(Debug)]
+pub(crate) struct CandidateIndex {
+    zone: ZoneId,
+    /// Seed of this gateway's preferences; none where it has no preference.
+    seed: Option<u64>,
+    revision: u64,
+    replicas: HashMap<(ServiceName, ModelName), Vec<Candidate>>,
+    plain: HashMap<ServiceName, Vec<Candidate>>,
+}
+
+impl CandidateIndex {
+    /// Creates the index of a gateway in this zone.
+    pub(crate) fn new(zone: &ZoneId) -> Self {
+        Self {
+            zone: zone.clone(),
+            seed: None,
+            revision: 0,
+            replicas: HashMap::new(),
+            plain: HashMap::new(),
+        }
+    }
+
+    /// Draws preferences from the identity of the gateway.
+    pub(crate) fn with_preferences(mut self, own: &DaemonId) -> Self {
+        self.seed = Some(xxh3_64_with_seed(own.as_bytes(), 0));
+        self
+    }
+
+    /// Heads of the replicas of a model.
+    pub(crate) fn replicas(&self, key: &(ServiceName, ModelName)) -> &[Candidate] {
+        self.replicas.get(key).map_or(&[], Vec::as_slice)
+    }
+
+    /// Workers of a service without replicas.
+    pub(crate) fn plain(&self, service: &ServiceName) -> &[Candidate] {
+        self.plain.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes in what has changed in the table.
+    pub(crate) fn refresh(&mut self, table: &WorkerTable) {
+        if self.revision == table.revision() {
+            return;
+        }
+        self.revision = table.revision();
+        self.replicas.clear();
+        self.plain.clear();
+        let leaving = leaving_epochs(table);
+        let scattered = scattered_epochs(table);
+        for report in table.iter().map(|entry| &entry.report) {
+            let Some(candidate) = self.candidate_of(report) else { continue };
+            let Some(membership) = &report.membership else {
+                self.plain.entry(report.service.clone()).or_default().push(candidate);
+                continue;
+            };
+            let open = membership.rank == 0 && membership.state == MembershipState::Open;
+            let name = ReplicaName::from_text(&membership.replica);
+            if let Some(name) = name.filter(|name| name.kind == ReplicaKind::Serving)
+                && open
+                && !leaving.contains(&membership.epoch)
+            {
+                let scattered = scattered.contains(&membership.epoch);
+                let bias_ms = self.bias_of(report);
+                let key = (report.service.clone(), name.model);
+                let candidate = Candidate { scattered, bias_ms, ..candidate };
+                self.replicas.entry(key).or_default().push(candidate);
+            }
+        }
+    }
+
+    fn candidate_of(&self, report: &WorkerReport) -> Option<Candidate> {
+        if report.leaving || report.gone {
+            return None;
+        }
+        let address = report.address.parse().ok()?;
+        let near = report.zone == self.zone;
+        let (id, slots) = (report.id.clone(), report.slots);
+        Some(Candidate { id, address, near, slots, scattered: false, bias_ms: 0.0 })
+    }
+
+    fn bias_of(&self, report: &WorkerReport) -> f64 {
+        let hash = self.seed.map(|seed| xxh3_64_with_seed(report.id.as_bytes(), seed));
+        hash.map_or(0.0, |hash| hash as f64 / u64::MAX as f64 * PREFERENCE_MS)
+    }
+}
+
+/// Epochs of the replicas of which a member leaves.
+fn leaving_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
+    let leaving = table.iter().filter(|entry| entry.report.leaving || entry.report.gone);
+    leaving.filter_map(|entry| entry.report.membership.as_ref()).map(|m| m.epoch).collect()
+}
+
+/// Epochs of the replicas whose members are in several fabric domains.
+fn scattered_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
+    let mut domains: HashMap<Epoch, Option<&DomainId>> = HashMap::new();
+    let mut scattered = BTreeSet::new();
+    for report in table.iter().map(|entry| &entry.report).filter(|report| !report.gone) {
+        let Some(membership) = &report.membership else { continue };
+        let domain = report.domain.as_ref();
+        if *domains.entry(membership.epoch).or_insert(domain) != domain {
+            scattered.insert(membership.epoch);
+        }
+    }
+    scattered
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -55,7 +55,7 @@
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
-            picker: Mutex::new(WorkerPicker::new(&settings.zone)),
+            picker: Mutex::new(WorkerPicker::new(&settings.zone).with_preferences(&own)),
             home: Mutex::new(HomeChoice::new(&own, &settings.zone)),
             in_flight: AtomicU32::new(0),
             settings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //!   not run.
 
 mod attempt;
+mod candidates;
 mod core;
 mod estimate;
 pub mod events;
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -9,18 +9,17 @@
 //! Trade-off: figures of other gateways are up to half a second old. That is
 //! why the choice counts what this gateway sent since, and is not repeated.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollowbarrow_fleet::replicas::{ReplicaKind, ReplicaName};
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
 use hollowbarrow_schema::{
-    DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
-    WorkerLoad, WorkerReport, ZoneId,
+    DaemonId, FleetView, ModelName, ServiceName, Term, WorkerId, WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
+use crate::candidates::{Candidate, CandidateIndex};
 use crate::estimate::{ArrivalRate, arrivals_unheard};
 use crate::loads::{OwnLoad, SharedLoad, expected_silence_ms, stands_still};
 
@@ -86,16 +85,6 @@
     pub kept: &'a HashSet<SocketAddr>,
 }
 
-#[derive(Clone, Debug)]
-struct Candidate {
-    id: WorkerId,
-    address: SocketAddr,
-    near: bool,
-    slots: u32,
-    /// Whether the replica's members are in several fabric domains.
-    scattered: bool,
-}
-
 /// What the leading controller last told.
 #[derive(Clone, Debug, Default)]
 struct SharedView {
@@ -109,11 +98,8 @@
 /// Knows the workers and chooses among them.
 #[derive(Debug)]
 pub struct WorkerPicker {
-    zone: ZoneId,
     table: WorkerTable,
-    indexed: u64,
-    replicas: HashMap<(ServiceName, ModelName), Vec<Candidate>>,
-    plain: HashMap<ServiceName, Vec<Candidate>>,
+    candidates: CandidateIndex,
     view: SharedView,
     own: HashMap<WorkerId, OwnLoad>,
     reported: HashMap<WorkerId, SharedLoad>,
@@ -125,11 +111,8 @@
     /// Creates a picker of a gateway in this zone, which knows no worker yet.
     pub fn new(zone: &ZoneId) -> Self {
         Self {
-            zone: zone.clone(),
             table: WorkerTable::new(),
-            indexed: 0,
-            replicas: HashMap::new(),
-            plain: HashMap::new(),
+            candidates: CandidateIndex::new(zone),
             view: SharedView::default(),
             own: HashMap::new(),
             reported: HashMap::new(),
@@ -137,6 +120,12 @@
         }
     }
 
+    /// Prefers some replicas to others that are as good, by the identity of this gateway.
+    pub fn with_preferences(mut self, own: &DaemonId) -> Self {
+        self.candidates = self.candidates.with_preferences(own);
+        self
+    }
+
     /// Takes reports of workers in.
     pub fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) {
         for report in reports {
@@ -220,7 +209,7 @@
     ///
     /// Says whether none takes requests, or all have as much as they can work on.
     pub fn pick(&mut self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
-        self.index();
+        self.candidates.refresh(&self.table);
         let engine = facts.service.engine.as_ref();
         match engine.filter(|engine| !engine.models.is_empty()) {
             Some(engine) => self.pick_replica(facts, engine, now),
@@ -241,7 +230,7 @@
         let rate = self.arrivals.entry(key.clone()).or_insert_with(|| ArrivalRate::new(now));
         rate.note(now);
         let own_arrivals = rate.unheard(now);
-        let candidates = self.replicas.get(&key).map_or(&[][..], Vec::as_slice);
+        let candidates = self.candidates.replicas(&key);
         let estimate = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
             let slower = if candidate.scattered { engine.far } else { 1.0 };
@@ -274,7 +263,7 @@
     }
 
     fn pick_plain(&self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
-        let candidates = self.plain.get(&facts.service.name).map_or(&[][..], Vec::as_slice);
+        let candidates = self.candidates.plain(&facts.service.name);
         let cost = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
             let most = candidate.slots.max(1) * PLAIN_SLOT_FACTOR;
@@ -316,7 +305,8 @@
             let distance = if candidate.near { 0.0 } else { OTHER_ZONE_MS };
             let kept = facts.kept.contains(&candidate.address);
             let connecting = if kept { 0.0 } else { NEW_CONNECTION_MS };
-            let total = cost + failing * FAILING_MS + distance + connecting + rand::random::<f64>();
+            let bias = candidate.bias_ms + rand::random::<f64>();
+            let total = cost + failing * FAILING_MS + distance + connecting + bias;
             if best.is_none_or(|(left_out, least, _)| (ejected, total) < (left_out, least)) {
                 best = Some((ejected, total, candidate));
             }
@@ -422,65 +412,4 @@
         own.ejected_until = Some(now + time);
         true
     }
-
-    /// Candidates, made anew where a report has changed something.
-    fn index(&mut self) {
-        if self.indexed == self.table.revision() {
-            return;
-        }
-        self.indexed = self.table.revision();
-        self.replicas.clear();
-        self.plain.clear();
-        let leaving = leaving_epochs(&self.table);
-        let scattered = scattered_epochs(&self.table);
-        for entry in self.table.iter() {
-            let report = &entry.report;
-            let Some(candidate) = self.candidate_of(report) else { continue };
-            let Some(membership) = &report.membership else {
-                self.plain.entry(report.service.clone()).or_default().push(candidate);
-                continue;
-            };
-            let open = membership.rank == 0 && membership.state == MembershipState::Open;
-            let name = ReplicaName::from_text(&membership.replica);
-            if let Some(name) = name.filter(|name| name.kind == ReplicaKind::Serving)
-                && open
-                && !leaving.contains(&membership.epoch)
-            {
-                let key = (report.service.clone(), name.model);
-                let scattered = scattered.contains(&membership.epoch);
-                let candidate = Candidate { scattered, ..candidate };
-                self.replicas.entry(key).or_default().push(candidate);
-            }
-        }
-    }
-
-    fn candidate_of(&self, report: &WorkerReport) -> Option<Candidate> {
-        if report.leaving || report.gone {
-            return None;
-        }
-        let address = report.address.parse().ok()?;
-        let near = report.zone == self.zone;
-        let (id, slots) = (report.id.clone(), report.slots);
-        Some(Candidate { id, address, near, slots, scattered: false })
-    }
-}
-
-/// Epochs of the replicas of which a member leaves.
-fn leaving_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
-    let leaving = table.iter().filter(|entry| entry.report.leaving || entry.report.gone);
-    leaving.filter_map(|entry| entry.report.membership.as_ref()).map(|m| m.epoch).collect()
-}
-
-/// Epochs of the replicas whose members are in several fabric domains.
-fn scattered_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
-    let mut domains: HashMap<Epoch, Option<&DomainId>> = HashMap::new();
-    let mut scattered = BTreeSet::new();
-    for report in table.iter().map(|entry| &entry.report).filter(|report| !report.gone) {
-        let Some(membership) = &report.membership else { continue };
-        let domain = report.domain.as_ref();
-        if *domains.entry(membership.epoch).or_insert(domain) != domain {
-            scattered.insert(membership.epoch);
-        }
-    }
-    scattered
 }
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -1,6 +1,6 @@
 //! The choice of workers: who may be chosen at all, and how gateways share places.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::LazyLock;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use hollowbarrow_fleet::{Engine, ModelSpec, Service};
 use hollowbarrow_gateway::picker::{NoWorker, PickFacts, WorkerPicker};
 use hollowbarrow_schema::{
-    DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
+    DaemonId, DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
     WorkerLoad, WorkerMembership, WorkerReport, ZoneId,
 };
 use rand::{RngExt, SeedableRng};
@@ -224,6 +224,29 @@
     }
 }
 
+/// Gateways that hear the same loads do not all choose the same replica.
+#[rstest]
+fn pick_differs_among_gateways() {
+    let reports: Vec<WorkerReport> = (1..=8)
+        .map(|number| report(&format!("head{number}"), number, 0, MembershipState::Open))
+        .collect();
+    let loads: Vec<(String, u32)> =
+        (1..=8).map(|number| (format!("head{number}"), 3 + number % 3)).collect();
+    let loads: Vec<(&str, u32)> = loads.iter().map(|(id, load)| (id.as_str(), *load)).collect();
+    let told = view(1, 80, &[], &loads);
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for number in 0..80 {
+        let own = DaemonId(format!("10.0.0.{number}:7000"));
+        let mut picker = WorkerPicker::new(&ZoneId::from("a")).with_preferences(&own);
+        picker.merge(reports.clone(), Instant::now());
+        picker.take_view(&told, Instant::now());
+        let picked = pick(&mut picker, &service()).expect("all have room");
+        *counts.entry(picked).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 8, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= 24), "{counts:?}");
+}
+
 #[rstest]
 fn pick_unknown_model() {
     let service = service();
