Keep no more idle connections to a worker than all gateways may

Cause: a service's most connections to one worker was read and not used (docs/CAPACITY.md): each gateway kept up to 32 idle ones, which is 2,624 with 82 gateways before workers that accept 692.

Change: each keeps its part of half of what the worker accepts, one at least. Test: give_back_up_to_limit, whose case one_kept could not be said before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -144,7 +144,7 @@
     let limit = request.deadline.min(patience);
     let preparing = core.client.prepare(worker.address, true);
     let lease = match tokio::time::timeout_at(limit, preparing).await {
-        Ok(Ok(lease)) => lease,
+        Ok(Ok(lease)) => lease.with_most_idle(core.most_idle(&request.service)),
         _ => return Err(AttemptUpstreamError::NotReached),
     };
     let remaining = request.remaining();
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
-use hollowbarrow_fleet::RouteTable;
+use hollowbarrow_fleet::{RouteTable, Service};
 use hollowbarrow_routing::retry::{RetryBudget, RetryLimits};
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
@@ -115,6 +115,13 @@
         })
     }
 
+    /// Idle connections that this gateway may keep to one worker of a service: its part of half of
+    /// what the worker accepts, so that all gateways leave room for requests.
+    pub(crate) fn most_idle(&self, service: &Service) -> usize {
+        let part = service.max_connections / self.picker().gateways() / 2;
+        part.max(1) as usize
+    }
+
     /// Requests under way.
     pub(crate) fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -168,6 +168,11 @@
         self.table.len()
     }
 
+    /// Gateways that share the workers, as last told.
+    pub fn gateways(&self) -> u32 {
+        self.view.gateways.max(1)
+    }
+
     /// Whether no worker is known.
     pub fn is_empty(&self) -> bool {
         self.table.is_empty()
@@ -346,7 +351,7 @@
     /// Their requests are estimated from this gateway's own, and from what is under way: gateways
     /// get uneven shares of callers, and what is refused is not under way.
     fn competitors(&self, own_arrivals: f64, answered: Option<f64>) -> f64 {
-        let gateways = f64::from(self.view.gateways.max(1));
+        let gateways = f64::from(self.gateways());
         let Some(answered) = answered else { return gateways };
         (own_arrivals * gateways).max(answered).clamp(1.0, gateways)
     }
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Idle connections kept for one upstream.
+/// Most idle connections kept for one upstream.
 const IDLE_PER_UPSTREAM: usize = 32;
 /// How long a connection may stay idle.
 const IDLE_LIFETIME: Duration = Duration::from_secs(15);
@@ -174,9 +174,16 @@
     sender: Sender,
     reused: bool,
     kept_for: Option<Duration>,
+    most_idle: usize,
 }
 
 impl ConnectionLease {
+    /// Sets how many idle connections to the upstream there may be once this one is given back.
+    pub fn with_most_idle(mut self, most_idle: usize) -> Self {
+        self.most_idle = most_idle.min(IDLE_PER_UPSTREAM);
+        self
+    }
+
     /// Whether the connection has carried a request before.
     pub fn is_reused(&self) -> bool {
         self.reused
@@ -199,7 +206,7 @@
         }
         let mut idle = self.client.idle.lock().expect("no holder of the lock panics");
         let kept = idle.by_address.entry(self.address).or_default();
-        if kept.len() < IDLE_PER_UPSTREAM {
+        if kept.len() < self.most_idle {
             let since = Instant::now();
             kept.push(IdleConnection { sender: self.sender, since, kept_for: self.kept_for });
         }
@@ -294,7 +301,14 @@
             Some(sender) => sender,
             None => self.connect(address).await?,
         };
-        Ok(ConnectionLease { client: self.clone(), address, sender, reused, kept_for: None })
+        Ok(ConnectionLease {
+            client: self.clone(),
+            address,
+            sender,
+            reused,
+            kept_for: None,
+            most_idle: IDLE_PER_UPSTREAM,
+        })
     }
 
     /// Sends a request and waits for the head of its answer until the deadline.
--- /dev/null
+++ b/crates/upstream/tests/connections.rs
@@ -0,0 +1,77 @@
+//! Which connections are kept, against a server that counts them.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowbarrow_upstream::{ConnectionLease, UpstreamClient, UpstreamRequest};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+/// Answers every request with an empty body, and counts connections.
+async fn start_server() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket has an address");
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(answer_all(stream));
+        }
+    });
+    (address, count)
+}
+
+async fn answer_all(mut stream: TcpStream) {
+    let mut buffer = [0; 4096];
+    while let Ok(read) = stream.read(&mut buffer).await {
+        // Requests are short, so that each comes in one piece.
+        if read == 0
+            || stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn use_lease(client: &UpstreamClient, lease: ConnectionLease) -> ConnectionLease {
+    let request = UpstreamRequest {
+        request_id: "r1".to_owned(),
+        method: Method::GET,
+        target: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        reuse: true,
+    };
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let answer = client.send(lease, &request, deadline).await.expect("the server answers");
+    answer.body.collect().await.expect("the body is empty");
+    answer.lease
+}
+
+/// Three requests at once, twice; their connections are kept up to a limit.
+#[rstest]
+#[case::all_kept(8, 3)]
+#[case::one_kept(1, 5)]
+#[tokio::test]
+async fn give_back_up_to_limit(#[case] most_idle: usize, #[case] expected: usize) {
+    let (address, count) = start_server().await;
+    let client = UpstreamClient::new();
+    for _ in 0..2 {
+        let mut leases = Vec::new();
+        for _ in 0..3 {
+            let lease = client.prepare(address, true).await.expect("the server listens");
+            leases.push(use_lease(&client, lease.with_most_idle(most_idle)).await);
+        }
+        leases.into_iter().for_each(ConnectionLease::give_back);
+        assert!(client.kept_addresses().contains(&address));
+    }
+    assert_eq!(count.load(Ordering::Relaxed), expected);
+}
