Divide the slack of the retry budget by the gateways that there are

Cause: each gateway could save up a twelfth of the slack, however many gateways there were, and the floor took a window of 10 s for granted. 82 gateways that have saved up and then see every request fail would send 3,034 times again in one window in which 1,413 are allowed (share_of_bounds_all_gateways); 410 at the target's rate 41,000 of 40,273.

Change: the slack is divided by two thirds of the gateways that the leader last told of, by twelve at least, and changes with them; the setting retry_window_s is used. Up to 18 gateways nothing changes.

Test that failed first: share_of_bounds_all_gateways (many, target).

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{RouteTable, Service};
-use hollowbarrow_routing::retry::{RetryBudget, RetryLimits};
+use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
 use tokio::time::Instant;
 
+use crate::budget::{RetryAllowance, share_of};
 use crate::home::HomeChoice;
 use crate::metrics::{GatewayLevels, GatewayMetrics};
 use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
@@ -17,13 +18,6 @@
 
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
-/// Part of the allowed repeats that is earned by requests; the rest is slack for the window's ends.
-const EARNED_SHARE: f64 = 0.75;
-/// Gateways among which the slack is divided.
-const SLACK_DIVISOR: f64 = 12.0;
-/// Repeats earned each second whatever the traffic, for each one of slack.
-const FLOOR_SHARE: f64 = 0.02;
-
 /// State and tools of a gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: MemberSettings,
@@ -41,12 +35,7 @@
 impl GatewayCore {
     pub(crate) fn new(settings: MemberSettings, protocol: Arc<dyn CallerProtocol>) -> Self {
         let own = hollowbarrow_member::member_id(&settings.ip, settings.mesh_port);
-        let slack = f64::from(settings.retry_slack) / SLACK_DIVISOR;
-        let limits = RetryLimits {
-            ratio: f64::from(settings.retry_permille) / 1000.0 * EARNED_SHARE,
-            floor: slack * FLOOR_SHARE,
-            most: slack,
-        };
+        let limits = share_of(&allowance_of(&settings), 1);
         Self {
             client: UpstreamClient::new()
                 .with_identity(protocol.identity_header())
@@ -94,7 +83,15 @@
 
     /// Takes in a view that a controller passed on.
     pub(crate) fn take_view(&self, from: &DaemonId, view: &FleetView, now: Instant) {
-        if self.picker().take_view(view, now) {
+        let mut picker = self.picker();
+        let before = picker.gateways();
+        let recent = picker.take_view(view, now);
+        let gateways = picker.gateways();
+        drop(picker);
+        if gateways != before {
+            self.budget.set_limits(share_of(&allowance_of(&self.settings), gateways));
+        }
+        if recent {
             let mut home = self.home.lock().expect("no holder of the lock panics");
             home.note_view(from, &view.controllers, now);
         }
@@ -154,6 +151,14 @@
     }
 }
 
+fn allowance_of(settings: &MemberSettings) -> RetryAllowance {
+    RetryAllowance {
+        permille: settings.retry_permille,
+        slack: settings.retry_slack,
+        window_s: settings.retry_window_s,
+    }
+}
+
 /// Counts a request as under way here.
 pub(crate) struct InFlight(Arc<GatewayCore>);
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //!   not run.
 
 mod attempt;
+pub mod budget;
 mod candidates;
 mod core;
 mod estimate;
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -4,7 +4,7 @@
 //! byte of it left, or an upstream that is known to say so truthfully refused
 //! it, is the answer no.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use hollowbarrow_schema::ErrorRan;
@@ -142,6 +142,7 @@
 
 #[derive(Debug)]
 struct BudgetState {
+    limits: RetryLimits,
     tokens: f64,
     filled: Instant,
 }
@@ -149,7 +150,6 @@
 /// Bounds retries to a part of the traffic, so that they cannot amplify an outage.
 #[derive(Debug)]
 pub struct RetryBudget {
-    limits: RetryLimits,
     state: Mutex<BudgetState>,
 }
 
@@ -162,27 +162,38 @@
     /// Creates a budget with other limits.
     pub fn with_limits(limits: RetryLimits, now: Instant) -> Self {
         let tokens = limits.floor.min(limits.most);
-        Self { limits, state: Mutex::new(BudgetState { tokens, filled: now }) }
+        Self { state: Mutex::new(BudgetState { limits, tokens, filled: now }) }
+    }
+
+    /// Changes the limits; what was saved beyond them is lost.
+    pub fn set_limits(&self, limits: RetryLimits) {
+        let mut state = self.lock();
+        state.tokens = state.tokens.min(limits.most);
+        state.limits = limits;
     }
 
     /// Notes a first attempt, which earns a part of a retry.
     pub fn note_request(&self) {
-        let mut state = self.state.lock().expect("no holder of the lock panics");
-        state.tokens = (state.tokens + self.limits.ratio).min(self.limits.most);
+        let mut state = self.lock();
+        state.tokens = (state.tokens + state.limits.ratio).min(state.limits.most);
     }
 
     /// Takes one retry, if there is one.
     pub fn take(&self, now: Instant) -> bool {
-        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let mut state = self.lock();
         let elapsed = now.saturating_duration_since(state.filled).as_secs_f64();
         state.filled = now;
-        let floor = self.limits.floor;
+        let floor = state.limits.floor;
         let refilled = state.tokens + (elapsed * floor).min(floor);
-        state.tokens = refilled.min(self.limits.most);
+        state.tokens = refilled.min(state.limits.most);
         if state.tokens < 1.0 {
             return false;
         }
         state.tokens -= 1.0;
         true
     }
+
+    fn lock(&self) -> MutexGuard<'_, BudgetState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
 }
