--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -29,7 +29,8 @@
 /// The part of one of so many gateways.
 pub fn share_of(allowance: &RetryAllowance, gateways: u32) -> RetryLimits {
     let users = (f64::from(gateways) * SLACK_USERS).max(f64::from(FEWEST_GATEWAYS));
-    let slack = f64::from(allowance.slack) / users;
+    // Less than one would allow none, however much requests earn.
+    let slack = (f64::from(allowance.slack) / users).max(1.0);
     RetryLimits {
         ratio: f64::from(allowance.permille) / 1000.0 * EARNED_SHARE,
         floor: slack * FLOOR_SHARE / f64::from(allowance.window_s.max(1)),
