Divide the measurement of capacity by job

capacity.rs had 630 lines: the slopes' arithmetic and plots, the costs of parts without a daemon, and clusters of daemons. They are slopes.rs, capacity.rs and capacity_clusters.rs now.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,12 +4,14 @@
 //! nothing is printed that was not measured in the same run.
 
 mod capacity;
+mod capacity_clusters;
 mod daemon;
 mod doors;
 mod groups;
 mod load;
 mod requests;
 mod sampler;
+mod slopes;
 mod stats;
 
 use clap::Command;
