Count a model's pace in every plan

In the next step the smaller model's share was larger again, so that it took the workers that had been left free for the other: 25 and 26 replicas where 22 were planned, 6 to 10 free workers of 222.

Change: the pace counts always; what is used weighs against it, as before.

--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -372,11 +372,10 @@
     ///
     /// Only what is planned next depends on it; no replica that stands is moved.
     fn demand_of(&self, model: &ModelSpec, view: &StepView<'_>) -> PlacementDemand {
-        // Nothing is known of the use yet where nothing stands. A model with longer passes has its
-        // first events later, and needs more room for the same share of the work.
-        let headroom = if self.replicas.is_empty() { model.pace.sqrt() } else { 1.0 };
         let used = self.use_of(model, view).min(MOST_USE);
-        let share = model.share * headroom * (EVEN_USE + used);
+        // A model with longer passes has its first events later, and needs more room for the same
+        // share of the work.
+        let share = model.share * model.pace.sqrt() * (EVEN_USE + used);
         PlacementDemand { model: model.name.clone(), size: model.size, share }
     }
 
