Average the use of models, and copy second models before the first request

(a) In the first two seconds of requests the use of both models swings, and the smaller one took 12 of 18 free workers by it. (b) Free workers hold one model each for the first 16 s; in a domain whose replica of 16 has lost one, 15 wait for one that holds theirs.

Change: (a) the use of a model is averaged over 4 s; (b) free workers copy the model that they do not hold before the first request too, when a copy takes a tenth of the time and is not counted.

--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -38,6 +38,8 @@
 
 /// Weight of a model's given share against how busy its replicas are.
 const EVEN_USE: f64 = 0.5;
+/// Time over which the use of a model is averaged.
+const USE_TIME: Duration = Duration::from_secs(4);
 /// Use beyond which a model gets no more.
 const MOST_USE: f64 = 2.0;
 /// Time between two looks at the free workers for the log.
@@ -166,6 +168,9 @@
     uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
     loads_from: Instant,
+    /// How busy the replicas of each model are, averaged, and up to when.
+    uses: BTreeMap<ModelName, f64>,
+    used_at: Instant,
     /// Most workers that were known at once, and since when.
     arrived: (usize, Instant),
     free_logged: String,
@@ -193,6 +198,8 @@
             uncertain: BTreeMap::new(),
             loads: LoadLimiter::new(timing.load_window),
             loads_from,
+            uses: BTreeMap::new(),
+            used_at: settled,
             arrived: (0, settled),
             free_logged: String::new(),
             free_logged_at: None,
@@ -224,8 +231,8 @@
         let mut tickets = Vec::new();
         self.order_replicas(&view, warming_up, &mut tickets);
         self.order_standbys(&view, warming_up, &mut tickets);
-        if now >= self.settled && !warming_up {
-            self.order_staging(&view, &mut tickets);
+        if now >= self.settled && !(warming_up && arriving) {
+            self.order_staging(&view, warming_up, &mut tickets);
         }
         tickets
     }
@@ -346,8 +353,9 @@
 
     /// Plans replicas over the workers that are in none.
     fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
+        self.note_uses(view);
         let demands: Vec<PlacementDemand> =
-            view.engine.models.iter().map(|model| self.demand_of(model, view)).collect();
+            view.engine.models.iter().map(|model| self.demand_of(model)).collect();
         let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
         let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
         for state in usable {
@@ -371,14 +379,26 @@
     /// What is wanted of a model: its share, and more the busier its replicas are.
     ///
     /// Only what is planned next depends on it; no replica that stands is moved.
-    fn demand_of(&self, model: &ModelSpec, view: &StepView<'_>) -> PlacementDemand {
-        let used = self.use_of(model, view).min(MOST_USE);
+    fn demand_of(&self, model: &ModelSpec) -> PlacementDemand {
+        let used = self.uses.get(&model.name).copied().unwrap_or_default().min(MOST_USE);
         // A model with longer passes has its first events later, and needs more room for the same
         // share of the work.
         let share = model.share * model.pace.sqrt() * (EVEN_USE + used);
         PlacementDemand { model: model.name.clone(), size: model.size, share }
     }
 
+    /// Averages the use of each model over time, so that no plan follows a moment's.
+    fn note_uses(&mut self, view: &StepView<'_>) {
+        let elapsed = view.now.saturating_duration_since(self.used_at);
+        self.used_at = view.now;
+        let weight = 1.0 - (-elapsed.div_duration_f64(USE_TIME)).exp();
+        for model in &view.engine.models {
+            let now = self.use_of(model, view);
+            let used = self.uses.entry(model.name.clone()).or_default();
+            *used += weight * (now - *used);
+        }
+    }
+
     /// How busy the replicas of a model are: the part of their places that is taken, and the part
     /// of a pass that it takes to read the prompts that wait. Prompts that are read hold up all
     /// other answers of a replica, also where places are free.
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -135,7 +135,15 @@
     }
 
     /// Has free workers copy a second model to their hosts, so that each can serve either soon.
-    pub(super) fn order_staging(&mut self, view: &StepView<'_>, tickets: &mut Vec<OrderTicket>) {
+    ///
+    /// Before the first request copies are cheap, so that a lost member of any model can be replaced
+    /// from then on.
+    pub(super) fn order_staging(
+        &mut self,
+        view: &StepView<'_>,
+        warming_up: bool,
+        tickets: &mut Vec<OrderTicket>,
+    ) {
         self.forget_staged(view);
         let free = self.free_workers(view);
         let mut near = self.count_near(&free);
@@ -149,7 +157,7 @@
             let name = ReplicaName { kind: ReplicaKind::Standby, model, epoch: Epoch(0) };
             let order = WorkerOrder::Stage { name: name.clone() };
             let may_give = self.orders.may_give(&report.id, &order, view.now);
-            if !may_give || !self.take_load(&name.model, view, false) {
+            if !may_give || !self.take_load(&name.model, view, warming_up) {
                 continue;
             }
             *near.entry((domain_of(report), name.model.clone())).or_default() += 1;
