--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -87,10 +87,10 @@
     if standing.is_empty() {
         planned.extend(planner.place_largest_first());
     }
-    while let Some(replica) = planner.place_next(DomainReserve::Kept) {
+    while let Some(replica) = planner.place_next(true) {
         planned.push(replica);
     }
-    while let Some(replica) = planner.place_next(DomainReserve::Workers(0)) {
+    while let Some(replica) = planner.place_next(false) {
         planned.push(replica);
     }
     planned
@@ -115,15 +115,6 @@
     planned
 }
 
-/// Workers that a new replica leaves free in its domain.
-#[derive(Clone, Copy, Debug)]
-enum DomainReserve {
-    /// [`RESERVE_SHARE`] of the domain's workers.
-    Kept,
-    /// So many.
-    Workers(usize),
-}
-
 struct ReplicaPlanner<'a> {
     demands: &'a [PlacementDemand],
     counts: BTreeMap<ModelName, usize>,
@@ -161,12 +152,9 @@
         let mut order: Vec<&PlacementDemand> = self.demands.iter().collect();
         order.sort_by_key(|demand| Reverse(demand.size));
         let mut planned = Vec::new();
-        let smallest = self.demands.iter().map(|demand| demand.size).min().unwrap_or_default();
         for demand in order {
             while self.is_wanted(demand)
-                && let Some(domain) = self
-                    .choose_domain(demand, DomainReserve::Kept)
-                    .or_else(|| self.choose_domain(demand, DomainReserve::Workers(smallest)))
+                && let Some(domain) = self.choose_domain(demand, true)
             {
                 planned.push(self.place(demand, &domain));
             }
@@ -182,14 +170,14 @@
     }
 
     /// Places one replica of the model that is furthest below its share.
-    fn place_next(&mut self, reserve: DomainReserve) -> Option<PlannedReplica> {
+    fn place_next(&mut self, keep_reserve: bool) -> Option<PlannedReplica> {
         let mut order: Vec<&PlacementDemand> = self.demands.iter().collect();
         order.sort_by(|a, b| self.fill_of(a).total_cmp(&self.fill_of(b)));
         for demand in order {
             if !self.is_wanted(demand) {
                 continue;
             }
-            if let Some(domain) = self.choose_domain(demand, reserve) {
+            if let Some(domain) = self.choose_domain(demand, keep_reserve) {
                 return Some(self.place(demand, &domain));
             }
         }
@@ -229,14 +217,12 @@
         self.may_load || worker.distance(model) < FAR
     }
 
-    fn choose_domain(&self, demand: &PlacementDemand, reserve: DomainReserve) -> Option<DomainId> {
+    fn choose_domain(&self, demand: &PlacementDemand, keep_reserve: bool) -> Option<DomainId> {
         let fits = |domain: &DomainId, free: &[&PlacementWorker]| {
             let total = self.workers.get(domain).copied().unwrap_or_default();
+            let reserve = (total as f64 * RESERVE_SHARE).ceil() as usize;
             let eligible = free.iter().filter(|worker| self.is_eligible(worker, &demand.model));
-            let spared = match reserve {
-                DomainReserve::Kept => (total as f64 * RESERVE_SHARE).ceil() as usize,
-                DomainReserve::Workers(count) => count,
-            };
+            let spared = if keep_reserve { reserve } else { 0 };
             eligible.count() >= demand.size && free.len() >= demand.size + spared
         };
         let candidates = self.free.iter().filter(|(domain, free)| fits(domain, free));
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -381,9 +381,7 @@
     /// Only what is planned next depends on it; no replica that stands is moved.
     fn demand_of(&self, model: &ModelSpec) -> PlacementDemand {
         let used = self.uses.get(&model.name).copied().unwrap_or_default().min(MOST_USE);
-        // A model with longer passes has its first events later, and needs more room for the same
-        // share of the work.
-        let share = model.share * model.pace.sqrt() * (EVEN_USE + used);
+        let share = model.share * (EVEN_USE + used);
         PlacementDemand { model: model.name.clone(), size: model.size, share }
     }
 
