--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -168,11 +168,14 @@
     uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
     loads_from: Instant,
-    /// How busy the replicas of each model are, averaged, and up to when.
+    /// How busy the replicas of each model are, averaged over time.
     uses: BTreeMap<ModelName, f64>,
+    /// When the uses were last averaged.
     used_at: Instant,
-    /// Most workers that were known at once, and since when.
-    arrived: (usize, Instant),
+    /// Most workers that were known at once.
+    most_workers: usize,
+    /// When there came to be so many.
+    last_arrival: Instant,
     free_logged: String,
     free_logged_at: Option<Instant>,
 }
@@ -200,7 +203,8 @@
             loads_from,
             uses: BTreeMap::new(),
             used_at: settled,
-            arrived: (0, settled),
+            most_workers: 0,
+            last_arrival: settled,
             free_logged: String::new(),
             free_logged_at: None,
         }
@@ -242,12 +246,11 @@
     /// A plan over a part of them would fill domains with replicas of small models, which need
     /// few workers, and leave no room for large ones.
     fn is_arriving(&mut self, view: &StepView<'_>) -> bool {
-        let (most, since) = &mut self.arrived;
-        if view.workers.len() > *most {
-            *most = view.workers.len();
-            *since = view.now;
+        if view.workers.len() > self.most_workers {
+            self.most_workers = view.workers.len();
+            self.last_arrival = view.now;
         }
-        view.now < (*since + ARRIVAL_PAUSE).min(self.settled + LONGEST_ARRIVAL)
+        view.now < (self.last_arrival + ARRIVAL_PAUSE).min(self.settled + LONGEST_ARRIVAL)
     }
 
     /// Takes the outcome of an order in.
