Show which gateways lack a configuration, for how long, and what was dropped

Change: controllers remember when each version was committed and log event=gateway_behind and event=gateway_caught_up; metrics controller_gateways_behind, controller_gateway_lag_ms, controller_configurations_sent, *_messages_dropped, and gateway_configuration_reading_ms; both roles name their metrics. No logic changes.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::api::ControlHandler;
+use crate::commits::CommitTimes;
 use crate::fleet::FleetState;
 use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::news::{PendingNews, tell_news};
@@ -74,6 +75,7 @@
     pending: Mutex<PendingNews>,
     parsed: Mutex<Option<Arc<Deployment>>>,
     applied_at: Mutex<Instant>,
+    commits: Mutex<CommitTimes>,
 }
 
 impl ControllerCore {
@@ -96,15 +98,19 @@
     /// The page of metrics.
     fn metrics_text(&self) -> String {
         let view = self.log.view();
+        let now = Instant::now();
         let fleet = self.fleet();
+        let lags = fleet.gateway_lags(&self.commits(), now);
         self.metrics.to_text(&ControllerLevels {
-            leads: self.is_sure_to_lead(&view, Instant::now()),
+            leads: self.is_sure_to_lead(&view, now),
             term: *view.term,
             voters: view.voters.len() as u64,
             lost_disk: view.lost_disk,
             version: self.log.read(DeploymentState::version),
             workers: fleet.count_workers(),
             gateways: fleet.count_homed().into(),
+            lags,
+            dropped: self.links().traffic().dropped(),
         })
     }
 
@@ -148,6 +154,11 @@
         *self.applied_at.lock().expect("no holder of the lock panics") = now;
     }
 
+    /// When configurations were committed here.
+    pub(crate) fn commits(&self) -> MutexGuard<'_, CommitTimes> {
+        self.commits.lock().expect("no holder of the lock panics")
+    }
+
     /// For how long the newest configuration has been committed here.
     pub(crate) fn applied_for(&self, now: Instant) -> Duration {
         let at = *self.applied_at.lock().expect("no holder of the lock panics");
@@ -251,6 +262,7 @@
         pending: Mutex::default(),
         parsed: Mutex::new(None),
         applied_at: Mutex::new(now),
+        commits: Mutex::default(),
         settings,
     })
 }
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -10,9 +10,10 @@
 };
 use tokio::time::Instant;
 
+use crate::commits::CommitTimes;
 use crate::digests::DigestHistory;
 use crate::liveness::WorkerUse;
-use crate::metrics::WorkerCounts;
+use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::tables::TableRequests;
 
 /// Silence after which a daemon is not written to any more.
@@ -26,12 +27,20 @@
 /// The same for a daemon of another zone, whose own controller comes first.
 const FAR_MISMATCHES: u32 = 6;
 
+/// Time for which a gateway lacks a configuration before that is logged: longer than any delivery
+/// without a fault takes.
+const LOGGED_LAG: Duration = Duration::from_millis(1000);
+
 /// A gateway that was heard of.
 #[derive(Clone, Debug)]
 struct HeardGateway {
     zone: ZoneId,
     home: Option<DaemonId>,
     heard: Instant,
+    /// Version of the configuration that it last told of.
+    deployment: u64,
+    /// Whether it was logged as behind.
+    logged_behind: bool,
     mismatches: u32,
     loads: Vec<WorkerLoad>,
 }
@@ -147,12 +156,42 @@
         if mismatches >= most {
             self.tables.ask(from);
         }
-        let GatewayHello { zone, home, loads, .. } = hello;
+        let logged_behind = self.gateways.get(from).is_some_and(|gateway| gateway.logged_behind);
+        let GatewayHello { zone, home, loads, deployment, .. } = hello;
         let mismatches = mismatches % most;
-        let gateway = HeardGateway { zone, home, heard: now, mismatches, loads };
+        let gateway =
+            HeardGateway { zone, home, heard: now, deployment, logged_behind, mismatches, loads };
         self.gateways.insert(from.clone(), gateway);
     }
 
+    /// Logs once when a gateway stays behind, and once when it has caught up.
+    pub(crate) fn log_lag(&mut self, from: &DaemonId, commits: &CommitTimes, now: Instant) {
+        let Some(gateway) = self.gateways.get_mut(from) else { return };
+        let lag = commits.lag(gateway.deployment, now);
+        let behind = lag > LOGGED_LAG;
+        if behind == gateway.logged_behind {
+            return;
+        }
+        gateway.logged_behind = behind;
+        let event = if behind { "gateway_behind" } else { "gateway_caught_up" };
+        let home = gateway.home.as_ref().map_or("none", |home| home.as_str());
+        log::info!(
+            "event={event} gateway={} zone={} home={home} version={} lag_ms={}",
+            **from,
+            *gateway.zone,
+            gateway.deployment,
+            lag.as_millis()
+        );
+    }
+
+    /// How many gateways lack a configuration, and for how long.
+    pub(crate) fn gateway_lags(&self, commits: &CommitTimes, now: Instant) -> GatewayLags {
+        let lags = self.gateways.values().map(|gateway| commits.lag(gateway.deployment, now));
+        let lags: Vec<Duration> = lags.filter(|lag| !lag.is_zero()).collect();
+        let longest = lags.iter().max().copied().unwrap_or_default();
+        GatewayLags { behind: lags.len() as u64, longest }
+    }
+
     /// Takes another controller's hello; one that lacks something will get the whole table.
     pub(crate) fn take_controller(
         &mut self,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,7 @@
 //! - What a controller tells gateways about the configuration is committed.
 
 mod api;
+pub mod commits;
 mod controller;
 pub mod digests;
 mod fleet;
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a controller.
 
+use std::time::Duration;
+
 use hollowbarrow_fleet::{OrderOutcome, WorkerOrder};
 use hollowbarrow_telemetry::MetricsPage;
 use opentelemetry::KeyValue;
@@ -21,6 +23,26 @@
     ("controller_configuration_version", "1", "Version of the newest committed configuration."),
     ("controller_workers", "1", "Workers that are known, by state: ready, leaving or gone."),
     ("controller_gateways", "1", "Gateways whose home this controller is."),
+    (
+        "controller_gateways_behind",
+        "1",
+        "Gateways heard of that told of an older configuration than the newest committed here.",
+    ),
+    (
+        "controller_gateway_lag_ms",
+        "ms",
+        "Longest time for which such a gateway has lacked a configuration that is committed here.",
+    ),
+    (
+        "controller_configurations_sent",
+        "1",
+        "Whole configurations sent to gateways, by cause: committed or lacking.",
+    ),
+    (
+        "controller_messages_dropped",
+        "1",
+        "Messages to other daemons that found no room or no connection.",
+    ),
 ];
 
 /// What a controller counts.
@@ -36,6 +58,10 @@
     version: Gauge<u64>,
     workers: Gauge<u64>,
     gateways: Gauge<u64>,
+    gateways_behind: Gauge<u64>,
+    gateway_lag: Gauge<u64>,
+    configurations: Counter<u64>,
+    dropped: Gauge<u64>,
 }
 
 /// Workers by what they last said.
@@ -46,6 +72,13 @@
     pub(crate) gone: u64,
 }
 
+/// Gateways that lack a configuration which is committed here.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct GatewayLags {
+    pub(crate) behind: u64,
+    pub(crate) longest: Duration,
+}
+
 /// What stands now, as it is read when the page is asked for.
 pub(crate) struct ControllerLevels {
     pub(crate) leads: bool,
@@ -55,6 +88,8 @@
     pub(crate) version: u64,
     pub(crate) workers: WorkerCounts,
     pub(crate) gateways: u64,
+    pub(crate) lags: GatewayLags,
+    pub(crate) dropped: u64,
 }
 
 impl ControllerMetrics {
@@ -72,6 +107,10 @@
             version: meter.u64_gauge("controller_configuration_version").build(),
             workers: meter.u64_gauge("controller_workers").build(),
             gateways: meter.u64_gauge("controller_gateways").build(),
+            gateways_behind: meter.u64_gauge("controller_gateways_behind").build(),
+            gateway_lag: meter.u64_gauge("controller_gateway_lag_ms").build(),
+            configurations: meter.u64_counter("controller_configurations_sent").build(),
+            dropped: meter.u64_gauge("controller_messages_dropped").build(),
             page,
         }
     }
@@ -89,6 +128,10 @@
         self.tables.add(daemons as u64, &[]);
     }
 
+    pub(crate) fn count_configurations(&self, cause: &'static str, gateways: usize) {
+        self.configurations.add(gateways as u64, &[KeyValue::new("cause", cause)]);
+    }
+
     /// The page of text.
     pub(crate) fn to_text(&self, levels: &ControllerLevels) -> String {
         self.leads.record(levels.leads.into(), &[]);
@@ -97,6 +140,9 @@
         self.lost_disk.record(levels.lost_disk.into(), &[]);
         self.version.record(levels.version, &[]);
         self.gateways.record(levels.gateways, &[]);
+        self.gateways_behind.record(levels.lags.behind, &[]);
+        self.gateway_lag.record(levels.lags.longest.as_millis() as u64, &[]);
+        self.dropped.record(levels.dropped, &[]);
         let WorkerCounts { ready, leaving, gone } = levels.workers;
         for (state, count) in [("ready", ready), ("leaving", leaving), ("gone", gone)] {
             self.workers.record(count, &[KeyValue::new("state", state)]);
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -91,8 +91,10 @@
         core.applied.notified().await;
         core.note_applied(Instant::now());
         let Some(document) = core.newest_document() else { continue };
+        core.commits().note(document.version, Instant::now());
         log::info!("event=configuration_committed version={}", document.version);
         let gateways = core.fleet().near_gateways();
+        core.metrics.count_configurations("committed", gateways.len());
         core.links().send_to_all(&gateways, FleetMessage::Deployment(document));
         core.changed.notify_one();
     }
@@ -124,12 +126,14 @@
     let near = hello.zone == core.settings.zone;
     let version = hello.deployment;
     core.fleet().take_gateway(from, hello, now);
+    core.fleet().log_lag(from, &core.commits(), now);
     if !core.may_tell(now) {
         return;
     }
     let Some(document) = core.newest_document() else { return };
     let waited = near || core.applied_for(now) > FAR_DELAY;
     if document.version > version && waited {
+        core.metrics.count_configurations("lacking", 1);
         core.links().send(from, FleetMessage::Deployment(document));
     }
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -103,12 +103,13 @@
         told && !self.stopping.load(Ordering::Relaxed)
     }
 
-    /// The page of metrics.
-    pub(crate) fn metrics_text(&self) -> String {
+    /// The page of metrics, with the number of messages that were dropped.
+    pub(crate) fn metrics_text(&self, dropped: u64) -> String {
         self.metrics.to_text(&GatewayLevels {
             in_flight: self.in_flight().into(),
             version: self.version(),
             workers: self.picker().len() as u64,
+            dropped,
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -73,9 +73,11 @@
             let (_open, never) = watch::channel(false);
             serve_http(readiness, never, handler).await;
         });
-        tokio::spawn(report_to_controllers(Arc::clone(&core), links));
+        tokio::spawn(report_to_controllers(Arc::clone(&core), Arc::clone(&links)));
         let shown = Arc::clone(&core);
-        serve_metrics(core.settings.metrics.as_deref(), move || shown.metrics_text());
+        serve_metrics(core.settings.metrics.as_deref(), move || {
+            shown.metrics_text(links.traffic().dropped())
+        });
         log::info!("event=started role=gateway name={}", core.settings.name);
         Ok(Self { core, stop })
     }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -79,13 +79,17 @@
     if document.version <= core.version() {
         return;
     }
+    let start = Instant::now();
     match core.protocol.read_deployment(&document.text) {
         Ok(deployment) => {
             if core.put_in_force(RouteTable::new(&deployment)) {
+                let elapsed = start.elapsed();
+                core.metrics.note_reading(elapsed);
                 log::info!(
-                    "event=configuration_in_force version={} from={}",
+                    "event=configuration_in_force version={} from={} read_ms={}",
                     document.version,
-                    **from
+                    **from,
+                    elapsed.as_millis()
                 );
             }
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,16 @@
     ("gateway_in_flight", "1", "Requests under way now."),
     ("gateway_configuration_version", "1", "Version of the configuration in force."),
     ("gateway_workers", "1", "Workers that are known, those that have gone among them."),
+    (
+        "gateway_configuration_reading_ms",
+        "ms",
+        "Time to read a configuration that came and to put it in force.",
+    ),
+    (
+        "gateway_messages_dropped",
+        "1",
+        "Messages to controllers that found no room or no connection.",
+    ),
 ];
 
 /// What a gateway counts.
@@ -35,6 +45,8 @@
     in_flight: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
+    reading: Histogram<f64>,
+    dropped: Gauge<u64>,
 }
 
 /// What stands now, as it is read when the page is asked for.
@@ -42,6 +54,7 @@
     pub(crate) in_flight: u64,
     pub(crate) version: u64,
     pub(crate) workers: u64,
+    pub(crate) dropped: u64,
 }
 
 impl GatewayMetrics {
@@ -56,6 +69,8 @@
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
             version: meter.u64_gauge("gateway_configuration_version").build(),
             workers: meter.u64_gauge("gateway_workers").build(),
+            reading: page.time_histogram("gateway_configuration_reading_ms"),
+            dropped: meter.u64_gauge("gateway_messages_dropped").build(),
             page,
         }
     }
@@ -73,6 +88,10 @@
         self.event_gap.record(gap.as_secs_f64() * 1000.0, &[]);
     }
 
+    pub(crate) fn note_reading(&self, elapsed: Duration) {
+        self.reading.record(elapsed.as_secs_f64() * 1000.0, &[]);
+    }
+
     pub(crate) fn count_repeat(&self, kind: &'static str) {
         self.repeats.add(1, &[KeyValue::new("kind", kind)]);
     }
@@ -82,6 +101,7 @@
         self.in_flight.record(levels.in_flight, &[]);
         self.version.record(levels.version, &[]);
         self.workers.record(levels.workers, &[]);
+        self.dropped.record(levels.dropped, &[]);
         self.page.to_text()
     }
 }
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use hollowbarrow_peer::{MeshConfig, PeerMesh, StartMeshError};
+use hollowbarrow_peer::{MeshConfig, MeshTraffic, PeerMesh, StartMeshError};
 use hollowbarrow_schema::{
     DaemonId, FleetMessage, LogMessage, LogName, MemberSettings, PeerMessage,
 };
@@ -114,6 +114,11 @@
         self.mesh.send(to, &PeerMessage::Log { name: LogName::Config, message })
     }
 
+    /// What went to and came from other daemons so far.
+    pub fn traffic(&self) -> &MeshTraffic {
+        self.mesh.traffic()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeSet<DaemonId>> {
         self.controllers.lock().expect("no holder of the lock panics")
     }
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -151,11 +151,13 @@
     traffic: Arc<MeshTraffic>,
 }
 
-/// Bytes of messages that went over the connections, without what TCP and websockets add.
+/// Bytes of messages that went over the connections, without what TCP and websockets add, and
+/// messages that found no room.
 #[derive(Debug, Default)]
 pub struct MeshTraffic {
     sent: AtomicU64,
     received: AtomicU64,
+    dropped: AtomicU64,
 }
 
 impl MeshTraffic {
@@ -168,6 +170,12 @@
     pub fn received(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
     }
+
+    /// Messages that were dropped because too much waited for their daemon, or no connection to
+    /// it came up.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
 }
 
 impl PeerMesh {
@@ -221,7 +229,11 @@
         let Some(address) = self.config.address_of(to) else { return false };
         let mut queues = self.queues.lock().expect("no holder of the lock panics");
         let queue = queues.entry(to.clone()).or_insert_with(|| self.start_dialer(to, address));
-        queue.push(message.clone())
+        let taken = queue.push(message.clone());
+        if !taken {
+            self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        taken
     }
 
     fn start_dialer(&self, to: &DaemonId, address: SocketAddr) -> PeerQueue {
@@ -276,7 +288,8 @@
             tokio::time::sleep(pause.mul_f64(jitter)).await;
             pause = (pause * 2).min(BACKOFF.1);
             // What waited for a dead connection is stale; its senders send again.
-            self.queue.clear();
+            let stale = self.queue.clear();
+            self.traffic.dropped.fetch_add(stale, Ordering::Relaxed);
         }
     }
 
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -58,11 +58,14 @@
         Some(message)
     }
 
-    /// Drops what waits.
-    pub fn clear(&self) {
+    /// Drops what waits; returns how many messages that were.
+    pub fn clear(&self) -> u64 {
+        let mut dropped = 0;
         for message in self.receiver.drain() {
             self.bytes.fetch_sub(message.size(), Ordering::Relaxed);
+            dropped += 1;
         }
+        dropped
     }
 
     /// Whether every sender is gone.
