--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The whole path through real processes, before stand-in workers of the platform.
 
+mod changes;
 mod disturbance;
 mod observer;
 mod soak;
