Count the time for which a gateway lacks a configuration from its oldest commit

Cause: controllers of other zones tell a gateway only what its own zone's controller has not told it for 400 ms. They counted from the newest commit, so each change began the wait anew; with a change every 150 ms it never ended, and gateways whose own controller was away got nothing while changes went on. Class: a wait that each new event starts again, so that load starves what it delays.

Ruled out: a queue that drops the newest (the other zones got every version on the same queues), slow reading (read_ms=2), a lagging log (the commits are logged in time on the two controllers that were left).

Change: the decision is a module of its own (controller/delivery.rs). It counts from the oldest commit that the gateway lacks; a gateway's home tells it at once, as the zone's controller does; the same version goes out again after 250 ms, not with each report 75 ms apart. A controller reads the whole document only when it sends it.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -74,7 +74,6 @@
     fleet: Mutex<FleetState>,
     pending: Mutex<PendingNews>,
     parsed: Mutex<Option<Arc<Deployment>>>,
-    applied_at: Mutex<Instant>,
     commits: Mutex<CommitTimes>,
 }
 
@@ -149,22 +148,11 @@
         confirmed || now.saturating_duration_since(self.started) > LEADERLESS_TIME
     }
 
-    /// Notes when the newest configuration was committed here.
-    pub(crate) fn note_applied(&self, now: Instant) {
-        *self.applied_at.lock().expect("no holder of the lock panics") = now;
-    }
-
     /// When configurations were committed here.
     pub(crate) fn commits(&self) -> MutexGuard<'_, CommitTimes> {
         self.commits.lock().expect("no holder of the lock panics")
     }
 
-    /// For how long the newest configuration has been committed here.
-    pub(crate) fn applied_for(&self, now: Instant) -> Duration {
-        let at = *self.applied_at.lock().expect("no holder of the lock panics");
-        now.saturating_duration_since(at)
-    }
-
     /// Adds a controller that was heard of: it follows the log, and may vote one day.
     pub(crate) fn learn_controller(&self, id: &DaemonId) {
         if id == self.links().id() {
@@ -261,7 +249,6 @@
         fleet,
         pending: Mutex::default(),
         parsed: Mutex::new(None),
-        applied_at: Mutex::new(now),
         commits: Mutex::default(),
         settings,
     })
--- /dev/null
+++ b/crates/controller/src/delivery.rs
@@ -0,0 +1,80 @@
+//! Decides when a gateway that lacks a configuration gets it from this controller.
+//!
+//! The gateway's home and the controllers of its zone tell it at once. The others step in where
+//! these do not, and wait for a moment first, so that a configuration crosses zones only where it
+//! must.
+//!
+//! Invariant: a gateway that can be reached by any controller has each configuration within a
+//! bounded time of its commit, however fast others follow.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::commits::CommitTimes;
+
+/// Time for a gateway's home and its zone's controllers before the others step in: several times
+/// what a delivery within a zone takes, and a fraction of the two seconds within which a change
+/// has to be in force.
+const FAR_DELAY: Duration = Duration::from_millis(400);
+/// Time before the same configuration is sent to a gateway again: a whole one of several hundred
+/// routes takes that long on the slowest links. Gateways report every 75 ms meanwhile.
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
+
+/// What a controller knows of one gateway's configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct DeliveryState {
+    /// Version that the gateway last told of.
+    held: u64,
+    /// When this life of the gateway was first heard of.
+    since: Instant,
+    /// Version that was last sent to it from here, and when.
+    sent: Option<(u64, Instant)>,
+}
+
+impl DeliveryState {
+    /// Creates the state of a gateway that tells of itself for the first time.
+    pub fn new(held: u64, now: Instant) -> Self {
+        Self { held, since: now, sent: None }
+    }
+
+    /// Version that the gateway last told of.
+    pub fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Notes the version that the gateway tells of. A lower one than before means that it has
+    /// started anew.
+    pub fn note_held(&mut self, held: u64, now: Instant) {
+        if held < self.held {
+            *self = Self::new(held, now);
+        }
+        self.held = held;
+    }
+
+    /// Notes that a version goes out to the gateway.
+    pub fn note_sent(&mut self, version: u64, now: Instant) {
+        self.sent = Some((version, now));
+    }
+
+    /// For how long the gateway has lacked a configuration that is committed here; zero if it
+    /// lacks none.
+    pub fn lag(&self, commits: &CommitTimes, now: Instant) -> Duration {
+        // Counted from the oldest commit that it lacks. From the newest one, each commit would
+        // begin the time anew, and changes every 150 ms kept a zone's gateways behind for 4.3 s.
+        let lacking = commits.lacking_since(self.held);
+        let since = lacking.map(|committed| committed.max(self.since));
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Whether the newest committed version is to be sent now. `prompt` says that this controller
+    /// is the gateway's home or of its zone.
+    pub fn is_due(&self, newest: u64, prompt: bool, commits: &CommitTimes, now: Instant) -> bool {
+        if newest <= self.held {
+            return false;
+        }
+        let waited = |at: Instant| now.saturating_duration_since(at) >= REPEAT_PAUSE;
+        let repeated = self.sent.is_some_and(|(sent, at)| sent == newest && !waited(at));
+        !repeated && (prompt || self.lag(commits, now) > FAR_DELAY)
+    }
+}
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::commits::CommitTimes;
+use crate::delivery::DeliveryState;
 use crate::digests::DigestHistory;
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
@@ -37,8 +38,7 @@
     zone: ZoneId,
     home: Option<DaemonId>,
     heard: Instant,
-    /// Version of the configuration that it last told of.
-    deployment: u64,
+    delivery: DeliveryState,
     /// Whether it was logged as behind.
     logged_behind: bool,
     mismatches: u32,
@@ -156,18 +156,22 @@
         if mismatches >= most {
             self.tables.ask(from);
         }
-        let logged_behind = self.gateways.get(from).is_some_and(|gateway| gateway.logged_behind);
-        let GatewayHello { zone, home, loads, deployment, .. } = hello;
+        let held = self.gateways.get(from);
+        let logged_behind = held.is_some_and(|gateway| gateway.logged_behind);
+        let mut delivery =
+            held.map_or(DeliveryState::new(hello.deployment, now), |gateway| gateway.delivery);
+        delivery.note_held(hello.deployment, now);
+        let GatewayHello { zone, home, loads, .. } = hello;
         let mismatches = mismatches % most;
         let gateway =
-            HeardGateway { zone, home, heard: now, deployment, logged_behind, mismatches, loads };
+            HeardGateway { zone, home, heard: now, delivery, logged_behind, mismatches, loads };
         self.gateways.insert(from.clone(), gateway);
     }
 
     /// Logs once when a gateway stays behind, and once when it has caught up.
     pub(crate) fn log_lag(&mut self, from: &DaemonId, commits: &CommitTimes, now: Instant) {
         let Some(gateway) = self.gateways.get_mut(from) else { return };
-        let lag = commits.lag(gateway.deployment, now);
+        let lag = gateway.delivery.lag(commits, now);
         let behind = lag > LOGGED_LAG;
         if behind == gateway.logged_behind {
             return;
@@ -179,14 +183,14 @@
             "event={event} gateway={} zone={} home={home} version={} lag_ms={}",
             **from,
             *gateway.zone,
-            gateway.deployment,
+            gateway.delivery.held(),
             lag.as_millis()
         );
     }
 
     /// How many gateways lack a configuration, and for how long.
     pub(crate) fn gateway_lags(&self, commits: &CommitTimes, now: Instant) -> GatewayLags {
-        let lags = self.gateways.values().map(|gateway| commits.lag(gateway.deployment, now));
+        let lags = self.gateways.values().map(|gateway| gateway.delivery.lag(commits, now));
         let lags: Vec<Duration> = lags.filter(|lag| !lag.is_zero()).collect();
         let longest = lags.iter().max().copied().unwrap_or_default();
         GatewayLags { behind: lags.len() as u64, longest }
@@ -234,9 +238,39 @@
         beats.into_iter().map(|(id, seq)| WorkerBeat { id, seq }).collect()
     }
 
-    /// Gateways of this zone.
-    pub(crate) fn near_gateways(&self) -> Vec<DaemonId> {
-        self.gateways_where(|gateway| gateway.zone == self.zone)
+    /// Gateways that this controller tells of a configuration as soon as it is committed; notes
+    /// that it goes out to them.
+    pub(crate) fn begin_push(&mut self, version: u64, now: Instant) -> Vec<DaemonId> {
+        let prompt = self.gateways_where(|gateway| self.is_prompt_for(gateway));
+        for id in &prompt {
+            if let Some(gateway) = self.gateways.get_mut(id) {
+                gateway.delivery.note_sent(version, now);
+            }
+        }
+        prompt
+    }
+
+    /// Whether a gateway is to get the newest configuration now; notes that it goes out if so.
+    pub(crate) fn begin_delivery(
+        &mut self,
+        to: &DaemonId,
+        newest: u64,
+        commits: &CommitTimes,
+        now: Instant,
+    ) -> bool {
+        let Some(gateway) = self.gateways.get(to) else { return false };
+        let prompt = self.is_prompt_for(gateway);
+        let Some(gateway) = self.gateways.get_mut(to) else { return false };
+        let due = gateway.delivery.is_due(newest, prompt, commits, now);
+        if due {
+            gateway.delivery.note_sent(newest, now);
+        }
+        due
+    }
+
+    /// Whether this controller tells a gateway of a configuration without waiting for others.
+    fn is_prompt_for(&self, gateway: &HeardGateway) -> bool {
+        gateway.zone == self.zone || gateway.home.as_ref() == Some(&self.own)
     }
 
     /// Gateways that hear of workers from this controller: those whose home it is, and those that
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,6 +16,7 @@
 mod api;
 pub mod commits;
 mod controller;
+pub mod delivery;
 pub mod digests;
 mod fleet;
 pub mod liveness;
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -7,6 +7,7 @@
 use hollowbarrow_schema::{
     ControllerHello, DaemonId, FleetMessage, GatewayHello, LogName, PeerMessage, WorkerReport,
 };
+use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
 
 use crate::controller::ControllerCore;
@@ -15,9 +16,6 @@
 const LEADER_INTERVAL: Duration = Duration::from_millis(75);
 /// Hellos to the leader for each one that goes to the other controllers too.
 const HELLOS_TO_LEADER: u32 = 3;
-/// Time after which a gateway of another zone gets a configuration that its own zone's controller
-/// has not told it.
-const FAR_DELAY: Duration = Duration::from_millis(400);
 
 /// Tells other controllers of this one until the process ends.
 pub(crate) async fn greet_controllers(core: Arc<ControllerCore>) {
@@ -85,15 +83,16 @@
     }
 }
 
-/// Pushes each configuration to the gateways of this zone as soon as it is committed.
+/// Pushes each configuration to the gateways that depend on this controller as soon as it is
+/// committed.
 pub(crate) async fn push_deployments(core: Arc<ControllerCore>) {
     loop {
         core.applied.notified().await;
-        core.note_applied(Instant::now());
+        let now = Instant::now();
         let Some(document) = core.newest_document() else { continue };
-        core.commits().note(document.version, Instant::now());
+        core.commits().note(document.version, now);
         log::info!("event=configuration_committed version={}", document.version);
-        let gateways = core.fleet().near_gateways();
+        let gateways = core.fleet().begin_push(document.version, now);
         core.metrics.count_configurations("committed", gateways.len());
         core.links().send_to_all(&gateways, FleetMessage::Deployment(document));
         core.changed.notify_one();
@@ -123,19 +122,20 @@
 }
 
 fn take_gateway(core: &ControllerCore, from: &DaemonId, hello: GatewayHello, now: Instant) {
-    let near = hello.zone == core.settings.zone;
-    let version = hello.deployment;
-    core.fleet().take_gateway(from, hello, now);
-    core.fleet().log_lag(from, &core.commits(), now);
-    if !core.may_tell(now) {
+    let newest = core.log.read(DeploymentState::version);
+    let due = {
+        let mut fleet = core.fleet();
+        let commits = core.commits();
+        fleet.take_gateway(from, hello, now);
+        fleet.log_lag(from, &commits, now);
+        core.may_tell(now) && fleet.begin_delivery(from, newest, &commits, now)
+    };
+    if !due {
         return;
     }
     let Some(document) = core.newest_document() else { return };
-    let waited = near || core.applied_for(now) > FAR_DELAY;
-    if document.version > version && waited {
-        core.metrics.count_configurations("lacking", 1);
-        core.links().send(from, FleetMessage::Deployment(document));
-    }
+    core.metrics.count_configurations("lacking", 1);
+    core.links().send(from, FleetMessage::Deployment(document));
 }
 
 /// Takes in what another controller heard of workers, and passes on what is new.
--- /dev/null
+++ b/crates/controller/tests/delivery.rs
@@ -0,0 +1,91 @@
+//! When a gateway gets a configuration from which controller.
+
+use std::time::Duration;
+
+use hollowbarrow_controller::commits::CommitTimes;
+use hollowbarrow_controller::delivery::DeliveryState;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Longest time between two reports of a gateway to a controller that is not its home.
+const REPORT_INTERVAL: Duration = Duration::from_millis(900);
+/// Longest time for which a change may be missing, with the delivery itself left out.
+const MOST_LAG: Duration = Duration::from_millis(1400);
+
+/// A gateway depends on a controller of another zone, while a change comes again and again.
+#[rstest]
+#[case::slower_than_the_wait(500)]
+#[case::as_reported(150)]
+#[case::fast(20)]
+fn is_due_while_changes_go_on(#[case] pause_ms: u64) {
+    let start = Instant::now();
+    let mut commits = CommitTimes::default();
+    commits.note(1, start);
+    let mut state = DeliveryState::new(1, start);
+    let mut reported = start;
+    let mut lags = Vec::new();
+    for step in 1..1000u64 {
+        let now = start + MS * 10 * u32::try_from(step).expect("small");
+        if (step * 10).is_multiple_of(pause_ms) {
+            commits.note(1 + step, now);
+        }
+        if now >= reported + REPORT_INTERVAL {
+            reported = now;
+            let newest = newest_of(&commits);
+            lags.push(state.lag(&commits, now));
+            if state.is_due(newest, false, &commits, now) {
+                state.note_sent(newest, now);
+                state.note_held(newest, now);
+            }
+        }
+    }
+    let longest = lags.into_iter().max().expect("it reported");
+    assert!(longest < MOST_LAG, "{longest:?} behind");
+}
+
+/// Highest version that was committed by then.
+fn newest_of(commits: &CommitTimes) -> u64 {
+    (0..1100).find(|version| commits.lacking_since(*version).is_none()).expect("bounded")
+}
+
+/// A gateway holds version 1 and version 2 was committed 100 ms after it was first heard of.
+#[rstest]
+#[case::home_at_once(true, 100, true)]
+#[case::others_wait(false, 480, false)]
+#[case::others_step_in(false, 520, true)]
+fn is_due_after_commit(#[case] prompt: bool, #[case] at: u32, #[case] due: bool) {
+    let start = Instant::now();
+    let mut commits = CommitTimes::default();
+    commits.note(1, start);
+    commits.note(2, start + MS * 100);
+    let state = DeliveryState::new(1, start);
+    assert_eq!(state.is_due(2, prompt, &commits, start + MS * at), due);
+}
+
+#[rstest]
+fn is_due_of_new_life() {
+    let start = Instant::now();
+    let mut commits = CommitTimes::default();
+    commits.note(1, start);
+    let mut state = DeliveryState::new(1, start);
+    let restarted = start + MS * 9000;
+    state.note_held(0, restarted);
+    assert!(state.is_due(1, true, &commits, restarted));
+    assert!(!state.is_due(1, false, &commits, restarted + MS * 300), "its home comes first");
+    assert!(state.is_due(1, false, &commits, restarted + MS * 500));
+}
+
+#[rstest]
+fn is_due_of_same_version() {
+    let start = Instant::now();
+    let mut commits = CommitTimes::default();
+    commits.note(2, start);
+    let mut state = DeliveryState::new(1, start);
+    state.note_sent(2, start);
+    assert!(!state.is_due(2, true, &commits, start + MS * 75), "it is on its way");
+    assert!(state.is_due(2, true, &commits, start + MS * 300), "it was lost");
+    commits.note(3, start + MS * 80);
+    assert!(state.is_due(3, true, &commits, start + MS * 90), "a newer one does not wait");
+}
