--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Deployment, Service};
-use hollowbarrow_log::{DriverConfig, LogDriver, LogView, ReplicaConfig, StoreLogError};
+use hollowbarrow_log::{
+    AppliedChange, DriverConfig, LogDriver, LogView, ReplicaConfig, StoreLogError,
+};
 use hollowbarrow_member::http::bind_http;
 use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, EntryPayload, MemberSettings};
@@ -270,8 +272,13 @@
     let (notify, outbox) = (Arc::clone(applied), Arc::clone(links));
     let config = DriverConfig::new(replica, Some(data.join("config")))
         .with_snapshot_entries(SNAPSHOT_ENTRIES)
-        .with_applied(Box::new(move |entry| {
-            if matches!(entry.payload, EntryPayload::Deployment(_)) {
+        .with_applied(Box::new(move |change| {
+            // A snapshot brings a controller that was away the newest configuration.
+            let entry = match change {
+                AppliedChange::Entry(entry) => Some(&entry.payload),
+                AppliedChange::Snapshot(_) => None,
+            };
+            if entry.is_none_or(|payload| matches!(payload, EntryPayload::Deployment(_))) {
                 notify.notify_one();
             }
         }));
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -92,6 +92,10 @@
         let Some(document) = core.newest_document() else { continue };
         core.commits().note(document.version, now);
         log::info!("event=configuration_committed version={}", document.version);
+        if !core.may_tell(now) {
+            // What this controller's own disk held at its start may be older than what is in force.
+            continue;
+        }
         let gateways = core.fleet().begin_push(document.version, now);
         core.metrics.count_configurations("committed", gateways.len());
         core.links().send_to_all(&gateways, FleetMessage::Deployment(document));
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -40,8 +40,17 @@
     fn restore(&mut self, snapshot: &[u8]) -> bool;
 }
 
-/// Who is told of an applied entry.
-pub type Applied = Box<dyn Fn(&LogEntry) + Send>;
+/// What has changed the state machine.
+#[derive(Clone, Copy, Debug)]
+pub enum AppliedChange<'a> {
+    /// A committed entry.
+    Entry(&'a LogEntry),
+    /// A snapshot that replaced the whole state; entries up to its index are not told of.
+    Snapshot(LogIndex),
+}
+
+/// Who is told of what was applied.
+pub type Applied = Box<dyn Fn(AppliedChange<'_>) + Send>;
 
 /// Where outgoing messages go.
 type SendMessage = Box<dyn Fn(&DaemonId, LogMessage) + Send>;
@@ -66,7 +75,7 @@
         self
     }
 
-    /// Sets who is told of each applied entry.
+    /// Sets who is told of each applied entry and each installed snapshot.
     pub fn with_applied(mut self, applied: Applied) -> Self {
         self.applied = Some(applied);
         self
@@ -348,6 +357,8 @@
                 .restore(&snapshot.state);
             if !restored {
                 log::error!("event=snapshot_unreadable index={}", *index);
+            } else if let Some(applied) = &self.config.applied {
+                applied(AppliedChange::Snapshot(index));
             }
             self.last_snapshot = index;
             self.waiters = self.waiters.split_off(&LogIndex(*index + 1));
@@ -366,7 +377,7 @@
         }
         for (entry, outcome) in entries.iter().zip(outcomes) {
             if let Some(applied) = &self.config.applied {
-                applied(entry);
+                applied(AppliedChange::Entry(entry));
             }
             if let Some((term, sender)) = self.waiters.remove(&entry.index) {
                 let outcome = if term == entry.term { outcome } else { ProposalOutcome::Lost };
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -19,7 +19,9 @@
 mod replica;
 mod storage;
 
-pub use driver::{Applied, DriverConfig, DriverInput, LogDriver, LogView, StateMachine};
+pub use driver::{
+    Applied, AppliedChange, DriverConfig, DriverInput, LogDriver, LogView, StateMachine,
+};
 pub use file::FileStorage;
 pub use replica::{LogReplica, ReplicaConfig, ReplicaFault};
 pub use storage::{EntryWindow, LogStorage, MemoryStorage, StoreLogError, VoteRecord};
