--- a/crates/daemon/src/table_change.rs
+++ b/crates/daemon/src/table_change.rs
@@ -8,12 +8,11 @@
     NodeState, StartId, ZoneTable,
 };
 
+use hollowbarrow_zone::ReplicaName;
+
 use crate::core::wall_ms;
 use crate::fleet::FleetView;
 
-/// Name of one replica within a zone.
-pub(crate) type ReplicaName = (GroupName, u32);
-
 /// An order for a node, with the epoch that fences it.
 pub(crate) type NodeOrderEntry = (NodeId, Epoch, NodeOrder);
 
--- a/crates/daemon/src/zone_control.rs
+++ b/crates/daemon/src/zone_control.rs
@@ -16,17 +16,16 @@
 use flume::{Receiver, Sender};
 use hollowbarrow_planner::{DrainReason, GroupPlanner, NewReplica, ReplicaView, ZonePlan};
 use hollowbarrow_schema::{
-    Allocation, AllocationPhase, Epoch, FencedOrder, GroupName, GroupSpec, NodeId, NodeOrder,
-    NodeState, ZoneTable,
+    Allocation, Epoch, FencedOrder, GroupName, GroupSpec, NodeId, NodeOrder, NodeState, ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
 use hollowbarrow_upstream::{EngineClient, GiveOrderError};
-use hollowbarrow_zone::{Draining, Forming, Loading, ReplicaLife, Serving};
+use hollowbarrow_zone::{ReplicaName, ReplicaStage, ReplicaStages, TableStanding};
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
-use crate::table_change::{NodeOrderEntry, ReplicaName, TableChange, drain_order, load_orders};
+use crate::table_change::{NodeOrderEntry, TableChange, drain_order, load_orders};
 use crate::zone_authority::{tick_authorities, with_authority};
 use crate::zone_demand::{replica_view, zone_demands};
 
@@ -37,24 +36,6 @@
 /// Pause before an order without effect is given again.
 const ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Where a replica is in its life.
-#[derive(Clone, Debug)]
-enum ReplicaStage {
-    Loading(ReplicaLife<Loading>),
-    Serving(ReplicaLife<Serving>),
-    Draining(ReplicaLife<Draining>),
-}
-
-impl ReplicaStage {
-    fn epoch(&self) -> Epoch {
-        match self {
-            Self::Loading(life) => life.epoch(),
-            Self::Serving(life) => life.epoch(),
-            Self::Draining(life) => life.epoch(),
-        }
-    }
-}
-
 struct OrderResult {
     node: NodeId,
     epoch: Epoch,
@@ -64,7 +45,7 @@
 /// Keeps the groups of one zone.
 pub(crate) struct ZoneController {
     core: Arc<DaemonCore>,
-    stages: BTreeMap<ReplicaName, ReplicaStage>,
+    stages: ReplicaStages,
     ordered: BTreeMap<NodeId, (Epoch, Instant)>,
     results: (Sender<OrderResult>, Receiver<OrderResult>),
     last_step: Instant,
@@ -74,7 +55,7 @@
 pub(crate) async fn control_zones(core: Arc<DaemonCore>) {
     let mut controller = ZoneController {
         core: Arc::clone(&core),
-        stages: BTreeMap::new(),
+        stages: ReplicaStages::default(),
         ordered: BTreeMap::new(),
         results: flume::unbounded(),
         last_step: Instant::now(),
@@ -91,53 +72,37 @@
         self.take_results(now);
         let elapsed = now.saturating_duration_since(self.last_step);
         self.last_step = now;
-        let zone = self.core.zone().clone();
-        let settled =
-            self.core.authorities().get(&zone).and_then(|m| m.settled_table(now).cloned());
-        let Some(table) = settled else {
-            self.stages.clear();
-            return;
-        };
+        let Some(table) = self.sync_stages(now) else { return };
         // A daemon that has just started has not yet had time to see who is there.
         let informed = now >= self.core.started + self.core.lease() * 2;
         if !informed || !self.core.fleet().listed_once {
             return;
         }
-        self.sync_stages(&table, now);
         self.measure(&table, elapsed, now);
         if !self.change_table(&table, now) {
             self.give_orders(&table, now);
         }
     }
 
-    /// Brings the stages in line with a settled table.
-    fn sync_stages(&mut self, table: &ZoneTable, now: Instant) {
-        let mut stages = BTreeMap::new();
-        for allocation in &table.allocations {
-            let name = (allocation.group.clone(), allocation.slot);
-            let known = self.stages.remove(&name).filter(|stage| stage.epoch() == allocation.epoch);
-            let loaded = !allocation.starts.is_empty();
-            let draining = allocation.phase == AllocationPhase::Draining;
-            let stage = match known {
-                Some(ReplicaStage::Loading(life)) if loaded => {
-                    log::info!(
-                        "event=replica_ready group={} slot={} epoch={} load_ms={}",
-                        *allocation.group,
-                        allocation.slot,
-                        *allocation.epoch,
-                        now.saturating_duration_since(life.entered()).as_millis()
-                    );
-                    ReplicaStage::Serving(life.finish_loading(now).begin_serving(now))
-                }
-                Some(ReplicaStage::Serving(life)) if draining => {
-                    ReplicaStage::Draining(life.begin_draining(now))
-                }
-                Some(stage) => stage,
-                None => first_stage(allocation, now),
-            };
-            stages.insert(name, stage);
+    /// Brings the stages in line with the zone's table; the table, if it can be acted on.
+    fn sync_stages(&mut self, now: Instant) -> Option<ZoneTable> {
+        let core = Arc::clone(&self.core);
+        let authorities = core.authorities();
+        let member = authorities.get(core.zone());
+        let standing = member.map_or(TableStanding::NotHeld, |member| member.standing(now));
+        for loaded in self.stages.sync(standing, now) {
+            log::info!(
+                "event=replica_ready group={} slot={} epoch={} load_ms={}",
+                *loaded.name.0,
+                loaded.name.1,
+                *loaded.epoch,
+                loaded.elapsed.as_millis()
+            );
+        }
+        match standing {
+            TableStanding::Settled(table) => Some(table.clone()),
+            TableStanding::Unsettled | TableStanding::NotHeld => None,
         }
-        self.stages = stages;
     }
 
     /// Adds the time that has passed to group downtime and stranded accelerators.
@@ -407,19 +372,6 @@
     }
 }
 
-/// Stage of a replica that this controller sees for the first time, as after a hand-over.
-fn first_stage(allocation: &Allocation, now: Instant) -> ReplicaStage {
-    let loading = ReplicaLife::<Forming>::new(allocation, now).order_loading(now);
-    if allocation.starts.is_empty() && allocation.phase == AllocationPhase::Active {
-        return ReplicaStage::Loading(loading);
-    }
-    let serving = loading.finish_loading(now).begin_serving(now);
-    match allocation.phase {
-        AllocationPhase::Active => ReplicaStage::Serving(serving),
-        AllocationPhase::Draining => ReplicaStage::Draining(serving.begin_draining(now)),
-    }
-}
-
 /// Whether a drain reason leaves requests in flight to wait for.
 pub(crate) fn describe_drain(reason: &DrainReason) -> String {
     let how = if reason.is_loss() { "dissolved at once" } else { "drained" };
--- a/crates/zone/src/authority.rs
+++ b/crates/zone/src/authority.rs
@@ -111,6 +111,17 @@
     Holder(Tenure),
 }
 
+/// How far the table that a daemon knows of its zone can be acted on.
+#[derive(Clone, Copy, Debug)]
+pub enum TableStanding<'a> {
+    /// This daemon does not hold the authority.
+    NotHeld,
+    /// This daemon holds the authority, and a majority has not taken its newest change in yet.
+    Unsettled,
+    /// This daemon holds the authority, and a majority holds the table.
+    Settled(&'a ZoneTable),
+}
+
 /// One daemon's part in its zone's authority.
 pub struct AuthorityMember {
     config: AuthorityConfig,
@@ -185,6 +196,15 @@
         (holders.count() + 1 >= self.config.majority()).then_some(table)
     }
 
+    /// How far the table known here can be acted on.
+    pub fn standing(&self, now: Instant) -> TableStanding<'_> {
+        match self.settled_table(now) {
+            Some(table) => TableStanding::Settled(table),
+            None if self.remaining(now).is_some() => TableStanding::Unsettled,
+            None => TableStanding::NotHeld,
+        }
+    }
+
     /// Replaces the table by a changed one under the next version; the authority only.
     ///
     /// Returns whether the change was taken; it is settled once
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -17,10 +17,12 @@
 mod lease;
 mod life;
 mod observers;
+mod stages;
 
-pub use authority::{AuthorityConfig, AuthorityMember, TableStore};
+pub use authority::{AuthorityConfig, AuthorityMember, TableStanding, TableStore};
 pub use lease::{LeaseTable, NodeSighting, ServingRefusal};
 pub use life::{
     Draining, Failed, Forming, LifeState, Loading, Ready, Released, ReplicaLife, Serving,
 };
 pub use observers::{choose_observers, observing_members, own_members, zone_members};
+pub use stages::{LoadedReplica, ReplicaName, ReplicaStage, ReplicaStages};
