Tests of a gateway that knows of a configuration it lacks; they fail

The wait that was mended bounds how long a gateway lacks a change (0.4 s and the 0.9 s between two of its reports to controllers other than its home). Within that time it still refuses for good, with 404 or 401, what the change allows, although the leader has told every view that a newer version exists, now with its number; and it tells controllers that could help no more often than otherwise.

Two tests play the controllers of a real gateway. Both fail: 404 and not 503; 5 reports to the other controller in the time of 60 to the home. Times of versions move to the fleet crate, where the gateway can use them too.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -17,13 +17,13 @@
 use tokio::time::Instant;
 
 use crate::api::ControlHandler;
-use crate::commits::CommitTimes;
 use crate::fleet::FleetState;
 use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::news::{PendingNews, tell_news};
 use crate::protocol::{ControlAnswer, ControlProtocol};
 use crate::reconcile::{WorkerNews, has_replicas, keep_fleet};
 use crate::sync::{greet_controllers, log_quorum, push_deployments, take_message};
+use hollowbarrow_fleet::VersionTimes;
 
 /// Silence after which a voter stands for election.
 const ELECTION_TIME: Duration = Duration::from_millis(600);
@@ -76,7 +76,7 @@
     fleet: Mutex<FleetState>,
     pending: Mutex<PendingNews>,
     parsed: Mutex<Option<Arc<Deployment>>>,
-    commits: Mutex<CommitTimes>,
+    commits: Mutex<VersionTimes>,
 }
 
 impl ControllerCore {
@@ -151,7 +151,7 @@
     }
 
     /// When configurations were committed here.
-    pub(crate) fn commits(&self) -> MutexGuard<'_, CommitTimes> {
+    pub(crate) fn commits(&self) -> MutexGuard<'_, VersionTimes> {
         self.commits.lock().expect("no holder of the lock panics")
     }
 
--- a/crates/controller/src/delivery.rs
+++ b/crates/controller/src/delivery.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::Instant;
 
-use crate::commits::CommitTimes;
+use hollowbarrow_fleet::VersionTimes;
 
 /// Time for a gateway's home and its zone's controllers before the others step in: several times
 /// what a delivery within a zone takes, and a fraction of the two seconds within which a change
@@ -59,7 +59,7 @@
 
     /// For how long the gateway has lacked a configuration that is committed here; zero if it
     /// lacks none.
-    pub fn lag(&self, commits: &CommitTimes, now: Instant) -> Duration {
+    pub fn lag(&self, commits: &VersionTimes, now: Instant) -> Duration {
         // Counted from the oldest commit that it lacks. From the newest one, each commit would
         // begin the time anew, and changes every 150 ms kept a zone's gateways behind for 4.3 s.
         let lacking = commits.lacking_since(self.held);
@@ -69,7 +69,7 @@
 
     /// Whether the newest committed version is to be sent now. `prompt` says that this controller
     /// is the gateway's home or of its zone.
-    pub fn is_due(&self, newest: u64, prompt: bool, commits: &CommitTimes, now: Instant) -> bool {
+    pub fn is_due(&self, newest: u64, prompt: bool, commits: &VersionTimes, now: Instant) -> bool {
         if newest <= self.held {
             return false;
         }
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -10,12 +10,12 @@
 };
 use tokio::time::Instant;
 
-use crate::commits::CommitTimes;
 use crate::delivery::DeliveryState;
 use crate::digests::DigestHistory;
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::tables::TableRequests;
+use hollowbarrow_fleet::VersionTimes;
 
 /// Silence after which a daemon is not written to any more.
 const DAEMON_SILENCE: Duration = Duration::from_secs(5);
@@ -169,7 +169,7 @@
     }
 
     /// Logs once when a gateway stays behind, and once when it has caught up.
-    pub(crate) fn log_lag(&mut self, from: &DaemonId, commits: &CommitTimes, now: Instant) {
+    pub(crate) fn log_lag(&mut self, from: &DaemonId, commits: &VersionTimes, now: Instant) {
         let Some(gateway) = self.gateways.get_mut(from) else { return };
         let lag = gateway.delivery.lag(commits, now);
         let behind = lag > LOGGED_LAG;
@@ -189,7 +189,7 @@
     }
 
     /// How many gateways lack a configuration, and for how long.
-    pub(crate) fn gateway_lags(&self, commits: &CommitTimes, now: Instant) -> GatewayLags {
+    pub(crate) fn gateway_lags(&self, commits: &VersionTimes, now: Instant) -> GatewayLags {
         let lags = self.gateways.values().map(|gateway| gateway.delivery.lag(commits, now));
         let lags: Vec<Duration> = lags.filter(|lag| !lag.is_zero()).collect();
         let longest = lags.iter().max().copied().unwrap_or_default();
@@ -255,7 +255,7 @@
         &mut self,
         to: &DaemonId,
         newest: u64,
-        commits: &CommitTimes,
+        commits: &VersionTimes,
         now: Instant,
     ) -> bool {
         let Some(gateway) = self.gateways.get(to) else { return false };
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,7 +14,6 @@
 //! - What a controller tells gateways about the configuration is committed.
 
 mod api;
-pub mod commits;
 mod controller;
 pub mod delivery;
 pub mod digests;
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -12,6 +12,7 @@
 use hollowbarrow_schema::{
     DaemonId, FleetMessage, FleetView, ServiceName, Term, WorkerId, WorkerLoad,
 };
+use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
 
 use crate::controller::ControllerCore;
@@ -239,6 +240,7 @@
         let view = FleetView {
             term: held.term,
             number: held.view_number,
+            deployment: core.log.read(DeploymentState::version),
             gateways: fleet.count_gateways(now),
             controllers: fleet.places(),
             withheld: held.withheld.clone(),
--- a/crates/controller/tests/delivery.rs
+++ b/crates/controller/tests/delivery.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use hollowbarrow_controller::commits::CommitTimes;
 use hollowbarrow_controller::delivery::DeliveryState;
+use hollowbarrow_fleet::VersionTimes;
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -21,7 +21,7 @@
 #[case::fast(20)]
 fn is_due_while_changes_go_on(#[case] pause_ms: u64) {
     let start = Instant::now();
-    let mut commits = CommitTimes::default();
+    let mut commits = VersionTimes::default();
     commits.note(1, start);
     let mut state = DeliveryState::new(1, start);
     let mut reported = start;
@@ -33,7 +33,7 @@
         }
         if now >= reported + REPORT_INTERVAL {
             reported = now;
-            let newest = newest_of(&commits);
+            let newest = commits.newest();
             lags.push(state.lag(&commits, now));
             if state.is_due(newest, false, &commits, now) {
                 state.note_sent(newest, now);
@@ -45,11 +45,6 @@
     assert!(longest < MOST_LAG, "{longest:?} behind");
 }
 
-/// Highest version that was committed by then.
-fn newest_of(commits: &CommitTimes) -> u64 {
-    (0..1100).find(|version| commits.lacking_since(*version).is_none()).expect("bounded")
-}
-
 /// A gateway holds version 1 and version 2 was committed 100 ms after it was first heard of.
 #[rstest]
 #[case::home_at_once(true, 100, true)]
@@ -57,7 +52,7 @@
 #[case::others_step_in(false, 520, true)]
 fn is_due_after_commit(#[case] prompt: bool, #[case] at: u32, #[case] due: bool) {
     let start = Instant::now();
-    let mut commits = CommitTimes::default();
+    let mut commits = VersionTimes::default();
     commits.note(1, start);
     commits.note(2, start + MS * 100);
     let state = DeliveryState::new(1, start);
@@ -67,7 +62,7 @@
 #[rstest]
 fn is_due_of_new_life() {
     let start = Instant::now();
-    let mut commits = CommitTimes::default();
+    let mut commits = VersionTimes::default();
     commits.note(1, start);
     let mut state = DeliveryState::new(1, start);
     let restarted = start + MS * 9000;
@@ -80,7 +75,7 @@
 #[rstest]
 fn is_due_of_same_version() {
     let start = Instant::now();
-    let mut commits = CommitTimes::default();
+    let mut commits = VersionTimes::default();
     commits.note(2, start);
     let mut state = DeliveryState::new(1, start);
     state.note_sent(2, start);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod replicas;
 pub mod routes;
 pub mod term;
+pub mod versions;
 pub mod workers;
 
 pub use deployment::{
@@ -35,4 +36,5 @@
 };
 pub use routes::RouteTable;
 pub use term::TermState;
+pub use versions::VersionTimes;
 pub use workers::{MergeOutcome, WorkerTable};
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -91,6 +91,7 @@
     FleetView {
         term: Term(1),
         number,
+        deployment: 0,
         gateways,
         controllers: Vec::new(),
         withheld: withheld.iter().map(|id| WorkerId::from(*id)).collect(),
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1049,6 +1049,8 @@
 #[serde(deny_unknown_fields)]
 pub struct FleetView {
     pub controllers: ::std::vec::Vec<ControllerPlace>,
+    ///Version of the newest configuration that the leader knows to be committed; 0 means none.
+    pub deployment: u64,
     ///Gateways that were heard of lately.
     pub gateways: u32,
     ///Sums over all gateways.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod disturbance;
 mod observer;
 mod soak;
+mod stale_gateway;
 mod system;
 mod worker;
 
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -134,7 +134,7 @@
     _folder: TempDir,
 }
 
-fn free_port() -> u16 {
+pub fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener.local_addr().expect("it is bound").port()
 }
