Have a gateway that is behind refuse for a moment only, and ask every controller

A gateway cannot tell a route that does not exist from one that it has not heard of, unless it knows that it is behind.

Change: gateways note the version that each view of the leader names. While one lacks a version that it knows of, what finds no route or key is refused with 503 and Retry-After 0.2 s, not with 404 or 401 after which callers do not ask again. After 0.25 s it reports to all controllers every 0.3 s, as without a home: 0.9 s before.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
-use hollowbarrow_fleet::{RouteTable, Service};
+use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
@@ -29,6 +29,8 @@
     routes: RwLock<Option<Arc<RouteTable>>>,
     picker: Mutex<WorkerPicker>,
     home: Mutex<HomeChoice>,
+    /// Versions of the configuration that the leader has told of.
+    known: Mutex<VersionTimes>,
     in_flight: AtomicU32,
 }
 
@@ -46,6 +48,7 @@
             routes: RwLock::new(None),
             picker: Mutex::new(WorkerPicker::new(&settings.zone).with_preferences(&own)),
             home: Mutex::new(HomeChoice::new(&own, &settings.zone)),
+            known: Mutex::default(),
             in_flight: AtomicU32::new(0),
             settings,
             protocol,
@@ -72,6 +75,20 @@
         self.routes().map_or(0, |routes| routes.version())
     }
 
+    /// For how long this gateway has known of a configuration that it lacks; zero if of none.
+    pub(crate) fn configuration_lag(&self, now: Instant) -> Duration {
+        self.known().lag(self.version(), now)
+    }
+
+    /// Whether the leader has told of a configuration that this gateway lacks.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.known().newest() > self.version()
+    }
+
+    fn known(&self) -> MutexGuard<'_, VersionTimes> {
+        self.known.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn picker(&self) -> MutexGuard<'_, WorkerPicker> {
         self.picker.lock().expect("no holder of the lock panics")
     }
@@ -83,6 +100,7 @@
 
     /// Takes in a view that a controller passed on.
     pub(crate) fn take_view(&self, from: &DaemonId, view: &FleetView, now: Instant) {
+        self.known().note(view.deployment, now);
         let mut picker = self.picker();
         let before = picker.gateways();
         let recent = picker.take_view(view, now);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -94,7 +94,12 @@
     let (parts, body) = request.into_parts();
     let head = core.protocol.read_head(&parts).map_err(|_| (String::new(), Refusal::BadRequest))?;
     let id = head.id.clone();
-    let routed = route_request(core, &head).map_err(|refusal| (id.clone(), refusal))?;
+    let routed = route_request(core, &head).map_err(|refusal| match refusal {
+        // Callers do not ask again after a 404 or a 401, so these need a configuration that is
+        // not known to be out of date.
+        Refusal::NoRoute | Refusal::BadKey if core.is_behind() => (id.clone(), Refusal::Behind),
+        refusal => (id.clone(), refusal),
+    })?;
     let limit = routed.table.limits().body_bytes;
     let body = read_body(body, limit, &routed).await.map_err(|refusal| (id, refusal))?;
     Ok(to_request(parts, head, routed, body, received))
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -14,8 +14,12 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(75);
 /// Reports to the home for each one that goes to the other controllers too.
 const HELLOS_TO_HOME: u32 = 12;
-/// Reports to all controllers while there is no home: one in so many intervals.
+/// Reports to all controllers while there is no home, or while it does not tell this gateway of a
+/// configuration that the leader has told of: one in so many intervals.
 const SEEKING_INTERVALS: u32 = 4;
+/// Time for the home to deliver a configuration before the other controllers are asked: a few times
+/// what it takes without a fault.
+const HOME_PATIENCE: Duration = Duration::from_millis(250);
 /// Time after which workers that have gone are forgotten.
 const TABLE_SILENCE: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -46,7 +50,9 @@
         let others: Vec<DaemonId> = others.collect();
         if let Some(home) = &home {
             links.send(home, FleetMessage::Gateway(hello.clone()));
-            if number.is_multiple_of(HELLOS_TO_HOME) {
+            let lacking = core.configuration_lag(now) > HOME_PATIENCE;
+            let intervals = if lacking { SEEKING_INTERVALS } else { HELLOS_TO_HOME };
+            if number.is_multiple_of(intervals) {
                 let brief = GatewayHello { loads: Vec::new(), ..hello };
                 links.send_to_all(&others, FleetMessage::Gateway(brief));
             }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -16,6 +16,8 @@
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
 /// When to come back where a worker turned the request away.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
+/// When to come back where a configuration is on its way: what a delivery takes without a fault.
+const BEHIND_PAUSE: Duration = Duration::from_millis(200);
 
 /// Why a gateway answers by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     NoDeployment,
     /// No route is for the host and path.
     NoRoute,
+    /// A configuration that is not here yet may allow the request.
+    Behind,
     /// The route needs a key that is known.
     BadKey,
     /// The body is larger than the limit.
@@ -59,7 +63,7 @@
             Self::BadKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyCut => StatusCode::REQUEST_TIMEOUT,
-            Self::NoDeployment | Self::NoWorker(_) | Self::NotRun => {
+            Self::NoDeployment | Self::Behind | Self::NoWorker(_) | Self::NotRun => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -73,6 +77,7 @@
             Self::BadRequest => "bad_request",
             Self::NoDeployment => "no_configuration",
             Self::NoRoute => "no_route",
+            Self::Behind => "configuration_behind",
             Self::BadKey => "bad_key",
             Self::TooLarge => "too_large",
             Self::BodyCut => "body_cut",
@@ -89,6 +94,7 @@
             Self::NoDeployment | Self::NoWorker(NoWorker::Unknown) => Some(UNKNOWN_PAUSE),
             Self::NoWorker(NoWorker::Full) => Some(FULL_PAUSE),
             Self::NotRun => Some(TURNED_AWAY_PAUSE),
+            Self::Behind => Some(BEHIND_PAUSE),
             _ => None,
         }
     }
