Test that streams of a head that has deregistered are kept; it fails

The leader took a head that had deregistered for lost at once (21.537 s, replica_released reason="the head is lost") and gave its members to another replica (22.003 s); the head's streams stood still, and were given up at 22.698 s, some of them beyond the retry budget and so without being resumed.

The stand-in workers now model that a replica stands still once a member has left, and can deregister.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -122,6 +122,50 @@
     }
 }
 
+/// Streams stood still, and some broke off, 1.2 s after the head of their replica had deregistered
+/// without a word before: it serves on for two seconds, but its members were taken for another
+/// replica at once (`event=replica_released reason="the head is lost"`, then orders to leave).
+#[rstest]
+#[tokio::test]
+async fn stream_kept_at_deregistered_head() {
+    let deployment = deploy(13).await;
+    let system = &deployment.system;
+    // With a spare, the members that are left can form another replica.
+    let _spare = Worker::start(&deployment.fleet, "spare", "models", true);
+    system.call_until_served("/chat/1", "warm").await;
+    wait_for_replicas(&deployment, 3).await;
+    deployment.engines.iter().for_each(|engine| engine.set_slow());
+    let streams = futures_util::future::join_all((0..6).map(|n| {
+        let id = format!("stream-{n}");
+        async move { system.call(n % 2, "/chat/1", &id, Some(KEY)).await }
+    }));
+    let deregister = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for engine in deployment.engines.iter().filter(|engine| engine.is_open_head()) {
+            engine.deregister().await;
+        }
+    };
+    let (answers, ()) = tokio::join!(streams, deregister);
+    for answer in answers {
+        let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", system.logs()));
+        assert_eq!(answer.status().as_u16(), 200);
+        assert_eq!(String::from_utf8_lossy(answer.body()), whole_stream());
+    }
+    let logs = system.logs();
+    assert!(!logs.contains("event=stream_resumed"), "a stream was broken off: {logs}");
+}
+
+/// Waits until so many replicas are open.
+async fn wait_for_replicas(deployment: &Deployment, wanted: usize) {
+    for _ in 0..600 {
+        if deployment.engines.iter().filter(|engine| engine.is_open_head()).count() == wanted {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("there are not {wanted} replicas: {}", deployment.system.logs());
+}
+
 #[rstest]
 #[case::killed(3, false)]
 #[case::wiped(4, true)]
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -74,6 +74,8 @@
     ready: Mutex<BTreeMap<ReplicaKey, BTreeSet<String>>>,
     /// Heads that are open, by epoch.
     open: Mutex<BTreeMap<u64, String>>,
+    /// Members that have left a replica, by its epoch.
+    left: Mutex<BTreeSet<(u64, String)>>,
     /// What the workers saw that must not be.
     breaches: Mutex<Vec<String>>,
 }
@@ -132,6 +134,20 @@
         self.open.lock().expect("not poisoned").retain(|_, open| open != head);
     }
 
+    fn note_left(&self, epoch: u64, id: &str) {
+        self.left.lock().expect("not poisoned").insert((epoch, id.to_owned()));
+    }
+
+    fn note_joined(&self, epoch: u64, id: &str) {
+        self.left.lock().expect("not poisoned").remove(&(epoch, id.to_owned()));
+    }
+
+    /// Whether a member takes no part in a replica any more, so that it stands still.
+    fn is_missing(&self, epoch: u64, id: &str) -> bool {
+        let left = self.left.lock().expect("not poisoned").contains(&(epoch, id.to_owned()));
+        left || self.is_dead(id)
+    }
+
     fn is_dead(&self, id: &str) -> bool {
         self.dead.lock().expect("not poisoned").iter().any(|dead| dead == id)
     }
@@ -152,6 +168,10 @@
     late: AtomicBool,
     /// Whether it says that it leaves.
     leaving: AtomicBool,
+    /// Whether it has deregistered, and only serves on.
+    gone: AtomicBool,
+    /// Whether its events come at half the usual rate.
+    slow: AtomicBool,
     state: Mutex<WorkerState>,
     fleet: Arc<Fleet>,
     stop: watch::Sender<bool>,
@@ -185,6 +205,8 @@
             cut: AtomicBool::new(false),
             late: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
+            slow: AtomicBool::new(false),
             state: Mutex::default(),
             fleet: Arc::clone(fleet),
             stop,
@@ -217,6 +239,28 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Has its events come at half the usual rate.
+    pub fn set_slow(&self) {
+        self.slow.store(true, Ordering::Relaxed);
+    }
+
+    /// Says that it goes, without having said that it leaves, and serves on for a while.
+    pub async fn deregister(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+        for controller in &self.fleet.controllers {
+            let request = Request::builder()
+                .method(Method::POST)
+                .uri(format!("/-/instances/{}/deregister", self.id))
+                .header("host", controller)
+                .body(Full::new(Bytes::new()))
+                .expect("the request is sound");
+            let answer = call_once(controller, request, Duration::from_secs(1)).await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+        }
+    }
+
     /// Whether it was killed.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
@@ -228,6 +272,11 @@
         state.membership.as_ref().map(|held| (held.name.clone(), held.state))
     }
 
+    /// Whether it is the head of a replica that serves.
+    pub fn is_open_head(&self) -> bool {
+        self.membership().is_some_and(|(_, state)| state == "open")
+    }
+
     fn lock(&self) -> MutexGuard<'_, WorkerState> {
         self.state.lock().expect("not poisoned")
     }
@@ -241,7 +290,8 @@
 
     /// Registers at the first controller that takes it.
     async fn register(&self) {
-        if self.is_stopped() || self.cut.load(Ordering::Relaxed) {
+        let silent = self.cut.load(Ordering::Relaxed) || self.gone.load(Ordering::Relaxed);
+        if self.is_stopped() || silent {
             return;
         }
         let body = self.heartbeat().to_string();
@@ -304,8 +354,10 @@
                 let name = text("group");
                 if let Some(held) = &state.membership {
                     self.fleet.check_left(held, &self.id, &name);
+                    self.fleet.note_left(held.epoch, &self.id);
                     self.fleet.set_closed(&self.id);
                 }
+                self.fleet.note_joined(epoch, &self.id);
                 state.highest.0 = epoch;
                 state.membership = Some(Membership { name, epoch, members, state: "joining" });
                 tokio::spawn(Arc::clone(self).finish_join(epoch, text("model")));
@@ -323,6 +375,7 @@
             }
             ("leave", Some(_)) => {
                 self.fleet.set_closed(&self.id);
+                self.fleet.note_left(epoch, &self.id);
                 state.membership = None;
                 200
             }
@@ -349,8 +402,8 @@
     /// Whether the replica that this worker heads lacks a member.
     fn stands_still(&self) -> bool {
         let state = self.lock();
-        let members = state.membership.iter().flat_map(|held| &held.members);
-        members.into_iter().any(|member| self.fleet.is_dead(member))
+        let Some(held) = &state.membership else { return false };
+        held.members.iter().any(|member| self.fleet.is_missing(held.epoch, member))
     }
 
     fn answer_request(self: &Arc<Self>, head: &Parts) -> HttpAnswer {
@@ -381,7 +434,8 @@
                 if number > EVENTS {
                     return None;
                 }
-                tokio::time::sleep(EVENT_PAUSE).await;
+                let slow = worker.slow.load(Ordering::Relaxed);
+                tokio::time::sleep(EVENT_PAUSE * if slow { 2 } else { 1 }).await;
                 if worker.stopped.load(Ordering::Relaxed) {
                     return Some((Err(CutAnswerError), EVENTS + 1));
                 }
