Keep the replica of a worker that has deregistered until it ends

Ruled out: the change of the configuration beside it (no gateway cut anything when it came into force), the worker (it served on, and its run ended only because the gateway gave it up).

Change: for two seconds, the shortest drain time of deployments, such a worker is planned with as one that leaves: no new requests, the replica closes and its requests end.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -196,7 +196,7 @@
         let Some(engine) = &service.engine else { continue };
         let workers: Vec<WorkerState<'_>> = fleet
             .table()
-            .of_service(&service.name)
+            .of_service(&service.name, now)
             .map(|entry| {
                 let sum = uses.get(&entry.report.id).copied().unwrap_or_default();
                 WorkerState {
--- a/crates/fleet/src/workers.rs
+++ b/crates/fleet/src/workers.rs
@@ -13,6 +13,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// How long a worker serves on after it has deregistered: the shortest drain time of deployments.
+const DEPARTURE_TIME: Duration = Duration::from_secs(2);
 /// How long a worker that has gone is remembered, so that late reports cannot bring it back.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
@@ -134,10 +136,19 @@
         self.entries.values()
     }
 
-    /// Workers of a service that have not gone.
-    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &WorkerEntry> {
-        let entries = self.entries.values();
-        entries.filter(move |entry| entry.report.service == *service && !entry.report.gone)
+    /// Workers of a service that take part in replicas: those that have not gone, and those that
+    /// have deregistered so lately that they still serve what they have under way.
+    pub fn of_service(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> impl Iterator<Item = &WorkerEntry> {
+        // Left out at once, the members of a head that has deregistered were given to another
+        // replica within 0.5 s, and its streams stood still.
+        let serves =
+            move |entry: &WorkerEntry| now.saturating_duration_since(entry.heard) < DEPARTURE_TIME;
+        let entries = self.entries.values().filter(move |entry| entry.report.service == *service);
+        entries.filter(move |entry| !entry.report.gone || serves(entry))
     }
 
     /// All reports, for a daemon whose table differs.
--- a/crates/fleet/tests/workers.rs
+++ b/crates/fleet/tests/workers.rs
@@ -139,3 +139,17 @@
         }
     }
 }
+
+/// A worker that deregisters serves on for at least two seconds.
+#[rstest]
+#[case::serves_on(1900, true)]
+#[case::has_ended(2100, false)]
+fn of_service_after_removal(#[case] elapsed_ms: u64, #[case] listed: bool) {
+    let start = Instant::now();
+    let mut table = WorkerTable::new();
+    table.merge(report(1, 5, false), start);
+    table.remove(&WorkerId::from("w1"), start);
+    let now = start + Duration::from_millis(elapsed_ms);
+    let service = ServiceName("chat".to_owned());
+    assert_eq!(table.of_service(&service, now).count() == 1, listed);
+}
