Send a configuration again at once where the last one found no room

Cause: the results of sends were ignored. A configuration that a full queue refused counted as on its way for 250 ms, in which the gateway's reports were not answered. Change: sends return to whom the message was dropped.

--- a/crates/controller/src/delivery.rs
+++ b/crates/controller/src/delivery.rs
@@ -57,6 +57,11 @@
         self.sent = Some((version, now));
     }
 
+    /// Notes that what was last sent found no room, so that it does not count as on its way.
+    pub fn note_dropped(&mut self) {
+        self.sent = None;
+    }
+
     /// For how long the gateway has lacked a configuration that is committed here; zero if it
     /// lacks none.
     pub fn lag(&self, commits: &VersionTimes, now: Instant) -> Duration {
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -268,6 +268,14 @@
         due
     }
 
+    /// Notes that a configuration could not be sent to a gateway, so that its next report is
+    /// answered with it.
+    pub(crate) fn note_dropped(&mut self, to: &DaemonId) {
+        if let Some(gateway) = self.gateways.get_mut(to) {
+            gateway.delivery.note_dropped();
+        }
+    }
+
     /// Whether this controller tells a gateway of a configuration without waiting for others.
     fn is_prompt_for(&self, gateway: &HeardGateway) -> bool {
         gateway.zone == self.zone || gateway.home.as_ref() == Some(&self.own)
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -98,7 +98,9 @@
         }
         let gateways = core.fleet().begin_push(document.version, now);
         core.metrics.count_configurations("committed", gateways.len());
-        core.links().send_to_all(&gateways, FleetMessage::Deployment(document));
+        for full in core.links().send_to_all(&gateways, FleetMessage::Deployment(document)) {
+            core.fleet().note_dropped(full);
+        }
         core.changed.notify_one();
     }
 }
@@ -139,7 +141,9 @@
     }
     let Some(document) = core.newest_document() else { return };
     core.metrics.count_configurations("lacking", 1);
-    core.links().send(from, FleetMessage::Deployment(document));
+    if !core.links().send(from, FleetMessage::Deployment(document)) {
+        core.fleet().note_dropped(from);
+    }
 }
 
 /// Takes in what another controller heard of workers, and passes on what is new.
--- a/crates/controller/tests/delivery.rs
+++ b/crates/controller/tests/delivery.rs
@@ -81,6 +81,10 @@
     state.note_sent(2, start);
     assert!(!state.is_due(2, true, &commits, start + MS * 75), "it is on its way");
     assert!(state.is_due(2, true, &commits, start + MS * 300), "it was lost");
-    commits.note(3, start + MS * 80);
-    assert!(state.is_due(3, true, &commits, start + MS * 90), "a newer one does not wait");
+    state.note_sent(2, start + MS * 300);
+    state.note_dropped();
+    assert!(state.is_due(2, true, &commits, start + MS * 301), "it found no room");
+    state.note_sent(2, start + MS * 301);
+    commits.note(3, start + MS * 302);
+    assert!(state.is_due(3, true, &commits, start + MS * 303), "a newer one does not wait");
 }
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -104,9 +104,10 @@
         self.mesh.send(to, &PeerMessage::Fleet(message))
     }
 
-    /// Sends a message about the fleet to several daemons and encodes it once.
-    pub fn send_to_all(&self, to: &[DaemonId], message: FleetMessage) {
-        self.mesh.send_to_all(to, &PeerMessage::Fleet(message));
+    /// Sends a message about the fleet to several daemons and encodes it once; returns those to
+    /// whom it was dropped at once.
+    pub fn send_to_all<'a>(&self, to: &'a [DaemonId], message: FleetMessage) -> Vec<&'a DaemonId> {
+        self.mesh.send_to_all(to, &PeerMessage::Fleet(message))
     }
 
     /// Sends a message of the configuration's log.
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -214,15 +214,14 @@
         self.send_encoded(to, &EncodedMessage::new(message))
     }
 
-    /// Sends a message to several daemons and encodes it once.
-    pub fn send_to_all(&self, to: &[DaemonId], message: &PeerMessage) {
+    /// Sends a message to several daemons and encodes it once; returns those whose queues had no
+    /// room for it.
+    pub fn send_to_all<'a>(&self, to: &'a [DaemonId], message: &PeerMessage) -> Vec<&'a DaemonId> {
         if to.is_empty() {
-            return;
+            return Vec::new();
         }
         let message = EncodedMessage::new(message);
-        for peer in to {
-            self.send_encoded(peer, &message);
-        }
+        to.iter().filter(|peer| !self.send_encoded(peer, &message)).collect()
     }
 
     fn send_encoded(&self, to: &DaemonId, message: &EncodedMessage) -> bool {
