--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -14,9 +14,11 @@
 //! - A worker has at most one order under way.
 
 mod adopt;
+mod demand;
 mod life;
 mod names;
 mod orders;
+mod place;
 mod standby;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,21 +29,13 @@
 };
 use tokio::time::Instant;
 
-use crate::engine::{Engine, ModelSpec};
+use crate::engine::Engine;
 use crate::loads::LoadLimiter;
-use crate::placement::{
-    PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
-};
 
+use self::demand::ModelUses;
 pub use names::{ReplicaKind, ReplicaName};
 pub use orders::{OrderOutcome, OrderTicket, WorkerOrder};
 
-/// Weight of a model's given share against how busy its replicas are.
-const EVEN_USE: f64 = 0.5;
-/// Time over which the use of a model is averaged.
-const USE_TIME: Duration = Duration::from_secs(4);
-/// Use beyond which a model gets no more.
-const MOST_USE: f64 = 2.0;
 /// Time between two looks at the free workers for the log.
 const FREE_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without a new worker after which those of the first start have registered.
@@ -168,10 +162,7 @@
     uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
     loads_from: Instant,
-    /// How busy the replicas of each model are, averaged over time.
-    uses: BTreeMap<ModelName, f64>,
-    /// When the uses were last averaged.
-    used_at: Instant,
+    uses: ModelUses,
     /// Most workers that were known at once.
     most_workers: usize,
     /// When there came to be so many.
@@ -201,8 +192,7 @@
             uncertain: BTreeMap::new(),
             loads: LoadLimiter::new(timing.load_window),
             loads_from,
-            uses: BTreeMap::new(),
-            used_at: settled,
+            uses: ModelUses::new(settled),
             most_workers: 0,
             last_arrival: settled,
             free_logged: String::new(),
@@ -354,117 +344,6 @@
         Epoch((*self.term << EPOCH_TERM_SHIFT) + self.counter)
     }
 
-    /// Plans replicas over the workers that are in none.
-    fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
-        self.note_uses(view);
-        let demands: Vec<PlacementDemand> =
-            view.engine.models.iter().map(|model| self.demand_of(model)).collect();
-        let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
-        let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
-        for state in usable {
-            *domains.entry(domain_of(state.report)).or_default() += 1;
-        }
-        let free = self.free_for_placement(view);
-        let standing = self.count_standing(view);
-        let planned = plan_replicas(&demands, &standing, &domains, &free, warming_up);
-        self.form(planned);
-        let disbanding =
-            self.replicas.values().any(|r| matches!(r.phase, ReplicaPhase::Closing { .. }));
-        if warming_up || disbanding {
-            return;
-        }
-        let free = self.free_for_placement(view);
-        let standing = self.count_standing(view);
-        self.form(plan_scattered(&demands, &standing, &domains, &free));
-        self.log_free(view);
-    }
-
-    /// What is wanted of a model: its share, and more the busier its replicas are.
-    ///
-    /// Only what is planned next depends on it; no replica that stands is moved.
-    fn demand_of(&self, model: &ModelSpec) -> PlacementDemand {
-        let used = self.uses.get(&model.name).copied().unwrap_or_default().min(MOST_USE);
-        let share = model.share * (EVEN_USE + used);
-        PlacementDemand { model: model.name.clone(), size: model.size, share }
-    }
-
-    /// Averages the use of each model over time, so that no plan follows a moment's.
-    fn note_uses(&mut self, view: &StepView<'_>) {
-        let elapsed = view.now.saturating_duration_since(self.used_at);
-        self.used_at = view.now;
-        let weight = 1.0 - (-elapsed.div_duration_f64(USE_TIME)).exp();
-        for model in &view.engine.models {
-            let now = self.use_of(model, view);
-            let used = self.uses.entry(model.name.clone()).or_default();
-            *used += weight * (now - *used);
-        }
-    }
-
-    /// How busy the replicas of a model are: the part of their places that is taken, and the part
-    /// of a pass that it takes to read the prompts that wait. Prompts that are read hold up all
-    /// other answers of a replica, also where places are free.
-    fn use_of(&self, model: &ModelSpec, view: &StepView<'_>) -> f64 {
-        let serving = self.replicas.values().filter(|replica| {
-            replica.name.model == model.name && replica.phase == ReplicaPhase::Serving
-        });
-        let heads: Vec<&WorkerState<'_>> =
-            serving.filter_map(|replica| view.workers.get(replica.head())).collect();
-        let count = heads.len().max(1) as f64;
-        let active = heads.iter().map(|head| f64::from(head.active)).sum::<f64>() / count;
-        let waiting = heads.iter().map(|head| f64::from(head.waiting_ms)).sum::<f64>() / count;
-        let pass = view.engine.pass_ms(model, active).max(f64::MIN_POSITIVE);
-        active / f64::from(view.engine.slots.max(1)) + waiting / pass
-    }
-
-    fn free_for_placement(&self, view: &StepView<'_>) -> Vec<PlacementWorker> {
-        let to_worker = |report: &WorkerReport| PlacementWorker {
-            id: report.id.clone(),
-            domain: domain_of(report),
-            model: report.model.clone(),
-            staged: report.staged.clone(),
-        };
-        self.free_workers(view).into_iter().map(to_worker).collect()
-    }
-
-    /// Begins to form planned replicas.
-    fn form(&mut self, planned: Vec<PlannedReplica>) {
-        for replica in planned {
-            let epoch = self.next_epoch();
-            let name = ReplicaName { kind: ReplicaKind::Serving, model: replica.model, epoch };
-            for member in &replica.members {
-                self.standbys.remove(member);
-            }
-            log::info!(
-                "event=replica_planned replica={} model={} members={}",
-                name.to_text(),
-                *name.model,
-                join_ids(&replica.members)
-            );
-            self.insert(name, replica.members, ReplicaPhase::Forming, false);
-        }
-    }
-
-    /// Takes apart a replica over several domains once one of them can form it alone.
-    fn disband_scattered(&mut self, view: &StepView<'_>) {
-        let near = self.count_near(&self.free_workers(view));
-        let mut serving = self.replicas.values().filter(|r| r.phase == ReplicaPhase::Serving);
-        let found = serving.find(|replica| {
-            let model = &replica.name.model;
-            let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
-            for report in replica.members.iter().filter_map(|member| view.report(member)) {
-                *domains.entry(domain_of(report)).or_default() += 1;
-            }
-            let enough = |(domain, members): (&DomainId, &usize)| {
-                let free = near.get(&(domain.clone(), model.clone())).copied().unwrap_or_default();
-                members + free >= replica.members.len()
-            };
-            domains.len() > 1 && domains.iter().any(enough)
-        });
-        let Some(epoch) = found.map(|replica| replica.name.epoch) else { return };
-        let until = view.now + self.timing.close;
-        self.enter(epoch, ReplicaPhase::Closing { until });
-    }
-
     fn insert(
         &mut self,
         name: ReplicaName,
@@ -476,19 +355,6 @@
         let replica = Replica { name, members, phase, opened, head_left: false };
         self.replicas.insert(epoch, replica);
     }
-
-    fn count_standing(&self, view: &StepView<'_>) -> BTreeMap<(DomainId, ModelName), usize> {
-        let mut counts = BTreeMap::new();
-        let kept = |replica: &&Replica| replica.phase != ReplicaPhase::Leaving;
-        for replica in self.replicas.values().filter(kept) {
-            let report = replica.members.iter().find_map(|member| view.report(member));
-            if let Some(report) = report {
-                let key = (domain_of(report), replica.name.model.clone());
-                *counts.entry(key).or_default() += 1;
-            }
-        }
-        counts
-    }
 }
 
 /// A worker's domain; one that names none is alone in its own.
--- /dev/null
+++ b/crates/fleet/src/replicas/place.rs
@@ -0,0 +1,103 @@
+//! Plans replicas over free workers, and takes apart those that are better formed elsewhere.
+
+use std::collections::BTreeMap;
+
+use hollowbarrow_schema::{DomainId, ModelName, WorkerReport};
+
+use super::{
+    Replica, ReplicaController, ReplicaKind, ReplicaName, ReplicaPhase, StepView, WorkerStanding,
+    domain_of, join_ids,
+};
+use crate::placement::{
+    PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
+};
+
+impl ReplicaController {
+    /// Plans replicas over the workers that are in none.
+    pub(super) fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
+        self.note_uses(view);
+        let models = view.engine.models.iter();
+        let demands: Vec<PlacementDemand> =
+            models.map(|model| self.uses.demand_of(model)).collect();
+        let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
+        let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
+        for state in usable {
+            *domains.entry(domain_of(state.report)).or_default() += 1;
+        }
+        let free = self.free_for_placement(view);
+        let standing = self.count_standing(view);
+        let planned = plan_replicas(&demands, &standing, &domains, &free, warming_up);
+        self.form(planned);
+        let disbanding =
+            self.replicas.values().any(|r| matches!(r.phase, ReplicaPhase::Closing { .. }));
+        if warming_up || disbanding {
+            return;
+        }
+        let free = self.free_for_placement(view);
+        let standing = self.count_standing(view);
+        self.form(plan_scattered(&demands, &standing, &domains, &free));
+        self.log_free(view);
+    }
+
+    fn free_for_placement(&self, view: &StepView<'_>) -> Vec<PlacementWorker> {
+        let to_worker = |report: &WorkerReport| PlacementWorker {
+            id: report.id.clone(),
+            domain: domain_of(report),
+            model: report.model.clone(),
+            staged: report.staged.clone(),
+        };
+        self.free_workers(view).into_iter().map(to_worker).collect()
+    }
+
+    /// Begins to form planned replicas.
+    fn form(&mut self, planned: Vec<PlannedReplica>) {
+        for replica in planned {
+            let epoch = self.next_epoch();
+            let name = ReplicaName { kind: ReplicaKind::Serving, model: replica.model, epoch };
+            for member in &replica.members {
+                self.standbys.remove(member);
+            }
+            log::info!(
+                "event=replica_planned replica={} model={} members={}",
+                name.to_text(),
+                *name.model,
+                join_ids(&replica.members)
+            );
+            self.insert(name, replica.members, ReplicaPhase::Forming, false);
+        }
+    }
+
+    /// Takes apart a replica over several domains once one of them can form it alone.
+    pub(super) fn disband_scattered(&mut self, view: &StepView<'_>) {
+        let near = self.count_near(&self.free_workers(view));
+        let mut serving = self.replicas.values().filter(|r| r.phase == ReplicaPhase::Serving);
+        let found = serving.find(|replica| {
+            let model = &replica.name.model;
+            let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
+            for report in replica.members.iter().filter_map(|member| view.report(member)) {
+                *domains.entry(domain_of(report)).or_default() += 1;
+            }
+            let enough = |(domain, members): (&DomainId, &usize)| {
+                let free = near.get(&(domain.clone(), model.clone())).copied().unwrap_or_default();
+                members + free >= replica.members.len()
+            };
+            domains.len() > 1 && domains.iter().any(enough)
+        });
+        let Some(epoch) = found.map(|replica| replica.name.epoch) else { return };
+        let until = view.now + self.timing.close;
+        self.enter(epoch, ReplicaPhase::Closing { until });
+    }
+
+    fn count_standing(&self, view: &StepView<'_>) -> BTreeMap<(DomainId, ModelName), usize> {
+        let mut counts = BTreeMap::new();
+        let kept = |replica: &&Replica| replica.phase != ReplicaPhase::Leaving;
+        for replica in self.replicas.values().filter(kept) {
+            let report = replica.members.iter().find_map(|member| view.report(member));
+            if let Some(report) = report {
+                let key = (domain_of(report), replica.name.model.clone());
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
