--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -5,7 +5,8 @@
 //! acknowledged configuration is lost or shown older. Afterwards everything serves again.
 //!
 //! CI plays a few seeds. `HOLLOWBARROW_SOAK_RUNS=50` draws so many fresh ones, and
-//! `HOLLOWBARROW_SOAK_SEED=N` plays one again.
+//! `HOLLOWBARROW_SOAK_SEED=N` plays one again; `HOLLOWBARROW_SOAK_GATEWAYS=120` has them played
+//! with so many gateways (at most 200), for which a release build is needed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +24,10 @@
 const RUNS: &str = "HOLLOWBARROW_SOAK_RUNS";
 /// Variable with the one seed to play.
 const SEED: &str = "HOLLOWBARROW_SOAK_SEED";
+/// Variable with the number of gateways of fresh seeds.
+const GATEWAYS: &str = "HOLLOWBARROW_SOAK_GATEWAYS";
+/// Most gateways that the addresses of one system have room for.
+const MOST_GATEWAYS: u64 = 200;
 /// First block of addresses of the soak's systems.
 const FIRST_BLOCK: u8 = 100;
 /// Engine workers of each zone.
@@ -49,8 +54,8 @@
 }
 
 impl Soak {
-    fn start(block: u8) -> Self {
-        let system = System::start_with(block, Layout::zoned_behind_proxies());
+    fn start(block: u8, layout: Layout) -> Self {
+        let system = System::start_with(block, layout);
         let fleet = Fleet::new(system.controllers.clone());
         let mut soak = Self {
             system,
@@ -239,9 +244,9 @@
 }
 
 /// Plays one seed; says what must not be.
-async fn play(seed: u64, block: u8) -> Vec<String> {
+async fn play(seed: u64, block: u8, layout: Layout) -> Vec<String> {
     println!("soak seed {seed}, disturbed for {} s", DISTURBED_TIME.as_secs());
-    let mut soak = Soak::start(block);
+    let mut soak = Soak::start(block, layout);
     let observer = Observer::new();
     let first = configuration(FIRST_VERSION);
     observer.note_sent(FIRST_VERSION, &first);
@@ -274,7 +279,8 @@
 #[case(3, 2)]
 #[tokio::test]
 async fn soak_keeps_promises(#[case] seed: u64, #[case] block: u8) {
-    assert_eq!(play(seed, FIRST_BLOCK + block).await, Vec::<String>::new(), "seed {seed}");
+    let breaches = play(seed, FIRST_BLOCK + block, Layout::zoned_behind_proxies()).await;
+    assert_eq!(breaches, Vec::<String>::new(), "seed {seed}");
 }
 
 /// Fresh seeds, by hand; without the variables nothing is played.
@@ -287,10 +293,14 @@
         (None, Some(runs)) => (0..runs).map(|_| rand::random_range(0..1 << 40)).collect(),
         (None, None) => Vec::new(),
     };
+    let mut layout = Layout::zoned_behind_proxies();
+    if let Some(gateways) = number(GATEWAYS) {
+        layout.gateways = u8::try_from(gateways.min(MOST_GATEWAYS)).expect("it is bounded");
+    }
     let mut failed = Vec::new();
     for (number, seed) in seeds.iter().enumerate() {
         let block = FIRST_BLOCK + 10 + (number % 100) as u8;
-        let breaches = play(*seed, block).await;
+        let breaches = play(*seed, block, layout).await;
         println!("seed {seed}: {} breaches", breaches.len());
         if !breaches.is_empty() {
             failed.push((*seed, breaches));
