Call those who hold keys organisations again, outside the adapter

The house style names four words; the types of routes and gateways had taken over the platform's word for one of them. Only the adapter still knows that one. The text of the error for a shared key changes with it; no other behaviour does.

--- a/crates/fleet/src/deployment.rs
+++ b/crates/fleet/src/deployment.rs
@@ -1,4 +1,4 @@
-//! A whole configuration: routes, services, tenants and limits.
+//! A whole configuration: routes, services, organisations and limits.
 //!
 //! Invariant: a [`Deployment`] that [`Deployment::check`] found no fault in can
 //! be put in force as it is.
@@ -78,7 +78,7 @@
 
 /// An organisation and the keys that it calls with.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Tenant {
+pub struct Organisation {
     /// Name that workers are told.
     pub name: OrganisationId,
     /// Keys in force.
@@ -111,8 +111,8 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
-    /// Tenants; none means that no request needs a key.
-    pub tenants: Option<Vec<Tenant>>,
+    /// Organisations; none means that no request needs a key.
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// Why a configuration cannot be put in force.
@@ -172,12 +172,12 @@
         /// The name.
         name: String,
     },
-    /// Two tenants share a key.
-    #[error("tenants.{second}: a key is already one of {first}")]
+    /// Two organisations share a key.
+    #[error("organisations.{second}: a key is already one of {first}")]
     SharedKey {
-        /// Tenant that came first.
+        /// Organisation that came first.
         first: String,
-        /// Tenant that came second.
+        /// Organisation that came second.
         second: String,
     },
     /// A model has no members.
@@ -196,7 +196,7 @@
         let mut faults = Vec::new();
         self.check_services(&mut faults);
         self.check_routes(&mut faults);
-        self.check_tenants(&mut faults);
+        self.check_organisations(&mut faults);
         faults
     }
 
@@ -252,15 +252,15 @@
         }
     }
 
-    fn check_tenants(&self, faults: &mut Vec<DeploymentFault>) {
+    fn check_organisations(&self, faults: &mut Vec<DeploymentFault>) {
         let mut holders: BTreeMap<&str, &OrganisationId> = BTreeMap::new();
-        for tenant in self.tenants.iter().flatten() {
-            for key in &tenant.keys {
-                match holders.insert(key, &tenant.name) {
-                    Some(first) if *first != tenant.name => {
+        for organisation in self.organisations.iter().flatten() {
+            for key in &organisation.keys {
+                match holders.insert(key, &organisation.name) {
+                    Some(first) if *first != organisation.name => {
                         faults.push(DeploymentFault::SharedKey {
                             first: first.to_string(),
-                            second: tenant.name.to_string(),
+                            second: organisation.name.to_string(),
                         });
                     }
                     _ => {}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,7 @@
 pub mod workers;
 
 pub use deployment::{
-    CallerLimits, Deployment, DeploymentFault, Repeatability, Route, Service, Tenant,
+    CallerLimits, Deployment, DeploymentFault, Organisation, Repeatability, Route, Service,
 };
 pub use engine::{Engine, ModelSpec};
 pub use loads::LoadLimiter;
--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -1,4 +1,4 @@
-//! Looks up routes and tenants of the configuration in force.
+//! Looks up routes and organisations of the configuration in force.
 //!
 //! Invariant: a lookup takes time by the length of the path, not by the number
 //! of routes.
@@ -8,7 +8,7 @@
 
 use hollowbarrow_schema::ServiceName;
 
-use crate::deployment::{CallerLimits, Deployment, Route, Service, Tenant};
+use crate::deployment::{CallerLimits, Deployment, Organisation, Route, Service};
 
 /// A configuration, indexed for lookups.
 #[derive(Clone, Debug)]
@@ -16,7 +16,7 @@
     version: u64,
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     services: HashMap<ServiceName, Arc<Service>>,
-    tenants: Option<HashMap<String, Arc<Tenant>>>,
+    organisations: Option<HashMap<String, Arc<Organisation>>>,
     limits: CallerLimits,
 }
 
@@ -31,8 +31,15 @@
         let services = deployment.services.iter();
         let services =
             services.map(|service| (service.name.clone(), Arc::new(service.clone()))).collect();
-        let tenants = deployment.tenants.as_ref().map(|tenants| index_keys(tenants));
-        Self { version: deployment.version, routes, services, tenants, limits: deployment.limits }
+        let organisations =
+            deployment.organisations.as_ref().map(|organisations| index_keys(organisations));
+        Self {
+            version: deployment.version,
+            routes,
+            services,
+            organisations,
+            limits: deployment.limits,
+        }
     }
 
     /// Version of the configuration.
@@ -64,20 +71,20 @@
 
     /// Whether requests of routes that are not public need a key.
     pub fn needs_keys(&self) -> bool {
-        self.tenants.is_some()
+        self.organisations.is_some()
     }
 
-    /// The tenant that holds a key.
-    pub fn tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
-        self.tenants.as_ref()?.get(key)
+    /// The organisation that holds a key.
+    pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
+        self.organisations.as_ref()?.get(key)
     }
 }
 
-fn index_keys(tenants: &[Tenant]) -> HashMap<String, Arc<Tenant>> {
+fn index_keys(organisations: &[Organisation]) -> HashMap<String, Arc<Organisation>> {
     let mut holders = HashMap::new();
-    for tenant in tenants {
-        let holder = Arc::new(tenant.clone());
-        for key in &tenant.keys {
+    for organisation in organisations {
+        let holder = Arc::new(organisation.clone());
+        for key in &organisation.keys {
             holders.insert(key.clone(), Arc::clone(&holder));
         }
     }
--- a/crates/fleet/tests/deployment.rs
+++ b/crates/fleet/tests/deployment.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{
-    CallerLimits, Deployment, DeploymentFault, Repeatability, Route, RouteTable, Service, Tenant,
+    CallerLimits, Deployment, DeploymentFault, Organisation, Repeatability, Route, RouteTable,
+    Service,
 };
 use hollowbarrow_schema::{OrganisationId, ServiceName};
 use proptest::prelude::*;
@@ -25,9 +26,9 @@
     }
 }
 
-fn tenant(name: &str, keys: &[&str]) -> Tenant {
+fn organisation(name: &str, keys: &[&str]) -> Organisation {
     let keys = keys.iter().map(|key| (*key).to_owned()).collect();
-    Tenant { name: OrganisationId(name.to_owned()), keys, priority: None }
+    Organisation { name: OrganisationId(name.to_owned()), keys, priority: None }
 }
 
 fn deployment(routes: Vec<Route>) -> Deployment {
@@ -43,7 +44,7 @@
             header_time: Duration::from_secs(3),
             idle_time: Duration::from_secs(15),
         },
-        tenants: Some(vec![tenant("family", &["k1", "k2"])]),
+        organisations: Some(vec![organisation("family", &["k1", "k2"])]),
     }
 }
 
@@ -64,8 +65,8 @@
 #[case::bad_prefix(|d: &mut Deployment| d.routes[0].prefix = "/a".to_owned(),
     "routes.r.prefix: \"/a\" does not begin and end with a slash")]
 #[case::shared_key(|d: &mut Deployment| {
-        d.tenants.as_mut().expect("there are tenants").push(tenant("owner", &["k2"]));
-    }, "tenants.owner: a key is already one of family")]
+        d.organisations.as_mut().expect("there are organisations").push(organisation("owner", &["k2"]));
+    }, "organisations.owner: a key is already one of family")]
 fn check_fault(#[case] spoil: fn(&mut Deployment), #[case] expected: &str) {
     let mut spoilt = deployment(vec![route("r", "h", "/a/")]);
     spoil(&mut spoilt);
@@ -74,11 +75,14 @@
 }
 
 #[rstest]
-fn tenant_known_key() {
+fn organisation_known_key() {
     let table = RouteTable::new(&deployment(vec![route("r", "h", "/a/")]));
     assert!(table.needs_keys());
-    assert_eq!(table.tenant("k2").map(|tenant| tenant.name.as_str()), Some("family"));
-    assert!(table.tenant("k3").is_none());
+    assert_eq!(
+        table.organisation("k2").map(|organisation| organisation.name.as_str()),
+        Some("family")
+    );
+    assert!(table.organisation("k3").is_none());
 }
 
 #[rstest]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowbarrow_fleet::{Route, Service, Tenant};
+use hollowbarrow_fleet::{Organisation, Route, Service};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_schema::{ErrorRan, WorkerId};
 use hollowbarrow_upstream::{SendRequestError, SentAnswer, UpstreamRequest};
@@ -18,10 +18,10 @@
 
 /// Most times that a request is sent, turned away ones included.
 const MAX_SENDS: u32 = 4;
-/// Rank of a request where neither its route nor its tenant names one.
+/// Rank of a request where neither its route nor its organisation names one.
 const LOWEST_RANK: u8 = 9;
 
-/// A request whose route, tenant and body are known.
+/// A request whose route, organisation and body are known.
 pub(crate) struct CallerRequest {
     pub(crate) head: CallerHead,
     pub(crate) method: Method,
@@ -29,15 +29,16 @@
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
-    pub(crate) tenant: Option<Arc<Tenant>>,
+    pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
 }
 
 impl CallerRequest {
     fn priority(&self) -> u8 {
-        let tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
-        tenant.unwrap_or(self.route.priority).min(LOWEST_RANK)
+        let organisation =
+            self.organisation.as_ref().and_then(|organisation| organisation.priority);
+        organisation.unwrap_or(self.route.priority).min(LOWEST_RANK)
     }
 
     fn remaining(&self) -> Duration {
@@ -153,7 +154,7 @@
     }
     let facts = SendFacts {
         worker: &worker.id,
-        tenant: request.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+        organisation: request.organisation.as_ref().map(|organisation| organisation.name.as_str()),
         remaining,
         resume_after,
         priority: request.priority(),
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowbarrow_fleet::{Route, RouteTable, Tenant};
+use hollowbarrow_fleet::{Organisation, Route, RouteTable};
 use hollowbarrow_member::http::plain_answer;
 use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits};
 use hollowbarrow_schema::ServiceName;
@@ -109,22 +109,22 @@
     table: Arc<RouteTable>,
     route: Arc<Route>,
     service: Arc<hollowbarrow_fleet::Service>,
-    tenant: Option<Arc<Tenant>>,
+    organisation: Option<Arc<Organisation>>,
 }
 
 fn route_request(core: &GatewayCore, head: &CallerHead) -> Result<RoutedRequest, Refusal> {
     let table = core.routes().ok_or(Refusal::NoDeployment)?;
     let route = table.find(&head.host, &head.path).ok_or(Refusal::NoRoute)?;
-    let tenant = if table.needs_keys() && !route.public {
+    let organisation = if table.needs_keys() && !route.public {
         let key = head.key.as_deref().ok_or(Refusal::BadKey)?;
-        Some(Arc::clone(table.tenant(key).ok_or(Refusal::BadKey)?))
+        Some(Arc::clone(table.organisation(key).ok_or(Refusal::BadKey)?))
     } else {
         None
     };
     let name = choose_service(route, &head.id);
     let service = table.service(name).ok_or(Refusal::NoRoute)?;
     let (route, service) = (Arc::clone(route), Arc::clone(service));
-    Ok(RoutedRequest { table, route, service, tenant })
+    Ok(RoutedRequest { table, route, service, organisation })
 }
 
 /// The service that a request goes to, by the route's weights and the request's identity.
@@ -165,7 +165,7 @@
         body,
         route: routed.route,
         service: routed.service,
-        tenant: routed.tenant,
+        organisation: routed.organisation,
         received,
         deadline: received + patience,
     }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -30,7 +30,7 @@
     pub answer_tokens: u32,
     /// How long its caller waits.
     pub deadline: Option<Duration>,
-    /// Key of its tenant.
+    /// Key of its organisation.
     pub key: Option<String>,
 }
 
@@ -53,8 +53,8 @@
 pub struct SendFacts<'a> {
     /// The worker that it is meant for.
     pub worker: &'a WorkerId,
-    /// Name of the tenant, if the route needs one.
-    pub tenant: Option<&'a str>,
+    /// Name of the organisation, if the route needs one.
+    pub organisation: Option<&'a str>,
     /// Time that is left for the answer.
     pub remaining: Duration,
     /// Number of the last event that the caller has, where a stream is taken up again.
