Have the soak compare what gateways hold with what was acknowledged

After the disturbances, while changes go on, each gateway has to come to what was acknowledged, within 80 changes.

--- a/tests/platform/changes.rs
+++ b/tests/platform/changes.rs
@@ -55,10 +55,7 @@
 
 /// Whether a gateway routes what a version added.
 async fn knows_route(system: &System, gateway: usize, version: u64) -> bool {
-    let name = "hollowbarrow_gateway_configuration_version ";
-    let metrics = system.metrics(CONTROLLERS + gateway).await;
-    let held = metrics.lines().find_map(|line| line.strip_prefix(name)?.parse().ok());
-    if held.unwrap_or(0) == 0 {
+    if system.version_at(gateway).await == 0 {
         // Without any configuration it refuses with 503 too.
         return false;
     }
--- a/tests/platform/observer.rs
+++ b/tests/platform/observer.rs
@@ -29,6 +29,8 @@
     /// Every configuration that was sent, by version.
     sent: Mutex<BTreeMap<u64, Value>>,
     acknowledged: AtomicU64,
+    /// Changes that were acknowledged.
+    changes: AtomicU64,
     served: AtomicU64,
     ended: AtomicBool,
 }
@@ -48,6 +50,11 @@
         self.acknowledged.load(Ordering::SeqCst)
     }
 
+    /// Number of changes that were acknowledged.
+    pub fn changes(&self) -> u64 {
+        self.changes.load(Ordering::SeqCst)
+    }
+
     /// Has load and changes stop.
     pub fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
@@ -57,7 +64,7 @@
         self.ended.load(Ordering::Relaxed)
     }
 
-    fn report(&self, breach: String) {
+    pub fn report(&self, breach: String) {
         lock(&self.breaches).push(breach);
     }
 
@@ -84,6 +91,7 @@
     /// Notes that a version was acknowledged.
     pub fn note_acknowledged(&self, version: u64) {
         self.acknowledged.fetch_max(version, Ordering::SeqCst);
+        self.changes.fetch_add(1, Ordering::SeqCst);
     }
 
     /// Checks what was read after a version had been acknowledged.
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! Whatever comes, callers get their own whole answers, what may run once runs once, what was told
 //! not to have run has not, no replica serves without each member, no worker is in two, and no
-//! acknowledged configuration is lost or shown older. Afterwards everything serves again.
+//! acknowledged configuration is lost or shown older. Afterwards each gateway comes to what was
+//! acknowledged while changes go on, and everything serves again.
 //!
 //! CI plays a few seeds. `HOLLOWBARROW_SOAK_RUNS=50` draws so many fresh ones, and
 //! `HOLLOWBARROW_SOAK_SEED=N` plays one again; `HOLLOWBARROW_SOAK_GATEWAYS=120` has them played
@@ -35,6 +36,11 @@
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 3;
+/// Changes after the disturbances within which what was acknowledged before is in force; a daemon
+/// that has just been told to go on needs a few to be connected again.
+const MOST_CHANGES: u64 = 80;
+/// Pause between two looks at what a gateway holds.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Delay of a slow link.
 const LINK_DELAY: Duration = Duration::from_millis(250);
 /// Time for which a worker that leaves goes on.
@@ -229,6 +235,25 @@
         }
     }
 
+    /// Checks that each gateway comes to what was acknowledged while changes go on.
+    async fn check_in_force(&self, observer: &Observer) {
+        let (acknowledged, before) = (observer.acknowledged(), observer.changes());
+        for gateway in 0..self.system.gateways.len() {
+            while self.system.version_at(gateway).await < acknowledged {
+                let changes = observer.changes() - before;
+                if changes > MOST_CHANGES {
+                    let held = self.system.version_at(gateway).await;
+                    observer.report(format!(
+                        "gateway {gateway} holds version {held} {changes} changes after \
+                         {acknowledged} was acknowledged"
+                    ));
+                    break;
+                }
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        }
+    }
+
     /// Waits until every gateway serves, and checks the configuration.
     async fn check_recovered(&self, observer: &Observer) {
         self.system.wait_ready().await;
@@ -260,6 +285,7 @@
         tokio::spawn(send_changes(Arc::clone(&observer), controllers.clone(), FIRST_VERSION));
     let reads = tokio::spawn(read_changes(Arc::clone(&observer), controllers));
     soak.disturb(seed).await;
+    soak.check_in_force(&observer).await;
     observer.end();
     for task in [load, changes, reads] {
         task.await.expect("the observer does not fail");
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -264,14 +264,27 @@
 
     /// The page of metrics of a daemon.
     pub async fn metrics(&self, daemon: usize) -> String {
+        self.find_metrics(daemon).await.expect("it is shown")
+    }
+
+    /// The page of metrics of a daemon, unless it has just been started.
+    async fn find_metrics(&self, daemon: usize) -> Option<String> {
         let address = &self.metrics[daemon];
         let request = Request::builder()
             .uri("/metrics")
             .header("host", address)
             .body(Full::new(Bytes::new()))
             .expect("sound");
-        let answer = call_once(address, request, CALL_TIMEOUT).await.expect("it is shown");
-        String::from_utf8_lossy(answer.body()).into_owned()
+        let answer = call_once(address, request, CALL_TIMEOUT).await.ok()?;
+        Some(String::from_utf8_lossy(answer.body()).into_owned())
+    }
+
+    /// Version of the configuration that a gateway holds; 0 means none, or no gateway yet.
+    pub async fn version_at(&self, gateway: usize) -> u64 {
+        let name = "hollowbarrow_gateway_configuration_version ";
+        let metrics = self.find_metrics(CONTROLLERS + gateway).await.unwrap_or_default();
+        let held = metrics.lines().find_map(|line| line.strip_prefix(name)?.parse().ok());
+        held.unwrap_or(0)
     }
 
     /// Log of all daemons, for a failure's message.
