--- a/crates/zone/src/authority.rs
+++ b/crates/zone/src/authority.rs
@@ -16,11 +16,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hollowbarrow_schema::{AuthorityMessage, DaemonId, Term, ZoneId, ZoneTable};
+use hollowbarrow_schema::{AuthorityMessage, DaemonId, Term, ZoneTable};
 use tokio::time::Instant;
 
-/// Terms of different members never coincide: the low bits name the member.
-const MEMBERS_PER_TERM: u64 = 64;
+use crate::config::AuthorityConfig;
+
 /// A holder renews this many times in each lease.
 const RENEWALS_PER_LEASE: u32 = 4;
 
@@ -33,57 +33,6 @@
     fn save(&mut self, table: &ZoneTable) -> bool;
 }
 
-/// Fixed settings of a member.
-#[derive(Clone, Debug)]
-pub struct AuthorityConfig {
-    id: DaemonId,
-    zone: ZoneId,
-    members: Vec<DaemonId>,
-    lease: Duration,
-    drift_permille: u64,
-}
-
-impl AuthorityConfig {
-    /// Creates settings for a daemon and the members of the zone.
-    pub fn new(id: &DaemonId, zone: &ZoneId, members: &[DaemonId]) -> Self {
-        let mut members = members.to_vec();
-        members.sort();
-        Self {
-            id: id.clone(),
-            zone: zone.clone(),
-            members,
-            lease: Duration::from_millis(2000),
-            drift_permille: 50,
-        }
-    }
-
-    /// Sets the length of the holder's lease.
-    pub fn with_lease(mut self, lease: Duration) -> Self {
-        self.lease = lease;
-        self
-    }
-
-    /// Sets by how many thousandths two clocks may differ in speed.
-    pub fn with_drift_permille(mut self, drift: u64) -> Self {
-        self.drift_permille = drift;
-        self
-    }
-
-    /// How long a member keeps a promise to a holder: the lease and the margin for drift.
-    pub fn guarded_lease(&self) -> Duration {
-        self.lease + self.lease * u32::try_from(self.drift_permille).unwrap_or(u32::MAX) / 1000
-    }
-
-    fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
-    }
-
-    fn term_after(&self, term: Term) -> Term {
-        let own = self.members.iter().position(|id| *id == self.id).unwrap_or_default() as u64;
-        Term((*term / MEMBERS_PER_TERM + 1) * MEMBERS_PER_TERM + own)
-    }
-}
-
 #[derive(Debug)]
 struct GrantedLease {
     holder: DaemonId,
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -14,12 +14,14 @@
 //!   allocation's epoch and comes from the same start of the process.
 
 mod authority;
+mod config;
 mod lease;
 mod life;
 mod observers;
 mod stages;
 
-pub use authority::{AuthorityConfig, AuthorityMember, TableStanding, TableStore};
+pub use authority::{AuthorityMember, TableStanding, TableStore};
+pub use config::AuthorityConfig;
 pub use lease::{LeaseTable, NodeSighting, ServingRefusal};
 pub use life::{
     Draining, Failed, Forming, LifeState, Loading, Ready, Released, ReplicaLife, Serving,
