Test that sends to workers that run without a word are bounded; it fails

Cause: a send counts as a run only once the head of its answer has come. One that hangs and is given up is not counted, though its worker may run the request. The test has three replicas run a request without a word before a route that allows two: it ran three times, and the caller got 503, which says that it did not run.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -155,6 +155,34 @@
     assert!(!logs.contains("event=stream_resumed"), "a stream was broken off: {logs}");
 }
 
+/// Served requests after which a gateway may repeat more than two: each earns 0.15 of a repeat.
+const EARNING_REQUESTS: u32 = 20;
+
+/// Six requests ran at three workers each although their route allows two: a send counted only once
+/// the head of its answer had come, and these workers ran what they got without a word.
+#[rstest]
+#[tokio::test]
+async fn attempts_bounded_at_mute_workers() {
+    let deployment = deploy(14).await;
+    let system = &deployment.system;
+    // With a spare there is room for a third replica.
+    let spare = Worker::start(&deployment.fleet, "spare", "models", true);
+    let mut bounded = configuration(4);
+    bounded["routes"][0]["max_attempts"] = 2.into();
+    assert_eq!(system.replace(&bounded).await, 200);
+    system.call_until_served("/chat/1", "warm").await;
+    wait_for_replicas(&deployment, 3).await;
+    // What is served earns the gateway more repeats than the request could use.
+    for number in 0..EARNING_REQUESTS {
+        let id = format!("earning-{number}");
+        system.call(0, "/chat/1", &id, Some(KEY)).await.expect("it is answered");
+    }
+    deployment.engines.iter().chain([&spare]).for_each(|engine| engine.set_mute());
+    let answer = system.call(0, "/chat/1", "bounded", Some(KEY)).await.expect("it is answered");
+    assert_eq!(deployment.fleet.runs("bounded"), 2, "{}", system.logs());
+    assert_eq!(answer.status().as_u16(), 502, "it may have run: {}", system.logs());
+}
+
 /// Waits until so many replicas are open.
 async fn wait_for_replicas(deployment: &Deployment, wanted: usize) {
     for _ in 0..600 {
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -172,6 +172,8 @@
     gone: AtomicBool,
     /// Whether its events come at half the usual rate.
     slow: AtomicBool,
+    /// Whether it runs requests without a word.
+    mute: AtomicBool,
     state: Mutex<WorkerState>,
     fleet: Arc<Fleet>,
     stop: watch::Sender<bool>,
@@ -207,6 +209,7 @@
             leaving: AtomicBool::new(false),
             gone: AtomicBool::new(false),
             slow: AtomicBool::new(false),
+            mute: AtomicBool::new(false),
             state: Mutex::default(),
             fleet: Arc::clone(fleet),
             stop,
@@ -244,6 +247,11 @@
         self.slow.store(true, Ordering::Relaxed);
     }
 
+    /// Has it run requests and never answer them.
+    pub fn set_mute(&self) {
+        self.mute.store(true, Ordering::Relaxed);
+    }
+
     /// Says that it goes, without having said that it leaves, and serves on for a while.
     pub async fn deregister(&self) {
         self.gone.store(true, Ordering::Relaxed);
@@ -481,7 +489,13 @@
                 Response::builder().status(status).body(AnswerBody::whole("{}")).expect("sound")
             }
             "/-/report" => Response::new(AnswerBody::whole("{}")),
-            _ => self.answer_request(&head),
+            _ => {
+                let answer = self.answer_request(&head);
+                if self.mute.load(Ordering::Relaxed) {
+                    tokio::time::sleep(LIMITS.idle).await;
+                }
+                answer
+            }
         }
     }
 }
