Order a worker elsewhere only after it has said within the term where it is

The leader was cut off, and the reports of two workers went to it alone. The next leader had last heard of them before they formed a replica, took them for free, and joined the head of that replica to another one while it was open. They counted as usable since they answered probes, which tell that a worker runs and nothing of where it is. Change: the table of workers notes when a worker last confirmed what is held of it; a beat that is passed on names the number of the last change, so that it confirms only content that is held. Workers that have confirmed nothing within the term are not free. At the first start the term counts from the start of the process.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -234,7 +234,11 @@
     /// Renewed registrations since the last call.
     pub(crate) fn take_beats(&mut self) -> Vec<WorkerBeat> {
         let beats = std::mem::take(&mut self.beats);
-        beats.into_iter().map(|(id, seq)| WorkerBeat { id, seq }).collect()
+        let beat = |(id, seq): (WorkerId, u64)| {
+            let changed = self.table.get(&id)?.changed;
+            Some(WorkerBeat { id, seq, changed })
+        };
+        beats.into_iter().filter_map(beat).collect()
     }
 
     /// Gateways that this controller tells of a configuration as soon as it is committed; notes
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -6,7 +6,8 @@
 
 use hollowbarrow_fleet::replicas::WorkerState;
 use hollowbarrow_fleet::{
-    OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, Service, TermState, WorkerStanding,
+    LeaderTimes, OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, Service, TermState,
+    WorkerStanding,
 };
 use hollowbarrow_log::LogView;
 use hollowbarrow_schema::{
@@ -59,8 +60,7 @@
     term: Term,
     judge: LivenessJudge,
     replicas: BTreeMap<ServiceName, ReplicaController>,
-    settled: Instant,
-    loads_from: Instant,
+    times: LeaderTimes,
     view_number: u64,
     view_due: Instant,
     withheld: Vec<WorkerId>,
@@ -147,8 +147,12 @@
         term: view.term,
         judge: LivenessJudge::new(),
         replicas: BTreeMap::new(),
-        settled: now + settle,
-        loads_from: if first { now } else { now + window },
+        times: LeaderTimes {
+            // At the first start no leader was there before that could have ordered anything.
+            began: if first { core.started } else { now },
+            settled: now + settle,
+            loads_from: if first { now } else { now + window },
+        },
         view_number: 0,
         view_due: now,
         withheld: Vec::new(),
@@ -201,6 +205,7 @@
                 let sum = uses.get(&entry.report.id).copied().unwrap_or_default();
                 WorkerState {
                     report: &entry.report,
+                    confirmed: entry.confirmed,
                     active: sum.active,
                     waiting_ms: sum.waiting_ms,
                     standing: standings[&entry.report.id],
@@ -208,11 +213,11 @@
             })
             .collect();
         let timing = timing_of(core);
-        let (term, settled, loads_from) = (held.term, held.settled, held.loads_from);
+        let (term, times) = (held.term, held.times);
         let controller = held
             .replicas
             .entry(service.name.clone())
-            .or_insert_with(|| ReplicaController::new(timing, term, settled, loads_from));
+            .or_insert_with(|| ReplicaController::new(timing, term, times));
         for ticket in controller.step(engine, &workers, warming_up, now) {
             spawn_order(core, &service.name, ticket, held.term);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,7 +32,8 @@
     PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
 };
 pub use replicas::{
-    OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, WorkerOrder, WorkerStanding,
+    LeaderTimes, OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, WorkerOrder,
+    WorkerStanding,
 };
 pub use routes::RouteTable;
 pub use term::TermState;
--- a/crates/fleet/src/replicas/adopt.rs
+++ b/crates/fleet/src/replicas/adopt.rs
@@ -68,7 +68,7 @@
         let whole = model.is_some_and(|model| reported.is_whole(model.size));
         // Without its head a replica needs nothing: its members leave it when they are needed.
         let headed = reported.members.contains_key(&0);
-        if !whole && (view.now < self.settled || !headed) {
+        if !whole && (view.now < self.times.settled || !headed) {
             return;
         }
         let members: Vec<WorkerId> =
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -259,7 +259,7 @@
             let at_once = engine.loads_at_once * WARM_UP_AT_ONCE;
             self.loads.take(f64::INFINITY, at_once, load / WARM_UP_FACTOR, view.now)
         } else {
-            view.now >= self.loads_from
+            view.now >= self.times.loads_from
                 && self.loads.take(engine.loads_per_second, engine.loads_at_once, load, view.now)
         }
     }
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -11,6 +11,7 @@
 //!   under the replica's name and epoch.
 //! - A worker is ordered into another replica only after it has left its former
 //!   one itself, or after that one's head has.
+//! - A worker is ordered elsewhere only after it has said within the term where it is.
 //! - A worker has at most one order under way.
 
 mod adopt;
@@ -63,6 +64,8 @@
 pub struct WorkerState<'a> {
     /// Its newest report.
     pub report: &'a WorkerReport,
+    /// When the worker last said what stands in that report.
+    pub confirmed: Instant,
     /// Requests that gateways have under way there.
     pub active: u32,
     /// Estimated time to read their prompts that were not read yet, in milliseconds.
@@ -84,6 +87,17 @@
     pub load_window: Duration,
 }
 
+/// Moments in the term of a leader.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderTimes {
+    /// When it began: what workers said before may be out of date by orders of the leader before.
+    pub began: Instant,
+    /// From when on the leader believes that it has heard of every worker.
+    pub settled: Instant,
+    /// From when on loads may be ordered.
+    pub loads_from: Instant,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReplicaPhase {
     /// Members are joining.
@@ -148,7 +162,7 @@
     timing: ReplicaTiming,
     term: Term,
     counter: u64,
-    settled: Instant,
+    times: LeaderTimes,
     replicas: BTreeMap<Epoch, Replica>,
     standbys: BTreeMap<WorkerId, ReplicaName>,
     /// Models that workers are copying to their hosts, and since when.
@@ -161,7 +175,6 @@
     /// Joins that got no answer, and until when each may still be carried out.
     uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
-    loads_from: Instant,
     uses: ModelUses,
     /// Most workers that were known at once.
     most_workers: usize,
@@ -174,15 +187,15 @@
 impl ReplicaController {
     /// Creates a controller for a term that this daemon leads.
     ///
-    /// Until `settled` it only takes over replicas that are whole; from then on it believes that
-    /// it has heard of every worker. Loads from the store wait until `loads_from`, since the
-    /// leader before may have used the allowed rate up.
-    pub fn new(timing: ReplicaTiming, term: Term, settled: Instant, loads_from: Instant) -> Self {
+    /// Until it has settled it only takes over replicas that are whole. A worker is ordered
+    /// elsewhere only once it has said since the term began where it is. Loads from the store wait
+    /// for a time of their own, since the leader before may have used the allowed rate up.
+    pub fn new(timing: ReplicaTiming, term: Term, times: LeaderTimes) -> Self {
         Self {
             timing,
             term,
             counter: 0,
-            settled,
+            times,
             replicas: BTreeMap::new(),
             standbys: BTreeMap::new(),
             staging: BTreeMap::new(),
@@ -191,10 +204,9 @@
             orders: orders::OrderBook::new(timing.repeat),
             uncertain: BTreeMap::new(),
             loads: LoadLimiter::new(timing.load_window),
-            loads_from,
-            uses: ModelUses::new(settled),
+            uses: ModelUses::new(times.settled),
             most_workers: 0,
-            last_arrival: settled,
+            last_arrival: times.settled,
             free_logged: String::new(),
             free_logged_at: None,
         }
@@ -215,7 +227,7 @@
         self.adopt_reported(&view);
         self.advance_replicas(&view);
         let arriving = self.is_arriving(&view);
-        if now >= self.settled {
+        if now >= self.times.settled {
             self.disband_scattered(&view);
             if !(warming_up && arriving) {
                 self.place_free(&view, warming_up);
@@ -225,7 +237,7 @@
         let mut tickets = Vec::new();
         self.order_replicas(&view, warming_up, &mut tickets);
         self.order_standbys(&view, warming_up, &mut tickets);
-        if now >= self.settled && !(warming_up && arriving) {
+        if now >= self.times.settled && !(warming_up && arriving) {
             self.order_staging(&view, warming_up, &mut tickets);
         }
         tickets
@@ -240,7 +252,7 @@
             self.most_workers = view.workers.len();
             self.last_arrival = view.now;
         }
-        view.now < (self.last_arrival + ARRIVAL_PAUSE).min(self.settled + LONGEST_ARRIVAL)
+        view.now < (self.last_arrival + ARRIVAL_PAUSE).min(self.times.settled + LONGEST_ARRIVAL)
     }
 
     /// Takes the outcome of an order in.
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -57,11 +57,15 @@
     }
 
     /// Usable workers that are in no replica that serves or will.
+    ///
+    /// Those are left out that have not said since the term began where they are: the leader before
+    /// may have made one the head of a replica, which serves on.
     pub(super) fn free_workers<'a>(&self, view: &StepView<'a>) -> Vec<&'a WorkerReport> {
         let members: BTreeSet<&WorkerId> =
             self.replicas.values().flat_map(|replica| &replica.members).collect();
         let usable = view.workers.values().filter(|s| s.standing == WorkerStanding::Usable);
-        usable.map(|state| state.report).filter(|report| !members.contains(&report.id)).collect()
+        let known = usable.filter(|state| state.confirmed >= self.times.began);
+        known.map(|state| state.report).filter(|report| !members.contains(&report.id)).collect()
     }
 
     pub(super) fn count_near(&self, free: &[&WorkerReport]) -> NearCounts {
--- a/crates/fleet/src/workers.rs
+++ b/crates/fleet/src/workers.rs
@@ -40,6 +40,10 @@
     pub first: Instant,
     /// When it was last heard of.
     pub heard: Instant,
+    /// Number under which its content last changed, as far as is known here.
+    pub changed: u64,
+    /// When it was last heard that the worker still says what is held.
+    pub confirmed: Instant,
 }
 
 /// The newest report of each worker.
@@ -67,6 +71,10 @@
         if report.seq <= entry.report.seq {
             return MergeOutcome::Stale;
         }
+        if report.seq >= entry.seq {
+            // What is older than the newest number heard of may have changed again since.
+            entry.confirmed = now;
+        }
         if report.seq > entry.seq {
             entry.seq = report.seq;
             entry.heard = now;
@@ -77,6 +85,7 @@
         }
         self.digest ^= mark_of(&entry.report) ^ mark_of(&report);
         self.revision += 1;
+        entry.changed = report.seq;
         entry.report = report;
         MergeOutcome::Changed
     }
@@ -84,7 +93,8 @@
     fn insert(&mut self, report: WorkerReport, now: Instant) {
         self.digest ^= mark_of(&report);
         self.revision += 1;
-        let entry = WorkerEntry { seq: report.seq, first: now, heard: now, report };
+        let (seq, changed) = (report.seq, report.seq);
+        let entry = WorkerEntry { seq, changed, first: now, heard: now, confirmed: now, report };
         self.entries.insert(entry.report.id.clone(), entry);
     }
 
@@ -94,6 +104,10 @@
         if beat.seq > entry.seq {
             entry.seq = beat.seq;
             entry.heard = now;
+            // One that tells of a later change than what is held confirms nothing of that.
+            if beat.changed <= entry.report.seq {
+                entry.confirmed = now;
+            }
         }
         true
     }
--- a/crates/fleet/tests/exhaustive.rs
+++ b/crates/fleet/tests/exhaustive.rs
@@ -11,7 +11,7 @@
 
 use hollowbarrow_fleet::ReplicaController;
 use rstest::rstest;
-use standins::{OrderFault, StandinWorker, Standins, TICK, new_leader};
+use standins::{OrderFault, Standins, TICK, new_leader};
 
 const WORKERS: usize = 3;
 const SIZE: usize = 2;
@@ -59,7 +59,7 @@
 impl World {
     fn new() -> Self {
         let mut standins = Standins::new(7, WORKERS, SIZE);
-        standins.workers.iter_mut().for_each(StandinWorker::report);
+        standins.report_all();
         let leader = new_leader(1, standins.now, LATEST);
         Self { standins, leader, former: None, term: 1 }
     }
--- a/crates/fleet/tests/planning.rs
+++ b/crates/fleet/tests/planning.rs
@@ -5,7 +5,8 @@
 
 use hollowbarrow_fleet::replicas::{ReplicaKind, WorkerState};
 use hollowbarrow_fleet::{
-    Engine, ModelSpec, OrderOutcome, ReplicaController, ReplicaTiming, WorkerOrder, WorkerStanding,
+    Engine, LeaderTimes, ModelSpec, OrderOutcome, ReplicaController, ReplicaTiming, WorkerOrder,
+    WorkerStanding,
 };
 use hollowbarrow_schema::{
     DomainId, Epoch, MembershipState, ModelName, ServiceName, Term, WorkerId, WorkerMembership,
@@ -67,7 +68,8 @@
 }
 
 fn usable(report: &WorkerReport, active: u32, waiting_ms: u32) -> WorkerState<'_> {
-    WorkerState { report, active, waiting_ms, standing: WorkerStanding::Usable }
+    let confirmed = Instant::now();
+    WorkerState { report, confirmed, active, waiting_ms, standing: WorkerStanding::Usable }
 }
 
 fn new_controller(start: Instant) -> ReplicaController {
@@ -78,7 +80,8 @@
         load_window: Duration::from_secs(5),
     };
     let settled = start + Duration::from_millis(500);
-    ReplicaController::new(timing, Term(1), settled, start)
+    let times = LeaderTimes { began: start, settled, loads_from: start };
+    ReplicaController::new(timing, Term(1), times)
 }
 
 /// Replicas that were begun while workers registered at this pace, by model.
@@ -183,6 +186,7 @@
     #[case] small_waiting_ms: u32,
     #[case] expected: &str,
 ) {
+    let start = Instant::now();
     let mut engine = engine();
     engine.models = vec![model("large", 4), model("small", 2)];
     engine.models[1].pace = 0.6;
@@ -202,7 +206,6 @@
             None => usable(report, 0, 0),
         })
         .collect();
-    let start = Instant::now();
     let mut controller = new_controller(start);
     let mut planned = BTreeSet::new();
     for step in 0..STEPS {
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -14,7 +14,7 @@
 use proptest::prelude::*;
 use rand::RngExt;
 use rstest::rstest;
-use standins::{StandinWorker, Standins, new_leader};
+use standins::{Standins, new_leader};
 
 const WORKERS: usize = 9;
 const SIZE: usize = 3;
@@ -24,7 +24,7 @@
 #[rstest]
 fn step_forms_and_repairs() {
     let mut standins = Standins::new(1, WORKERS, SIZE);
-    standins.workers.iter_mut().for_each(StandinWorker::report);
+    standins.report_all();
     let mut controller = new_leader(1, standins.now, LATEST);
     for _ in 0..120 {
         standins.advance();
@@ -48,7 +48,7 @@
 #[rstest]
 fn step_new_leader_keeps_replicas() {
     let mut standins = Standins::new(2, WORKERS, SIZE);
-    standins.workers.iter_mut().for_each(StandinWorker::report);
+    standins.report_all();
     let mut controller = new_leader(1, standins.now, LATEST);
     for _ in 0..120 {
         standins.advance();
@@ -63,13 +63,45 @@
     }
 }
 
+/// A new leader joined the head of an open replica to another one, since the last that it had heard
+/// of that worker was from before the replica was formed: the worker's reports went to the leader
+/// before, which was cut off.
+#[rstest]
+fn step_new_leader_without_news() {
+    let mut standins = Standins::new(3, WORKERS, SIZE);
+    standins.report_all();
+    let before: Vec<_> = standins.workers.iter().map(|worker| worker.heard.clone()).collect();
+    let mut controller = new_leader(1, standins.now, LATEST);
+    for _ in 0..120 {
+        standins.advance();
+        standins.step(&mut controller, 0.0);
+    }
+    for (worker, heard) in standins.workers.iter_mut().zip(before) {
+        worker.heard = heard;
+        worker.unheard = true;
+    }
+    let mut next = new_leader(2, standins.now, LATEST);
+    for _ in 0..30 {
+        standins.advance();
+        standins.step(&mut next, 0.0);
+    }
+    assert_eq!(standins.broken, Vec::<String>::new());
+    standins.workers.iter_mut().for_each(|worker| worker.unheard = false);
+    for _ in 0..60 {
+        standins.advance();
+        standins.step(&mut next, 0.0);
+    }
+    assert_eq!(standins.broken, Vec::<String>::new());
+    assert_eq!(standins.serving(), 2, "no replica was taken apart");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
     #[test]
     fn step_under_faults_keeps_order(seed in any::<u64>(), faults in 0.0f64..0.3) {
         let mut standins = Standins::new(seed, WORKERS, SIZE);
-        standins.workers.iter_mut().for_each(StandinWorker::report);
+        standins.report_all();
         let mut term = 1;
         let mut terms = TermState::new();
         for _ in 0..400 {
--- a/crates/fleet/tests/standins/mod.rs
+++ b/crates/fleet/tests/standins/mod.rs
@@ -5,8 +5,8 @@
 
 use hollowbarrow_fleet::replicas::{ReplicaName, WorkerState};
 use hollowbarrow_fleet::{
-    Engine, ModelSpec, OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, WorkerOrder,
-    WorkerStanding,
+    Engine, LeaderTimes, ModelSpec, OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming,
+    WorkerOrder, WorkerStanding,
 };
 use hollowbarrow_schema::{
     DomainId, MembershipState, ModelName, ServiceName, Term, WorkerId, WorkerMembership,
@@ -70,8 +70,10 @@
     pub membership: Option<Membership>,
     highest: u64,
     seq: u64,
-    /// What the controller last heard.
-    heard: Option<WorkerReport>,
+    /// What the controller last heard, and when.
+    pub heard: Option<(WorkerReport, Instant)>,
+    /// Whether its reports go to a controller that does not pass them on.
+    pub unheard: bool,
     late: Vec<(Instant, WorkerOrder)>,
     /// Until when nobody reaches it or hears of it, although it runs.
     pub cut_until: Option<Instant>,
@@ -88,6 +90,7 @@
             highest: 0,
             seq: 0,
             heard: None,
+            unheard: false,
             late: Vec::new(),
             cut_until: None,
         }
@@ -98,15 +101,18 @@
     }
 
     /// Has the controller hear of it.
-    pub fn report(&mut self) {
+    pub fn report(&mut self, now: Instant) {
         self.seq += 1;
+        if self.unheard {
+            return;
+        }
         let membership = self.membership.as_ref().map(|held| WorkerMembership {
             replica: held.name.to_text(),
             epoch: held.name.epoch,
             rank: held.members.iter().position(|member| *member == self.id).unwrap_or(0) as u32,
             state: held.state,
         });
-        self.heard = Some(WorkerReport {
+        let report = WorkerReport {
             id: self.id.clone(),
             seq: self.seq,
             service: ServiceName("chat".to_owned()),
@@ -119,7 +125,8 @@
             model: self.model.clone(),
             staged: if self.staged { vec![ModelName::from("m")] } else { Vec::new() },
             membership,
-        });
+        };
+        self.heard = Some((report, now));
     }
 
     /// Whether it is a head that takes requests.
@@ -302,36 +309,44 @@
             }
             let heard = !self.workers[index].is_cut(now);
             if heard && (changed || self.rng.random_bool(0.1)) {
-                self.workers[index].report();
+                self.workers[index].report(now);
             }
         }
     }
 
+    /// Has the controller hear of every worker.
+    pub fn report_all(&mut self) {
+        let now = self.now;
+        self.workers.iter_mut().for_each(|worker| worker.report(now));
+    }
+
     /// Ends a worker, and starts another in its place.
     pub fn replace(&mut self, index: usize) {
         self.workers[index].alive = false;
         self.workers[index].membership = None;
         let mut next = StandinWorker::new(format!("w{}", self.lives));
         next.staged = self.workers[index].staged;
-        next.report();
+        next.report(self.now);
         self.lives += 1;
         self.workers.push(next);
     }
 
     /// Has a leader act on what it heard; a part of its orders goes astray.
     pub fn step(&mut self, controller: &mut ReplicaController, faults: f64) {
-        let reports: Vec<(WorkerReport, bool)> = self
+        let reports: Vec<(WorkerReport, Instant, bool)> = self
             .workers
             .iter()
             .filter_map(|worker| {
                 let reached = worker.alive && !worker.is_cut(self.now);
-                Some((worker.heard.clone()?, reached))
+                let (report, at) = worker.heard.clone()?;
+                Some((report, at, reached))
             })
             .collect();
         let states: Vec<WorkerState<'_>> = reports
             .iter()
-            .map(|(report, alive)| WorkerState {
+            .map(|(report, confirmed, alive)| WorkerState {
                 report,
+                confirmed: *confirmed,
                 active: 0,
                 waiting_ms: 0,
                 standing: if *alive { WorkerStanding::Usable } else { WorkerStanding::Lost },
@@ -364,7 +379,7 @@
             }
             None => {
                 let outcome = self.carry_out(index, &ticket.order);
-                self.workers[index].report();
+                self.workers[index].report(self.now);
                 outcome
             }
         }
@@ -404,5 +419,7 @@
 /// A leader that believes after half a second that it has heard of every worker, and that orders
 /// come late by no more than `late`.
 pub fn new_leader(term: u64, now: Instant, late: Duration) -> ReplicaController {
-    ReplicaController::new(timing(late), Term(term), now + Duration::from_millis(500), now)
+    let times =
+        LeaderTimes { began: now, settled: now + Duration::from_millis(500), loads_from: now };
+    ReplicaController::new(timing(late), Term(term), times)
 }
--- a/crates/fleet/tests/workers.rs
+++ b/crates/fleet/tests/workers.rs
@@ -55,12 +55,12 @@
     let later = start + Duration::from_secs(1);
     let mut table = WorkerTable::new();
     table.merge(report(1, 5, false), start);
-    let beat = |seq| WorkerBeat { id: WorkerId::from("w1"), seq };
+    let beat = |seq| WorkerBeat { id: WorkerId::from("w1"), seq, changed: 1 };
     assert!(table.renew(&beat(4), later));
     assert_eq!(table.get(&WorkerId::from("w1")).expect("there").heard, start);
     assert!(table.renew(&beat(6), later));
     assert_eq!(table.get(&WorkerId::from("w1")).expect("there").heard, later);
-    assert!(!table.renew(&WorkerBeat { id: WorkerId::from("w9"), seq: 1 }, later));
+    assert!(!table.renew(&WorkerBeat { id: WorkerId::from("w9"), seq: 1, changed: 1 }, later));
 }
 
 /// A daemon that heard only of later numbers still takes the content that it missed.
@@ -69,11 +69,26 @@
     let now = Instant::now();
     let mut table = WorkerTable::new();
     table.merge(report(1, 5, false), now);
-    assert!(table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9 }, now));
+    assert!(table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9, changed: 7 }, now));
     assert_eq!(table.merge(report(1, 7, true), now), MergeOutcome::Changed);
     assert!(table.get(&WorkerId::from("w1")).expect("there").report.leaving);
 }
 
+/// A beat confirms what is held only where the worker has said nothing new since.
+#[rstest]
+#[case::nothing_new(5, true)]
+#[case::missed_change(8, false)]
+fn renew_confirms_content(#[case] changed: u64, #[case] confirmed: bool) {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(1);
+    let mut table = WorkerTable::new();
+    table.merge(report(1, 5, false), start);
+    table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9, changed }, later);
+    let entry = table.get(&WorkerId::from("w1")).expect("there");
+    assert_eq!(entry.heard, later);
+    assert_eq!(entry.confirmed, if confirmed { later } else { start });
+}
+
 /// What a worker confirmed under a later number is not undone by an older report.
 #[rstest]
 fn merge_older_content_after_confirmation() {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -3156,6 +3156,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct WorkerBeat {
+    ///Number under which the worker last said something new, as far as the sender knows.
+    pub changed: u64,
     pub id: WorkerId,
     pub seq: u64,
 }
