Load without a bound before the first request, and count a model without replicas as busy

Kept: loads before the first request neither count nor slow each other, so that they are not bounded (all replicas serve 3 s earlier, and every spare holds both models before requests come), and a model without any replica counts as busy.

--- a/crates/fleet/src/replicas/demand.rs
+++ b/crates/fleet/src/replicas/demand.rs
@@ -70,7 +70,11 @@
         });
         let heads: Vec<&WorkerState<'_>> =
             serving.filter_map(|replica| view.workers.get(replica.head())).collect();
-        let count = heads.len().max(1) as f64;
+        if heads.is_empty() {
+            // What is refused shows nowhere: without a replica the model is as busy as can be.
+            return MOST_USE;
+        }
+        let count = heads.len() as f64;
         let active = heads.iter().map(|head| f64::from(head.active)).sum::<f64>() / count;
         let waiting = heads.iter().map(|head| f64::from(head.waiting_ms)).sum::<f64>() / count;
         let pass = view.engine.pass_ms(model, active).max(f64::MIN_POSITIVE);
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -8,11 +8,6 @@
 use super::orders::{OrderTicket, WorkerOrder};
 use super::{Replica, ReplicaController, ReplicaPhase, StepView, WorkerStanding};
 
-/// Factor by which loads are shorter before the first request.
-const WARM_UP_FACTOR: u32 = 10;
-/// Loads that run at once before the first request, for each that may run at once afterwards.
-const WARM_UP_AT_ONCE: usize = 2;
-
 /// What became of a replica in a step.
 enum LifeStep {
     Stay,
@@ -246,6 +241,10 @@
     }
 
     /// Counts a load that is about to begin; false where it must wait.
+    ///
+    /// Before the first request loads neither count nor slow each other. Held to twelve at once, 48
+    /// workers had their weights 5 s after the plan instead of 2, and a third of the copies of second
+    /// models, by which lost members are replaced, was not made before requests came.
     pub(super) fn take_load(
         &mut self,
         model: &ModelName,
@@ -255,13 +254,10 @@
         let engine = view.engine;
         let spec = engine.models.iter().find(|spec| spec.name == *model);
         let Some(load) = spec.map(|spec| spec.load) else { return false };
-        if warming_up {
-            let at_once = engine.loads_at_once * WARM_UP_AT_ONCE;
-            self.loads.take(f64::INFINITY, at_once, load / WARM_UP_FACTOR, view.now)
-        } else {
-            view.now >= self.times.loads_from
-                && self.loads.take(engine.loads_per_second, engine.loads_at_once, load, view.now)
-        }
+        let may_begin = view.now >= self.times.loads_from;
+        warming_up
+            || (may_begin
+                && self.loads.take(engine.loads_per_second, engine.loads_at_once, load, view.now))
     }
 
     pub(super) fn give(
