Have refused callers come back spread over a fifth of the time left to them

Change: comeback_pause, a fifth of the time left and two fifths of that more or less; refusals that a worker or a configuration on its way explains keep theirs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    fn remaining(&self) -> Duration {
+    pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 
--- /dev/null
+++ b/crates/gateway/src/comeback.rs
@@ -0,0 +1,22 @@
+//! Decides when a caller that is refused should come back.
+//!
+//! Load pattern: more requests than places for seconds, after workers were lost or after all
+//! processes of the system ended. Most callers come back once. Those told to come back within a
+//! few hundred milliseconds found the same want of places, and nearly all at the same moment.
+//!
+//! An answer that is late is worth the same whenever it comes within its deadline, so what counts
+//! is that the second try is served: it is spread over a good part of the time that is left. What
+//! may be in time still is waited for at the gateway itself, and not refused.
+
+use std::time::Duration;
+
+/// Part of the time that is left after which a caller comes back, in the mean: callers heed up to a
+/// third of it, and the work itself needs the most of the rest.
+const MEAN_PART: f64 = 0.2;
+/// Largest difference from that mean, as a part of it, so that callers do not come back together.
+const SPREAD: f64 = 0.4;
+
+/// Pause before a caller's next try, with so much time left to it; `draw` is from 0 to 1.
+pub fn comeback_pause(left: Duration, draw: f64) -> Duration {
+    left.mul_f64(MEAN_PART * (1.0 + SPREAD * (2.0 * draw.clamp(0.0, 1.0) - 1.0)))
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -20,7 +20,7 @@
 use crate::attempt::CallerRequest;
 use crate::core::{GatewayCore, InFlight};
 use crate::protocol::CallerHead;
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, USUAL_LEFT};
 use crate::stream::run_stream;
 use crate::whole::run_whole;
 
@@ -75,7 +75,7 @@
                     refusal.status().as_u16(),
                     refusal.name()
                 );
-                refusal.to_answer()
+                refusal.to_answer(USUAL_LEFT)
             }
         };
         if core.stopping.load(Ordering::Relaxed) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod attempt;
 pub mod budget;
 mod candidates;
+pub mod comeback;
 mod core;
 mod estimate;
 pub mod events;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,12 +8,12 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
 
+use crate::comeback::comeback_pause;
 use crate::picker::NoWorker;
 
-/// When to come back where all workers are full.
-const FULL_PAUSE: Duration = Duration::from_millis(300);
-/// When to come back where no worker is known, or the configuration is not there yet.
-const UNKNOWN_PAUSE: Duration = Duration::from_millis(500);
+/// Time that a caller is taken to have where the request says nothing of it: the deadlines of
+/// streams met so far are 5 to 8 s.
+pub(crate) const USUAL_LEFT: Duration = Duration::from_secs(5);
 /// When to come back where a worker turned the request away.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(150);
 /// When to come back where a configuration is on its way: four times what a delivery by the home
@@ -95,20 +95,19 @@
         }
     }
 
-    fn retry_after(self) -> Option<Duration> {
+    fn retry_after(self, left: Duration) -> Option<Duration> {
         match self {
-            Self::NoDeployment | Self::NoWorker(NoWorker::Unknown) => Some(UNKNOWN_PAUSE),
-            Self::NoWorker(NoWorker::Full) => Some(FULL_PAUSE),
+            Self::NoDeployment | Self::NoWorker(_) => Some(comeback_pause(left, rand::random())),
             Self::NotRun => Some(TURNED_AWAY_PAUSE),
             Self::Behind => Some(BEHIND_PAUSE),
             _ => None,
         }
     }
 
-    /// The refusal as an answer.
-    pub(crate) fn to_answer(self) -> HttpAnswer {
+    /// The refusal as an answer to a caller that has so much time left.
+    pub(crate) fn to_answer(self, left: Duration) -> HttpAnswer {
         let mut builder = Response::builder().status(self.status());
-        if let Some(pause) = self.retry_after() {
+        if let Some(pause) = self.retry_after(left) {
             builder = builder.header(RETRY_AFTER, format!("{:.3}", pause.as_secs_f64()));
         }
         builder.body(AnswerBody::whole(self.name())).expect("the headers are valid")
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -92,7 +92,7 @@
 impl StreamRun {
     fn refuse(&self, refusal: Refusal) -> HttpAnswer {
         self.request.note_failed(&self.core, refusal, &self.tries);
-        refusal.to_answer()
+        refusal.to_answer(self.request.remaining())
     }
 
     /// Makes one attempt up to its first event.
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -75,7 +75,7 @@
         }
         let refusal = tries.to_refusal(refusal);
         request.note_failed(&core, refusal, &tries);
-        return refusal.to_answer();
+        return refusal.to_answer(request.remaining());
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/comeback.rs
@@ -0,0 +1,31 @@
+//! When refused callers come back.
+
+use std::time::Duration;
+
+use hollowbarrow_gateway::comeback::comeback_pause;
+use rstest::rstest;
+
+/// Callers heed a pause of up to a third of the time that is left to them.
+#[rstest]
+#[case::plain_call(1000)]
+#[case::stream(6000)]
+#[case::long_stream(8000)]
+fn pause_within_third(#[case] left_ms: u64) {
+    let left = Duration::from_millis(left_ms);
+    for draw in [0.0, 0.25, 0.5, 0.75, 1.0] {
+        assert!(comeback_pause(left, draw) < left / 3);
+    }
+}
+
+/// Replays many callers that are refused at one moment: no tenth of the time in which they come
+/// back gets more than its share.
+#[rstest]
+fn pause_spreads_callers() {
+    let left = Duration::from_secs(6);
+    let pauses: Vec<Duration> = (0..1000).map(|n| comeback_pause(left, n as f64 / 999.0)).collect();
+    let (first, last) = (pauses[0], pauses[999]);
+    assert!(last - first >= left / 8);
+    let tenth = (last - first) / 10;
+    let within = pauses.iter().filter(|pause| **pause < first + tenth).count();
+    assert!(within <= 101);
+}
