Have a gateway without a configuration ask at each report

Hypothesis: after all processes ended, gateways hold the configuration up to 0.4 s after a leader has confirmed it, since without a home they report every 300 ms only.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -48,6 +48,8 @@
         core.client.drop_expired();
         let others = links.controllers().into_iter().filter(|id| home.as_ref() != Some(id));
         let others: Vec<DaemonId> = others.collect();
+        // Without a configuration nothing can be served, and each moment counts.
+        let seeking = if version == 0 { 1 } else { SEEKING_INTERVALS };
         if let Some(home) = &home {
             links.send(home, FleetMessage::Gateway(hello.clone()));
             let lacking = core.configuration_lag(now) > HOME_PATIENCE;
@@ -56,7 +58,7 @@
                 let brief = GatewayHello { loads: Vec::new(), ..hello };
                 links.send_to_all(&others, FleetMessage::Gateway(brief));
             }
-        } else if number.is_multiple_of(SEEKING_INTERVALS) {
+        } else if number.is_multiple_of(seeking) {
             links.send_to_all(&others, FleetMessage::Gateway(hello));
         }
     }
