Give a call that may be repeated a second worker after a third of its time

Change: whole_patience, a third of the time left and one and a half objectives at least, by the same watch as streams. call_served_beside_mute_worker fails without it (504 for 200).

--- a/crates/gateway/src/patience.rs
+++ b/crates/gateway/src/patience.rs
@@ -17,6 +17,9 @@
 /// Time for the first event beyond its estimate, as a multiple of the estimate.
 const FIRST_FACTOR: f64 = 3.0;
 
+/// Objectives that a call may take before its worker counts as hanging.
+const WHOLE_FACTOR: f64 = 1.5;
+
 /// Silence after which a worker is given up that has sent nothing of an answer yet, whose first
 /// event was expected after so many milliseconds.
 pub(crate) fn first_patience(first_ms: f64) -> Duration {
@@ -29,6 +32,15 @@
     milliseconds(pass_ms * SILENT_PASSES).max(SHORTEST_SILENCE)
 }
 
+/// Silence after which a worker is given up that runs a call whose answer comes whole, with so much
+/// time left for it and this objective.
+///
+/// A worker that hangs answers nothing until the deadline; a second one has the time for an answer
+/// where the first leaves it two thirds. Calls that take longer than usual are not moved.
+pub(crate) fn whole_patience(left: Duration, objective: Duration) -> Duration {
+    (left / 3).max(objective.mul_f64(WHOLE_FACTOR))
+}
+
 fn milliseconds(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1000.0)
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -25,10 +25,15 @@
 use crate::attempt::{CallerRequest, Tries, choose_worker, connect_to_worker, send_to_worker};
 use crate::core::{Flight, GatewayCore, InFlight};
 use crate::events::{EventPiece, EventSplitter};
+use crate::patience::{first_patience, pause_patience};
+use crate::picker::PickedWorker;
 use crate::refusal::Refusal;
 use crate::watch::{SilenceWatch, WatchEnd};
 use crate::whole::{passed_headers, read_whole};
 
+/// Silence that is borne where the same worker goes on with other streams, as a multiple.
+const BUSY_FACTOR: u32 = 3;
+
 /// A worker's stream that is being read.
 struct OpenStream {
     body: Incoming,
@@ -143,26 +148,28 @@
         let (core, request) = (&self.core, &self.request);
         let resumes = resume_after.is_some();
         let lease = connect_to_worker(core, request, flight, &mut self.tries, resumes).await?;
-        let watch = self.watch();
+        let watch = self.watch(&flight.worker);
         let sending = send_to_worker(core, request, flight, lease, resume_after);
-        let sent = match watch.wait(flight, sending).await {
-            Ok(sent) => sent,
-            Err(WatchEnd::Deadline) => Err(AttemptUpstreamError::DeadlinePassed { sent: true }),
-            Err(WatchEnd::Silent) => {
-                self.tries.note_paid();
-                Err(AttemptUpstreamError::NoAnswer)
-            }
-        };
+        let waited = watch.wait(flight, sending).await;
+        if waited.as_ref().is_err_and(|end| *end == WatchEnd::Silent) {
+            self.tries.note_paid();
+        }
+        let sent = waited.unwrap_or_else(|end| Err(end.into()));
         self.tries.note_sent(&sent);
         sent
     }
 
-    fn watch(&self) -> SilenceWatch<'_> {
+    fn watch(&self, worker: &PickedWorker) -> SilenceWatch<'_> {
+        let patience = match self.last_id {
+            Some(_) => pause_patience(worker.pass_ms),
+            None => first_patience(worker.first_ms),
+        };
         SilenceWatch {
             core: &self.core,
             request: &self.request,
             tries: &self.tries,
-            started: self.last_id.is_some(),
+            patience,
+            busy_factor: BUSY_FACTOR,
         }
     }
 
@@ -302,19 +309,22 @@
         let after = self.last_id;
         let Some(mut open) = self.open.take() else { return ReadStep::End };
         let step = loop {
-            let frame = match self.watch().wait(&open.flight, open.body.frame()).await {
-                Err(WatchEnd::Deadline) => {
-                    break ReadStep::Broken(AttemptUpstreamError::DeadlinePassed { sent: true });
-                }
-                Err(WatchEnd::Silent) => {
-                    self.tries.note_paid();
-                    break ReadStep::Broken(broken("it stands still"));
-                }
-                Ok(None) if open.splitter.rest().is_empty() => break ReadStep::End,
-                Ok(None) => break ReadStep::Broken(broken("it ended within an event")),
-                Ok(Some(Err(_))) => break ReadStep::Broken(broken("its connection broke")),
-                Ok(Some(Ok(frame))) => frame,
-            };
+            let frame =
+                match self.watch(&open.flight.worker).wait(&open.flight, open.body.frame()).await {
+                    Err(WatchEnd::Deadline) => {
+                        break ReadStep::Broken(AttemptUpstreamError::DeadlinePassed {
+                            sent: true,
+                        });
+                    }
+                    Err(WatchEnd::Silent) => {
+                        self.tries.note_paid();
+                        break ReadStep::Broken(broken("it stands still"));
+                    }
+                    Ok(None) if open.splitter.rest().is_empty() => break ReadStep::End,
+                    Ok(None) => break ReadStep::Broken(broken("it ended within an event")),
+                    Ok(Some(Err(_))) => break ReadStep::Broken(broken("its connection broke")),
+                    Ok(Some(Ok(frame))) => frame,
+                };
             let Some(bytes) = frame.data_ref() else { continue };
             open.flight.note_progress();
             match open.splitter.push(bytes, after) {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -3,22 +3,23 @@
 //! A worker is given up only where another attempt may follow and the budget of repeats allows it:
 //! its answer may still come, and a request that cannot be tried again would only be lost.
 
+use std::time::Duration;
+
+use hollowbarrow_routing::retry::AttemptUpstreamError;
 use tokio::time::Instant;
 
 use crate::attempt::{CallerRequest, Tries};
 use crate::core::{Flight, GatewayCore};
-use crate::patience::{first_patience, pause_patience};
-
-/// Silence that is borne where the same worker goes on with other streams, as a multiple.
-const BUSY_FACTOR: u32 = 3;
 
 /// What is waited for.
 pub(crate) struct SilenceWatch<'a> {
     pub(crate) core: &'a GatewayCore,
     pub(crate) request: &'a CallerRequest,
     pub(crate) tries: &'a Tries,
-    /// Whether an event of the answer has gone on to the caller.
-    pub(crate) started: bool,
+    /// Silence after which the worker is given up.
+    pub(crate) patience: Duration,
+    /// Silence that is borne where the worker goes on with other answers, as a multiple.
+    pub(crate) busy_factor: u32,
 }
 
 /// Why nothing came.
@@ -30,6 +31,15 @@
     Silent,
 }
 
+impl From<WatchEnd> for AttemptUpstreamError {
+    fn from(end: WatchEnd) -> Self {
+        match end {
+            WatchEnd::Deadline => Self::DeadlinePassed { sent: true },
+            WatchEnd::Silent => Self::NoAnswer,
+        }
+    }
+}
+
 impl SilenceWatch<'_> {
     /// Waits for a future that ends when something comes from the worker.
     pub(crate) async fn wait<T>(
@@ -44,12 +54,7 @@
             let result = tokio::time::timeout_at(deadline, awaited).await;
             return result.map_err(|_| WatchEnd::Deadline);
         }
-        let worker = &flight.worker;
-        let patience = if self.started {
-            pause_patience(worker.pass_ms)
-        } else {
-            first_patience(worker.first_ms)
-        };
+        let patience = self.patience;
         let mut limit = since + patience;
         loop {
             let waiting = tokio::time::timeout_at(limit.min(deadline), awaited.as_mut());
@@ -59,8 +64,8 @@
             if Instant::now() >= deadline {
                 return Err(WatchEnd::Deadline);
             }
-            let busy = self.core.has_progress(&worker.id, patience / 2);
-            let borne = busy && since.elapsed() < patience * BUSY_FACTOR;
+            let busy = self.core.has_progress(&flight.worker.id, patience / 2);
+            let borne = busy && since.elapsed() < patience * self.busy_factor;
             if !borne && self.core.budget.take(Instant::now()) {
                 return Err(WatchEnd::Silent);
             }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -13,7 +13,9 @@
 
 use crate::attempt::{CallerRequest, Tries, choose_worker, connect_to_worker, send_to_worker};
 use crate::core::GatewayCore;
+use crate::patience::whole_patience;
 use crate::refusal::Refusal;
+use crate::watch::{SilenceWatch, WatchEnd};
 
 /// Largest answer that is held whole.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -93,7 +95,19 @@
         .map_err(|reason| AttemptEnd::NoWorker(Refusal::NoWorker(reason)))?;
     let answer = match connect_to_worker(core, request, &flight, tries, false).await {
         Ok(lease) => {
-            let sent = send_to_worker(core, request, &flight, lease, None).await;
+            let sending = send_to_worker(core, request, &flight, lease, None);
+            let watch = SilenceWatch {
+                core,
+                request,
+                tries,
+                patience: whole_patience(request.remaining(), request.route.objective),
+                busy_factor: 1,
+            };
+            let waited = watch.wait(&flight, sending).await;
+            if waited.as_ref().is_err_and(|end| *end == WatchEnd::Silent) {
+                tries.note_paid();
+            }
+            let sent = waited.unwrap_or_else(|end| Err(end.into()));
             tries.note_sent(&sent);
             match sent {
                 Ok(answer) => read_whole(answer, request.deadline).await,
