--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -62,8 +62,8 @@
         }
     }
 
-    /// Takes another attempt from the budget before the one under way is given up: to give up
-    /// what cannot be tried again would only lose it.
+    /// Notes that another attempt was taken from the budget before the one under way is given up:
+    /// to give up what cannot be tried again would only lose it.
     pub fn note_paid(&mut self) {
         self.paid = true;
     }
