Take what came of a watched send in one place

Streams and whole answers turned the end of a watch into a result, noted the repeat that was paid for and noted the outcome, in the same lines. Tries::take_sent does it for both.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::picker::{NoWorker, PickFacts};
 use crate::protocol::{CallerHead, SendFacts};
 use crate::refusal::Refusal;
+use crate::watch::WatchEnd;
 
 /// Longest time for a connection to a worker: two tries whose opening packet is lost. Nothing of
 /// the request has left by then, so that another worker can be asked at once.
@@ -87,10 +88,18 @@
         &self.excluded
     }
 
-    /// Notes what came of a send.
-    pub(crate) fn note_sent(&mut self, sent: &Result<SentAnswer, AttemptUpstreamError>) {
+    /// Notes what came of a send that was watched, and returns it.
+    pub(crate) fn take_sent(
+        &mut self,
+        waited: Result<Result<SentAnswer, AttemptUpstreamError>, WatchEnd>,
+    ) -> Result<SentAnswer, AttemptUpstreamError> {
+        if matches!(waited, Err(WatchEnd::Silent)) {
+            self.note_paid();
+        }
+        let sent = waited.unwrap_or_else(|end| Err(end.into()));
         let ran = sent.as_ref().map_or_else(AttemptUpstreamError::ran, |_| ErrorRan::Ran);
         self.ledger.note_outcome(ran);
+        sent
     }
 
     /// Notes a failed attempt.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -151,12 +151,7 @@
         let watch = self.watch(&flight.worker);
         let sending = send_to_worker(core, request, flight, lease, resume_after);
         let waited = watch.wait(flight, sending).await;
-        if waited.as_ref().is_err_and(|end| *end == WatchEnd::Silent) {
-            self.tries.note_paid();
-        }
-        let sent = waited.unwrap_or_else(|end| Err(end.into()));
-        self.tries.note_sent(&sent);
-        sent
+        self.tries.take_sent(waited)
     }
 
     fn watch(&self, worker: &PickedWorker) -> SilenceWatch<'_> {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -15,7 +15,7 @@
 use crate::core::GatewayCore;
 use crate::patience::whole_patience;
 use crate::refusal::Refusal;
-use crate::watch::{SilenceWatch, WatchEnd};
+use crate::watch::SilenceWatch;
 
 /// Largest answer that is held whole.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -104,12 +104,7 @@
                 busy_factor: 1,
             };
             let waited = watch.wait(&flight, sending).await;
-            if waited.as_ref().is_err_and(|end| *end == WatchEnd::Silent) {
-                tries.note_paid();
-            }
-            let sent = waited.unwrap_or_else(|end| Err(end.into()));
-            tries.note_sent(&sent);
-            match sent {
+            match tries.take_sent(waited) {
                 Ok(answer) => read_whole(answer, request.deadline).await,
                 Err(error) => Err(error),
             }
