Log which failed requests are the same one, sent again

Failed requests were logged by an identity that is new with each try, so that neither how often one request came nor how many workers ended under it could be told. request_failed and stream_resumed now carry a digest of what stays: organisation, method, host, target, body. No change of logic.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_fleet::{Organisation, Route, Service};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{AttemptBounds, AttemptLedger};
-use hollowbarrow_schema::{ErrorRan, WorkerId};
+use hollowbarrow_schema::{ErrorRan, RequestDigest, WorkerId};
 use hollowbarrow_upstream::{ConnectionLease, SendRequestError, SentAnswer, UpstreamRequest};
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
@@ -35,6 +35,8 @@
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
+    /// Tells whether two requests are the same one, sent again.
+    pub(crate) digest: RequestDigest,
 }
 
 impl CallerRequest {
@@ -60,8 +62,9 @@
     pub(crate) fn note_failed(&self, core: &GatewayCore, refusal: Refusal, tries: &Tries) {
         core.metrics.count_request(refusal.name());
         log::warn!(
-            "event=request_failed request={:?} route={} model={:?} status={} cause={} held_ms={} sends={} last={:?}",
+            "event=request_failed request={:?} content={:016x} route={} model={:?} status={} cause={} held_ms={} sends={} last={:?}",
             self.head.id,
+            *self.digest,
             self.route.name,
             self.head.model.as_ref().map_or("", |model| model.as_str()),
             refusal.status().as_u16(),
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -8,7 +8,8 @@
 use hollowbarrow_fleet::{Organisation, Route, RouteTable};
 use hollowbarrow_member::http::plain_answer;
 use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits};
-use hollowbarrow_schema::ServiceName;
+use hollowbarrow_routing::RequestContent;
+use hollowbarrow_schema::{RequestDigest, ServiceName};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -158,6 +159,7 @@
 ) -> CallerRequest {
     let timeout = routed.route.timeout;
     let patience = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    let digest = digest_request(&parts, &head, &routed, &body);
     CallerRequest {
         head,
         method: parts.method,
@@ -168,5 +170,23 @@
         organisation: routed.organisation,
         received,
         deadline: received + patience,
+        digest,
     }
 }
+
+fn digest_request(
+    parts: &Parts,
+    head: &CallerHead,
+    routed: &RoutedRequest,
+    body: &Bytes,
+) -> RequestDigest {
+    let organisation = routed.organisation.as_ref();
+    let content = RequestContent {
+        organisation: organisation.map_or("", |organisation| organisation.name.as_str()),
+        method: parts.method.as_str(),
+        host: &head.host,
+        target: &head.target,
+        body,
+    };
+    content.digest()
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -276,8 +276,9 @@
                 return Err(error);
             };
             log::info!(
-                "event=stream_resumed request={:?} from={} to={} after={:?} cause={:?}",
+                "event=stream_resumed request={:?} content={:016x} from={} to={} after={:?} cause={:?}",
                 self.request.head.id,
+                *self.request.digest,
                 *worker,
                 *flight.worker.id,
                 self.last_id,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod adaptive;
 mod admission;
 mod attempts;
+mod content;
 mod limiter;
 mod picker;
 mod prefix;
@@ -21,6 +22,7 @@
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionQueue, AdmissionTicket, QueueLimits, ShedRequestError};
 pub use attempts::{AttemptBounds, AttemptLedger};
+pub use content::RequestContent;
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -2503,6 +2503,73 @@
         value.clone()
     }
 }
+///Digest over what makes a request the same when it comes again: organisation, method, host, target and body.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct RequestDigest(pub u64);
+impl ::std::ops::Deref for RequestDigest {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<RequestDigest> for u64 {
+    fn from(value: RequestDigest) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&RequestDigest> for RequestDigest {
+    fn from(value: &RequestDigest) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for RequestDigest {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for RequestDigest {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RequestDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for RequestDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for RequestDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
 ///Log index at which an object last changed; 0 means that the object does not exist.
 ///
 #[derive(
