--- /dev/null
+++ b/tests/platform/crashing_request.rs
@@ -0,0 +1,136 @@
+//! Requests that end the workers they run on.
+//!
+//! A request that a worker cannot bear ended each worker that began to run it. Its caller sent it
+//! again, at other gateways, and each gateway took it for a new request with all its attempts: 36
+//! workers ended under one request, two for each time that it came, and 16 of its sends reached
+//! workers more than three seconds after the third had ended. The log of the gateways showed
+//! `sends=2 last="...: its connection broke; ...: its connection broke"` under a new identity each
+//! time, always within the attempts that its route allowed.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use crate::system::{CONTROLLERS, KEY, Signal, System};
+use crate::worker::{ENDS_WORKER, Worker};
+use crate::{Deployment, deploy, wait_for_replicas};
+
+/// Workers beyond those of every deployment: one more replica and its spares.
+const MORE_ENGINES: usize = 6;
+/// Replicas that all workers form.
+const REPLICAS: usize = 4;
+/// Workers that may end under a request before it is known to end them.
+const MOST_ENDED: u32 = 3;
+/// Times that the request comes again once it is known.
+const COMEBACKS: usize = 8;
+/// Time after the third end within which all gateways know of the request.
+const SPREAD_TIME: Duration = Duration::from_millis(1500);
+/// Pause between two times that the request comes.
+const COMEBACK_PAUSE: Duration = Duration::from_millis(150);
+
+/// What happens between the third end and the next time that the request comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interlude {
+    Nothing,
+    /// All controllers end at once and start again.
+    NewControllers,
+    /// Each gateway in turn ends and starts again.
+    NewGateways,
+}
+
+/// Starts a deployment with four replicas.
+async fn deploy_replicas(block: u8) -> Deployment {
+    let mut deployment = deploy(block).await;
+    for number in 0..MORE_ENGINES {
+        let id = format!("more-{number}");
+        let worker = Worker::start(&deployment.fleet, &id, "models", true);
+        deployment.engines.push(worker);
+    }
+    deployment.system.call_until_served("/chat/1", "warm").await;
+    wait_for_replicas(&deployment, REPLICAS).await;
+    deployment
+}
+
+async fn call_ending(system: &System, gateway: usize, id: &str) -> u16 {
+    let answer = system.call_with_body(gateway, "/chat/1", id, Some(KEY), ENDS_WORKER).await;
+    answer.map_or(0, |answer| answer.status().as_u16())
+}
+
+async fn play(interlude: Interlude, deployment: &mut Deployment) {
+    let system = &mut deployment.system;
+    match interlude {
+        Interlude::Nothing => {}
+        Interlude::NewControllers => {
+            (0..CONTROLLERS).for_each(|daemon| system.signal(daemon, Signal::Kill));
+            for daemon in 0..CONTROLLERS {
+                system.revive(daemon, true).await;
+            }
+        }
+        Interlude::NewGateways => {
+            for gateway in 0..system.gateways.len() {
+                system.signal(CONTROLLERS + gateway, Signal::Kill);
+                system.revive(CONTROLLERS + gateway, true).await;
+                tokio::time::sleep(SPREAD_TIME).await;
+            }
+        }
+    }
+    system.wait_ready().await;
+}
+
+#[rstest]
+#[case::same_daemons(21, Interlude::Nothing)]
+#[case::new_controllers(22, Interlude::NewControllers)]
+#[case::new_gateways(23, Interlude::NewGateways)]
+#[tokio::test]
+async fn crashing_request_held(#[case] block: u8, #[case] interlude: Interlude) {
+    let mut deployment = deploy_replicas(block).await;
+    let gateways = deployment.system.gateways.len();
+    // It comes at one gateway and then at another, until three workers have ended under it.
+    for number in 0..COMEBACKS {
+        if deployment.fleet.ended_under_requests() >= MOST_ENDED {
+            break;
+        }
+        call_ending(&deployment.system, number % gateways, &format!("first-{number}")).await;
+        tokio::time::sleep(COMEBACK_PAUSE).await;
+    }
+    tokio::time::sleep(SPREAD_TIME).await;
+    let ended = deployment.fleet.ended_under_requests();
+    play(interlude, &mut deployment).await;
+    for number in 0..COMEBACKS {
+        let system = &deployment.system;
+        // Replicas are there each time, so that the request could run.
+        system.call_until_served("/chat/1", &format!("other-{number}")).await;
+        let id = format!("again-{number}");
+        let status = call_ending(system, number % gateways, &id).await;
+        assert_eq!(deployment.fleet.runs(&id), 0, "{id} ran: {}", system.logs());
+        assert_eq!(status, 503, "it has not run, and is told so: {}", system.logs());
+        tokio::time::sleep(COMEBACK_PAUSE).await;
+    }
+    assert!(ended <= MOST_ENDED, "{ended} workers ended");
+    assert_eq!(deployment.fleet.ended_under_requests(), ended);
+}
+
+/// Workers that end at once, under requests that are alike, were ended by something else: the same
+/// request is served as soon as there are workers again.
+#[rstest]
+#[tokio::test]
+async fn alike_requests_served_after_common_end() {
+    let deployment = deploy_replicas(24).await;
+    let system = &deployment.system;
+    let calls = futures_util::future::join_all((0..20).map(|number| {
+        let id = format!("alike-{number}");
+        async move { system.call(number % 2, "/chat/1", &id, Some(KEY)).await }
+    }));
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let heads: Vec<_> = deployment.engines.iter().filter(|one| one.is_open_head()).collect();
+        assert_eq!(heads.len(), REPLICAS);
+        heads.iter().for_each(|head| head.kill());
+    };
+    tokio::join!(calls, end);
+    for number in 0..REPLICAS {
+        let id = format!("spare-{number}");
+        Worker::start(&deployment.fleet, &id, "models", true);
+    }
+    system.call_until_served("/chat/1", "after").await;
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! The whole path through real processes, before stand-in workers of the platform.
 
 mod changes;
+mod crashing_request;
 mod disturbance;
 mod observer;
 mod soak;
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -355,6 +355,18 @@
         call_gateway(&self.gateways[gateway], path, id, key).await
     }
 
+    /// Sends a request with a body of its own to a gateway.
+    pub async fn call_with_body(
+        &self,
+        gateway: usize,
+        path: &str,
+        id: &str,
+        key: Option<&str>,
+        body: &'static [u8],
+    ) -> Result<Response<Bytes>, CallError> {
+        call_gateway_with_body(&self.gateways[gateway], path, id, key, body).await
+    }
+
     /// Sends requests to all gateways in turn until one is answered with 200; its body.
     pub async fn call_until_served(&self, path: &str, name: &str) -> Bytes {
         let all: Vec<usize> = (0..self.gateways.len()).collect();
@@ -414,6 +426,16 @@
     path: &str,
     id: &str,
     key: Option<&str>,
+) -> Result<Response<Bytes>, CallError> {
+    call_gateway_with_body(address, path, id, key, b"{}").await
+}
+
+async fn call_gateway_with_body(
+    address: &str,
+    path: &str,
+    id: &str,
+    key: Option<&str>,
+    body: &'static [u8],
 ) -> Result<Response<Bytes>, CallError> {
     let mut request = Request::builder()
         .method(Method::POST)
@@ -426,7 +448,7 @@
     if let Some(key) = key {
         request = request.header("api-key", key);
     }
-    let request = request.body(Full::new(Bytes::from_static(b"{}"))).expect("sound");
+    let request = request.body(Full::new(Bytes::from_static(body))).expect("sound");
     call_once(address, request, CALL_TIMEOUT).await
 }
 
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -1,7 +1,7 @@
 //! Stand-in workers that speak the platform's protocol: they register, take orders, and serve.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -29,6 +29,13 @@
 const JOIN_TIME: Duration = Duration::from_millis(100);
 const LIMITS: HttpLimits = HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
 
+/// Body of a request that ends each worker that begins to run it.
+pub const ENDS_WORKER: &[u8] = b"{\"ends\": \"worker\"}";
+/// Time for which such a request runs before its worker ends.
+const ENDING_TIME: Duration = Duration::from_millis(40);
+/// Time after which another life of such a worker comes.
+const RESTART_TIME: Duration = Duration::from_millis(600);
+
 /// Bytes of one event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -78,6 +85,8 @@
     left: Mutex<BTreeSet<(u64, String)>>,
     /// What the workers saw that must not be.
     breaches: Mutex<Vec<String>>,
+    /// Workers that a request has ended.
+    ended: AtomicU32,
 }
 
 impl Fleet {
@@ -90,6 +99,11 @@
         self.runs.lock().expect("not poisoned").get(request).copied().unwrap_or_default()
     }
 
+    /// How many workers a request has ended.
+    pub fn ended_under_requests(&self) -> u32 {
+        self.ended.load(Ordering::SeqCst)
+    }
+
     /// How often each request ran.
     pub fn all_runs(&self) -> BTreeMap<String, u32> {
         self.runs.lock().expect("not poisoned").clone()
@@ -227,6 +241,19 @@
         self.stop.send_replace(true);
     }
 
+    /// Ends under a request; another life comes after a while.
+    async fn end_under_request(self: Arc<Self>) {
+        tokio::time::sleep(ENDING_TIME).await;
+        if self.is_stopped() {
+            return;
+        }
+        self.kill();
+        let number = self.fleet.ended.fetch_add(1, Ordering::SeqCst) + 1;
+        tokio::time::sleep(RESTART_TIME).await;
+        let id = format!("{}-{number}", self.id);
+        Self::start_in(&self.fleet, &id, self.service, self.engine, self.zone);
+    }
+
     /// Whether controllers neither hear of it nor reach it.
     pub fn set_cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::Relaxed);
@@ -407,7 +434,7 @@
         held.members.iter().any(|member| self.fleet.is_missing(held.epoch, member))
     }
 
-    fn answer_request(self: &Arc<Self>, head: &Parts) -> HttpAnswer {
+    fn answer_request(self: &Arc<Self>, head: &Parts, body: &[u8]) -> HttpAnswer {
         let header = |name: &str| {
             let value = head.headers.get(name).and_then(|value| value.to_str().ok());
             value.unwrap_or_default().to_owned()
@@ -427,6 +454,15 @@
             let body = format!("tenant {} request {id}", header("tenant"));
             return builder.body(AnswerBody::whole(body)).expect("sound");
         }
+        if body == ENDS_WORKER {
+            tokio::spawn(Arc::clone(self).end_under_request());
+            // The head goes out, and no event.
+            let cut = unfold((), |()| async {
+                tokio::time::sleep(ENDING_TIME).await;
+                Some((Err(CutAnswerError), ()))
+            });
+            return builder.body(AnswerBody::Pieces(Box::pin(cut))).expect("sound");
+        }
         let after: u64 = header("last-event-id").parse().unwrap_or_default();
         let worker = Arc::clone(self);
         let events = unfold(after + 1, move |number| {
@@ -490,7 +526,7 @@
             }
             "/-/report" => Response::new(AnswerBody::whole("{}")),
             _ => {
-                let answer = self.answer_request(&head);
+                let answer = self.answer_request(&head, &body);
                 if self.mute.load(Ordering::Relaxed) {
                     tokio::time::sleep(LIMITS.idle).await;
                 }
