Test that entry daemons hold a request under which nodes end; it fails

The same class as the incident, in the daemons of the other role: one arrival ended four nodes, one for each attempt, and so did the next.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -19,6 +19,6 @@
 pub use cluster::{CALLER_KEY, Cluster, ClusterConfig, OPERATOR_KEY};
 pub use fleet::{FleetConfig, StandinFleet};
 pub use join::join_all;
-pub use model::{ModelConfig, expected_token};
+pub use model::{ENDING_PROMPT, ModelConfig, expected_token};
 pub use proxy::{FaultMode, FaultProxy, LinkProxy};
 pub use record::{RunHistory, RunRecord};
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -30,6 +30,9 @@
 /// Bytes of prompt in one cached block.
 const BLOCK_BYTES: usize = 256;
 
+/// Prompt that ends each model worker that begins to run it.
+pub const ENDING_PROMPT: &str = "end the worker";
+
 /// Times and limits of a stand-in model worker.
 #[derive(Clone, Debug)]
 pub struct ModelConfig {
@@ -218,6 +221,11 @@
         }
         let ticket = RunTicket::new(&self);
         self.note_run(&job);
+        if job.prompt.contains(ENDING_PROMPT)
+            && let Some(port) = self.port.get()
+        {
+            port.set_power(Power::Off);
+        }
         let uncached = self.compute_prefix(&job.prompt);
         let first = self.config.token + self.config.block * uncached;
         if job.stream {
--- /dev/null
+++ b/tests/all/crashing_request.rs
@@ -0,0 +1,42 @@
+//! A request that ends the nodes it runs on, sent to one daemon after the other.
+//!
+//! Each daemon took it for a new request and sent it to as many replicas as it has attempts, so
+//! that it ended replica after replica for as long as its caller sent it again.
+
+use hollowbarrow_testkit::{Cluster, ENDING_PROMPT};
+use rstest::rstest;
+
+use crate::requests::stream;
+use crate::support::{nine_daemons, pause, serving_cluster};
+
+/// Nodes that may end under a request before it is known to end them.
+const MOST_ENDED: usize = 3;
+/// Time in which daemons tell each other what they have seen.
+const SPREAD_MS: u64 = 1500;
+
+fn ended_nodes(cluster: &Cluster) -> usize {
+    cluster.fleet().model_nodes().len() - cluster.fleet().live_models().len()
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_held_everywhere() {
+    let cluster = serving_cluster(nine_daemons(), 6).await;
+    // It comes at daemons of two zones until three nodes have ended under it.
+    for id in ["a0", "b0", "a1", "b1"] {
+        if ended_nodes(&cluster) < MOST_ENDED {
+            stream(cluster.callers(id), ENDING_PROMPT, 20).await;
+        }
+    }
+    pause(SPREAD_MS).await;
+    let ended = ended_nodes(&cluster);
+    assert_eq!(ended, MOST_ENDED);
+    for id in cluster.ids() {
+        let reply = stream(cluster.callers(&id), ENDING_PROMPT, 20).await;
+        assert_eq!((reply.status, reply.code().as_str()), (503, "ends_upstreams"), "{id}");
+        assert_eq!(reply.ran(), "not_run", "{id}");
+        assert_eq!(ended_nodes(&cluster), ended, "{id} sent it on");
+        let reply = stream(cluster.callers(&id), "another prompt", 20).await;
+        assert_eq!(reply.status, 200, "{id} serves others: {}", reply.body);
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod configuration;
+mod crashing_request;
 mod door;
 mod groups;
 mod reference;
