--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -15,10 +15,13 @@
 
 use crate::controller::ControllerCore;
 use crate::protocol::{ControlAnswer, ControlCall};
+use crate::records::{RecordFault, check_birth, check_report};
 use crate::sync::{pass_on, take_report};
 
 /// Largest body of a call.
 const MAX_CALL_BYTES: usize = 16 << 20;
+/// Signs of a worker's name that are logged.
+const LOGGED_NAME: usize = 64;
 /// Bounds on connections of workers and operators.
 const CONTROL_LIMITS: HttpLimits =
     HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
@@ -62,18 +65,48 @@
         ControlCall::Replace(text) => replace_deployment(core, text, path).await,
         ControlCall::Fetch => fetch_deployment(core, path).await,
         ControlCall::Unreadable(reason) => ControlAnswer::Invalid(vec![reason]),
+        ControlCall::Refused(worker, fault) => refuse_record(core, &worker, &fault),
         ControlCall::Unknown => ControlAnswer::Unknown,
     }
 }
 
 fn take_worker(core: &ControllerCore, report: WorkerReport) -> ControlAnswer {
+    let deployment = core.deployment();
+    let checked = check_report(&report, core.fleet().table(), deployment.as_deref());
+    if let Err(fault) = checked {
+        return refuse_record(core, &report.id, &fault);
+    }
     take_report(core, report);
     ControlAnswer::Taken
 }
 
+fn refuse_record(core: &ControllerCore, worker: &WorkerId, fault: &RecordFault) -> ControlAnswer {
+    core.metrics.count_refused_record(fault.problem);
+    let name: String = worker.chars().take(LOGGED_NAME).collect();
+    log::warn!(
+        "event=record_refused worker={name:?} field={:?} cause={}",
+        fault.field,
+        fault.problem.name()
+    );
+    ControlAnswer::Invalid(vec![fault.to_string()])
+}
+
 fn remove_worker(core: &ControllerCore, worker: &WorkerId) -> ControlAnswer {
-    let known = core.fleet().table().get(worker).is_some();
-    if !known {
+    let (checked, held, later) = {
+        let fleet = core.fleet();
+        let table = fleet.table();
+        let newest = table.newest_of(worker.name()).map(|entry| entry.report.id.clone());
+        let later = newest.is_some_and(|newest| newest.incarnation() > worker.incarnation());
+        (check_birth(worker, table), table.get(worker).is_some(), later)
+    };
+    if let Err(fault) = checked {
+        return refuse_record(core, worker, &fault);
+    }
+    if !held && later {
+        // A life that has ended, and of which nothing is held any more.
+        return ControlAnswer::Taken;
+    }
+    if !held {
         return ControlAnswer::NotNow("the worker is not known here");
     }
     let removed = core.fleet().remove(worker, Instant::now());
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -131,7 +131,8 @@
         deployment.services.iter().filter(|service| has_replicas(service)).cloned().collect()
     }
 
-    fn deployment(&self) -> Option<Arc<Deployment>> {
+    /// The configuration in force, if there is one.
+    pub(crate) fn deployment(&self) -> Option<Arc<Deployment>> {
         let version = self.log.read(DeploymentState::version);
         let mut parsed = self.parsed.lock().expect("no holder of the lock panics");
         if parsed.as_ref().is_none_or(|held| held.version != version) {
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -17,6 +17,9 @@
 use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::tables::TableRequests;
 
+/// Heartbeats without which a worker counts as silent, so that what another writer told under its
+/// name is not held against it any longer.
+const SILENT_BEATS: u32 = 3;
 /// Silence after which a daemon is not written to any more.
 const DAEMON_SILENCE: Duration = Duration::from_secs(5);
 /// Silence after which what a controller told of its gateways counts no more.
@@ -97,8 +100,8 @@
     pub(crate) fn count_workers(&self) -> WorkerCounts {
         let mut counts = WorkerCounts::default();
         for entry in self.table.iter() {
-            let count = match (entry.report.gone, entry.report.leaving) {
-                (true, _) => &mut counts.gone,
+            let count = match (entry.is_there(), entry.report.leaving) {
+                (false, _) => &mut counts.gone,
                 (_, true) => &mut counts.leaving,
                 _ => &mut counts.ready,
             };
@@ -108,9 +111,16 @@
     }
 
     /// Takes a worker's own report in; one that only renews is told to other controllers later.
-    pub(crate) fn take_report(&mut self, report: WorkerReport, now: Instant) -> MergeOutcome {
+    ///
+    /// `heartbeat` is the time between two of its calls.
+    pub(crate) fn take_report(
+        &mut self,
+        report: WorkerReport,
+        heartbeat: Duration,
+        now: Instant,
+    ) -> MergeOutcome {
         let (id, seq) = (report.id.clone(), report.seq);
-        let outcome = self.table.merge(report, now);
+        let outcome = self.table.merge_own(report, heartbeat * SILENT_BEATS, now);
         if outcome == MergeOutcome::Renewed {
             self.beats.insert(id, seq);
         }
@@ -252,8 +262,9 @@
     pub(crate) fn take_beats(&mut self) -> Vec<WorkerBeat> {
         let beats = std::mem::take(&mut self.beats);
         let beat = |(id, seq): (WorkerId, u64)| {
-            let changed = self.table.get(&id)?.changed;
-            Some(WorkerBeat { id, seq, changed })
+            let entry = self.table.get(&id)?;
+            let (changed, recount) = (entry.changed, entry.report.recount);
+            Some(WorkerBeat { id, seq, recount, changed })
         };
         beats.into_iter().filter_map(beat).collect()
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -25,10 +25,13 @@
 mod orders;
 mod protocol;
 mod reconcile;
+pub mod records;
 mod sync;
 pub mod tables;
 pub mod voters;
 
 pub use controller::{Controller, StartControllerError};
+pub use liveness::ProbeOutcome;
 pub use metrics::CONTROLLER_METRICS;
 pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, WorkerMessage};
+pub use records::{RecordFault, RecordProblem};
--- a/crates/controller/src/liveness.rs
+++ b/crates/controller/src/liveness.rs
@@ -51,6 +51,8 @@
     sent: Option<Instant>,
     under_way: bool,
     replaced: bool,
+    /// How often the worker's numbers had been let go back when this began.
+    recount: Option<u32>,
 }
 
 /// Requests under way at a worker, over all gateways.
@@ -74,7 +76,7 @@
 pub struct LivenessFacts<'a> {
     /// Requests under way at each worker.
     pub uses: &'a BTreeMap<WorkerId, WorkerUse>,
-    /// Workers whose address another life has taken, see [`find_ended`].
+    /// Workers whose address or name another life has taken, see [`find_ended`].
     pub ended: &'a HashSet<WorkerId>,
     /// Time between two registrations of a worker.
     pub heartbeat: Duration,
@@ -110,6 +112,13 @@
         if probe.replaced || facts.ended.contains(&entry.report.id) {
             return settled(WorkerStanding::Dead);
         }
+        if entry.ended {
+            // A later life was heard of. Until it has gone on, or has answered a probe of this one,
+            // it may be another writer's, and this one may still head a replica.
+            let due =
+                probe.sent.is_none_or(|at| facts.now.saturating_duration_since(at) >= PROBE_PAUSE);
+            return Judgement { standing: WorkerStanding::Lost, probe: due && !probe.under_way };
+        }
         if entry.report.gone || entry.report.leaving {
             let ended = silence > GONE_TIME;
             return settled(if ended { WorkerStanding::Dead } else { WorkerStanding::Leaving });
@@ -159,6 +168,11 @@
     pub fn tidy(&mut self, table: &WorkerTable) {
         self.probes.retain(|worker, _| table.get(worker).is_some());
         for (worker, probe) in &mut self.probes {
+            let recount = table.get(worker).and_then(|entry| entry.report.recount);
+            if recount > probe.recount {
+                // What was found then was of another writer under this name.
+                *probe = ProbeRecord { recount, ..ProbeRecord::default() };
+            }
             let heard = table.get(worker).map(|entry| entry.heard);
             if heard > probe.sent && !probe.under_way {
                 probe.silent = 0;
@@ -167,8 +181,19 @@
     }
 }
 
-/// Workers that have ended, because another life registers under their address.
+/// Workers that have ended, because another life registers under their address or name.
 pub fn find_ended(table: &WorkerTable, heartbeat: Duration) -> HashSet<WorkerId> {
+    let mut ended = find_replaced(table, heartbeat);
+    let superseded = table.iter().filter(|entry| entry.ended);
+    ended.extend(superseded.filter_map(|old| {
+        let new = table.newest_of(old.report.id.name())?;
+        goes_on_since(new, old, heartbeat).then(|| old.report.id.clone())
+    }));
+    ended
+}
+
+/// Workers whose address another life has taken.
+fn find_replaced(table: &WorkerTable, heartbeat: Duration) -> HashSet<WorkerId> {
     let mut lives: HashMap<&str, Vec<&WorkerEntry>> = HashMap::new();
     for entry in table.iter() {
         lives.entry(entry.report.address.as_str()).or_default().push(entry);
@@ -185,7 +210,11 @@
 
 /// Whether `new` has gone on registering for long enough since `old` was last heard of.
 fn is_successor(new: &WorkerEntry, old: &WorkerEntry, heartbeat: Duration) -> bool {
-    let since = new.first.max(old.heard);
     let later = new.first >= old.first && new.report.id != old.report.id;
-    later && new.heard.saturating_duration_since(since) >= heartbeat.mul_f64(SUCCESSOR_BEATS)
+    later && goes_on_since(new, old, heartbeat)
+}
+
+fn goes_on_since(new: &WorkerEntry, old: &WorkerEntry, heartbeat: Duration) -> bool {
+    let since = new.first.max(old.heard);
+    new.heard.saturating_duration_since(since) >= heartbeat.mul_f64(SUCCESSOR_BEATS)
 }
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -7,10 +7,17 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge};
 
+use crate::records::RecordProblem;
+
 /// Name, unit and meaning of each metric.
 pub const CONTROLLER_METRICS: &[(&str, &str, &str)] = &[
     ("controller_orders", "1", "Orders that were given, by order and outcome."),
     ("controller_probes", "1", "Probes of workers."),
+    (
+        "controller_records_refused",
+        "1",
+        "Calls under a worker's name that no worker makes, by cause.",
+    ),
     (
         "controller_tables_sent",
         "1",
@@ -50,6 +57,7 @@
     page: MetricsPage,
     orders: Counter<u64>,
     probes: Counter<u64>,
+    refused_records: Counter<u64>,
     tables: Counter<u64>,
     leads: Gauge<u64>,
     term: Gauge<u64>,
@@ -99,6 +107,7 @@
         Self {
             orders: meter.u64_counter("controller_orders").build(),
             probes: meter.u64_counter("controller_probes").build(),
+            refused_records: meter.u64_counter("controller_records_refused").build(),
             tables: meter.u64_counter("controller_tables_sent").build(),
             leads: meter.u64_gauge("controller_leads").build(),
             term: meter.u64_gauge("controller_term").build(),
@@ -124,6 +133,10 @@
         self.probes.add(1, &[]);
     }
 
+    pub(crate) fn count_refused_record(&self, problem: RecordProblem) {
+        self.refused_records.add(1, &[KeyValue::new("cause", problem.name())]);
+    }
+
     pub(crate) fn count_tables(&self, daemons: usize) {
         self.tables.add(daemons as u64, &[]);
     }
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -44,8 +44,7 @@
     let message = protocol.write_probe(worker);
     let Some(request) = to_request(address, message) else { return ProbeOutcome::Refused };
     match call_once(address, request, PROBE_TIMEOUT).await {
-        Ok(answer) if protocol.is_other_worker(answer.status()) => ProbeOutcome::Replaced,
-        Ok(_) => ProbeOutcome::Answered,
+        Ok(answer) => protocol.read_probe_answer(worker, answer.status(), answer.body()),
         Err(CallError::Refused | CallError::Address(_)) => ProbeOutcome::Refused,
         Err(CallError::Unreached | CallError::NoAnswer) => ProbeOutcome::Silent,
     }
--- a/crates/controller/src/protocol.rs
+++ b/crates/controller/src/protocol.rs
@@ -6,6 +6,9 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
 
+use crate::liveness::ProbeOutcome;
+use crate::records::RecordFault;
+
 /// A call of a worker or an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ControlCall {
@@ -17,8 +20,10 @@
     Replace(String),
     /// An operator reads the newest configuration.
     Fetch,
-    /// The call is one of those, but cannot be read.
+    /// The configuration cannot be read.
     Unreadable(String),
+    /// What was said under a worker's name is not what a worker says.
+    Refused(WorkerId, RecordFault),
     /// No such call.
     Unknown,
 }
@@ -77,6 +82,7 @@
     /// Asks a worker how it is.
     fn write_probe(&self, worker: &WorkerId) -> WorkerMessage;
 
-    /// Whether the answer to a probe says that another worker has the address.
-    fn is_other_worker(&self, status: StatusCode) -> bool;
+    /// Reads the answer to a probe of a worker's life.
+    fn read_probe_answer(&self, worker: &WorkerId, status: StatusCode, body: &[u8])
+    -> ProbeOutcome;
 }
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -165,11 +165,22 @@
 
 /// Takes a worker's own report in and passes on what is new in it.
 pub(crate) fn take_report(core: &ControllerCore, report: WorkerReport) {
-    let outcome = core.fleet().take_report(report.clone(), Instant::now());
-    if outcome == MergeOutcome::Changed {
-        log::debug!("event=worker_changed worker={} seq={}", *report.id, report.seq);
-        pass_on(core, report);
+    let id = report.id.clone();
+    let mut fleet = core.fleet();
+    let former = fleet.table().newest_of(id.name()).map(|entry| entry.report.id.clone());
+    if fleet.take_report(report, core.heartbeat(), Instant::now()) != MergeOutcome::Changed {
+        return;
+    }
+    let Some(report) = fleet.table().get(&id).map(|entry| entry.report.clone()) else { return };
+    drop(fleet);
+    if let Some(former) = former.filter(|former| *former != id) {
+        log::info!("event=worker_born_again worker={} former={}", *id, *former);
+    }
+    if let Some(recount) = report.recount {
+        log::warn!("event=worker_recounted worker={} seq={} recount={recount}", *id, report.seq);
     }
+    log::debug!("event=worker_changed worker={} seq={}", *id, report.seq);
+    pass_on(core, report);
 }
 
 /// Tells every gateway and controller of a worker.
--- a/crates/controller/tests/liveness.rs
+++ b/crates/controller/tests/liveness.rs
@@ -5,7 +5,7 @@
 
 use hollowbarrow_controller::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_ended};
 use hollowbarrow_fleet::{WorkerStanding, WorkerTable};
-use hollowbarrow_schema::{ServiceName, WorkerId, WorkerReport, ZoneId};
+use hollowbarrow_schema::{Incarnation, ServiceName, WorkerId, WorkerReport, ZoneId};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -15,6 +15,7 @@
     WorkerReport {
         id: WorkerId::from(id),
         seq,
+        recount: None,
         service: ServiceName("chat".to_owned()),
         address: "10.0.0.1:80".to_owned(),
         zone: ZoneId("a".to_owned()),
@@ -75,3 +76,55 @@
     let entry = table.get(&worker).expect("it has registered");
     assert_eq!(judge.judge(entry, None, &facts).standing, expected);
 }
+
+/// A later life under the same name: at first it may be another writer's, and the former life is
+/// probed; once it has gone on, or answered that probe, the former life has ended.
+#[rstest]
+#[case::just_heard(&[], 0, WorkerStanding::Lost)]
+#[case::probe_answered_by_it(&[ProbeOutcome::Replaced], 0, WorkerStanding::Dead)]
+#[case::former_life_answered(&[ProbeOutcome::Answered], 0, WorkerStanding::Lost)]
+#[case::goes_on(&[], 2, WorkerStanding::Dead)]
+fn judge_earlier_life(
+    #[case] outcomes: &[ProbeOutcome],
+    #[case] beats: u64,
+    #[case] expected: WorkerStanding,
+) {
+    let start = Instant::now();
+    let life = |born| WorkerId::of_life("w", Some(Incarnation(born)));
+    let (former, next) = (life(5), life(6));
+    let mut table = table_after(start, &[(0, former.as_str(), 9)]);
+    for beat in 0..=beats {
+        table.merge(report(next.as_str(), beat + 1), start + HEARTBEAT * (beat as u32 + 1));
+    }
+    let now = start + HEARTBEAT * (beats as u32 + 1);
+    let mut judge = LivenessJudge::new();
+    for outcome in outcomes {
+        judge.begin_probe(&former, now);
+        judge.end_probe(&former, *outcome, now);
+    }
+    let (uses, ended) = (BTreeMap::new(), find_ended(&table, HEARTBEAT));
+    let facts = LivenessFacts { uses: &uses, ended: &ended, heartbeat: HEARTBEAT, now };
+    let entry = table.get(&former).expect("it is remembered");
+    assert_eq!(judge.judge(entry, None, &facts).standing, expected);
+    let entry = table.get(&next).expect("it has registered");
+    assert_eq!(judge.judge(entry, None, &facts).standing, WorkerStanding::Usable);
+}
+
+/// Another writer's later life answered for the worker, which goes on and is believed again.
+#[rstest]
+fn judge_recounted_life() {
+    let start = Instant::now();
+    let former = WorkerId::of_life("w", Some(Incarnation(5)));
+    let mut table = table_after(start, &[(0, former.as_str(), 9)]);
+    let mut judge = LivenessJudge::new();
+    judge.begin_probe(&former, start);
+    judge.end_probe(&former, ProbeOutcome::Replaced, start);
+    let recounted = WorkerReport { recount: Some(1), ..report(former.as_str(), 2) };
+    table.merge(recounted, start + HEARTBEAT);
+    judge.tidy(&table);
+    let (uses, ended) = (BTreeMap::new(), find_ended(&table, HEARTBEAT));
+    let now = start + HEARTBEAT;
+    let facts = LivenessFacts { uses: &uses, ended: &ended, heartbeat: HEARTBEAT, now };
+    let entry = table.get(&former).expect("it is there");
+    assert_eq!(judge.judge(entry, None, &facts).standing, WorkerStanding::Usable);
+}
--- a/crates/fleet/src/replicas/life.rs
+++ b/crates/fleet/src/replicas/life.rs
@@ -1,6 +1,6 @@
 //! Moves each replica through its life, and orders what the next step needs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hollowbarrow_schema::{Epoch, MembershipState, ModelName, WorkerId, WorkerReport};
 
@@ -39,8 +39,9 @@
         for joins in self.uncertain.values_mut() {
             joins.retain(|_, until| view.now < *until);
         }
-        self.uncertain.retain(|worker, joins| !joins.is_empty() && workers.contains_key(worker));
-        self.orders.retain(|worker| workers.contains_key(worker));
+        let names: BTreeSet<&str> = workers.keys().map(|worker| worker.name()).collect();
+        self.uncertain.retain(|name, joins| !joins.is_empty() && names.contains(name.as_str()));
+        self.orders.retain(|name| names.contains(name));
         self.departed.retain(|worker, _| workers.contains_key(worker));
     }
 
@@ -73,12 +74,12 @@
 
     /// Whether an unanswered join of a worker may still be carried out under an epoch.
     pub(super) fn may_still_join(&self, worker: &WorkerId, epoch: Epoch) -> bool {
-        self.uncertain.get(worker).is_some_and(|joins| joins.contains_key(&epoch))
+        self.uncertain.get(worker.name()).is_some_and(|joins| joins.contains_key(&epoch))
     }
 
     /// Whether a worker may find itself back in a replica that it has left, whose head may serve.
     fn may_fall_back(&self, worker: &WorkerId, next: Epoch) -> bool {
-        let joins = self.uncertain.get(worker).into_iter().flat_map(BTreeMap::keys);
+        let joins = self.uncertain.get(worker.name()).into_iter().flat_map(BTreeMap::keys);
         joins.into_iter().any(|epoch| *epoch != next && !self.vacated.contains(epoch))
     }
 
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -12,7 +12,8 @@
 //! - A worker is ordered into another replica only after it has left its former
 //!   one itself, or after that one's head has.
 //! - A worker is ordered elsewhere only after it has said within the term where it is.
-//! - A worker has at most one order under way.
+//! - A worker has at most one order under way, over all its lives.
+//! - A life that has ended is a lost member, and the next one is another worker.
 
 mod adopt;
 mod demand;
@@ -172,8 +173,9 @@
     /// Workers that answered an order to leave a replica, which their report may still name.
     departed: BTreeMap<WorkerId, Epoch>,
     orders: orders::OrderBook,
-    /// Joins that got no answer, and until when each may still be carried out.
-    uncertain: BTreeMap<WorkerId, BTreeMap<Epoch, Instant>>,
+    /// Joins that got no answer, by the name of their worker, and until when each may still be
+    /// carried out: by the life it was meant for, or by the next one.
+    uncertain: BTreeMap<String, BTreeMap<Epoch, Instant>>,
     loads: LoadLimiter,
     uses: ModelUses,
     /// Most workers that were known at once.
@@ -271,7 +273,8 @@
             }
             (WorkerOrder::Join { .. }, OrderOutcome::Fenced) => self.give_up_forming(epoch),
             (WorkerOrder::Join { .. }, OrderOutcome::Unknown) => {
-                let joins = self.uncertain.entry(ticket.worker.clone()).or_default();
+                let name = ticket.worker.name().to_owned();
+                let joins = self.uncertain.entry(name).or_default();
                 joins.insert(epoch, now + self.timing.late);
             }
             _ => {}
--- a/crates/fleet/src/replicas/orders.rs
+++ b/crates/fleet/src/replicas/orders.rs
@@ -121,11 +121,12 @@
     answered: bool,
 }
 
-/// The latest order of each worker.
+/// The latest order of each worker, by its name: one that is on its way to a life that has ended
+/// may reach the next one.
 #[derive(Clone, Debug)]
 pub(super) struct OrderBook {
     repeat: Duration,
-    placed: BTreeMap<WorkerId, PlacedOrder>,
+    placed: BTreeMap<String, PlacedOrder>,
 }
 
 impl OrderBook {
@@ -135,7 +136,7 @@
 
     /// Whether an order may go out: none is under way, and the same one was not just given.
     pub(super) fn may_give(&self, worker: &WorkerId, order: &WorkerOrder, now: Instant) -> bool {
-        match self.placed.get(worker) {
+        match self.placed.get(worker.name()) {
             None => true,
             Some(placed) if !placed.answered => false,
             Some(placed) => placed.order != *order || now >= placed.at + self.repeat,
@@ -143,12 +144,13 @@
     }
 
     pub(super) fn was_given(&self, worker: &WorkerId, order: &WorkerOrder) -> bool {
-        self.placed.get(worker).is_some_and(|placed| placed.order == *order)
+        self.placed.get(worker.name()).is_some_and(|placed| placed.order == *order)
     }
 
     pub(super) fn give(&mut self, ticket: &OrderTicket, now: Instant) {
         let order = ticket.order.clone();
-        self.placed.insert(ticket.worker.clone(), PlacedOrder { order, at: now, answered: false });
+        let placed = PlacedOrder { order, at: now, answered: false };
+        self.placed.insert(ticket.worker.name().to_owned(), placed);
     }
 
     pub(super) fn note_outcome(
@@ -157,7 +159,7 @@
         outcome: OrderOutcome,
         now: Instant,
     ) {
-        if let Some(placed) = self.placed.get_mut(&ticket.worker)
+        if let Some(placed) = self.placed.get_mut(ticket.worker.name())
             && placed.order == ticket.order
         {
             placed.answered = true;
@@ -168,7 +170,7 @@
     }
 
     /// Forgets workers that are not in the table any more.
-    pub(super) fn retain(&mut self, known: impl Fn(&WorkerId) -> bool) {
+    pub(super) fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.placed.retain(|worker, _| known(worker));
     }
 }
--- a/crates/fleet/src/workers.rs
+++ b/crates/fleet/src/workers.rs
@@ -1,23 +1,34 @@
 //! The table of registered workers: soft state that every daemon holds.
 //!
 //! Reports reach a daemon from workers and from other daemons, late, twice and
-//! in any order. The table keeps the newest one of each worker. Two tables that
-//! hold the same reports have the same digest.
+//! in any order. The table keeps the newest one of each life of a worker. Two
+//! tables that hold the same reports have the same digest.
 //!
-//! Invariant: what is held of a worker never goes back to an older report.
+//! A later life of a name replaces the earlier one at once: that one counts as
+//! ended, and nothing that comes late of it changes anything. Where numbers or
+//! the start of a life go back, because another writer used the name or a clock
+//! was wrong, a controller lets them after a silence, and counts that: the count
+//! comes before start and number in what is newer.
+//!
+//! Invariant: what is held of a name never goes back to an older report.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_schema::{ServiceName, WorkerBeat, WorkerId, WorkerReport};
+use hollowbarrow_schema::{Incarnation, ServiceName, WorkerBeat, WorkerId, WorkerReport};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long a worker serves on after it has deregistered: the shortest drain time of deployments.
 const DEPARTURE_TIME: Duration = Duration::from_secs(2);
-/// How long a worker that has gone is remembered, so that late reports cannot bring it back.
+/// How long a worker that has gone or ended is remembered, so that late reports cannot bring it
+/// back.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
+/// Part of a silence for which calls that went back must go on before they are believed: more than
+/// half of a heartbeat, where a silence is three.
+const GOES_ON_PART: u32 = 5;
+
 /// What came of merging a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MergeOutcome {
@@ -29,7 +40,7 @@
     Changed,
 }
 
-/// What is held of one worker.
+/// What is held of one life of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
     /// Newest report; its number is the highest under which its content was told.
@@ -44,12 +55,40 @@
     pub changed: u64,
     /// When it was last heard that the worker still says what is held.
     pub confirmed: Instant,
+    /// Whether a later life of its name is known.
+    pub ended: bool,
+}
+
+/// What makes one life of a name later than another.
+type LifeRank = (u32, Option<Incarnation>);
+
+impl WorkerEntry {
+    fn rank(&self) -> LifeRank {
+        rank_of(&self.report)
+    }
+
+    /// Whether the worker can be of use: it has neither deregistered nor ended.
+    pub fn is_there(&self) -> bool {
+        !self.report.gone && !self.ended
+    }
 }
 
-/// The newest report of each worker.
+/// A worker's call that is older than what is held, although nothing else has come for a while.
+#[derive(Clone, Debug)]
+struct StepBack {
+    id: WorkerId,
+    seq: u64,
+    since: Instant,
+}
+
+/// The newest report of each life.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerTable {
     entries: BTreeMap<WorkerId, WorkerEntry>,
+    /// Newest life of each name.
+    newest: BTreeMap<String, WorkerId>,
+    /// Calls that went back, by name.
+    steps_back: BTreeMap<String, StepBack>,
     digest: u64,
     revision: u64,
 }
@@ -60,48 +99,132 @@
         Self::default()
     }
 
-    /// Takes a report in.
+    /// Takes in what a worker itself has just said.
+    ///
+    /// Where it is older than what is held of the name, it is taken once the holder has been silent
+    /// for `silence` and what is older goes on: somebody else used the name, or a clock was wrong.
+    pub fn merge_own(
+        &mut self,
+        mut report: WorkerReport,
+        silence: Duration,
+        now: Instant,
+    ) -> MergeOutcome {
+        let name = report.id.name().to_owned();
+        let Some(held) = self.newest_of(&name) else { return self.merge(report, now) };
+        report.recount = held.report.recount;
+        let own = held.report.id == report.id;
+        let behind =
+            if own { report.seq <= held.report.seq } else { rank_of(&report) < held.rank() };
+        if !behind {
+            self.steps_back.remove(&name);
+            return self.merge(report, now);
+        }
+        let told = report.id.incarnation().is_some() || held.report.id.incarnation().is_none();
+        let left = own && held.report.gone;
+        let silent = now.saturating_duration_since(held.heard) > silence;
+        if !told || left || !silent || !self.goes_on(&report, silence, now) {
+            return MergeOutcome::Stale;
+        }
+        self.steps_back.remove(&name);
+        report.recount = Some(report.recount.unwrap_or(0) + 1);
+        self.merge(report, now)
+    }
+
+    /// Whether calls that went back have come for a while, each later than the one before: late
+    /// ones that a cut has held up come all at once.
+    fn goes_on(&mut self, report: &WorkerReport, silence: Duration, now: Instant) -> bool {
+        let first = StepBack { id: report.id.clone(), seq: report.seq, since: now };
+        let held = self.steps_back.entry(report.id.name().to_owned()).or_insert(first.clone());
+        let elapsed = now.saturating_duration_since(held.since);
+        if held.id != report.id || report.seq < held.seq || elapsed > silence * 2 {
+            *held = first;
+            return false;
+        }
+        held.seq = report.seq;
+        elapsed >= silence / GOES_ON_PART
+    }
+
+    /// Takes a report in that another daemon passed on.
     pub fn merge(&mut self, report: WorkerReport, now: Instant) -> MergeOutcome {
+        let newest = self.newest_of(report.id.name());
+        if newest.is_some_and(|held| held.report.id != report.id && rank_of(&report) < held.rank())
+        {
+            return MergeOutcome::Stale;
+        }
         let Some(entry) = self.entries.get_mut(&report.id) else {
             self.insert(report, now);
             return MergeOutcome::Changed;
         };
+        let recounted = report.recount > entry.report.recount;
         // Beats may have told of later numbers without their content, so only the number under
         // which the content was last confirmed counts.
-        if report.seq <= entry.report.seq {
+        let later = report.recount == entry.report.recount && report.seq > entry.report.seq;
+        // Who took the deregistration may not have heard of the last calls before it, and has given
+        // it a number that others know already.
+        let goes = report.gone && !entry.report.gone;
+        if !(recounted || later || goes) {
             return MergeOutcome::Stale;
         }
-        if report.seq >= entry.seq {
+        if recounted || report.seq >= entry.seq {
             // What is older than the newest number heard of may have changed again since.
             entry.confirmed = now;
         }
-        if report.seq > entry.seq {
+        if recounted || report.seq > entry.seq {
             entry.seq = report.seq;
             entry.heard = now;
         }
-        if entry.report.gone || is_same_content(&entry.report, &report) {
+        if !recounted && (entry.report.gone || is_same_content(&entry.report, &report)) {
             entry.report.seq = report.seq;
             return MergeOutcome::Renewed;
         }
-        self.digest ^= mark_of(&entry.report) ^ mark_of(&report);
+        self.digest ^= mark_of(entry);
         self.revision += 1;
         entry.changed = report.seq;
-        entry.report = report;
+        entry.ended = false;
+        let seq = if recounted { report.seq } else { report.seq.max(entry.report.seq) };
+        entry.report = WorkerReport { seq, ..report };
+        self.digest ^= mark_of(entry);
+        let id = entry.report.id.clone();
+        self.set_newest(id);
         MergeOutcome::Changed
     }
 
     fn insert(&mut self, report: WorkerReport, now: Instant) {
-        self.digest ^= mark_of(&report);
         self.revision += 1;
-        let (seq, changed) = (report.seq, report.seq);
-        let entry = WorkerEntry { seq, changed, first: now, heard: now, confirmed: now, report };
-        self.entries.insert(entry.report.id.clone(), entry);
+        let (seq, changed, id) = (report.seq, report.seq, report.id.clone());
+        let entry = WorkerEntry {
+            seq,
+            changed,
+            first: now,
+            heard: now,
+            confirmed: now,
+            ended: false,
+            report,
+        };
+        self.digest ^= mark_of(&entry);
+        self.entries.insert(id.clone(), entry);
+        self.set_newest(id);
+    }
+
+    /// Notes that a life is the newest of its name; the one before has ended.
+    fn set_newest(&mut self, id: WorkerId) {
+        let former = self.newest.insert(id.name().to_owned(), id.clone());
+        let Some(former) = former.filter(|former| *former != id) else { return };
+        if let Some(entry) = self.entries.get_mut(&former) {
+            self.digest ^= mark_of(entry);
+            entry.ended = true;
+            self.revision += 1;
+        }
     }
 
     /// Notes that a worker was heard of elsewhere; false where it is not in the table.
     pub fn renew(&mut self, beat: &WorkerBeat, now: Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&beat.id) else { return false };
-        if beat.seq > entry.seq {
+        if beat.recount > entry.report.recount {
+            // Its report has not come yet.
+            return false;
+        }
+        if beat.recount == entry.report.recount && beat.seq > entry.seq {
             entry.seq = beat.seq;
             entry.heard = now;
             // One that tells of a later change than what is held confirms nothing of that.
@@ -115,7 +238,7 @@
     /// Marks a worker as gone; returns the report to pass on if that is news.
     pub fn remove(&mut self, id: &WorkerId, now: Instant) -> Option<WorkerReport> {
         let entry = self.entries.get(id)?;
-        if entry.report.gone {
+        if !entry.is_there() {
             return None;
         }
         let seq = entry.seq + 1;
@@ -127,16 +250,20 @@
     /// Forgets workers that have gone, or were not heard of for much longer than they should.
     pub fn expire(&mut self, silence: Duration, now: Instant) {
         let old = |entry: &WorkerEntry| {
-            let limit = if entry.report.gone { GONE_RETENTION } else { silence };
+            let limit = if entry.is_there() { silence } else { GONE_RETENTION };
             now.saturating_duration_since(entry.heard) > limit
         };
         let expired: Vec<WorkerId> =
             self.entries.iter().filter(|(_, entry)| old(entry)).map(|(id, _)| id.clone()).collect();
         for id in expired {
             if let Some(entry) = self.entries.remove(&id) {
-                self.digest ^= mark_of(&entry.report);
+                self.digest ^= mark_of(&entry);
                 self.revision += 1;
             }
+            if self.newest.get(id.name()) == Some(&id) {
+                self.newest.remove(id.name());
+                self.steps_back.remove(id.name());
+            }
         }
     }
 
@@ -145,13 +272,19 @@
         self.entries.get(id)
     }
 
+    /// What is held of the newest life of a name.
+    pub fn newest_of(&self, name: &str) -> Option<&WorkerEntry> {
+        self.entries.get(self.newest.get(name)?)
+    }
+
     /// Everything held.
     pub fn iter(&self) -> impl Iterator<Item = &WorkerEntry> {
         self.entries.values()
     }
 
     /// Workers of a service that take part in replicas: those that have not gone, and those that
-    /// have deregistered so lately that they still serve what they have under way.
+    /// have deregistered so lately that they still serve what they have under way. Lives that have
+    /// ended are among them, since replicas may still name them as members.
     pub fn of_service(
         &self,
         service: &ServiceName,
@@ -165,9 +298,10 @@
         entries.filter(move |entry| !entry.report.gone || serves(entry))
     }
 
-    /// All reports, for a daemon whose table differs.
+    /// All reports, for a daemon whose table differs. Those of lives that have ended are left out.
     pub fn reports(&self) -> Vec<WorkerReport> {
-        self.entries.values().map(|entry| entry.report.clone()).collect()
+        let entries = self.entries.values().filter(|entry| !entry.ended);
+        entries.map(|entry| entry.report.clone()).collect()
     }
 
     /// Digest over the reports held; equal for equal tables.
@@ -191,8 +325,12 @@
     }
 }
 
+fn rank_of(report: &WorkerReport) -> LifeRank {
+    (report.recount.unwrap_or(0), report.id.incarnation())
+}
+
 fn is_same_content(held: &WorkerReport, new: &WorkerReport) -> bool {
-    let WorkerReport { id, seq: _, service, address, zone, slots, leaving, gone, .. } = held;
+    let WorkerReport { id, service, address, zone, slots, leaving, gone, .. } = held;
     (id, service, address, zone, slots, leaving, gone)
         == (&new.id, &new.service, &new.address, &new.zone, &new.slots, &new.leaving, &new.gone)
         && held.domain == new.domain
@@ -201,15 +339,16 @@
         && held.membership == new.membership
 }
 
-/// A report's part of the digest: its content without its number, since daemons may have learned
-/// the same content under different numbers. Workers that have gone leave no mark, since daemons
-/// forget them at different times.
-fn mark_of(report: &WorkerReport) -> u64 {
-    if report.gone {
+/// A life's part of the digest: its content without its number, since daemons may have learned
+/// the same content under different numbers. Workers that have gone or ended leave no mark, since
+/// daemons forget them at different times.
+fn mark_of(entry: &WorkerEntry) -> u64 {
+    if !entry.is_there() {
         return 0;
     }
-    let WorkerReport { id, service, address, zone, slots, leaving, gone, .. } = report;
+    let WorkerReport { id, service, address, zone, slots, leaving, gone, .. } = &entry.report;
     let plain = (id, service, address, zone, slots, leaving, gone);
+    let report = &entry.report;
     let held = (&report.domain, &report.model, &report.staged, &report.membership);
     xxh3_64(format!("{plain:?}{held:?}").as_bytes())
 }
--- a/crates/fleet/tests/exhaustive.rs
+++ b/crates/fleet/tests/exhaustive.rs
@@ -31,6 +31,8 @@
     Order(OrderFault),
     /// A worker ends, and another life comes.
     Restart(usize),
+    /// A worker ends, and starts again at once under its name.
+    Rebirth(usize),
     /// A worker is cut off from the leader.
     Cut(usize),
     /// Another leader begins; the former one acts once more, since it has not heard of it.
@@ -43,6 +45,7 @@
 fn all_faults() -> Vec<Fault> {
     let mut faults: Vec<Fault> = ORDER_FAULTS.map(Fault::Order).to_vec();
     faults.extend((0..WORKERS).map(Fault::Restart));
+    faults.extend((0..WORKERS).map(Fault::Rebirth));
     faults.extend((0..WORKERS).map(Fault::Cut));
     faults.push(Fault::NewLeader);
     faults
@@ -70,6 +73,7 @@
         match fault {
             Fault::Order(fault) => self.standins.planned.push(fault),
             Fault::Restart(worker) => self.standins.replace(alive[worker]),
+            Fault::Rebirth(worker) => self.standins.rebirth(alive[worker]),
             Fault::Cut(worker) => {
                 self.standins.workers[alive[worker]].cut_until = Some(self.standins.now + CUT);
             }
@@ -124,13 +128,19 @@
             }
         }
     }
-    assert_eq!(played, 55 * 100);
+    assert_eq!(played, 55 * 169);
 }
 
 #[rstest]
 fn every_three_of_the_worst_keep_order() {
-    let faults =
-        [Fault::Order(OrderFault::Late(LATE)), Fault::Restart(0), Fault::Cut(1), Fault::NewLeader];
+    let faults = [
+        Fault::Order(OrderFault::Late(LATE)),
+        Fault::Restart(0),
+        Fault::Rebirth(0),
+        Fault::Rebirth(1),
+        Fault::Cut(1),
+        Fault::NewLeader,
+    ];
     let moments = [22, 26, 30, 34, 38];
     for first_at in 0..moments.len() {
         for second_at in first_at..moments.len() {
--- a/crates/fleet/tests/planning.rs
+++ b/crates/fleet/tests/planning.rs
@@ -54,6 +54,7 @@
     WorkerReport {
         id: WorkerId(format!("w{number:03}")),
         seq: 1,
+        recount: None,
         service: ServiceName("chat".to_owned()),
         address: "127.0.0.1:1".to_owned(),
         zone: ZoneId("a".to_owned()),
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -95,47 +95,72 @@
     assert_eq!(standins.serving(), 2, "no replica was taken apart");
 }
 
+/// What comes in the place of workers that end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WorkerEnds {
+    /// Other workers.
+    NewNames,
+    /// The same ones, started again at once.
+    SameNames,
+}
+
+/// Plays faults at random, and a calm time after them.
+fn play(seed: u64, faults: f64, ends: WorkerEnds) -> Standins {
+    let mut standins = Standins::new(seed, WORKERS, SIZE);
+    standins.report_all();
+    let mut term = 1;
+    let mut terms = TermState::new();
+    for _ in 0..400 {
+        standins.advance();
+        if standins.rng.random_bool(0.02) {
+            let alive: Vec<usize> = (0..standins.workers.len())
+                .filter(|index| standins.workers[*index].alive)
+                .collect();
+            let chosen = alive[standins.rng.random_range(0..alive.len())];
+            match ends {
+                WorkerEnds::NewNames => standins.replace(chosen),
+                WorkerEnds::SameNames => standins.rebirth(chosen),
+            }
+        }
+        if standins.rng.random_bool(0.02) {
+            let chosen = standins.rng.random_range(0..standins.workers.len());
+            let length = Duration::from_millis(standins.rng.random_range(500..6000));
+            standins.workers[chosen].cut_until = Some(standins.now + length);
+        }
+        if standins.rng.random_bool(0.01) {
+            term += 1;
+        }
+        // Now and then the leader is not sure to lead, and goes on in the same term later.
+        if standins.rng.random_bool(0.05) {
+            continue;
+        }
+        let now = standins.now;
+        let controller = terms.enter(Term(term), || new_leader(term, now, LATEST));
+        standins.step(controller, faults);
+    }
+    // Calm again: late orders run out, and the replicas stand.
+    for _ in 0..250 {
+        standins.advance();
+        let now = standins.now;
+        let controller = terms.enter(Term(term), || new_leader(term, now, LATEST));
+        standins.step(controller, 0.0);
+    }
+    standins
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
     #[test]
     fn step_under_faults_keeps_order(seed in any::<u64>(), faults in 0.0f64..0.3) {
-        let mut standins = Standins::new(seed, WORKERS, SIZE);
-        standins.report_all();
-        let mut term = 1;
-        let mut terms = TermState::new();
-        for _ in 0..400 {
-            standins.advance();
-            if standins.rng.random_bool(0.02) {
-                let alive: Vec<usize> = (0..standins.workers.len())
-                    .filter(|index| standins.workers[*index].alive)
-                    .collect();
-                let chosen = standins.rng.random_range(0..alive.len());
-                standins.replace(alive[chosen]);
-            }
-            if standins.rng.random_bool(0.02) {
-                let chosen = standins.rng.random_range(0..standins.workers.len());
-                let length = Duration::from_millis(standins.rng.random_range(500..6000));
-                standins.workers[chosen].cut_until = Some(standins.now + length);
-            }
-            if standins.rng.random_bool(0.01) {
-                term += 1;
-            }
-            // Now and then the leader is not sure to lead, and goes on in the same term later.
-            if standins.rng.random_bool(0.05) {
-                continue;
-            }
-            let now = standins.now;
-            let controller = terms.enter(Term(term), || new_leader(term, now, LATEST));
-            standins.step(controller, faults);
-        }
-        // Calm again: late orders run out, and the replicas stand.
-        for _ in 0..250 {
-            standins.advance();
-            let now = standins.now;
-            let controller = terms.enter(Term(term), || new_leader(term, now, LATEST));
-            standins.step(controller, 0.0);
-        }
+        let standins = play(seed, faults, WorkerEnds::NewNames);
+        prop_assert_eq!(&standins.broken, &Vec::<String>::new());
+        prop_assert!(standins.serving() >= 2, "{} replicas serve", standins.serving());
+    }
+
+    #[test]
+    fn step_under_rebirths_keeps_order(seed in any::<u64>(), faults in 0.0f64..0.3) {
+        let standins = play(seed, faults, WorkerEnds::SameNames);
         prop_assert_eq!(&standins.broken, &Vec::<String>::new());
         prop_assert!(standins.serving() >= 2, "{} replicas serve", standins.serving());
     }
--- a/crates/fleet/tests/standins/mod.rs
+++ b/crates/fleet/tests/standins/mod.rs
@@ -9,8 +9,8 @@
     WorkerOrder, WorkerStanding,
 };
 use hollowbarrow_schema::{
-    DomainId, MembershipState, ModelName, ServiceName, Term, WorkerId, WorkerMembership,
-    WorkerReport, ZoneId,
+    DomainId, Incarnation, MembershipState, ModelName, ServiceName, Term, WorkerId,
+    WorkerMembership, WorkerReport, ZoneId,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -115,6 +115,7 @@
         let report = WorkerReport {
             id: self.id.clone(),
             seq: self.seq,
+            recount: None,
             service: ServiceName("chat".to_owned()),
             address: "127.0.0.1:1".to_owned(),
             zone: ZoneId("a".to_owned()),
@@ -180,8 +181,15 @@
         }
     }
 
+    /// The worker that an order reaches: it names the worker and not its life.
     fn index_of(&self, id: &WorkerId) -> Option<usize> {
-        self.workers.iter().position(|worker| worker.id == *id && worker.alive)
+        self.workers.iter().position(|worker| worker.id.name() == id.name() && worker.alive)
+    }
+
+    /// Whether a later life of a worker's name has come.
+    fn is_reborn(&self, worker: &StandinWorker) -> bool {
+        let later = |other: &StandinWorker| other.alive && other.id.name() == worker.id.name();
+        !worker.alive && self.workers.iter().any(later)
     }
 
     /// Carries an order out as a real worker does.
@@ -331,25 +339,48 @@
         self.workers.push(next);
     }
 
+    /// Ends a worker, which starts again at once under its name. What is on its way to its name
+    /// reaches the new life, which knows nothing.
+    pub fn rebirth(&mut self, index: usize) {
+        let late = std::mem::take(&mut self.workers[index].late);
+        let former = &mut self.workers[index];
+        former.alive = false;
+        former.membership = None;
+        let born = former.id.incarnation().map_or(1, |born| born.0 + 1);
+        let id = WorkerId::of_life(former.id.name(), Some(Incarnation(born)));
+        let (staged, cut_until) = (former.staged, former.cut_until);
+        let mut next =
+            StandinWorker { staged, late, cut_until, ..StandinWorker::new(id.to_string()) };
+        if !next.is_cut(self.now) {
+            next.report(self.now);
+        }
+        self.workers.push(next);
+    }
+
     /// Has a leader act on what it heard; a part of its orders goes astray.
     pub fn step(&mut self, controller: &mut ReplicaController, faults: f64) {
-        let reports: Vec<(WorkerReport, Instant, bool)> = self
+        let reports: Vec<(WorkerReport, Instant, WorkerStanding)> = self
             .workers
             .iter()
             .filter_map(|worker| {
-                let reached = worker.alive && !worker.is_cut(self.now);
                 let (report, at) = worker.heard.clone()?;
-                Some((report, at, reached))
+                let standing = match worker.alive && !worker.is_cut(self.now) {
+                    true => WorkerStanding::Usable,
+                    // It was probed, and the new life has answered.
+                    false if self.is_reborn(worker) => WorkerStanding::Dead,
+                    false => WorkerStanding::Lost,
+                };
+                Some((report, at, standing))
             })
             .collect();
         let states: Vec<WorkerState<'_>> = reports
             .iter()
-            .map(|(report, confirmed, alive)| WorkerState {
+            .map(|(report, confirmed, standing)| WorkerState {
                 report,
                 confirmed: *confirmed,
                 active: 0,
                 waiting_ms: 0,
-                standing: if *alive { WorkerStanding::Usable } else { WorkerStanding::Lost },
+                standing: *standing,
             })
             .collect();
         let tickets = controller.step(&engine(self.size), &states, false, self.now);
--- a/crates/fleet/tests/workers.rs
+++ b/crates/fleet/tests/workers.rs
@@ -13,6 +13,7 @@
     WorkerReport {
         id: WorkerId(format!("w{id}")),
         seq,
+        recount: None,
         service: ServiceName("chat".to_owned()),
         address: format!("127.0.0.1:{}", 9000 + u16::from(id)),
         zone: ZoneId("a".to_owned()),
@@ -55,12 +56,17 @@
     let later = start + Duration::from_secs(1);
     let mut table = WorkerTable::new();
     table.merge(report(1, 5, false), start);
-    let beat = |seq| WorkerBeat { id: WorkerId::from("w1"), seq, changed: 1 };
+    let beat = |seq| WorkerBeat { id: WorkerId::from("w1"), seq, changed: 1, recount: None };
     assert!(table.renew(&beat(4), later));
     assert_eq!(table.get(&WorkerId::from("w1")).expect("there").heard, start);
     assert!(table.renew(&beat(6), later));
     assert_eq!(table.get(&WorkerId::from("w1")).expect("there").heard, later);
-    assert!(!table.renew(&WorkerBeat { id: WorkerId::from("w9"), seq: 1, changed: 1 }, later));
+    assert!(
+        !table.renew(
+            &WorkerBeat { id: WorkerId::from("w9"), seq: 1, changed: 1, recount: None },
+            later
+        )
+    );
 }
 
 /// A daemon that heard only of later numbers still takes the content that it missed.
@@ -69,7 +75,12 @@
     let now = Instant::now();
     let mut table = WorkerTable::new();
     table.merge(report(1, 5, false), now);
-    assert!(table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9, changed: 7 }, now));
+    assert!(
+        table.renew(
+            &WorkerBeat { id: WorkerId::from("w1"), seq: 9, changed: 7, recount: None },
+            now
+        )
+    );
     assert_eq!(table.merge(report(1, 7, true), now), MergeOutcome::Changed);
     assert!(table.get(&WorkerId::from("w1")).expect("there").report.leaving);
 }
@@ -83,7 +94,7 @@
     let later = start + Duration::from_secs(1);
     let mut table = WorkerTable::new();
     table.merge(report(1, 5, false), start);
-    table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9, changed }, later);
+    table.renew(&WorkerBeat { id: WorkerId::from("w1"), seq: 9, changed, recount: None }, later);
     let entry = table.get(&WorkerId::from("w1")).expect("there");
     assert_eq!(entry.heard, later);
     assert_eq!(entry.confirmed, if confirmed { later } else { start });
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -1,6 +1,7 @@
 //! Which workers can be chosen at all, by what they report.
 //!
-//! A replica is a candidate while its head says that it is open and no member says that it leaves.
+//! A replica is a candidate while its head says that it is open, no member says that it leaves and
+//! none has ended.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -80,9 +81,9 @@
         self.revision = table.revision();
         self.replicas.clear();
         self.plain.clear();
-        let leaving = leaving_epochs(table);
+        let broken = broken_epochs(table);
         let scattered = scattered_epochs(table);
-        for report in table.iter().map(|entry| &entry.report) {
+        for report in table.iter().filter(|entry| !entry.ended).map(|entry| &entry.report) {
             let Some(candidate) = self.candidate_of(report) else { continue };
             let Some(membership) = &report.membership else {
                 self.plain.entry(report.service.clone()).or_default().push(candidate);
@@ -92,7 +93,7 @@
             let name = ReplicaName::from_text(&membership.replica);
             if let Some(name) = name.filter(|name| name.kind == ReplicaKind::Serving)
                 && open
-                && !leaving.contains(&membership.epoch)
+                && !broken.contains(&membership.epoch)
             {
                 let scattered = scattered.contains(&membership.epoch);
                 let bias_ms = self.bias_of(report);
@@ -119,17 +120,17 @@
     }
 }
 
-/// Epochs of the replicas of which a member leaves.
-fn leaving_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
-    let leaving = table.iter().filter(|entry| entry.report.leaving || entry.report.gone);
-    leaving.filter_map(|entry| entry.report.membership.as_ref()).map(|m| m.epoch).collect()
+/// Epochs of the replicas of which a member leaves or has ended.
+fn broken_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
+    let broken = table.iter().filter(|entry| entry.report.leaving || !entry.is_there());
+    broken.filter_map(|entry| entry.report.membership.as_ref()).map(|m| m.epoch).collect()
 }
 
 /// Epochs of the replicas whose members are in several fabric domains.
 fn scattered_epochs(table: &WorkerTable) -> BTreeSet<Epoch> {
     let mut domains: HashMap<Epoch, Option<&DomainId>> = HashMap::new();
     let mut scattered = BTreeSet::new();
-    for report in table.iter().map(|entry| &entry.report).filter(|report| !report.gone) {
+    for report in table.iter().filter(|entry| entry.is_there()).map(|entry| &entry.report) {
         let Some(membership) = &report.membership else { continue };
         let domain = report.domain.as_ref();
         if *domains.entry(membership.epoch).or_insert(domain) != domain {
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -52,6 +52,7 @@
     WorkerReport {
         id: WorkerId::from(id),
         seq: 1,
+        recount: None,
         service: ServiceName("chat".to_owned()),
         address: "127.0.0.1:9000".to_owned(),
         zone: ZoneId::from("a"),
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -3285,6 +3285,9 @@
     ///Number under which the worker last said something new, as far as the sender knows.
     pub changed: u64,
     pub id: WorkerId,
+    ///As in a report.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub recount: ::std::option::Option<u32>,
     pub seq: u64,
 }
 impl ::std::convert::From<&WorkerBeat> for WorkerBeat {
@@ -3292,7 +3295,7 @@
         value.clone()
     }
 }
-///Identity of one life of a registered worker; each start of its process takes a new one.
+///Identity of one life of a registered worker: the name under which it registers and, where it tells that, when it started.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -3394,7 +3397,10 @@
     ///Model whose weights it holds in memory.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub model: ::std::option::Option<ModelName>,
-    ///Number of the call; of two reports the one with the higher number is newer.
+    ///How often a controller has let the numbers or the time of the start of this name go back, after a silence under those before; none if never. It comes before them in what is newer.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub recount: ::std::option::Option<u32>,
+    ///Number of the call; of two reports of a life the one with the higher number is newer.
     pub seq: u64,
     pub service: ServiceName,
     ///Requests that it works on at once.
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -11,11 +11,13 @@
 #[rustfmt::skip]
 mod generated;
 pub mod keys;
+mod lives;
 pub mod selector;
 pub mod settings;
 mod validate;
 
 pub use generated::*;
+pub use lives::{Incarnation, LIFE_MARK};
 
 /// Version of the messages between daemons; both ends of a connection must agree on it.
 pub const PROTOCOL_VERSION: u32 = 1;
--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -46,6 +46,14 @@
     LateOrders,
     /// A worker says that it leaves, ends, and another life comes.
     DrainWorker,
+    /// A worker ends, and starts again under its id after a while.
+    RebirthWorker,
+    /// A worker ends, and starts again under its id at once.
+    RebirthAtOnce,
+    /// Other writers use a worker's id.
+    ForeignRecords,
+    /// A request that ends the workers it runs on comes several times.
+    EndingRequest,
 }
 
 const KINDS: [DisturbanceKind; 13] = [
@@ -64,6 +72,16 @@
     DisturbanceKind::DrainWorker,
 ];
 
+/// Kinds of a series of their own, drawn apart so that a seed keeps its other disturbances.
+const LIFE_KINDS: [DisturbanceKind; 4] = [
+    DisturbanceKind::RebirthWorker,
+    DisturbanceKind::RebirthAtOnce,
+    DisturbanceKind::ForeignRecords,
+    DisturbanceKind::EndingRequest,
+];
+/// What makes the seed of that series another one.
+const LIFE_SEED: u64 = 0x11fe;
+
 /// One disturbance.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -84,23 +102,28 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut drawn = Vec::new();
     for _ in 0..SERIES {
-        let mut at = draw_ms(&mut rng, PAUSE_MS);
-        while at < DISTURBED_TIME {
-            let length = draw_ms(&mut rng, LENGTH_MS);
-            drawn.push(Disturbance {
-                at,
-                length,
-                kind: KINDS[rng.random_range(0..KINDS.len())],
-                first: rng.random_range(0..1000),
-                second: rng.random_range(0..1000),
-            });
-            at += length + draw_ms(&mut rng, PAUSE_MS);
-        }
+        draw_series(&mut rng, &KINDS, &mut drawn);
     }
+    draw_series(&mut ChaCha8Rng::seed_from_u64(seed ^ LIFE_SEED), &LIFE_KINDS, &mut drawn);
     drawn.sort_by_key(|disturbance| disturbance.at);
     drawn
 }
 
+fn draw_series(rng: &mut ChaCha8Rng, kinds: &[DisturbanceKind], drawn: &mut Vec<Disturbance>) {
+    let mut at = draw_ms(rng, PAUSE_MS);
+    while at < DISTURBED_TIME {
+        let length = draw_ms(rng, LENGTH_MS);
+        drawn.push(Disturbance {
+            at,
+            length,
+            kind: kinds[rng.random_range(0..kinds.len())],
+            first: rng.random_range(0..1000),
+            second: rng.random_range(0..1000),
+        });
+        at += length + draw_ms(rng, PAUSE_MS);
+    }
+}
+
 fn draw_ms(rng: &mut ChaCha8Rng, (least, most): (u64, u64)) -> Duration {
     Duration::from_millis(rng.random_range(least..most))
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,7 +3,9 @@
 mod changes;
 mod crashing_request;
 mod disturbance;
+mod foreign;
 mod observer;
+mod reborn_worker;
 mod soak;
 mod stale_gateway;
 mod system;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -17,9 +17,12 @@
 use tokio::time::Instant;
 
 use crate::disturbance::{DISTURBED_TIME, Disturbance, DisturbanceKind, draw_disturbances};
+use crate::foreign::{foreign_records, send_record};
 use crate::observer::{Observer, read_changes, send_changes, send_load};
-use crate::system::{CONTROLLERS, Layout, Signal, System, configuration};
-use crate::worker::{Fleet, Worker};
+use crate::system::{
+    CONTROLLERS, KEY, Layout, Signal, System, call_gateway_with_body, configuration,
+};
+use crate::worker::{ENDS_WORKER, Fleet, Worker};
 
 /// Variable with the number of fresh seeds to play.
 const RUNS: &str = "HOLLOWBARROW_SOAK_RUNS";
@@ -43,6 +46,10 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Delay of a slow link.
 const LINK_DELAY: Duration = Duration::from_millis(250);
+/// Pause between two records of other writers, and two requests that end workers.
+const FOREIGN_PAUSE: Duration = Duration::from_millis(150);
+/// Times that such a request comes.
+const ENDING_REQUESTS: usize = 6;
 /// Time for which a worker that leaves goes on.
 const DRAIN_TIME: Duration = Duration::from_millis(600);
 
@@ -78,7 +85,7 @@
                 soak.engines.push((worker, zone));
             }
             let id = format!("plain-{zone}");
-            let worker = Worker::start_in(&soak.fleet, &id, "bookings", false, zone);
+            let worker = Worker::start_born(&soak.fleet, &id, "bookings", false, zone);
             soak._plain.push(worker);
         }
         soak
@@ -87,7 +94,7 @@
     fn new_life(&mut self, zone: &'static str) -> Arc<Worker> {
         self.lives += 1;
         let id = format!("engine-{zone}-{}", self.lives);
-        Worker::start_in(&self.fleet, &id, "models", true, zone)
+        Worker::start_born(&self.fleet, &id, "models", true, zone)
     }
 
     fn renew_worker(&mut self, index: usize) {
@@ -139,6 +146,28 @@
                 worker.leave();
                 true
             }
+            DisturbanceKind::RebirthWorker => {
+                worker.kill();
+                true
+            }
+            DisturbanceKind::RebirthAtOnce if worker.is_stopped() => false,
+            DisturbanceKind::RebirthAtOnce => {
+                worker.kill();
+                // Its port may not be free yet.
+                let next = worker.start_next(true);
+                let index = disturbance.first % self.engines.len();
+                self.engines[index].0 = next;
+                true
+            }
+            DisturbanceKind::ForeignRecords => {
+                tokio::spawn(send_foreign(worker.id.clone(), self.system.controllers.clone()));
+                true
+            }
+            DisturbanceKind::EndingRequest => {
+                let gateways = self.system.gateways.clone();
+                tokio::spawn(send_ending(disturbance.second, gateways));
+                true
+            }
         }
     }
 
@@ -176,6 +205,17 @@
                 tokio::time::sleep(DRAIN_TIME).await;
                 self.renew_worker(index);
             }
+            DisturbanceKind::RebirthWorker => {
+                let worker = &self.engines[index].0;
+                // Another disturbance may have replaced it meanwhile.
+                if worker.is_stopped() {
+                    let moved = disturbance.second % 2 == 1;
+                    self.engines[index].0 = worker.start_next(moved);
+                }
+            }
+            DisturbanceKind::RebirthAtOnce
+            | DisturbanceKind::ForeignRecords
+            | DisturbanceKind::EndingRequest => {}
         }
     }
 
@@ -268,6 +308,27 @@
     }
 }
 
+/// Sends what other writers say under a worker's id to all controllers.
+async fn send_foreign(id: String, controllers: Vec<String>) {
+    for record in foreign_records() {
+        for controller in &controllers {
+            send_record(controller, &id, &record).await;
+        }
+        tokio::time::sleep(FOREIGN_PAUSE).await;
+    }
+}
+
+/// Sends a request that ends the workers it runs on to one gateway after the other.
+async fn send_ending(number: usize, gateways: Vec<String>) {
+    for comeback in 0..ENDING_REQUESTS {
+        let gateway = &gateways[(number + comeback) % gateways.len()];
+        let id = format!("ending-{number}-{comeback}");
+        // What comes of it shows in the workers that end.
+        let _ = call_gateway_with_body(gateway, "/chat/1", &id, Some(KEY), ENDS_WORKER).await;
+        tokio::time::sleep(FOREIGN_PAUSE).await;
+    }
+}
+
 /// Plays one seed; says what must not be.
 async fn play(seed: u64, block: u8, layout: Layout) -> Vec<String> {
     println!("soak seed {seed}, disturbed for {} s", DISTURBED_TIME.as_secs());
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -430,7 +430,8 @@
     call_gateway_with_body(address, path, id, key, b"{}").await
 }
 
-async fn call_gateway_with_body(
+/// Sends a request with a body of its own to the gateway at an address.
+pub async fn call_gateway_with_body(
     address: &str,
     path: &str,
     id: &str,
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -36,6 +36,9 @@
 /// Time after which another life of such a worker comes.
 const RESTART_TIME: Duration = Duration::from_millis(600);
 
+/// Start of the first life of each worker that tells it, in Unix milliseconds.
+pub const FIRST_BORN: u64 = 1_764_720_000_000;
+
 /// Bytes of one event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -87,6 +90,8 @@
     breaches: Mutex<Vec<String>>,
     /// Workers that a request has ended.
     ended: AtomicU32,
+    /// Requests that ran in replicas, and under which epoch.
+    replica_runs: Mutex<Vec<(String, u64)>>,
 }
 
 impl Fleet {
@@ -104,6 +109,12 @@
         self.ended.load(Ordering::SeqCst)
     }
 
+    /// Epochs of the replicas in which a request ran.
+    pub fn epochs_of(&self, request: &str) -> Vec<u64> {
+        let runs = self.replica_runs.lock().expect("not poisoned");
+        runs.iter().filter(|(id, _)| id == request).map(|(_, epoch)| *epoch).collect()
+    }
+
     /// How often each request ran.
     pub fn all_runs(&self) -> BTreeMap<String, u32> {
         self.runs.lock().expect("not poisoned").clone()
@@ -170,6 +181,8 @@
 /// One worker.
 pub struct Worker {
     pub id: String,
+    /// Unix milliseconds of its start, where it tells that.
+    born: Option<u64>,
     address: String,
     service: &'static str,
     engine: bool,
@@ -207,11 +220,23 @@
         engine: bool,
         zone: &'static str,
     ) -> Arc<Self> {
-        let listener = bind_http("127.0.0.1:0").expect("a port is free");
+        Self::start_life(fleet, id, (service, engine, zone), None, "127.0.0.1:0")
+    }
+
+    /// Starts one life of a worker at an address.
+    fn start_life(
+        fleet: &Arc<Fleet>,
+        id: &str,
+        (service, engine, zone): (&'static str, bool, &'static str),
+        born: Option<u64>,
+        address: &str,
+    ) -> Arc<Self> {
+        let listener = bind_http(address).expect("the port is free");
         let address = listener.local_addr().expect("it is bound").to_string();
         let (stop, stopped) = watch::channel(false);
         let worker = Arc::new(Self {
             id: id.to_owned(),
+            born,
             address,
             service,
             engine,
@@ -233,6 +258,47 @@
         worker
     }
 
+    /// Starts a worker that tells when it was born.
+    pub fn start_born(
+        fleet: &Arc<Fleet>,
+        id: &str,
+        service: &'static str,
+        engine: bool,
+        zone: &'static str,
+    ) -> Arc<Self> {
+        Self::start_life(fleet, id, (service, engine, zone), Some(FIRST_BORN), "127.0.0.1:0")
+    }
+
+    /// Ends the worker without a word and starts it again under its id after a while, at the same
+    /// address or another one; it then knows nothing of before.
+    pub async fn start_again(&self, after: Duration, moved: bool) -> Arc<Self> {
+        self.kill();
+        tokio::time::sleep(after).await;
+        self.start_next(moved)
+    }
+
+    /// Starts the next life of a worker that has ended.
+    pub fn start_next(&self, moved: bool) -> Arc<Self> {
+        if let Some(epoch) = self.epoch() {
+            self.fleet.note_left(epoch, &self.id);
+        }
+        self.fleet.dead.lock().expect("not poisoned").retain(|dead| *dead != self.id);
+        let born = self.born.map(|born| born + 1000);
+        let kind = (self.service, self.engine, self.zone);
+        let address = if moved { "127.0.0.1:0" } else { &self.address };
+        Self::start_life(&self.fleet, &self.id, kind, born, address)
+    }
+
+    /// Heartbeats that this life has sent.
+    pub fn beats(&self) -> u64 {
+        self.seq.load(Ordering::Relaxed)
+    }
+
+    /// Epoch of its replica, if it is a member of one.
+    pub fn epoch(&self) -> Option<u64> {
+        self.lock().membership.as_ref().map(|held| held.epoch)
+    }
+
     /// Ends the worker without a word; its replica stands still.
     pub fn kill(&self) {
         self.stopped.store(true, Ordering::Relaxed);
@@ -282,7 +348,8 @@
     /// Says that it goes, without having said that it leaves, and serves on for a while.
     pub async fn deregister(&self) {
         self.gone.store(true, Ordering::Relaxed);
-        self.tell_controllers("deregister", Bytes::new()).await;
+        let told = self.born.map(|born| json!({"born": born}).to_string());
+        self.tell_controllers("deregister", told.unwrap_or_default().into()).await;
     }
 
     /// Whether it was killed.
@@ -349,7 +416,10 @@
         let leaving = self.leaving.load(Ordering::Relaxed);
         let told = if leaving { "draining" } else { "ready" };
         let mut body = json!({"service": self.service, "address": self.address, "zone": self.zone,
-            "slots": 8, "state": told, "seq": seq + 1, "models": models, "group": group});
+            "version": "v1", "cold_left_ms": 0, "slots": 8, "state": told, "seq": seq + 1, "models": models, "group": group});
+        if let Some(born) = self.born {
+            body["born"] = json!(born);
+        }
         if self.engine {
             body["domain"] = json!(format!("{}-d0", self.zone));
             body["staged"] = json!(state.model.iter().collect::<Vec<_>>());
@@ -447,6 +517,8 @@
         }
         if let Some(held) = &held {
             self.fleet.check_whole(held, &id);
+            let mut runs = self.fleet.replica_runs.lock().expect("not poisoned");
+            runs.push((id.clone(), held.epoch));
         }
         *self.fleet.runs.lock().expect("not poisoned").entry(id.clone()).or_default() += 1;
         let builder = builder.header("response-signature", format!("{}.1", self.id));
@@ -524,7 +596,10 @@
                 let status = self.take_order(&order);
                 Response::builder().status(status).body(AnswerBody::whole("{}")).expect("sound")
             }
-            "/-/report" => Response::new(AnswerBody::whole("{}")),
+            "/-/report" => {
+                let told = self.born.map_or(json!({}), |born| json!({"born": born}));
+                Response::new(AnswerBody::whole(told.to_string()))
+            }
             _ => {
                 let answer = self.answer_request(&head, &body);
                 if self.mute.load(Ordering::Relaxed) {
