Notice that a machine was suspended before acting on what was believed

The runtime's clock stands still while a machine is suspended, so that a leader's confirmation, a gateway's view and a request's deadline seemed as fresh afterwards as before.

Weighed: the boot clock for everything (the runtime's timers and tests that pause its clock would not follow) against detection at each question, which costs two readings of a clock.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -154,7 +154,8 @@
         if !view.leads {
             return core.elsewhere(path);
         }
-        if view.current && view.confirmed.is_some_and(|confirmed| confirmed >= asked) {
+        let confirmed = view.confirmed.is_some_and(|confirmed| confirmed >= asked);
+        if confirmed && core.is_sure_to_lead(&view, Instant::now()) {
             let document = core.newest_document();
             return match document {
                 Some(document) => ControlAnswer::Document(document.text),
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -9,7 +9,7 @@
     AppliedChange, DriverConfig, LogDriver, LogView, ReplicaConfig, StoreLogError,
 };
 use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
+use hollowbarrow_member::{MemberLinks, StartLinksError, WakeWatch, serve_http, serve_metrics};
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, EntryPayload, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use thiserror::Error;
@@ -71,6 +71,7 @@
     pub(crate) news: flume::Sender<WorkerNews>,
     pub(crate) metrics: ControllerMetrics,
     pub(crate) started: Instant,
+    wake: WakeWatch,
     links: Arc<OnceLock<MemberLinks>>,
     fleet: Mutex<FleetState>,
     pending: Mutex<PendingNews>,
@@ -117,7 +118,10 @@
     /// Whether a majority has confirmed within the election time that this daemon leads.
     pub(crate) fn is_sure_to_lead(&self, view: &LogView, now: Instant) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < ELECTION_TIME;
-        view.current && view.confirmed.is_some_and(recent)
+        // While the machine was suspended another leader may have been elected, and the time since
+        // the confirmation was not counted.
+        let awake = |at: Instant| !self.wake.has_slept_since(at, now);
+        view.current && view.confirmed.is_some_and(|at| recent(at) && awake(at))
     }
 
     /// The newest committed configuration.
@@ -142,12 +146,14 @@
         parsed.clone()
     }
 
-    /// Whether what is committed here may be told to gateways: after a start this daemon may lack
+    /// Whether what is committed here may be told to gateways: after a start or a suspension this
+    /// daemon may lack
     /// what was committed last, until a leader that a majority confirms has said so. Where none
     /// comes up, an older configuration is better than none.
     pub(crate) fn may_tell(&self, now: Instant) -> bool {
-        let confirmed = self.log.view().confirmed.is_some_and(|at| at > self.started);
-        confirmed || now.saturating_duration_since(self.started) > LEADERLESS_TIME
+        let since = self.wake.woke(now).map_or(self.started, |woke| woke.max(self.started));
+        let confirmed = self.log.view().confirmed.is_some_and(|at| at > since);
+        confirmed || now.saturating_duration_since(since) > LEADERLESS_TIME
     }
 
     /// When configurations were committed here.
@@ -247,6 +253,7 @@
         applied,
         news,
         started: now,
+        wake: WakeWatch::new(),
         links,
         fleet,
         pending: Mutex::default(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hollowbarrow_fleet::{Organisation, Route, Service};
+use hollowbarrow_member::WakeWatch;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{AttemptBounds, AttemptLedger};
 use hollowbarrow_schema::{ErrorRan, RequestDigest, WorkerId};
@@ -34,7 +35,11 @@
     pub(crate) service: Arc<Service>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) received: Instant,
-    pub(crate) deadline: Instant,
+    /// When its caller gives it up, if the machine is not suspended.
+    pub(crate) end: Instant,
+    /// Time of all suspensions until it was received.
+    pub(crate) slept_before: Duration,
+    pub(crate) wake: Arc<WakeWatch>,
     /// Tells whether two requests are the same one, sent again.
     pub(crate) digest: RequestDigest,
 }
@@ -50,12 +55,18 @@
         AttemptBounds {
             repeatable: self.route.kind.may_repeat(),
             max_runs: self.route.max_attempts,
-            deadline: self.deadline,
+            deadline: self.deadline(),
         }
     }
 
+    /// When its caller gives it up. Callers do not wait longer because this machine slept.
+    pub(crate) fn deadline(&self) -> Instant {
+        let slept = self.wake.suspended(Instant::now()).saturating_sub(self.slept_before);
+        self.end.checked_sub(slept).unwrap_or(self.received)
+    }
+
     pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline().saturating_duration_since(Instant::now())
     }
 
     /// Counts the request as failed, and logs why.
@@ -191,7 +202,7 @@
     if tries.ledger.sends() > 1 {
         core.metrics.count_repeat(if resumes { "resumed" } else { "again" });
     }
-    let limit = request.deadline.min(Instant::now() + LONGEST_CONNECT);
+    let limit = request.deadline().min(Instant::now() + LONGEST_CONNECT);
     let preparing = core.client.prepare(flight.worker.address, true);
     match tokio::time::timeout_at(limit, preparing).await {
         Ok(Ok(lease)) => Ok(lease.with_most_idle(core.most_idle(&request.service))),
@@ -232,7 +243,7 @@
         body: request.body.clone(),
         reuse: true,
     };
-    let sent = core.client.send(lease, &message, request.deadline).await;
+    let sent = core.client.send(lease, &message, request.deadline()).await;
     let answer = sent.map_err(|error| to_attempt_error(&error, request))?;
     let facts = core.protocol.read_answer(answer.status, &answer.headers);
     let status = answer.status.as_u16();
@@ -252,7 +263,7 @@
         SendRequestError::NotWritten | SendRequestError::Unwritable(_) => {
             AttemptUpstreamError::NotSent
         }
-        SendRequestError::Timeout if Instant::now() >= request.deadline => {
+        SendRequestError::Timeout if Instant::now() >= request.deadline() => {
             AttemptUpstreamError::DeadlinePassed { sent: true }
         }
         SendRequestError::OtherRequest(_) => {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
+use hollowbarrow_member::WakeWatch;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
@@ -34,6 +35,9 @@
     /// Versions of the configuration that the leader has told of.
     known: Mutex<VersionTimes>,
     in_flight: AtomicU32,
+    pub(crate) wake: Arc<WakeWatch>,
+    /// When the leader's word last came.
+    last_view: Mutex<Option<Instant>>,
 }
 
 impl GatewayCore {
@@ -53,6 +57,8 @@
             home: Mutex::new(HomeChoice::new(&own, &settings.zone)),
             known: Mutex::default(),
             in_flight: AtomicU32::new(0),
+            wake: Arc::new(WakeWatch::new()),
+            last_view: Mutex::new(None),
             settings,
             protocol,
         }
@@ -83,9 +89,16 @@
         self.known().lag(self.version(), now)
     }
 
-    /// Whether the leader has told of a configuration that this gateway lacks.
+    /// Whether the leader has told of a configuration that this gateway lacks, or may have done so
+    /// while the machine was suspended.
     pub(crate) fn is_behind(&self) -> bool {
-        self.known().newest() > self.version()
+        self.known().newest() > self.version() || self.has_missed_views()
+    }
+
+    /// Whether the machine was suspended since the leader's word last came.
+    fn has_missed_views(&self) -> bool {
+        let last = *self.last_view.lock().expect("no holder of the lock panics");
+        last.is_some_and(|last| self.wake.has_slept_since(last, Instant::now()))
     }
 
     fn known(&self) -> MutexGuard<'_, VersionTimes> {
@@ -119,6 +132,7 @@
             self.budget.set_limits(share_of(&allowance_of(&self.settings), gateways));
         }
         if recent {
+            *self.last_view.lock().expect("no holder of the lock panics") = Some(now);
             let mut home = self.home.lock().expect("no holder of the lock panics");
             home.note_view(from, &view.controllers, now);
         }
@@ -127,7 +141,7 @@
     /// Whether new callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let told = self.routes().is_some() && !self.picker().is_empty();
-        told && !self.stopping.load(Ordering::Relaxed)
+        told && !self.has_missed_views() && !self.stopping.load(Ordering::Relaxed)
     }
 
     /// The page of metrics, with the number of messages that were dropped.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hollowbarrow_fleet::{Organisation, Route, RouteTable};
 use hollowbarrow_member::http::plain_answer;
-use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits};
+use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits, WakeWatch};
 use hollowbarrow_routing::RequestContent;
 use hollowbarrow_schema::{RequestDigest, ServiceName};
 use http_body_util::{BodyExt, Limited};
@@ -103,7 +103,7 @@
     })?;
     let limit = routed.table.limits().body_bytes;
     let body = read_body(body, limit, &routed).await.map_err(|refusal| (id, refusal))?;
-    Ok(to_request(parts, head, routed, body, received))
+    Ok(to_request(parts, head, routed, body, received, &core.wake))
 }
 
 struct RoutedRequest {
@@ -156,6 +156,7 @@
     routed: RoutedRequest,
     body: Bytes,
     received: Instant,
+    wake: &Arc<WakeWatch>,
 ) -> CallerRequest {
     let timeout = routed.route.timeout;
     let patience = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
@@ -169,7 +170,9 @@
         service: routed.service,
         organisation: routed.organisation,
         received,
-        deadline: received + patience,
+        end: received + patience,
+        slept_before: wake.suspended(received),
+        wake: Arc::clone(wake),
         digest,
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -186,7 +186,7 @@
     async fn take_failure(&mut self, answer: SentAnswer, mut flight: Flight) -> BeginStep {
         let worker = flight.worker.id.clone();
         let failed = answer.status.is_server_error();
-        let whole = read_whole(answer, self.request.deadline).await;
+        let whole = read_whole(answer, self.request.deadline()).await;
         flight.note_progress();
         if whole.is_ok() {
             self.core.crashes().note_answer(self.request.digest, Instant::now());
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -48,7 +48,7 @@
         awaited: impl Future<Output = T>,
     ) -> Result<T, WatchEnd> {
         let since = Instant::now();
-        let deadline = self.request.deadline;
+        let deadline = self.request.deadline();
         tokio::pin!(awaited);
         if self.tries.is_last(self.request) {
             let result = tokio::time::timeout_at(deadline, awaited).await;
@@ -57,6 +57,7 @@
         let patience = self.patience;
         let mut limit = since + patience;
         loop {
+            let deadline = self.request.deadline();
             let waiting = tokio::time::timeout_at(limit.min(deadline), awaited.as_mut());
             if let Ok(result) = waiting.await {
                 return Ok(result);
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -104,7 +104,7 @@
             };
             let waited = watch.wait(&flight, sending).await;
             match tries.take_sent(waited) {
-                Ok(answer) => read_whole(answer, request.deadline).await,
+                Ok(answer) => read_whole(answer, request.deadline()).await,
                 Err(error) => Err(error),
             }
         }
