Hold a request that was answered before only after six runs, and briefly

The chats of the load are all alike and are answered ten times a second; while requests that end workers took head after head, three of their runs ended in turn without an answer in between, and the request was held for 120 s: 725 refusals as ends_workers.

Cause: whether such a request had ever been answered was not asked; a request that ends workers never is. Change: one that was answered before is held after six runs, for 10 s at first. Daemons say when they have seen it answered together with the runs, also before them, and a gateway that has seen it answered waits a second for the leader to hear that.

Ruled out: blame shared among what was under way at a worker, since what is asked for often is under way everywhere, like the request that does it.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -4,7 +4,7 @@
 //! together from all gateways. It tells controllers of each worker that ended under a request, and
 //! contradicts them where it has seen such a request answered.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use hollowbarrow_routing::{CrashWatch, EndedRun};
@@ -19,9 +19,15 @@
 /// the leader tells for how long.
 const OWN_HOLD: Duration = Duration::from_secs(5);
 
+/// Time for the leader to hear that a request which it suspects was answered here, and to tell what
+/// follows: two hellos and a view, several times over.
+const CONTRADICTION_TIME: Duration = Duration::from_millis(1000);
+
 /// What the leading controller told of a request.
 #[derive(Clone, Copy, Debug)]
 struct ToldHold {
+    /// From when on it is held.
+    from: Instant,
     /// Until when it is held.
     until: Instant,
     /// Until when this is believed although the leader tells of it no more.
@@ -45,7 +51,7 @@
 
     /// For how long a request is to be sent to no worker; none where it may be.
     pub fn hold_left(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
-        let told = self.told.get(&request);
+        let told = self.told.get(&request).filter(|hold| now >= hold.from);
         let told = told.map(|hold| hold.until.saturating_duration_since(now));
         told.filter(|left| !left.is_zero()).max(self.watch.hold_left(request, now))
     }
@@ -82,16 +88,18 @@
         if new_term {
             self.told.values_mut().for_each(|hold| hold.kept = hold.kept.max(now + FORMER_TIME));
         }
-        self.told.retain(|_, hold| now < hold.kept);
+        let listed: HashSet<RequestDigest> = view.held.iter().map(|held| held.request).collect();
+        self.told.retain(|request, hold| now < hold.kept || listed.contains(request));
         for held in &view.held {
             self.take_held(held, now);
         }
     }
 
     fn take_held(&mut self, held: &HeldRequest, now: Instant) {
-        self.watch.contradict(held.request);
         let until = now + Duration::from_millis(held.left_ms.into());
-        let hold = self.told.entry(held.request).or_insert(ToldHold { until, kept: now });
+        let contradicted = self.watch.contradict(held.request);
+        let from = if contradicted { now + CONTRADICTION_TIME } else { now };
+        let hold = self.told.entry(held.request).or_insert(ToldHold { from, until, kept: now });
         if now >= hold.kept {
             hold.until = until;
         } else {
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -103,6 +103,9 @@
     }
     assert!(guard.due(now).is_empty(), "answers matter only where there is a suspicion");
     guard.take_view(&view(1, 5, &[60_000]), now + secs(1));
+    assert_eq!(is_held(&guard, now + secs(1)), !answered, "the leader does not know of it");
+    guard.take_view(&view(1, 6, &[60_000]), now + secs(2));
+    assert!(is_held(&guard, now + secs(2)), "the leader knows, and holds it all the same");
     let due = guard.due(now + secs(1));
     assert_eq!(due.len(), usize::from(answered));
     assert!(due.iter().all(|record| record.answered_ms == Some(1000) && record.runs.is_empty()));
--- a/crates/routing/src/crash_watch.rs
+++ b/crates/routing/src/crash_watch.rs
@@ -55,6 +55,7 @@
     /// Notes that an upstream ended while it ran a request.
     pub fn note_run(&mut self, request: RequestDigest, run: EndedRun) {
         self.ledger.note_run(request, run);
+        self.contradict(request);
     }
 
     /// Notes that a request was answered whole.
@@ -63,17 +64,19 @@
         self.answers.note(request, now);
     }
 
-    /// Says when a request that another daemon suspects was answered here, if it was.
-    pub fn contradict(&mut self, request: RequestDigest) {
-        if let Some(answered) = self.answers.get(request) {
-            self.ledger.contradict(request, answered);
-        }
+    /// Has it said from now on when a suspected request was answered here; false if it was not.
+    pub fn contradict(&mut self, request: RequestDigest) -> bool {
+        let Some(answered) = self.answers.get(request) else { return false };
+        self.ledger.contradict(request, answered);
+        true
     }
 
     /// Takes in what another daemon told.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         self.ledger.merge(records, now);
-        records.iter().for_each(|record| self.contradict(record.request));
+        for record in records {
+            self.contradict(record.request);
+        }
     }
 
     /// For how long a request is to be sent to no upstream; none where it may be.
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -7,7 +7,8 @@
 //! Upstreams also end by themselves, many at once, and break off whatever is under way there. Such
 //! an event is one piece of evidence however many it takes: runs count only where each was sent
 //! after the one before had ended, at another upstream, with no whole answer since. A request that
-//! is asked for often and does no harm is answered in between.
+//! is asked for often and does no harm is answered in between, and one that was answered before
+//! needs more of them.
 //!
 //! Runs are merged by keeping the earliest time that was told of each, so that passing a record on
 //! does not make it younger.
@@ -18,19 +19,32 @@
 use hollowbarrow_schema::{CrashRecord, CrashedRun, HeldRequest, RequestDigest};
 use tokio::time::Instant;
 
-/// Runs one after the other, each ended with its upstream, after which a request is held. With two
-/// a request that was broken off twice by others would lose its caller's repeat, of which half
-/// succeed; each one more costs a replica.
-const RUNS_TO_HOLD: usize = 3;
-/// Time for which a request is held after the third of those runs; each further run doubles it. Each
-/// end of it may cost a replica again, which takes half a minute to load elsewhere.
-const FIRST_HOLD: Duration = Duration::from_secs(120);
+/// When a request is held.
+#[derive(Clone, Copy, Debug)]
+struct HoldRule {
+    /// Runs one after the other, each ended with its upstream, after which it is held.
+    runs: usize,
+    /// Time for which it is held after the last of them; each further run doubles it.
+    first_hold: Duration,
+}
+
+/// For a request that was never answered. With two runs a request that was broken off twice by
+/// others would lose its caller's repeat; each one more costs a replica. Each end of a hold may
+/// cost a replica again, which takes half a minute to load elsewhere.
+const NEVER_ANSWERED: HoldRule = HoldRule { runs: 3, first_hold: Duration::from_secs(120) };
+/// For a request that was answered before. Where many callers send it alike, it is under way at
+/// every upstream that ends: while requests ended replica after replica, another one that was
+/// answered ten times a second was broken off three times in turn, and then refused 725 times in a
+/// minute. A short hold lets it be tried, and the first answer clears it.
+const ANSWERED_BEFORE: HoldRule = HoldRule { runs: 6, first_hold: Duration::from_secs(10) };
 /// Longest time for which a request is held after its last run.
 const LONGEST_HOLD: Duration = Duration::from_secs(16 * 60);
 /// Time after which a run counts no more: what ran then, or what it ran on, may have changed.
 const RETENTION: Duration = Duration::from_secs(60 * 60);
-/// Most runs kept of a request: as many as take it to the longest time.
-const MOST_RUNS: usize = 8;
+/// Doublings that take the shortest hold to the longest.
+const MOST_DOUBLINGS: u32 = 7;
+/// Most runs kept of a request: as many as take it to the longest hold.
+const MOST_RUNS: usize = 14;
 /// Most requests kept, about 1 MB.
 const MOST_REQUESTS: usize = 4096;
 /// Part of them that is dropped at once where there are more, so that not each one costs a look at
@@ -102,9 +116,10 @@
 
     /// Until when the request is held; none where it is not known to end upstreams.
     fn held_until(&self) -> Option<Instant> {
-        let beyond = self.chain().checked_sub(RUNS_TO_HOLD)?;
-        let doublings = u32::try_from(beyond).unwrap_or(u32::MAX).min(8);
-        let hold = (FIRST_HOLD * 2u32.pow(doublings)).min(LONGEST_HOLD);
+        let rule = if self.answered.is_some() { ANSWERED_BEFORE } else { NEVER_ANSWERED };
+        let beyond = self.chain().checked_sub(rule.runs)?;
+        let doublings = u32::try_from(beyond).unwrap_or(u32::MAX).min(MOST_DOUBLINGS);
+        let hold = (rule.first_hold * 2u32.pow(doublings)).min(LONGEST_HOLD);
         self.last_end().map(|ended| ended + hold)
     }
 }
