Keep the core of a controller in a file that knows none of its callers

The core stood in the file that starts a controller and so depended on the calls, the messages, the news and the loop of the leader, which all depend on it: a circle of five files. No change of logic.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use tokio::time::Instant;
 
-use crate::controller::ControllerCore;
+use crate::core::ControllerCore;
 use crate::protocol::{ControlAnswer, ControlCall};
 use crate::records::{RecordFault, check_birth, check_report};
 use crate::sync::{pass_on, take_report};
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod api;
 mod controller;
+mod core;
 pub mod delivery;
 pub mod digests;
 mod fleet;
@@ -23,6 +24,7 @@
 mod metrics;
 mod news;
 mod orders;
+mod pending;
 mod protocol;
 mod reconcile;
 pub mod records;
--- a/crates/controller/src/news.rs
+++ b/crates/controller/src/news.rs
@@ -3,46 +3,20 @@
 //! News go from the controller that a worker told to the other controllers, and from each of them
 //! to the gateways whose home it is. What comes within a few milliseconds goes out as one message.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowbarrow_schema::{FleetMessage, WorkerId, WorkerReport};
+use hollowbarrow_schema::{FleetMessage, WorkerReport};
 use tokio::time::Instant;
 
-use crate::controller::ControllerCore;
+use crate::core::ControllerCore;
+use crate::pending::PendingNews;
 
 /// Time for which news are gathered.
 const GATHER_TIME: Duration = Duration::from_millis(15);
 /// Longest pause between two looks at who needs a whole table.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Reports that are to go out.
-#[derive(Debug, Default)]
-pub(crate) struct PendingNews {
-    /// What workers told this controller.
-    own: BTreeMap<WorkerId, WorkerReport>,
-    /// What other controllers told.
-    relayed: BTreeMap<WorkerId, WorkerReport>,
-    /// Whether a worker leaves, so that each moment counts.
-    urgent: bool,
-}
-
-impl PendingNews {
-    /// Adds what a worker told this controller.
-    pub(crate) fn add_own(&mut self, report: WorkerReport) {
-        self.urgent |= report.leaving || report.gone;
-        self.relayed.remove(&report.id);
-        self.own.insert(report.id.clone(), report);
-    }
-
-    /// Adds what another controller told.
-    pub(crate) fn add_relayed(&mut self, report: WorkerReport) {
-        self.urgent |= report.leaving || report.gone;
-        self.relayed.insert(report.id.clone(), report);
-    }
-}
-
 /// Sends news out until the process ends.
 pub(crate) async fn tell_news(core: Arc<ControllerCore>) {
     loop {
--- a/crates/controller/src/orders.rs
+++ b/crates/controller/src/orders.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hollowbarrow_fleet::{OrderOutcome, OrderTicket};
 use hollowbarrow_member::http::{CallError, call_once};
-use hollowbarrow_schema::WorkerId;
+use hollowbarrow_schema::{ServiceName, WorkerId};
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Uri};
@@ -18,6 +18,12 @@
 /// Longest time for a probe to be answered.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Something that came back from a worker.
+pub(crate) enum WorkerNews {
+    Order(ServiceName, OrderTicket, OrderOutcome),
+    Probe(WorkerId, ProbeOutcome),
+}
+
 /// Gives an order and says what came of it.
 pub(crate) async fn give_order(
     protocol: &dyn ControlProtocol,
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -6,8 +6,7 @@
 
 use hollowbarrow_fleet::replicas::WorkerState;
 use hollowbarrow_fleet::{
-    LeaderTimes, OrderOutcome, OrderTicket, ReplicaController, ReplicaTiming, Service, TermState,
-    WorkerStanding,
+    LeaderTimes, OrderTicket, ReplicaController, ReplicaTiming, TermState, WorkerStanding,
 };
 use hollowbarrow_log::LogView;
 use hollowbarrow_schema::{
@@ -16,11 +15,11 @@
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
 
-use crate::controller::ControllerCore;
+use crate::core::ControllerCore;
 use crate::fleet::FleetState;
 use crate::held::HeldLog;
-use crate::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_ended};
-use crate::orders::{give_order, probe_worker};
+use crate::liveness::{LivenessFacts, LivenessJudge, find_ended};
+use crate::orders::{WorkerNews, give_order, probe_worker};
 use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters, voters_for};
 
 /// Longest pause between two steps.
@@ -50,12 +49,6 @@
 /// Longest time after which an order that got no answer may still be carried out.
 const LATE_ORDER_TIME: Duration = Duration::from_secs(13);
 
-/// Something that came back from a worker.
-pub(crate) enum WorkerNews {
-    Order(ServiceName, OrderTicket, OrderOutcome),
-    Probe(WorkerId, ProbeOutcome),
-}
-
 /// What a leader keeps for the length of its term.
 struct Leadership {
     term: Term,
@@ -318,8 +311,3 @@
         let _ = core.news.send(WorkerNews::Order(service, ticket, outcome));
     });
 }
-
-/// Services whose workers form replicas.
-pub(crate) fn has_replicas(service: &Service) -> bool {
-    service.engine.as_ref().is_some_and(|engine| !engine.models.is_empty())
-}
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -10,7 +10,7 @@
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
 
-use crate::controller::ControllerCore;
+use crate::core::ControllerCore;
 
 /// Pause between two hellos to the leader, which needs to know what gateways have under way.
 const LEADER_INTERVAL: Duration = Duration::from_millis(75);
--- a/crates/fleet/src/deployment.rs
+++ b/crates/fleet/src/deployment.rs
@@ -76,6 +76,13 @@
     pub engine: Option<Engine>,
 }
 
+impl Service {
+    /// Whether its workers form replicas.
+    pub fn has_replicas(&self) -> bool {
+        self.engine.as_ref().is_some_and(|engine| !engine.models.is_empty())
+    }
+}
+
 /// An organisation and the keys that it calls with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Organisation {
