--- /dev/null
+++ b/crates/measure/src/lives.rs
@@ -0,0 +1,175 @@
+//! What it costs that a worker's identity holds the start of its life: bytes of messages, memory of
+//! the table of workers and time of a choice, with and without.
+
+use std::time::{Duration, Instant as WallInstant};
+
+use clap::{ArgMatches, Command};
+use hollowbarrow_fleet::{Engine, ModelSpec, Service};
+use hollowbarrow_gateway::picker::{PickFacts, WorkerPicker};
+use hollowbarrow_schema::{
+    CrashRecord, CrashedRun, DomainId, Epoch, FleetView, HeldRequest, Incarnation, MembershipState,
+    ModelName, RequestDigest, ServiceName, Term, WorkerBeat, WorkerId, WorkerLoad,
+    WorkerMembership, WorkerReport, ZoneId,
+};
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// Workers at the size that is planned for.
+const WORKERS: u64 = 12_000;
+/// Members of each replica there.
+const REPLICA_SIZE: u64 = 8;
+/// Choices whose mean time is told.
+const PICKS: u32 = 2000;
+const BORN: u64 = 1_764_720_000_000;
+
+pub(crate) fn command() -> Command {
+    Command::new("lives").about("Measures what lives of workers cost in messages, memory and time")
+}
+
+pub(crate) fn run(_arguments: &ArgMatches) -> anyhow::Result<()> {
+    // Nothing is freed between the cases, so that the memory of each is its own.
+    let mut kept = Vec::new();
+    for (identity, born) in [("name", false), ("name_and_start", true)] {
+        let reports: Vec<WorkerReport> = (0..WORKERS).map(|n| report(n, born)).collect();
+        let beat = WorkerBeat { id: reports[0].id.clone(), seq: 4000, recount: None, changed: 12 };
+        let heads = reports.iter().step_by(REPLICA_SIZE as usize);
+        let loads: Vec<WorkerLoad> = heads.map(load).collect();
+        let before = resident_kb()?;
+        let mut picker = WorkerPicker::new(&ZoneId::from("zone-0"));
+        picker.merge(reports.clone(), Instant::now());
+        let memory = resident_kb()?.saturating_sub(before);
+        println!(
+            "case=lives identity={identity} workers={WORKERS} beat_bytes={} view_bytes={} \
+             table_bytes={} table_kb={memory} pick_us={:.1}",
+            bytes_of(&beat)?,
+            bytes_of(&view(loads, Vec::new()))?,
+            bytes_of(&reports)?,
+            pick_us(&mut picker)
+        );
+        kept.push((picker, reports));
+    }
+    println!(
+        "case=crashes record_bytes={} told_bytes={} held_bytes={}",
+        bytes_of(&crash_record(3))?,
+        bytes_of(&vec![crash_record(3); 16])?,
+        bytes_of(&HeldRequest { request: RequestDigest(u64::MAX), left_ms: 100_000 })?
+    );
+    Ok(())
+}
+
+fn bytes_of(message: &impl Serialize) -> anyhow::Result<usize> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes)?;
+    Ok(bytes.len())
+}
+
+/// Memory of this process in kilobytes.
+fn resident_kb() -> anyhow::Result<u64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().next()).unwrap_or_default();
+    Ok(kb.parse()?)
+}
+
+fn report(number: u64, born: bool) -> WorkerReport {
+    let name = format!("i-{number:010x}");
+    let (epoch, rank) = (number / REPLICA_SIZE + 1, number % REPLICA_SIZE);
+    let state = if rank == 0 { MembershipState::Open } else { MembershipState::Ready };
+    WorkerReport {
+        id: WorkerId::of_life(&name, born.then_some(Incarnation(BORN + number))),
+        seq: 4000,
+        recount: None,
+        service: ServiceName("chat".to_owned()),
+        address: format!("10.{}.{}.1:8725", number / 256 % 256, number % 256),
+        zone: ZoneId(format!("zone-{}", number % 21)),
+        slots: 30,
+        leaving: false,
+        gone: false,
+        domain: Some(DomainId(format!("d{}", number / 64))),
+        model: Some(ModelName::from("m")),
+        staged: vec![ModelName::from("m")],
+        membership: Some(WorkerMembership {
+            replica: format!("serving.{epoch}.m"),
+            epoch: Epoch(epoch),
+            rank: rank as u32,
+            state,
+        }),
+    }
+}
+
+fn load(head: &WorkerReport) -> WorkerLoad {
+    WorkerLoad { worker: head.id.clone(), active: 14, waiting_ms: 40, progress_ms: Some(12) }
+}
+
+fn view(loads: Vec<WorkerLoad>, held: Vec<HeldRequest>) -> FleetView {
+    FleetView {
+        term: Term(3),
+        number: 1000,
+        deployment: 100,
+        gateways: 410,
+        controllers: Vec::new(),
+        withheld: Vec::new(),
+        loads,
+        held,
+    }
+}
+
+fn crash_record(runs: u64) -> CrashRecord {
+    let run = |n| CrashedRun { upstream: u64::MAX - n, sent_ms: 20_000, ended_ms: 19_000 };
+    CrashRecord {
+        request: RequestDigest(u64::MAX),
+        runs: (0..runs).map(run).collect(),
+        answered_ms: None,
+    }
+}
+
+/// Mean time of a choice among the heads of all replicas.
+fn pick_us(picker: &mut WorkerPicker) -> f64 {
+    let (service, model, kept) = (service(), ModelName::from("m"), Default::default());
+    let facts = PickFacts {
+        service: &service,
+        model: Some(&model),
+        prompt_tokens: 1000,
+        excluded: &[],
+        kept: &kept,
+    };
+    let now = Instant::now();
+    // The first one makes the index of candidates.
+    let _ = picker.pick(&facts, now);
+    let start = WallInstant::now();
+    for _ in 0..PICKS {
+        let _ = picker.pick(&facts, now);
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(PICKS)
+}
+
+fn service() -> Service {
+    let model = ModelSpec {
+        name: ModelName::from("m"),
+        size: REPLICA_SIZE as usize,
+        share: 1.0,
+        pace: 1.0,
+        load: Duration::from_secs(16),
+        warm: Duration::from_secs(1),
+    };
+    let engine = Engine {
+        slots: 30,
+        memory_tokens: 1_590_000,
+        models: vec![model],
+        step: Duration::from_millis(6),
+        step_per_request_ms: 0.05,
+        read_per_second: 50_000.0,
+        stride: 7,
+        loads_per_second: 4.5,
+        loads_at_once: 6,
+        far: 2.5,
+        form: Duration::from_millis(300),
+        usual_answer: 178,
+    };
+    Service {
+        name: ServiceName("chat".to_owned()),
+        health_path: "/".to_owned(),
+        max_connections: 100,
+        engine: Some(engine),
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod doors;
 mod groups;
+mod lives;
 mod load;
 mod requests;
 mod sampler;
@@ -24,6 +25,7 @@
         .subcommand(requests::command())
         .subcommand(doors::command())
         .subcommand(capacity::command())
+        .subcommand(lives::command())
         .subcommand(daemon::command())
         .get_matches();
     match matches.subcommand() {
@@ -31,6 +33,7 @@
         Some(("requests", arguments)) => requests::run(arguments),
         Some(("doors", arguments)) => doors::run(arguments),
         Some(("capacity", arguments)) => capacity::run(arguments),
+        Some(("lives", arguments)) => lives::run(arguments),
         Some((_, arguments)) => daemon::run(arguments),
         None => Ok(()),
     }
