Tell of ended runs only where the report goes out

While a gateway looks for a home only each fourth of its reports goes out, and what was due in the others counted as told for two seconds. Found by reading.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -46,12 +46,16 @@
                 crashes: Vec::new(),
             }
         };
-        let hello = GatewayHello { crashes: core.crashes().due(now), ..hello };
         core.client.drop_expired();
         let others = links.controllers().into_iter().filter(|id| home.as_ref() != Some(id));
         let others: Vec<DaemonId> = others.collect();
         // Without a configuration nothing can be served, and each moment counts.
         let seeking = if version == 0 { 1 } else { SEEKING_INTERVALS };
+        if home.is_none() && !number.is_multiple_of(seeking) {
+            continue;
+        }
+        // What is due counts as told from here on.
+        let hello = GatewayHello { crashes: core.crashes().due(now), ..hello };
         if let Some(home) = &home {
             links.send(home, FleetMessage::Gateway(hello.clone()));
             let lacking = core.configuration_lag(now) > HOME_PATIENCE;
@@ -60,7 +64,7 @@
                 let brief = GatewayHello { loads: Vec::new(), ..hello };
                 links.send_to_all(&others, FleetMessage::Gateway(brief));
             }
-        } else if number.is_multiple_of(seeking) {
+        } else {
             links.send_to_all(&others, FleetMessage::Gateway(hello));
         }
     }
