Have the soak wait for the end of what it killed before it starts that again

The soak looked 0.3 s after the kill whether they ran, and what is still on its way out counts as running.

What is killed or told to end is now waited for, and a daemon is ended before it is started again.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -176,18 +176,18 @@
         let daemon = disturbance.first % self.system.daemon_count();
         let controller = disturbance.first % CONTROLLERS;
         let index = disturbance.first % self.engines.len();
-        let terminated = disturbance.kind == DisturbanceKind::Terminate;
         match disturbance.kind {
-            DisturbanceKind::Kill | DisturbanceKind::Freeze | DisturbanceKind::Terminate => {
-                self.bring_back(daemon, terminated).await;
+            DisturbanceKind::Kill | DisturbanceKind::Terminate => {
+                self.bring_back(daemon, true).await;
             }
+            DisturbanceKind::Freeze => self.bring_back(daemon, false).await,
             DisturbanceKind::Wipe => {
                 self.system.restart_controller(controller, true);
                 self.down.retain(|down| *down != controller);
             }
             DisturbanceKind::KillControllers => {
                 for daemon in 0..CONTROLLERS {
-                    self.bring_back(daemon, false).await;
+                    self.bring_back(daemon, true).await;
                 }
             }
             DisturbanceKind::CutOff => {
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -204,7 +204,9 @@
         self.daemons[daemon].signal(signal);
     }
 
-    /// Has a daemon's process go on, or starts it again if it has ended, or is told to end.
+    /// Has a daemon's process go on, or starts it again if it has ended. `ending` says that it was
+    /// killed or told to end, which may take a while: one that was looked at too early counted as
+    /// running and was never started again.
     pub async fn revive(&mut self, daemon: usize, ending: bool) {
         self.signal(daemon, Signal::Continue);
         let deadline = Instant::now() + PATIENCE;
@@ -236,6 +238,8 @@
 
     fn restart(&mut self, index: usize, wiped: bool) {
         let daemon = &mut self.daemons[index];
+        // A process that was killed may take a while to end, and holds its ports until then.
+        daemon.kill();
         let text = std::fs::read_to_string(&daemon.settings).expect("settings can be read");
         let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
         settings["found"] = json!(false);
