Take reports of stand-in workers from one place in the controller's tests

The tests of liveness and of records built the same report each; both call one now. The cases and their expectations stay.

--- a/crates/controller/tests/liveness.rs
+++ b/crates/controller/tests/liveness.rs
@@ -1,34 +1,19 @@
 //! Which workers count as usable, lost or ended.
 
+mod standins;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hollowbarrow_controller::liveness::{LivenessFacts, LivenessJudge, ProbeOutcome, find_ended};
 use hollowbarrow_fleet::{WorkerStanding, WorkerTable};
-use hollowbarrow_schema::{Incarnation, ServiceName, WorkerId, WorkerReport, ZoneId};
+use hollowbarrow_schema::{Incarnation, WorkerId, WorkerReport};
 use rstest::rstest;
+use standins::report;
 use tokio::time::Instant;
 
 const HEARTBEAT: Duration = Duration::from_millis(1000);
 
-fn report(id: &str, seq: u64) -> WorkerReport {
-    WorkerReport {
-        id: WorkerId::from(id),
-        seq,
-        recount: None,
-        service: ServiceName("chat".to_owned()),
-        address: "10.0.0.1:80".to_owned(),
-        zone: ZoneId("a".to_owned()),
-        slots: 1,
-        leaving: false,
-        gone: false,
-        domain: None,
-        model: None,
-        staged: Vec::new(),
-        membership: None,
-    }
-}
-
 /// The table after registrations that come at given times, in milliseconds.
 fn table_after(start: Instant, registrations: &[(u64, &str, u64)]) -> WorkerTable {
     let mut table = WorkerTable::new();
--- a/crates/controller/tests/records.rs
+++ b/crates/controller/tests/records.rs
@@ -1,32 +1,17 @@
 //! Calls under a worker's name against what is held of that worker.
 
+mod standins;
+
 use std::time::Duration;
 
 use hollowbarrow_controller::RecordProblem;
 use hollowbarrow_controller::records::{check_birth, check_report};
 use hollowbarrow_fleet::{CallerLimits, Deployment, Service, WorkerTable};
-use hollowbarrow_schema::{Incarnation, ServiceName, WorkerId, WorkerReport, ZoneId};
+use hollowbarrow_schema::{Incarnation, ServiceName, WorkerId};
 use rstest::rstest;
+use standins::report;
 use tokio::time::Instant;
 
-fn report(id: &WorkerId, service: &str) -> WorkerReport {
-    WorkerReport {
-        id: id.clone(),
-        seq: 1,
-        recount: None,
-        service: ServiceName(service.to_owned()),
-        address: "10.0.0.1:80".to_owned(),
-        zone: ZoneId("a".to_owned()),
-        slots: 1,
-        leaving: false,
-        gone: false,
-        domain: None,
-        model: None,
-        staged: Vec::new(),
-        membership: None,
-    }
-}
-
 fn life(born: Option<u64>) -> WorkerId {
     WorkerId::of_life("w", born.map(Incarnation))
 }
@@ -66,7 +51,7 @@
 ) {
     let mut table = WorkerTable::new();
     if let Some(held) = held {
-        table.merge(report(&life(held), "chat"), Instant::now());
+        table.merge(report(&life(held), 1), Instant::now());
     }
     let fault = check_birth(&life(born), &table).err().map(|fault| fault.problem);
     assert_eq!(fault, (!sound).then_some(RecordProblem::UntoldBirth));
@@ -81,10 +66,10 @@
 fn check_report_services(#[case] named: Option<&str>, #[case] known: bool, #[case] sound: bool) {
     let mut table = WorkerTable::new();
     if known {
-        table.merge(report(&life(Some(4)), "chat"), Instant::now());
+        table.merge(report(&life(Some(4)), 1), Instant::now());
     }
     let deployment = named.map(deployment);
-    let checked = check_report(&report(&life(Some(5)), "chat"), &table, deployment.as_ref());
+    let checked = check_report(&report(&life(Some(5)), 1), &table, deployment.as_ref());
     let fault = checked.err().map(|fault| fault.problem);
     assert_eq!(fault, (!sound).then_some(RecordProblem::UnknownService));
 }
