Read and log when workers ask for a backoff or say that they leave

Change: the adapter reads both headers, gateways keep them in a table of their own, count what was turned away and log each request that is sent despite a backoff. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -246,6 +246,7 @@
     let sent = core.client.send(lease, &message, request.deadline()).await;
     let answer = sent.map_err(|error| to_attempt_error(&error, request))?;
     let facts = core.protocol.read_answer(answer.status, &answer.headers);
+    core.note_answer_head(&worker.id, &facts);
     let status = answer.status.as_u16();
     if facts.not_run || facts.misdirected {
         answer.lease.give_back_after(answer.body);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -16,7 +16,7 @@
 use crate::home::HomeChoice;
 use crate::metrics::{GatewayLevels, GatewayMetrics};
 use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
-use crate::protocol::CallerProtocol;
+use crate::protocol::{AnswerFacts, CallerProtocol};
 
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
@@ -175,7 +175,15 @@
         let now = Instant::now();
         let worker = picker.pick(facts, now)?;
         picker.begin(&worker.id, worker.reading_ms, now);
+        let backoff = picker.backoff(&worker.id, now);
+        let left_out = picker.is_left_out(&worker.id, now);
         drop(picker);
+        if let Some(reason) = backoff {
+            log::warn!(
+                "event=sent_despite_backoff worker={} reason={reason:?} left_out={left_out}",
+                *worker.id
+            );
+        }
         Ok(Flight { core: Arc::clone(self), worker, reading: true })
     }
 
@@ -186,6 +194,27 @@
         }
     }
 
+    /// Notes what the head of a worker's answer says of requests to come.
+    pub(crate) fn note_answer_head(&self, worker: &WorkerId, facts: &AnswerFacts) {
+        if facts.not_run {
+            self.metrics.count_turned_away(matches!(facts.backoff, Ok(Some(_))));
+        }
+        match facts.backoff {
+            Ok(None) => {}
+            Ok(Some(backoff)) => {
+                self.picker().note_backoff(worker, backoff, Instant::now());
+                let ms = backoff.as_millis();
+                log::info!("event=worker_backoff worker={} reason=asked ms={ms}", **worker);
+            }
+            Err(error) => {
+                log::warn!("event=backoff_unreadable worker={} error={error:?}", **worker);
+            }
+        }
+        if facts.leaving && self.picker().note_leaving(worker) {
+            log::info!("event=worker_backoff worker={} reason=leaving", **worker);
+        }
+    }
+
     /// Whether a worker has sent something of any answer within this time.
     pub(crate) fn has_progress(&self, worker: &WorkerId, within: Duration) -> bool {
         let progress = self.picker().progress(worker);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,11 @@
     ),
     ("gateway_event_gap_ms", "ms", "Time between two pieces of a stream."),
     ("gateway_repeats", "1", "Sends after the first, by kind: again or resumed."),
+    (
+        "gateway_turned_away",
+        "1",
+        "Requests that workers turned away unrun, by whether they asked for a backoff.",
+    ),
     ("gateway_in_flight", "1", "Requests under way now."),
     ("gateway_configuration_version", "1", "Version of the configuration in force."),
     ("gateway_workers", "1", "Workers that are known, those that have gone among them."),
@@ -42,6 +47,7 @@
     first_event: Histogram<f64>,
     event_gap: Histogram<f64>,
     repeats: Counter<u64>,
+    turned_away: Counter<u64>,
     in_flight: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
@@ -66,6 +72,7 @@
             first_event: page.time_histogram("gateway_first_event_ms"),
             event_gap: page.time_histogram("gateway_event_gap_ms"),
             repeats: meter.u64_counter("gateway_repeats").build(),
+            turned_away: meter.u64_counter("gateway_turned_away").build(),
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
             version: meter.u64_gauge("gateway_configuration_version").build(),
             workers: meter.u64_gauge("gateway_workers").build(),
@@ -96,6 +103,10 @@
         self.repeats.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    pub(crate) fn count_turned_away(&self, backoff_asked: bool) {
+        self.turned_away.add(1, &[KeyValue::new("backoff_asked", backoff_asked)]);
+    }
+
     /// The page of text.
     pub(crate) fn to_text(&self, levels: &GatewayLevels) -> String {
         self.in_flight.record(levels.in_flight, &[]);
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
+use hollowbarrow_routing::{BackoffReason, BackoffTable};
 use hollowbarrow_schema::{
     DaemonId, FleetView, ModelName, ServiceName, Term, WorkerId, WorkerLoad, WorkerReport, ZoneId,
 };
@@ -106,6 +107,8 @@
     view: SharedView,
     own: HashMap<WorkerId, OwnLoad>,
     reported: HashMap<WorkerId, SharedLoad>,
+    /// Workers that want no requests from this gateway.
+    backoffs: BackoffTable<WorkerId>,
     /// How often each model is asked for here.
     arrivals: HashMap<(ServiceName, ModelName), ArrivalRate>,
 }
@@ -119,6 +122,7 @@
             view: SharedView::default(),
             own: HashMap::new(),
             reported: HashMap::new(),
+            backoffs: BackoffTable::new(),
             arrivals: HashMap::new(),
         }
     }
@@ -186,6 +190,7 @@
         self.table.expire(silence, now);
         let table = &self.table;
         self.own.retain(|id, own| own.active > 0 || table.get(id).is_some());
+        self.backoffs.tidy(|id| table.get(id).is_some(), now);
     }
 
     /// What this gateway has under way, to be told to controllers.
@@ -307,8 +312,7 @@
             known = true;
             let Some(cost) = cost(candidate) else { continue };
             let own = self.own.get(&candidate.id);
-            let ejected = own.and_then(|own| own.ejected_until).is_some_and(|until| now < until);
-            let ejected = ejected || still(candidate);
+            let ejected = self.is_left_out(&candidate.id, now) || still(candidate);
             let failing = own.map_or(0.0, |own| own.failing);
             let distance = if candidate.near { 0.0 } else { OTHER_ZONE_MS };
             let kept = facts.kept.contains(&candidate.address);
@@ -402,6 +406,27 @@
         self.own.get(id).and_then(|own| own.progress)
     }
 
+    /// Notes that a worker asked for no requests from this gateway for some time.
+    pub fn note_backoff(&mut self, id: &WorkerId, backoff: Duration, now: Instant) {
+        self.backoffs.note_asked(id, backoff, now);
+    }
+
+    /// Notes that a worker said that it is about to end; false where that is known.
+    pub fn note_leaving(&mut self, id: &WorkerId) -> bool {
+        self.backoffs.note_leaving(id)
+    }
+
+    /// Why a worker is to be sent nothing now; none where it may be sent requests.
+    pub fn backoff(&self, id: &WorkerId, now: Instant) -> Option<BackoffReason> {
+        self.backoffs.reason(id, now)
+    }
+
+    /// Whether a worker is left out since it has failed several times in a row.
+    pub fn is_left_out(&self, id: &WorkerId, now: Instant) -> bool {
+        let until = self.own.get(id).and_then(|own| own.ejected_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Notes how a request ended at a worker; true where the worker is left out now.
     pub fn note_outcome(&mut self, id: &WorkerId, good: bool, now: Instant) -> bool {
         let own = self.own.entry(id.clone()).or_default();
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -7,6 +7,7 @@
 
 use hollowbarrow_fleet::{Deployment, DeploymentFault};
 use hollowbarrow_schema::{ModelName, WorkerId};
+use hollowbarrow_upstream::ReadBackoffError;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, header::HeaderName};
 use thiserror::Error;
@@ -72,6 +73,10 @@
     pub not_run: bool,
     /// Whether another worker has the address now.
     pub misdirected: bool,
+    /// For how long the worker wants no requests from this gateway; none where it does not say.
+    pub backoff: Result<Option<Duration>, ReadBackoffError>,
+    /// Whether the worker says that it is about to end.
+    pub leaving: bool,
 }
 
 /// Translates between the messages of a platform and a gateway.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,8 +4,9 @@
 //! output: [`RoutePicker`] chooses an upstream, [`AdmissionQueue`] lets requests
 //! in by priority and fair share, [`OrganisationLimiter`] holds organisations to
 //! their limits, [`AdaptiveLimit`] bounds what one upstream gets, [`retry`] and
-//! [`AttemptLedger`] say what may be tried again without breaking a promise, and
-//! [`CrashWatch`] which requests end the upstreams that they run on.
+//! [`AttemptLedger`] say what may be tried again without breaking a promise,
+//! [`CrashWatch`] which requests end the upstreams that they run on, and
+//! [`BackoffTable`] which upstreams want no requests.
 //!
 //! Invariants: a request whose deadline has passed is never let through; a not
 //! repeatable request is never tried twice; retries never exceed their budget.
@@ -13,6 +14,7 @@
 mod adaptive;
 mod admission;
 mod attempts;
+mod backoff;
 mod content;
 mod crash_watch;
 mod crashes;
@@ -24,6 +26,7 @@
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionQueue, AdmissionTicket, QueueLimits, ShedRequestError};
 pub use attempts::{AttemptBounds, AttemptLedger};
+pub use backoff::{BackoffReason, BackoffTable};
 pub use content::RequestContent;
 pub use crash_watch::CrashWatch;
 pub use crashes::{CrashLedger, EndedRun};
--- /dev/null
+++ b/crates/routing/tests/backoff.rs
@@ -0,0 +1,78 @@
+//! Upstreams that want no requests.
+
+use std::time::Duration;
+
+use hollowbarrow_routing::{BackoffReason, BackoffTable};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const ASKED: Duration = Duration::from_secs(3);
+
+fn after(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+#[rstest]
+#[case::at_once(0, Some(3000))]
+#[case::later(2500, Some(500))]
+#[case::just_before(2999, Some(1))]
+#[case::over(3000, None)]
+fn reason_asked(#[case] ms: u64, #[case] left_ms: Option<u64>) {
+    let now = Instant::now();
+    let mut table = BackoffTable::new();
+    table.note_asked(&"a", ASKED, now);
+    let left = left_ms.map(|ms| BackoffReason::Asked(Duration::from_millis(ms)));
+    assert_eq!(table.reason(&"a", after(now, ms)), left);
+    assert_eq!(table.reason(&"b", after(now, ms)), None, "it asked for nothing");
+}
+
+/// Several requests are turned away at about the same moment, each with a time of its own.
+#[rstest]
+#[case::shorter_later(&[(0, 3000), (500, 1000)], 3000)]
+#[case::longer_later(&[(0, 1000), (500, 3000)], 3500)]
+#[case::asked_again_at_its_end(&[(0, 1000), (1000, 1000)], 2000)]
+fn reason_never_shortened(#[case] asked: &[(u64, u64)], #[case] end_ms: u64) {
+    let now = Instant::now();
+    let mut table = BackoffTable::new();
+    for (at, ms) in asked {
+        table.note_asked(&"a", Duration::from_millis(*ms), after(now, *at));
+    }
+    assert!(table.reason(&"a", after(now, end_ms - 1)).is_some());
+    assert_eq!(table.reason(&"a", after(now, end_ms)), None);
+}
+
+#[rstest]
+fn reason_leaving_for_good() {
+    let now = Instant::now();
+    let mut table = BackoffTable::new();
+    table.note_asked(&"a", ASKED, now);
+    assert!(table.note_leaving(&"a"), "it is news");
+    assert!(!table.note_leaving(&"a"), "it is known");
+    assert_eq!(table.reason(&"a", after(now, 86_400_000)), Some(BackoffReason::Leaving));
+}
+
+/// A nonsense time does not take an upstream that works out of service for good.
+#[rstest]
+fn reason_asked_for_too_long() {
+    let now = Instant::now();
+    let mut table = BackoffTable::new();
+    table.note_asked(&"a", Duration::MAX, now);
+    assert!(table.reason(&"a", after(now, 3_599_999)).is_some());
+    assert_eq!(table.reason(&"a", after(now, 3_600_000)), None);
+}
+
+/// What is kept is bounded by the upstreams that are known.
+#[rstest]
+fn tidy_keeps_what_counts() {
+    let now = Instant::now();
+    let mut table = BackoffTable::new();
+    table.note_asked(&"over", Duration::from_secs(1), now);
+    table.note_asked(&"asked", ASKED, now);
+    table.note_leaving(&"leaving");
+    table.note_leaving(&"ended");
+    table.tidy(|upstream| *upstream != "ended", after(now, 1000));
+    assert_eq!(table.len(), 2);
+    assert!(!table.is_empty());
+    assert!(table.reason(&"asked", after(now, 1000)).is_some());
+    assert!(table.reason(&"leaving", after(now, 1000)).is_some());
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,11 +7,13 @@
 //!
 //! Invariant: an answer is handed on as whole only if its framing says so.
 
+mod backoff;
 mod client;
 mod engine;
 mod events;
 mod platform;
 
+pub use backoff::{ReadBackoffError, read_backoff};
 pub use client::{
     ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest, is_hop_header,
 };
