Test that workers which want no requests get none; it fails

Cause, as far as the test shows: gateways choose a worker that has asked for a backoff as usual, and where no other has room; and one that says in its answers that it leaves until controllers hear of it. Ruled out: that requests were under way already (those of the first half second are not counted).

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The whole path through real processes, before stand-in workers of the platform.
 
+mod backoff;
 mod changes;
 mod crashing_request;
 mod disturbance;
@@ -22,7 +23,7 @@
     system: System,
     fleet: Arc<Fleet>,
     engines: Vec<Arc<Worker>>,
-    _plain: Arc<Worker>,
+    plain: Arc<Worker>,
 }
 
 async fn deploy(block: u8) -> Deployment {
@@ -33,7 +34,7 @@
     let plain = Worker::start(&fleet, "p0", "bookings", false);
     assert_eq!(system.replace(&configuration(3)).await, 200);
     system.wait_ready().await;
-    Deployment { system, fleet, engines, _plain: plain }
+    Deployment { system, fleet, engines, plain }
 }
 
 fn whole_stream() -> String {
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -178,6 +178,14 @@
     }
 }
 
+/// A request that came to a worker.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    /// For how long the worker asked for no more requests, where it turned this one away.
+    pub backoff: Option<Duration>,
+}
+
 /// One worker.
 pub struct Worker {
     pub id: String,
@@ -195,12 +203,20 @@
     late: AtomicBool,
     /// Whether it says that it leaves.
     leaving: AtomicBool,
+    /// Whether it leaves, and what it tells controllers does not say so yet.
+    leaving_unheard: AtomicBool,
     /// Whether it has deregistered, and only serves on.
     gone: AtomicBool,
     /// Whether its events come at half the usual rate.
     slow: AtomicBool,
     /// Whether it runs requests without a word.
     mute: AtomicBool,
+    /// Time for which a plain worker works on a request.
+    work: Mutex<Duration>,
+    /// What it says to each request that it turns away, while it turns all away.
+    turns_away: Mutex<Option<Duration>>,
+    /// Requests that came, in order.
+    arrivals: Mutex<Vec<Arrival>>,
     state: Mutex<WorkerState>,
     fleet: Arc<Fleet>,
     stop: watch::Sender<bool>,
@@ -246,9 +262,13 @@
             cut: AtomicBool::new(false),
             late: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            leaving_unheard: AtomicBool::new(false),
             gone: AtomicBool::new(false),
             slow: AtomicBool::new(false),
             mute: AtomicBool::new(false),
+            work: Mutex::default(),
+            turns_away: Mutex::default(),
+            arrivals: Mutex::default(),
             state: Mutex::default(),
             fleet: Arc::clone(fleet),
             stop,
@@ -335,6 +355,11 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Leaves from now on, while controllers still hear what it said before.
+    pub fn leave_unheard(&self) {
+        self.leaving_unheard.store(true, Ordering::Relaxed);
+    }
+
     /// Has its events come at half the usual rate.
     pub fn set_slow(&self) {
         self.slow.store(true, Ordering::Relaxed);
@@ -345,6 +370,35 @@
         self.mute.store(true, Ordering::Relaxed);
     }
 
+    /// Has a plain worker take this time for each request.
+    pub fn set_work(&self, work: Duration) {
+        *self.work.lock().expect("not poisoned") = work;
+    }
+
+    /// Has it turn all requests away and ask for no more for this time, or serve again.
+    pub fn turn_away(&self, backoff: Option<Duration>) {
+        *self.turns_away.lock().expect("not poisoned") = backoff;
+    }
+
+    /// Requests that came, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().expect("not poisoned").clone()
+    }
+
+    /// Notes a request that came; for how long no more are wanted, where it is turned away.
+    fn note_arrival(&self) -> Option<Duration> {
+        let backoff = *self.turns_away.lock().expect("not poisoned");
+        let arrival = Arrival { at: Instant::now(), backoff };
+        self.arrivals.lock().expect("not poisoned").push(arrival);
+        backoff
+    }
+
+    /// Whether it is about to end, which it says in all its answers.
+    fn is_leaving(&self) -> bool {
+        let flags = [&self.leaving, &self.leaving_unheard, &self.gone];
+        flags.iter().any(|flag| flag.load(Ordering::Relaxed))
+    }
+
     /// Says that it goes, without having said that it leaves, and serves on for a while.
     pub async fn deregister(&self) {
         self.gone.store(true, Ordering::Relaxed);
@@ -510,11 +564,19 @@
             value.unwrap_or_default().to_owned()
         };
         let id = header("request-id");
-        let builder = Response::builder().header("request-id", &id);
+        let mut builder = Response::builder().header("request-id", &id);
+        if self.is_leaving() {
+            builder = builder.header("server-leaving", "1");
+        }
         let held = self.lock().membership.clone().filter(|held| held.state == "open");
         if header("target-instance") != self.id || (self.engine && held.is_none()) {
             return builder.status(421).body(AnswerBody::whole("")).expect("sound");
         }
+        if let Some(backoff) = self.note_arrival() {
+            let builder = builder.status(503).header("not-executed", "1");
+            let builder = builder.header("retry-after", backoff.as_secs_f64().to_string());
+            return builder.body(AnswerBody::whole("")).expect("sound");
+        }
         if let Some(held) = &held {
             self.fleet.check_whole(held, &id);
             let mut runs = self.fleet.replica_runs.lock().expect("not poisoned");
@@ -602,6 +664,8 @@
             }
             _ => {
                 let answer = self.answer_request(&head, &body);
+                let work = *self.work.lock().expect("not poisoned");
+                tokio::time::sleep(work).await;
                 if self.mute.load(Ordering::Relaxed) {
                     tokio::time::sleep(LIMITS.idle).await;
                 }
