Send nothing to workers that asked for a backoff or say that they leave

Cause: gateways did not read what a worker says of requests to come. A refusal counted as any failure: the worker was left out after two in a row, for 0.8 s, and chosen where no other had room. Class: what an upstream asks of us in an answer is not kept beyond the request that it answers. Change: the picker passes such workers over, also as the last resort, and an attempt asks once more when its connection is there. Where all ask, the caller is told at once when the first wants some again, and callers are spread over a moment after that.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -224,6 +224,12 @@
     resume_after: Option<&str>,
 ) -> Result<SentAnswer, AttemptUpstreamError> {
     let worker = &flight.worker;
+    // Others were under way when it was chosen, and may have been turned away since: making a
+    // connection takes up to LONGEST_CONNECT.
+    if core.is_backed_off(&worker.id) {
+        lease.give_back();
+        return Err(AttemptUpstreamError::BackedOff);
+    }
     let remaining = request.remaining();
     if remaining.is_zero() {
         return Err(AttemptUpstreamError::DeadlinePassed { sent: false });
--- a/crates/gateway/src/comeback.rs
+++ b/crates/gateway/src/comeback.rs
@@ -20,3 +20,10 @@
 pub fn comeback_pause(left: Duration, draw: f64) -> Duration {
     left.mul_f64(MEAN_PART * (1.0 + SPREAD * (2.0 * draw.clamp(0.0, 1.0) - 1.0)))
 }
+
+/// Time by which callers that must not come back before a moment come later than that, with so much
+/// time left to them; `draw` is from 0 to 1. Workers that have asked for no requests until then are
+/// not met by all callers together.
+pub fn comeback_spread(left: Duration, draw: f64) -> Duration {
+    left.mul_f64(MEAN_PART * SPREAD * draw.clamp(0.0, 1.0))
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,7 +6,7 @@
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_member::WakeWatch;
-use hollowbarrow_routing::retry::RetryBudget;
+use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
 use tokio::time::Instant;
@@ -175,15 +175,7 @@
         let now = Instant::now();
         let worker = picker.pick(facts, now)?;
         picker.begin(&worker.id, worker.reading_ms, now);
-        let backoff = picker.backoff(&worker.id, now);
-        let left_out = picker.is_left_out(&worker.id, now);
         drop(picker);
-        if let Some(reason) = backoff {
-            log::warn!(
-                "event=sent_despite_backoff worker={} reason={reason:?} left_out={left_out}",
-                *worker.id
-            );
-        }
         Ok(Flight { core: Arc::clone(self), worker, reading: true })
     }
 
@@ -194,6 +186,13 @@
         }
     }
 
+    /// Notes that an attempt failed at a worker, unless nothing was sent there.
+    pub(crate) fn note_failure(&self, worker: &WorkerId, error: &AttemptUpstreamError) {
+        if *error != AttemptUpstreamError::BackedOff {
+            self.note_outcome(worker, false);
+        }
+    }
+
     /// Notes what the head of a worker's answer says of requests to come.
     pub(crate) fn note_answer_head(&self, worker: &WorkerId, facts: &AnswerFacts) {
         if facts.not_run {
@@ -215,6 +214,11 @@
         }
     }
 
+    /// Whether a worker wants no requests now.
+    pub(crate) fn is_backed_off(&self, worker: &WorkerId) -> bool {
+        self.picker().backoff(worker, Instant::now()).is_some()
+    }
+
     /// Whether a worker has sent something of any answer within this time.
     pub(crate) fn has_progress(&self, worker: &WorkerId, within: Duration) -> bool {
         let progress = self.picker().progress(worker);
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -57,6 +57,8 @@
     Unknown,
     /// All have as much as they can work on.
     Full,
+    /// All have asked for no requests; the first wants some again after this time.
+    Backoff(Duration),
 }
 
 /// A worker that was chosen.
@@ -220,7 +222,7 @@
     ///
     /// # Errors
     ///
-    /// Says whether none takes requests, or all have as much as they can work on.
+    /// Says why no worker can be given the request now.
     pub fn pick(&mut self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
         self.candidates.refresh(&self.table);
         let engine = facts.service.engine.as_ref();
@@ -294,7 +296,7 @@
     }
 
     /// The cheapest candidate; workers that are left out, or seem to stand still, are used only
-    /// where no other is there.
+    /// where no other is there, and those that want no requests not even then.
     fn choose<'a>(
         &self,
         candidates: &'a [Candidate],
@@ -303,13 +305,20 @@
         still: impl Fn(&Candidate) -> bool,
         now: Instant,
     ) -> Result<&'a Candidate, NoWorker> {
-        let usable = |candidate: &&Candidate| {
-            !self.view.withheld.contains(&candidate.id) && !facts.excluded.contains(&candidate.id)
-        };
+        let usable = |candidate: &&Candidate| !self.view.withheld.contains(&candidate.id);
         let mut known = false;
+        let mut backoff: Option<Duration> = None;
         let mut best: Option<(bool, f64, &Candidate)> = None;
         for candidate in candidates.iter().filter(usable) {
-            known = true;
+            match self.backoff(&candidate.id, now) {
+                None if facts.excluded.contains(&candidate.id) => continue,
+                None => known = true,
+                Some(BackoffReason::Leaving) => continue,
+                Some(BackoffReason::Asked(left)) => {
+                    backoff = Some(backoff.map_or(left, |least| least.min(left)));
+                    continue;
+                }
+            }
             let Some(cost) = cost(candidate) else { continue };
             let own = self.own.get(&candidate.id);
             let ejected = self.is_left_out(&candidate.id, now) || still(candidate);
@@ -323,10 +332,11 @@
                 best = Some((ejected, total, candidate));
             }
         }
-        match best {
-            Some((_, _, candidate)) => Ok(candidate),
-            None if known => Err(NoWorker::Full),
-            None => Err(NoWorker::Unknown),
+        match (best, backoff) {
+            (Some((_, _, candidate)), _) => Ok(candidate),
+            (None, _) if known => Err(NoWorker::Full),
+            (None, Some(left)) => Err(NoWorker::Backoff(left)),
+            (None, None) => Err(NoWorker::Unknown),
         }
     }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,7 +8,7 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Response, StatusCode};
 
-use crate::comeback::comeback_pause;
+use crate::comeback::{comeback_pause, comeback_spread};
 use crate::picker::NoWorker;
 
 /// Time that a caller is taken to have where the request says nothing of it: the deadlines of
@@ -94,6 +94,7 @@
             Self::Held(_) => "ends_workers",
             Self::NoWorker(NoWorker::Unknown) => "no_worker",
             Self::NoWorker(NoWorker::Full) => "workers_full",
+            Self::NoWorker(NoWorker::Backoff(_)) => "workers_back_off",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -102,6 +103,9 @@
 
     fn retry_after(self, left: Duration) -> Option<Duration> {
         match self {
+            Self::NoWorker(NoWorker::Backoff(backoff)) => {
+                Some(backoff + comeback_spread(left, rand::random()))
+            }
             Self::NoDeployment | Self::NoWorker(_) => Some(comeback_pause(left, rand::random())),
             Self::Held(hold) => Some(hold),
             Self::NotRun => Some(TURNED_AWAY_PAUSE),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -177,7 +177,7 @@
         worker: &hollowbarrow_schema::WorkerId,
         error: AttemptUpstreamError,
     ) -> AttemptUpstreamError {
-        self.core.note_outcome(worker, false);
+        self.core.note_failure(worker, &error);
         self.tries.note_failure(&self.core, &self.request, worker, &error);
         error
     }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -112,8 +112,10 @@
     };
     let worker = flight.worker.id.clone();
     flight.note_progress();
-    let good = answer.as_ref().is_ok_and(|answer| !answer.status.is_server_error());
-    core.note_outcome(&worker, good);
+    match &answer {
+        Ok(answer) => core.note_outcome(&worker, !answer.status.is_server_error()),
+        Err(error) => core.note_failure(&worker, error),
+    }
     if answer.is_ok() {
         core.crashes().note_answer(request.digest, Instant::now());
     }
--- a/crates/gateway/tests/comeback.rs
+++ b/crates/gateway/tests/comeback.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_gateway::comeback::comeback_pause;
+use hollowbarrow_gateway::comeback::{comeback_pause, comeback_spread};
 use rstest::rstest;
 
 /// Callers heed a pause of up to a third of the time that is left to them.
@@ -29,3 +29,15 @@
     let within = pauses.iter().filter(|pause| **pause < first + tenth).count();
     assert!(within <= 101);
 }
+
+/// Replays callers that are refused since all workers want no requests until one moment: they do
+/// not all come back at that moment.
+#[rstest]
+fn spread_after_moment() {
+    let left = Duration::from_secs(6);
+    let later: Vec<Duration> = (0..1000).map(|n| comeback_spread(left, n as f64 / 999.0)).collect();
+    let last = later[999];
+    assert!(last >= left / 15 && last < left / 10, "{last:?}");
+    let within = later.iter().filter(|one| **one < last / 10).count();
+    assert!(within <= 101, "{within}");
+}
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -356,3 +356,87 @@
 fn pick_prefers_own_zone(#[case] near_active: u32, #[case] expected: &str) {
     assert_eq!(pick_between_zones(near_active), expected);
 }
+
+/// Time that a worker asks for after the first refusal.
+const BACKOFF: Duration = Duration::from_secs(3);
+
+#[rstest]
+fn pick_none_that_asked_for_backoff() {
+    let now = Instant::now();
+    let mut picker = picker(replicas());
+    picker.note_backoff(&WorkerId::from("a0"), BACKOFF, now);
+    assert_eq!(picked(&mut picker), ["b0"]);
+    let (service, model) = (service(), ModelName::from("m"));
+    let mut both = BTreeMap::new();
+    for _ in 0..40 {
+        let picked = picker.pick(&facts(&service, &model), now + BACKOFF).expect("both serve");
+        picker.begin(&picked.id, 10.0, now + BACKOFF);
+        *both.entry(picked.id.to_string()).or_insert(0) += 1;
+    }
+    assert_eq!(both.len(), 2, "once its time is over it is used again: {both:?}");
+}
+
+/// One that wants no requests is not the last resort either, other than one that only failed.
+#[rstest]
+#[case::other_excluded(&["b0"], 0, NoWorker::Backoff(BACKOFF))]
+#[case::both_excluded(&["a0", "b0"], 0, NoWorker::Backoff(BACKOFF))]
+#[case::other_full(&[], SLOTS, NoWorker::Full)]
+fn pick_none_beside_backoff(
+    #[case] excluded: &[&str],
+    #[case] under_way: u32,
+    #[case] expected: NoWorker,
+) {
+    let now = Instant::now();
+    let mut picker = picker(replicas());
+    picker.note_backoff(&WorkerId::from("a0"), BACKOFF, now);
+    (0..2 * under_way).for_each(|_| picker.begin(&WorkerId::from("b0"), 10.0, now));
+    let (service, model) = (service(), ModelName::from("m"));
+    let excluded: Vec<WorkerId> = excluded.iter().map(|id| WorkerId::from(*id)).collect();
+    let facts = PickFacts { excluded: &excluded, ..facts(&service, &model) };
+    assert_eq!(picker.pick(&facts, now).map(|worker| worker.id), Err(expected));
+}
+
+#[rstest]
+fn pick_none_that_leaves() {
+    let now = Instant::now();
+    let mut picker = picker(replicas());
+    assert!(picker.note_leaving(&WorkerId::from("a0")));
+    assert!(!picker.note_leaving(&WorkerId::from("a0")), "it is known");
+    assert_eq!(picked(&mut picker), ["b0"]);
+    picker.note_leaving(&WorkerId::from("b0"));
+    let (service, model) = (service(), ModelName::from("m"));
+    let facts = facts(&service, &model);
+    assert_eq!(picker.pick(&facts, now).map(|worker| worker.id), Err(NoWorker::Unknown));
+}
+
+/// Replays 150 requests a second while a worker turns all away and asks for three seconds, of which
+/// one gateway sent it five and another one three.
+#[rstest]
+fn pick_replays_worker_at_its_limit() {
+    let start = Instant::now();
+    let mut picker = picker(replicas());
+    let (service, model) = (service(), ModelName::from("m"));
+    let full = WorkerId::from("a0");
+    // The other one has much to do, so that it is worth a lot to use this one.
+    (0..12).for_each(|_| picker.begin(&WorkerId::from("b0"), 20.0, start));
+    let mut asked: Option<Instant> = None;
+    let mut sent = Vec::new();
+    for number in 0..600 {
+        let now = start + Duration::from_millis(number * 1000 / 150);
+        picker.note_progress(&WorkerId::from("b0"), now);
+        let picked = picker.pick(&facts(&service, &model), now).expect("the other one has room");
+        picker.begin(&picked.id, 0.0, now);
+        picker.end(&picked.id);
+        if picked.id == full {
+            sent.push(now);
+            picker.note_outcome(&full, false, now);
+            picker.note_backoff(&full, BACKOFF, now);
+            asked.get_or_insert(now);
+        } else {
+            picker.note_outcome(&picked.id, true, now);
+        }
+    }
+    let asked = asked.expect("it was tried");
+    let within = sent.iter().filter(|at| **at > asked && **at < asked + BACKOFF).count();
+    assert_eq!(within, 0, "{sent:?}");
+}
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -94,8 +94,12 @@
             return false;
         }
         // What never arrived at a worker amplifies nothing.
-        let arrived =
-            !matches!(error, AttemptUpstreamError::NotReached | AttemptUpstreamError::NotSent);
+        let arrived = !matches!(
+            error,
+            AttemptUpstreamError::NotReached
+                | AttemptUpstreamError::NotSent
+                | AttemptUpstreamError::BackedOff
+        );
         !arrived || std::mem::take(&mut self.paid) || budget.take(now)
     }
 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -29,6 +29,9 @@
     /// The lease or deadline ran out before the first byte left.
     #[error("the upstream's lease ran out before the request was sent")]
     NotSent,
+    /// The upstream asked for no requests before the first byte left.
+    #[error("the upstream wants no requests for now")]
+    BackedOff,
     /// The upstream refused and is known to say truthfully that it ran nothing.
     #[error("the upstream refused the request with status {status}")]
     Refused {
@@ -66,7 +69,9 @@
     /// Whether the request ran, as far as can be known.
     pub fn ran(&self) -> ErrorRan {
         match self {
-            Self::NotReached | Self::NotSent | Self::Refused { .. } => ErrorRan::NotRun,
+            Self::NotReached | Self::NotSent | Self::BackedOff | Self::Refused { .. } => {
+                ErrorRan::NotRun
+            }
             Self::DeadlinePassed { sent: false } => ErrorRan::NotRun,
             Self::NoAnswer
             | Self::ConnectionLost { .. }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -21,6 +21,7 @@
     vec![
         AttemptUpstreamError::NotReached,
         AttemptUpstreamError::NotSent,
+        AttemptUpstreamError::BackedOff,
         AttemptUpstreamError::Refused { status: 503, retry_after: None },
         AttemptUpstreamError::NoAnswer,
         AttemptUpstreamError::BrokenAnswer { reason: "x", tokens: 3 },
@@ -36,7 +37,7 @@
     /// and "not run" is said only of what cannot have run.
     #[test]
     fn decide_naive(
-        which in 0usize..7, repeatable: bool, resumable: bool, started: bool,
+        which in 0usize..8, repeatable: bool, resumable: bool, started: bool,
         attempts in 1u32..6, late: bool,
     ) {
         let now = Instant::now();
@@ -44,7 +45,7 @@
         let deadline = if late { now } else { now + Duration::from_secs(1) };
         let facts = RequestFacts { repeatable, resumable, answer_started: started, attempts, deadline };
         let step = decide_retry(&facts, error, &RetryBudget::new(now), now);
-        let cannot_have_run = matches!(which, 0..=2 | 5);
+        let cannot_have_run = matches!(which, 0..=3 | 6);
         match step {
             RetryStep::Again | RetryStep::Resume => {
                 prop_assert!(cannot_have_run || repeatable, "{error:?} was tried again");
