--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
+use hyper::header::RETRY_AFTER;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -17,6 +18,8 @@
 pub struct CallReply {
     /// Status, 0 where no answer came.
     pub status: u16,
+    /// Whole seconds after which the caller is told to come back, if it is.
+    pub retry_after: Option<u64>,
     /// Body, as far as it came.
     pub body: String,
     /// Whether the answer's framing says that it is whole.
@@ -135,6 +138,8 @@
         let request = request.body(Full::new(Bytes::from(self.body.clone()))).ok()?;
         let answer = sender.send_request(request).await.ok()?;
         reply.status = answer.status().as_u16();
+        let pause = answer.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+        reply.retry_after = pause.and_then(|seconds| seconds.parse().ok());
         let mut body = answer.into_body();
         let mut bytes = Vec::new();
         loop {
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -12,11 +12,13 @@
 use hyper::StatusCode;
 use tokio::runtime::Handle;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use crate::model::{MembersCheck, ModelConfig, ModelNode};
 use crate::record::RunHistory;
 use crate::serve::{NodePort, Power, json_answer};
 use crate::service::PlainService;
+use crate::turn_away::TurnAwaySwitch;
 
 /// Which nodes a fleet has.
 #[derive(Clone, Debug)]
@@ -79,6 +81,7 @@
     listed: PlatformNode,
     port: NodePort,
     model: Option<Arc<ModelNode>>,
+    switch: TurnAwaySwitch,
 }
 
 /// Addresses that a zone is told in place of a node's own.
@@ -132,13 +135,24 @@
                     delay: config.service_delay,
                     history: history.clone(),
                 });
-                let port = NodePort::serve(move |request| Arc::clone(&service).handle(request));
+                let switch = TurnAwaySwitch::default();
+                let asked = switch.clone();
+                let port = NodePort::serve(move |request| {
+                    let refusal = asked.refuse(&request);
+                    let service = Arc::clone(&service);
+                    async move {
+                        match refusal {
+                            Some(refusal) => refusal,
+                            None => service.handle(request).await,
+                        }
+                    }
+                });
                 let listed = PlatformNode {
                     service: Some(config.service.clone()),
                     address: port.address.to_string(),
                     ..list_node(&id, zone, &DomainId(format!("{}-app", **zone)), 0)
                 };
-                let node = FleetNode { listed, port, model: None };
+                let node = FleetNode { listed, port, model: None, switch };
                 nodes.write().expect("no holder of the lock panics").insert(id, node);
             }
         }
@@ -229,6 +243,16 @@
         self.with_node(id, |node| node.port.set_power(Power::Off));
     }
 
+    /// Has a node turn requests away and ask for no more for some whole seconds, or serve again.
+    pub fn turn_away(&self, id: &NodeId, backoff: Option<Duration>) {
+        self.with_node(id, |node| node.switch.set(backoff));
+    }
+
+    /// When a node turned requests away.
+    pub fn turned_away(&self, id: &NodeId) -> Vec<Instant> {
+        self.with_node(id, |node| node.switch.turned_away()).unwrap_or_default()
+    }
+
     /// Stops a node in place, as if frozen.
     pub fn pause(&self, id: &NodeId) {
         self.with_node(id, |node| node.port.set_power(Power::Paused));
@@ -328,11 +352,22 @@
 fn add_model(nodes: &FleetNodes, node: ModelNode, mut listed: PlatformNode) {
     let node = Arc::new(node);
     let serving = Arc::clone(&node);
-    let port = NodePort::serve(move |request| Arc::clone(&serving).handle(request));
+    let switch = TurnAwaySwitch::default();
+    let asked = switch.clone();
+    let port = NodePort::serve(move |request| {
+        let refusal = asked.refuse(&request);
+        let serving = Arc::clone(&serving);
+        async move {
+            match refusal {
+                Some(refusal) => refusal,
+                None => serving.handle(request).await,
+            }
+        }
+    });
     let _ = node.port.set(port.clone());
     listed.address = port.address.to_string();
     let id = node.id.clone();
-    let fleet_node = FleetNode { listed, port, model: Some(node) };
+    let fleet_node = FleetNode { listed, port, model: Some(node), switch };
     nodes.write().expect("no holder of the lock panics").insert(id, fleet_node);
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,6 +14,7 @@
 mod record;
 mod serve;
 mod service;
+mod turn_away;
 
 pub use caller::{CallReply, CallerCall};
 pub use cluster::{CALLER_KEY, Cluster, ClusterConfig, OPERATOR_KEY};
--- /dev/null
+++ b/crates/testkit/src/turn_away.rs
@@ -0,0 +1,53 @@
+//! Nodes that turn requests away and ask for no more for a time.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::header::RETRY_AFTER;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::serve::{Answer, json_answer};
+
+/// Paths of health and orders, which are answered all the time.
+const CONTROL_PATHS: &str = "/hollowbarrow/";
+
+#[derive(Debug, Default)]
+struct TurnAwayState {
+    /// Time for which no requests are wanted, while all are turned away.
+    backoff: Option<Duration>,
+    turned_away: Vec<Instant>,
+}
+
+/// Whether a node turns requests away.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TurnAwaySwitch {
+    state: Arc<Mutex<TurnAwayState>>,
+}
+
+impl TurnAwaySwitch {
+    /// Has the node ask for no requests for this time, or serve again.
+    pub(crate) fn set(&self, backoff: Option<Duration>) {
+        self.state.lock().expect("no holder of the lock panics").backoff = backoff;
+    }
+
+    /// When requests were turned away.
+    pub(crate) fn turned_away(&self) -> Vec<Instant> {
+        self.state.lock().expect("no holder of the lock panics").turned_away.clone()
+    }
+
+    /// The refusal of a request; none where it is to be served.
+    pub(crate) fn refuse<B>(&self, request: &Request<B>) -> Option<Answer> {
+        if request.uri().path().starts_with(CONTROL_PATHS) {
+            return None;
+        }
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        let seconds = state.backoff?.as_secs();
+        state.turned_away.push(Instant::now());
+        let reason = json!({"error": {"code": "at_its_limit", "ran": "not_run"}});
+        let mut answer = json_answer(StatusCode::SERVICE_UNAVAILABLE, &reason);
+        answer.headers_mut().insert(RETRY_AFTER, seconds.into());
+        Some(answer)
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests by theme; they drive the real binary.
 
+mod backoff;
 mod command_line;
 mod configuration;
 mod crashing_request;
