Have entry daemons send nothing to nodes that ask for a backoff

Change: the table of backoffs, by the name of the node, filters the candidates of a pick and is asked once more just before the send. Where all nodes ask, the caller is told 503, not run, and the time left.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_routing::{RouteCandidate, UpstreamKey};
-use hollowbarrow_upstream::{SentAnswer, UpstreamRequest};
+use hollowbarrow_routing::{BackoffReason, RouteCandidate, UpstreamKey};
+use hollowbarrow_upstream::{SentAnswer, UpstreamRequest, read_backoff};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
@@ -14,7 +14,7 @@
 use crate::answer::{CallerError, CallerLink, ErrorCode};
 use crate::core::DaemonCore;
 use crate::facts::{CallerRequest, RequestKind, headers};
-use crate::refusals::{UPSTREAM_RETRY, to_send_error};
+use crate::refusals::{UPSTREAM_RETRY, to_backoff_error, to_send_error};
 use crate::relay::{StreamRelay, read_whole};
 use crate::routes::{RouteEntry, RouteTarget};
 use crate::telemetry::HopSpan;
@@ -139,13 +139,17 @@
             RequestKind::Completion { model, .. } => routes.model(model),
             RequestKind::Plain(route) => routes.service(&route.service),
         };
-        let candidates = {
+        let mut candidates = {
             let fleet = core.fleet();
             let open = entries.iter().filter_map(|entry| entry.to_candidate(&fleet, now));
             open.collect::<Vec<RouteCandidate>>()
         };
+        let backoff = drop_backed_off(core, &mut candidates, now);
         if candidates.is_empty() {
-            return Err(no_upstream(core, request, entries));
+            return Err(match backoff {
+                Some(left) => to_backoff_error(left),
+                None => no_upstream(core, request, entries),
+            });
         }
         let fresh: Vec<RouteCandidate> =
             candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
@@ -160,6 +164,25 @@
     }
 }
 
+/// Drops candidates that want no requests; after what time the first one wants some again, where
+/// any was dropped.
+fn drop_backed_off(
+    core: &DaemonCore,
+    candidates: &mut Vec<RouteCandidate>,
+    now: Instant,
+) -> Option<Duration> {
+    let backoffs = core.backoffs();
+    let mut least: Option<Duration> = None;
+    candidates.retain(|candidate| {
+        let reason = backoffs.reason(&candidate.key.name, now);
+        if let Some(BackoffReason::Asked(left)) = reason {
+            least = Some(least.map_or(left, |least| least.min(left)));
+        }
+        reason.is_none()
+    });
+    least
+}
+
 fn no_upstream(core: &DaemonCore, request: &CallerRequest, entries: &[RouteEntry]) -> CallerError {
     if let RequestKind::Completion { model, .. } = &request.kind {
         let asked_for = core
@@ -198,12 +221,20 @@
     if entry.until(&core.fleet(), now).is_none() {
         return Err(AttemptUpstreamError::NotSent);
     }
+    if core.backoffs().reason(&entry.key.name, now).is_some() {
+        lease.give_back();
+        return Err(AttemptUpstreamError::BackedOff);
+    }
     let answer =
         core.client.send(lease, &message, request.deadline).await.map_err(to_send_error)?;
     tally.note_first();
+    let backoff = note_backoff(core, &entry.key, &answer);
     let engine = matches!(entry.target, RouteTarget::Replica(_));
     if engine && is_refusal(answer.status) {
-        return Err(to_refusal(&answer));
+        return Err(AttemptUpstreamError::Refused {
+            status: answer.status.as_u16(),
+            retry_after: backoff,
+        });
     }
     if engine && answer.status.is_server_error() {
         return Err(AttemptUpstreamError::NoAnswer);
@@ -230,11 +261,23 @@
     )
 }
 
-fn to_refusal(answer: &SentAnswer) -> AttemptUpstreamError {
-    let seconds = answer.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
-    AttemptUpstreamError::Refused {
-        status: answer.status.as_u16(),
-        retry_after: seconds.map(Duration::from_secs),
+/// Notes for how long an upstream that turns requests away wants none, and returns that.
+fn note_backoff(core: &DaemonCore, key: &UpstreamKey, answer: &SentAnswer) -> Option<Duration> {
+    if !is_refusal(answer.status) {
+        return None;
+    }
+    match read_backoff(&answer.headers) {
+        Ok(backoff) => {
+            let backoff = backoff?;
+            core.backoffs().note_asked(&key.name, backoff, Instant::now());
+            let ms = backoff.as_millis();
+            log::info!("event=upstream_backoff upstream={} ms={ms}", key.name);
+            Some(backoff)
+        }
+        Err(error) => {
+            log::warn!("event=backoff_unreadable upstream={} error={error:?}", key.name);
+            None
+        }
     }
 }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -8,7 +8,9 @@
 use hollowbarrow_log::LogDriver;
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_routing::retry::RetryBudget;
-use hollowbarrow_routing::{AdmissionQueue, CrashWatch, OrganisationLimiter, RoutePicker};
+use hollowbarrow_routing::{
+    AdmissionQueue, BackoffTable, CrashWatch, OrganisationLimiter, RoutePicker,
+};
 use hollowbarrow_schema::{DaemonId, PeerMessage, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
 use hollowbarrow_upstream::{HttpEngine, UpstreamClient};
@@ -38,6 +40,8 @@
     pub(crate) limiter: OrganisationLimiter,
     pub(crate) budget: RetryBudget,
     pub(crate) crashes: Mutex<CrashWatch>,
+    /// Upstreams that want no requests, by the name of the node or endpoint.
+    pub(crate) backoffs: Mutex<BackoffTable<String>>,
     pub(crate) client: UpstreamClient,
     pub(crate) engine: HttpEngine,
     pub(crate) telemetry: Telemetry,
@@ -85,6 +89,11 @@
         self.crashes.lock().expect("no holder of the lock panics")
     }
 
+    /// Upstreams that want no requests from this daemon.
+    pub(crate) fn backoffs(&self) -> MutexGuard<'_, BackoffTable<String>> {
+        self.backoffs.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn picker(&self) -> MutexGuard<'_, RoutePicker> {
         self.picker.lock().expect("no holder of the lock panics")
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,7 +11,7 @@
 use hollowbarrow_peer::{MeshConfig, PeerMesh, StartMeshError};
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
-    AdmissionQueue, CrashWatch, OrganisationLimiter, QueueLimits, RoutePicker,
+    AdmissionQueue, BackoffTable, CrashWatch, OrganisationLimiter, QueueLimits, RoutePicker,
 };
 use hollowbarrow_schema::{
     DaemonId, LogMessage, LogName, PeerMessage, Settings, ZoneId, ZoneTable,
@@ -276,6 +276,7 @@
         limiter,
         budget: RetryBudget::new(now),
         crashes: Mutex::new(CrashWatch::new()),
+        backoffs: Mutex::new(BackoffTable::new()),
         client: UpstreamClient::new(),
         engine: HttpEngine::new(),
         telemetry,
@@ -424,6 +425,7 @@
         let routes = core.routes();
         if let Some(oldest) = Instant::now().checked_sub(core.lease() * 2) {
             core.picker().prune(oldest, |key| routes.contains(key));
+            core.backoffs().tidy(|name| routes.names(name), Instant::now());
         }
     }
 }
--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -35,6 +35,12 @@
     CallerError::not_run(ErrorCode::EndsUpstreams, message).with_retry_after(left)
 }
 
+/// All upstreams want no requests, the first of them for this time.
+pub(crate) fn to_backoff_error(left: Duration) -> CallerError {
+    let message = "all upstreams have asked for no requests for now";
+    CallerError::not_run(ErrorCode::NoUpstream, message).with_retry_after(left)
+}
+
 /// A limit that stands against the request.
 pub(crate) fn to_limit_error(error: &LimitRequestError) -> CallerError {
     let told = CallerError::not_run(ErrorCode::LimitReached, error.to_string());
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -113,8 +113,16 @@
     }
 
     pub(crate) fn contains(&self, key: &UpstreamKey) -> bool {
-        let mut all = self.models.values().chain(self.services.values()).flatten();
-        all.any(|entry| entry.key == *key)
+        self.entries().any(|entry| entry.key == *key)
+    }
+
+    /// Whether an upstream has this name, under any epoch.
+    pub(crate) fn names(&self, name: &str) -> bool {
+        self.entries().any(|entry| entry.key.name == name)
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &RouteEntry> {
+        self.models.values().chain(self.services.values()).flatten()
     }
 }
 
