Have the soak play workers that ask for a backoff or leave unheard, and check that they get none

Cause: neither the stand-ins did it nor did anything check it. Change: two disturbances in series of their own (seeds keep the others), a record of what came to workers by which gateway, and a pure check of both bounds with records that only just break them.

--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -54,6 +54,10 @@
     ForeignRecords,
     /// A request that ends the workers it runs on comes several times.
     EndingRequest,
+    /// A worker turns requests away and asks for none for a while.
+    TurnAway,
+    /// A worker says in its answers that it leaves, and controllers hear of it only as it ends.
+    LeaveUnheard,
 }
 
 const KINDS: [DisturbanceKind; 13] = [
@@ -81,6 +85,10 @@
 ];
 /// What makes the seed of that series another one.
 const LIFE_SEED: u64 = 0x11fe;
+/// Kinds of a third sort of series, and its seed.
+const DEMAND_KINDS: [DisturbanceKind; 2] =
+    [DisturbanceKind::TurnAway, DisturbanceKind::LeaveUnheard];
+const DEMAND_SEED: u64 = 0xdead;
 
 /// One disturbance.
 #[derive(Clone, Copy, Debug)]
@@ -105,6 +113,10 @@
         draw_series(&mut rng, &KINDS, &mut drawn);
     }
     draw_series(&mut ChaCha8Rng::seed_from_u64(seed ^ LIFE_SEED), &LIFE_KINDS, &mut drawn);
+    for series in 0..SERIES as u64 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (DEMAND_SEED + series));
+        draw_series(&mut rng, &DEMAND_KINDS, &mut drawn);
+    }
     drawn.sort_by_key(|disturbance| disturbance.at);
     drawn
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod changes;
 mod crashing_request;
+mod demands;
 mod disturbance;
 mod foreign;
 mod observer;
--- a/tests/platform/observer.rs
+++ b/tests/platform/observer.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 
 use crate::system::{KEY, call_gateway, configuration, fetch_at, replace_at};
-use crate::worker::Fleet;
+use crate::worker::{Fleet, request_by};
 
 /// Pause between two requests of the load.
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
@@ -139,8 +139,9 @@
         number += 1;
         let (kind, path) =
             if number.is_multiple_of(3) { ("hold", "/hold/1") } else { ("chat", "/chat/1") };
-        let id = format!("{kind}-{number}");
-        let gateway = gateways[number % gateways.len()].clone();
+        let index = number % gateways.len();
+        let id = request_by(index, &format!("{kind}-{number}"));
+        let gateway = gateways[index].clone();
         let (observer, stream) = (Arc::clone(&observer), Arc::clone(&stream));
         calls.push(tokio::spawn(async move {
             if let Ok(answer) = call_gateway(&gateway, path, &id, Some(KEY)).await {
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -16,6 +16,7 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
+use crate::demands::DemandEvent;
 use crate::disturbance::{DISTURBED_TIME, Disturbance, DisturbanceKind, draw_disturbances};
 use crate::foreign::{foreign_records, send_record};
 use crate::observer::{Observer, read_changes, send_changes, send_load};
@@ -52,13 +53,17 @@
 const ENDING_REQUESTS: usize = 6;
 /// Time for which a worker that leaves goes on.
 const DRAIN_TIME: Duration = Duration::from_millis(600);
+/// The same for one of which controllers do not hear: longer than requests may still come to it.
+const UNHEARD_DRAIN_TIME: Duration = Duration::from_millis(3500);
+/// Time for which a worker that turns requests away asks for none, a little more each time.
+const BACKOFF: Duration = Duration::from_secs(1);
 
 /// A system, its workers and what was done to them.
 struct Soak {
     system: System,
     fleet: Arc<Fleet>,
     engines: Vec<(Arc<Worker>, &'static str)>,
-    _plain: Vec<Arc<Worker>>,
+    plain: Vec<Arc<Worker>>,
     lives: usize,
     /// The controller whose disk was lost, until it votes again.
     wiped: Option<usize>,
@@ -74,7 +79,7 @@
             system,
             fleet,
             engines: Vec::new(),
-            _plain: Vec::new(),
+            plain: Vec::new(),
             lives: 0,
             wiped: None,
             down: Vec::new(),
@@ -86,7 +91,7 @@
             }
             let id = format!("plain-{zone}");
             let worker = Worker::start_born(&soak.fleet, &id, "bookings", false, zone);
-            soak._plain.push(worker);
+            soak.plain.push(worker);
         }
         soak
     }
@@ -163,6 +168,15 @@
                 tokio::spawn(send_foreign(worker.id.clone(), self.system.controllers.clone()));
                 true
             }
+            DisturbanceKind::TurnAway => {
+                let more = Duration::from_millis(disturbance.second as u64 * 2);
+                self.worker(disturbance).turn_away(Some(BACKOFF + more));
+                true
+            }
+            DisturbanceKind::LeaveUnheard => {
+                worker.leave_unheard();
+                true
+            }
             DisturbanceKind::EndingRequest => {
                 let gateways = self.system.gateways.clone();
                 tokio::spawn(send_ending(disturbance.second, gateways));
@@ -213,23 +227,43 @@
                     self.engines[index].0 = worker.start_next(moved);
                 }
             }
+            DisturbanceKind::TurnAway => self.worker(disturbance).turn_away(None),
+            DisturbanceKind::LeaveUnheard => self.renew_worker(index),
             DisturbanceKind::RebirthAtOnce
             | DisturbanceKind::ForeignRecords
             | DisturbanceKind::EndingRequest => {}
         }
     }
 
+    /// The engine or plain worker that is chosen.
+    fn worker(&self, disturbance: &Disturbance) -> &Arc<Worker> {
+        let index = disturbance.first % (self.engines.len() + self.plain.len());
+        match self.engines.get(index) {
+            Some((worker, _)) => worker,
+            None => &self.plain[index - self.engines.len()],
+        }
+    }
+
+    /// Notes that a daemon is disturbed, which excuses it if it is a gateway.
+    fn note_disturbed(&self, daemon: usize) {
+        if let Some(gateway) = daemon.checked_sub(CONTROLLERS) {
+            self.fleet.note_demand(DemandEvent::Disturbed { gateway, at: Instant::now() });
+        }
+    }
+
     fn take_down(&mut self, daemon: usize, signal: Signal) -> bool {
         if self.down.contains(&daemon) {
             return false;
         }
         self.down.push(daemon);
+        self.note_disturbed(daemon);
         self.system.signal(daemon, signal);
         true
     }
 
     async fn bring_back(&mut self, daemon: usize, ending: bool) {
         self.system.revive(daemon, ending).await;
+        self.note_disturbed(daemon);
         self.down.retain(|down| *down != daemon);
     }
 
@@ -266,7 +300,7 @@
                 let begun = self.begin(&disturbance);
                 println!("seed {seed}: {disturbance:?} begun={begun}");
                 if begun {
-                    running.push((Instant::now() + disturbance.length, disturbance));
+                    running.push((Instant::now() + length_of(&disturbance), disturbance));
                 }
             } else if let Some(index) = running.iter().position(|(end, _)| *end == next) {
                 let (_, disturbance) = running.swap_remove(index);
@@ -308,6 +342,14 @@
     }
 }
 
+/// For how long a disturbance lasts.
+fn length_of(disturbance: &Disturbance) -> Duration {
+    match disturbance.kind {
+        DisturbanceKind::LeaveUnheard => disturbance.length + UNHEARD_DRAIN_TIME,
+        _ => disturbance.length,
+    }
+}
+
 /// Sends what other writers say under a worker's id to all controllers.
 async fn send_foreign(id: String, controllers: Vec<String>) {
     for record in foreign_records() {
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -19,6 +19,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::demands::{DemandEvent, WorkerWord, find_breaches};
+
 /// Events of a whole stream.
 pub const EVENTS: u64 = 30;
 /// Pause between two events.
@@ -39,6 +41,16 @@
 /// Start of the first life of each worker that tells it, in Unix milliseconds.
 pub const FIRST_BORN: u64 = 1_764_720_000_000;
 
+/// Identity of a request that tells by which gateway it comes.
+pub fn request_by(gateway: usize, name: &str) -> String {
+    format!("{name}-by{gateway}")
+}
+
+/// The gateway by which a request comes, where it tells.
+fn gateway_of(request: &str) -> Option<usize> {
+    request.rsplit_once("-by")?.1.parse().ok()
+}
+
 /// Bytes of one event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -90,6 +102,8 @@
     breaches: Mutex<Vec<String>>,
     /// Workers that a request has ended.
     ended: AtomicU32,
+    /// What came to workers, and what they said, where the request tells its gateway.
+    demands: Mutex<Vec<DemandEvent>>,
     /// Requests that ran in replicas, and under which epoch.
     replica_runs: Mutex<Vec<(String, u64)>>,
 }
@@ -122,7 +136,14 @@
 
     /// What the workers saw that must not be.
     pub fn breaches(&self) -> Vec<String> {
-        self.breaches.lock().expect("not poisoned").clone()
+        let mut breaches = self.breaches.lock().expect("not poisoned").clone();
+        breaches.extend(find_breaches(&self.demands.lock().expect("not poisoned")));
+        breaches
+    }
+
+    /// Notes something that counts for what workers ask for.
+    pub fn note_demand(&self, event: DemandEvent) {
+        self.demands.lock().expect("not poisoned").push(event);
     }
 
     fn report_breach(&self, breach: String) {
@@ -386,8 +407,14 @@
     }
 
     /// Notes a request that came; for how long no more are wanted, where it is turned away.
-    fn note_arrival(&self) -> Option<Duration> {
+    fn note_arrival(&self, request: &str) -> Option<Duration> {
         let backoff = *self.turns_away.lock().expect("not poisoned");
+        if let Some(gateway) = gateway_of(request) {
+            let worker = format!("{} born {:?}", self.id, self.born);
+            let word = WorkerWord { backoff, leaving: self.is_leaving() };
+            let at = Instant::now();
+            self.fleet.note_demand(DemandEvent::Came { worker, gateway, at, word });
+        }
         let arrival = Arrival { at: Instant::now(), backoff };
         self.arrivals.lock().expect("not poisoned").push(arrival);
         backoff
@@ -572,7 +599,7 @@
         if header("target-instance") != self.id || (self.engine && held.is_none()) {
             return builder.status(421).body(AnswerBody::whole("")).expect("sound");
         }
-        if let Some(backoff) = self.note_arrival() {
+        if let Some(backoff) = self.note_arrival(&id) {
             let builder = builder.status(503).header("not-executed", "1");
             let builder = builder.header("retry-after", backoff.as_secs_f64().to_string());
             return builder.body(AnswerBody::whole("")).expect("sound");
