Test that a burst of a request which ends workers is bounded; it fails

Cause: runs count only where each was sent after the one before had ended, so that a burst, whatever it takes down, is one piece of evidence; and nothing bounds the copies under way.

--- /dev/null
+++ b/tests/platform/crashing_burst.rs
@@ -0,0 +1,150 @@
+//! Requests that end the workers they run on, many copies at once.
+//!
+//! Runs counted against a request only where each was sent after the one before had ended, so that
+//! forty copies that took all ten workers of a service down at once were one piece of evidence, as
+//! a lost rack is. They came again after six seconds and did so once more: 64 and 80 workers ended
+//! in two runs, 24 and 49 copies were sent later than three seconds after the third had ended, and
+//! 0.855 of what other callers sent was served.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::system::{CONTROLLERS, KEY, Layout, Signal, System, configuration};
+use crate::worker::{ENDS_WORKER, Fleet, Worker};
+
+const GATEWAYS: usize = 3;
+/// Plain workers of the service.
+const WORKERS: usize = 10;
+/// Copies of each burst.
+const COPIES: usize = 40;
+/// Bursts, and the pause between two of them.
+const BURSTS: usize = 3;
+const BURST_PAUSE: Duration = Duration::from_secs(5);
+/// Workers that may end under a burst: each gateway sends one copy and repeats it once before it
+/// has heard of the others.
+const MOST_ENDED_AT_ONCE: usize = 2 * GATEWAYS;
+/// Time after the third end from which hardly anything is sent any more.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+/// Copies that may be sent after that, at all gateways together.
+const MOST_LATE: usize = 3;
+/// Pause between two requests of other callers.
+const OTHER_PAUSE: Duration = Duration::from_millis(25);
+/// Part of them that is served once the first burst is known.
+const SERVED: f64 = 0.95;
+
+/// What happens after the first burst.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interlude {
+    Nothing,
+    /// All controllers end at once and start again.
+    NewControllers,
+}
+
+async fn deploy(block: u8) -> (System, Arc<Fleet>) {
+    let layout = Layout { gateways: GATEWAYS as u8, zoned: false, proxied: false };
+    let system = System::start_with(block, layout);
+    let fleet = Fleet::new(system.controllers.clone());
+    for number in 0..WORKERS {
+        Worker::start(&fleet, &format!("p{number}"), "bookings", false);
+    }
+    let mut repeatable = configuration(3);
+    repeatable["routes"][1]["kind"] = "idempotent".into();
+    repeatable["routes"][1]["max_attempts"] = 2.into();
+    assert_eq!(system.replace(&repeatable).await, 200);
+    system.wait_ready().await;
+    for gateway in 0..GATEWAYS {
+        system.call_gateway_until_served(gateway, "/hold/1", "warm").await;
+    }
+    (system, fleet)
+}
+
+/// Sends copies of the request to all gateways at once; 502 and 503 are true answers.
+async fn send_burst(system: &System, burst: usize) {
+    let copies = (0..COPIES).map(|copy| async move {
+        let id = format!("copy-{burst}-{copy}");
+        let gateway = copy % GATEWAYS;
+        let answer = system.call_with_body(gateway, "/hold/1", &id, Some(KEY), ENDS_WORKER).await;
+        let status = answer.map_or(0, |answer| answer.status().as_u16());
+        assert!(matches!(status, 502 | 503), "{id} got {status}: {}", system.logs());
+    });
+    futures_util::future::join_all(copies).await;
+}
+
+/// Sends other requests, one after the other, and counts those of the time that matters.
+async fn send_others(system: &System, counted: &AtomicBool, ended: &AtomicBool) -> f64 {
+    let (sent, served) = (AtomicU32::new(0), AtomicU32::new(0));
+    let mut number = 0;
+    let mut calls = futures_util::stream::FuturesUnordered::new();
+    while !ended.load(Ordering::Relaxed) {
+        number += 1;
+        let id = format!("other-{number}");
+        let counts = counted.load(Ordering::Relaxed);
+        let (sent, served) = (&sent, &served);
+        calls.push(async move {
+            let answer = system.call(number % GATEWAYS, "/hold/1", &id, Some(KEY)).await;
+            let good = answer.is_ok_and(|answer| answer.status().as_u16() == 200);
+            sent.fetch_add(u32::from(counts), Ordering::Relaxed);
+            served.fetch_add(u32::from(counts && good), Ordering::Relaxed);
+        });
+        let pause = tokio::time::sleep(OTHER_PAUSE);
+        tokio::pin!(pause);
+        loop {
+            use futures_util::StreamExt;
+            tokio::select! {
+                () = &mut pause => break,
+                Some(()) = calls.next(), if !calls.is_empty() => {}
+            }
+        }
+    }
+    while futures_util::StreamExt::next(&mut calls).await.is_some() {}
+    f64::from(served.load(Ordering::Relaxed)) / f64::from(sent.load(Ordering::Relaxed))
+}
+
+#[rstest]
+#[case::same_daemons(35, Interlude::Nothing)]
+#[case::new_controllers(36, Interlude::NewControllers)]
+#[tokio::test]
+async fn crashing_burst_bounded(#[case] block: u8, #[case] interlude: Interlude) {
+    let (mut system, fleet) = deploy(block).await;
+    let (counted, ended) = (AtomicBool::new(false), AtomicBool::new(false));
+    let first = send_burst(&system, 0);
+    let others = async {
+        // Others are under way before the first burst, too.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        first.await;
+        tokio::time::sleep(NEWS_TIME).await;
+        ended.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(others, send_others(&system, &counted, &ended));
+    let at_once = fleet.ends().len();
+    if interlude == Interlude::NewControllers {
+        (0..CONTROLLERS).for_each(|daemon| system.signal(daemon, Signal::Kill));
+        for daemon in 0..CONTROLLERS {
+            system.revive(daemon, true).await;
+        }
+        system.wait_ready().await;
+    }
+    counted.store(true, Ordering::Relaxed);
+    ended.store(false, Ordering::Relaxed);
+    let bursts = async {
+        for burst in 1..BURSTS {
+            send_burst(&system, burst).await;
+            tokio::time::sleep(BURST_PAUSE).await;
+        }
+        ended.store(true, Ordering::Relaxed);
+    };
+    let ((), share) = tokio::join!(bursts, send_others(&system, &counted, &ended));
+    let third = *fleet.ends().get(2).unwrap_or(&Instant::now()) + NEWS_TIME;
+    let late = fleet.ending_runs().iter().filter(|at| **at > third).count();
+    println!(
+        "{at_once} workers ended at once, {} in all, {late} copies late, {share} of others served",
+        fleet.ends().len()
+    );
+    assert!(at_once <= MOST_ENDED_AT_ONCE, "{at_once} workers ended at once: {}", system.logs());
+    assert!(late <= MOST_LATE, "{late} copies were sent late: {}", system.logs());
+    assert!(share >= SERVED, "{share} of the others were served: {}", system.logs());
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod changes;
+mod crashing_burst;
 mod crashing_request;
 mod demands;
 mod disturbance;
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -102,6 +102,9 @@
     breaches: Mutex<Vec<String>>,
     /// Workers that a request has ended.
     ended: AtomicU32,
+    /// When requests that end workers began to run, and when workers ended under them.
+    ending_runs: Mutex<Vec<Instant>>,
+    ends: Mutex<Vec<Instant>>,
     /// What came to workers, and what they said, where the request tells its gateway.
     demands: Mutex<Vec<DemandEvent>>,
     /// Requests that ran in replicas, and under which epoch.
@@ -123,6 +126,16 @@
         self.ended.load(Ordering::SeqCst)
     }
 
+    /// When requests that end workers began to run.
+    pub fn ending_runs(&self) -> Vec<Instant> {
+        self.ending_runs.lock().expect("not poisoned").clone()
+    }
+
+    /// When workers ended under requests.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.ends.lock().expect("not poisoned").clone()
+    }
+
     /// Epochs of the replicas in which a request ran.
     pub fn epochs_of(&self, request: &str) -> Vec<u64> {
         let runs = self.replica_runs.lock().expect("not poisoned");
@@ -355,6 +368,7 @@
             return;
         }
         self.kill();
+        self.fleet.ends.lock().expect("not poisoned").push(Instant::now());
         let number = self.fleet.ended.fetch_add(1, Ordering::SeqCst) + 1;
         tokio::time::sleep(RESTART_TIME).await;
         let id = format!("{}-{number}", self.id);
@@ -611,11 +625,8 @@
         }
         *self.fleet.runs.lock().expect("not poisoned").entry(id.clone()).or_default() += 1;
         let builder = builder.header("response-signature", format!("{}.1", self.id));
-        if !self.engine {
-            let body = format!("tenant {} request {id}", header("tenant"));
-            return builder.body(AnswerBody::whole(body)).expect("sound");
-        }
         if body == ENDS_WORKER {
+            self.fleet.ending_runs.lock().expect("not poisoned").push(Instant::now());
             tokio::spawn(Arc::clone(self).end_under_request());
             // The head goes out, and no event.
             let cut = unfold((), |()| async {
@@ -624,6 +635,10 @@
             });
             return builder.body(AnswerBody::Pieces(Box::pin(cut))).expect("sound");
         }
+        if !self.engine {
+            let body = format!("tenant {} request {id}", header("tenant"));
+            return builder.body(AnswerBody::whole(body)).expect("sound");
+        }
         let after: u64 = header("last-event-id").parse().unwrap_or_default();
         let worker = Arc::clone(self);
         let events = unfold(after + 1, move |number| {
