Let an operator release a held request at once

Cause: a request that is held, though an operator knows what ended the workers, could only be waited for, up to 16 minutes. Change: hollowbarrow release CONTENT, at a daemon's operators' interface or at any controller's control address; the leader tells gateways for 10 s when it was let go, which take it for answered then and tell whoever leads next. What ends workers since counts as before.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -6,11 +6,12 @@
 use hollowbarrow_fleet::DeploymentFault;
 use hollowbarrow_member::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits};
 use hollowbarrow_schema::{
-    DeploymentDocument, EntryPayload, ProposalOutcome, WorkerId, WorkerReport,
+    DeploymentDocument, EntryPayload, ParseContentError, ProposalOutcome, RequestDigest, WorkerId,
+    WorkerReport, read_release_path,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use tokio::time::Instant;
 
 use crate::core::ControllerCore;
@@ -45,8 +46,14 @@
         let (head, body) = request.into_parts();
         let answer = match Limited::new(body, MAX_CALL_BYTES).collect().await {
             Ok(body) => {
-                let call = core.protocol.read_call(&head, &body.to_bytes());
-                answer_call(core, call, head.uri.path()).await
+                let path = head.uri.path();
+                match read_release_path(path).filter(|_| head.method == Method::POST) {
+                    Some(request) => release_request(core, request, path),
+                    None => {
+                        let call = core.protocol.read_call(&head, &body.to_bytes());
+                        answer_call(core, call, path).await
+                    }
+                }
             }
             Err(_) => ControlAnswer::Invalid(vec!["the body did not come whole".to_owned()]),
         };
@@ -70,6 +77,24 @@
     }
 }
 
+/// Lets a held request go: a call of our own operators, in the same words at every platform.
+fn release_request(
+    core: &ControllerCore,
+    request: Result<RequestDigest, ParseContentError>,
+    path: &str,
+) -> ControlAnswer {
+    let request = match request {
+        Ok(request) => request,
+        Err(error) => return ControlAnswer::Invalid(vec![error.to_string()]),
+    };
+    if !core.log.view().leads {
+        return core.elsewhere(path);
+    }
+    core.fleet().release(request, Instant::now());
+    log::warn!("event=request_released content={:016x} by=operator", *request);
+    ControlAnswer::Taken
+}
+
 fn take_worker(core: &ControllerCore, report: WorkerReport) -> ControlAnswer {
     let deployment = core.deployment();
     let checked = check_report(&report, core.fleet().table(), deployment.as_deref());
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -6,13 +6,14 @@
 use hollowbarrow_fleet::{MergeOutcome, VersionTimes, WorkerTable};
 use hollowbarrow_routing::CrashLedger;
 use hollowbarrow_schema::{
-    ControllerHello, ControllerPlace, CrashRecord, DaemonId, GatewayHello, WorkerBeat, WorkerId,
-    WorkerLoad, WorkerReport, ZoneId,
+    ControllerHello, ControllerPlace, CrashRecord, DaemonId, GatewayHello, HeldRequest,
+    RequestDigest, WorkerBeat, WorkerId, WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
 use crate::delivery::DeliveryState;
 use crate::digests::DigestHistory;
+use crate::held::ReleasedRequests;
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::tables::TableRequests;
@@ -73,6 +74,7 @@
     beats: BTreeMap<WorkerId, u64>,
     /// Requests that end workers, as all daemons told.
     crashes: CrashLedger,
+    released: ReleasedRequests,
     served: bool,
 }
 
@@ -88,6 +90,7 @@
             controllers: BTreeMap::new(),
             beats: BTreeMap::new(),
             crashes: CrashLedger::new(),
+            released: ReleasedRequests::default(),
             served: false,
         }
     }
@@ -149,6 +152,17 @@
         &self.crashes
     }
 
+    /// Takes an operator's word that a request does no harm.
+    pub(crate) fn release(&mut self, request: RequestDigest, now: Instant) {
+        self.crashes.contradict(request, now);
+        self.released.note(request, now);
+    }
+
+    /// What gateways are told of requests that operators have let go.
+    pub(crate) fn released(&mut self, now: Instant) -> Vec<HeldRequest> {
+        self.released.told(now)
+    }
+
     /// Records of such requests to pass on now.
     pub(crate) fn crashes_due(&mut self, now: Instant) -> Vec<CrashRecord> {
         self.crashes.due(now)
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -164,7 +164,7 @@
         keep_voters(core, held, view, now);
     }
     let services = core.engine_services();
-    let fleet = core.fleet();
+    let mut fleet = core.fleet();
     held.judge.tidy(fleet.table());
     let uses = fleet.uses(now);
     let heartbeat = core.heartbeat();
@@ -238,8 +238,9 @@
                 .progress
                 .map(|at| now.saturating_duration_since(at).as_millis() as u32),
         });
-        let held_requests = fleet.crashes().held(now);
+        let mut held_requests = fleet.crashes().held(now);
         held.held_log.note(&held_requests);
+        held_requests.extend(fleet.released(now));
         let view = FleetView {
             term: held.term,
             number: held.view_number,
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -14,7 +14,7 @@
 use hollowbarrow_schema::settings::{ReadSettingsError, read_document};
 use hollowbarrow_schema::{
     ChangeOutcome, ConfigChange, ConfigCommand, DaemonId, EntryPayload, FieldFault, GroupName,
-    LogName, OperatorFault, ProposalOutcome, VoterChange, keys,
+    LogName, OperatorFault, ProposalOutcome, VoterChange, keys, read_release_path,
 };
 use rouille::{Request, Response};
 use tokio::runtime::Handle;
@@ -105,6 +105,14 @@
                 None => fault(404, "no_such_group", &format!("no group is called {}", *name)),
             }
         }
+        ("POST", path) if let Some(request) = read_release_path(path) => match request {
+            Ok(request) => {
+                core.crashes().release(request, Instant::now());
+                log::warn!("event=request_released content={:016x} by={operator:?}", *request);
+                Response::json(&serde_json::json!({}))
+            }
+            Err(error) => fault(400, "bad_request", &error.to_string()),
+        },
         ("POST", "/changes") => match read_body::<ConfigChange>(request, "ConfigChange") {
             Ok(change) => {
                 let change = ConfigChange { author: operator.to_owned(), ..change };
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -156,6 +156,13 @@
     }
 
     fn take_held(&mut self, held: &HeldRequest, now: Instant) {
+        if let Some(ms) = held.released_ms {
+            // Told again and again, it is the same word: what ends workers since counts.
+            let at = now.checked_sub(Duration::from_millis(ms.into())).unwrap_or(now);
+            self.watch.release(held.request, at);
+            self.told.remove(&held.request);
+            return;
+        }
         let until = now + Duration::from_millis(held.left_ms.into());
         let contradicted = self.watch.contradict(held.request);
         let from = if contradicted { now + CONTRADICTION_TIME } else { now };
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -10,7 +10,9 @@
 const REQUEST: RequestDigest = RequestDigest(7);
 
 fn view(term: u64, number: u64, held: &[u32]) -> FleetView {
-    let held = held.iter().map(|left_ms| HeldRequest { request: REQUEST, left_ms: *left_ms });
+    let told =
+        |left_ms: &u32| HeldRequest { request: REQUEST, left_ms: *left_ms, released_ms: None };
+    let held = held.iter().map(told);
     FleetView {
         term: Term(term),
         number,
@@ -149,3 +151,32 @@
     assert!(free(Duration::ZERO) <= 3, "{} try at once", free(Duration::ZERO));
     assert_eq!(free(secs(40)), 82, "nothing came of it for a while");
 }
+
+/// An operator knows that the workers were ended by something else.
+#[rstest]
+fn hold_released() {
+    let mut guard = CrashGuard::new();
+    let mut now = Instant::now();
+    for number in 0..3 {
+        now = end_worker(&mut guard, number, now);
+    }
+    guard.take_view(&view(1, 5, &[60_000]), now);
+    assert!(is_held(&guard, now));
+    let told = |number: u64, ms: u32| {
+        let released = HeldRequest { request: REQUEST, left_ms: 0, released_ms: Some(ms) };
+        FleetView { held: vec![released], ..view(1, number, &[]) }
+    };
+    guard.take_view(&told(6, 0), now);
+    assert!(!is_held(&guard, now + secs(1)));
+    let due = guard.due(now + secs(1));
+    let answered = due.iter().any(|record| record.answered_ms.is_some());
+    assert!(answered, "a leader that has just begun is told, too");
+    let start = now + Duration::from_millis(10);
+    now = start;
+    for number in 10..16 {
+        now = end_worker(&mut guard, number, now);
+        let age = now.saturating_duration_since(start) + Duration::from_millis(10);
+        guard.take_view(&told(number.into(), age.as_millis() as u32), now);
+    }
+    assert!(is_held(&guard, now), "what has ended under it since counts");
+}
--- a/crates/measure/src/lives.rs
+++ b/crates/measure/src/lives.rs
@@ -52,7 +52,11 @@
         "case=crashes record_bytes={} told_bytes={} held_bytes={}",
         bytes_of(&crash_record(3))?,
         bytes_of(&vec![crash_record(3); 16])?,
-        bytes_of(&HeldRequest { request: RequestDigest(u64::MAX), left_ms: 100_000 })?
+        bytes_of(&HeldRequest {
+            request: RequestDigest(u64::MAX),
+            left_ms: 100_000,
+            released_ms: None
+        })?
     );
     Ok(())
 }
--- a/crates/routing/src/crash_watch.rs
+++ b/crates/routing/src/crash_watch.rs
@@ -76,6 +76,15 @@
         true
     }
 
+    /// Takes an operator's word that a request does no harm: what had ended under it by then counts
+    /// no more, here and wherever this is told.
+    pub fn release(&mut self, request: RequestDigest, at: Instant) {
+        self.ledger.contradict(request, at);
+        if self.answers.get(request).is_none_or(|known| known < at) {
+            self.answers.note(request, at);
+        }
+    }
+
     /// Takes in what another daemon told.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         self.ledger.merge(records, now);
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -235,6 +235,7 @@
         let told = |(until, request): (Instant, RequestDigest)| HeldRequest {
             request,
             left_ms: to_ms(until.saturating_duration_since(now)),
+            released_ms: None,
         };
         held.into_iter().map(told).collect()
     }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1290,6 +1290,9 @@
 pub struct HeldRequest {
     ///Milliseconds for which it is sent to no upstream; 0 where it may be tried once more.
     pub left_ms: u32,
+    ///Milliseconds since an operator let it go: it counts as answered then; none where nobody did.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub released_ms: ::std::option::Option<u32>,
     pub request: RequestDigest,
 }
 impl ::std::convert::From<&HeldRequest> for HeldRequest {
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -10,6 +10,7 @@
 #[allow(missing_docs, clippy::all, rustdoc::all)]
 #[rustfmt::skip]
 mod generated;
+mod held;
 pub mod keys;
 mod lives;
 pub mod selector;
@@ -17,6 +18,7 @@
 mod validate;
 
 pub use generated::*;
+pub use held::{ParseContentError, parse_content, read_release_path, release_path};
 pub use lives::{Incarnation, LIFE_MARK};
 
 /// Version of the messages between daemons; both ends of a connection must agree on it.
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -15,6 +15,7 @@
 mod label;
 mod member;
 mod nodes;
+mod release;
 mod serve;
 mod status;
 mod table;
@@ -54,6 +55,7 @@
         .subcommand(client::with_client_args(status::command()))
         .subcommand(client::with_client_args(explain::command()))
         .subcommand(client::with_client_args(voters::command()))
+        .subcommand(client::with_client_args(release::command()))
         .subcommand(hash_key::command())
         .subcommand(completions::command())
 }
@@ -96,6 +98,7 @@
         "status" => status::run(arguments),
         "explain" => explain::run(arguments),
         "voters" => voters::run(arguments),
+        "release" => release::run(arguments),
         "hash-key" => hash_key::run(arguments),
         _ => completions::run(arguments),
     }
--- /dev/null
+++ b/src/commands/release.rs
@@ -0,0 +1,29 @@
+//! `hollowbarrow release`
+
+use clap::{ArgMatches, Command};
+use hollowbarrow_schema::{parse_content, release_path};
+use serde_json::Value;
+
+use super::client::OperatorClient;
+use super::{CommandError, CommandResult, positional, text};
+
+pub(crate) fn command() -> Command {
+    Command::new("release")
+        .about("Lets a request go that is held because upstreams have ended under it")
+        .after_help(
+            "Examples:\n  hollowbarrow release 00c0ffee00c0ffee --server http://10.0.0.4:8080\n\n\
+             The content is that of event=request_held or of a failed request's log line.\n\
+             The server is a daemon's operators' interface, or the control address of a controller.",
+        )
+        .arg(positional("content", "Content of the request, 16 hexadecimal digits"))
+}
+
+pub(crate) fn run(arguments: &ArgMatches) -> CommandResult {
+    let client = OperatorClient::new(arguments);
+    let content = text(arguments, "content");
+    let request = parse_content(content)
+        .map_err(|error| CommandError::BadInput(format!("{content:?}: {error}")))?;
+    client.post(&release_path(request), &Value::Null)?;
+    println!("{content} may be sent again");
+    Ok(())
+}
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -122,6 +122,7 @@
 #[case::help(&["--help"], 0)]
 #[case::subcommand_help(&["apply", "--help"], 0)]
 #[case::completions(&["completions", "bash"], 0)]
+#[case::no_content(&["release", "not-a-content"], 2)]
 fn exit_with_code(#[case] arguments: &[&str], #[case] code: i32) {
     assert_eq!(hollowbarrow(arguments).status.code(), Some(code));
 }
--- a/tests/platform/crashing_request.rs
+++ b/tests/platform/crashing_request.rs
@@ -134,3 +134,37 @@
     }
     system.call_until_served("/chat/1", "after").await;
 }
+
+/// An operator lets a held request go, by way of any controller, and it runs again at any gateway.
+#[rstest]
+#[case::first(37, 0)]
+#[case::second(38, 1)]
+#[case::third(39, 2)]
+#[tokio::test]
+async fn crashing_request_released(#[case] block: u8, #[case] controller: usize) {
+    let deployment = deploy_replicas(block).await;
+    let system = &deployment.system;
+    let mark = "event=request_held content=";
+    for number in 0..COMEBACKS {
+        call_ending(system, 0, &format!("first-{number}")).await;
+        tokio::time::sleep(COMEBACK_PAUSE).await;
+    }
+    tokio::time::sleep(SPREAD_TIME).await;
+    let logs = system.logs();
+    let content = logs.split(mark).nth(1).map(|rest| &rest[..16]);
+    let content = content.unwrap_or_else(|| panic!("it is held: {logs}")).to_owned();
+    let server = format!("http://{}", system.controllers[controller]);
+    let ended = deployment.fleet.ended_under_requests();
+    let release = tokio::task::spawn_blocking(move || {
+        let program = env!("CARGO_BIN_EXE_hollowbarrow");
+        let arguments = ["release", &content, "--server", &server];
+        std::process::Command::new(program).args(arguments).output().expect("it runs")
+    });
+    let output = release.await.expect("it ends");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    tokio::time::sleep(SPREAD_TIME).await;
+    system.call_until_served("/chat/1", "other").await;
+    call_ending(system, 1, "again").await;
+    assert!(deployment.fleet.runs("again") > 0, "{}", system.logs());
+    assert!(deployment.fleet.ended_under_requests() > ended);
+}
