Have the soak play bursts of requests that end workers, and bound what is sent late

Cause: the soak sent such a request one by one only, and did not look at what came later. Change: a series of bursts of 30 copies over whatever else is done; of each such request at most three copies may be sent later than 3 s after the third worker has ended under it.

--- a/tests/platform/crashing_burst.rs
+++ b/tests/platform/crashing_burst.rs
@@ -138,8 +138,8 @@
         ended.store(true, Ordering::Relaxed);
     };
     let ((), share) = tokio::join!(bursts, send_others(&system, &counted, &ended));
-    let third = *fleet.ends().get(2).unwrap_or(&Instant::now()) + NEWS_TIME;
-    let late = fleet.ending_runs().iter().filter(|at| **at > third).count();
+    let third = fleet.ends().get(2).map_or_else(Instant::now, |(_, at)| *at) + NEWS_TIME;
+    let late = fleet.ending_runs().iter().filter(|(_, at)| *at > third).count();
     println!(
         "{at_once} workers ended at once, {} in all, {late} copies late, {share} of others served",
         fleet.ends().len()
--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -58,6 +58,8 @@
     TurnAway,
     /// A worker says in its answers that it leaves, and controllers hear of it only as it ends.
     LeaveUnheard,
+    /// Many copies of a request that ends the workers it runs on come at once.
+    EndingBurst,
 }
 
 const KINDS: [DisturbanceKind; 13] = [
@@ -90,6 +92,10 @@
     [DisturbanceKind::TurnAway, DisturbanceKind::LeaveUnheard];
 const DEMAND_SEED: u64 = 0xdead;
 
+/// Kinds of a series of their own, since one of them leaves few workers for a while.
+const BURST_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::EndingBurst];
+const BURST_SEED: u64 = 0xb0057;
+
 /// One disturbance.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -117,6 +123,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (DEMAND_SEED + series));
         draw_series(&mut rng, &DEMAND_KINDS, &mut drawn);
     }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BURST_SEED);
+    draw_series(&mut rng, &BURST_KINDS, &mut drawn);
     drawn.sort_by_key(|disturbance| disturbance.at);
     drawn
 }
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -9,6 +9,7 @@
 //! `HOLLOWBARROW_SOAK_SEED=N` plays one again; `HOLLOWBARROW_SOAK_GATEWAYS=120` has them played
 //! with so many gateways (at most 200), for which a release build is needed.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,13 @@
 const FOREIGN_PAUSE: Duration = Duration::from_millis(150);
 /// Times that such a request comes.
 const ENDING_REQUESTS: usize = 6;
+/// Time after the third end within which a request is known.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+/// Copies that may be sent after that, at all gateways together.
+const MOST_LATE: usize = 3;
+/// Copies of a burst of one, and requests that come in bursts.
+const BURST_COPIES: usize = 30;
+const BURST_REQUESTS: usize = 3;
 /// Time for which a worker that leaves goes on.
 const DRAIN_TIME: Duration = Duration::from_millis(600);
 /// The same for one of which controllers do not hear: longer than requests may still come to it.
@@ -177,6 +185,11 @@
                 worker.leave_unheard();
                 true
             }
+            DisturbanceKind::EndingBurst => {
+                let gateways = self.system.gateways.clone();
+                tokio::spawn(send_ending_burst(disturbance.second, gateways));
+                true
+            }
             DisturbanceKind::EndingRequest => {
                 let gateways = self.system.gateways.clone();
                 tokio::spawn(send_ending(disturbance.second, gateways));
@@ -231,7 +244,8 @@
             DisturbanceKind::LeaveUnheard => self.renew_worker(index),
             DisturbanceKind::RebirthAtOnce
             | DisturbanceKind::ForeignRecords
-            | DisturbanceKind::EndingRequest => {}
+            | DisturbanceKind::EndingRequest
+            | DisturbanceKind::EndingBurst => {}
         }
     }
 
@@ -371,6 +385,36 @@
     }
 }
 
+/// Sends many copies of a request that ends the workers it runs on, to all gateways at once.
+async fn send_ending_burst(number: usize, gateways: Vec<String>) {
+    let path = format!("/chat/{}", number % BURST_REQUESTS);
+    let copies = (0..BURST_COPIES).map(|copy| {
+        let id = format!("burst-{number}-{copy}");
+        let (gateway, path) = (&gateways[copy % gateways.len()], &path);
+        async move { call_gateway_with_body(gateway, path, &id, Some(KEY), ENDS_WORKER).await }
+    });
+    // What comes of them shows in the workers that end.
+    let _ = futures_util::future::join_all(copies).await;
+}
+
+/// Copies of each request that ends workers, by path, that were sent later than 3 s after the third
+/// worker had ended under it, and how many ended in all.
+fn late_copies(fleet: &Fleet) -> BTreeMap<String, (usize, usize)> {
+    let ends = fleet.ends();
+    let paths: BTreeSet<String> = ends.iter().map(|(path, _)| path.clone()).collect();
+    let of_path = |path: &str, times: &[(String, Instant)]| -> Vec<Instant> {
+        times.iter().filter(|(other, _)| other == path).map(|(_, at)| *at).collect()
+    };
+    let late = |path: &str| {
+        let ended = of_path(path, &ends);
+        let known = ended.get(2).map(|third| *third + NEWS_TIME);
+        let runs = of_path(path, &fleet.ending_runs());
+        let late = runs.iter().filter(|at| known.is_some_and(|known| **at > known)).count();
+        (late, ended.len())
+    };
+    paths.iter().map(|path| (path.clone(), late(path))).collect()
+}
+
 /// Plays one seed; says what must not be.
 async fn play(seed: u64, block: u8, layout: Layout) -> Vec<String> {
     println!("soak seed {seed}, disturbed for {} s", DISTURBED_TIME.as_secs());
@@ -395,6 +439,11 @@
     }
     soak.check_recovered(&observer).await;
     println!("seed {seed}: {} served, version {}", observer.served(), observer.acknowledged());
+    let late = late_copies(&soak.fleet);
+    println!("seed {seed}: late copies and ended workers {late:?}");
+    for (path, (late, ended)) in late.into_iter().filter(|(_, (late, _))| *late > MOST_LATE) {
+        observer.report(format!("{late} copies came late to {path}, {ended} workers ended"));
+    }
     let breaches = observer.breaches(&soak.fleet);
     if !breaches.is_empty() {
         println!("{}", soak.system.logs());
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -102,9 +102,9 @@
     breaches: Mutex<Vec<String>>,
     /// Workers that a request has ended.
     ended: AtomicU32,
-    /// When requests that end workers began to run, and when workers ended under them.
-    ending_runs: Mutex<Vec<Instant>>,
-    ends: Mutex<Vec<Instant>>,
+    /// When requests that end workers began to run, by path, and when workers ended under them.
+    ending_runs: Mutex<Vec<(String, Instant)>>,
+    ends: Mutex<Vec<(String, Instant)>>,
     /// What came to workers, and what they said, where the request tells its gateway.
     demands: Mutex<Vec<DemandEvent>>,
     /// Requests that ran in replicas, and under which epoch.
@@ -126,13 +126,13 @@
         self.ended.load(Ordering::SeqCst)
     }
 
-    /// When requests that end workers began to run.
-    pub fn ending_runs(&self) -> Vec<Instant> {
+    /// When requests that end workers began to run, by path.
+    pub fn ending_runs(&self) -> Vec<(String, Instant)> {
         self.ending_runs.lock().expect("not poisoned").clone()
     }
 
-    /// When workers ended under requests.
-    pub fn ends(&self) -> Vec<Instant> {
+    /// When workers ended under requests, by path.
+    pub fn ends(&self) -> Vec<(String, Instant)> {
         self.ends.lock().expect("not poisoned").clone()
     }
 
@@ -362,13 +362,13 @@
     }
 
     /// Ends under a request; another life comes after a while.
-    async fn end_under_request(self: Arc<Self>) {
+    async fn end_under_request(self: Arc<Self>, path: String) {
         tokio::time::sleep(ENDING_TIME).await;
         if self.is_stopped() {
             return;
         }
         self.kill();
-        self.fleet.ends.lock().expect("not poisoned").push(Instant::now());
+        self.fleet.ends.lock().expect("not poisoned").push((path, Instant::now()));
         let number = self.fleet.ended.fetch_add(1, Ordering::SeqCst) + 1;
         tokio::time::sleep(RESTART_TIME).await;
         let id = format!("{}-{number}", self.id);
@@ -626,8 +626,10 @@
         *self.fleet.runs.lock().expect("not poisoned").entry(id.clone()).or_default() += 1;
         let builder = builder.header("response-signature", format!("{}.1", self.id));
         if body == ENDS_WORKER {
-            self.fleet.ending_runs.lock().expect("not poisoned").push(Instant::now());
-            tokio::spawn(Arc::clone(self).end_under_request());
+            let path = head.uri.path().to_owned();
+            let run = (path.clone(), Instant::now());
+            self.fleet.ending_runs.lock().expect("not poisoned").push(run);
+            tokio::spawn(Arc::clone(self).end_under_request(path));
             // The head goes out, and no event.
             let cut = unfold((), |()| async {
                 tokio::time::sleep(ENDING_TIME).await;
