Let harmless copies wait as long as a call may take, and divide the gateway's large files

Cause: a copy waited for half of its objective for what comes of the first one. Change: they wait for one and a half objectives, a third of their time at most, and are refused at once where the wait is known to be longer.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,102 +3,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hollowbarrow_fleet::{Organisation, Route, Service};
-use hollowbarrow_member::{HttpAnswer, WakeWatch};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_routing::{AttemptBounds, AttemptLedger, CopyTicket};
-use hollowbarrow_schema::{ErrorRan, RequestDigest, WorkerId};
+use hollowbarrow_routing::{AttemptLedger, CopyTicket};
+use hollowbarrow_schema::{ErrorRan, WorkerId};
 use hollowbarrow_upstream::{ConnectionLease, SendRequestError, SentAnswer, UpstreamRequest};
-use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
-use crate::core::{Flight, GatewayCore};
+use crate::core::GatewayCore;
+use crate::flight::Flight;
 use crate::picker::PickFacts;
-use crate::protocol::{CallerHead, SendFacts};
+use crate::protocol::SendFacts;
 use crate::refusal::Refusal;
+use crate::request::CallerRequest;
 use crate::watch::WatchEnd;
 
 /// Longest time for a connection to a worker: two tries whose opening packet is lost. Nothing of
 /// the request has left by then, so that another worker can be asked at once.
 const LONGEST_CONNECT: Duration = Duration::from_millis(350);
-/// Part of its objective for which a copy of a request waits for what comes of another one: later
-/// it could hardly be answered in time.
-const COPY_WAIT_PART: f64 = 0.5;
-/// Rank of a request where neither its route nor its organisation names one.
-const LOWEST_RANK: u8 = 9;
-
-/// A request whose route, organisation and body are known.
-pub(crate) struct CallerRequest {
-    pub(crate) head: CallerHead,
-    pub(crate) method: Method,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    pub(crate) route: Arc<Route>,
-    pub(crate) service: Arc<Service>,
-    pub(crate) organisation: Option<Arc<Organisation>>,
-    pub(crate) received: Instant,
-    /// When its caller gives it up, if the machine is not suspended.
-    pub(crate) end: Instant,
-    /// Time of all suspensions until it was received.
-    pub(crate) slept_before: Duration,
-    pub(crate) wake: Arc<WakeWatch>,
-    /// Tells whether two requests are the same one, sent again.
-    pub(crate) digest: RequestDigest,
-}
-
-impl CallerRequest {
-    fn priority(&self) -> u8 {
-        let organisation =
-            self.organisation.as_ref().and_then(|organisation| organisation.priority);
-        organisation.unwrap_or(self.route.priority).min(LOWEST_RANK)
-    }
-
-    fn bounds(&self) -> AttemptBounds {
-        AttemptBounds {
-            repeatable: self.route.kind.may_repeat(),
-            max_runs: self.route.max_attempts,
-            deadline: self.deadline(),
-        }
-    }
-
-    /// When its caller gives it up. Callers do not wait longer because this machine slept.
-    pub(crate) fn deadline(&self) -> Instant {
-        let slept = self.wake.suspended(Instant::now()).saturating_sub(self.slept_before);
-        self.end.checked_sub(slept).unwrap_or(self.received)
-    }
-
-    pub(crate) fn remaining(&self) -> Duration {
-        self.deadline().saturating_duration_since(Instant::now())
-    }
-
-    /// Counts the request as failed, and logs why.
-    pub(crate) fn note_failed(&self, core: &GatewayCore, refusal: Refusal, tries: &Tries) {
-        self.log_failed(core, refusal, tries.ledger.sends(), &tries.story);
-    }
-
-    /// Counts a request as failed that went to no worker, and logs why.
-    pub(crate) fn refuse_untried(&self, core: &GatewayCore, refusal: Refusal) -> HttpAnswer {
-        self.log_failed(core, refusal, 0, "");
-        refusal.to_answer(self.remaining())
-    }
-
-    fn log_failed(&self, core: &GatewayCore, refusal: Refusal, sends: u32, story: &str) {
-        core.metrics.count_request(refusal.name());
-        log::warn!(
-            "event=request_failed request={:?} content={:016x} route={} model={:?} status={} cause={} held_ms={} sends={} last={:?}",
-            self.head.id,
-            *self.digest,
-            self.route.name,
-            self.head.model.as_ref().map_or("", |model| model.as_str()),
-            refusal.status().as_u16(),
-            refusal.name(),
-            self.received.elapsed().as_millis(),
-            sends,
-            story,
-        );
-    }
-}
+/// Objectives for which a copy of a request waits for what comes of another one: as long as that may
+/// take before its worker counts as hanging. Half an objective refused 14 of 15 harmless calls that
+/// came together and whose work took that long.
+const COPY_WAIT_FACTOR: f64 = 1.5;
+/// Part of its time for which it waits at most.
+const COPY_WAIT_PART: u32 = 3;
 
 /// What was tried for a request so far.
 #[derive(Debug)]
@@ -139,6 +66,16 @@
         }
     }
 
+    /// Times that the request was sent, or that a connection for it was asked for.
+    pub(crate) fn sends(&self) -> u32 {
+        self.ledger.sends()
+    }
+
+    /// Worker and outcome of each attempt.
+    pub(crate) fn story(&self) -> &str {
+        &self.story
+    }
+
     /// Workers that were tried.
     pub(crate) fn excluded(&self) -> &[WorkerId] {
         &self.excluded
@@ -220,8 +157,9 @@
     if let Some(left) = held {
         return Err(Refusal::Held(left));
     }
-    let limit = request.received + request.route.objective.mul_f64(COPY_WAIT_PART);
-    let entering = core.copies.enter(request.digest, answered, limit.min(request.deadline()));
+    let wait = request.route.objective.mul_f64(COPY_WAIT_FACTOR);
+    let limit = Instant::now() + wait.min(request.remaining() / COPY_WAIT_PART);
+    let entering = core.copies.enter(request.digest, answered, limit);
     entering.await.ok_or(Refusal::CopyWaits)
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,9 +14,10 @@
 
 use crate::budget::{RetryAllowance, share_of};
 use crate::crashes::CrashGuard;
+use crate::flight::Flight;
 use crate::home::HomeChoice;
 use crate::metrics::{GatewayLevels, GatewayMetrics};
-use crate::picker::{NoWorker, PickFacts, PickedWorker, WorkerPicker};
+use crate::picker::{NoWorker, PickFacts, WorkerPicker};
 use crate::protocol::{AnswerFacts, CallerProtocol};
 
 /// Time after which a connection to a worker that does not come up is tried a second time.
@@ -37,7 +38,7 @@
     pub(crate) copies: CopyGate,
     /// Versions of the configuration that the leader has told of.
     known: Mutex<VersionTimes>,
-    in_flight: AtomicU32,
+    pub(crate) in_flight: AtomicU32,
     pub(crate) wake: Arc<WakeWatch>,
     /// When the leader's word last came.
     last_view: Mutex<Option<Instant>>,
@@ -180,7 +181,7 @@
         let worker = picker.pick(facts, now)?;
         picker.begin(&worker.id, worker.reading_ms, now);
         drop(picker);
-        Ok(Flight { core: Arc::clone(self), worker, reading: true })
+        Ok(Flight::new(self, worker))
     }
 
     /// Notes how a request ended at a worker.
@@ -237,47 +238,3 @@
         window_s: settings.retry_window_s,
     }
 }
-
-/// Counts a request as under way here.
-pub(crate) struct InFlight(Arc<GatewayCore>);
-
-impl InFlight {
-    pub(crate) fn new(core: &Arc<GatewayCore>) -> Self {
-        core.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(core))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts a request as under way at a worker.
-pub(crate) struct Flight {
-    core: Arc<GatewayCore>,
-    pub(crate) worker: PickedWorker,
-    reading: bool,
-}
-
-impl Flight {
-    /// Notes that something of the answer came.
-    pub(crate) fn note_progress(&mut self) {
-        let mut picker = self.core.picker();
-        if std::mem::take(&mut self.reading) {
-            picker.end_reading(&self.worker.id, self.worker.reading_ms);
-        }
-        picker.note_progress(&self.worker.id, Instant::now());
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        let mut picker = self.core.picker();
-        if self.reading {
-            picker.end_reading(&self.worker.id, self.worker.reading_ms);
-        }
-        picker.end(&self.worker.id);
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/flight.rs
@@ -0,0 +1,58 @@
+//! Counts requests while they are under way, here and at their worker.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use tokio::time::Instant;
+
+use crate::core::GatewayCore;
+use crate::picker::PickedWorker;
+
+/// Counts a request as under way here.
+pub(crate) struct InFlight(Arc<GatewayCore>);
+
+impl InFlight {
+    pub(crate) fn new(core: &Arc<GatewayCore>) -> Self {
+        core.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(core))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request as under way at a worker.
+pub(crate) struct Flight {
+    core: Arc<GatewayCore>,
+    pub(crate) worker: PickedWorker,
+    reading: bool,
+}
+
+impl Flight {
+    /// Creates the flight of a request that was counted at its worker.
+    pub(crate) fn new(core: &Arc<GatewayCore>, worker: PickedWorker) -> Self {
+        Self { core: Arc::clone(core), worker, reading: true }
+    }
+
+    /// Notes that something of the answer came.
+    pub(crate) fn note_progress(&mut self) {
+        let mut picker = self.core.picker();
+        if std::mem::take(&mut self.reading) {
+            picker.end_reading(&self.worker.id, self.worker.reading_ms);
+        }
+        picker.note_progress(&self.worker.id, Instant::now());
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut picker = self.core.picker();
+        if self.reading {
+            picker.end_reading(&self.worker.id, self.worker.reading_ms);
+        }
+        picker.end(&self.worker.id);
+    }
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -18,10 +18,11 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::attempt::CallerRequest;
-use crate::core::{GatewayCore, InFlight};
+use crate::core::GatewayCore;
+use crate::flight::InFlight;
 use crate::protocol::CallerHead;
 use crate::refusal::{Refusal, USUAL_LEFT};
+use crate::request::CallerRequest;
 use crate::stream::run_stream;
 use crate::whole::run_whole;
 
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -16,13 +16,14 @@
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
 use hollowbarrow_routing::{BackoffReason, BackoffTable};
 use hollowbarrow_schema::{
-    DaemonId, FleetView, ModelName, ServiceName, Term, WorkerId, WorkerLoad, WorkerReport, ZoneId,
+    DaemonId, FleetView, ModelName, ServiceName, WorkerId, WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
 use crate::candidates::{Candidate, CandidateIndex};
 use crate::estimate::{ArrivalRate, arrivals_unheard};
 use crate::loads::{OwnLoad, SharedLoad, expected_silence_ms, stands_still};
+use crate::shared_view::SharedView;
 
 /// Cost of a worker in another zone, in milliseconds: far more than the way there takes. Gateways
 /// know late what others have under way, and where those of one zone share its replicas fewer
@@ -45,8 +46,6 @@
 /// Part of its even share of free places that a gateway uses: somewhat more, since gateways get
 /// uneven shares of callers.
 const FREE_SHARE: f64 = 1.2;
-/// Views by which one that comes by another way may be late.
-const LATE_VIEWS: u64 = 3;
 /// Requests that plain workers are given at once for each of their slots.
 const PLAIN_SLOT_FACTOR: u32 = 2;
 
@@ -91,16 +90,6 @@
     pub kept: &'a HashSet<SocketAddr>,
 }
 
-/// What the leading controller last told.
-#[derive(Clone, Debug, Default)]
-struct SharedView {
-    rank: (Term, u64),
-    gateways: u32,
-    withheld: HashSet<WorkerId>,
-    /// What all gateways together had under way, and this one of it.
-    loads: HashMap<WorkerId, (SharedLoad, SharedLoad)>,
-}
-
 /// Knows the workers and chooses among them.
 #[derive(Debug)]
 pub struct WorkerPicker {
@@ -145,26 +134,7 @@
     /// Takes the leading controller's view in; older ones are passed over. False for one that is
     /// so old that whoever passed it on is cut off from the leader.
     pub fn take_view(&mut self, view: &FleetView, now: Instant) -> bool {
-        let rank = (view.term, view.number);
-        if rank <= self.view.rank {
-            return (view.term, view.number + LATE_VIEWS) >= self.view.rank;
-        }
-        let own = |load: &WorkerLoad| self.reported.get(&load.worker).copied().unwrap_or_default();
-        let all = |load: &WorkerLoad| SharedLoad {
-            active: load.active,
-            waiting_ms: f64::from(load.waiting_ms),
-            progress: load
-                .progress_ms
-                .and_then(|ms| now.checked_sub(Duration::from_millis(ms.into()))),
-        };
-        let loads = view.loads.iter().map(|load| (load.worker.clone(), (all(load), own(load))));
-        self.view = SharedView {
-            rank,
-            gateways: view.gateways,
-            withheld: view.withheld.iter().cloned().collect(),
-            loads: loads.collect(),
-        };
-        true
+        self.view.take(view, &self.reported, now)
     }
 
     /// Digest of the table of workers.
@@ -179,7 +149,7 @@
 
     /// Gateways that share the workers, as last told.
     pub fn gateways(&self) -> u32 {
-        self.view.gateways.max(1)
+        self.view.gateways()
     }
 
     /// Whether no worker is known.
@@ -260,7 +230,7 @@
                 pass_ms: pass,
             }
         };
-        let active = candidates.iter().map(|one| self.shared(&one.id).active).sum();
+        let active = candidates.iter().map(|one| self.view.all(&one.id).active).sum();
         let answered = arrivals_unheard(engine, spec, active, candidates.len());
         let competitors = self.competitors(own_arrivals, answered);
         let cost = |candidate: &Candidate| {
@@ -270,7 +240,7 @@
             (!full).then(|| estimate(candidate).first_ms + f64::from(load.active) * ACTIVE_MS)
         };
         let still = |candidate: &Candidate| {
-            let (load, shared) = (self.load_of(&candidate.id), self.shared(&candidate.id));
+            let (load, shared) = (self.load_of(&candidate.id), self.view.all(&candidate.id));
             let expected = expected_silence_ms(estimate(candidate).pass_ms, load.waiting_ms);
             stands_still(self.own.get(&candidate.id), &shared, expected, now)
         };
@@ -305,7 +275,7 @@
         still: impl Fn(&Candidate) -> bool,
         now: Instant,
     ) -> Result<&'a Candidate, NoWorker> {
-        let usable = |candidate: &&Candidate| !self.view.withheld.contains(&candidate.id);
+        let usable = |candidate: &&Candidate| !self.view.is_withheld(&candidate.id);
         let mut known = false;
         let mut backoff: Option<Duration> = None;
         let mut best: Option<(bool, f64, &Candidate)> = None;
@@ -343,21 +313,14 @@
     /// Requests under way at a worker: this gateway's now, and those of others as last told.
     fn load_of(&self, id: &WorkerId) -> SharedLoad {
         let own = self.own.get(id);
-        let (all, reported) = self.view.loads.get(id).copied().unwrap_or_default();
-        let others = all.active.saturating_sub(reported.active);
-        let others_ms = (all.waiting_ms - reported.waiting_ms).max(0.0);
+        let others = self.view.others(id);
         SharedLoad {
-            active: own.map_or(0, |own| own.active) + others,
-            waiting_ms: own.map_or(0.0, |own| own.waiting_ms) + others_ms,
-            progress: all.progress,
+            active: own.map_or(0, |own| own.active) + others.active,
+            waiting_ms: own.map_or(0.0, |own| own.waiting_ms) + others.waiting_ms,
+            progress: others.progress,
         }
     }
 
-    /// What all gateways had under way at a worker, as last told.
-    fn shared(&self, id: &WorkerId) -> SharedLoad {
-        self.view.loads.get(id).map_or_else(SharedLoad::default, |(all, _)| *all)
-    }
-
     fn own_active(&self, id: &WorkerId) -> u32 {
         self.own.get(id).map_or(0, |own| own.active)
     }
@@ -379,12 +342,11 @@
     /// So all gateways together stay near the worker's places although each knows of the others
     /// late: once none is free, each begins a request only when one of its own has ended.
     fn own_limit(&self, candidate: &Candidate, slots: u32, competitors: f64) -> u32 {
-        let (all, reported) = self.view.loads.get(&candidate.id).copied().unwrap_or_default();
-        let free = f64::from(slots.saturating_sub(all.active));
+        let free = f64::from(slots.saturating_sub(self.view.all(&candidate.id).active));
         let part = free * FREE_SHARE / competitors;
         // A part of a place is given now and then.
         let part = (part + rand::random::<f64>()).floor() as u32;
-        reported.active + part
+        self.view.own(&candidate.id).active + part
     }
 
     /// Notes that a request went to a worker.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,14 +22,14 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::attempt::{
-    CallerRequest, Tries, choose_worker, connect_to_worker, enter_copy, send_to_worker,
-};
-use crate::core::{Flight, GatewayCore, InFlight};
+use crate::attempt::{Tries, choose_worker, connect_to_worker, enter_copy, send_to_worker};
+use crate::core::GatewayCore;
 use crate::events::{EventPiece, EventSplitter};
+use crate::flight::{Flight, InFlight};
 use crate::patience::{first_patience, pause_patience};
 use crate::picker::PickedWorker;
 use crate::refusal::Refusal;
+use crate::request::CallerRequest;
 use crate::watch::{SilenceWatch, WatchEnd};
 use crate::whole::{passed_headers, read_whole};
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,8 +8,10 @@
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use tokio::time::Instant;
 
-use crate::attempt::{CallerRequest, Tries};
-use crate::core::{Flight, GatewayCore};
+use crate::attempt::Tries;
+use crate::core::GatewayCore;
+use crate::flight::Flight;
+use crate::request::CallerRequest;
 
 /// What is waited for.
 pub(crate) struct SilenceWatch<'a> {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -11,12 +11,11 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::Instant;
 
-use crate::attempt::{
-    CallerRequest, Tries, choose_worker, connect_to_worker, enter_copy, send_to_worker,
-};
+use crate::attempt::{Tries, choose_worker, connect_to_worker, enter_copy, send_to_worker};
 use crate::core::GatewayCore;
 use crate::patience::whole_patience;
 use crate::refusal::Refusal;
+use crate::request::CallerRequest;
 use crate::watch::SilenceWatch;
 
 /// Largest answer that is held whole.
--- a/crates/routing/src/copies.rs
+++ b/crates/routing/src/copies.rs
@@ -169,7 +169,7 @@
         Self::default()
     }
 
-    /// Waits until a copy may go, until the limit; none where it may not by then.
+    /// Waits until a copy may go, until the limit; none as soon as it is known not to go by then.
     pub async fn enter(
         &self,
         request: RequestDigest,
@@ -187,10 +187,10 @@
                 }
                 CopyStep::Wait(until) => until,
             };
-            if now >= limit {
+            let until = wait.unwrap_or(limit);
+            if now >= limit || until > limit {
                 return None;
             }
-            let until = wait.map_or(limit, |until| until.min(limit));
             let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
