--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -28,6 +28,16 @@
 /// works reads a prompt in less.
 const COPY_WAIT: Duration = Duration::from_secs(2);
 
+/// Whether a copy of a request may go.
+enum CopyEntry {
+    /// It may.
+    Entered(CopyTicket),
+    /// Nothing came of another copy for too long.
+    WaitedTooLong,
+    /// Its caller has gone away meanwhile.
+    Abandoned,
+}
+
 /// How a request ended, for logs and metrics.
 #[derive(Debug)]
 pub(crate) struct RequestEnd {
@@ -142,24 +152,29 @@
         }
     }
 
-    /// Runs the request as one of its copies.
-    async fn run(&mut self, claim: Option<HeldClaim>) -> RequestEnd {
+    /// Waits until this copy of the request may go.
+    async fn enter_copy(&self) -> CopyEntry {
         let answered = self.core.crashes().was_answered(self.digest);
         let limit = self.request.deadline.min(Instant::now() + COPY_WAIT);
-        let entering = self.core.copies.enter(self.digest, answered, limit);
-        let entered = tokio::select! {
-            entered = entering => Ok(entered),
-            () = self.link.abandoned() => Err(()),
-        };
-        let copy = match entered {
-            Ok(Some(copy)) => Arc::new(copy),
-            failed => {
+        tokio::select! {
+            entered = self.core.copies.enter(self.digest, answered, limit) => {
+                entered.map_or(CopyEntry::WaitedTooLong, CopyEntry::Entered)
+            }
+            () = self.link.abandoned() => CopyEntry::Abandoned,
+        }
+    }
+
+    /// Runs the request as one of its copies.
+    async fn run(&mut self, claim: Option<HeldClaim>) -> RequestEnd {
+        let copy = match self.enter_copy().await {
+            CopyEntry::Entered(copy) => Arc::new(copy),
+            end => {
                 if let Some(held) = claim {
                     self.core.release_claim(held);
                 }
-                return match failed {
-                    Ok(_) => self.refuse(&to_copy_error()),
-                    Err(()) => self.end("cancelled", Some(ErrorRan::NotRun)),
+                return match end {
+                    CopyEntry::Abandoned => self.end("cancelled", Some(ErrorRan::NotRun)),
+                    _ => self.refuse(&to_copy_error()),
                 };
             }
         };
