Keep one copy of what follows a hold, and serve stand-ins behind their switch in one place

Change: trial_hold and HoldState in crates/routing, TurnAwaySwitch::serve in the test kit. What is decided stays as it was.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,7 +9,8 @@
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
-    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, OrganisationLimiter, RoutePicker, may_try,
+    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, HoldState, OrganisationLimiter,
+    RoutePicker, trial_hold,
 };
 use hollowbarrow_schema::{DaemonId, PeerMessage, RequestDigest, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
@@ -23,9 +24,6 @@
 use crate::routes::RouteIndex;
 use crate::telemetry::Telemetry;
 
-/// When a caller may come back whose request another daemon may be trying.
-const TRIAL_PAUSE: Duration = Duration::from_secs(1);
-
 /// Shared state of a daemon.
 ///
 /// Locks are taken in one order: the configuration, the fleet, then any other
@@ -97,13 +95,14 @@
 
     /// For how long a request is to be sent to no upstream; none where it may be.
     pub(crate) fn hold_left(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
-        let crashes = self.crashes();
-        let held = crashes.hold_left(request, now);
-        let Some(over) = crashes.hold_over(request, now) else { return held };
+        let over = match self.crashes().hold_state(request, now)? {
+            HoldState::Held(left) => return Some(left),
+            HoldState::Over(over) => over,
+        };
         let own = xxh3_64(self.id().as_bytes());
         let window = now.saturating_duration_since(self.started).as_secs();
         let daemons = u32::try_from(self.settings.peers.len()).unwrap_or(u32::MAX);
-        (!may_try(own, request, window, daemons, over)).then_some(TRIAL_PAUSE)
+        trial_hold(own, request, window, daemons, over)
     }
 
     /// Upstreams that want no requests from this daemon.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use hollowbarrow_routing::{CrashWatch, EndedRun, may_try};
+use hollowbarrow_routing::{CrashWatch, EndedRun, trial_hold};
 use hollowbarrow_schema::{
     CrashRecord, DaemonId, FleetView, HeldRequest, RequestDigest, Term, WorkerId,
 };
@@ -48,8 +48,6 @@
 
 /// Views of the leader that make up one window for trials, about a second.
 const VIEWS_OF_WINDOW: u64 = 11;
-/// When a caller may come back whose request another gateway may be trying.
-const TRIAL_PAUSE: Duration = Duration::from_secs(1);
 
 /// Decides which requests are sent to no worker.
 #[derive(Debug, Default)]
@@ -93,8 +91,7 @@
         }
         let over = now.saturating_duration_since(hold.over_since?);
         let window = self.rank.1 / VIEWS_OF_WINDOW;
-        let may_try = may_try(self.own, request, window, self.gateways, over);
-        (!may_try).then_some(TRIAL_PAUSE)
+        trial_hold(self.own, request, window, self.gateways, over)
     }
 
     /// For how long a request is held by what was seen here alone.
--- a/crates/routing/src/crash_watch.rs
+++ b/crates/routing/src/crash_watch.rs
@@ -9,7 +9,7 @@
 use hollowbarrow_schema::{CrashRecord, RequestDigest};
 use tokio::time::Instant;
 
-use crate::crashes::{CrashLedger, EndedRun, to_ms};
+use crate::crashes::{CrashLedger, EndedRun, HoldState, to_ms};
 
 /// Answers that are remembered, about 0.2 MB: those of a minute at 70 requests a second, the
 /// busiest daemon at the size that is planned for.
@@ -98,9 +98,9 @@
         self.ledger.hold_left(request, now)
     }
 
-    /// For how long the hold of a request has been over; none where it is held or never was.
-    pub fn hold_over(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
-        self.ledger.hold_over(request, now)
+    /// How a request is held; none where it is not known to end upstreams.
+    pub fn hold_state(&self, request: RequestDigest, now: Instant) -> Option<HoldState> {
+        self.ledger.hold_state(request, now)
     }
 
     /// Records to tell others now; forgets what is too old.
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -68,6 +68,15 @@
 /// Pause after which a record is told again, in case it was lost or whoever heard it has gone.
 const REPEAT_PAUSE: Duration = Duration::from_secs(2);
 
+/// How a request is held that is known to end upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldState {
+    /// It is to be sent to no upstream for this time.
+    Held(Duration),
+    /// It may be tried once more; the hold has been over for this time.
+    Over(Duration),
+}
+
 /// A run that ended with its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedRun {
@@ -225,15 +234,19 @@
 
     /// For how long a request is to be sent to no upstream; none where it may be.
     pub fn hold_left(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
-        let until = self.requests.get(&request)?.held_until(&self.ends)?;
-        let left = until.saturating_duration_since(now);
-        (!left.is_zero()).then_some(left)
+        match self.hold_state(request, now)? {
+            HoldState::Held(left) => Some(left),
+            HoldState::Over(_) => None,
+        }
     }
 
-    /// For how long the hold of a request has been over; none where it is held or never was.
-    pub fn hold_over(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
+    /// How a request is held; none where it is not known to end upstreams.
+    pub fn hold_state(&self, request: RequestDigest, now: Instant) -> Option<HoldState> {
         let until = self.requests.get(&request)?.held_until(&self.ends)?;
-        (now >= until).then(|| now - until)
+        Some(match until.checked_duration_since(now) {
+            Some(left) if !left.is_zero() => HoldState::Held(left),
+            _ => HoldState::Over(now.saturating_duration_since(until)),
+        })
     }
 
     /// Requests that are known to end upstreams, the latest first.
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -136,17 +136,7 @@
                     history: history.clone(),
                 });
                 let switch = TurnAwaySwitch::default();
-                let asked = switch.clone();
-                let port = NodePort::serve(move |request| {
-                    let refusal = asked.refuse(&request);
-                    let service = Arc::clone(&service);
-                    async move {
-                        match refusal {
-                            Some(refusal) => refusal,
-                            None => service.handle(request).await,
-                        }
-                    }
-                });
+                let port = switch.serve(move |request| Arc::clone(&service).handle(request));
                 let listed = PlatformNode {
                     service: Some(config.service.clone()),
                     address: port.address.to_string(),
@@ -353,17 +343,7 @@
     let node = Arc::new(node);
     let serving = Arc::clone(&node);
     let switch = TurnAwaySwitch::default();
-    let asked = switch.clone();
-    let port = NodePort::serve(move |request| {
-        let refusal = asked.refuse(&request);
-        let serving = Arc::clone(&serving);
-        async move {
-            match refusal {
-                Some(refusal) => refusal,
-                None => serving.handle(request).await,
-            }
-        }
-    });
+    let port = switch.serve(move |request| Arc::clone(&serving).handle(request));
     let _ = node.port.set(port.clone());
     listed.address = port.address.to_string();
     let id = node.id.clone();
--- a/crates/testkit/src/turn_away.rs
+++ b/crates/testkit/src/turn_away.rs
@@ -3,12 +3,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{Request, StatusCode};
 use serde_json::json;
 use tokio::time::Instant;
 
-use crate::serve::{Answer, json_answer};
+use crate::serve::{Answer, NodePort, json_answer};
 
 /// Paths of health and orders, which are answered all the time.
 const CONTROL_PATHS: &str = "/hollowbarrow/";
@@ -37,8 +38,28 @@
         self.state.lock().expect("no holder of the lock panics").turned_away.clone()
     }
 
+    /// Serves a node, whose requests reach the handler unless they are turned away.
+    pub(crate) fn serve<H, F>(&self, handler: H) -> NodePort
+    where
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let switch = self.clone();
+        let handler = Arc::new(handler);
+        NodePort::serve(move |request| {
+            let refusal = switch.refuse(&request);
+            let handler = Arc::clone(&handler);
+            async move {
+                match refusal {
+                    Some(refusal) => refusal,
+                    None => handler(request).await,
+                }
+            }
+        })
+    }
+
     /// The refusal of a request; none where it is to be served.
-    pub(crate) fn refuse<B>(&self, request: &Request<B>) -> Option<Answer> {
+    fn refuse<B>(&self, request: &Request<B>) -> Option<Answer> {
         if request.uri().path().starts_with(CONTROL_PATHS) {
             return None;
         }
