Tell why voters do not come about, on what basis a controller tells, and what a gateway knew

The hypotheses on the refused route could not be told apart: the outcome of a proposal for other voters was dropped, nothing said whether a leader had confirmed what a controller tells, a configuration that found no room left no line, and a 404 did not say how old the gateway's knowledge was. New lines: voters_refused, telling, configuration_dropped, route_unknown. No decision is changed.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -128,6 +128,7 @@
         pending: Mutex::default(),
         parsed: Mutex::new(None),
         commits: Mutex::default(),
+        basis: Mutex::default(),
         settings,
     })
 }
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -22,6 +22,18 @@
 /// Time after which a controller that has heard of no leader tells what it holds.
 const LEADERLESS_TIME: Duration = Duration::from_secs(2);
 
+/// What entitles a controller to tell gateways the configuration that it holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum TellBasis {
+    /// Nothing yet: what is held may be older than what is in force.
+    #[default]
+    Nothing,
+    /// A leader that a majority confirms has told of what is committed.
+    Confirmed,
+    /// No leader was heard of for so long that an older configuration is better than none.
+    Leaderless,
+}
+
 /// State and tools of a controller.
 pub(crate) struct ControllerCore {
     pub(crate) settings: MemberSettings,
@@ -42,6 +54,8 @@
     pub(crate) pending: Mutex<PendingNews>,
     pub(crate) parsed: Mutex<Option<Arc<Deployment>>>,
     pub(crate) commits: Mutex<VersionTimes>,
+    /// What last entitled this controller to tell configurations, to log when that changes.
+    pub(crate) basis: Mutex<TellBasis>,
 }
 
 impl ControllerCore {
@@ -117,8 +131,23 @@
     /// comes up, an older configuration is better than none.
     pub(crate) fn may_tell(&self, now: Instant) -> bool {
         let since = self.wake.woke(now).map_or(self.started, |woke| woke.max(self.started));
-        let confirmed = self.log.view().confirmed.is_some_and(|at| at > since);
-        confirmed || now.saturating_duration_since(since) > LEADERLESS_TIME
+        let basis = if self.log.view().confirmed.is_some_and(|at| at > since) {
+            TellBasis::Confirmed
+        } else if now.saturating_duration_since(since) > LEADERLESS_TIME {
+            TellBasis::Leaderless
+        } else {
+            TellBasis::Nothing
+        };
+        self.note_basis(basis);
+        basis != TellBasis::Nothing
+    }
+
+    fn note_basis(&self, basis: TellBasis) {
+        let mut noted = self.basis.lock().expect("no holder of the lock panics");
+        if std::mem::replace(&mut *noted, basis) != basis {
+            let version = self.log.read(DeploymentState::version);
+            log::info!("event=telling basis={basis:?} version={version}");
+        }
     }
 
     /// When configurations were committed here.
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -10,7 +10,8 @@
 };
 use hollowbarrow_log::LogView;
 use hollowbarrow_schema::{
-    DaemonId, FleetMessage, FleetView, ServiceName, Term, WorkerId, WorkerLoad,
+    DaemonId, EntryPayload, FleetMessage, FleetView, ProposalOutcome, ServiceName, Term, WorkerId,
+    WorkerLoad,
 };
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
@@ -289,8 +290,17 @@
     }
     let names: Vec<&str> = voters.iter().map(|voter| voter.as_str()).collect();
     log::info!("event=voters_proposed voters={}", names.join(","));
-    // The outcome shows in the next look.
-    drop(core.log.propose(hollowbarrow_schema::EntryPayload::Voters(voters)));
+    let outcome = core.log.propose(EntryPayload::Voters(voters));
+    tokio::spawn(log_voters_outcome(outcome));
+}
+
+/// Logs why voters that were asked for did not come about; whether they did shows in the next look.
+async fn log_voters_outcome(outcome: flume::Receiver<ProposalOutcome>) {
+    match outcome.recv_async().await {
+        Ok(ProposalOutcome::VotersChanged) => {}
+        Ok(outcome) => log::warn!("event=voters_refused outcome={outcome:?}"),
+        Err(_) => log::warn!("event=voters_refused outcome=unknown"),
+    }
 }
 
 fn spawn_probe(core: &Arc<ControllerCore>, worker: WorkerId, address: String) {
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -102,8 +102,9 @@
         }
         let gateways = core.fleet().begin_push(document.version, now);
         core.metrics.count_configurations("committed", gateways.len());
+        let version = document.version;
         for full in core.links().send_to_all(&gateways, FleetMessage::Deployment(document)) {
-            core.fleet().note_dropped(full);
+            note_dropped(&core, full, version);
         }
         core.changed.notify_one();
     }
@@ -145,11 +146,18 @@
     }
     let Some(document) = core.newest_document() else { return };
     core.metrics.count_configurations("lacking", 1);
+    let version = document.version;
     if !core.links().send(from, FleetMessage::Deployment(document)) {
-        core.fleet().note_dropped(from);
+        note_dropped(core, from, version);
     }
 }
 
+/// Notes that a configuration found no room on its way to a gateway.
+fn note_dropped(core: &ControllerCore, gateway: &DaemonId, version: u64) {
+    log::warn!("event=configuration_dropped gateway={} version={version}", **gateway);
+    core.fleet().note_dropped(gateway);
+}
+
 /// Takes in what another controller heard of workers, and passes on what is new.
 fn relay_news(core: &ControllerCore, reports: Vec<WorkerReport>, now: Instant) {
     let changed = core.fleet().merge(reports, now);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,18 @@
 
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
+
+/// What a gateway knows of how old its configuration is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CurrencyFacts {
+    /// Version in force here; 0 means none.
+    pub(crate) version: u64,
+    /// Newest version that the leader has told of; 0 means none.
+    pub(crate) known: u64,
+    /// Time since the leader's word last came; none if it never did.
+    pub(crate) view_age: Option<Duration>,
+}
+
 /// State and tools of a gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: MemberSettings,
@@ -100,6 +112,16 @@
         self.known().newest() > self.version() || self.has_missed_views()
     }
 
+    /// What this gateway knows of how old its configuration is.
+    pub(crate) fn currency(&self, now: Instant) -> CurrencyFacts {
+        let last_view = *self.last_view.lock().expect("no holder of the lock panics");
+        CurrencyFacts {
+            version: self.version(),
+            known: self.known().newest(),
+            view_age: last_view.map(|at| now.saturating_duration_since(at)),
+        }
+    }
+
     /// Whether the machine was suspended since the leader's word last came.
     fn has_missed_views(&self) -> bool {
         let last = *self.last_view.lock().expect("no holder of the lock panics");
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -97,9 +97,7 @@
     let head = core.protocol.read_head(&parts).map_err(|_| (String::new(), Refusal::BadRequest))?;
     let id = head.id.clone();
     let routed = route_request(core, &head).map_err(|refusal| match refusal {
-        // Callers do not ask again after a 404 or a 401, so these need a configuration that is
-        // not known to be out of date.
-        Refusal::NoRoute | Refusal::BadKey if core.is_behind() => (id.clone(), Refusal::Behind),
+        Refusal::NoRoute | Refusal::BadKey => (id.clone(), refuse_unknown(core, &id, refusal)),
         refusal => (id.clone(), refusal),
     })?;
     let limit = routed.table.limits().body_bytes;
@@ -107,6 +105,21 @@
     Ok(to_request(parts, head, routed, body, received, &core.wake))
 }
 
+/// The refusal of a request whose route or key the configuration here does not have.
+fn refuse_unknown(core: &GatewayCore, id: &str, refusal: Refusal) -> Refusal {
+    let facts = core.currency(Instant::now());
+    log::info!(
+        "event=route_unknown request={id:?} cause={} version={} known={} view_ms={}",
+        refusal.name(),
+        facts.version,
+        facts.known,
+        facts.view_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
+    );
+    // Callers do not ask again after a 404 or a 401, so these need a configuration that is not
+    // known to be out of date.
+    if core.is_behind() { Refusal::Behind } else { refusal }
+}
+
 struct RoutedRequest {
     table: Arc<RouteTable>,
     route: Arc<Route>,
