Bring about an acknowledged route that is refused after all machines lost power

Real processes: with one seed among three controllers, the seed loses its disk and is never admitted anew; then all lose power and the leader its disk. Beside it the parts: a leader beyond the seeds refuses its own proposal of voters, a wiped voter beyond the seeds votes at once, and a gateway that no leader has told anything says 404.

The soak's and other tests' systems are what they were; Layout names its seeds now.

--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -36,6 +36,73 @@
     replicas: BTreeMap<DaemonId, LogReplica<MemoryStorage>>,
 }
 
+/// A replica that knows all others, of which the settings of each name the first alone.
+fn replica_with_one_seed(id: &DaemonId, founding: bool) -> LogReplica<MemoryStorage> {
+    let seeds = &ids()[..1];
+    let config = ReplicaConfig::new(id, seeds, seeds)
+        .with_founding(founding)
+        .with_election(Duration::from_millis(100))
+        .with_seed(u64::from(id.as_bytes()[0]));
+    let storage = MemoryStorage::new().with_durable(true);
+    let mut replica = LogReplica::new(config, storage, Instant::now());
+    ids().into_iter().filter(|peer| peer != id).for_each(|peer| replica.add_peer(peer));
+    replica
+}
+
+/// Three voters, of which the settings name the first alone.
+fn cluster_with_one_seed() -> Cluster {
+    let mut cluster = Cluster::with_replicas(|id| replica_with_one_seed(id, true));
+    cluster.run(50);
+    for count in 2..=3 {
+        cluster.propose(EntryPayload::Voters(ids()[..count].to_vec()));
+        cluster.run(50);
+    }
+    cluster
+}
+
+/// A voter that had lost its disk was never admitted anew: its leader, which no setting named, did
+/// not count itself among the daemons that it knew, and refused its own proposal 50 times.
+#[rstest]
+fn propose_by_leader_beyond_seeds() {
+    let mut cluster = cluster_with_one_seed();
+    let seed = ids()[0].clone();
+    cluster.replicas.insert(seed.clone(), replica_with_one_seed(&seed, false));
+    cluster.run(100);
+    let others = ids()[1..].to_vec();
+    assert!(others.contains(cluster.leader().id()), "a voter without its log does not lead");
+    cluster.propose(EntryPayload::Voters(others));
+    cluster.run(50);
+    cluster.propose(EntryPayload::Voters(ids()));
+    cluster.run(50);
+    assert!(cluster.replicas[&seed].fault().is_none(), "it votes again");
+}
+
+/// A voter that no setting names came back with an empty disk and voted at once: it took the
+/// history in which it had been admitted for an admission after the loss.
+#[rstest]
+#[case::entries_kept(false)]
+#[case::entries_compacted(true)]
+fn wiped_voter_beyond_seeds_does_not_count(#[case] compacted: bool) {
+    let mut cluster = cluster_with_one_seed();
+    if compacted {
+        for replica in cluster.replicas.values_mut() {
+            replica.compact(b"state".to_vec());
+        }
+    }
+    let leader = cluster.leader().id().clone();
+    let wiped = ids().into_iter().rfind(|id| *id != leader).expect("there are three");
+    cluster.replicas.insert(wiped.clone(), replica_with_one_seed(&wiped, false));
+    cluster.run(50);
+    let fault = |cluster: &Cluster| cluster.replicas[&wiped].fault().map(ToString::to_string);
+    assert!(matches!(cluster.replicas[&wiped].fault(), Some(ReplicaFault::LostDisk)));
+    let others: Vec<DaemonId> = ids().into_iter().filter(|id| *id != wiped).collect();
+    cluster.propose(EntryPayload::Voters(others));
+    cluster.run(50);
+    cluster.propose(EntryPayload::Voters(ids()));
+    cluster.run(50);
+    assert_eq!(fault(&cluster), None, "it votes again");
+}
+
 impl Cluster {
     fn new() -> Self {
         Self::with_replicas(|id| replica_of(id, true))
--- a/tests/platform/changes.rs
+++ b/tests/platform/changes.rs
@@ -27,7 +27,7 @@
 /// Looks, a pause apart, at what must come about before anything is disturbed.
 const MOST_LOOKS: u32 = 600;
 /// Version of the first configuration.
-const FIRST_VERSION: u64 = 3;
+pub const FIRST_VERSION: u64 = 3;
 
 /// Why a zone's controller does not tell its gateways.
 #[derive(Clone, Copy, Debug)]
@@ -39,7 +39,7 @@
 }
 
 /// A configuration in which each change since the first has added a route.
-fn grown_configuration(version: u64) -> Value {
+pub fn grown_configuration(version: u64) -> Value {
     let mut content = configuration(version);
     let routes = content["routes"].as_array_mut().expect("it has routes");
     for added in FIRST_VERSION + 1..=version {
@@ -51,7 +51,7 @@
     content
 }
 
-fn added_path(version: u64) -> String {
+pub fn added_path(version: u64) -> String {
     format!("/added-{version}/")
 }
 
--- a/tests/platform/crashing_burst.rs
+++ b/tests/platform/crashing_burst.rs
@@ -47,7 +47,7 @@
 }
 
 async fn deploy(block: u8) -> (System, Arc<Fleet>) {
-    let layout = Layout { gateways: GATEWAYS as u8, zoned: false, proxied: false };
+    let layout = Layout { gateways: GATEWAYS as u8, ..Layout::plain() };
     let system = System::start_with(block, layout);
     let fleet = Fleet::new(system.controllers.clone());
     for number in 0..WORKERS {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod disturbance;
 mod fleet;
 mod foreign;
+mod lost_power;
 mod observer;
 mod reborn_worker;
 mod soak;
--- a/tests/platform/stale_gateway.rs
+++ b/tests/platform/stale_gateway.rs
@@ -70,8 +70,8 @@
     other: StandinController,
     gateway: DaemonId,
     callers: String,
-    /// Version that the leader's views name.
-    viewed: Arc<Mutex<u64>>,
+    /// Version that the leader's views name; none while no view comes.
+    viewed: Arc<Mutex<Option<u64>>>,
     process: Child,
     _folder: TempDir,
 }
@@ -99,7 +99,7 @@
             .spawn()
             .expect("the binary starts");
         let gateway = DaemonId(format!("{}:{mesh}", ip(3)));
-        let viewed = Arc::new(Mutex::new(0));
+        let viewed = Arc::default();
         let places = vec![
             ControllerPlace { id: home.links.id().clone(), zone: ZoneId::from("a") },
             ControllerPlace { id: other.links.id().clone(), zone: ZoneId::from("b") },
@@ -110,7 +110,24 @@
     }
 
     fn view(&self, version: u64) {
-        *self.viewed.lock().expect("not poisoned") = version;
+        *self.viewed.lock().expect("not poisoned") = Some(version);
+    }
+
+    /// Has no view come from now on.
+    fn silence_views(&self) {
+        *self.viewed.lock().expect("not poisoned") = None;
+    }
+
+    /// Has the gateway hold a version.
+    async fn deliver(&self, version: u64) {
+        for _ in 0..LOOKS {
+            self.home.send_configuration(&self.gateway, version);
+            tokio::time::sleep(POLL).await;
+            if self.home.told_version() == version {
+                return;
+            }
+        }
+        panic!("the gateway does not take version {version}");
     }
 
     async fn status(&self, path: &str, key: &str) -> u16 {
@@ -142,13 +159,15 @@
     home: Arc<StandinController>,
     gateway: DaemonId,
     controllers: Vec<ControllerPlace>,
-    viewed: Arc<Mutex<u64>>,
+    viewed: Arc<Mutex<Option<u64>>>,
 ) {
     for number in 1.. {
+        tokio::time::sleep(POLL).await;
+        let Some(deployment) = *viewed.lock().expect("not poisoned") else { continue };
         let view = FleetView {
             term: Term(1),
             number,
-            deployment: *viewed.lock().expect("not poisoned"),
+            deployment,
             gateways: 1,
             controllers: controllers.clone(),
             withheld: Vec::new(),
@@ -156,20 +175,13 @@
             held: Vec::new(),
         };
         home.links.send(&gateway, FleetMessage::View(view));
-        tokio::time::sleep(POLL).await;
     }
 }
 
 /// Has the gateway hold version 3, and hear of version 5.
 async fn fall_behind(scene: &Scene) {
     scene.view(3);
-    for _ in 0..LOOKS {
-        scene.home.send_configuration(&scene.gateway, 3);
-        tokio::time::sleep(POLL).await;
-        if scene.home.told_version() == 3 {
-            break;
-        }
-    }
+    scene.deliver(3).await;
     scene.wait_status("/none/1", KEY, 404).await;
     scene.wait_status("/chat/1", "other", 401).await;
     scene.view(5);
@@ -187,6 +199,23 @@
     scene.wait_status("/chat/1", "other", 401).await;
 }
 
+/// Gateways refused an acknowledged route with 404 after all machines had lost power. No leader
+/// was there to tell them that it existed, and what they had came from a controller that had just
+/// started.
+#[rstest]
+#[tokio::test]
+async fn refusal_without_views() {
+    let scene = Scene::start(13);
+    scene.deliver(3).await;
+    assert_eq!(scene.status("/none/1", KEY).await, 503, "no leader has told what is newest");
+    scene.view(3);
+    scene.wait_status("/none/1", KEY, 404).await;
+    scene.wait_status("/chat/1", "other", 401).await;
+    scene.silence_views();
+    scene.wait_status("/none/1", KEY, 503).await;
+    scene.wait_status("/chat/1", "other", 503).await;
+}
+
 #[rstest]
 #[tokio::test]
 async fn report_behind() {
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -32,17 +32,24 @@
     pub zoned: bool,
     /// Whether a proxy stands before each daemon's port for other daemons.
     pub proxied: bool,
+    /// Controllers that the settings name, from the first on; they found the log.
+    pub seeds: usize,
 }
 
 impl Layout {
     /// Two gateways and the controllers in one zone, without proxies.
     pub fn plain() -> Self {
-        Self { gateways: 2, zoned: false, proxied: false }
+        Self { gateways: 2, zoned: false, proxied: false, seeds: CONTROLLERS }
     }
 
     /// Each gateway in a zone with one controller, and a proxy on each link.
     pub fn zoned_behind_proxies() -> Self {
-        Self { gateways: 3, zoned: true, proxied: true }
+        Self { gateways: 3, zoned: true, proxied: true, seeds: CONTROLLERS }
+    }
+
+    /// Two gateways and the controllers in one zone, of which the settings name the first alone.
+    pub fn with_one_seed() -> Self {
+        Self { seeds: 1, ..Self::plain() }
     }
 
     /// Zone of a daemon, by its number from 1 on.
@@ -163,7 +170,7 @@
         for number in 1..=count {
             let controller = usize::from(number) <= CONTROLLERS;
             let mut settings = json!({"name": format!("d{number}"), "zone": layout.zone(number),
-                "ip": ip(number), "mesh_port": mesh, "seeds": controllers,
+                "ip": ip(number), "mesh_port": mesh, "seeds": controllers[..layout.seeds],
                 "metrics": metrics[usize::from(number) - 1], "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true});
             if layout.proxied {
                 settings["bind_ip"] = json!(bind_ip(number));
@@ -231,6 +238,14 @@
         self.daemons[index].kill();
     }
 
+    /// Has every daemon end at once and start again, those with a number here with an empty disk.
+    pub fn lose_power(&mut self, wiped: &[usize]) {
+        self.daemons.iter_mut().for_each(Daemon::kill);
+        for index in 0..self.daemons.len() {
+            self.restart(index, wiped.contains(&index));
+        }
+    }
+
     /// Starts a controller again; its disk is as it was, or empty.
     pub fn restart_controller(&mut self, index: usize, wiped: bool) {
         self.restart(index, wiped);
@@ -283,6 +298,12 @@
         Some(String::from_utf8_lossy(answer.body()).into_owned())
     }
 
+    /// Whether a daemon shows a line of metrics, given without the product's name.
+    pub async fn has_metric(&self, daemon: usize, line: &str) -> bool {
+        let metrics = self.find_metrics(daemon).await.unwrap_or_default();
+        metrics.lines().any(|shown| shown.strip_prefix("hollowbarrow_") == Some(line))
+    }
+
     /// Version of the configuration that a gateway holds; 0 means none, or no gateway yet.
     pub async fn version_at(&self, gateway: usize) -> u64 {
         let name = "hollowbarrow_gateway_configuration_version ";
