Have a voter that lost its disk wait for a new admission, also beyond the seeds

Cause: whether a replica is admitted was read off any change of the voters, history included.

A replica now knows since when it has caught up with a leader: it holds all that was committed, up to an entry of that leader's term. Only what comes after that admits it. Where it is not sure it counts as lost, is removed and added once more.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -142,6 +142,7 @@
     deadline: Instant,
     heard: Option<Instant>,
     confirmed: Option<Instant>,
+    complete: Option<Instant>,
     fault: Option<ReplicaFault>,
     early: Vec<(DaemonId, LogMessage)>,
     late: Vec<(DaemonId, LogMessage)>,
@@ -164,6 +165,7 @@
             deadline: now,
             heard: None,
             confirmed: None,
+            complete: None,
             fault: None,
             early: Vec::new(),
             late: Vec::new(),
@@ -228,6 +230,15 @@
         }
     }
 
+    /// Latest moment of which it is known that everything acknowledged until then is committed
+    /// here; none since the start if this replica has not caught up with a leader yet.
+    pub fn complete(&self) -> Option<Instant> {
+        match &self.role {
+            ReplicaRole::Leader(role) if self.is_current() => Some(role.confirmed),
+            _ => self.complete,
+        }
+    }
+
     /// Daemons that vote, by the latest entry that names them.
     pub fn voters(&self) -> &[DaemonId] {
         &self.voters
@@ -426,6 +437,7 @@
         }
         if let ReplicaRole::Leader(role) = &self.role {
             self.confirmed = self.confirmed.max(Some(role.confirmed));
+            self.complete = self.complete.max(self.complete());
         }
         self.role = ReplicaRole::Follower { leader };
         self.reset_deadline(now);
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -76,8 +76,8 @@
         }
         self.step_down(request.term, Some(from.clone()), now);
         self.heard = Some(now);
-        self.confirmed =
-            now.checked_sub(Duration::from_millis(request.confirmed_ms)).max(self.confirmed);
+        let confirmed = now.checked_sub(Duration::from_millis(request.confirmed_ms));
+        self.confirmed = self.confirmed.max(confirmed);
         if request.founding && self.is_blank() && self.storage.is_durable() {
             let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
             self.save_vote(vote);
@@ -93,6 +93,12 @@
             return;
         }
         self.commit = self.commit.max(request.commit.min(matched));
+        // A commit of an earlier term may lack entries that were acknowledged in that term.
+        if self.commit >= request.commit
+            && self.storage.window().term_at(self.commit) == Some(request.term)
+        {
+            self.complete = self.complete.max(confirmed);
+        }
         self.answer_append(from, true, matched, request.round);
     }
 
--- a/crates/log/src/replica/voters.rs
+++ b/crates/log/src/replica/voters.rs
@@ -45,7 +45,11 @@
     }
 
     pub(super) fn set_voters(&mut self, voters: Vec<DaemonId>) {
-        let joined = voters.contains(&self.config.id)
+        // Before this replica has caught up, what it reads is history: it may have been admitted,
+        // and have voted, before its disk was lost.
+        let admissible = self.config.founding || self.complete.is_some();
+        let joined = admissible
+            && voters.contains(&self.config.id)
             && !self.voters.is_empty()
             && !self.voters.contains(&self.config.id);
         self.voters = voters;
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use hollowbarrow_log::{LogReplica, MemoryStorage, ReplicaConfig, ReplicaFault};
-use hollowbarrow_schema::{DaemonId, EntryPayload};
+use hollowbarrow_schema::{
+    AppendRequest, DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot,
+    SnapshotRequest, Term,
+};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -216,3 +219,42 @@
     assert!(cluster.replicas[&wiped].fault().is_none(), "it votes again");
     assert_eq!(cluster.replicas[&wiped].commit(), cluster.leader().commit());
 }
+
+/// Append of a leader of term 2 whose entries up to this index are committed.
+fn append(previous: u64, last: u64, commit: u64, term_of_last: u64) -> LogMessage {
+    let entry = |index: u64| {
+        let term = if index == last { Term(term_of_last) } else { Term(1) };
+        LogEntry { index: LogIndex(index), term, payload: EntryPayload::Noop }
+    };
+    LogMessage::Append(AppendRequest {
+        term: Term(2),
+        previous_index: LogIndex(previous),
+        previous_term: Term(1),
+        entries: (previous + 1..=last).map(entry).collect(),
+        commit: LogIndex(commit),
+        round: 1,
+        founding: false,
+        confirmed_ms: 0,
+    })
+}
+
+/// Controllers told gateways the snapshot that they had just been sent, 18 changes older than what
+/// was acknowledged: that a leader was confirmed said nothing of what had come of its log.
+#[rstest]
+#[case::caught_up(append(20, 40, 40, 2), true)]
+#[case::behind_commit(append(20, 30, 40, 2), false)]
+#[case::gap(append(30, 40, 40, 2), false)]
+#[case::commit_of_former_term(append(20, 40, 40, 1), false)]
+fn complete_after_snapshot(#[case] next: LogMessage, #[case] complete: bool) {
+    let mut replica = replica(false);
+    let leader = ids()[1].clone();
+    let snapshot =
+        LogSnapshot { index: LogIndex(20), term: Term(1), voters: ids(), state: Vec::new() };
+    let request = SnapshotRequest { term: Term(2), snapshot };
+    replica.step(&leader, LogMessage::Snapshot(request), Instant::now());
+    replica.step(&leader, append(40, 40, 40, 2), Instant::now());
+    assert!(replica.confirmed().is_some(), "it knows of a confirmed leader");
+    assert!(replica.complete().is_none(), "it has only the snapshot");
+    replica.step(&leader, next, Instant::now());
+    assert_eq!(replica.complete().is_some(), complete);
+}
