Tell a configuration only once it is as new as what the leader had committed

Cause: may_tell asked whether any leader was confirmed since the start, not what of its log was applied here.

A controller now tells what it holds only while it held, a moment ago, all that its leader had committed (LogView::complete). The decision is a pure module, telling.rs, with its cases; the place of a delivery is an enum in place of a flag.

--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -16,23 +16,10 @@
 use crate::orders::WorkerNews;
 use crate::pending::PendingNews;
 use crate::protocol::{ControlAnswer, ControlProtocol};
+use crate::telling::{TellBasis, TellFacts};
 
 /// Silence after which a voter stands for election.
 pub(crate) const ELECTION_TIME: Duration = Duration::from_millis(600);
-/// Time after which a controller that has heard of no leader tells what it holds.
-const LEADERLESS_TIME: Duration = Duration::from_secs(2);
-
-/// What entitles a controller to tell gateways the configuration that it holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum TellBasis {
-    /// Nothing yet: what is held may be older than what is in force.
-    #[default]
-    Nothing,
-    /// A leader that a majority confirms has told of what is committed.
-    Confirmed,
-    /// No leader was heard of for so long that an older configuration is better than none.
-    Leaderless,
-}
 
 /// State and tools of a controller.
 pub(crate) struct ControllerCore {
@@ -125,21 +112,17 @@
         parsed.clone()
     }
 
-    /// Whether what is committed here may be told to gateways: after a start or a suspension this
-    /// daemon may lack
-    /// what was committed last, until a leader that a majority confirms has said so. Where none
-    /// comes up, an older configuration is better than none.
-    pub(crate) fn may_tell(&self, now: Instant) -> bool {
-        let since = self.wake.woke(now).map_or(self.started, |woke| woke.max(self.started));
-        let basis = if self.log.view().confirmed.is_some_and(|at| at > since) {
-            TellBasis::Confirmed
-        } else if now.saturating_duration_since(since) > LEADERLESS_TIME {
-            TellBasis::Leaderless
-        } else {
-            TellBasis::Nothing
+    /// What entitles this controller to tell gateways what is committed here.
+    pub(crate) fn tell_basis(&self, now: Instant) -> TellBasis {
+        let view = self.log.view();
+        let facts = TellFacts {
+            since: self.wake.woke(now).map_or(self.started, |woke| woke.max(self.started)),
+            confirmed: view.confirmed,
+            complete: view.complete,
         };
+        let basis = facts.basis(now);
         self.note_basis(basis);
-        basis != TellBasis::Nothing
+        basis
     }
 
     fn note_basis(&self, basis: TellBasis) {
--- a/crates/controller/src/delivery.rs
+++ b/crates/controller/src/delivery.rs
@@ -2,7 +2,7 @@
 //!
 //! The gateway's home and the controllers of its zone tell it at once. The others step in where
 //! these do not, and wait for a moment first, so that a configuration crosses zones only where it
-//! must.
+//! must. One that may be behind itself leaves time for those that are not.
 //!
 //! Invariant: a gateway that can be reached by any controller has each configuration within a
 //! bounded time of its commit, however fast others follow.
@@ -21,6 +21,32 @@
 /// meanwhile.
 const REPEAT_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time for controllers that know what is newest before one that does not steps in: longer than a
+/// gateway takes to find them, and short beside the start of a process.
+const UNSURE_DELAY: Duration = Duration::from_millis(1000);
+
+/// How a controller stands to a gateway that lacks a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeliveryPlace {
+    /// It is the gateway's home or of its zone.
+    Near,
+    /// Others are nearer.
+    Far,
+    /// What it holds may be older than what others hold.
+    Unsure,
+}
+
+impl DeliveryPlace {
+    /// Time for which the gateway has to lack the configuration first; none where it need not.
+    fn delay(self) -> Option<Duration> {
+        match self {
+            Self::Near => None,
+            Self::Far => Some(FAR_DELAY),
+            Self::Unsure => Some(UNSURE_DELAY),
+        }
+    }
+}
+
 /// What a controller knows of one gateway's configuration.
 #[derive(Clone, Copy, Debug)]
 pub struct DeliveryState {
@@ -72,14 +98,19 @@
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// Whether the newest committed version is to be sent now. `prompt` says that this controller
-    /// is the gateway's home or of its zone.
-    pub fn is_due(&self, newest: u64, prompt: bool, commits: &VersionTimes, now: Instant) -> bool {
+    /// Whether the newest committed version is to be sent now.
+    pub fn is_due(
+        &self,
+        newest: u64,
+        place: DeliveryPlace,
+        commits: &VersionTimes,
+        now: Instant,
+    ) -> bool {
         if newest <= self.held {
             return false;
         }
         let waited = |at: Instant| now.saturating_duration_since(at) >= REPEAT_PAUSE;
         let repeated = self.sent.is_some_and(|(sent, at)| sent == newest && !waited(at));
-        !repeated && (prompt || self.lag(commits, now) > FAR_DELAY)
+        !repeated && place.delay().is_none_or(|delay| self.lag(commits, now) > delay)
     }
 }
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -11,12 +11,13 @@
 };
 use tokio::time::Instant;
 
-use crate::delivery::DeliveryState;
+use crate::delivery::{DeliveryPlace, DeliveryState};
 use crate::digests::DigestHistory;
 use crate::held::ReleasedRequests;
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::tables::TableRequests;
+use crate::telling::TellBasis;
 
 /// Heartbeats without which a worker counts as silent, so that what another writer told under its
 /// name is not held against it any longer.
@@ -300,13 +301,19 @@
         &mut self,
         to: &DaemonId,
         newest: u64,
+        basis: TellBasis,
         commits: &VersionTimes,
         now: Instant,
     ) -> bool {
         let Some(gateway) = self.gateways.get(to) else { return false };
-        let prompt = self.is_prompt_for(gateway);
+        let place = match (basis, self.is_prompt_for(gateway)) {
+            (TellBasis::Nothing, _) => return false,
+            (TellBasis::Unconfirmed, _) => DeliveryPlace::Unsure,
+            (TellBasis::Complete, true) => DeliveryPlace::Near,
+            (TellBasis::Complete, false) => DeliveryPlace::Far,
+        };
         let Some(gateway) = self.gateways.get_mut(to) else { return false };
-        let due = gateway.delivery.is_due(newest, prompt, commits, now);
+        let due = gateway.delivery.is_due(newest, place, commits, now);
         if due {
             gateway.delivery.note_sent(newest, now);
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,7 +11,8 @@
 //! - A configuration is acknowledged only after a majority of disks holds it.
 //! - An order is given only while a majority has confirmed the leader within
 //!   the election time.
-//! - What a controller tells gateways about the configuration is committed.
+//! - What a controller tells gateways about the configuration is committed, and is as new as what
+//!   its leader had committed, or no leader was there to ask.
 
 mod api;
 mod controller;
@@ -30,6 +31,7 @@
 pub mod records;
 mod sync;
 pub mod tables;
+pub mod telling;
 pub mod voters;
 
 pub use controller::{Controller, StartControllerError};
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::core::ControllerCore;
+use crate::telling::TellBasis;
 
 /// Pause between two hellos to the leader, which needs to know what gateways have under way.
 const LEADER_INTERVAL: Duration = Duration::from_millis(75);
@@ -96,8 +97,8 @@
         let Some(document) = core.newest_document() else { continue };
         core.commits().note(document.version, now);
         log::info!("event=configuration_committed version={}", document.version);
-        if !core.may_tell(now) {
-            // What this controller's own disk held at its start may be older than what is in force.
+        if core.tell_basis(now) != TellBasis::Complete {
+            // What this controller holds may be older than what is in force.
             continue;
         }
         let gateways = core.fleet().begin_push(document.version, now);
@@ -139,7 +140,8 @@
         let commits = core.commits();
         fleet.take_gateway(from, hello, now);
         fleet.log_lag(from, &commits, now);
-        core.may_tell(now) && fleet.begin_delivery(from, newest, &commits, now)
+        let basis = core.tell_basis(now);
+        fleet.begin_delivery(from, newest, basis, &commits, now)
     };
     if !due {
         return;
--- a/crates/controller/tests/delivery.rs
+++ b/crates/controller/tests/delivery.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_controller::delivery::DeliveryState;
+use hollowbarrow_controller::delivery::{DeliveryPlace, DeliveryState};
 use hollowbarrow_fleet::VersionTimes;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -35,7 +35,7 @@
             reported = now;
             let newest = commits.newest();
             lags.push(state.lag(&commits, now));
-            if state.is_due(newest, false, &commits, now) {
+            if state.is_due(newest, DeliveryPlace::Far, &commits, now) {
                 state.note_sent(newest, now);
                 state.note_held(newest, now);
             }
@@ -47,16 +47,18 @@
 
 /// A gateway holds version 1 and version 2 was committed 100 ms after it was first heard of.
 #[rstest]
-#[case::home_at_once(true, 100, true)]
-#[case::others_wait(false, 480, false)]
-#[case::others_step_in(false, 520, true)]
-fn is_due_after_commit(#[case] prompt: bool, #[case] at: u32, #[case] due: bool) {
+#[case::home_at_once(DeliveryPlace::Near, 100, true)]
+#[case::others_wait(DeliveryPlace::Far, 480, false)]
+#[case::others_step_in(DeliveryPlace::Far, 520, true)]
+#[case::unsure_ones_leave_time(DeliveryPlace::Unsure, 1080, false)]
+#[case::unsure_ones_step_in(DeliveryPlace::Unsure, 1120, true)]
+fn is_due_after_commit(#[case] place: DeliveryPlace, #[case] at: u32, #[case] due: bool) {
     let start = Instant::now();
     let mut commits = VersionTimes::default();
     commits.note(1, start);
     commits.note(2, start + MS * 100);
     let state = DeliveryState::new(1, start);
-    assert_eq!(state.is_due(2, prompt, &commits, start + MS * at), due);
+    assert_eq!(state.is_due(2, place, &commits, start + MS * at), due);
 }
 
 #[rstest]
@@ -67,9 +69,12 @@
     let mut state = DeliveryState::new(1, start);
     let restarted = start + MS * 9000;
     state.note_held(0, restarted);
-    assert!(state.is_due(1, true, &commits, restarted));
-    assert!(!state.is_due(1, false, &commits, restarted + MS * 300), "its home comes first");
-    assert!(state.is_due(1, false, &commits, restarted + MS * 500));
+    assert!(state.is_due(1, DeliveryPlace::Near, &commits, restarted));
+    assert!(
+        !state.is_due(1, DeliveryPlace::Far, &commits, restarted + MS * 300),
+        "its home comes first"
+    );
+    assert!(state.is_due(1, DeliveryPlace::Far, &commits, restarted + MS * 500));
 }
 
 #[rstest]
@@ -79,12 +84,15 @@
     commits.note(2, start);
     let mut state = DeliveryState::new(1, start);
     state.note_sent(2, start);
-    assert!(!state.is_due(2, true, &commits, start + MS * 75), "it is on its way");
-    assert!(state.is_due(2, true, &commits, start + MS * 300), "it was lost");
+    assert!(!state.is_due(2, DeliveryPlace::Near, &commits, start + MS * 75), "it is on its way");
+    assert!(state.is_due(2, DeliveryPlace::Near, &commits, start + MS * 300), "it was lost");
     state.note_sent(2, start + MS * 300);
     state.note_dropped();
-    assert!(state.is_due(2, true, &commits, start + MS * 301), "it found no room");
+    assert!(state.is_due(2, DeliveryPlace::Near, &commits, start + MS * 301), "it found no room");
     state.note_sent(2, start + MS * 301);
     commits.note(3, start + MS * 302);
-    assert!(state.is_due(3, true, &commits, start + MS * 303), "a newer one does not wait");
+    assert!(
+        state.is_due(3, DeliveryPlace::Near, &commits, start + MS * 303),
+        "a newer one does not wait"
+    );
 }
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -109,6 +109,8 @@
     pub applied: LogIndex,
     /// Latest moment at which a majority confirmed what this replica follows.
     pub confirmed: Option<Instant>,
+    /// Latest moment of which it is known that everything acknowledged until then is applied here.
+    pub complete: Option<Instant>,
     /// Daemons that vote.
     pub voters: Vec<DaemonId>,
     /// Whether this daemon leads and has committed an entry of its own term, so that what it has
@@ -422,6 +424,7 @@
             term: self.replica.term(),
             applied: self.replica.commit(),
             confirmed: self.replica.confirmed(),
+            complete: self.replica.complete(),
             voters: self.replica.voters().to_vec(),
             current: self.replica.is_current(),
             lost_disk: matches!(self.replica.fault(), Some(crate::ReplicaFault::LostDisk)),
