Refuse an unknown route or key for good only while a leader vouches for the configuration

Gateways that nobody had told what is newest answered 404 and 401 as if they knew (route_unknown ... version=378 known=0 view_ms=none, while 380 was acknowledged). Cause: a gateway counted as up to date unless it had been told otherwise. CurrencyFacts in routing, for both request paths.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,8 +6,8 @@
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_member::WakeWatch;
-use hollowbarrow_routing::CopyGate;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
+use hollowbarrow_routing::{CopyGate, CurrencyFacts};
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::UpstreamClient;
 use tokio::time::Instant;
@@ -23,17 +23,6 @@
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
 
-/// What a gateway knows of how old its configuration is.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct CurrencyFacts {
-    /// Version in force here; 0 means none.
-    pub(crate) version: u64,
-    /// Newest version that the leader has told of; 0 means none.
-    pub(crate) known: u64,
-    /// Time since the leader's word last came; none if it never did.
-    pub(crate) view_age: Option<Duration>,
-}
-
 /// State and tools of a gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: MemberSettings,
@@ -106,10 +95,9 @@
         self.known().lag(self.version(), now)
     }
 
-    /// Whether the leader has told of a configuration that this gateway lacks, or may have done so
-    /// while the machine was suspended.
-    pub(crate) fn is_behind(&self) -> bool {
-        self.known().newest() > self.version() || self.has_missed_views()
+    /// Whether the configuration in force may lack something that was acknowledged.
+    pub(crate) fn may_be_behind(&self, now: Instant) -> bool {
+        !self.currency(now).is_current() || self.has_missed_views()
     }
 
     /// What this gateway knows of how old its configuration is.
@@ -118,7 +106,7 @@
         CurrencyFacts {
             version: self.version(),
             known: self.known().newest(),
-            view_age: last_view.map(|at| now.saturating_duration_since(at)),
+            word_age: last_view.map(|at| now.saturating_duration_since(at)),
         }
     }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -107,17 +107,18 @@
 
 /// The refusal of a request whose route or key the configuration here does not have.
 fn refuse_unknown(core: &GatewayCore, id: &str, refusal: Refusal) -> Refusal {
-    let facts = core.currency(Instant::now());
+    let now = Instant::now();
+    let facts = core.currency(now);
     log::info!(
         "event=route_unknown request={id:?} cause={} version={} known={} view_ms={}",
         refusal.name(),
         facts.version,
         facts.known,
-        facts.view_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
+        facts.word_age.map_or_else(|| "none".to_owned(), |age| age.as_millis().to_string())
     );
-    // Callers do not ask again after a 404 or a 401, so these need a configuration that is not
-    // known to be out of date.
-    if core.is_behind() { Refusal::Behind } else { refusal }
+    // Callers do not ask again after a 404 or a 401, so these need a configuration that is known to
+    // be the newest.
+    if core.may_be_behind(now) { Refusal::Behind } else { refusal }
 }
 
 struct RoutedRequest {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,8 +6,9 @@
 //! their limits, [`AdaptiveLimit`] bounds what one upstream gets, [`retry`] and
 //! [`AttemptLedger`] say what may be tried again without breaking a promise,
 //! [`CrashWatch`] which requests end the upstreams that they run on, [`CopyGate`]
-//! how many copies of a request that nobody has seen answered go at once, and
-//! [`BackoffTable`] which upstreams want no requests.
+//! how many copies of a request that nobody has seen answered go at once,
+//! [`BackoffTable`] which upstreams want no requests, and [`CurrencyFacts`]
+//! whether a caller may be told that something does not exist.
 //!
 //! Invariants: a request whose deadline has passed is never let through; a not
 //! repeatable request is never tried twice; retries never exceed their budget.
@@ -21,6 +22,7 @@
 mod copies;
 mod crash_watch;
 mod crashes;
+mod currency;
 mod limiter;
 mod picker;
 mod prefix;
@@ -35,6 +37,7 @@
 pub use copies::{CopyGate, CopyLimiter, CopyStep, CopyTicket};
 pub use crash_watch::CrashWatch;
 pub use crashes::{CrashLedger, EndedRun, HoldState};
+pub use currency::{CurrencyFacts, WORD_TRUST};
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
--- /dev/null
+++ b/crates/routing/tests/currency.rs
@@ -0,0 +1,25 @@
+//! When a daemon may say that a route, a key or a model does not exist.
+
+use std::time::Duration;
+
+use hollowbarrow_routing::CurrencyFacts;
+use rstest::rstest;
+
+/// Gateways refused an acknowledged route with 404 for as long as no controller led: they held
+/// version 378, no leader had told them of any (`known=0 view_ms=none`), and 380 was in force.
+#[rstest]
+#[case::no_word(378, 0, None, false)]
+#[case::word_of_newer(378, 380, Some(90), false)]
+#[case::word_of_same(380, 380, Some(90), true)]
+#[case::newer_than_the_word(381, 380, Some(90), true)]
+#[case::word_of_a_while_ago(380, 380, Some(1_600), false)]
+#[case::nothing_in_force(0, 0, Some(90), true)]
+fn is_current(
+    #[case] version: u64,
+    #[case] known: u64,
+    #[case] word_ms: Option<u64>,
+    #[case] current: bool,
+) {
+    let facts = CurrencyFacts { version, known, word_age: word_ms.map(Duration::from_millis) };
+    assert_eq!(facts.is_current(), current);
+}
