--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -307,3 +307,33 @@
     }
     assert!(cluster.fleet().history().to_vec().is_empty(), "a refused request ran");
 }
+
+/// Asks a daemon for a model until it answers with a status; the last status.
+async fn ask_until(address: SocketAddr, wanted: u16) -> u16 {
+    let mut status = 0;
+    for _ in 0..200 {
+        let call = CallerCall::new(Method::POST, "/v1/chat/completions", CALLER_KEY);
+        let reply = call.with_body("{\"model\":\"m\",\"prompt\":\"p\"}").send(address).await;
+        status = reply.status;
+        if status == wanted {
+            break;
+        }
+        pause(50).await;
+    }
+    status
+}
+
+/// A daemon that was cut off from the others refused a model with 404 for as long as the cut lasted,
+/// although a group for it had been accepted: it took its own log for the newest.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_model_at_cut_daemon() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    let address = cluster.callers("a2");
+    assert_eq!(ask_until(address, 404).await, 404, "no group is for the model");
+    cluster.set_daemon_links("a2", FaultMode::Silence);
+    let reply = cluster.change("b0", "put group", &crate::support::group("drafts", 1)).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    assert_eq!(ask_until(address, 503).await, 503, "the daemon cannot know: {}", cluster.log("a2"));
+}
