Say 404 for a model only where the daemon's log is known to be the newest

Callers of an entry daemon that was cut off got 404 for a model whose group had been accepted meanwhile, as long as the cut lasted, and do not ask again after that. Cause, as at gateways: the daemon took its own log for the newest.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -186,7 +186,8 @@
         let asked_for = core
             .config_log
             .read(|config| config.groups().values().any(|group| group.value.model == *model));
-        if entries.is_empty() && !asked_for {
+        // Callers do not ask again after a 404.
+        if entries.is_empty() && !asked_for && core.is_config_current(Instant::now()) {
             let message = format!("no group or endpoint serves model {}", **model);
             return CallerError::not_run(ErrorCode::NoSuchModel, message).with_field("model");
         }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,8 +9,8 @@
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
-    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, HoldState, OrganisationLimiter,
-    RoutePicker, trial_hold,
+    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, CurrencyFacts, HoldState,
+    OrganisationLimiter, RoutePicker, trial_hold,
 };
 use hollowbarrow_schema::{DaemonId, PeerMessage, RequestDigest, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
@@ -105,6 +105,18 @@
         trial_hold(own, request, window, daemons, over)
     }
 
+    /// Whether the configuration here holds all that has to be in force.
+    pub(crate) fn is_config_current(&self, now: Instant) -> bool {
+        let view = self.config_log.view();
+        let facts = CurrencyFacts {
+            version: *view.applied,
+            known: *view.applied,
+            word_age: view.complete.map(|at| now.saturating_duration_since(at)),
+        };
+        // A daemon that does not vote hears from the leader once in an election time.
+        facts.is_current(Duration::from_millis(2 * self.settings.timing.election_ms))
+    }
+
     /// Upstreams that want no requests from this daemon.
     pub(crate) fn backoffs(&self) -> MutexGuard<'_, BackoffTable<String>> {
         self.backoffs.lock().expect("no holder of the lock panics")
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -23,6 +23,10 @@
 /// Time after which a connection to a worker that does not come up is tried a second time.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
 
+/// Longest age of the leader's word on what is newest. With the time for which a leader trusts its
+/// own majority (600 ms) it stays under the two seconds in which a change is in force everywhere.
+const WORD_TRUST: Duration = Duration::from_millis(1200);
+
 /// State and tools of a gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: MemberSettings,
@@ -97,7 +101,7 @@
 
     /// Whether the configuration in force may lack something that was acknowledged.
     pub(crate) fn may_be_behind(&self, now: Instant) -> bool {
-        !self.currency(now).is_current() || self.has_missed_views()
+        !self.currency(now).is_current(WORD_TRUST) || self.has_missed_views()
     }
 
     /// What this gateway knows of how old its configuration is.
--- a/crates/routing/src/currency.rs
+++ b/crates/routing/src/currency.rs
@@ -6,10 +6,6 @@
 
 use std::time::Duration;
 
-/// Longest age of the leader's word on what is newest. With the time for which a leader trusts its
-/// own majority (600 ms) it stays under the two seconds in which a change is in force everywhere.
-pub const WORD_TRUST: Duration = Duration::from_millis(1200);
-
 /// What a daemon knows of how old its configuration is.
 #[derive(Clone, Copy, Debug)]
 pub struct CurrencyFacts {
@@ -22,9 +18,10 @@
 }
 
 impl CurrencyFacts {
-    /// Whether what this configuration does not have is in none that was acknowledged.
-    pub fn is_current(&self) -> bool {
-        let recent = self.word_age.is_some_and(|age| age <= WORD_TRUST);
+    /// Whether what this configuration does not have is in none that has to be in force, where the
+    /// leader's word holds for so long.
+    pub fn is_current(&self, trust: Duration) -> bool {
+        let recent = self.word_age.is_some_and(|age| age <= trust);
         recent && self.version >= self.known
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -37,7 +37,7 @@
 pub use copies::{CopyGate, CopyLimiter, CopyStep, CopyTicket};
 pub use crash_watch::CrashWatch;
 pub use crashes::{CrashLedger, EndedRun, HoldState};
-pub use currency::{CurrencyFacts, WORD_TRUST};
+pub use currency::CurrencyFacts;
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
--- a/crates/routing/tests/currency.rs
+++ b/crates/routing/tests/currency.rs
@@ -5,6 +5,9 @@
 use hollowbarrow_routing::CurrencyFacts;
 use rstest::rstest;
 
+/// Time for which the leader's word holds.
+const TRUST: Duration = Duration::from_millis(1200);
+
 /// Gateways refused an acknowledged route with 404 for as long as no controller led: they held
 /// version 378, no leader had told them of any (`known=0 view_ms=none`), and 380 was in force.
 #[rstest]
@@ -21,5 +24,5 @@
     #[case] current: bool,
 ) {
     let facts = CurrencyFacts { version, known, word_age: word_ms.map(Duration::from_millis) };
-    assert_eq!(facts.is_current(), current);
+    assert_eq!(facts.is_current(TRUST), current);
 }
