--- a/tests/platform/lost_power.rs
+++ b/tests/platform/lost_power.rs
@@ -70,7 +70,7 @@
 #[rstest]
 #[tokio::test]
 async fn route_kept_after_lost_disks() {
-    let mut system = System::start_with(40, Layout::with_one_seed());
+    let mut system = System::start_with(45, Layout::with_one_seed());
     assert_eq!(system.replace(&configuration(FIRST_VERSION)).await, 200);
     wait_for_voters(&system).await;
     // The seed loses its disk, so that one leads which the settings do not name.
