Have voters that start together not cut short each other's elections

After all machines lost power gateways could hold an old configuration for seconds, since no controller led: voters that had just started stood again every 130 to 260 ms, however long messages took, so that each try ended the one before; and where every vote is needed, two that stood at once split it.

Tries that fail double their silence up to the election time, a vote has as long as its trial, a voter that grants a trial waits, and of two that stand at once the lower name goes first for half an election time.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -141,6 +141,10 @@
     applied: LogIndex,
     deadline: Instant,
     heard: Option<Instant>,
+    /// Times that this replica has stood since it last heard a leader.
+    stood: u32,
+    /// When it last stood.
+    stood_at: Instant,
     confirmed: Option<Instant>,
     complete: Option<Instant>,
     fault: Option<ReplicaFault>,
@@ -164,6 +168,8 @@
             applied: snapshot,
             deadline: now,
             heard: None,
+            stood: 0,
+            stood_at: now,
             confirmed: None,
             complete: None,
             fault: None,
@@ -330,6 +336,8 @@
         }
         self.reset_deadline(now);
         if self.is_voter() && self.storage_fault().is_none() {
+            self.stood = self.stood.saturating_add(1);
+            self.stood_at = now;
             self.campaign(now, true, false);
         }
     }
@@ -418,7 +426,10 @@
 
     fn reset_deadline(&mut self, now: Instant) {
         let first = self.config.first_election.filter(|_| self.is_starting());
-        let silence = first.unwrap_or(self.config.election);
+        // Where messages take longer than the first silence, each try is cut short by the next one,
+        // and where every vote is needed voters get in each other's way: tries that fail grow apart.
+        let grown = first.map(|silence| silence * 2u32.saturating_pow(self.stood));
+        let silence = grown.map_or(self.config.election, |grown| grown.min(self.config.election));
         let jitter = self.rng.random_range(1.0..2.0);
         self.deadline = now + silence.mul_f64(jitter);
     }
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -20,6 +20,8 @@
             if !self.save_vote(vote) {
                 return;
             }
+            // The votes take as long as the trial did.
+            self.reset_deadline(now);
         }
         let own = BTreeSet::from([self.config.id.clone()]);
         let blank = if self.is_blank() { own.clone() } else { BTreeSet::new() };
@@ -62,7 +64,14 @@
         let free = request.term > self.term()
             || (request.term == self.term()
                 && self.storage.vote().vote.as_ref().is_none_or(|vote| vote == from));
-        let mut granted = current && free && self.check_quorum_member();
+        // Of two that stand at once the one with the lower name goes first, unless it has stood for a
+        // while in vain.
+        let yields = !request.trial || !self.stands_before(from, now);
+        let mut granted = current && free && yields && self.check_quorum_member();
+        if granted && request.trial {
+            // Who stands now is left the time to be elected.
+            self.reset_deadline(now);
+        }
         if granted && !request.trial {
             let term = request.term;
             granted =
@@ -72,6 +81,13 @@
         self.answer_vote(from, request, granted);
     }
 
+    /// Whether this replica stands at the same time as another one and goes first.
+    fn stands_before(&self, other: &DaemonId, now: Instant) -> bool {
+        let standing = matches!(self.role, ReplicaRole::Candidate { .. });
+        let fresh = now.saturating_duration_since(self.stood_at) < self.config.election / 2;
+        standing && fresh && self.config.id < *other
+    }
+
     pub(super) fn answer_vote(&mut self, from: &DaemonId, request: &VoteRequest, granted: bool) {
         let term = if granted { request.term } else { self.term() };
         let blank = self.is_blank() && self.is_voter() && self.storage.is_durable();
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -48,6 +48,8 @@
     pub cache_blocks: usize,
     /// Age of the load figure that the node reports.
     pub report_lag: Duration,
+    /// Time for which a request runs that ends its worker.
+    pub ending: Duration,
 }
 
 impl Default for ModelConfig {
@@ -59,6 +61,7 @@
             batch: 32,
             cache_blocks: 512,
             report_lag: Duration::from_millis(500),
+            ending: Duration::ZERO,
         }
     }
 }
@@ -224,6 +227,7 @@
         if job.prompt.contains(ENDING_PROMPT)
             && let Some(port) = self.port.get()
         {
+            tokio::time::sleep(self.config.ending).await;
             port.set_power(Power::Off);
         }
         let uncached = self.compute_prefix(&job.prompt);
