Give configurations a place of their own in queues, and one copy at a time to each gateway

A configuration larger than 512 KiB had to meet an empty queue, among views and tables that come all the time; and six controllers sent copies every 250 ms while the first one was still under way. Now the newest configuration has a place of its own for each peer, in which it replaces an older one; it is encoded once for all gateways; only the home sends it at once, and others wait, and repeat, for as long as a copy takes besides. A delivery that finds no room still leaves its line.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -127,6 +127,7 @@
         fleet,
         pending: Mutex::default(),
         parsed: Mutex::new(None),
+        encoded: Mutex::new(None),
         commits: Mutex::default(),
         basis: Mutex::default(),
         settings,
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -5,7 +5,7 @@
 
 use hollowbarrow_fleet::{Deployment, Service, VersionTimes};
 use hollowbarrow_log::{LogDriver, LogView};
-use hollowbarrow_member::{MemberLinks, WakeWatch};
+use hollowbarrow_member::{EncodedDeployment, MemberLinks, WakeWatch};
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use tokio::sync::Notify;
@@ -40,6 +40,7 @@
     pub(crate) fleet: Mutex<FleetState>,
     pub(crate) pending: Mutex<PendingNews>,
     pub(crate) parsed: Mutex<Option<Arc<Deployment>>>,
+    pub(crate) encoded: Mutex<Option<EncodedDeployment>>,
     pub(crate) commits: Mutex<VersionTimes>,
     /// What last entitled this controller to tell configurations, to log when that changes.
     pub(crate) basis: Mutex<TellBasis>,
@@ -95,6 +96,16 @@
         self.log.read(|state| state.newest().cloned())
     }
 
+    /// The newest committed configuration as it goes to gateways.
+    pub(crate) fn encoded_deployment(&self) -> Option<EncodedDeployment> {
+        let version = self.log.read(DeploymentState::version);
+        let mut encoded = self.encoded.lock().expect("no holder of the lock panics");
+        if encoded.as_ref().is_none_or(|held| held.version() != version) {
+            *encoded = self.newest_document().map(EncodedDeployment::new);
+        }
+        encoded.clone()
+    }
+
     /// Services of the configuration in force whose workers form replicas.
     pub(crate) fn engine_services(&self) -> Vec<Service> {
         let Some(deployment) = self.deployment() else { return Vec::new() };
--- a/crates/controller/src/delivery.rs
+++ b/crates/controller/src/delivery.rs
@@ -1,7 +1,7 @@
 //! Decides when a gateway that lacks a configuration gets it from this controller.
 //!
-//! The gateway's home and the controllers of its zone tell it at once. The others step in where
-//! these do not, and wait for a moment first, so that a configuration crosses zones only where it
+//! The gateway's home tells it at once, or the controllers of its zone where that is in another
+//! one. The others step in where these do not, and wait for a moment first, so that a configuration crosses zones only where it
 //! must. One that may be behind itself leaves time for those that are not.
 //!
 //! Invariant: a gateway that can be reached by any controller has each configuration within a
@@ -16,15 +16,33 @@
 /// what a delivery within a zone takes, and a fraction of the two seconds within which a change
 /// has to be in force.
 const FAR_DELAY: Duration = Duration::from_millis(400);
-/// Time before the same configuration is sent to a gateway again: several times what one of 350
-/// routes (80 KB) takes on a link of 20 Mbit/s (32 ms, by calculation). Gateways report every 75 ms
-/// meanwhile.
+/// Time before the same configuration is sent to a gateway again, beside what it takes on its way.
+/// Gateways report every 75 ms meanwhile.
 const REPEAT_PAUSE: Duration = Duration::from_millis(250);
-
+/// Bytes a second that a gateway is taken to get beside its other traffic: a bit less than half of
+/// a link of 20 Mbit/s.
+const TRAVEL_RATE: u32 = 1_000_000;
 /// Time for controllers that know what is newest before one that does not steps in: longer than a
 /// gateway takes to find them, and short beside the start of a process.
 const UNSURE_DELAY: Duration = Duration::from_millis(1000);
 
+/// A configuration that may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DeliveryOffer {
+    /// Its version.
+    pub version: u64,
+    /// Bytes of a copy on its way.
+    pub bytes: usize,
+}
+
+impl DeliveryOffer {
+    /// Time that a copy takes on its way, in which another one would only hold it up.
+    fn travel(self) -> Duration {
+        let bytes = u32::try_from(self.bytes).unwrap_or(u32::MAX);
+        Duration::from_secs(1) * bytes / TRAVEL_RATE
+    }
+}
+
 /// How a controller stands to a gateway that lacks a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeliveryPlace {
@@ -98,19 +116,21 @@
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// Whether the newest committed version is to be sent now.
+    /// Whether the newest committed configuration is to be sent now.
     pub fn is_due(
         &self,
-        newest: u64,
+        offer: DeliveryOffer,
         place: DeliveryPlace,
         commits: &VersionTimes,
         now: Instant,
     ) -> bool {
-        if newest <= self.held {
+        if offer.version <= self.held {
             return false;
         }
-        let waited = |at: Instant| now.saturating_duration_since(at) >= REPEAT_PAUSE;
-        let repeated = self.sent.is_some_and(|(sent, at)| sent == newest && !waited(at));
-        !repeated && place.delay().is_none_or(|delay| self.lag(commits, now) > delay)
+        let pause = REPEAT_PAUSE + offer.travel();
+        let waited = |at: Instant| now.saturating_duration_since(at) >= pause;
+        let repeated = self.sent.is_some_and(|(sent, at)| sent == offer.version && !waited(at));
+        let waits = |delay: Duration| self.lag(commits, now) > delay + offer.travel();
+        !repeated && place.delay().is_none_or(waits)
     }
 }
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -11,7 +11,7 @@
 };
 use tokio::time::Instant;
 
-use crate::delivery::{DeliveryPlace, DeliveryState};
+use crate::delivery::{DeliveryOffer, DeliveryPlace, DeliveryState};
 use crate::digests::DigestHistory;
 use crate::held::ReleasedRequests;
 use crate::liveness::WorkerUse;
@@ -300,7 +300,7 @@
     pub(crate) fn begin_delivery(
         &mut self,
         to: &DaemonId,
-        newest: u64,
+        offer: DeliveryOffer,
         basis: TellBasis,
         commits: &VersionTimes,
         now: Instant,
@@ -313,9 +313,9 @@
             (TellBasis::Complete, false) => DeliveryPlace::Far,
         };
         let Some(gateway) = self.gateways.get_mut(to) else { return false };
-        let due = gateway.delivery.is_due(newest, place, commits, now);
+        let due = gateway.delivery.is_due(offer, place, commits, now);
         if due {
-            gateway.delivery.note_sent(newest, now);
+            gateway.delivery.note_sent(offer.version, now);
         }
         due
     }
@@ -328,9 +328,18 @@
         }
     }
 
-    /// Whether this controller tells a gateway of a configuration without waiting for others.
+    /// Whether this controller tells a gateway of a configuration without waiting for others: one
+    /// copy goes at once, however many controllers the zone has.
     fn is_prompt_for(&self, gateway: &HeardGateway) -> bool {
-        gateway.zone == self.zone || gateway.home.as_ref() == Some(&self.own)
+        match &gateway.home {
+            Some(home) => *home == self.own || (gateway.zone == self.zone && self.is_far(home)),
+            None => gateway.zone == self.zone,
+        }
+    }
+
+    /// Whether a controller is known to be in another zone.
+    fn is_far(&self, id: &DaemonId) -> bool {
+        self.controllers.get(id).is_some_and(|held| held.zone != self.zone)
     }
 
     /// Gateways that hear of workers from this controller: those whose home it is, and those that
@@ -343,8 +352,7 @@
     /// of this zone whose home is in another one, so that they may come here.
     pub(crate) fn view_gateways(&self) -> Vec<DaemonId> {
         self.gateways_where(|gateway| {
-            let home = gateway.home.as_ref().and_then(|home| self.controllers.get(home));
-            let homed_far = home.is_some_and(|home| home.zone != self.zone);
+            let homed_far = gateway.home.as_ref().is_some_and(|home| self.is_far(home));
             self.serves(gateway) || (gateway.zone == self.zone && homed_far)
         })
     }
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::MergeOutcome;
+use hollowbarrow_member::EncodedDeployment;
 use hollowbarrow_schema::{
     ControllerHello, DaemonId, FleetMessage, GatewayHello, LogName, PeerMessage, WorkerReport,
 };
@@ -11,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::core::ControllerCore;
+use crate::delivery::DeliveryOffer;
 use crate::telling::TellBasis;
 
 /// Pause between two hellos to the leader, which needs to know what gateways have under way.
@@ -94,19 +96,17 @@
     loop {
         core.applied.notified().await;
         let now = Instant::now();
-        let Some(document) = core.newest_document() else { continue };
-        core.commits().note(document.version, now);
-        log::info!("event=configuration_committed version={}", document.version);
+        let version = core.log.read(DeploymentState::version);
+        core.commits().note(version, now);
+        log::info!("event=configuration_committed version={version}");
         if core.tell_basis(now) != TellBasis::Complete {
             // What this controller holds may be older than what is in force.
             continue;
         }
-        let gateways = core.fleet().begin_push(document.version, now);
+        let Some(deployment) = core.encoded_deployment() else { continue };
+        let gateways = core.fleet().begin_push(deployment.version(), now);
         core.metrics.count_configurations("committed", gateways.len());
-        let version = document.version;
-        for full in core.links().send_to_all(&gateways, FleetMessage::Deployment(document)) {
-            note_dropped(&core, full, version);
-        }
+        gateways.iter().for_each(|gateway| send_deployment(&core, gateway, &deployment));
         core.changed.notify_one();
     }
 }
@@ -134,30 +134,31 @@
 }
 
 fn take_gateway(core: &ControllerCore, from: &DaemonId, hello: GatewayHello, now: Instant) {
-    let newest = core.log.read(DeploymentState::version);
-    let due = {
+    let held = hello.deployment;
+    {
         let mut fleet = core.fleet();
-        let commits = core.commits();
         fleet.take_gateway(from, hello, now);
-        fleet.log_lag(from, &commits, now);
-        let basis = core.tell_basis(now);
-        fleet.begin_delivery(from, newest, basis, &commits, now)
-    };
-    if !due {
+        fleet.log_lag(from, &core.commits(), now);
+    }
+    if held >= core.log.read(DeploymentState::version) {
         return;
     }
-    let Some(document) = core.newest_document() else { return };
-    core.metrics.count_configurations("lacking", 1);
-    let version = document.version;
-    if !core.links().send(from, FleetMessage::Deployment(document)) {
-        note_dropped(core, from, version);
+    let Some(deployment) = core.encoded_deployment() else { return };
+    let offer = DeliveryOffer { version: deployment.version(), bytes: deployment.size() };
+    let basis = core.tell_basis(now);
+    if core.fleet().begin_delivery(from, offer, basis, &core.commits(), now) {
+        core.metrics.count_configurations("lacking", 1);
+        send_deployment(core, from, &deployment);
     }
 }
 
-/// Notes that a configuration found no room on its way to a gateway.
-fn note_dropped(core: &ControllerCore, gateway: &DaemonId, version: u64) {
-    log::warn!("event=configuration_dropped gateway={} version={version}", **gateway);
-    core.fleet().note_dropped(gateway);
+/// Sends a configuration to a gateway; one that finds no room does not count as on its way.
+fn send_deployment(core: &ControllerCore, gateway: &DaemonId, deployment: &EncodedDeployment) {
+    if !core.links().send_deployment(gateway, deployment) {
+        let version = deployment.version();
+        log::warn!("event=configuration_dropped gateway={} version={version}", **gateway);
+        core.fleet().note_dropped(gateway);
+    }
 }
 
 /// Takes in what another controller heard of workers, and passes on what is new.
--- a/crates/controller/tests/delivery.rs
+++ b/crates/controller/tests/delivery.rs
@@ -2,13 +2,18 @@
 
 use std::time::Duration;
 
-use hollowbarrow_controller::delivery::{DeliveryPlace, DeliveryState};
+use hollowbarrow_controller::delivery::{DeliveryOffer, DeliveryPlace, DeliveryState};
 use hollowbarrow_fleet::VersionTimes;
 use rstest::rstest;
 use tokio::time::Instant;
 
 const MS: Duration = Duration::from_millis(1);
 
+/// A configuration of some routes.
+fn offer(version: u64) -> DeliveryOffer {
+    DeliveryOffer { version, bytes: 5_000 }
+}
+
 /// Longest time between two reports of a gateway to a controller that is not its home.
 const REPORT_INTERVAL: Duration = Duration::from_millis(900);
 /// Longest time for which a change may be missing, with the delivery itself left out.
@@ -35,7 +40,7 @@
             reported = now;
             let newest = commits.newest();
             lags.push(state.lag(&commits, now));
-            if state.is_due(newest, DeliveryPlace::Far, &commits, now) {
+            if state.is_due(offer(newest), DeliveryPlace::Far, &commits, now) {
                 state.note_sent(newest, now);
                 state.note_held(newest, now);
             }
@@ -58,7 +63,7 @@
     commits.note(1, start);
     commits.note(2, start + MS * 100);
     let state = DeliveryState::new(1, start);
-    assert_eq!(state.is_due(2, place, &commits, start + MS * at), due);
+    assert_eq!(state.is_due(offer(2), place, &commits, start + MS * at), due);
 }
 
 #[rstest]
@@ -69,12 +74,12 @@
     let mut state = DeliveryState::new(1, start);
     let restarted = start + MS * 9000;
     state.note_held(0, restarted);
-    assert!(state.is_due(1, DeliveryPlace::Near, &commits, restarted));
+    assert!(state.is_due(offer(1), DeliveryPlace::Near, &commits, restarted));
     assert!(
-        !state.is_due(1, DeliveryPlace::Far, &commits, restarted + MS * 300),
+        !state.is_due(offer(1), DeliveryPlace::Far, &commits, restarted + MS * 300),
         "its home comes first"
     );
-    assert!(state.is_due(1, DeliveryPlace::Far, &commits, restarted + MS * 500));
+    assert!(state.is_due(offer(1), DeliveryPlace::Far, &commits, restarted + MS * 500));
 }
 
 #[rstest]
@@ -84,15 +89,40 @@
     commits.note(2, start);
     let mut state = DeliveryState::new(1, start);
     state.note_sent(2, start);
-    assert!(!state.is_due(2, DeliveryPlace::Near, &commits, start + MS * 75), "it is on its way");
-    assert!(state.is_due(2, DeliveryPlace::Near, &commits, start + MS * 300), "it was lost");
+    assert!(
+        !state.is_due(offer(2), DeliveryPlace::Near, &commits, start + MS * 75),
+        "it is on its way"
+    );
+    assert!(state.is_due(offer(2), DeliveryPlace::Near, &commits, start + MS * 300), "it was lost");
     state.note_sent(2, start + MS * 300);
     state.note_dropped();
-    assert!(state.is_due(2, DeliveryPlace::Near, &commits, start + MS * 301), "it found no room");
+    assert!(
+        state.is_due(offer(2), DeliveryPlace::Near, &commits, start + MS * 301),
+        "it found no room"
+    );
     state.note_sent(2, start + MS * 301);
     commits.note(3, start + MS * 302);
     assert!(
-        state.is_due(3, DeliveryPlace::Near, &commits, start + MS * 303),
+        state.is_due(offer(3), DeliveryPlace::Near, &commits, start + MS * 303),
         "a newer one does not wait"
     );
 }
+
+/// Copies of a configuration with 7,000 routes went out every 250 ms, from up to six controllers at
+/// once, while the first one took longer than that: they held each other up.
+#[rstest]
+#[case::second_copy_from_home(DeliveryPlace::Near, 1_000, false)]
+#[case::second_copy_once_the_first_is_late(DeliveryPlace::Near, 1_300, true)]
+#[case::copy_of_another_zone(DeliveryPlace::Far, 1_300, false)]
+#[case::copy_of_another_zone_once_late(DeliveryPlace::Far, 1_500, true)]
+fn is_due_of_large_one(#[case] place: DeliveryPlace, #[case] at: u32, #[case] due: bool) {
+    let start = Instant::now();
+    let mut commits = VersionTimes::default();
+    commits.note(2, start);
+    let mut state = DeliveryState::new(1, start);
+    if place == DeliveryPlace::Near {
+        state.note_sent(2, start);
+    }
+    let large = DeliveryOffer { version: 2, bytes: 1_000_000 };
+    assert_eq!(state.is_due(large, place, &commits, start + MS * at), due);
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,7 +15,7 @@
 mod wake;
 
 pub use http::{AnswerBody, CutAnswerError, HttpAnswer, HttpHandler, HttpLimits, serve_http};
-pub use links::{MemberLinks, StartLinksError};
+pub use links::{EncodedDeployment, MemberLinks, StartLinksError};
 pub use metrics::serve_metrics;
 pub use settings::{member_id, read_member_settings, seed_ids};
 pub use wake::{BootClock, SuspensionClock, WakeWatch};
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -5,9 +5,9 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use hollowbarrow_peer::{MeshConfig, MeshTraffic, PeerMesh, StartMeshError};
+use hollowbarrow_peer::{EncodedMessage, MeshConfig, MeshTraffic, PeerMesh, StartMeshError};
 use hollowbarrow_schema::{
-    DaemonId, FleetMessage, LogMessage, LogName, MemberSettings, PeerMessage,
+    DaemonId, DeploymentDocument, FleetMessage, LogMessage, LogName, MemberSettings, PeerMessage,
 };
 use thiserror::Error;
 
@@ -36,6 +36,32 @@
     Mesh(#[from] StartMeshError),
 }
 
+/// A configuration in the form in which it goes over connections, made once for all gateways.
+#[derive(Clone, Debug)]
+pub struct EncodedDeployment {
+    version: u64,
+    message: EncodedMessage,
+}
+
+impl EncodedDeployment {
+    /// Encodes a configuration.
+    pub fn new(document: DeploymentDocument) -> Self {
+        let version = document.version;
+        let message = PeerMessage::Fleet(FleetMessage::Deployment(document));
+        Self { version, message: EncodedMessage::new(&message) }
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bytes that a copy takes on its way.
+    pub fn size(&self) -> usize {
+        self.message.size()
+    }
+}
+
 /// Sends messages to other daemons and knows which controllers there are.
 pub struct MemberLinks {
     id: DaemonId,
@@ -110,6 +136,12 @@
         self.mesh.send_to_all(to, &PeerMessage::Fleet(message))
     }
 
+    /// Sends a configuration in place of an older one that still waits; false where it was dropped
+    /// at once.
+    pub fn send_deployment(&self, to: &DaemonId, deployment: &EncodedDeployment) -> bool {
+        self.mesh.send_newest(to, &deployment.message)
+    }
+
     /// Sends a message of the configuration's log.
     pub fn send_log(&self, to: &DaemonId, message: LogMessage) -> bool {
         self.mesh.send(to, &PeerMessage::Log { name: LogName::Config, message })
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -211,7 +211,8 @@
 
     /// Sends a message if its queue has room; returns whether it had.
     pub fn send(&self, to: &DaemonId, message: &PeerMessage) -> bool {
-        self.send_encoded(to, &EncodedMessage::new(message))
+        let message = EncodedMessage::new(message);
+        self.put(to, |queue| queue.push(message))
     }
 
     /// Sends a message to several daemons and encodes it once; returns those whose queues had no
@@ -221,14 +222,20 @@
             return Vec::new();
         }
         let message = EncodedMessage::new(message);
-        to.iter().filter(|peer| !self.send_encoded(peer, &message)).collect()
+        to.iter().filter(|peer| !self.put(peer, |queue| queue.push(message.clone()))).collect()
+    }
+
+    /// Sends a message in place of the one that was last sent in this way, if that still waits;
+    /// returns whether there was room.
+    pub fn send_newest(&self, to: &DaemonId, message: &EncodedMessage) -> bool {
+        self.put(to, |queue| queue.push_newest(message.clone()))
     }
 
-    fn send_encoded(&self, to: &DaemonId, message: &EncodedMessage) -> bool {
+    fn put(&self, to: &DaemonId, push: impl FnOnce(&PeerQueue) -> bool) -> bool {
         let Some(address) = self.config.address_of(to) else { return false };
         let mut queues = self.queues.lock().expect("no holder of the lock panics");
         let queue = queues.entry(to.clone()).or_insert_with(|| self.start_dialer(to, address));
-        let taken = queue.push(message.clone());
+        let taken = push(queue);
         if !taken {
             self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -1,10 +1,13 @@
 //! What waits to go to one peer, bounded in messages and in bytes.
 //!
+//! A configuration does not compete with what else waits: the newest one has a place of its own,
+//! and takes the place of one that still waits there.
+//!
 //! Invariant: an empty queue takes a message of any size, so that what is larger than the bound
 //! still gets through.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use flume::{Receiver, Sender};
 
@@ -15,36 +18,70 @@
 /// Bytes that may wait for one peer: what it cannot take in a few seconds is stale by then.
 const QUEUE_BYTES: usize = 512 << 10;
 
+#[derive(Clone, Debug)]
+enum QueuedItem {
+    Message(EncodedMessage),
+    /// What is in the place of the newest one.
+    Newest,
+}
+
+/// What both ends of a queue share.
+#[derive(Debug, Default)]
+struct QueueState {
+    bytes: AtomicUsize,
+    newest: Mutex<Option<EncodedMessage>>,
+}
+
+impl QueueState {
+    fn newest(&self) -> MutexGuard<'_, Option<EncodedMessage>> {
+        self.newest.lock().expect("no holder of the lock panics")
+    }
+}
+
 /// The end of a queue that messages are put into.
 #[derive(Clone, Debug)]
 pub struct PeerQueue {
-    sender: Sender<EncodedMessage>,
-    bytes: Arc<AtomicUsize>,
+    sender: Sender<QueuedItem>,
+    state: Arc<QueueState>,
 }
 
 /// The end of a queue that messages are taken from.
 #[derive(Debug)]
 pub struct QueuedMessages {
-    receiver: Receiver<EncodedMessage>,
-    bytes: Arc<AtomicUsize>,
+    receiver: Receiver<QueuedItem>,
+    state: Arc<QueueState>,
 }
 
 /// Creates an empty queue.
 pub fn new_queue() -> (PeerQueue, QueuedMessages) {
     let (sender, receiver) = flume::bounded(QUEUE_MESSAGES);
-    let bytes = Arc::new(AtomicUsize::new(0));
-    (PeerQueue { sender, bytes: Arc::clone(&bytes) }, QueuedMessages { receiver, bytes })
+    let state = Arc::<QueueState>::default();
+    (PeerQueue { sender, state: Arc::clone(&state) }, QueuedMessages { receiver, state })
 }
 
 impl PeerQueue {
     /// Puts a message in if there is room; returns whether there was.
     pub fn push(&self, message: EncodedMessage) -> bool {
         let size = message.size();
-        let waiting = self.bytes.fetch_add(size, Ordering::Relaxed);
+        let waiting = self.state.bytes.fetch_add(size, Ordering::Relaxed);
         let fits = waiting == 0 || waiting + size <= QUEUE_BYTES;
-        let taken = fits && self.sender.try_send(message).is_ok();
+        let taken = fits && self.sender.try_send(QueuedItem::Message(message)).is_ok();
+        if !taken {
+            self.state.bytes.fetch_sub(size, Ordering::Relaxed);
+        }
+        taken
+    }
+
+    /// Puts a message in that makes each earlier one put in this way needless, whatever its size;
+    /// returns whether there was room.
+    pub fn push_newest(&self, message: EncodedMessage) -> bool {
+        let mut newest = self.state.newest();
+        if newest.replace(message).is_some() {
+            return true;
+        }
+        let taken = self.sender.try_send(QueuedItem::Newest).is_ok();
         if !taken {
-            self.bytes.fetch_sub(size, Ordering::Relaxed);
+            *newest = None;
         }
         taken
     }
@@ -53,19 +90,28 @@
 impl QueuedMessages {
     /// Waits for the next message; none once every sender is gone.
     pub async fn next(&self) -> Option<EncodedMessage> {
-        let message = self.receiver.recv_async().await.ok()?;
-        self.bytes.fetch_sub(message.size(), Ordering::Relaxed);
-        Some(message)
+        loop {
+            let item = self.receiver.recv_async().await.ok()?;
+            if let Some(message) = self.take(item) {
+                return Some(message);
+            }
+        }
+    }
+
+    fn take(&self, item: QueuedItem) -> Option<EncodedMessage> {
+        match item {
+            QueuedItem::Message(message) => {
+                self.state.bytes.fetch_sub(message.size(), Ordering::Relaxed);
+                Some(message)
+            }
+            QueuedItem::Newest => self.state.newest().take(),
+        }
     }
 
     /// Drops what waits; returns how many messages that were.
     pub fn clear(&self) -> u64 {
-        let mut dropped = 0;
-        for message in self.receiver.drain() {
-            self.bytes.fetch_sub(message.size(), Ordering::Relaxed);
-            dropped += 1;
-        }
-        dropped
+        let items: Vec<QueuedItem> = self.receiver.drain().collect();
+        items.into_iter().filter_map(|item| self.take(item)).count() as u64
     }
 
     /// Whether every sender is gone.
