Hold a request for ten seconds where nobody who is left can know that it was answered

Cause: the leader that held them heard of the runs only; all controllers and the one gateway that had answered a chat had ended. Never answered was concluded from not remembering.

A leader that began to watch less than ten seconds before the first run now holds for 10 s at first, doubling, instead of 120 s. What it costs: a request that is guilty and met in that time takes its next upstreams sooner.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -38,6 +38,13 @@
 /// For a request that was never answered and came in a burst: a short hold, since everything may
 /// have been lost at once. It ends with one copy more, which is answered or proves the suspicion.
 const BURST_HOLD: Duration = Duration::from_secs(10);
+/// Time for which a daemon must have watched before the first run of a request to know that it was
+/// not answered: what is asked for often is answered in it.
+const WATCH_TIME: Duration = Duration::from_secs(10);
+/// For a request of which nobody who is left may know whether it was answered. After all who had
+/// seen it answered had ended, one was refused for two minutes that heads had ended under in turn;
+/// a short hold ends with one copy, whose answer clears it.
+const UNWATCHED: HoldRule = HoldRule { runs: 3, first_hold: Duration::from_secs(10) };
 /// For a request that was answered before. Where many callers send it alike, it is under way at
 /// every upstream that ends: while requests ended replica after replica, another one that was
 /// answered ten times a second was broken off three times in turn, and then refused 725 times in a
@@ -148,14 +155,18 @@
     }
 
     /// Until when the request is held; none where it is not known to end upstreams.
-    fn held_until(&self, ends: &UpstreamEnds) -> Option<Instant> {
-        let hold = self.hold_by_order().max(self.hold_by_burst(ends))?;
+    fn held_until(&self, ledger: &CrashLedger) -> Option<Instant> {
+        let hold = self.hold_by_order(ledger).max(self.hold_by_burst(&ledger.ends))?;
         self.last_end().map(|ended| ended + hold.min(LONGEST_HOLD))
     }
 
     /// For how long runs that followed each other hold the request.
-    fn hold_by_order(&self) -> Option<Duration> {
-        let rule = if self.answered.is_some() { ANSWERED_BEFORE } else { NEVER_ANSWERED };
+    fn hold_by_order(&self, ledger: &CrashLedger) -> Option<Duration> {
+        let rule = match (self.answered, self.runs.first()) {
+            (Some(_), _) => ANSWERED_BEFORE,
+            (None, Some(first)) if !ledger.had_watched(first.sent) => UNWATCHED,
+            (None, _) => NEVER_ANSWERED,
+        };
         let beyond = self.chain().checked_sub(rule.runs)?;
         Some(doubled(rule.first_hold, beyond))
     }
@@ -180,6 +191,8 @@
 pub struct CrashLedger {
     requests: HashMap<RequestDigest, RequestEntry>,
     ends: UpstreamEnds,
+    /// Since when this daemon and others have told it of answers; none if they always have.
+    watches_since: Option<Instant>,
 }
 
 impl CrashLedger {
@@ -188,6 +201,17 @@
         Self::default()
     }
 
+    /// Sets since when answers would have been heard of.
+    pub fn with_watch_since(mut self, since: Instant) -> Self {
+        self.watches_since = Some(since);
+        self
+    }
+
+    /// Whether answers for a while before this moment would be known.
+    fn had_watched(&self, at: Instant) -> bool {
+        self.watches_since.is_none_or(|since| since + WATCH_TIME <= at)
+    }
+
     /// Notes that an upstream ended while it ran a request.
     pub fn note_run(&mut self, request: RequestDigest, run: EndedRun) {
         self.ends.note(run.upstream, run.ended);
@@ -242,7 +266,7 @@
 
     /// How a request is held; none where it is not known to end upstreams.
     pub fn hold_state(&self, request: RequestDigest, now: Instant) -> Option<HoldState> {
-        let until = self.requests.get(&request)?.held_until(&self.ends)?;
+        let until = self.requests.get(&request)?.held_until(self)?;
         Some(match until.checked_duration_since(now) {
             Some(left) if !left.is_zero() => HoldState::Held(left),
             _ => HoldState::Over(now.saturating_duration_since(until)),
@@ -252,7 +276,7 @@
     /// Requests that are known to end upstreams, the latest first.
     pub fn held(&self, now: Instant) -> Vec<HeldRequest> {
         let known = |(request, entry): (&RequestDigest, &RequestEntry)| {
-            Some((entry.held_until(&self.ends)?, *request))
+            Some((entry.held_until(self)?, *request))
         };
         let mut held: Vec<_> = self.requests.iter().filter_map(known).collect();
         held.sort_by(|a, b| b.cmp(a));
--- a/crates/routing/tests/crashes.rs
+++ b/crates/routing/tests/crashes.rs
@@ -282,3 +282,29 @@
         moment.len() >= 3 && !together
     })
 }
+
+/// Three heads ended one after the other under other requests (40.14, 40.83 and 41.03 s), and with
+/// them broke off chats that are all alike. All controllers ended at 41.07 s, and so did the only
+/// gateway that had answered a chat: whoever led next heard of the runs only, took the chats for
+/// never answered, and they were refused for 70 s and more.
+#[rstest]
+#[case::led_long_before(0, FIRST_HOLD)]
+#[case::led_just_before(35_000, Duration::from_secs(10))]
+#[case::led_after(41_600, Duration::from_secs(10))]
+fn hold_of_unwatched_request(#[case] watch_since: u64, #[case] expected: Duration) {
+    let start = Instant::now();
+    let mut ledger = CrashLedger::new().with_watch_since(start + ms(watch_since));
+    let now = start + ms(41_700);
+    let ended_run = |upstream: u64, sent: u32, ended: u32| CrashedRun {
+        upstream,
+        sent_ms: 41_700 - sent,
+        ended_ms: 41_700 - ended,
+    };
+    let runs = vec![
+        ended_run(1, 40_000, 40_140),
+        ended_run(2, 40_500, 40_830),
+        ended_run(3, 40_900, 41_030),
+    ];
+    ledger.merge(&[CrashRecord { request: REQUEST, runs, answered_ms: None }], now);
+    assert_eq!(ledger.hold_left(REQUEST, start + ms(41_030)), Some(expected));
+}
