--- a/crates/peer/tests/pack.rs
+++ b/crates/peer/tests/pack.rs
@@ -11,7 +11,7 @@
     let route = |number: u32| {
         let name = number.wrapping_mul(2_654_435_761);
         format!(
-            r#"{{"name":"r-{name:08x}","host":"camp.example","path_prefix":"/{name:x}/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":100,"priority":2,"service":"bookings","max_attempts":2}},"#
+            r#"{{"name":"r-{name:08x}","host":"camp.example","path":"/{name:x}/","service":"bookings","timeout":"4 s","attempts":2,"rank":2,"repeatable":true,"keys":["families","owners"]}},"#
         )
     };
     (0..count).map(route).collect::<String>().into_bytes()
