Yield to no voter's name whose log is older

Reading the change of elections again: a voter with the lower name refused others for half an election time although it could not be elected itself, its log being older.

--- a/crates/controller/src/delivery.rs
+++ b/crates/controller/src/delivery.rs
@@ -1,8 +1,9 @@
 //! Decides when a gateway that lacks a configuration gets it from this controller.
 //!
 //! The gateway's home tells it at once, or the controllers of its zone where that is in another
-//! one. The others step in where these do not, and wait for a moment first, so that a configuration crosses zones only where it
-//! must. One that may be behind itself leaves time for those that are not.
+//! one. The others step in where these do not, and wait for a moment first, so that a configuration
+//! crosses zones only where it must, and one copy at a time. One that may be behind itself leaves
+//! time for those that are not.
 //!
 //! Invariant: a gateway that can be reached by any controller has each configuration within a
 //! bounded time of its commit, however fast others follow.
@@ -46,7 +47,7 @@
 /// How a controller stands to a gateway that lacks a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeliveryPlace {
-    /// It is the gateway's home or of its zone.
+    /// It is the gateway's home, or of its zone where the home is not.
     Near,
     /// Others are nearer.
     Far,
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -141,7 +141,7 @@
     applied: LogIndex,
     deadline: Instant,
     heard: Option<Instant>,
-    /// Times that this replica has stood since it last heard a leader.
+    /// Times that this replica has stood since its start.
     stood: u32,
     /// When it last stood.
     stood_at: Instant,
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -66,7 +66,7 @@
                 && self.storage.vote().vote.as_ref().is_none_or(|vote| vote == from));
         // Of two that stand at once the one with the lower name goes first, unless it has stood for a
         // while in vain.
-        let yields = !request.trial || !self.stands_before(from, now);
+        let yields = !request.trial || !self.stands_before(from, request, now);
         let mut granted = current && free && yields && self.check_quorum_member();
         if granted && request.trial {
             // Who stands now is left the time to be elected.
@@ -82,10 +82,14 @@
     }
 
     /// Whether this replica stands at the same time as another one and goes first.
-    fn stands_before(&self, other: &DaemonId, now: Instant) -> bool {
+    fn stands_before(&self, other: &DaemonId, request: &VoteRequest, now: Instant) -> bool {
         let standing = matches!(self.role, ReplicaRole::Candidate { .. });
         let fresh = now.saturating_duration_since(self.stood_at) < self.config.election / 2;
-        standing && fresh && self.config.id < *other
+        let window = self.storage.window();
+        // One with an older log than the other's cannot be elected by it.
+        let electable =
+            (window.last_term(), window.last_index()) >= (request.last_term, request.last_index);
+        standing && fresh && electable && self.config.id < *other
     }
 
     pub(super) fn answer_vote(&mut self, from: &DaemonId, request: &VoteRequest, granted: bool) {
