--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -60,6 +60,8 @@
     LeaveUnheard,
     /// Many copies of a request that ends the workers it runs on come at once.
     EndingBurst,
+    /// All daemons are killed at once, and one controller's disk is lost.
+    LosePower,
 }
 
 const KINDS: [DisturbanceKind; 13] = [
@@ -96,6 +98,12 @@
 const BURST_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::EndingBurst];
 const BURST_SEED: u64 = 0xb0057;
 
+/// What makes the seed of a loss of power another one, and when that comes.
+const POWER_SEED: u64 = 0x90e5;
+const POWER_MS: (u64, u64) = (2_000, 7_000);
+/// Bounds of the time for which power is away.
+const DARK_MS: (u64, u64) = (200, 1_500);
+
 /// One disturbance.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -125,10 +133,22 @@
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BURST_SEED);
     draw_series(&mut rng, &BURST_KINDS, &mut drawn);
+    drawn.push(draw_power_loss(seed));
     drawn.sort_by_key(|disturbance| disturbance.at);
     drawn
 }
 
+fn draw_power_loss(seed: u64) -> Disturbance {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POWER_SEED);
+    Disturbance {
+        at: draw_ms(&mut rng, POWER_MS),
+        length: draw_ms(&mut rng, DARK_MS),
+        kind: DisturbanceKind::LosePower,
+        first: rng.random_range(0..1000),
+        second: rng.random_range(0..1000),
+    }
+}
+
 fn draw_series(rng: &mut ChaCha8Rng, kinds: &[DisturbanceKind], drawn: &mut Vec<Disturbance>) {
     let mut at = draw_ms(rng, PAUSE_MS);
     while at < DISTURBED_TIME {
