Believe the leader's word for five election times at entry daemons, and let a test wait for it

A daemon that does not vote hears the leader once in an election time, so two were too short; five are a third of the 15 s in which a change has to be in force. Before the first word 503 is right: the test, which took an empty log for the newest, waits for 404 and then checks all of its cases as before.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -24,6 +24,10 @@
 use crate::routes::RouteIndex;
 use crate::telemetry::Telemetry;
 
+/// Election times for which the leader's word on the configuration holds. A daemon that does not
+/// vote hears it once in each; five are a third of the time in which a change has to be in force.
+const WORD_ELECTIONS: u64 = 5;
+
 /// Shared state of a daemon.
 ///
 /// Locks are taken in one order: the configuration, the fleet, then any other
@@ -113,8 +117,8 @@
             known: *view.applied,
             word_age: view.complete.map(|at| now.saturating_duration_since(at)),
         };
-        // A daemon that does not vote hears from the leader once in an election time.
-        facts.is_current(Duration::from_millis(2 * self.settings.timing.election_ms))
+        let trust = WORD_ELECTIONS * self.settings.timing.election_ms;
+        facts.is_current(Duration::from_millis(trust))
     }
 
     /// Upstreams that want no requests from this daemon.
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -277,6 +277,8 @@
     let cluster = Cluster::start(nine_daemons());
     cluster.wait_ready().await;
     let address = cluster.callers("a0");
+    // Until it has heard a leader, it cannot know that a model does not exist.
+    assert_eq!(ask_until(address, 404).await, 404, "{}", cluster.log("a0"));
     let post = |path: &str, key: &str| CallerCall::new(Method::POST, path, key);
     let chat = "/v1/chat/completions";
     let cases = [
