Read the limits that workers name, log when they change and count what goes there

The three things that an answer says of requests to come are one typed value, UpstreamWord, read in one place; the table keeps each worker's newest word. Where requests go is unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -246,10 +246,12 @@
         body: request.body.clone(),
         reuse: true,
     };
+    core.count_limited_send(&worker.id);
+    let sent_at = Instant::now();
     let sent = core.client.send(lease, &message, request.deadline()).await;
     let answer = sent.map_err(|error| to_attempt_error(&error, request))?;
     let facts = core.protocol.read_answer(answer.status, &answer.headers);
-    core.note_answer_head(&worker.id, &facts);
+    core.note_answer_head(&worker.id, &facts, sent_at);
     let status = answer.status.as_u16();
     if facts.not_run || facts.misdirected {
         answer.lease.give_back_after(answer.body);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,9 +7,9 @@
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_member::WakeWatch;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
-use hollowbarrow_routing::{CopyGate, CurrencyFacts};
+use hollowbarrow_routing::{CopyGate, CurrencyFacts, LimitWord, WordSpan};
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
-use hollowbarrow_upstream::UpstreamClient;
+use hollowbarrow_upstream::{UpstreamClient, UpstreamWord};
 use tokio::time::Instant;
 
 use crate::budget::{RetryAllowance, share_of};
@@ -212,12 +212,14 @@
         }
     }
 
-    /// Notes what the head of a worker's answer says of requests to come.
-    pub(crate) fn note_answer_head(&self, worker: &WorkerId, facts: &AnswerFacts) {
+    /// Notes what the head of a worker's answer says of requests to come, whose request was sent
+    /// at this time.
+    pub(crate) fn note_answer_head(&self, worker: &WorkerId, facts: &AnswerFacts, sent: Instant) {
+        let word = &facts.word;
         if facts.not_run {
-            self.metrics.count_turned_away(matches!(facts.backoff, Ok(Some(_))));
+            self.metrics.count_turned_away(matches!(word.backoff, Ok(Some(_))));
         }
-        match facts.backoff {
+        match word.backoff {
             Ok(None) => {}
             Ok(Some(backoff)) => {
                 self.picker().note_backoff(worker, backoff, Instant::now());
@@ -228,9 +230,35 @@
                 log::warn!("event=backoff_unreadable worker={} error={error:?}", **worker);
             }
         }
-        if facts.leaving && self.picker().note_leaving(worker) {
+        if word.leaving && self.picker().note_leaving(worker) {
             log::info!("event=worker_backoff worker={} reason=leaving", **worker);
         }
+        // Whoever misdirects has the address of the worker and is another one.
+        if !facts.misdirected {
+            self.note_limit(worker, word, WordSpan { sent, came: Instant::now() });
+        }
+    }
+
+    /// Notes how many requests a worker says that it takes.
+    fn note_limit(&self, worker: &WorkerId, word: &UpstreamWord, span: WordSpan) {
+        let limit = match word.limit {
+            Ok(limit) => limit,
+            Err(error) => {
+                log::warn!("event=limit_unreadable worker={} error={error:?}", **worker);
+                return;
+            }
+        };
+        if self.picker().note_limit(worker, LimitWord { limit, span }) {
+            let milli = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            log::info!("event=worker_limit worker={} milli_per_s={milli}", **worker);
+        }
+    }
+
+    /// Counts a request that goes to a worker which has named a limit.
+    pub(crate) fn count_limited_send(&self, worker: &WorkerId) {
+        if self.picker().limit(worker).is_some() {
+            self.metrics.count_limited_send();
+        }
     }
 
     /// Whether a worker wants no requests now.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
         "1",
         "Requests that workers turned away unrun, by whether they asked for a backoff.",
     ),
+    ("gateway_limited_sends", "1", "Requests sent to workers that have named a limit."),
     ("gateway_in_flight", "1", "Requests under way now."),
     ("gateway_configuration_version", "1", "Version of the configuration in force."),
     ("gateway_workers", "1", "Workers that are known, those that have gone among them."),
@@ -48,6 +49,7 @@
     event_gap: Histogram<f64>,
     repeats: Counter<u64>,
     turned_away: Counter<u64>,
+    limited_sends: Counter<u64>,
     in_flight: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
@@ -73,6 +75,7 @@
             event_gap: page.time_histogram("gateway_event_gap_ms"),
             repeats: meter.u64_counter("gateway_repeats").build(),
             turned_away: meter.u64_counter("gateway_turned_away").build(),
+            limited_sends: meter.u64_counter("gateway_limited_sends").build(),
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
             version: meter.u64_gauge("gateway_configuration_version").build(),
             workers: meter.u64_gauge("gateway_workers").build(),
@@ -107,6 +110,10 @@
         self.turned_away.add(1, &[KeyValue::new("backoff_asked", backoff_asked)]);
     }
 
+    pub(crate) fn count_limited_send(&self) {
+        self.limited_sends.add(1, &[]);
+    }
+
     /// The page of text.
     pub(crate) fn to_text(&self, levels: &GatewayLevels) -> String {
         self.in_flight.record(levels.in_flight, &[]);
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -14,9 +14,10 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
-use hollowbarrow_routing::{BackoffReason, BackoffTable};
+use hollowbarrow_routing::{BackoffReason, BackoffTable, LimitTable, LimitWord};
 use hollowbarrow_schema::{
-    DaemonId, FleetView, ModelName, ServiceName, WorkerId, WorkerLoad, WorkerReport, ZoneId,
+    DaemonId, FleetView, ModelName, RequestRate, ServiceName, WorkerId, WorkerLoad, WorkerReport,
+    ZoneId,
 };
 use tokio::time::Instant;
 
@@ -100,6 +101,8 @@
     reported: HashMap<WorkerId, SharedLoad>,
     /// Workers that want no requests from this gateway.
     backoffs: BackoffTable<WorkerId>,
+    /// Workers that take only so many requests a second.
+    limits: LimitTable<WorkerId>,
     /// How often each model is asked for here.
     arrivals: HashMap<(ServiceName, ModelName), ArrivalRate>,
 }
@@ -114,6 +117,7 @@
             own: HashMap::new(),
             reported: HashMap::new(),
             backoffs: BackoffTable::new(),
+            limits: LimitTable::new(),
             arrivals: HashMap::new(),
         }
     }
@@ -163,6 +167,7 @@
         let table = &self.table;
         self.own.retain(|id, own| own.active > 0 || table.get(id).is_some());
         self.backoffs.tidy(|id| table.get(id).is_some(), now);
+        self.limits.tidy(|id| table.get(id).is_some());
     }
 
     /// What this gateway has under way, to be told to controllers.
@@ -387,6 +392,16 @@
         self.backoffs.note_leaving(id)
     }
 
+    /// Notes what a worker said of its limit; true where that is another one now.
+    pub fn note_limit(&mut self, id: &WorkerId, word: LimitWord) -> bool {
+        self.limits.note(id, word)
+    }
+
+    /// Requests a second that a worker takes from all gateways, if it has named a limit.
+    pub fn limit(&self, id: &WorkerId) -> Option<RequestRate> {
+        self.limits.limit(id)
+    }
+
     /// Why a worker is to be sent nothing now; none where it may be sent requests.
     pub fn backoff(&self, id: &WorkerId, now: Instant) -> Option<BackoffReason> {
         self.backoffs.reason(id, now)
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -7,7 +7,7 @@
 
 use hollowbarrow_fleet::{Deployment, DeploymentFault};
 use hollowbarrow_schema::{ModelName, WorkerId};
-use hollowbarrow_upstream::ReadBackoffError;
+use hollowbarrow_upstream::UpstreamWord;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, header::HeaderName};
 use thiserror::Error;
@@ -73,10 +73,8 @@
     pub not_run: bool,
     /// Whether another worker has the address now.
     pub misdirected: bool,
-    /// For how long the worker wants no requests from this gateway; none where it does not say.
-    pub backoff: Result<Option<Duration>, ReadBackoffError>,
-    /// Whether the worker says that it is about to end.
-    pub leaving: bool,
+    /// What the worker says of requests to come.
+    pub word: UpstreamWord,
 }
 
 /// Translates between the messages of a platform and a gateway.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,8 +7,9 @@
 //! [`AttemptLedger`] say what may be tried again without breaking a promise,
 //! [`CrashWatch`] which requests end the upstreams that they run on, [`CopyGate`]
 //! how many copies of a request that nobody has seen answered go at once,
-//! [`BackoffTable`] which upstreams want no requests, and [`CurrencyFacts`]
-//! whether a caller may be told that something does not exist.
+//! [`BackoffTable`] which upstreams want no requests, [`LimitTable`] which take
+//! only so many a second, and [`CurrencyFacts`] whether a caller may be told that
+//! something does not exist.
 //!
 //! Invariants: a request whose deadline has passed is never let through; a not
 //! repeatable request is never tried twice; retries never exceed their budget.
@@ -23,6 +24,7 @@
 mod crash_watch;
 mod crashes;
 mod currency;
+mod limit_table;
 mod limiter;
 mod picker;
 mod prefix;
@@ -38,6 +40,7 @@
 pub use crash_watch::CrashWatch;
 pub use crashes::{CrashLedger, EndedRun, HoldState};
 pub use currency::CurrencyFacts;
+pub use limit_table::{LimitTable, LimitWord, WordSpan};
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
--- /dev/null
+++ b/crates/routing/src/limit_table.rs
@@ -0,0 +1,110 @@
+//! The limits that upstreams have named, each by its newest word.
+//!
+//! An upstream that is in need names the requests a second that it takes from all daemons
+//! together, in each of its answers for as long as it holds. Answers may come in another order
+//! than they were written in: what is known of a word is that it was written after its request was
+//! sent and before the head of its answer came.
+//!
+//! Invariant: where two words may have been written in either order, the stricter one holds.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use hollowbarrow_schema::RequestRate;
+use tokio::time::Instant;
+
+/// The time within which an upstream wrote a word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WordSpan {
+    /// When the request was sent that the word answers.
+    pub sent: Instant,
+    /// When the head of the answer came.
+    pub came: Instant,
+}
+
+/// What an upstream said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitWord {
+    /// Requests that it takes from all daemons together; none where it names no limit.
+    pub limit: Option<RequestRate>,
+    /// When it was written.
+    pub span: WordSpan,
+}
+
+impl LimitWord {
+    /// Whether this word was surely written after another.
+    fn is_after(&self, other: &Self) -> bool {
+        self.span.sent >= other.span.came
+    }
+
+    /// Whether this word allows less than another.
+    fn is_stricter(&self, other: &Self) -> bool {
+        match (self.limit, other.limit) {
+            (Some(own), Some(other)) => own < other,
+            (own, other) => own.is_some() && other.is_none(),
+        }
+    }
+
+    /// Which of two words holds; the same word told later keeps the later span.
+    fn supersedes(&self, held: &Self) -> bool {
+        if held.is_after(self) {
+            return false;
+        }
+        let confirms = self.limit == held.limit && self.span.came > held.span.came;
+        self.is_after(held) || self.is_stricter(held) || confirms
+    }
+}
+
+/// The newest word of each upstream that has named a limit.
+#[derive(Clone, Debug)]
+pub struct LimitTable<K> {
+    words: HashMap<K, LimitWord>,
+}
+
+impl<K> Default for LimitTable<K> {
+    fn default() -> Self {
+        Self { words: HashMap::new() }
+    }
+}
+
+impl<K: Clone + Eq + Hash> LimitTable<K> {
+    /// Creates a table that knows of no limit.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a word in; true where the limit of the upstream is another one now.
+    pub fn note(&mut self, upstream: &K, word: LimitWord) -> bool {
+        let held = self.words.get(upstream);
+        if held.map_or(word.limit.is_none(), |held| !word.supersedes(held)) {
+            return false;
+        }
+        let former = self.words.insert(upstream.clone(), word);
+        former.and_then(|former| former.limit) != word.limit
+    }
+
+    /// The limit of an upstream, if it has one now.
+    pub fn limit(&self, upstream: &K) -> Option<RequestRate> {
+        self.words.get(upstream)?.limit
+    }
+
+    /// The newest words of all upstreams that have ever named a limit.
+    pub fn words(&self) -> impl Iterator<Item = (&K, &LimitWord)> {
+        self.words.iter()
+    }
+
+    /// Forgets upstreams that are not known any more.
+    pub fn tidy(&mut self, known: impl Fn(&K) -> bool) {
+        self.words.retain(|upstream, _| known(upstream));
+    }
+
+    /// Number of upstreams kept.
+    pub fn len(&self) -> usize {
+        self.words.len()
+    }
+
+    /// Whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/limit_table.rs
@@ -0,0 +1,71 @@
+//! Limits that upstreams name, and which of their words holds.
+
+use std::time::Duration;
+
+use hollowbarrow_routing::{LimitTable, LimitWord, WordSpan};
+use hollowbarrow_schema::RequestRate;
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// A word: when its request was sent, when the head came, in milliseconds, and the limit.
+type Told = (u64, u64, Option<u64>);
+
+fn to_word(start: Instant, (sent, came, limit): Told) -> LimitWord {
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    LimitWord { limit: limit.map(RequestRate), span: WordSpan { sent: at(sent), came: at(came) } }
+}
+
+#[rstest]
+#[case::never_named(&[(0, 10, None)], None)]
+#[case::named(&[(0, 10, Some(2000))], Some(2000))]
+#[case::ended(&[(0, 10, Some(2000)), (10, 20, None)], None)]
+#[case::named_anew(&[(0, 10, Some(2000)), (10, 20, None), (20, 30, Some(500))], Some(500))]
+#[case::raised(&[(0, 10, Some(2000)), (11, 20, Some(5000))], Some(5000))]
+#[case::lowered(&[(0, 10, Some(2000)), (11, 20, Some(1000))], Some(1000))]
+#[case::nothing_allowed(&[(0, 10, Some(2000)), (11, 20, Some(0))], Some(0))]
+// The answer without a limit may have been written before the one that names it.
+#[case::ended_by_older_answer(&[(5, 10, Some(2000)), (0, 20, None)], Some(2000))]
+#[case::raised_by_older_answer(&[(5, 10, Some(2000)), (0, 20, Some(5000))], Some(2000))]
+#[case::lowered_by_older_answer(&[(5, 10, Some(2000)), (0, 20, Some(1000))], Some(1000))]
+#[case::named_by_older_answer(&[(5, 10, Some(2000)), (10, 12, None), (0, 20, Some(1000))], Some(1000))]
+#[case::ended_once_certain(&[(5, 10, Some(2000)), (0, 20, None), (10, 30, None)], None)]
+// Told by another daemon, a word may be older although it comes later.
+#[case::surely_older(&[(20, 30, Some(5000)), (0, 10, Some(1000))], Some(5000))]
+#[case::surely_older_than_end(&[(0, 5, Some(1000)), (20, 30, None), (6, 10, Some(1000))], None)]
+#[case::confirmed_since(&[(0, 10, Some(2000)), (5, 30, Some(2000)), (20, 40, None)], Some(2000))]
+fn limit_newest_word(#[case] told: &[Told], #[case] expected: Option<u64>) {
+    let start = Instant::now();
+    let mut table = LimitTable::new();
+    for word in told {
+        table.note(&"a", to_word(start, *word));
+    }
+    assert_eq!(table.limit(&"a").map(|rate| *rate), expected);
+    assert_eq!(table.limit(&"b"), None, "it has named nothing");
+}
+
+#[rstest]
+fn note_tells_changes() {
+    let start = Instant::now();
+    let mut table = LimitTable::new();
+    let mut note = |word: Told| table.note(&"a", to_word(start, word));
+    assert!(!note((0, 10, None)), "there was no limit");
+    assert!(note((10, 20, Some(1800))));
+    assert!(!note((20, 30, Some(1800))), "it is known");
+    assert!(note((30, 40, Some(900))));
+    assert!(note((40, 50, None)));
+    assert!(!note((50, 60, None)), "it is known");
+}
+
+/// What is kept is bounded by the upstreams that are known.
+#[rstest]
+fn tidy_forgets_unknown() {
+    let start = Instant::now();
+    let mut table = LimitTable::new();
+    table.note(&"gone", to_word(start, (0, 10, Some(1))));
+    table.note(&"there", to_word(start, (0, 10, Some(1))));
+    table.note(&"plain", to_word(start, (0, 10, None)));
+    table.tidy(|upstream| *upstream != "gone");
+    assert_eq!(table.len(), 1);
+    assert!(!table.is_empty());
+    assert_eq!(table.words().next().map(|(upstream, _)| *upstream), Some("there"));
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -2632,6 +2632,73 @@
         self.0.fmt(f)
     }
 }
+///Requests a second, in thousandths.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct RequestRate(pub u64);
+impl ::std::ops::Deref for RequestRate {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<RequestRate> for u64 {
+    fn from(value: RequestRate) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&RequestRate> for RequestRate {
+    fn from(value: &RequestRate) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for RequestRate {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for RequestRate {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RequestRate {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for RequestRate {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for RequestRate {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
 ///Log index at which an object last changed; 0 means that the object does not exist.
 ///
 #[derive(
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -7,16 +7,16 @@
 //!
 //! Invariant: an answer is handed on as whole only if its framing says so.
 
-mod backoff;
 mod client;
 mod engine;
 mod events;
 mod platform;
+mod word;
 
-pub use backoff::{ReadBackoffError, read_backoff};
 pub use client::{
     ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest, is_hop_header,
 };
 pub use engine::{EngineClient, EngineFuture, GiveOrderError, HttpEngine, ProbeNodeError};
 pub use events::{EventParser, ParseEventError, StreamChunk, parse_chunk};
 pub use platform::{ListNodesError, list_nodes};
+pub use word::{ReadBackoffError, ReadLimitError, UpstreamWord, read_backoff, read_limit};
