Show with real processes that workers get more than the limits that they name

Three controllers, six gateways, ten plain workers and three replicas; some workers name a limit. A worker that named 0 got 60 requests in 4 s, ten by each gateway, so no gateway keeps to the limit by itself.

--- a/tests/platform/demands.rs
+++ b/tests/platform/demands.rs
@@ -16,12 +16,14 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 /// What a worker said in its answer to a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkerWord {
     /// For how long it wants no requests from the gateway that sent this one.
     pub backoff: Option<Duration>,
     /// Whether it is about to end.
     pub leaving: bool,
+    /// Requests a second that it takes, where it names that.
+    pub limit: Option<f64>,
 }
 
 /// Something that counts for what workers ask for.
@@ -29,6 +31,8 @@
 pub enum DemandEvent {
     /// A request came to a worker.
     Came { worker: String, gateway: usize, at: Instant, word: WorkerWord },
+    /// A worker names another limit from now on, or none.
+    Named { worker: String, limit: Option<f64>, at: Instant },
     /// A gateway was killed, frozen or started, or its links were cut; what it was told before is
     /// excused.
     Disturbed { gateway: usize, at: Instant },
@@ -53,7 +57,7 @@
         DemandEvent::Came { worker, gateway, at, word } => {
             Some(Arrival { worker, gateway: *gateway, at: *at, word: *word })
         }
-        DemandEvent::Disturbed { .. } => None,
+        DemandEvent::Disturbed { .. } | DemandEvent::Named { .. } => None,
     });
     came.collect()
 }
@@ -61,7 +65,7 @@
 fn is_disturbed(events: &[DemandEvent], who: usize, from: Instant, to: Instant) -> bool {
     events.iter().any(|event| match event {
         DemandEvent::Disturbed { gateway, at } => *gateway == who && *at >= from && *at <= to,
-        DemandEvent::Came { .. } => false,
+        DemandEvent::Came { .. } | DemandEvent::Named { .. } => false,
     })
 }
 
@@ -98,10 +102,10 @@
 /// gateway was disturbed.
 type Record<'a> = &'a [(u64, usize, Option<WorkerWord>)];
 
-const NOTHING: Option<WorkerWord> = Some(WorkerWord { backoff: None, leaving: false });
+const NOTHING: Option<WorkerWord> = Some(WorkerWord { backoff: None, leaving: false, limit: None });
 const ASKS: Option<WorkerWord> =
-    Some(WorkerWord { backoff: Some(Duration::from_secs(3)), leaving: false });
-const LEAVES: Option<WorkerWord> = Some(WorkerWord { backoff: None, leaving: true });
+    Some(WorkerWord { backoff: Some(Duration::from_secs(3)), leaving: false, limit: None });
+const LEAVES: Option<WorkerWord> = Some(WorkerWord { backoff: None, leaving: true, limit: None });
 
 #[rstest]
 #[case::backoff_kept(&[(0, 0, ASKS), (500, 0, NOTHING), (3000, 0, NOTHING), (3001, 0, NOTHING)], 0)]
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -94,6 +94,11 @@
         breaches
     }
 
+    /// What came to workers and what they said, in order.
+    pub fn demands(&self) -> Vec<DemandEvent> {
+        self.demands.lock().expect("not poisoned").clone()
+    }
+
     /// Notes something that counts for what workers ask for.
     pub fn note_demand(&self, event: DemandEvent) {
         self.demands.lock().expect("not poisoned").push(event);
--- /dev/null
+++ b/tests/platform/limit.rs
@@ -0,0 +1,183 @@
+//! Workers that name the requests a second that they take from all gateways together.
+//!
+//! Heads of replicas named 1.8 and 3.1 a second and went on to get 6 and 8: gateways did not read
+//! it, and a worker with few requests is the best one to choose.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::demands::DemandEvent;
+use crate::limit_check::find_limit_breaches;
+use crate::system::{CONTROLLERS, KEY, Layout, Signal, call_gateway};
+use crate::worker::{Worker, request_by};
+use crate::{Deployment, deploy_with};
+
+/// Gateways of each system; callers reach all of them alike.
+const GATEWAYS: usize = 6;
+/// Plain workers of a system.
+const PLAIN_WORKERS: usize = 10;
+/// Pause between two requests of all callers together.
+const REQUEST_PAUSE: Duration = Duration::from_millis(10);
+/// Time for which a plain worker works on a request.
+const WORK: Duration = Duration::from_millis(20);
+/// Time for which requests come: one in which limits need not be kept yet, and a whole window.
+const LOAD_TIME: Duration = Duration::from_secs(9);
+
+/// A system with plain workers beside those of replicas.
+async fn deploy_plain(block: u8) -> (Deployment, Vec<Arc<Worker>>) {
+    let layout = Layout { gateways: GATEWAYS as u8, ..Layout::plain() };
+    let deployment = deploy_with(block, layout).await;
+    let mut plain = vec![Arc::clone(&deployment.plain)];
+    for number in 1..PLAIN_WORKERS {
+        let id = format!("p{number}");
+        plain.push(Worker::start(&deployment.fleet, &id, "bookings", false));
+    }
+    plain.iter().for_each(|worker| worker.set_work(WORK));
+    for gateway in 0..GATEWAYS {
+        deployment.system.call_gateway_until_served(gateway, "/hold/1", "warm").await;
+    }
+    (deployment, plain)
+}
+
+/// Callers that send to all gateways in turn at an even pace, whatever comes of it; how many were
+/// served.
+async fn send_evenly(deployment: &Deployment, path: &'static str, time: Duration) -> usize {
+    let end = Instant::now() + time;
+    let mut pace = tokio::time::interval(REQUEST_PAUSE);
+    let mut calls = Vec::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        pace.tick().await;
+        let gateway = number % GATEWAYS;
+        let address = deployment.system.gateways[gateway].clone();
+        let id = request_by(gateway, &format!("even-{number}"));
+        calls.push(tokio::spawn(async move {
+            let answer = call_gateway(&address, path, &id, Some(KEY)).await;
+            answer.is_ok_and(|answer| answer.status().as_u16() == 200)
+        }));
+        number += 1;
+    }
+    let mut served = 0;
+    for call in calls {
+        served += usize::from(call.await.expect("it does not fail"));
+    }
+    served
+}
+
+fn assert_limits_kept(deployment: &Deployment) {
+    let breaches = find_limit_breaches(&deployment.fleet.demands());
+    assert!(breaches.is_empty(), "{breaches:#?}: {}", deployment.system.logs());
+}
+
+#[rstest]
+#[case::some(60, &["2", "0.7", "5"])]
+#[case::all(61, &["3", "3", "3", "3", "3", "3", "3", "3", "3", "3"])]
+#[case::nothing_allowed(62, &["0", "0.05"])]
+#[tokio::test]
+async fn limit_kept_over_gateways(#[case] block: u8, #[case] limits: &[&'static str]) {
+    let (deployment, plain) = deploy_plain(block).await;
+    for (worker, limit) in plain.iter().zip(limits) {
+        worker.name_limit(Some(limit));
+    }
+    let served = send_evenly(&deployment, "/hold/1", LOAD_TIME).await;
+    assert!(served > 0, "{}", deployment.system.logs());
+    assert_limits_kept(&deployment);
+}
+
+/// A limit that falls holds for what gateways knew of the former one too.
+#[rstest]
+#[tokio::test]
+async fn limit_kept_while_falling() {
+    let (deployment, plain) = deploy_plain(63).await;
+    let fall = async {
+        for limit in ["20", "4", "1"] {
+            plain.iter().take(3).for_each(|worker| worker.name_limit(Some(limit)));
+            tokio::time::sleep(LOAD_TIME / 3).await;
+        }
+    };
+    tokio::join!(fall, send_evenly(&deployment, "/hold/1", LOAD_TIME));
+    assert_limits_kept(&deployment);
+}
+
+/// Workers that name no limit any more are used as before.
+#[rstest]
+#[tokio::test]
+async fn limit_ends() {
+    let (deployment, plain) = deploy_plain(64).await;
+    plain.iter().for_each(|worker| worker.name_limit(Some("1")));
+    send_evenly(&deployment, "/hold/1", LOAD_TIME / 3).await;
+    plain.iter().for_each(|worker| worker.name_limit(None));
+    // One answer without the limit tells a gateway, and it tells the others.
+    let deadline = Instant::now() + LOAD_TIME * 3;
+    loop {
+        let from = deployment.fleet.demands().len();
+        send_evenly(&deployment, "/hold/1", Duration::from_secs(1)).await;
+        let came = deployment.fleet.demands().len() - from;
+        if came >= 90 {
+            break;
+        }
+        assert!(Instant::now() < deadline, "{came}: {}", deployment.system.logs());
+    }
+    assert_limits_kept(&deployment);
+}
+
+/// What disturbs a system while workers name limits.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// All controllers end, and nobody tells gateways of each other.
+    LostControllers,
+    /// One gateway ends and another one stands still for a while.
+    LostGateways,
+}
+
+#[rstest]
+#[case::controllers(65, Trouble::LostControllers)]
+#[case::gateways(66, Trouble::LostGateways)]
+#[tokio::test]
+async fn limit_kept_under_trouble(#[case] block: u8, #[case] trouble: Trouble) {
+    let (deployment, plain) = deploy_plain(block).await;
+    for (worker, limit) in plain.iter().zip(["2", "0.7", "5"]) {
+        worker.name_limit(Some(limit));
+    }
+    let disturb = async {
+        tokio::time::sleep(LOAD_TIME / 3).await;
+        let system = &deployment.system;
+        match trouble {
+            Trouble::LostControllers => {
+                (0..CONTROLLERS).for_each(|daemon| system.signal(daemon, Signal::Kill));
+            }
+            Trouble::LostGateways => {
+                system.signal(CONTROLLERS, Signal::Kill);
+                system.signal(CONTROLLERS + 1, Signal::Stop);
+                note_disturbed(&deployment, 1);
+                tokio::time::sleep(LOAD_TIME / 6).await;
+                system.signal(CONTROLLERS + 1, Signal::Continue);
+                note_disturbed(&deployment, 1);
+            }
+        }
+    };
+    tokio::join!(disturb, send_evenly(&deployment, "/hold/1", LOAD_TIME));
+    assert_limits_kept(&deployment);
+}
+
+fn note_disturbed(deployment: &Deployment, gateway: usize) {
+    deployment.fleet.note_demand(DemandEvent::Disturbed { gateway, at: Instant::now() });
+}
+
+/// Heads of replicas, of which some name limits; streams are sent to them.
+#[rstest]
+#[tokio::test]
+async fn limit_kept_towards_heads() {
+    let (deployment, _) = deploy_plain(67).await;
+    crate::wait_for_replicas(&deployment, 3).await;
+    let heads = deployment.engines.iter().filter(|engine| engine.is_open_head());
+    for (head, limit) in heads.zip(["1.8", "3"]) {
+        head.name_limit(Some(limit));
+    }
+    let served = send_evenly(&deployment, "/chat/1", LOAD_TIME).await;
+    assert!(served > 0, "{}", deployment.system.logs());
+    assert_limits_kept(&deployment);
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,8 @@
 mod disturbance;
 mod fleet;
 mod foreign;
+mod limit;
+mod limit_check;
 mod lost_power;
 mod observer;
 mod reborn_worker;
@@ -21,7 +23,7 @@
 
 use fleet::Fleet;
 use rstest::rstest;
-use system::{KEY, System, configuration};
+use system::{KEY, Layout, System, configuration};
 use worker::{EVENTS, Worker, event};
 
 struct Deployment {
@@ -32,7 +34,11 @@
 }
 
 async fn deploy(block: u8) -> Deployment {
-    let system = System::start(block);
+    deploy_with(block, Layout::plain()).await
+}
+
+async fn deploy_with(block: u8, layout: Layout) -> Deployment {
+    let system = System::start_with(block, layout);
     let fleet = Fleet::new(system.controllers.clone());
     let engines: Vec<Arc<Worker>> =
         (0..9).map(|n| Worker::start(&fleet, &format!("e{n}"), "models", true)).collect();
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -105,6 +105,8 @@
     work: Mutex<Duration>,
     /// What it says to each request that it turns away, while it turns all away.
     turns_away: Mutex<Option<Duration>>,
+    /// The limit that it names in its answers, as it stands there.
+    limit: Mutex<Option<&'static str>>,
     /// Requests that came, in order.
     arrivals: Mutex<Vec<Arrival>>,
     state: Mutex<WorkerState>,
@@ -158,6 +160,7 @@
             mute: AtomicBool::new(false),
             work: Mutex::default(),
             turns_away: Mutex::default(),
+            limit: Mutex::default(),
             arrivals: Mutex::default(),
             state: Mutex::default(),
             fleet: Arc::clone(fleet),
@@ -270,6 +273,22 @@
         *self.turns_away.lock().expect("not poisoned") = backoff;
     }
 
+    /// Has it name a limit in all its answers, or none.
+    pub fn name_limit(&self, limit: Option<&'static str>) {
+        *self.limit.lock().expect("not poisoned") = limit;
+        let (worker, limit) = (self.life(), limit.and_then(|text| text.parse().ok()));
+        self.fleet.note_demand(DemandEvent::Named { worker, limit, at: Instant::now() });
+    }
+
+    fn named_limit(&self) -> Option<&'static str> {
+        *self.limit.lock().expect("not poisoned")
+    }
+
+    /// Name of this life in the record of what comes to workers.
+    fn life(&self) -> String {
+        format!("{} born {:?}", self.id, self.born)
+    }
+
     /// Requests that came, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("not poisoned").clone()
@@ -279,8 +298,9 @@
     fn note_arrival(&self, request: &str) -> Option<Duration> {
         let backoff = *self.turns_away.lock().expect("not poisoned");
         if let Some(gateway) = gateway_of(request) {
-            let worker = format!("{} born {:?}", self.id, self.born);
-            let word = WorkerWord { backoff, leaving: self.is_leaving() };
+            let worker = self.life();
+            let limit = self.named_limit().and_then(|text| text.parse().ok());
+            let word = WorkerWord { backoff, leaving: self.is_leaving(), limit };
             let at = Instant::now();
             self.fleet.note_demand(DemandEvent::Came { worker, gateway, at, word });
         }
@@ -394,6 +414,9 @@
         if self.is_leaving() {
             builder = builder.header("server-leaving", "1");
         }
+        if let Some(limit) = self.named_limit() {
+            builder = builder.header("server-limit", limit);
+        }
         let held = self.lock().membership.clone().filter(|held| held.state == "open");
         if header("target-instance") != self.id || (self.engine && held.is_none()) {
             return builder.status(421).body(AnswerBody::whole("")).expect("sound");
