Decide who may send to an upstream that names a limit, by permits that the leader lends

Pure, and not used yet. Weighed: even parts of the limit for each daemon (used to L / G where callers are at one daemon, and G at once after a pause), parts by demand (the same burst, and wrong for as long as demand is not told), a few daemons chosen by hash (others refuse everything where all workers name limits). A request that could use a permit wishes for one for as long as it waits; the leader lends by a bucket of the limit, the wish that ends first in front, and what runs out comes back. Where nobody lends, daemons together use 0.4 of the limit at times drawn at random.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,8 @@
 //! [`CrashWatch`] which requests end the upstreams that they run on, [`CopyGate`]
 //! how many copies of a request that nobody has seen answered go at once,
 //! [`BackoffTable`] which upstreams want no requests, [`LimitTable`] which take
-//! only so many a second, and [`CurrencyFacts`] whether a caller may be told that
+//! only so many a second, [`PermitLender`] and [`PermitHolder`] who may send
+//! those, and [`CurrencyFacts`] whether a caller may be told that
 //! something does not exist.
 //!
 //! Invariants: a request whose deadline has passed is never let through; a not
@@ -26,6 +27,7 @@
 mod currency;
 mod limit_table;
 mod limiter;
+mod permits;
 mod picker;
 mod prefix;
 pub mod retry;
@@ -42,6 +44,7 @@
 pub use currency::CurrencyFacts;
 pub use limit_table::{LimitTable, LimitWord, WordSpan};
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
+pub use permits::{PERMIT_LIFETIME, Permit, PermitHolder, PermitLender, PermitLoan, PermitWish};
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
 pub use trials::{may_try, trial_hold};
--- /dev/null
+++ b/crates/routing/src/permits/holder.rs
@@ -0,0 +1,249 @@
+//! Holds the permits that one daemon was lent.
+
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
+use std::time::Duration;
+
+use hollowbarrow_schema::RequestRate;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use super::{PERMIT_LIFETIME, permits_per_s};
+
+/// Shortest pause between two messages about one upstream.
+const WISH_PAUSE: Duration = Duration::from_millis(10);
+/// Pause between two messages that only return permits.
+const RETURN_PAUSE: Duration = Duration::from_millis(50);
+/// Permits that are wished for at once.
+const MOST_WISHES: usize = 32;
+/// Silence of the lender after a wish from which on a daemon permits itself requests.
+const LENDER_SILENCE: Duration = Duration::from_millis(600);
+/// Part of a limit that all daemons together permit themselves where nobody lends. With what a
+/// lender that others still reach lends meanwhile it stays within what limits bear.
+const UNLENT_PART: f64 = 0.4;
+
+/// What a daemon tells the lender about one upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PermitWish<K> {
+    /// The upstream that the permits are for.
+    pub upstream: K,
+    /// Permits that requests could use.
+    pub count: u32,
+    /// Time for which they could.
+    pub lifetime: Duration,
+    /// Permits that ran out unused.
+    pub returned: u32,
+}
+
+/// Permission for one request to one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// When it runs out.
+    end: Instant,
+    /// Whether the lender gave it, so that it can be returned.
+    lent: bool,
+}
+
+/// What is held for one upstream.
+#[derive(Clone, Debug, Default)]
+struct HeldPermits {
+    /// The one that runs out next comes first.
+    permits: VecDeque<Permit>,
+    /// When each wish that is not fulfilled ends.
+    wishes: Vec<Instant>,
+    /// Whether the lender does not know the newest of them.
+    untold: bool,
+    /// Permits that ran out and were not returned yet.
+    returned: u32,
+    /// When the lender was last told.
+    told: Option<Instant>,
+    /// When the lender said that it can lend the next permit.
+    next: Option<Instant>,
+    /// When this daemon permits itself the next request.
+    unlent: Option<Instant>,
+}
+
+impl HeldPermits {
+    fn expire(&mut self, now: Instant) {
+        while let Some(permit) = self.permits.front().filter(|permit| permit.end <= now) {
+            self.returned += u32::from(permit.lent);
+            self.permits.pop_front();
+        }
+        self.wishes.retain(|end| now < *end);
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let passed =
+            |pause: Duration| self.told.is_none_or(|at| now.saturating_duration_since(at) >= pause);
+        let wishes = self.untold && !self.wishes.is_empty();
+        (wishes && passed(WISH_PAUSE)) || (self.returned > 0 && passed(RETURN_PAUSE))
+    }
+
+    fn add(&mut self, permit: Permit) {
+        let place = self.permits.partition_point(|other| other.end <= permit.end);
+        self.permits.insert(place, permit);
+    }
+
+    /// Takes permits in, each for the wish that ends first; those that come too late are returned.
+    fn fulfil(&mut self, count: u32) {
+        self.wishes.sort();
+        for _ in 0..count {
+            if self.wishes.is_empty() {
+                self.returned += 1;
+            } else {
+                let end = self.wishes.remove(0);
+                self.add(Permit { end, lent: true });
+            }
+        }
+    }
+}
+
+/// The permits of one daemon for upstreams that have named limits.
+#[derive(Clone, Debug)]
+pub struct PermitHolder<K> {
+    held: HashMap<K, HeldPermits>,
+    /// Since when the lender has not answered.
+    unanswered: Option<Instant>,
+    rng: ChaCha8Rng,
+}
+
+impl<K: Clone + Eq + Hash> PermitHolder<K> {
+    /// Creates a holder without permits; the seed is for times at which nobody lends.
+    pub fn new(seed: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { held: HashMap::new(), unanswered: None, rng }
+    }
+
+    /// Whether a permit is there for an upstream with this limit, which so many daemons share.
+    pub fn holds(&mut self, upstream: &K, limit: RequestRate, daemons: u32, now: Instant) -> bool {
+        let silent = self.is_lender_silent(now);
+        let held = self.held.entry(upstream.clone()).or_default();
+        held.expire(now);
+        if silent {
+            let per_s = permits_per_s(limit) * UNLENT_PART / f64::from(daemons.max(1));
+            permit_unlent(held, per_s, &mut self.rng, now);
+        } else {
+            held.unlent = None;
+        }
+        !held.permits.is_empty()
+    }
+
+    /// Wishes for a permit that are not fulfilled yet.
+    pub fn wishes(&self, upstream: &K, now: Instant) -> usize {
+        let wishes = self.held.get(upstream).map(|held| held.wishes.as_slice());
+        wishes.unwrap_or_default().iter().filter(|end| now < **end).count()
+    }
+
+    /// Takes a permit for a request, if there is one.
+    pub fn take(&mut self, upstream: &K, now: Instant) -> Option<Permit> {
+        let held = self.held.get_mut(upstream)?;
+        held.expire(now);
+        held.permits.pop_front()
+    }
+
+    /// Gives a permit back that was taken for a request which did not go.
+    pub fn give_back(&mut self, upstream: &K, permit: Permit) {
+        if let Some(held) = self.held.get_mut(upstream) {
+            held.add(permit);
+        }
+    }
+
+    /// Notes that a request could use a permit for some time, unless the lender has said that none
+    /// can come meanwhile; true where it may come.
+    pub fn wish(&mut self, upstream: &K, lifetime: Duration, now: Instant) -> bool {
+        let held = self.held.entry(upstream.clone()).or_default();
+        if held.next.is_some_and(|next| next > now + lifetime) {
+            return false;
+        }
+        if held.wishes.len() < MOST_WISHES {
+            held.wishes.push(now + lifetime.min(PERMIT_LIFETIME));
+            held.untold = true;
+        }
+        true
+    }
+
+    /// What to tell the lender now.
+    pub fn due(&mut self, now: Instant) -> Vec<PermitWish<K>> {
+        let mut wishes = Vec::new();
+        for (upstream, held) in &mut self.held {
+            held.expire(now);
+            if !held.is_due(now) {
+                continue;
+            }
+            held.told = Some(now);
+            held.untold = false;
+            let last = held.wishes.iter().max().copied().unwrap_or(now);
+            wishes.push(PermitWish {
+                upstream: upstream.clone(),
+                count: held.wishes.len() as u32,
+                lifetime: last.saturating_duration_since(now),
+                returned: std::mem::take(&mut held.returned),
+            });
+        }
+        if !wishes.is_empty() {
+            self.unanswered.get_or_insert(now);
+        }
+        wishes
+    }
+
+    /// Takes permits in that the lender lent.
+    pub fn take_loan(&mut self, upstream: &K, count: u32, now: Instant) {
+        self.unanswered = None;
+        let held = self.held.entry(upstream.clone()).or_default();
+        held.expire(now);
+        held.fulfil(count);
+    }
+
+    /// Takes in after what time the lender expects to lend one more; drops the wishes that end
+    /// before.
+    pub fn take_wait(&mut self, upstream: &K, wait: Duration, now: Instant) {
+        self.unanswered = None;
+        if let Some(held) = self.held.get_mut(upstream) {
+            held.next = Some(now + wait);
+            held.wishes.retain(|end| *end >= now + wait);
+        }
+    }
+
+    /// Keeps one permit at most for an upstream whose limit has fallen.
+    pub fn note_fall(&mut self, upstream: &K) {
+        if let Some(held) = self.held.get_mut(upstream) {
+            held.permits.truncate(1);
+        }
+    }
+
+    /// Time after which the lender expects to lend a permit; zero where that is not known.
+    pub fn wait(&self, upstream: &K, now: Instant) -> Duration {
+        let next = self.held.get(upstream).and_then(|held| held.next);
+        next.map_or(Duration::ZERO, |next| next.saturating_duration_since(now))
+    }
+
+    /// Whether nobody lends: the lender does not answer.
+    fn is_lender_silent(&self, now: Instant) -> bool {
+        let silence = self.unanswered.map(|since| now.saturating_duration_since(since));
+        silence.is_some_and(|silence| silence >= LENDER_SILENCE)
+    }
+
+    /// Forgets upstreams without a limit.
+    pub fn tidy(&mut self, limited: impl Fn(&K) -> bool) {
+        self.held.retain(|upstream, _| limited(upstream));
+        if self.held.is_empty() {
+            self.unanswered = None;
+        }
+    }
+}
+
+/// Permits a request by itself at times drawn at random, a few a second over all daemons. A time
+/// that passes unused is lost, so that daemons do not save up permits.
+fn permit_unlent(held: &mut HeldPermits, per_s: f64, rng: &mut ChaCha8Rng, now: Instant) {
+    let mut draw = || Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / per_s);
+    let next = *held.unlent.get_or_insert_with(|| now + draw());
+    if next > now {
+        return;
+    }
+    let end = next + PERMIT_LIFETIME;
+    if now < end && held.permits.is_empty() {
+        held.add(Permit { end, lent: false });
+    }
+    held.unlent = Some(now + draw());
+}
