--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -126,6 +126,7 @@
         links,
         fleet,
         pending: Mutex::default(),
+        limits: Mutex::default(),
         parsed: Mutex::new(None),
         encoded: Mutex::new(None),
         commits: Mutex::default(),
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -10,8 +10,8 @@
 };
 use hollowbarrow_log::LogView;
 use hollowbarrow_schema::{
-    DaemonId, EntryPayload, FleetMessage, FleetView, ProposalOutcome, ServiceName, Term, WorkerId,
-    WorkerLoad,
+    DaemonId, EntryPayload, FleetMessage, FleetView, ProposalOutcome, ServiceName, Term,
+    UpstreamLimit, WorkerId, WorkerLoad,
 };
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
@@ -21,6 +21,7 @@
 use crate::held::HeldLog;
 use crate::liveness::{LivenessFacts, LivenessJudge, find_ended};
 use crate::orders::{WorkerNews, give_order, probe_worker};
+use crate::sync::send_grants;
 use crate::voters::{REPLACED_AFTER, VoterFacts, next_voters, voters_for};
 
 /// Longest pause between two steps.
@@ -227,6 +228,7 @@
     }
     withheld.sort();
     withheld.dedup();
+    let told_limits = lend_due(core, held.term, &fleet, now);
     if now >= held.view_due || withheld != held.withheld {
         held.view_due = now + VIEW_INTERVAL;
         held.view_number += 1;
@@ -251,6 +253,8 @@
             withheld: held.withheld.clone(),
             loads: loads.collect(),
             held: held_requests,
+            leader: Some(core.links().id().clone()),
+            limits: told_limits,
         };
         let mut daemons = fleet.view_gateways();
         daemons.extend(core.links().controllers());
@@ -258,6 +262,23 @@
     }
 }
 
+/// Lends the permits that have become due, and gives what gateways are told of limits.
+fn lend_due(
+    core: &ControllerCore,
+    term: Term,
+    fleet: &FleetState,
+    now: Instant,
+) -> Vec<UpstreamLimit> {
+    let mut limits = core.limits();
+    limits.enter(term);
+    limits.tidy(|worker| fleet.table().get(&WorkerId::from(worker)).is_some());
+    let grants = limits.lend_due(now);
+    let told = limits.told(now);
+    drop(limits);
+    send_grants(core, grants);
+    told
+}
+
 fn timing_of(core: &ControllerCore) -> ReplicaTiming {
     ReplicaTiming {
         repeat: ORDER_REPEAT,
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -1,12 +1,14 @@
 //! Messages between controllers and gateways.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollowbarrow_fleet::MergeOutcome;
 use hollowbarrow_member::EncodedDeployment;
 use hollowbarrow_schema::{
-    ControllerHello, DaemonId, FleetMessage, GatewayHello, LogName, PeerMessage, WorkerReport,
+    ControllerHello, DaemonId, FleetMessage, GatewayHello, LogName, PeerMessage, PermitAsk,
+    PermitGrant, WorkerReport,
 };
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
@@ -128,11 +130,37 @@
             let gateways = core.fleet().view_gateways();
             core.links().send_to_all(&gateways, FleetMessage::View(view));
         }
+        PeerMessage::Fleet(FleetMessage::PermitAsk(ask)) => lend_permits(core, from, &ask, now),
         PeerMessage::Fleet(FleetMessage::Workers(reports)) => relay_news(core, reports, now),
         _ => log::debug!("event=message_refused peer={}", **from),
     }
 }
 
+/// Answers what a gateway tells of workers that name limits; only a leader lends.
+fn lend_permits(core: &ControllerCore, from: &DaemonId, ask: &PermitAsk, now: Instant) {
+    let view = core.log.view();
+    if !core.is_sure_to_lead(&view, now) {
+        return;
+    }
+    let answer = {
+        let mut limits = core.limits();
+        limits.enter(view.term);
+        limits.take_ask(from, ask, now)
+    };
+    for (worker, limit) in &answer.changed {
+        let milli = limit.as_ref().map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        log::info!("event=worker_limit worker={worker} milli_per_s={milli} from={}", **from);
+    }
+    send_grants(core, answer.grants);
+}
+
+/// Sends gateways the permits that they are lent.
+pub(crate) fn send_grants(core: &ControllerCore, grants: BTreeMap<DaemonId, PermitGrant>) {
+    for (gateway, grant) in grants {
+        core.links().send(&gateway, FleetMessage::PermitGrant(grant));
+    }
+}
+
 fn take_gateway(core: &ControllerCore, from: &DaemonId, hello: GatewayHello, now: Instant) {
     let held = hello.deployment;
     {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::core::GatewayCore;
 use crate::flight::Flight;
-use crate::picker::PickFacts;
+use crate::picker::{LimitedWait, NoWorker, PermitPatience, PickFacts};
 use crate::protocol::SendFacts;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
@@ -27,6 +27,12 @@
 /// Part of its time for which it waits at most.
 const COPY_WAIT_PART: u32 = 3;
 
+/// Time for which a request waits until it may go to a worker that takes only so many a second: a
+/// few times what the lender of permits takes to answer.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(100);
+/// Pause between two looks at whether it may go.
+const PERMIT_POLL: Duration = Duration::from_millis(25);
+
 /// What was tried for a request so far.
 #[derive(Debug)]
 pub(crate) struct Tries {
@@ -163,11 +169,56 @@
     entering.await.ok_or(Refusal::CopyWaits)
 }
 
-/// Chooses a worker for the next attempt, unless the request is held.
-pub(crate) fn choose_worker(
+/// Chooses a worker for the next attempt, unless the request is held. Where all that have room take
+/// only so many requests a second, it waits for a moment until one may be sent.
+pub(crate) async fn choose_worker(
+    core: &Arc<GatewayCore>,
+    request: &CallerRequest,
+    tries: &Tries,
+) -> Result<Flight, Refusal> {
+    let limit = request.deadline().min(Instant::now() + PERMIT_PATIENCE);
+    let mut waiting: Option<PermitWaiting> = None;
+    loop {
+        let came = core.permits_came.notified();
+        let left = limit.saturating_duration_since(Instant::now());
+        let patience = PermitPatience { left, waits: waiting.is_some() };
+        let refusal = match choose_now(core, request, tries, patience) {
+            Ok(flight) => return Ok(flight),
+            Err(refusal) => refusal,
+        };
+        let soon = refusal == Refusal::NoWorker(NoWorker::Limited(LimitedWait::Soon));
+        if !soon || left.is_zero() {
+            return Err(refusal);
+        }
+        waiting.get_or_insert_with(|| PermitWaiting::new(core));
+        core.permits_wanted.notify_one();
+        // Where nobody lends, a permit comes without a word.
+        let pause = left.min(PERMIT_POLL);
+        let _ = tokio::time::timeout(pause, came).await;
+    }
+}
+
+/// Counts a request as waiting for a permit.
+struct PermitWaiting(Arc<GatewayCore>);
+
+impl PermitWaiting {
+    fn new(core: &Arc<GatewayCore>) -> Self {
+        core.picker().begin_wait();
+        Self(Arc::clone(core))
+    }
+}
+
+impl Drop for PermitWaiting {
+    fn drop(&mut self) {
+        self.0.picker().end_wait();
+    }
+}
+
+fn choose_now(
     core: &Arc<GatewayCore>,
     request: &CallerRequest,
     tries: &Tries,
+    patience: PermitPatience,
 ) -> Result<Flight, Refusal> {
     // Looked up before each attempt: another one may end the next replica.
     if let Some(left) = core.crashes().hold_left(request.digest, Instant::now()) {
@@ -179,6 +230,7 @@
         prompt_tokens: request.head.prompt_tokens,
         excluded: tries.excluded(),
         kept: &core.client.kept_addresses(),
+        patience,
     });
     flight.map_err(Refusal::NoWorker)
 }
@@ -247,6 +299,7 @@
         reuse: true,
     };
     core.count_limited_send(&worker.id);
+    flight.note_sent();
     let sent_at = Instant::now();
     let sent = core.client.send(lease, &message, request.deadline()).await;
     let answer = sent.map_err(|error| to_attempt_error(&error, request))?;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -10,6 +10,7 @@
 use hollowbarrow_routing::{CopyGate, CurrencyFacts, LimitWord, WordSpan};
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::{UpstreamClient, UpstreamWord};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::budget::{RetryAllowance, share_of};
@@ -43,6 +44,10 @@
     pub(crate) copies: CopyGate,
     /// Versions of the configuration that the leader has told of.
     known: Mutex<VersionTimes>,
+    /// Told when a request waits for a permit.
+    pub(crate) permits_wanted: Notify,
+    /// Told when the lender of permits has answered.
+    pub(crate) permits_came: Notify,
     pub(crate) in_flight: AtomicU32,
     pub(crate) wake: Arc<WakeWatch>,
     /// When the leader's word last came.
@@ -66,6 +71,8 @@
             copies: CopyGate::new(),
             home: Mutex::new(HomeChoice::new(&own, &settings.zone)),
             known: Mutex::default(),
+            permits_wanted: Notify::new(),
+            permits_came: Notify::new(),
             in_flight: AtomicU32::new(0),
             wake: Arc::new(WakeWatch::new()),
             last_view: Mutex::new(None),
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -1,7 +1,7 @@
 //! Counts requests while they are under way, here and at their worker.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use tokio::time::Instant;
 
@@ -29,12 +29,19 @@
     core: Arc<GatewayCore>,
     pub(crate) worker: PickedWorker,
     reading: bool,
+    /// Whether the request has gone to the worker.
+    sent: AtomicBool,
 }
 
 impl Flight {
     /// Creates the flight of a request that was counted at its worker.
     pub(crate) fn new(core: &Arc<GatewayCore>, worker: PickedWorker) -> Self {
-        Self { core: Arc::clone(core), worker, reading: true }
+        Self { core: Arc::clone(core), worker, reading: true, sent: AtomicBool::new(false) }
+    }
+
+    /// Notes that the request goes to the worker.
+    pub(crate) fn note_sent(&self) {
+        self.sent.store(true, Ordering::Relaxed);
     }
 
     /// Notes that something of the answer came.
@@ -54,5 +61,9 @@
             picker.end_reading(&self.worker.id, self.worker.reading_ms);
         }
         picker.end(&self.worker.id);
+        let unsent = !self.sent.load(Ordering::Relaxed);
+        if let Some(permit) = self.worker.permit.take_if(|_| unsent) {
+            picker.give_back(&self.worker.id, permit);
+        }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 
 use crate::core::GatewayCore;
 use crate::intake::{CallerHandler, ReadinessHandler};
-use crate::links::{report_to_controllers, take_message};
+use crate::links::{ask_for_permits, report_to_controllers, take_message};
 use crate::protocol::CallerProtocol;
 
 /// Time in which whoever hands out callers notices that this gateway is not ready.
@@ -74,6 +74,7 @@
             serve_http(readiness, never, handler).await;
         });
         tokio::spawn(report_to_controllers(Arc::clone(&core), Arc::clone(&links)));
+        tokio::spawn(ask_for_permits(Arc::clone(&core), Arc::clone(&links)));
         let shown = Arc::clone(&core);
         serve_metrics(core.settings.metrics.as_deref(), move || {
             shown.metrics_text(links.traffic().dropped())
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -20,6 +20,8 @@
 /// Time for the home to deliver a configuration before the other controllers are asked: five times
 /// what it took at most over 49 changes (45 ms, from the commit to when it was in force).
 const HOME_PATIENCE: Duration = Duration::from_millis(250);
+/// Longest pause between two messages to the lender of permits.
+const PERMIT_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which workers that have gone are forgotten.
 const TABLE_SILENCE: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -70,6 +72,21 @@
     }
 }
 
+/// Tells the lender of permits what this gateway needs of them, until the process ends.
+pub(crate) async fn ask_for_permits(core: Arc<GatewayCore>, links: Arc<MemberLinks>) {
+    loop {
+        // Requests that wait are told of at once, everything else in a moment.
+        let _ = tokio::time::timeout(PERMIT_INTERVAL, core.permits_wanted.notified()).await;
+        let (ask, lender) = {
+            let mut picker = core.picker();
+            (picker.permits_due(Instant::now()), picker.lender().cloned())
+        };
+        if let (Some(ask), Some(lender)) = (ask, lender) {
+            links.send(&lender, FleetMessage::PermitAsk(ask));
+        }
+    }
+}
+
 /// Takes a message of a controller.
 pub(crate) fn take_message(
     core: &GatewayCore,
@@ -85,7 +102,11 @@
             core.take_view(from, &view, Instant::now());
         }
         FleetMessage::Deployment(document) => put_in_force(core, from, &document),
-        FleetMessage::Gateway(_) | FleetMessage::Controller(_) => {}
+        FleetMessage::PermitGrant(grant) => {
+            core.picker().take_grant(&grant, Instant::now());
+            core.permits_came.notify_waiters();
+        }
+        FleetMessage::Gateway(_) | FleetMessage::Controller(_) | FleetMessage::PermitAsk(_) => {}
     }
 }
 
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -14,10 +14,12 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
-use hollowbarrow_routing::{BackoffReason, BackoffTable, LimitTable, LimitWord};
+use hollowbarrow_routing::{
+    BackoffReason, BackoffTable, LimitWord, PERMIT_LIFETIME, Permit, UpstreamLimits,
+};
 use hollowbarrow_schema::{
-    DaemonId, FleetView, ModelName, RequestRate, ServiceName, WorkerId, WorkerLoad, WorkerReport,
-    ZoneId,
+    DaemonId, FleetView, ModelName, PermitAsk, PermitGrant, RequestRate, ServiceName, WorkerId,
+    WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
@@ -59,6 +61,17 @@
     Full,
     /// All have asked for no requests; the first wants some again after this time.
     Backoff(Duration),
+    /// All that have room take only so many a second.
+    Limited(LimitedWait),
+}
+
+/// When a request may go to workers that take only so many a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitedWait {
+    /// It may be at any moment, so that the request can wait for that.
+    Soon,
+    /// It is not before this time.
+    Later(Duration),
 }
 
 /// A worker that was chosen.
@@ -74,6 +87,8 @@
     pub first_ms: f64,
     /// Estimated time of one pass, within which a stream should move.
     pub pass_ms: f64,
+    /// What allows the request there, where the worker takes only so many a second.
+    pub permit: Option<Permit>,
 }
 
 /// What a request asks of a worker.
@@ -89,6 +104,31 @@
     pub excluded: &'a [WorkerId],
     /// Addresses to which a kept connection waits.
     pub kept: &'a HashSet<SocketAddr>,
+    /// For how long it can wait for a permit, and whether it has waited already.
+    pub patience: PermitPatience,
+}
+
+/// How a request waits for a permit where all workers that have room need one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PermitPatience {
+    /// Time that is left to wait.
+    pub left: Duration,
+    /// Whether it has begun to wait.
+    pub waits: bool,
+}
+
+/// The cheapest candidate, and one that would be cheaper with a permit.
+struct Choice<'a> {
+    candidate: &'a Candidate,
+    better_with_permit: Option<WorkerId>,
+}
+
+/// Why none of the candidates is chosen.
+enum NoChoice {
+    /// For this reason.
+    Reason(NoWorker),
+    /// These need permits, which are not there.
+    Lacking(Vec<String>),
 }
 
 /// Knows the workers and chooses among them.
@@ -102,7 +142,7 @@
     /// Workers that want no requests from this gateway.
     backoffs: BackoffTable<WorkerId>,
     /// Workers that take only so many requests a second.
-    limits: LimitTable<WorkerId>,
+    limits: UpstreamLimits,
     /// How often each model is asked for here.
     arrivals: HashMap<(ServiceName, ModelName), ArrivalRate>,
 }
@@ -117,7 +157,7 @@
             own: HashMap::new(),
             reported: HashMap::new(),
             backoffs: BackoffTable::new(),
-            limits: LimitTable::new(),
+            limits: UpstreamLimits::new(rand::random()),
             arrivals: HashMap::new(),
         }
     }
@@ -138,9 +178,17 @@
     /// Takes the leading controller's view in; older ones are passed over. False for one that is
     /// so old that whoever passed it on is cut off from the leader.
     pub fn take_view(&mut self, view: &FleetView, now: Instant) -> bool {
+        if self.view.is_newer(view) {
+            self.limits.take_told(&view.limits, now);
+        }
         self.view.take(view, &self.reported, now)
     }
 
+    /// The controller that lends permits, as last told.
+    pub fn lender(&self) -> Option<&DaemonId> {
+        self.view.leader()
+    }
+
     /// Digest of the table of workers.
     pub fn digest(&self) -> u64 {
         self.table.digest()
@@ -167,7 +215,7 @@
         let table = &self.table;
         self.own.retain(|id, own| own.active > 0 || table.get(id).is_some());
         self.backoffs.tidy(|id| table.get(id).is_some(), now);
-        self.limits.tidy(|id| table.get(id).is_some());
+        self.limits.tidy(|id| table.get(&WorkerId::from(id)).is_some());
     }
 
     /// What this gateway has under way, to be told to controllers.
@@ -200,10 +248,30 @@
     /// Says why no worker can be given the request now.
     pub fn pick(&mut self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
         self.candidates.refresh(&self.table);
+        let lacking = self.limits.lacking(self.gateways(), now);
         let engine = facts.service.engine.as_ref();
-        match engine.filter(|engine| !engine.models.is_empty()) {
-            Some(engine) => self.pick_replica(facts, engine, now),
-            None => self.pick_plain(facts, now),
+        let picked = match engine.filter(|engine| !engine.models.is_empty()) {
+            Some(engine) => self.pick_replica(facts, engine, &lacking, now),
+            None => self.pick_plain(facts, &lacking, now),
+        };
+        match picked {
+            Ok((worker, better_with_permit)) => {
+                if let Some(better) = better_with_permit {
+                    self.limits.wish_ahead(&better, PERMIT_LIFETIME, now);
+                }
+                let permit = self.limits.take(&worker.id, now);
+                Ok(PickedWorker { permit, ..worker })
+            }
+            Err(NoChoice::Reason(reason)) => Err(reason),
+            Err(NoChoice::Lacking(workers)) => {
+                let PermitPatience { left, waits } = facts.patience;
+                let wait = if self.limits.wish_any(&workers, left, waits, now) {
+                    LimitedWait::Soon
+                } else {
+                    LimitedWait::Later(self.limits.wait(&workers, now))
+                };
+                Err(NoWorker::Limited(wait))
+            }
         }
     }
 
@@ -211,11 +279,12 @@
         &mut self,
         facts: &PickFacts<'_>,
         engine: &Engine,
+        lacking: &HashSet<String>,
         now: Instant,
-    ) -> Result<PickedWorker, NoWorker> {
-        let model = facts.model.ok_or(NoWorker::Unknown)?;
-        let spec = engine.models.iter().find(|spec| spec.name == *model);
-        let spec = spec.ok_or(NoWorker::Unknown)?;
+    ) -> Result<(PickedWorker, Option<WorkerId>), NoChoice> {
+        let unknown = NoChoice::Reason(NoWorker::Unknown);
+        let spec = engine.models.iter().find(|spec| facts.model == Some(&spec.name));
+        let Some((model, spec)) = facts.model.zip(spec) else { return Err(unknown) };
         let key = (facts.service.name.clone(), model.clone());
         let rate = self.arrivals.entry(key.clone()).or_insert_with(|| ArrivalRate::new(now));
         rate.note(now);
@@ -233,6 +302,7 @@
                 reading_ms: reading,
                 first_ms,
                 pass_ms: pass,
+                permit: None,
             }
         };
         let active = candidates.iter().map(|one| self.view.all(&one.id).active).sum();
@@ -249,10 +319,16 @@
             let expected = expected_silence_ms(estimate(candidate).pass_ms, load.waiting_ms);
             stands_still(self.own.get(&candidate.id), &shared, expected, now)
         };
-        self.choose(candidates, facts, cost, still, now).map(estimate)
+        let choice = self.choose(candidates, facts, lacking, cost, still, now)?;
+        Ok((estimate(choice.candidate), choice.better_with_permit))
     }
 
-    fn pick_plain(&self, facts: &PickFacts<'_>, now: Instant) -> Result<PickedWorker, NoWorker> {
+    fn pick_plain(
+        &self,
+        facts: &PickFacts<'_>,
+        lacking: &HashSet<String>,
+        now: Instant,
+    ) -> Result<(PickedWorker, Option<WorkerId>), NoChoice> {
         let candidates = self.candidates.plain(&facts.service.name);
         let cost = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
@@ -260,30 +336,36 @@
             let part = f64::from(load.active) / f64::from(candidate.slots.max(1));
             (load.active < most).then_some(part * 100.0)
         };
-        let chosen = self.choose(candidates, facts, cost, |_| false, now)?;
-        Ok(PickedWorker {
-            id: chosen.id.clone(),
-            address: chosen.address,
+        let choice = self.choose(candidates, facts, lacking, cost, |_| false, now)?;
+        let worker = PickedWorker {
+            id: choice.candidate.id.clone(),
+            address: choice.candidate.address,
             reading_ms: 0.0,
             first_ms: 0.0,
             pass_ms: 0.0,
-        })
+            permit: None,
+        };
+        Ok((worker, choice.better_with_permit))
     }
 
     /// The cheapest candidate; workers that are left out, or seem to stand still, are used only
-    /// where no other is there, and those that want no requests not even then.
+    /// where no other is there, and those that want no requests, or need permits that are not there,
+    /// not even then.
     fn choose<'a>(
         &self,
         candidates: &'a [Candidate],
         facts: &PickFacts<'_>,
+        lacking: &HashSet<String>,
         cost: impl Fn(&Candidate) -> Option<f64>,
         still: impl Fn(&Candidate) -> bool,
         now: Instant,
-    ) -> Result<&'a Candidate, NoWorker> {
+    ) -> Result<Choice<'a>, NoChoice> {
         let usable = |candidate: &&Candidate| !self.view.is_withheld(&candidate.id);
         let mut known = false;
         let mut backoff: Option<Duration> = None;
         let mut best: Option<(bool, f64, &Candidate)> = None;
+        let mut best_lacking: Option<(bool, f64, &Candidate)> = None;
+        let mut needing: Vec<String> = Vec::new();
         for candidate in candidates.iter().filter(usable) {
             if let Some(reason) = self.backoff(&candidate.id, now) {
                 backoff = backoff.into_iter().chain(reason.left()).min();
@@ -302,16 +384,26 @@
             let connecting = if kept { 0.0 } else { NEW_CONNECTION_MS };
             let bias = candidate.bias_ms + rand::random::<f64>();
             let total = cost + failing * FAILING_MS + distance + connecting + bias;
-            if best.is_none_or(|(left_out, least, _)| (ejected, total) < (left_out, least)) {
-                best = Some((ejected, total, candidate));
+            let lacks = lacking.contains(candidate.id.as_str());
+            if lacks {
+                needing.push(candidate.id.to_string());
+            }
+            let least = if lacks { &mut best_lacking } else { &mut best };
+            if least.is_none_or(|(left_out, least, _)| (ejected, total) < (left_out, least)) {
+                *least = Some((ejected, total, candidate));
             }
         }
-        match (best, backoff) {
-            (Some((_, _, candidate)), _) => Ok(candidate),
-            (None, _) if known => Err(NoWorker::Full),
-            (None, Some(left)) => Err(NoWorker::Backoff(left)),
-            (None, None) => Err(NoWorker::Unknown),
-        }
+        let Some((left_out, least, candidate)) = best else {
+            return Err(match backoff {
+                _ if !needing.is_empty() => NoChoice::Lacking(needing),
+                _ if known => NoChoice::Reason(NoWorker::Full),
+                Some(left) => NoChoice::Reason(NoWorker::Backoff(left)),
+                None => NoChoice::Reason(NoWorker::Unknown),
+            });
+        };
+        let better = best_lacking.filter(|(out, total, _)| (*out, *total) < (left_out, least));
+        let better_with_permit = better.map(|(_, _, candidate)| candidate.id.clone());
+        Ok(Choice { candidate, better_with_permit })
     }
 
     /// Requests under way at a worker: this gateway's now, and those of others as last told.
@@ -392,6 +484,31 @@
         self.backoffs.note_leaving(id)
     }
 
+    /// Gives a permit back that was taken for a request which did not go.
+    pub fn give_back(&mut self, id: &WorkerId, permit: Permit) {
+        self.limits.give_back(id, permit);
+    }
+
+    /// What to tell the lender of permits now, if there is anything.
+    pub fn permits_due(&mut self, now: Instant) -> Option<PermitAsk> {
+        self.limits.due(now)
+    }
+
+    /// Takes in what the lender of permits lends.
+    pub fn take_grant(&mut self, grant: &PermitGrant, now: Instant) {
+        self.limits.take_grant(grant, now);
+    }
+
+    /// Notes that a request begins to wait for a permit.
+    pub fn begin_wait(&mut self) {
+        self.limits.begin_wait();
+    }
+
+    /// Notes that a request waits for a permit no more.
+    pub fn end_wait(&mut self) {
+        self.limits.end_wait();
+    }
+
     /// Notes what a worker said of its limit; true where that is another one now.
     pub fn note_limit(&mut self, id: &WorkerId, word: LimitWord) -> bool {
         self.limits.note(id, word)
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::comeback::{comeback_pause, comeback_spread};
-use crate::picker::NoWorker;
+use crate::picker::{LimitedWait, NoWorker};
 
 /// Time that a caller is taken to have where the request says nothing of it: the deadlines of
 /// streams met so far are 5 to 8 s.
@@ -99,6 +99,7 @@
             Self::NoWorker(NoWorker::Unknown) => "no_worker",
             Self::NoWorker(NoWorker::Full) => "workers_full",
             Self::NoWorker(NoWorker::Backoff(_)) => "workers_back_off",
+            Self::NoWorker(NoWorker::Limited(_)) => "workers_limited",
             Self::NotRun => "not_run",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -110,6 +111,10 @@
             Self::NoWorker(NoWorker::Backoff(backoff)) => {
                 Some(backoff + comeback_spread(left, rand::random()))
             }
+            Self::NoWorker(NoWorker::Limited(LimitedWait::Later(wait))) => {
+                let pause = comeback_pause(left, rand::random());
+                Some(pause.max(wait + comeback_spread(left, rand::random())))
+            }
             Self::NoDeployment | Self::CopyWaits | Self::NoWorker(_) => {
                 Some(comeback_pause(left, rand::random()))
             }
--- a/crates/gateway/src/shared_view.rs
+++ b/crates/gateway/src/shared_view.rs
@@ -5,7 +5,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use hollowbarrow_schema::{FleetView, Term, WorkerId, WorkerLoad};
+use hollowbarrow_schema::{DaemonId, FleetView, Term, WorkerId, WorkerLoad};
 use tokio::time::Instant;
 
 use crate::loads::SharedLoad;
@@ -26,6 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SharedView {
     rank: (Term, u64),
+    leader: Option<DaemonId>,
     gateways: u32,
     withheld: HashSet<WorkerId>,
     loads: HashMap<WorkerId, ToldLoad>,
@@ -51,6 +52,7 @@
         };
         *self = Self {
             rank,
+            leader: view.leader.clone(),
             gateways: view.gateways,
             withheld: view.withheld.iter().cloned().collect(),
             loads: view.loads.iter().map(|load| (load.worker.clone(), told(load))).collect(),
@@ -58,6 +60,16 @@
         true
     }
 
+    /// Whether a view is newer than the one that was last taken.
+    pub(crate) fn is_newer(&self, view: &FleetView) -> bool {
+        (view.term, view.number) > self.rank
+    }
+
+    /// The controller that told.
+    pub(crate) fn leader(&self) -> Option<&DaemonId> {
+        self.leader.as_ref()
+    }
+
     /// Gateways that share the workers.
     pub(crate) fn gateways(&self) -> u32 {
         self.gateways.max(1)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -109,7 +109,7 @@
 
     /// Makes one attempt up to its first event.
     async fn begin(&mut self) -> BeginStep {
-        let flight = match choose_worker(&self.core, &self.request, &self.tries) {
+        let flight = match choose_worker(&self.core, &self.request, &self.tries).await {
             Ok(flight) => flight,
             Err(refusal) => return BeginStep::NoWorker(refusal),
         };
@@ -287,7 +287,7 @@
                 return Err(error);
             }
             self.tries.wait_for_news(&self.request).await;
-            let Ok(flight) = choose_worker(&self.core, &self.request, &self.tries) else {
+            let Ok(flight) = choose_worker(&self.core, &self.request, &self.tries).await else {
                 return Err(error);
             };
             log::info!(
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -96,7 +96,7 @@
     request: &CallerRequest,
     tries: &mut Tries,
 ) -> Result<WholeAnswer, AttemptEnd> {
-    let mut flight = choose_worker(core, request, tries).map_err(AttemptEnd::NoWorker)?;
+    let mut flight = choose_worker(core, request, tries).await.map_err(AttemptEnd::NoWorker)?;
     let answer = match connect_to_worker(core, request, &flight, tries, false).await {
         Ok(lease) => {
             let sending = send_to_worker(core, request, &flight, lease, None);
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -22,6 +22,8 @@
         withheld: Vec::new(),
         loads: Vec::new(),
         held: held.collect(),
+        leader: None,
+        limits: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/routing/src/limit_desk.rs
@@ -0,0 +1,109 @@
+//! What the leader does of upstreams that name limits.
+//!
+//! It puts together what daemons heard, tells all of them, and lends permits.
+//!
+//! Invariant: a leader begins with nothing to lend, since the one before it may just have lent what
+//! the limits allow.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hollowbarrow_schema::{
+    DaemonId, PermitAsk, PermitGrant, PermitTerms, RequestRate, Term, UpstreamLimit,
+};
+use tokio::time::Instant;
+
+use crate::limit_table::LimitTable;
+use crate::limits::{from_told, to_told};
+use crate::permits::{PermitLender, PermitLoan};
+
+/// Time for which daemons are told that an upstream names no limit any more.
+const ENDED_TIME: Duration = Duration::from_secs(10);
+
+/// Limits of upstreams as all daemons heard them, and what is lent.
+#[derive(Clone, Debug, Default)]
+pub struct LimitDesk {
+    term: Term,
+    words: LimitTable<String>,
+    lender: PermitLender,
+}
+
+/// What follows from what a daemon told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeskAnswer {
+    /// Upstreams whose limit is another one now.
+    pub changed: Vec<(String, Option<RequestRate>)>,
+    /// What to send to whom, an answer to the daemon that told among it.
+    pub grants: BTreeMap<DaemonId, PermitGrant>,
+}
+
+fn to_grants(lent: BTreeMap<DaemonId, Vec<PermitTerms>>) -> BTreeMap<DaemonId, PermitGrant> {
+    lent.into_iter().map(|(daemon, terms)| (daemon, PermitGrant { terms })).collect()
+}
+
+impl LimitDesk {
+    /// Creates the desk of a daemon that has never led.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Begins anew where the term is another one than before.
+    pub fn enter(&mut self, term: Term) {
+        if self.term != term {
+            *self = Self { term, ..Self::default() };
+        }
+    }
+
+    /// Takes in what a daemon tells.
+    pub fn take_ask(&mut self, from: &DaemonId, ask: &PermitAsk, now: Instant) -> DeskAnswer {
+        let mut changed = Vec::new();
+        for told in &ask.limits {
+            if self.words.note(&told.upstream, from_told(told, now)) {
+                let limit = self.words.limit(&told.upstream);
+                self.lender.set_limit(&told.upstream, limit, now);
+                changed.push((told.upstream.clone(), limit));
+            }
+        }
+        for need in &ask.needs {
+            self.lender.take_need(from, need, now);
+        }
+        let mut grants = self.lend(now);
+        let answer = grants.entry(from.clone()).or_default();
+        for need in &ask.needs {
+            let wait = self.lender.wait(&need.upstream);
+            let wait_ms = wait.map(|wait| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+            let upstream = need.upstream.clone();
+            answer.push(PermitTerms { upstream, lent: 0, wait_ms });
+        }
+        DeskAnswer { changed, grants: to_grants(grants) }
+    }
+
+    /// Lends what can be lent now; what to send to whom.
+    pub fn lend_due(&mut self, now: Instant) -> BTreeMap<DaemonId, PermitGrant> {
+        to_grants(self.lend(now))
+    }
+
+    fn lend(&mut self, now: Instant) -> BTreeMap<DaemonId, Vec<PermitTerms>> {
+        let mut grants: BTreeMap<DaemonId, Vec<PermitTerms>> = BTreeMap::new();
+        for PermitLoan { daemon, upstream, count } in self.lender.lend(now) {
+            let terms = PermitTerms { upstream, lent: count, wait_ms: None };
+            grants.entry(daemon).or_default().push(terms);
+        }
+        grants
+    }
+
+    /// What daemons are told of limits.
+    pub fn told(&self, now: Instant) -> Vec<UpstreamLimit> {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let words = self.words.words();
+        let counts =
+            words.filter(|(_, word)| word.limit.is_some() || age(word.span.came) < ENDED_TIME);
+        counts.map(|(upstream, word)| to_told(upstream, word, now)).collect()
+    }
+
+    /// Forgets upstreams that are not known any more.
+    pub fn tidy(&mut self, known: impl Fn(&str) -> bool) {
+        self.words.tidy(|upstream| known(upstream));
+        self.lender.tidy(|upstream| known(upstream));
+    }
+}
--- a/crates/routing/src/limit_table.rs
+++ b/crates/routing/src/limit_table.rs
@@ -7,6 +7,7 @@
 //!
 //! Invariant: where two words may have been written in either order, the stricter one holds.
 
+use std::borrow::Borrow;
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -33,7 +34,7 @@
 
 impl LimitWord {
     /// Whether this word was surely written after another.
-    fn is_after(&self, other: &Self) -> bool {
+    pub fn is_after(&self, other: &Self) -> bool {
         self.span.sent >= other.span.came
     }
 
@@ -88,6 +89,15 @@
         self.words.get(upstream)?.limit
     }
 
+    /// The newest word of an upstream, if it has ever named a limit.
+    pub fn word<Q>(&self, upstream: &Q) -> Option<&LimitWord>
+    where
+        K: Borrow<Q>,
+        Q: Eq + Hash + ?Sized,
+    {
+        self.words.get(upstream)
+    }
+
     /// The newest words of all upstreams that have ever named a limit.
     pub fn words(&self) -> impl Iterator<Item = (&K, &LimitWord)> {
         self.words.iter()
--- /dev/null
+++ b/crates/routing/src/limits.rs
@@ -0,0 +1,241 @@
+//! What one daemon knows and does of upstreams that name limits.
+//!
+//! It hears limits in answers to its own requests, and from the leader, who has them from all
+//! daemons. Its own word counts unless the leader's is surely newer.
+//!
+//! Invariant: a request goes to an upstream with a limit only with a permit.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use hollowbarrow_schema::{PermitAsk, PermitGrant, PermitNeed, RequestRate, UpstreamLimit};
+use tokio::time::Instant;
+
+use crate::limit_table::{LimitTable, LimitWord, WordSpan};
+use crate::permits::{Permit, PermitHolder};
+
+/// Time by which a word that another daemon told may be older than it seems.
+const TELLING_TIME: Duration = Duration::from_millis(200);
+/// Time for which a word is kept that the leader tells no more: a new one hears of it meanwhile.
+const FORMER_TIME: Duration = Duration::from_secs(3);
+/// Pause between two messages to the leader about a limit that it does not seem to know.
+const NEWS_PAUSE: Duration = Duration::from_millis(250);
+
+/// A word as it is told to another daemon.
+pub(crate) fn to_told(upstream: &str, word: &LimitWord, now: Instant) -> UpstreamLimit {
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+    UpstreamLimit {
+        upstream: upstream.to_owned(),
+        limit: word.limit,
+        sent_ms: age(word.span.sent),
+        came_ms: age(word.span.came),
+    }
+}
+
+/// A word that another daemon told; what it took to come here makes it seem newer than it is.
+pub(crate) fn from_told(told: &UpstreamLimit, now: Instant) -> LimitWord {
+    let before = |ms: u32| now.checked_sub(Duration::from_millis(ms.into())).unwrap_or(now);
+    let came = before(told.came_ms);
+    let sent = before(told.sent_ms);
+    let sent = sent.checked_sub(TELLING_TIME).unwrap_or(sent);
+    LimitWord { limit: told.limit, span: WordSpan { sent, came } }
+}
+
+/// A word of the leader.
+#[derive(Clone, Copy, Debug)]
+struct LeaderWord {
+    word: LimitWord,
+    /// When the leader last told it.
+    told: Instant,
+}
+
+/// Limits of upstreams, and permits to send to them.
+#[derive(Clone, Debug)]
+pub struct UpstreamLimits {
+    own: LimitTable<String>,
+    told: HashMap<String, LeaderWord>,
+    holder: PermitHolder,
+    /// When the leader was last told of a limit.
+    news: HashMap<String, Instant>,
+    /// Requests that wait for a permit.
+    waiting: usize,
+}
+
+impl UpstreamLimits {
+    /// Creates the limits of a daemon that has heard of none; the seed is for times at which
+    /// nobody lends.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            own: LimitTable::new(),
+            told: HashMap::new(),
+            holder: PermitHolder::new(seed),
+            news: HashMap::new(),
+            waiting: 0,
+        }
+    }
+
+    /// Requests a second that an upstream takes, if it has named a limit.
+    pub fn limit(&self, upstream: &str) -> Option<RequestRate> {
+        self.newest(upstream)?.limit
+    }
+
+    fn newest(&self, upstream: &str) -> Option<LimitWord> {
+        let told = self.told.get(upstream).map(|told| told.word);
+        let own = self.own.word(upstream);
+        match (own, told) {
+            (Some(own), Some(told)) if told.is_after(own) => Some(told),
+            (Some(own), _) => Some(*own),
+            (None, told) => told,
+        }
+    }
+
+    /// Notes what the head of an answer said; true where the limit is another one now.
+    pub fn note(&mut self, upstream: &str, word: LimitWord) -> bool {
+        let former = self.limit(upstream);
+        let name = upstream.to_owned();
+        if self.own.word(upstream).is_none()
+            && let Some(told) = self.told.get(upstream)
+        {
+            // What others heard is what this daemon's own word ends.
+            self.own.note(&name, told.word);
+        }
+        self.own.note(&name, word);
+        if former != self.limit(upstream) {
+            self.news.remove(upstream);
+        }
+        self.note_change(upstream, former)
+    }
+
+    /// Takes in what the leader tells of limits.
+    pub fn take_told(&mut self, limits: &[UpstreamLimit], now: Instant) {
+        for told in limits {
+            let former = self.limit(&told.upstream);
+            let word = from_told(told, now);
+            self.told.insert(told.upstream.clone(), LeaderWord { word, told: now });
+            self.note_change(&told.upstream, former);
+        }
+        let kept = |word: &LeaderWord| now.saturating_duration_since(word.told) < FORMER_TIME;
+        self.told.retain(|_, word| kept(word));
+    }
+
+    /// Drops permits that a lower limit would not have allowed; true where the limit has changed.
+    fn note_change(&mut self, upstream: &str, former: Option<RequestRate>) -> bool {
+        let limit = self.limit(upstream);
+        let falls = match (former, limit) {
+            (Some(former), Some(limit)) => limit < former,
+            _ => false,
+        };
+        if falls {
+            self.holder.note_fall(upstream);
+        }
+        limit != former
+    }
+
+    /// Upstreams with a limit for which no permit is there, where so many daemons share them.
+    pub fn lacking(&mut self, daemons: u32, now: Instant) -> HashSet<String> {
+        let names: HashSet<&String> =
+            self.own.words().map(|(name, _)| name).chain(self.told.keys()).collect();
+        let limited: Vec<(String, RequestRate)> =
+            names.into_iter().filter_map(|name| Some((name.clone(), self.limit(name)?))).collect();
+        let lacks =
+            |(name, limit): &(String, RequestRate)| !self.holder.holds(name, *limit, daemons, now);
+        limited.into_iter().filter(lacks).map(|(name, _)| name).collect()
+    }
+
+    /// Takes a permit for a request; none where the upstream has no limit.
+    pub fn take(&mut self, upstream: &str, now: Instant) -> Option<Permit> {
+        self.limit(upstream)?;
+        self.holder.take(upstream, now)
+    }
+
+    /// Gives a permit back that was taken for a request which did not go.
+    pub fn give_back(&mut self, upstream: &str, permit: Permit) {
+        self.holder.give_back(upstream, permit);
+    }
+
+    /// Wishes for a permit that a later request may use, while this one goes elsewhere.
+    pub fn wish_ahead(&mut self, upstream: &str, lifetime: Duration, now: Instant) {
+        self.holder.wish(upstream, lifetime, now);
+    }
+
+    /// Wishes for a permit of one of several upstreams, for a request that waits for it or, if
+    /// `again`, has waited before; false where none can come in time.
+    pub fn wish_any(
+        &mut self,
+        upstreams: &[String],
+        lifetime: Duration,
+        again: bool,
+        now: Instant,
+    ) -> bool {
+        let wishes: usize = upstreams.iter().map(|one| self.holder.wishes(one, now)).sum();
+        if again && wishes >= self.waiting {
+            return true;
+        }
+        let mut order: Vec<&String> = upstreams.iter().collect();
+        order.sort_by_cached_key(|one| (self.holder.wishes(one, now), rand::random::<u32>()));
+        order.into_iter().any(|one| self.holder.wish(one, lifetime, now))
+    }
+
+    /// Shortest time after which one of several upstreams may have a permit.
+    pub fn wait(&self, upstreams: &[String], now: Instant) -> Duration {
+        let waits = upstreams.iter().map(|one| self.holder.wait(one, now));
+        waits.min().unwrap_or_default()
+    }
+
+    /// Notes that a request begins to wait for a permit.
+    pub fn begin_wait(&mut self) {
+        self.waiting += 1;
+    }
+
+    /// Notes that a request waits no more.
+    pub fn end_wait(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// What to tell the leader now, if there is anything.
+    pub fn due(&mut self, now: Instant) -> Option<PermitAsk> {
+        let limits = self.news_due(now);
+        let needs: Vec<PermitNeed> = self.holder.due(now);
+        (!limits.is_empty() || !needs.is_empty()).then_some(PermitAsk { limits, needs })
+    }
+
+    /// Limits that the leader does not seem to know.
+    fn news_due(&mut self, now: Instant) -> Vec<UpstreamLimit> {
+        let mut due = Vec::new();
+        for (name, own) in self.own.words() {
+            let told = self.told.get(name).map(|told| told.word);
+            let known = told.and_then(|told| told.limit) == own.limit;
+            let paused = self.news.get(name).is_some_and(|at| *at + NEWS_PAUSE > now);
+            if known || paused || told.is_some_and(|told| told.is_after(own)) {
+                continue;
+            }
+            due.push(to_told(name, own, now));
+        }
+        self.news.extend(due.iter().map(|told| (told.upstream.clone(), now)));
+        due
+    }
+
+    /// Takes in what the leader lends.
+    pub fn take_grant(&mut self, grant: &PermitGrant, now: Instant) {
+        for terms in &grant.terms {
+            self.holder.take_loan(&terms.upstream, terms.lent, now);
+            if let Some(wait_ms) = terms.wait_ms {
+                let wait = Duration::from_millis(wait_ms.into());
+                self.holder.take_wait(&terms.upstream, wait, now);
+            }
+        }
+    }
+
+    /// Forgets upstreams that are not known any more.
+    pub fn tidy(&mut self, known: impl Fn(&str) -> bool) {
+        self.own.tidy(|name| known(name.as_str()));
+        self.news.retain(|name, _| known(name));
+        let limited: HashSet<String> = self
+            .own
+            .words()
+            .map(|(name, _)| name.clone())
+            .chain(self.told.keys().cloned())
+            .collect();
+        self.holder.tidy(|name| limited.contains(name));
+    }
+}
--- a/crates/routing/src/permits/holder.rs
+++ b/crates/routing/src/permits/holder.rs
@@ -1,10 +1,9 @@
 //! Holds the permits that one daemon was lent.
 
 use std::collections::{HashMap, VecDeque};
-use std::hash::Hash;
 use std::time::Duration;
 
-use hollowbarrow_schema::RequestRate;
+use hollowbarrow_schema::{PermitNeed, RequestRate};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -23,19 +22,6 @@
 /// lender that others still reach lends meanwhile it stays within what limits bear.
 const UNLENT_PART: f64 = 0.4;
 
-/// What a daemon tells the lender about one upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PermitWish<K> {
-    /// The upstream that the permits are for.
-    pub upstream: K,
-    /// Permits that requests could use.
-    pub count: u32,
-    /// Time for which they could.
-    pub lifetime: Duration,
-    /// Permits that ran out unused.
-    pub returned: u32,
-}
-
 /// Permission for one request to one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Permit {
@@ -101,14 +87,14 @@
 
 /// The permits of one daemon for upstreams that have named limits.
 #[derive(Clone, Debug)]
-pub struct PermitHolder<K> {
-    held: HashMap<K, HeldPermits>,
+pub struct PermitHolder {
+    held: HashMap<String, HeldPermits>,
     /// Since when the lender has not answered.
     unanswered: Option<Instant>,
     rng: ChaCha8Rng,
 }
 
-impl<K: Clone + Eq + Hash> PermitHolder<K> {
+impl PermitHolder {
     /// Creates a holder without permits; the seed is for times at which nobody lends.
     pub fn new(seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
@@ -116,9 +102,15 @@
     }
 
     /// Whether a permit is there for an upstream with this limit, which so many daemons share.
-    pub fn holds(&mut self, upstream: &K, limit: RequestRate, daemons: u32, now: Instant) -> bool {
+    pub fn holds(
+        &mut self,
+        upstream: &str,
+        limit: RequestRate,
+        daemons: u32,
+        now: Instant,
+    ) -> bool {
         let silent = self.is_lender_silent(now);
-        let held = self.held.entry(upstream.clone()).or_default();
+        let held = self.held.entry(upstream.to_owned()).or_default();
         held.expire(now);
         if silent {
             let per_s = permits_per_s(limit) * UNLENT_PART / f64::from(daemons.max(1));
@@ -130,20 +122,20 @@
     }
 
     /// Wishes for a permit that are not fulfilled yet.
-    pub fn wishes(&self, upstream: &K, now: Instant) -> usize {
+    pub fn wishes(&self, upstream: &str, now: Instant) -> usize {
         let wishes = self.held.get(upstream).map(|held| held.wishes.as_slice());
         wishes.unwrap_or_default().iter().filter(|end| now < **end).count()
     }
 
     /// Takes a permit for a request, if there is one.
-    pub fn take(&mut self, upstream: &K, now: Instant) -> Option<Permit> {
+    pub fn take(&mut self, upstream: &str, now: Instant) -> Option<Permit> {
         let held = self.held.get_mut(upstream)?;
         held.expire(now);
         held.permits.pop_front()
     }
 
     /// Gives a permit back that was taken for a request which did not go.
-    pub fn give_back(&mut self, upstream: &K, permit: Permit) {
+    pub fn give_back(&mut self, upstream: &str, permit: Permit) {
         if let Some(held) = self.held.get_mut(upstream) {
             held.add(permit);
         }
@@ -151,8 +143,8 @@
 
     /// Notes that a request could use a permit for some time, unless the lender has said that none
     /// can come meanwhile; true where it may come.
-    pub fn wish(&mut self, upstream: &K, lifetime: Duration, now: Instant) -> bool {
-        let held = self.held.entry(upstream.clone()).or_default();
+    pub fn wish(&mut self, upstream: &str, lifetime: Duration, now: Instant) -> bool {
+        let held = self.held.entry(upstream.to_owned()).or_default();
         if held.next.is_some_and(|next| next > now + lifetime) {
             return false;
         }
@@ -164,8 +156,8 @@
     }
 
     /// What to tell the lender now.
-    pub fn due(&mut self, now: Instant) -> Vec<PermitWish<K>> {
-        let mut wishes = Vec::new();
+    pub fn due(&mut self, now: Instant) -> Vec<PermitNeed> {
+        let mut needs = Vec::new();
         for (upstream, held) in &mut self.held {
             held.expire(now);
             if !held.is_due(now) {
@@ -174,30 +166,30 @@
             held.told = Some(now);
             held.untold = false;
             let last = held.wishes.iter().max().copied().unwrap_or(now);
-            wishes.push(PermitWish {
+            needs.push(PermitNeed {
                 upstream: upstream.clone(),
                 count: held.wishes.len() as u32,
-                lifetime: last.saturating_duration_since(now),
+                lifetime_ms: last.saturating_duration_since(now).as_millis() as u32,
                 returned: std::mem::take(&mut held.returned),
             });
         }
-        if !wishes.is_empty() {
+        if !needs.is_empty() {
             self.unanswered.get_or_insert(now);
         }
-        wishes
+        needs
     }
 
     /// Takes permits in that the lender lent.
-    pub fn take_loan(&mut self, upstream: &K, count: u32, now: Instant) {
+    pub fn take_loan(&mut self, upstream: &str, count: u32, now: Instant) {
         self.unanswered = None;
-        let held = self.held.entry(upstream.clone()).or_default();
+        let held = self.held.entry(upstream.to_owned()).or_default();
         held.expire(now);
         held.fulfil(count);
     }
 
     /// Takes in after what time the lender expects to lend one more; drops the wishes that end
     /// before.
-    pub fn take_wait(&mut self, upstream: &K, wait: Duration, now: Instant) {
+    pub fn take_wait(&mut self, upstream: &str, wait: Duration, now: Instant) {
         self.unanswered = None;
         if let Some(held) = self.held.get_mut(upstream) {
             held.next = Some(now + wait);
@@ -206,14 +198,14 @@
     }
 
     /// Keeps one permit at most for an upstream whose limit has fallen.
-    pub fn note_fall(&mut self, upstream: &K) {
+    pub fn note_fall(&mut self, upstream: &str) {
         if let Some(held) = self.held.get_mut(upstream) {
             held.permits.truncate(1);
         }
     }
 
     /// Time after which the lender expects to lend a permit; zero where that is not known.
-    pub fn wait(&self, upstream: &K, now: Instant) -> Duration {
+    pub fn wait(&self, upstream: &str, now: Instant) -> Duration {
         let next = self.held.get(upstream).and_then(|held| held.next);
         next.map_or(Duration::ZERO, |next| next.saturating_duration_since(now))
     }
@@ -225,7 +217,7 @@
     }
 
     /// Forgets upstreams without a limit.
-    pub fn tidy(&mut self, limited: impl Fn(&K) -> bool) {
+    pub fn tidy(&mut self, limited: impl Fn(&str) -> bool) {
         self.held.retain(|upstream, _| limited(upstream));
         if self.held.is_empty() {
             self.unanswered = None;
--- a/crates/routing/src/permits/lender.rs
+++ b/crates/routing/src/permits/lender.rs
@@ -1,13 +1,12 @@
 //! Lends permits as the leader.
 
 use std::collections::HashMap;
-use std::hash::Hash;
 use std::time::Duration;
 
-use hollowbarrow_schema::{DaemonId, RequestRate};
+use hollowbarrow_schema::{DaemonId, PermitNeed, RequestRate};
 use tokio::time::Instant;
 
-use super::{PERMIT_LIFETIME, PermitWish, permits_per_s};
+use super::{PERMIT_LIFETIME, permits_per_s};
 
 /// Seconds of a limit that may be lent at once.
 const BURST_SECONDS: f64 = 0.25;
@@ -18,11 +17,11 @@
 
 /// Permits that are lent to a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PermitLoan<K> {
+pub struct PermitLoan {
     /// Who gets them.
     pub daemon: DaemonId,
     /// The upstream that they are for.
-    pub upstream: K,
+    pub upstream: String,
     /// How many they are.
     pub count: u32,
 }
@@ -99,25 +98,19 @@
 }
 
 /// Lends permits for upstreams that have named limits.
-#[derive(Clone, Debug)]
-pub struct PermitLender<K> {
-    buckets: HashMap<K, LimitBucket>,
-}
-
-impl<K> Default for PermitLender<K> {
-    fn default() -> Self {
-        Self { buckets: HashMap::new() }
-    }
+#[derive(Clone, Debug, Default)]
+pub struct PermitLender {
+    buckets: HashMap<String, LimitBucket>,
 }
 
-impl<K: Clone + Eq + Hash> PermitLender<K> {
+impl PermitLender {
     /// Creates a lender that has lent nothing.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Sets the limit of an upstream; without one, nothing is lent for it.
-    pub fn set_limit(&mut self, upstream: &K, limit: Option<RequestRate>, now: Instant) {
+    pub fn set_limit(&mut self, upstream: &str, limit: Option<RequestRate>, now: Instant) {
         let Some(limit) = limit else {
             self.buckets.remove(upstream);
             return;
@@ -126,24 +119,24 @@
         match self.buckets.get_mut(upstream) {
             Some(bucket) => bucket.set_rate(per_s, now),
             None => {
-                self.buckets.insert(upstream.clone(), LimitBucket::new(per_s, now));
+                self.buckets.insert(upstream.to_owned(), LimitBucket::new(per_s, now));
             }
         }
     }
 
     /// Takes in what a daemon wishes for now, in place of what it wished for before, and what it
     /// returns unused.
-    pub fn take_wish(&mut self, daemon: &DaemonId, wish: &PermitWish<K>, now: Instant) {
-        let Some(bucket) = self.buckets.get_mut(&wish.upstream) else { return };
+    pub fn take_need(&mut self, daemon: &DaemonId, need: &PermitNeed, now: Instant) {
+        let Some(bucket) = self.buckets.get_mut(&need.upstream) else { return };
         bucket.fill(now);
-        bucket.add(f64::from(wish.returned));
-        let end = now + wish.lifetime.min(PERMIT_LIFETIME);
-        bucket.wish(PendingWish { daemon: daemon.clone(), count: wish.count, end });
+        bucket.add(f64::from(need.returned));
+        let lifetime = Duration::from_millis(need.lifetime_ms.into()).min(PERMIT_LIFETIME);
+        bucket.wish(PendingWish { daemon: daemon.clone(), count: need.count, end: now + lifetime });
     }
 
     /// Lends what can be lent now.
-    pub fn lend(&mut self, now: Instant) -> Vec<PermitLoan<K>> {
-        let mut loans: Vec<PermitLoan<K>> = Vec::new();
+    pub fn lend(&mut self, now: Instant) -> Vec<PermitLoan> {
+        let mut loans: Vec<PermitLoan> = Vec::new();
         for (upstream, bucket) in &mut self.buckets {
             bucket.fill(now);
             bucket.drop_ended(now);
@@ -159,12 +152,12 @@
     }
 
     /// Time after which the next permit can be lent; none without a limit.
-    pub fn wait(&self, upstream: &K) -> Option<Duration> {
+    pub fn wait(&self, upstream: &str) -> Option<Duration> {
         self.buckets.get(upstream).map(LimitBucket::wait)
     }
 
     /// Forgets upstreams that are not known any more.
-    pub fn tidy(&mut self, known: impl Fn(&K) -> bool) {
+    pub fn tidy(&mut self, known: impl Fn(&str) -> bool) {
         self.buckets.retain(|upstream, _| known(upstream));
     }
 }
--- a/crates/routing/src/permits/mod.rs
+++ b/crates/routing/src/permits/mod.rs
@@ -24,7 +24,7 @@
 
 use hollowbarrow_schema::RequestRate;
 
-pub use holder::{Permit, PermitHolder, PermitWish};
+pub use holder::{Permit, PermitHolder};
 pub use lender::{PermitLender, PermitLoan};
 
 /// Longest time for which a permit may be used.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1044,6 +1044,10 @@
     Controller(ControllerHello),
     #[serde(rename = "view")]
     View(FleetView),
+    #[serde(rename = "permit_ask")]
+    PermitAsk(PermitAsk),
+    #[serde(rename = "permit_grant")]
+    PermitGrant(PermitGrant),
     #[serde(rename = "deployment")]
     Deployment(DeploymentDocument),
     #[serde(rename = "workers")]
@@ -1069,6 +1073,16 @@
         Self::View(value)
     }
 }
+impl ::std::convert::From<PermitAsk> for FleetMessage {
+    fn from(value: PermitAsk) -> Self {
+        Self::PermitAsk(value)
+    }
+}
+impl ::std::convert::From<PermitGrant> for FleetMessage {
+    fn from(value: PermitGrant) -> Self {
+        Self::PermitGrant(value)
+    }
+}
 impl ::std::convert::From<DeploymentDocument> for FleetMessage {
     fn from(value: DeploymentDocument) -> Self {
         Self::Deployment(value)
@@ -1092,6 +1106,12 @@
     ///All requests that are known to end upstreams.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub held: ::std::vec::Vec<HeldRequest>,
+    ///Who lends permits for upstreams that name limits.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub leader: ::std::option::Option<DaemonId>,
+    ///All upstreams that name limits, and those that have lately ceased to.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub limits: ::std::vec::Vec<UpstreamLimit>,
     ///Sums over all gateways.
     pub loads: ::std::vec::Vec<WorkerLoad>,
     ///Rises with each view of a term.
@@ -2357,6 +2377,65 @@
         value.clone()
     }
 }
+///What a daemon tells the leader of upstreams that name limits.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitAsk {
+    ///What the leader does not seem to know.
+    pub limits: ::std::vec::Vec<UpstreamLimit>,
+    pub needs: ::std::vec::Vec<PermitNeed>,
+}
+impl ::std::convert::From<&PermitAsk> for PermitAsk {
+    fn from(value: &PermitAsk) -> Self {
+        value.clone()
+    }
+}
+///What the leader lends to a daemon; each ask is answered.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitGrant {
+    pub terms: ::std::vec::Vec<PermitTerms>,
+}
+impl ::std::convert::From<&PermitGrant> for PermitGrant {
+    fn from(value: &PermitGrant) -> Self {
+        value.clone()
+    }
+}
+///Permits that a daemon has a use for at one upstream, in place of what it told before.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitNeed {
+    pub count: u32,
+    ///Milliseconds for which it has.
+    pub lifetime_ms: u32,
+    ///Permits that ran out unused.
+    pub returned: u32,
+    pub upstream: ::std::string::String,
+}
+impl ::std::convert::From<&PermitNeed> for PermitNeed {
+    fn from(value: &PermitNeed) -> Self {
+        value.clone()
+    }
+}
+///Permits that a daemon gets for one upstream.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitTerms {
+    pub lent: u32,
+    pub upstream: ::std::string::String,
+    ///Milliseconds after which the leader can lend the next one; none where it was not asked.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub wait_ms: ::std::option::Option<u32>,
+}
+impl ::std::convert::From<&PermitTerms> for PermitTerms {
+    fn from(value: &PermitTerms) -> Self {
+        value.clone()
+    }
+}
 ///The platform's list of nodes.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -3218,6 +3297,26 @@
         }
     }
 }
+///What an upstream last said of its limit.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamLimit {
+    ///Milliseconds since the head of that answer came.
+    pub came_ms: u32,
+    ///Requests that it takes from all daemons together; none where it names no limit any more.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub limit: ::std::option::Option<RequestRate>,
+    ///Milliseconds since the request was sent that it answered so.
+    pub sent_ms: u32,
+    ///Name of the upstream's life.
+    pub upstream: ::std::string::String,
+}
+impl ::std::convert::From<&UpstreamLimit> for UpstreamLimit {
+    fn from(value: &UpstreamLimit) -> Self {
+        value.clone()
+    }
+}
 ///Priority class of a request or group, most pressing first.
 ///
 #[derive(
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -22,7 +22,7 @@
 pub use lives::{Incarnation, LIFE_MARK};
 
 /// Version of the messages between daemons; both ends of a connection must agree on it.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// Label with which operators drain one node.
 pub const DRAIN_LABEL: &str = "drain";
--- a/tests/platform/stale_gateway.rs
+++ b/tests/platform/stale_gateway.rs
@@ -173,6 +173,8 @@
             withheld: Vec::new(),
             loads: Vec::new(),
             held: Vec::new(),
+            leader: None,
+            limits: Vec::new(),
         };
         home.links.send(&gateway, FleetMessage::View(view));
     }
