Have the soak's workers name limits, and check the words and the choice by themselves

Three series of workers that name 0.5 to 12.5 a second over the other disturbances, and the check of arrivals in every soak; a daemon whose links are cut is excused like one that is killed. Seeds keep their other disturbances.

--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, ModelSpec, Service};
-use hollowbarrow_gateway::picker::{NoWorker, PermitPatience, PickFacts, WorkerPicker};
+use hollowbarrow_gateway::picker::{
+    LimitedWait, NoWorker, PermitPatience, PickFacts, WorkerPicker,
+};
+use hollowbarrow_routing::{LimitWord, WordSpan};
 use hollowbarrow_schema::{
-    DaemonId, DomainId, Epoch, FleetView, MembershipState, ModelName, ServiceName, Term, WorkerId,
-    WorkerLoad, WorkerMembership, WorkerReport, ZoneId,
+    DaemonId, DomainId, Epoch, FleetView, MembershipState, ModelName, PermitGrant, PermitTerms,
+    RequestRate, ServiceName, Term, UpstreamLimit, WorkerId, WorkerLoad, WorkerMembership,
+    WorkerReport, ZoneId,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -449,3 +453,79 @@
     let within = sent.iter().filter(|at| **at > asked && **at < asked + BACKOFF).count();
     assert_eq!(within, 0, "{sent:?}");
 }
+
+/// Has a worker name a limit in an answer to a request that was sent a moment ago.
+fn name_limit(picker: &mut WorkerPicker, id: &str, milli: u64, now: Instant) {
+    let span = WordSpan { sent: now, came: now };
+    let limit = Some(RequestRate(milli));
+    assert!(picker.note_limit(&WorkerId::from(id), LimitWord { limit, span }));
+}
+
+fn lend(picker: &mut WorkerPicker, id: &str, lent: u32, wait_ms: Option<u32>, now: Instant) {
+    let terms = PermitTerms { upstream: id.to_owned(), lent, wait_ms };
+    picker.take_grant(&PermitGrant { terms: vec![terms] }, now);
+}
+
+/// What a gateway asks for, by worker.
+fn asked(picker: &mut WorkerPicker, now: Instant) -> Vec<(String, u32)> {
+    let ask = picker.permits_due(now).map_or(Vec::new(), |ask| ask.needs);
+    ask.into_iter().map(|need| (need.upstream, need.count)).collect()
+}
+
+/// A worker that takes only so many a second has little to do, and is not chosen for that.
+#[rstest]
+fn pick_limited_with_permit_only() {
+    let now = Instant::now();
+    let mut picker = picker(replicas());
+    (0..12).for_each(|_| picker.begin(&WorkerId::from("b0"), 20.0, now));
+    name_limit(&mut picker, "a0", 1800, now);
+    assert_eq!(picked(&mut picker), ["b0"]);
+    assert_eq!(asked(&mut picker, now), [("a0".to_owned(), 32)], "later requests could use them");
+    lend(&mut picker, "a0", 1, None, now);
+    let (service, model) = (service(), ModelName::from("m"));
+    let with_permit = picker.pick(&facts(&service, &model), now).expect("both serve");
+    assert_eq!(*with_permit.id, "a0");
+    let without = picker.pick(&facts(&service, &model), now).expect("the other one serves");
+    assert_eq!(*without.id, "b0");
+    let permit = with_permit.permit.expect("one was needed");
+    picker.give_back(&with_permit.id, permit);
+    let again = picker.pick(&facts(&service, &model), now).expect("both serve");
+    assert_eq!(*again.id, "a0", "the request did not go");
+}
+
+/// Where all that have room are limited, a request waits for a permit that may come, and is refused
+/// at once where none can.
+#[rstest]
+#[case::not_known(None, LimitedWait::Soon)]
+#[case::in_time(Some(100), LimitedWait::Soon)]
+#[case::too_late(Some(101), LimitedWait::Later(Duration::from_millis(101)))]
+fn pick_none_of_limited(#[case] wait_ms: Option<u32>, #[case] expected: LimitedWait) {
+    let now = Instant::now();
+    let mut picker = picker(replicas());
+    name_limit(&mut picker, "a0", 1800, now);
+    name_limit(&mut picker, "b0", 1800, now);
+    assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Limited(LimitedWait::Soon)));
+    if wait_ms.is_some() {
+        lend(&mut picker, "a0", 0, wait_ms, now);
+        lend(&mut picker, "b0", 0, wait_ms, now);
+    }
+    let (service, model) = (service(), ModelName::from("m"));
+    let refused = picker.pick(&facts(&service, &model), now).map(|worker| worker.id);
+    assert_eq!(refused, Err(NoWorker::Limited(expected)));
+}
+
+/// A worker in need hears from those that others told of it too.
+#[rstest]
+fn pick_none_that_others_know_as_limited() {
+    let now = Instant::now();
+    let mut picker = picker(replicas());
+    let told = UpstreamLimit {
+        upstream: "a0".to_owned(),
+        limit: Some(RequestRate(1800)),
+        sent_ms: 200,
+        came_ms: 150,
+    };
+    let limits = vec![told];
+    picker.take_view(&FleetView { limits, ..view(2, 3, &[], &[]) }, now);
+    assert_eq!(picked(&mut picker), ["b0"]);
+}
--- /dev/null
+++ b/crates/routing/tests/limits.rs
@@ -0,0 +1,171 @@
+//! Limits as daemons hear them, and what their leader makes of that.
+
+use std::time::Duration;
+
+use hollowbarrow_routing::{LimitDesk, LimitWord, UpstreamLimits, WordSpan};
+use hollowbarrow_schema::{DaemonId, PermitAsk, RequestRate, Term, UpstreamLimit};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const NAMED: Option<RequestRate> = Some(RequestRate(2000));
+const PATIENCE: Duration = Duration::from_millis(100);
+const DAEMONS: u32 = 8;
+
+fn after(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+/// A word in the answer to a request that was sent 10 ms before.
+fn word(start: Instant, came_ms: u64, limit: Option<RequestRate>) -> LimitWord {
+    let span = WordSpan { sent: after(start, came_ms - 10), came: after(start, came_ms) };
+    LimitWord { limit, span }
+}
+
+/// What a leader tells of a word whose answer came so long ago.
+fn told(came_ms: u32, limit: Option<RequestRate>) -> Vec<UpstreamLimit> {
+    vec![UpstreamLimit { upstream: "a".to_owned(), limit, sent_ms: came_ms + 10, came_ms }]
+}
+
+fn daemon(name: &str) -> DaemonId {
+    DaemonId(name.to_owned())
+}
+
+fn desk() -> LimitDesk {
+    let mut desk = LimitDesk::new();
+    desk.enter(Term(1));
+    desk
+}
+
+#[rstest]
+fn own_word_counts() {
+    let start = Instant::now();
+    let mut limits = UpstreamLimits::new(1);
+    assert!(limits.note("a", word(start, 100, NAMED)));
+    assert_eq!(limits.limit("a"), NAMED);
+    assert!(limits.lacking(DAEMONS, after(start, 100)).contains("a"));
+    assert!(limits.note("a", word(start, 200, None)));
+    assert!(limits.lacking(DAEMONS, after(start, 200)).is_empty());
+    assert!(limits.take("a", after(start, 200)).is_none(), "none is needed");
+}
+
+/// What others heard counts unless this daemon's own word may be as new.
+#[rstest]
+#[case::only_others(None, 50, NAMED, NAMED)]
+#[case::own_older(Some((100, None)), 50, NAMED, NAMED)]
+#[case::own_newer(Some((900, None)), 500, NAMED, None)]
+#[case::about_as_old(Some((800, None)), 100, NAMED, None)]
+#[case::ended_at_others(Some((100, NAMED)), 50, None, None)]
+fn limit_told_by_others(
+    #[case] own: Option<(u64, Option<RequestRate>)>,
+    #[case] came_ms: u32,
+    #[case] others: Option<RequestRate>,
+    #[case] expected: Option<RequestRate>,
+) {
+    let start = Instant::now();
+    let mut limits = UpstreamLimits::new(1);
+    if let Some((ms, limit)) = own {
+        limits.note("a", word(start, ms - 20, NAMED));
+        limits.note("a", word(start, ms, limit));
+    }
+    limits.take_told(&told(came_ms, others), after(start, 1000));
+    assert_eq!(limits.limit("a"), expected);
+}
+
+/// A daemon that knows of a limit from others only hears by itself that it has ended.
+#[rstest]
+fn limit_of_others_ends_here() {
+    let start = Instant::now();
+    let mut limits = UpstreamLimits::new(1);
+    limits.take_told(&told(50, NAMED), after(start, 1000));
+    assert!(limits.note("a", word(start, 1500, None)));
+    assert_eq!(limits.limit("a"), None);
+    let ask = limits.due(after(start, 1500)).expect("others do not know");
+    assert_eq!(ask.limits, told(0, None));
+}
+
+/// A new leader hears of limits within moments, so that what a former one told is kept as long.
+#[rstest]
+#[case::kept(2999, NAMED)]
+#[case::forgotten(3000, None)]
+fn limit_of_former_leader(#[case] ms: u64, #[case] expected: Option<RequestRate>) {
+    let start = Instant::now();
+    let mut limits = UpstreamLimits::new(1);
+    limits.take_told(&told(50, NAMED), start);
+    limits.take_told(&[], after(start, ms));
+    assert_eq!(limits.limit("a"), expected);
+}
+
+#[rstest]
+fn due_tells_what_leader_lacks() {
+    let start = Instant::now();
+    let mut limits = UpstreamLimits::new(1);
+    limits.note("a", word(start, 100, NAMED));
+    let ask = PermitAsk { limits: told(0, NAMED), needs: Vec::new() };
+    assert_eq!(limits.due(after(start, 100)), Some(ask));
+    assert_eq!(limits.due(after(start, 349)), None, "it may be on its way");
+    assert!(limits.due(after(start, 350)).is_some(), "the leader does not tell it");
+    limits.take_told(&told(400, NAMED), after(start, 500));
+    assert_eq!(limits.due(after(start, 1000)), None);
+}
+
+#[rstest]
+fn desk_tells_and_lends() {
+    let start = Instant::now();
+    let mut desk = desk();
+    let mut limits = UpstreamLimits::new(1);
+    limits.note("a", word(start, 100, NAMED));
+    assert!(limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 100)));
+    let ask = limits.due(after(start, 100)).expect("it wants something");
+    let answer = desk.take_ask(&daemon("x"), &ask, after(start, 100));
+    assert_eq!(answer.changed, vec![("a".to_owned(), NAMED)]);
+    let grant = &answer.grants[&daemon("x")];
+    assert_eq!((grant.terms[0].lent, grant.terms[0].wait_ms), (0, Some(500)));
+    assert_eq!(desk.told(after(start, 100)).len(), 1);
+    limits.take_grant(grant, after(start, 100));
+    assert!(!limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 100)));
+    assert!(limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 590)));
+    let ask = limits.due(after(start, 590)).expect("it wants something");
+    assert!(desk.take_ask(&daemon("x"), &ask, after(start, 590)).changed.is_empty());
+    let grants = desk.lend_due(after(start, 600));
+    limits.take_grant(&grants[&daemon("x")], after(start, 600));
+    assert!(limits.lacking(DAEMONS, after(start, 600)).is_empty());
+    assert!(limits.take("a", after(start, 600)).is_some());
+}
+
+/// What a former leader lent may just have been used.
+#[rstest]
+fn desk_begins_with_nothing() {
+    let start = Instant::now();
+    let mut desk = desk();
+    let ask = PermitAsk { limits: told(0, NAMED), needs: Vec::new() };
+    desk.take_ask(&daemon("x"), &ask, start);
+    desk.enter(Term(1));
+    assert_eq!(desk.told(start).len(), 1, "it is the same term");
+    desk.enter(Term(2));
+    assert!(desk.told(start).is_empty());
+}
+
+/// The end of a limit is told on for a while.
+#[rstest]
+#[case::told(9_999, 1)]
+#[case::over(10_500, 0)]
+fn desk_tells_of_end(#[case] ms: u64, #[case] expected: usize) {
+    let start = Instant::now();
+    let mut desk = desk();
+    let ask = |limit| PermitAsk { limits: told(0, limit), needs: Vec::new() };
+    desk.take_ask(&daemon("x"), &ask(NAMED), start);
+    // Later by more than words may be late.
+    let answer = desk.take_ask(&daemon("y"), &ask(None), after(start, 500));
+    assert_eq!(answer.changed, vec![("a".to_owned(), None)]);
+    assert_eq!(desk.told(after(start, ms)).len(), expected);
+}
+
+#[rstest]
+fn desk_forgets_unknown() {
+    let start = Instant::now();
+    let mut desk = desk();
+    let ask = PermitAsk { limits: told(0, NAMED), needs: Vec::new() };
+    desk.take_ask(&daemon("x"), &ask, start);
+    desk.tidy(|upstream| upstream != "a");
+    assert!(desk.told(start).is_empty());
+}
--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -58,6 +58,8 @@
     TurnAway,
     /// A worker says in its answers that it leaves, and controllers hear of it only as it ends.
     LeaveUnheard,
+    /// A worker names a limit for a while.
+    NameLimit,
     /// Many copies of a request that ends the workers it runs on come at once.
     EndingBurst,
     /// All daemons are killed at once, and one controller's disk is lost.
@@ -94,6 +96,10 @@
     [DisturbanceKind::TurnAway, DisturbanceKind::LeaveUnheard];
 const DEMAND_SEED: u64 = 0xdead;
 
+/// Kinds of a fourth sort of series, and its seed.
+const LIMIT_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::NameLimit];
+const LIMIT_SEED: u64 = 0x1131;
+
 /// Kinds of a series of their own, since one of them leaves few workers for a while.
 const BURST_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::EndingBurst];
 const BURST_SEED: u64 = 0xb0057;
@@ -131,6 +137,10 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (DEMAND_SEED + series));
         draw_series(&mut rng, &DEMAND_KINDS, &mut drawn);
     }
+    for series in 0..SERIES as u64 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (LIMIT_SEED + series));
+        draw_series(&mut rng, &LIMIT_KINDS, &mut drawn);
+    }
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BURST_SEED);
     draw_series(&mut rng, &BURST_KINDS, &mut drawn);
     drawn.push(draw_power_loss(seed));
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::demands::{DemandEvent, find_breaches};
+use crate::limit_check::find_limit_breaches;
 
 /// Members of each replica.
 pub const REPLICA_SIZE: usize = 3;
@@ -90,7 +91,9 @@
     /// What the workers saw that must not be.
     pub fn breaches(&self) -> Vec<String> {
         let mut breaches = self.breaches.lock().expect("not poisoned").clone();
-        breaches.extend(find_breaches(&self.demands.lock().expect("not poisoned")));
+        let demands = self.demands();
+        breaches.extend(find_breaches(&demands));
+        breaches.extend(find_limit_breaches(&demands));
         breaches
     }
 
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -67,6 +67,11 @@
 const UNHEARD_DRAIN_TIME: Duration = Duration::from_millis(3500);
 /// Time for which a worker that turns requests away asks for none, a little more each time.
 const BACKOFF: Duration = Duration::from_secs(1);
+/// Requests a second that workers name as their limit.
+const LIMITS: [&str; 4] = ["0.5", "2", "5", "12.5"];
+/// Time for which they do so beyond the length of the disturbance: limits have to be kept only a
+/// while after they were named, and over windows of some length.
+const LIMITED_TIME: Duration = Duration::from_secs(6);
 
 /// A system, its workers and what was done to them.
 struct Soak {
@@ -194,6 +199,11 @@
                 self.worker(disturbance).turn_away(Some(BACKOFF + more));
                 true
             }
+            DisturbanceKind::NameLimit => {
+                let limit = LIMITS[disturbance.second % LIMITS.len()];
+                self.worker(disturbance).name_limit(Some(limit));
+                true
+            }
             DisturbanceKind::LeaveUnheard => {
                 worker.leave_unheard();
                 true
@@ -259,6 +269,7 @@
                 }
             }
             DisturbanceKind::TurnAway => self.worker(disturbance).turn_away(None),
+            DisturbanceKind::NameLimit => self.worker(disturbance).name_limit(None),
             DisturbanceKind::LeaveUnheard => self.renew_worker(index),
             DisturbanceKind::RebirthAtOnce
             | DisturbanceKind::ForeignRecords
@@ -306,6 +317,7 @@
     }
 
     fn cut_off(&self, daemon: usize, mode: FaultMode) -> bool {
+        self.note_disturbed(daemon);
         for other in (0..self.system.daemon_count()).filter(|other| *other != daemon) {
             self.system.set_link(daemon, other, mode);
             self.system.set_link(other, daemon, mode);
@@ -319,6 +331,7 @@
         if from == to {
             return false;
         }
+        [from, to].into_iter().for_each(|daemon| self.note_disturbed(daemon));
         self.system.set_link(from, to, mode);
         true
     }
@@ -384,6 +397,7 @@
 fn length_of(disturbance: &Disturbance) -> Duration {
     match disturbance.kind {
         DisturbanceKind::LeaveUnheard => disturbance.length + UNHEARD_DRAIN_TIME,
+        DisturbanceKind::NameLimit => disturbance.length + LIMITED_TIME,
         _ => disturbance.length,
     }
 }
