Keep the limits that nodes name at entry daemons too

The words, the lending and what a daemon keeps of both are the same pure code as for gateways; the leader of the configuration's log lends while a majority has confirmed it within the election time. Each answer to an ask says what the leader knows of the limits asked for, so that daemons do not repeat what it has heard.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -272,7 +272,7 @@
     let mut limits = core.limits();
     limits.enter(term);
     limits.tidy(|worker| fleet.table().get(&WorkerId::from(worker)).is_some());
-    let grants = limits.lend_due(now);
+    let grants = limits.lend(now);
     let told = limits.told(now);
     drop(limits);
     send_grants(core, grants);
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_routing::{BackoffReason, RouteCandidate, UpstreamKey};
+use hollowbarrow_routing::{BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey};
 use hollowbarrow_upstream::{SentAnswer, UpstreamRequest, read_backoff};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -14,7 +14,8 @@
 use crate::answer::{CallerError, CallerLink, ErrorCode};
 use crate::core::DaemonCore;
 use crate::facts::{CallerRequest, RequestKind, headers};
-use crate::refusals::{UPSTREAM_RETRY, to_backoff_error, to_send_error};
+use crate::permits::{HeldPermit, PermitWait, limit_name, note_limit};
+use crate::refusals::{UPSTREAM_RETRY, to_backoff_error, to_limited_error, to_send_error};
 use crate::relay::{StreamRelay, read_whole};
 use crate::routes::{RouteEntry, RouteTarget};
 use crate::telemetry::HopSpan;
@@ -65,15 +66,15 @@
     streamed: bool,
 ) -> AttemptResult {
     let pick_span = span.child("pick");
-    let entry = match pick_upstream(core, request, blocks, avoid).await {
-        Ok(entry) => entry,
+    let PickedUpstream { entry, permit } = match pick_upstream(core, request, blocks, avoid).await {
+        Ok(picked) => picked,
         Err(error) => return (None, Err(AttemptEnd::Nothing(error))),
     };
     drop(pick_span);
     let attempt_span = span.child("upstream");
     attempt_span.set("upstream", &entry.key.name);
     let key = entry.key.clone();
-    let tally = PickerTally::new(core, &key, blocks);
+    let tally = PickerTally::new(core, &key, blocks).with_permit(permit);
     let sending = send_to_upstream(core, request, &entry, &attempt_span, relay, streamed, &tally);
     let outcome = tokio::select! {
         outcome = sending => outcome,
@@ -99,13 +100,27 @@
     key: &'a UpstreamKey,
     started: Instant,
     first: std::sync::OnceLock<Instant>,
+    permit: Option<HeldPermit>,
 }
 
 impl<'a> PickerTally<'a> {
     fn new(core: &'a DaemonCore, key: &'a UpstreamKey, blocks: &[u64]) -> Self {
         let started = Instant::now();
         core.picker().note_start(key, blocks, started);
-        Self { core, key, started, first: std::sync::OnceLock::new() }
+        Self { core, key, started, first: std::sync::OnceLock::new(), permit: None }
+    }
+
+    /// Sets what allows the attempt.
+    fn with_permit(mut self, permit: Option<HeldPermit>) -> Self {
+        self.permit = permit;
+        self
+    }
+
+    /// Notes that the request goes to the upstream.
+    fn note_sent(&self) {
+        if let Some(permit) = &self.permit {
+            permit.note_sent();
+        }
     }
 
     /// Notes that the first byte of the answer came.
@@ -121,13 +136,21 @@
     }
 }
 
-/// Chooses an upstream, waiting for room until the deadline.
+/// An upstream that was chosen.
+struct PickedUpstream {
+    entry: RouteEntry,
+    /// What allows the request there, where the upstream takes only so many a second.
+    permit: Option<HeldPermit>,
+}
+
+/// Chooses an upstream, waiting for room until the deadline, and for a permit for a moment.
 async fn pick_upstream(
-    core: &DaemonCore,
+    core: &Arc<DaemonCore>,
     request: &CallerRequest,
     blocks: &[u64],
     avoid: &[UpstreamKey],
-) -> Result<RouteEntry, CallerError> {
+) -> Result<PickedUpstream, CallerError> {
+    let mut permits = PermitWait::new(core);
     loop {
         let now = Instant::now();
         if now >= request.deadline {
@@ -145,12 +168,18 @@
             open.collect::<Vec<RouteCandidate>>()
         };
         let backoff = drop_backed_off(core, &mut candidates, now);
+        let lacking = drop_lacking(core, &mut candidates, now);
+        if candidates.is_empty() && !lacking.is_empty() {
+            permits.wait_for_any(&lacking).await.map_err(to_limited_error)?;
+            continue;
+        }
         if candidates.is_empty() {
             return Err(match backoff {
                 Some(left) => to_backoff_error(left),
                 None => no_upstream(core, request, entries),
             });
         }
+        wish_ahead(core, &candidates, &lacking, now);
         let fresh: Vec<RouteCandidate> =
             candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
         let pool = if fresh.is_empty() { &candidates } else { &fresh };
@@ -158,12 +187,43 @@
         if let Some(choice) = choice
             && let Some(entry) = entries.iter().find(|entry| entry.key == choice.key)
         {
-            return Ok(entry.clone());
+            let permit = HeldPermit::take(core, &entry.key, now);
+            return Ok(PickedUpstream { entry: entry.clone(), permit });
         }
         tokio::time::sleep(ROOM_PAUSE).await;
     }
 }
 
+/// Drops candidates that need a permit which is not there; their names.
+fn drop_lacking(
+    core: &DaemonCore,
+    candidates: &mut Vec<RouteCandidate>,
+    now: Instant,
+) -> Vec<String> {
+    let lacking = core.limits().lacking(core.daemons(), now);
+    if lacking.is_empty() {
+        return Vec::new();
+    }
+    let mut dropped = Vec::new();
+    candidates.retain(|candidate| {
+        let name = limit_name(&candidate.key);
+        let kept = !lacking.contains(&name);
+        if !kept {
+            dropped.push(name);
+        }
+        kept
+    });
+    dropped
+}
+
+/// Wishes for a permit of an upstream that lacks one as often as the request would go there.
+fn wish_ahead(core: &DaemonCore, candidates: &[RouteCandidate], lacking: &[String], now: Instant) {
+    let drawn = rand::random_range(0..candidates.len() + lacking.len());
+    if let Some(name) = lacking.get(drawn) {
+        core.limits().wish_ahead(name, PERMIT_LIFETIME, now);
+    }
+}
+
 /// Drops candidates that want no requests; after what time the first one wants some again, where
 /// any was dropped.
 fn drop_backed_off(
@@ -224,9 +284,11 @@
         lease.give_back();
         return Err(AttemptUpstreamError::BackedOff);
     }
+    tally.note_sent();
     let answer =
         core.client.send(lease, &message, request.deadline).await.map_err(to_send_error)?;
     tally.note_first();
+    note_limit(core, &entry.key, &answer.headers, now);
     let backoff = note_backoff(core, &entry.key, &answer);
     let engine = matches!(entry.target, RouteTarget::Replica(_));
     if engine && is_refusal(answer.status) {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,13 +9,14 @@
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
-    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, CurrencyFacts, HoldState,
-    OrganisationLimiter, RoutePicker, trial_hold,
+    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, CurrencyFacts, HoldState, LimitDesk,
+    OrganisationLimiter, RoutePicker, UpstreamLimits, trial_hold,
 };
 use hollowbarrow_schema::{DaemonId, PeerMessage, RequestDigest, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
 use hollowbarrow_upstream::{HttpEngine, UpstreamClient};
 use hollowbarrow_zone::{AuthorityMember, zone_members};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -48,6 +49,14 @@
     pub(crate) crashes: Mutex<CrashWatch>,
     /// Upstreams that want no requests, by the name of the node or endpoint.
     pub(crate) backoffs: Mutex<BackoffTable<String>>,
+    /// Upstreams that take only so many requests a second, by name and epoch.
+    pub(crate) limits: Mutex<UpstreamLimits>,
+    /// What this daemon lends of them while it leads.
+    pub(crate) limit_desk: Mutex<LimitDesk>,
+    /// Told when a request waits for a permit.
+    pub(crate) permits_wanted: Notify,
+    /// Told when the lender of permits has answered.
+    pub(crate) permits_came: Notify,
     /// Copies of requests that nobody has seen answered.
     pub(crate) copies: CopyGate,
     pub(crate) client: UpstreamClient,
@@ -105,8 +114,7 @@
         };
         let own = xxh3_64(self.id().as_bytes());
         let window = now.saturating_duration_since(self.started).as_secs();
-        let daemons = u32::try_from(self.settings.peers.len()).unwrap_or(u32::MAX);
-        trial_hold(own, request, window, daemons, over)
+        trial_hold(own, request, window, self.daemons(), over)
     }
 
     /// Whether the configuration here holds all that has to be in force.
@@ -126,6 +134,20 @@
         self.backoffs.lock().expect("no holder of the lock panics")
     }
 
+    /// Upstreams that take only so many requests a second.
+    pub(crate) fn limits(&self) -> MutexGuard<'_, UpstreamLimits> {
+        self.limits.lock().expect("no holder of the lock panics")
+    }
+
+    pub(crate) fn limit_desk(&self) -> MutexGuard<'_, LimitDesk> {
+        self.limit_desk.lock().expect("no holder of the lock panics")
+    }
+
+    /// Number of daemons that share the upstreams.
+    pub(crate) fn daemons(&self) -> u32 {
+        u32::try_from(self.settings.peers.len()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn picker(&self) -> MutexGuard<'_, RoutePicker> {
         self.picker.lock().expect("no holder of the lock panics")
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -12,16 +12,16 @@
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
     AdmissionQueue, BackoffTable, CopyGate, CrashWatch, OrganisationLimiter, QueueLimits,
-    RoutePicker,
+    RoutePicker, UpstreamLimits,
 };
 use hollowbarrow_schema::{
-    DaemonId, LogMessage, LogName, PeerMessage, Settings, ZoneId, ZoneTable,
+    DaemonId, FleetMessage, LogMessage, LogName, PeerMessage, Settings, ZoneId, ZoneTable,
 };
 use hollowbarrow_state::{ClaimState, ConfigState};
 use hollowbarrow_upstream::{HttpEngine, UpstreamClient};
 use hollowbarrow_zone::{AuthorityConfig, AuthorityMember, TableStore};
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::callers::serve_callers;
@@ -31,6 +31,7 @@
 use crate::fleet::FleetView;
 use crate::observer::{probe_nodes, watch_platform};
 use crate::operator::serve_operators;
+use crate::permits::{keep_permits, take_ask, take_grant};
 use crate::quota::keep_quotas;
 use crate::telemetry::Telemetry;
 use crate::zone_authority::{take_authority, with_authority};
@@ -200,6 +201,7 @@
         tokio::spawn(sweep_claims(Arc::clone(&core)));
         tokio::spawn(follow_config(Arc::clone(&core)));
         tokio::spawn(tidy_picker(Arc::clone(&core)));
+        tokio::spawn(keep_permits(Arc::clone(&core)));
         tokio::spawn(serve_callers(Arc::clone(&core), listeners.callers, stopped));
         core.ready.store(true, Ordering::Relaxed);
         log::info!(
@@ -278,6 +280,10 @@
         budget: RetryBudget::new(now),
         crashes: Mutex::new(CrashWatch::new()),
         backoffs: Mutex::new(BackoffTable::new()),
+        limits: Mutex::new(UpstreamLimits::new(rand::random())),
+        limit_desk: Mutex::default(),
+        permits_wanted: Notify::new(),
+        permits_came: Notify::new(),
         copies: CopyGate::new(),
         client: UpstreamClient::new(),
         engine: HttpEngine::new(),
@@ -388,6 +394,8 @@
 
 fn take_message(core: &Arc<DaemonCore>, from: &DaemonId, message: PeerMessage) {
     match message {
+        PeerMessage::Fleet(FleetMessage::PermitAsk(ask)) => take_ask(core, from, &ask),
+        PeerMessage::Fleet(FleetMessage::PermitGrant(grant)) => take_grant(core, &grant),
         // Gateways and controllers form clusters of their own.
         PeerMessage::Fleet(_) => log::debug!("event=message_refused peer={}", **from),
         PeerMessage::Log { name: LogName::Config, message } => {
@@ -428,6 +436,7 @@
         if let Some(oldest) = Instant::now().checked_sub(core.lease() * 2) {
             core.picker().prune(oldest, |key| routes.contains(key));
             core.backoffs().tidy(|name| routes.names(name), Instant::now());
+            core.limits().tidy(|name| routes.limit_names().any(|known| known == name));
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod observer;
 mod operator;
 mod operator_view;
+mod permits;
 mod proposals;
 mod quota;
 mod refusals;
--- /dev/null
+++ b/crates/daemon/src/permits.rs
@@ -0,0 +1,193 @@
+//! Permits to send to upstreams that name limits.
+//!
+//! The leader of the configuration's log lends them to all daemons, itself among them, while a
+//! majority has confirmed lately that it leads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hollowbarrow_routing::{LimitWord, Permit, UpstreamKey, WordSpan};
+use hollowbarrow_schema::{DaemonId, FleetMessage, PeerMessage, PermitAsk, PermitGrant, Term};
+use hollowbarrow_upstream::{ReadLimitError, read_limit};
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use tokio::time::Instant;
+
+use crate::core::DaemonCore;
+
+/// Header by which an upstream names the requests a second that it takes from all daemons.
+const LIMIT_HEADER: HeaderName = HeaderName::from_static("x-hollowbarrow-limit");
+/// Longest pause between two messages to the leader, and between two looks at what can be lent.
+const PERMIT_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which a request waits for a permit: a few times what the lender takes to answer.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(100);
+/// Pause between two looks at whether a permit is there.
+const PERMIT_POLL: Duration = Duration::from_millis(25);
+
+/// Name of an upstream's life in what daemons tell each other of limits.
+pub(crate) fn limit_name(key: &UpstreamKey) -> String {
+    format!("{}/{}", key.name, *key.epoch)
+}
+
+/// A permit that was taken for a request; given back unless the request goes.
+pub(crate) struct HeldPermit {
+    core: Arc<DaemonCore>,
+    upstream: String,
+    permit: Permit,
+    sent: AtomicBool,
+}
+
+impl HeldPermit {
+    /// Takes a permit, where the upstream needs one and one is there.
+    pub(crate) fn take(core: &Arc<DaemonCore>, key: &UpstreamKey, now: Instant) -> Option<Self> {
+        let upstream = limit_name(key);
+        let permit = core.limits().take(&upstream, now)?;
+        Some(Self { core: Arc::clone(core), upstream, permit, sent: AtomicBool::new(false) })
+    }
+
+    /// Notes that the request goes to the upstream.
+    pub(crate) fn note_sent(&self) {
+        self.sent.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        if !self.sent.load(Ordering::Relaxed) {
+            self.core.limits().give_back(&self.upstream, self.permit);
+        }
+    }
+}
+
+/// A request's wait for a permit, over all its looks at the upstreams.
+pub(crate) struct PermitWait {
+    core: Arc<DaemonCore>,
+    /// Until when it waits, once it has begun to.
+    limit: Option<Instant>,
+}
+
+impl PermitWait {
+    /// Creates the wait of a request that has not begun to.
+    pub(crate) fn new(core: &Arc<DaemonCore>) -> Self {
+        Self { core: Arc::clone(core), limit: None }
+    }
+
+    /// Waits until a permit of one of several upstreams may be there.
+    ///
+    /// # Errors
+    ///
+    /// Gives the time after which one can come, where that is too late for the request.
+    pub(crate) async fn wait_for_any(&mut self, upstreams: &[String]) -> Result<(), Duration> {
+        let now = Instant::now();
+        let came = self.core.permits_came.notified();
+        let limit = self.limit.unwrap_or(now + PERMIT_PATIENCE);
+        let left = limit.saturating_duration_since(now);
+        {
+            let mut limits = self.core.limits();
+            let may_come = limits.wish_any(upstreams, left, self.limit.is_some(), now);
+            if left.is_zero() || !may_come {
+                return Err(limits.wait(upstreams, now));
+            }
+            if self.limit.is_none() {
+                limits.begin_wait();
+            }
+        }
+        self.limit = Some(limit);
+        self.core.permits_wanted.notify_one();
+        // Where nobody lends, a permit comes without a word.
+        let _ = tokio::time::timeout(left.min(PERMIT_POLL), came).await;
+        Ok(())
+    }
+}
+
+impl Drop for PermitWait {
+    fn drop(&mut self) {
+        if self.limit.is_some() {
+            self.core.limits().end_wait();
+        }
+    }
+}
+
+/// Notes what an answer, whose request was sent at this time, says of its upstream's limit.
+pub(crate) fn note_limit(core: &DaemonCore, key: &UpstreamKey, headers: &HeaderMap, sent: Instant) {
+    let limit = match read_limit(headers, &LIMIT_HEADER) {
+        Ok(limit) => limit,
+        Err(error) => {
+            log_unreadable(key, error);
+            return;
+        }
+    };
+    let word = LimitWord { limit, span: WordSpan { sent, came: Instant::now() } };
+    if core.limits().note(&limit_name(key), word) {
+        let milli = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        log::info!("event=upstream_limit upstream={} milli_per_s={milli}", key.name);
+    }
+}
+
+fn log_unreadable(key: &UpstreamKey, error: ReadLimitError) {
+    log::warn!("event=limit_unreadable upstream={} error={error:?}", key.name);
+}
+
+/// Lends permits while this daemon leads, and asks for them, until the process ends.
+pub(crate) async fn keep_permits(core: Arc<DaemonCore>) {
+    loop {
+        // Requests that wait are told of at once, everything else in a moment.
+        let _ = tokio::time::timeout(PERMIT_INTERVAL, core.permits_wanted.notified()).await;
+        let now = Instant::now();
+        if let Some(term) = leading_term(&core, now) {
+            let grants = {
+                let mut desk = core.limit_desk();
+                desk.enter(term);
+                desk.lend(now)
+            };
+            send_grants(&core, grants);
+        }
+        let ask = core.limits().due(now);
+        let leader = core.config_log.view().leader;
+        if let (Some(ask), Some(leader)) = (ask, leader) {
+            if leader == *core.id() {
+                take_ask(&core, &leader, &ask);
+            } else {
+                core.send(&leader, PeerMessage::Fleet(FleetMessage::PermitAsk(ask)));
+            }
+        }
+    }
+}
+
+/// Term of this daemon, while it is sure that it leads.
+fn leading_term(core: &DaemonCore, now: Instant) -> Option<Term> {
+    let view = core.config_log.view();
+    let election = Duration::from_millis(core.settings.timing.election_ms);
+    let confirmed = view.confirmed.is_some_and(|at| now.saturating_duration_since(at) < election);
+    (view.leads && confirmed).then_some(view.term)
+}
+
+/// Answers what a daemon tells of upstreams that name limits; only a leader lends.
+pub(crate) fn take_ask(core: &DaemonCore, from: &DaemonId, ask: &PermitAsk) {
+    let now = Instant::now();
+    let Some(term) = leading_term(core, now) else { return };
+    let answer = {
+        let mut desk = core.limit_desk();
+        desk.enter(term);
+        desk.take_ask(from, ask, now)
+    };
+    send_grants(core, answer.grants);
+}
+
+fn send_grants(core: &DaemonCore, grants: BTreeMap<DaemonId, PermitGrant>) {
+    for (daemon, grant) in grants {
+        if daemon == *core.id() {
+            take_grant(core, &grant);
+        } else {
+            core.send(&daemon, PeerMessage::Fleet(FleetMessage::PermitGrant(grant)));
+        }
+    }
+}
+
+/// Takes in what the leader lends.
+pub(crate) fn take_grant(core: &DaemonCore, grant: &PermitGrant) {
+    core.limits().take_grant(grant, Instant::now());
+    core.permits_came.notify_waiters();
+}
--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -12,6 +12,8 @@
 
 /// When a caller may come back after an upstream was lacking.
 pub(crate) const UPSTREAM_RETRY: Duration = Duration::from_secs(2);
+/// Shortest time to come back where upstreams take only so many requests a second.
+const LIMITED_RETRY: Duration = Duration::from_secs(1);
 /// When a caller may come back after the claims were not to be had.
 const CLAIMS_RETRY: Duration = Duration::from_secs(2);
 
@@ -41,6 +43,13 @@
     CallerError::not_run(ErrorCode::NoUpstream, message).with_retry_after(left)
 }
 
+/// All upstreams that have room take only so many requests a second, the first of them the next one
+/// after this time.
+pub(crate) fn to_limited_error(wait: Duration) -> CallerError {
+    let message = "all upstreams take as many requests as they want for now";
+    CallerError::not_run(ErrorCode::NoUpstream, message).with_retry_after(wait.max(LIMITED_RETRY))
+}
+
 /// Another copy of the request is under way, of which nothing has come.
 pub(crate) fn to_copy_error() -> CallerError {
     let message = "the same request is under way, and nothing has come of it yet";
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -11,6 +11,7 @@
 
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
+use crate::permits::limit_name;
 
 /// Pause between two looks whether a replica was lost.
 const LOSS_POLL: Duration = Duration::from_millis(100);
@@ -121,6 +122,11 @@
         self.entries().any(|entry| entry.key.name == name)
     }
 
+    /// Names of the upstreams in what daemons tell each other of limits.
+    pub(crate) fn limit_names(&self) -> impl Iterator<Item = String> {
+        self.entries().map(|entry| limit_name(&entry.key))
+    }
+
     fn entries(&self) -> impl Iterator<Item = &RouteEntry> {
         self.models.values().chain(self.services.values()).flatten()
     }
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -463,7 +463,7 @@
 
 fn lend(picker: &mut WorkerPicker, id: &str, lent: u32, wait_ms: Option<u32>, now: Instant) {
     let terms = PermitTerms { upstream: id.to_owned(), lent, wait_ms };
-    picker.take_grant(&PermitGrant { terms: vec![terms] }, now);
+    picker.take_grant(&PermitGrant { terms: vec![terms], ..PermitGrant::default() }, now);
 }
 
 /// What a gateway asks for, by worker.
--- a/crates/routing/src/limit_desk.rs
+++ b/crates/routing/src/limit_desk.rs
@@ -5,7 +5,7 @@
 //! Invariant: a leader begins with nothing to lend, since the one before it may just have lent what
 //! the limits allow.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hollowbarrow_schema::{
@@ -37,10 +37,6 @@
     pub grants: BTreeMap<DaemonId, PermitGrant>,
 }
 
-fn to_grants(lent: BTreeMap<DaemonId, Vec<PermitTerms>>) -> BTreeMap<DaemonId, PermitGrant> {
-    lent.into_iter().map(|(daemon, terms)| (daemon, PermitGrant { terms })).collect()
-}
-
 impl LimitDesk {
     /// Creates the desk of a daemon that has never led.
     pub fn new() -> Self {
@@ -73,21 +69,27 @@
             let wait = self.lender.wait(&need.upstream);
             let wait_ms = wait.map(|wait| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
             let upstream = need.upstream.clone();
-            answer.push(PermitTerms { upstream, lent: 0, wait_ms });
+            answer.terms.push(PermitTerms { upstream, lent: 0, wait_ms });
         }
-        DeskAnswer { changed, grants: to_grants(grants) }
+        answer.limits = self.told_of(ask, now);
+        DeskAnswer { changed, grants }
     }
 
-    /// Lends what can be lent now; what to send to whom.
-    pub fn lend_due(&mut self, now: Instant) -> BTreeMap<DaemonId, PermitGrant> {
-        to_grants(self.lend(now))
+    /// What is known of the upstreams that a daemon tells of or asks for.
+    fn told_of(&self, ask: &PermitAsk, now: Instant) -> Vec<UpstreamLimit> {
+        let told = ask.limits.iter().map(|told| told.upstream.as_str());
+        let needed = ask.needs.iter().map(|need| need.upstream.as_str());
+        let names: BTreeSet<&str> = told.chain(needed).collect();
+        let known = names.into_iter().filter_map(|name| Some((name, self.words.word(name)?)));
+        known.map(|(name, word)| to_told(name, word, now)).collect()
     }
 
-    fn lend(&mut self, now: Instant) -> BTreeMap<DaemonId, Vec<PermitTerms>> {
-        let mut grants: BTreeMap<DaemonId, Vec<PermitTerms>> = BTreeMap::new();
+    /// Lends what can be lent now; what to send to whom.
+    pub fn lend(&mut self, now: Instant) -> BTreeMap<DaemonId, PermitGrant> {
+        let mut grants: BTreeMap<DaemonId, PermitGrant> = BTreeMap::new();
         for PermitLoan { daemon, upstream, count } in self.lender.lend(now) {
             let terms = PermitTerms { upstream, lent: count, wait_ms: None };
-            grants.entry(daemon).or_default().push(terms);
+            grants.entry(daemon).or_default().terms.push(terms);
         }
         grants
     }
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -217,6 +217,7 @@
 
     /// Takes in what the leader lends.
     pub fn take_grant(&mut self, grant: &PermitGrant, now: Instant) {
+        self.take_told(&grant.limits, now);
         for terms in &grant.terms {
             self.holder.take_loan(&terms.upstream, terms.lent, now);
             if let Some(wait_ms) = terms.wait_ms {
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -126,7 +126,7 @@
     assert!(limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 590)));
     let ask = limits.due(after(start, 590)).expect("it wants something");
     assert!(desk.take_ask(&daemon("x"), &ask, after(start, 590)).changed.is_empty());
-    let grants = desk.lend_due(after(start, 600));
+    let grants = desk.lend(after(start, 600));
     limits.take_grant(&grants[&daemon("x")], after(start, 600));
     assert!(limits.lacking(DAEMONS, after(start, 600)).is_empty());
     assert!(limits.take("a", after(start, 600)).is_some());
--- a/crates/routing/tests/permits_simulation.rs
+++ b/crates/routing/tests/permits_simulation.rs
@@ -230,7 +230,7 @@
     fn step(&mut self, number: u64, ms: u64) {
         let now = self.at(ms);
         if self.leads {
-            let grants = self.desk.lend_due(now);
+            let grants = self.desk.lend(now);
             self.send_grants(grants.into_iter(), ms);
         }
         if self.leads && number.is_multiple_of(STEPS_OF_VIEW) {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -2396,6 +2396,10 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct PermitGrant {
+    ///What the leader knows of the upstreams that were told of or asked for.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub limits: ::std::vec::Vec<UpstreamLimit>,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub terms: ::std::vec::Vec<PermitTerms>,
 }
 impl ::std::convert::From<&PermitGrant> for PermitGrant {
@@ -2403,6 +2407,14 @@
         value.clone()
     }
 }
+impl ::std::default::Default for PermitGrant {
+    fn default() -> Self {
+        Self {
+            limits: Default::default(),
+            terms: Default::default(),
+        }
+    }
+}
 ///Permits that a daemon has a use for at one upstream, in place of what it told before.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -238,6 +238,16 @@
         self.with_node(id, |node| node.switch.set(backoff));
     }
 
+    /// Has a node name a limit in its answers, or none.
+    pub fn name_limit(&self, id: &NodeId, limit: Option<&'static str>) {
+        self.with_node(id, |node| node.switch.name_limit(limit));
+    }
+
+    /// When requests came to a node.
+    pub fn arrivals(&self, id: &NodeId) -> Vec<Instant> {
+        self.with_node(id, |node| node.switch.arrivals()).unwrap_or_default()
+    }
+
     /// When a node turned requests away.
     pub fn turned_away(&self, id: &NodeId) -> Vec<Instant> {
         self.with_node(id, |node| node.switch.turned_away()).unwrap_or_default()
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod crashing_request;
 mod door;
 mod groups;
+mod limit;
 mod reference;
 mod requests;
 mod support;
