Trace the head that was not used again after its backoff, and show it in a test

The line that would have explained the recorded 502 had fallen to the log budget: requests whose outcome is not known now have a tenth of the budget besides.

--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -22,6 +22,9 @@
 /// Marks the only ordinary lines: those of requests that went well.
 const ORDINARY_EVENTS: [&str; 2] = ["event=request_end ", "event=worker_probed "];
 
+/// Mark lines of requests that may have run, and of which no answer came.
+const UNSETTLED_MARKS: [&str; 2] = [" status=502 ", " status=504 "];
+
 /// Why logging could not be started.
 pub type StartLoggingError = FlexiLoggerError;
 
@@ -101,8 +104,11 @@
 }
 
 fn rank_of(level: Level, line: &str) -> LineRank {
-    let ordinary = ORDINARY_EVENTS.iter().any(|event| line.contains(event));
-    if level > Level::Info || ordinary { LineRank::Ordinary } else { LineRank::Important }
+    if level > Level::Info || ORDINARY_EVENTS.iter().any(|event| line.contains(event)) {
+        return LineRank::Ordinary;
+    }
+    let unsettled = UNSETTLED_MARKS.iter().any(|mark| line.contains(mark));
+    if unsettled { LineRank::Unsettled } else { LineRank::Important }
 }
 
 fn write_lines(waiting: &Receiver<LineMessage>) {
--- a/crates/telemetry/tests/budget.rs
+++ b/crates/telemetry/tests/budget.rs
@@ -39,3 +39,15 @@
     let written = (0..3000).filter(|_| budget.take(LineRank::Important, 100, now)).count();
     assert!(written >= 500, "{written} lines that matter were written after a flood");
 }
+
+/// A storm of callers that are refused does not hide a request of which nobody knows whether it ran.
+#[rstest]
+#[case::within_their_part(100, 100)]
+#[case::more(200, 100)]
+fn take_unsettled_after_storm(#[case] lines: usize, #[case] expected: usize) {
+    let now = Instant::now();
+    let mut budget = LogBudget::new(now);
+    while budget.take(LineRank::Important, 100, now) {}
+    let written = (0..lines).filter(|_| budget.take(LineRank::Unsettled, 100, now)).count();
+    assert_eq!(written, expected);
+}
--- a/tests/platform/backoff.rs
+++ b/tests/platform/backoff.rs
@@ -22,6 +22,9 @@
 
 /// Time for which a worker asks for no requests.
 const ASKED: Duration = Duration::from_secs(3);
+/// The same for a worker that asks again and again, and how often it does.
+const SHORT_BACKOFF: Duration = Duration::from_millis(100);
+const MANY_REFUSALS: usize = 12;
 /// Time in which a request that was under way already may still come to a worker.
 const UNDER_WAY: Duration = Duration::from_millis(500);
 /// Time for which a plain worker works on a request.
@@ -179,6 +182,29 @@
     with_callers(system, kind, MANY_CALLERS, &Tally::default(), used_again).await;
 }
 
+/// A worker that has turned many requests away, and asked for a backoff each time, is used again
+/// once it takes requests, although the others have room for all.
+#[rstest]
+#[case::plain(58, Kind::Plain)]
+#[case::replica(59, Kind::Replica)]
+#[tokio::test]
+async fn worker_used_again_after_backoffs(#[case] block: u8, #[case] kind: Kind) {
+    let (deployment, plain) = deploy_serving(block).await;
+    let system = &deployment.system;
+    let worker = Arc::clone(&workers_for(kind, &deployment, &plain)[0]);
+    worker.turn_away(Some(SHORT_BACKOFF));
+    let turned_away = wait_until("it turns many away", system, || {
+        worker.arrivals().iter().filter(|arrival| arrival.backoff.is_some()).count()
+            >= MANY_REFUSALS
+    });
+    with_callers(system, kind, MANY_CALLERS, &Tally::default(), turned_away).await;
+    worker.turn_away(None);
+    let used_again = wait_until("it is used again", system, || {
+        worker.arrivals().last().is_some_and(|last| last.backoff.is_none())
+    });
+    with_callers(system, kind, FEW_CALLERS, &Tally::default(), used_again).await;
+}
+
 /// What others have room for is served beside a worker that wants no requests.
 #[rstest]
 #[tokio::test]
