Use a worker again after its backoff although others have room

Callers saw less capacity: a worker that had turned requests away and asked for backoffs was not chosen any more while others had room for all.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -308,7 +308,8 @@
     let status = answer.status.as_u16();
     if facts.not_run || facts.misdirected {
         answer.lease.give_back_after(answer.body);
-        return Err(AttemptUpstreamError::Refused { status, retry_after: None });
+        let retry_after = facts.word.backoff.ok().flatten();
+        return Err(AttemptUpstreamError::Refused { status, retry_after });
     }
     if answer.status.is_success() && !facts.signed {
         return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is not signed", tokens: 0 });
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -212,9 +212,9 @@
         }
     }
 
-    /// Notes that an attempt failed at a worker, unless nothing was sent there.
+    /// Notes that an attempt failed at a worker, where that speaks against it.
     pub(crate) fn note_failure(&self, worker: &WorkerId, error: &AttemptUpstreamError) {
-        if *error != AttemptUpstreamError::BackedOff {
+        if error.blames_upstream() {
             self.note_outcome(worker, false);
         }
     }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -79,6 +79,12 @@
             | Self::DeadlinePassed { sent: true } => ErrorRan::Unknown,
         }
     }
+
+    /// Whether the failure speaks against the upstream. One that asks for a backoff says itself
+    /// when it wants requests again, and would not be chosen then if it counted as failing.
+    pub fn blames_upstream(&self) -> bool {
+        !matches!(self, Self::BackedOff | Self::Refused { retry_after: Some(_), .. })
+    }
 }
 
 /// What is known of a request when an attempt fails.
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -30,6 +30,16 @@
     ]
 }
 
+#[rstest]
+#[case::turned_away(AttemptUpstreamError::Refused { status: 503, retry_after: None }, true)]
+#[case::asked_for_backoff(
+    AttemptUpstreamError::Refused { status: 503, retry_after: Some(Duration::from_secs(3)) }, false)]
+#[case::not_sent_for_backoff(AttemptUpstreamError::BackedOff, false)]
+#[case::no_answer(AttemptUpstreamError::NoAnswer, true)]
+fn blames_upstream_cases(#[case] error: AttemptUpstreamError, #[case] expected: bool) {
+    assert_eq!(error.blames_upstream(), expected);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, ..ProptestConfig::default() })]
 
