Let a worker's share of failures fade with time

The class of the fault before: what is held against a worker fades only with its use, which it prevents. A worker that has failed often was never chosen again while others had room (pick_failed_again_after_a_while failed before). The share halves in ten seconds without an outcome.

--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -9,6 +9,10 @@
 
 /// Passes without anything of an answer after which a worker seems to stand still.
 const STILL_PASSES: f64 = 2.5;
+/// Weight of the newest outcome in a worker's share of failures.
+const OUTCOME_WEIGHT: f64 = 0.2;
+/// Time in which that share halves where no further outcome comes.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Silence that is borne beyond that where this gateway's own answers are awaited.
 const OWN_SLACK: Duration = Duration::from_millis(120);
 /// The same for what other gateways told, which is older.
@@ -23,7 +27,9 @@
     pub(crate) progress: Option<Instant>,
     /// Since when requests have been under way without a break.
     pub(crate) busy_since: Option<Instant>,
-    pub(crate) failing: f64,
+    /// Share of failures when it last changed, and when that was.
+    failing: f64,
+    failing_at: Option<Instant>,
     pub(crate) failures: u32,
     pub(crate) ejected_until: Option<Instant>,
 }
@@ -50,6 +56,21 @@
         self.active = self.active.saturating_sub(1);
     }
 
+    /// Share of failures now. It fades while nothing is sent: a worker that works again would not be
+    /// chosen for what it failed before, and could not show it.
+    pub(crate) fn failing(&self, now: Instant) -> f64 {
+        let age = self.failing_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.failing * 0.5f64.powf(age.as_secs_f64() / FAILING_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Notes whether a request failed.
+    pub(crate) fn note_failing(&mut self, failed: bool, now: Instant) {
+        let outcome = if failed { 1.0 } else { 0.0 };
+        let failing = self.failing(now);
+        self.failing = failing + OUTCOME_WEIGHT * (outcome - failing);
+        self.failing_at = Some(now);
+    }
+
     /// Since when an answer has been awaited in vain, if one is.
     fn silent_since(&self) -> Option<Instant> {
         let busy = self.busy_since.filter(|_| self.active > 0)?;
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -40,8 +40,6 @@
 const ACTIVE_MS: f64 = 3.0;
 /// Cost of a worker that fails every request, in milliseconds.
 const FAILING_MS: f64 = 400.0;
-/// Weight of the newest outcome in a worker's share of failures.
-const OUTCOME_WEIGHT: f64 = 0.2;
 /// Failures in a row after which a worker is left out for a time.
 const FAILURES_TO_EJECT: u32 = 2;
 /// Shortest and longest time for which a worker is left out.
@@ -378,7 +376,7 @@
             let Some(cost) = cost(candidate) else { continue };
             let own = self.own.get(&candidate.id);
             let ejected = self.is_left_out(&candidate.id, now) || still(candidate);
-            let failing = own.map_or(0.0, |own| own.failing);
+            let failing = own.map_or(0.0, |own| own.failing(now));
             let distance = if candidate.near { 0.0 } else { OTHER_ZONE_MS };
             let kept = facts.kept.contains(&candidate.address);
             let connecting = if kept { 0.0 } else { NEW_CONNECTION_MS };
@@ -533,7 +531,7 @@
     /// Notes how a request ended at a worker; true where the worker is left out now.
     pub fn note_outcome(&mut self, id: &WorkerId, good: bool, now: Instant) -> bool {
         let own = self.own.entry(id.clone()).or_default();
-        own.failing += OUTCOME_WEIGHT * (if good { 0.0 } else { 1.0 } - own.failing);
+        own.note_failing(!good, now);
         if good {
             own.failures = 0;
             own.ejected_until = None;
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -454,6 +454,27 @@
     assert_eq!(within, 0, "{sent:?}");
 }
 
+/// A worker that has failed is tried again after a while, although the other one has room for all.
+#[rstest]
+fn pick_failed_again_after_a_while() {
+    let start = Instant::now();
+    let mut picker = picker(replicas());
+    (0..12).for_each(|_| assert!(!picked(&mut picker).is_empty()));
+    for _ in 0..12 {
+        picker.note_outcome(&WorkerId::from("a0"), false, start);
+    }
+    (0..2).for_each(|_| picker.begin(&WorkerId::from("b0"), 0.0, start));
+    let (service, model) = (service(), ModelName::from("m"));
+    let mut picked_at = |seconds: u64| {
+        let now = start + Duration::from_secs(seconds);
+        // Nothing of the other one's answers is awaited in vain.
+        picker.note_progress(&WorkerId::from("b0"), now);
+        picker.pick(&facts(&service, &model), now).expect("one serves").id.to_string()
+    };
+    assert_eq!(picked_at(10), "b0", "it is no longer left out, and has failed often");
+    assert_eq!(picked_at(120), "a0");
+}
+
 /// Has a worker name a limit in an answer to a request that was sent a moment ago.
 fn name_limit(picker: &mut WorkerPicker, id: &str, milli: u64, now: Instant) {
     let span = WordSpan { sent: now, came: now };
