--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -6,7 +6,7 @@
 use hollowbarrow_fleet::{Deployment, Service, VersionTimes};
 use hollowbarrow_log::{LogDriver, LogView};
 use hollowbarrow_member::{EncodedDeployment, MemberLinks, WakeWatch};
-use hollowbarrow_routing::LimitDesk;
+use hollowbarrow_routing::LimitCoordinator;
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use tokio::sync::Notify;
@@ -40,8 +40,8 @@
     pub(crate) links: Arc<OnceLock<MemberLinks>>,
     pub(crate) fleet: Mutex<FleetState>,
     pub(crate) pending: Mutex<PendingNews>,
-    /// Limits of workers, and the permits that this controller lends while it leads.
-    pub(crate) limits: Mutex<LimitDesk>,
+    /// Limits of workers, and the permits that this controller issues while it leads.
+    pub(crate) limits: Mutex<LimitCoordinator>,
     pub(crate) parsed: Mutex<Option<Arc<Deployment>>>,
     pub(crate) encoded: Mutex<Option<EncodedDeployment>>,
     pub(crate) commits: Mutex<VersionTimes>,
@@ -62,7 +62,7 @@
         self.pending.lock().expect("no holder of the lock panics")
     }
 
-    pub(crate) fn limits(&self) -> MutexGuard<'_, LimitDesk> {
+    pub(crate) fn limits(&self) -> MutexGuard<'_, LimitCoordinator> {
         self.limits.lock().expect("no holder of the lock panics")
     }
 
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -228,7 +228,7 @@
     }
     withheld.sort();
     withheld.dedup();
-    lend_due(core, held.term, &fleet, now);
+    issue_due(core, held.term, &fleet, now);
     if now >= held.view_due || withheld != held.withheld {
         held.view_due = now + VIEW_INTERVAL;
         held.view_number += 1;
@@ -262,13 +262,13 @@
     }
 }
 
-/// Lends the permits that have become due.
-fn lend_due(core: &ControllerCore, term: Term, fleet: &FleetState, now: Instant) {
+/// Issues the permits that have become due.
+fn issue_due(core: &ControllerCore, term: Term, fleet: &FleetState, now: Instant) {
     let grants = {
         let mut limits = core.limits();
         limits.enter(term);
         limits.tidy(|worker| fleet.table().get(&WorkerId::from(worker)).is_some());
-        limits.lend(now)
+        limits.issue(now)
     };
     send_grants(core, grants);
 }
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -130,14 +130,14 @@
             let gateways = core.fleet().view_gateways();
             core.links().send_to_all(&gateways, FleetMessage::View(view));
         }
-        PeerMessage::Fleet(FleetMessage::PermitAsk(ask)) => lend_permits(core, from, &ask, now),
+        PeerMessage::Fleet(FleetMessage::PermitAsk(ask)) => issue_permits(core, from, &ask, now),
         PeerMessage::Fleet(FleetMessage::Workers(reports)) => relay_news(core, reports, now),
         _ => log::debug!("event=message_refused peer={}", **from),
     }
 }
 
-/// Answers what a gateway tells of workers that name limits; only a leader lends.
-fn lend_permits(core: &ControllerCore, from: &DaemonId, ask: &PermitAsk, now: Instant) {
+/// Answers what a gateway tells of workers that name limits; only a leader issues permits.
+fn issue_permits(core: &ControllerCore, from: &DaemonId, ask: &PermitAsk, now: Instant) {
     let view = core.log.view();
     if !core.is_sure_to_lead(&view, now) {
         return;
@@ -154,7 +154,7 @@
     send_grants(core, answer.grants);
 }
 
-/// Sends gateways the permits that they are lent.
+/// Sends gateways the permits that they are issued.
 pub(crate) fn send_grants(core: &ControllerCore, grants: BTreeMap<DaemonId, PermitGrant>) {
     for (gateway, grant) in grants {
         core.links().send(&gateway, FleetMessage::PermitGrant(grant));
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -179,7 +179,7 @@
                 None => no_upstream(core, request, entries),
             });
         }
-        wish_ahead(core, &candidates, &lacking, now);
+        need_ahead(core, &candidates, &lacking, now);
         let fresh: Vec<RouteCandidate> =
             candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
         let pool = if fresh.is_empty() { &candidates } else { &fresh };
@@ -216,11 +216,11 @@
     dropped
 }
 
-/// Wishes for a permit of an upstream that lacks one as often as the request would go there.
-fn wish_ahead(core: &DaemonCore, candidates: &[RouteCandidate], lacking: &[String], now: Instant) {
+/// Notes the need of a permit of an upstream that lacks one as often as the request would go there.
+fn need_ahead(core: &DaemonCore, candidates: &[RouteCandidate], lacking: &[String], now: Instant) {
     let drawn = rand::random_range(0..candidates.len() + lacking.len());
     if let Some(name) = lacking.get(drawn) {
-        core.limits().wish_ahead(name, PERMIT_LIFETIME, now);
+        core.limits().note_need_ahead(name, PERMIT_LIFETIME, now);
     }
 }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,7 +9,7 @@
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
-    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, CurrencyFacts, HoldState, LimitDesk,
+    AdmissionQueue, BackoffTable, CopyGate, CrashWatch, CurrencyFacts, HoldState, LimitCoordinator,
     OrganisationLimiter, RoutePicker, UpstreamLimits, trial_hold,
 };
 use hollowbarrow_schema::{DaemonId, PeerMessage, RequestDigest, Settings, ZoneId};
@@ -51,11 +51,11 @@
     pub(crate) backoffs: Mutex<BackoffTable<String>>,
     /// Upstreams that take only so many requests a second, by name and epoch.
     pub(crate) limits: Mutex<UpstreamLimits>,
-    /// What this daemon lends of them while it leads.
-    pub(crate) limit_desk: Mutex<LimitDesk>,
+    /// What this daemon issues of them while it leads.
+    pub(crate) limit_coordinator: Mutex<LimitCoordinator>,
     /// Told when a request waits for a permit.
     pub(crate) permits_wanted: Notify,
-    /// Told when the lender of permits has answered.
+    /// Told when the issuer of permits has answered.
     pub(crate) permits_came: Notify,
     /// Copies of requests that nobody has seen answered.
     pub(crate) copies: CopyGate,
@@ -139,8 +139,8 @@
         self.limits.lock().expect("no holder of the lock panics")
     }
 
-    pub(crate) fn limit_desk(&self) -> MutexGuard<'_, LimitDesk> {
-        self.limit_desk.lock().expect("no holder of the lock panics")
+    pub(crate) fn limit_coordinator(&self) -> MutexGuard<'_, LimitCoordinator> {
+        self.limit_coordinator.lock().expect("no holder of the lock panics")
     }
 
     /// Number of daemons that share the upstreams.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -281,7 +281,7 @@
         crashes: Mutex::new(CrashWatch::new()),
         backoffs: Mutex::new(BackoffTable::new()),
         limits: Mutex::new(UpstreamLimits::new(rand::random())),
-        limit_desk: Mutex::default(),
+        limit_coordinator: Mutex::default(),
         permits_wanted: Notify::new(),
         permits_came: Notify::new(),
         copies: CopyGate::new(),
--- a/crates/daemon/src/permits.rs
+++ b/crates/daemon/src/permits.rs
@@ -1,6 +1,6 @@
 //! Permits to send to upstreams that name limits.
 //!
-//! The leader of the configuration's log lends them to all daemons, itself among them, while a
+//! The leader of the configuration's log issues them to all daemons, itself among them, while a
 //! majority has confirmed lately that it leads.
 
 use std::collections::BTreeMap;
@@ -82,7 +82,7 @@
         let left = limit.saturating_duration_since(now);
         {
             let mut limits = self.core.limits();
-            let may_come = limits.wish_any(upstreams, left, self.limit.is_some(), now);
+            let may_come = limits.note_need_of_any(upstreams, left, self.limit.is_some(), now);
             if left.is_zero() || !may_come {
                 return Err(limits.wait(upstreams, now));
             }
@@ -125,7 +125,7 @@
     log::warn!("event=limit_unreadable upstream={} error={error:?}", key.name);
 }
 
-/// Lends permits while this daemon leads, and asks for them, until the process ends.
+/// Issues permits while this daemon leads, and asks for them, until the process ends.
 pub(crate) async fn keep_permits(core: Arc<DaemonCore>) {
     loop {
         // Requests that wait are told of at once, everything else in a moment.
@@ -133,9 +133,9 @@
         let now = Instant::now();
         if let Some(term) = leading_term(&core, now) {
             let grants = {
-                let mut desk = core.limit_desk();
-                desk.enter(term);
-                desk.lend(now)
+                let mut coordinator = core.limit_coordinator();
+                coordinator.enter(term);
+                coordinator.issue(now)
             };
             send_grants(&core, grants);
         }
@@ -159,14 +159,14 @@
     (view.leads && confirmed).then_some(view.term)
 }
 
-/// Answers what a daemon tells of upstreams that name limits; only a leader lends.
+/// Answers what a daemon tells of upstreams that name limits; only a leader issues permits.
 pub(crate) fn take_ask(core: &DaemonCore, from: &DaemonId, ask: &PermitAsk) {
     let now = Instant::now();
     let Some(term) = leading_term(core, now) else { return };
     let answer = {
-        let mut desk = core.limit_desk();
-        desk.enter(term);
-        desk.take_ask(from, ask, now)
+        let mut coordinator = core.limit_coordinator();
+        coordinator.enter(term);
+        coordinator.take_ask(from, ask, now)
     };
     send_grants(core, answer.grants);
 }
@@ -181,7 +181,7 @@
     }
 }
 
-/// Takes in what the leader lends.
+/// Takes in the permits that were issued.
 pub(crate) fn take_grant(core: &DaemonCore, grant: &PermitGrant) {
     core.limits().take_grant(grant, Instant::now());
     core.permits_came.notify_waiters();
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -46,7 +46,7 @@
     known: Mutex<VersionTimes>,
     /// Told when a request waits for a permit.
     pub(crate) permits_wanted: Notify,
-    /// Told when the lender of permits has answered.
+    /// Told when the issuer of permits has answered.
     pub(crate) permits_came: Notify,
     pub(crate) in_flight: AtomicU32,
     pub(crate) wake: Arc<WakeWatch>,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -71,17 +71,17 @@
     }
 }
 
-/// Tells the lender of permits what this gateway needs of them, until the process ends.
+/// Tells the issuer of permits what this gateway needs of them, until the process ends.
 pub(crate) async fn ask_for_permits(core: Arc<GatewayCore>, links: Arc<MemberLinks>) {
     loop {
         // Requests that wait are told of at once, everything else in a moment.
         let _ = tokio::time::timeout(PERMIT_INTERVAL, core.permits_wanted.notified()).await;
-        let (ask, lender) = {
+        let (ask, issuer) = {
             let mut picker = core.picker();
-            (picker.permits_due(Instant::now()), picker.lender().cloned())
+            (picker.permits_due(Instant::now()), picker.issuer().cloned())
         };
-        if let (Some(ask), Some(lender)) = (ask, lender) {
-            links.send(&lender, FleetMessage::PermitAsk(ask));
+        if let (Some(ask), Some(issuer)) = (ask, issuer) {
+            links.send(&issuer, FleetMessage::PermitAsk(ask));
         }
     }
 }
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -182,8 +182,8 @@
         self.view.take(view, &self.reported, now)
     }
 
-    /// The controller that lends permits, as last told.
-    pub fn lender(&self) -> Option<&DaemonId> {
+    /// The controller that issues permits, as last told.
+    pub fn issuer(&self) -> Option<&DaemonId> {
         self.view.leader()
     }
 
@@ -255,7 +255,7 @@
         match picked {
             Ok((worker, better_with_permit)) => {
                 if let Some(better) = better_with_permit {
-                    self.limits.wish_ahead(&better, PERMIT_LIFETIME, now);
+                    self.limits.note_need_ahead(&better, PERMIT_LIFETIME, now);
                 }
                 let permit = self.limits.take(&worker.id, now);
                 Ok(PickedWorker { permit, ..worker })
@@ -263,7 +263,7 @@
             Err(NoChoice::Reason(reason)) => Err(reason),
             Err(NoChoice::Lacking(workers)) => {
                 let PermitPatience { left, waits } = facts.patience;
-                let wait = if self.limits.wish_any(&workers, left, waits, now) {
+                let wait = if self.limits.note_need_of_any(&workers, left, waits, now) {
                     LimitedWait::Soon
                 } else {
                     LimitedWait::Later(self.limits.wait(&workers, now))
@@ -487,12 +487,12 @@
         self.limits.give_back(id, permit);
     }
 
-    /// What to tell the lender of permits now, if there is anything.
+    /// What to tell the issuer of permits now, if there is anything.
     pub fn permits_due(&mut self, now: Instant) -> Option<PermitAsk> {
         self.limits.due(now)
     }
 
-    /// Takes in what the lender of permits lends.
+    /// Takes in the permits that were issued.
     pub fn take_grant(&mut self, grant: &PermitGrant, now: Instant) {
         self.limits.take_grant(grant, now);
     }
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -482,8 +482,8 @@
     assert!(picker.note_limit(&WorkerId::from(id), LimitWord { limit, span }));
 }
 
-fn lend(picker: &mut WorkerPicker, id: &str, lent: u32, wait_ms: Option<u32>, now: Instant) {
-    let terms = PermitTerms { upstream: id.to_owned(), lent, wait_ms };
+fn issue(picker: &mut WorkerPicker, id: &str, issued: u32, wait_ms: Option<u32>, now: Instant) {
+    let terms = PermitTerms { upstream: id.to_owned(), issued, wait_ms };
     picker.take_grant(&PermitGrant { terms: vec![terms], ..PermitGrant::default() }, now);
 }
 
@@ -502,7 +502,7 @@
     name_limit(&mut picker, "a0", 1800, now);
     assert_eq!(picked(&mut picker), ["b0"]);
     assert_eq!(asked(&mut picker, now), [("a0".to_owned(), 32)], "later requests could use them");
-    lend(&mut picker, "a0", 1, None, now);
+    issue(&mut picker, "a0", 1, None, now);
     let (service, model) = (service(), ModelName::from("m"));
     let with_permit = picker.pick(&facts(&service, &model), now).expect("both serve");
     assert_eq!(*with_permit.id, "a0");
@@ -527,8 +527,8 @@
     name_limit(&mut picker, "b0", 1800, now);
     assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Limited(LimitedWait::Soon)));
     if wait_ms.is_some() {
-        lend(&mut picker, "a0", 0, wait_ms, now);
-        lend(&mut picker, "b0", 0, wait_ms, now);
+        issue(&mut picker, "a0", 0, wait_ms, now);
+        issue(&mut picker, "b0", 0, wait_ms, now);
     }
     let (service, model) = (service(), ModelName::from("m"));
     let refused = picker.pick(&facts(&service, &model), now).map(|worker| worker.id);
--- a/crates/measure/src/lives.rs
+++ b/crates/measure/src/lives.rs
@@ -199,7 +199,7 @@
 /// The answer to that.
 fn grant() -> PermitGrant {
     let upstream = limit(0).upstream;
-    let terms = vec![PermitTerms { upstream, lent: 1, wait_ms: Some(555) }];
+    let terms = vec![PermitTerms { upstream, issued: 1, wait_ms: Some(555) }];
     PermitGrant { limits: vec![limit(0)], terms }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,7 @@
 //! [`CrashWatch`] which requests end the upstreams that they run on, [`CopyGate`]
 //! how many copies of a request that nobody has seen answered go at once,
 //! [`BackoffTable`] which upstreams want no requests, [`LimitTable`] which take
-//! only so many a second, [`PermitLender`] and [`PermitHolder`] who may send
+//! only so many a second, [`PermitIssuer`] and [`PermitHolder`] who may send
 //! those, and [`CurrencyFacts`] whether a caller may be told that
 //! something does not exist.
 //!
@@ -25,7 +25,7 @@
 mod crash_watch;
 mod crashes;
 mod currency;
-mod limit_desk;
+mod limit_coordinator;
 mod limit_table;
 mod limiter;
 mod limits;
@@ -44,13 +44,13 @@
 pub use crash_watch::CrashWatch;
 pub use crashes::{CrashLedger, EndedRun, HoldState};
 pub use currency::CurrencyFacts;
-pub use limit_desk::{DeskAnswer, LimitDesk};
+pub use limit_coordinator::{AskOutcome, LimitCoordinator};
 pub use limit_table::{LimitTable, LimitWord, WordSpan};
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use limits::UpstreamLimits;
 pub use permits::{
-    PERMIT_INTERVAL, PERMIT_LIFETIME, PERMIT_PATIENCE, PERMIT_POLL, Permit, PermitHolder,
-    PermitLender, PermitLoan,
+    IssuedPermits, PERMIT_INTERVAL, PERMIT_LIFETIME, PERMIT_PATIENCE, PERMIT_POLL, Permit,
+    PermitHolder, PermitIssuer,
 };
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
--- a/crates/routing/src/limit_desk.rs
+++ b/crates/routing/src/limit_coordinator.rs
@@ -1,9 +1,9 @@
 //! What the leader does of upstreams that name limits.
 //!
-//! It puts together what daemons heard, tells all of them, and lends permits.
+//! It puts together what daemons heard, tells all of them, and issues permits.
 //!
-//! Invariant: a leader begins with nothing to lend, since the one before it may just have lent what
-//! the limits allow.
+//! Invariant: a leader begins with nothing to issue, since the one before it may just have issued
+//! what the limits allow.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -15,7 +15,7 @@
 
 use crate::limit_table::LimitTable;
 use crate::limits::{from_told, to_told};
-use crate::permits::{PermitLender, PermitLoan};
+use crate::permits::{IssuedPermits, PermitIssuer};
 
 /// Time for which daemons are told that an upstream names no limit any more.
 const ENDED_TIME: Duration = Duration::from_secs(10);
@@ -23,27 +23,27 @@
 /// what they were told for three times as long.
 const TOLD_INTERVAL: Duration = Duration::from_millis(900);
 
-/// Limits of upstreams as all daemons heard them, and what is lent.
+/// Limits of upstreams as all daemons heard them, and what is issued.
 #[derive(Clone, Debug, Default)]
-pub struct LimitDesk {
+pub struct LimitCoordinator {
     term: Term,
     words: LimitTable<String>,
-    lender: PermitLender,
+    issuer: PermitIssuer,
     /// When all daemons were last told of limits; none where one has changed since.
     told: Option<Instant>,
 }
 
 /// What follows from what a daemon told.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DeskAnswer {
+pub struct AskOutcome {
     /// Upstreams whose limit is another one now.
     pub changed: Vec<(String, Option<RequestRate>)>,
     /// What to send to whom, an answer to the daemon that told among it.
     pub grants: BTreeMap<DaemonId, PermitGrant>,
 }
 
-impl LimitDesk {
-    /// Creates the desk of a daemon that has never led.
+impl LimitCoordinator {
+    /// Creates the coordinator of a daemon that has never led.
     pub fn new() -> Self {
         Self::default()
     }
@@ -56,29 +56,29 @@
     }
 
     /// Takes in what a daemon tells.
-    pub fn take_ask(&mut self, from: &DaemonId, ask: &PermitAsk, now: Instant) -> DeskAnswer {
+    pub fn take_ask(&mut self, from: &DaemonId, ask: &PermitAsk, now: Instant) -> AskOutcome {
         let mut changed = Vec::new();
         for told in &ask.limits {
             if self.words.note(&told.upstream, from_told(told, now)) {
                 let limit = self.words.limit(&told.upstream);
-                self.lender.set_limit(&told.upstream, limit, now);
+                self.issuer.set_limit(&told.upstream, limit, now);
                 changed.push((told.upstream.clone(), limit));
                 self.told = None;
             }
         }
         for need in &ask.needs {
-            self.lender.take_need(from, need, now);
+            self.issuer.take_need(from, need, now);
         }
-        let mut grants = self.lend(now);
+        let mut grants = self.issue(now);
         let answer = grants.entry(from.clone()).or_default();
         for need in &ask.needs {
-            let wait = self.lender.wait(&need.upstream);
+            let wait = self.issuer.wait(&need.upstream);
             let wait_ms = wait.map(|wait| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
             let upstream = need.upstream.clone();
-            answer.terms.push(PermitTerms { upstream, lent: 0, wait_ms });
+            answer.terms.push(PermitTerms { upstream, issued: 0, wait_ms });
         }
         answer.limits = self.told_of(ask, now);
-        DeskAnswer { changed, grants }
+        AskOutcome { changed, grants }
     }
 
     /// What is known of the upstreams that a daemon tells of or asks for.
@@ -90,11 +90,11 @@
         known.map(|(name, word)| to_told(name, word, now)).collect()
     }
 
-    /// Lends what can be lent now; what to send to whom.
-    pub fn lend(&mut self, now: Instant) -> BTreeMap<DaemonId, PermitGrant> {
+    /// Issues what can be issued now; what to send to whom.
+    pub fn issue(&mut self, now: Instant) -> BTreeMap<DaemonId, PermitGrant> {
         let mut grants: BTreeMap<DaemonId, PermitGrant> = BTreeMap::new();
-        for PermitLoan { daemon, upstream, count } in self.lender.lend(now) {
-            let terms = PermitTerms { upstream, lent: count, wait_ms: None };
+        for IssuedPermits { daemon, upstream, count } in self.issuer.issue(now) {
+            let terms = PermitTerms { upstream, issued: count, wait_ms: None };
             grants.entry(daemon).or_default().terms.push(terms);
         }
         grants
@@ -122,6 +122,6 @@
     /// Forgets upstreams that are not known any more.
     pub fn tidy(&mut self, known: impl Fn(&str) -> bool) {
         self.words.tidy(|upstream| known(upstream));
-        self.lender.tidy(|upstream| known(upstream));
+        self.issuer.tidy(|upstream| known(upstream));
     }
 }
--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -63,7 +63,7 @@
 
 impl UpstreamLimits {
     /// Creates the limits of a daemon that has heard of none; the seed is for times at which
-    /// nobody lends.
+    /// nobody issues permits.
     pub fn new(seed: u64) -> Self {
         Self {
             own: LimitTable::new(),
@@ -153,27 +153,27 @@
         self.holder.give_back(upstream, permit);
     }
 
-    /// Wishes for a permit that a later request may use, while this one goes elsewhere.
-    pub fn wish_ahead(&mut self, upstream: &str, lifetime: Duration, now: Instant) {
-        self.holder.wish(upstream, lifetime, now);
+    /// Notes that a later request could use a permit, while this one goes elsewhere.
+    pub fn note_need_ahead(&mut self, upstream: &str, lifetime: Duration, now: Instant) {
+        self.holder.note_need(upstream, lifetime, now);
     }
 
-    /// Wishes for a permit of one of several upstreams, for a request that waits for it or, if
-    /// `again`, has waited before; false where none can come in time.
-    pub fn wish_any(
+    /// Notes that a request waits for a permit of one of several upstreams, or, if `again`, still
+    /// does; false where none can come in time.
+    pub fn note_need_of_any(
         &mut self,
         upstreams: &[String],
         lifetime: Duration,
         again: bool,
         now: Instant,
     ) -> bool {
-        let wishes: usize = upstreams.iter().map(|one| self.holder.wishes(one, now)).sum();
-        if again && wishes >= self.waiting {
+        let needs: usize = upstreams.iter().map(|one| self.holder.count_needs(one, now)).sum();
+        if again && needs >= self.waiting {
             return true;
         }
         let mut order: Vec<&String> = upstreams.iter().collect();
-        order.sort_by_cached_key(|one| (self.holder.wishes(one, now), rand::random::<u32>()));
-        order.into_iter().any(|one| self.holder.wish(one, lifetime, now))
+        order.sort_by_cached_key(|one| (self.holder.count_needs(one, now), rand::random::<u32>()));
+        order.into_iter().any(|one| self.holder.note_need(one, lifetime, now))
     }
 
     /// Shortest time after which one of several upstreams may have a permit.
@@ -215,11 +215,11 @@
         due
     }
 
-    /// Takes in what the leader lends.
+    /// Takes in the permits that were issued.
     pub fn take_grant(&mut self, grant: &PermitGrant, now: Instant) {
         self.take_told(&grant.limits, now);
         for terms in &grant.terms {
-            self.holder.take_loan(&terms.upstream, terms.lent, now);
+            self.holder.take_issued(&terms.upstream, terms.issued, now);
             if let Some(wait_ms) = terms.wait_ms {
                 let wait = Duration::from_millis(wait_ms.into());
                 self.holder.take_wait(&terms.upstream, wait, now);
--- a/crates/routing/src/permits/holder.rs
+++ b/crates/routing/src/permits/holder.rs
@@ -1,4 +1,4 @@
-//! Holds the permits that one daemon was lent.
+//! Holds the permits that one daemon was issued.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -11,24 +11,24 @@
 use super::{PERMIT_LIFETIME, permits_per_s};
 
 /// Shortest pause between two messages about one upstream.
-const WISH_PAUSE: Duration = Duration::from_millis(10);
+const NEED_PAUSE: Duration = Duration::from_millis(10);
 /// Pause between two messages that only return permits.
 const RETURN_PAUSE: Duration = Duration::from_millis(50);
-/// Permits that are wished for at once.
-const MOST_WISHES: usize = 32;
-/// Silence of the lender after a wish from which on a daemon permits itself requests.
-const LENDER_SILENCE: Duration = Duration::from_millis(600);
-/// Part of a limit that all daemons together permit themselves where nobody lends. With what a
-/// lender that others still reach lends meanwhile it stays within what limits bear.
-const UNLENT_PART: f64 = 0.4;
+/// Most needs that are noted at once.
+const MOST_NEEDS: usize = 32;
+/// Silence of the issuer after an ask from which on a daemon permits itself requests.
+const ISSUER_SILENCE: Duration = Duration::from_millis(600);
+/// Part of a limit that all daemons together permit themselves where nobody issues permits. With
+/// what an issuer that others still reach gives out meanwhile, it stays within what limits bear.
+const SELF_ISSUED_PART: f64 = 0.4;
 
 /// Permission for one request to one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Permit {
     /// When it runs out.
     end: Instant,
-    /// Whether the lender gave it, so that it can be returned.
-    lent: bool,
+    /// Whether the issuer gave it, so that it can be returned.
+    issued: bool,
 }
 
 /// What is held for one upstream.
@@ -36,34 +36,34 @@
 struct HeldPermits {
     /// The one that runs out next comes first.
     permits: VecDeque<Permit>,
-    /// When each wish that is not fulfilled ends.
-    wishes: Vec<Instant>,
-    /// Whether the lender does not know the newest of them.
+    /// When each need that is not fulfilled ends.
+    needs: Vec<Instant>,
+    /// Whether the issuer does not know the newest of them.
     untold: bool,
     /// Permits that ran out and were not returned yet.
     returned: u32,
-    /// When the lender was last told.
+    /// When the issuer was last told.
     told: Option<Instant>,
-    /// When the lender said that it can lend the next permit.
+    /// When the issuer said that it can issue the next permit.
     next: Option<Instant>,
     /// When this daemon permits itself the next request.
-    unlent: Option<Instant>,
+    self_issued: Option<Instant>,
 }
 
 impl HeldPermits {
     fn expire(&mut self, now: Instant) {
         while let Some(permit) = self.permits.front().filter(|permit| permit.end <= now) {
-            self.returned += u32::from(permit.lent);
+            self.returned += u32::from(permit.issued);
             self.permits.pop_front();
         }
-        self.wishes.retain(|end| now < *end);
+        self.needs.retain(|end| now < *end);
     }
 
     fn is_due(&self, now: Instant) -> bool {
         let passed =
             |pause: Duration| self.told.is_none_or(|at| now.saturating_duration_since(at) >= pause);
-        let wishes = self.untold && !self.wishes.is_empty();
-        (wishes && passed(WISH_PAUSE)) || (self.returned > 0 && passed(RETURN_PAUSE))
+        let needs = self.untold && !self.needs.is_empty();
+        (needs && passed(NEED_PAUSE)) || (self.returned > 0 && passed(RETURN_PAUSE))
     }
 
     fn add(&mut self, permit: Permit) {
@@ -71,15 +71,15 @@
         self.permits.insert(place, permit);
     }
 
-    /// Takes permits in, each for the wish that ends first; those that come too late are returned.
+    /// Takes permits in, each for the need that ends first; those that come too late are returned.
     fn fulfil(&mut self, count: u32) {
-        self.wishes.sort();
+        self.needs.sort();
         for _ in 0..count {
-            if self.wishes.is_empty() {
+            if self.needs.is_empty() {
                 self.returned += 1;
             } else {
-                let end = self.wishes.remove(0);
-                self.add(Permit { end, lent: true });
+                let end = self.needs.remove(0);
+                self.add(Permit { end, issued: true });
             }
         }
     }
@@ -89,13 +89,13 @@
 #[derive(Clone, Debug)]
 pub struct PermitHolder {
     held: HashMap<String, HeldPermits>,
-    /// Since when the lender has not answered.
+    /// Since when the issuer has not answered.
     unanswered: Option<Instant>,
     rng: ChaCha8Rng,
 }
 
 impl PermitHolder {
-    /// Creates a holder without permits; the seed is for times at which nobody lends.
+    /// Creates a holder without permits; the seed is for times at which nobody issues permits.
     pub fn new(seed: u64) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
         Self { held: HashMap::new(), unanswered: None, rng }
@@ -109,22 +109,22 @@
         daemons: u32,
         now: Instant,
     ) -> bool {
-        let silent = self.is_lender_silent(now);
+        let silent = self.is_issuer_silent(now);
         let held = self.held.entry(upstream.to_owned()).or_default();
         held.expire(now);
         if silent {
-            let per_s = permits_per_s(limit) * UNLENT_PART / f64::from(daemons.max(1));
-            permit_unlent(held, per_s, &mut self.rng, now);
+            let per_s = permits_per_s(limit) * SELF_ISSUED_PART / f64::from(daemons.max(1));
+            issue_to_self(held, per_s, &mut self.rng, now);
         } else {
-            held.unlent = None;
+            held.self_issued = None;
         }
         !held.permits.is_empty()
     }
 
-    /// Wishes for a permit that are not fulfilled yet.
-    pub fn wishes(&self, upstream: &str, now: Instant) -> usize {
-        let wishes = self.held.get(upstream).map(|held| held.wishes.as_slice());
-        wishes.unwrap_or_default().iter().filter(|end| now < **end).count()
+    /// Needs that are not fulfilled yet.
+    pub fn count_needs(&self, upstream: &str, now: Instant) -> usize {
+        let needs = self.held.get(upstream).map(|held| held.needs.as_slice());
+        needs.unwrap_or_default().iter().filter(|end| now < **end).count()
     }
 
     /// Takes a permit for a request, if there is one.
@@ -141,21 +141,21 @@
         }
     }
 
-    /// Notes that a request could use a permit for some time, unless the lender has said that none
+    /// Notes that a request could use a permit for some time, unless the issuer has said that none
     /// can come meanwhile; true where it may come.
-    pub fn wish(&mut self, upstream: &str, lifetime: Duration, now: Instant) -> bool {
+    pub fn note_need(&mut self, upstream: &str, lifetime: Duration, now: Instant) -> bool {
         let held = self.held.entry(upstream.to_owned()).or_default();
         if held.next.is_some_and(|next| next > now + lifetime) {
             return false;
         }
-        if held.wishes.len() < MOST_WISHES {
-            held.wishes.push(now + lifetime.min(PERMIT_LIFETIME));
+        if held.needs.len() < MOST_NEEDS {
+            held.needs.push(now + lifetime.min(PERMIT_LIFETIME));
             held.untold = true;
         }
         true
     }
 
-    /// What to tell the lender now.
+    /// What to tell the issuer now.
     pub fn due(&mut self, now: Instant) -> Vec<PermitNeed> {
         let mut needs = Vec::new();
         for (upstream, held) in &mut self.held {
@@ -165,10 +165,10 @@
             }
             held.told = Some(now);
             held.untold = false;
-            let last = held.wishes.iter().max().copied().unwrap_or(now);
+            let last = held.needs.iter().max().copied().unwrap_or(now);
             needs.push(PermitNeed {
                 upstream: upstream.clone(),
-                count: held.wishes.len() as u32,
+                count: held.needs.len() as u32,
                 lifetime_ms: last.saturating_duration_since(now).as_millis() as u32,
                 returned: std::mem::take(&mut held.returned),
             });
@@ -179,21 +179,21 @@
         needs
     }
 
-    /// Takes permits in that the lender lent.
-    pub fn take_loan(&mut self, upstream: &str, count: u32, now: Instant) {
+    /// Takes permits in.
+    pub fn take_issued(&mut self, upstream: &str, count: u32, now: Instant) {
         self.unanswered = None;
         let held = self.held.entry(upstream.to_owned()).or_default();
         held.expire(now);
         held.fulfil(count);
     }
 
-    /// Takes in after what time the lender expects to lend one more; drops the wishes that end
+    /// Takes in after what time the issuer expects to issue one more; drops the needs that end
     /// before.
     pub fn take_wait(&mut self, upstream: &str, wait: Duration, now: Instant) {
         self.unanswered = None;
         if let Some(held) = self.held.get_mut(upstream) {
             held.next = Some(now + wait);
-            held.wishes.retain(|end| *end >= now + wait);
+            held.needs.retain(|end| *end >= now + wait);
         }
     }
 
@@ -204,16 +204,16 @@
         }
     }
 
-    /// Time after which the lender expects to lend a permit; zero where that is not known.
+    /// Time after which the issuer expects to issue a permit; zero where that is not known.
     pub fn wait(&self, upstream: &str, now: Instant) -> Duration {
         let next = self.held.get(upstream).and_then(|held| held.next);
         next.map_or(Duration::ZERO, |next| next.saturating_duration_since(now))
     }
 
-    /// Whether nobody lends: the lender does not answer.
-    fn is_lender_silent(&self, now: Instant) -> bool {
+    /// Whether nobody issues permits: the issuer does not answer.
+    fn is_issuer_silent(&self, now: Instant) -> bool {
         let silence = self.unanswered.map(|since| now.saturating_duration_since(since));
-        silence.is_some_and(|silence| silence >= LENDER_SILENCE)
+        silence.is_some_and(|silence| silence >= ISSUER_SILENCE)
     }
 
     /// Forgets upstreams without a limit.
@@ -227,15 +227,15 @@
 
 /// Permits a request by itself at times drawn at random, a few a second over all daemons. A time
 /// that passes unused is lost, so that daemons do not save up permits.
-fn permit_unlent(held: &mut HeldPermits, per_s: f64, rng: &mut ChaCha8Rng, now: Instant) {
+fn issue_to_self(held: &mut HeldPermits, per_s: f64, rng: &mut ChaCha8Rng, now: Instant) {
     let mut draw = || Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / per_s);
-    let next = *held.unlent.get_or_insert_with(|| now + draw());
+    let next = *held.self_issued.get_or_insert_with(|| now + draw());
     if next > now {
         return;
     }
     let end = next + PERMIT_LIFETIME;
     if now < end && held.permits.is_empty() {
-        held.add(Permit { end, lent: false });
+        held.add(Permit { end, issued: false });
     }
-    held.unlent = Some(now + draw());
+    held.self_issued = Some(now + draw());
 }
--- a/crates/routing/src/permits/lender.rs
+++ b/crates/routing/src/permits/issuer.rs
@@ -1,4 +1,4 @@
-//! Lends permits as the leader.
+//! Issues permits as the leader.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -8,16 +8,16 @@
 
 use super::{PERMIT_LIFETIME, permits_per_s};
 
-/// Seconds of a limit that may be lent at once.
+/// Seconds of a limit that may be issued at once.
 const BURST_SECONDS: f64 = 0.25;
-/// Permits that may be lent at once where that is less.
+/// Permits that may be issued at once where that is less.
 const LEAST_BURST: f64 = 2.0;
-/// Time for a permit to reach the daemon that it is lent to.
-const LOAN_TIME: Duration = Duration::from_millis(10);
+/// Time for a permit to reach the daemon that it is issued to.
+const DELIVERY_TIME: Duration = Duration::from_millis(10);
 
-/// Permits that are lent to a daemon.
+/// Permits that are issued to a daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PermitLoan {
+pub struct IssuedPermits {
     /// Who gets them.
     pub daemon: DaemonId,
     /// The upstream that they are for.
@@ -26,29 +26,29 @@
     pub count: u32,
 }
 
-/// Permits that a daemon wishes for.
+/// Permits that a daemon needs.
 #[derive(Clone, Debug)]
-struct PendingWish {
+struct PendingNeed {
     daemon: DaemonId,
     count: u32,
     /// Until when they are of use.
     end: Instant,
 }
 
-/// What is lent for one upstream.
+/// What is issued for one upstream.
 #[derive(Clone, Debug)]
 struct LimitBucket {
     per_s: f64,
     tokens: f64,
     filled: Instant,
     /// The newest of each daemon, the one that ends first in front.
-    wishes: Vec<PendingWish>,
+    needs: Vec<PendingNeed>,
 }
 
 impl LimitBucket {
-    /// Creates an empty bucket: a former lender may just have lent what the limit allows.
+    /// Creates an empty bucket: a former issuer may just have issued what the limit allows.
     fn new(per_s: f64, now: Instant) -> Self {
-        Self { per_s, tokens: 0.0, filled: now, wishes: Vec::new() }
+        Self { per_s, tokens: 0.0, filled: now, needs: Vec::new() }
     }
 
     fn fill(&mut self, now: Instant) {
@@ -68,48 +68,48 @@
         self.add(0.0);
     }
 
-    /// Takes the newest wish of a daemon in.
-    fn wish(&mut self, wish: PendingWish) {
-        self.wishes.retain(|former| former.daemon != wish.daemon);
-        let place = self.wishes.partition_point(|other| other.end <= wish.end);
-        self.wishes.insert(place, wish);
+    /// Takes the newest need of a daemon in.
+    fn need(&mut self, need: PendingNeed) {
+        self.needs.retain(|former| former.daemon != need.daemon);
+        let place = self.needs.partition_point(|other| other.end <= need.end);
+        self.needs.insert(place, need);
     }
 
-    /// Drops wishes for which a permit would come too late.
+    /// Drops needs for which a permit would come too late.
     fn drop_ended(&mut self, now: Instant) {
-        self.wishes.retain(|wish| wish.count > 0 && now + LOAN_TIME < wish.end);
+        self.needs.retain(|need| need.count > 0 && now + DELIVERY_TIME < need.end);
     }
 
-    /// The daemon that gets the next permit: the one whose wish ends first.
-    fn lend_one(&mut self) -> Option<DaemonId> {
-        let wish = self.wishes.first_mut().filter(|_| self.tokens >= 1.0)?;
+    /// The daemon that gets the next permit: the one whose need ends first.
+    fn issue_one(&mut self) -> Option<DaemonId> {
+        let need = self.needs.first_mut().filter(|_| self.tokens >= 1.0)?;
         self.tokens -= 1.0;
-        wish.count -= 1;
-        if wish.count > 0 {
-            return Some(wish.daemon.clone());
+        need.count -= 1;
+        if need.count > 0 {
+            return Some(need.daemon.clone());
         }
-        Some(self.wishes.remove(0).daemon)
+        Some(self.needs.remove(0).daemon)
     }
 
-    /// Time after which the next permit can be lent.
+    /// Time after which the next permit can be issued.
     fn wait(&self) -> Duration {
         Duration::from_secs_f64((1.0 - self.tokens).max(0.0) / self.per_s)
     }
 }
 
-/// Lends permits for upstreams that have named limits.
+/// Issues permits for upstreams that have named limits.
 #[derive(Clone, Debug, Default)]
-pub struct PermitLender {
+pub struct PermitIssuer {
     buckets: HashMap<String, LimitBucket>,
 }
 
-impl PermitLender {
-    /// Creates a lender that has lent nothing.
+impl PermitIssuer {
+    /// Creates an issuer that has issued nothing.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Sets the limit of an upstream; without one, nothing is lent for it.
+    /// Sets the limit of an upstream; without one, nothing is issued for it.
     pub fn set_limit(&mut self, upstream: &str, limit: Option<RequestRate>, now: Instant) {
         let Some(limit) = limit else {
             self.buckets.remove(upstream);
@@ -124,34 +124,36 @@
         }
     }
 
-    /// Takes in what a daemon wishes for now, in place of what it wished for before, and what it
+    /// Takes in what a daemon needs now, in place of what it needed before, and what it
     /// returns unused.
     pub fn take_need(&mut self, daemon: &DaemonId, need: &PermitNeed, now: Instant) {
         let Some(bucket) = self.buckets.get_mut(&need.upstream) else { return };
         bucket.fill(now);
         bucket.add(f64::from(need.returned));
         let lifetime = Duration::from_millis(need.lifetime_ms.into()).min(PERMIT_LIFETIME);
-        bucket.wish(PendingWish { daemon: daemon.clone(), count: need.count, end: now + lifetime });
+        bucket.need(PendingNeed { daemon: daemon.clone(), count: need.count, end: now + lifetime });
     }
 
-    /// Lends what can be lent now.
-    pub fn lend(&mut self, now: Instant) -> Vec<PermitLoan> {
-        let mut loans: Vec<PermitLoan> = Vec::new();
+    /// Issues what can be issued now.
+    pub fn issue(&mut self, now: Instant) -> Vec<IssuedPermits> {
+        let mut issued: Vec<IssuedPermits> = Vec::new();
         for (upstream, bucket) in &mut self.buckets {
             bucket.fill(now);
             bucket.drop_ended(now);
-            let first = loans.len();
-            while let Some(daemon) = bucket.lend_one() {
-                match loans[first..].iter_mut().find(|loan| loan.daemon == daemon) {
-                    Some(loan) => loan.count += 1,
-                    None => loans.push(PermitLoan { daemon, upstream: upstream.clone(), count: 1 }),
+            let first = issued.len();
+            while let Some(daemon) = bucket.issue_one() {
+                match issued[first..].iter_mut().find(|issued| issued.daemon == daemon) {
+                    Some(issued) => issued.count += 1,
+                    None => {
+                        issued.push(IssuedPermits { daemon, upstream: upstream.clone(), count: 1 })
+                    }
                 }
             }
         }
-        loans
+        issued
     }
 
-    /// Time after which the next permit can be lent; none without a limit.
+    /// Time after which the next permit can be issued; none without a limit.
     pub fn wait(&self, upstream: &str) -> Option<Duration> {
         self.buckets.get(upstream).map(LimitBucket::wait)
     }
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_routing::{LimitDesk, LimitWord, UpstreamLimits, WordSpan};
+use hollowbarrow_routing::{LimitCoordinator, LimitWord, UpstreamLimits, WordSpan};
 use hollowbarrow_schema::{DaemonId, PermitAsk, RequestRate, Term, UpstreamLimit};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -30,10 +30,10 @@
     DaemonId(name.to_owned())
 }
 
-fn desk() -> LimitDesk {
-    let mut desk = LimitDesk::new();
-    desk.enter(Term(1));
-    desk
+fn coordinator() -> LimitCoordinator {
+    let mut coordinator = LimitCoordinator::new();
+    coordinator.enter(Term(1));
+    coordinator
 }
 
 #[rstest]
@@ -109,78 +109,78 @@
 }
 
 #[rstest]
-fn desk_tells_and_lends() {
+fn coordinator_tells_and_issues() {
     let start = Instant::now();
-    let mut desk = desk();
+    let mut coordinator = coordinator();
     let mut limits = UpstreamLimits::new(1);
     limits.note("a", word(start, 100, NAMED));
-    assert!(limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 100)));
+    assert!(limits.note_need_of_any(&["a".to_owned()], PATIENCE, false, after(start, 100)));
     let ask = limits.due(after(start, 100)).expect("it wants something");
-    let answer = desk.take_ask(&daemon("x"), &ask, after(start, 100));
+    let answer = coordinator.take_ask(&daemon("x"), &ask, after(start, 100));
     assert_eq!(answer.changed, vec![("a".to_owned(), NAMED)]);
     let grant = &answer.grants[&daemon("x")];
-    assert_eq!((grant.terms[0].lent, grant.terms[0].wait_ms), (0, Some(500)));
-    assert_eq!(desk.told(after(start, 100)).len(), 1);
+    assert_eq!((grant.terms[0].issued, grant.terms[0].wait_ms), (0, Some(500)));
+    assert_eq!(coordinator.told(after(start, 100)).len(), 1);
     limits.take_grant(grant, after(start, 100));
-    assert!(!limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 100)));
-    assert!(limits.wish_any(&["a".to_owned()], PATIENCE, false, after(start, 590)));
+    assert!(!limits.note_need_of_any(&["a".to_owned()], PATIENCE, false, after(start, 100)));
+    assert!(limits.note_need_of_any(&["a".to_owned()], PATIENCE, false, after(start, 590)));
     let ask = limits.due(after(start, 590)).expect("it wants something");
-    assert!(desk.take_ask(&daemon("x"), &ask, after(start, 590)).changed.is_empty());
-    let grants = desk.lend(after(start, 600));
+    assert!(coordinator.take_ask(&daemon("x"), &ask, after(start, 590)).changed.is_empty());
+    let grants = coordinator.issue(after(start, 600));
     limits.take_grant(&grants[&daemon("x")], after(start, 600));
     assert!(limits.lacking(DAEMONS, after(start, 600)).is_empty());
     assert!(limits.take("a", after(start, 600)).is_some());
 }
 
-/// What a former leader lent may just have been used.
+/// What a former leader issued may just have been used.
 #[rstest]
-fn desk_begins_with_nothing() {
+fn coordinator_begins_with_nothing() {
     let start = Instant::now();
-    let mut desk = desk();
+    let mut coordinator = coordinator();
     let ask = PermitAsk { limits: told(0, NAMED), needs: Vec::new() };
-    desk.take_ask(&daemon("x"), &ask, start);
-    desk.enter(Term(1));
-    assert_eq!(desk.told(start).len(), 1, "it is the same term");
-    desk.enter(Term(2));
-    assert!(desk.told(start).is_empty());
+    coordinator.take_ask(&daemon("x"), &ask, start);
+    coordinator.enter(Term(1));
+    assert_eq!(coordinator.told(start).len(), 1, "it is the same term");
+    coordinator.enter(Term(2));
+    assert!(coordinator.told(start).is_empty());
 }
 
 /// The end of a limit is told on for a while.
 #[rstest]
 #[case::told(9_999, 1)]
 #[case::over(10_500, 0)]
-fn desk_tells_of_end(#[case] ms: u64, #[case] expected: usize) {
+fn coordinator_tells_of_end(#[case] ms: u64, #[case] expected: usize) {
     let start = Instant::now();
-    let mut desk = desk();
+    let mut coordinator = coordinator();
     let ask = |limit| PermitAsk { limits: told(0, limit), needs: Vec::new() };
-    desk.take_ask(&daemon("x"), &ask(NAMED), start);
+    coordinator.take_ask(&daemon("x"), &ask(NAMED), start);
     // Later by more than words may be late.
-    let answer = desk.take_ask(&daemon("y"), &ask(None), after(start, 500));
+    let answer = coordinator.take_ask(&daemon("y"), &ask(None), after(start, 500));
     assert_eq!(answer.changed, vec![("a".to_owned(), None)]);
-    assert_eq!(desk.told(after(start, ms)).len(), expected);
+    assert_eq!(coordinator.told(after(start, ms)).len(), expected);
 }
 
 #[rstest]
-fn desk_forgets_unknown() {
+fn coordinator_forgets_unknown() {
     let start = Instant::now();
-    let mut desk = desk();
+    let mut coordinator = coordinator();
     let ask = PermitAsk { limits: told(0, NAMED), needs: Vec::new() };
-    desk.take_ask(&daemon("x"), &ask, start);
-    desk.tidy(|upstream| upstream != "a");
-    assert!(desk.told(start).is_empty());
+    coordinator.take_ask(&daemon("x"), &ask, start);
+    coordinator.tidy(|upstream| upstream != "a");
+    assert!(coordinator.told(start).is_empty());
 }
 
 /// All daemons are told at once of what changes, and of the rest about once a second.
 #[rstest]
-fn desk_tells_all_now_and_then() {
+fn coordinator_tells_all_now_and_then() {
     let start = Instant::now();
-    let mut desk = desk();
+    let mut coordinator = coordinator();
     let ask = |limit| PermitAsk { limits: told(0, limit), needs: Vec::new() };
-    desk.take_ask(&daemon("x"), &ask(NAMED), start);
-    assert_eq!(desk.told_due(start).len(), 1);
-    desk.take_ask(&daemon("y"), &ask(NAMED), after(start, 100));
-    assert!(desk.told_due(after(start, 899)).is_empty());
-    assert_eq!(desk.told_due(after(start, 900)).len(), 1);
-    desk.take_ask(&daemon("x"), &ask(None), after(start, 1000));
-    assert_eq!(desk.told_due(after(start, 1000)).len(), 1, "it has changed");
+    coordinator.take_ask(&daemon("x"), &ask(NAMED), start);
+    assert_eq!(coordinator.told_due(start).len(), 1);
+    coordinator.take_ask(&daemon("y"), &ask(NAMED), after(start, 100));
+    assert!(coordinator.told_due(after(start, 899)).is_empty());
+    assert_eq!(coordinator.told_due(after(start, 900)).len(), 1);
+    coordinator.take_ask(&daemon("x"), &ask(None), after(start, 1000));
+    assert_eq!(coordinator.told_due(after(start, 1000)).len(), 1, "it has changed");
 }
--- a/crates/routing/tests/permits.rs
+++ b/crates/routing/tests/permits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_routing::{PERMIT_LIFETIME, PermitHolder, PermitLender, PermitLoan};
+use hollowbarrow_routing::{IssuedPermits, PERMIT_LIFETIME, PermitHolder, PermitIssuer};
 use hollowbarrow_schema::{DaemonId, PermitNeed, RequestRate};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -24,14 +24,14 @@
     DaemonId(name.to_owned())
 }
 
-fn loan(name: &str, count: u32) -> PermitLoan {
-    PermitLoan { daemon: daemon(name), upstream: "a".to_owned(), count }
+fn issued(name: &str, count: u32) -> IssuedPermits {
+    IssuedPermits { daemon: daemon(name), upstream: "a".to_owned(), count }
 }
 
-fn lender(now: Instant) -> PermitLender {
-    let mut lender = PermitLender::new();
-    lender.set_limit("a", Some(LIMIT), now);
-    lender
+fn issuer(now: Instant) -> PermitIssuer {
+    let mut issuer = PermitIssuer::new();
+    issuer.set_limit("a", Some(LIMIT), now);
+    issuer
 }
 
 /// Half a second makes one permit, and no more than two are saved up.
@@ -40,67 +40,67 @@
 #[case::just_before(499, 0)]
 #[case::one(500, 1)]
 #[case::saved_up(60_000, 2)]
-fn lend_by_rate(#[case] ms: u64, #[case] expected: u32) {
+fn issue_by_rate(#[case] ms: u64, #[case] expected: u32) {
     let start = Instant::now();
-    let mut lender = lender(start);
-    lender.take_need(&daemon("x"), &need(5, PATIENCE, 0), after(start, ms));
-    let lent: u32 = lender.lend(after(start, ms)).iter().map(|loan| loan.count).sum();
-    assert_eq!(lent, expected);
+    let mut issuer = issuer(start);
+    issuer.take_need(&daemon("x"), &need(5, PATIENCE, 0), after(start, ms));
+    let issued: u32 = issuer.issue(after(start, ms)).iter().map(|issued| issued.count).sum();
+    assert_eq!(issued, expected);
 }
 
 /// The one whose request waits for the shortest time is served first.
 #[rstest]
-fn lend_first_ending_wish() {
+fn issue_first_ending_need() {
     let start = Instant::now();
     let now = after(start, 500);
-    let mut lender = lender(start);
-    lender.take_need(&daemon("late"), &need(1, PERMIT_LIFETIME, 0), now);
-    lender.take_need(&daemon("soon"), &need(1, PATIENCE, 0), now);
-    assert_eq!(lender.lend(now), vec![loan("soon", 1)]);
-    assert_eq!(lender.wait("a"), Some(Duration::from_millis(500)));
+    let mut issuer = issuer(start);
+    issuer.take_need(&daemon("late"), &need(1, PERMIT_LIFETIME, 0), now);
+    issuer.take_need(&daemon("soon"), &need(1, PATIENCE, 0), now);
+    assert_eq!(issuer.issue(now), vec![issued("soon", 1)]);
+    assert_eq!(issuer.wait("a"), Some(Duration::from_millis(500)));
 }
 
 #[rstest]
-fn lend_nothing_too_late() {
+fn issue_nothing_too_late() {
     let start = Instant::now();
-    let mut lender = lender(start);
-    lender.take_need(&daemon("x"), &need(1, PATIENCE, 0), after(start, 400));
-    assert_eq!(lender.lend(after(start, 500)), Vec::new(), "the request has gone");
+    let mut issuer = issuer(start);
+    issuer.take_need(&daemon("x"), &need(1, PATIENCE, 0), after(start, 400));
+    assert_eq!(issuer.issue(after(start, 500)), Vec::new(), "the request has gone");
 }
 
 #[rstest]
-fn lend_returned_again() {
+fn issue_returned_again() {
     let start = Instant::now();
     let now = after(start, 500);
-    let mut lender = lender(start);
-    lender.take_need(&daemon("x"), &need(1, PATIENCE, 0), now);
-    assert_eq!(lender.lend(now), vec![loan("x", 1)]);
-    lender.take_need(&daemon("x"), &need(0, Duration::ZERO, 1), now);
-    lender.take_need(&daemon("y"), &need(1, PATIENCE, 0), now);
-    assert_eq!(lender.lend(now), vec![loan("y", 1)]);
+    let mut issuer = issuer(start);
+    issuer.take_need(&daemon("x"), &need(1, PATIENCE, 0), now);
+    assert_eq!(issuer.issue(now), vec![issued("x", 1)]);
+    issuer.take_need(&daemon("x"), &need(0, Duration::ZERO, 1), now);
+    issuer.take_need(&daemon("y"), &need(1, PATIENCE, 0), now);
+    assert_eq!(issuer.issue(now), vec![issued("y", 1)]);
 }
 
 #[rstest]
 #[case::fallen(Some(RequestRate(100)), 10_000)]
 #[case::nothing_allowed(Some(RequestRate(0)), 10_000)]
-fn lend_by_fallen_rate(#[case] limit: Option<RequestRate>, #[case] first_ms: u64) {
+fn issue_by_fallen_rate(#[case] limit: Option<RequestRate>, #[case] first_ms: u64) {
     let start = Instant::now();
-    let mut lender = lender(start);
-    lender.set_limit("a", limit, start);
+    let mut issuer = issuer(start);
+    issuer.set_limit("a", limit, start);
     for (ms, expected) in [(first_ms - 1, 0), (first_ms, 1)] {
-        lender.take_need(&daemon("x"), &need(1, PATIENCE, 0), after(start, ms));
-        assert_eq!(lender.lend(after(start, ms)).len(), expected, "at {ms}");
+        issuer.take_need(&daemon("x"), &need(1, PATIENCE, 0), after(start, ms));
+        assert_eq!(issuer.issue(after(start, ms)).len(), expected, "at {ms}");
     }
 }
 
 #[rstest]
-fn lend_nothing_without_limit() {
+fn issue_nothing_without_limit() {
     let start = Instant::now();
-    let mut lender = lender(start);
-    lender.set_limit("a", None, start);
-    lender.take_need(&daemon("x"), &need(1, PATIENCE, 0), after(start, 500));
-    assert_eq!(lender.lend(after(start, 500)), Vec::new());
-    assert_eq!(lender.wait("a"), None);
+    let mut issuer = issuer(start);
+    issuer.set_limit("a", None, start);
+    issuer.take_need(&daemon("x"), &need(1, PATIENCE, 0), after(start, 500));
+    assert_eq!(issuer.issue(after(start, 500)), Vec::new());
+    assert_eq!(issuer.wait("a"), None);
 }
 
 fn holds(holder: &mut PermitHolder, now: Instant) -> bool {
@@ -112,12 +112,12 @@
     let now = Instant::now();
     let mut holder = PermitHolder::new(1);
     assert!(!holds(&mut holder, now));
-    assert!(holder.wish("a", PATIENCE, now), "it may come");
+    assert!(holder.note_need("a", PATIENCE, now), "it may come");
     assert_eq!(holder.due(now), vec![need(1, PATIENCE, 0)]);
-    assert_eq!(holder.due(now), Vec::new(), "the lender knows");
-    holder.take_loan("a", 1, now);
+    assert_eq!(holder.due(now), Vec::new(), "the issuer knows");
+    holder.take_issued("a", 1, now);
     assert!(holds(&mut holder, now));
-    let permit = holder.take("a", now).expect("one was lent");
+    let permit = holder.take("a", now).expect("one was issued");
     assert!(holder.take("a", now).is_none(), "it is used");
     holder.give_back("a", permit);
     assert!(holder.take("a", now).is_some(), "the request did not go");
@@ -130,9 +130,9 @@
 fn holder_returns_unused(#[case] ms: u64, #[case] held: bool, #[case] returned: u32) {
     let start = Instant::now();
     let mut holder = PermitHolder::new(1);
-    holder.wish("a", PATIENCE, start);
+    holder.note_need("a", PATIENCE, start);
     holder.due(start);
-    holder.take_loan("a", 1, start);
+    holder.take_issued("a", 1, start);
     assert_eq!(holds(&mut holder, after(start, ms)), held);
     let told: u32 = holder.due(after(start, ms)).iter().map(|need| need.returned).sum();
     assert_eq!(told, returned);
@@ -142,40 +142,40 @@
 fn holder_returns_what_comes_too_late() {
     let start = Instant::now();
     let mut holder = PermitHolder::new(1);
-    holder.wish("a", PATIENCE, start);
+    holder.note_need("a", PATIENCE, start);
     holder.due(start);
-    holder.take_loan("a", 1, after(start, 100));
+    holder.take_issued("a", 1, after(start, 100));
     assert!(!holds(&mut holder, after(start, 100)));
     assert_eq!(holder.due(after(start, 100)), vec![need(0, Duration::ZERO, 1)]);
 }
 
 /// Nothing is asked for that cannot come in time.
 #[rstest]
-fn holder_wishes_what_may_come() {
+fn holder_needs_what_may_come() {
     let start = Instant::now();
     let mut holder = PermitHolder::new(1);
-    holder.wish("a", PATIENCE, start);
+    holder.note_need("a", PATIENCE, start);
     holder.take_wait("a", Duration::from_millis(400), start);
-    assert_eq!(holder.wishes("a", start), 0, "it cannot be fulfilled");
-    assert!(!holder.wish("a", PATIENCE, after(start, 299)));
+    assert_eq!(holder.count_needs("a", start), 0, "it cannot be fulfilled");
+    assert!(!holder.note_need("a", PATIENCE, after(start, 299)));
     assert_eq!(holder.wait("a", after(start, 299)), Duration::from_millis(101));
-    assert!(holder.wish("a", PATIENCE, after(start, 300)));
+    assert!(holder.note_need("a", PATIENCE, after(start, 300)));
 }
 
-/// What was lent under a higher limit is not all used under a lower one.
+/// What was issued under a higher limit is not all used under a lower one.
 #[rstest]
 fn holder_keeps_one_after_fall() {
     let now = Instant::now();
     let mut holder = PermitHolder::new(1);
-    (0..3).for_each(|_| assert!(holder.wish("a", PATIENCE, now)));
-    holder.take_loan("a", 3, now);
+    (0..3).for_each(|_| assert!(holder.note_need("a", PATIENCE, now)));
+    holder.take_issued("a", 3, now);
     holder.note_fall("a");
     assert!(holder.take("a", now).is_some());
     assert!(holder.take("a", now).is_none());
 }
 
 /// Permits a second that a daemon gives itself, as a part of the limit.
-fn unlent_part(holder: &mut PermitHolder, start: Instant) -> f64 {
+fn self_issued_part(holder: &mut PermitHolder, start: Instant) -> f64 {
     let steps = 400_000;
     let taken = (0..steps).filter(|step| {
         let now = after(start, step * 10);
@@ -185,17 +185,17 @@
     taken.count() as f64 / seconds / (*LIMIT as f64 / 1000.0)
 }
 
-/// Where nobody lends, all daemons together use less than half of the limit, each its part.
+/// Where nobody issues permits, all daemons together use less than half of the limit, each its part.
 #[rstest]
-fn holder_permits_itself_without_lender() {
+fn holder_permits_itself_without_issuer() {
     let start = Instant::now();
     let mut holder = PermitHolder::new(1);
     assert!(!holds(&mut holder, start));
-    holder.wish("a", PATIENCE, start);
+    holder.note_need("a", PATIENCE, start);
     holder.due(start);
-    let part = unlent_part(&mut holder, after(start, 600)) * f64::from(DAEMONS);
+    let part = self_issued_part(&mut holder, after(start, 600)) * f64::from(DAEMONS);
     assert!((0.3..0.5).contains(&part), "{part}");
     let end = after(start, 5_000_000);
     holder.take_wait("a", Duration::ZERO, end);
-    assert_eq!(unlent_part(&mut holder, end), 0.0, "somebody lends");
+    assert_eq!(self_issued_part(&mut holder, end), 0.0, "somebody issues");
 }
--- a/crates/routing/tests/permits_simulation.rs
+++ b/crates/routing/tests/permits_simulation.rs
@@ -8,7 +8,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use hollowbarrow_routing::{LimitDesk, LimitWord, UpstreamLimits, WordSpan};
+use hollowbarrow_routing::{LimitCoordinator, LimitWord, UpstreamLimits, WordSpan};
 use hollowbarrow_schema::{DaemonId, PermitAsk, PermitGrant, RequestRate, Term, UpstreamLimit};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -108,7 +108,7 @@
     waiting: Vec<VecDeque<u64>>,
     leads: bool,
     term: Term,
-    desk: LimitDesk,
+    coordinator: LimitCoordinator,
     arrivals: Vec<Vec<u64>>,
     refused: u64,
 }
@@ -125,11 +125,11 @@
             waiting: vec![VecDeque::new(); load.daemons],
             leads: true,
             term: Term(1),
-            desk: LimitDesk::new(),
+            coordinator: LimitCoordinator::new(),
             arrivals: vec![Vec::new(); UPSTREAMS],
             refused: 0,
         };
-        replay.desk.enter(replay.term);
+        replay.coordinator.enter(replay.term);
         // Somebody has heard of each limit.
         (0..UPSTREAMS).for_each(|upstream| {
             replay.push(0, Event::Answer { daemon: 0, upstream, sent_ms: 0 });
@@ -193,7 +193,7 @@
             }
             Event::Ask { daemon, ask } => {
                 if self.leads {
-                    let answer = self.desk.take_ask(&id_of(daemon), &ask, now);
+                    let answer = self.coordinator.take_ask(&id_of(daemon), &ask, now);
                     self.send_grants(answer.grants.into_iter(), ms);
                 }
             }
@@ -203,7 +203,7 @@
                     self.waiting[daemon].pop_front();
                     self.limits[daemon].end_wait();
                 }
-                self.wish_again(daemon, ms);
+                self.need_again(daemon, ms);
             }
             Event::View { daemon, limits } => self.limits[daemon].take_told(&limits, now),
             Event::Step { number } => self.step(number, ms),
@@ -220,7 +220,7 @@
             Event::NewLeader => {
                 self.leads = true;
                 self.term = Term(*self.term + 1);
-                self.desk.enter(self.term);
+                self.coordinator.enter(self.term);
                 self.push(ms + 4_000, Event::LoseLeader);
             }
         }
@@ -230,11 +230,11 @@
     fn step(&mut self, number: u64, ms: u64) {
         let now = self.at(ms);
         if self.leads {
-            let grants = self.desk.lend(now);
+            let grants = self.coordinator.issue(now);
             self.send_grants(grants.into_iter(), ms);
         }
         if self.leads && number.is_multiple_of(STEPS_OF_VIEW) {
-            let limits = self.desk.told_due(now);
+            let limits = self.coordinator.told_due(now);
             let daemons = (0..self.load.daemons).filter(|daemon| self.hears(*daemon));
             for daemon in daemons.collect::<Vec<usize>>() {
                 self.send(ms, Event::View { daemon, limits: limits.clone() });
@@ -299,7 +299,7 @@
     fn wait_for_permit(&mut self, daemon: usize, ms: u64) {
         let now = self.at(ms);
         let patience = Duration::from_millis(PATIENCE_MS);
-        if !self.limits[daemon].wish_any(&names(), patience, false, now) {
+        if !self.limits[daemon].note_need_of_any(&names(), patience, false, now) {
             self.refused += 1;
             return;
         }
@@ -315,12 +315,12 @@
         self.refused += 1;
     }
 
-    /// Has requests whose wishes were dropped wish for other permits, or refuses them.
-    fn wish_again(&mut self, daemon: usize, ms: u64) {
+    /// Has requests whose needs were dropped need other permits, or refuses them.
+    fn need_again(&mut self, daemon: usize, ms: u64) {
         let now = self.at(ms);
         for end in self.waiting[daemon].clone() {
             let patience = Duration::from_millis(end.saturating_sub(ms));
-            if !self.limits[daemon].wish_any(&names(), patience, true, now) {
+            if !self.limits[daemon].note_need_of_any(&names(), patience, true, now) {
                 self.refuse_first(daemon);
             }
         }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1106,7 +1106,7 @@
     ///All requests that are known to end upstreams.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub held: ::std::vec::Vec<HeldRequest>,
-    ///Who lends permits for upstreams that name limits.
+    ///Who issues permits for upstreams that name limits.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub leader: ::std::option::Option<DaemonId>,
     ///All upstreams that name limits, and those that have lately ceased to.
@@ -2391,7 +2391,7 @@
         value.clone()
     }
 }
-///What the leader lends to a daemon; each ask is answered.
+///What the leader issues to a daemon; each ask is answered.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2437,9 +2437,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct PermitTerms {
-    pub lent: u32,
+    pub issued: u32,
     pub upstream: ::std::string::String,
-    ///Milliseconds after which the leader can lend the next one; none where it was not asked.
+    ///Milliseconds after which the leader can issue the next one; none where it was not asked.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub wait_ms: ::std::option::Option<u32>,
 }
