Write the text of a limit once, and fold a function that only logged

The read of the whole change found the same expression in a gateway, a controller and an entry daemon, and log_unreadable beside its only caller.

--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -6,6 +6,7 @@
 
 use hollowbarrow_fleet::MergeOutcome;
 use hollowbarrow_member::EncodedDeployment;
+use hollowbarrow_routing::limit_text;
 use hollowbarrow_schema::{
     ControllerHello, DaemonId, FleetMessage, GatewayHello, LogName, PeerMessage, PermitAsk,
     PermitGrant, WorkerReport,
@@ -148,7 +149,7 @@
         limits.take_ask(from, ask, now)
     };
     for (worker, limit) in &answer.changed {
-        let milli = limit.as_ref().map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        let milli = limit_text(*limit);
         log::info!("event=worker_limit worker={worker} milli_per_s={milli} from={}", **from);
     }
     send_grants(core, answer.grants);
--- a/crates/daemon/src/permits.rs
+++ b/crates/daemon/src/permits.rs
@@ -10,9 +10,10 @@
 
 use hollowbarrow_routing::{
     LimitWord, PERMIT_INTERVAL, PERMIT_PATIENCE, PERMIT_POLL, Permit, UpstreamKey, WordSpan,
+    limit_text,
 };
 use hollowbarrow_schema::{DaemonId, FleetMessage, PeerMessage, PermitAsk, PermitGrant, Term};
-use hollowbarrow_upstream::{ReadLimitError, read_limit};
+use hollowbarrow_upstream::read_limit;
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use tokio::time::Instant;
@@ -110,21 +111,17 @@
     let limit = match read_limit(headers, &LIMIT_HEADER) {
         Ok(limit) => limit,
         Err(error) => {
-            log_unreadable(key, error);
+            log::warn!("event=limit_unreadable upstream={} error={error:?}", key.name);
             return;
         }
     };
     let word = LimitWord { limit, span: WordSpan { sent, came: Instant::now() } };
     if core.limits().note(&limit_name(key), word) {
-        let milli = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        let milli = limit_text(limit);
         log::info!("event=upstream_limit upstream={} milli_per_s={milli}", key.name);
     }
 }
 
-fn log_unreadable(key: &UpstreamKey, error: ReadLimitError) {
-    log::warn!("event=limit_unreadable upstream={} error={error:?}", key.name);
-}
-
 /// Issues permits while this daemon leads, and asks for them, until the process ends.
 pub(crate) async fn keep_permits(core: Arc<DaemonCore>) {
     loop {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_member::WakeWatch;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
-use hollowbarrow_routing::{CopyGate, CurrencyFacts, LimitWord, WordSpan};
+use hollowbarrow_routing::{CopyGate, CurrencyFacts, LimitWord, WordSpan, limit_text};
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::{UpstreamClient, UpstreamWord};
 use tokio::sync::Notify;
@@ -256,7 +256,7 @@
             }
         };
         if self.picker().note_limit(worker, LimitWord { limit, span }) {
-            let milli = limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            let milli = limit_text(limit);
             log::info!("event=worker_limit worker={} milli_per_s={milli}", **worker);
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -45,7 +45,7 @@
 pub use crashes::{CrashLedger, EndedRun, HoldState};
 pub use currency::CurrencyFacts;
 pub use limit_coordinator::{AskOutcome, LimitCoordinator};
-pub use limit_table::{LimitTable, LimitWord, WordSpan};
+pub use limit_table::{LimitTable, LimitWord, WordSpan, limit_text};
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use limits::UpstreamLimits;
 pub use permits::{
--- a/crates/routing/src/limit_table.rs
+++ b/crates/routing/src/limit_table.rs
@@ -23,6 +23,11 @@
     pub came: Instant,
 }
 
+/// A limit as it stands in logs: thousandths of a request a second, or `none`.
+pub fn limit_text(limit: Option<RequestRate>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+}
+
 /// What an upstream said of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitWord {
