List that a limit which has risen is not used at once

Found by reading the change: PermitHolder keeps the time that the leader named for the next permit, also after the limit has changed. need_noted_after_rise fails: a worker that named 0 and then 50 a second is still refused 0.9 s later. Nothing is sent beyond a limit by it.

--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -184,3 +184,19 @@
     coordinator.take_ask(&daemon("x"), &ask(None), after(start, 1000));
     assert_eq!(coordinator.told_due(after(start, 1000)).len(), 1, "it has changed");
 }
+
+/// What the leader said of the next permit under a lower limit does not hold for a higher one.
+#[rstest]
+fn need_noted_after_rise() {
+    let start = Instant::now();
+    let upstreams = ["a".to_owned()];
+    let mut coordinator = coordinator();
+    let mut limits = UpstreamLimits::new(1);
+    limits.note("a", word(start, 100, Some(RequestRate(0))));
+    assert!(limits.note_need_of_any(&upstreams, PATIENCE, false, after(start, 100)));
+    let ask = limits.due(after(start, 100)).expect("it wants something");
+    let answer = coordinator.take_ask(&daemon("x"), &ask, after(start, 100));
+    limits.take_grant(&answer.grants[&daemon("x")], after(start, 100));
+    assert!(limits.note("a", word(start, 1000, Some(RequestRate(50_000)))));
+    assert!(limits.note_need_of_any(&upstreams, PATIENCE, false, after(start, 1000)));
+}
