Show how late a daemon's timers and its nodes' answers are

Callers lost streams when a daemon gave up replicas whose nodes it had not observed within a lease, and nothing told whether the nodes, this daemon or the reports between daemons were late.

No decision changes.

In 39 of 41 drains the deciding daemon's timers were 29 to 103 ms late, so the daemon is not what is late.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -24,6 +24,7 @@
 use crate::proposals::PendingCalls;
 use crate::routes::RouteIndex;
 use crate::telemetry::Telemetry;
+use crate::timers::TimerDelays;
 
 /// Election timeouts for which the leader's confirmation of the configuration is valid. A daemon
 /// that does not vote receives one in each election timeout; five are a third of the time within
@@ -63,6 +64,7 @@
     pub(crate) client: UpstreamClient,
     pub(crate) engine: HttpEngine,
     pub(crate) telemetry: Telemetry,
+    pub(crate) timer_delays: Mutex<TimerDelays>,
     pub(crate) started: Instant,
     pub(crate) ready: AtomicBool,
     pub(crate) stopping: AtomicBool,
@@ -146,6 +148,11 @@
         self.limit_coordinator.lock().expect("no holder of the lock panics")
     }
 
+    /// Locks the recent delays of this process's timers.
+    pub(crate) fn timer_delays(&self) -> MutexGuard<'_, TimerDelays> {
+        self.timer_delays.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns the number of daemons that share the upstreams.
     pub(crate) fn daemons(&self) -> u32 {
         u32::try_from(self.settings.peers.len()).unwrap_or(u32::MAX)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::permits::{handle_permit_ask, handle_permit_grant, maintain_permits};
 use crate::quota::maintain_quotas;
 use crate::telemetry::Telemetry;
+use crate::timers::watch_timers;
 use crate::zone_authority::{handle_authority_message, with_authority};
 use crate::zone_control::control_zones;
 
@@ -194,6 +195,7 @@
         start_mesh(&core, listeners.peers)?;
         let operators = serve_operators(Arc::clone(&core), listeners.operators, stopped.clone())?;
         tokio::spawn(watch_platform(Arc::clone(&core)));
+        tokio::spawn(watch_timers(Arc::clone(&core)));
         tokio::spawn(probe_nodes(Arc::clone(&core)));
         tokio::spawn(send_digests(Arc::clone(&core)));
         tokio::spawn(control_zones(Arc::clone(&core)));
@@ -288,6 +290,7 @@
         client: UpstreamClient::new(),
         engine: HttpEngine::new(),
         telemetry,
+        timer_delays: Mutex::default(),
         started: now,
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -293,6 +293,19 @@
         None
     }
 
+    /// Returns how many of a zone's model nodes have an observation older than the lease, and how many
+    /// are observed in all.
+    pub(crate) fn count_silent(&self, zone: &ZoneId, now: Instant) -> (usize, usize) {
+        let models = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.listed.zone == *zone && node.listed.service.is_none());
+        let seen: Vec<Instant> =
+            models.filter_map(|(id, _)| Some(self.leases.observation(id)?.seen)).collect();
+        let silent = seen.iter().filter(|seen| **seen + self.leases.lease() <= now);
+        (silent.count(), seen.len())
+    }
+
     /// Returns the planner's view of a zone's nodes.
     pub(crate) fn node_views(
         &self,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,6 +31,7 @@
 mod routes;
 mod table_change;
 mod telemetry;
+mod timers;
 mod zone_authority;
 mod zone_control;
 mod zone_demand;
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -76,6 +76,7 @@
     let sent_at = Instant::now();
     let outcome = core.engine.probe(address, timeout).await;
     let now = Instant::now();
+    core.telemetry.record_probe(probe_outcome(&outcome), now - sent_at);
     match outcome {
         Ok(report) if report.node == node => {
             core.fleet_mut().record_observation(&node, to_observation(report, sent_at), now);
@@ -104,6 +105,15 @@
     }
 }
 
+/// Returns the outcome of a probe for metrics.
+fn probe_outcome(outcome: &Result<NodeReport, ProbeNodeError>) -> &'static str {
+    match outcome {
+        Ok(_) | Err(ProbeNodeError::NotReport) => "answered",
+        Err(ProbeNodeError::NoAnswer(SendRequestError::Connect(_))) => "refused",
+        Err(ProbeNodeError::NoAnswer(_)) => "silent",
+    }
+}
+
 fn is_service(core: &DaemonCore, node: &NodeId) -> bool {
     core.fleet().nodes.get(node).is_some_and(|node| node.listed.service.is_some())
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -46,6 +46,16 @@
             "s",
             "Accelerator-seconds of usable nodes in no serving replica; counted by the zone's authority.",
         ),
+        (
+            "timer_delay_ms",
+            "ms",
+            "How late a timer of the process fired; long delays show that it lacks processor time.",
+        ),
+        (
+            "probe_ms",
+            "ms",
+            "Time that probes of nodes took, by outcome: answered, refused or silent.",
+        ),
         ("peer_bytes_sent", "bytes", "Bytes of messages to other daemons."),
         ("peer_bytes_received", "bytes", "Bytes of messages from other daemons."),
         ("stranded_accelerators", "1", "Accelerators of usable nodes in no serving replica now."),
@@ -62,6 +72,8 @@
     queue: Histogram<f64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
+    timer_delay: Histogram<f64>,
+    probe: Histogram<f64>,
     group_down: Counter<f64>,
     stranded_time: Counter<f64>,
     stranded: UpDownCounter<i64>,
@@ -93,6 +105,8 @@
             queue: page.time_histogram("queue_ms"),
             first_token: page.time_histogram("first_token_ms"),
             token_gap: page.time_histogram("token_gap_ms"),
+            timer_delay: page.time_histogram("timer_delay_ms"),
+            probe: page.time_histogram("probe_ms"),
             group_down: meter.f64_counter("group_down_seconds").build(),
             stranded_time: meter.f64_counter("stranded_accelerator_seconds").build(),
             stranded: meter.i64_up_down_counter("stranded_accelerators").build(),
@@ -134,6 +148,17 @@
         self.token_gap.record(gap.as_secs_f64() * 1000.0, &[]);
     }
 
+    /// Records how late a timer of the process fired.
+    pub(crate) fn record_timer_delay(&self, delay: Duration) {
+        self.timer_delay.record(delay.as_secs_f64() * 1000.0, &[]);
+    }
+
+    /// Records the outcome of a probe and the time that it took.
+    pub(crate) fn record_probe(&self, outcome: &'static str, elapsed: Duration) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.probe.record(elapsed.as_secs_f64() * 1000.0, &labels);
+    }
+
     pub(crate) fn record_downtime(&self, group: &GroupName, replicas: u32, elapsed: Duration) {
         let seconds = f64::from(replicas) * elapsed.as_secs_f64();
         self.group_down.add(seconds, &[KeyValue::new("group", group.to_string())]);
--- a/crates/daemon/src/zone_control.rs
+++ b/crates/daemon/src/zone_control.rs
@@ -157,14 +157,7 @@
         {
             return false;
         }
-        for drain in &plan.drains {
-            log::info!(
-                "event=replica_drain group={} slot={} reason={:?}",
-                *drain.group,
-                drain.slot,
-                drain.reason.to_string()
-            );
-        }
+        self.log_drains(&plan, now);
         let specs: BTreeMap<GroupName, GroupSpec> = core.config_log.read(|config| {
             config.groups().iter().map(|(name, r)| (name.clone(), r.value.clone())).collect()
         });
@@ -176,6 +169,22 @@
         .unwrap_or(false)
     }
 
+    /// Logs the replicas to be drained, with what tells whether their nodes or this daemon were late.
+    fn log_drains(&self, plan: &ZonePlan, now: Instant) {
+        let timer_delay = self.core.timer_delays().longest();
+        let (silent, nodes) = self.core.fleet().count_silent(self.core.zone(), now);
+        for drain in &plan.drains {
+            log::info!(
+                "event=replica_drain group={} slot={} reason={:?} silent_nodes={silent} \
+                 nodes={nodes} timer_delay_ms={}",
+                *drain.group,
+                drain.slot,
+                drain.reason.to_string(),
+                timer_delay.as_millis()
+            );
+        }
+    }
+
     fn plan(&self, config: &ConfigState, table: &ZoneTable, now: Instant) -> ZonePlan {
         let core = &self.core;
         let fleet = core.fleet();
