Log leader changes of the logs and failed proposals

event=log_leader names log, term, leader and how late the replica's own timer was; event=proposal_failed names the tries, the leader as known here and the time waited. No decision changes.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -321,7 +321,7 @@
             mesh.send(to, &PeerMessage::Log { name: log, message });
         }
     };
-    LogDriver::start(DriverConfig::new(replica, folder), machine, send)
+    LogDriver::start(DriverConfig::new(replica, folder).with_name(name), machine, send)
         .map_err(|source| StartDaemonError::OpenLog { name, source })
 }
 
--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -79,6 +79,7 @@
         payload: EntryPayload,
         deadline: Instant,
     ) -> Result<ProposalOutcome, ProposeEntryError> {
+        let started = Instant::now();
         let mut accepted = false;
         let mut round = 0;
         while Instant::now() < deadline {
@@ -101,7 +102,22 @@
                 tokio::time::sleep(RETRY_INTERVAL).await;
             }
         }
-        Err(if accepted { ProposeEntryError::Unknown } else { ProposeEntryError::NoLeader })
+        let error = if accepted { ProposeEntryError::Unknown } else { ProposeEntryError::NoLeader };
+        log::warn!(
+            "event=proposal_failed log={log:?} tries={round} leader={} waited_ms={} reason={:?}",
+            self.known_leader(log).map_or("-".to_owned(), |leader| leader.to_string()),
+            started.elapsed().as_millis(),
+            error.to_string()
+        );
+        Err(error)
+    }
+
+    /// Returns the leader of a log as far as this daemon's own replica knows it.
+    fn known_leader(&self, log: LogName) -> Option<DaemonId> {
+        match log {
+            LogName::Config => self.config_log.view().leader,
+            LogName::Claims => self.claims_log.view().leader,
+        }
     }
 
     /// Returns the daemon to send to: the leader if it is known, else the voters in turn.
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -57,6 +57,7 @@
 
 /// Settings of a driver.
 pub struct DriverConfig {
+    name: &'static str,
     replica: ReplicaConfig,
     folder: Option<std::path::PathBuf>,
     snapshot_entries: usize,
@@ -66,7 +67,13 @@
 impl DriverConfig {
     /// Creates settings; without a folder the replica follows the log but cannot vote.
     pub fn new(replica: ReplicaConfig, folder: Option<std::path::PathBuf>) -> Self {
-        Self { replica, folder, snapshot_entries: 4096, applied: None }
+        Self { name: "log", replica, folder, snapshot_entries: 4096, applied: None }
+    }
+
+    /// Sets the name of the log in log lines.
+    pub fn with_name(mut self, name: &'static str) -> Self {
+        self.name = name;
+        self
     }
 
     /// Sets the number of applied entries after which they are replaced by a snapshot.
@@ -164,6 +171,7 @@
             waiters: BTreeMap::new(),
             last_snapshot: LogIndex(0),
             reopen: None,
+            timer_delay: Duration::ZERO,
         };
         std::thread::Builder::new()
             .name("log".to_owned())
@@ -236,6 +244,8 @@
     waiters: BTreeMap<LogIndex, (Term, Sender<ProposalOutcome>)>,
     last_snapshot: LogIndex,
     reopen: Option<Instant>,
+    /// How late the replica's timer was at the last step; zero if it was not due.
+    timer_delay: Duration,
 }
 
 impl<M: StateMachine> DriverWorker<M> {
@@ -253,7 +263,9 @@
             if !self.process_batch(batch) {
                 return;
             }
-            self.replica.tick(Instant::now());
+            let now = Instant::now();
+            self.timer_delay = now.saturating_duration_since(self.replica.next_deadline());
+            self.replica.tick(now);
             self.send_all(Phase::Early);
             self.send_all(Phase::Flushed);
             self.apply_committed();
@@ -431,8 +443,25 @@
             lost_disk: matches!(self.replica.fault(), Some(crate::ReplicaFault::LostDisk)),
             fault: self.replica.fault().map(ToString::to_string),
         };
+        self.log_leader_change(&view);
         self.view.send_replace(view);
     }
+
+    /// Logs that this replica follows another leader than before, or none, and how late its own timer
+    /// was, which tells an election that a lack of processor time caused from one by a lost leader.
+    fn log_leader_change(&self, view: &LogView) {
+        let former = self.view.borrow();
+        if (&former.leader, former.term) == (&view.leader, view.term) {
+            return;
+        }
+        log::info!(
+            "event=log_leader log={} term={} leader={} timer_delay_ms={}",
+            self.config.name,
+            *view.term,
+            view.leader.as_ref().map_or("-", |leader| leader.as_str()),
+            self.timer_delay.as_millis()
+        );
+    }
 }
 
 #[derive(Clone, Copy)]
