Drop the waits of a limit that has risen or ended

Callers were refused for up to 10 s with a Retry-After that was no longer true: the time of the next permit, derived by the leader from an upstream's lower limit, stayed in force after the limit had risen.

A limit that rises or ends now drops the times derived from it, those at which a daemon issues permits to itself included; a leader's answer that follows from a lower limit than applies here brings no wait.

Before: need_noted_after_rise, wait_of_outdated_grant (risen, ended) and self_issue_after_rise failed, each every time.

--- a/crates/routing/src/limits.rs
+++ b/crates/routing/src/limits.rs
@@ -126,8 +126,8 @@
         self.published.retain(|_, notice| kept(notice));
     }
 
-    /// Drops permits that a lowered limit would not have allowed; returns whether the limit has
-    /// changed.
+    /// Drops permits that a lowered limit would not have allowed, or waits that follow from a former
+    /// limit; returns whether the limit has changed.
     fn apply_change(&mut self, upstream: &str, former: Option<RequestRate>) -> bool {
         let limit = self.limit(upstream);
         let decreases = match (former, limit) {
@@ -136,6 +136,8 @@
         };
         if decreases {
             self.holder.record_limit_decrease(upstream);
+        } else if limit != former {
+            self.holder.record_limit_increase(upstream);
         }
         limit != former
     }
@@ -233,13 +235,26 @@
         self.record_published(&grant.limits, now);
         for terms in &grant.terms {
             self.holder.record_issued(&terms.upstream, terms.issued, now);
-            if let Some(wait_ms) = terms.wait_ms {
+            if let Some(wait_ms) = terms.wait_ms
+                && !self.is_outdated(&terms.upstream, grant)
+            {
                 let wait = Duration::from_millis(wait_ms.into());
                 self.holder.record_wait(&terms.upstream, wait, now);
             }
         }
     }
 
+    /// Returns whether the leader derived its terms for an upstream from a lower limit than the one
+    /// that applies here.
+    fn is_outdated(&self, upstream: &str, grant: &PermitGrant) -> bool {
+        let stated = grant.limits.iter().find(|stated| stated.upstream == upstream);
+        match (stated.and_then(|stated| stated.limit), self.limit(upstream)) {
+            (Some(stated), Some(limit)) => stated < limit,
+            (Some(_), None) => true,
+            (None, _) => false,
+        }
+    }
+
     /// Removes upstreams that are no longer known.
     pub fn prune(&mut self, known: impl Fn(&str) -> bool) {
         self.local.prune(|name| known(name.as_str()));
--- a/crates/routing/src/permits/holder.rs
+++ b/crates/routing/src/permits/holder.rs
@@ -209,6 +209,15 @@
         }
     }
 
+    /// Drops the times of the next permits of an upstream whose limit has risen or ended: they follow
+    /// from the former limit.
+    pub fn record_limit_increase(&mut self, upstream: &str) {
+        if let Some(entry) = self.upstreams.get_mut(upstream) {
+            entry.next_issue = None;
+            entry.next_self_issue = None;
+        }
+    }
+
     /// Returns the time after which the issuer expects to issue a permit; zero if that is not
     /// known.
     pub fn wait(&self, upstream: &str, now: Instant) -> Duration {
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -200,3 +200,44 @@
     assert!(limits.record_notice("a", notice(start, 1000, Some(RequestRate(50_000)))));
     assert!(limits.record_need_of_any(&upstreams, WAIT_TIMEOUT, false, after(start, 1000)));
 }
+
+/// Guards against a wait that outlives the limit it was derived from: the leader's answer may have
+/// been sent before the leader learned that the limit has risen or ended.
+#[rstest]
+#[case::risen(Some(RequestRate(50_000)))]
+#[case::ended(None)]
+fn wait_of_outdated_grant(#[case] now_stated: Option<RequestRate>) {
+    let start = Instant::now();
+    let upstreams = ["a".to_owned()];
+    let mut coordinator = coordinator();
+    let mut limits = UpstreamLimits::new(1);
+    limits.record_notice("a", notice(start, 100, Some(RequestRate(0))));
+    assert!(limits.record_need_of_any(&upstreams, WAIT_TIMEOUT, false, after(start, 100)));
+    let ask = limits.due(after(start, 100)).expect("a message is due");
+    let answer = coordinator.handle_ask(&daemon("x"), &ask, after(start, 100));
+    assert!(limits.record_notice("a", notice(start, 150, now_stated)));
+    limits.record_grant(&answer.grants[&daemon("x")], after(start, 160));
+    limits.record_notice("a", notice(start, 200, Some(RequestRate(50_000))));
+    assert!(limits.record_need_of_any(&upstreams, WAIT_TIMEOUT, false, after(start, 200)));
+}
+
+/// A daemon that issues permits to itself does so at the rate of the limit that applies now.
+///
+/// Guards against a time that was drawn for a limit of 0, which is tens of seconds away, and that
+/// stays in force after the limit has risen.
+#[rstest]
+fn self_issue_after_rise() {
+    let start = Instant::now();
+    let upstreams = ["a".to_owned()];
+    let mut limits = UpstreamLimits::new(1);
+    limits.record_notice("a", notice(start, 100, Some(RequestRate(0))));
+    assert!(limits.record_need_of_any(&upstreams, WAIT_TIMEOUT, false, after(start, 100)));
+    assert!(limits.due(after(start, 100)).is_some(), "nobody answers this message");
+    assert!(limits.without_permit(1, after(start, 800)).contains("a"));
+    assert!(limits.record_notice("a", notice(start, 900, Some(RequestRate(50_000)))));
+    let mut waited_ms = 0;
+    while limits.without_permit(1, after(start, 900 + waited_ms)).contains("a") {
+        waited_ms += 10;
+        assert!(waited_ms < 2000, "no permit within 2 s although 20 a second are self-issued");
+    }
+}
