Tell a lost node from a silent one before its replica is given up

Callers lost their streams although no node had stopped: with eight clusters at once on 8 cores, 711 of 1,835 streams of stream_400_at_once did not end whole and 41 replicas were given up, each for a node not observed for a lease.

Cause: one time, the lease of a report, decided both that nothing new is sent (a fence) and that the replica is dissolved and its streams ended. The nodes were slow: all of 2,927 probes over half a lease were answered, within 1.5 s, and the answers were dropped. Ruled out: late daemons (timers 29 to 103 ms late in 39 of 41 drains); late reports of other daemons explain one zone at most.

FailureDetector decides on a loss by silence. A silence counts only while most of the other nodes answer and beyond the time that nodes take to answer at present; a late step of the daemon counts for little; late answers and tokens of streams end a silence but renew no lease. A node that is silent alone is lost after one lease, as before; refused connections, restarts and failed engines at once, as before. A node that returns after a gap with the same process keeps its replica.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -75,13 +75,14 @@
     attempt_span.set("upstream", &entry.key.name);
     let key = entry.key.clone();
     let picker_guard = PickerGuard::new(core, &key, blocks).with_permit(permit);
+    let progress = relay.progress();
     let sending =
         send_to_upstream(core, request, &entry, &attempt_span, relay, streamed, &picker_guard);
     let outcome = tokio::select! {
         outcome = sending => outcome,
         // A replica that lost a member cannot answer any more. Only a repeatable request is
         // abandoned for that.
-        () = entry.wait_until_lost(core), if !request.not_repeatable => {
+        () = entry.wait_until_lost(core, &progress), if !request.not_repeatable => {
             Err(AttemptUpstreamError::BrokenAnswer { reason: "the replica lost a member", tokens: 0 })
         }
     };
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -15,7 +15,7 @@
     ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
-use hollowbarrow_zone::{LeaseTable, NodeObservation};
+use hollowbarrow_zone::{FailureDetector, LeaseTable, NodeObservation};
 use tokio::time::Instant;
 
 use crate::digest::{expand_set, extract_set};
@@ -32,10 +32,39 @@
     pub(crate) listed_at: Instant,
     /// Whether the latest list contains it.
     pub(crate) in_list: bool,
-    /// When it returned after a loss or restart; it is unusable for a lease afterwards.
+    /// When it returned after a loss or restart; it gets no new replica for a lease afterwards.
     pub(crate) returned: Option<Instant>,
 }
 
+/// Whether a node can be used, with the cause if it cannot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum NodeStanding {
+    /// It can be used.
+    Usable,
+    /// It gets no new replica for now. It is not known to be lost, so its replica is kept.
+    Withheld(String),
+    /// It is lost, and so is its replica.
+    Lost(String),
+}
+
+impl NodeStanding {
+    /// Returns why the node gets no new replica although it is not lost.
+    fn withheld_cause(&self) -> Option<&str> {
+        match self {
+            Self::Withheld(cause) => Some(cause),
+            Self::Usable | Self::Lost(_) => None,
+        }
+    }
+
+    /// Returns why the node is lost.
+    fn loss_cause(&self) -> Option<&str> {
+        match self {
+            Self::Lost(cause) => Some(cause),
+            Self::Usable | Self::Withheld(_) => None,
+        }
+    }
+}
+
 /// State of another daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct KnownPeer {
@@ -71,6 +100,8 @@
 pub(crate) struct FleetView {
     pub(crate) nodes: BTreeMap<NodeId, KnownNode>,
     pub(crate) leases: LeaseTable,
+    /// Detects the loss of silent nodes of the local zone.
+    pub(crate) detector: FailureDetector,
     pub(crate) tables: BTreeMap<ZoneId, ZoneTable>,
     pub(crate) peers: BTreeMap<DaemonId, KnownPeer>,
     pub(crate) capacity: BTreeMap<ZoneId, ReportedCapacity>,
@@ -86,6 +117,7 @@
         Self {
             nodes: BTreeMap::new(),
             leases: LeaseTable::new(lease),
+            detector: FailureDetector::new(lease),
             tables: BTreeMap::new(),
             peers: BTreeMap::new(),
             capacity: BTreeMap::new(),
@@ -130,21 +162,49 @@
         observation: NodeObservation,
         now: Instant,
     ) {
-        let lease = self.leases.lease();
         let known = self.leases.observation(id);
-        let was_lost = match known {
-            Some(known) => {
-                known.start != observation.start || known.seen + lease < observation.seen
-            }
-            None => self.gone.contains_key(id),
-        };
+        let restarted = known.is_some_and(|known| known.start != observation.start);
+        let was_lost = restarted || self.gone.contains_key(id) || self.detector.is_lost(id);
         if was_lost && let Some(node) = self.nodes.get_mut(id) {
             node.returned = Some(now);
         }
         self.gone.remove(id);
+        self.detector.record_answer(id, now);
+        self.detector.record_answer_time(id, now.saturating_duration_since(observation.seen));
         self.leases.observe(id, observation);
     }
 
+    /// Records that a replica made progress with a request, which proves that its members run. That
+    /// ends their silence, but renews no lease.
+    pub(crate) fn record_progress(&mut self, allocation: &Allocation, at: Instant) {
+        for member in &allocation.members {
+            self.detector.record_answer(member, at);
+        }
+    }
+
+    /// Returns whether a replica is known to have lost a member, so that its requests in flight are
+    /// lost.
+    pub(crate) fn is_lost(&self, allocation: &Allocation, now: Instant) -> bool {
+        let refuses = allocation.members.iter().any(|id| self.gone.contains_key(id));
+        refuses || self.leases.is_lost(allocation, now) || self.has_silent_loss(allocation, now)
+    }
+
+    /// Returns whether a member that this daemon has observed is lost by its silence.
+    fn has_silent_loss(&self, allocation: &Allocation, now: Instant) -> bool {
+        let is_lost =
+            |id: &NodeId| self.leases.observation(id).is_some() && self.detector.is_lost(id);
+        !self.leases.is_reported_serving(allocation, now) && allocation.members.iter().any(is_lost)
+    }
+
+    /// Counts the silence of the zone's nodes.
+    pub(crate) fn step_detector(&mut self, zone: &ZoneId, now: Instant) {
+        let nodes = self
+            .nodes
+            .iter()
+            .filter(|(id, node)| node.listed.zone == *zone && !self.gone.contains_key(*id));
+        self.detector.step(nodes.map(|(id, _)| id), now);
+    }
+
     /// Records that a node refused a connection.
     pub(crate) fn record_loss(&mut self, id: &NodeId, at: Instant) {
         self.leases.observe_loss(id, at);
@@ -170,6 +230,9 @@
                 let restarted = known.is_some_and(|known| known.start != node.s);
                 let returned = known.is_none() && self.gone.contains_key(&node.n);
                 self.leases.observe_digest(node, base, held);
+                if let Some(observation) = self.leases.observation(&node.n) {
+                    self.detector.record_answer(&node.n, observation.seen);
+                }
                 if restarted || returned {
                     self.gone.remove(&node.n);
                     if let Some(node) = self.nodes.get_mut(&node.n) {
@@ -266,31 +329,39 @@
         listed || labelled
     }
 
-    /// Returns why a node cannot be used now, `None` if it can.
-    pub(crate) fn unusable_reason(
+    /// Returns whether a node can be used now.
+    pub(crate) fn node_standing(
         &self,
         id: &NodeId,
         node: &KnownNode,
         now: Instant,
-    ) -> Option<String> {
+    ) -> NodeStanding {
         let lease = self.leases.lease();
         let Some(observation) = self.leases.observation(id) else {
-            let gone = self.gone.contains_key(id);
-            let why = if gone { "its address refuses connections" } else { "not observed yet" };
-            return Some(why.to_owned());
+            if self.gone.contains_key(id) {
+                return NodeStanding::Lost("its address refuses connections".to_owned());
+            }
+            let cause = "not observed yet".to_owned();
+            let is_lost = self.detector.is_lost(id);
+            return if is_lost { NodeStanding::Lost(cause) } else { NodeStanding::Withheld(cause) };
         };
+        if observation.state == hollowbarrow_schema::NodeState::Failed {
+            return NodeStanding::Lost("its engine reports a failure".to_owned());
+        }
         let silent = now.saturating_duration_since(observation.seen);
-        if silent > lease {
-            return Some(format!("not observed for {:.1} s", silent.as_secs_f64()));
+        let cause = format!("not observed for {:.1} s", silent.as_secs_f64());
+        if self.detector.is_lost(id) {
+            return NodeStanding::Lost(cause);
         }
-        if observation.state == hollowbarrow_schema::NodeState::Failed {
-            return Some("its engine reports a failure".to_owned());
+        if silent > lease {
+            return NodeStanding::Withheld(cause);
         }
         let returned = node.returned.map(|at| now.saturating_duration_since(at));
         if returned.is_some_and(|since| since < lease) {
-            return Some("returned after a loss or restart less than a lease ago".to_owned());
+            let cause = "returned after a loss or restart less than a lease ago";
+            return NodeStanding::Withheld(cause.to_owned());
         }
-        None
+        NodeStanding::Usable
     }
 
     /// Returns how many of a zone's model nodes have an observation older than the lease, and how many
@@ -328,12 +399,15 @@
                 let unmanaged = managed
                     .failing_condition(labels)
                     .or_else(|| foreign.map(|foreign| format!("held by owner {foreign}")));
+                let standing = self.node_standing(id, node, now);
+                let withheld = standing.withheld_cause().map(str::to_owned);
                 NodeView {
                     id: id.clone(),
                     domain: node.listed.domain.clone(),
                     labels: labels.clone(),
                     accelerators: node.listed.accelerators,
-                    unusable: self.unusable_reason(id, node, now),
+                    withheld,
+                    unusable: standing.loss_cause().map(str::to_owned),
                     leaving: self.is_leaving(id, config),
                     unmanaged,
                     weights: observation
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -10,6 +10,10 @@
 
 use crate::core::DaemonCore;
 
+/// Leases for which a probe waits for its answer. An answer that is too late to renew the lease still
+/// shows that the node runs.
+const PROBE_TIMEOUT_LEASES: u32 = 2;
+
 /// Polls the platform's list of nodes.
 pub(crate) async fn watch_platform(core: Arc<DaemonCore>) {
     let interval = Duration::from_millis(core.settings.timing.platform_ms);
@@ -44,7 +48,9 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        for node in nodes_to_probe(&core) {
+        let mut nodes = nodes_to_probe(&core);
+        nodes.extend(suspects_of_others(&core, &nodes));
+        for node in nodes {
             tokio::spawn(probe_node(Arc::clone(&core), node));
         }
     }
@@ -70,9 +76,25 @@
         .collect()
 }
 
+/// Returns the suspect nodes of the local zone that other daemons probe. Before this daemon takes
+/// one for lost it must have probed the node itself, since the other daemons may be what is late.
+fn suspects_of_others(core: &DaemonCore, assigned: &[NodeId]) -> Vec<NodeId> {
+    let now = Instant::now();
+    if !core.zone_members(core.zone()).contains(core.id()) {
+        return Vec::new();
+    }
+    let fleet = core.fleet();
+    let local = fleet.nodes.iter().filter(|(_, node)| node.listed.zone == *core.zone());
+    local
+        .map(|(id, _)| id)
+        .filter(|id| fleet.detector.is_suspect(id, now) && !assigned.contains(id))
+        .cloned()
+        .collect()
+}
+
 async fn probe_node(core: Arc<DaemonCore>, node: NodeId) {
     let Some(address) = core.fleet().address(&node) else { return };
-    let timeout = core.lease() / 2;
+    let timeout = core.lease() * PROBE_TIMEOUT_LEASES;
     let sent_at = Instant::now();
     let outcome = core.engine.probe(address, timeout).await;
     let now = Instant::now();
--- a/crates/daemon/src/operator_view.rs
+++ b/crates/daemon/src/operator_view.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
-use crate::fleet::FleetView;
+use crate::fleet::{FleetView, NodeStanding};
 use crate::zone_control::describe_drain;
 use crate::zone_demand::{zone_demands, zone_planner};
 
@@ -54,12 +54,12 @@
                 let labels = config.labels().get(id);
                 let assigned = fleet.allocations().find(|(_, a)| a.members.contains(id));
                 let observation = fleet.leases.observation(id);
-                let observed = match (fleet.unusable_reason(id, node, now), observation) {
-                    (Some(cause), _) => cause,
-                    (None, Some(observation)) => {
+                let observed = match (fleet.node_standing(id, node, now), observation) {
+                    (NodeStanding::Lost(cause) | NodeStanding::Withheld(cause), _) => cause,
+                    (NodeStanding::Usable, Some(observation)) => {
                         format!("{} at epoch {}", observation.state, *observation.epoch)
                     }
-                    (None, None) => "not observed".to_owned(),
+                    (NodeStanding::Usable, None) => "not observed".to_owned(),
                 };
                 let platform = if node.in_list {
                     node.listed.state.to_string()
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -5,7 +5,7 @@
 //! Repeated tokens are dropped and a gap is an error, so the caller receives each
 //! token once. A stream without its end marker is never presented as complete.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +25,24 @@
 /// End marker of a stream.
 const DONE_EVENT: &str = "data: [DONE]\n\n";
 
+/// When the last token of a streamed answer was received.
+#[derive(Debug, Default)]
+pub(crate) struct StreamProgress {
+    last: Mutex<Option<Instant>>,
+}
+
+impl StreamProgress {
+    /// Returns when the last token was received, `None` if none was.
+    pub(crate) fn last(&self) -> Option<Instant> {
+        *self.last.lock().expect("no holder of the lock panics")
+    }
+
+    /// Records a token; returns when the one before was received.
+    fn record(&self, now: Instant) -> Option<Instant> {
+        self.last.lock().expect("no holder of the lock panics").replace(now)
+    }
+}
+
 /// A streamed answer, across all attempts of its request.
 pub(crate) struct StreamRelay {
     link: Arc<CallerLink>,
@@ -32,7 +50,7 @@
     numbered: bool,
     text: String,
     record: Option<String>,
-    last_token: Option<Instant>,
+    progress: Arc<StreamProgress>,
     /// Duplicate ticket to which the first token is reported as progress.
     duplicate: Option<Arc<DuplicateTicket>>,
 }
@@ -46,7 +64,7 @@
             numbered: true,
             text: String::new(),
             record: records.then(String::new),
-            last_token: None,
+            progress: Arc::default(),
             duplicate: None,
         }
     }
@@ -67,6 +85,11 @@
         self.numbered && self.record.is_none()
     }
 
+    /// Returns the progress of the answer.
+    pub(crate) fn progress(&self) -> Arc<StreamProgress> {
+        Arc::clone(&self.progress)
+    }
+
     /// Takes the recorded answer, if this relay records.
     pub(crate) fn take_record(&mut self) -> Option<String> {
         self.record.take()
@@ -166,7 +189,7 @@
 
     fn record_token(&mut self, core: &DaemonCore, request: &CallerRequest) {
         let now = Instant::now();
-        match self.last_token.replace(now) {
+        match self.progress.record(now) {
             Some(last) => core.telemetry.record_token_gap(now - last),
             None => core.telemetry.record_first_token(request.received, now),
         }
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -12,6 +12,7 @@
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
 use crate::permits::limit_name;
+use crate::relay::StreamProgress;
 
 /// Pause between two checks whether a replica was lost.
 const LOSS_POLL: Duration = Duration::from_millis(100);
@@ -132,6 +133,14 @@
     }
 }
 
+/// Records that a replica made progress, unless its head is known to have run about as recently.
+fn record_progress(core: &DaemonCore, allocation: &Allocation, at: Instant) {
+    let known = core.fleet().detector.last_answer(allocation.head());
+    if known.is_none_or(|known| known + LOSS_POLL < at) {
+        core.fleet_mut().record_progress(allocation, at);
+    }
+}
+
 impl RouteEntry {
     /// Returns until when requests may be sent to this upstream, `None` if they may not.
     pub(crate) fn usable_until(&self, fleet: &FleetView, now: Instant) -> Option<Instant> {
@@ -143,17 +152,20 @@
         }
     }
 
-    /// Waits until this upstream is known to have lost its requests in flight.
-    pub(crate) async fn wait_until_lost(&self, core: &DaemonCore) {
+    /// Waits until this upstream is known to have lost its requests in flight. The progress of one of
+    /// them proves that the upstream runs.
+    pub(crate) async fn wait_until_lost(&self, core: &DaemonCore, progress: &StreamProgress) {
         let RouteTarget::Replica(allocation) = &self.target else {
             return std::future::pending().await;
         };
+        let started = Instant::now();
         loop {
             tokio::time::sleep(LOSS_POLL).await;
-            let now = Instant::now();
-            let fleet = core.fleet();
-            let gone = allocation.members.iter().any(|member| fleet.gone.contains_key(member));
-            if gone || fleet.leases.is_lost(allocation, now) {
+            // Earlier progress was that of another upstream.
+            if let Some(at) = progress.last().filter(|at| *at > started) {
+                record_progress(core, allocation, at);
+            }
+            if core.fleet().is_lost(allocation, Instant::now()) {
                 return;
             }
         }
--- a/crates/daemon/src/zone_control.rs
+++ b/crates/daemon/src/zone_control.rs
@@ -64,7 +64,9 @@
     loop {
         tokio::time::sleep(STEP_INTERVAL).await;
         tick_authorities(&core);
-        controller.step(Instant::now());
+        let now = Instant::now();
+        core.fleet_mut().step_detector(core.zone(), now);
+        controller.step(now);
     }
 }
 
--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -90,6 +90,7 @@
             labels: Labels([("given".to_owned(), "hollowbarrow".to_owned())].into()),
             accelerators: 2,
             unusable: None,
+            withheld: None,
             leaving: false,
             unmanaged: None,
             weights: BTreeSet::new(),
--- a/crates/planner/src/explain.rs
+++ b/crates/planner/src/explain.rs
@@ -28,7 +28,7 @@
         .map(|node| {
             let holder = holders.get(&node.id);
             let taken = holder.is_some_and(|holder| holder.group == spec.name);
-            let reason = if let Some(cause) = &node.unusable {
+            let reason = if let Some(cause) = node.unusable.as_ref().or(node.withheld.as_ref()) {
                 format!("not usable: {cause}")
             } else if let Some(condition) = &node.unmanaged {
                 format!("not given to hollowbarrow: {condition}")
--- a/crates/planner/src/plan.rs
+++ b/crates/planner/src/plan.rs
@@ -20,8 +20,10 @@
     pub labels: Labels,
     /// Number of its accelerators.
     pub accelerators: u32,
-    /// Why it cannot be used now, if so.
+    /// Why it cannot be used now, if so; a replica with it as a member is lost.
     pub unusable: Option<String>,
+    /// Why it gets no new replica for now, although its replica is kept.
+    pub withheld: Option<String>,
     /// Whether it is about to be stopped. It then gets no new replica, and its replica drains.
     pub leaving: bool,
     /// Why hollowbarrow may not use it, if operators have not given it to hollowbarrow.
@@ -94,7 +96,10 @@
 impl NodeView {
     /// Returns whether the node may become a member of a new replica.
     pub fn is_available(&self) -> bool {
-        self.unusable.is_none() && self.unmanaged.is_none() && !self.leaving
+        self.unusable.is_none()
+            && self.withheld.is_none()
+            && self.unmanaged.is_none()
+            && !self.leaving
     }
 }
 
--- a/crates/planner/tests/plan.rs
+++ b/crates/planner/tests/plan.rs
@@ -38,6 +38,7 @@
         labels: Labels(BTreeMap::from([("tier".to_owned(), tier.to_owned())])),
         accelerators: 2,
         unusable: None,
+        withheld: None,
         leaving: false,
         unmanaged: None,
         weights: BTreeSet::new(),
@@ -199,6 +200,21 @@
     assert_eq!(members, ["d1-n0", "d1-n3", "d1-n2"], "remaining members did not keep their ranks");
 }
 
+/// Guards against a replica that is given up because a member is silent without being known to be
+/// lost. Such a node joins no new replica.
+#[rstest]
+fn plan_withheld_member_kept() {
+    let mut nodes = nodes_of(&[4], "fast");
+    let members: Vec<&NodeView> = nodes[0..2].iter().collect();
+    let replicas = vec![serving("g", 0, &members)];
+    nodes[1].withheld = Some("silent".to_owned());
+    nodes[2].withheld = Some("silent".to_owned());
+    let demand = GroupDemand { spec: spec("g", 2, None, Urgency::Normal), desired: 2 };
+    let plan = GroupPlanner::new(vec![demand]).with_nodes(nodes).with_replicas(replicas).plan();
+    assert!(plan.drains.is_empty(), "{:?}", plan.drains);
+    assert!(plan.forms.is_empty(), "a silent node was given a new replica: {:?}", plan.forms);
+}
+
 #[rstest]
 fn plan_domain_full() {
     let nodes = nodes_of(&[2, 2], "fast");
--- a/crates/zone/src/lease.rs
+++ b/crates/zone/src/lease.rs
@@ -185,22 +185,26 @@
         })
     }
 
-    /// Whether a replica is known to have lost a member, so that its requests in flight are lost.
+    /// Whether a member of a replica is known to have restarted or to have accepted an order of
+    /// another epoch, so that the replica's requests in flight are lost.
     ///
-    /// A draining replica is not lost, and neither is one whose nodes this daemon does not observe.
+    /// An expired lease is no such proof, and neither is a drain.
     pub fn is_lost(&self, allocation: &Allocation, now: Instant) -> bool {
-        if self.replica_valid_until(allocation, now).is_some() {
+        if self.is_reported_serving(allocation, now) {
             return false;
         }
         allocation.members.iter().zip(&allocation.starts).any(|(member, start)| {
             self.observations.get(member).is_some_and(|observation| {
-                observation.start != *start
-                    || observation.epoch != allocation.epoch
-                    || observation.seen + self.lease <= now
+                observation.start != *start || observation.epoch != allocation.epoch
             })
         })
     }
 
+    /// Whether another daemon has reported within the lease that a replica serves.
+    pub fn is_reported_serving(&self, allocation: &Allocation, now: Instant) -> bool {
+        self.replica_valid_until(allocation, now).is_some()
+    }
+
     /// Returns the load of a replica's head and the earliest time at which the head can have reported
     /// it.
     pub fn load(&self, allocation: &Allocation) -> Option<(u32, Instant)> {
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -10,12 +10,15 @@
 //!
 //! - At most one daemon holds the authority of a zone at any moment.
 //! - The zone's table is replicated to a majority before an order follows from it.
+//! - A replica is given up only once a member is known to be lost; [`FailureDetector`] tells that
+//!   from a silence, which alone proves no loss.
 //! - A replica serves only while every member's heartbeat is younger than the
 //!   lease, names the allocation's epoch and comes from the same start of the
 //!   process.
 
 mod authority;
 mod config;
+mod detector;
 mod lease;
 mod lifecycle;
 mod observers;
@@ -23,6 +26,7 @@
 
 pub use authority::{AuthorityMember, TableStanding, TableStore};
 pub use config::AuthorityConfig;
+pub use detector::{FailureDetector, MASS_SILENCE_LEASES};
 pub use lease::{LeaseTable, NodeObservation, ServingRefusal};
 pub use lifecycle::{
     Draining, Failed, Forming, LifecycleState, Loading, Ready, Released, ReplicaLifecycle, Serving,
