Charge no retry to a request that nothing was sent of

Callers got 502 "the upstream's lease ran out before the request was sent": in stream_400_at_once with eight clusters at once, 166 of 3,196 streams, none of which had run.

Cause: an attempt that a daemon withdrew itself, because the lease expired while the connection was opened, cost a retry and one of four attempts. The budget of retries (5 and a tenth of the requests) was used up at once. Gateways did not charge such attempts already; both now ask AttemptUpstreamError::is_unsent. Withdrawn attempts no longer count, and their upstream may be selected again. A connection that closed before the request was written said the same of the lease; it is NotWritten now.

retry_without_budget fails on the code before in its three cases that exist there (lease expired, connection refused, backed off) and passes now. Requests that may have run are charged and bounded as before.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -227,8 +227,14 @@
                 }
             };
             let (key, outcome) = tried;
+            let withdrawn = is_withdrawn(&outcome);
+            if withdrawn {
+                self.attempts -= 1;
+            }
             if let Some(key) = key {
-                self.tried.push(key.clone());
+                if !withdrawn {
+                    self.tried.push(key.clone());
+                }
                 self.upstream = Some(key);
             }
             let error = match outcome {
@@ -417,6 +423,11 @@
     }
 }
 
+/// Returns whether an attempt was withdrawn before anything was sent.
+fn is_withdrawn(outcome: &Result<AttemptAnswer, AttemptError>) -> bool {
+    matches!(outcome, Err(AttemptError::Failed(error)) if error.is_withdrawn())
+}
+
 fn complete_answer(id: &str, status: StatusCode, content_type: &str, body: Bytes) -> CallerAnswer {
     let mut builder = Response::builder().status(status).header("x-request-id", id);
     if let Ok(kind) = HeaderValue::try_from(content_type) {
--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -21,7 +21,7 @@
 pub(crate) fn to_send_error(error: SendRequestError) -> AttemptUpstreamError {
     match error {
         SendRequestError::Connect(_) => AttemptUpstreamError::NotReached,
-        unsent if unsent.is_unsent() => AttemptUpstreamError::NotSent,
+        unsent if unsent.is_unsent() => AttemptUpstreamError::NotWritten,
         SendRequestError::Timeout => AttemptUpstreamError::DeadlinePassed { sent: true },
         SendRequestError::OtherRequest(_) => {
             let reason = "it belongs to another request";
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -318,7 +318,7 @@
     match error {
         SendRequestError::Connect(_) => AttemptUpstreamError::NotReached,
         SendRequestError::NotWritten | SendRequestError::Unwritable(_) => {
-            AttemptUpstreamError::NotSent
+            AttemptUpstreamError::NotWritten
         }
         SendRequestError::Timeout if Instant::now() >= request.deadline() => {
             AttemptUpstreamError::DeadlinePassed { sent: true }
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -96,13 +96,6 @@
         if !safe || !bounded || now >= bounds.deadline {
             return false;
         }
-        // An attempt that did not reach a worker amplifies no load, so it is not charged.
-        let arrived = !matches!(
-            error,
-            AttemptUpstreamError::NotReached
-                | AttemptUpstreamError::NotSent
-                | AttemptUpstreamError::BackedOff
-        );
-        !arrived || std::mem::take(&mut self.budgeted) || budget.take(now)
+        error.is_unsent() || std::mem::take(&mut self.budgeted) || budget.take(now)
     }
 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -25,9 +25,12 @@
     /// No connection was established, so no byte was sent.
     #[error("the upstream could not be reached")]
     NotReached,
-    /// The lease or the deadline expired before the first byte was sent.
+    /// The upstream's lease expired before the first byte was sent.
     #[error("the upstream's lease ran out before the request was sent")]
     NotSent,
+    /// The connection closed before the first byte was written, or the request cannot be written.
+    #[error("the request could not be written to the upstream")]
+    NotWritten,
     /// The upstream asked for a backoff before the first byte was sent.
     #[error("the upstream asked for a backoff")]
     BackedOff,
@@ -70,9 +73,11 @@
     /// Returns whether the request ran, as far as is known.
     pub fn ran(&self) -> ErrorRan {
         match self {
-            Self::NotReached | Self::NotSent | Self::BackedOff | Self::Refused { .. } => {
-                ErrorRan::NotRun
-            }
+            Self::NotReached
+            | Self::NotSent
+            | Self::NotWritten
+            | Self::BackedOff
+            | Self::Refused { .. } => ErrorRan::NotRun,
             Self::DeadlinePassed { sent: false } => ErrorRan::NotRun,
             Self::NoAnswer
             | Self::ConnectionLost { .. }
@@ -81,6 +86,18 @@
         }
     }
 
+    /// Returns whether this side withdrew the attempt before it sent anything, because the state of
+    /// the upstream had changed since it was selected. Such an attempt does not count.
+    pub fn is_withdrawn(&self) -> bool {
+        matches!(self, Self::NotSent | Self::BackedOff)
+    }
+
+    /// Returns whether nothing of the request can have reached the upstream, so that another attempt
+    /// adds no load.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotReached | Self::NotSent | Self::NotWritten | Self::BackedOff)
+    }
+
     /// Returns whether the failure counts against the upstream. An upstream that asks for a backoff
     /// states when it accepts requests again; if it also counted as failing, it would not be
     /// selected at that time.
@@ -98,7 +115,7 @@
     pub resumable: bool,
     /// Whether part of the answer has been sent to the caller.
     pub answer_started: bool,
-    /// Number of attempts so far.
+    /// Number of attempts so far, without those that were withdrawn.
     pub attempts: u32,
     /// Deadline of the request.
     pub deadline: Instant,
@@ -115,7 +132,8 @@
     GiveUp(ErrorRan),
 }
 
-/// Decides what follows a failed attempt. The budget is charged only if a retry is safe.
+/// Decides what follows a failed attempt. The budget is charged only if a retry is safe, and not
+/// after an attempt that sent nothing.
 ///
 /// The first resumption of an answer is not charged to the budget: a failing replica interrupts all
 /// of its answers at once, which may exceed what the traffic has earned. Such resumptions cannot
@@ -138,7 +156,7 @@
         return give_up;
     }
     let first_resumption = facts.answer_started && facts.attempts == 1;
-    if !first_resumption && !budget.take(now) {
+    if !first_resumption && !error.is_unsent() && !budget.take(now) {
         return give_up;
     }
     if facts.answer_started { RetryStep::Resume } else { RetryStep::Again }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -104,6 +104,30 @@
     }
 }
 
+/// Guards against failing a request that nothing was sent of because other requests have used up the
+/// budget of retries.
+#[rstest]
+#[case::lease_expired(AttemptUpstreamError::NotSent, true)]
+#[case::not_written(AttemptUpstreamError::NotWritten, true)]
+#[case::refused_connection(AttemptUpstreamError::NotReached, true)]
+#[case::backed_off(AttemptUpstreamError::BackedOff, true)]
+#[case::rejected(AttemptUpstreamError::Refused { status: 503, retry_after: None }, false)]
+#[case::no_answer(AttemptUpstreamError::NoAnswer, false)]
+fn retry_without_budget(#[case] error: AttemptUpstreamError, #[case] expected: bool) {
+    let now = Instant::now();
+    let budget = RetryBudget::new(now);
+    while budget.take(now) {}
+    let facts = RequestFacts {
+        repeatable: true,
+        resumable: true,
+        answer_started: false,
+        attempts: 1,
+        deadline: now + Duration::from_secs(1),
+    };
+    let step = decide_retry(&facts, &error, &budget, now);
+    assert_eq!(step == RetryStep::Again, expected, "{step:?}");
+}
+
 #[rstest]
 fn budget_bounds_outage() {
     let now = Instant::now();
