Wait for an upstream that is not known to be lost

Cause: "no upstream accepts requests now" was taken for "none will soon". upstream_wait_limit, a pure function of the routing crate, decides now: a new request waits a quarter of its time at most for an upstream that is not known to be lost, and not for one that loads; a stream that has begun waits for either, up to the idle limit; where nothing is expected both are refused at once. Nothing is sent after a lease, as before.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -5,7 +5,10 @@
 
 use bytes::Bytes;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_routing::{BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey};
+use hollowbarrow_routing::{
+    BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey, UpstreamOutlook, WaitFacts,
+    upstream_wait_limit,
+};
 use hollowbarrow_upstream::{SentAnswer, UpstreamRequest, read_backoff};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -23,6 +26,9 @@
 /// Pause before upstreams are checked again when none has capacity.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Pause before upstreams are checked again when none accepts requests.
+const UPSTREAM_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Answer of a successful attempt.
 pub(crate) enum AttemptAnswer {
     /// The stream is complete and has been forwarded except for its end marker.
@@ -66,7 +72,9 @@
     streamed: bool,
 ) -> AttemptResult {
     let pick_span = span.child("pick");
-    let PickedUpstream { entry, permit } = match pick_upstream(core, request, blocks, avoid).await {
+    let answer_started = relay.has_started();
+    let picking = pick_upstream(core, request, blocks, avoid, answer_started);
+    let PickedUpstream { entry, permit } = match picking.await {
         Ok(picked) => picked,
         Err(error) => return (None, Err(AttemptError::NotAttempted(error))),
     };
@@ -146,15 +154,17 @@
     permit: Option<HeldPermit>,
 }
 
-/// Selects an upstream. Waits for capacity until the deadline, and for a permit until
-/// `PERMIT_WAIT_TIMEOUT`.
+/// Selects an upstream. Waits for capacity until the deadline, for a permit until
+/// `PERMIT_WAIT_TIMEOUT`, and for an upstream that accepts requests until `upstream_wait_limit`.
 async fn pick_upstream(
     core: &Arc<DaemonCore>,
     request: &CallerRequest,
     blocks: &[u64],
     avoid: &[UpstreamKey],
+    answer_started: bool,
 ) -> Result<PickedUpstream, CallerError> {
     let mut permits = PermitWait::new(core);
+    let mut waits_since = None;
     loop {
         let now = Instant::now();
         if now >= request.deadline {
@@ -178,11 +188,23 @@
             continue;
         }
         if candidates.is_empty() {
-            return Err(match backoff {
-                Some(left) => to_backoff_error(left),
-                None => no_upstream(core, request, entries),
-            });
+            if let Some(left) = backoff {
+                return Err(to_backoff_error(left));
+            }
+            let facts = WaitFacts {
+                outlook: upstream_outlook(core, request, entries, now),
+                answer_started,
+                since: *waits_since.get_or_insert(now),
+                deadline: request.deadline,
+                idle: Duration::from_millis(core.settings.limits.idle_ms),
+            };
+            if upstream_wait_limit(&facts).is_none_or(|limit| limit <= now) {
+                return Err(no_upstream(core, request, entries));
+            }
+            tokio::time::sleep(UPSTREAM_POLL_INTERVAL).await;
+            continue;
         }
+        waits_since = None;
         sample_future_need(core, &candidates, &lacking, now);
         let untried: Vec<RouteCandidate> =
             candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
@@ -251,6 +273,27 @@
     least
 }
 
+/// Returns what is known of a request's upstreams while none accepts requests.
+fn upstream_outlook(
+    core: &DaemonCore,
+    request: &CallerRequest,
+    entries: &[RouteEntry],
+    now: Instant,
+) -> UpstreamOutlook {
+    let is_unconfirmed = {
+        let fleet = core.fleet();
+        entries.iter().any(|entry| entry.is_unconfirmed(&fleet, now))
+    };
+    if is_unconfirmed {
+        return UpstreamOutlook::Unconfirmed;
+    }
+    let RequestKind::Completion { model, .. } = &request.kind else { return UpstreamOutlook::None };
+    let is_expected = core.config_log.read(|config| {
+        config.groups().values().any(|group| group.value.model == *model && group.value.count > 0)
+    });
+    if is_expected { UpstreamOutlook::Loading } else { UpstreamOutlook::None }
+}
+
 fn no_upstream(core: &DaemonCore, request: &CallerRequest, entries: &[RouteEntry]) -> CallerError {
     if let RequestKind::Completion { model, .. } = &request.kind {
         let is_configured = core
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use hollowbarrow_routing::{RouteCandidate, UpstreamKey};
-use hollowbarrow_schema::{Allocation, Epoch, ModelName, NodeId, ServiceName, ZoneId};
+use hollowbarrow_schema::{Allocation, Epoch, ModelName, NodeId, NodeState, ServiceName, ZoneId};
 use hollowbarrow_state::ConfigState;
+use hollowbarrow_zone::ServingRefusal;
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
@@ -152,6 +153,26 @@
         }
     }
 
+    /// Returns whether this upstream's lease has expired although it is not known to be lost.
+    pub(crate) fn is_unconfirmed(&self, fleet: &FleetView, now: Instant) -> bool {
+        match &self.target {
+            RouteTarget::Replica(allocation) => {
+                let refusal = fleet.leases.serving_until(allocation, now).err();
+                let is_silent =
+                    matches!(refusal, Some(ServingRefusal::Unseen(_) | ServingRefusal::Expired(_)));
+                is_silent && !fleet.is_lost(allocation, now)
+            }
+            RouteTarget::Service(node) => {
+                let is_ready = fleet
+                    .leases
+                    .observation(node)
+                    .is_some_and(|observation| observation.state == NodeState::Ready);
+                is_ready && !fleet.gone.contains_key(node) && !fleet.detector.is_lost(node)
+            }
+            RouteTarget::Endpoint => false,
+        }
+    }
+
     /// Waits until this upstream is known to have lost its requests in flight. The progress of one of
     /// them proves that the upstream runs.
     pub(crate) async fn wait_until_lost(&self, core: &DaemonCore, progress: &StreamProgress) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,6 +32,7 @@
 mod prefix;
 mod probes;
 pub mod retry;
+mod upstream_wait;
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionQueue, AdmissionTicket, QueueLimits, ShedRequestError};
@@ -53,3 +54,4 @@
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
 pub use probes::{may_probe, probe_delay};
+pub use upstream_wait::{UpstreamOutlook, WaitFacts, upstream_wait_limit};
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -181,6 +181,21 @@
     assert!(after.iter().all(|(_, members)| !members.contains(&member.to_string())), "{after:?}");
 }
 
+/// Streams that arrive while the leases of all replicas have expired are served once the nodes answer
+/// again.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_sent_while_nodes_paused() {
+    let cluster = serving_cluster(nine_daemons(), 3).await;
+    let nodes = cluster.fleet().model_nodes();
+    nodes.iter().for_each(|node| cluster.fleet().pause(node));
+    pause(1200).await;
+    let streams = start_streams(cluster.caller_address("a1"), 40, 20);
+    pause(800).await;
+    nodes.iter().for_each(|node| cluster.fleet().resume(node));
+    check_streams(streams).await;
+}
+
 /// Replies to holds by idempotency key.
 type HoldReplies = BTreeMap<String, Vec<CallReply>>;
 
