Keep a broken stream off the replica that broke it

Callers lost streams of a group with one replica when it lost a member, although its replacement was ready 0.7 s later.

Cause, from the log: the head reports ready until the loss is known, so each stream was sent to it again two or three times within 2 ms, which used up its attempts and the retry budget. A stream now goes back to a replica that has failed it only after a lease without another; by then the loss is known.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
     BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey, UpstreamOutlook, WaitFacts,
-    upstream_wait_limit,
+    may_return_to_failed, upstream_wait_limit,
 };
 use hollowbarrow_upstream::{SentAnswer, UpstreamRequest, read_backoff};
 use hyper::StatusCode;
@@ -165,6 +165,7 @@
 ) -> Result<PickedUpstream, CallerError> {
     let mut permits = PermitWait::new(core);
     let mut waits_since = None;
+    let mut only_failed_since = None;
     loop {
         let now = Instant::now();
         if now >= request.deadline {
@@ -205,9 +206,14 @@
             continue;
         }
         waits_since = None;
-        sample_future_need(core, &candidates, &lacking, now);
         let untried: Vec<RouteCandidate> =
             candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
+        let since = *only_failed_since.get_or_insert(now);
+        if untried.is_empty() && !may_return_to_failed(answer_started, since, core.lease(), now) {
+            tokio::time::sleep(UPSTREAM_POLL_INTERVAL).await;
+            continue;
+        }
+        sample_future_need(core, &candidates, &lacking, now);
         let pool = if untried.is_empty() { &candidates } else { &untried };
         let choice = core.picker().pick(pool, blocks, &mut rand::rng());
         if let Some(choice) = choice
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -54,4 +54,4 @@
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
 pub use probes::{may_probe, probe_delay};
-pub use upstream_wait::{UpstreamOutlook, WaitFacts, upstream_wait_limit};
+pub use upstream_wait::{UpstreamOutlook, WaitFacts, may_return_to_failed, upstream_wait_limit};
--- a/crates/routing/src/upstream_wait.rs
+++ b/crates/routing/src/upstream_wait.rs
@@ -47,3 +47,17 @@
         (UpstreamOutlook::Unconfirmed, false) => Some(facts.since + remaining / WAIT_SHARE_DIVISOR),
     }
 }
+
+/// Returns whether a request may go to an upstream again that has failed it, when no other accepts it
+/// since `since`.
+///
+/// An upstream that broke off a streamed answer has often lost a member, which is known a lease later
+/// at most. Until then the answer waits for another one, so that it does not use up its attempts.
+pub fn may_return_to_failed(
+    answer_started: bool,
+    since: Instant,
+    lease: Duration,
+    now: Instant,
+) -> bool {
+    !answer_started || now.saturating_duration_since(since) >= lease
+}
--- a/crates/routing/tests/upstream_wait.rs
+++ b/crates/routing/tests/upstream_wait.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_routing::{UpstreamOutlook, WaitFacts, upstream_wait_limit};
+use hollowbarrow_routing::{UpstreamOutlook, WaitFacts, may_return_to_failed, upstream_wait_limit};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -65,3 +65,17 @@
     });
     assert_eq!(refused.count(), expected);
 }
+
+/// Guards against a stream that uses up its attempts on the replica that broke it off, before the
+/// daemon knows that the replica has lost a member.
+#[rstest]
+#[case::new_request(false, 0, true)]
+#[case::at_once(true, 0, false)]
+#[case::within_lease(true, 1_999, false)]
+#[case::after_lease(true, 2_000, true)]
+fn return_to_failed(#[case] answer_started: bool, #[case] waited_ms: u64, #[case] expected: bool) {
+    let since = Instant::now();
+    let now = since + Duration::from_millis(waited_ms);
+    let lease = Duration::from_secs(2);
+    assert_eq!(may_return_to_failed(answer_started, since, lease, now), expected);
+}
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -196,6 +196,20 @@
     check_streams(streams).await;
 }
 
+/// The only replica of a group loses a member, and its streams continue on the replacement.
+///
+/// Guards against ending streams at once because no upstream accepts requests while one is loading.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_only_replica_lost() {
+    let cluster = serving_cluster(nine_daemons(), 1).await;
+    let (zone, members) = cluster.serving_replicas("a0", "drafts").await.remove(0);
+    let streams = start_streams(cluster.caller_address(&format!("{zone}1")), 12, 300);
+    pause(500).await;
+    cluster.fleet().kill(&NodeId::from(members[1].as_str()));
+    check_streams(streams).await;
+}
+
 /// Replies to holds by idempotency key.
 type HoldReplies = BTreeMap<String, Vec<CallReply>>;
 
