Let election timeouts grow with measured delays

Ruled out: replicas whose own thread wakes late (713 lost leaders, timers late by 0 ms in the median, 225 ms at most). Processes' timers are late by 342 ms in the median.

A replica's timeouts grow, eight times at most, with terms that failed after a vote, with silences of a leader that goes on leading, and with the time that a leader's confirmations take; they shrink again as messages get faster. A replica that is cut off measures nothing and stays as it is.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -6,6 +6,8 @@
 use hollowbarrow_schema::{DaemonId, LogIndex};
 use tokio::time::Instant;
 
+use crate::replica::decay;
+
 /// Replication progress of one follower.
 #[derive(Clone, Debug)]
 pub(crate) struct FollowerProgress {
@@ -37,6 +39,8 @@
     pub(crate) round_starts: BTreeMap<u64, Instant>,
     /// Start of the latest round that a majority has echoed.
     pub(crate) confirmed: Instant,
+    /// Longest time that a confirmation recently took. The election itself is the first measurement.
+    pub(crate) round_trip: Duration,
     /// Whether this leader was elected while the log of every voter was empty.
     pub(crate) founding: bool,
 }
@@ -44,6 +48,7 @@
 impl LeaderRole {
     pub(crate) fn new(
         now: Instant,
+        elected_within: Duration,
         followers: impl Iterator<Item = DaemonId>,
         last: LogIndex,
         founding: bool,
@@ -56,6 +61,7 @@
             round: 0,
             round_starts: BTreeMap::new(),
             confirmed: now,
+            round_trip: elected_within,
             founding,
         }
     }
@@ -84,7 +90,7 @@
     }
 
     /// Updates the start time of the latest round that a majority of the voters has echoed.
-    pub(crate) fn confirm_rounds(&mut self, local: &DaemonId, voters: &[DaemonId]) {
+    pub(crate) fn confirm_rounds(&mut self, local: &DaemonId, voters: &[DaemonId], now: Instant) {
         let mut rounds: Vec<u64> = voters
             .iter()
             .map(|voter| match self.progress.get(voter) {
@@ -95,8 +101,10 @@
             .collect();
         rounds.sort_by(|a, b| b.cmp(a));
         let round = rounds.get(voters.len() / 2).copied().unwrap_or_default();
-        if let Some(start) = self.round_starts.get(&round) {
-            self.confirmed = self.confirmed.max(*start);
+        if let Some(start) = self.round_starts.get(&round).filter(|at| **at > self.confirmed) {
+            self.confirmed = *start;
+            let round_trip = now.saturating_duration_since(*start);
+            self.round_trip = round_trip.max(decay(self.round_trip));
         }
         self.round_starts = self.round_starts.split_off(&round);
     }
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -7,6 +7,12 @@
 //! voters at a time. Trial elections (pre-votes) prevent a returning replica
 //! from disturbing a healthy leader; a leader that no majority has confirmed
 //! for two election timeouts steps down.
+//!
+//! Timeouts grow with the delays that a replica measures, up to
+//! [`MAX_TIMEOUT_GROWTH`] times: where messages take longer than an election
+//! timeout, no election would complete before the next one interrupts it, and no
+//! leader would be confirmed in time. They only decide when an election starts
+//! and when a leader gives up, never who may be elected or what is committed.
 
 mod election;
 mod replication;
@@ -28,6 +34,14 @@
 
 /// Maximum number of entries in one message.
 const BATCH_ENTRIES: usize = 512;
+/// Factor by which timeouts grow at most.
+const MAX_TIMEOUT_GROWTH: u32 = 8;
+/// Highest exponent of the growth with each election that fails.
+const MAX_FAILED_VOTES: u32 = 3;
+/// A follower waits for its leader this many times as long as the leader was recently silent.
+const LEADER_GAP_FACTOR: u32 = 2;
+/// A leader waits for its confirmation this many times as long as one recently took.
+const ROUND_TRIP_FACTOR: u32 = 4;
 /// Number of heartbeats per election timeout.
 const HEARTBEATS_PER_ELECTION: u32 = 4;
 
@@ -149,6 +163,14 @@
     elections: u32,
     /// Time at which this replica last started an election.
     last_election: Instant,
+    /// Term of that leader.
+    leader_term: Term,
+    /// Longest time for which a leader was recently silent and then continued to lead.
+    leader_gap: Duration,
+    /// Number of recent terms in which this replica voted and no leader was elected in time.
+    failed_votes: u32,
+    /// Last term that was counted as failed.
+    last_failed_term: Term,
     /// See [`LogReplica::confirmed`].
     confirmed: Option<Instant>,
     /// See [`LogReplica::complete`].
@@ -178,6 +200,10 @@
             leader_contact: None,
             elections: 0,
             last_election: now,
+            leader_term: Term(0),
+            leader_gap: Duration::ZERO,
+            failed_votes: 0,
+            last_failed_term: Term(0),
             confirmed: None,
             complete: None,
             fault: None,
@@ -337,13 +363,14 @@
             return;
         }
         if let ReplicaRole::Leader(role) = &self.role {
-            if now.saturating_duration_since(role.confirmed) > self.config.election * 2 {
+            if now.saturating_duration_since(role.confirmed) > self.confirmation_timeout(role) {
                 self.step_down(self.term(), None, now);
             } else {
                 self.broadcast(now, true);
             }
             return;
         }
+        self.count_failed_vote();
         self.reset_deadline(now);
         if self.is_voter() && self.storage_fault().is_none() {
             self.elections = self.elections.saturating_add(1);
@@ -445,7 +472,42 @@
         let grown = first.map(|timeout| timeout * 2u32.saturating_pow(self.elections));
         let timeout = grown.map_or(self.config.election, |grown| grown.min(self.config.election));
         let jitter = self.rng.random_range(1.0..2.0);
-        self.deadline = now + timeout.mul_f64(jitter);
+        self.deadline = now + self.slowed_timeout(timeout).mul_f64(jitter);
+    }
+
+    /// Returns a timeout prolonged by the delays that this replica has measured.
+    fn slowed_timeout(&self, timeout: Duration) -> Duration {
+        let most = self.config.election * MAX_TIMEOUT_GROWTH;
+        match self.leader() {
+            Some(_) => timeout.max((self.leader_gap * LEADER_GAP_FACTOR).min(most)),
+            None => timeout * 2u32.pow(self.failed_votes),
+        }
+    }
+
+    /// Returns for how long a leader waits until a majority confirms it.
+    fn confirmation_timeout(&self, role: &LeaderRole) -> Duration {
+        let most = self.config.election * MAX_TIMEOUT_GROWTH;
+        (self.config.election * 2).max((role.round_trip * ROUND_TRIP_FACTOR).min(most))
+    }
+
+    /// Counts the current term as failed if this replica voted in it and no leader has emerged. A
+    /// majority agreed to that election beforehand, so its messages were late or votes were split.
+    fn count_failed_vote(&mut self) {
+        let voted = self.storage.vote().vote.is_some();
+        if voted && self.leader().is_none() && self.term() > self.last_failed_term {
+            self.last_failed_term = self.term();
+            self.failed_votes = (self.failed_votes + 1).min(MAX_FAILED_VOTES);
+        }
+    }
+
+    /// Records a message of the current term's leader.
+    fn record_leader_contact(&mut self, term: Term, now: Instant) {
+        let silent = self.leader_contact.filter(|_| term == self.leader_term);
+        let silent = silent.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.leader_gap = silent.max(decay(self.leader_gap));
+        self.leader_contact = Some(now);
+        self.leader_term = term;
+        self.failed_votes = 0;
     }
 
     /// Returns whether this replica has received no leader's message and has not led since its
@@ -492,3 +554,8 @@
         }
     }
 }
+
+/// Returns what remains of a measured delay after another measurement.
+pub(crate) fn decay(delay: Duration) -> Duration {
+    delay * 7 / 8
+}
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -138,7 +138,8 @@
     pub(super) fn lead(&mut self, now: Instant, founding: bool) {
         let last = self.storage.window().last_index();
         let followers = self.followers();
-        let role = LeaderRole::new(now, followers.into_iter(), last, founding);
+        let elected_within = now.saturating_duration_since(self.last_election);
+        let role = LeaderRole::new(now, elected_within, followers.into_iter(), last, founding);
         self.role = ReplicaRole::Leader(role);
         let entry =
             LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: EntryPayload::Noop };
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -16,7 +16,7 @@
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         if heartbeat {
             role.start_round(now, interval);
-            role.confirm_rounds(&self.config.id, &self.voters);
+            role.confirm_rounds(&self.config.id, &self.voters, now);
         }
         // Learners are in no quorum, so they get a heartbeat only once per election timeout.
         let include_learners = role.round.is_multiple_of(u64::from(HEARTBEATS_PER_ELECTION));
@@ -75,8 +75,8 @@
         if request.term < self.term() {
             return self.answer_append(from, false, LogIndex(0), request.round);
         }
+        self.record_leader_contact(request.term, now);
         self.step_down(request.term, Some(from.clone()), now);
-        self.leader_contact = Some(now);
         let confirmed = now.checked_sub(Duration::from_millis(request.confirmed_ms));
         self.confirmed = self.confirmed.max(confirmed);
         if request.founding && self.is_blank() && self.storage.is_durable() {
@@ -181,7 +181,7 @@
             progress.next = LogIndex(reply.matched.min(last).saturating_add(1));
         }
         let behind = progress.next <= last;
-        role.confirm_rounds(&self.config.id, &self.voters);
+        role.confirm_rounds(&self.config.id, &self.voters, now);
         self.advance_commit(now);
         if behind {
             self.send_append(from, false, now);
@@ -217,8 +217,8 @@
         if self.storage_fault().is_some() || request.term < self.term() {
             return;
         }
+        self.record_leader_contact(request.term, now);
         self.step_down(request.term, Some(from.clone()), now);
-        self.leader_contact = Some(now);
         let index = request.snapshot.index;
         if index > self.commit {
             if let Err(error) = self.storage.install_snapshot(request.snapshot) {
