--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -13,8 +13,12 @@
 use crate::core::{DaemonCore, wall_ms};
 use crate::proposals::ProposeEntryError;
 
-/// Timeout for a claim to be granted.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Share of a request's remaining time within which its claim must be granted. The rest is for running
+/// the request, or for the caller to try another daemon.
+const OPEN_SHARE_DIVISOR: u32 = 2;
+/// Timeout for a claim to be granted while this daemon does not hear of a leader: it may be
+/// partitioned, and then another daemon serves the caller sooner.
+const PARTITIONED_OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for recording an outcome in the log in the background.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Timeout after which a caller's answer no longer waits for its outcome to be recorded.
@@ -88,7 +92,8 @@
             attempt: attempt.to_owned(),
             lifetime_ms: lifetime,
         };
-        let wait = deadline.min(Instant::now() + OPEN_TIMEOUT);
+        let now = Instant::now();
+        let wait = now + self.open_timeout(remaining, now);
         match self.propose_claim(ClaimCommand::Open(open), wait).await {
             Ok(outcome) => Ok((outcome, held)),
             Err(error) => {
@@ -98,6 +103,12 @@
         }
     }
 
+    /// Returns for how long a request with this remaining time waits for its claim.
+    fn open_timeout(&self, remaining: Duration, now: Instant) -> Duration {
+        let share = remaining / OPEN_SHARE_DIVISOR;
+        if self.is_config_current(now) { share } else { share.min(PARTITIONED_OPEN_TIMEOUT) }
+    }
+
     /// Releases a claim in the background, for a request that was not run.
     pub(crate) fn release_claim(self: &Arc<Self>, held: HeldClaim) {
         let release = ClaimRelease { key: held.key, attempt: held.attempt };
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -355,6 +355,22 @@
     assert!(confirmed >= 60, "only {confirmed} of 70 holds were confirmed");
 }
 
+/// Messages between daemons take longer than the first wait for a claim's outcome.
+///
+/// Guards against refusing holds whose claim is granted, by dropping an answer that is on its way.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_over_slow_links() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    pause(2000).await;
+    cluster.set_all_links(FaultMode::Delay(Duration::from_millis(250)));
+    pause(4000).await;
+    let mut hold_replies = HoldReplies::new();
+    send_holds(&cluster, 0, 20, &mut hold_replies).await;
+    assert_eq!(check_holds(&cluster, &hold_replies), 20, "{hold_replies:?}");
+}
+
 /// A hold that is resent through another daemon gets the stored answer. Another request with the
 /// same key is refused.
 #[rstest]
