Name the leader while a follower only tries whether it is lost

Operators and other daemons were told that a log has no leader whenever one of its messages was late: a follower that starts a trial, which changes no term, forgot its leader at once, although it hears from it again 0.1 s later (event=log_leader, several times a minute in each of 30 clusters at once).

The leader is named until the first trial has gone unanswered. Votes and terms are as before. leader_named_during_trial failed before.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -140,6 +140,8 @@
     },
     Candidate {
         trial: bool,
+        /// In the first trial after a leader's silence: that leader, which may still lead.
+        leader: Option<DaemonId>,
         granted: BTreeSet<DaemonId>,
         blank: BTreeSet<DaemonId>,
         founding: bool,
@@ -258,7 +260,7 @@
         match &self.role {
             ReplicaRole::Leader(_) => Some(&self.config.id),
             ReplicaRole::Follower { leader } => leader.as_ref(),
-            ReplicaRole::Candidate { .. } => None,
+            ReplicaRole::Candidate { leader, .. } => leader.as_ref(),
         }
     }
 
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -23,9 +23,10 @@
             // Collecting the votes takes as long as the trial did, so the deadline starts anew.
             self.reset_deadline(now);
         }
+        let leader = self.suspected_leader(trial);
         let local = BTreeSet::from([self.config.id.clone()]);
         let blank = if self.is_blank() { local.clone() } else { BTreeSet::new() };
-        self.role = ReplicaRole::Candidate { trial, granted: local, blank, founding };
+        self.role = ReplicaRole::Candidate { trial, leader, granted: local, blank, founding };
         let window = self.storage.window();
         let request = VoteRequest {
             term,
@@ -40,6 +41,15 @@
         self.count_votes(now);
     }
 
+    /// Returns the leader whose silence leads to a trial. It leads until the trial has shown that a
+    /// majority does not hear from it either.
+    fn suspected_leader(&self, trial: bool) -> Option<DaemonId> {
+        match &self.role {
+            ReplicaRole::Follower { leader } if trial => leader.clone(),
+            _ => None,
+        }
+    }
+
     pub(super) fn on_vote(&mut self, from: &DaemonId, request: &VoteRequest, now: Instant) {
         if self.storage_fault().is_some() {
             return;
@@ -121,7 +131,9 @@
     }
 
     pub(super) fn count_votes(&mut self, now: Instant) {
-        let ReplicaRole::Candidate { trial, granted, blank, founding } = &self.role else { return };
+        let ReplicaRole::Candidate { trial, granted, blank, founding, .. } = &self.role else {
+            return;
+        };
         let majority = self.voters.len() / 2 + 1;
         let votes = self.voters.iter().filter(|voter| granted.contains(*voter)).count();
         let all_blank = self.voters.iter().all(|voter| blank.contains(voter));
--- a/crates/log/tests/slow_messages.rs
+++ b/crates/log/tests/slow_messages.rs
@@ -141,3 +141,27 @@
         assert!(replaced < ELECTION * 5, "seed {seed}: replaced after {replaced:?}");
     }
 }
+
+/// A follower names its leader while it only tries whether the others still hear from it.
+///
+/// Guards against daemons that report no leader, and send proposals elsewhere, because one message is
+/// late.
+#[rstest]
+fn leader_named_during_trial() {
+    for seed in 0..SEEDS {
+        let mut cluster = SlowCluster::new(seed, Duration::from_millis(5));
+        cluster.run_until_leader();
+        cluster.run(Duration::from_secs(5));
+        let leader = cluster.leader().expect("there is a leader");
+        let follower = cluster.replicas.keys().find(|id| **id != leader).cloned();
+        let follower = follower.expect("two replicas follow");
+        // The follower hears nothing for long enough to start its first trial.
+        let replica = cluster.replicas.get_mut(&follower).expect("it runs");
+        let late = replica.next_deadline();
+        replica.tick(late);
+        assert_eq!(replica.leader(), Some(&leader), "seed {seed}: the first trial");
+        let later = replica.next_deadline();
+        replica.tick(later);
+        assert_eq!(replica.leader(), None, "seed {seed}: nobody answered the first trial");
+    }
+}
