End a backoff with the process that asked for it

Callers were refused by entry daemons for up to an hour after a node had been restarted: its former process had asked for a backoff, which daemons keep by the node's name.

Found while looking for refusals that outlive the state they were derived from. Gateways keep backoffs by instance and are not affected.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -155,16 +155,18 @@
         changed || before != self.nodes.len()
     }
 
-    /// Records an observation and whether the node returned after a loss or restart.
+    /// Records an observation; returns whether the node's process is another one than before, as far as
+    /// that is known.
     pub(crate) fn record_observation(
         &mut self,
         id: &NodeId,
         observation: NodeObservation,
         now: Instant,
-    ) {
+    ) -> bool {
         let known = self.leases.observation(id);
-        let restarted = known.is_some_and(|known| known.start != observation.start);
-        let was_lost = restarted || self.gone.contains_key(id) || self.detector.is_lost(id);
+        let restarted = known.is_some_and(|known| known.start != observation.start)
+            || self.gone.contains_key(id);
+        let was_lost = restarted || self.detector.is_lost(id);
         if was_lost && let Some(node) = self.nodes.get_mut(id) {
             node.returned = Some(now);
         }
@@ -172,6 +174,7 @@
         self.detector.record_answer(id, now);
         self.detector.record_answer_time(id, now.saturating_duration_since(observation.seen));
         self.leases.observe(id, observation);
+        restarted
     }
 
     /// Records that a replica made progress with a request, which proves that its members run. That
--- a/crates/routing/src/backoff.rs
+++ b/crates/routing/src/backoff.rs
@@ -10,7 +10,8 @@
 //! this upstream may have capacity before the backoff expires. Only the upstream itself knows its
 //! load from other daemons.
 //!
-//! Invariant: a backoff is never shortened, and an upstream that is leaving is never used again.
+//! Invariant: a backoff is never shortened, and an upstream that is leaving is never used again,
+//! unless another process has taken its place.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -89,6 +90,11 @@
         !std::mem::replace(&mut entry.leaving, true)
     }
 
+    /// Forgets what the former process of an upstream has asked for; returns whether there was anything.
+    pub fn record_restart(&mut self, upstream: &K) -> bool {
+        self.entries.remove(upstream).is_some()
+    }
+
     /// Returns why an upstream is sent nothing now; `None` if it may be sent requests.
     pub fn reason(&self, upstream: &K, now: Instant) -> Option<BackoffReason> {
         self.entries.get(upstream)?.reason(now)
--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -123,3 +123,28 @@
     tokio::time::sleep(BACKOFF).await;
     assert_eq!(kind.call(&cluster, "afterwards").await.status, 200);
 }
+
+/// A restarted node is used again although its former process has asked for a long backoff.
+///
+/// Guards against a backoff that outlives the process that asked for it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn backoff_ended_by_restart() {
+    let long_backoff = Duration::from_secs(60);
+    let cluster = serving_cluster(nine_daemons(), 1).await;
+    let nodes = Kind::Plain.nodes(&cluster);
+    nodes.iter().for_each(|node| cluster.fleet().reject_requests(node, Some(long_backoff)));
+    call_for(&cluster, Kind::Plain, IN_FLIGHT_GRACE).await;
+    assert_eq!(Kind::Plain.call(&cluster, "during the backoff").await.status, 503);
+    nodes.iter().for_each(|node| cluster.fleet().kill(node));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for node in &nodes {
+        cluster.fleet().reject_requests(node, None);
+        cluster.fleet().restart(node);
+    }
+    let restarted = Instant::now();
+    while Kind::Plain.call(&cluster, "after the restart").await.status != 200 {
+        assert!(restarted.elapsed() < long_backoff / 4, "the backoff still applies");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
