Take only a refused connection for proof that a node's process is gone

A probe that could not connect, for whatever reason, counted as a refused connection, which is proof that the node's process has ended: its replica was given up at once, and its streams with it. A full accept queue, a lost packet or a lack of file descriptors of the daemon's own end the same way.

SendRequestError::Refused is told from Connect; only the former is a loss. Requests are retried after both as before.

refusal_told_from_silence (new) tells the cases apart: a closed port and a full accept queue.

--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -120,7 +120,7 @@
             };
             record_report(&core, &node, to_observation(report, sent_at), now);
         }
-        Err(ProbeNodeError::NoAnswer(SendRequestError::Connect(_))) => {
+        Err(ProbeNodeError::NoAnswer(SendRequestError::Refused(_))) => {
             core.fleet_mut().record_loss(&node, sent_at);
         }
         Err(_) => {}
@@ -140,7 +140,7 @@
 fn probe_outcome(outcome: &Result<NodeReport, ProbeNodeError>) -> &'static str {
     match outcome {
         Ok(_) | Err(ProbeNodeError::NotReport) => "answered",
-        Err(ProbeNodeError::NoAnswer(SendRequestError::Connect(_))) => "refused",
+        Err(ProbeNodeError::NoAnswer(SendRequestError::Refused(_))) => "refused",
         Err(ProbeNodeError::NoAnswer(_)) => "silent",
     }
 }
--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -20,7 +20,9 @@
 /// Converts a failed send into an attempt's error, by how far the request got.
 pub(crate) fn to_send_error(error: SendRequestError) -> AttemptUpstreamError {
     match error {
-        SendRequestError::Connect(_) => AttemptUpstreamError::NotReached,
+        SendRequestError::Connect(_) | SendRequestError::Refused(_) => {
+            AttemptUpstreamError::NotReached
+        }
         unsent if unsent.is_unsent() => AttemptUpstreamError::NotWritten,
         SendRequestError::Timeout => AttemptUpstreamError::DeadlinePassed { sent: true },
         SendRequestError::OtherRequest(_) => {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -316,7 +316,9 @@
 
 fn to_attempt_error(error: &SendRequestError, request: &CallerRequest) -> AttemptUpstreamError {
     match error {
-        SendRequestError::Connect(_) => AttemptUpstreamError::NotReached,
+        SendRequestError::Connect(_) | SendRequestError::Refused(_) => {
+            AttemptUpstreamError::NotReached
+        }
         SendRequestError::NotWritten | SendRequestError::Unwritable(_) => {
             AttemptUpstreamError::NotWritten
         }
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -58,6 +58,9 @@
     /// No connection was established; no byte was sent.
     #[error("cannot connect to {0}")]
     Connect(SocketAddr),
+    /// The address refused the connection, so no process listens on it.
+    #[error("{0} refuses connections")]
+    Refused(SocketAddr),
     /// A connection was made but no byte of the request was written to it.
     #[error("the connection was closed before the request was written")]
     NotWritten,
@@ -78,7 +81,7 @@
 impl SendRequestError {
     /// Returns whether it is certain that no byte of the request was sent.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::NotWritten | Self::Unwritable(_))
+        matches!(self, Self::Connect(_) | Self::Refused(_) | Self::NotWritten | Self::Unwritable(_))
     }
 }
 
@@ -264,21 +267,26 @@
 
     /// Opens a TCP connection. An attempt that times out is repeated once, because the kernel
     /// retransmits a lost SYN packet only after a second.
-    async fn open_stream(&self, address: SocketAddr) -> Option<TcpStream> {
+    async fn open_stream(&self, address: SocketAddr) -> Result<TcpStream, SendRequestError> {
         let first =
             tokio::time::timeout(self.first_connect_timeout, TcpStream::connect(address)).await;
-        match first {
-            Ok(connected) => connected.ok(),
+        let connected = match first {
+            Ok(connected) => connected,
             Err(_) => {
                 let second = TcpStream::connect(address);
-                tokio::time::timeout(CONNECT_TIMEOUT, second).await.ok()?.ok()
+                let connected = tokio::time::timeout(CONNECT_TIMEOUT, second).await;
+                connected.map_err(|_| SendRequestError::Connect(address))?
             }
-        }
+        };
+        connected.map_err(|error| match error.kind() {
+            std::io::ErrorKind::ConnectionRefused => SendRequestError::Refused(address),
+            _ => SendRequestError::Connect(address),
+        })
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SendRequestError> {
         let fail = || SendRequestError::Connect(address);
-        let stream = self.open_stream(address).await.ok_or_else(fail)?;
+        let stream = self.open_stream(address).await?;
         stream.set_nodelay(true).map_err(|_| fail())?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|_| fail())?;
--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowbarrow_upstream::{ConnectionLease, UpstreamClient, UpstreamRequest};
+use hollowbarrow_upstream::{ConnectionLease, SendRequestError, UpstreamClient, UpstreamRequest};
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, Method};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::Instant;
 
 /// Answers every request with an empty body, and counts connections.
@@ -75,3 +75,29 @@
     }
     assert_eq!(count.load(Ordering::Relaxed), expected);
 }
+
+/// Only a refusal shows that no process listens at an address.
+///
+/// Guards against taking a node for lost whose accept queue is full or whose packets are lost.
+#[rstest]
+#[tokio::test]
+async fn refusal_told_from_silence() {
+    let client = UpstreamClient::new().with_first_connect_timeout(Duration::from_millis(100));
+    let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = closed.local_addr().expect("a bound socket has an address");
+    drop(closed);
+    let refused = client.prepare(address, false).await.map(|_| ());
+    assert_eq!(refused, Err(SendRequestError::Refused(address)));
+
+    let socket = TcpSocket::new_v4().expect("a socket can be created");
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
+    let address = socket.local_addr().expect("a bound socket has an address");
+    let _full = socket.listen(1).expect("the socket can listen");
+    let mut queued = Vec::new();
+    for _ in 0..4 {
+        let connecting = TcpStream::connect(address);
+        queued.push(tokio::time::timeout(Duration::from_millis(100), connecting).await);
+    }
+    let silent = client.prepare(address, false).await.map(|_| ());
+    assert_eq!(silent, Err(SendRequestError::Connect(address)));
+}
