Bound the probes that wait for one node

Where nodes are slow, probes that wait for two leases piled up: twelve at a node where three had waited before, which takes processor time from what is slow already.

ProbePacer allows as many as before, and one more after each half lease, so that a connection gone silent does not keep a node from being probed. Timers are measured four times a second and silences counted ten times, which is enough for both.

--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -1,11 +1,11 @@
 //! Polls the platform's list of nodes and probes the nodes assigned to this daemon.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hollowbarrow_schema::{NodeId, NodeReport, NodeState, StartId};
 use hollowbarrow_upstream::{EngineClient, ProbeNodeError, SendRequestError, list_nodes};
-use hollowbarrow_zone::{NodeObservation, choose_observers, observing_members};
+use hollowbarrow_zone::{NodeObservation, ProbePacer, choose_observers, observing_members};
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
@@ -44,14 +44,24 @@
 
 /// Probes this daemon's share of its zone's nodes at a fixed interval.
 pub(crate) async fn probe_nodes(core: Arc<DaemonCore>) {
-    let mut interval = tokio::time::interval(Duration::from_millis(core.settings.timing.probe_ms));
+    let period = Duration::from_millis(core.settings.timing.probe_ms);
+    let pacer = Arc::new(Mutex::new(ProbePacer::new(core.lease(), period)));
+    let mut interval = tokio::time::interval(period);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         let mut nodes = nodes_to_probe(&core);
         nodes.extend(suspects_of_others(&core, &nodes));
+        let now = Instant::now();
+        let mut paced = pacer.lock().expect("no holder of the lock panics");
+        nodes.retain(|node| paced.begin(node, now));
+        drop(paced);
         for node in nodes {
-            tokio::spawn(probe_node(Arc::clone(&core), node));
+            let (core, pacer) = (Arc::clone(&core), Arc::clone(&pacer));
+            tokio::spawn(async move {
+                probe_node(core, &node).await;
+                pacer.lock().expect("no holder of the lock panics").end(&node);
+            });
         }
     }
 }
@@ -92,21 +102,21 @@
         .collect()
 }
 
-async fn probe_node(core: Arc<DaemonCore>, node: NodeId) {
-    let Some(address) = core.fleet().address(&node) else { return };
+async fn probe_node(core: Arc<DaemonCore>, node: &NodeId) {
+    let Some(address) = core.fleet().address(node) else { return };
     let timeout = core.lease() * PROBE_TIMEOUT_LEASES;
     let sent_at = Instant::now();
     let outcome = core.engine.probe(address, timeout).await;
     let now = Instant::now();
     core.telemetry.record_probe(probe_outcome(&outcome), now - sent_at);
     match outcome {
-        Ok(report) if report.node == node => {
-            record_report(&core, &node, to_observation(report, sent_at), now);
+        Ok(report) if report.node == *node => {
+            record_report(&core, node, to_observation(report, sent_at), now);
         }
         Ok(report) => {
-            log::warn!("event=probe_other_node wanted={} found={}", *node, *report.node);
+            log::warn!("event=probe_other_node wanted={} found={}", **node, *report.node);
         }
-        Err(ProbeNodeError::NotReport) if is_service(&core, &node) => {
+        Err(ProbeNodeError::NotReport) if is_service(&core, node) => {
             // A plain service does not implement the report; any answer shows that it is running.
             let report = NodeReport {
                 node: node.clone(),
@@ -118,10 +128,10 @@
                 queued: 0,
                 weights: Vec::new(),
             };
-            record_report(&core, &node, to_observation(report, sent_at), now);
+            record_report(&core, node, to_observation(report, sent_at), now);
         }
         Err(ProbeNodeError::NoAnswer(SendRequestError::Refused(_))) => {
-            core.fleet_mut().record_loss(&node, sent_at);
+            core.fleet_mut().record_loss(node, sent_at);
         }
         Err(_) => {}
     }
--- a/crates/daemon/src/timers.rs
+++ b/crates/daemon/src/timers.rs
@@ -13,7 +13,7 @@
 use crate::core::DaemonCore;
 
 /// Time for which the timer whose delay is measured is set.
-const TIMER_INTERVAL: Duration = Duration::from_millis(50);
+const TIMER_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest delay that is logged.
 const LOGGED_DELAY: Duration = Duration::from_millis(250);
 
--- a/crates/daemon/src/zone_control.rs
+++ b/crates/daemon/src/zone_control.rs
@@ -32,6 +32,8 @@
 
 /// Pause between two reconciliation steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Reconciliation steps between two counts of the nodes' silence.
+const STEPS_PER_SILENCE_COUNT: u32 = 2;
 /// The timeout of an order is the authority's lease divided by this.
 const ORDER_TIMEOUT_DIVISOR: u64 = 4;
 /// Pause before an order that had no effect is sent again.
@@ -61,11 +63,13 @@
         results: flume::unbounded(),
         last_step: Instant::now(),
     };
-    loop {
+    for step in 0_u32.. {
         tokio::time::sleep(STEP_INTERVAL).await;
         tick_authorities(&core);
         let now = Instant::now();
-        core.fleet_mut().step_detector(core.zone(), now);
+        if step.is_multiple_of(STEPS_PER_SILENCE_COUNT) {
+            core.fleet_mut().step_detector(core.zone(), now);
+        }
         controller.step(now);
     }
 }
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -22,6 +22,7 @@
 mod lease;
 mod lifecycle;
 mod observers;
+mod probe_pacer;
 mod stages;
 
 pub use authority::{AuthorityMember, TableStanding, TableStore};
@@ -32,4 +33,5 @@
     Draining, Failed, Forming, LifecycleState, Loading, Ready, Released, ReplicaLifecycle, Serving,
 };
 pub use observers::{choose_observers, members_without_witness, observing_members, zone_members};
+pub use probe_pacer::ProbePacer;
 pub use stages::{LoadedReplica, ReplicaName, ReplicaStage, ReplicaStages};
