Record the release of a claim before its caller is refused

Callers that were refused a hold as not run, and resent it at once, were told 409 in_progress with an unknown outcome: the release of the first claim was still on its way to the leader.

A daemon waits for the release to be recorded, for a second at most, before it answers, as it does for outcomes.

--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -8,6 +8,7 @@
     EntryPayload, LogName, OrganisationId, ProposalOutcome, StoredAnswer,
 };
 use sha2::{Digest, Sha256};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::core::{DaemonCore, wall_ms};
@@ -97,7 +98,7 @@
         match self.propose_claim(ClaimCommand::Open(open), wait).await {
             Ok(outcome) => Ok((outcome, held)),
             Err(error) => {
-                self.release_claim(held);
+                self.start_release(held);
                 Err(error)
             }
         }
@@ -109,14 +110,22 @@
         if self.is_config_current(now) { share } else { share.min(PARTITIONED_OPEN_TIMEOUT) }
     }
 
-    /// Releases a claim in the background, for a request that was not run.
-    pub(crate) fn release_claim(self: &Arc<Self>, held: HeldClaim) {
+    /// Releases a claim of a request that was not run; after `RECORD_TIMEOUT` that continues in the
+    /// background.
+    ///
+    /// The caller is answered afterwards: a resent request would otherwise find the claim in progress.
+    pub(crate) async fn release_claim(self: &Arc<Self>, held: HeldClaim) {
+        let _ = tokio::time::timeout(RECORD_TIMEOUT, self.start_release(held)).await;
+    }
+
+    /// Starts the release of a claim in the background.
+    fn start_release(self: &Arc<Self>, held: HeldClaim) -> JoinHandle<()> {
         let release = ClaimRelease { key: held.key, attempt: held.attempt };
         let core = Arc::clone(self);
         tokio::spawn(async move {
             let deadline = Instant::now() + CLOSE_TIMEOUT;
             let _ = core.propose_claim(ClaimCommand::Release(release), deadline).await;
-        });
+        })
     }
 
     /// Records the outcome of a claim; after `RECORD_TIMEOUT` that continues in the background.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -172,7 +172,7 @@
             DuplicateEntry::Entered(duplicate) => Arc::new(duplicate),
             end => {
                 if let Some(held) = claim {
-                    self.core.release_claim(held);
+                    self.core.release_claim(held).await;
                 }
                 return match end {
                     DuplicateEntry::Disconnected => self.end("cancelled", Some(ErrorRan::NotRun)),
@@ -242,7 +242,7 @@
                 Err(AttemptError::Failed(error)) => error,
                 Err(AttemptError::NotAttempted(error)) => {
                     if let Some(held) = claim {
-                        self.core.release_claim(held);
+                        self.core.release_claim(held).await;
                     }
                     return self.fail(&error, &mut relay).await;
                 }
@@ -293,7 +293,7 @@
     async fn settle_failed_claim(&self, claim: Option<HeldClaim>, ran: ErrorRan) {
         let Some(held) = claim else { return };
         if ran == ErrorRan::NotRun {
-            self.core.release_claim(held);
+            self.core.release_claim(held).await;
         } else {
             self.core.close_claim(held, None, false).await;
         }
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -371,6 +371,32 @@
     assert_eq!(check_holds(&cluster, &hold_replies), 20, "{hold_replies:?}");
 }
 
+/// A hold that is refused as not run can be resent at once through the leader of the claims log.
+///
+/// Guards against answering the caller before the release of its claim is recorded: the resent hold
+/// was refused because the first one seemed to be in progress.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_resent_after_refusal() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let status = cluster.read_operator_api("a0", "/status").await;
+    let leader = status["claims_leader"].as_str().map(str::to_owned);
+    let leader = leader.expect("the claims log has a leader");
+    cluster.set_all_links(FaultMode::Delay(Duration::from_millis(50)));
+    let services = cluster.fleet().service_nodes();
+    services.iter().for_each(|node| cluster.fleet().kill(node));
+    pause(2000).await;
+    for number in 0..5 {
+        let key = format!("refused-{number}");
+        let refused = hold(cluster.caller_address("a1"), &key).await;
+        assert_eq!((refused.status, refused.ran().as_str()), (503, "not_run"), "{}", refused.body);
+        let again = hold(cluster.caller_address(&leader), &key).await;
+        assert_eq!((again.status, again.ran().as_str()), (503, "not_run"), "{}", again.body);
+    }
+}
+
 /// A hold that is resent through another daemon gets the stored answer. Another request with the
 /// same key is refused.
 #[rstest]
