Test that suspensions and mass silence keep replicas of the platform

The fault of entry daemons, silence taken for loss, was looked for in the platform's roles: controllers suspended for 0.7 and 3 s, one or all, and all workers out of touch for 2.5 s. Replicas stay as they were. Controllers probe twice before they take a worker for lost, and count progress of its replica, so nothing is changed; the tests stay as guards.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod observer;
 mod restarted_worker;
+mod silence;
 mod soak;
 mod stale_gateway;
 mod system;
