Wait for a replica of another zone only while its last report is recent

Found on reading the change again: a replica that a daemon only hears of, in a zone that is out of reach, was never known to be lost, so that each request for it would have waited a quarter of its time before the refusal that it got at once before.

It is waited for while the last report of it is four leases old at most, which is when a silence of most nodes becomes a loss elsewhere too. Tests of the decision: reported_replica_may_be_renewed and observed_replica_may_be_renewed.

--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_routing::{RouteCandidate, UpstreamKey};
 use hollowbarrow_schema::{Allocation, Epoch, ModelName, NodeId, NodeState, ServiceName, ZoneId};
 use hollowbarrow_state::ConfigState;
-use hollowbarrow_zone::ServingRefusal;
+use hollowbarrow_zone::MASS_SILENCE_LEASES;
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
@@ -157,10 +157,9 @@
     pub(crate) fn is_unconfirmed(&self, fleet: &FleetView, now: Instant) -> bool {
         match &self.target {
             RouteTarget::Replica(allocation) => {
-                let refusal = fleet.leases.serving_until(allocation, now).err();
-                let is_silent =
-                    matches!(refusal, Some(ServingRefusal::Unseen(_) | ServingRefusal::Expired(_)));
-                is_silent && !fleet.is_lost(allocation, now)
+                let within = fleet.leases.lease() * MASS_SILENCE_LEASES;
+                fleet.leases.may_be_renewed(allocation, within, now)
+                    && !fleet.is_lost(allocation, now)
             }
             RouteTarget::Service(node) => {
                 let is_ready = fleet
--- a/crates/zone/src/lease.rs
+++ b/crates/zone/src/lease.rs
@@ -205,6 +205,24 @@
         self.replica_valid_until(allocation, now).is_some()
     }
 
+    /// Whether a replica's lease may be renewed although it has expired: its members are silent to this
+    /// daemon, or another daemon has reported within this time that it serves.
+    pub fn may_be_renewed(&self, allocation: &Allocation, within: Duration, now: Instant) -> bool {
+        let refusal = match self.serving_until(allocation, now) {
+            Ok(_) => return true,
+            Err(refusal) => refusal,
+        };
+        match refusal {
+            ServingRefusal::Expired(_) => true,
+            ServingRefusal::Unseen(_) => {
+                self.replicas.get(allocation.head()).is_some_and(|replica| {
+                    replica.epoch == allocation.epoch && now < replica.seen + within
+                })
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the load of a replica's head and the earliest time at which the head can have reported
     /// it.
     pub fn load(&self, allocation: &Allocation) -> Option<(u32, Instant)> {
--- a/crates/zone/tests/lease.rs
+++ b/crates/zone/tests/lease.rs
@@ -4,7 +4,7 @@
 
 use hollowbarrow_schema::{
     Allocation, AllocationPhase, DomainId, Epoch, GroupName, ModelName, NodeDigest, NodeId,
-    NodeState, StartId,
+    NodeState, ReplicaDigest, StartId,
 };
 use hollowbarrow_zone::{LeaseTable, NodeObservation, ServingRefusal};
 use proptest::prelude::*;
@@ -149,3 +149,36 @@
     assert_eq!(table.serving_until(&draining, now), Err(ServingRefusal::Draining));
     assert!(!table.is_lost(&draining, now), "requests in flight at a draining replica continue");
 }
+
+/// A replica that this daemon only hears of may serve again for a time after the last report of it.
+///
+/// Guards against requests that wait for replicas of a zone that is out of reach.
+#[rstest]
+#[case::valid(500, 5, true)]
+#[case::expired(1_500, 5, true)]
+#[case::long_expired(4_100, 5, false)]
+#[case::other_epoch(500, 4, false)]
+fn reported_replica_may_be_renewed(
+    #[case] since_ms: u64,
+    #[case] epoch: u64,
+    #[case] expected: bool,
+) {
+    let started = Instant::now();
+    let mut table = LeaseTable::new(LEASE);
+    let digest = ReplicaDigest { h: node(0), e: Epoch(epoch), a: 0, l: 0 };
+    table.observe_replica(&digest, started, Duration::ZERO);
+    let now = started + Duration::from_millis(since_ms);
+    assert_eq!(table.may_be_renewed(&allocation(3, 5), LEASE * 4, now), expected);
+}
+
+/// A silent member does not rule out that the lease is renewed; a restarted one does.
+#[rstest]
+#[case::silent(1, true)]
+#[case::restarted(2, false)]
+fn observed_replica_may_be_renewed(#[case] start: u64, #[case] expected: bool) {
+    let started = Instant::now();
+    let mut table = LeaseTable::new(LEASE);
+    table.observe(&node(0), observation(start, 5, true, started));
+    let now = started + if start == 1 { LEASE * 2 } else { Duration::ZERO };
+    assert_eq!(table.may_be_renewed(&allocation(1, 5), LEASE * 4, now), expected);
+}
