Tell when a voter stops and begins to count in quorums

Nothing told which voters a leader counts, nor for how long one that lost its disk did not: the leader learned it from replies and dropped it. Now the leader logs event=voters_counted and sets controller_voters_counted and _uncounted, and the voter itself logs event=voter_fault and event=voter_fault_ended with how long it lasted. No logic changes.

--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -81,6 +81,8 @@
             leads: self.is_confirmed_leader(&view, now),
             term: *view.term,
             voters: view.voters.len() as u64,
+            voters_counted: view.counted as u64,
+            voters_uncounted: view.uncounted.len() as u64,
             lost_disk: view.lost_disk,
             version: self.log.read(DeploymentState::version),
             workers: fleet.count_workers(),
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -18,6 +18,16 @@
     ("controller_leads", "1", "1 while a majority confirms that this controller leads."),
     ("controller_term", "1", "Election term."),
     ("controller_voters", "1", "Voters of the log."),
+    (
+        "controller_voters_counted",
+        "1",
+        "On the leader: voters that answer and count in quorums, itself included.",
+    ),
+    (
+        "controller_voters_uncounted",
+        "1",
+        "On the leader: voters that answer and must not count, for example after a lost disk.",
+    ),
     ("controller_lost_disk", "1", "1 while this controller has lost the data on its disk."),
     ("controller_configuration_version", "1", "Version of the newest committed configuration."),
     ("controller_workers", "1", "Known workers, by state: ready, leaving or gone."),
@@ -54,6 +64,8 @@
     leads: Gauge<u64>,
     term: Gauge<u64>,
     voters: Gauge<u64>,
+    voters_counted: Gauge<u64>,
+    voters_uncounted: Gauge<u64>,
     lost_disk: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
@@ -84,6 +96,8 @@
     pub(crate) leads: bool,
     pub(crate) term: u64,
     pub(crate) voters: u64,
+    pub(crate) voters_counted: u64,
+    pub(crate) voters_uncounted: u64,
     pub(crate) lost_disk: bool,
     pub(crate) version: u64,
     pub(crate) workers: WorkerCounts,
@@ -104,6 +118,8 @@
             leads: meter.u64_gauge("controller_leads").build(),
             term: meter.u64_gauge("controller_term").build(),
             voters: meter.u64_gauge("controller_voters").build(),
+            voters_counted: meter.u64_gauge("controller_voters_counted").build(),
+            voters_uncounted: meter.u64_gauge("controller_voters_uncounted").build(),
             lost_disk: meter.u64_gauge("controller_lost_disk").build(),
             version: meter.u64_gauge("controller_configuration_version").build(),
             workers: meter.u64_gauge("controller_workers").build(),
@@ -142,6 +158,8 @@
         self.leads.record(levels.leads.into(), &[]);
         self.term.record(levels.term, &[]);
         self.voters.record(levels.voters, &[]);
+        self.voters_counted.record(levels.voters_counted, &[]);
+        self.voters_uncounted.record(levels.voters_uncounted, &[]);
         self.lost_disk.record(levels.lost_disk.into(), &[]);
         self.version.record(levels.version, &[]);
         self.gateways.record(levels.gateways, &[]);
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -28,6 +28,9 @@
 /// Delay before a failed storage is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time without a reply after which a voter no longer counts as available.
+const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Deterministic state machine to which every replica applies the same entries.
 pub trait StateMachine: Send + Sync + 'static {
     /// Applies one committed entry and returns its outcome.
@@ -127,6 +130,12 @@
     pub lost_disk: bool,
     /// Why this replica does not take part in quorums, if it has a fault.
     pub fault: Option<String>,
+    /// Voters that replied to this leader and may not be counted in a quorum, for example because
+    /// they lost their disks; empty if this replica is not the leader.
+    pub uncounted: Vec<DaemonId>,
+    /// Number of voters that this leader counts and that replied recently, including itself; 0 if
+    /// this replica is not the leader.
+    pub counted: usize,
 }
 
 /// Handle to a replica that runs on its own thread.
@@ -172,6 +181,7 @@
             last_snapshot: LogIndex(0),
             reopen: None,
             timer_delay: Duration::ZERO,
+            fault_since: None,
         };
         std::thread::Builder::new()
             .name("log".to_owned())
@@ -246,6 +256,8 @@
     reopen: Option<Instant>,
     /// How late the replica's timer was at the last step; zero if it was not due.
     timer_delay: Duration,
+    /// Since when this replica has had a fault.
+    fault_since: Option<Instant>,
 }
 
 impl<M: StateMachine> DriverWorker<M> {
@@ -430,7 +442,7 @@
         }
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
         let view = LogView {
             leader: self.replica.leader().cloned(),
             leads: self.replica.is_leader(),
@@ -442,11 +454,51 @@
             current: self.replica.is_current(),
             lost_disk: matches!(self.replica.fault(), Some(crate::ReplicaFault::LostDisk)),
             fault: self.replica.fault().map(ToString::to_string),
+            uncounted: self.replica.uncounted_voters(),
+            counted: self.replica.counted_voters(CONTACT_TIMEOUT, Instant::now()),
         };
         self.log_leader_change(&view);
+        self.log_fault_change(&view);
+        self.log_quorum_change(&view);
         self.view.send_replace(view);
     }
 
+    /// Logs that this replica stops or begins to count in quorums, and for how long it did not.
+    fn log_fault_change(&mut self, view: &LogView) {
+        if self.view.borrow().fault == view.fault {
+            return;
+        }
+        let now = Instant::now();
+        match &view.fault {
+            Some(fault) => {
+                self.fault_since.get_or_insert(now);
+                log::warn!("event=voter_fault log={} reason={fault:?}", self.config.name);
+            }
+            None => {
+                let since = self.fault_since.take().unwrap_or(now);
+                let lasted = now.saturating_duration_since(since).as_millis();
+                log::info!("event=voter_fault_ended log={} lasted_ms={lasted}", self.config.name);
+            }
+        }
+    }
+
+    /// Logs, on the leader, how many voters count in quorums and which ones may not.
+    fn log_quorum_change(&self, view: &LogView) {
+        let former = self.view.borrow();
+        let shown = |view: &LogView| (view.counted, view.voters.len(), view.uncounted.clone());
+        if !view.leads || (former.leads && shown(&former) == shown(view)) {
+            return;
+        }
+        let uncounted: Vec<&str> = view.uncounted.iter().map(|id| id.as_str()).collect();
+        log::info!(
+            "event=voters_counted log={} counted={} voters={} uncounted={}",
+            self.config.name,
+            view.counted,
+            view.voters.len(),
+            uncounted.join(",")
+        );
+    }
+
     /// Logs that this replica follows another leader than before, or none, and how late its own timer
     /// was, which tells an election that a lack of processor time caused from one by a lost leader.
     fn log_leader_change(&self, view: &LogView) {
--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -18,6 +18,8 @@
     /// Whether the follower was counted in a quorum in this term; if its disk is empty later, it was
     /// lost.
     pub(crate) counted: bool,
+    /// Whether the follower's last reply may be counted in a quorum; none before the first reply.
+    pub(crate) counts: Option<bool>,
     /// Time of the follower's last reply.
     pub(crate) contact: Option<Instant>,
     /// Latest heartbeat round that the follower echoed.
@@ -116,6 +118,7 @@
             next: LogIndex(*last + 1),
             matched: LogIndex(0),
             counted: false,
+            counts: None,
             contact: None,
             round: 0,
             snapshot_sent: None,
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -546,6 +546,28 @@
         }
     }
 
+    /// Returns the voters that replied to this leader and may not be counted in a quorum; empty if
+    /// this replica is not the leader.
+    pub fn uncounted_voters(&self) -> Vec<DaemonId> {
+        let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
+        let counts = |id: &DaemonId| role.progress.get(id).and_then(|progress| progress.counts);
+        self.voters.iter().filter(|id| counts(id) == Some(false)).cloned().collect()
+    }
+
+    /// Returns the number of voters that this leader counts in quorums and that replied within
+    /// `recent`, including itself; 0 if this replica is not the leader.
+    pub fn counted_voters(&self, recent: Duration, now: Instant) -> usize {
+        let ReplicaRole::Leader(role) = &self.role else { return 0 };
+        let counted = |id: &DaemonId| {
+            *id == self.config.id
+                || role.progress.get(id).is_some_and(|progress| {
+                    let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
+                    progress.counts == Some(true) && progress.contact.is_some_and(fresh)
+                })
+        };
+        self.voters.iter().filter(|id| counted(id)).count()
+    }
+
     /// Returns the time of each follower's last reply; empty if this replica is not the leader.
     pub fn contacts(&self) -> BTreeMap<DaemonId, Option<Instant>> {
         match &self.role {
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -165,6 +165,7 @@
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let Some(progress) = role.progress.get_mut(from) else { return };
         progress.contact = Some(now);
+        progress.counts = Some(reply.counts);
         if reply.counts {
             progress.round = progress.round.max(reply.round);
         } else {
