--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -37,6 +37,8 @@
 struct Cluster {
     now: Instant,
     replicas: BTreeMap<DaemonId, LogReplica<MemoryStorage>>,
+    /// A replica that neither receives messages nor is heard.
+    isolated: Option<DaemonId>,
 }
 
 /// A replica that has discovered all others, while its settings list only the first one.
@@ -114,7 +116,7 @@
 
     fn with_replicas(create: impl Fn(&DaemonId) -> LogReplica<MemoryStorage>) -> Self {
         let replicas = ids().iter().map(|id| (id.clone(), create(id))).collect();
-        Self { now: Instant::now(), replicas }
+        Self { now: Instant::now(), replicas, isolated: None }
     }
 
     /// Advances the time in steps of 10 ms and delivers every message.
@@ -142,6 +144,9 @@
                 return;
             }
             for (from, to, message) in messages {
+                if [&from, &to].into_iter().any(|id| self.isolated.as_ref() == Some(id)) {
+                    continue;
+                }
                 if let Some(replica) = self.replicas.get_mut(&to) {
                     replica.step(&from, message, self.now);
                 }
@@ -149,6 +154,13 @@
         }
     }
 
+    /// Restarts a replica with its disk.
+    fn restart(&mut self, id: &DaemonId) {
+        let storage = self.replicas.remove(id).expect("known").into_storage();
+        let replica = LogReplica::new(config_of(id, false), storage, self.now);
+        self.replicas.insert(id.clone(), replica);
+    }
+
     fn leader(&mut self) -> &mut LogReplica<MemoryStorage> {
         self.replicas.values_mut().find(|replica| replica.is_leader()).expect("there is a leader")
     }
@@ -221,6 +233,35 @@
     assert_eq!(cluster.replicas[&wiped].commit(), cluster.leader().commit());
 }
 
+/// A voter that lost its disk must count again although its removal and its admission reach it
+/// together, or the next lost disk leaves no majority.
+#[rstest]
+#[case::entries(false)]
+#[case::snapshot(true)]
+fn wiped_voter_is_readmitted_while_isolated(#[case] compacted: bool) {
+    let mut cluster = Cluster::new();
+    cluster.run(100);
+    let leader = cluster.leader().id().clone();
+    let wiped = ids().into_iter().find(|id| *id != leader).expect("there are three");
+    cluster.replicas.insert(wiped.clone(), replica_of(&wiped, false));
+    cluster.run(50);
+    cluster.restart(&wiped);
+    cluster.isolated = Some(wiped.clone());
+    let others: Vec<DaemonId> = ids().into_iter().filter(|id| *id != wiped).collect();
+    cluster.propose(EntryPayload::Voters(others));
+    cluster.run(20);
+    cluster.propose(EntryPayload::Voters(ids()));
+    cluster.run(20);
+    if compacted {
+        cluster.leader().compact(b"state".to_vec());
+    }
+    cluster.isolated = None;
+    cluster.run(100);
+    let fault = cluster.replicas[&wiped].fault().map(ToString::to_string);
+    assert_eq!(fault, None, "the voter counts again");
+    assert_eq!(cluster.replicas[&wiped].commit(), cluster.leader().commit());
+}
+
 /// Append request of a leader of term 2 with the entries after `previous` up to `last`.
 fn append(previous: u64, last: u64, commit: u64, term_of_last: u64) -> LogMessage {
     let entry = |index: u64| {
