--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -58,7 +58,6 @@
     zone: ZoneId,
     last_received: Instant,
     mismatches: u32,
-    lost_disk: bool,
     gateways: u32,
     loads: Vec<WorkerLoad>,
     loads_at: Instant,
@@ -277,7 +276,6 @@
             zone: hello.zone,
             last_received: now,
             mismatches: mismatches % threshold,
-            lost_disk: hello.lost_disk,
             gateways: hello.gateways,
             loads,
             loads_at,
@@ -399,12 +397,6 @@
         others.chain([location(&self.local, &self.zone)]).collect()
     }
 
-    /// Controllers that reported that their disk came back empty.
-    pub(crate) fn lost_disks(&self) -> Vec<DaemonId> {
-        let lost = self.controllers.iter().filter(|(_, daemon)| daemon.lost_disk);
-        lost.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Whether a gateway has reported a request, to this controller or to one whose hello says so.
     pub(crate) fn has_served(&self) -> bool {
         self.served
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -31,7 +31,7 @@
 const STEP_DELAY: Duration = Duration::from_millis(10);
 /// Time between two views for gateways, unless the set of withheld workers changes.
 const VIEW_INTERVAL: Duration = Duration::from_millis(90);
-/// Time between two checks of the voters.
+/// Time between two checks of the voters, unless what they depend on changes.
 const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which a daemon that has just started has received a report of every worker.
 const SETTLE_BEATS: f64 = 2.5;
@@ -40,8 +40,6 @@
 /// Time before a leader whose process has run for longer acts on its worker table. Controllers that
 /// were partitioned have exchanged the updates that they missed by then.
 const SHORT_SETTLE_TIME: Duration = Duration::from_millis(1000);
-/// Time for a new voter to catch up, during which its report of a lost disk is ignored.
-const CATCH_UP_TIME: Duration = Duration::from_secs(5);
 /// Time without a report after which a worker is removed from the table.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Time for an order to show in the worker's report before it is sent again.
@@ -63,8 +61,8 @@
     withheld: Vec<WorkerId>,
     quarantine_log: QuarantineLog,
     voters_due: Instant,
-    /// Controllers that became voters recently, and until when a lost disk of theirs is ignored.
-    admitted: BTreeMap<DaemonId, Instant>,
+    /// Voters, those of them that may not count, and candidates at the last check, each sorted.
+    voters_checked: [Vec<DaemonId>; 3],
     /// Last logged summary of the replicas of each service.
     logged: BTreeMap<ServiceName, String>,
 }
@@ -158,15 +156,19 @@
         withheld: Vec::new(),
         quarantine_log: QuarantineLog::default(),
         voters_due: now,
-        admitted: BTreeMap::new(),
+        voters_checked: Default::default(),
         logged: BTreeMap::new(),
     }
 }
 
 fn step(core: &Arc<ControllerCore>, leadership: &mut Leadership, view: &LogView, now: Instant) {
-    if now >= leadership.voters_due {
+    let mut voters = [view.voters.clone(), view.uncounted.clone(), view.candidates.clone()];
+    voters.iter_mut().for_each(|ids| ids.sort());
+    if !view.voters_pending && (now >= leadership.voters_due || voters != leadership.voters_checked)
+    {
         leadership.voters_due = now + VOTERS_INTERVAL;
-        maintain_voters(core, leadership, view, now);
+        leadership.voters_checked = voters;
+        maintain_voters(core, view, now);
     }
     let services = core.engine_services();
     let mut fleet = core.fleet();
@@ -285,32 +287,19 @@
     }
 }
 
-fn maintain_voters(
-    core: &ControllerCore,
-    leadership: &mut Leadership,
-    view: &LogView,
-    now: Instant,
-) {
+fn maintain_voters(core: &ControllerCore, view: &LogView, now: Instant) {
     let local = core.links().id();
-    let (present, mut lost_disks) = {
-        let fleet = core.fleet();
-        (fleet.controllers(VOTER_REPLACEMENT_TIMEOUT, now), fleet.lost_disks())
-    };
-    // A voter that was just admitted reports its disk as lost until it has caught up.
-    leadership.admitted.retain(|_, until| *until > now);
-    lost_disks.retain(|id| !leadership.admitted.contains_key(id));
+    let present = core.fleet().controllers(VOTER_REPLACEMENT_TIMEOUT, now);
     let desired = voters_for(core.settings.losses);
     let facts = VoterFacts {
         desired,
         local,
         voters: &view.voters,
         present: &present,
-        lost_disks: &lost_disks,
+        lost_disks: &view.uncounted,
+        candidates: &view.candidates,
     };
     let Some(voters) = next_voters(&facts) else { return };
-    for added in voters.iter().filter(|voter| !view.voters.contains(voter)) {
-        leadership.admitted.insert(added.clone(), now + CATCH_UP_TIME);
-    }
     let names: Vec<&str> = voters.iter().map(|voter| voter.as_str()).collect();
     log::info!("event=voters_proposed voters={}", names.join(","));
     let outcome = core.log.propose(EntryPayload::Voters(voters));
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -57,14 +57,11 @@
 /// Builds a hello without loads and crash records. Renewed registrations are taken only for a hello
 /// to all controllers, since each renewal is sent once.
 fn build_hello(core: &ControllerCore, with_beats: bool) -> ControllerHello {
-    // While the log is being founded every disk is empty, so an empty disk is not a lost one.
-    let lost_disk = core.log.view().lost_disk && !core.settings.found;
     let mut fleet = core.fleet();
     ControllerHello {
         zone: core.settings.zone.clone(),
         workers: fleet.table().table_hash(),
         beats: if with_beats { fleet.take_beats() } else { Vec::new() },
-        lost_disk,
         gateways: fleet.count_primary_gateways(),
         served: fleet.has_served(),
         loads: None,
--- a/crates/controller/src/voters.rs
+++ b/crates/controller/src/voters.rs
@@ -4,9 +4,10 @@
 //! majority holds is still held by at least one of them. The log is founded by the seeds, which may
 //! be fewer; other controllers are added once they send hellos.
 //!
-//! A voter whose disk came back empty must not vote, since it has lost its earlier votes and
-//! entries. It is removed and then added again, so that it starts from the leader's log. A voter
-//! that stays silent is replaced by a controller that does not vote yet.
+//! A voter whose disk came back empty does not count, since it has lost its earlier votes and
+//! entries. It is removed, and a controller that does not vote is added: the one that lacks the least
+//! of the log, which may be the removed one with its new disk. A voter that stays silent is replaced
+//! in the same way.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -34,8 +35,11 @@
     pub voters: &'a [DaemonId],
     /// Controllers that sent a hello recently.
     pub present: &'a BTreeSet<DaemonId>,
-    /// Controllers whose disk came back empty.
+    /// Voters that answer the leader with another disk than the one they were admitted with.
     pub lost_disks: &'a [DaemonId],
+    /// Controllers with a disk that follow the leader and do not vote; the one that lacks the least of
+    /// the log comes first.
+    pub candidates: &'a [DaemonId],
 }
 
 /// Returns the voters to propose if they should change; one is added or removed at a time.
@@ -48,7 +52,7 @@
     if let Some(emptied) = emptied.filter(|_| facts.voters.len() >= MIN_VOTERS) {
         return Some(without(emptied));
     }
-    let candidate = facts.present.iter().find(|id| !is_voter(id))?;
+    let candidate = facts.candidates.iter().find(|id| facts.present.contains(*id))?;
     if facts.voters.len() < facts.desired {
         let mut voters = facts.voters.to_vec();
         voters.push(candidate.clone());
--- a/crates/controller/tests/voters.rs
+++ b/crates/controller/tests/voters.rs
@@ -32,12 +32,40 @@
     let local = DaemonId::from("a");
     let present: BTreeSet<DaemonId> = ids(present).into_iter().collect();
     let (voters, lost_disks) = (ids(voters), ids(lost));
+    let candidates: Vec<DaemonId> =
+        present.iter().filter(|id| !voters.contains(id)).cloned().collect();
     let facts = VoterFacts {
         desired: voters_for(losses),
         local: &local,
         voters: &voters,
         present: &present,
         lost_disks: &lost_disks,
+        candidates: &candidates,
+    };
+    assert_eq!(next_voters(&facts), expected.map(ids));
+}
+
+/// A controller that has the log is admitted before one whose disk was just emptied, and none that is
+/// away: until a new voter has the log, one disk less may be lost.
+#[rstest]
+#[case::caught_up_first("c,f", "b,c,d,e,f", Some("a,b,d,e,c"))]
+#[case::spare_first("f,c", "b,c,d,e,f", Some("a,b,d,e,f"))]
+#[case::spare_away("f,c", "b,c,d,e", Some("a,b,d,e,c"))]
+#[case::disk_unknown("", "b,c,d,e,f", None)]
+fn next_voters_of_candidates(
+    #[case] candidates: &str,
+    #[case] present: &str,
+    #[case] expected: Option<&str>,
+) {
+    let local = DaemonId::from("a");
+    let present: BTreeSet<DaemonId> = ids(present).into_iter().collect();
+    let facts = VoterFacts {
+        desired: 5,
+        local: &local,
+        voters: &ids("a,b,d,e"),
+        present: &present,
+        lost_disks: &[],
+        candidates: &ids(candidates),
     };
     assert_eq!(next_voters(&facts), expected.map(ids));
 }
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -133,6 +133,11 @@
     /// Voters that replied to this leader and may not be counted in a quorum, for example because
     /// they lost their disks; empty if this replica is not the leader.
     pub uncounted: Vec<DaemonId>,
+    /// Whether a change of the voters is not committed yet.
+    pub voters_pending: bool,
+    /// Daemons with a disk that follow this leader and do not vote, the one that lacks the least of
+    /// the log first; empty if this replica is not the leader.
+    pub candidates: Vec<DaemonId>,
     /// Number of voters that this leader counts and that replied recently, including itself; 0 if
     /// this replica is not the leader.
     pub counted: usize,
@@ -397,7 +402,9 @@
             let mut machine = self.machine.write().expect("no holder of the lock panics");
             for entry in &entries {
                 outcomes.push(match entry.payload {
-                    EntryPayload::Voters(_) => ProposalOutcome::VotersChanged,
+                    EntryPayload::Voters(_) | EntryPayload::VoterSet(_) => {
+                        ProposalOutcome::VotersChanged
+                    }
                     _ => machine.apply(entry),
                 });
             }
@@ -455,6 +462,8 @@
             lost_disk: matches!(self.replica.fault(), Some(crate::ReplicaFault::LostDisk)),
             fault: self.replica.fault().map(ToString::to_string),
             uncounted: self.replica.uncounted_voters(),
+            voters_pending: self.replica.is_voter_change_pending(),
+            candidates: self.replica.candidate_voters(),
             counted: self.replica.counted_voters(CONTACT_TIMEOUT, Instant::now()),
         };
         self.log_leader_change(&view);
--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_schema::{DaemonId, LogIndex};
+use hollowbarrow_schema::{DaemonId, DiskIdentity, LogIndex};
 use tokio::time::Instant;
 
+use crate::electorate::Electorate;
 use crate::replica::decay;
 
 /// Replication progress of one follower.
@@ -13,16 +14,13 @@
 pub(crate) struct FollowerProgress {
     /// Next index to send.
     pub(crate) next: LogIndex,
-    /// Highest index known to be synced on the follower.
+    /// Disk of the follower's last reply; none before the first reply.
+    pub(crate) disk: Option<DiskIdentity>,
+    /// Highest index known to be synced on that disk.
     pub(crate) matched: LogIndex,
-    /// Whether the follower was counted in a quorum in this term; if its disk is empty later, it was
-    /// lost.
-    pub(crate) counted: bool,
-    /// Whether the follower's last reply may be counted in a quorum; none before the first reply.
-    pub(crate) counts: Option<bool>,
     /// Time of the follower's last reply.
     pub(crate) contact: Option<Instant>,
-    /// Latest heartbeat round that the follower echoed.
+    /// Latest heartbeat round that the follower echoed with that disk.
     pub(crate) round: u64,
     /// Time at which a snapshot was last sent, so that it is not sent with each heartbeat.
     pub(crate) snapshot_sent: Option<Instant>,
@@ -43,8 +41,6 @@
     pub(crate) confirmed: Instant,
     /// Longest time that a confirmation recently took. The election itself is the first measurement.
     pub(crate) round_trip: Duration,
-    /// Whether this leader was elected while the log of every voter was empty.
-    pub(crate) founding: bool,
 }
 
 impl LeaderRole {
@@ -53,7 +49,6 @@
         elected_within: Duration,
         followers: impl Iterator<Item = DaemonId>,
         last: LogIndex,
-        founding: bool,
     ) -> Self {
         let progress = followers.map(|id| (id, FollowerProgress::new(last))).collect();
         Self {
@@ -64,24 +59,37 @@
             round_starts: BTreeMap::new(),
             confirmed: now,
             round_trip: elected_within,
-            founding,
         }
     }
 
     /// Returns the highest index that a majority of the voters has synced.
-    pub(crate) fn majority_index(&self, local: &DaemonId, voters: &[DaemonId]) -> LogIndex {
-        let mut matched: Vec<LogIndex> = voters
-            .iter()
-            .map(|voter| {
-                if voter == local {
-                    self.synced
-                } else {
-                    self.progress.get(voter).map_or(LogIndex(0), |progress| progress.matched)
-                }
-            })
-            .collect();
-        matched.sort_by(|a, b| b.cmp(a));
-        matched.get(voters.len() / 2).copied().unwrap_or_default()
+    pub(crate) fn majority_index(&self, local: &DaemonId, voters: &Electorate) -> LogIndex {
+        self.majority_value(voters, |voter| match self.counted(voter, voters) {
+            _ if voter == local => self.synced,
+            Some(progress) => progress.matched,
+            None => LogIndex(0),
+        })
+    }
+
+    /// Returns the highest value that a majority of the voters has reached.
+    fn majority_value<T: Copy + Default + Ord>(
+        &self,
+        voters: &Electorate,
+        value: impl Fn(&DaemonId) -> T,
+    ) -> T {
+        let mut values: Vec<T> = voters.ids().iter().map(value).collect();
+        values.sort_by(|a, b| b.cmp(a));
+        values.get(voters.ids().len() / 2).copied().unwrap_or_default()
+    }
+
+    /// Returns the progress of a follower if its last reply came from the disk that the voters name.
+    pub(crate) fn counted(
+        &self,
+        follower: &DaemonId,
+        voters: &Electorate,
+    ) -> Option<&FollowerProgress> {
+        let counts = |disk: &DiskIdentity| voters.counts(follower, disk);
+        self.progress.get(follower).filter(|progress| progress.disk.as_ref().is_some_and(counts))
     }
 
     /// Starts a heartbeat round.
@@ -92,17 +100,12 @@
     }
 
     /// Updates the start time of the latest round that a majority of the voters has echoed.
-    pub(crate) fn confirm_rounds(&mut self, local: &DaemonId, voters: &[DaemonId], now: Instant) {
-        let mut rounds: Vec<u64> = voters
-            .iter()
-            .map(|voter| match self.progress.get(voter) {
-                _ if voter == local => self.round,
-                Some(progress) => progress.round,
-                None => 0,
-            })
-            .collect();
-        rounds.sort_by(|a, b| b.cmp(a));
-        let round = rounds.get(voters.len() / 2).copied().unwrap_or_default();
+    pub(crate) fn confirm_rounds(&mut self, local: &DaemonId, voters: &Electorate, now: Instant) {
+        let round = self.majority_value(voters, |voter| match self.counted(voter, voters) {
+            _ if voter == local => self.round,
+            Some(progress) => progress.round,
+            None => 0,
+        });
         if let Some(start) = self.round_starts.get(&round).filter(|at| **at > self.confirmed) {
             self.confirmed = *start;
             let round_trip = now.saturating_duration_since(*start);
@@ -116,12 +119,20 @@
     pub(crate) fn new(last: LogIndex) -> Self {
         Self {
             next: LogIndex(*last + 1),
+            disk: None,
             matched: LogIndex(0),
-            counted: false,
-            counts: None,
             contact: None,
             round: 0,
             snapshot_sent: None,
         }
     }
+
+    /// Records the disk of a reply. What another disk of the same follower had reached is dropped.
+    pub(crate) fn record_disk(&mut self, disk: &DiskIdentity) {
+        if self.disk.as_ref().is_some_and(|known| known.id != disk.id) {
+            self.matched = LogIndex(0);
+            self.round = 0;
+        }
+        self.disk = Some(disk.clone());
+    }
 }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -10,10 +10,11 @@
 //! - An entry is acknowledged only after the storage has synced it.
 //! - An entry that a majority of voters has synced in the leader's own term is
 //!   committed and never lost while a majority of disks survives.
-//! - A voter whose storage failed, or whose disk was empty after a restart,
-//!   neither votes nor acknowledges.
+//! - A voter whose storage failed neither votes nor acknowledges, and one whose
+//!   disk was emptied counts in no quorum until it is admitted with its new disk.
 
 mod driver;
+mod electorate;
 mod file;
 mod leader;
 mod replica;
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -18,18 +18,20 @@
 mod replication;
 mod voters;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hollowbarrow_schema::{
-    DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot, Term,
+    DaemonId, DiskId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot, Term,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use thiserror::Error;
 use tokio::time::Instant;
 
-use crate::leader::LeaderRole;
+use crate::electorate::Electorate;
+use crate::leader::{FollowerProgress, LeaderRole};
 use crate::storage::{LogStorage, StoreLogError, VoteRecord};
 
 /// Maximum number of entries in one message.
@@ -84,7 +86,8 @@
         self
     }
 
-    /// Sets whether this replica may found a log together with others whose disks are also empty.
+    /// Sets whether this replica may found a log together with others whose disks are also empty. A
+    /// disk keeps this from its first use.
     pub fn with_founding(mut self, founding: bool) -> Self {
         self.founding = founding;
         self
@@ -143,7 +146,8 @@
         /// In the first trial after a leader's silence: that leader, which may still lead.
         leader: Option<DaemonId>,
         granted: BTreeSet<DaemonId>,
-        blank: BTreeSet<DaemonId>,
+        /// Disks of the voters whose logs are empty.
+        blank: BTreeMap<DaemonId, DiskId>,
         founding: bool,
     },
     Leader(LeaderRole),
@@ -155,7 +159,7 @@
     config: ReplicaConfig,
     storage: S,
     role: ReplicaRole,
-    voters: Vec<DaemonId>,
+    voters: Electorate,
     commit: LogIndex,
     applied: LogIndex,
     deadline: Instant,
@@ -195,7 +199,7 @@
             config,
             storage,
             role: ReplicaRole::Follower { leader: None },
-            voters: Vec::new(),
+            voters: Electorate::default(),
             commit: snapshot,
             applied: snapshot,
             deadline: now,
@@ -214,15 +218,20 @@
             installed: *snapshot > 0,
             rng,
         };
+        replica.identify_disk();
         replica.refresh_voters();
-        if !replica.config.founding {
-            // If no log is being founded, a voter whose disk is empty has lost its disk.
-            replica.check_quorum_member();
-        }
         replica.reset_deadline(now);
         replica
     }
 
+    /// Draws the id of a disk that has none yet.
+    fn identify_disk(&mut self) {
+        if self.storage.is_durable() && self.storage.vote().disk.is_none() {
+            let (disk, founder) = (Some(DiskId(rand::random())), self.config.founding);
+            self.save_vote(VoteRecord { disk, founder, ..self.storage.vote().clone() });
+        }
+    }
+
     /// Adds a peer that was discovered after the start: it follows the log and may become a voter.
     pub fn add_peer(&mut self, peer: DaemonId) {
         if self.config.peers.insert(peer) {
@@ -284,7 +293,7 @@
 
     /// Returns the voters, as stated by the latest entry that changes them.
     pub fn voters(&self) -> &[DaemonId] {
-        &self.voters
+        self.voters.ids()
     }
 
     /// Returns why this replica takes no part in quorums, if it has a fault.
@@ -368,13 +377,14 @@
             if now.saturating_duration_since(role.confirmed) > self.confirmation_timeout(role) {
                 self.step_down(self.term(), None, now);
             } else {
+                self.name_missing_disks(now);
                 self.broadcast(now, true);
             }
             return;
         }
         self.count_failed_vote();
         self.reset_deadline(now);
-        if self.is_voter() && self.storage_fault().is_none() {
+        if self.is_quorum_member() || self.may_found() {
             self.elections = self.elections.saturating_add(1);
             self.last_election = now;
             self.campaign(now, true, false);
@@ -384,12 +394,15 @@
     /// Appends payloads if this replica is the leader; returns the index of the first one.
     ///
     /// Returns none if it is not the leader, if a change of the voters is proposed
-    /// while another one is not committed yet, if the change adds or removes more
-    /// than one daemon or adds an unknown one, or if the storage fails.
+    /// while another one is not committed yet or before this leader has committed
+    /// an entry, if the change adds or removes more than one daemon or adds one
+    /// that is unknown or has not replied yet, or if the storage fails.
     pub fn propose(&mut self, payloads: Vec<EntryPayload>, now: Instant) -> Option<LogIndex> {
-        if !self.is_leader() || !payloads.iter().all(|payload| self.may_propose(payload)) {
+        if !self.is_leader() {
             return None;
         }
+        let payloads = payloads.into_iter().map(|payload| self.prepare_payload(payload));
+        let payloads: Vec<EntryPayload> = payloads.collect::<Option<_>>()?;
         let first = LogIndex(*self.storage.window().last_index() + 1);
         let term = self.term();
         let entries: Vec<LogEntry> = payloads
@@ -457,12 +470,11 @@
             return false;
         }
         for entry in entries {
-            // Entries are applied one at a time, so that a removal and a later return of a voter in
-            // one batch both take effect.
-            if let EntryPayload::Voters(voters) = &entry.payload {
-                self.set_voters(voters.clone());
+            if let Some(voters) = Electorate::from_payload(&entry.payload) {
+                self.set_voters(voters);
             }
         }
+        self.refresh_fault();
         true
     }
 
@@ -519,11 +531,9 @@
     }
 
     fn step_down(&mut self, term: Term, leader: Option<DaemonId>, now: Instant) {
-        if term > self.term() {
-            let initialised = self.storage.vote().initialised;
-            if !self.save_vote(VoteRecord { term, vote: None, initialised }) {
-                return;
-            }
+        let vote = VoteRecord { term, vote: None, ..self.storage.vote().clone() };
+        if term > self.term() && !self.save_vote(vote) {
+            return;
         }
         if let ReplicaRole::Leader(role) = &self.role {
             self.confirmed = self.confirmed.max(Some(role.confirmed));
@@ -538,7 +548,8 @@
         let window = self.storage.window();
         let Some(term) = window.term_at(self.applied) else { return };
         let voters = self.voters_at(self.applied);
-        let snapshot = LogSnapshot { index: self.applied, term, voters, state };
+        let (voters, disks) = (voters.ids().to_vec(), voters.voter_disks());
+        let snapshot = LogSnapshot { index: self.applied, term, voters, disks, state };
         if self.applied > window.snapshot_index()
             && let Err(error) = self.storage.install_snapshot(snapshot)
         {
@@ -550,22 +561,37 @@
     /// this replica is not the leader.
     pub fn uncounted_voters(&self) -> Vec<DaemonId> {
         let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
-        let counts = |id: &DaemonId| role.progress.get(id).and_then(|progress| progress.counts);
-        self.voters.iter().filter(|id| counts(id) == Some(false)).cloned().collect()
+        let refused = |id: &DaemonId| {
+            let replied = role.progress.get(id).is_some_and(|progress| progress.disk.is_some());
+            replied && role.counted(id, &self.voters).is_none()
+        };
+        self.voters.ids().iter().filter(|id| refused(id)).cloned().collect()
+    }
+
+    /// Returns the followers that have a disk and do not vote, the one that lacks the least of the log
+    /// first; empty if this replica is not the leader.
+    pub fn candidate_voters(&self) -> Vec<DaemonId> {
+        let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
+        let disk = |progress: &FollowerProgress| progress.disk.as_ref().and_then(|disk| disk.id);
+        let mut candidates: Vec<(&DaemonId, &FollowerProgress)> = role
+            .progress
+            .iter()
+            .filter(|(id, progress)| !self.voters.contains(id) && disk(progress).is_some())
+            .collect();
+        candidates.sort_by_key(|(_, progress)| Reverse(progress.matched));
+        candidates.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
     /// Returns the number of voters that this leader counts in quorums and that replied within
     /// `recent`, including itself; 0 if this replica is not the leader.
     pub fn counted_voters(&self, recent: Duration, now: Instant) -> usize {
         let ReplicaRole::Leader(role) = &self.role else { return 0 };
+        let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
         let counted = |id: &DaemonId| {
-            *id == self.config.id
-                || role.progress.get(id).is_some_and(|progress| {
-                    let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
-                    progress.counts == Some(true) && progress.contact.is_some_and(fresh)
-                })
+            let contact = role.counted(id, &self.voters).and_then(|progress| progress.contact);
+            *id == self.config.id || contact.is_some_and(fresh)
         };
-        self.voters.iter().filter(|id| counted(id)).count()
+        self.voters.ids().iter().filter(|id| counted(id)).count()
     }
 
     /// Returns the time of each follower's last reply; empty if this replica is not the leader.
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -1,13 +1,19 @@
 //! Elections: trials (pre-votes), votes and the start of leadership.
+//!
+//! A candidate counts the votes of the disks that its own log names. A log is founded while the logs
+//! of all voters are empty: a majority of the disks that are in their first use elects the leader,
+//! and the first entry names the disks of all voters. A disk that was emptied meanwhile has
+//! forgotten whom it voted for, so it has no vote in that election.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hollowbarrow_schema::{
-    DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, Term, VoteReply, VoteRequest,
+    DaemonId, DiskId, EntryPayload, LogEntry, LogIndex, LogMessage, Term, VoteReply, VoteRequest,
 };
 use tokio::time::Instant;
 
 use super::{LogReplica, ReplicaRole};
+use crate::electorate::Electorate;
 use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, VoteRecord};
 
@@ -15,18 +21,17 @@
     pub(super) fn campaign(&mut self, now: Instant, trial: bool, founding: bool) {
         let term = Term(*self.term() + 1);
         if !trial {
-            let initialised = self.storage.vote().initialised || founding;
-            let vote = VoteRecord { term, vote: Some(self.config.id.clone()), initialised };
-            if !self.save_vote(vote) {
+            let vote = Some(self.config.id.clone());
+            if !self.save_vote(VoteRecord { term, vote, ..self.storage.vote().clone() }) {
                 return;
             }
             // Collecting the votes takes as long as the trial did, so the deadline starts anew.
             self.reset_deadline(now);
         }
         let leader = self.suspected_leader(trial);
-        let local = BTreeSet::from([self.config.id.clone()]);
-        let blank = if self.is_blank() { local.clone() } else { BTreeSet::new() };
-        self.role = ReplicaRole::Candidate { trial, leader, granted: local, blank, founding };
+        let granted = BTreeSet::from([self.config.id.clone()]);
+        let blank = self.known_blank(founding);
+        self.role = ReplicaRole::Candidate { trial, leader, granted, blank, founding };
         let window = self.storage.window();
         let request = VoteRequest {
             term,
@@ -35,12 +40,24 @@
             trial,
             founding,
         };
-        for voter in self.voters.iter().filter(|voter| **voter != self.config.id) {
+        for voter in self.voters.ids().iter().filter(|voter| **voter != self.config.id) {
             self.late.push((voter.clone(), LogMessage::Vote(request.clone())));
         }
         self.count_votes(now);
     }
 
+    /// Returns the empty disks that are known at the start of an election: those that the trial found
+    /// if the election founds the log, else at most this replica's own.
+    fn known_blank(&mut self, founding: bool) -> BTreeMap<DaemonId, DiskId> {
+        if let ReplicaRole::Candidate { blank, .. } = &mut self.role
+            && founding
+        {
+            return std::mem::take(blank);
+        }
+        let disk = self.storage.vote().disk.filter(|_| self.is_blank());
+        disk.map(|disk| (self.config.id.clone(), disk)).into_iter().collect()
+    }
+
     /// Returns the leader whose silence leads to a trial. It leads until the trial has shown that a
     /// majority does not hear from it either.
     fn suspected_leader(&self, trial: bool) -> Option<DaemonId> {
@@ -51,7 +68,7 @@
     }
 
     pub(super) fn on_vote(&mut self, from: &DaemonId, request: &VoteRequest, now: Instant) {
-        if self.storage_fault().is_some() {
+        if self.storage_fault().is_some() || !self.storage.is_durable() {
             return;
         }
         let follows_leader = self.is_leader()
@@ -64,10 +81,6 @@
         if !request.trial && request.term > self.term() {
             self.step_down(request.term, None, now);
         }
-        if request.founding && self.is_blank() && self.storage.is_durable() && !request.trial {
-            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
-            self.save_vote(vote);
-        }
         let window = self.storage.window();
         let current =
             (request.last_term, request.last_index) >= (window.last_term(), window.last_index());
@@ -77,15 +90,15 @@
         // Of two simultaneous candidates, the one with the lower id has precedence, unless its
         // election started half an election timeout ago or earlier.
         let yields = !request.trial || !self.has_precedence(from, request, now);
-        let mut granted = current && free && yields && self.check_quorum_member();
+        let eligible = !request.founding || self.may_found();
+        let mut granted = current && free && yields && eligible;
         if granted && request.trial {
             // Gives the candidate time to be elected.
             self.reset_deadline(now);
         }
         if granted && !request.trial {
-            let term = request.term;
-            granted =
-                self.save_vote(VoteRecord { term, vote: Some(from.clone()), initialised: true });
+            let (term, vote) = (request.term, Some(from.clone()));
+            granted = self.save_vote(VoteRecord { term, vote, ..self.storage.vote().clone() });
             self.reset_deadline(now);
         }
         self.answer_vote(from, request, granted);
@@ -105,8 +118,9 @@
 
     pub(super) fn answer_vote(&mut self, from: &DaemonId, request: &VoteRequest, granted: bool) {
         let term = if granted { request.term } else { self.term() };
-        let blank = self.is_blank() && self.is_voter() && self.storage.is_durable();
-        let reply = VoteReply { term, granted, trial: request.trial, blank };
+        let blank = self.is_blank() && self.is_voter();
+        let disk = self.storage.vote().identity();
+        let reply = VoteReply { term, granted, trial: request.trial, blank, disk };
         self.late.push((from.clone(), LogMessage::VoteReply(reply)));
     }
 
@@ -116,15 +130,18 @@
         }
         let expected = Term(*self.term() + 1);
         let current_term = self.term();
+        let named = self.voters.counts(from, &reply.disk);
+        let may_found = self.may_found();
         let ReplicaRole::Candidate { trial, granted, blank, .. } = &mut self.role else { return };
         if *trial != reply.trial {
             return;
         }
-        if reply.blank {
-            blank.insert(from.clone());
+        if let (true, true, Some(disk)) = (*trial, reply.blank, reply.disk.id) {
+            blank.insert(from.clone(), disk);
         }
+        let empty = reply.disk.id.is_some() && blank.get(from).copied() == reply.disk.id;
         let term = if *trial { expected } else { current_term };
-        if reply.granted && reply.term == term {
+        if reply.granted && reply.term == term && (named || may_found && empty) {
             granted.insert(from.clone());
         }
         self.count_votes(now);
@@ -134,27 +151,31 @@
         let ReplicaRole::Candidate { trial, granted, blank, founding, .. } = &self.role else {
             return;
         };
-        let majority = self.voters.len() / 2 + 1;
-        let votes = self.voters.iter().filter(|voter| granted.contains(*voter)).count();
-        let all_blank = self.voters.iter().all(|voter| blank.contains(voter));
-        let (trial, founding) = (*trial, *founding);
-        if trial && all_blank && self.config.founding {
-            self.campaign(now, false, true);
-        } else if trial && votes >= majority && self.check_quorum_member() {
-            self.campaign(now, false, false);
-        } else if !trial && votes >= majority && self.check_quorum_member() {
-            self.lead(now, founding);
+        let votes = self.voters.ids().iter().filter(|voter| granted.contains(*voter)).count();
+        let all_blank = self.voters.ids().iter().all(|voter| blank.contains_key(voter));
+        let majority = votes >= self.voters.majority();
+        let elected = majority && self.is_quorum_member();
+        match (*trial, *founding) {
+            (true, _) if all_blank && self.may_found() => {
+                self.campaign(now, false, true);
+            }
+            (true, _) if elected => self.campaign(now, false, false),
+            (false, true) if majority => {
+                let founders = Electorate::new(self.voters.ids().to_vec(), blank.clone());
+                self.lead(now, founders.to_payload());
+            }
+            (false, false) if elected => self.lead(now, EntryPayload::Noop),
+            _ => {}
         }
     }
 
-    pub(super) fn lead(&mut self, now: Instant, founding: bool) {
+    fn lead(&mut self, now: Instant, first: EntryPayload) {
         let last = self.storage.window().last_index();
         let followers = self.followers();
         let elected_within = now.saturating_duration_since(self.last_election);
-        let role = LeaderRole::new(now, elected_within, followers.into_iter(), last, founding);
+        let role = LeaderRole::new(now, elected_within, followers.into_iter(), last);
         self.role = ReplicaRole::Leader(role);
-        let entry =
-            LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: EntryPayload::Noop };
+        let entry = LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: first };
         if self.append(&[entry]) {
             self.broadcast(now, true);
         }
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{BATCH_ENTRIES, HEARTBEATS_PER_ELECTION, LogReplica, ReplicaFault, ReplicaRole};
-use crate::storage::{LogStorage, VoteRecord};
+use crate::storage::LogStorage;
 
 impl<S: LogStorage> LogReplica<S> {
     pub(super) fn broadcast(&mut self, now: Instant, heartbeat: bool) {
@@ -35,7 +35,7 @@
         let window = self.storage.window();
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let confirmed = now.saturating_duration_since(role.confirmed);
-        let (round, founding) = (role.round, role.founding);
+        let round = role.round;
         let Some(progress) = role.progress.get_mut(to) else { return };
         let previous_index = LogIndex(progress.next.saturating_sub(1));
         let Some(previous_term) = window.term_at(previous_index) else {
@@ -62,7 +62,6 @@
             entries,
             commit,
             round,
-            founding: founding && !progress.counted,
             confirmed_ms: confirmed.as_millis() as u64,
         };
         self.early.push((to.clone(), LogMessage::Append(request)));
@@ -79,10 +78,6 @@
         self.step_down(request.term, Some(from.clone()), now);
         let confirmed = now.checked_sub(Duration::from_millis(request.confirmed_ms));
         self.confirmed = self.confirmed.max(confirmed);
-        if request.founding && self.is_blank() && self.storage.is_durable() {
-            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
-            self.save_vote(vote);
-        }
         let snapshot = self.storage.window().snapshot_index();
         let found = self.storage.window().term_at(request.previous_index);
         if request.previous_index >= snapshot && found != Some(request.previous_term) {
@@ -150,10 +145,8 @@
         matched: LogIndex,
         round: u64,
     ) {
-        // A learner's reply only updates its own progress, so it needs no disk. A
-        // voter's reply is counted in a quorum unless it states that it must not be.
-        let counts = !self.is_voter() || self.check_quorum_member();
-        let reply = AppendReply { term: self.term(), accepted, matched, counts, round };
+        let disk = self.storage.vote().identity();
+        let reply = AppendReply { term: self.term(), accepted, matched, disk, round };
         self.late.push((to.clone(), LogMessage::AppendReply(reply)));
     }
 
@@ -165,17 +158,10 @@
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let Some(progress) = role.progress.get_mut(from) else { return };
         progress.contact = Some(now);
-        progress.counts = Some(reply.counts);
-        if reply.counts {
-            progress.round = progress.round.max(reply.round);
-        } else {
-            progress.matched = LogIndex(0);
-        }
+        progress.record_disk(&reply.disk);
+        progress.round = progress.round.max(reply.round);
         if reply.accepted {
-            if reply.counts {
-                progress.matched = progress.matched.max(reply.matched);
-                progress.counted = true;
-            }
+            progress.matched = progress.matched.max(reply.matched);
             progress.next = progress.next.max(LogIndex(*reply.matched + 1));
             progress.snapshot_sent = None;
         } else {
--- a/crates/log/src/replica/voters.rs
+++ b/crates/log/src/replica/voters.rs
@@ -1,63 +1,131 @@
 //! The set of voters, and whether this replica may be counted in quorums.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use hollowbarrow_schema::{DaemonId, EntryPayload, LogIndex};
+use hollowbarrow_schema::{DaemonId, DiskId, EntryPayload, LogEntry, LogIndex};
+use tokio::time::Instant;
 
 use super::{LogReplica, ReplicaFault, ReplicaRole};
+use crate::electorate::Electorate;
 use crate::leader::FollowerProgress;
-use crate::storage::{LogStorage, VoteRecord};
+use crate::storage::LogStorage;
 
 impl<S: LogStorage> LogReplica<S> {
-    pub(super) fn may_propose(&self, payload: &EntryPayload) -> bool {
-        let EntryPayload::Voters(voters) = payload else { return true };
+    /// Returns the entry to append for a proposed payload, or none if the proposal is refused.
+    ///
+    /// Other voters are named with the disks that this leader has heard of. They are refused until an
+    /// entry of its own term is committed, so that no earlier change of the voters is still pending.
+    pub(super) fn prepare_payload(&self, payload: EntryPayload) -> Option<EntryPayload> {
+        match payload {
+            EntryPayload::Voters(voters) if self.may_change_voters(&voters) => {
+                self.name_disks(&voters).map(|electorate| electorate.to_payload())
+            }
+            EntryPayload::Voters(_) | EntryPayload::VoterSet(_) => None,
+            other => Some(other),
+        }
+    }
+
+    fn may_change_voters(&self, voters: &[DaemonId]) -> bool {
         let requested: BTreeSet<&DaemonId> = voters.iter().collect();
-        let current: BTreeSet<&DaemonId> = self.voters.iter().collect();
-        let pending = self
-            .storage
-            .window()
-            .entries_from(LogIndex(*self.commit + 1), usize::MAX)
-            .any(|entry| matches!(entry.payload, EntryPayload::Voters(_)));
+        let current: BTreeSet<&DaemonId> = self.voters.ids().iter().collect();
         // Current voters are known from the log; the settings may list neither them nor this daemon.
         let known = requested.difference(&current).all(|id| self.config.peers.contains(*id));
-        !pending
+        self.is_current()
+            && !self.is_voter_change_pending()
             && known
             && !requested.is_empty()
             && requested.symmetric_difference(&current).count() == 1
     }
 
+    /// Returns whether a change of the voters is not committed yet.
+    pub fn is_voter_change_pending(&self) -> bool {
+        let uncommitted =
+            self.storage.window().entries_from(LogIndex(*self.commit + 1), usize::MAX);
+        uncommitted.into_iter().any(|entry| Electorate::from_payload(&entry.payload).is_some())
+    }
+
+    /// Names the disks of voters; none if the disk of a new one is not known.
+    fn name_disks(&self, voters: &[DaemonId]) -> Option<Electorate> {
+        let mut disks = BTreeMap::new();
+        for voter in voters {
+            let named = self.voters.disks().get(voter).copied();
+            match named.or_else(|| self.heard_disk(voter)) {
+                Some(disk) => drop(disks.insert(voter.clone(), disk)),
+                None if self.voters.contains(voter) => {}
+                None => return None,
+            }
+        }
+        Some(Electorate::new(voters.to_vec(), disks))
+    }
+
+    /// Returns the disk from which a daemon last replied to this leader; none for a voter that may
+    /// not be counted with it.
+    fn heard_disk(&self, id: &DaemonId) -> Option<DiskId> {
+        let ReplicaRole::Leader(role) = &self.role else { return None };
+        let own = (*id == self.config.id).then(|| self.storage.vote().identity());
+        let disk = own.or_else(|| role.progress.get(id)?.disk.clone())?;
+        (!self.voters.contains(id) || self.voters.counts(id, &disk)).then_some(disk.id?)
+    }
+
+    /// Names the disks of voters that a log of an earlier release lists without them, as far as they
+    /// have replied.
+    pub(super) fn name_missing_disks(&mut self, now: Instant) {
+        let complete = self.voters.disks().len() == self.voters.ids().len();
+        if complete || !self.is_current() || self.is_voter_change_pending() {
+            return;
+        }
+        let Some(named) = self.name_disks(self.voters.ids()).filter(|set| *set != self.voters)
+        else {
+            return;
+        };
+        let index = LogIndex(*self.storage.window().last_index() + 1);
+        let entry = LogEntry { index, term: self.term(), payload: named.to_payload() };
+        if self.append(&[entry]) {
+            self.broadcast(now, false);
+        }
+    }
+
     pub(super) fn is_voter(&self) -> bool {
         self.voters.contains(&self.config.id)
     }
 
+    /// Returns whether this replica may be counted in quorums, as far as its own log tells.
+    pub(super) fn is_quorum_member(&self) -> bool {
+        self.storage_fault().is_none()
+            && self.voters.counts(&self.config.id, &self.storage.vote().identity())
+    }
+
+    /// Returns whether this replica may found a log with others whose logs are also empty.
+    pub(super) fn may_found(&self) -> bool {
+        self.storage.vote().founder
+            && self.is_blank()
+            && self.is_voter()
+            && self.storage_fault().is_none()
+    }
+
+    /// Updates the fault that follows from the voters that the log names.
+    pub(super) fn refresh_fault(&mut self) {
+        if self.storage_fault().is_some() {
+            return;
+        }
+        self.fault = if !self.is_voter() || self.is_quorum_member() || self.may_found() {
+            None
+        } else if !self.storage.is_durable() {
+            Some(ReplicaFault::NoDisk)
+        } else {
+            Some(ReplicaFault::LostDisk)
+        };
+    }
+
     /// Reads the voters from the latest entry that changes them, else from the snapshot, else from
     /// the settings.
     pub(super) fn refresh_voters(&mut self) {
-        let window = self.storage.window();
-        let named = window.newest_first().find_map(|entry| match &entry.payload {
-            EntryPayload::Voters(voters) => Some(voters),
-            _ => None,
-        });
-        let voters = named
-            .or_else(|| window.snapshot().map(|snapshot| &snapshot.voters))
-            .unwrap_or(&self.config.first_voters)
-            .clone();
-        self.set_voters(voters);
+        self.set_voters(self.voters_at(self.storage.window().last_index()));
     }
 
-    pub(super) fn set_voters(&mut self, voters: Vec<DaemonId>) {
-        // Before this replica has caught up, it may read old entries: an entry that adds it as a
-        // voter may be from before its disk was lost, and it may have voted since.
-        let admissible = self.config.founding || self.complete.is_some();
-        let joined = admissible
-            && voters.contains(&self.config.id)
-            && !self.voters.is_empty()
-            && !self.voters.contains(&self.config.id);
+    pub(super) fn set_voters(&mut self, voters: Electorate) {
         self.voters = voters;
-        if joined && !self.storage.vote().initialised {
-            let vote = VoteRecord { initialised: true, ..self.storage.vote().clone() };
-            self.save_vote(vote);
-        }
+        self.refresh_fault();
         self.track_followers();
     }
 
@@ -74,42 +142,18 @@
     /// Returns the daemons to which this replica sends entries as leader.
     pub(super) fn followers(&self) -> BTreeSet<DaemonId> {
         let learners = self.config.peers.iter().filter(|_| self.config.learners);
-        learners.chain(&self.voters).filter(|id| **id != self.config.id).cloned().collect()
+        learners.chain(self.voters.ids()).filter(|id| **id != self.config.id).cloned().collect()
     }
 
-    pub(super) fn voters_at(&self, index: LogIndex) -> Vec<DaemonId> {
+    /// Returns the voters that the log names up to an index.
+    pub(super) fn voters_at(&self, index: LogIndex) -> Electorate {
         let window = self.storage.window();
-        let named =
-            window.newest_first().filter(|entry| entry.index <= index).find_map(
-                |entry| match &entry.payload {
-                    EntryPayload::Voters(voters) => Some(voters),
-                    _ => None,
-                },
-            );
+        let named = window
+            .newest_first()
+            .filter(|entry| entry.index <= index)
+            .find_map(|entry| Electorate::from_payload(&entry.payload));
         named
-            .or_else(|| window.snapshot().map(|snapshot| &snapshot.voters))
-            .unwrap_or(&self.config.first_voters)
-            .clone()
-    }
-
-    /// Returns whether this replica may be counted in a quorum; records the fault if it is a voter
-    /// that may not.
-    pub(super) fn check_quorum_member(&mut self) -> bool {
-        if self.storage_fault().is_some() {
-            return false;
-        }
-        self.fault = None;
-        if !self.is_voter() {
-            return false;
-        }
-        if !self.storage.is_durable() {
-            self.fault = Some(ReplicaFault::NoDisk);
-            return false;
-        }
-        if !self.storage.vote().initialised {
-            self.fault = Some(ReplicaFault::LostDisk);
-            return false;
-        }
-        true
+            .or_else(|| window.snapshot().map(Electorate::from_snapshot))
+            .unwrap_or_else(|| Electorate::without_disks(&self.config.first_voters))
     }
 }
--- a/crates/log/src/storage.rs
+++ b/crates/log/src/storage.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::path::PathBuf;
 
-use hollowbarrow_schema::{DaemonId, LogEntry, LogIndex, LogSnapshot, Term};
+use hollowbarrow_schema::{DaemonId, DiskId, DiskIdentity, LogEntry, LogIndex, LogSnapshot, Term};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -48,8 +48,23 @@
     pub term: Term,
     /// Candidate that this voter voted for in that term.
     pub vote: Option<DaemonId>,
-    /// Whether this disk has ever been part of the log's quorum.
+    /// Whether an earlier release recorded that this disk was part of the log's quorum.
     pub initialised: bool,
+    /// Id of this disk, drawn when the record is first written. It is stored with the votes, so that
+    /// a disk that has forgotten them has another id.
+    #[serde(default)]
+    pub disk: Option<DiskId>,
+    /// Whether that id was drawn while the log was being founded, so that the disk may vote in an
+    /// election that founds it. One that was emptied later has forgotten such votes.
+    #[serde(default)]
+    pub founder: bool,
+}
+
+impl VoteRecord {
+    /// Returns the identity that replies carry.
+    pub fn identity(&self) -> DiskIdentity {
+        DiskIdentity { id: self.disk, initialised: self.initialised }
+    }
 }
 
 /// Storage of one replica of a log.
--- a/crates/log/tests/driver.rs
+++ b/crates/log/tests/driver.rs
@@ -48,6 +48,7 @@
         index: LogIndex(20),
         term: Term(1),
         voters: ids[1..].to_vec(),
+        disks: Vec::new(),
         state: b"newest".to_vec(),
     };
     let request = SnapshotRequest { term: Term(1), snapshot };
--- a/crates/log/tests/elections.rs
+++ b/crates/log/tests/elections.rs
@@ -35,10 +35,16 @@
         .with_seed(seed ^ u64::from(id.as_bytes()[0]));
     let mut storage = MemoryStorage::new().with_durable(true);
     if let Some(index) = kept {
-        let vote = VoteRecord { term: Term(3), vote: None, initialised: true };
+        let vote =
+            VoteRecord { term: Term(3), vote: None, initialised: true, disk: None, founder: false };
         storage.set_vote(vote).expect("memory takes it");
-        let snapshot =
-            LogSnapshot { index: index.into(), term: Term(3), voters: ids(), state: Vec::new() };
+        let snapshot = LogSnapshot {
+            index: index.into(),
+            term: Term(3),
+            voters: ids(),
+            disks: Vec::new(),
+            state: Vec::new(),
+        };
         storage.install_snapshot(snapshot).expect("memory takes it");
     }
     LogReplica::new(config, storage, now)
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_log::{LogReplica, MemoryStorage, ReplicaConfig, ReplicaFault};
+use hollowbarrow_log::{
+    LogReplica, LogStorage, MemoryStorage, ReplicaConfig, ReplicaFault, VoteRecord,
+};
 use hollowbarrow_schema::{
     AppendRequest, DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot,
     SnapshotRequest, Term,
@@ -262,6 +264,57 @@
     assert_eq!(cluster.replicas[&wiped].commit(), cluster.leader().commit());
 }
 
+/// A voter as an earlier release left it: its log names the voters without disks, and its vote file
+/// says that the disk was part of the quorum.
+fn replica_of_earlier_release(id: &DaemonId) -> LogReplica<MemoryStorage> {
+    let mut storage = MemoryStorage::new().with_durable(true);
+    let vote = VoteRecord { term: Term(1), vote: None, initialised: true, ..VoteRecord::default() };
+    storage.set_vote(vote).expect("memory takes it");
+    let payload = EntryPayload::Voters(ids());
+    let entry = LogEntry { index: LogIndex(1), term: Term(1), payload };
+    storage.append(&[entry]).expect("memory takes it");
+    LogReplica::new(config_of(id, false), storage, Instant::now())
+}
+
+/// An upgrade must neither stop the log nor let a disk count that was emptied meanwhile.
+#[rstest]
+#[case::emptied_before_upgrade(true)]
+#[case::emptied_after_upgrade(false)]
+fn wiped_voter_of_earlier_release(#[case] before: bool) {
+    let mut cluster = Cluster::with_replicas(replica_of_earlier_release);
+    let wiped = ids()[2].clone();
+    if before {
+        cluster.replicas.insert(wiped.clone(), replica_of(&wiped, false));
+    }
+    cluster.run(100);
+    if !before {
+        cluster.replicas.insert(wiped.clone(), replica_of(&wiped, false));
+        cluster.run(100);
+    }
+    assert_eq!(cluster.leader().uncounted_voters(), [wiped.clone()]);
+    assert!(matches!(cluster.replicas[&wiped].fault(), Some(ReplicaFault::LostDisk)));
+    cluster.propose(EntryPayload::Voters(ids()[..2].to_vec()));
+    cluster.run(20);
+    cluster.propose(EntryPayload::Voters(ids()));
+    cluster.run(20);
+    assert_eq!(cluster.leader().uncounted_voters(), []);
+    assert!(cluster.replicas[&wiped].fault().is_none(), "the voter counts again");
+}
+
+/// A vote of a disk that the candidate's log does not name must not elect it.
+#[rstest]
+fn vote_of_wiped_disk_not_counted() {
+    let mut cluster = Cluster::new();
+    cluster.run(100);
+    let leader = cluster.leader().id().clone();
+    let wiped = ids().into_iter().find(|id| *id != leader).expect("there are three");
+    cluster.replicas.insert(wiped.clone(), replica_of(&wiped, false));
+    cluster.replicas.remove(&leader);
+    cluster.run(500);
+    let led = cluster.replicas.values().filter(|replica| replica.is_leader()).count();
+    assert_eq!(led, 0, "one disk of three is no majority");
+}
+
 /// Append request of a leader of term 2 with the entries after `previous` up to `last`.
 fn append(previous: u64, last: u64, commit: u64, term_of_last: u64) -> LogMessage {
     let entry = |index: u64| {
@@ -275,7 +328,6 @@
         entries: (previous + 1..=last).map(entry).collect(),
         commit: LogIndex(commit),
         round: 1,
-        founding: false,
         confirmed_ms: 0,
     })
 }
@@ -291,8 +343,13 @@
 fn complete_after_snapshot(#[case] next: LogMessage, #[case] complete: bool) {
     let mut replica = replica(false);
     let leader = ids()[1].clone();
-    let snapshot =
-        LogSnapshot { index: LogIndex(20), term: Term(1), voters: ids(), state: Vec::new() };
+    let snapshot = LogSnapshot {
+        index: LogIndex(20),
+        term: Term(1),
+        voters: ids(),
+        disks: Vec::new(),
+        state: Vec::new(),
+    };
     let request = SnapshotRequest { term: Term(2), snapshot };
     replica.step(&leader, LogMessage::Snapshot(request), Instant::now());
     replica.step(&leader, append(40, 40, 40, 2), Instant::now());
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -4,9 +4,10 @@
 use std::path::Path;
 
 use hollowbarrow_log::{FileStorage, LogStorage, StoreLogError, VoteRecord};
-use hollowbarrow_schema::{EntryPayload, LogEntry, LogIndex, LogSnapshot, Term};
+use hollowbarrow_schema::{DaemonId, EntryPayload, LogEntry, LogIndex, LogSnapshot, Term};
 use proptest::prelude::*;
 use rstest::rstest;
+use serde::Serialize;
 
 fn entry(index: u64) -> LogEntry {
     LogEntry { index: LogIndex(index), term: Term(1), payload: EntryPayload::Noop }
@@ -33,7 +34,13 @@
 #[rstest]
 fn open_after_restart() {
     let folder = tempfile::tempdir().expect("a folder can be made");
-    let vote = VoteRecord { term: Term(3), vote: Some("v1".into()), initialised: true };
+    let vote = VoteRecord {
+        term: Term(3),
+        vote: Some("v1".into()),
+        initialised: true,
+        disk: None,
+        founder: false,
+    };
     filled(folder.path(), 5).set_vote(vote.clone()).expect("the disk works");
     let storage = FileStorage::open(folder.path()).expect("the folder opens again");
     assert_eq!(storage.window().last_index(), LogIndex(5));
@@ -100,6 +107,7 @@
         index: LogIndex(7),
         term: Term(1),
         voters: vec!["v1".into()],
+        disks: Vec::new(),
         state: vec![1, 2, 3],
     };
     storage.install_snapshot(snapshot.clone()).expect("the disk works");
@@ -112,3 +120,33 @@
     assert_eq!(storage.window().len(), 4);
     assert_eq!(storage.window().last_index(), LogIndex(11));
 }
+
+/// The vote record of earlier releases.
+#[derive(Serialize)]
+struct EarlierVoteRecord {
+    term: Term,
+    vote: Option<DaemonId>,
+    initialised: bool,
+}
+
+/// A vote file of an earlier release is read, and gets no disk id by being read.
+#[rstest]
+fn open_vote_of_earlier_release() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let earlier = EarlierVoteRecord { term: Term(3), vote: Some("v1".into()), initialised: true };
+    let mut body = Vec::new();
+    ciborium::into_writer(&earlier, &mut body).expect("writing to memory does not fail");
+    let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
+    bytes.extend(crc32fast::hash(&body).to_le_bytes());
+    bytes.extend(body);
+    std::fs::write(folder.path().join("vote"), bytes).expect("the file can be written");
+    let storage = FileStorage::open(folder.path()).expect("the folder is readable");
+    let expected = VoteRecord {
+        term: earlier.term,
+        vote: earlier.vote,
+        initialised: true,
+        disk: None,
+        founder: false,
+    };
+    assert_eq!(*storage.vote(), expected);
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -135,8 +135,7 @@
 #[serde(deny_unknown_fields)]
 pub struct AppendReply {
     pub accepted: bool,
-    ///False if the sender is a voter that must not be counted in a quorum, for example because it lost its disk.
-    pub counts: bool,
+    pub disk: DiskIdentity,
     pub matched: LogIndex,
     pub round: u64,
     pub term: Term,
@@ -155,8 +154,6 @@
     ///Milliseconds since a majority last confirmed the leader.
     pub confirmed_ms: u64,
     pub entries: ::std::vec::Vec<LogEntry>,
-    ///True in the first term of a log, in messages to a voter that has not acknowledged anything yet.
-    pub founding: bool,
     pub previous_index: LogIndex,
     pub previous_term: Term,
     ///Heartbeat round, echoed in the reply.
@@ -574,8 +571,6 @@
     pub gateways: u32,
     ///Sums over those gateways; sent to the leader only, or to all controllers while no leader is known; none in other messages.
     pub loads: ::std::option::Option<::std::vec::Vec<WorkerLoad>>,
-    ///True if the controller restarted with an empty disk and must be admitted again as a voter.
-    pub lost_disk: bool,
     ///True once any gateway has reported load at a worker, to this controller or to another one.
     pub served: bool,
     ///Hash over the controller's table of workers.
@@ -723,6 +718,88 @@
         value.clone()
     }
 }
+///Random number that identifies the content of one data folder; a folder that was emptied gets another one.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct DiskId(pub u64);
+impl ::std::ops::Deref for DiskId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<DiskId> for u64 {
+    fn from(value: DiskId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&DiskId> for DiskId {
+    fn from(value: &DiskId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for DiskId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for DiskId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for DiskId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for DiskId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for DiskId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for DiskId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///Identity of the disk behind an answer.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DiskIdentity {
+    ///None for a daemon without a disk.
+    pub id: ::std::option::Option<DiskId>,
+    ///True if an earlier release recorded that the disk was part of the log's quorum.
+    pub initialised: bool,
+}
+impl ::std::convert::From<&DiskIdentity> for DiskIdentity {
+    fn from(value: &DiskIdentity) -> Self {
+        value.clone()
+    }
+}
 ///Name of a fabric domain; a replica never spans two.
 ///
 #[derive(
@@ -796,6 +873,8 @@
     Noop,
     #[serde(rename = "voters")]
     Voters(::std::vec::Vec<DaemonId>),
+    #[serde(rename = "voter_set")]
+    VoterSet(VoterSet),
     #[serde(rename = "config")]
     Config(ConfigChange),
     #[serde(rename = "claim")]
@@ -813,6 +892,11 @@
         Self::Voters(value)
     }
 }
+impl ::std::convert::From<VoterSet> for EntryPayload {
+    fn from(value: VoterSet) -> Self {
+        Self::VoterSet(value)
+    }
+}
 impl ::std::convert::From<ConfigChange> for EntryPayload {
     fn from(value: ConfigChange) -> Self {
         Self::Config(value)
@@ -1659,6 +1743,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct LogSnapshot {
+    ///Disks with which the voters were admitted; none for voters of logs that earlier releases wrote.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub disks: ::std::vec::Vec<VoterDisk>,
     pub index: LogIndex,
     pub state: ::std::vec::Vec<u8>,
     pub term: Term,
@@ -3409,6 +3496,7 @@
 pub struct VoteReply {
     ///True if the voter's log is empty.
     pub blank: bool,
+    pub disk: DiskIdentity,
     pub granted: bool,
     pub term: Term,
     pub trial: bool,
@@ -3423,7 +3511,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct VoteRequest {
-    ///True if the log of every voter was found to be empty, so that a voter that has never voted may vote.
+    ///True if the log of every voter was found to be empty and this election founds the log.
     pub founding: bool,
     pub last_index: LogIndex,
     pub last_term: Term,
@@ -3458,6 +3546,33 @@
         }
     }
 }
+///Disk with which a voter was admitted.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct VoterDisk {
+    pub disk: DiskId,
+    pub voter: DaemonId,
+}
+impl ::std::convert::From<&VoterDisk> for VoterDisk {
+    fn from(value: &VoterDisk) -> Self {
+        value.clone()
+    }
+}
+///The voters of a log. A voter counts in quorums only with the disk named here.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct VoterSet {
+    ///Disks of the voters; none for voters of logs that earlier releases wrote.
+    pub disks: ::std::vec::Vec<VoterDisk>,
+    pub voters: ::std::vec::Vec<DaemonId>,
+}
+impl ::std::convert::From<&VoterSet> for VoterSet {
+    fn from(value: &VoterSet) -> Self {
+        value.clone()
+    }
+}
 ///A renewed registration without changed content.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
