Test that lost disks lose nothing and that all voters count again

A simulation with seeds: disks are lost one after the other, up to as many as the voters bear, with lost, late and reordered messages, cuts, and losses of power; then all count, and as many disks are lost again with all power.

- A leader counts replies of an earlier term.

No acknowledged entry was lost and no term had two leaders in the simulation.

--- a/crates/log/tests/support/mod.rs
+++ b/crates/log/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod disk;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollowbarrow_log::{LogReplica, ReplicaConfig, ReplicaFault};
@@ -25,7 +26,7 @@
 /// Step of the virtual clock.
 const STEP: Duration = Duration::from_millis(5);
 /// Time from a voter's admission within which the harness does not remove it again.
-const READMISSION_PAUSE: Duration = Duration::from_millis(600);
+const READMISSION_PAUSE: Duration = Duration::from_secs(1);
 
 /// Behaviour of the network.
 #[derive(Clone, Copy, Debug)]
@@ -90,6 +91,8 @@
     index: LogIndex,
     term: Term,
     id: DaemonId,
+    /// Number of disks that the daemon had lost when the change was proposed.
+    disks_lost: u64,
     admission: bool,
 }
 
@@ -100,6 +103,8 @@
     pub network: Network,
     pub voters: Vec<DaemonId>,
     pub learners: Vec<DaemonId>,
+    /// Voters and learners.
+    all: Arc<[DaemonId]>,
     /// Whether the current leader removes and admits voters that it does not count.
     pub readmits: bool,
     /// Messages that a daemon in [`Cluster::holding`] has sent.
@@ -122,7 +127,10 @@
     cuts: BTreeMap<(DaemonId, DaemonId), Instant>,
     leaders: BTreeMap<Term, (DaemonId, u64)>,
     changes: Vec<Change>,
+    /// When the admission of a daemon's current disk was committed.
     admitted: BTreeMap<DaemonId, Instant>,
+    /// Daemons whose disk was lost, and which were not proposed as voters since.
+    forgotten: BTreeSet<DaemonId>,
     proposed: u64,
 }
 
@@ -172,6 +180,7 @@
             network,
             voters: named("v", voters),
             learners: named("w", learners),
+            all: named("v", voters).into_iter().chain(named("w", learners)).collect(),
             readmits: false,
             held: Vec::new(),
             holding: BTreeSet::new(),
@@ -187,10 +196,11 @@
             leaders: BTreeMap::new(),
             changes: Vec::new(),
             admitted: BTreeMap::new(),
+            forgotten: BTreeSet::new(),
             proposed: 0,
         };
-        for id in cluster.all() {
-            let durable = cluster.voters.contains(&id);
+        for id in cluster.all().iter() {
+            let durable = cluster.voters.contains(id);
             let node = Node {
                 replica: None,
                 disk: Some(CrashStorage::new(durable)),
@@ -199,7 +209,7 @@
                 unsynced: false,
             };
             cluster.nodes.insert(id.clone(), node);
-            cluster.start(&id, true);
+            cluster.start(id, true);
         }
         cluster
     }
@@ -213,8 +223,9 @@
         cluster
     }
 
-    fn all(&self) -> Vec<DaemonId> {
-        self.voters.iter().chain(&self.learners).cloned().collect()
+    /// Returns all daemons.
+    pub fn all(&self) -> Arc<[DaemonId]> {
+        Arc::clone(&self.all)
     }
 
     /// Starts a stopped daemon with the disk that it has.
@@ -244,6 +255,18 @@
         let node = self.nodes.get_mut(id).expect("known");
         node.disk = Some(CrashStorage::new(true));
         node.disks_lost += 1;
+        self.admitted.remove(id);
+        self.forgotten.insert(id.clone());
+    }
+
+    /// Lets a daemon count that lost its disk while the log was founded, without an admission.
+    pub fn let_found(&mut self, id: &DaemonId) {
+        self.forgotten.remove(id);
+    }
+
+    /// Returns whether a daemon that lost its disk counts again since its admission was committed.
+    pub fn is_readmitted(&self, id: &DaemonId) -> bool {
+        self.admitted.contains_key(id) && self.counts(id)
     }
 
     pub fn is_running(&self, id: &DaemonId) -> bool {
@@ -283,7 +306,8 @@
 
     /// Returns whether a leader counts every voter and has heard from it recently.
     pub fn all_count(&self) -> bool {
-        let Some(leader) = self.leader() else { return false };
+        let healthy = self.running().all(|replica| replica.fault().is_none());
+        let Some(leader) = self.leader().filter(|_| healthy) else { return false };
         let heard = self.replica(&leader).counted_voters(ELECTION * 2, self.now);
         heard == self.voters.len() && self.voters.iter().all(|id| self.counts(id))
     }
@@ -302,8 +326,8 @@
     /// Cuts a daemon off from all others; messages on their way are lost.
     pub fn isolate(&mut self, id: &DaemonId) {
         let far = self.now + Duration::from_secs(3600);
-        for other in self.all() {
-            self.cut_until(id, &other, far);
+        for other in self.all().iter() {
+            self.cut_until(id, other, far);
         }
         self.in_flight.retain(|_, packet| packet.from != *id && packet.to != *id);
     }
@@ -332,8 +356,8 @@
     pub fn calm(&mut self) {
         self.mend();
         self.network = Network::CALM;
-        for id in self.all() {
-            self.start(&id, false);
+        for id in self.all().iter() {
+            self.start(id, false);
         }
     }
 
@@ -341,21 +365,20 @@
     pub fn propose(&mut self) -> Option<LogIndex> {
         self.proposed += 1;
         let leader = self.leader()?;
-        self.propose_at(&leader, payload(self.proposed))
+        self.propose_at(&leader, vec![payload(self.proposed)])
     }
 
-    /// Proposes several entries at one replica.
-    pub fn propose_many_at(&mut self, id: &DaemonId, count: usize) {
-        for _ in 0..count {
-            self.proposed += 1;
-            self.propose_at(id, payload(self.proposed));
-        }
+    /// Proposes several entries at once at one replica, which sends them in one message.
+    pub fn propose_many_at(&mut self, id: &DaemonId, count: u64) {
+        let payloads = (1..=count).map(|number| payload(self.proposed + number)).collect();
+        self.proposed += count;
+        self.propose_at(id, payloads);
     }
 
-    fn propose_at(&mut self, id: &DaemonId, payload: EntryPayload) -> Option<LogIndex> {
+    fn propose_at(&mut self, id: &DaemonId, payloads: Vec<EntryPayload>) -> Option<LogIndex> {
         let now = self.now;
         let node = self.nodes.get_mut(id).expect("known");
-        let index = node.replica.as_mut().and_then(|replica| replica.propose(vec![payload], now));
+        let index = node.replica.as_mut().and_then(|replica| replica.propose(payloads, now));
         self.settle(id);
         index
     }
@@ -370,8 +393,12 @@
         if admission {
             voters.push(id.clone());
         }
-        let index = self.propose_at(&leader, EntryPayload::Voters(voters))?;
-        self.changes.push(Change { index, term, id: id.clone(), admission });
+        let index = self.propose_at(&leader, vec![EntryPayload::Voters(voters)])?;
+        if admission {
+            self.forgotten.remove(id);
+        }
+        let disks_lost = self.nodes[id].disks_lost;
+        self.changes.push(Change { index, term, id: id.clone(), disks_lost, admission });
         Some(index)
     }
 
@@ -405,8 +432,8 @@
 
     /// Replaces the applied entries of all replicas by snapshots.
     pub fn compact_all(&mut self) {
-        for id in self.all() {
-            self.compact(&id);
+        for id in self.all().iter() {
+            self.compact(id);
         }
     }
 
@@ -433,32 +460,48 @@
             if self.now >= started + limit {
                 return None;
             }
-            self.step();
+            self.step(started + limit);
         }
         Some(self.now - started)
     }
 
-    fn step(&mut self) {
+    /// Returns when a message arrives or a replica's deadline passes next, if nothing else is due.
+    fn next_event(&self) -> Option<Instant> {
+        let busy = self.readmits || self.network.unsynced > 0.0;
+        if busy || self.nodes.values().any(|node| node.unsynced) {
+            return None;
+        }
+        let arrival = self.in_flight.first_key_value().map(|((at, _), _)| *at);
+        self.running().map(|replica| replica.next_deadline()).chain(arrival).min()
+    }
+
+    /// Advances the clock by a step, or by several of them, up to `limit`, while nothing happens.
+    fn step(&mut self, limit: Instant) {
         self.now += STEP;
+        let next = self.next_event().unwrap_or(self.now);
+        while self.now < next && self.now < limit {
+            self.now += STEP;
+        }
         while let Some(next) = self.in_flight.first_entry().filter(|next| next.key().0 <= self.now)
         {
             let packet = next.remove();
             self.deliver(packet);
         }
         let now = self.now;
-        for id in self.all() {
+        for id in self.all().iter() {
             let lazy = self.network.unsynced > 0.0 && self.rng.random_bool(self.network.unsynced);
-            let node = self.nodes.get_mut(&id).expect("known");
+            let node = self.nodes.get_mut(id).expect("known");
             let Some(replica) = &mut node.replica else { continue };
             if replica.next_deadline() <= now {
                 replica.tick(now);
                 node.unsynced = true;
             }
             if node.unsynced && !lazy {
-                self.settle(&id);
+                self.settle(id);
             }
         }
         self.note_changes();
+        self.check_forgotten();
         if self.readmits {
             self.readmit();
         }
@@ -571,7 +614,10 @@
             let entry = self.list.get(*change.index as usize - 1);
             match entry.map(|entry| entry.term == change.term) {
                 None => self.changes.push(change),
-                Some(true) if change.admission => {
+                Some(true)
+                    if change.admission
+                        && change.disks_lost == self.nodes[&change.id].disks_lost =>
+                {
                     self.admitted.insert(change.id, self.now);
                 }
                 Some(_) => {}
@@ -579,6 +625,19 @@
         }
     }
 
+    /// Checks that no replica that lost its disk counts itself before it is proposed as a voter.
+    fn check_forgotten(&mut self) {
+        for id in &self.forgotten {
+            let node = &self.nodes[id];
+            let Some(replica) = node.replica.as_ref().filter(|_| !node.unsynced) else { continue };
+            let voter = replica.voters().contains(id) && replica.fault().is_none();
+            if voter || replica.is_leader() {
+                let seen = format!("{} lost its disk and counts before its admission", **id);
+                self.broken.get_or_insert(seen);
+            }
+        }
+    }
+
     /// Removes and admits voters as a leader does: it admits those that are no voters and from which
     /// it has heard, and removes one that it does not count.
     fn readmit(&mut self) {
