Ignore acknowledgements of earlier terms

A leader that is elected again counted acknowledgements that it had been sent in an earlier term, for entries that other ones had replaced since, and committed entries that no majority held. A reply carries the follower's term, which is the leader's for every answer to a message of this term, so a lower one is an answer to an earlier leadership.

--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -154,6 +154,10 @@
         if reply.term > self.term() {
             return self.step_down(reply.term, None, now);
         }
+        // In an earlier term other entries may have had the same indexes.
+        if reply.term < self.term() {
+            return;
+        }
         let last = self.storage.window().last_index();
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let Some(progress) = role.progress.get_mut(from) else { return };
