Drop delayed acknowledgements of a disk that was replaced

A leader that got a delayed reply of a voter's former disk took the voter's new one for lost, or named the former one in the admission: the voter did not count, and the next lost disk left no majority.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -22,6 +22,8 @@
     pub(crate) contact: Option<Instant>,
     /// Latest heartbeat round that the follower echoed with that disk.
     pub(crate) round: u64,
+    /// Latest heartbeat round that the follower echoed with any disk.
+    pub(crate) heard_round: u64,
     /// Time at which a snapshot was last sent, so that it is not sent with each heartbeat.
     pub(crate) snapshot_sent: Option<Instant>,
 }
@@ -123,16 +125,25 @@
             matched: LogIndex(0),
             contact: None,
             round: 0,
+            heard_round: 0,
             snapshot_sent: None,
         }
     }
 
-    /// Records the disk of a reply. What another disk of the same follower had reached is dropped.
-    pub(crate) fn record_disk(&mut self, disk: &DiskIdentity) {
-        if self.disk.as_ref().is_some_and(|known| known.id != disk.id) {
+    /// Records the disk of a reply and the round that it echoes; returns false for a delayed reply of
+    /// a disk that the follower has replaced since. What a replaced disk had reached is dropped.
+    pub(crate) fn record_disk(&mut self, disk: &DiskIdentity, round: u64) -> bool {
+        let replaced = self.disk.as_ref().is_some_and(|known| known.id != disk.id);
+        if replaced && round < self.heard_round {
+            return false;
+        }
+        if replaced {
             self.matched = LogIndex(0);
             self.round = 0;
         }
         self.disk = Some(disk.clone());
+        self.round = self.round.max(round);
+        self.heard_round = self.heard_round.max(round);
+        true
     }
 }
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -44,7 +44,7 @@
                 .is_none_or(|sent| now.saturating_duration_since(sent) > self.config.election);
             if let (true, Some(snapshot)) = (due, window.snapshot()) {
                 progress.snapshot_sent = Some(now);
-                let request = SnapshotRequest { term, snapshot: snapshot.clone() };
+                let request = SnapshotRequest { term, round, snapshot: snapshot.clone() };
                 self.early.push((to.clone(), LogMessage::Snapshot(request)));
             }
             return;
@@ -161,9 +161,10 @@
         let last = self.storage.window().last_index();
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let Some(progress) = role.progress.get_mut(from) else { return };
+        if !progress.record_disk(&reply.disk, reply.round) {
+            return;
+        }
         progress.contact = Some(now);
-        progress.record_disk(&reply.disk);
-        progress.round = progress.round.max(reply.round);
         if reply.accepted {
             progress.matched = progress.matched.max(reply.matched);
             progress.next = progress.next.max(LogIndex(*reply.matched + 1));
@@ -219,6 +220,6 @@
             self.commit = index;
             self.installed = true;
         }
-        self.answer_append(from, true, self.commit, 0);
+        self.answer_append(from, true, self.commit, request.round);
     }
 }
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -350,7 +350,7 @@
         disks: Vec::new(),
         state: Vec::new(),
     };
-    let request = SnapshotRequest { term: Term(2), snapshot };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
     replica.step(&leader, LogMessage::Snapshot(request), Instant::now());
     replica.step(&leader, append(40, 40, 40, 2), Instant::now());
     assert!(replica.confirmed().is_some(), "the leader is confirmed");
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -3183,6 +3183,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct SnapshotRequest {
+    ///Heartbeat round, echoed in the reply.
+    pub round: u64,
     pub snapshot: LogSnapshot,
     pub term: Term,
 }
