Refuse an intact record that cannot be decoded

A record with a good checksum that this release cannot decode was taken for a torn tail and cut off when it was the last one, with the acknowledged entry that it holds: a release that goes back would drop entries silently, which the new kind of voters' entry makes possible. Opening now fails with its place, and leaves the file as it is.

--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -9,7 +9,7 @@
 //! Invariants: after a crash the last segment may end with a torn record, which
 //! is cut off when the segment is opened. An invalid record that is followed by
 //! a valid one is damage: opening fails, because cutting there could drop
-//! acknowledged entries.
+//! acknowledged entries. It also fails at an intact record that cannot be decoded.
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
@@ -216,10 +216,7 @@
         .map_err(|e| access("read", path, e))?;
     let mut offset = 0;
     while offset < bytes.len() {
-        let record = framed_at(&bytes, offset).and_then(|body| {
-            ciborium::from_reader::<SegmentRecord, _>(body).ok().zip(Some(body.len()))
-        });
-        let Some((record, length)) = record else {
+        let Some(body) = framed_at(&bytes, offset).filter(|body| !body.is_empty()) else {
             if !last || has_record_after(&bytes, offset) {
                 return Err(StoreLogError::DamagedRecord {
                     path: path.to_owned(),
@@ -228,8 +225,11 @@
             }
             return cut_tail(path, offset as u64);
         };
+        let record = ciborium::from_reader::<SegmentRecord, _>(body).map_err(|_| {
+            StoreLogError::UnknownRecord { path: path.to_owned(), offset: offset as u64 }
+        })?;
         apply_record(record, window)?;
-        offset += HEADER_BYTES + length;
+        offset += HEADER_BYTES + body.len();
     }
     Ok(())
 }
@@ -248,11 +248,8 @@
 /// Returns whether a valid record starts anywhere after an invalid one. A torn write cannot leave
 /// that.
 fn has_record_after(bytes: &[u8], invalid: usize) -> bool {
-    (invalid + 1..bytes.len()).any(|offset| {
-        framed_at(bytes, offset).is_some_and(|body| {
-            !body.is_empty() && ciborium::from_reader::<SegmentRecord, _>(body).is_ok()
-        })
-    })
+    (invalid + 1..bytes.len())
+        .any(|offset| framed_at(bytes, offset).is_some_and(|body| !body.is_empty()))
 }
 
 fn cut_tail(path: &Path, length: u64) -> Result<(), StoreLogError> {
--- a/crates/log/src/storage.rs
+++ b/crates/log/src/storage.rs
@@ -28,6 +28,14 @@
         /// Start of the record in bytes.
         offset: u64,
     },
+    /// A record is intact and cannot be decoded: another release may have written it.
+    #[error("unknown record at byte {offset} of {path}", path = path.display())]
+    UnknownRecord {
+        /// File that holds the record.
+        path: PathBuf,
+        /// Start of the record in bytes.
+        offset: u64,
+    },
     /// The index of an entry does not follow that of the previous entry.
     #[error("found entry {found} where entry {expected} was expected")]
     BrokenOrder {
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -121,6 +121,31 @@
     assert_eq!(storage.window().last_index(), LogIndex(11));
 }
 
+/// Returns a record as the files of a log hold it.
+fn framed(record: &impl Serialize) -> Vec<u8> {
+    let mut body = Vec::new();
+    ciborium::into_writer(record, &mut body).expect("writing to memory does not fail");
+    let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
+    bytes.extend(crc32fast::hash(&body).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+/// An intact record of another release at the end of the log was cut off like a torn one, with the
+/// acknowledged entry that it held.
+#[rstest]
+fn open_unknown_record() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    drop(filled(folder.path(), 10));
+    let path = segment(folder.path());
+    let mut bytes = std::fs::read(&path).expect("the segment is readable");
+    bytes.extend(framed(&"a record of a later release"));
+    std::fs::write(&path, &bytes).expect("the segment is writable");
+    let opened = FileStorage::open(folder.path());
+    assert!(matches!(opened, Err(StoreLogError::UnknownRecord { .. })), "{opened:?}");
+    assert_eq!(std::fs::read(&path).expect("the segment is readable"), bytes);
+}
+
 /// The vote record of earlier releases.
 #[derive(Serialize)]
 struct EarlierVoteRecord {
@@ -134,12 +159,7 @@
 fn open_vote_of_earlier_release() {
     let folder = tempfile::tempdir().expect("a folder can be made");
     let earlier = EarlierVoteRecord { term: Term(3), vote: Some("v1".into()), initialised: true };
-    let mut body = Vec::new();
-    ciborium::into_writer(&earlier, &mut body).expect("writing to memory does not fail");
-    let mut bytes = (body.len() as u32).to_le_bytes().to_vec();
-    bytes.extend(crc32fast::hash(&body).to_le_bytes());
-    bytes.extend(body);
-    std::fs::write(folder.path().join("vote"), bytes).expect("the file can be written");
+    std::fs::write(folder.path().join("vote"), framed(&earlier)).expect("the file can be written");
     let storage = FileStorage::open(folder.path()).expect("the folder is readable");
     let expected = VoteRecord {
         term: earlier.term,
