Readmit at once in the simulation, and count admissions

The simulated leader has no grace time any more: it removes and admits a voter as soon as it does not count it. Where that hides a voter that does not take its admission, since the next one follows at once, the number of committed changes tells: one removal and one admission for each lost disk. The bound for the time is two election timeouts for each lost disk, was four.

--- a/crates/log/tests/lost_disks.rs
+++ b/crates/log/tests/lost_disks.rs
@@ -17,9 +17,10 @@
 const PAUSE: Duration = Duration::from_millis(5);
 /// Longest time from the end of all faults until there is a leader.
 const LEADER_WITHIN: Duration = Duration::from_secs(6);
-/// Longest time from the beginning of a leader's term, without faults, until every voter counts: a
-/// heartbeat that tells which voters do not, two changes of the voters for each, and heartbeats.
-const COUNTED_WITHIN: Duration = Duration::from_millis(400);
+/// Longest time without faults, from when there is a leader until it counts every voter, for each
+/// voter that may have lost its disk: a heartbeat that tells which one, two changes of the voters,
+/// and a snapshot that is sent again after an election timeout.
+const COUNTED_WITHIN: Duration = Duration::from_millis(200);
 
 /// Random faults of a cluster.
 struct Faults {
@@ -129,8 +130,6 @@
 /// with all power once every voter counts again.
 fn acknowledged_entries_kept(voters: usize, seed: u64) -> Result<(), String> {
     let mut faults = Faults::new(voters, seed, true);
-    // Shorter than messages are late, so that a leader that believes old ones removes good voters.
-    faults.cluster.readmission_pause = ELECTION * 2;
     for _ in 0..2 {
         faults.run(Duration::from_secs(3), Network::ROUGH);
         faults.end();
@@ -166,7 +165,8 @@
     assert_all_pass(&[voters], seeds, acknowledged_entries_kept);
 }
 
-/// Returns whether every voter counts soon after the faults have ended.
+/// Returns whether every voter counts soon after the faults have ended, with one removal and one
+/// admission for each lost disk.
 fn counted_after_faults(voters: usize, seed: u64) -> Result<(), String> {
     let mut faults = Faults::new(voters, seed, false);
     let network = Network { straggling: 0.0, ..Network::ROUGH };
@@ -188,6 +188,8 @@
     }
     let bound = COUNTED_WITHIN * u32::try_from(faults.bearable()).expect("few voters");
     ensure(faults.cluster.now - since <= bound, "some voters count late")?;
+    let changes = faults.cluster.disks_lost * 2;
+    ensure(faults.cluster.changed <= changes, "one admission was not enough for a lost disk")?;
     faults.cluster.broken.map_or(Ok(()), Err)
 }
 
--- a/crates/log/tests/support/mod.rs
+++ b/crates/log/tests/support/mod.rs
@@ -104,8 +104,6 @@
     all: Arc<[DaemonId]>,
     /// Whether the current leader removes and admits voters that it does not count.
     pub readmits: bool,
-    /// Time from a voter's admission within which the leader does not remove it again.
-    pub readmission_pause: Duration,
     /// Messages that a daemon in [`Cluster::holding`] has sent.
     pub held: Vec<Packet>,
     /// Daemons whose messages are held back.
@@ -118,6 +116,10 @@
     pub broken: Option<String>,
     /// All entries that a replica has applied.
     pub list: Vec<LogEntry>,
+    /// Number of disks that were lost.
+    pub disks_lost: u64,
+    /// Number of committed changes of the voters.
+    pub changed: u64,
     /// Number of entries that a leader has applied and thereby acknowledged.
     pub acknowledged: u64,
     nodes: BTreeMap<DaemonId, Node>,
@@ -126,8 +128,8 @@
     cuts: BTreeMap<(DaemonId, DaemonId), Instant>,
     leaders: BTreeMap<Term, (DaemonId, u64)>,
     changes: Vec<Change>,
-    /// When the admission of a daemon's current disk was committed.
-    admitted: BTreeMap<DaemonId, Instant>,
+    /// Daemons that lost a disk and whose admission with the next one is committed.
+    admitted: BTreeSet<DaemonId>,
     /// Daemons whose disk was lost, and which were not proposed as voters since.
     forgotten: BTreeSet<DaemonId>,
     proposed: u64,
@@ -181,13 +183,14 @@
             learners: named("w", learners),
             all: named("v", voters).into_iter().chain(named("w", learners)).collect(),
             readmits: false,
-            readmission_pause: Duration::from_secs(1),
             held: Vec::new(),
             holding: BTreeSet::new(),
             entries_lost: BTreeSet::new(),
             vote_requested_by: None,
             broken: None,
             list: Vec::new(),
+            disks_lost: 0,
+            changed: 0,
             acknowledged: 0,
             nodes: BTreeMap::new(),
             in_flight: BTreeMap::new(),
@@ -195,7 +198,7 @@
             cuts: BTreeMap::new(),
             leaders: BTreeMap::new(),
             changes: Vec::new(),
-            admitted: BTreeMap::new(),
+            admitted: BTreeSet::new(),
             forgotten: BTreeSet::new(),
             proposed: 0,
         };
@@ -255,6 +258,7 @@
         let node = self.nodes.get_mut(id).expect("known");
         node.disk = Some(CrashStorage::new(true));
         node.disks_lost += 1;
+        self.disks_lost += 1;
         self.admitted.remove(id);
         self.forgotten.insert(id.clone());
     }
@@ -266,7 +270,7 @@
 
     /// Returns whether a daemon that lost its disk counts again since its admission was committed.
     pub fn is_readmitted(&self, id: &DaemonId) -> bool {
-        self.admitted.contains_key(id) && self.counts(id)
+        self.admitted.contains(id) && self.counts(id)
     }
 
     pub fn is_running(&self, id: &DaemonId) -> bool {
@@ -607,20 +611,18 @@
         }
     }
 
-    /// Notes when an admission is committed.
+    /// Notes which changes of the voters are committed.
     fn note_changes(&mut self) {
-        let changes = std::mem::take(&mut self.changes);
-        for change in changes {
-            let entry = self.list.get(*change.index as usize - 1);
-            match entry.map(|entry| entry.term == change.term) {
-                None => self.changes.push(change),
-                Some(true)
-                    if change.admission
-                        && change.disks_lost == self.nodes[&change.id].disks_lost =>
-                {
-                    self.admitted.insert(change.id, self.now);
-                }
-                Some(_) => {}
+        for change in std::mem::take(&mut self.changes) {
+            let Some(entry) = self.list.get(*change.index as usize - 1) else {
+                self.changes.push(change);
+                continue;
+            };
+            let committed = entry.term == change.term;
+            self.changed += u64::from(committed);
+            let current = change.disks_lost == self.nodes[&change.id].disks_lost;
+            if committed && change.admission && current {
+                self.admitted.insert(change.id);
             }
         }
     }
@@ -639,7 +641,7 @@
     }
 
     /// Removes and admits voters as a leader does: it admits those that are no voters and from which
-    /// it has heard, and removes one that it does not count.
+    /// it has heard, and removes one that it does not count, both at once.
     fn readmit(&mut self) {
         let Some(leader) = self.leader() else { return };
         let replica = self.replica(&leader);
@@ -652,10 +654,7 @@
             }
             return;
         }
-        let recent = |id: &DaemonId| {
-            self.admitted.get(id).is_some_and(|at| self.now < *at + self.readmission_pause)
-        };
-        let uncounted = replica.uncounted_voters().into_iter().find(|id| !recent(id));
+        let uncounted = replica.uncounted_voters().into_iter().next();
         if let Some(id) = uncounted {
             self.propose_change(&id, false);
         }
