--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -15,10 +15,10 @@
 //! and when a leader gives up, never who may be elected or what is committed.
 
 mod election;
+mod followers;
 mod replication;
 mod voters;
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -31,7 +31,7 @@
 use tokio::time::Instant;
 
 use crate::electorate::Electorate;
-use crate::leader::{FollowerProgress, LeaderRole};
+use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, StoreLogError, VoteRecord};
 
 /// Maximum number of entries in one message.
@@ -556,53 +556,6 @@
             self.fail(error.into());
         }
     }
-
-    /// Returns the voters that replied to this leader and may not be counted in a quorum; empty if
-    /// this replica is not the leader.
-    pub fn uncounted_voters(&self) -> Vec<DaemonId> {
-        let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
-        let refused = |id: &DaemonId| {
-            let replied = role.progress.get(id).is_some_and(|progress| progress.disk.is_some());
-            replied && role.counted(id, &self.voters).is_none()
-        };
-        self.voters.ids().iter().filter(|id| refused(id)).cloned().collect()
-    }
-
-    /// Returns the followers that have a disk and do not vote, the one that lacks the least of the log
-    /// first; empty if this replica is not the leader.
-    pub fn candidate_voters(&self) -> Vec<DaemonId> {
-        let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
-        let disk = |progress: &FollowerProgress| progress.disk.as_ref().and_then(|disk| disk.id);
-        let mut candidates: Vec<(&DaemonId, &FollowerProgress)> = role
-            .progress
-            .iter()
-            .filter(|(id, progress)| !self.voters.contains(id) && disk(progress).is_some())
-            .collect();
-        candidates.sort_by_key(|(_, progress)| Reverse(progress.matched));
-        candidates.into_iter().map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Returns the number of voters that this leader counts in quorums and that replied within
-    /// `recent`, including itself; 0 if this replica is not the leader.
-    pub fn counted_voters(&self, recent: Duration, now: Instant) -> usize {
-        let ReplicaRole::Leader(role) = &self.role else { return 0 };
-        let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
-        let counted = |id: &DaemonId| {
-            let contact = role.counted(id, &self.voters).and_then(|progress| progress.contact);
-            *id == self.config.id || contact.is_some_and(fresh)
-        };
-        self.voters.ids().iter().filter(|id| counted(id)).count()
-    }
-
-    /// Returns the time of each follower's last reply; empty if this replica is not the leader.
-    pub fn contacts(&self) -> BTreeMap<DaemonId, Option<Instant>> {
-        match &self.role {
-            ReplicaRole::Leader(role) => {
-                role.progress.iter().map(|(id, progress)| (id.clone(), progress.contact)).collect()
-            }
-            _ => BTreeMap::new(),
-        }
-    }
 }
 
 /// Returns what remains of a measured delay after another measurement.
