Test a storage that fails and is opened again

A folder that was emptied while the process ran gets a founder's id if the process was started to found. The test fails: a single voter founds a second log and reports no fault.

--- /dev/null
+++ b/crates/log/tests/review_reopen.rs
@@ -0,0 +1,116 @@
+//! A driver whose storage fails and is opened again.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hollowbarrow_log::{DriverConfig, LogDriver, ReplicaConfig, StateMachine};
+use hollowbarrow_schema::{
+    AppendRequest, ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogEntry, LogIndex,
+    LogMessage, ProposalOutcome, Term,
+};
+use rstest::rstest;
+
+/// Longest time for an expected change.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// State machine that lists the entries that it has applied.
+struct Listed(Vec<LogIndex>);
+
+impl StateMachine for Listed {
+    fn apply(&mut self, entry: &LogEntry) -> ProposalOutcome {
+        self.0.push(entry.index);
+        ProposalOutcome::Held
+    }
+
+    fn to_snapshot(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn restore(&mut self, _: &[u8]) -> bool {
+        self.0.clear();
+        true
+    }
+}
+
+fn wait_for(holds: impl Fn() -> bool) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < TIMEOUT {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+fn start(folder: &Path) -> LogDriver<Listed> {
+    let id = DaemonId::from("a");
+    let replica = ReplicaConfig::new(&id, &[], std::slice::from_ref(&id))
+        .with_election(Duration::from_millis(100));
+    let config = DriverConfig::new(replica, Some(folder.to_owned()));
+    LogDriver::start(config, Listed(Vec::new()), |_, _| {}).expect("the driver starts")
+}
+
+/// Has the driver save a vote, which fails while its folder is away.
+fn deliver_later_term(driver: &LogDriver<Listed>) {
+    let request = AppendRequest {
+        term: Term(1000),
+        previous_index: LogIndex(0),
+        previous_term: Term(0),
+        entries: Vec::new(),
+        commit: LogIndex(0),
+        round: 1,
+        confirmed_ms: 0,
+    };
+    driver.deliver(&DaemonId::from("b"), LogMessage::Append(request));
+}
+
+fn fail_and_reopen(driver: &LogDriver<Listed>, folder: &Path, emptied: bool) {
+    let away = folder.with_extension("away");
+    std::fs::rename(folder, &away).expect("it can be renamed");
+    std::fs::write(folder, b"").expect("a file can take its place");
+    deliver_later_term(driver);
+    assert!(wait_for(|| driver.view().fault.is_some()), "the storage fails");
+    std::fs::remove_file(folder).expect("it can be removed");
+    if !emptied {
+        std::fs::rename(&away, folder).expect("it can be renamed");
+    }
+}
+
+/// Guards against entries that are applied again to a state that holds them already.
+#[rstest]
+fn reopen_applies_entries_once() {
+    let parent = tempfile::tempdir().expect("a temporary folder");
+    let folder = parent.path().join("log");
+    let driver = start(&folder);
+    assert!(wait_for(|| driver.view().current), "it leads");
+    let sweep = EntryPayload::Claim(ClaimCommand::Sweep(ClaimSweep { now_ms: 1, retain_ms: 0 }));
+    let outcome = driver.propose(sweep).recv_timeout(TIMEOUT);
+    assert!(outcome.is_ok(), "an entry is committed");
+    fail_and_reopen(&driver, &folder, false);
+    assert!(wait_for(|| driver.view().current && driver.view().fault.is_none()), "it leads again");
+    let applied = driver.read(|machine| machine.0.clone());
+    let mut once = applied.clone();
+    once.sort();
+    once.dedup();
+    assert_eq!(applied, once);
+    driver.stop();
+}
+
+/// Guards against a folder that is emptied while the process runs and then counts as one in its first
+/// use: the voter would neither report the loss nor lack a vote in a founding election.
+#[rstest]
+fn reopen_emptied_folder_is_lost_disk() {
+    let parent = tempfile::tempdir().expect("a temporary folder");
+    let folder = parent.path().join("log");
+    let driver = start(&folder);
+    assert!(wait_for(|| driver.view().current), "it leads");
+    let committed = driver.view().applied;
+    fail_and_reopen(&driver, &folder, true);
+    let reopened = wait_for(|| !driver.view().fault.is_some_and(|fault| fault.contains("failed")));
+    assert!(reopened, "the storage is opened again");
+    std::thread::sleep(Duration::from_secs(1));
+    let view = driver.view();
+    assert!(view.lost_disk, "fault {:?}, leads {}, was at {}", view.fault, view.leads, *committed);
+    driver.stop();
+}
