--- a/crates/log/tests/support/mod.rs
+++ b/crates/log/tests/support/mod.rs
@@ -25,6 +25,7 @@
 pub const ELECTION: Duration = Duration::from_millis(100);
 /// Step of the virtual clock.
 const STEP: Duration = Duration::from_millis(5);
+
 /// Behaviour of the network.
 #[derive(Clone, Copy, Debug)]
 pub struct Network {
