Let a log without learners admit daemons that it has not heard from

An operator could replace no voter of the claims log by another daemon: its leader sends only to voters, so it never heard of the new one's disk and refused it for ever (409 busy). A leader that refuses a daemon for this sends it the log from then on; its reply names the disk, and the next proposal is taken.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -396,12 +396,13 @@
     /// Returns none if it is not the leader, if a change of the voters is proposed
     /// while another one is not committed yet or before this leader has committed
     /// an entry, if the change adds or removes more than one daemon or adds one
-    /// that is unknown or has not replied yet, or if the storage fails.
+    /// that is unknown, or if the storage fails. A daemon that has not replied yet
+    /// is refused too, but is sent the log, so that a later proposal can add it.
     pub fn propose(&mut self, payloads: Vec<EntryPayload>, now: Instant) -> Option<LogIndex> {
         if !self.is_leader() {
             return None;
         }
-        let payloads = payloads.into_iter().map(|payload| self.prepare_payload(payload));
+        let payloads = payloads.into_iter().map(|payload| self.prepare_payload(payload, now));
         let payloads: Vec<EntryPayload> = payloads.collect::<Option<_>>()?;
         let first = LogIndex(*self.storage.window().last_index() + 1);
         let term = self.term();
--- a/crates/log/src/replica/voters.rs
+++ b/crates/log/src/replica/voters.rs
@@ -15,16 +15,36 @@
     ///
     /// Other voters are named with the disks that this leader has heard of. They are refused until an
     /// entry of its own term is committed, so that no earlier change of the voters is still pending.
-    pub(super) fn prepare_payload(&self, payload: EntryPayload) -> Option<EntryPayload> {
+    pub(super) fn prepare_payload(
+        &mut self,
+        payload: EntryPayload,
+        now: Instant,
+    ) -> Option<EntryPayload> {
         match payload {
             EntryPayload::Voters(voters) if self.may_change_voters(&voters) => {
-                self.name_disks(&voters).map(|electorate| electorate.to_payload())
+                let named = self.name_disks(&voters);
+                if named.is_none() {
+                    self.follow_up(&voters, now);
+                }
+                named.map(|electorate| electorate.to_payload())
             }
             EntryPayload::Voters(_) | EntryPayload::VoterSet(_) => None,
             other => Some(other),
         }
     }
 
+    /// Sends the log to daemons that do not follow it yet, so that their replies tell their disks.
+    fn follow_up(&mut self, daemons: &[DaemonId], now: Instant) {
+        let last = self.storage.window().last_index();
+        for id in daemons {
+            let ReplicaRole::Leader(role) = &mut self.role else { return };
+            if *id != self.config.id && !role.progress.contains_key(id) {
+                role.progress.insert(id.clone(), FollowerProgress::new(last));
+                self.send_append(id, true, now);
+            }
+        }
+    }
+
     fn may_change_voters(&self, voters: &[DaemonId]) -> bool {
         let requested: BTreeSet<&DaemonId> = voters.iter().collect();
         let current: BTreeSet<&DaemonId> = self.voters.ids().iter().collect();
