Name in each acknowledgement the term that it answers

A leader that led again counted the answer to a late message of its earlier term as one of the present term, with its heartbeat round: it stayed confirmed while isolated, for as many rounds as the earlier term had had, and took replies of a voter's new disk for delayed ones, so that it went on counting the lost one. The follower's own term, which compares, is the present one in such an answer; the term of the message is not.

--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hollowbarrow_schema::{
-    AppendReply, AppendRequest, DaemonId, LogEntry, LogIndex, LogMessage, SnapshotRequest,
+    AppendReply, AppendRequest, DaemonId, LogEntry, LogIndex, LogMessage, SnapshotRequest, Term,
 };
 use tokio::time::Instant;
 
@@ -72,7 +72,7 @@
             return;
         }
         if request.term < self.term() {
-            return self.answer_append(from, false, LogIndex(0), request.round);
+            return self.answer_append(from, request.term, false, LogIndex(0), request.round);
         }
         self.record_leader_contact(request.term, now);
         self.step_down(request.term, Some(from.clone()), now);
@@ -82,7 +82,7 @@
         let found = self.storage.window().term_at(request.previous_index);
         if request.previous_index >= snapshot && found != Some(request.previous_term) {
             let hint = self.conflict_hint(request.previous_index);
-            return self.answer_append(from, false, hint, request.round);
+            return self.answer_append(from, request.term, false, hint, request.round);
         }
         let matched = LogIndex(*request.previous_index + request.entries.len() as u64);
         if !self.store_entries(request.entries) {
@@ -96,7 +96,7 @@
         {
             self.complete = self.complete.max(confirmed);
         }
-        self.answer_append(from, true, matched, request.round);
+        self.answer_append(from, request.term, true, matched, request.round);
     }
 
     /// Returns the index after which the leader should send entries next, following a mismatch.
@@ -141,12 +141,14 @@
     pub(super) fn answer_append(
         &mut self,
         to: &DaemonId,
+        leader_term: Term,
         accepted: bool,
         matched: LogIndex,
         round: u64,
     ) {
+        let term = self.term();
         let disk = self.storage.vote().identity();
-        let reply = AppendReply { term: self.term(), accepted, matched, disk, round };
+        let reply = AppendReply { term, leader_term, accepted, matched, disk, round };
         self.late.push((to.clone(), LogMessage::AppendReply(reply)));
     }
 
@@ -154,8 +156,8 @@
         if reply.term > self.term() {
             return self.step_down(reply.term, None, now);
         }
-        // In an earlier term other entries may have had the same indexes.
-        if reply.term < self.term() {
+        // In an earlier term other entries had the same indexes, and rounds were counted anew.
+        if reply.leader_term < self.term() {
             return;
         }
         let last = self.storage.window().last_index();
@@ -220,6 +222,6 @@
             self.commit = index;
             self.installed = true;
         }
-        self.answer_append(from, true, self.commit, request.round);
+        self.answer_append(from, request.term, true, self.commit, request.round);
     }
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -136,6 +136,8 @@
 pub struct AppendReply {
     pub accepted: bool,
     pub disk: DiskIdentity,
+    ///Term of the message that this answers; indexes and rounds are those of its leader.
+    pub leader_term: Term,
     pub matched: LogIndex,
     pub round: u64,
     pub term: Term,
