Take another disk of a voter for its new one only in a later round

A delayed answer of a voter's former disk that echoes the same round as the last answer of the present one made the leader doubt a good voter and remove it once.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -22,7 +22,7 @@
     pub(crate) contact: Option<Instant>,
     /// Latest heartbeat round that the follower echoed with that disk.
     pub(crate) round: u64,
-    /// Latest heartbeat round that the follower echoed with any disk.
+    /// Latest heartbeat round that the follower echoed with this or a former disk.
     pub(crate) heard_round: u64,
     /// Time at which a snapshot was last sent, so that it is not sent with each heartbeat.
     pub(crate) snapshot_sent: Option<Instant>,
@@ -130,16 +130,18 @@
         }
     }
 
-    /// Records the disk of a reply and the round that it echoes; returns false for a delayed reply of
-    /// a disk that the follower has replaced since. What a replaced disk had reached is dropped.
-    pub(crate) fn record_disk(&mut self, disk: &DiskIdentity, round: u64) -> bool {
+    /// Records the disk of a reply and the round that it echoes; returns false if the reply is to be
+    /// dropped, because the follower may have replaced that disk since. A new disk is accepted with
+    /// the first round that no former disk has echoed, and what those had reached is dropped.
+    pub(crate) fn accept_reply(&mut self, disk: &DiskIdentity, round: u64) -> bool {
         let replaced = self.disk.as_ref().is_some_and(|known| known.id != disk.id);
-        if replaced && round < self.heard_round {
+        if replaced && round <= self.heard_round {
             return false;
         }
         if replaced {
             self.matched = LogIndex(0);
             self.round = 0;
+            self.snapshot_sent = None;
         }
         self.disk = Some(disk.clone());
         self.round = self.round.max(round);
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -163,7 +163,7 @@
         let last = self.storage.window().last_index();
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let Some(progress) = role.progress.get_mut(from) else { return };
-        if !progress.record_disk(&reply.disk, reply.round) {
+        if !progress.accept_reply(&reply.disk, reply.round) {
             return;
         }
         progress.contact = Some(now);
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -7,8 +7,8 @@
     LogReplica, LogStorage, MemoryStorage, ReplicaConfig, ReplicaFault, VoteRecord,
 };
 use hollowbarrow_schema::{
-    AppendRequest, DaemonId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot,
-    SnapshotRequest, Term,
+    AppendReply, AppendRequest, DaemonId, DiskId, DiskIdentity, EntryPayload, LogEntry, LogIndex,
+    LogMessage, LogSnapshot, SnapshotRequest, Term,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -315,6 +315,33 @@
     assert_eq!(led, 0, "one disk of three is no majority");
 }
 
+/// A leader must not doubt a good voter because of an answer that its former disk gave in the same
+/// round; a later answer of another disk shows that the disk was replaced.
+#[rstest]
+#[case::same_round(0, false)]
+#[case::next_round(1, true)]
+fn reply_of_other_disk(#[case] rounds_later: u64, #[case] replaced: bool) {
+    let mut cluster = Cluster::new();
+    cluster.run(100);
+    let leader = cluster.leader().id().clone();
+    let follower = ids().into_iter().find(|id| *id != leader).expect("there are three");
+    cluster.now = cluster.leader().next_deadline();
+    let now = cluster.now;
+    cluster.leader().tick(now);
+    let sent = cluster.leader().flush(now);
+    let heartbeat = sent.into_iter().find(|(to, _)| *to == follower).expect("a heartbeat is due").1;
+    let replica = cluster.replicas.get_mut(&follower).expect("known");
+    replica.step(&leader, heartbeat, now);
+    let Some((_, LogMessage::AppendReply(reply))) = replica.flush(now).pop() else {
+        panic!("the heartbeat is answered")
+    };
+    cluster.leader().step(&follower, LogMessage::AppendReply(reply.clone()), now);
+    let disk = DiskIdentity { id: Some(DiskId(1)), initialised: false };
+    let other = AppendReply { disk, round: reply.round + rounds_later, ..reply };
+    cluster.leader().step(&follower, LogMessage::AppendReply(other), now);
+    assert_eq!(cluster.leader().uncounted_voters().contains(&follower), replaced);
+}
+
 /// Append request of a leader of term 2 with the entries after `previous` up to `last`.
 fn append(previous: u64, last: u64, commit: u64, term_of_last: u64) -> LogMessage {
     let entry = |index: u64| {
