Replace voters and choose candidates by their replies in the log

A controller whose storage failed, or that the leader's log messages do not reach, still sends hellos. As a voter it was neither lost nor absent and was never replaced although a spare one waited; as a candidate it could be admitted in place of one that follows. Hellos no longer decide about voters; the cases of next_voters_cases are as they were.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -1,6 +1,6 @@
 //! State that a controller keeps of workers, gateways and other controllers, in memory only.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hollowbarrow_fleet::{MergeOutcome, VersionTimes, WorkerTable};
@@ -382,13 +382,6 @@
         gateways.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Controllers whose last hello is more recent than `within`.
-    pub(crate) fn controllers(&self, within: Duration, now: Instant) -> BTreeSet<DaemonId> {
-        let recent = |daemon: &KnownController| now.duration_since(daemon.last_received) < within;
-        let controllers = self.controllers.iter().filter(|(_, daemon)| recent(daemon));
-        controllers.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Zones of all controllers that ever sent a hello, and of this one.
     pub(crate) fn locations(&self) -> Vec<ControllerPlace> {
         let location =
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -289,13 +289,18 @@
 
 fn maintain_voters(core: &ControllerCore, view: &LogView, now: Instant) {
     let local = core.links().id();
-    let present = core.fleet().controllers(VOTER_REPLACEMENT_TIMEOUT, now);
+    let silent: Vec<DaemonId> = view
+        .contacts
+        .iter()
+        .filter(|(_, at)| now.saturating_duration_since(**at) >= VOTER_REPLACEMENT_TIMEOUT)
+        .map(|(id, _)| id.clone())
+        .collect();
     let desired = voters_for(core.settings.losses);
     let facts = VoterFacts {
         desired,
         local,
         voters: &view.voters,
-        present: &present,
+        silent: &silent,
         lost_disks: &view.uncounted,
         candidates: &view.candidates,
     };
--- a/crates/controller/src/voters.rs
+++ b/crates/controller/src/voters.rs
@@ -7,9 +7,9 @@
 //! A voter whose disk came back empty does not count, since it has lost its earlier votes and
 //! entries. It is removed, and a controller that does not vote is added: the one that lacks the least
 //! of the log, which may be the removed one with its new disk. A voter that stays silent is replaced
-//! in the same way.
+//! in the same way. Only replies of the log count: a controller whose storage failed or that the
+//! leader's messages do not reach still sends hellos.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hollowbarrow_schema::DaemonId;
@@ -21,7 +21,7 @@
 
 /// Number of voters below which none is removed: with fewer, each is needed for a majority.
 const MIN_VOTERS: usize = 3;
-/// Silence after which a voter is replaced, if another controller is available.
+/// Time without a reply after which a voter is replaced, if another controller is available.
 pub const VOTER_REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Inputs of [`next_voters`].
@@ -33,12 +33,12 @@
     pub local: &'a DaemonId,
     /// Current voters.
     pub voters: &'a [DaemonId],
-    /// Controllers that sent a hello recently.
-    pub present: &'a BTreeSet<DaemonId>,
+    /// Voters that have not replied for [`VOTER_REPLACEMENT_TIMEOUT`].
+    pub silent: &'a [DaemonId],
     /// Voters that answer the leader with another disk than the one they were admitted with.
     pub lost_disks: &'a [DaemonId],
-    /// Controllers with a disk that follow the leader and do not vote; the one that lacks the least of
-    /// the log comes first.
+    /// Controllers with a disk that reply and do not vote; the one that lacks the least of the log comes
+    /// first.
     pub candidates: &'a [DaemonId],
 }
 
@@ -52,12 +52,11 @@
     if let Some(emptied) = emptied.filter(|_| facts.voters.len() >= MIN_VOTERS) {
         return Some(without(emptied));
     }
-    let candidate = facts.candidates.iter().find(|id| facts.present.contains(*id))?;
+    let candidate = facts.candidates.first()?;
     if facts.voters.len() < facts.desired {
         let mut voters = facts.voters.to_vec();
         voters.push(candidate.clone());
         return Some(voters);
     }
-    let absent = |id: &&DaemonId| *id != facts.local && !facts.present.contains(*id);
-    facts.voters.iter().find(absent).map(without)
+    facts.voters.iter().find(|id| facts.silent.contains(*id)).map(without)
 }
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -135,8 +135,11 @@
     pub uncounted: Vec<DaemonId>,
     /// Whether a change of the voters is not committed yet.
     pub voters_pending: bool,
-    /// Daemons with a disk that follow this leader and do not vote, the one that lacks the least of
-    /// the log first; empty if this replica is not the leader.
+    /// When each other voter last replied to this leader, at the earliest when it became the leader;
+    /// empty if this replica is not the leader.
+    pub contacts: BTreeMap<DaemonId, Instant>,
+    /// Daemons with a disk that replied to this leader recently and do not vote, the one that lacks
+    /// the least of the log first; empty if this replica is not the leader.
     pub candidates: Vec<DaemonId>,
     /// Number of voters that this leader counts and that replied recently, including itself; 0 if
     /// this replica is not the leader.
@@ -450,6 +453,7 @@
     }
 
     fn publish(&mut self) {
+        let now = Instant::now();
         let view = LogView {
             leader: self.replica.leader().cloned(),
             leads: self.replica.is_leader(),
@@ -463,8 +467,9 @@
             fault: self.replica.fault().map(ToString::to_string),
             uncounted: self.replica.uncounted_voters(),
             voters_pending: self.replica.is_voter_change_pending(),
-            candidates: self.replica.candidate_voters(),
-            counted: self.replica.counted_voters(CONTACT_TIMEOUT, Instant::now()),
+            candidates: self.replica.candidate_voters(CONTACT_TIMEOUT, now),
+            contacts: self.replica.voter_contacts(),
+            counted: self.replica.counted_voters(CONTACT_TIMEOUT, now),
         };
         self.log_leader_change(&view);
         self.log_fault_change(&view);
--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -31,6 +31,8 @@
 /// State of a leader.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderRole {
+    /// When this replica became the leader.
+    pub(crate) began: Instant,
     pub(crate) progress: BTreeMap<DaemonId, FollowerProgress>,
     /// Highest index synced by the leader itself.
     pub(crate) synced: LogIndex,
@@ -54,6 +56,7 @@
     ) -> Self {
         let progress = followers.map(|id| (id, FollowerProgress::new(last))).collect();
         Self {
+            began: now,
             progress,
             synced: LogIndex(0),
             next_heartbeat: now,
--- a/crates/log/src/replica/followers.rs
+++ b/crates/log/src/replica/followers.rs
@@ -23,15 +23,19 @@
         self.voters.ids().iter().filter(|id| refused(id)).cloned().collect()
     }
 
-    /// Returns the followers that have a disk and do not vote, the one that lacks the least of the log
-    /// first; empty if this replica is not the leader.
-    pub fn candidate_voters(&self) -> Vec<DaemonId> {
+    /// Returns the followers that have a disk, do not vote and replied within `recent`, the one that
+    /// lacks the least of the log first; empty if this replica is not the leader.
+    pub fn candidate_voters(&self, recent: Duration, now: Instant) -> Vec<DaemonId> {
         let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
-        let disk = |progress: &FollowerProgress| progress.disk.as_ref().and_then(|disk| disk.id);
+        let suitable = |progress: &FollowerProgress| {
+            let disk = progress.disk.as_ref().and_then(|disk| disk.id);
+            let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
+            disk.is_some() && progress.contact.is_some_and(fresh)
+        };
         let mut candidates: Vec<(&DaemonId, &FollowerProgress)> = role
             .progress
             .iter()
-            .filter(|(id, progress)| !self.voters.contains(id) && disk(progress).is_some())
+            .filter(|(id, progress)| !self.voters.contains(id) && suitable(progress))
             .collect();
         candidates.sort_by_key(|(_, progress)| Reverse(progress.matched));
         candidates.into_iter().map(|(id, _)| id.clone()).collect()
@@ -49,6 +53,15 @@
         self.voters.ids().iter().filter(|id| counted(id)).count()
     }
 
+    /// Returns when each voter but this one last replied, at the earliest when this replica became the
+    /// leader; empty if it is not the leader.
+    pub fn voter_contacts(&self) -> BTreeMap<DaemonId, Instant> {
+        let ReplicaRole::Leader(role) = &self.role else { return BTreeMap::new() };
+        let contact = |id: &DaemonId| role.progress.get(id).and_then(|progress| progress.contact);
+        let others = self.voters.ids().iter().filter(|id| **id != self.config.id);
+        others.map(|id| (id.clone(), contact(id).unwrap_or(role.began))).collect()
+    }
+
     /// Returns the time of each follower's last reply; empty if this replica is not the leader.
     pub fn contacts(&self) -> BTreeMap<DaemonId, Option<Instant>> {
         match &self.role {
