--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -442,7 +442,9 @@
             Some(at) if now >= at => {
                 self.reopen = Some(now + REOPEN_PAUSE);
                 if let Ok(storage) = open_storage(self.config.folder.as_deref()) {
+                    let applied = self.replica.applied();
                     self.replica = LogReplica::new(self.config.replica.clone(), storage, now);
+                    self.replica.resume_applied(applied);
                     // The outcomes of proposals to the failed replica cannot be known.
                     self.waiters.clear();
                     self.reopen = None;
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Returns the index up to which entries were taken.
+    pub(crate) fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
     /// Returns the id of this replica's daemon.
     pub fn id(&self) -> &DaemonId {
         &self.config.id
@@ -342,6 +347,14 @@
         entries
     }
 
+    /// Continues after the entries that an earlier replica of this process has applied.
+    pub(crate) fn resume_applied(&mut self, applied: LogIndex) {
+        if applied >= self.storage.window().snapshot_index() {
+            self.installed = false;
+        }
+        self.applied = self.applied.max(applied);
+    }
+
     /// Takes the messages that may be sent before the storage is synced.
     pub fn take_early(&mut self) -> Vec<(DaemonId, LogMessage)> {
         std::mem::take(&mut self.early)
