Take a folder that was emptied under a running process for a lost disk

A driver that opened its folder again after a failure kept the settings of the first start: an empty folder drew a new id as if the log were being founded, so a single voter founded a second log and led it, and one of several reported no fault.

--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -443,6 +443,10 @@
                 self.reopen = Some(now + REOPEN_PAUSE);
                 if let Ok(storage) = open_storage(self.config.folder.as_deref()) {
                     let applied = self.replica.applied();
+                    if !self.replica.is_blank() {
+                        // A folder that is empty now has lost what it held.
+                        self.config.replica.forbid_founding();
+                    }
                     self.replica = LogReplica::new(self.config.replica.clone(), storage, now);
                     self.replica.resume_applied(applied);
                     // The outcomes of proposals to the failed replica cannot be known.
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -93,6 +93,11 @@
         self
     }
 
+    /// Forbids founding, also to a disk that has not been used yet.
+    pub(crate) fn forbid_founding(&mut self) {
+        self.founding = false;
+    }
+
     /// Sets the election timeout: the time without a leader's message after which a voter starts an
     /// election.
     pub fn with_election(mut self, election: Duration) -> Self {
@@ -455,7 +460,7 @@
         self.fault.as_ref().filter(|fault| matches!(fault, ReplicaFault::Storage(_)))
     }
 
-    fn is_blank(&self) -> bool {
+    pub(crate) fn is_blank(&self) -> bool {
         *self.storage.window().last_index() == 0
     }
 
