--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -9,7 +9,10 @@
 //! Invariants: after a crash the last segment may end with a torn record, which
 //! is cut off when the segment is opened. An invalid record that is followed by
 //! a valid one is damage: opening fails, because cutting there could drop
-//! acknowledged entries. It also fails at an intact record that cannot be decoded.
+//! acknowledged entries. It also fails at an intact record that cannot be decoded,
+//! and if the snapshot before the first segment is missing. A folder that has a
+//! vote always has a segment; one without has lost its entries, and gets the id of
+//! another disk.
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
@@ -52,12 +55,17 @@
     /// Fails if a file cannot be read or has damage other than a torn tail.
     pub fn open(folder: &Path) -> Result<Self, StoreLogError> {
         std::fs::create_dir_all(folder).map_err(|e| access("create", folder, e))?;
-        let vote = read_small(&folder.join(VOTE_FILE))?.unwrap_or_default();
+        let mut vote: VoteRecord = read_small(&folder.join(VOTE_FILE))?.unwrap_or_default();
         let mut window = EntryWindow::default();
         if let Some(snapshot) = read_small::<LogSnapshot>(&folder.join(SNAPSHOT_FILE))? {
             window.set_snapshot(snapshot);
         }
         let segments = list_segments(folder)?;
+        if segments.is_empty() {
+            // A folder with votes always has a segment, so this one has lost its entries.
+            vote = VoteRecord { term: vote.term, ..VoteRecord::default() };
+        }
+        check_first_segment(&segments, &window)?;
         for (position, path) in segments.iter().enumerate() {
             let last = position + 1 == segments.len();
             replay_segment(path, last, &mut window)?;
@@ -197,6 +205,17 @@
     Ok(segments)
 }
 
+/// Checks that no entry is missing between the snapshot and the first segment.
+fn check_first_segment(segments: &[PathBuf], window: &EntryWindow) -> Result<(), StoreLogError> {
+    let expected = *window.snapshot_index() + 1;
+    let name = segments.first().and_then(|path| path.file_name()?.to_str());
+    let first = name.and_then(|name| name.strip_prefix(SEGMENT_PREFIX)?.parse::<u64>().ok());
+    match first.filter(|first| *first > expected) {
+        Some(found) => Err(StoreLogError::BrokenOrder { expected, found }),
+        None => Ok(()),
+    }
+}
+
 fn open_segment(path: &Path) -> Result<File, StoreLogError> {
     let mut file = OpenOptions::new()
         .create(true)
--- a/crates/log/tests/emptied_disks.rs
+++ b/crates/log/tests/emptied_disks.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_log::{FileStorage, LogReplica, MemoryStorage, ReplicaConfig};
-use hollowbarrow_schema::{ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogIndex, LogMessage};
+use hollowbarrow_log::{
+    FileStorage, LogReplica, LogStorage, MemoryStorage, ReplicaConfig, StoreLogError,
+};
+use hollowbarrow_schema::{
+    ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogIndex, LogMessage, LogSnapshot, Term,
+};
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -151,3 +155,23 @@
     let replica = LogReplica::new(config().with_founding(false), storage, now);
     assert!(replica.fault().is_some(), "the disk counts although it has lost its entries");
 }
+
+/// Guards against a folder that lost its snapshot: the entries after it would be taken for the whole
+/// log, or for none.
+#[rstest]
+fn open_without_snapshot() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let mut storage = FileStorage::open(folder.path()).expect("an empty folder can be opened");
+    let snapshot = LogSnapshot {
+        index: LogIndex(20),
+        term: Term(1),
+        voters: ids(),
+        disks: Vec::new(),
+        state: Vec::new(),
+    };
+    storage.install_snapshot(snapshot).expect("the disk works");
+    drop(storage);
+    std::fs::remove_file(folder.path().join("snapshot")).expect("it can be removed");
+    let opened = FileStorage::open(folder.path());
+    assert!(matches!(opened, Err(StoreLogError::BrokenOrder { .. })), "{opened:?}");
+}
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -158,6 +158,7 @@
 #[rstest]
 fn open_vote_of_earlier_release() {
     let folder = tempfile::tempdir().expect("a folder can be made");
+    drop(filled(folder.path(), 2));
     let earlier = EarlierVoteRecord { term: Term(3), vote: Some("v1".into()), initialised: true };
     std::fs::write(folder.path().join("vote"), framed(&earlier)).expect("the file can be written");
     let storage = FileStorage::open(folder.path()).expect("the folder is readable");
