--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -87,7 +87,7 @@
     }
 
     /// Sets whether this replica may found a log together with others whose disks are also empty. A
-    /// disk keeps this from its first use.
+    /// disk keeps this from its first use, so it must be false for one that was emptied since.
     pub fn with_founding(mut self, founding: bool) -> Self {
         self.founding = founding;
         self
@@ -133,7 +133,7 @@
     /// The replica is a voter but has no disk.
     #[error("this daemon is a voter but has no data folder")]
     NoDisk,
-    /// The replica is a voter whose disk is empty although the log is not.
+    /// The replica is a voter, and its disk is not the one that the log names.
     #[error("the data folder is empty although the log is not; replace this voter")]
     LostDisk,
     /// A leader sent entries that conflict with committed entries of this replica.
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -141,7 +141,7 @@
         }
         let empty = reply.disk.id.is_some() && blank.get(from).copied() == reply.disk.id;
         let term = if *trial { expected } else { current_term };
-        if reply.granted && reply.term == term && (named || may_found && empty) {
+        if reply.granted && reply.term == term && (named || (may_found && empty)) {
             granted.insert(from.clone());
         }
         self.count_votes(now);
--- a/crates/log/src/replica/voters.rs
+++ b/crates/log/src/replica/voters.rs
@@ -70,7 +70,9 @@
         for voter in voters {
             let named = self.voters.disks().get(voter).copied();
             match named.or_else(|| self.heard_disk(voter)) {
-                Some(disk) => drop(disks.insert(voter.clone(), disk)),
+                Some(disk) => {
+                    disks.insert(voter.clone(), disk);
+                }
                 None if self.voters.contains(voter) => {}
                 None => return None,
             }
@@ -78,8 +80,8 @@
         Some(Electorate::new(voters.to_vec(), disks))
     }
 
-    /// Returns the disk from which a daemon last replied to this leader; none for a voter that may
-    /// not be counted with it.
+    /// Returns the disk from which a daemon last replied to this leader; none if it is a voter and the
+    /// reply does not count.
     fn heard_disk(&self, id: &DaemonId) -> Option<DiskId> {
         let ReplicaRole::Leader(role) = &self.role else { return None };
         let own = (*id == self.config.id).then(|| self.storage.vote().identity());
--- a/crates/log/src/storage.rs
+++ b/crates/log/src/storage.rs
@@ -62,8 +62,8 @@
     /// a disk that has forgotten them has another id.
     #[serde(default)]
     pub disk: Option<DiskId>,
-    /// Whether that id was drawn while the log was being founded, so that the disk may vote in an
-    /// election that founds it. One that was emptied later has forgotten such votes.
+    /// Whether the settings allowed to found a log when that id was drawn, so that the disk may vote in
+    /// an election that founds it. One that was emptied later has forgotten such votes.
     #[serde(default)]
     pub founder: bool,
 }
