Publish an unconfirmed configuration only when cut off from a majority

Seen: after a loss of all power and a disk too many, two controllers that were back and in contact had no leader.

Cause: a controller took "no leader for two seconds" for "cut off".

A controller that hears hellos of a majority of the voters now waits for a leader and logs `telling basis=Waiting`. One that is cut off publishes as before, so that a zone that is cut off goes on serving. A connection ends without replies to its pings, so a controller whose messages reach no one counts as cut off as well.

--- a/crates/controller/src/certainty.rs
+++ b/crates/controller/src/certainty.rs
@@ -1,19 +1,30 @@
 //! Decides whether a controller may send gateways the configuration that it holds.
 //!
-//! Invariant: after its start a controller sends no configuration until its log holds everything
-//! that a leader had committed. If no leader is elected, an older configuration is better than none,
-//! so after a timeout the controller sends the one that it holds. Gateways serve with it; as they get
-//! no leader's view, they know that no one has named the newest version to them.
+//! Invariant: a controller sends a configuration only if its log holds everything that a leader had
+//! committed, or if it is cut off from a majority of the voters. One that is cut off cannot learn of
+//! newer configurations, and an older one is better than none, so after a timeout it sends the one
+//! that it holds. Gateways serve with it; as they get no leader's view, they know that no one has
+//! named the newest version to them.
+//!
+//! A controller in contact with a majority of the voters waits for a leader instead, however long
+//! that takes: its own log, or that of a controller it is in contact with, may hold entries that were
+//! acknowledged and that it cannot know to be committed.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use hollowbarrow_schema::DaemonId;
 use tokio::time::Instant;
 
-/// Time without a confirmed leader after which a controller sends the configuration that it holds.
+/// Time without a confirmed leader after which a controller that is cut off sends the configuration
+/// that it holds.
 const LEADERLESS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which it does so although it receives a leader's messages: its own messages may not
 /// reach that leader.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Age up to which another controller's hello shows that it is in contact. Hellos come several times
+/// a second, and a controller that is cut off waits no longer than for a leader.
+const CONTACT_TIMEOUT: Duration = LEADERLESS_TIMEOUT;
 
 /// How certain it is that a controller holds the newest committed configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,8 +34,12 @@
     Nothing,
     /// The controller holds everything that was acknowledged until at most `LEADERLESS_TIMEOUT` ago.
     Complete,
-    /// The controller could not confirm for too long that its log is complete. It sends the
-    /// configuration that it holds, but later than controllers that could.
+    /// The controller could not confirm for too long that its log is complete, but is in contact
+    /// with a majority of the voters. It waits for a leader, and sends nothing.
+    Waiting,
+    /// The controller could not confirm for too long that its log is complete, and is cut off from a
+    /// majority of the voters. It sends the configuration that it holds, but later than controllers
+    /// that could.
     Unconfirmed,
 }
 
@@ -38,6 +53,8 @@
     pub confirmed: Option<Instant>,
     /// Latest time up to which the log holds everything acknowledged.
     pub complete: Option<Instant>,
+    /// Whether this controller is in contact with a majority of the voters.
+    pub in_contact: bool,
 }
 
 impl CertaintyFacts {
@@ -49,10 +66,25 @@
             return ConfigCertainty::Complete;
         }
         let last_confirmed = self.confirmed.map_or(self.since, |at| at.max(self.since));
-        if age(last_confirmed) > LEADERLESS_TIMEOUT || age(self.since) > CATCH_UP_TIMEOUT {
-            ConfigCertainty::Unconfirmed
-        } else {
-            ConfigCertainty::Nothing
+        let timed_out =
+            age(last_confirmed) > LEADERLESS_TIMEOUT || age(self.since) > CATCH_UP_TIMEOUT;
+        match (timed_out, self.in_contact) {
+            (false, _) => ConfigCertainty::Nothing,
+            (true, true) => ConfigCertainty::Waiting,
+            (true, false) => ConfigCertainty::Unconfirmed,
         }
     }
 }
+
+/// Returns the age up to which a hello counts as contact for a process that started or last resumed
+/// at `since`: a hello from before shows nothing about the time after.
+pub fn contact_age(since: Instant, now: Instant) -> Duration {
+    CONTACT_TIMEOUT.min(now.saturating_duration_since(since))
+}
+
+/// Returns whether a controller that hears from these controllers hears from a majority of the
+/// voters, itself included.
+pub fn hears_majority(local: &DaemonId, voters: &[DaemonId], heard: &BTreeSet<DaemonId>) -> bool {
+    let counts = |voter: &&DaemonId| *voter == local || heard.contains(*voter);
+    voters.iter().filter(counts).count() > voters.len() / 2
+}
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::certainty::{CertaintyFacts, ConfigCertainty};
+use crate::certainty::{CertaintyFacts, ConfigCertainty, contact_age, hears_majority};
 use crate::fleet::FleetState;
 use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::orders::WorkerEvent;
@@ -138,10 +138,13 @@
     pub(crate) fn config_certainty(&self, now: Instant) -> ConfigCertainty {
         let view = self.log.view();
         let resumed = self.suspension.last_resumed(now);
+        let since = resumed.map_or(self.started, |resumed| resumed.max(self.started));
+        let heard = self.fleet().controllers(contact_age(since, now), now);
         let facts = CertaintyFacts {
-            since: resumed.map_or(self.started, |resumed| resumed.max(self.started)),
+            since,
             confirmed: view.confirmed,
             complete: view.complete,
+            in_contact: hears_majority(self.links().id(), &view.voters, &heard),
         };
         let certainty = facts.certainty(now);
         self.log_certainty_change(certainty);
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -320,7 +320,7 @@
     ) -> bool {
         let Some(gateway) = self.gateways.get(to) else { return false };
         let role = match (certainty, self.delivers_immediately(gateway)) {
-            (ConfigCertainty::Nothing, _) => return false,
+            (ConfigCertainty::Nothing | ConfigCertainty::Waiting, _) => return false,
             (ConfigCertainty::Unconfirmed, _) => DeliveryRole::Uncertain,
             (ConfigCertainty::Complete, true) => DeliveryRole::Primary,
             (ConfigCertainty::Complete, false) => DeliveryRole::Fallback,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -12,7 +12,7 @@
 //! - An order is sent only while a majority has confirmed the leader within
 //!   the election time.
 //! - A configuration that a controller sends to gateways is committed, and is as new as what the
-//!   leader had committed, unless no leader could be reached.
+//!   leader had committed, unless the controller is cut off from a majority of the voters.
 
 mod api;
 pub mod certainty;
--- a/tests/platform/changes.rs
+++ b/tests/platform/changes.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns a controller that does not lead. The gateway with the same index is in its zone.
-async fn find_follower(system: &System) -> usize {
+pub async fn find_follower(system: &System) -> usize {
     for _ in 0..MAX_POLLS {
         let mut leads = Vec::new();
         for controller in 0..CONTROLLERS {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod lost_power;
 mod notices;
 mod observer;
+mod publishing;
 mod restarted_worker;
 mod silence;
 mod soak;
--- /dev/null
+++ b/tests/platform/publishing.rs
@@ -0,0 +1,163 @@
+//! Controllers without a leader, and gateways that restart beside them.
+//!
+//! Guards against a gateway that serves by an older version than one acknowledged. After all power
+//! was lost, and a disk too many with it, two controllers were in contact with each other and had no
+//! leader. After two seconds each sent gateways its last snapshot, 20 changes old
+//! (`event=telling basis=Unconfirmed version=284`), and a request ran at a service that only an older
+//! version allowed. Controllers in contact with a majority of the voters now wait for a leader.
+//! Controllers of a zone that is cut off do not wait, so that this zone goes on serving.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowbarrow_testkit::FaultMode;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::changes::{FIRST_VERSION, added_path, configuration_with, find_follower};
+use crate::fleet::Fleet;
+use crate::system::{CONTROLLERS, KEY, Layout, System, configuration, fetch_at};
+use crate::worker::Worker;
+
+/// Interval between two polls.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of polls after which a condition that must hold counts as failed.
+const MAX_POLLS: u32 = 600;
+/// Time for which no older version may be in force: longer than all timeouts of controllers.
+const OBSERVED_TIME: Duration = Duration::from_secs(10);
+/// Time after a cut within which a controller stops to hold its configuration for complete, also if
+/// its messages no longer arrive while it receives those of others.
+const CUT_TIME: Duration = Duration::from_secs(5);
+/// Version that added a route, which the last version drops.
+const ADDED_VERSION: u64 = FIRST_VERSION + 1;
+/// Last version. It lies some changes beyond a snapshot, which replaces 16 log entries.
+const LAST_VERSION: u64 = FIRST_VERSION + 22;
+
+/// Directions in which a zone is cut off.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// Nothing reaches the zone or leaves it.
+    BothDirections,
+    /// Nothing leaves the zone.
+    Outgoing,
+}
+
+/// Starts a system with a worker and makes all changes up to the last version, which drops the route
+/// that an earlier one added.
+async fn start_with_changes(block: u8, layout: Layout) -> (System, Arc<Fleet>, Arc<Worker>) {
+    let system = System::start_with(block, layout);
+    let fleet = Fleet::new(system.controllers.clone());
+    let worker = Worker::start(&fleet, "p0", "bookings", false);
+    assert_eq!(system.replace(&configuration(FIRST_VERSION)).await, 200);
+    for version in ADDED_VERSION..LAST_VERSION {
+        let with_route = configuration_with(version, &[ADDED_VERSION]);
+        assert_eq!(system.replace(&with_route).await, 200);
+    }
+    system.wait_ready().await;
+    system.call_until_served(&added_path(ADDED_VERSION), "added").await;
+    assert_eq!(system.replace(&configuration(LAST_VERSION)).await, 200);
+    for gateway in 0..system.gateways.len() {
+        wait_for_version(&system, gateway, LAST_VERSION).await;
+        system.call_gateway_until_served(gateway, "/hold/1", &format!("before-{gateway}")).await;
+    }
+    (system, fleet, worker)
+}
+
+/// Waits until a gateway uses this version or a later one.
+async fn wait_for_version(system: &System, gateway: usize, version: u64) {
+    for _ in 0..MAX_POLLS {
+        if system.version_at(gateway).await >= version {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("gateway {gateway} does not reach version {version}: {}", system.logs());
+}
+
+/// Two of three disks are lost with all power, so that no leader can be elected. A gateway that
+/// restarted serves nothing; one that kept running serves by the version that it has.
+#[rstest]
+#[tokio::test]
+async fn no_older_version_without_leader() {
+    let (mut system, fleet, _worker) = start_with_changes(84, Layout::plain()).await;
+    let (restarted, running) = (0, 1);
+    let wiped: Vec<usize> = (1..CONTROLLERS).collect();
+    let controllers_and_gateway: Vec<usize> = (0..=CONTROLLERS + restarted).collect();
+    system.lose_power_of(&controllers_and_gateway, &wiped);
+    let end = Instant::now() + OBSERVED_TIME;
+    let mut answers = 0;
+    for poll in 0.. {
+        let id = format!("dropped-{poll}");
+        let path = added_path(ADDED_VERSION);
+        if let Ok(answer) = system.call(restarted, &path, &id, Some(KEY)).await {
+            let (status, runs) = (answer.status().as_u16(), fleet.runs(&id));
+            assert_eq!((status, runs), (503, 0), "{path} at gateway 0: {}", system.logs());
+            let retry = answer.headers().contains_key("retry-after");
+            assert!(retry, "the refusal lacks Retry-After: {}", system.logs());
+            answers += 1;
+        }
+        let version = system.version_at(restarted).await;
+        assert_eq!(version, 0, "gateway 0 got a version without a leader: {}", system.logs());
+        for controller in &system.controllers {
+            let read = fetch_at(controller).await;
+            assert!(read.is_none(), "{controller} answers a read: {}", system.logs());
+        }
+        if Instant::now() > end {
+            break;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    assert!(answers > 0, "gateway 0 does not answer: {}", system.logs());
+    system.call_gateway_until_served(running, "/hold/1", "running").await;
+    assert_eq!(system.version_at(running).await, LAST_VERSION);
+    for controller in 0..CONTROLLERS {
+        assert!(system.has_metric(controller, "controller_leads 0").await);
+    }
+    assert!(system.logs().contains("event=telling basis=Waiting"), "{}", system.logs());
+}
+
+/// A zone is cut off with its controller, and its gateway restarts, alone or together with the
+/// controller. The gateway must be served again, and get the last version once the zone is back.
+///
+/// In the case of one direction, messages still reach the zone: its controller hears others and must
+/// notice that it is cut off all the same.
+#[rstest]
+#[case::gateway(85, false, Cut::BothDirections)]
+#[case::gateway_and_controller(86, true, Cut::BothDirections)]
+#[case::one_direction(87, false, Cut::Outgoing)]
+#[tokio::test]
+async fn cut_off_zone_serves(
+    #[case] block: u8,
+    #[case] controller_restarts: bool,
+    #[case] cut: Cut,
+) {
+    let (mut system, _, _other_worker) =
+        start_with_changes(block, Layout::zoned_behind_proxies()).await;
+    let zone = find_follower(&system).await;
+    // A worker of the zone registers with the zone's controller.
+    let fleet = Fleet::new(vec![system.controllers[zone].clone()]);
+    let _worker = Worker::start(&fleet, "p1", "bookings", false);
+    let inside = [zone, CONTROLLERS + zone];
+    let modes = match cut {
+        Cut::BothDirections => (FaultMode::Blackhole, FaultMode::Blackhole),
+        Cut::Outgoing => (FaultMode::Blackhole, FaultMode::BlackholeReplies),
+    };
+    set_links_around(&system, &inside, modes);
+    tokio::time::sleep(CUT_TIME).await;
+    let restarted = if controller_restarts { &inside[..] } else { &inside[1..] };
+    system.lose_power_of(restarted, &[]);
+    system.call_gateway_until_served(zone, "/hold/1", "cut-off").await;
+    set_links_around(&system, &inside, (FaultMode::Pass, FaultMode::Pass));
+    wait_for_version(&system, zone, LAST_VERSION).await;
+}
+
+/// Sets the fault modes of the connections between these daemons and the others: of those that these
+/// daemons open, and of those that the others open.
+fn set_links_around(system: &System, inside: &[usize], modes: (FaultMode, FaultMode)) {
+    for outside in (0..system.daemon_count()).filter(|daemon| !inside.contains(daemon)) {
+        for daemon in inside {
+            system.set_link(*daemon, outside, modes.0);
+            system.set_link(outside, *daemon, modes.1);
+        }
+    }
+}
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -248,9 +248,15 @@
 
     /// Kills every daemon and starts it again. The daemons in `wiped` start with an empty disk.
     pub fn lose_power(&mut self, wiped: &[usize]) {
-        self.daemons.iter_mut().for_each(Daemon::kill);
-        for index in 0..self.daemons.len() {
-            self.restart(index, wiped.contains(&index));
+        let all: Vec<usize> = (0..self.daemons.len()).collect();
+        self.lose_power_of(&all, wiped);
+    }
+
+    /// Kills these daemons and starts them again. Those in `wiped` start with an empty disk.
+    pub fn lose_power_of(&mut self, daemons: &[usize], wiped: &[usize]) {
+        daemons.iter().for_each(|index| self.daemons[*index].kill());
+        for index in daemons {
+            self.restart(*index, wiped.contains(index));
         }
     }
 
