Let a controller that waits bring serving gateways closer to the newest

A controller in contact with a majority and without a leader sent nothing to any gateway. One that kept running and serves by an older configuration gains from a newer committed one, whether or not that is the newest; only a gateway without a configuration would be shown an older state by it.

Test: `towards_cases::case_4_waiting_to_serving` fails if nothing is sent there.

--- a/crates/controller/src/certainty.rs
+++ b/crates/controller/src/certainty.rs
@@ -35,7 +35,8 @@
     /// The controller holds everything that was acknowledged until at most `LEADERLESS_TIMEOUT` ago.
     Complete,
     /// The controller could not confirm for too long that its log is complete, but is in contact
-    /// with a majority of the voters. It waits for a leader, and sends nothing.
+    /// with a majority of the voters. It waits for a leader, and sends nothing to a
+    /// gateway without a configuration.
     Waiting,
     /// The controller could not confirm for too long that its log is complete, and is cut off from a
     /// majority of the voters. It sends the configuration that it holds, but later than controllers
--- a/crates/controller/src/delivery.rs
+++ b/crates/controller/src/delivery.rs
@@ -13,6 +13,8 @@
 use hollowbarrow_fleet::VersionTimes;
 use tokio::time::Instant;
 
+use crate::certainty::ConfigCertainty;
+
 /// Head start of a gateway's primary controller and of the controllers of its zone over the others:
 /// several times what a delivery within a zone takes, and a fraction of the two seconds within which
 /// a change has to be in force.
@@ -57,6 +59,20 @@
 }
 
 impl DeliveryRole {
+    /// Returns the role towards a gateway that reported the version `held`; 0 means none.
+    /// `immediately` states that no other controllers precede this one; `None` means that nothing
+    /// may be sent.
+    pub fn towards(held: u64, certainty: ConfigCertainty, immediately: bool) -> Option<Self> {
+        match certainty {
+            ConfigCertainty::Nothing => None,
+            // A gateway that serves by an older configuration is not set back by a newer one.
+            ConfigCertainty::Waiting => (held > 0).then_some(Self::Uncertain),
+            ConfigCertainty::Unconfirmed => Some(Self::Uncertain),
+            ConfigCertainty::Complete if immediately => Some(Self::Primary),
+            ConfigCertainty::Complete => Some(Self::Fallback),
+        }
+    }
+
     /// Time for which the gateway must have lacked the configuration first; `None` means that it is
     /// sent without a delay.
     fn delay(self) -> Option<Duration> {
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -319,12 +319,9 @@
         now: Instant,
     ) -> bool {
         let Some(gateway) = self.gateways.get(to) else { return false };
-        let role = match (certainty, self.delivers_immediately(gateway)) {
-            (ConfigCertainty::Nothing | ConfigCertainty::Waiting, _) => return false,
-            (ConfigCertainty::Unconfirmed, _) => DeliveryRole::Uncertain,
-            (ConfigCertainty::Complete, true) => DeliveryRole::Primary,
-            (ConfigCertainty::Complete, false) => DeliveryRole::Fallback,
-        };
+        let held = gateway.delivery.reported_version();
+        let immediately = self.delivers_immediately(gateway);
+        let Some(role) = DeliveryRole::towards(held, certainty, immediately) else { return false };
         let Some(gateway) = self.gateways.get_mut(to) else { return false };
         let due = gateway.delivery.is_due(offer, role, commits, now);
         if due {
--- a/crates/controller/tests/delivery.rs
+++ b/crates/controller/tests/delivery.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hollowbarrow_controller::certainty::ConfigCertainty;
 use hollowbarrow_controller::delivery::{DeliveryOffer, DeliveryRole, DeliveryState};
 use hollowbarrow_fleet::VersionTimes;
 use rstest::rstest;
@@ -130,3 +131,25 @@
     let large = DeliveryOffer { version: 2, bytes: 1_000_000 };
     assert_eq!(state.is_due(large, role, &commits, start + MS * at), due);
 }
+
+/// Guards against an older configuration in force after an acknowledged one, and against gateways
+/// that stay behind. Without a leader, a controller in contact with others sends nothing to a gateway
+/// that holds nothing, since it would serve by what may be outdated. One that serves already only
+/// comes closer to the newest configuration.
+#[rstest]
+#[case::unknown(0, ConfigCertainty::Nothing, true, None)]
+#[case::unknown_to_serving(3, ConfigCertainty::Nothing, true, None)]
+#[case::waiting(0, ConfigCertainty::Waiting, true, None)]
+#[case::waiting_to_serving(3, ConfigCertainty::Waiting, true, Some(DeliveryRole::Uncertain))]
+#[case::cut_off(0, ConfigCertainty::Unconfirmed, true, Some(DeliveryRole::Uncertain))]
+#[case::cut_off_to_serving(3, ConfigCertainty::Unconfirmed, false, Some(DeliveryRole::Uncertain))]
+#[case::complete_primary(0, ConfigCertainty::Complete, true, Some(DeliveryRole::Primary))]
+#[case::complete_other(0, ConfigCertainty::Complete, false, Some(DeliveryRole::Fallback))]
+fn towards_cases(
+    #[case] held: u64,
+    #[case] certainty: ConfigCertainty,
+    #[case] immediately: bool,
+    #[case] expected: Option<DeliveryRole>,
+) {
+    assert_eq!(DeliveryRole::towards(held, certainty, immediately), expected);
+}
