Test that a leader that comes late brings the last version and none older

After a loss of all power with one disk, a controller that is back seconds later than the others leaves two in contact without a leader. Fails if these publish what they hold: a request ran on a dropped route.

--- a/tests/platform/publishing.rs
+++ b/tests/platform/publishing.rs
@@ -60,6 +60,7 @@
         wait_for_version(&system, gateway, LAST_VERSION).await;
         system.call_gateway_until_served(gateway, "/hold/1", &format!("before-{gateway}")).await;
     }
+    wait_for_lines(&system, system.gateways.len()).await;
     (system, fleet, worker)
 }
 
@@ -74,16 +75,28 @@
     panic!("gateway {gateway} does not reach version {version}: {}", system.logs());
 }
 
-/// Two of three disks are lost with all power, so that no leader can be elected. A gateway that
-/// restarted serves nothing; one that kept running serves by the version that it has.
-#[rstest]
-#[tokio::test]
-async fn no_older_version_without_leader() {
-    let (mut system, fleet, _worker) = start_with_changes(84, Layout::plain()).await;
-    let (restarted, running) = (0, 1);
-    let wiped: Vec<usize> = (1..CONTROLLERS).collect();
-    let controllers_and_gateway: Vec<usize> = (0..=CONTROLLERS + restarted).collect();
-    system.lose_power_of(&controllers_and_gateway, &wiped);
+/// Returns how often gateways have put any version in force, and how often the last one.
+fn count_installed(system: &System) -> (usize, usize) {
+    let logs = system.logs();
+    let last = format!("event=configuration_in_force version={LAST_VERSION} ");
+    (logs.matches("event=configuration_in_force").count(), logs.matches(&last).count())
+}
+
+/// Waits until so many lines report the last version in force. Lines are written shortly after what
+/// they report.
+async fn wait_for_lines(system: &System, expected: usize) {
+    for _ in 0..MAX_POLLS {
+        if count_installed(system).1 >= expected {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("{expected} lines do not report the last version: {}", system.logs());
+}
+
+/// Watches a gateway that has restarted while no leader can be elected: it must refuse everything and
+/// get no configuration, and controllers must answer no read.
+async fn watch_without_leader(system: &System, fleet: &Fleet, restarted: usize) {
     let end = Instant::now() + OBSERVED_TIME;
     let mut answers = 0;
     for poll in 0.. {
@@ -91,13 +104,13 @@
         let path = added_path(ADDED_VERSION);
         if let Ok(answer) = system.call(restarted, &path, &id, Some(KEY)).await {
             let (status, runs) = (answer.status().as_u16(), fleet.runs(&id));
-            assert_eq!((status, runs), (503, 0), "{path} at gateway 0: {}", system.logs());
+            assert_eq!((status, runs), (503, 0), "{path} at the gateway: {}", system.logs());
             let retry = answer.headers().contains_key("retry-after");
             assert!(retry, "the refusal lacks Retry-After: {}", system.logs());
             answers += 1;
         }
         let version = system.version_at(restarted).await;
-        assert_eq!(version, 0, "gateway 0 got a version without a leader: {}", system.logs());
+        assert_eq!(version, 0, "the gateway got a version without a leader: {}", system.logs());
         for controller in &system.controllers {
             let read = fetch_at(controller).await;
             assert!(read.is_none(), "{controller} answers a read: {}", system.logs());
@@ -107,7 +120,20 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    assert!(answers > 0, "gateway 0 does not answer: {}", system.logs());
+    assert!(answers > 0, "the gateway does not answer: {}", system.logs());
+}
+
+/// Two of three disks are lost with all power, so that no leader can be elected. A gateway that
+/// restarted serves nothing; one that kept running serves by the version that it has.
+#[rstest]
+#[tokio::test]
+async fn no_older_version_without_leader() {
+    let (mut system, fleet, _worker) = start_with_changes(84, Layout::plain()).await;
+    let (restarted, running) = (0, 1);
+    let wiped: Vec<usize> = (1..CONTROLLERS).collect();
+    let controllers_and_gateway: Vec<usize> = (0..=CONTROLLERS + restarted).collect();
+    system.lose_power_of(&controllers_and_gateway, &wiped);
+    watch_without_leader(&system, &fleet, restarted).await;
     system.call_gateway_until_served(running, "/hold/1", "running").await;
     assert_eq!(system.version_at(running).await, LAST_VERSION);
     for controller in 0..CONTROLLERS {
@@ -116,6 +142,31 @@
     assert!(system.logs().contains("event=telling basis=Waiting"), "{}", system.logs());
 }
 
+/// All power is lost and one disk with it, and one controller with its disk is back later than the
+/// others. Until then no leader can be elected; after that every gateway gets the last version and
+/// never an older one.
+#[rstest]
+#[tokio::test]
+async fn last_version_once_majority_is_back() {
+    let (mut system, fleet, _worker) = start_with_changes(88, Layout::plain()).await;
+    let (wiped, late) = (1, 2);
+    let installed_before = count_installed(&system);
+    system.kill_controller(late);
+    let others: Vec<usize> = (0..system.daemon_count()).filter(|daemon| *daemon != late).collect();
+    system.lose_power_of(&others, &[wiped]);
+    watch_without_leader(&system, &fleet, 0).await;
+    system.restart_controller(late, false);
+    for gateway in 0..system.gateways.len() {
+        wait_for_version(&system, gateway, LAST_VERSION).await;
+        system.call_gateway_until_served(gateway, "/hold/1", &format!("after-{gateway}")).await;
+    }
+    // Each gateway has put one version in force since, which was the last one.
+    let (all, last) = installed_before;
+    let expected = (all + system.gateways.len(), last + system.gateways.len());
+    wait_for_lines(&system, expected.1).await;
+    assert_eq!(count_installed(&system), expected, "{}", system.logs());
+}
+
 /// A zone is cut off with its controller, and its gateway restarts, alone or together with the
 /// controller. The gateway must be served again, and get the last version once the zone is back.
 ///
