Draw a mesh port for tests that is free at the daemons' own addresses

Seen: "cannot listen on 127.77.85.3:36657 ... Address already in use" at the start of a system behind proxies, in 4 of 54 runs of `publishing` and `change_reaches_zone_without_controller` that followed each other closely.

Cause, by inference: daemons behind proxies open connections from their own address, and closed ones hold their ports there for a minute; /proc/net/tcp showed 22 to 29 of them at such addresses after a run. The mesh port was only known to be free at 127.0.0.1. With the change: 16 runs of five such tests, one after the other, without it.

--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -154,6 +154,19 @@
     listeners.map(|listener| listener.local_addr().expect("the listener is bound").port())
 }
 
+/// Returns distinct free ports of which the first is free at each of these addresses too. Daemons
+/// behind proxies open connections from their own address; a closed one holds its port there for a
+/// minute, also after the process has exited.
+fn free_ports_at<const COUNT: usize>(addresses: &[String]) -> [u16; COUNT] {
+    loop {
+        let ports = free_ports();
+        let is_free = |address: &String| TcpListener::bind((address.as_str(), ports[0])).is_ok();
+        if addresses.iter().all(is_free) {
+            return ports;
+        }
+    }
+}
+
 impl System {
     /// Starts three controllers and two gateways. `block` selects the address range, so that
     /// concurrent tests do not share addresses.
@@ -164,10 +177,11 @@
     /// Starts three controllers and the gateways of a layout.
     pub fn start_with(block: u8, layout: Layout) -> Self {
         let folder = tempfile::tempdir().expect("a temporary directory can be created");
-        let [mesh, control, callers, ready, metrics_port] = free_ports();
         let ip = |number: u8| format!("127.77.{block}.{number}");
         let bind_ip = |number: u8| format!("127.78.{block}.{number}");
         let count = CONTROLLERS as u8 + layout.gateways;
+        let bind_ips: Vec<String> = (1..=count).map(bind_ip).collect();
+        let [mesh, control, callers, ready, metrics_port] = free_ports_at(&bind_ips);
         let mut links = Vec::new();
         let controllers: Vec<String> = (1..=3).map(|n| format!("{}:{control}", ip(n))).collect();
         let gateways: Vec<String> = (4..=count).map(|n| format!("{}:{callers}", ip(n))).collect();
