--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -1,6 +1,6 @@
 //! State that a controller keeps of workers, gateways and other controllers, in memory only.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hollowbarrow_fleet::{MergeOutcome, VersionTimes, WorkerTable};
@@ -317,12 +317,9 @@
         now: Instant,
     ) -> bool {
         let Some(gateway) = self.gateways.get(to) else { return false };
-        let role = match (certainty, self.delivers_immediately(gateway)) {
-            (ConfigCertainty::Nothing, _) => return false,
-            (ConfigCertainty::Unconfirmed, _) => DeliveryRole::Uncertain,
-            (ConfigCertainty::Complete, true) => DeliveryRole::Primary,
-            (ConfigCertainty::Complete, false) => DeliveryRole::Fallback,
-        };
+        let held = gateway.delivery.reported_version();
+        let immediately = self.delivers_immediately(gateway);
+        let Some(role) = DeliveryRole::towards(held, certainty, immediately) else { return false };
         let Some(gateway) = self.gateways.get_mut(to) else { return false };
         let due = gateway.delivery.is_due(offer, role, commits, now);
         if due {
@@ -382,6 +379,13 @@
         gateways.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Controllers whose last hello is more recent than `within`.
+    pub(crate) fn controllers(&self, within: Duration, now: Instant) -> BTreeSet<DaemonId> {
+        let recent = |daemon: &KnownController| now.duration_since(daemon.last_received) < within;
+        let controllers = self.controllers.iter().filter(|(_, daemon)| recent(daemon));
+        controllers.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Zones of all controllers that ever sent a hello, and of this one.
     pub(crate) fn locations(&self) -> Vec<ControllerPlace> {
         let location =
