Test that a replaced voter of entry daemons counts, and only then

Seen: nothing yet at operators; the fault of the controllers' incident, looked for in the logs of entry daemons.

Cause, as for controllers in part. Their replicas may always found a log, so a removal and an admission that arrive as entries in one message are both recognised. And because the admission is recognised in any entry, a disk that is lost a second time takes the admission after its first loss for its own: it counts at once, and has forgotten what it voted and acknowledged since.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,3 +10,4 @@
 mod reference;
 mod requests;
 mod support;
+mod voter_replacement;
