Show in status and metrics of entry daemons which voters count

Seen: with a voter whose disk was lost, only that voter's own status said so. The leaders' status named three voters, and no metric of entry daemons told that a further lost voter would leave no majority.

The status of a daemon now has each log with its voters, the fault of this daemon, and, on the log's leader, the voters that count, those that answer and must not, and how many more may be lost; `hollowbarrow status` says it in a line for each log. Metrics: log_leads and log_voter_fault everywhere, log_voters, log_voters_counted and log_voters_uncounted on the leader.

--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -25,6 +25,7 @@
 use crate::daemon::StartDaemonError;
 use crate::operator_view::{daemon_status, dry_run, explain_group, group_statuses, node_statuses};
 use crate::proposals::ProposeEntryError;
+use crate::telemetry::log_metrics;
 
 /// Timeout for a change's outcome.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -67,8 +68,10 @@
             let sent = traffic.map_or(0, MeshTraffic::sent);
             let received = traffic.map_or(0, MeshTraffic::received);
             Response::text(format!(
-                "{}hollowbarrow_peer_bytes_sent {sent}\nhollowbarrow_peer_bytes_received {received}\n",
-                core.telemetry.to_text()
+                "{}{}{}hollowbarrow_peer_bytes_sent {sent}\nhollowbarrow_peer_bytes_received {received}\n",
+                core.telemetry.to_text(),
+                log_metrics(LogName::Config, &core.config_log.view()),
+                log_metrics(LogName::Claims, &core.claims_log.view()),
             ))
         }
         (method, path) => match authenticate_operator(core, request) {
--- a/crates/daemon/src/operator_view.rs
+++ b/crates/daemon/src/operator_view.rs
@@ -2,10 +2,11 @@
 
 use std::sync::atomic::Ordering;
 
+use hollowbarrow_log::LogView;
 use hollowbarrow_planner::explain_nodes;
 use hollowbarrow_schema::{
     Allocation, ConfigCommand, DaemonStatus, GroupExplanation, GroupName, GroupStatus, Labels,
-    NodeStatus, ReplicaStatus, ZoneId,
+    LogName, LogStatus, NodeStatus, QuorumStatus, ReplicaStatus, ZoneId,
 };
 use hollowbarrow_state::ConfigState;
 use tokio::time::Instant;
@@ -31,10 +32,11 @@
         zone: core.zone().clone(),
         applied: config.applied,
         confirmed_ms: confirmed.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        leader: config.leader.map(|leader| leader.to_string()),
-        claims_leader: claims.leader.map(|leader| leader.to_string()),
+        leader: config.leader.as_ref().map(ToString::to_string),
+        claims_leader: claims.leader.as_ref().map(ToString::to_string),
         authority,
-        voters: config.voters,
+        voters: config.voters.clone(),
+        logs: vec![log_status(LogName::Config, &config), log_status(LogName::Claims, &claims)],
         stranded: core.telemetry.stranded_now(),
         ready: core.ready.load(Ordering::Relaxed),
         in_flight: core.in_flight.load(Ordering::Relaxed),
@@ -42,6 +44,28 @@
     }
 }
 
+/// Returns the state of a log as this daemon's replica knows it.
+fn log_status(log: LogName, view: &LogView) -> LogStatus {
+    LogStatus {
+        log,
+        leader: view.leader.as_ref().map(ToString::to_string),
+        voters: view.voters.clone(),
+        quorum: view.leads.then(|| quorum_status(view)),
+        fault: view.fault.clone(),
+    }
+}
+
+/// Returns which voters a leader counts.
+fn quorum_status(view: &LogView) -> QuorumStatus {
+    let majority = view.voters.len() / 2 + 1;
+    let as_count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+    QuorumStatus {
+        counted: as_count(view.counted),
+        uncounted: view.uncounted.clone(),
+        losses_borne: as_count(view.counted.saturating_sub(majority)),
+    }
+}
+
 /// Returns every node, with its state as listed by the platform and as observed by this daemon.
 pub(crate) fn node_statuses(core: &DaemonCore) -> Vec<NodeStatus> {
     let now = Instant::now();
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -9,7 +9,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hollowbarrow_schema::{ErrorRan, GroupName, Urgency};
+use hollowbarrow_log::LogView;
+use hollowbarrow_schema::{ErrorRan, GroupName, LogName, Urgency};
 use hollowbarrow_telemetry::MetricsPage;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -58,6 +59,23 @@
         ),
         ("peer_bytes_sent", "bytes", "Bytes of messages to other daemons."),
         ("peer_bytes_received", "bytes", "Bytes of messages from other daemons."),
+        ("log_leads", "1", "1 while this daemon leads the log, by log: config or claims."),
+        (
+            "log_voter_fault",
+            "1",
+            "1 while this daemon is a voter of the log and must not count, for example after a lost disk.",
+        ),
+        ("log_voters", "1", "Voters of the log; only on its leader."),
+        (
+            "log_voters_counted",
+            "1",
+            "Voters that answer and count in quorums, itself included; only on the log's leader.",
+        ),
+        (
+            "log_voters_uncounted",
+            "1",
+            "Voters that answer and must not count, for example after a lost disk; only on the log's leader.",
+        ),
         ("stranded_accelerators", "1", "Accelerators of usable nodes in no serving replica now."),
     ]
 }
@@ -223,6 +241,24 @@
     }
 }
 
+/// Returns the metrics of a log as text. Only its leader knows which voters count, so that other
+/// daemons leave these lines out.
+pub(crate) fn log_metrics(log: LogName, view: &LogView) -> String {
+    let mut metrics = vec![
+        ("log_leads", usize::from(view.leads)),
+        ("log_voter_fault", usize::from(view.fault.is_some())),
+    ];
+    if view.leads {
+        metrics.push(("log_voters", view.voters.len()));
+        metrics.push(("log_voters_counted", view.counted));
+        metrics.push(("log_voters_uncounted", view.uncounted.len()));
+    }
+    metrics
+        .into_iter()
+        .map(|(name, value)| format!("hollowbarrow_{name}{{log=\"{log}\"}} {value}\n"))
+        .collect()
+}
+
 /// Span of one stage of a request; ends when dropped.
 #[derive(Clone)]
 pub(crate) struct HopSpan {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -699,6 +699,9 @@
     #[serde(default)]
     pub in_flight: u32,
     pub leader: ::std::option::Option<::std::string::String>,
+    ///This daemon's view of each log.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub logs: ::std::vec::Vec<LogStatus>,
     pub ready: bool,
     ///Accelerators of managed, live nodes of the zone that are in no serving replica.
     pub stranded: u32,
@@ -1669,6 +1672,29 @@
         value.clone()
     }
 }
+///One daemon's view of a log and its voters.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LogStatus {
+    ///Why this daemon does not count as a voter of the log; absent if it counts or is no voter.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub fault: ::std::option::Option<::std::string::String>,
+    ///Leader of the log, if this daemon follows one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub leader: ::std::option::Option<::std::string::String>,
+    pub log: LogName,
+    ///Which voters count; only the leader knows it.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub quorum: ::std::option::Option<QuorumStatus>,
+    ///Voters as far as this daemon knows them; one that does not vote does not follow the log of claims.
+    pub voters: ::std::vec::Vec<DaemonId>,
+}
+impl ::std::convert::From<&LogStatus> for LogStatus {
+    fn from(value: &LogStatus) -> Self {
+        value.clone()
+    }
+}
 ///Settings of a gateway or a controller.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -2586,6 +2612,23 @@
         Self::Claim(value)
     }
 }
+///Which voters of a log its leader counts.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct QuorumStatus {
+    ///Voters that answer the leader and count, itself included.
+    pub counted: u32,
+    ///Further voters that can be lost while a majority remains.
+    pub losses_borne: u32,
+    ///Voters that answer and must not count, for example after the loss of a disk.
+    pub uncounted: ::std::vec::Vec<DaemonId>,
+}
+impl ::std::convert::From<&QuorumStatus> for QuorumStatus {
+    fn from(value: &QuorumStatus) -> Self {
+        value.clone()
+    }
+}
 ///Number of replicas of a group that each availability zone must run; written by the log's leader.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -320,6 +320,11 @@
         self.daemons[self.position(id)].callers
     }
 
+    /// Returns the address of a daemon's operator API.
+    pub fn operator_address(&self, id: &str) -> SocketAddr {
+        self.daemons[self.position(id)].operators
+    }
+
     /// Returns whether a daemon has a process, running or paused.
     pub fn is_running(&self, id: &str) -> bool {
         self.daemons[self.position(id)].child.is_some()
--- a/tests/all/voter_replacement.rs
+++ b/tests/all/voter_replacement.rs
@@ -1,8 +1,11 @@
 //! Replacement of voters of entry daemons whose disks were lost, in both logs.
 
+use std::process::Command;
 use std::time::Duration;
 
-use hollowbarrow_testkit::{CALLER_KEY, CallReply, CallerCall, Cluster, FaultMode, join_all};
+use hollowbarrow_testkit::{
+    CALLER_KEY, CallReply, CallerCall, Cluster, FaultMode, OPERATOR_KEY, join_all,
+};
 use hyper::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -19,6 +22,9 @@
 /// Interval between two reads of a status.
 const POLL_MS: u64 = 50;
 
+/// Names of the logs of entry daemons.
+const LOGS: [&str; 2] = ["config", "claims"];
+
 /// Sends a request that must not run twice, and so needs the log of claims.
 async fn hold(cluster: &Cluster, id: &str, key: &str) -> CallReply {
     CallerCall::new(Method::POST, "/holds/7", CALLER_KEY)
@@ -77,8 +83,9 @@
     let started = Instant::now();
     loop {
         let status = cluster.read_operator_api(id, "/status").await;
-        // A daemon that has not applied an entry since its start does not know the fault yet.
-        let known = status["applied"].as_u64() > Some(0) && !status["confirmed_ms"].is_null();
+        // A daemon that has heard of no leader since its start does not know the fault yet.
+        let logs = status["logs"].as_array().into_iter().flatten();
+        let known = logs.filter(|log| log["leader"].is_string()).count() == LOGS.len();
         if known && status["fault"].is_string() == expected {
             return Ok(started.elapsed());
         }
@@ -89,6 +96,52 @@
     }
 }
 
+/// Returns the leader of a log, and which voters it counts.
+async fn read_quorum(cluster: &Cluster, log: &str) -> Option<(String, Value)> {
+    for id in ["a0", "b0", "c0"] {
+        let status = cluster.read_operator_api(id, "/status").await;
+        let logs = status["logs"].as_array().into_iter().flatten();
+        let known = logs.filter(|known| known["log"] == log);
+        if let Some(quorum) = known.map(|known| &known["quorum"]).find(|quorum| quorum.is_object())
+        {
+            return Some((id.to_owned(), quorum.clone()));
+        }
+    }
+    None
+}
+
+/// Waits until the leaders of both logs count exactly these voters; returns the leaders.
+async fn wait_quorums(cluster: &Cluster, expected: &Value) -> Vec<String> {
+    let started = Instant::now();
+    let mut leaders = Vec::new();
+    for log in LOGS {
+        loop {
+            let quorum = read_quorum(cluster, log).await;
+            if let Some((leader, _)) = quorum.as_ref().filter(|(_, found)| found == expected) {
+                leaders.push(leader.clone());
+                break;
+            }
+            assert!(started.elapsed() < RECOVERY_TIMEOUT, "{log}: {quorum:?}, not {expected}");
+            pause(POLL_MS).await;
+        }
+    }
+    leaders
+}
+
+/// Returns what a leader tells while all three voters count.
+fn all_counted() -> Value {
+    json!({"counted": 3, "uncounted": [], "losses_borne": 1})
+}
+
+/// Returns what a leader tells while the voter c0 answers and must not count.
+fn one_uncounted() -> Value {
+    json!({"counted": 2, "uncounted": ["c0"], "losses_borne": 0})
+}
+
+async fn read_metrics(cluster: &Cluster, id: &str) -> String {
+    cluster.call_operator_api(id, Method::GET, "/metrics", &Value::Null).await.body
+}
+
 /// Replaces a voter by itself, and repeats that until it is answered with success.
 async fn replace_voter(cluster: &Cluster, through: &str, voter: &str) -> CallReply {
     let change = json!({"remove": voter, "add": voter});
@@ -118,6 +171,7 @@
     assert!(wait_hold(&cluster, "a1", "before").await);
     lose_disk(&mut cluster, "c0").await;
     wait_fault(&cluster, "c0", true).await.expect("the fault is told");
+    wait_quorums(&cluster, &one_uncounted()).await;
     cluster.set_daemon_links("c0", cut);
     let replaced = replace_voter(&cluster, "a1", "c0").await;
     assert_eq!(replaced.status, 200, "{}", replaced.body);
@@ -129,10 +183,10 @@
     let lost = Instant::now();
     let change = cluster.submit_change("b1", "after", &group("drafts", 0)).await;
     println!("a change is accepted after {:?}: {}", lost.elapsed(), change.status);
-    assert_eq!(change.status, 200, "{}; {counts:?}; {}", change.body, cluster.log("c0"));
     let held = wait_hold(&cluster, "b1", "after").await;
     println!("a hold is confirmed after {:?}: {held}", lost.elapsed());
-    assert!(held, "no hold is confirmed; {counts:?}; {}", cluster.log("c0"));
+    let served = (change.status, held);
+    assert_eq!(served, (200, true), "{}; {counts:?}; {}", change.body, cluster.log("c0"));
     counts.expect("a voter that was replaced has no fault");
 }
 
@@ -156,3 +210,51 @@
         counts.unwrap_or_else(|status| panic!("c0 does not count: {status}"));
     }
 }
+
+/// A voter's disk is lost, then replaced. Status and metrics of the leaders tell which voters count.
+///
+/// Guards against a deployment that bears no further loss without an operator being able to see it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_disk_in_status_and_metrics() {
+    let mut cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    wait_quorums(&cluster, &all_counted()).await;
+    lose_disk(&mut cluster, "c0").await;
+    let leaders = wait_quorums(&cluster, &one_uncounted()).await;
+    let faulty = read_metrics(&cluster, "c0").await;
+    for (log, leader) in LOGS.iter().zip(&leaders) {
+        let metrics = read_metrics(&cluster, leader).await;
+        for line in [
+            format!("hollowbarrow_log_leads{{log=\"{log}\"}} 1\n"),
+            format!("hollowbarrow_log_voters{{log=\"{log}\"}} 3\n"),
+            format!("hollowbarrow_log_voters_counted{{log=\"{log}\"}} 2\n"),
+            format!("hollowbarrow_log_voters_uncounted{{log=\"{log}\"}} 1\n"),
+        ] {
+            assert!(metrics.contains(&line), "{line} is not in {metrics}");
+        }
+        let fault = format!("hollowbarrow_log_voter_fault{{log=\"{log}\"}} 1\n");
+        assert!(faulty.contains(&fault), "{fault} is not in {faulty}");
+        let line = format!("Log of {log}: 2 of 3 voters count (c0 must not); 0 more may be lost.");
+        let status = status_command(&cluster, leader);
+        assert!(status.contains(&line), "{line} is not in {status}");
+    }
+    let replaced = replace_voter(&cluster, "a1", "c0").await;
+    assert_eq!(replaced.status, 200, "{}", replaced.body);
+    let leaders = wait_quorums(&cluster, &all_counted()).await;
+    for (log, leader) in LOGS.iter().zip(&leaders) {
+        let line = format!("Log of {log}: 3 of 3 voters count; 1 more may be lost.");
+        let status = status_command(&cluster, leader);
+        assert!(status.contains(&line), "{line} is not in {status}");
+    }
+}
+
+/// Returns the output of `hollowbarrow status` for a daemon.
+fn status_command(cluster: &Cluster, id: &str) -> String {
+    let server = format!("http://{}", cluster.operator_address(id));
+    let output = Command::new(env!("CARGO_BIN_EXE_hollowbarrow"))
+        .args(["status", "--server", &server, "--key", OPERATOR_KEY])
+        .output()
+        .expect("the binary can be executed");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
