Wait until the leaders take an operator's change of voters

Seen: `POST /voters` answered 409 `busy` at once whenever a leader refused a step, also if another change was about to be committed, and left the steps before it in force. It proposed voters computed once, from what the called daemon had applied, for both logs.

Each step is now proposed until the leader takes it, within 10 s for the whole call, so a leader may refuse an admission until the daemon follows the log. The voters are computed for each try: for the log of claims from its own voters where the called daemon votes in it. They are taken only once the daemon has everything that was acknowledged before the call, since with older voters a step that changes nothing would undo another operator's change. A step that a log has taken already is answered with success, so the same call can be sent again after a lost answer, for one log that changed and one that did not. An unknown outcome is answered 504, as for other changes, no longer 503.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod table_change;
 mod telemetry;
 mod timers;
+mod voter_change;
 mod zone_authority;
 mod zone_control;
 mod zone_demand;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -26,6 +26,7 @@
 use crate::operator_view::{daemon_status, dry_run, explain_group, group_statuses, node_statuses};
 use crate::proposals::ProposeEntryError;
 use crate::telemetry::log_metrics;
+use crate::voter_change::ChangeVotersError;
 
 /// Timeout for a change's outcome.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -186,9 +187,8 @@
     }
 }
 
-/// Changes the voters of both logs, one daemon at a time.
+/// Changes the voters of both logs; waits until their leaders have taken each step.
 fn change_voters(core: &Arc<DaemonCore>, runtime: &Handle, change: &VoterChange) -> Response {
-    let mut voters = core.config_log.view().voters;
     let known = |id: &DaemonId| core.settings.peers.iter().any(|peer| peer.id == *id);
     let unknown = [("remove", &change.remove), ("add", &change.add)]
         .into_iter()
@@ -203,22 +203,13 @@
     if !unknown.is_empty() {
         return faults(422, "the change of voters names an unknown daemon", unknown);
     }
-    let steps = [(change.remove.as_ref(), false), (change.add.as_ref(), true)];
-    for (daemon, adds) in steps {
-        let Some(daemon) = daemon else { continue };
-        voters.retain(|voter| voter != daemon);
-        if adds {
-            voters.push(daemon.clone());
-        }
-        for log in [LogName::Claims, LogName::Config] {
-            let payload = EntryPayload::Voters(voters.clone());
-            let deadline = Instant::now() + CHANGE_TIMEOUT;
-            match runtime.block_on(core.propose(log, payload, deadline)) {
-                Ok(ProposalOutcome::VotersChanged) => {}
-                Ok(_) => return fault(409, "busy", "this change of voters is not possible now"),
-                Err(error) => return fault(503, "no_leader", &error.to_string()),
-            }
+    let deadline = Instant::now() + CHANGE_TIMEOUT;
+    match runtime.block_on(core.change_voters(change, deadline)) {
+        Ok(voters) => Response::json(&voters),
+        Err(error @ ChangeVotersError::Refused { .. }) => fault(409, "busy", &error.to_string()),
+        Err(ChangeVotersError::Propose(ProposeEntryError::Unknown)) => {
+            fault(504, "unknown", "the outcome is unknown; send the same change again")
         }
+        Err(error) => fault(503, "no_leader", &error.to_string()),
     }
-    Response::json(&voters)
 }
--- a/src/commands/voters.rs
+++ b/src/commands/voters.rs
@@ -12,7 +12,9 @@
         .about("Replaces daemons that vote on the logs, for example after the loss of a disk")
         .after_help(
             "Examples:\n  hollowbarrow voters --remove entry-2 --add entry-5\n  \
-             hollowbarrow voters --remove entry-2 --add entry-2   (its disk was replaced)",
+             hollowbarrow voters --remove entry-2 --add entry-2   (its disk was replaced)\n\n\
+             Waits up to 10 s until both logs have admitted the daemon. After a failure, send the \
+             same command again.",
         )
         .arg(Arg::new("remove").long("remove").help("Daemon that stops voting"))
         .arg(Arg::new("add").long("add").help("Daemon with a data folder that starts voting"))
--- a/tests/all/voter_replacement.rs
+++ b/tests/all/voter_replacement.rs
@@ -19,6 +19,14 @@
 const AT_ONCE: usize = 64;
 /// Time within which a replaced voter must count, and the cluster serve after another loss.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time for which a voter is down while it is replaced; the call waits longer.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+/// Number of times that operators replace a voter at once.
+const TRIALS: u32 = 5;
+/// Number of calls whose answer is lost.
+const LOST_ANSWERS: u32 = 8;
+/// By how much later than the call before a daemon is killed during the next one.
+const LOST_ANSWER_STEP: Duration = Duration::from_millis(6);
 /// Interval between two reads of a status.
 const POLL_MS: u64 = 50;
 
@@ -211,6 +219,112 @@
     }
 }
 
+/// A voter is replaced while it is still down, with an empty disk. It comes back within the time of
+/// the call.
+///
+/// Guards against a call that is refused because the voter does not follow the logs yet, and against
+/// one that is answered with success and leaves the voter uncounted.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_before_return() {
+    let mut cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    wait_quorums(&cluster, &all_counted()).await;
+    cluster.kill("c0");
+    let data = cluster.data_folder("c0").expect("the voter has a disk").to_owned();
+    std::fs::remove_dir_all(&data).expect("the data folder can be removed");
+    let call = CallerCall::new(Method::POST, "/voters", OPERATOR_KEY)
+        .with_body(&json!({"remove": "c0", "add": "c0"}).to_string())
+        .with_timeout(RECOVERY_TIMEOUT);
+    let address = cluster.operator_address("a1");
+    let call = tokio::spawn(async move { call.send(address).await });
+    tokio::time::sleep(DOWN_TIME).await;
+    cluster.restart("c0");
+    let reply = call.await.expect("the call's task ends");
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    wait_quorums(&cluster, &all_counted()).await;
+    wait_fault(&cluster, "c0", false).await.expect("c0 counts");
+}
+
+/// A voter whose disk was lost is removed; the other voters are restarted, so that others may lead;
+/// then it is added.
+///
+/// Guards against leaders that wait for a daemon to which they send nothing: only voters are sent the
+/// log of claims.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn added_after_leader_change() {
+    let mut cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    wait_quorums(&cluster, &all_counted()).await;
+    lose_disk(&mut cluster, "c0").await;
+    wait_quorums(&cluster, &one_uncounted()).await;
+    let change = json!({"remove": "c0"});
+    let removed = cluster.call_operator_api("a1", Method::POST, "/voters", &change).await;
+    assert_eq!(removed.status, 200, "{}", removed.body);
+    for id in ["a0", "b0"] {
+        cluster.kill(id);
+    }
+    for id in ["a0", "b0"] {
+        cluster.restart(id);
+    }
+    cluster.wait_ready().await;
+    assert_eq!(cluster.submit_change("a1", "led", &group("drafts", 0)).await.status, 200);
+    let change = json!({"add": "c0"});
+    let added = cluster.call_operator_api("a1", Method::POST, "/voters", &change).await;
+    assert_eq!(added.status, 200, "{}", added.body);
+    wait_quorums(&cluster, &all_counted()).await;
+}
+
+/// Several operators replace the same voter through different daemons at once, itself included.
+///
+/// Guards against refusing a change because another one is not committed at that moment, and
+/// against voters that differ between the logs afterwards.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_by_several_operators() {
+    let mut cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    wait_quorums(&cluster, &all_counted()).await;
+    lose_disk(&mut cluster, "c0").await;
+    wait_quorums(&cluster, &one_uncounted()).await;
+    let change = json!({"remove": "c0", "add": "c0"});
+    for _ in 0..TRIALS {
+        let calls = ["a1", "b1", "a0", "b0", "c0"]
+            .map(|id| cluster.call_operator_api(id, Method::POST, "/voters", &change));
+        for reply in join_all(calls.into()).await {
+            assert_eq!(reply.status, 200, "{}", reply.body);
+        }
+        wait_quorums(&cluster, &all_counted()).await;
+    }
+}
+
+/// The daemon through which a voter is replaced is killed during the call, at one moment after
+/// another, and the operator sends the change again through another daemon.
+///
+/// Guards against a change that one log has taken and the other has not, and that cannot be sent
+/// again.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_again_after_lost_answer() {
+    let mut cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    wait_quorums(&cluster, &all_counted()).await;
+    lose_disk(&mut cluster, "c0").await;
+    wait_quorums(&cluster, &one_uncounted()).await;
+    let change = json!({"remove": "c0", "add": "c0"});
+    for number in 0..LOST_ANSWERS {
+        let call = cluster.call_operator_api("a1", Method::POST, "/voters", &change);
+        let _ = tokio::time::timeout(LOST_ANSWER_STEP * number, call).await;
+        cluster.kill("a1");
+        let again = cluster.call_operator_api("b1", Method::POST, "/voters", &change).await;
+        assert_eq!(again.status, 200, "after {:?}: {}", LOST_ANSWER_STEP * number, again.body);
+        wait_quorums(&cluster, &all_counted()).await;
+        cluster.restart("a1");
+        cluster.wait_ready().await;
+    }
+}
+
 /// A voter's disk is lost, then replaced. Status and metrics of the leaders tell which voters count.
 ///
 /// Guards against a deployment that bears no further loss without an operator being able to see it.
