--- a/tests/all/voter_replacement.rs
+++ b/tests/all/voter_replacement.rs
@@ -325,6 +325,23 @@
     }
 }
 
+/// A voter is to be replaced through a daemon that is cut off.
+///
+/// Guards against a call without an answer, and against one that changes voters although it fails.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_through_cut_off_daemon() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    wait_quorums(&cluster, &all_counted()).await;
+    cluster.set_daemon_links("a1", FaultMode::Blackhole);
+    let change = json!({"remove": "c0"});
+    let reply = cluster.call_operator_api("a1", Method::POST, "/voters", &change).await;
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    cluster.set_daemon_links("a1", FaultMode::Pass);
+    wait_quorums(&cluster, &all_counted()).await;
+}
+
 /// A voter's disk is lost, then replaced. Status and metrics of the leaders tell which voters count.
 ///
 /// Guards against a deployment that bears no further loss without an operator being able to see it.
