--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -325,7 +325,8 @@
     }
 
     fn propose_voters(&mut self, payload: EntryPayload, sender: Sender<ProposalOutcome>) {
-        if self.replica.is_leader() && self.matches_current_voters(&payload) {
+        let committed = !self.replica.is_voter_change_pending();
+        if self.replica.is_leader() && committed && self.matches_current_voters(&payload) {
             // The proposal was repeated after its answer was lost; the change is already applied.
             let _ = sender.send(ProposalOutcome::VotersChanged);
         } else if self.replica.is_leader() {
