Admit a removed voter only with a disk that it has shown since

An operator who replaced a voter that was down with an empty disk was told success, and the voter never counted: the leader named it with the disk of its last reply, which was the lost one. A removal now begins a heartbeat round, and the disk that the removed voter was named with is taken only from a reply of a later one; another disk that it has answered with may be named at once, so that a controller that was emptied is still admitted as soon as its removal is committed.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_schema::{DaemonId, DiskIdentity, LogIndex};
+use hollowbarrow_schema::{DaemonId, DiskId, DiskIdentity, LogIndex};
 use tokio::time::Instant;
 
 use crate::electorate::Electorate;
@@ -24,10 +24,22 @@
     pub(crate) round: u64,
     /// Latest heartbeat round that the follower echoed with this or a former disk.
     pub(crate) heard_round: u64,
+    /// The follower's last removal as a voter in this term.
+    pub(crate) removal: Option<VoterRemoval>,
     /// Time at which a snapshot was last sent, so that it is not sent with each heartbeat.
     pub(crate) snapshot_sent: Option<Instant>,
 }
 
+/// Removal of a voter.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VoterRemoval {
+    /// Disk that the voter was named with.
+    pub(crate) disk: Option<DiskId>,
+    /// Heartbeat round of the removal. Only replies of later rounds show that the daemon still has
+    /// that disk.
+    pub(crate) round: u64,
+}
+
 /// State of a leader.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaderRole {
@@ -129,6 +141,7 @@
             contact: None,
             round: 0,
             heard_round: 0,
+            removal: None,
             snapshot_sent: None,
         }
     }
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -414,8 +414,9 @@
     /// Returns none if it is not the leader, if a change of the voters is proposed
     /// while another one is not committed yet or before this leader has committed
     /// an entry, if the change adds or removes more than one daemon or adds one
-    /// that is unknown, or if the storage fails. A daemon that has not replied yet
-    /// is refused too, but is sent the log, so that a later proposal can add it.
+    /// that is unknown, or if the storage fails. A daemon that has not replied yet,
+    /// or not since it was removed, is refused too, but is sent the log, so that a
+    /// later proposal can add it.
     pub fn propose(&mut self, payloads: Vec<EntryPayload>, now: Instant) -> Option<LogIndex> {
         if !self.is_leader() {
             return None;
@@ -429,10 +430,13 @@
             .zip(*first..)
             .map(|(payload, index)| LogEntry { index: LogIndex(index), term, payload })
             .collect();
+        // Replies to a change of the voters are told from earlier ones by their round.
+        let new_round =
+            entries.iter().any(|entry| Electorate::from_payload(&entry.payload).is_some());
         if !self.append(&entries) {
             return None;
         }
-        self.broadcast(now, false);
+        self.broadcast(now, new_round);
         Some(first)
     }
 
--- a/crates/log/src/replica/followers.rs
+++ b/crates/log/src/replica/followers.rs
@@ -27,15 +27,12 @@
     /// lacks the least of the log first; empty if this replica is not the leader.
     pub fn candidate_voters(&self, recent: Duration, now: Instant) -> Vec<DaemonId> {
         let ReplicaRole::Leader(role) = &self.role else { return Vec::new() };
-        let suitable = |progress: &FollowerProgress| {
-            let disk = progress.disk.as_ref().and_then(|disk| disk.id);
-            let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
-            disk.is_some() && progress.contact.is_some_and(fresh)
-        };
+        let fresh = |contact: Instant| now.saturating_duration_since(contact) < recent;
         let mut candidates: Vec<(&DaemonId, &FollowerProgress)> = role
             .progress
             .iter()
-            .filter(|(id, progress)| !self.voters.contains(id) && suitable(progress))
+            .filter(|(id, _)| !self.voters.contains(id) && self.heard_disk(id).is_some())
+            .filter(|(_, progress)| progress.contact.is_some_and(fresh))
             .collect();
         candidates.sort_by_key(|(_, progress)| Reverse(progress.matched));
         candidates.into_iter().map(|(id, _)| id.clone()).collect()
--- a/crates/log/src/replica/voters.rs
+++ b/crates/log/src/replica/voters.rs
@@ -7,7 +7,7 @@
 
 use super::{LogReplica, ReplicaFault, ReplicaRole};
 use crate::electorate::Electorate;
-use crate::leader::FollowerProgress;
+use crate::leader::{FollowerProgress, VoterRemoval};
 use crate::storage::LogStorage;
 
 impl<S: LogStorage> LogReplica<S> {
@@ -80,13 +80,21 @@
         Some(Electorate::new(voters.to_vec(), disks))
     }
 
-    /// Returns the disk from which a daemon last replied to this leader; none if it is a voter and the
-    /// reply does not count.
-    fn heard_disk(&self, id: &DaemonId) -> Option<DiskId> {
+    /// Returns the disk with which a daemon may be named as a voter, as far as its replies show.
+    pub(super) fn heard_disk(&self, id: &DaemonId) -> Option<DiskId> {
         let ReplicaRole::Leader(role) = &self.role else { return None };
-        let own = (*id == self.config.id).then(|| self.storage.vote().identity());
-        let disk = own.or_else(|| role.progress.get(id)?.disk.clone())?;
-        (!self.voters.contains(id) || self.voters.counts(id, &disk)).then_some(disk.id?)
+        if *id == self.config.id {
+            return self.storage.vote().disk;
+        }
+        let progress = role.progress.get(id)?;
+        let disk = progress.disk.as_ref()?;
+        let current = match self.voters.contains(id) {
+            true => self.voters.counts(id, disk),
+            false => progress
+                .removal
+                .is_none_or(|removal| removal.disk != disk.id || progress.round > removal.round),
+        };
+        disk.id.filter(|_| current)
     }
 
     /// Names the disks of voters that a log of an earlier release lists without them, as far as they
@@ -146,7 +154,16 @@
     }
 
     pub(super) fn set_voters(&mut self, voters: Electorate) {
-        self.voters = voters;
+        let former = std::mem::replace(&mut self.voters, voters);
+        if let ReplicaRole::Leader(role) = &mut self.role {
+            let removed = former.ids().iter().filter(|id| !self.voters.contains(id));
+            for id in removed {
+                if let Some(progress) = role.progress.get_mut(id) {
+                    let disk = former.disks().get(id).copied();
+                    progress.removal = Some(VoterRemoval { disk, round: role.round });
+                }
+            }
+        }
         self.refresh_fault();
         self.track_followers();
     }
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -315,6 +315,34 @@
     assert_eq!(led, 0, "one disk of three is no majority");
 }
 
+/// A voter that was removed while it was down must not be admitted with the disk that it had: if that
+/// one is lost, the admission names a disk that never answers.
+#[rstest]
+#[case::disk_lost(true)]
+#[case::disk_kept(false)]
+fn admission_of_voter_that_is_down(#[case] lost: bool) {
+    let mut cluster = Cluster::new();
+    cluster.run(100);
+    let leader = cluster.leader().id().clone();
+    let down = ids().into_iter().find(|id| *id != leader).expect("there are three");
+    let stopped = cluster.replicas.remove(&down).expect("known");
+    let others: Vec<DaemonId> = ids().into_iter().filter(|id| *id != down).collect();
+    cluster.propose(EntryPayload::Voters(others));
+    cluster.run(50);
+    let now = cluster.now;
+    let early = cluster.leader().propose(vec![EntryPayload::Voters(ids())], now);
+    assert_eq!(early, None, "its disk is not known since its removal");
+    let storage =
+        if lost { MemoryStorage::new().with_durable(true) } else { stopped.into_storage() };
+    let returned = LogReplica::new(config_of(&down, false), storage, cluster.now);
+    cluster.replicas.insert(down.clone(), returned);
+    cluster.run(50);
+    cluster.propose(EntryPayload::Voters(ids()));
+    cluster.run(50);
+    assert_eq!(cluster.leader().uncounted_voters(), []);
+    assert!(cluster.replicas[&down].fault().is_none(), "the voter counts");
+}
+
 /// A leader must not doubt a good voter because of an answer that its former disk gave in the same
 /// round; a later answer of another disk shows that the disk was replaced.
 #[rstest]
