Describe faults of a voter as what quorums may not count

A voter with another disk votes and acknowledges since voters are named with their disks; only nobody counts it. No logic changes.

--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -126,9 +126,9 @@
     /// Whether this daemon is the leader and has committed an entry of its own term, so that its
     /// applied state includes every entry acknowledged before.
     pub current: bool,
-    /// Whether this daemon is a voter whose disk was empty after a restart.
+    /// Whether this daemon is a voter whose disk is not the one that the log names.
     pub lost_disk: bool,
-    /// Why this replica does not take part in quorums, if it has a fault.
+    /// Why no quorum may count this replica, if it has a fault.
     pub fault: Option<String>,
     /// Voters that replied to this leader and may not be counted in a quorum, for example because
     /// they lost their disks; empty if this replica is not the leader.
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -124,7 +124,7 @@
     }
 }
 
-/// Why a replica neither votes nor acknowledges entries.
+/// Why no quorum may count a replica.
 #[derive(Debug, Error)]
 pub enum ReplicaFault {
     /// The storage failed.
@@ -306,7 +306,7 @@
         self.voters.ids()
     }
 
-    /// Returns why this replica takes no part in quorums, if it has a fault.
+    /// Returns why no quorum may count this replica, if it has a fault.
     pub fn fault(&self) -> Option<&ReplicaFault> {
         self.fault.as_ref()
     }
