Test that a returned voter counts within four seconds

Four seconds after its return a controller no longer counts as lost, so another disk may be lost. The test returns a controller with an empty disk under changes each 100 to 150 ms, polls the leader's count of voters until four seconds after the return, and demands that it holds all voters then. Losses names, for this bound and for the soak, what counts as lost.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod changes;
+mod counted;
 mod crashing_burst;
 mod crashing_request;
 mod disturbance;
@@ -9,6 +10,7 @@
 mod foreign;
 mod limit;
 mod limit_check;
+mod losses;
 mod lost_power;
 mod notices;
 mod observer;
--- a/tests/platform/readmission.rs
+++ b/tests/platform/readmission.rs
@@ -50,31 +50,36 @@
 }
 
 /// Changes of the configuration, sent until they are stopped.
-struct Changes {
+pub struct Changes {
     stopped: Arc<AtomicBool>,
     task: JoinHandle<u64>,
 }
 
 impl Changes {
-    /// Sends changes, each to the first of the controllers that acknowledges it.
-    fn start(controllers: Vec<String>) -> Self {
+    /// Sends changes, each to the first of the controllers that acknowledges it. `content` returns
+    /// the configuration of a version.
+    pub fn start(controllers: Vec<String>, content: fn(u64) -> Value) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(send_changes(controllers, Arc::clone(&stopped)));
+        let task = tokio::spawn(send_changes(controllers, content, Arc::clone(&stopped)));
         Self { stopped, task }
     }
 
     /// Stops the changes and returns the version that was sent last.
-    async fn stop(self) -> u64 {
+    pub async fn stop(self) -> u64 {
         self.stopped.store(true, Ordering::Relaxed);
         self.task.await.expect("the changes do not panic")
     }
 }
 
-async fn send_changes(controllers: Vec<String>, stopped: Arc<AtomicBool>) -> u64 {
+async fn send_changes(
+    controllers: Vec<String>,
+    content: fn(u64) -> Value,
+    stopped: Arc<AtomicBool>,
+) -> u64 {
     let mut version = FIRST_VERSION;
     while !stopped.load(Ordering::Relaxed) {
         version += 1;
-        let body = Bytes::from(grown_configuration(version).to_string());
+        let body = Bytes::from(content(version).to_string());
         for controller in &controllers {
             if replace_at(controller, &body).await == 200 {
                 break;
@@ -97,7 +102,7 @@
 }
 
 /// Returns the controller that leads, if one does before the deadline.
-async fn find_leader(system: &System, deadline: Instant) -> Option<usize> {
+pub async fn find_leader(system: &System, deadline: Instant) -> Option<usize> {
     while Instant::now() < deadline {
         for controller in 0..CONTROLLERS {
             if system.has_metric(controller, "controller_leads 1").await {
@@ -110,7 +115,7 @@
 }
 
 /// Returns the controller that leads; fails if none does.
-async fn leader_of(system: &System) -> usize {
+pub async fn leader_of(system: &System) -> usize {
     let leader = find_leader(system, Instant::now() + SETUP_TIMEOUT).await;
     leader.unwrap_or_else(|| panic!("no controller leads: {}", system.logs()))
 }
@@ -208,7 +213,8 @@
         FirstLoss::Leader => leader,
     };
     let others = (0..CONTROLLERS).filter(|index| *index != lost);
-    let changes = Changes::start(others.map(|index| system.controllers[index].clone()).collect());
+    let addresses = others.map(|index| system.controllers[index].clone()).collect();
+    let changes = Changes::start(addresses, grown_configuration);
     tokio::time::sleep(CHANGED_TIME).await;
     lose_disk(&mut system, lost).await;
     tokio::time::sleep(CATCH_UP_TIME).await;
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -310,8 +310,16 @@
     /// Returns whether the metrics page of a daemon contains a line, given without the product
     /// prefix.
     pub async fn has_metric(&self, daemon: usize, line: &str) -> bool {
+        self.has_metrics(daemon, &[line]).await
+    }
+
+    /// Returns whether the metrics page of a daemon contains all the lines, given without the
+    /// product prefix.
+    pub async fn has_metrics(&self, daemon: usize, lines: &[&str]) -> bool {
         let metrics = self.try_metrics(daemon).await.unwrap_or_default();
-        metrics.lines().any(|shown| shown.strip_prefix("hollowbarrow_") == Some(line))
+        let shown: Vec<&str> =
+            metrics.lines().filter_map(|line| line.strip_prefix("hollowbarrow_")).collect();
+        lines.iter().all(|line| shown.contains(line))
     }
 
     /// Returns the configuration version that a gateway uses; 0 if it has none or does not answer.
