Start the stand-in workers at an address that no connection starts from

The port was the kernel's choice at 127.0.0.1, where outgoing connections of the machine draw theirs from the same range; that one of them took it is likely, not shown. Workers now listen at 127.76.0.1.

--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -31,6 +31,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(200);
 const LIMITS: HttpLimits = HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
 
+/// Address of a new worker, with a port that the kernel chooses. No connection starts at this IP
+/// address, so that none takes the port of a killed worker before its next instance starts.
+const NEW_ADDRESS: &str = "127.76.0.1:0";
 /// Body of a request that crashes each worker that runs it.
 pub const CRASHING_BODY: &[u8] = b"{\"ends\": \"worker\"}";
 /// Run time of a crashing request before its worker terminates.
@@ -129,7 +132,7 @@
         engine: bool,
         zone: &'static str,
     ) -> Arc<Self> {
-        Self::start_instance(fleet, id, (service, engine, zone), None, "127.0.0.1:0")
+        Self::start_instance(fleet, id, (service, engine, zone), None, NEW_ADDRESS)
     }
 
     /// Starts one instance of a worker at an address.
@@ -180,13 +183,7 @@
         engine: bool,
         zone: &'static str,
     ) -> Arc<Self> {
-        Self::start_instance(
-            fleet,
-            id,
-            (service, engine, zone),
-            Some(FIRST_START_MS),
-            "127.0.0.1:0",
-        )
+        Self::start_instance(fleet, id, (service, engine, zone), Some(FIRST_START_MS), NEW_ADDRESS)
     }
 
     /// Kills the worker and, after a delay, starts a new instance with the same id, at the same
@@ -205,7 +202,7 @@
         self.fleet.record_restarted(&self.id);
         let start_ms = self.start_ms.map(|start_ms| start_ms + 1000);
         let kind = (self.service, self.engine, self.zone);
-        let address = if moved { "127.0.0.1:0" } else { &self.address };
+        let address = if moved { NEW_ADDRESS } else { &self.address };
         Self::start_instance(&self.fleet, &self.id, kind, start_ms, address)
     }
 
