--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -330,16 +330,31 @@
     /// Returns whether the metrics page of a daemon contains a line, given without the product
     /// prefix.
     pub async fn has_metric(&self, daemon: usize, line: &str) -> bool {
+        self.has_metrics(daemon, &[line]).await
+    }
+
+    /// Returns whether the metrics page of a daemon contains all the lines, given without the
+    /// product prefix.
+    pub async fn has_metrics(&self, daemon: usize, lines: &[&str]) -> bool {
         let metrics = self.try_metrics(daemon).await.unwrap_or_default();
-        metrics.lines().any(|shown| shown.strip_prefix("hollowbarrow_") == Some(line))
+        let shown: Vec<&str> =
+            metrics.lines().filter_map(|line| line.strip_prefix("hollowbarrow_")).collect();
+        lines.iter().all(|line| shown.contains(line))
     }
 
     /// Returns the configuration version that a gateway uses; 0 if it has none or does not answer.
     pub async fn version_at(&self, gateway: usize) -> u64 {
-        let name = "hollowbarrow_gateway_configuration_version ";
-        let metrics = self.try_metrics(CONTROLLERS + gateway).await.unwrap_or_default();
-        let version = metrics.lines().find_map(|line| line.strip_prefix(name)?.parse().ok());
-        version.unwrap_or(0)
+        self.metric(CONTROLLERS + gateway, "gateway_configuration_version").await.unwrap_or(0)
+    }
+
+    /// Returns the value of a metric of a daemon, named without the product prefix; `None` if the
+    /// daemon does not show it or does not answer.
+    pub async fn metric(&self, daemon: usize, name: &str) -> Option<u64> {
+        let metrics = self.try_metrics(daemon).await?;
+        let value = |line: &str| {
+            line.strip_prefix("hollowbarrow_")?.strip_prefix(name)?.strip_prefix(' ')?.parse().ok()
+        };
+        metrics.lines().find_map(value)
     }
 
     /// Returns the logs of all daemons, for failure messages.
