Ignore acknowledgements of a zone's table that arrive late

A late acknowledgement of a member's former process replaced the present one's, whatever its round. The holder then took the member for one that has the table and left it out of the next renewal, so the member stayed without the table, and its promise without weight, for one renewal more.

An acknowledgement of an earlier round is ignored now, and so is one of the same round from another process.

hold_late_acknowledgement_after_restart fails before ("the renewal carries no table"). A change cannot be taken for settled by this alone: each member that renews the lease after the change has the table, and a restarted one grants none before the lease has run out.

--- a/crates/zone/src/authority.rs
+++ b/crates/zone/src/authority.rs
@@ -67,11 +67,15 @@
 }
 
 impl MemberAck {
-    /// Takes an acknowledgement into account; returns whether another process sent it.
+    /// Takes a later acknowledgement into account; returns whether another process sent it.
+    ///
+    /// Rounds tell which of two processes is the later one.
     fn update(&mut self, reply: MemberAck) -> bool {
         let restarted = self.start != reply.start;
-        let round = self.round.max(reply.round);
-        *self = MemberAck { round, ..reply };
+        if reply.round < self.round || (restarted && reply.round == self.round) {
+            return false;
+        }
+        *self = reply;
         restarted
     }
 }
--- a/crates/zone/tests/authority.rs
+++ b/crates/zone/tests/authority.rs
@@ -343,3 +343,54 @@
     }
     assert!(stage.zone.heal().is_some(), "a healed zone has an authority");
 }
+
+/// A late acknowledgement of a member's former process must not stand for its present one, which
+/// would then not be sent the table.
+#[rstest]
+fn hold_late_acknowledgement_after_restart() {
+    let mut stage = Stage::new();
+    stage.zone.partitioned.clear();
+    let (holder, follower) = (stage.holder.clone(), stage.follower.clone());
+    assert!(stage.zone.heal().is_some());
+    let (_, late) = stage.settle();
+    stage.zone.partitioned.clear();
+    stage.zone.start(&follower);
+    let (mut renewed, mut replies) = (Vec::new(), Vec::new());
+    // The other two renew the lease until the follower grants it again.
+    for _ in 0..300 {
+        stage.zone.true_us += 10_000;
+        stage.zone.with(&holder, AuthorityMember::tick);
+        let (to_follower, to_other): (Vec<_>, Vec<_>) = std::mem::take(&mut stage.zone.network)
+            .into_iter()
+            .partition(|(_, to, _)| *to == follower);
+        for (from, to, message) in to_other {
+            stage.zone.with(&to, |member, now| member.step(&from, message, now));
+        }
+        let (back, _): (Vec<_>, Vec<_>) = std::mem::take(&mut stage.zone.network)
+            .into_iter()
+            .partition(|(_, to, _)| *to == holder);
+        for (from, to, message) in back {
+            stage.zone.with(&to, |member, now| member.step(&from, message, now));
+        }
+        stage.zone.network.clear();
+        renewed = to_follower.into_iter().map(|(_, _, message)| message).collect();
+        replies = stage.step(&holder, &follower, &renewed);
+        if replies.iter().any(is_granted) {
+            break;
+        }
+    }
+    assert!(!renewed.is_empty() && replies.iter().any(is_granted), "the follower takes part again");
+    stage.step(&follower, &holder, &replies);
+    stage.step(&follower, &holder, &late);
+    stage.zone.true_us += 300_000;
+    stage.zone.with(&holder, AuthorityMember::tick);
+    let sent = stage.take(&holder, &follower);
+    let carries = |message: &AuthorityMessage| {
+        matches!(message, AuthorityMessage::Accept { table: Some(_), .. })
+    };
+    assert!(sent.iter().any(carries), "the renewal carries no table: {sent:?}");
+}
+
+fn is_granted(message: &AuthorityMessage) -> bool {
+    matches!(message, AuthorityMessage::Accepted { granted: true, .. })
+}
