Count promises only until the candidacy has ended

A candidate that was paused counted a promise that arrived after the time of its candidacy. A member keeps a promise across a restart only by abstaining, which lasts longer than a candidacy; a promise of its former process may have been given up by then, and the candidate would take an older table than the present process helped to settle.

hold_late_promise_after_pause fails before: the candidate becomes the holder. That a settled change is lost takes a zone of five and several delays at once; this was reasoned and not reproduced. The random faults deliver copies of messages at any later time now.

--- a/crates/zone/src/authority.rs
+++ b/crates/zone/src/authority.rs
@@ -343,7 +343,9 @@
             }
             return;
         };
-        if term != self.promised {
+        // A restarted member does not keep its promises for longer than it abstains, which is longer
+        // than a candidacy.
+        if term != self.promised || now >= self.next_candidacy {
             return;
         }
         if let MemberRole::Candidate(candidacy) = &mut self.role {
--- a/crates/zone/tests/authority.rs
+++ b/crates/zone/tests/authority.rs
@@ -24,6 +24,8 @@
     ids: Vec<DaemonId>,
     members: BTreeMap<DaemonId, AuthorityMember>,
     network: Vec<(DaemonId, DaemonId, AuthorityMessage)>,
+    /// Copies of messages, of which some arrive long after they were sent.
+    delayed: Vec<(DaemonId, DaemonId, AuthorityMessage)>,
     partitioned: BTreeSet<(DaemonId, DaemonId)>,
     /// Highest epoch of a settled table, under which orders may have been sent.
     settled: Epoch,
@@ -45,6 +47,7 @@
             ids: ids.clone(),
             members: BTreeMap::new(),
             network: Vec::new(),
+            delayed: Vec::new(),
             partitioned: BTreeSet::new(),
             settled: Epoch(0),
             settled_terms: BTreeMap::new(),
@@ -134,6 +137,7 @@
             97 if restarts => self.restart(&id),
             // A pause: time passes while no member acts.
             98 => self.true_us += self.rng.random_range(0..2_000_000),
+            99 => self.deliver_delayed(),
             _ => {}
         }
         self.check();
@@ -159,12 +163,24 @@
         } else {
             self.network.remove(position)
         };
+        if self.rng.random_bool(0.05) {
+            self.delayed.push((from.clone(), to.clone(), message.clone()));
+        }
         if self.rng.random_bool(0.05) || self.partitioned.contains(&(from.clone(), to.clone())) {
             return;
         }
         self.with(&to, |member, now| member.step(&from, message, now));
     }
 
+    fn deliver_delayed(&mut self) {
+        if self.delayed.is_empty() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.delayed.len());
+        let (from, to, message) = self.delayed.swap_remove(position);
+        self.with(&to, |member, now| member.step(&from, message, now));
+    }
+
     fn heal(&mut self) -> Option<DaemonId> {
         self.partitioned.clear();
         for _ in 0..1500 {
@@ -394,3 +410,23 @@
 fn is_granted(message: &AuthorityMessage) -> bool {
     matches!(message, AuthorityMessage::Accepted { granted: true, .. })
 }
+
+/// A candidate is paused for longer than a restarted member abstains: a promise of the member's former
+/// process must not count then, because the present one does not keep it.
+#[rstest]
+fn hold_late_promise_after_pause() {
+    let mut stage = Stage::new();
+    let (follower, candidate) = (stage.follower.clone(), stage.cut_off.clone());
+    stage.zone.network.clear();
+    stage.zone.true_us += 3_000_000;
+    stage.zone.with(&candidate, AuthorityMember::tick);
+    let prepare = stage.take(&candidate, &follower);
+    let late = stage.step(&candidate, &follower, &prepare);
+    assert!(matches!(late[..], [AuthorityMessage::Promise { granted: true, .. }]), "{late:?}");
+    stage.restart_follower();
+    stage.step(&follower, &candidate, &late);
+    stage.zone.network.clear();
+    stage.zone.with(&candidate, AuthorityMember::tick);
+    let sent = stage.take(&candidate, &follower);
+    assert!(matches!(sent[..], [AuthorityMessage::Prepare { .. }]), "{sent:?}");
+}
