Connect to a peer at once when it has connected

What callers would see: a daemon that returns after a loss of power connects to the others at once, but they paused for up to 1 s before they tried it again. A leader could not reach a returned voter for that time, and the deployment bore one lost disk less.

An accepted, authenticated connection ends one pause of the dialer towards its peer. An attempt in progress is not given up, and no dialer is started, so daemons that start together make at most one attempt more per connection that they accept. What was queued in a pause that ends so is kept, since it may answer the peer.

A connection that is open is pinged and kept. A process id in the handshake was weighed and left out: a machine that returned resets the former connection when the ping reaches it, and with the id a late handshake of the former process would end a connection that works.

returned_peer_ends_pause, returned_peer_is_answered and accepted_connection_causes_one_attempt fail without the notification, accepted_connection_probes_open_one without the ping. repeated_connections_keep_working_one and refused_connection_keeps_pause guard what must not follow.

--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -1,9 +1,13 @@
 //! Opens and accepts connections between daemons.
+//!
+//! Each direction has a connection of its own. An accepted connection shows that its peer runs, so it
+//! ends a pause of the dialer towards that peer; an open connection to the peer is kept and only
+//! pinged.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
@@ -15,6 +19,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 
@@ -36,6 +41,7 @@
 const SESSION_PURPOSE: &str = "hollowbarrow session";
 
 type PeerSocket = WebSocketStream<TcpStream>;
+type Dialers = Mutex<HashMap<DaemonId, DialerHandle>>;
 type MessageHandler = Arc<dyn Fn(&DaemonId, PeerMessage) + Send + Sync>;
 
 /// Why the mesh could not start.
@@ -80,6 +86,7 @@
     connect_timeout: Duration,
     step_timeout: Duration,
     silence_timeout: Duration,
+    backoff: (Duration, Duration),
 }
 
 impl MeshConfig {
@@ -94,6 +101,7 @@
             connect_timeout: STEP_TIMEOUT,
             step_timeout: STEP_TIMEOUT,
             silence_timeout: PONG_TIMEOUT,
+            backoff: BACKOFF,
         }
     }
 
@@ -128,6 +136,12 @@
         self
     }
 
+    /// Sets the minimum and maximum delay before a connection is tried again.
+    pub fn with_backoff(mut self, min: Duration, max: Duration) -> Self {
+        self.backoff = (min, max);
+        self
+    }
+
     fn address_of(&self, peer: &DaemonId) -> Option<SocketAddr> {
         match self.peers.get(peer) {
             Some(address) => Some(*address),
@@ -147,11 +161,18 @@
 #[derive(Clone)]
 pub struct PeerMesh {
     config: Arc<MeshConfig>,
-    queues: Arc<Mutex<HashMap<DaemonId, PeerQueue>>>,
+    dialers: Arc<Dialers>,
     runtime: tokio::runtime::Handle,
     traffic: Arc<MeshTraffic>,
 }
 
+/// Queue of a dialer, and its notification that the peer has opened a connection.
+#[derive(Debug)]
+struct DialerHandle {
+    queue: PeerQueue,
+    accepted: Arc<Notify>,
+}
+
 /// Counters of sent and received bytes, without the overhead of TCP and websockets, and of dropped
 /// messages.
 #[derive(Debug, Default)]
@@ -196,12 +217,17 @@
         let listener = TcpListener::from_std(listener).map_err(fail)?;
         let mesh = Self {
             config: Arc::new(config),
-            queues: Arc::default(),
+            dialers: Arc::default(),
             runtime: tokio::runtime::Handle::current(),
             traffic: Arc::default(),
         };
-        let traffic = Arc::clone(&mesh.traffic);
-        tokio::spawn(accept_peers(Arc::clone(&mesh.config), listener, Arc::new(handler), traffic));
+        let acceptor = PeerAcceptor {
+            config: Arc::clone(&mesh.config),
+            dialers: Arc::downgrade(&mesh.dialers),
+            handler: Arc::new(handler),
+            traffic: Arc::clone(&mesh.traffic),
+        };
+        tokio::spawn(Arc::new(acceptor).run(listener));
         Ok(mesh)
     }
 
@@ -234,26 +260,28 @@
 
     fn push(&self, to: &DaemonId, push: impl FnOnce(&PeerQueue) -> bool) -> bool {
         let Some(address) = self.config.address_of(to) else { return false };
-        let mut queues = self.queues.lock().expect("no holder of the lock panics");
-        let queue = queues.entry(to.clone()).or_insert_with(|| self.start_dialer(to, address));
-        let queued = push(queue);
+        let mut dialers = self.dialers.lock().expect("no holder of the lock panics");
+        let dialer = dialers.entry(to.clone()).or_insert_with(|| self.start_dialer(to, address));
+        let queued = push(&dialer.queue);
         if !queued {
             self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
         }
         queued
     }
 
-    fn start_dialer(&self, to: &DaemonId, address: SocketAddr) -> PeerQueue {
+    fn start_dialer(&self, to: &DaemonId, address: SocketAddr) -> DialerHandle {
         let (queue, messages) = new_queue();
+        let accepted = Arc::<Notify>::default();
         let dialer = PeerDialer {
             config: Arc::clone(&self.config),
             to: to.clone(),
             address,
             queue: messages,
+            accepted: Arc::clone(&accepted),
             traffic: Arc::clone(&self.traffic),
         };
         self.runtime.spawn(dialer.run());
-        queue
+        DialerHandle { queue, accepted }
     }
 }
 
@@ -263,18 +291,20 @@
     to: DaemonId,
     address: SocketAddr,
     queue: QueuedMessages,
+    accepted: Arc<Notify>,
     traffic: Arc<MeshTraffic>,
 }
 
 impl PeerDialer {
     async fn run(self) {
-        let mut pause = BACKOFF.0;
+        let (shortest, longest) = self.config.backoff;
+        let mut pause = shortest;
         let mut reported = false;
         loop {
             match self.connect().await {
                 Ok((socket, sealer)) => {
                     log::info!("event=peer_connected peer={}", *self.to);
-                    (pause, reported) = (BACKOFF.0, false);
+                    (pause, reported) = (shortest, false);
                     let end = self.send_queued(socket, sealer).await;
                     log::info!("event=peer_disconnected peer={} reason={:?}", *self.to, end);
                 }
@@ -292,14 +322,23 @@
                 return;
             }
             let jitter = rand::rng().random_range(0.5..1.0);
-            tokio::time::sleep(pause.mul_f64(jitter)).await;
-            pause = (pause * 2).min(BACKOFF.1);
             // Messages queued for a failed connection are stale; their senders repeat what matters.
-            let stale = self.queue.clear();
-            self.traffic.dropped.fetch_add(stale, Ordering::Relaxed);
+            self.drop_queued();
+            let paused =
+                tokio::time::timeout(pause.mul_f64(jitter), self.accepted.notified()).await;
+            pause = (pause * 2).min(longest);
+            if paused.is_err() {
+                self.drop_queued();
+            }
+            // Otherwise the queue may hold replies to what the peer has just sent.
         }
     }
 
+    fn drop_queued(&self) {
+        let stale = self.queue.clear();
+        self.traffic.dropped.fetch_add(stale, Ordering::Relaxed);
+    }
+
     async fn connect(&self) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
         let step = self.config.step_timeout;
         let stream =
@@ -363,6 +402,8 @@
                     }
                     Message::Ping(Vec::new().into())
                 }
+                // If the peer has restarted, its machine answers with a reset.
+                () = self.accepted.notified() => Message::Ping(Vec::new().into()),
                 incoming = reader.next() => match incoming {
                     Some(Ok(_)) => {
                         last_received = tokio::time::Instant::now();
@@ -380,75 +421,84 @@
     }
 }
 
-async fn accept_peers(
+/// Accepts the connections of all peers.
+struct PeerAcceptor {
     config: Arc<MeshConfig>,
-    listener: TcpListener,
+    dialers: Weak<Dialers>,
     handler: MessageHandler,
     traffic: Arc<MeshTraffic>,
-) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let config = Arc::clone(&config);
-                let handler = Arc::clone(&handler);
-                let traffic = Arc::clone(&traffic);
-                tokio::spawn(async move {
-                    if let Err(error) = serve_peer(&config, stream, &handler, &traffic).await {
-                        log::debug!("event=peer_refused reason={:?}", error.to_string());
-                    }
-                });
+}
+
+impl PeerAcceptor {
+    async fn run(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let acceptor = Arc::clone(&self);
+                    tokio::spawn(async move {
+                        if let Err(error) = acceptor.serve(stream).await {
+                            log::debug!("event=peer_refused reason={:?}", error.to_string());
+                        }
+                    });
+                }
+                Err(_) => tokio::time::sleep(BACKOFF.0).await,
             }
-            Err(_) => tokio::time::sleep(BACKOFF.0).await,
         }
     }
-}
 
-async fn serve_peer(
-    config: &MeshConfig,
-    stream: TcpStream,
-    handler: &MessageHandler,
-    traffic: &MeshTraffic,
-) -> Result<(), ConnectPeerError> {
-    stream.set_nodelay(true)?;
-    let step = config.step_timeout;
-    let mut socket = within(step, async { Ok(accept_async(stream).await?) }).await?;
-    let accept_nonce = fresh_nonce();
-    let challenge = PeerChallenge { version: PROTOCOL_VERSION, nonce: accept_nonce.clone() };
-    send(&mut socket, &challenge, step).await?;
-    let proof: PeerProof = receive(&mut socket, step).await?;
-    if proof.to != config.id || config.address_of(&proof.from).is_none() {
-        return Err(ConnectPeerError::Identity);
+    /// Tells the dialer towards a peer, if there is one, that the peer runs.
+    fn notify_dialer(&self, peer: &DaemonId) {
+        let Some(dialers) = self.dialers.upgrade() else { return };
+        let dialers = dialers.lock().expect("no holder of the lock panics");
+        if let Some(dialer) = dialers.get(peer) {
+            dialer.accepted.notify_one();
+        }
     }
-    let transcript = HandshakeTranscript {
-        from: &proof.from,
-        to: &proof.to,
-        accept_nonce: &accept_nonce,
-        dial_nonce: &proof.nonce,
-    };
-    let key = config
-        .keys
-        .iter()
-        .find(|key| same_code(&proof.mac, &transcript.code(key, DIAL_PURPOSE)))
-        .ok_or(ConnectPeerError::Key)?;
-    send(&mut socket, &PeerWelcome { mac: transcript.code(key, ACCEPT_PURPOSE) }, step).await?;
-    let mut opener = FrameOpener::new(transcript.code(key, SESSION_PURPOSE));
-    while let Some(frame) = socket.next().await {
-        if let Message::Binary(bytes) = frame? {
-            traffic.received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-            match opener.open(&bytes) {
-                Ok(message) => handler(&proof.from, message),
-                Err(error) => {
-                    log::warn!(
-                        "event=peer_frame_refused peer={} reason={:?}",
-                        *proof.from,
-                        error.to_string()
-                    );
-                    return Err(ConnectPeerError::Protocol);
+
+    async fn serve(&self, stream: TcpStream) -> Result<(), ConnectPeerError> {
+        let config = &self.config;
+        stream.set_nodelay(true)?;
+        let step = config.step_timeout;
+        let mut socket = within(step, async { Ok(accept_async(stream).await?) }).await?;
+        let accept_nonce = fresh_nonce();
+        let challenge = PeerChallenge { version: PROTOCOL_VERSION, nonce: accept_nonce.clone() };
+        send(&mut socket, &challenge, step).await?;
+        let proof: PeerProof = receive(&mut socket, step).await?;
+        if proof.to != config.id || config.address_of(&proof.from).is_none() {
+            return Err(ConnectPeerError::Identity);
+        }
+        let transcript = HandshakeTranscript {
+            from: &proof.from,
+            to: &proof.to,
+            accept_nonce: &accept_nonce,
+            dial_nonce: &proof.nonce,
+        };
+        let key = config
+            .keys
+            .iter()
+            .find(|key| same_code(&proof.mac, &transcript.code(key, DIAL_PURPOSE)))
+            .ok_or(ConnectPeerError::Key)?;
+        send(&mut socket, &PeerWelcome { mac: transcript.code(key, ACCEPT_PURPOSE) }, step).await?;
+        self.notify_dialer(&proof.from);
+        let mut opener = FrameOpener::new(transcript.code(key, SESSION_PURPOSE));
+        while let Some(frame) = socket.next().await {
+            if let Message::Binary(bytes) = frame? {
+                self.traffic.received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+                match opener.open(&bytes) {
+                    Ok(message) => (self.handler)(&proof.from, message),
+                    Err(error) => {
+                        log::warn!(
+                            "event=peer_frame_refused peer={} reason={:?}",
+                            *proof.from,
+                            error.to_string()
+                        );
+                        return Err(ConnectPeerError::Protocol);
+                    }
                 }
             }
         }
+        Ok(())
     }
-    Ok(())
 }
 
 fn fresh_nonce() -> Vec<u8> {
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -1,12 +1,14 @@
 //! Connections between daemons: keys, rotation and sealed frames.
 
-use std::net::TcpListener;
-use std::sync::mpsc;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
 use hollowbarrow_peer::{FrameOpener, FrameSealer, MeshConfig, OpenFrameError, PeerMesh};
 use hollowbarrow_schema::{DaemonId, ForwardReply, PeerMessage, ProposalOutcome};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 fn message(id: u64) -> PeerMessage {
     PeerMessage::Reply(ForwardReply { id, outcome: ProposalOutcome::Busy })
@@ -101,3 +103,218 @@
     assert_eq!(other.err(), Some(OpenFrameError::WrongCode));
     assert_eq!(opener.open(&frames[1][..9]).err(), Some(OpenFrameError::TooShort(9)));
 }
+
+const KEY: &str = "key-a-0123456789";
+/// A pause that does not end within a test.
+const ENDLESS: Duration = Duration::from_secs(3600);
+/// Limit of waiting for what must happen; no result depends on its length.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Time in which what must not happen is waited for.
+const WATCH: Duration = Duration::from_millis(500);
+
+fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("a bound listener has an address");
+    (listener, address)
+}
+
+/// Starts a mesh that pauses endlessly after a failed attempt; what it receives goes to the receiver.
+fn start_mesh(
+    id: &str,
+    key: &str,
+    listener: TcpListener,
+    (peer, address): (&str, SocketAddr),
+) -> (PeerMesh, mpsc::Receiver<Option<u64>>) {
+    let config = MeshConfig::new(&DaemonId::from(id), &[key.to_owned()])
+        .with_backoff(ENDLESS, ENDLESS)
+        .with_timeouts(PATIENCE, ENDLESS)
+        .with_peer(&DaemonId::from(peer), address);
+    let (sender, receiver) = mpsc::channel();
+    let mesh = PeerMesh::start(config, listener, move |_, message| {
+        let _ = sender.send(id_of(&message));
+    });
+    (mesh.expect("the mesh starts"), receiver)
+}
+
+/// Waits until a condition holds; returns whether it did within the time.
+async fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let end = tokio::time::Instant::now() + limit;
+    while tokio::time::Instant::now() < end {
+        if condition() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    condition()
+}
+
+/// Starts the mesh `one`, whose first attempt to connect to `two` at the address has failed.
+///
+/// The listener accepts that attempt and closes it.
+async fn start_paused(
+    listener: TcpListener,
+    two_at: SocketAddr,
+    two: &TcpListener,
+) -> (PeerMesh, mpsc::Receiver<Option<u64>>) {
+    let (one, received) = start_mesh("one", KEY, listener, ("two", two_at));
+    one.send(&DaemonId::from("two"), &message(1));
+    drop(two.accept().expect("the first attempt arrives"));
+    // The queue is cleared when the pause begins.
+    assert!(wait_until(PATIENCE, || one.traffic().dropped() == 1).await);
+    (one, received)
+}
+
+/// A daemon returns after its peers have failed to connect to it: they must connect once it has
+/// connected to them, and not only after their pause.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn returned_peer_ends_pause() {
+    let ((listener, one_at), (two_listener, two_at)) = (bind(), bind());
+    let (one, _) = start_paused(listener, two_at, &two_listener).await;
+    let (two, received) = start_mesh("two", KEY, two_listener, ("one", one_at));
+    two.send(&DaemonId::from("one"), &message(2));
+    let reached = wait_until(PATIENCE, || {
+        one.send(&DaemonId::from("two"), &message(3));
+        received.try_recv() == Ok(Some(3))
+    });
+    assert!(reached.await, "the returned peer is not reached");
+}
+
+/// Answers to what a returned peer sends first must not be dropped with the messages from before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn returned_peer_is_answered() {
+    let ((listener, one_at), (two_listener, two_at)) = (bind(), bind());
+    let (one, asked) = start_paused(listener, two_at, &two_listener).await;
+    let (two, received) = start_mesh("two", KEY, two_listener, ("one", one_at));
+    two.send(&DaemonId::from("one"), &message(2));
+    assert!(wait_until(PATIENCE, || asked.try_recv() == Ok(Some(2))).await);
+    one.send(&DaemonId::from("two"), &message(3));
+    assert!(wait_until(PATIENCE, || received.try_recv() == Ok(Some(3))).await);
+}
+
+/// A connection without a key of the cluster, or of another daemon, must not end a pause.
+#[rstest]
+#[case::other_key("two", "key-b-0123456789")]
+#[case::unknown_daemon("three", KEY)]
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connection_keeps_pause(#[case] id: &str, #[case] key: &str) {
+    let ((listener, one_at), (two_listener, two_at)) = (bind(), bind());
+    let (_one, _) = start_paused(listener, two_at, &two_listener).await;
+    let (stranger_listener, _) = bind();
+    let (stranger, _) = start_mesh(id, key, stranger_listener, ("one", one_at));
+    stranger.send(&DaemonId::from("one"), &message(2));
+    assert!(wait_until(PATIENCE, || stranger.traffic().dropped() == 1).await, "it is refused");
+    two_listener.set_nonblocking(true).expect("a listener can be set to non-blocking");
+    let attempted = wait_until(WATCH, || two_listener.accept().is_ok()).await;
+    assert!(!attempted, "a refused connection ends the pause");
+}
+
+/// Each accepted connection may cause one attempt and no more, or daemons that start together would
+/// connect without pauses.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_connection_causes_one_attempt() {
+    let ((listener, one_at), (two_listener, two_at)) = (bind(), bind());
+    let (_one, asked) = start_paused(listener, two_at, &two_listener).await;
+    two_listener.set_nonblocking(true).expect("a listener can be set to non-blocking");
+    let mut attempts = 0;
+    for accepted in 1..=3 {
+        let (other_listener, _) = bind();
+        let (two, _) = start_mesh("two", KEY, other_listener, ("one", one_at));
+        two.send(&DaemonId::from("one"), &message(2));
+        assert!(wait_until(PATIENCE, || asked.try_recv() == Ok(Some(2))).await);
+        let attempted = wait_until(PATIENCE, || {
+            // Each attempt fails, since its connection is closed.
+            attempts += usize::from(two_listener.accept().is_ok());
+            attempts >= accepted
+        });
+        assert!(attempted.await, "no attempt after connection {accepted}");
+        wait_until(WATCH, || {
+            attempts += usize::from(two_listener.accept().is_ok());
+            attempts > accepted
+        })
+        .await;
+        assert_eq!(attempts, accepted);
+    }
+}
+
+/// Connections that a peer repeats, or that another process opens in its name, must not end a
+/// connection that works.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_connections_keep_working_one() {
+    let ((listener, one_at), (front, two_at)) = (bind(), bind());
+    let (two_listener, behind) = bind();
+    let forwarded = Arc::<Forwarded>::default();
+    forward(front, behind, Arc::clone(&forwarded));
+    let (one, asked) = start_mesh("one", KEY, listener, ("two", two_at));
+    let (_two, received) = start_mesh("two", KEY, two_listener, ("one", one_at));
+    let to = DaemonId::from("two");
+    one.send(&to, &message(1));
+    assert!(wait_until(PATIENCE, || received.try_recv() == Ok(Some(1))).await);
+    for id in 10..15 {
+        let (other_listener, _) = bind();
+        let (other, _) = start_mesh("two", KEY, other_listener, ("one", one_at));
+        other.send(&DaemonId::from("one"), &message(id));
+        assert!(wait_until(PATIENCE, || asked.try_recv() == Ok(Some(id))).await);
+        one.send(&to, &message(id));
+        assert!(wait_until(PATIENCE, || received.try_recv() == Ok(Some(id))).await);
+    }
+    assert_eq!(forwarded.connections.load(Ordering::Relaxed), 1);
+}
+
+/// An open connection may lead to a former process of a peer that has connected again: it must be
+/// used at once, so that the peer's machine can reset it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_connection_probes_open_one() {
+    let ((listener, one_at), (front, two_at)) = (bind(), bind());
+    let (two_listener, behind) = bind();
+    let forwarded = Arc::<Forwarded>::default();
+    forward(front, behind, Arc::clone(&forwarded));
+    let (one, _) = start_mesh("one", KEY, listener, ("two", two_at));
+    let (_two, received) = start_mesh("two", KEY, two_listener, ("one", one_at));
+    one.send(&DaemonId::from("two"), &message(1));
+    assert!(wait_until(PATIENCE, || received.try_recv() == Ok(Some(1))).await);
+    tokio::time::sleep(WATCH).await;
+    let before = forwarded.bytes.load(Ordering::Relaxed);
+    let (other_listener, _) = bind();
+    let (other, _) = start_mesh("two", KEY, other_listener, ("one", one_at));
+    other.send(&DaemonId::from("one"), &message(2));
+    let used = wait_until(PATIENCE, || forwarded.bytes.load(Ordering::Relaxed) > before);
+    assert!(used.await, "nothing is sent over the open connection");
+}
+
+/// What a forwarder has passed on.
+#[derive(Default)]
+struct Forwarded {
+    connections: AtomicUsize,
+    /// Bytes from the dialers.
+    bytes: AtomicUsize,
+}
+
+/// Forwards connections and counts them and the dialers' bytes.
+fn forward(front: TcpListener, to: SocketAddr, forwarded: Arc<Forwarded>) {
+    front.set_nonblocking(true).expect("a listener can be set to non-blocking");
+    let front = tokio::net::TcpListener::from_std(front).expect("the runtime takes the listener");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = front.accept().await {
+            forwarded.connections.fetch_add(1, Ordering::Relaxed);
+            let Ok(far) = tokio::net::TcpStream::connect(to).await else { continue };
+            let (mut near_reader, mut near_writer) = near.into_split();
+            let (mut far_reader, mut far_writer) = far.into_split();
+            tokio::spawn(async move { tokio::io::copy(&mut far_reader, &mut near_writer).await });
+            let forwarded = Arc::clone(&forwarded);
+            tokio::spawn(async move {
+                let mut buffer = [0; 4096];
+                while let Ok(length @ 1..) = near_reader.read(&mut buffer).await {
+                    forwarded.bytes.fetch_add(length, Ordering::Relaxed);
+                    if far_writer.write_all(&buffer[..length]).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+}
