Log the content of a request and its wait for a duplicate at entry daemons

A hold was refused with copy_under_way, and the line of its end did not say which request it had waited for, nor for how long. request_end now has content, as the gateways' lines have, and duplicate_ms.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -62,7 +62,9 @@
     /// Whether a failed attempt may have run the request.
     may_have_run: bool,
     /// Digest of the content, equal for duplicates of a request.
-    digest: RequestDigest,
+    pub(crate) digest: RequestDigest,
+    /// Time for which the request waited for another duplicate.
+    pub(crate) duplicate_wait: Duration,
 }
 
 /// Runs a request and sends its answer.
@@ -96,6 +98,7 @@
         tried: Vec::new(),
         may_have_run: false,
         digest,
+        duplicate_wait: Duration::ZERO,
     };
     let end = run.admit_and_run().await;
     let core = Arc::clone(&run.core);
@@ -168,7 +171,10 @@
 
     /// Runs the request once the duplicate gate admits it, hedged where its route allows that.
     async fn run(&mut self, claim: Option<HeldClaim>) -> RequestEnd {
-        let duplicate = match self.enter_duplicate_gate().await {
+        let arrived = Instant::now();
+        let entry = self.enter_duplicate_gate().await;
+        self.duplicate_wait = arrived.elapsed();
+        let duplicate = match entry {
             DuplicateEntry::Entered(duplicate) => Arc::new(duplicate),
             end => {
                 if let Some(held) = claim {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -213,13 +213,15 @@
         let epoch = end.upstream.as_ref().map_or(0, |key| *key.epoch);
         let ran = end.ran.unwrap_or(ErrorRan::Ran);
         log::info!(
-            "event=request_end request_id={} organisation={} target={:?} upstream={upstream} epoch={epoch} \
-             outcome={} ran={ran} attempts={} ms={}",
+            "event=request_end request_id={} organisation={} target={:?} content={:016x} upstream={upstream} \
+             epoch={epoch} outcome={} ran={ran} attempts={} duplicate_ms={} ms={}",
             run.request.id,
             *run.request.organisation.id,
             run.request.target,
+            *run.digest,
             end.outcome,
             end.attempts,
+            run.duplicate_wait.as_millis(),
             run.request.received.elapsed().as_millis()
         );
     }
