Send duplicates together once one of them has been answered completely

What callers saw: of 12 holds with different keys and equal content at one daemon, whose service takes 0.4 s, 7 were refused after 2 s with 503 copy_under_way. Of 15 equal calls at one gateway, 12 were refused.

Cause: the first duplicate runs alone, and the others are to be sent together once part of its answer was received. Only the first token of a stream counted as that, a complete answer did not. Its end released one of the others, which had looked up whether such a request was ever answered before it waited, and so ran alone too. So they ran one after the other. At entry daemons each also waited for the commit that records the outcome of the hold before.

Evidence: request_end of the run shows duplicate_ms of 0, 423, 832, 1255 and then 2000 (refused).

Fix: a complete answer counts as progress, before its claim is recorded, and a waiting duplicate looks up again after each wait whether the request was answered. Nothing changes while no one has seen an answer.

The tests of the gate pass a function instead of false, since enter takes one now.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -159,10 +159,10 @@
 
     /// Waits until no other duplicate of the request blocks this one.
     async fn enter_duplicate_gate(&self) -> DuplicateEntry {
-        let answered = self.core.crashes().was_answered(self.digest);
+        let was_answered = || self.core.crashes().was_answered(self.digest);
         let limit = self.request.deadline.min(Instant::now() + DUPLICATE_WAIT_TIMEOUT);
         tokio::select! {
-            entered = self.core.duplicates.enter(self.digest, answered, limit) => {
+            entered = self.core.duplicates.enter(self.digest, was_answered, limit) => {
                 entered.map_or(DuplicateEntry::WaitedTooLong, DuplicateEntry::Entered)
             }
             () = self.link.disconnected() => DuplicateEntry::Disconnected,
@@ -244,7 +244,7 @@
                 self.upstream = Some(key);
             }
             let error = match outcome {
-                Ok(answer) => return self.finish(answer, &mut relay, claim).await,
+                Ok(answer) => return self.finish(answer, &mut relay, claim, duplicate).await,
                 Err(AttemptError::Failed(error)) => error,
                 Err(AttemptError::NotAttempted(error)) => {
                     if let Some(held) = claim {
@@ -311,8 +311,11 @@
         answer: AttemptAnswer,
         relay: &mut StreamRelay,
         claim: Option<HeldClaim>,
+        duplicate: &DuplicateTicket,
     ) -> RequestEnd {
         self.core.crashes().record_answer(self.digest, Instant::now());
+        // Recording the outcome of a claim takes a commit, for which duplicates need not wait.
+        duplicate.record_progress();
         match answer {
             AttemptAnswer::Streamed => {
                 if let Some(held) = claim {
@@ -383,7 +386,7 @@
         self.upstream = key;
         let mut relay = StreamRelay::new(&self.link, false);
         match outcome {
-            Ok(answer) => self.finish(answer, &mut relay, None).await,
+            Ok(answer) => self.finish(answer, &mut relay, None, duplicate).await,
             Err(AttemptError::Failed(error)) => {
                 // With two attempts, the other one failed too and may have run the request.
                 self.may_have_run |= error.ran() != ErrorRan::NotRun || self.attempts > 1;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -153,17 +153,13 @@
     core: &GatewayCore,
     request: &CallerRequest,
 ) -> Result<DuplicateTicket, Refusal> {
-    let (quarantine, answered) = {
-        let crashes = core.crashes();
-        let quarantine = crashes.quarantine_left(request.digest, Instant::now());
-        (quarantine, crashes.was_answered(request.digest))
-    };
-    if let Some(left) = quarantine {
+    if let Some(left) = core.crashes().quarantine_left(request.digest, Instant::now()) {
         return Err(Refusal::Quarantined(left));
     }
     let wait = request.route.objective.mul_f64(DUPLICATE_WAIT_FACTOR);
     let limit = Instant::now() + wait.min(request.remaining() / DUPLICATE_WAIT_DIVISOR);
-    let entering = core.duplicates.enter(request.digest, answered, limit);
+    let was_answered = || core.crashes().was_answered(request.digest);
+    let entering = core.duplicates.enter(request.digest, was_answered, limit);
     entering.await.ok_or(Refusal::DuplicateInProgress)
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -205,6 +205,7 @@
         attempt.record_progress();
         if answer.is_ok() {
             self.core.crashes().record_answer(self.request.digest, Instant::now());
+            self.history.record_progress();
         }
         match answer {
             Ok(answer) if !failed => {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -126,6 +126,7 @@
     }
     if answer.is_ok() {
         core.crashes().record_answer(request.digest, Instant::now());
+        history.record_progress();
     }
     answer.map_err(|error| {
         history.record_failure(core, request, &worker, &error);
--- a/crates/routing/src/copies.rs
+++ b/crates/routing/src/copies.rs
@@ -175,10 +175,13 @@
 
     /// Waits until a duplicate may be sent, at most until the limit. Returns `None` as soon as it
     /// is known that the duplicate may not be sent by then.
+    ///
+    /// `was_answered` returns whether the request was answered before. It is called again after
+    /// each wait, since the duplicate waited for may have been answered meanwhile.
     pub async fn enter(
         &self,
         request: RequestDigest,
-        answered: bool,
+        was_answered: impl Fn() -> bool,
         limit: Instant,
     ) -> Option<DuplicateTicket> {
         loop {
@@ -186,6 +189,7 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = Instant::now();
+            let answered = was_answered();
             let wait = match self.state.limiter().begin(request, answered, now) {
                 DuplicateStep::Go => {
                     return Some(DuplicateTicket { state: Arc::clone(&self.state), request });
--- a/crates/routing/tests/copies.rs
+++ b/crates/routing/tests/copies.rs
@@ -1,10 +1,13 @@
 //! Tests of the bound on duplicates in progress.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hollowbarrow_routing::{DuplicateGate, DuplicateLimiter, DuplicateStep};
 use hollowbarrow_schema::RequestDigest;
 use rstest::rstest;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 const REQUEST: RequestDigest = RequestDigest(7);
@@ -106,8 +109,9 @@
 async fn enter_burst(#[case] answered: bool, #[case] expected: usize) {
     let gate = DuplicateGate::new();
     let limit = Instant::now() + ms(250);
-    let first = gate.enter(REQUEST, false, limit).await.expect("the first duplicate is admitted");
-    let others = (0..39).map(|_| gate.enter(REQUEST, false, limit));
+    let first =
+        gate.enter(REQUEST, || false, limit).await.expect("the first duplicate is admitted");
+    let others = (0..39).map(|_| gate.enter(REQUEST, || false, limit));
     let others = async {
         let mut tickets = Vec::new();
         for other in others {
@@ -128,3 +132,33 @@
     let (others, _first) = tokio::join!(others, outcome);
     assert_eq!(others.iter().flatten().count() + 1, expected);
 }
+
+/// The first of forty duplicates is answered completely and ends, and the others are sent together.
+///
+/// Guards against sending them one after the other, because each was taken for one of a request
+/// that nobody had seen answered.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn enter_after_complete_answer() {
+    let gate = DuplicateGate::new();
+    let answered = Arc::new(AtomicBool::new(false));
+    let start = Instant::now();
+    let limit = start + ms(250);
+    let first = gate.enter(REQUEST, || false, limit).await.expect("the first is admitted");
+    let mut others = JoinSet::new();
+    for _ in 0..39 {
+        let (gate, answered) = (gate.clone(), Arc::clone(&answered));
+        others.spawn(async move {
+            let was_answered = || answered.load(Ordering::Relaxed);
+            let ticket = gate.enter(REQUEST, was_answered, limit).await;
+            tokio::time::sleep(ms(80)).await;
+            ticket.is_some()
+        });
+    }
+    tokio::time::sleep(ms(80)).await;
+    answered.store(true, Ordering::Relaxed);
+    drop(first);
+    let admitted = others.join_all().await.into_iter().filter(|admitted| *admitted).count();
+    assert_eq!(admitted, 39);
+    assert_eq!(start.elapsed(), ms(160), "the others wait for the first one only");
+}
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -333,6 +333,27 @@
     assert!(ran > 0, "no hold was running when its daemon was killed");
 }
 
+/// Holds of different guests that have the same content arrive at one daemon at once. Each has a
+/// key of its own, and all are confirmed at the first try.
+///
+/// Guards against running such holds one after the other, and refusing those that waited for 2 s.
+#[rstest]
+#[case::many(Duration::from_millis(400), 12)]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_beside_equal_holds(#[case] service_delay: Duration, #[case] count: usize) {
+    let slow = FleetConfig::new(&zones(), 1, 1).with_service_delay(service_delay);
+    let cluster = Cluster::start(nine_daemons_with_fleet(slow));
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let address = cluster.caller_address("a0");
+    let keys: Vec<String> = (0..count).map(|number| format!("guest-{number}")).collect();
+    let replies = futures_util::future::join_all(keys.iter().map(|key| hold(address, key))).await;
+    let refused: Vec<_> = replies.iter().filter(|reply| reply.status != 200).collect();
+    assert!(refused.is_empty(), "{} refused: {refused:?}\n{}", refused.len(), cluster.log("a0"));
+    let hold_replies = keys.into_iter().zip(replies.into_iter().map(|reply| vec![reply])).collect();
+    assert_eq!(check_holds(&cluster, &hold_replies), count);
+}
+
 /// The leader of the claims log is killed between two batches of holds.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod crashing_burst;
 mod crashing_request;
 mod disturbance;
+mod duplicates;
 mod fleet;
 mod foreign;
 mod limit;
