Let a duplicate wait half of its time for a complete answer at entry daemons

What callers saw: of three holds with different keys and equal content, at a service that takes 2.5 s for each, two were refused after 2 s with 503 copy_under_way, though they had 8 s.

Cause: a duplicate waited 2 s at most for the progress of another one. That is long for the first token of a stream, and no measure for a complete answer, which takes as long as the run.

Fix: a request that is not streamed waits for half of its remaining time, the share that a claim may take, so that the rest is enough for a run that takes as long as the first. Streams wait as before. The bound on duplicates stays: one runs until it is answered or has crashed its upstream.

Test: hold_beside_equal_holds::case_2_slow failed before (2 of 3 refused, 2 of 2 runs); passes 3 of 3.

--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -26,9 +26,12 @@
 use crate::relay::StreamRelay;
 use crate::telemetry::HopSpan;
 
-/// Longest wait of a duplicate request for the progress of another one. A working replica reads a
-/// prompt in less.
-const DUPLICATE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait of a streamed duplicate for the first token of another one. A working replica reads
+/// a prompt in less.
+const STREAM_DUPLICATE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Divisor of a request's remaining time; the quotient is the longest wait of a duplicate for the
+/// complete answer to another one. The rest is for its own run, which takes as long.
+const DUPLICATE_WAIT_DIVISOR: u32 = 2;
 
 /// Outcome of the wait of a request at the duplicate gate.
 enum DuplicateEntry {
@@ -157,10 +160,25 @@
         }
     }
 
+    /// Returns for how long the request waits for the progress of another duplicate.
+    fn duplicate_wait_timeout(&self, now: Instant) -> Duration {
+        let remaining = self.request.deadline.saturating_duration_since(now);
+        if self.is_streamed() {
+            remaining.min(STREAM_DUPLICATE_WAIT_TIMEOUT)
+        } else {
+            remaining / DUPLICATE_WAIT_DIVISOR
+        }
+    }
+
+    fn is_streamed(&self) -> bool {
+        matches!(self.request.kind, RequestKind::Completion { stream: true, .. })
+    }
+
     /// Waits until no other duplicate of the request blocks this one.
     async fn enter_duplicate_gate(&self) -> DuplicateEntry {
         let was_answered = || self.core.crashes().was_answered(self.digest);
-        let limit = self.request.deadline.min(Instant::now() + DUPLICATE_WAIT_TIMEOUT);
+        let now = Instant::now();
+        let limit = now + self.duplicate_wait_timeout(now);
         tokio::select! {
             entered = self.core.duplicates.enter(self.digest, was_answered, limit) => {
                 entered.map_or(DuplicateEntry::WaitedTooLong, DuplicateEntry::Entered)
@@ -203,7 +221,7 @@
         duplicate: &Arc<DuplicateTicket>,
     ) -> RequestEnd {
         self.core.budget.record_request();
-        let streamed = matches!(self.request.kind, RequestKind::Completion { stream: true, .. });
+        let streamed = self.is_streamed();
         let mut relay = StreamRelay::new(&self.link, claim.is_some()).with_duplicate(duplicate);
         loop {
             // Checked before each attempt, since a further attempt may crash the next replica.
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -339,6 +339,7 @@
 /// Guards against running such holds one after the other, and refusing those that waited for 2 s.
 #[rstest]
 #[case::many(Duration::from_millis(400), 12)]
+#[case::slow(Duration::from_millis(2500), 3)]
 #[tokio::test(flavor = "multi_thread")]
 async fn hold_beside_equal_holds(#[case] service_delay: Duration, #[case] count: usize) {
     let slow = FleetConfig::new(&zones(), 1, 1).with_service_delay(service_delay);
