Test that holds with keys of their own cannot crash every replica

Holds of different guests with equal content are different requests, so that one could let them pass the bound on duplicates.

--- a/tests/all/crashing_request.rs
+++ b/tests/all/crashing_request.rs
@@ -5,8 +5,12 @@
 
 use std::time::Duration;
 
-use hollowbarrow_testkit::{CRASHING_PROMPT, Cluster, FleetConfig, ModelConfig};
+use hollowbarrow_testkit::{
+    CALLER_KEY, CRASHING_PROMPT, CallerCall, Cluster, FleetConfig, ModelConfig,
+};
+use hyper::Method;
 use rstest::rstest;
+use serde_json::json;
 
 use crate::requests::stream;
 use crate::support::{nine_daemons, nine_daemons_with_fleet, pause, serving_cluster, zones};
@@ -95,3 +99,38 @@
         assert_eq!(reply.status, 200, "{id} must serve other requests: {}", reply.body);
     }
 }
+
+/// Holds of equal content with a key each arrive together, and crash the nodes that run them.
+///
+/// Guards against exempting a request with a key from the bound on duplicates: keys are chosen by
+/// callers, so that each hold would crash a replica.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_burst_of_holds_bounded() {
+    let crash_delay = Duration::from_millis(300);
+    let fleet = FleetConfig::new(&zones(), 2, 4)
+        .with_unfenced_nodes(true)
+        .with_model(ModelConfig { crash_delay, ..ModelConfig::default() });
+    let cluster = serving_cluster(nine_daemons_with_fleet(fleet), 6).await;
+    let messages = json!([{"role": "user", "content": CRASHING_PROMPT}]);
+    let body = json!({"model": "m", "stream": true, "max_tokens": 20, "messages": messages});
+    let body = body.to_string();
+    let holds = (0..DUPLICATES).map(async |number| {
+        let address = cluster.caller_address(INGRESS_DAEMONS[number % INGRESS_DAEMONS.len()]);
+        CallerCall::new(Method::POST, "/v1/chat/completions", CALLER_KEY)
+            .with_header("x-hollowbarrow-not-repeatable", "true")
+            .with_header("idempotency-key", &format!("guest-{number}"))
+            .with_body(&body)
+            .with_timeout(Duration::from_secs(60))
+            .send(address)
+            .await
+    });
+    let replies = futures_util::future::join_all(holds).await;
+    assert!(replies.iter().all(|reply| reply.status >= 500), "{replies:?}");
+    let max_crashed = MAX_CRASHED - 1 + INGRESS_DAEMONS.len();
+    let crashed = crashed_nodes(&cluster);
+    assert!(
+        (1..=max_crashed).contains(&crashed),
+        "{crashed} nodes crashed, {max_crashed} at most: {replies:?}"
+    );
+}
