--- a/crates/routing/src/copies.rs
+++ b/crates/routing/src/copies.rs
@@ -12,9 +12,9 @@
 //! crashed three upstreams in all. A burst thus crashes one upstream per daemon, and one more where
 //! a daemon has a single duplicate, which is retried at once.
 //!
-//! Trade-off: duplicates of a harmless request that is new to the daemon wait for its first event
-//! once, about 80 ms. A request that crashes its upstream after its first event is not bounded
-//! here, but only by the quarantine that follows its burst.
+//! Trade-off: duplicates of a harmless request that is new to the daemon wait once, for the first
+//! event of a stream, about 80 ms, or for a complete answer. A request that crashes its upstream
+//! after its first event is not bounded here, but only by the quarantine that follows its burst.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
