--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -26,9 +26,12 @@
 use crate::relay::StreamRelay;
 use crate::telemetry::HopSpan;
 
-/// Longest wait of a duplicate request for the progress of another one. A working replica reads a
-/// prompt in less.
-const DUPLICATE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait of a streamed duplicate for the first token of another one. A working replica reads
+/// a prompt in less.
+const STREAM_DUPLICATE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Divisor of a request's remaining time; the quotient is the longest wait of a duplicate for the
+/// complete answer to another one. The rest is for its own run, which takes as long.
+const DUPLICATE_WAIT_DIVISOR: u32 = 2;
 
 /// Outcome of the wait of a request at the duplicate gate.
 enum DuplicateEntry {
@@ -62,7 +65,9 @@
     /// Whether a failed attempt may have run the request.
     may_have_run: bool,
     /// Digest of the content, equal for duplicates of a request.
-    digest: RequestDigest,
+    pub(crate) digest: RequestDigest,
+    /// Time for which the request waited for another duplicate.
+    pub(crate) duplicate_wait: Duration,
 }
 
 /// Runs a request and sends its answer.
@@ -96,6 +101,7 @@
         tried: Vec::new(),
         may_have_run: false,
         digest,
+        duplicate_wait: Duration::ZERO,
     };
     let end = run.admit_and_run().await;
     let core = Arc::clone(&run.core);
@@ -154,12 +160,27 @@
         }
     }
 
+    /// Returns for how long the request waits for the progress of another duplicate.
+    fn duplicate_wait_timeout(&self, now: Instant) -> Duration {
+        let remaining = self.request.deadline.saturating_duration_since(now);
+        if self.is_streamed() {
+            remaining.min(STREAM_DUPLICATE_WAIT_TIMEOUT)
+        } else {
+            remaining / DUPLICATE_WAIT_DIVISOR
+        }
+    }
+
+    fn is_streamed(&self) -> bool {
+        matches!(self.request.kind, RequestKind::Completion { stream: true, .. })
+    }
+
     /// Waits until no other duplicate of the request blocks this one.
     async fn enter_duplicate_gate(&self) -> DuplicateEntry {
-        let answered = self.core.crashes().was_answered(self.digest);
-        let limit = self.request.deadline.min(Instant::now() + DUPLICATE_WAIT_TIMEOUT);
+        let was_answered = || self.core.crashes().was_answered(self.digest);
+        let now = Instant::now();
+        let limit = now + self.duplicate_wait_timeout(now);
         tokio::select! {
-            entered = self.core.duplicates.enter(self.digest, answered, limit) => {
+            entered = self.core.duplicates.enter(self.digest, was_answered, limit) => {
                 entered.map_or(DuplicateEntry::WaitedTooLong, DuplicateEntry::Entered)
             }
             () = self.link.disconnected() => DuplicateEntry::Disconnected,
@@ -168,7 +189,10 @@
 
     /// Runs the request once the duplicate gate admits it, hedged where its route allows that.
     async fn run(&mut self, claim: Option<HeldClaim>) -> RequestEnd {
-        let duplicate = match self.enter_duplicate_gate().await {
+        let arrived = Instant::now();
+        let entry = self.enter_duplicate_gate().await;
+        self.duplicate_wait = arrived.elapsed();
+        let duplicate = match entry {
             DuplicateEntry::Entered(duplicate) => Arc::new(duplicate),
             end => {
                 if let Some(held) = claim {
@@ -197,7 +221,7 @@
         duplicate: &Arc<DuplicateTicket>,
     ) -> RequestEnd {
         self.core.budget.record_request();
-        let streamed = matches!(self.request.kind, RequestKind::Completion { stream: true, .. });
+        let streamed = self.is_streamed();
         let mut relay = StreamRelay::new(&self.link, claim.is_some()).with_duplicate(duplicate);
         loop {
             // Checked before each attempt, since a further attempt may crash the next replica.
@@ -238,7 +262,7 @@
                 self.upstream = Some(key);
             }
             let error = match outcome {
-                Ok(answer) => return self.finish(answer, &mut relay, claim).await,
+                Ok(answer) => return self.finish(answer, &mut relay, claim, duplicate).await,
                 Err(AttemptError::Failed(error)) => error,
                 Err(AttemptError::NotAttempted(error)) => {
                     if let Some(held) = claim {
@@ -305,8 +329,11 @@
         answer: AttemptAnswer,
         relay: &mut StreamRelay,
         claim: Option<HeldClaim>,
+        duplicate: &DuplicateTicket,
     ) -> RequestEnd {
         self.core.crashes().record_answer(self.digest, Instant::now());
+        // Recording the outcome of a claim takes a commit, for which duplicates need not wait.
+        duplicate.record_progress();
         match answer {
             AttemptAnswer::Streamed => {
                 if let Some(held) = claim {
@@ -377,7 +404,7 @@
         self.upstream = key;
         let mut relay = StreamRelay::new(&self.link, false);
         match outcome {
-            Ok(answer) => self.finish(answer, &mut relay, None).await,
+            Ok(answer) => self.finish(answer, &mut relay, None, duplicate).await,
             Err(AttemptError::Failed(error)) => {
                 // With two attempts, the other one failed too and may have run the request.
                 self.may_have_run |= error.ran() != ErrorRan::NotRun || self.attempts > 1;
--- a/crates/routing/src/copies.rs
+++ b/crates/routing/src/copies.rs
@@ -12,9 +12,9 @@
 //! crashed three upstreams in all. A burst thus crashes one upstream per daemon, and one more where
 //! a daemon has a single duplicate, which is retried at once.
 //!
-//! Trade-off: duplicates of a harmless request that is new to the daemon wait for its first event
-//! once, about 80 ms. A request that crashes its upstream after its first event is not bounded
-//! here, but only by the quarantine that follows its burst.
+//! Trade-off: duplicates of a harmless request that is new to the daemon wait once, for the first
+//! event of a stream, about 80 ms, or for a complete answer. A request that crashes its upstream
+//! after its first event is not bounded here, but only by the quarantine that follows its burst.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -175,10 +175,13 @@
 
     /// Waits until a duplicate may be sent, at most until the limit. Returns `None` as soon as it
     /// is known that the duplicate may not be sent by then.
+    ///
+    /// `was_answered` returns whether the request was answered before. It is called again after
+    /// each wait, since the duplicate waited for may have been answered meanwhile.
     pub async fn enter(
         &self,
         request: RequestDigest,
-        answered: bool,
+        was_answered: impl Fn() -> bool,
         limit: Instant,
     ) -> Option<DuplicateTicket> {
         loop {
@@ -186,6 +189,7 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let now = Instant::now();
+            let answered = was_answered();
             let wait = match self.state.limiter().begin(request, answered, now) {
                 DuplicateStep::Go => {
                     return Some(DuplicateTicket { state: Arc::clone(&self.state), request });
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod crashing_burst;
 mod crashing_request;
 mod disturbance;
+mod duplicates;
 mod fleet;
 mod foreign;
 mod limit;
