--- a/crates/controller/tests/certainty.rs
+++ b/crates/controller/tests/certainty.rs
@@ -49,8 +49,6 @@
 }
 
 /// Guards against sending an outdated configuration beside controllers that may hold a newer one.
-/// Two controllers that were in contact and had no leader sent version 284, from their snapshots,
-/// while their logs held acknowledged versions up to 304.
 #[rstest]
 #[case::just_started(300, None, None, ConfigCertainty::Nothing)]
 #[case::behind_leader_for_long(3_000, Some(2_900), None, ConfigCertainty::Nothing)]
--- a/tests/platform/publishing.rs
+++ b/tests/platform/publishing.rs
@@ -1,11 +1,8 @@
 //! Controllers without a leader, and gateways that restart beside them.
 //!
-//! Guards against a gateway that serves by an older version than one acknowledged. After all power
-//! was lost, and a disk too many with it, two controllers were in contact with each other and had no
-//! leader. After two seconds each sent gateways its last snapshot, 20 changes old
-//! (`event=telling basis=Unconfirmed version=284`), and a request ran at a service that only an older
-//! version allowed. Controllers in contact with a majority of the voters now wait for a leader.
-//! Controllers of a zone that is cut off do not wait, so that this zone goes on serving.
+//! Guards against a gateway that serves by an older version than one acknowledged. Controllers in
+//! contact with a majority of the voters wait for a leader; those of a zone that is cut off publish
+//! what they hold, so that the zone goes on serving.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/tests/platform/readmission.rs
+++ b/tests/platform/readmission.rs
@@ -1,11 +1,8 @@
 //! A controller loses its disk while the configuration changes, and four seconds after its return
 //! all daemons lose power and the leader its disk.
 //!
-//! Guards against a voter that is admitted again and still never counts in a quorum. Its removal and
-//! its admission reached it together, so that it never read that it had been removed, and it kept
-//! `lost_disk=true`; the leader ignored that report for five seconds after the admission. When the
-//! leader's disk was lost within that time, one voter of three could vote: no controller led any
-//! more, the controllers published their last snapshots, and gateways ran requests by these.
+//! Guards against a voter that is admitted again and does not count, so that the next lost disk leaves
+//! no majority.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
