End a backoff with the process that asked for it, however its end is learned

Callers of a daemon were refused with 503 no_upstream until a backoff of up to an hour ended, although the service that had asked for it was restarted and took requests.

Cause: only the daemon's own probe ended a backoff, and only if the mark of the loss was still there. A report by another daemon of the zone removes that mark, a daemon that was paused or late sees neither loss nor return, and other zones were never told of restarts. The backoff of a replica was kept by its head's name and so passed to the next replica with that head.

A backoff asked for before has no effect; that is looked up at each decision, so no path can forget to end it. Backoffs are kept by name and epoch. The event node_restarted replaces backoff_ended.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -269,10 +269,9 @@
     candidates: &mut Vec<RouteCandidate>,
     now: Instant,
 ) -> Option<Duration> {
-    let backoffs = core.backoffs();
     let mut least: Option<Duration> = None;
     candidates.retain(|candidate| {
-        let reason = backoffs.reason(&candidate.key.name, now);
+        let reason = core.backoff_reason(&candidate.key, now);
         least = least.into_iter().chain(reason.and_then(BackoffReason::remaining)).min();
         reason.is_none()
     });
@@ -339,7 +338,7 @@
     if entry.usable_until(&core.fleet(), now).is_none() {
         return Err(AttemptUpstreamError::NotSent);
     }
-    if core.backoffs().reason(&entry.key.name, now).is_some() {
+    if core.backoff_reason(&entry.key, now).is_some() {
         lease.give_back();
         return Err(AttemptUpstreamError::BackedOff);
     }
@@ -394,7 +393,7 @@
     match read_backoff(&answer.headers) {
         Ok(backoff) => {
             let backoff = backoff?;
-            core.backoffs().record_backoff(&key.name, backoff, Instant::now());
+            core.record_backoff(key, backoff, Instant::now());
             let ms = backoff.as_millis();
             log::info!("event=upstream_backoff upstream={} ms={ms}", key.name);
             Some(backoff)
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -9,10 +9,11 @@
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
-    AdmissionQueue, BackoffTable, ConfigFreshness, CrashTracker, DuplicateGate, LimitCoordinator,
-    OrganisationLimiter, QuarantineState, RoutePicker, UpstreamLimits, probe_delay,
+    AdmissionQueue, BackoffReason, BackoffTable, ConfigFreshness, CrashTracker, DuplicateGate,
+    LimitCoordinator, OrganisationLimiter, QuarantineState, RoutePicker, UpstreamKey,
+    UpstreamLimits, probe_delay,
 };
-use hollowbarrow_schema::{DaemonId, PeerMessage, RequestDigest, Settings, ZoneId};
+use hollowbarrow_schema::{DaemonId, NodeId, PeerMessage, RequestDigest, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
 use hollowbarrow_upstream::{HttpEngine, UpstreamClient};
 use hollowbarrow_zone::{AuthorityMember, zone_members};
@@ -49,8 +50,8 @@
     pub(crate) limiter: OrganisationLimiter,
     pub(crate) budget: RetryBudget,
     pub(crate) crashes: Mutex<CrashTracker>,
-    /// Backoffs of upstreams, by the name of the node or endpoint.
-    pub(crate) backoffs: Mutex<BackoffTable<String>>,
+    /// Backoffs of upstreams, by name and epoch.
+    pub(crate) backoffs: Mutex<BackoffTable<UpstreamKey>>,
     /// Rate limits of upstreams, by name and epoch.
     pub(crate) limits: Mutex<UpstreamLimits>,
     /// Issues permits for rate-limited upstreams while this daemon leads.
@@ -135,10 +136,30 @@
     }
 
     /// Locks the backoffs of upstreams.
-    pub(crate) fn backoffs(&self) -> MutexGuard<'_, BackoffTable<String>> {
+    pub(crate) fn backoffs(&self) -> MutexGuard<'_, BackoffTable<UpstreamKey>> {
         self.backoffs.lock().expect("no holder of the lock panics")
     }
 
+    /// Records a backoff that an upstream asked for.
+    pub(crate) fn record_backoff(&self, key: &UpstreamKey, backoff: Duration, now: Instant) {
+        self.end_former_backoff(key);
+        self.backoffs().record_backoff(key, backoff, now);
+    }
+
+    /// Returns why an upstream is sent nothing now; `None` if it may be sent requests.
+    pub(crate) fn backoff_reason(&self, key: &UpstreamKey, now: Instant) -> Option<BackoffReason> {
+        self.end_former_backoff(key);
+        self.backoffs().reason(key, now)
+    }
+
+    /// Ends a backoff that the former process of a restarted upstream asked for.
+    fn end_former_backoff(&self, key: &UpstreamKey) {
+        let restarted = self.fleet().restarts.last(&NodeId(key.name.clone()));
+        if let Some(restarted) = restarted {
+            self.backoffs().end_former(key, restarted);
+        }
+    }
+
     /// Locks the rate limits of upstreams.
     pub(crate) fn limits(&self) -> MutexGuard<'_, UpstreamLimits> {
         self.limits.lock().expect("no holder of the lock panics")
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -442,7 +442,7 @@
         let routes = core.routes();
         if let Some(oldest) = Instant::now().checked_sub(core.lease() * 2) {
             core.picker().prune(oldest, |key| routes.contains(key));
-            core.backoffs().prune(|name| routes.has_name(name), Instant::now());
+            core.backoffs().prune(|key| routes.contains(key), Instant::now());
             core.limits().prune(|name| routes.limit_names().any(|known| known == name));
         }
     }
--- a/crates/daemon/src/digest.rs
+++ b/crates/daemon/src/digest.rs
@@ -18,7 +18,7 @@
 
 use hollowbarrow_schema::{
     DaemonId, GoneDigest, LogIndex, NodeId, ObserverDigest, PeerMessage, PeerSettings,
-    ReplicaDigest, ReplicaSet, Term, ZoneId,
+    ReplicaDigest, ReplicaSet, RestartDigest, Term, ZoneId,
 };
 use hollowbarrow_zone::{choose_observers, members_without_witness};
 use tokio::time::Instant;
@@ -59,6 +59,7 @@
         || !digest.replicas.is_empty()
         || digest.set.digest != 0
         || !digest.gone.is_empty()
+        || !digest.restarted.is_empty()
         || !digest.capacity.is_empty()
         || digest.table.is_some()
         || !digest.crashes.is_empty()
@@ -111,6 +112,11 @@
             GoneDigest { n: id.clone(), a: u32::try_from(age).unwrap_or(u32::MAX) }
         })
         .collect();
+    let restarted = if observes_nodes || reports {
+        report_restarts(&fleet, local_zone, now)
+    } else {
+        Vec::new()
+    };
     let (speaks_for, use_) = if reports {
         core.limiter.zone_demand(local_zone, &to.id, now)
     } else {
@@ -129,6 +135,7 @@
         set,
         known_set: peer.map_or(0, |peer| peer.listed.digest),
         gone,
+        restarted,
         speaks_for,
         use_,
         table: if wants_table { fleet.tables.get(local_zone).cloned() } else { None },
@@ -208,6 +215,13 @@
     replicas
 }
 
+/// Returns the plain services of a zone that were restarted recently. A replica whose member is
+/// restarted is formed anew under another epoch.
+fn report_restarts(fleet: &FleetView, zone: &ZoneId, now: Instant) -> Vec<RestartDigest> {
+    let services = fleet.service_nodes().filter(|(_, node, _)| node.listed.zone == *zone);
+    fleet.restarts.to_digests(services.map(|(id, ..)| id), now)
+}
+
 /// Returns whether a daemon of a zone is one of the two reporters of the zone for another daemon.
 ///
 /// Only members of the zone's authority are reporters. For the local zone, silent members are
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -15,7 +15,7 @@
     ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
-use hollowbarrow_zone::{FailureDetector, LeaseTable, NodeObservation};
+use hollowbarrow_zone::{FailureDetector, LeaseTable, NodeObservation, RestartTable};
 use tokio::time::Instant;
 
 use crate::digest::{expand_set, extract_set};
@@ -102,6 +102,8 @@
     pub(crate) leases: LeaseTable,
     /// Detects the loss of silent nodes of the local zone.
     pub(crate) detector: FailureDetector,
+    /// Restarts of nodes, of plain services in other zones too.
+    pub(crate) restarts: RestartTable,
     pub(crate) tables: BTreeMap<ZoneId, ZoneTable>,
     pub(crate) peers: BTreeMap<DaemonId, KnownPeer>,
     pub(crate) capacity: BTreeMap<ZoneId, ReportedCapacity>,
@@ -118,6 +120,7 @@
             nodes: BTreeMap::new(),
             leases: LeaseTable::new(lease),
             detector: FailureDetector::new(lease),
+            restarts: RestartTable::new(),
             tables: BTreeMap::new(),
             peers: BTreeMap::new(),
             capacity: BTreeMap::new(),
@@ -152,20 +155,23 @@
         self.listed_once = true;
         let nodes = &self.nodes;
         self.leases.retain(|id| nodes.contains_key(id));
+        self.restarts.retain(|id| nodes.contains_key(id));
         changed || before != self.nodes.len()
     }
 
-    /// Records an observation; returns whether the node's process is another one than before, as far as
-    /// that is known.
+    /// Records an observation.
     pub(crate) fn record_observation(
         &mut self,
         id: &NodeId,
         observation: NodeObservation,
         now: Instant,
-    ) -> bool {
+    ) {
         let known = self.leases.observation(id);
         let restarted = known.is_some_and(|known| known.start != observation.start)
             || self.gone.contains_key(id);
+        if restarted {
+            self.record_restart(id, now);
+        }
         let was_lost = restarted || self.detector.is_lost(id);
         if was_lost && let Some(node) = self.nodes.get_mut(id) {
             node.returned = Some(now);
@@ -174,7 +180,12 @@
         self.detector.record_answer(id, now);
         self.detector.record_answer_time(id, now.saturating_duration_since(observation.seen));
         self.leases.observe(id, observation);
-        restarted
+    }
+
+    /// Records that a node was found to run another process than before.
+    fn record_restart(&mut self, id: &NodeId, now: Instant) {
+        log::info!("event=node_restarted node={}", **id);
+        self.restarts.record(id, now);
     }
 
     /// Records that a replica made progress with a request, which proves that its members run. That
@@ -238,11 +249,15 @@
                 }
                 if restarted || returned {
                     self.gone.remove(&node.n);
+                    self.record_restart(&node.n, now);
                     if let Some(node) = self.nodes.get_mut(&node.n) {
                         node.returned = Some(now);
                     }
                 }
             }
+            for node in &digest.restarted {
+                self.restarts.record_digest(node, base, held);
+            }
             for node in &digest.gone {
                 let age = Duration::from_millis(u64::from(node.a));
                 let Some(at) = (base + held).checked_sub(age) else { continue };
--- a/crates/daemon/src/observer.rs
+++ b/crates/daemon/src/observer.rs
@@ -111,7 +111,7 @@
     core.telemetry.record_probe(probe_outcome(&outcome), now - sent_at);
     match outcome {
         Ok(report) if report.node == *node => {
-            record_report(&core, node, to_observation(report, sent_at), now);
+            core.fleet_mut().record_observation(node, to_observation(report, sent_at), now);
         }
         Ok(report) => {
             log::warn!("event=probe_other_node wanted={} found={}", **node, *report.node);
@@ -128,7 +128,7 @@
                 queued: 0,
                 weights: Vec::new(),
             };
-            record_report(&core, node, to_observation(report, sent_at), now);
+            core.fleet_mut().record_observation(node, to_observation(report, sent_at), now);
         }
         Err(ProbeNodeError::NoAnswer(SendRequestError::Refused(_))) => {
             core.fleet_mut().record_loss(node, sent_at);
@@ -137,15 +137,6 @@
     }
 }
 
-/// Records a node's report. A node whose process was replaced is in no backoff: the former process
-/// asked for it.
-fn record_report(core: &DaemonCore, node: &NodeId, observation: NodeObservation, now: Instant) {
-    let restarted = core.fleet_mut().record_observation(node, observation, now);
-    if restarted && core.backoffs().record_restart(&node.to_string()) {
-        log::info!("event=backoff_ended upstream={} reason=\"it was restarted\"", **node);
-    }
-}
-
 /// Returns the outcome of a probe for metrics.
 fn probe_outcome(outcome: &Result<NodeReport, ProbeNodeError>) -> &'static str {
     match outcome {
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -119,11 +119,6 @@
         self.entries().any(|entry| entry.key == *key)
     }
 
-    /// Returns whether an upstream has this name, under any epoch.
-    pub(crate) fn has_name(&self, name: &str) -> bool {
-        self.entries().any(|entry| entry.key.name == name)
-    }
-
     /// Returns the names of upstreams in messages about rate limits.
     pub(crate) fn limit_names(&self) -> impl Iterator<Item = String> {
         self.entries().map(|entry| limit_name(&entry.key))
--- a/crates/routing/src/backoff.rs
+++ b/crates/routing/src/backoff.rs
@@ -10,8 +10,8 @@
 //! this upstream may have capacity before the backoff expires. Only the upstream itself knows its
 //! load from other daemons.
 //!
-//! Invariant: a backoff is never shortened, and an upstream that is leaving is never used again,
-//! unless another process has taken its place.
+//! Invariant: a backoff is never shortened, unless another process has taken the upstream's place,
+//! and an upstream that is leaving is never used again.
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -44,6 +44,8 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct BackoffEntry {
+    /// When the upstream last asked for a backoff.
+    asked: Option<Instant>,
     /// End of the backoff that the upstream asked for.
     until: Option<Instant>,
     leaving: bool,
@@ -81,20 +83,26 @@
     pub fn record_backoff(&mut self, upstream: &K, backoff: Duration, now: Instant) {
         let until = now + backoff.min(LONGEST_BACKOFF);
         let entry = self.entries.entry(upstream.clone()).or_default();
+        entry.asked = entry.asked.max(Some(now));
         entry.until = entry.until.max(Some(until));
     }
 
+    /// Ends a backoff that was asked for before the upstream's process was replaced. A notice that
+    /// the upstream is leaving stays: it is only recorded under the ID of a single process.
+    pub fn end_former(&mut self, upstream: &K, replaced: Instant) {
+        if let Some(entry) = self.entries.get_mut(upstream)
+            && entry.asked.is_some_and(|asked| asked < replaced)
+        {
+            (entry.asked, entry.until) = (None, None);
+        }
+    }
+
     /// Records that an upstream is about to terminate; returns false if this is already known.
     pub fn record_leaving(&mut self, upstream: &K) -> bool {
         let entry = self.entries.entry(upstream.clone()).or_default();
         !std::mem::replace(&mut entry.leaving, true)
     }
 
-    /// Forgets what the former process of an upstream has asked for; returns whether there was anything.
-    pub fn record_restart(&mut self, upstream: &K) -> bool {
-        self.entries.remove(upstream).is_some()
-    }
-
     /// Returns why an upstream is sent nothing now; `None` if it may be sent requests.
     pub fn reason(&self, upstream: &K, now: Instant) -> Option<BackoffReason> {
         self.entries.get(upstream)?.reason(now)
--- a/crates/routing/tests/backoff.rs
+++ b/crates/routing/tests/backoff.rs
@@ -76,3 +76,26 @@
     assert!(table.reason(&"asked", after(now, 1000)).is_some());
     assert!(table.reason(&"leaving", after(now, 1000)).is_some());
 }
+
+/// Guards against a backoff that outlives the process that asked for it, and against one that is
+/// extended by what the former process asked for.
+#[rstest]
+#[case::asked_before(Some(100), 200, 1000, false)]
+#[case::asked_after(Some(300), 200, 1000, true)]
+#[case::asked_again_after(Some(300), 200, 4000, false)]
+fn end_former_by_time(
+    #[case] again_ms: Option<u64>,
+    #[case] replaced_ms: u64,
+    #[case] at_ms: u64,
+    #[case] applies: bool,
+) {
+    let now = Instant::now();
+    let mut table = BackoffTable::new();
+    table.record_backoff(&"a", BACKOFF * 20, now);
+    if let Some(ms) = again_ms {
+        table.end_former(&"a", after(now, replaced_ms.min(ms)));
+        table.record_backoff(&"a", BACKOFF, after(now, ms));
+    }
+    table.end_former(&"a", after(now, replaced_ms));
+    assert_eq!(table.reason(&"a", after(now, at_ms)).is_some(), applies);
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -2252,6 +2252,9 @@
     pub nodes: ::std::vec::Vec<NodeDigest>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub replicas: ::std::vec::Vec<ReplicaDigest>,
+    ///Plain services of the sender's zone that were restarted recently.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub restarted: ::std::vec::Vec<RestartDigest>,
     ///Sender's clock in milliseconds; the receiver echoes it, and only the sender compares it with its clock.
     pub sent: u64,
     #[serde(default = "defaults::observer_digest_set")]
@@ -2934,6 +2937,20 @@
         self.0.fmt(f)
     }
 }
+///A node whose process was found to be another one than before.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RestartDigest {
+    ///Time in milliseconds since that was found, when the digest was sent.
+    pub a: u32,
+    pub n: NodeId,
+}
+impl ::std::convert::From<&RestartDigest> for RestartDigest {
+    fn from(value: &RestartDigest) -> Self {
+        value.clone()
+    }
+}
 ///Log index at which an object last changed; 0 means that the object does not exist.
 ///
 #[derive(
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -23,6 +23,7 @@
 mod lifecycle;
 mod observers;
 mod probe_pacer;
+mod restarts;
 mod stages;
 
 pub use authority::{AuthorityMember, TableStanding, TableStore};
@@ -34,4 +35,5 @@
 };
 pub use observers::{choose_observers, members_without_witness, observing_members, zone_members};
 pub use probe_pacer::ProbePacer;
+pub use restarts::RestartTable;
 pub use stages::{LoadedReplica, ReplicaName, ReplicaStage, ReplicaStages};
--- a/tests/all/backoff.rs
+++ b/tests/all/backoff.rs
@@ -20,6 +20,8 @@
 const IN_FLIGHT_GRACE: Duration = Duration::from_millis(500);
 /// The daemon that receives the requests.
 const DAEMON: &str = "a0";
+/// Backoff that does not expire during a test.
+const LONG_BACKOFF: Duration = Duration::from_secs(60);
 /// Number of callers that send requests in a loop.
 const CALLERS: usize = 8;
 
@@ -148,3 +150,55 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Makes all plain nodes ask the daemon for a long backoff, and returns them.
+async fn ask_for_long_backoff(cluster: &Cluster) -> Vec<NodeId> {
+    let nodes = Kind::Plain.nodes(cluster);
+    nodes.iter().for_each(|node| cluster.fleet().reject_requests(node, Some(LONG_BACKOFF)));
+    call_for(cluster, Kind::Plain, IN_FLIGHT_GRACE).await;
+    assert_eq!(Kind::Plain.call(cluster, "during the backoff").await.status, 503);
+    nodes
+}
+
+/// Kills nodes and restarts them so that they serve.
+async fn replace_processes(cluster: &Cluster, nodes: &[NodeId]) {
+    nodes.iter().for_each(|node| cluster.fleet().kill(node));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for node in nodes {
+        cluster.fleet().reject_requests(node, None);
+        cluster.fleet().restart(node);
+    }
+}
+
+/// Waits until a request is served, long before the backoff expires.
+async fn wait_served(cluster: &Cluster) {
+    let start = Instant::now();
+    while Kind::Plain.call(cluster, "after the restart").await.status != 200 {
+        assert!(start.elapsed() < LONG_BACKOFF / 4, "the backoff still applies");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Restarted nodes of other zones, which this daemon does not probe, are used again as well.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn backoff_ended_by_restart_in_other_zones() {
+    let cluster = serving_cluster(nine_daemons(), 1).await;
+    let nodes = ask_for_long_backoff(&cluster).await;
+    let remote: Vec<NodeId> = nodes.into_iter().filter(|node| !node.starts_with("a-")).collect();
+    replace_processes(&cluster, &remote).await;
+    wait_served(&cluster).await;
+}
+
+/// A daemon whose own probes missed the restart learns of it from other daemons.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn backoff_ended_by_restart_while_paused() {
+    let cluster = serving_cluster(nine_daemons(), 1).await;
+    let nodes = ask_for_long_backoff(&cluster).await;
+    cluster.pause(DAEMON);
+    replace_processes(&cluster, &nodes).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cluster.resume(DAEMON);
+    wait_served(&cluster).await;
+}
