Log what a request waited for and why it was refused

What callers saw: holds refused under load, and of the four things that a request waits for (a slot, its claim, a duplicate, an upstream) only one was in the daemon's log, without the reason of the refusal.

`request_end` has queue_ms, claim_ms, upstream_ms and reason now, and the refusal `no_upstream` says how many upstreams are known and how many of them may be running.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -45,8 +45,14 @@
     NotAttempted(CallerError),
 }
 
-/// The upstream that was tried, if any, and the outcome.
-pub(crate) type AttemptResult = (Option<UpstreamKey>, Result<AttemptAnswer, AttemptError>);
+/// How an attempt ended.
+pub(crate) struct AttemptEnd {
+    /// The upstream that was tried, if any.
+    pub(crate) upstream: Option<UpstreamKey>,
+    pub(crate) outcome: Result<AttemptAnswer, AttemptError>,
+    /// Time until the upstream was selected, or until none was.
+    pub(crate) upstream_wait: Duration,
+}
 
 /// Makes an attempt for a call of a plain service.
 pub(crate) async fn run_plain_attempt(
@@ -54,7 +60,7 @@
     request: &CallerRequest,
     avoid: &[UpstreamKey],
     span: &HopSpan,
-) -> AttemptResult {
+) -> AttemptEnd {
     // A plain call is never streamed, so nothing is sent over this link.
     let (link, _) = CallerLink::new();
     let mut relay = StreamRelay::new(&Arc::new(link), false);
@@ -70,13 +76,18 @@
     span: &HopSpan,
     relay: &mut StreamRelay,
     streamed: bool,
-) -> AttemptResult {
+) -> AttemptEnd {
     let pick_span = span.child("pick");
     let answer_started = relay.has_started();
-    let picking = pick_upstream(core, request, blocks, avoid, answer_started);
-    let PickedUpstream { entry, permit } = match picking.await {
+    let started = Instant::now();
+    let picked = pick_upstream(core, request, blocks, avoid, answer_started).await;
+    let upstream_wait = started.elapsed();
+    let PickedUpstream { entry, permit } = match picked {
         Ok(picked) => picked,
-        Err(error) => return (None, Err(AttemptError::NotAttempted(error))),
+        Err(error) => {
+            let outcome = Err(AttemptError::NotAttempted(error));
+            return AttemptEnd { upstream: None, outcome, upstream_wait };
+        }
     };
     drop(pick_span);
     let attempt_span = span.child("upstream");
@@ -101,7 +112,8 @@
         attempt_span.set("error", &error.to_string());
     }
     drop(picker_guard);
-    (Some(key), outcome.map_err(AttemptError::Failed))
+    let outcome = outcome.map_err(AttemptError::Failed);
+    AttemptEnd { upstream: Some(key), outcome, upstream_wait }
 }
 
 /// Keeps an attempt counted at its upstream in the picker until dropped.
@@ -311,10 +323,22 @@
             return CallerError::not_run(ErrorCode::NoSuchModel, message).with_field("model");
         }
     }
-    let message = "no upstream accepts requests now";
+    let message =
+        format!("no upstream accepts requests now: {}", describe_upstreams(core, entries));
     CallerError::not_run(ErrorCode::NoUpstream, message).with_retry_after(UPSTREAM_RETRY)
 }
 
+/// Describes what is known of upstreams of which none accepts requests.
+fn describe_upstreams(core: &DaemonCore, entries: &[RouteEntry]) -> String {
+    if entries.is_empty() {
+        return "none is known".to_owned();
+    }
+    let now = Instant::now();
+    let fleet = core.fleet();
+    let unconfirmed = entries.iter().filter(|entry| entry.is_unconfirmed(&fleet, now)).count();
+    format!("of {} known, {unconfirmed} may be running", entries.len())
+}
+
 async fn send_to_upstream(
     core: &Arc<DaemonCore>,
     request: &CallerRequest,
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink};
-use crate::attempt::{AttemptAnswer, AttemptError, run_attempt, run_plain_attempt};
+use crate::attempt::{AttemptAnswer, AttemptEnd, AttemptError, run_attempt, run_plain_attempt};
 use crate::caller_request::{CallerRequest, RequestKind};
 use crate::claims::{ClaimIdentity, HeldClaim};
 use crate::core::DaemonCore;
@@ -43,11 +43,26 @@
     Disconnected,
 }
 
+/// Times for which a request waited, for logs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RequestWaits {
+    /// For a slot in the admission queue.
+    pub(crate) queue: Duration,
+    /// For the outcome of its claim.
+    pub(crate) claim: Duration,
+    /// For another duplicate.
+    pub(crate) duplicate: Duration,
+    /// For an upstream, over all attempts.
+    pub(crate) upstream: Duration,
+}
+
 /// How a request ended, for logs and metrics.
 #[derive(Debug)]
 pub(crate) struct RequestEnd {
     pub(crate) outcome: &'static str,
     pub(crate) ran: Option<ErrorRan>,
+    /// Message of the error that the caller received.
+    pub(crate) reason: Option<String>,
     pub(crate) upstream: Option<UpstreamKey>,
     pub(crate) attempts: u32,
 }
@@ -66,8 +81,7 @@
     may_have_run: bool,
     /// Digest of the content, equal for duplicates of a request.
     pub(crate) digest: RequestDigest,
-    /// Time for which the request waited for another duplicate.
-    pub(crate) duplicate_wait: Duration,
+    pub(crate) waits: RequestWaits,
 }
 
 /// Runs a request and sends its answer.
@@ -101,7 +115,7 @@
         tried: Vec::new(),
         may_have_run: false,
         digest,
-        duplicate_wait: Duration::ZERO,
+        waits: RequestWaits::default(),
     };
     let end = run.admit_and_run().await;
     let core = Arc::clone(&run.core);
@@ -130,7 +144,8 @@
             () = self.link.disconnected() => return self.end("cancelled", Some(ErrorRan::NotRun)),
         };
         drop(queue_span);
-        core.telemetry.record_queue_time(self.request.urgency, now.elapsed());
+        self.waits.queue = now.elapsed();
+        core.telemetry.record_queue_time(self.request.urgency, self.waits.queue);
         let slot = match entered {
             Ok(slot) => slot,
             Err(error) => return self.refuse(&to_shed_error(&error)),
@@ -150,7 +165,9 @@
             ClaimIdentity::new(&request.organisation.id, &key, &request.target, &request.body);
         let attempt = format!("{}/{:016x}", **self.core.id(), rand::random::<u64>());
         let span = self.span.child("claim");
+        let asked = Instant::now();
         let opened = self.core.open_claim(&identity, &attempt, request.deadline).await;
+        self.waits.claim = asked.elapsed();
         drop(span);
         match opened {
             Ok((ClaimOutcome::Granted, held)) => self.run(Some(held)).await,
@@ -191,7 +208,7 @@
     async fn run(&mut self, claim: Option<HeldClaim>) -> RequestEnd {
         let arrived = Instant::now();
         let entry = self.enter_duplicate_gate().await;
-        self.duplicate_wait = arrived.elapsed();
+        self.waits.duplicate = arrived.elapsed();
         let duplicate = match entry {
             DuplicateEntry::Entered(duplicate) => Arc::new(duplicate),
             end => {
@@ -250,7 +267,8 @@
                     return self.end("cancelled", Some(ErrorRan::Unknown));
                 }
             };
-            let (key, outcome) = tried;
+            let AttemptEnd { upstream: key, outcome, upstream_wait } = tried;
+            self.waits.upstream += upstream_wait;
             let withdrawn = is_withdrawn(&outcome);
             if withdrawn {
                 self.attempts -= 1;
@@ -386,7 +404,7 @@
         let first = run_plain_attempt(&core, &request, &[], &span);
         tokio::pin!(first);
         let early = tokio::time::timeout(after, first.as_mut()).await;
-        let (key, outcome) = match early {
+        let AttemptEnd { upstream: key, outcome, upstream_wait } = match early {
             Ok(done) => done,
             Err(_) if core.budget.take(Instant::now()) => {
                 self.attempts = 2;
@@ -395,12 +413,13 @@
                 let second = run_plain_attempt(&core, &request, &avoid, &span);
                 tokio::pin!(second);
                 tokio::select! {
-                    done = first.as_mut() => if done.1.is_ok() { done } else { second.await },
-                    done = second.as_mut() => if done.1.is_ok() { done } else { first.await },
+                    done = first.as_mut() => if done.outcome.is_ok() { done } else { second.await },
+                    done = second.as_mut() => if done.outcome.is_ok() { done } else { first.await },
                 }
             }
             Err(_) => first.await,
         };
+        self.waits.upstream += upstream_wait;
         self.upstream = key;
         let mut relay = StreamRelay::new(&self.link, false);
         match outcome {
@@ -429,7 +448,7 @@
 
     fn refuse(&mut self, error: &CallerError) -> RequestEnd {
         self.link.send_answer(error.to_answer(&self.request.id));
-        self.end(error.name(), Some(error.ran))
+        self.end_with(error)
     }
 
     async fn fail(&mut self, error: &CallerError, relay: &mut StreamRelay) -> RequestEnd {
@@ -439,14 +458,19 @@
         }
         if relay.has_started() {
             relay.fail(&error.to_json(&self.request.id)).await;
-            return self.end(error.name(), Some(error.ran));
+            return self.end_with(&error);
         }
         self.refuse(&error)
     }
 
     fn end(&self, outcome: &'static str, ran: Option<ErrorRan>) -> RequestEnd {
         let upstream = self.upstream.clone();
-        RequestEnd { outcome, ran, upstream, attempts: self.attempts }
+        RequestEnd { outcome, ran, reason: None, upstream, attempts: self.attempts }
+    }
+
+    fn end_with(&self, error: &CallerError) -> RequestEnd {
+        let reason = Some(error.message.clone());
+        RequestEnd { reason, ..self.end(error.name(), Some(error.ran)) }
     }
 }
 
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -212,17 +212,23 @@
         let upstream = end.upstream.as_ref().map_or("-", |key| key.name.as_str());
         let epoch = end.upstream.as_ref().map_or(0, |key| *key.epoch);
         let ran = end.ran.unwrap_or(ErrorRan::Ran);
+        let waits = &run.waits;
         log::info!(
             "event=request_end request_id={} organisation={} target={:?} content={:016x} upstream={upstream} \
-             epoch={epoch} outcome={} ran={ran} attempts={} duplicate_ms={} ms={}",
+             epoch={epoch} outcome={} ran={ran} attempts={} queue_ms={} claim_ms={} duplicate_ms={} \
+             upstream_ms={} ms={} reason={:?}",
             run.request.id,
             *run.request.organisation.id,
             run.request.target,
             *run.digest,
             end.outcome,
             end.attempts,
-            run.duplicate_wait.as_millis(),
-            run.request.received.elapsed().as_millis()
+            waits.queue.as_millis(),
+            waits.claim.as_millis(),
+            waits.duplicate.as_millis(),
+            waits.upstream.as_millis(),
+            run.request.received.elapsed().as_millis(),
+            end.reason.as_deref().unwrap_or("-")
         );
     }
 
