Give up the place among duplicates while a request waits for an upstream

What callers saw: holds with the same body at one daemon, while no upstream accepted requests, were refused one after the other, and some with copy_under_way although nothing of any of them had been sent.

Cause: a request entered the gate for duplicates before it selected an upstream, and held the place of the first duplicate while it waited for one. request_end of such holds: duplicate_ms=2208 upstream_ms=1154, duplicate_ms=839 upstream_ms=1523, and a refusal after 6.7 s of 8.

Change: a duplicate gives its place up while it waits for an upstream, a permit or capacity, and regains it once one is selected. It still counts as a duplicate beside others, so that a crash of one of them pauses all. After a wait for its place it looks up whether the request is quarantined since, and the time at which a crashed run was sent is taken after these waits: an earlier one would not count as a run of its own. Requests with a hedge keep their place, since a second attempt of theirs may be in progress.

Why the guard against crashing requests is as strong: what is in progress at a daemon is still one duplicate until one is answered; keys make no difference.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::answer::{CallerError, CallerLink, ErrorCode};
 use crate::caller_request::{CallerRequest, RequestKind, headers};
 use crate::core::DaemonCore;
+use crate::duplicates::DuplicatePlace;
 use crate::permits::{HeldPermit, PermitWait, limit_name, record_limit};
 use crate::refusals::{UPSTREAM_RETRY, to_backoff_error, to_limited_error, to_send_error};
 use crate::relay::{StreamRelay, read_complete_answer};
@@ -50,53 +51,74 @@
     /// The upstream that was tried, if any.
     pub(crate) upstream: Option<UpstreamKey>,
     pub(crate) outcome: Result<AttemptAnswer, AttemptError>,
-    /// Time until the upstream was selected, or until none was.
+    /// When the upstream was selected, or none was; the request was sent later, if at all.
+    pub(crate) selected: Instant,
+    /// Time until the upstream was selected, or until none was, without `duplicate_wait`.
     pub(crate) upstream_wait: Duration,
+    /// Time for which the attempt waited for another duplicate.
+    pub(crate) duplicate_wait: Duration,
+}
+
+/// What an attempt to run a request needs.
+#[derive(Clone, Copy)]
+pub(crate) struct Attempt<'a> {
+    pub(crate) core: &'a Arc<DaemonCore>,
+    pub(crate) request: &'a CallerRequest,
+    pub(crate) blocks: &'a [u64],
+    /// Upstreams that are tried only if no other accepts requests.
+    pub(crate) avoid: &'a [UpstreamKey],
+    pub(crate) span: &'a HopSpan,
+    /// Whether the caller wants a stream.
+    pub(crate) streamed: bool,
+    /// Place among the request's duplicates, given up while the attempt waits for an upstream. `None`
+    /// if another attempt of the same request may be in progress.
+    pub(crate) place: Option<&'a DuplicatePlace>,
 }
 
 /// Makes an attempt for a call of a plain service.
-pub(crate) async fn run_plain_attempt(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
-    avoid: &[UpstreamKey],
-    span: &HopSpan,
-) -> AttemptEnd {
+pub(crate) async fn run_plain_attempt(attempt: Attempt<'_>) -> AttemptEnd {
     // A plain call is never streamed, so nothing is sent over this link.
     let (link, _) = CallerLink::new();
     let mut relay = StreamRelay::new(&Arc::new(link), false);
-    run_attempt(core, request, &[], avoid, span, &mut relay, false).await
+    run_attempt(attempt, &mut relay).await
 }
 
 /// Selects an upstream, sends the request and reads its answer.
-pub(crate) async fn run_attempt(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
-    blocks: &[u64],
-    avoid: &[UpstreamKey],
-    span: &HopSpan,
-    relay: &mut StreamRelay,
-    streamed: bool,
-) -> AttemptEnd {
+pub(crate) async fn run_attempt(attempt: Attempt<'_>, relay: &mut StreamRelay) -> AttemptEnd {
+    let Attempt { core, request, span, .. } = attempt;
     let pick_span = span.child("pick");
-    let answer_started = relay.has_started();
     let started = Instant::now();
-    let picked = pick_upstream(core, request, blocks, avoid, answer_started).await;
-    let upstream_wait = started.elapsed();
+    let waited_before = attempt.duplicate_wait();
+    let picked = pick_upstream(attempt, relay.has_started()).await;
+    let duplicate_wait = attempt.duplicate_wait() - waited_before;
+    let selected = Instant::now();
+    let upstream_wait = (selected - started).saturating_sub(duplicate_wait);
+    let end = |upstream, outcome| AttemptEnd {
+        upstream,
+        outcome,
+        selected,
+        upstream_wait,
+        duplicate_wait,
+    };
     let PickedUpstream { entry, permit } = match picked {
         Ok(picked) => picked,
-        Err(error) => {
-            let outcome = Err(AttemptError::NotAttempted(error));
-            return AttemptEnd { upstream: None, outcome, upstream_wait };
-        }
+        Err(error) => return end(None, Err(AttemptError::NotAttempted(error))),
     };
     drop(pick_span);
     let attempt_span = span.child("upstream");
     attempt_span.set("upstream", &entry.key.name);
     let key = entry.key.clone();
-    let picker_guard = PickerGuard::new(core, &key, blocks).with_permit(permit);
+    let picker_guard = PickerGuard::new(core, &key, attempt.blocks).with_permit(permit);
     let progress = relay.progress();
-    let sending =
-        send_to_upstream(core, request, &entry, &attempt_span, relay, streamed, &picker_guard);
+    let sending = send_to_upstream(
+        core,
+        request,
+        &entry,
+        &attempt_span,
+        relay,
+        attempt.streamed,
+        &picker_guard,
+    );
     let outcome = tokio::select! {
         outcome = sending => outcome,
         // A replica that lost a member cannot answer any more. Only a repeatable request is
@@ -112,8 +134,28 @@
         attempt_span.set("error", &error.to_string());
     }
     drop(picker_guard);
-    let outcome = outcome.map_err(AttemptError::Failed);
-    AttemptEnd { upstream: Some(key), outcome, upstream_wait }
+    end(Some(key), outcome.map_err(AttemptError::Failed))
+}
+
+impl Attempt<'_> {
+    /// Gives up the place among the request's duplicates while the attempt waits.
+    fn give_up_place(&self) {
+        if let Some(place) = self.place {
+            place.give_up();
+        }
+    }
+
+    /// Waits for the place among the request's duplicates. Returns whether that took a wait.
+    async fn regain_place(&self) -> Result<bool, CallerError> {
+        match self.place {
+            Some(place) => place.regain().await,
+            None => Ok(false),
+        }
+    }
+
+    fn duplicate_wait(&self) -> Duration {
+        self.place.map_or(Duration::ZERO, DuplicatePlace::waited)
+    }
 }
 
 /// Keeps an attempt counted at its upstream in the picker until dropped.
@@ -167,14 +209,13 @@
 }
 
 /// Selects an upstream. Waits for capacity until the deadline, for a permit until
-/// `PERMIT_WAIT_TIMEOUT`, and for an upstream that accepts requests until `upstream_wait_limit`.
+/// `PERMIT_WAIT_TIMEOUT`, and for an upstream that accepts requests until `upstream_wait_limit`. The
+/// place among the request's duplicates is given up meanwhile.
 async fn pick_upstream(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
-    blocks: &[u64],
-    avoid: &[UpstreamKey],
+    attempt: Attempt<'_>,
     answer_started: bool,
 ) -> Result<PickedUpstream, CallerError> {
+    let Attempt { core, request, blocks, avoid, .. } = attempt;
     let mut permits = PermitWait::new(core);
     let mut waits_since = None;
     let mut only_failed_since = None;
@@ -197,6 +238,7 @@
         let backoff = drop_backed_off(core, &mut candidates, now);
         let lacking = drop_without_permit(core, &mut candidates, now);
         if candidates.is_empty() && !lacking.is_empty() {
+            attempt.give_up_place();
             permits.wait_for_any(&lacking).await.map_err(to_limited_error)?;
             continue;
         }
@@ -214,6 +256,7 @@
             if upstream_wait_limit(&facts).is_none_or(|limit| limit <= now) {
                 return Err(no_upstream(core, request, entries));
             }
+            attempt.give_up_place();
             tokio::time::sleep(UPSTREAM_POLL_INTERVAL).await;
             continue;
         }
@@ -222,6 +265,7 @@
             candidates.iter().filter(|c| !avoid.contains(&c.key)).cloned().collect();
         let since = *only_failed_since.get_or_insert(now);
         if untried.is_empty() && !may_return_to_failed(answer_started, since, core.lease(), now) {
+            attempt.give_up_place();
             tokio::time::sleep(UPSTREAM_POLL_INTERVAL).await;
             continue;
         }
@@ -231,9 +275,13 @@
         if let Some(choice) = choice
             && let Some(entry) = entries.iter().find(|entry| entry.key == choice.key)
         {
+            if attempt.regain_place().await? {
+                continue;
+            }
             let permit = HeldPermit::take(core, &entry.key, now);
             return Ok(PickedUpstream { entry: entry.clone(), permit });
         }
+        attempt.give_up_place();
         tokio::time::sleep(CAPACITY_POLL_INTERVAL).await;
     }
 }
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -15,10 +15,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink};
-use crate::attempt::{AttemptAnswer, AttemptEnd, AttemptError, run_attempt, run_plain_attempt};
+use crate::attempt::{
+    Attempt, AttemptAnswer, AttemptEnd, AttemptError, run_attempt, run_plain_attempt,
+};
 use crate::caller_request::{CallerRequest, RequestKind};
 use crate::claims::{ClaimIdentity, HeldClaim};
 use crate::core::DaemonCore;
+use crate::duplicates::{DuplicatePlace, DuplicateWait};
 use crate::refusals::{
     to_attempt_error, to_claim_error, to_duplicate_error, to_limit_error, to_propose_error,
     to_quarantine_error, to_shed_error,
@@ -26,23 +29,6 @@
 use crate::relay::StreamRelay;
 use crate::telemetry::HopSpan;
 
-/// Longest wait of a streamed duplicate for the first token of another one. A working replica reads
-/// a prompt in less.
-const STREAM_DUPLICATE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Divisor of a request's remaining time; the quotient is the longest wait of a duplicate for the
-/// complete answer to another one. The rest is for its own run, which takes as long.
-const DUPLICATE_WAIT_DIVISOR: u32 = 2;
-
-/// Outcome of the wait of a request at the duplicate gate.
-enum DuplicateEntry {
-    /// The request may run.
-    Entered(DuplicateTicket),
-    /// Another duplicate made no progress until the timeout.
-    WaitedTooLong,
-    /// The caller disconnected.
-    Disconnected,
-}
-
 /// Times for which a request waited, for logs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RequestWaits {
@@ -177,47 +163,33 @@
         }
     }
 
-    /// Returns for how long the request waits for the progress of another duplicate.
-    fn duplicate_wait_timeout(&self, now: Instant) -> Duration {
-        let remaining = self.request.deadline.saturating_duration_since(now);
-        if self.is_streamed() {
-            remaining.min(STREAM_DUPLICATE_WAIT_TIMEOUT)
-        } else {
-            remaining / DUPLICATE_WAIT_DIVISOR
-        }
-    }
-
     fn is_streamed(&self) -> bool {
         matches!(self.request.kind, RequestKind::Completion { stream: true, .. })
     }
 
-    /// Waits until no other duplicate of the request blocks this one.
-    async fn enter_duplicate_gate(&self) -> DuplicateEntry {
-        let was_answered = || self.core.crashes().was_answered(self.digest);
-        let now = Instant::now();
-        let limit = now + self.duplicate_wait_timeout(now);
-        tokio::select! {
-            entered = self.core.duplicates.enter(self.digest, was_answered, limit) => {
-                entered.map_or(DuplicateEntry::WaitedTooLong, DuplicateEntry::Entered)
-            }
-            () = self.link.disconnected() => DuplicateEntry::Disconnected,
-        }
-    }
-
     /// Runs the request once the duplicate gate admits it, hedged where its route allows that.
     async fn run(&mut self, claim: Option<HeldClaim>) -> RequestEnd {
         let arrived = Instant::now();
-        let entry = self.enter_duplicate_gate().await;
+        let wait = DuplicateWait {
+            core: Arc::clone(&self.core),
+            digest: self.digest,
+            streamed: self.is_streamed(),
+            deadline: self.request.deadline,
+        };
+        let entered = tokio::select! {
+            place = wait.enter() => place.ok_or(Some(to_duplicate_error())),
+            () = self.link.disconnected() => Err(None),
+        };
         self.waits.duplicate = arrived.elapsed();
-        let duplicate = match entry {
-            DuplicateEntry::Entered(duplicate) => Arc::new(duplicate),
-            end => {
+        let place = match entered {
+            Ok(place) => place,
+            Err(error) => {
                 if let Some(held) = claim {
                     self.core.release_claim(held).await;
                 }
-                return match end {
-                    DuplicateEntry::Disconnected => self.end("cancelled", Some(ErrorRan::NotRun)),
-                    _ => self.refuse(&to_duplicate_error()),
+                return match error {
+                    Some(error) => self.refuse(&error),
+                    None => self.end("cancelled", Some(ErrorRan::NotRun)),
                 };
             }
         };
@@ -226,49 +198,51 @@
             && !self.request.not_repeatable
             && self.request.method.is_safe()
         {
-            return self.run_hedged(Duration::from_millis(hedge_ms), &duplicate).await;
+            return self.run_hedged(Duration::from_millis(hedge_ms), &place).await;
         }
-        self.run_attempts(claim, &duplicate).await
+        self.run_attempts(claim, &place).await
     }
 
     /// Tries upstreams one after the other while a retry is safe.
     async fn run_attempts(
         &mut self,
         claim: Option<HeldClaim>,
-        duplicate: &Arc<DuplicateTicket>,
+        place: &DuplicatePlace,
     ) -> RequestEnd {
+        let duplicate = place.ticket();
         self.core.budget.record_request();
         let streamed = self.is_streamed();
         let mut relay = StreamRelay::new(&self.link, claim.is_some()).with_duplicate(duplicate);
         loop {
             // Checked before each attempt, since a further attempt may crash the next replica.
-            let sent = Instant::now();
-            let quarantined = self.core.quarantine_left(self.digest, sent);
+            let quarantined = self.core.quarantine_left(self.digest, Instant::now());
             if let Some(left) = quarantined {
                 let ran = if self.may_have_run { ErrorRan::Unknown } else { ErrorRan::NotRun };
                 self.settle_failed_claim(claim, ran).await;
                 return self.fail(&to_quarantine_error(left), &mut relay).await;
             }
             self.attempts += 1;
-            let attempt = run_attempt(
-                &self.core,
-                &self.request,
-                &self.blocks,
-                &self.tried,
-                &self.span,
-                &mut relay,
+            let attempt = Attempt {
+                core: &self.core,
+                request: &self.request,
+                blocks: &self.blocks,
+                avoid: &self.tried,
+                span: &self.span,
                 streamed,
-            );
+                place: Some(place),
+            };
             let disconnected = self.link.disconnected();
             let tried = tokio::select! {
-                tried = attempt => tried,
+                tried = run_attempt(attempt, &mut relay) => tried,
                 // Dropping the attempt closes its connection, which cancels the upstream.
                 () = disconnected, if !self.request.not_repeatable => {
                     return self.end("cancelled", Some(ErrorRan::Unknown));
                 }
             };
-            let AttemptEnd { upstream: key, outcome, upstream_wait } = tried;
+            let AttemptEnd { upstream: key, outcome, selected, upstream_wait, duplicate_wait } =
+                tried;
             self.waits.upstream += upstream_wait;
+            self.waits.duplicate += duplicate_wait;
             let withdrawn = is_withdrawn(&outcome);
             if withdrawn {
                 self.attempts -= 1;
@@ -290,7 +264,7 @@
                 }
             };
             self.may_have_run |= error.ran() != ErrorRan::NotRun;
-            let retry_at = self.record_crash(&error, sent, duplicate);
+            let retry_at = self.record_crash(&error, selected, duplicate);
             let facts = RequestFacts {
                 repeatable: !self.request.not_repeatable,
                 resumable: relay.is_resumable(),
@@ -387,30 +361,35 @@
 
     /// Sends the request to a second upstream when the first is slow, and uses the first complete
     /// answer.
-    async fn run_hedged(
-        &mut self,
-        after: Duration,
-        duplicate: &Arc<DuplicateTicket>,
-    ) -> RequestEnd {
+    async fn run_hedged(&mut self, after: Duration, place: &DuplicatePlace) -> RequestEnd {
+        let duplicate = place.ticket();
         self.core.budget.record_request();
         self.attempts = 1;
         let core = Arc::clone(&self.core);
         let sent = Instant::now();
         if core.quarantine_left(self.digest, sent).is_some() {
-            return self.run_attempts(None, duplicate).await;
+            return self.run_attempts(None, place).await;
         }
         let request = self.request.clone();
         let span = self.span.child("hedge");
-        let first = run_plain_attempt(&core, &request, &[], &span);
+        let attempt = Attempt {
+            core: &core,
+            request: &request,
+            blocks: &[],
+            avoid: &[],
+            span: &span,
+            streamed: false,
+            place: None,
+        };
+        let first = run_plain_attempt(attempt);
         tokio::pin!(first);
         let early = tokio::time::timeout(after, first.as_mut()).await;
-        let AttemptEnd { upstream: key, outcome, upstream_wait } = match early {
+        let AttemptEnd { upstream: key, outcome, upstream_wait, .. } = match early {
             Ok(done) => done,
             Err(_) if core.budget.take(Instant::now()) => {
                 self.attempts = 2;
                 core.telemetry.record_retry("hedge");
-                let avoid: Vec<UpstreamKey> = Vec::new();
-                let second = run_plain_attempt(&core, &request, &avoid, &span);
+                let second = run_plain_attempt(attempt);
                 tokio::pin!(second);
                 tokio::select! {
                     done = first.as_mut() => if done.outcome.is_ok() { done } else { second.await },
@@ -431,7 +410,7 @@
                 if let Some(until) = self.record_crash(&error, sent, duplicate) {
                     tokio::time::sleep_until(until.min(self.request.deadline)).await;
                 }
-                self.run_attempts(None, duplicate).await
+                self.run_attempts(None, place).await
             }
             Err(AttemptError::NotAttempted(error)) => self.fail(&error, &mut relay).await,
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod daemon;
 mod digest;
 mod dispatch;
+mod duplicates;
 mod fleet;
 mod observer;
 mod operator;
--- a/crates/routing/src/copies.rs
+++ b/crates/routing/src/copies.rs
@@ -12,11 +12,16 @@
 //! crashed three upstreams in all. A burst thus crashes one upstream per daemon, and one more where
 //! a daemon has a single duplicate, which is retried at once.
 //!
+//! A duplicate that waits for something else than its answer, such as an upstream that accepts
+//! requests, gives up its place meanwhile: nothing of it is in progress that could show whether the
+//! request is harmless, and the others would wait, or be refused, for nothing.
+//!
 //! Trade-off: duplicates of a harmless request that is new to the daemon wait once, for the first
 //! event of a stream, about 80 ms, or for a complete answer. A request that crashes its upstream
 //! after its first event is not bounded here, but only by the quarantine that follows its burst.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -40,7 +45,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct DuplicateEntry {
     in_progress: u32,
-    /// Whether other duplicates arrived while one was in progress or during a pause.
+    /// Duplicates that have given up their place for a time.
+    suspended: u32,
+    /// Whether other duplicates arrived while there was one, or during a pause.
     has_others: bool,
     /// Whether part of an answer has been received.
     has_answer: bool,
@@ -51,6 +58,26 @@
     fn pause(&self, now: Instant) -> Option<Instant> {
         self.paused_until.filter(|until| now < *until)
     }
+
+    fn is_idle(&self, now: Instant) -> bool {
+        self.in_progress == 0 && self.suspended == 0 && self.pause(now).is_none()
+    }
+
+    fn begin(&mut self, answered: bool, now: Instant) -> DuplicateStep {
+        self.has_answer |= answered;
+        self.has_others |= self.in_progress + self.suspended > 0;
+        if !self.has_answer {
+            if let Some(until) = self.pause(now) {
+                self.has_others = true;
+                return DuplicateStep::Wait(Some(until));
+            }
+            if self.in_progress > 0 {
+                return DuplicateStep::Wait(None);
+            }
+        }
+        self.in_progress += 1;
+        DuplicateStep::Go
+    }
 }
 
 /// Duplicates in progress, by request.
@@ -71,20 +98,32 @@
     /// before.
     pub fn begin(&mut self, request: RequestDigest, answered: bool, now: Instant) -> DuplicateStep {
         self.prune(now);
-        let entry = self.entries.entry(request).or_default();
-        entry.has_answer |= answered;
-        if !entry.has_answer {
-            if let Some(until) = entry.pause(now) {
-                entry.has_others = true;
-                return DuplicateStep::Wait(Some(until));
-            }
-            if entry.in_progress > 0 {
-                entry.has_others = true;
-                return DuplicateStep::Wait(None);
-            }
+        self.entries.entry(request).or_default().begin(answered, now)
+    }
+
+    /// Records that a duplicate gives up its place. It still counts as one that others have beside
+    /// them.
+    pub fn suspend(&mut self, request: RequestDigest) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.in_progress = entry.in_progress.saturating_sub(1);
+            entry.suspended += 1;
         }
-        entry.in_progress += 1;
-        DuplicateStep::Go
+    }
+
+    /// Starts a duplicate again that gave up its place, if it may be sent. `answered` is as for
+    /// [`DuplicateLimiter::begin`].
+    pub fn resume(
+        &mut self,
+        request: RequestDigest,
+        answered: bool,
+        now: Instant,
+    ) -> DuplicateStep {
+        self.prune(now);
+        let entry = self.entries.entry(request).or_default();
+        entry.suspended = entry.suspended.saturating_sub(1);
+        let step = entry.begin(answered, now);
+        entry.suspended += u32::from(step != DuplicateStep::Go);
+        step
     }
 
     /// Records that part of an answer was received.
@@ -111,7 +150,17 @@
     pub fn end(&mut self, request: RequestDigest, now: Instant) {
         if let Some(entry) = self.entries.get_mut(&request) {
             entry.in_progress = entry.in_progress.saturating_sub(1);
-            if entry.in_progress == 0 && entry.pause(now).is_none() {
+            if entry.is_idle(now) {
+                self.entries.remove(&request);
+            }
+        }
+    }
+
+    /// Records that a duplicate ends that has given up its place.
+    pub fn end_suspended(&mut self, request: RequestDigest, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.suspended = entry.suspended.saturating_sub(1);
+            if entry.is_idle(now) {
                 self.entries.remove(&request);
             }
         }
@@ -133,9 +182,7 @@
                 return;
             }
             self.paused.pop_front();
-            let idle =
-                |entry: &DuplicateEntry| entry.in_progress == 0 && entry.pause(now).is_none();
-            if self.entries.get(&request).is_some_and(idle) {
+            if self.entries.get(&request).is_some_and(|entry| entry.is_idle(now)) {
                 self.entries.remove(&request);
             }
         }
@@ -152,6 +199,26 @@
     fn limiter(&self) -> MutexGuard<'_, DuplicateLimiter> {
         self.limiter.lock().expect("no holder of the lock panics")
     }
+
+    /// Tries a step after each change until it lets the duplicate go, at most until the limit.
+    /// Returns false as soon as it is known that the duplicate may not go by then.
+    async fn wait_to_go(&self, step: impl Fn(Instant) -> DuplicateStep, limit: Instant) -> bool {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let now = Instant::now();
+            let wait = match step(now) {
+                DuplicateStep::Go => return true,
+                DuplicateStep::Wait(until) => until,
+            };
+            let until = wait.unwrap_or(limit);
+            if now >= limit || until > limit {
+                return false;
+            }
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
 }
 
 /// Admits duplicates of a request as the limiter allows.
@@ -165,6 +232,8 @@
 pub struct DuplicateTicket {
     state: Arc<GateState>,
     request: RequestDigest,
+    /// Whether the duplicate has given up its place.
+    suspended: AtomicBool,
 }
 
 impl DuplicateGate {
@@ -184,24 +253,16 @@
         was_answered: impl Fn() -> bool,
         limit: Instant,
     ) -> Option<DuplicateTicket> {
-        loop {
-            let changed = self.state.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            let now = Instant::now();
+        let step = |now| {
             let answered = was_answered();
-            let wait = match self.state.limiter().begin(request, answered, now) {
-                DuplicateStep::Go => {
-                    return Some(DuplicateTicket { state: Arc::clone(&self.state), request });
-                }
-                DuplicateStep::Wait(until) => until,
-            };
-            let until = wait.unwrap_or(limit);
-            if now >= limit || until > limit {
-                return None;
-            }
-            let _ = tokio::time::timeout_at(until, changed).await;
-        }
+            self.state.limiter().begin(request, answered, now)
+        };
+        let may_go = self.state.wait_to_go(step, limit).await;
+        may_go.then(|| DuplicateTicket {
+            state: Arc::clone(&self.state),
+            request,
+            suspended: AtomicBool::new(false),
+        })
     }
 }
 
@@ -212,6 +273,36 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Gives up this duplicate's place, so that another one may be sent. Nothing of this one may be
+    /// in progress.
+    pub fn suspend(&self) {
+        if !self.suspended.swap(true, Ordering::Relaxed) {
+            self.state.limiter().suspend(self.request);
+            self.state.changed.notify_waiters();
+        }
+    }
+
+    /// Returns whether this duplicate has given up its place.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended.load(Ordering::Relaxed)
+    }
+
+    /// Waits until this duplicate has a place again, at most until the limit. Returns false as soon
+    /// as it is known that it will have none by then. `was_answered` is as for
+    /// [`DuplicateGate::enter`].
+    pub async fn resume(&self, was_answered: impl Fn() -> bool, limit: Instant) -> bool {
+        if !self.is_suspended() {
+            return true;
+        }
+        let step = |now| {
+            let answered = was_answered();
+            let step = self.state.limiter().resume(self.request, answered, now);
+            self.suspended.store(step != DuplicateStep::Go, Ordering::Relaxed);
+            step
+        };
+        self.state.wait_to_go(step, limit).await
+    }
+
     /// Records that an upstream terminated while it ran this duplicate. Returns the time until
     /// which the duplicate must not be retried, if there are other duplicates.
     pub fn record_crash(&self) -> Option<Instant> {
@@ -221,7 +312,12 @@
 
 impl Drop for DuplicateTicket {
     fn drop(&mut self) {
-        self.state.limiter().end(self.request, Instant::now());
+        let now = Instant::now();
+        if self.is_suspended() {
+            self.state.limiter().end_suspended(self.request, now);
+        } else {
+            self.state.limiter().end(self.request, now);
+        }
         self.state.changed.notify_waiters();
     }
 }
--- a/crates/routing/tests/copies.rs
+++ b/crates/routing/tests/copies.rs
@@ -1,7 +1,7 @@
 //! Tests of the bound on duplicates in progress.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hollowbarrow_routing::{DuplicateGate, DuplicateLimiter, DuplicateStep};
@@ -83,6 +83,78 @@
     assert_eq!(limiter.begin(REQUEST, false, now + ms(10)), DuplicateStep::Go);
 }
 
+/// A duplicate that waits for an upstream lets the next one go, and waits for it afterwards.
+#[rstest]
+fn suspend_admits_next() {
+    let now = Instant::now();
+    let mut limiter = DuplicateLimiter::new();
+    limiter.begin(REQUEST, false, now);
+    assert_eq!(limiter.begin(REQUEST, false, now), WAIT);
+    limiter.suspend(REQUEST);
+    assert_eq!(limiter.begin(REQUEST, false, now), DuplicateStep::Go);
+    assert_eq!(limiter.resume(REQUEST, false, now), WAIT);
+    limiter.record_progress(REQUEST);
+    assert_eq!(limiter.resume(REQUEST, false, now), DuplicateStep::Go);
+    limiter.end(REQUEST, now);
+    limiter.end(REQUEST, now);
+    assert!(limiter.is_empty(), "the entry is removed");
+}
+
+/// Guards against repeating a duplicate at once that crashed its upstream beside others, because
+/// these had given up their places.
+#[rstest]
+fn record_crash_beside_suspended() {
+    let now = Instant::now();
+    let mut limiter = DuplicateLimiter::new();
+    limiter.begin(REQUEST, false, now);
+    limiter.suspend(REQUEST);
+    limiter.begin(REQUEST, false, now);
+    let until = limiter.record_crash(REQUEST, now).expect("there is another duplicate");
+    limiter.end(REQUEST, now);
+    let paused = DuplicateStep::Wait(Some(until));
+    assert_eq!(limiter.resume(REQUEST, false, now), paused);
+    assert_eq!(limiter.resume(REQUEST, false, until), DuplicateStep::Go);
+    limiter.suspend(REQUEST);
+    limiter.end_suspended(REQUEST, until);
+    assert!(limiter.is_empty(), "the entry is removed");
+}
+
+/// Forty duplicates wait for an upstream. Once there is one, a single one of them is in progress
+/// until it is answered, whatever the order of their arrival.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn resume_burst_one_at_a_time() {
+    let gate = DuplicateGate::new();
+    let answered = Arc::new(AtomicBool::new(false));
+    let in_progress = Arc::new(AtomicUsize::new(0));
+    let start = Instant::now();
+    let mut duplicates = JoinSet::new();
+    for number in 0..40 {
+        let (gate, answered) = (gate.clone(), Arc::clone(&answered));
+        let in_progress = Arc::clone(&in_progress);
+        duplicates.spawn(async move {
+            let was_answered = || answered.load(Ordering::Relaxed);
+            let limit = start + ms(4000);
+            let ticket = gate.enter(REQUEST, was_answered, limit).await?;
+            ticket.suspend();
+            tokio::time::sleep_until(start + ms(1000 + number % 5)).await;
+            if !ticket.resume(was_answered, limit).await {
+                return None;
+            }
+            let beside = in_progress.fetch_add(1, Ordering::Relaxed);
+            assert!(beside == 0 || was_answered(), "{beside} others are in progress");
+            tokio::time::sleep(ms(400)).await;
+            in_progress.fetch_sub(1, Ordering::Relaxed);
+            answered.store(true, Ordering::Relaxed);
+            ticket.record_progress();
+            Some(())
+        });
+    }
+    let sent = duplicates.join_all().await.into_iter().flatten().count();
+    assert_eq!(sent, 40);
+    assert_eq!(start.elapsed(), ms(1800), "the others wait for the first one only");
+}
+
 /// Expired pauses are removed even if no further duplicate arrives.
 #[rstest]
 fn begin_forgets_pauses() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod configuration;
 mod crashing_request;
+mod crashing_while_waiting;
 mod groups;
 mod ingress;
 mod limit;
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -355,6 +355,39 @@
     assert_eq!(check_holds(&cluster, &hold_replies), count);
 }
 
+/// Lease of the nodes, in milliseconds, where a test pauses all of them. They are given up after
+/// several leases.
+const LONG_LEASE_MS: u64 = 2_000;
+/// Number of holds of equal content that wait for an upstream at once.
+const WAITING_HOLDS: usize = 6;
+
+/// Holds of equal content arrive at one daemon while the leases of all nodes have expired. Nothing
+/// of them is sent, and all are refused as soon as the wait for an upstream ends.
+///
+/// Guards against a hold that waits for an upstream in the place of the first duplicate: the others
+/// waited for it one after the other, and for longer, and were refused because of it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_beside_equal_holds_without_upstream() {
+    let timing = json!({"probe_ms": 150, "digest_ms": 150, "lease_ms": LONG_LEASE_MS,
+        "election_ms": 400, "authority_ms": 800, "platform_ms": 500, "balancer_ms": 300,
+        "drain_ms": 10_000});
+    let cluster = Cluster::start(nine_daemons().with_timing(timing));
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let fleet = cluster.fleet();
+    for node in fleet.model_nodes().iter().chain(&fleet.service_nodes()) {
+        fleet.pause(node);
+    }
+    pause(LONG_LEASE_MS + 200).await;
+    let address = cluster.caller_address("a0");
+    let keys: Vec<String> = (0..WAITING_HOLDS).map(|number| format!("guest-{number}")).collect();
+    let replies = futures_util::future::join_all(keys.iter().map(|key| hold(address, key))).await;
+    for reply in replies {
+        assert_eq!((reply.code().as_str(), reply.ran().as_str()), ("no_upstream", "not_run"));
+    }
+}
+
 /// The leader of the claims log is killed between two batches of holds.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
