Wait for a claim while a leader is elected, unless the daemon is cut off

What callers saw: 503 claims_unavailable after 2 s of 8 while the first leader was being elected.

Cause: a daemon that had not heard of a confirmed leader for five election timeouts was taken for cut off, and refused after 2 s, so that its caller tries another one. During an election no daemon knows a leader, so that the others refuse as well.

Change: claim_wait (crate routing, pure) cuts the wait only if the daemon does not hear from the zones of a majority of the voters either. Otherwise a claim may take half of the request's time, as with a leader. A daemon that is cut off refuses after 2 s as before.

--- a/crates/daemon/src/claims.rs
+++ b/crates/daemon/src/claims.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollowbarrow_routing::{ClaimWaitFacts, claim_wait};
 use hollowbarrow_schema::{
     ClaimClose, ClaimCommand, ClaimKey, ClaimOpen, ClaimOutcome, ClaimRelease, ClaimSweep,
     EntryPayload, LogName, OrganisationId, ProposalOutcome, StoredAnswer,
@@ -14,12 +15,6 @@
 use crate::core::{DaemonCore, wall_ms};
 use crate::proposals::ProposeEntryError;
 
-/// Share of a request's remaining time within which its claim must be granted. The rest is for running
-/// the request, or for the caller to try another daemon.
-const OPEN_SHARE_DIVISOR: u32 = 2;
-/// Timeout for a claim to be granted while this daemon does not hear of a leader: it may be
-/// partitioned, and then another daemon serves the caller sooner.
-const PARTITIONED_OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout for recording an outcome in the log in the background.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Timeout after which a caller's answer no longer waits for its outcome to be recorded.
@@ -94,7 +89,12 @@
             lifetime_ms: lifetime,
         };
         let now = Instant::now();
-        let wait = now + self.open_timeout(remaining, now);
+        let facts = ClaimWaitFacts {
+            remaining,
+            is_leader_confirmed: self.is_config_current(now),
+            voters: self.voters_by_contact(now),
+        };
+        let wait = now + claim_wait(&facts);
         match self.propose_claim(ClaimCommand::Open(open), wait).await {
             Ok(outcome) => Ok((outcome, held)),
             Err(error) => {
@@ -104,12 +104,6 @@
         }
     }
 
-    /// Returns for how long a request with this remaining time waits for its claim.
-    fn open_timeout(&self, remaining: Duration, now: Instant) -> Duration {
-        let share = remaining / OPEN_SHARE_DIVISOR;
-        if self.is_config_current(now) { share } else { share.min(PARTITIONED_OPEN_TIMEOUT) }
-    }
-
     /// Releases a claim of a request that was not run; after `RECORD_TIMEOUT` that continues in the
     /// background.
     ///
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -10,7 +10,7 @@
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
     AdmissionQueue, BackoffTable, ConfigFreshness, CrashTracker, DuplicateGate, LimitCoordinator,
-    OrganisationLimiter, QuarantineState, RoutePicker, UpstreamLimits, probe_delay,
+    OrganisationLimiter, QuarantineState, RoutePicker, UpstreamLimits, VoterContact, probe_delay,
 };
 use hollowbarrow_schema::{DaemonId, PeerMessage, RequestDigest, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
@@ -130,8 +130,33 @@
             known: *view.applied,
             confirmation_age: view.complete.map(|at| now.saturating_duration_since(at)),
         };
-        let max_age = CONFIRMATION_ELECTIONS * self.settings.timing.election_ms;
-        freshness.is_current(Duration::from_millis(max_age))
+        freshness.is_current(self.confirmation_validity())
+    }
+
+    /// Returns for how long a sign of a leader, or of another daemon, is valid.
+    fn confirmation_validity(&self) -> Duration {
+        Duration::from_millis(CONFIRMATION_ELECTIONS * self.settings.timing.election_ms)
+    }
+
+    /// Returns how many voters there are, and for how many of them this daemon has recently heard from
+    /// a daemon of their zone.
+    ///
+    /// Daemons of other zones report through some members of their zone only, so that a voter which
+    /// runs need not be heard from itself.
+    pub(crate) fn voters_by_contact(&self, now: Instant) -> VoterContact {
+        let within = self.confirmation_validity();
+        let voters = self.config_log.view().voters;
+        let fleet = self.fleet();
+        let peers = &self.settings.peers;
+        let is_reachable = |zone: &ZoneId| {
+            peers
+                .iter()
+                .filter(|peer| peer.zone == *zone)
+                .any(|peer| peer.id == *self.id() || fleet.has_reported(&peer.id, within, now))
+        };
+        let reachable = peers.iter().filter(|peer| voters.contains(&peer.id));
+        let reachable = reachable.filter(|peer| is_reachable(&peer.zone)).count();
+        VoterContact { voters: voters.len(), reachable }
     }
 
     /// Locks the backoffs of upstreams.
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -355,6 +355,36 @@
     assert_eq!(check_holds(&cluster, &hold_replies), count);
 }
 
+/// Election timeout, in milliseconds, with which a log has no leader for the first seconds.
+const LONG_ELECTION_MS: u64 = 4_000;
+
+/// A hold arrives while the first leader is being elected, with time to wait for it.
+///
+/// Guards against taking a daemon that hears from the others for one that is cut off from them, and
+/// refusing its holds although a leader emerges within half of their time.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_during_first_election() {
+    let timing = json!({"probe_ms": 150, "digest_ms": 150, "lease_ms": 900,
+        "election_ms": LONG_ELECTION_MS, "authority_ms": 800, "platform_ms": 500,
+        "balancer_ms": 300, "drain_ms": 10_000});
+    let cluster = Cluster::start(nine_daemons().with_timing(timing));
+    cluster.wait_ready().await;
+    pause(1000).await;
+    let holds = cluster.ids().into_iter().map(async |id| {
+        CallerCall::new(Method::POST, "/holds/7", CALLER_KEY)
+            .with_header("idempotency-key", &format!("first-{id}"))
+            .with_header("x-hollowbarrow-deadline-ms", "40000")
+            .with_body("{}")
+            .with_timeout(Duration::from_secs(45))
+            .send(cluster.caller_address(&id))
+            .await
+    });
+    for reply in futures_util::future::join_all(holds).await {
+        assert_eq!(reply.status, 200, "after {:?}: {}", reply.total, reply.body);
+    }
+}
+
 /// Lease of the nodes, in milliseconds, where a test pauses all of them. They are given up after
 /// several leases.
 const LONG_LEASE_MS: u64 = 2_000;
