Ask all voters at once for the leader of a log

What callers saw: 503 claims_unavailable at daemons that do not vote although a leader was there: two tries in 2.1 s, three or four in 4.1 s, all unanswered.

Cause: a daemon that did not know the leader asked the voters in turn, and waited 0.7, 1.4 and 2.8 s for each one that did not answer. A claim has half of its request's time.

Change: the leader is asked if it is known; if it is not, refuses or is late, all voters are asked at once. Those that do not lead answer at once. Each is asked again after its own wait: 40 to 160 ms after a refusal, doubled so that an election is not slowed by many waiting proposals, and 0.7 to 2.8 s without an answer. Repeated proposals have the effect of one, as before.

hold_with_silent_voter (the first voter is dead, 1.3 s for a hold) fails 3 of 3 before and passes 3 of 3.

--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -4,7 +4,7 @@
 //! safe because both logs detect repeated proposals: changes by their id, claims
 //! by their attempt.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -18,15 +18,19 @@
 
 use crate::core::DaemonCore;
 
-/// Timeout for one daemon's answer before another is tried, for the first try. It doubles with each
-/// try that is not answered.
+/// Timeout for a daemon's answer before it is asked again and others are asked too, for the first try.
+/// It doubles with each try that the daemon does not answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest factor by which that timeout grows.
 const MAX_CALL_GROWTH: u32 = 4;
 /// Time for which a daemon waits for the outcome of another daemon's proposal.
 const HANDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause before a proposal is retried.
+/// Pause before a daemon that refused a proposal is asked again, after its first refusal. It doubles
+/// with each further one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+/// Largest factor by which that pause grows. All proposals of an election are repeated meanwhile, and
+/// must not take the processor time that the election needs.
+const MAX_RETRY_GROWTH: u32 = 4;
 
 /// Why a proposal has no outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -86,31 +90,91 @@
     }
 }
 
+/// A daemon that is asked to accept a proposal.
+#[derive(Debug)]
+struct AskedDaemon {
+    /// When it is asked next.
+    due: Instant,
+    /// Whether its answer is awaited.
+    waiting: bool,
+    /// Consecutive tries that it did not answer in time.
+    late: u32,
+    /// Consecutive tries that it refused.
+    refused: u32,
+}
+
+impl AskedDaemon {
+    fn new(now: Instant) -> Self {
+        Self { due: now, waiting: false, late: 0, refused: 0 }
+    }
+
+    /// Records that the daemon is asked; returns whether its answer to the try before is late.
+    fn record_sent(&mut self, now: Instant) -> bool {
+        let is_late = self.waiting;
+        self.late = if is_late { self.late + 1 } else { 0 };
+        self.due = now + CALL_TIMEOUT * 2u32.pow(self.late.min(MAX_CALL_GROWTH.ilog2()));
+        self.waiting = true;
+        is_late
+    }
+
+    fn record_refusal(&mut self, now: Instant) {
+        self.due = now + RETRY_INTERVAL * 2u32.pow(self.refused.min(MAX_RETRY_GROWTH.ilog2()));
+        self.waiting = false;
+        self.late = 0;
+        self.refused += 1;
+    }
+}
+
 /// The tries of one proposal. All of them are open until it ends.
 struct ProposalTries<'a> {
     core: &'a DaemonCore,
     outcomes: Sender<TryOutcome>,
+    /// Daemons that are asked, each again and again.
+    asked: BTreeMap<DaemonId, AskedDaemon>,
     /// Tries at other daemons.
     calls: Vec<u64>,
     sent: usize,
     /// Tries that were sent and not refused.
     unanswered: usize,
-    /// Consecutive tries whose wait ended without an answer.
-    late: u32,
+    /// Whether a daemon refused the proposal or did not answer in time.
+    has_failed: bool,
 }
 
 impl<'a> ProposalTries<'a> {
     fn new(core: &'a DaemonCore, outcomes: Sender<TryOutcome>) -> Self {
-        Self { core, outcomes, calls: Vec::new(), sent: 0, unanswered: 0, late: 0 }
-    }
-
-    fn sent(&self) -> usize {
-        self.sent
+        Self {
+            core,
+            outcomes,
+            asked: BTreeMap::new(),
+            calls: Vec::new(),
+            sent: 0,
+            unanswered: 0,
+            has_failed: false,
+        }
     }
 
-    /// Returns for how long to wait for the next try before another one.
-    fn wait(&self) -> Duration {
-        CALL_TIMEOUT * 2u32.pow(self.late.min(MAX_CALL_GROWTH.ilog2()))
+    /// Sends the proposal to each daemon that is due, with these added. Returns when the next is due.
+    fn send_due(
+        &mut self,
+        log: LogName,
+        payload: &EntryPayload,
+        targets: Vec<DaemonId>,
+        now: Instant,
+    ) -> Option<Instant> {
+        for target in targets {
+            self.asked.entry(target).or_insert_with(|| AskedDaemon::new(now));
+        }
+        let mut due_targets = Vec::new();
+        for (target, asked) in &mut self.asked {
+            if asked.due <= now {
+                self.has_failed |= asked.record_sent(now);
+                due_targets.push(target.clone());
+            }
+        }
+        for target in due_targets {
+            self.send(log, &target, payload.clone());
+        }
+        self.asked.values().map(|asked| asked.due).min()
     }
 
     /// Sends the proposal to a daemon.
@@ -134,22 +198,23 @@
         });
     }
 
-    /// Waits for the outcome of any try; `None` if the newest one was refused or not answered in
-    /// time.
+    /// Waits for the outcome of any try; `None` if one was refused or none was answered in time.
     async fn wait_for_outcome(
         &mut self,
         outcomes: &Receiver<TryOutcome>,
         until: Instant,
     ) -> Option<TryOutcome> {
-        let Ok(Ok(answer)) = tokio::time::timeout_at(until, outcomes.recv_async()).await else {
-            self.late += 1;
-            return None;
-        };
-        if matches!(answer.1, ProposalOutcome::NoLeader | ProposalOutcome::Lost) {
-            self.unanswered -= 1;
-            return None;
+        let (target, outcome) =
+            tokio::time::timeout_at(until, outcomes.recv_async()).await.ok()?.ok()?;
+        if !matches!(outcome, ProposalOutcome::NoLeader | ProposalOutcome::Lost) {
+            return Some((target, outcome));
+        }
+        self.unanswered -= 1;
+        self.has_failed = true;
+        if let Some(asked) = self.asked.get_mut(&target) {
+            asked.record_refusal(Instant::now());
         }
-        Some(answer)
+        None
     }
 
     /// Returns why the proposal has no outcome.
@@ -179,26 +244,25 @@
         let started = Instant::now();
         let (sender, outcomes) = flume::unbounded();
         let mut tries = ProposalTries::new(self, sender);
-        while Instant::now() < deadline {
-            let target = self.leader_guess(log, tries.sent());
-            let wait = deadline.min(Instant::now() + tries.wait());
-            tries.send(log, &target, payload.clone());
-            if let Some((target, outcome)) = tries.wait_for_outcome(&outcomes, wait).await {
+        loop {
+            let now = Instant::now();
+            if now >= deadline {
+                break;
+            }
+            let targets = self.daemons_to_ask(log, tries.has_failed);
+            let next = tries.send_due(log, &payload, targets, now);
+            let until = next.map_or(deadline, |next| next.min(deadline));
+            if let Some((target, outcome)) = tries.wait_for_outcome(&outcomes, until).await {
                 if log == LogName::Claims {
                     self.pending.set_claims_hint(&target);
                 }
                 return Ok(outcome);
             }
-            // A daemon that does not lead answers at once, so the pause follows only after all
-            // voters have been tried.
-            if tries.sent().is_multiple_of(self.config_log.view().voters.len().max(1)) {
-                tokio::time::sleep(RETRY_INTERVAL).await;
-            }
         }
         let error = tries.to_error();
         log::warn!(
             "event=proposal_failed log={log:?} tries={} leader={} waited_ms={} reason={:?}",
-            tries.sent(),
+            tries.sent,
             self.known_leader(log).map_or("-".to_owned(), |leader| leader.to_string()),
             started.elapsed().as_millis(),
             error.to_string()
@@ -214,26 +278,25 @@
         }
     }
 
-    /// Returns the daemon to send to: the leader if it is known, else the voters in turn.
-    fn leader_guess(&self, log: LogName, round: usize) -> DaemonId {
-        let (leader, voters) = match log {
-            LogName::Config => {
-                let view = self.config_log.view();
-                (view.leader, view.voters)
-            }
-            LogName::Claims => {
-                let view = self.claims_log.view();
-                let leader = view.leader.or_else(|| self.pending.claims_hint());
-                // Only its voters have the claims log. The configuration log, which every daemon
-                // has, gets the same voters right after it.
-                (leader, self.config_log.view().voters)
-            }
-        };
-        match leader {
-            Some(leader) if round == 0 => leader,
-            _ if voters.is_empty() => self.id().clone(),
-            _ => voters[round % voters.len()].clone(),
+    /// Returns the daemons to send to: the leader if it is known and has not failed the proposal, else
+    /// all voters. Those that do not lead answer at once, and to ask them in turn would take the time
+    /// of each one that does not answer.
+    fn daemons_to_ask(&self, log: LogName, has_failed: bool) -> Vec<DaemonId> {
+        let leader = self.known_leader(log).or_else(|| match log {
+            LogName::Config => None,
+            LogName::Claims => self.pending.claims_hint(),
+        });
+        // Only its voters have the claims log. The configuration log, which every daemon has, gets
+        // the same voters right after it.
+        let voters = || self.config_log.view().voters;
+        let mut targets: Vec<DaemonId> = leader.into_iter().collect();
+        if targets.is_empty() || has_failed {
+            targets.extend(voters());
+        }
+        if targets.is_empty() {
+            targets.push(self.id().clone());
         }
+        targets
     }
 
     fn propose_locally(
