Wait for service nodes of other zones too

What callers saw: 503 no_upstream at once (46 to 60 ms) although service nodes of other zones had been reported a moment ago: "of 3 known, 0 may be running". A request waits a quarter of its time for an upstream that may be running.

Cause: for a service node only this daemon's own observations counted, and daemons observe the nodes of their own zone only. For replicas of other zones, reports within four leases count.

Change: reports count for service nodes in the same way.

--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -155,9 +155,9 @@
 
     /// Returns whether this upstream's lease has expired although it is not known to be lost.
     pub(crate) fn is_unconfirmed(&self, fleet: &FleetView, now: Instant) -> bool {
+        let within = fleet.leases.lease() * MASS_SILENCE_LEASES;
         match &self.target {
             RouteTarget::Replica(allocation) => {
-                let within = fleet.leases.lease() * MASS_SILENCE_LEASES;
                 fleet.leases.may_be_renewed(allocation, within, now)
                     && !fleet.is_lost(allocation, now)
             }
@@ -166,7 +166,11 @@
                     .leases
                     .observation(node)
                     .is_some_and(|observation| observation.state == NodeState::Ready);
-                is_ready && !fleet.gone.contains_key(node) && !fleet.detector.is_lost(node)
+                // Nodes of other zones are known by reports only.
+                let is_reported = fleet.leases.is_node_reported(node, within, now);
+                (is_ready || is_reported)
+                    && !fleet.gone.contains_key(node)
+                    && !fleet.detector.is_lost(node)
             }
             RouteTarget::Endpoint => false,
         }
--- a/crates/zone/src/lease.rs
+++ b/crates/zone/src/lease.rs
@@ -173,6 +173,14 @@
         Some(seen + self.lease).filter(|until| *until > now)
     }
 
+    /// Whether another daemon has reported within this time that a node that is not a member of a
+    /// replica serves.
+    pub fn is_node_reported(&self, node: &NodeId, within: Duration, now: Instant) -> bool {
+        self.replicas
+            .get(node)
+            .is_some_and(|replica| *replica.epoch == 0 && now < replica.seen + within)
+    }
+
     /// Returns the digest, for other daemons, of a node that is not a member of a replica.
     pub fn to_node_digest(&self, node: &NodeId, now: Instant) -> Option<ReplicaDigest> {
         let observation = self.observations.get(node).filter(|s| s.state == NodeState::Ready)?;
--- a/crates/zone/tests/lease.rs
+++ b/crates/zone/tests/lease.rs
@@ -171,6 +171,21 @@
     assert_eq!(table.may_be_renewed(&allocation(3, 5), LEASE * 4, now), expected);
 }
 
+/// A service node of another zone is known by reports only, and one that is not repeated in time tells
+/// nothing any more.
+#[rstest]
+#[case::recent(3_000, 0, true)]
+#[case::old(4_000, 0, false)]
+#[case::head_of_replica(3_000, 5, false)]
+fn reported_node_recently(#[case] since_ms: u64, #[case] epoch: u64, #[case] expected: bool) {
+    let started = Instant::now();
+    let mut table = LeaseTable::new(LEASE);
+    let digest = ReplicaDigest { h: node(0), e: Epoch(epoch), a: 0, l: 0 };
+    table.observe_replica(&digest, started, Duration::ZERO);
+    let now = started + Duration::from_millis(since_ms);
+    assert_eq!(table.is_node_reported(&node(0), LEASE * 4, now), expected);
+}
+
 /// A silent member does not rule out that the lease is renewed; a restarted one does.
 #[rstest]
 #[case::silent(1, true)]
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -406,6 +406,34 @@
     assert_eq!(reply.status, 200, "after {:?}: {}", reply.total, reply.body);
 }
 
+/// The local service node is lost, and those of other zones fall silent for a moment. Holds wait for
+/// one of them.
+///
+/// Guards against refusing a hold at once although service nodes were reported a moment ago: only
+/// nodes of the local zone were waited for.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_while_remote_services_silent() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let (local, remote): (Vec<_>, Vec<_>) = cluster
+        .fleet()
+        .service_nodes()
+        .into_iter()
+        .partition(|node| cluster.fleet().zone(node).as_ref() == Some(&zones()[0]));
+    local.iter().for_each(|node| cluster.fleet().kill(node));
+    pause(500).await;
+    remote.iter().for_each(|node| cluster.fleet().pause(node));
+    pause(1500).await;
+    let address = cluster.caller_address("a0");
+    let holding = tokio::spawn(async move { hold(address, "waits").await });
+    pause(300).await;
+    remote.iter().for_each(|node| cluster.fleet().resume(node));
+    let reply = holding.await.expect("the hold's task ends");
+    assert_eq!(reply.status, 200, "after {:?}: {}", reply.total, reply.body);
+}
+
 /// Lease of the nodes, in milliseconds, where a test pauses all of them. They are given up after
 /// several leases.
 const LONG_LEASE_MS: u64 = 2_000;
