Decide in a pure schedule which daemons are asked to accept a proposal

The order and the pauses are a pure schedule (crate routing) now, and its tests check the same with a given clock, and more strictly: all voters are asked at once, a known leader alone until it refuses or is late, and the pauses after refusals.

--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -4,12 +4,13 @@
 //! safe because both logs detect repeated proposals: changes by their id, claims
 //! by their attempt.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use hollowbarrow_routing::AskSchedule;
 use hollowbarrow_schema::{
     DaemonId, EntryPayload, ForwardCall, ForwardReply, LogName, PeerMessage, ProposalOutcome,
 };
@@ -18,20 +19,8 @@
 
 use crate::core::DaemonCore;
 
-/// Timeout for a daemon's answer before it is asked again and others are asked too, for the first try.
-/// It doubles with each try that the daemon does not answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Largest factor by which that timeout grows.
-const MAX_CALL_GROWTH: u32 = 4;
 /// Time for which a daemon waits for the outcome of another daemon's proposal.
 const HANDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause before a daemon that refused a proposal is asked again, after its first refusal. It doubles
-/// with each further one.
-const RETRY_INTERVAL: Duration = Duration::from_millis(40);
-/// Largest factor by which that pause grows. All proposals of an election are repeated meanwhile, and
-/// must not take the processor time that the election needs.
-const MAX_RETRY_GROWTH: u32 = 4;
-
 /// Why a proposal has no outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(crate) enum ProposeEntryError {
@@ -90,54 +79,16 @@
     }
 }
 
-/// A daemon that is asked to accept a proposal.
-#[derive(Debug)]
-struct AskedDaemon {
-    /// When it is asked next.
-    due: Instant,
-    /// Whether its answer is awaited.
-    waiting: bool,
-    /// Consecutive tries that it did not answer in time.
-    late: u32,
-    /// Consecutive tries that it refused.
-    refused: u32,
-}
-
-impl AskedDaemon {
-    fn new(now: Instant) -> Self {
-        Self { due: now, waiting: false, late: 0, refused: 0 }
-    }
-
-    /// Records that the daemon is asked; returns whether its answer to the try before is late.
-    fn record_sent(&mut self, now: Instant) -> bool {
-        let is_late = self.waiting;
-        self.late = if is_late { self.late + 1 } else { 0 };
-        self.due = now + CALL_TIMEOUT * 2u32.pow(self.late.min(MAX_CALL_GROWTH.ilog2()));
-        self.waiting = true;
-        is_late
-    }
-
-    fn record_refusal(&mut self, now: Instant) {
-        self.due = now + RETRY_INTERVAL * 2u32.pow(self.refused.min(MAX_RETRY_GROWTH.ilog2()));
-        self.waiting = false;
-        self.late = 0;
-        self.refused += 1;
-    }
-}
-
 /// The tries of one proposal. All of them are open until it ends.
 struct ProposalTries<'a> {
     core: &'a DaemonCore,
     outcomes: Sender<TryOutcome>,
-    /// Daemons that are asked, each again and again.
-    asked: BTreeMap<DaemonId, AskedDaemon>,
+    schedule: AskSchedule,
     /// Tries at other daemons.
     calls: Vec<u64>,
     sent: usize,
     /// Tries that were sent and not refused.
     unanswered: usize,
-    /// Whether a daemon refused the proposal or did not answer in time.
-    has_failed: bool,
 }
 
 impl<'a> ProposalTries<'a> {
@@ -145,38 +96,13 @@
         Self {
             core,
             outcomes,
-            asked: BTreeMap::new(),
+            schedule: AskSchedule::new(),
             calls: Vec::new(),
             sent: 0,
             unanswered: 0,
-            has_failed: false,
         }
     }
 
-    /// Sends the proposal to each daemon that is due, with these added. Returns when the next is due.
-    fn send_due(
-        &mut self,
-        log: LogName,
-        payload: &EntryPayload,
-        targets: Vec<DaemonId>,
-        now: Instant,
-    ) -> Option<Instant> {
-        for target in targets {
-            self.asked.entry(target).or_insert_with(|| AskedDaemon::new(now));
-        }
-        let mut due_targets = Vec::new();
-        for (target, asked) in &mut self.asked {
-            if asked.due <= now {
-                self.has_failed |= asked.record_sent(now);
-                due_targets.push(target.clone());
-            }
-        }
-        for target in due_targets {
-            self.send(log, &target, payload.clone());
-        }
-        self.asked.values().map(|asked| asked.due).min()
-    }
-
     /// Sends the proposal to a daemon.
     fn send(&mut self, log: LogName, target: &DaemonId, payload: EntryPayload) {
         self.sent += 1;
@@ -210,10 +136,7 @@
             return Some((target, outcome));
         }
         self.unanswered -= 1;
-        self.has_failed = true;
-        if let Some(asked) = self.asked.get_mut(&target) {
-            asked.record_refusal(Instant::now());
-        }
+        self.schedule.record_refusal(&target, Instant::now());
         None
     }
 
@@ -249,9 +172,11 @@
             if now >= deadline {
                 break;
             }
-            let targets = self.daemons_to_ask(log, tries.has_failed);
-            let next = tries.send_due(log, &payload, targets, now);
-            let until = next.map_or(deadline, |next| next.min(deadline));
+            let (leader, voters) = self.daemons_to_ask(log);
+            for target in tries.schedule.take_due(leader, voters, now) {
+                tries.send(log, &target, payload.clone());
+            }
+            let until = tries.schedule.next_due().map_or(deadline, |next| next.min(deadline));
             if let Some((target, outcome)) = tries.wait_for_outcome(&outcomes, until).await {
                 if log == LogName::Claims {
                     self.pending.set_claims_hint(&target);
@@ -278,25 +203,19 @@
         }
     }
 
-    /// Returns the daemons to send to: the leader if it is known and has not failed the proposal, else
-    /// all voters. Those that do not lead answer at once, and to ask them in turn would take the time
-    /// of each one that does not answer.
-    fn daemons_to_ask(&self, log: LogName, has_failed: bool) -> Vec<DaemonId> {
+    /// Returns the leader of a log, if one is known, and the daemons that may lead it.
+    fn daemons_to_ask(&self, log: LogName) -> (Option<DaemonId>, Vec<DaemonId>) {
         let leader = self.known_leader(log).or_else(|| match log {
             LogName::Config => None,
             LogName::Claims => self.pending.claims_hint(),
         });
         // Only its voters have the claims log. The configuration log, which every daemon has, gets
         // the same voters right after it.
-        let voters = || self.config_log.view().voters;
-        let mut targets: Vec<DaemonId> = leader.into_iter().collect();
-        if targets.is_empty() || has_failed {
-            targets.extend(voters());
-        }
-        if targets.is_empty() {
-            targets.push(self.id().clone());
+        let mut voters = self.config_log.view().voters;
+        if voters.is_empty() {
+            voters.push(self.id().clone());
         }
-        targets
+        (leader, voters)
     }
 
     fn propose_locally(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod adaptive;
 mod admission;
+mod ask_schedule;
 mod attempts;
 mod backoff;
 mod burst;
@@ -37,6 +38,7 @@
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionQueue, AdmissionTicket, QueueLimits, ShedRequestError};
+pub use ask_schedule::AskSchedule;
 pub use attempts::{AttemptBounds, AttemptLedger};
 pub use backoff::{BackoffReason, BackoffTable};
 pub use claim_wait::{ClaimWaitFacts, VoterContact, claim_wait};
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -385,27 +385,6 @@
     }
 }
 
-/// The first voter is dead. A hold with little time arrives at a daemon that does not vote and has not
-/// heard which voter leads.
-///
-/// Guards against asking the voters in turn: the wait for one that does not answer took all the time.
-#[rstest]
-#[tokio::test(flavor = "multi_thread")]
-async fn hold_with_silent_voter() {
-    let mut cluster = Cluster::start(nine_daemons());
-    cluster.wait_ready().await;
-    pause(2000).await;
-    cluster.kill("a0");
-    pause(3000).await;
-    let reply = CallerCall::new(Method::POST, "/holds/7", CALLER_KEY)
-        .with_header("idempotency-key", "short")
-        .with_header("x-hollowbarrow-deadline-ms", "1300")
-        .with_body("{}")
-        .send(cluster.caller_address("c2"))
-        .await;
-    assert_eq!(reply.status, 200, "after {:?}: {}", reply.total, reply.body);
-}
-
 /// The local service node is lost, and those of other zones fall silent for a moment. Holds wait for
 /// one of them.
 ///
