--- a/crates/daemon/src/proposals.rs
+++ b/crates/daemon/src/proposals.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use flume::{Receiver, Sender};
+use hollowbarrow_routing::AskSchedule;
 use hollowbarrow_schema::{
     DaemonId, EntryPayload, ForwardCall, ForwardReply, LogName, PeerMessage, ProposalOutcome,
 };
@@ -18,16 +19,8 @@
 
 use crate::core::DaemonCore;
 
-/// Timeout for one daemon's answer before another is tried, for the first try. It doubles with each
-/// try that is not answered.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Largest factor by which that timeout grows.
-const MAX_CALL_GROWTH: u32 = 4;
 /// Time for which a daemon waits for the outcome of another daemon's proposal.
 const HANDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause before a proposal is retried.
-const RETRY_INTERVAL: Duration = Duration::from_millis(40);
-
 /// Why a proposal has no outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(crate) enum ProposeEntryError {
@@ -90,27 +83,24 @@
 struct ProposalTries<'a> {
     core: &'a DaemonCore,
     outcomes: Sender<TryOutcome>,
+    schedule: AskSchedule,
     /// Tries at other daemons.
     calls: Vec<u64>,
     sent: usize,
     /// Tries that were sent and not refused.
     unanswered: usize,
-    /// Consecutive tries whose wait ended without an answer.
-    late: u32,
 }
 
 impl<'a> ProposalTries<'a> {
     fn new(core: &'a DaemonCore, outcomes: Sender<TryOutcome>) -> Self {
-        Self { core, outcomes, calls: Vec::new(), sent: 0, unanswered: 0, late: 0 }
-    }
-
-    fn sent(&self) -> usize {
-        self.sent
-    }
-
-    /// Returns for how long to wait for the next try before another one.
-    fn wait(&self) -> Duration {
-        CALL_TIMEOUT * 2u32.pow(self.late.min(MAX_CALL_GROWTH.ilog2()))
+        Self {
+            core,
+            outcomes,
+            schedule: AskSchedule::new(),
+            calls: Vec::new(),
+            sent: 0,
+            unanswered: 0,
+        }
     }
 
     /// Sends the proposal to a daemon.
@@ -134,22 +124,20 @@
         });
     }
 
-    /// Waits for the outcome of any try; `None` if the newest one was refused or not answered in
-    /// time.
+    /// Waits for the outcome of any try; `None` if one was refused or none was answered in time.
     async fn wait_for_outcome(
         &mut self,
         outcomes: &Receiver<TryOutcome>,
         until: Instant,
     ) -> Option<TryOutcome> {
-        let Ok(Ok(answer)) = tokio::time::timeout_at(until, outcomes.recv_async()).await else {
-            self.late += 1;
-            return None;
-        };
-        if matches!(answer.1, ProposalOutcome::NoLeader | ProposalOutcome::Lost) {
-            self.unanswered -= 1;
-            return None;
+        let (target, outcome) =
+            tokio::time::timeout_at(until, outcomes.recv_async()).await.ok()?.ok()?;
+        if !matches!(outcome, ProposalOutcome::NoLeader | ProposalOutcome::Lost) {
+            return Some((target, outcome));
         }
-        Some(answer)
+        self.unanswered -= 1;
+        self.schedule.record_refusal(&target, Instant::now());
+        None
     }
 
     /// Returns why the proposal has no outcome.
@@ -179,26 +167,27 @@
         let started = Instant::now();
         let (sender, outcomes) = flume::unbounded();
         let mut tries = ProposalTries::new(self, sender);
-        while Instant::now() < deadline {
-            let target = self.leader_guess(log, tries.sent());
-            let wait = deadline.min(Instant::now() + tries.wait());
-            tries.send(log, &target, payload.clone());
-            if let Some((target, outcome)) = tries.wait_for_outcome(&outcomes, wait).await {
+        loop {
+            let now = Instant::now();
+            if now >= deadline {
+                break;
+            }
+            let (leader, voters) = self.daemons_to_ask(log);
+            for target in tries.schedule.take_due(leader, voters, now) {
+                tries.send(log, &target, payload.clone());
+            }
+            let until = tries.schedule.next_due().map_or(deadline, |next| next.min(deadline));
+            if let Some((target, outcome)) = tries.wait_for_outcome(&outcomes, until).await {
                 if log == LogName::Claims {
                     self.pending.set_claims_hint(&target);
                 }
                 return Ok(outcome);
             }
-            // A daemon that does not lead answers at once, so the pause follows only after all
-            // voters have been tried.
-            if tries.sent().is_multiple_of(self.config_log.view().voters.len().max(1)) {
-                tokio::time::sleep(RETRY_INTERVAL).await;
-            }
         }
         let error = tries.to_error();
         log::warn!(
             "event=proposal_failed log={log:?} tries={} leader={} waited_ms={} reason={:?}",
-            tries.sent(),
+            tries.sent,
             self.known_leader(log).map_or("-".to_owned(), |leader| leader.to_string()),
             started.elapsed().as_millis(),
             error.to_string()
@@ -214,26 +203,19 @@
         }
     }
 
-    /// Returns the daemon to send to: the leader if it is known, else the voters in turn.
-    fn leader_guess(&self, log: LogName, round: usize) -> DaemonId {
-        let (leader, voters) = match log {
-            LogName::Config => {
-                let view = self.config_log.view();
-                (view.leader, view.voters)
-            }
-            LogName::Claims => {
-                let view = self.claims_log.view();
-                let leader = view.leader.or_else(|| self.pending.claims_hint());
-                // Only its voters have the claims log. The configuration log, which every daemon
-                // has, gets the same voters right after it.
-                (leader, self.config_log.view().voters)
-            }
-        };
-        match leader {
-            Some(leader) if round == 0 => leader,
-            _ if voters.is_empty() => self.id().clone(),
-            _ => voters[round % voters.len()].clone(),
+    /// Returns the leader of a log, if one is known, and the daemons that may lead it.
+    fn daemons_to_ask(&self, log: LogName) -> (Option<DaemonId>, Vec<DaemonId>) {
+        let leader = self.known_leader(log).or_else(|| match log {
+            LogName::Config => None,
+            LogName::Claims => self.pending.claims_hint(),
+        });
+        // Only its voters have the claims log. The configuration log, which every daemon has, gets
+        // the same voters right after it.
+        let mut voters = self.config_log.view().voters;
+        if voters.is_empty() {
+            voters.push(self.id().clone());
         }
+        (leader, voters)
     }
 
     fn propose_locally(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,9 +15,11 @@
 
 mod adaptive;
 mod admission;
+mod ask_schedule;
 mod attempts;
 mod backoff;
 mod burst;
+mod claim_wait;
 mod config_freshness;
 mod content;
 mod copies;
@@ -36,8 +38,10 @@
 
 pub use adaptive::AdaptiveLimit;
 pub use admission::{AdmissionQueue, AdmissionTicket, QueueLimits, ShedRequestError};
+pub use ask_schedule::AskSchedule;
 pub use attempts::{AttemptBounds, AttemptLedger};
 pub use backoff::{BackoffReason, BackoffTable};
+pub use claim_wait::{ClaimWaitFacts, VoterContact, claim_wait};
 pub use config_freshness::ConfigFreshness;
 pub use content::RequestContent;
 pub use copies::{DuplicateGate, DuplicateLimiter, DuplicateStep, DuplicateTicket};
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -355,6 +355,97 @@
     assert_eq!(check_holds(&cluster, &hold_replies), count);
 }
 
+/// Election timeout, in milliseconds, with which a log has no leader for the first seconds.
+const LONG_ELECTION_MS: u64 = 4_000;
+
+/// A hold arrives while the first leader is being elected, with time to wait for it.
+///
+/// Guards against taking a daemon that hears from the others for one that is cut off from them, and
+/// refusing its holds although a leader emerges within half of their time.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_during_first_election() {
+    let timing = json!({"probe_ms": 150, "digest_ms": 150, "lease_ms": 900,
+        "election_ms": LONG_ELECTION_MS, "authority_ms": 800, "platform_ms": 500,
+        "balancer_ms": 300, "drain_ms": 10_000});
+    let cluster = Cluster::start(nine_daemons().with_timing(timing));
+    cluster.wait_ready().await;
+    pause(1000).await;
+    let holds = cluster.ids().into_iter().map(async |id| {
+        CallerCall::new(Method::POST, "/holds/7", CALLER_KEY)
+            .with_header("idempotency-key", &format!("first-{id}"))
+            .with_header("x-hollowbarrow-deadline-ms", "40000")
+            .with_body("{}")
+            .with_timeout(Duration::from_secs(45))
+            .send(cluster.caller_address(&id))
+            .await
+    });
+    for reply in futures_util::future::join_all(holds).await {
+        assert_eq!(reply.status, 200, "after {:?}: {}", reply.total, reply.body);
+    }
+}
+
+/// The local service node is lost, and those of other zones fall silent for a moment. Holds wait for
+/// one of them.
+///
+/// Guards against refusing a hold at once although service nodes were reported a moment ago: only
+/// nodes of the local zone were waited for.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_while_remote_services_silent() {
+    let cluster = Cluster::start(nine_daemons());
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let (local, remote): (Vec<_>, Vec<_>) = cluster
+        .fleet()
+        .service_nodes()
+        .into_iter()
+        .partition(|node| cluster.fleet().zone(node).as_ref() == Some(&zones()[0]));
+    local.iter().for_each(|node| cluster.fleet().kill(node));
+    pause(500).await;
+    remote.iter().for_each(|node| cluster.fleet().pause(node));
+    pause(1500).await;
+    let address = cluster.caller_address("a0");
+    let holding = tokio::spawn(async move { hold(address, "waits").await });
+    pause(300).await;
+    remote.iter().for_each(|node| cluster.fleet().resume(node));
+    let reply = holding.await.expect("the hold's task ends");
+    assert_eq!(reply.status, 200, "after {:?}: {}", reply.total, reply.body);
+}
+
+/// Lease of the nodes, in milliseconds, where a test pauses all of them. They are given up after
+/// several leases.
+const LONG_LEASE_MS: u64 = 2_000;
+/// Number of holds of equal content that wait for an upstream at once.
+const WAITING_HOLDS: usize = 6;
+
+/// Holds of equal content arrive at one daemon while the leases of all nodes have expired. Nothing
+/// of them is sent, and all are refused as soon as the wait for an upstream ends.
+///
+/// Guards against a hold that waits for an upstream in the place of the first duplicate: the others
+/// waited for it one after the other, and for longer, and were refused because of it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hold_beside_equal_holds_without_upstream() {
+    let timing = json!({"probe_ms": 150, "digest_ms": 150, "lease_ms": LONG_LEASE_MS,
+        "election_ms": 400, "authority_ms": 800, "platform_ms": 500, "balancer_ms": 300,
+        "drain_ms": 10_000});
+    let cluster = Cluster::start(nine_daemons().with_timing(timing));
+    cluster.wait_ready().await;
+    pause(2000).await;
+    let fleet = cluster.fleet();
+    for node in fleet.model_nodes().iter().chain(&fleet.service_nodes()) {
+        fleet.pause(node);
+    }
+    pause(LONG_LEASE_MS + 200).await;
+    let address = cluster.caller_address("a0");
+    let keys: Vec<String> = (0..WAITING_HOLDS).map(|number| format!("guest-{number}")).collect();
+    let replies = futures_util::future::join_all(keys.iter().map(|key| hold(address, key))).await;
+    for reply in replies {
+        assert_eq!((reply.code().as_str(), reply.ran().as_str()), ("no_upstream", "not_run"));
+    }
+}
+
 /// The leader of the claims log is killed between two batches of holds.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
