Send a request with three crashes in two groups only as a probe

Cause: a request that was never answered was quarantined after three consecutive runs, or after three crashes within 0.3 s. Duplicates that crashed two workers at once and a third one later, or one and then two, are neither: that is how a burst ends where one of three gateways is away, or where a burst of one gateway follows one of two. Nothing limited the next burst, which crashed a worker at each gateway and, since the leader's view took longer than the pause of 0.6 s, reached it once more.

Change: such a request is listed like one whose quarantine has expired, so that few gateways at a time may send it. A complete answer clears it; one more crash makes three consecutive runs and quarantines it. Gateways that know it from the list do not send a duplicate again after a crash. The leader logs event=request_suspected. When a request is quarantined is unchanged.

--- a/crates/controller/src/quarantine.rs
+++ b/crates/controller/src/quarantine.rs
@@ -40,14 +40,25 @@
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineLog {
     quarantined: BTreeSet<RequestDigest>,
+    /// Requests that may be sent only as probe requests.
+    probed: BTreeSet<RequestDigest>,
 }
 
 impl QuarantineLog {
-    /// Logs which requests entered or left quarantine since the last call.
+    /// Logs which requests entered or left quarantine since the last call, and which have become
+    /// suspected.
     pub(crate) fn record(&mut self, published: &[HeldRequest]) {
-        let current = published.iter().filter(|request| request.left_ms > 0);
-        let current: BTreeSet<RequestDigest> =
-            current.map(|quarantined| quarantined.request).collect();
+        let (current, probed): (Vec<_>, Vec<_>) =
+            published.iter().partition(|request| request.left_ms > 0);
+        let digests = |requests: Vec<&HeldRequest>| -> BTreeSet<RequestDigest> {
+            requests.into_iter().map(|listed| listed.request).collect()
+        };
+        let (current, probed) = (digests(current), digests(probed));
+        let suspected = probed.difference(&self.probed);
+        // A request whose quarantine has just ended is not newly suspected.
+        for request in suspected.filter(|request| !self.quarantined.contains(request)) {
+            log::info!("event=request_suspected content={:016x}", **request);
+        }
         for request in current.difference(&self.quarantined) {
             log::warn!("event=request_held content={:016x}", **request);
         }
@@ -55,5 +66,6 @@
             log::info!("event=request_released content={:016x}", **request);
         }
         self.quarantined = current;
+        self.probed = probed;
     }
 }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hollowbarrow_gateway::crashes::CrashGuard;
+use hollowbarrow_routing::CrashLedger;
 use hollowbarrow_schema::{DaemonId, FleetView, HeldRequest, RequestDigest, Term, WorkerId};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -189,3 +190,90 @@
     }
     assert!(is_quarantined(&guard, now), "crashes after the release count");
 }
+
+/// Interval at which the leader receives crash records and publishes views.
+const VIEW_INTERVAL: Duration = Duration::from_millis(90);
+
+/// Three gateways and the ledger of their leader.
+struct Fleet {
+    request: RequestDigest,
+    guards: Vec<CrashGuard>,
+    leader: CrashLedger,
+    now: Instant,
+    views: u64,
+    workers: u32,
+}
+
+impl Fleet {
+    fn new(request: RequestDigest) -> Self {
+        let guard = |number: u8| {
+            CrashGuard::new().with_identity(&DaemonId(format!("10.1.0.{number}:7000")))
+        };
+        Self {
+            request,
+            guards: (0..3).map(guard).collect(),
+            leader: CrashLedger::new(),
+            now: Instant::now(),
+            views: 0,
+            workers: 0,
+        }
+    }
+
+    /// Lets records and views pass for a time.
+    fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += VIEW_INTERVAL;
+            self.report();
+            self.views += 1;
+            let held = self.leader.quarantined(self.now);
+            let view = FleetView { gateways: 3, held, ..view(1, self.views, &[]) };
+            self.guards.iter_mut().for_each(|guard| guard.apply_view(&view, self.now));
+        }
+    }
+
+    fn report(&mut self) {
+        for guard in &mut self.guards {
+            self.leader.merge(&guard.due(self.now), self.now);
+        }
+    }
+
+    /// Sends the request at these gateways, unless it is quarantined there, and returns how often
+    /// it was sent. It crashes another worker at each after 80 ms.
+    fn send(&mut self, gateways: &[usize]) -> usize {
+        let sent = self.now;
+        self.now += Duration::from_millis(80);
+        let mut sends = 0;
+        for gateway in gateways {
+            let guard = &mut self.guards[*gateway];
+            if guard.quarantine_left(self.request, sent).is_none() {
+                sends += 1;
+                self.workers += 1;
+                let worker = WorkerId(format!("w{}", self.workers));
+                guard.record_crash(self.request, &worker, sent, self.now);
+            }
+        }
+        sends
+    }
+}
+
+/// Guards against five late duplicates: three crashes were two pieces of evidence, and a burst reached all gateways twice.
+#[rstest]
+#[case::after_2_s(2)]
+#[case::after_8_s(8)]
+#[case::after_20_s(20)]
+fn late_duplicates_bounded_after_split_burst(#[case] pause: u64) {
+    for request in 0..100 {
+        let mut fleet = Fleet::new(RequestDigest(request));
+        fleet.run_for(secs(1));
+        assert_eq!(fleet.send(&[0, 1]), 2);
+        fleet.run_for(Duration::from_millis(600));
+        assert_eq!(fleet.send(&[0]), 1);
+        fleet.run_for(secs(pause));
+        let late = fleet.send(&[0, 1, 2]);
+        // No view arrives before the duplicates that waited are sent.
+        fleet.now += Duration::from_millis(600);
+        let late = late + fleet.send(&[0, 1, 2]);
+        assert!(late <= 3, "{late} late duplicates of request {request}");
+    }
+}
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -56,6 +56,13 @@
 /// then refused 725 times in a minute. A short quarantine allows a retry, and the first answer
 /// clears the request.
 const ANSWERED_BEFORE: QuarantineRule = QuarantineRule { runs: 6, base: Duration::from_secs(10) };
+/// Number of runs of a request that was never answered after which it is suspected, and sent only
+/// as a probe request, although they are fewer pieces of evidence than a quarantine requires. When
+/// duplicates crashed two upstreams at once and a third one later, or one and then two, that was
+/// neither a burst nor three consecutive runs, and the next duplicates were sent by every daemon.
+const SUSPECTED_RUNS: usize = 3;
+/// Number of these runs that must be consecutive. One loss interrupts many runs at once.
+const SUSPECTED_SEQUENCE: usize = 2;
 /// Maximum length of a quarantine after the last run.
 const MAX_QUARANTINE: Duration = Duration::from_secs(16 * 60);
 /// Time after which a run no longer counts: the program that ran then, or the machine that it ran
@@ -89,7 +96,8 @@
 pub enum QuarantineState {
     /// The request must not be sent to any upstream for this time.
     Active(Duration),
-    /// The request may be sent as a probe request; the quarantine expired this long ago.
+    /// The request may be sent as a probe request; the quarantine expired this long ago. The
+    /// quarantine of a request that is only suspected is empty: it expires with the last run.
     Expired(Duration),
 }
 
@@ -169,7 +177,8 @@
     fn quarantined_until(&self, ledger: &CrashLedger) -> Option<Instant> {
         let quarantine = self
             .quarantine_by_sequence(ledger)
-            .max(self.quarantine_by_burst(&ledger.terminations))?;
+            .max(self.quarantine_by_burst(&ledger.terminations))
+            .max(self.is_suspected().then_some(Duration::ZERO))?;
         self.last_end().map(|ended| ended + quarantine.min(MAX_QUARANTINE))
     }
 
@@ -184,6 +193,14 @@
         Some(doubled(rule.base, beyond))
     }
 
+    /// Returns whether the request may be sent only as a probe request, which is answered or adds
+    /// the evidence that is missing.
+    fn is_suspected(&self) -> bool {
+        self.answered.is_none()
+            && self.runs.len() >= SUSPECTED_RUNS
+            && self.chain() >= SUSPECTED_SEQUENCE
+    }
+
     /// Returns the quarantine that follows from a burst and the runs after it.
     fn quarantine_by_burst(&self, terminations: &UpstreamTerminations) -> Option<Duration> {
         if self.answered.is_some() {
--- a/crates/routing/tests/crash_bursts.rs
+++ b/crates/routing/tests/crash_bursts.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use hollowbarrow_routing::{CrashLedger, TerminatedRun};
+use hollowbarrow_routing::{CrashLedger, QuarantineState, TerminatedRun};
 use hollowbarrow_schema::RequestDigest;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -168,19 +168,28 @@
 
 /// The ledger of the leader, which receives all records.
 fn by_ledger(scenario: &Scenario, at: f64) -> bool {
-    quarantine_of(scenario, at, |_| true).is_some()
+    is_quarantined(scenario, at, |_| true)
+}
+
+/// The ledger of the leader, including requests that it only suspects.
+fn by_suspicion(scenario: &Scenario, at: f64) -> bool {
+    state_of(scenario, at, |_| true).is_some()
 }
 
 /// The ledger of one gateway, which observes its own requests only.
 fn by_one_gateway(scenario: &Scenario, at: f64) -> bool {
-    quarantine_of(scenario, at, |number| number.is_multiple_of(GATEWAYS)).is_some()
+    is_quarantined(scenario, at, |number| number.is_multiple_of(GATEWAYS))
+}
+
+fn is_quarantined(scenario: &Scenario, at: f64, observes: impl Fn(usize) -> bool) -> bool {
+    matches!(state_of(scenario, at, observes), Some(QuarantineState::Active(_)))
 }
 
-fn quarantine_of(
+fn state_of(
     scenario: &Scenario,
     at: f64,
     observes: impl Fn(usize) -> bool,
-) -> Option<Duration> {
+) -> Option<QuarantineState> {
     let start = Instant::now() + Duration::from_secs(60);
     let when = |ms: f64| start + Duration::from_secs_f64(ms.max(0.0) / 1000.0);
     let mut ledger = CrashLedger::new();
@@ -194,7 +203,7 @@
     if let Some(answered) = scenario.answered(at) {
         ledger.contradict(REQUEST, when(answered));
     }
-    ledger.quarantine_left(REQUEST, when(at))
+    ledger.quarantine_state(REQUEST, when(at))
 }
 
 const STRATEGIES: [(&str, Strategy); 7] = [
@@ -388,6 +397,30 @@
     assert_eq!(share, 0.0);
 }
 
+/// A harmless request is as rarely limited to probe requests, which is milder than a quarantine.
+#[rstest]
+#[case::hot_key_rack(Traffic::HotKey, Loss::Rack, false, 0.0)]
+#[case::hot_key_everything(Traffic::HotKey, Loss::Everything, false, 0.0)]
+#[case::new_hot_key_rack(Traffic::NewHotKey, Loss::Rack, false, 0.0)]
+#[case::new_hot_key_zone(Traffic::NewHotKey, Loss::Zone, false, 0.01)]
+#[case::new_hot_key_everything(Traffic::NewHotKey, Loss::Everything, false, 0.25)]
+#[case::batch_rack(Traffic::Batch, Loss::Rack, false, 0.0)]
+#[case::batch_zone(Traffic::Batch, Loss::Zone, false, 0.01)]
+#[case::batch_everything(Traffic::Batch, Loss::Everything, false, 0.25)]
+#[case::hot_key_zone_started(Traffic::HotKey, Loss::Zone, true, 0.01)]
+#[case::poll_everything_started(Traffic::Poll, Loss::Everything, true, 0.25)]
+fn suspect_harmless(
+    #[case] traffic: Traffic,
+    #[case] loss: Loss,
+    #[case] started: bool,
+    #[case] most: f64,
+) {
+    let draw = |seed| draw_harmless(traffic, loss, started, seed);
+    let share = quarantined_share(by_suspicion, HARMLESS_DRAWS, draw);
+    println!("{traffic:?} {loss:?} started={started}: {share:.4}");
+    assert!(share <= most, "{share} of the draws were suspected");
+}
+
 /// A burst is quarantined once three upstreams have terminated under it. Beside a loss at the same
 /// time the burst may be missed; consecutive runs then lead to the quarantine.
 #[rstest]
--- a/crates/routing/tests/crashes.rs
+++ b/crates/routing/tests/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_routing::{CrashLedger, TerminatedRun};
+use hollowbarrow_routing::{CrashLedger, QuarantineState, TerminatedRun};
 use hollowbarrow_schema::{CrashRecord, CrashedRun, RequestDigest};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -49,6 +49,26 @@
     assert_eq!(left, expected);
 }
 
+/// Guards against duplicates that every daemon sends because three crashes were two pieces of evidence.
+#[rstest]
+#[case::pair_then_one(&[(0, 100), (0, 100), (700, 800)], true)]
+#[case::one_then_pair(&[(0, 100), (700, 800), (700, 800)], true)]
+#[case::two_pairs(&[(0, 100), (0, 100), (700, 800), (700, 800)], true)]
+#[case::two(&[(0, 100), (700, 800)], false)]
+#[case::one_loss(&[(0, 500), (10, 505), (20, 500), (300, 502)], false)]
+fn suspect_split_burst(#[case] runs: &[(u64, u64)], #[case] suspected: bool) {
+    let start = Instant::now();
+    let mut ledger = ledger_of(start, runs);
+    let now = start + ms(1000);
+    let last = runs.iter().map(|(_, ended)| *ended).max().expect("there are runs");
+    let expected = suspected.then_some(QuarantineState::Expired(ms(1000 - last)));
+    assert_eq!(ledger.quarantine_state(REQUEST, now), expected);
+    let listed: Vec<u32> = ledger.quarantined(now).iter().map(|entry| entry.left_ms).collect();
+    assert_eq!(listed, if suspected { vec![0] } else { Vec::new() });
+    ledger.record_answer(REQUEST, now);
+    assert_eq!(ledger.quarantine_state(REQUEST, now), None, "an answer clears the request");
+}
+
 #[rstest]
 fn quarantine_same_upstream() {
     let start = Instant::now();
