Report single crashes of a listed request for as long as they count

When all controllers were lost more than 10 s after the last crash, a request that was quarantined for minutes was sent to workers again at once, if each gateway had seen one of its crashes.

Cause: a gateway reports a request with a single terminated run again for 10 s only, since a loss of many workers interrupts thousands of requests once. Together the single runs are the evidence against a request, but then only controllers had them, in memory. The class: state that its owners no longer report, and that only processes keep which may all be lost together.

Change: a gateway that finds a request in the leader's list reports its run of it every 2 s for as long as runs count, unless the request was answered. The list has 64 requests at most, so that this is up to 2.4 KB a second by calculation.

--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -277,3 +277,23 @@
         assert!(late <= 3, "{late} late duplicates of request {request}");
     }
 }
+
+/// Guards against crashes that all controllers forget: each gateway had seen one and no longer reported it.
+#[rstest]
+fn quarantine_survives_loss_of_controllers() {
+    let mut fleet = Fleet::new(REQUEST);
+    for gateway in 0..3 {
+        assert_eq!(fleet.send(&[gateway]), 1);
+        fleet.run_for(secs(1));
+    }
+    fleet.run_for(secs(30));
+    let left = fleet.leader.quarantine_left(REQUEST, fleet.now).expect("it is quarantined");
+    fleet.leader = CrashLedger::new();
+    for _ in 0..30 {
+        fleet.now += VIEW_INTERVAL;
+        fleet.report();
+    }
+    let left_anew = fleet.leader.quarantine_left(REQUEST, fleet.now).unwrap_or_default();
+    let lost = left.saturating_sub(left_anew);
+    assert!(lost < secs(3), "{left:?} were left, {left_anew:?} after the loss");
+}
--- a/crates/routing/src/crash_tracker.rs
+++ b/crates/routing/src/crash_tracker.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Records that another daemon has published that a request is known to crash upstreams, so
+    /// that what is known of it here is sent as long as it counts.
+    pub fn record_published(&mut self, request: RequestDigest) {
+        self.ledger.record_published(request);
+    }
+
     /// Merges records that another daemon sent.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         self.ledger.merge(records, now);
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -116,6 +116,8 @@
 struct RequestEntry {
     runs: Vec<TerminatedRun>,
     answered: Option<Instant>,
+    /// Whether another daemon has published that the request is known to crash upstreams.
+    published: bool,
     /// When the record was last sent; `None` if it has changed since.
     last_sent: Option<Instant>,
 }
@@ -165,12 +167,14 @@
     }
 
     /// Returns whether the record is due to be sent: at once if it has changed, and otherwise at
-    /// intervals. A record with a single run is sent again only for a limited time.
+    /// intervals. A record with a single run is sent again only for a limited time, unless it is
+    /// part of the evidence against a request.
     fn is_due(&self, now: Instant) -> bool {
         let Some(last_sent) = self.last_sent else { return true };
         let within = |at: Instant, time: Duration| now.saturating_duration_since(at) < time;
         let fresh = self.last_end().is_some_and(|ended| within(ended, SINGLE_RUN_RESEND_TIME));
-        !within(last_sent, RESEND_INTERVAL) && (fresh || self.runs.len() > 1)
+        let evidence = self.runs.len() > 1 || (self.published && self.answered.is_none());
+        !within(last_sent, RESEND_INTERVAL) && (fresh || evidence)
     }
 
     /// Returns the end of the quarantine; `None` if the request is not known to crash upstreams.
@@ -266,6 +270,15 @@
         self.evict_surplus();
     }
 
+    /// Records that another daemon has published that a request is known to crash upstreams. Runs
+    /// that are known here are then sent as long as they count, since the daemons that have received
+    /// them may all terminate.
+    pub fn record_published(&mut self, request: RequestDigest) {
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.published = true;
+        }
+    }
+
     /// Merges records that another daemon sent.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         for record in records {
