Tell each new leader the answer that contradicts a quarantine

A harmless request that was answered at one gateway could be refused at all of them for 30 s or 2 minutes after all controllers were lost.

Cause: a gateway that has answered a listed request sends that answer once, and never again: an answer without runs was not resent. The next leader receives the runs again, but not the answer, and the same happens where the one message is lost. The same class as single runs that are no longer reported.

Change: a gateway sends a contradicting answer again if the request is listed two seconds or more after the answer was last sent. Such requests are among the 64 that a leader lists.

due_contradicts_next_leader failed before: no record was due to the leader of the next term.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -170,7 +170,7 @@
             return;
         }
         let until = now + Duration::from_millis(entry.left_ms.into());
-        self.watch.record_published(entry.request);
+        self.watch.record_published(entry.request, now);
         let contradicted = self.watch.contradict(entry.request);
         let from = if contradicted { now + CONTRADICTION_TIME } else { now };
         let new = LeaderQuarantine { from, until, keep_until: now, ended_since: None };
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -143,6 +143,23 @@
     assert!(due.iter().all(|record| record.answered_ms == Some(1000) && record.runs.is_empty()));
 }
 
+/// Guards against an answer that only the former leader knew: the next one keeps the request quarantined.
+#[rstest]
+fn due_contradicts_next_leader() {
+    let mut guard = CrashGuard::new();
+    let mut now = Instant::now();
+    guard.record_answer(REQUEST, now);
+    guard.apply_view(&view(1, 1, &[60_000]), now);
+    assert_eq!(guard.due(now).len(), 1);
+    now += secs(20);
+    guard.apply_view(&view(1, 2, &[]), now);
+    assert!(guard.due(now).is_empty(), "the leader has lifted the quarantine");
+    guard.apply_view(&view(2, 1, &[40_000]), now);
+    let due = guard.due(now);
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].answered_ms, Some(20_000));
+}
+
 /// A quarantine ends at many gateways at the same moment while duplicates arrive at all of them:
 /// only a few gateways may send a probe request.
 #[rstest]
--- a/crates/routing/src/crash_tracker.rs
+++ b/crates/routing/src/crash_tracker.rs
@@ -89,8 +89,8 @@
 
     /// Records that another daemon has published that a request is known to crash upstreams, so
     /// that what is known of it here is sent as long as it counts.
-    pub fn record_published(&mut self, request: RequestDigest) {
-        self.ledger.record_published(request);
+    pub fn record_published(&mut self, request: RequestDigest, now: Instant) {
+        self.ledger.record_published(request, now);
     }
 
     /// Merges records that another daemon sent.
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -116,8 +116,8 @@
 struct RequestEntry {
     runs: Vec<TerminatedRun>,
     answered: Option<Instant>,
-    /// Whether another daemon has published that the request is known to crash upstreams.
-    published: bool,
+    /// When another daemon last published that the request is known to crash upstreams.
+    published: Option<Instant>,
     /// When the record was last sent; `None` if it has changed since.
     last_sent: Option<Instant>,
 }
@@ -168,13 +168,15 @@
 
     /// Returns whether the record is due to be sent: at once if it has changed, and otherwise at
     /// intervals. A record with a single run is sent again only for a limited time, unless it is
-    /// part of the evidence against a request.
+    /// part of the evidence against a request. An answer is sent again while a daemon publishes the
+    /// request although it should have received the answer.
     fn is_due(&self, now: Instant) -> bool {
         let Some(last_sent) = self.last_sent else { return true };
         let within = |at: Instant, time: Duration| now.saturating_duration_since(at) < time;
         let fresh = self.last_end().is_some_and(|ended| within(ended, SINGLE_RUN_RESEND_TIME));
-        let evidence = self.runs.len() > 1 || (self.published && self.answered.is_none());
-        !within(last_sent, RESEND_INTERVAL) && (fresh || evidence)
+        let evidence = self.runs.len() > 1 || (self.published.is_some() && self.answered.is_none());
+        let lacking = self.published.is_some_and(|at| at >= last_sent + RESEND_INTERVAL);
+        !within(last_sent, RESEND_INTERVAL) && (fresh || evidence || lacking)
     }
 
     /// Returns the end of the quarantine; `None` if the request is not known to crash upstreams.
@@ -272,10 +274,10 @@
 
     /// Records that another daemon has published that a request is known to crash upstreams. Runs
     /// that are known here are then sent as long as they count, since the daemons that have received
-    /// them may all terminate.
-    pub fn record_published(&mut self, request: RequestDigest) {
+    /// them may all terminate; a contradicting answer is sent again if it was sent before.
+    pub fn record_published(&mut self, request: RequestDigest, now: Instant) {
         if let Some(entry) = self.requests.get_mut(&request) {
-            entry.published = true;
+            entry.published = Some(now);
         }
     }
 
