--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hollowbarrow_gateway::crashes::CrashGuard;
+use hollowbarrow_routing::CrashLedger;
 use hollowbarrow_schema::{DaemonId, FleetView, HeldRequest, RequestDigest, Term, WorkerId};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -142,6 +143,23 @@
     assert!(due.iter().all(|record| record.answered_ms == Some(1000) && record.runs.is_empty()));
 }
 
+/// Guards against an answer that only the former leader knew: the next one keeps the request quarantined.
+#[rstest]
+fn due_contradicts_next_leader() {
+    let mut guard = CrashGuard::new();
+    let mut now = Instant::now();
+    guard.record_answer(REQUEST, now);
+    guard.apply_view(&view(1, 1, &[60_000]), now);
+    assert_eq!(guard.due(now).len(), 1);
+    now += secs(20);
+    guard.apply_view(&view(1, 2, &[]), now);
+    assert!(guard.due(now).is_empty(), "the leader has lifted the quarantine");
+    guard.apply_view(&view(2, 1, &[40_000]), now);
+    let due = guard.due(now);
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].answered_ms, Some(20_000));
+}
+
 /// A quarantine ends at many gateways at the same moment while duplicates arrive at all of them:
 /// only a few gateways may send a probe request.
 #[rstest]
@@ -189,3 +207,110 @@
     }
     assert!(is_quarantined(&guard, now), "crashes after the release count");
 }
+
+/// Interval at which the leader receives crash records and publishes views.
+const VIEW_INTERVAL: Duration = Duration::from_millis(90);
+
+/// Three gateways and the ledger of their leader.
+struct Fleet {
+    request: RequestDigest,
+    guards: Vec<CrashGuard>,
+    leader: CrashLedger,
+    now: Instant,
+    views: u64,
+    workers: u32,
+}
+
+impl Fleet {
+    fn new(request: RequestDigest) -> Self {
+        let guard = |number: u8| {
+            CrashGuard::new().with_identity(&DaemonId(format!("10.1.0.{number}:7000")))
+        };
+        Self {
+            request,
+            guards: (0..3).map(guard).collect(),
+            leader: CrashLedger::new(),
+            now: Instant::now(),
+            views: 0,
+            workers: 0,
+        }
+    }
+
+    /// Lets records and views pass for a time.
+    fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += VIEW_INTERVAL;
+            self.report();
+            self.views += 1;
+            let held = self.leader.quarantined(self.now);
+            let view = FleetView { gateways: 3, held, ..view(1, self.views, &[]) };
+            self.guards.iter_mut().for_each(|guard| guard.apply_view(&view, self.now));
+        }
+    }
+
+    fn report(&mut self) {
+        for guard in &mut self.guards {
+            self.leader.merge(&guard.due(self.now), self.now);
+        }
+    }
+
+    /// Sends the request at these gateways, unless it is quarantined there, and returns how often
+    /// it was sent. It crashes another worker at each after 80 ms.
+    fn send(&mut self, gateways: &[usize]) -> usize {
+        let sent = self.now;
+        self.now += Duration::from_millis(80);
+        let mut sends = 0;
+        for gateway in gateways {
+            let guard = &mut self.guards[*gateway];
+            if guard.quarantine_left(self.request, sent).is_none() {
+                sends += 1;
+                self.workers += 1;
+                let worker = WorkerId(format!("w{}", self.workers));
+                guard.record_crash(self.request, &worker, sent, self.now);
+            }
+        }
+        sends
+    }
+}
+
+/// Guards against five late duplicates: three crashes were two pieces of evidence, and a burst reached all gateways twice.
+#[rstest]
+#[case::after_2_s(2)]
+#[case::after_8_s(8)]
+#[case::after_20_s(20)]
+fn late_duplicates_bounded_after_split_burst(#[case] pause: u64) {
+    for request in 0..100 {
+        let mut fleet = Fleet::new(RequestDigest(request));
+        fleet.run_for(secs(1));
+        assert_eq!(fleet.send(&[0, 1]), 2);
+        fleet.run_for(Duration::from_millis(600));
+        assert_eq!(fleet.send(&[0]), 1);
+        fleet.run_for(secs(pause));
+        let late = fleet.send(&[0, 1, 2]);
+        // No view arrives before the duplicates that waited are sent.
+        fleet.now += Duration::from_millis(600);
+        let late = late + fleet.send(&[0, 1, 2]);
+        assert!(late <= 3, "{late} late duplicates of request {request}");
+    }
+}
+
+/// Guards against crashes that all controllers forget: each gateway had seen one and no longer reported it.
+#[rstest]
+fn quarantine_survives_loss_of_controllers() {
+    let mut fleet = Fleet::new(REQUEST);
+    for gateway in 0..3 {
+        assert_eq!(fleet.send(&[gateway]), 1);
+        fleet.run_for(secs(1));
+    }
+    fleet.run_for(secs(30));
+    let left = fleet.leader.quarantine_left(REQUEST, fleet.now).expect("it is quarantined");
+    fleet.leader = CrashLedger::new();
+    for _ in 0..30 {
+        fleet.now += VIEW_INTERVAL;
+        fleet.report();
+    }
+    let left_anew = fleet.leader.quarantine_left(REQUEST, fleet.now).unwrap_or_default();
+    let lost = left.saturating_sub(left_anew);
+    assert!(lost < secs(3), "{left:?} were left, {left_anew:?} after the loss");
+}
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -56,6 +56,13 @@
 /// then refused 725 times in a minute. A short quarantine allows a retry, and the first answer
 /// clears the request.
 const ANSWERED_BEFORE: QuarantineRule = QuarantineRule { runs: 6, base: Duration::from_secs(10) };
+/// Number of runs of a request that was never answered after which it is suspected, and sent only
+/// as a probe request, although they are fewer pieces of evidence than a quarantine requires. When
+/// duplicates crashed two upstreams at once and a third one later, or one and then two, that was
+/// neither a burst nor three consecutive runs, and the next duplicates were sent by every daemon.
+const SUSPECTED_RUNS: usize = 3;
+/// Number of these runs that must be consecutive. One loss interrupts many runs at once.
+const SUSPECTED_SEQUENCE: usize = 2;
 /// Maximum length of a quarantine after the last run.
 const MAX_QUARANTINE: Duration = Duration::from_secs(16 * 60);
 /// Time after which a run no longer counts: the program that ran then, or the machine that it ran
@@ -89,7 +96,8 @@
 pub enum QuarantineState {
     /// The request must not be sent to any upstream for this time.
     Active(Duration),
-    /// The request may be sent as a probe request; the quarantine expired this long ago.
+    /// The request may be sent as a probe request; the quarantine expired this long ago. The
+    /// quarantine of a request that is only suspected is empty: it expires with the last run.
     Expired(Duration),
 }
 
@@ -108,6 +116,8 @@
 struct RequestEntry {
     runs: Vec<TerminatedRun>,
     answered: Option<Instant>,
+    /// When another daemon last published that the request is known to crash upstreams.
+    published: Option<Instant>,
     /// When the record was last sent; `None` if it has changed since.
     last_sent: Option<Instant>,
 }
@@ -157,19 +167,24 @@
     }
 
     /// Returns whether the record is due to be sent: at once if it has changed, and otherwise at
-    /// intervals. A record with a single run is sent again only for a limited time.
+    /// intervals. A record with a single run is sent again only for a limited time, unless it is
+    /// part of the evidence against a request. An answer is sent again while a daemon publishes the
+    /// request although it should have received the answer.
     fn is_due(&self, now: Instant) -> bool {
         let Some(last_sent) = self.last_sent else { return true };
         let within = |at: Instant, time: Duration| now.saturating_duration_since(at) < time;
         let fresh = self.last_end().is_some_and(|ended| within(ended, SINGLE_RUN_RESEND_TIME));
-        !within(last_sent, RESEND_INTERVAL) && (fresh || self.runs.len() > 1)
+        let evidence = self.runs.len() > 1 || (self.published.is_some() && self.answered.is_none());
+        let lacking = self.published.is_some_and(|at| at >= last_sent + RESEND_INTERVAL);
+        !within(last_sent, RESEND_INTERVAL) && (fresh || evidence || lacking)
     }
 
     /// Returns the end of the quarantine; `None` if the request is not known to crash upstreams.
     fn quarantined_until(&self, ledger: &CrashLedger) -> Option<Instant> {
         let quarantine = self
             .quarantine_by_sequence(ledger)
-            .max(self.quarantine_by_burst(&ledger.terminations))?;
+            .max(self.quarantine_by_burst(&ledger.terminations))
+            .max(self.is_suspected().then_some(Duration::ZERO))?;
         self.last_end().map(|ended| ended + quarantine.min(MAX_QUARANTINE))
     }
 
@@ -184,6 +199,14 @@
         Some(doubled(rule.base, beyond))
     }
 
+    /// Returns whether the request may be sent only as a probe request, which is answered or adds
+    /// the evidence that is missing.
+    fn is_suspected(&self) -> bool {
+        self.answered.is_none()
+            && self.runs.len() >= SUSPECTED_RUNS
+            && self.chain() >= SUSPECTED_SEQUENCE
+    }
+
     /// Returns the quarantine that follows from a burst and the runs after it.
     fn quarantine_by_burst(&self, terminations: &UpstreamTerminations) -> Option<Duration> {
         if self.answered.is_some() {
@@ -249,6 +272,15 @@
         self.evict_surplus();
     }
 
+    /// Records that another daemon has published that a request is known to crash upstreams. Runs
+    /// that are known here are then sent as long as they count, since the daemons that have received
+    /// them may all terminate; a contradicting answer is sent again if it was sent before.
+    pub fn record_published(&mut self, request: RequestDigest, now: Instant) {
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.published = Some(now);
+        }
+    }
+
     /// Merges records that another daemon sent.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         for record in records {
