Give a worker up only once another worker is reserved for the request

Seen: once a caller got a 502 in backoff_kept_towards_worker (case replica, load 19); the line with the cause was dropped. From reading each path to a 502, and played: slow_worker_kept_while_others_back_off.

Cause: at the progress timeout the gateway gave up its worker if the retry budget allowed another attempt, and chose a worker only afterwards. While all others were full or in a backoff there was none, and since the first attempt counts as run, the caller got 502 outcome_unknown (a stream that had begun was truncated) although the worker would have answered.

Change: the watch charges the budget, reserves an attempt at another worker and only then gives up the current one; the reserved attempt is the next one. Without a worker the charge is returned (RetryBudget::give_back) and the wait goes on. Where the others need a permit, one is requested, and the watch asks again after the time for which a request waits for a permit.

Not shown: that this was the 502 of the entry. A broken connection with an empty retry budget is another cause, seen in runs of stream_resumed_after_lost_member at load 105 to 114, and is left.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
-use crate::picker::{LimitedWait, NoWorker, PermitWait, PickFacts};
+use crate::picker::{PermitWait, PickFacts};
 use crate::protocol::SendFacts;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
@@ -30,7 +30,6 @@
 const DUPLICATE_WAIT_DIVISOR: u32 = 3;
 
 /// The attempts at a request so far.
-#[derive(Debug)]
 pub(crate) struct AttemptHistory {
     ticket: DuplicateTicket,
     /// Time before which the request is not retried: other gateways may report meanwhile that it
@@ -40,6 +39,8 @@
     excluded: Vec<WorkerId>,
     /// When the last attempt began.
     last_sent: Option<Instant>,
+    /// Attempt that replaces one that was given up.
+    next: Option<WorkerAttempt>,
     /// Worker and error of each failed attempt, for logs.
     summary: String,
 }
@@ -53,6 +54,7 @@
             ledger: AttemptLedger::new(),
             excluded: Vec::new(),
             last_sent: None,
+            next: None,
             summary: String::new(),
         }
     }
@@ -89,10 +91,7 @@
         &mut self,
         waited: Result<Result<SentAnswer, AttemptUpstreamError>, WatchError>,
     ) -> Result<SentAnswer, AttemptUpstreamError> {
-        if matches!(waited, Err(WatchError::NoProgress)) {
-            self.record_charged_repeat();
-        }
-        let sent = waited.unwrap_or_else(|error| Err(error.into()));
+        let sent = waited.unwrap_or_else(|error| Err(self.record_given_up(error)));
         let ran = sent.as_ref().map_or_else(AttemptUpstreamError::ran, |_| ErrorRan::Ran);
         self.ledger.record_outcome(ran);
         sent
@@ -127,9 +126,16 @@
         self.ledger.may_repeat(&request.bounds(), error, &core.budget, Instant::now())
     }
 
-    /// Records that the next attempt is already charged to the retry budget.
-    pub(crate) fn record_charged_repeat(&mut self) {
-        self.ledger.record_budgeted();
+    /// Records that an attempt is given up, and returns its error.
+    pub(crate) fn record_given_up(&mut self, error: WatchError) -> AttemptUpstreamError {
+        match error {
+            WatchError::Deadline => AttemptUpstreamError::DeadlinePassed { sent: true },
+            WatchError::NoProgress(next) => {
+                self.ledger.record_budgeted();
+                self.next = Some(next);
+                AttemptUpstreamError::NoAnswer
+            }
+        }
     }
 
     /// Returns whether no further attempt may follow the current one.
@@ -163,25 +169,59 @@
     entering.await.ok_or(Refusal::DuplicateInProgress)
 }
 
+/// Why no attempt can replace the one in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoReplacement {
+    /// The other workers with capacity need a permit, which was requested.
+    NeedsPermit,
+    /// The retry budget is used up, or no other worker has capacity.
+    Unavailable,
+}
+
+/// Returns an attempt at another worker that may replace the one at `current`. It is charged to the
+/// retry budget.
+pub(crate) fn reserve_replacement(
+    core: &Arc<GatewayCore>,
+    request: &CallerRequest,
+    history: &AttemptHistory,
+    current: &WorkerId,
+) -> Result<WorkerAttempt, NoReplacement> {
+    if !core.budget.take(Instant::now()) {
+        return Err(NoReplacement::Unavailable);
+    }
+    let excluded: Vec<WorkerId> = history.excluded().iter().chain([current]).cloned().collect();
+    let permit_wait = PermitWait { left: PERMIT_WAIT_TIMEOUT, waiting: false };
+    choose_now(core, request, &excluded, permit_wait).map_err(|refusal| {
+        core.budget.give_back();
+        if !refusal.ends_with_permit() {
+            return NoReplacement::Unavailable;
+        }
+        core.permits_requested.notify_one();
+        NoReplacement::NeedsPermit
+    })
+}
+
 /// Chooses a worker for the next attempt, unless the request is quarantined. If all workers with
 /// free capacity have a rate limit, waits up to [`PERMIT_WAIT_TIMEOUT`] for a permit.
 pub(crate) async fn choose_worker(
     core: &Arc<GatewayCore>,
     request: &CallerRequest,
-    history: &AttemptHistory,
+    history: &mut AttemptHistory,
 ) -> Result<WorkerAttempt, Refusal> {
+    if let Some(next) = history.next.take() {
+        return Ok(next);
+    }
     let limit = request.deadline().min(Instant::now() + PERMIT_WAIT_TIMEOUT);
     let mut waiting: Option<PermitWaiting> = None;
     loop {
         let permits = core.permits_answered.notified();
         let left = limit.saturating_duration_since(Instant::now());
         let permit_wait = PermitWait { left, waiting: waiting.is_some() };
-        let refusal = match choose_now(core, request, history, permit_wait) {
+        let refusal = match choose_now(core, request, history.excluded(), permit_wait) {
             Ok(attempt) => return Ok(attempt),
             Err(refusal) => refusal,
         };
-        let soon = refusal == Refusal::NoWorker(NoWorker::Limited(LimitedWait::Soon));
-        if !soon || left.is_zero() {
+        if !refusal.ends_with_permit() || left.is_zero() {
             return Err(refusal);
         }
         waiting.get_or_insert_with(|| PermitWaiting::new(core));
@@ -209,7 +249,7 @@
 fn choose_now(
     core: &Arc<GatewayCore>,
     request: &CallerRequest,
-    history: &AttemptHistory,
+    excluded: &[WorkerId],
     permit_wait: PermitWait,
 ) -> Result<WorkerAttempt, Refusal> {
     // Checked before each attempt: a further attempt could crash another replica.
@@ -220,7 +260,7 @@
         service: &request.service,
         model: request.head.model.as_ref(),
         prompt_tokens: request.head.prompt_tokens,
-        excluded: history.excluded(),
+        excluded,
         kept: &core.client.idle_addresses(),
         permit_wait,
     });
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -84,6 +84,11 @@
         self.status() == StatusCode::SERVICE_UNAVAILABLE
     }
 
+    /// Returns whether a permit that can come soon would let the request be sent.
+    pub(crate) fn ends_with_permit(self) -> bool {
+        self == Self::NoWorker(NoWorker::Limited(LimitedWait::Soon))
+    }
+
     /// Returns the cause in logs and answers.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -112,7 +112,7 @@
 
     /// Makes one attempt, up to its first event.
     async fn begin(&mut self) -> BeginStep {
-        let attempt = match choose_worker(&self.core, &self.request, &self.history).await {
+        let attempt = match choose_worker(&self.core, &self.request, &mut self.history).await {
             Ok(attempt) => attempt,
             Err(refusal) => return BeginStep::NoWorker(refusal),
         };
@@ -297,7 +297,8 @@
                 return Err(error);
             }
             self.history.wait_until_repeatable(&self.request).await;
-            let Ok(attempt) = choose_worker(&self.core, &self.request, &self.history).await else {
+            let Ok(attempt) = choose_worker(&self.core, &self.request, &mut self.history).await
+            else {
                 return Err(error);
             };
             log::info!(
@@ -330,24 +331,22 @@
         let after = self.last_id;
         let Some(mut open) = self.open.take() else { return ReadStep::End };
         let step = loop {
-            let frame = match self
-                .watch(&open.attempt.worker)
-                .wait(&open.attempt, open.body.frame())
-                .await
-            {
-                Err(WatchError::Deadline) => {
-                    break ReadStep::Broken(AttemptUpstreamError::DeadlinePassed { sent: true });
-                }
-                Err(WatchError::NoProgress) => {
-                    self.history.record_charged_repeat();
-                    break ReadStep::Broken(broken("it stands still"));
-                }
-                Ok(None) if open.splitter.rest().is_empty() => break ReadStep::End,
-                Ok(None) | Ok(Some(Err(_))) => {
-                    break ReadStep::Broken(AttemptUpstreamError::ConnectionLost { tokens: 0 });
-                }
-                Ok(Some(Ok(frame))) => frame,
-            };
+            let frame =
+                match self.watch(&open.attempt.worker).wait(&open.attempt, open.body.frame()).await
+                {
+                    Err(error @ WatchError::Deadline) => {
+                        break ReadStep::Broken(self.history.record_given_up(error));
+                    }
+                    Err(error @ WatchError::NoProgress(_)) => {
+                        self.history.record_given_up(error);
+                        break ReadStep::Broken(broken("it stands still"));
+                    }
+                    Ok(None) if open.splitter.rest().is_empty() => break ReadStep::End,
+                    Ok(None) | Ok(Some(Err(_))) => {
+                        break ReadStep::Broken(AttemptUpstreamError::ConnectionLost { tokens: 0 });
+                    }
+                    Ok(Some(Ok(frame))) => frame,
+                };
             let Some(bytes) = frame.data_ref() else { continue };
             open.attempt.record_progress();
             match open.splitter.push(bytes, after) {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,21 +1,23 @@
 //! Progress timeout: waits for a worker, and abandons it if it sends nothing for too long.
 //!
-//! A worker is abandoned only if another attempt may follow and the retry budget allows it: its
-//! answer may still arrive, and a request that cannot be retried would fail for nothing.
+//! A worker is abandoned only if another attempt may follow, the retry budget allows it and another
+//! worker has capacity: its answer may still arrive, and a request that cannot be retried would fail
+//! for nothing.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use hollowbarrow_routing::retry::AttemptUpstreamError;
+use hollowbarrow_routing::PERMIT_WAIT_TIMEOUT;
 use tokio::time::Instant;
 
-use crate::attempt::AttemptHistory;
+use crate::attempt::{AttemptHistory, NoReplacement, reserve_replacement};
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
 use crate::request::CallerRequest;
 
 /// A wait for a worker, bounded by a progress timeout.
 pub(crate) struct ProgressWatch<'a> {
-    pub(crate) core: &'a GatewayCore,
+    pub(crate) core: &'a Arc<GatewayCore>,
     pub(crate) request: &'a CallerRequest,
     pub(crate) history: &'a AttemptHistory,
     /// Time without progress after which the worker is abandoned.
@@ -25,21 +27,11 @@
 }
 
 /// Why a wait ended without a result.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WatchError {
     /// The request's deadline passed.
     Deadline,
-    /// The progress timeout passed; the next attempt is already charged to the retry budget.
-    NoProgress,
-}
-
-impl From<WatchError> for AttemptUpstreamError {
-    fn from(error: WatchError) -> Self {
-        match error {
-            WatchError::Deadline => Self::DeadlinePassed { sent: true },
-            WatchError::NoProgress => Self::NoAnswer,
-        }
-    }
+    /// The progress timeout passed, and this attempt replaces the one in progress.
+    NoProgress(WorkerAttempt),
 }
 
 impl ProgressWatch<'_> {
@@ -72,10 +64,15 @@
             }
             let busy = self.core.has_progress(&attempt.worker.id, timeout / 2);
             let tolerated = busy && since.elapsed() < timeout * self.busy_factor;
-            if !tolerated && self.core.budget.take(Instant::now()) {
-                return Err(WatchError::NoProgress);
-            }
             limit += timeout / 2;
+            if tolerated {
+                continue;
+            }
+            match reserve_replacement(self.core, self.request, self.history, &attempt.worker.id) {
+                Ok(next) => return Err(WatchError::NoProgress(next)),
+                Err(NoReplacement::NeedsPermit) => limit = Instant::now() + PERMIT_WAIT_TIMEOUT,
+                Err(NoReplacement::Unavailable) => {}
+            }
         }
     }
 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -232,6 +232,12 @@
         true
     }
 
+    /// Returns a retry that was taken and not made.
+    pub fn give_back(&self) {
+        let mut state = self.lock();
+        state.tokens = (state.tokens + 1.0).min(state.limits.most);
+    }
+
     fn lock(&self) -> MutexGuard<'_, BudgetState> {
         self.state.lock().expect("no holder of the lock panics")
     }
--- a/tests/platform/backoff.rs
+++ b/tests/platform/backoff.rs
@@ -16,7 +16,7 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
-use crate::system::{KEY, System};
+use crate::system::{KEY, System, configuration};
 use crate::worker::{Arrival, Worker};
 use crate::{Deployment, deploy, wait_for_replicas};
 
@@ -39,6 +39,14 @@
 const MANY_CALLERS: usize = 24;
 /// Number of concurrent callers for which the other plain worker has capacity.
 const FEW_CALLERS: usize = 10;
+/// Backoff that outlasts a test.
+const LONG_BACKOFF: Duration = Duration::from_secs(60);
+/// Time until a slow worker sends the first part of an answer. It exceeds the progress timeout of
+/// both kinds, and ends before the deadline.
+const SLOW_SERVICE_TIME: Duration = Duration::from_secs(2);
+/// Rounds of calls that fill the retry budget, and the number of calls in each.
+const EARNING_ROUNDS: usize = 8;
+const EARNING_CALLS: usize = 4;
 /// The gateway that gets all requests.
 const GATEWAY: usize = 0;
 
@@ -293,3 +301,36 @@
     let late: Vec<_> = arrivals.iter().filter(|one| one.at > left + drain_time).collect();
     assert!(late.is_empty(), "{} arrived later than {drain_time:?}: {}", late.len(), system.logs());
 }
+
+/// Guards against a 502 for a request whose slow worker is given up while no other can take it.
+#[rstest]
+#[case::plain(92, Kind::Plain)]
+#[case::replica(93, Kind::Replica)]
+#[tokio::test]
+async fn slow_worker_kept_while_others_back_off(#[case] block: u8, #[case] kind: Kind) {
+    let (deployment, plain) = deploy_serving(block).await;
+    let system = &deployment.system;
+    let mut repeatable = configuration(4);
+    repeatable["routes"][1]["kind"] = "idempotent".into();
+    repeatable["routes"][1]["max_attempts"] = 2.into();
+    assert_eq!(system.replace(&repeatable).await, 200);
+    let workers = workers_for(kind, &deployment, &plain);
+    let (slow, others) = workers.split_first().expect("there are workers");
+    others.iter().for_each(|worker| worker.set_rejecting(Some(LONG_BACKOFF)));
+    let rejected = wait_until("the other workers reject requests", system, || {
+        others.iter().all(|worker| worker.arrivals().iter().any(|one| one.backoff.is_some()))
+    });
+    with_callers(system, kind, MANY_CALLERS, &Tally::default(), rejected).await;
+    for round in 0..EARNING_ROUNDS {
+        let calls = (0..EARNING_CALLS).map(|number| async move {
+            let id = format!("earning-{round}-{number}");
+            system.call(GATEWAY, kind.path(), &id, Some(KEY)).await
+        });
+        futures_util::future::join_all(calls).await;
+    }
+    slow.set_service_time(SLOW_SERVICE_TIME);
+    let answer = system.call(GATEWAY, kind.path(), "slow", Some(KEY)).await;
+    let status = answer.expect("the gateway answers").status().as_u16();
+    assert_eq!(status, 200, "{}", system.logs());
+    assert_eq!(deployment.fleet.runs("slow"), 1, "{}", system.logs());
+}
