Outlast slow answers in elections, and candidates that nobody elects

Callers saw: where messages take up to three times the election timeout, a log had no leader for over 20 s, or lost the first one to a candidate and had none for up to 9 s.

Cause: (1) an election without a leader waits for the election timeout, doubled with each failed vote, although the first answers to a trial already tell how long messages take; until enough votes have failed, each candidate is interrupted by the next. (2) A candidate that stood beside the elected leader, and that nobody elects, is in a later term. Its answer makes the leader step down, and then all wait for the grown timeouts.

Change: timeouts without a leader are at least twice the longest recent answer to a trial, up to the limit that holds for the others. A leader that has committed in its term and learns of a later one stands again at once; those that follow it grant that already. Who may be elected and what is committed is decided as before.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -42,6 +42,8 @@
 const MAX_FAILED_VOTES: u32 = 3;
 /// A follower waits for its leader this many times as long as the leader was recently silent.
 const LEADER_GAP_FACTOR: u32 = 2;
+/// An election waits this many times as long as an answer to a trial recently took.
+const TRIAL_TRIP_FACTOR: u32 = 2;
 /// A leader waits for its confirmation this many times as long as one recently took.
 const ROUND_TRIP_FACTOR: u32 = 4;
 /// Number of heartbeats per election timeout.
@@ -174,6 +176,10 @@
     elections: u32,
     /// Time at which this replica last started an election.
     last_election: Instant,
+    /// Time at which this replica last asked for trial votes.
+    last_trial: Instant,
+    /// Longest time that an answer to such a request recently took.
+    trial_trip: Duration,
     /// Term of that leader.
     leader_term: Term,
     /// Longest time for which a leader was recently silent and then continued to lead.
@@ -211,6 +217,8 @@
             leader_contact: None,
             elections: 0,
             last_election: now,
+            last_trial: now,
+            trial_trip: Duration::ZERO,
             leader_term: Term(0),
             leader_gap: Duration::ZERO,
             failed_votes: 0,
@@ -517,7 +525,10 @@
         let most = self.config.election * MAX_TIMEOUT_GROWTH;
         match self.leader() {
             Some(_) => timeout.max((self.leader_gap * LEADER_GAP_FACTOR).min(most)),
-            None => timeout * 2u32.pow(self.failed_votes),
+            None => {
+                let grown = timeout * 2u32.pow(self.failed_votes);
+                grown.max((self.trial_trip * TRIAL_TRIP_FACTOR).min(most))
+            }
         }
     }
 
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -12,13 +12,16 @@
 };
 use tokio::time::Instant;
 
-use super::{LogReplica, ReplicaRole};
+use super::{LogReplica, ReplicaRole, decay};
 use crate::electorate::Electorate;
 use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, VoteRecord};
 
 impl<S: LogStorage> LogReplica<S> {
     pub(super) fn campaign(&mut self, now: Instant, trial: bool, founding: bool) {
+        if trial {
+            self.last_trial = now;
+        }
         let term = Term(*self.term() + 1);
         if !trial {
             let vote = Some(self.config.id.clone());
@@ -125,6 +128,10 @@
     }
 
     pub(super) fn on_vote_reply(&mut self, from: &DaemonId, reply: &VoteReply, now: Instant) {
+        if reply.trial && matches!(self.role, ReplicaRole::Candidate { trial: true, .. }) {
+            let trip = now.saturating_duration_since(self.last_trial);
+            self.trial_trip = trip.max(decay(self.trial_trip));
+        }
         if !reply.granted && reply.term > self.term() {
             return self.step_down(reply.term, None, now);
         }
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -154,7 +154,7 @@
 
     pub(super) fn on_append_reply(&mut self, from: &DaemonId, reply: &AppendReply, now: Instant) {
         if reply.term > self.term() {
-            return self.step_down(reply.term, None, now);
+            return self.follow_term(reply.term, now);
         }
         // In an earlier term other entries had the same indexes, and rounds were counted anew.
         if reply.leader_term < self.term() {
@@ -182,6 +182,16 @@
         }
     }
 
+    /// Follows the later term of a follower. A leader that the others follow stands again at once: the
+    /// candidate of that term found no majority, or its votes are still on their way.
+    fn follow_term(&mut self, term: Term, now: Instant) {
+        let current = self.is_current();
+        self.step_down(term, None, now);
+        if current {
+            self.deadline = now;
+        }
+    }
+
     pub(super) fn advance_commit(&mut self, now: Instant) {
         let term = self.term();
         let ReplicaRole::Leader(role) = &self.role else { return };
--- a/crates/log/tests/slow_messages.rs
+++ b/crates/log/tests/slow_messages.rs
@@ -112,6 +112,19 @@
     }
 }
 
+/// Guards against elections that end before an answer can arrive, and against a leader that is lost
+/// for several elections to a candidate that nobody elects.
+#[rstest]
+fn leader_lost_to_late_candidate() {
+    for seed in SEEDS..SEEDS * 6 {
+        let mut cluster = SlowCluster::new(seed, Duration::from_millis(1200));
+        let elected = cluster.run_until_leader();
+        assert!(elected < Duration::from_secs(20), "seed {seed}: no leader in {elected:?}");
+        let led = cluster.run(Duration::from_secs(30));
+        assert!(led > Duration::from_secs(24), "seed {seed}: a leader for {led:?} of 30 s only");
+    }
+}
+
 /// A leader that stops is replaced within the usual election time where messages are fast.
 #[rstest]
 fn stopped_leader_replaced_as_fast() {
