Agree on the disks that found a log before any vote counts

Callers saw: two leaders of one term, the second without an acknowledged entry, if the disk of a voter was emptied while the log was being founded, another voter had missed the founding, and the settings always allow the voter to found, as those of entry daemons do.

Cause: an empty log was taken as a sign that nothing had happened. The disks that found a log were those that one candidate had found empty, in its memory; two candidates with different disks had majorities that shared no disk that remembered. The failing test shows it: a had answered the trial of b, and that left no trace.

Change: a candidate whose log is empty proposes the founders, the disks of all voters, with its trials. A voter stores the founders that it agrees to with its votes, and replaces them by other disks only while its log is empty and in a higher term, in which it gives up its candidacy. A candidate asks for founding votes once all founders hold its proposal, and only voters that hold the same disks grant them; a majority elects, as before. Agreements do not compete as votes do, because all voters propose the same disks, so founding needs no more voters at once than before, and only a majority from the agreement on. docs/decisions/log.md says why a term has one leader.

Two tests that build whole vote records name the new field; their checks are as they were, and one of them now also checks that it survives a restart.

Rejected without a run: only the settings decide who may found, which leaves the fault to whoever restarts an entry daemon.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -16,10 +16,11 @@
 
 mod election;
 mod followers;
+mod founding;
 mod replication;
 mod voters;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hollowbarrow_schema::{
@@ -30,6 +31,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use self::founding::FoundingProgress;
 use crate::electorate::Electorate;
 use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, StoreLogError, VoteRecord};
@@ -153,8 +155,6 @@
         /// In the first trial after a leader's silence: that leader, which may still lead.
         leader: Option<DaemonId>,
         granted: BTreeSet<DaemonId>,
-        /// Disks of the voters whose logs are empty.
-        blank: BTreeMap<DaemonId, DiskId>,
         founding: bool,
     },
     Leader(LeaderRole),
@@ -167,6 +167,7 @@
     storage: S,
     role: ReplicaRole,
     voters: Electorate,
+    founding: FoundingProgress,
     commit: LogIndex,
     applied: LogIndex,
     deadline: Instant,
@@ -206,11 +207,13 @@
     pub fn new(config: ReplicaConfig, storage: S, now: Instant) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let snapshot = storage.window().snapshot_index();
+        let founding = FoundingProgress::new(storage.vote().founders.as_ref());
         let mut replica = Self {
             config,
             storage,
             role: ReplicaRole::Follower { leader: None },
             voters: Electorate::default(),
+            founding,
             commit: snapshot,
             applied: snapshot,
             deadline: now,
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -1,17 +1,17 @@
 //! Elections: trials (pre-votes), votes and the start of leadership.
 //!
-//! A candidate counts the votes of the disks that its own log names. A log is founded while the logs
-//! of all voters are empty: a majority of the disks that are in their first use elects the leader,
-//! and the first entry names the disks of all voters. A disk that was emptied meanwhile has
-//! forgotten whom it voted for, so it has no vote in that election.
+//! A candidate counts the votes of the disks that its own log names. While the logs of all voters are
+//! empty, it counts those of the founders, all of which have agreed to each other before; the first
+//! entry names them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use hollowbarrow_schema::{
-    DaemonId, DiskId, EntryPayload, LogEntry, LogIndex, LogMessage, Term, VoteReply, VoteRequest,
+    DaemonId, EntryPayload, Founders, LogEntry, LogIndex, LogMessage, Term, VoteReply, VoteRequest,
 };
 use tokio::time::Instant;
 
+use super::founding::disks_by_voter;
 use super::{LogReplica, ReplicaRole, decay};
 use crate::electorate::Electorate;
 use crate::leader::LeaderRole;
@@ -21,6 +21,10 @@
     pub(super) fn campaign(&mut self, now: Instant, trial: bool, founding: bool) {
         if trial {
             self.last_trial = now;
+            self.propose_founders(now);
+            if self.storage_fault().is_some() {
+                return;
+            }
         }
         let term = Term(*self.term() + 1);
         if !trial {
@@ -33,8 +37,7 @@
         }
         let leader = self.suspected_leader(trial);
         let granted = BTreeSet::from([self.config.id.clone()]);
-        let blank = self.known_blank(founding);
-        self.role = ReplicaRole::Candidate { trial, leader, granted, blank, founding };
+        self.role = ReplicaRole::Candidate { trial, leader, granted, founding };
         let window = self.storage.window();
         let request = VoteRequest {
             term,
@@ -42,6 +45,7 @@
             last_term: window.last_term(),
             trial,
             founding,
+            founders: self.requested_founders(),
         };
         for voter in self.voters.ids().iter().filter(|voter| **voter != self.config.id) {
             self.late.push((voter.clone(), LogMessage::Vote(request.clone())));
@@ -49,18 +53,6 @@
         self.count_votes(now);
     }
 
-    /// Returns the empty disks that are known at the start of an election: those that the trial found
-    /// if the election founds the log, else at most this replica's own.
-    fn known_blank(&mut self, founding: bool) -> BTreeMap<DaemonId, DiskId> {
-        if let ReplicaRole::Candidate { blank, .. } = &mut self.role
-            && founding
-        {
-            return std::mem::take(blank);
-        }
-        let disk = self.storage.vote().disk.filter(|_| self.is_blank());
-        disk.map(|disk| (self.config.id.clone(), disk)).into_iter().collect()
-    }
-
     /// Returns the leader whose silence leads to a trial. It leads until the trial has shown that a
     /// majority does not hear from it either.
     fn suspected_leader(&self, trial: bool) -> Option<DaemonId> {
@@ -79,11 +71,12 @@
                 now.saturating_duration_since(contact) < self.config.election
             });
         if follows_leader && self.leader() != Some(from) {
-            return self.answer_vote(from, request, false);
+            return self.answer_vote(from, request, false, None);
         }
         if !request.trial && request.term > self.term() {
             self.step_down(request.term, None, now);
         }
+        self.on_requested_founders(from, request, now);
         let window = self.storage.window();
         let current =
             (request.last_term, request.last_index) >= (window.last_term(), window.last_index());
@@ -93,7 +86,7 @@
         // Of two simultaneous candidates, the one with the lower id has precedence, unless its
         // election started half an election timeout ago or earlier.
         let yields = !request.trial || !self.has_precedence(from, request, now);
-        let eligible = !request.founding || self.may_found();
+        let eligible = self.may_vote_with_founders(request);
         let mut granted = current && free && yields && eligible;
         if granted && request.trial {
             // Gives the candidate time to be elected.
@@ -104,7 +97,8 @@
             granted = self.save_vote(VoteRecord { term, vote, ..self.storage.vote().clone() });
             self.reset_deadline(now);
         }
-        self.answer_vote(from, request, granted);
+        let founders = self.founders().filter(|_| self.is_blank()).cloned();
+        self.answer_vote(from, request, granted, founders);
     }
 
     /// Returns whether this replica is a candidate at the same time as another one and has
@@ -119,56 +113,65 @@
         candidate && fresh && electable && self.config.id < *other
     }
 
-    pub(super) fn answer_vote(&mut self, from: &DaemonId, request: &VoteRequest, granted: bool) {
+    fn answer_vote(
+        &mut self,
+        from: &DaemonId,
+        request: &VoteRequest,
+        granted: bool,
+        founders: Option<Founders>,
+    ) {
         let term = if granted { request.term } else { self.term() };
         let blank = self.is_blank() && self.is_voter();
         let disk = self.storage.vote().identity();
-        let reply = VoteReply { term, granted, trial: request.trial, blank, disk };
+        let reply = VoteReply { term, granted, trial: request.trial, blank, disk, founders };
         self.late.push((from.clone(), LogMessage::VoteReply(reply)));
     }
 
     pub(super) fn on_vote_reply(&mut self, from: &DaemonId, reply: &VoteReply, now: Instant) {
-        if reply.trial && matches!(self.role, ReplicaRole::Candidate { trial: true, .. }) {
+        let tries = matches!(self.role, ReplicaRole::Candidate { trial: true, .. });
+        if tries && reply.trial {
             let trip = now.saturating_duration_since(self.last_trial);
             self.trial_trip = trip.max(decay(self.trial_trip));
         }
+        let proposes = self.on_founders_reply(from, reply, now);
         if !reply.granted && reply.term > self.term() {
             return self.step_down(reply.term, None, now);
         }
+        if tries && proposes {
+            self.reset_deadline(now);
+            return self.campaign(now, true, false);
+        }
         let expected = Term(*self.term() + 1);
         let current_term = self.term();
         let named = self.voters.counts(from, &reply.disk);
-        let may_found = self.may_found();
-        let ReplicaRole::Candidate { trial, granted, blank, .. } = &mut self.role else { return };
+        let founder = self.may_found()
+            && reply.disk.id.is_some()
+            && self.founding_disk(from, reply.trial) == reply.disk.id;
+        let ReplicaRole::Candidate { trial, granted, .. } = &mut self.role else { return };
         if *trial != reply.trial {
             return;
         }
-        if let (true, true, Some(disk)) = (*trial, reply.blank, reply.disk.id) {
-            blank.insert(from.clone(), disk);
-        }
-        let empty = reply.disk.id.is_some() && blank.get(from).copied() == reply.disk.id;
         let term = if *trial { expected } else { current_term };
-        if reply.granted && reply.term == term && (named || (may_found && empty)) {
+        if reply.granted && reply.term == term && (named || founder) {
             granted.insert(from.clone());
         }
         self.count_votes(now);
     }
 
     pub(super) fn count_votes(&mut self, now: Instant) {
-        let ReplicaRole::Candidate { trial, granted, blank, founding, .. } = &self.role else {
+        let ReplicaRole::Candidate { trial, granted, founding, .. } = &self.role else {
             return;
         };
         let votes = self.voters.ids().iter().filter(|voter| granted.contains(*voter)).count();
-        let all_blank = self.voters.ids().iter().all(|voter| blank.contains_key(voter));
         let majority = votes >= self.voters.majority();
         let elected = majority && self.is_quorum_member();
+        let unanimous = self.may_found() && self.is_founding_unanimous();
         match (*trial, *founding) {
-            (true, _) if all_blank && self.may_found() => {
-                self.campaign(now, false, true);
-            }
+            (true, _) if majority && unanimous => self.campaign(now, false, true),
             (true, _) if elected => self.campaign(now, false, false),
             (false, true) if majority => {
-                let founders = Electorate::new(self.voters.ids().to_vec(), blank.clone());
+                let disks = self.founders().map(disks_by_voter).unwrap_or_default();
+                let founders = Electorate::new(self.voters.ids().to_vec(), disks);
                 self.lead(now, founders.to_payload());
             }
             (false, false) if elected => self.lead(now, EntryPayload::Noop),
--- a/crates/log/src/replica/voters.rs
+++ b/crates/log/src/replica/voters.rs
@@ -125,14 +125,6 @@
             && self.voters.counts(&self.config.id, &self.storage.vote().identity())
     }
 
-    /// Returns whether this replica may found a log with others whose logs are also empty.
-    pub(super) fn may_found(&self) -> bool {
-        self.storage.vote().founder
-            && self.is_blank()
-            && self.is_voter()
-            && self.storage_fault().is_none()
-    }
-
     /// Updates the fault that follows from the voters that the log names.
     pub(super) fn refresh_fault(&mut self) {
         if self.storage_fault().is_some() {
--- a/crates/log/src/storage.rs
+++ b/crates/log/src/storage.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::path::PathBuf;
 
-use hollowbarrow_schema::{DaemonId, DiskId, DiskIdentity, LogEntry, LogIndex, LogSnapshot, Term};
+use hollowbarrow_schema::{
+    DaemonId, DiskId, DiskIdentity, Founders, LogEntry, LogIndex, LogSnapshot, Term,
+};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -66,6 +68,9 @@
     /// an election that founds it. One that was emptied later has forgotten such votes.
     #[serde(default)]
     pub founder: bool,
+    /// Founders that this disk has agreed to; its votes found the log only together with them.
+    #[serde(default)]
+    pub founders: Option<Founders>,
 }
 
 impl VoteRecord {
--- a/crates/log/tests/elections.rs
+++ b/crates/log/tests/elections.rs
@@ -35,8 +35,14 @@
         .with_seed(seed ^ u64::from(id.as_bytes()[0]));
     let mut storage = MemoryStorage::new().with_durable(true);
     if let Some(index) = kept {
-        let vote =
-            VoteRecord { term: Term(3), vote: None, initialised: true, disk: None, founder: false };
+        let vote = VoteRecord {
+            term: Term(3),
+            vote: None,
+            initialised: true,
+            disk: None,
+            founder: false,
+            founders: None,
+        };
         storage.set_vote(vote).expect("memory takes it");
         let snapshot = LogSnapshot {
             index: index.into(),
--- a/crates/log/tests/founding_faults.rs
+++ b/crates/log/tests/founding_faults.rs
@@ -2,10 +2,14 @@
 
 mod support;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use hollowbarrow_log::LogStorage;
+use hollowbarrow_schema::DaemonId;
 use rand::RngExt;
 use rstest::rstest;
+use tokio::time::Instant;
 
 use support::{Cluster, ELECTION, Network, assert_all_pass, ensure};
 
@@ -24,6 +28,17 @@
     unsynced: 0.0,
 };
 
+/// A network that delays every fourth message for several election timeouts, so that messages reach a
+/// voter whose disk was emptied since.
+const LATE: Network = Network {
+    slowest: Duration::from_millis(30),
+    lost: 0.1,
+    doubled: 0.05,
+    straggling: 0.25,
+    straggle: Duration::from_millis(800),
+    unsynced: 0.0,
+};
+
 fn founded(cluster: &mut Cluster) -> Result<(), String> {
     let founded = cluster.run_until(FOUNDED_WITHIN, Cluster::all_count);
     cluster.broken.clone().map_or(Ok(()), Err)?;
@@ -128,3 +143,99 @@
 fn log_founded_once_with_lost_disk(#[case] voters: usize, #[case] again: bool) {
     assert_all_pass(&[voters], 300, |voters, seed| founded_once(voters, seed, again));
 }
+
+/// Random faults of voters that always may found, while their log is founded.
+struct EmptiedDisks {
+    cluster: Cluster,
+    /// Stopped voters and when they start again.
+    stopped: BTreeMap<DaemonId, Instant>,
+    /// Voters whose disk was emptied and which the log does not name with the next one yet.
+    emptied: BTreeSet<DaemonId>,
+}
+
+impl EmptiedDisks {
+    fn new(voters: usize, seed: u64, network: Network) -> Self {
+        let mut cluster = Cluster::new(voters, 0, seed, network);
+        cluster.readmits = true;
+        Self { cluster, stopped: BTreeMap::new(), emptied: BTreeSet::new() }
+    }
+
+    fn run(&mut self, length: Duration) {
+        let until = self.cluster.now + length;
+        while self.cluster.now < until {
+            self.act();
+            run_with_cuts(&mut self.cluster, PAUSE);
+            self.restart();
+            let cluster = &self.cluster;
+            self.emptied.retain(|id| !is_named(cluster, id));
+        }
+    }
+
+    /// Empties a disk unless the cluster cannot bear it, or lets a voter lose its power.
+    fn act(&mut self) {
+        let position = self.cluster.rng.random_range(0..self.cluster.voters.len());
+        let id = self.cluster.voters[position].clone();
+        let away = Duration::from_millis(self.cluster.rng.random_range(0..100));
+        let bearable = (self.cluster.voters.len() - 1) / 2;
+        let emptied = self.emptied.contains(&id) || self.emptied.len() < bearable;
+        match self.cluster.rng.random_range(0..100) {
+            0..10 if emptied => {
+                self.cluster.wipe(&id);
+                self.cluster.let_found(&id);
+                self.emptied.insert(id.clone());
+            }
+            10..16 => self.cluster.stop(&id),
+            _ => return,
+        }
+        self.stopped.insert(id, self.cluster.now + away);
+    }
+
+    fn restart(&mut self) {
+        let now = self.cluster.now;
+        for id in self.cluster.voters.clone() {
+            if self.stopped.get(&id).is_some_and(|at| *at <= now) {
+                self.stopped.remove(&id);
+                self.cluster.start(&id, true);
+            }
+        }
+    }
+}
+
+/// Returns whether the committed log of a voter names the disk that it has.
+fn is_named(cluster: &Cluster, id: &DaemonId) -> bool {
+    if !cluster.is_running(id) {
+        return false;
+    }
+    let replica = cluster.replica(id);
+    let last = replica.storage().window().last_index();
+    let voter = replica.voters().contains(id) && replica.fault().is_none();
+    *last > 0 && replica.commit() == last && voter
+}
+
+/// Returns whether a log is founded once, and then counts every voter, if disks are emptied and
+/// voters lose their power while it is founded.
+fn founded_over_emptied_disks(voters: usize, seed: u64, network: Network) -> Result<(), String> {
+    let mut faults = EmptiedDisks::new(voters, seed, network);
+    let length = Duration::from_millis(faults.cluster.rng.random_range(0..2500));
+    faults.run(length);
+    let mut cluster = faults.cluster;
+    cluster.mend();
+    cluster.network = Network::CALM;
+    for id in faults.stopped.into_keys() {
+        cluster.start(&id, true);
+    }
+    founded(&mut cluster)
+}
+
+/// Guards against two leaders of one term, and acknowledged entries that are lost, if the voters may
+/// always found and disks are emptied before the log names them.
+#[rstest]
+#[case::three(3, LATE)]
+#[case::five(5, LATE)]
+#[case::three_slow_disks(3, Network::ROUGH)]
+#[case::five_slow_disks(5, Network::ROUGH)]
+fn log_founded_once_over_emptied_disks(#[case] voters: usize, #[case] network: Network) {
+    assert_all_pass(&[voters], 1000, |voters, seed| {
+        founded_over_emptied_disks(voters, seed, network)
+    });
+}
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -4,7 +4,9 @@
 use std::path::Path;
 
 use hollowbarrow_log::{FileStorage, LogStorage, StoreLogError, VoteRecord};
-use hollowbarrow_schema::{DaemonId, EntryPayload, LogEntry, LogIndex, LogSnapshot, Term};
+use hollowbarrow_schema::{
+    DaemonId, DiskId, EntryPayload, Founders, LogEntry, LogIndex, LogSnapshot, Term, VoterDisk,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use serde::Serialize;
@@ -40,6 +42,10 @@
         initialised: true,
         disk: None,
         founder: false,
+        founders: Some(Founders {
+            term: Term(2),
+            disks: vec![VoterDisk { voter: "v1".into(), disk: DiskId(1) }],
+        }),
     };
     filled(folder.path(), 5).set_vote(vote.clone()).expect("the disk works");
     let storage = FileStorage::open(folder.path()).expect("the folder opens again");
@@ -168,6 +174,7 @@
         initialised: true,
         disk: None,
         founder: false,
+        founders: None,
     };
     assert_eq!(*storage.vote(), expected);
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1253,6 +1253,20 @@
         value.clone()
     }
 }
+///Disks that found a log together. No vote founds it before all of them have agreed to this in one term.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Founders {
+    pub disks: ::std::vec::Vec<VoterDisk>,
+    ///Term in which they were proposed.
+    pub term: Term,
+}
+impl ::std::convert::From<&Founders> for Founders {
+    fn from(value: &Founders) -> Self {
+        value.clone()
+    }
+}
 ///State that a gateway sends to a controller several times a second; the controller answers with the data that the gateway lacks.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -3556,6 +3570,9 @@
     ///True if the voter's log is empty.
     pub blank: bool,
     pub disk: DiskIdentity,
+    ///Founders that the voter has agreed to, while its log is empty.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub founders: ::std::option::Option<Founders>,
     pub granted: bool,
     pub term: Term,
     pub trial: bool,
@@ -3565,12 +3582,15 @@
         value.clone()
     }
 }
-///Requests a vote; a trial (pre-vote) changes no state.
+///Requests a vote; a trial (pre-vote) changes neither terms nor votes, unless it proposes founders.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct VoteRequest {
-    ///True if the log of every voter was found to be empty and this election founds the log.
+    ///From a candidate whose log is empty: the founders that it has agreed to, or only its own disk before it knows those of all voters.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub founders: ::std::option::Option<Founders>,
+    ///True if the founders have agreed and this election founds the log.
     pub founding: bool,
     pub last_index: LogIndex,
     pub last_term: Term,
