--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -16,10 +16,11 @@
 
 mod election;
 mod followers;
+mod founding;
 mod replication;
 mod voters;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hollowbarrow_schema::{
@@ -30,6 +31,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use self::founding::FoundingProgress;
 use crate::electorate::Electorate;
 use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, StoreLogError, VoteRecord};
@@ -42,6 +44,8 @@
 const MAX_FAILED_VOTES: u32 = 3;
 /// A follower waits for its leader this many times as long as the leader was recently silent.
 const LEADER_GAP_FACTOR: u32 = 2;
+/// An election waits this many times as long as an answer to a trial recently took.
+const TRIAL_TRIP_FACTOR: u32 = 2;
 /// A leader waits for its confirmation this many times as long as one recently took.
 const ROUND_TRIP_FACTOR: u32 = 4;
 /// Number of heartbeats per election timeout.
@@ -151,8 +155,6 @@
         /// In the first trial after a leader's silence: that leader, which may still lead.
         leader: Option<DaemonId>,
         granted: BTreeSet<DaemonId>,
-        /// Disks of the voters whose logs are empty.
-        blank: BTreeMap<DaemonId, DiskId>,
         founding: bool,
     },
     Leader(LeaderRole),
@@ -165,6 +167,7 @@
     storage: S,
     role: ReplicaRole,
     voters: Electorate,
+    founding: FoundingProgress,
     commit: LogIndex,
     applied: LogIndex,
     deadline: Instant,
@@ -174,6 +177,10 @@
     elections: u32,
     /// Time at which this replica last started an election.
     last_election: Instant,
+    /// Time at which this replica last asked for trial votes.
+    last_trial: Instant,
+    /// Longest time that an answer to such a request recently took.
+    trial_trip: Duration,
     /// Term of that leader.
     leader_term: Term,
     /// Longest time for which a leader was recently silent and then continued to lead.
@@ -200,17 +207,21 @@
     pub fn new(config: ReplicaConfig, storage: S, now: Instant) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let snapshot = storage.window().snapshot_index();
+        let founding = FoundingProgress::new(storage.vote().founders.as_ref());
         let mut replica = Self {
             config,
             storage,
             role: ReplicaRole::Follower { leader: None },
             voters: Electorate::default(),
+            founding,
             commit: snapshot,
             applied: snapshot,
             deadline: now,
             leader_contact: None,
             elections: 0,
             last_election: now,
+            last_trial: now,
+            trial_trip: Duration::ZERO,
             leader_term: Term(0),
             leader_gap: Duration::ZERO,
             failed_votes: 0,
@@ -517,7 +528,10 @@
         let most = self.config.election * MAX_TIMEOUT_GROWTH;
         match self.leader() {
             Some(_) => timeout.max((self.leader_gap * LEADER_GAP_FACTOR).min(most)),
-            None => timeout * 2u32.pow(self.failed_votes),
+            None => {
+                let grown = timeout * 2u32.pow(self.failed_votes);
+                grown.max((self.trial_trip * TRIAL_TRIP_FACTOR).min(most))
+            }
         }
     }
 
