Keep replicas over several domains while other workers load

Cause, from the leader's log: what closes a replica over several domains counted free workers that were assigned the model but had yet to load it, for 16 s and more. What plans takes only workers that hold the weights. Also, the next one was planned while the former one was still being left, over the free workers that its closing relied on, so that two sets of workers took turns even when all weights were loaded.

Now only holders of the weights count for closing, as for planning, and no replica over several domains is planned while another replica is left.

--- a/crates/fleet/src/replicas/place.rs
+++ b/crates/fleet/src/replicas/place.rs
@@ -1,7 +1,7 @@
 //! Plans replicas over free workers, and disbands replicas over several domains once one domain
 //! can form them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hollowbarrow_schema::{DomainId, ModelName, WorkerReport};
 
@@ -29,8 +29,11 @@
         let existing = self.count_existing(view);
         let planned = plan_replicas(&demands, &existing, &domains, &free, warming_up);
         self.form(planned);
-        let disbanding =
-            self.replicas.values().any(|r| matches!(r.phase, ReplicaPhase::Closing { .. }));
+        // The members of a replica that is disbanded will be free soon, and one domain may then need
+        // the workers that are free now.
+        let disbanding = self.replicas.values().any(|replica| {
+            matches!(replica.phase, ReplicaPhase::Closing { .. } | ReplicaPhase::Leaving)
+        });
         if warming_up || disbanding {
             return;
         }
@@ -69,8 +72,12 @@
     }
 
     /// Closes a replica over several domains once one of them can form it alone.
+    ///
+    /// Free workers count only if they hold the weights, as [`plan_replicas`] has it. With those
+    /// that are still to load them, the members would be free again without being eligible for
+    /// anything but another replica over several domains, which would be closed in turn.
     pub(super) fn disband_scattered(&mut self, view: &StepView<'_>) {
-        let near = self.count_near(&self.free_workers(view));
+        let holders = count_holders(&self.free_workers(view));
         let mut serving = self.replicas.values().filter(|r| r.phase == ReplicaPhase::Serving);
         let found = serving.find(|replica| {
             let model = &replica.name.model;
@@ -79,7 +86,8 @@
                 *domains.entry(domain_of(report)).or_default() += 1;
             }
             let enough = |(domain, members): (&DomainId, &usize)| {
-                let free = near.get(&(domain.clone(), model.clone())).copied().unwrap_or_default();
+                let key = (domain.clone(), model.clone());
+                let free = holders.get(&key).copied().unwrap_or_default();
                 members + free >= replica.members.len()
             };
             domains.len() > 1 && domains.iter().any(enough)
@@ -103,3 +111,15 @@
         counts
     }
 }
+
+/// Counts the free workers that hold each model's weights in memory or on their host, by domain.
+fn count_holders(free: &[&WorkerReport]) -> BTreeMap<(DomainId, ModelName), usize> {
+    let mut holders = BTreeMap::new();
+    for report in free {
+        let models: BTreeSet<&ModelName> = report.model.iter().chain(&report.staged).collect();
+        for model in models {
+            *holders.entry((domain_of(report), model.clone())).or_default() += 1;
+        }
+    }
+    holders
+}
