Load the scarce model's weights first while few of its replicas exist

Cause: six loads run at once, for 12 to 16 s, and each free worker loaded the model of which its domain had no spare. A small model is complete after few loads, is formed, and lacks a spare again, while the part of a large replica beside it waits.

Now the model that is furthest below its share comes before spares while at most half of its target count of replicas exists.

step_loads_scarce_model::case_1_large_scarce loads the small model on the code before, and the large one now; its other case passes on both.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,6 +19,8 @@
 /// A model gets replicas over several domains only while its number of replicas times this factor
 /// does not exceed the target count.
 const SCATTER_FACTOR: usize = 3;
+/// A model is scarce while its number of replicas times this factor does not exceed the target count.
+const SCARCE_FACTOR: usize = 2;
 /// Share of a domain's workers that the first pass of a plan keeps free. The second pass uses it for
 /// models that are still below their target count.
 const RESERVE_SHARE: f64 = 0.2;
@@ -119,6 +121,21 @@
     planned
 }
 
+/// Returns the model that is furthest below its share, if at most half of its target count of
+/// replicas exists. The arguments are those of [`plan_replicas`].
+pub(crate) fn scarce_model(
+    demands: &[PlacementDemand],
+    existing: &BTreeMap<(DomainId, ModelName), usize>,
+    workers: &BTreeMap<DomainId, usize>,
+) -> Option<ModelName> {
+    let planner = ReplicaPlanner::new(demands, existing, workers, &[]);
+    let fill = |demand: &&PlacementDemand| planner.fill_of(demand);
+    let lowest = demands.iter().min_by(|a, b| fill(a).total_cmp(&fill(b)))?;
+    let count = planner.counts.get(&lowest.model).copied().unwrap_or_default();
+    let target = planner.targets.get(&lowest.model).copied().unwrap_or_default();
+    (count * SCARCE_FACTOR <= target).then(|| lowest.model.clone())
+}
+
 struct ReplicaPlanner<'a> {
     demands: &'a [PlacementDemand],
     counts: BTreeMap<ModelName, usize>,
--- a/crates/fleet/src/replicas/place.rs
+++ b/crates/fleet/src/replicas/place.rs
@@ -10,21 +10,15 @@
     domain_of, join_ids,
 };
 use crate::placement::{
-    PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered,
+    PlacementDemand, PlacementWorker, PlannedReplica, plan_replicas, plan_scattered, scarce_model,
 };
 
 impl ReplicaController {
     /// Plans replicas over the free workers.
     pub(super) fn place_free(&mut self, view: &StepView<'_>, warming_up: bool) {
         self.record_utilisation(view);
-        let models = view.engine.models.iter();
-        let demands: Vec<PlacementDemand> =
-            models.map(|model| self.utilisation.demand_of(model)).collect();
-        let usable = view.workers.values().filter(|s| s.status == WorkerStatus::Usable);
-        let mut domains: BTreeMap<DomainId, usize> = BTreeMap::new();
-        for state in usable {
-            *domains.entry(domain_of(state.report)).or_default() += 1;
-        }
+        let demands = self.demands(view);
+        let domains = count_usable(view);
         let free = self.free_for_placement(view);
         let existing = self.count_existing(view);
         let planned = plan_replicas(&demands, &existing, &domains, &free, warming_up);
@@ -43,6 +37,20 @@
         self.log_free(view);
     }
 
+    fn demands(&self, view: &StepView<'_>) -> Vec<PlacementDemand> {
+        view.engine.models.iter().map(|model| self.utilisation.demand_of(model)).collect()
+    }
+
+    /// Returns the model whose replicas are scarcest, if it lacks many. Before the first plan none
+    /// counts as scarce.
+    pub(super) fn scarce_model(&self, view: &StepView<'_>) -> Option<ModelName> {
+        let existing = self.count_existing(view);
+        if existing.is_empty() {
+            return None;
+        }
+        scarce_model(&self.demands(view), &existing, &count_usable(view))
+    }
+
     fn free_for_placement(&self, view: &StepView<'_>) -> Vec<PlacementWorker> {
         let to_worker = |report: &WorkerReport| PlacementWorker {
             id: report.id.clone(),
@@ -112,6 +120,15 @@
     }
 }
 
+/// Counts the usable workers of each domain.
+fn count_usable(view: &StepView<'_>) -> BTreeMap<DomainId, usize> {
+    let mut domains = BTreeMap::new();
+    for state in view.workers.values().filter(|state| state.status == WorkerStatus::Usable) {
+        *domains.entry(domain_of(state.report)).or_default() += 1;
+    }
+    domains
+}
+
 /// Counts the free workers that hold each model's weights in memory or on their host, by domain.
 fn count_holders(free: &[&WorkerReport]) -> BTreeMap<(DomainId, ModelName), usize> {
     let mut holders = BTreeMap::new();
--- a/crates/fleet/src/replicas/standby.rs
+++ b/crates/fleet/src/replicas/standby.rs
@@ -28,6 +28,7 @@
         self.standbys.retain(|worker, _| usable(worker));
         let free = self.free_workers(view);
         let mut near = self.count_near(&free);
+        let scarce = self.scarce_model(view);
         for report in free {
             let domain = domain_of(report);
             let assigned = self.standbys.get(&report.id).cloned();
@@ -42,7 +43,9 @@
                 let count = near.entry((domain.clone(), name.model.clone())).or_default();
                 *count = count.saturating_sub(1);
             }
-            let Some(model) = choose_model(report, &near, view, &[]) else { continue };
+            let Some(model) = choose_model(report, &near, view, &[], scarce.as_ref()) else {
+                continue;
+            };
             *near.entry((domain, model.clone())).or_default() += 1;
             if assigned.is_some_and(|name| name.model == model) {
                 continue;
@@ -162,7 +165,7 @@
             if second || self.staging.contains_key(&report.id) {
                 continue;
             }
-            let Some(model) = choose_model(report, &near, view, &[held]) else { continue };
+            let Some(model) = choose_model(report, &near, view, &[held], None) else { continue };
             let name = ReplicaName { kind: ReplicaKind::Standby, model, epoch: Epoch(0) };
             let order = WorkerOrder::Stage { name: name.clone() };
             let may_send = self.orders.may_send(&report.id, &order, view.now);
@@ -200,15 +203,19 @@
     Further { missing_permille: usize },
     /// It is the first that could replace a lost member; larger replicas lose a member sooner.
     FirstSpare { size: usize },
+    /// Its replicas are scarce: a whole one is worth more than a spare of another model, which
+    /// would use up the loads that the scarce one needs.
+    Scarce,
     /// It completes the members of another replica.
     Completes { size: usize },
 }
 
-fn value_of(spec: &ModelSpec, count: usize) -> SpareValue {
+fn value_of(spec: &ModelSpec, count: usize, scarce: bool) -> SpareValue {
     let size = spec.size.max(1);
     match count {
-        0 => SpareValue::FirstSpare { size },
+        0 if !scarce => SpareValue::FirstSpare { size },
         count if (count + 1).is_multiple_of(size) => SpareValue::Completes { size },
+        _ if scarce => SpareValue::Scarce,
         count => SpareValue::Further { missing_permille: 1000 - (count * 1000 / size).min(1000) },
     }
 }
@@ -220,11 +227,12 @@
     near: &NearCounts,
     view: &StepView<'_>,
     excluded: &[ModelName],
+    scarce: Option<&ModelName>,
 ) -> Option<ModelName> {
     let domain = domain_of(report);
     let preference = |spec: &ModelSpec| {
         let count = near.get(&(domain.clone(), spec.name.clone())).copied().unwrap_or_default();
-        (report.staged.contains(&spec.name), value_of(spec, count))
+        (report.staged.contains(&spec.name), value_of(spec, count, scarce == Some(&spec.name)))
     };
     let models = view.engine.models.iter().filter(|spec| !excluded.contains(&spec.name));
     models.max_by_key(|spec| preference(spec)).map(|spec| spec.name.clone())
--- a/crates/fleet/tests/planning.rs
+++ b/crates/fleet/tests/planning.rs
@@ -222,3 +222,42 @@
     }
     assert_eq!(planned, BTreeSet::from([expected.to_owned()]));
 }
+
+/// A domain with part of a replica of the scarce model loads that model first, and a spare of the
+/// model that has enough replicas only when none is scarce.
+#[rstest]
+#[case::large_scarce(1, 6, "large")]
+#[case::none_scarce(3, 4, "small")]
+fn step_loads_scarce_model(
+    #[case] large_replicas: u64,
+    #[case] small_replicas: u64,
+    #[case] expected: &str,
+) {
+    let start = Instant::now();
+    let mut engine = engine();
+    engine.models = vec![model("large", 4), model("small", 3)];
+    let mut reports: Vec<WorkerReport> = (0..large_replicas)
+        .flat_map(|n| members_of(n + 1, "large", 4, 4 * n as usize))
+        .chain(
+            (0..small_replicas).flat_map(|n| members_of(n + 11, "small", 3, 40 + 3 * n as usize)),
+        )
+        .collect();
+    let in_other_domain = |number: usize, held: Option<&str>| WorkerReport {
+        domain: Some(DomainId::from("d1")),
+        model: held.map(ModelName::from),
+        ..report(number)
+    };
+    reports.extend([100, 101].map(|number| in_other_domain(number, Some("large"))));
+    reports.push(in_other_domain(102, None));
+    let states: Vec<WorkerState<'_>> = reports.iter().map(|report| usable(report, 0, 0)).collect();
+    let mut controller = new_controller(start);
+    let mut loaded = BTreeSet::new();
+    for step in 0..STEPS {
+        for ticket in controller.step(&engine, &states, false, start + STEP * step) {
+            if ticket.worker == reports[reports.len() - 1].id {
+                loaded.insert(ticket.order.name().model.to_string());
+            }
+        }
+    }
+    assert_eq!(loaded, BTreeSet::from([expected.to_owned()]));
+}
