Test that a voter that is alone founds after a stop before its vote

A voter that stopped between its agreement to the founders and its vote held the proposal of its own term, did not propose it anew and so did not notice that all had agreed: alone, it would have founded no log.

--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -7,8 +7,8 @@
     LogReplica, LogStorage, MemoryStorage, ReplicaConfig, ReplicaFault, VoteRecord,
 };
 use hollowbarrow_schema::{
-    AppendReply, AppendRequest, DaemonId, DiskId, DiskIdentity, EntryPayload, LogEntry, LogIndex,
-    LogMessage, LogSnapshot, SnapshotRequest, Term,
+    AppendReply, AppendRequest, DaemonId, DiskId, DiskIdentity, EntryPayload, Founders, LogEntry,
+    LogIndex, LogMessage, LogSnapshot, SnapshotRequest, Term, VoterDisk,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -370,6 +370,27 @@
     assert_eq!(cluster.leader().uncounted_voters().contains(&follower), replaced);
 }
 
+/// Guards against a voter that waits for its own agreement because it stopped before it voted.
+#[rstest]
+fn single_voter_stopped_after_agreement() {
+    let (id, disk) = (ids()[0].clone(), DiskId(1));
+    let founders = Founders { term: Term(0), disks: vec![VoterDisk { voter: id.clone(), disk }] };
+    let mut storage = MemoryStorage::new().with_durable(true);
+    let vote = VoteRecord {
+        disk: Some(disk),
+        founder: true,
+        founders: Some(founders),
+        ..VoteRecord::default()
+    };
+    storage.set_vote(vote).expect("memory takes it");
+    let config = ReplicaConfig::new(&id, &ids()[..1], &ids()[..1]);
+    let mut replica = LogReplica::new(config, storage, Instant::now());
+    let now = replica.next_deadline();
+    replica.tick(now);
+    replica.flush(now);
+    assert!(replica.is_leader(), "it needs nobody else");
+}
+
 /// Append request of a leader of term 2 with the entries after `previous` up to `last`.
 fn append(previous: u64, last: u64, commit: u64, term_of_last: u64) -> LogMessage {
     let entry = |index: u64| {
