--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -8,7 +8,7 @@
 };
 use hollowbarrow_schema::{
     AppendReply, AppendRequest, DaemonId, DiskId, DiskIdentity, EntryPayload, Founders, LogEntry,
-    LogIndex, LogMessage, LogSnapshot, SnapshotRequest, Term, VoterDisk,
+    LogIndex, LogMessage, LogSnapshot, SnapshotRequest, Term, VoteRequest, VoterDisk,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -391,6 +391,40 @@
     assert!(replica.is_leader(), "it needs nobody else");
 }
 
+/// Guards against founders that replace others in a term in which those may have elected a leader.
+#[rstest]
+#[case::same_term(0, 0, false)]
+#[case::earlier_term(3, 2, false)]
+#[case::later_term(0, 1, true)]
+fn other_founders_agreed_to(#[case] term: u64, #[case] proposed_in: u64, #[case] agreed: bool) {
+    let mut replica = replica(true);
+    let own = replica.storage().vote().disk.expect("it has a disk");
+    let founders = |term: u64, last: u64| {
+        let named = ids().into_iter().zip([own, DiskId(1), DiskId(last)]);
+        let disks = named.map(|(voter, disk)| VoterDisk { voter, disk }).collect();
+        Founders { term: Term(term), disks }
+    };
+    let request = |founders: Founders, founding: bool| {
+        LogMessage::Vote(VoteRequest {
+            founding,
+            founders: Some(founders.clone()),
+            last_index: LogIndex(0),
+            last_term: Term(0),
+            term: Term(if founding { term } else { *founders.term + 1 }),
+            trial: !founding,
+        })
+    };
+    let now = Instant::now();
+    replica.step(&ids()[1], request(founders(0, 2), false), now);
+    if term > 0 {
+        replica.step(&ids()[1], request(founders(0, 2), true), now);
+    }
+    assert_eq!(replica.term(), Term(term));
+    replica.step(&ids()[2], request(founders(proposed_in, 3), false), now);
+    let held = replica.storage().vote().founders.clone().expect("it agreed to the first ones");
+    assert_eq!(held == founders(proposed_in, 3), agreed, "{held:?}");
+}
+
 /// Append request of a leader of term 2 with the entries after `previous` up to `last`.
 fn append(previous: u64, last: u64, commit: u64, term_of_last: u64) -> LogMessage {
     let entry = |index: u64| {
