Publish by which crashes a request is quarantined, and tell the next leader

Cause: the crashes were known to the controllers and to the gateways that saw them. When those gateways were restarted while all controllers were down, the gateway that was left knew from the list that the request was quarantined, but not why. It kept the quarantine for 5 s after the next election, told nobody, and dropped it.

Change: the leader's views carry the records of listed requests, when they change and every 5 s (2 KB a second for 64 requests, by calculation). Gateways keep them while the request is listed and send them to the leader of the next term for 5 s. Records are merged by request and run, so that it does not matter who tells them how often, and keep their age.

quarantine_survives_loss_of_observers failed without the gateway's part of this change: 118.92 s of the quarantine were left, and none after the loss. evidence_ends_with_listing: evidence of a request that was answered is not told.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -156,6 +156,15 @@
         &self.crashes
     }
 
+    /// Records of crashes of quarantined requests to publish to gateways now.
+    pub(crate) fn evidence_due(
+        &mut self,
+        quarantined: &[HeldRequest],
+        now: Instant,
+    ) -> Vec<CrashRecord> {
+        self.crashes.evidence_due(quarantined, now)
+    }
+
     /// Releases a request from quarantine because an operator declares it harmless.
     pub(crate) fn release(&mut self, request: RequestDigest, now: Instant) {
         self.crashes.contradict(request, now);
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -248,6 +248,7 @@
         });
         let mut quarantined = fleet.crashes().quarantined(now);
         leadership.quarantine_log.record(&quarantined);
+        let crashes = fleet.evidence_due(&quarantined, now);
         quarantined.extend(fleet.released(now));
         let view = FleetView {
             term: leadership.term,
@@ -258,6 +259,7 @@
             withheld: leadership.withheld.clone(),
             loads: loads.collect(),
             held: quarantined,
+            crashes,
             leader: Some(core.links().id().clone()),
             limits: core.limits().due_limits(now),
         };
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use hollowbarrow_routing::{CrashTracker, TerminatedRun, probe_delay};
+use hollowbarrow_routing::{CrashLedger, CrashTracker, TerminatedRun, probe_delay};
 use hollowbarrow_schema::{
     CrashRecord, DaemonId, FleetView, HeldRequest, RequestDigest, Term, WorkerId,
 };
@@ -59,6 +59,11 @@
     gateways: u32,
     watch: CrashTracker,
     from_leader: HashMap<RequestDigest, LeaderQuarantine>,
+    /// Records that the leader published of the requests that it lists. They may be all that is
+    /// left when the leader and the gateways that observed the crashes have terminated.
+    evidence: CrashLedger,
+    /// Time until which the evidence of a former leader is sent to the new one.
+    resend_until: Option<Instant>,
     /// Term and number of the last view of the leader.
     view_version: (Term, u64),
     /// When that view was received.
@@ -152,10 +157,16 @@
             self.from_leader.values_mut().for_each(|quarantine| {
                 quarantine.keep_until = quarantine.keep_until.max(now + FORMER_LEADER_TIME)
             });
+            self.evidence.resend_all();
+            self.resend_until = Some(now + FORMER_LEADER_TIME);
         }
         let listed: HashSet<RequestDigest> = view.held.iter().map(|entry| entry.request).collect();
         self.from_leader
             .retain(|request, quarantine| now < quarantine.keep_until || listed.contains(request));
+        if self.resend_until.is_none_or(|until| now >= until) {
+            self.evidence.retain(|request| listed.contains(&request));
+        }
+        self.evidence.merge(&view.crashes, now);
         for entry in &view.held {
             self.apply_entry(entry, now);
         }
@@ -166,6 +177,7 @@
             // The same release is in many views. Crashes after the time of the release still count.
             let at = now.checked_sub(Duration::from_millis(ms.into())).unwrap_or(now);
             self.watch.release(entry.request, at);
+            self.evidence.retain(|request| request != entry.request);
             self.from_leader.remove(&entry.request);
             return;
         }
@@ -191,6 +203,11 @@
     pub fn due(&mut self, now: Instant) -> Vec<CrashRecord> {
         let fresh = |at: &Instant| now.saturating_duration_since(*at) < LOCAL_VERDICT_TIME;
         self.local_crashes.retain(|_, at| fresh(at));
-        self.watch.due(now)
+        let mut records = self.watch.due(now);
+        if self.resend_until.is_some_and(|until| now < until) {
+            self.evidence.prune(now);
+            records.extend(self.evidence.due(now));
+        }
+        records
     }
 }
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -25,6 +25,7 @@
         held: held.collect(),
         leader: None,
         limits: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
@@ -217,20 +218,23 @@
     guards: Vec<CrashGuard>,
     leader: CrashLedger,
     now: Instant,
+    term: u64,
     views: u64,
     workers: u32,
 }
 
+fn guard(number: usize) -> CrashGuard {
+    CrashGuard::new().with_identity(&DaemonId(format!("10.1.0.{number}:7000")))
+}
+
 impl Fleet {
     fn new(request: RequestDigest) -> Self {
-        let guard = |number: u8| {
-            CrashGuard::new().with_identity(&DaemonId(format!("10.1.0.{number}:7000")))
-        };
         Self {
             request,
             guards: (0..3).map(guard).collect(),
             leader: CrashLedger::new(),
             now: Instant::now(),
+            term: 1,
             views: 0,
             workers: 0,
         }
@@ -244,11 +248,21 @@
             self.report();
             self.views += 1;
             let held = self.leader.quarantined(self.now);
-            let view = FleetView { gateways: 3, held, ..view(1, self.views, &[]) };
+            let crashes = self.leader.evidence_due(&held, self.now);
+            let view = FleetView { gateways: 3, held, crashes, ..view(self.term, self.views, &[]) };
             self.guards.iter_mut().for_each(|guard| guard.apply_view(&view, self.now));
         }
     }
 
+    /// Replaces the leader and these gateways by new processes.
+    fn restart(&mut self, gateways: &[usize]) {
+        for gateway in gateways {
+            self.guards[*gateway] = guard(*gateway);
+        }
+        self.leader = CrashLedger::new();
+        self.term += 1;
+    }
+
     fn report(&mut self) {
         for guard in &mut self.guards {
             self.leader.merge(&guard.due(self.now), self.now);
@@ -314,3 +328,39 @@
     let lost = left.saturating_sub(left_anew);
     assert!(lost < secs(3), "{left:?} were left, {left_anew:?} after the loss");
 }
+
+/// Guards against a quarantine that ends with its leader and the gateways that saw the crashes, while another gateway knows of it.
+#[rstest]
+fn quarantine_survives_loss_of_observers() {
+    let mut fleet = Fleet::new(REQUEST);
+    fleet.run_for(secs(1));
+    for gateway in [0, 1, 0] {
+        assert_eq!(fleet.send(&[gateway]), 1);
+        fleet.run_for(secs(1));
+    }
+    let left = fleet.leader.quarantine_left(REQUEST, fleet.now).expect("it is quarantined");
+    fleet.restart(&[0, 1]);
+    fleet.now += secs(3);
+    fleet.run_for(secs(1));
+    let left_anew = fleet.leader.quarantine_left(REQUEST, fleet.now).unwrap_or_default();
+    let lost = left.saturating_sub(left_anew);
+    assert!(lost < secs(5), "{left:?} were left, {left_anew:?} after the loss");
+    fleet.run_for(secs(10));
+    assert_eq!(fleet.send(&[0, 1, 2]), 0, "all gateways have been told again");
+}
+
+/// Evidence that the leader no longer lists is not told to the next one.
+#[rstest]
+fn evidence_ends_with_listing() {
+    let mut fleet = Fleet::new(REQUEST);
+    fleet.run_for(secs(1));
+    for gateway in [0, 1, 0] {
+        fleet.send(&[gateway]);
+        fleet.run_for(secs(1));
+    }
+    fleet.leader.contradict(REQUEST, fleet.now);
+    fleet.run_for(secs(1));
+    fleet.restart(&[0, 1]);
+    fleet.run_for(secs(6));
+    assert_eq!(fleet.leader.quarantine_state(REQUEST, fleet.now), None);
+}
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -110,6 +110,7 @@
         held: Vec::new(),
         leader: None,
         limits: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/measure/src/lives.rs
+++ b/crates/measure/src/lives.rs
@@ -196,6 +196,7 @@
         held: quarantined,
         leader: None,
         limits: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -87,6 +87,9 @@
 /// sent for an hour, 430 of them took 32 KB a second, although a gateway may send only 4 KB a
 /// second of control messages.
 const SINGLE_RUN_RESEND_TIME: Duration = Duration::from_secs(10);
+/// Interval after which the records of a quarantined request are published again, for gateways that
+/// have started since. 64 requests with three runs each take 2 KB a second.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval after which a record is sent again, in case the message was lost or its receivers have
 /// departed.
 const RESEND_INTERVAL: Duration = Duration::from_secs(2);
@@ -120,6 +123,8 @@
     published: Option<Instant>,
     /// When the record was last sent; `None` if it has changed since.
     last_sent: Option<Instant>,
+    /// When the record was last published as evidence; `None` if it has changed since.
+    evidence_sent: Option<Instant>,
 }
 
 impl RequestEntry {
@@ -133,6 +138,7 @@
         self.runs.sort_by_key(|run| run.ended);
         let surplus = self.runs.len().saturating_sub(MAX_RUNS);
         self.runs.drain(..surplus);
+        self.evidence_sent = None;
         true
     }
 
@@ -355,6 +361,31 @@
         records
     }
 
+    /// Returns the records of these quarantined requests that are due to be published now, so that
+    /// those who receive them can tell them to the next leader.
+    pub fn evidence_due(&mut self, quarantined: &[HeldRequest], now: Instant) -> Vec<CrashRecord> {
+        let mut records = Vec::new();
+        for held in quarantined {
+            let Some(entry) = self.requests.get_mut(&held.request) else { continue };
+            let recent = |at: Instant| now.saturating_duration_since(at) < EVIDENCE_INTERVAL;
+            if records.len() < MAX_SENT_RECORDS && !entry.evidence_sent.is_some_and(recent) {
+                entry.evidence_sent = Some(now);
+                records.push(to_record(held.request, entry, now));
+            }
+        }
+        records
+    }
+
+    /// Makes all records due to be sent, as if they had changed.
+    pub fn resend_all(&mut self) {
+        self.requests.values_mut().for_each(|entry| entry.last_sent = None);
+    }
+
+    /// Removes the records of all requests but those selected.
+    pub fn retain(&mut self, selected: impl Fn(RequestDigest) -> bool) {
+        self.requests.retain(|request, _| selected(*request));
+    }
+
     /// Removes runs that are older than the retention time.
     pub fn prune(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < RETENTION;
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1200,6 +1200,9 @@
 #[serde(deny_unknown_fields)]
 pub struct FleetView {
     pub controllers: ::std::vec::Vec<ControllerPlace>,
+    ///Records by which requests in `held` are known to crash upstreams: new or changed ones at once, the others at intervals. Gateways send them to the leader of the next term.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub crashes: ::std::vec::Vec<CrashRecord>,
     ///Version of the newest configuration that the leader knows to be committed; 0 means none.
     pub deployment: u64,
     ///Number of gateways from which controllers have recently received messages.
