--- a/tests/platform/stale_gateway.rs
+++ b/tests/platform/stale_gateway.rs
@@ -183,6 +183,7 @@
             held: Vec::new(),
             leader: None,
             limits: Vec::new(),
+            crashes: Vec::new(),
         };
         primary.links.send(&gateway, FleetMessage::View(view));
     }
