Date a leader's view by when it can have been sent

An isolated gateway answered 404 on a route that had been added since, and callers do not retry after that.

Cause: the age of the leader's confirmation was counted from when the gateway handled a view. Its log shows the connections to all controllers ended 2.6 s before it dated a view that named version 114, while 115 had been committed 1.9 to 2.2 s before that date, and other gateways had it in force.

Change: a view states the leader's clock. The view with the shortest way in the last 30 to 60 s shows how that clock relates to the local one (TransitClock, pure), and each view is dated by it. One that is old confirms nothing, so the gateway refuses what it lacks with 503. The field is the same for all gateways, so a view is still encoded once; it adds about 12 bytes by calculation.

Literals of views in tests name the new field; no check is changed.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -253,6 +253,7 @@
         let view = FleetView {
             term: leadership.term,
             number: leadership.view_number,
+            sent_ms: Some(now.saturating_duration_since(core.started).as_millis() as u64),
             deployment: core.log.read(DeploymentState::version),
             gateways: fleet.count_gateways(now),
             controllers: fleet.locations(),
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,6 +22,7 @@
 use crate::picker::{NoWorker, PickFacts, WorkerPicker};
 use crate::primary::PrimarySelector;
 use crate::protocol::{AnswerFacts, CallerProtocol};
+use crate::view_dates::ViewDates;
 
 /// Time after which a second attempt to connect to a worker starts.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
@@ -53,8 +54,9 @@
     pub(crate) permits_answered: Notify,
     pub(crate) in_flight: AtomicU32,
     pub(crate) suspension: Arc<SuspensionDetector>,
-    /// When a current view of the leader was last received.
+    /// When the latest view that was received can have been sent by the leader.
     last_view: Mutex<Option<Instant>>,
+    view_dates: Mutex<ViewDates>,
 }
 
 impl GatewayCore {
@@ -79,6 +81,7 @@
             in_flight: AtomicU32::new(0),
             suspension: Arc::new(SuspensionDetector::new()),
             last_view: Mutex::new(None),
+            view_dates: Mutex::default(),
             settings,
             protocol,
         }
@@ -163,12 +166,21 @@
             self.budget.set_limits(share_of(&allowance_of(&self.settings), gateways));
         }
         if recent {
-            *self.last_view.lock().expect("no holder of the lock panics") = Some(now);
+            self.record_confirmation(view, now);
             let mut primary = self.primary.lock().expect("no holder of the lock panics");
             primary.record_view(from, &view.controllers, now);
         }
     }
 
+    /// Records when the leader confirmed which configuration is the newest.
+    fn record_confirmation(&self, view: &FleetView, now: Instant) {
+        let mut dates = self.view_dates.lock().expect("no holder of the lock panics");
+        let sent = dates.date(view, now);
+        drop(dates);
+        let mut last = self.last_view.lock().expect("no holder of the lock panics");
+        *last = last.max(Some(sent));
+    }
+
     /// Returns whether new callers may be sent to this gateway.
     pub(crate) fn is_ready(&self) -> bool {
         let initialised = self.routes().is_some() && !self.picker().is_empty();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod shared_view;
 mod stream;
 mod timeouts;
+mod view_dates;
 mod watch;
 mod whole;
 
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -26,6 +26,7 @@
         leader: None,
         limits: Vec::new(),
         crashes: Vec::new(),
+        sent_ms: None,
     }
 }
 
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -111,6 +111,7 @@
         leader: None,
         limits: Vec::new(),
         crashes: Vec::new(),
+        sent_ms: None,
     }
 }
 
--- a/crates/measure/src/lives.rs
+++ b/crates/measure/src/lives.rs
@@ -197,6 +197,7 @@
         leader: None,
         limits: Vec::new(),
         crashes: Vec::new(),
+        sent_ms: None,
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -34,6 +34,7 @@
 mod prefix;
 mod probes;
 pub mod retry;
+mod transit;
 mod upstream_wait;
 
 pub use adaptive::AdaptiveLimit;
@@ -58,4 +59,5 @@
 pub use picker::{PickRules, RouteCandidate, RouteChoice, RoutePicker, UpstreamKey};
 pub use prefix::{PrefixTable, hash_prefix};
 pub use probes::{may_probe, probe_delay};
+pub use transit::TransitClock;
 pub use upstream_wait::{UpstreamOutlook, WaitFacts, may_return_to_failed, upstream_wait_limit};
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1220,6 +1220,9 @@
     pub loads: ::std::vec::Vec<WorkerLoad>,
     ///Increases with each view of a term.
     pub number: u64,
+    ///Leader's clock in milliseconds since its process started; it shows which views were held up on their way.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub sent_ms: ::std::option::Option<u64>,
     pub term: Term,
     ///Workers to which no new requests must be sent.
     pub withheld: ::std::vec::Vec<WorkerId>,
--- a/tests/platform/stale_gateway.rs
+++ b/tests/platform/stale_gateway.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hollowbarrow_member::{MemberLinks, read_member_settings};
 use hollowbarrow_schema::{
@@ -75,6 +75,8 @@
     callers: String,
     /// Version that the leader's views name, or `None` while no views are sent.
     view_version: Arc<Mutex<Option<u64>>>,
+    /// Time in milliseconds for which views are held up on their way.
+    held_ms: Arc<AtomicU64>,
     process: Child,
     _folder: TempDir,
 }
@@ -103,6 +105,7 @@
             .expect("the binary starts");
         let gateway = DaemonId(format!("{}:{mesh}", ip(3)));
         let view_version = Arc::default();
+        let held_ms = Arc::default();
         let controllers = vec![
             ControllerPlace { id: primary.links.id().clone(), zone: ZoneId::from("a") },
             ControllerPlace { id: other.links.id().clone(), zone: ZoneId::from("b") },
@@ -112,9 +115,10 @@
             gateway.clone(),
             controllers,
             Arc::clone(&view_version),
+            Arc::clone(&held_ms),
         ));
         let callers = format!("{}:{callers}", ip(3));
-        Self { primary, other, gateway, callers, view_version, process, _folder: folder }
+        Self { primary, other, gateway, callers, view_version, held_ms, process, _folder: folder }
     }
 
     fn set_view_version(&self, version: u64) {
@@ -168,10 +172,13 @@
     gateway: DaemonId,
     controllers: Vec<ControllerPlace>,
     view_version: Arc<Mutex<Option<u64>>>,
+    held_ms: Arc<AtomicU64>,
 ) {
+    let started = Instant::now();
     for number in 1.. {
         tokio::time::sleep(POLL_INTERVAL).await;
         let Some(deployment) = *view_version.lock().expect("not poisoned") else { continue };
+        let held_ms = held_ms.load(Ordering::SeqCst);
         let view = FleetView {
             term: Term(1),
             number,
@@ -184,6 +191,7 @@
             leader: None,
             limits: Vec::new(),
             crashes: Vec::new(),
+            sent_ms: Some((started.elapsed().as_millis() as u64).saturating_sub(held_ms)),
         };
         primary.links.send(&gateway, FleetMessage::View(view));
     }
@@ -231,6 +239,23 @@
     fixture.wait_status("/chat/1", "other", 503).await;
 }
 
+/// Guards against a gateway that denies an acknowledged route because views from before the change
+/// reach it late.
+#[rstest]
+#[tokio::test]
+async fn refusal_with_delayed_views() {
+    let fixture = Fixture::start(14);
+    fixture.set_view_version(3);
+    fixture.deliver(3).await;
+    fixture.wait_status("/none/1", KEY, 404).await;
+    fixture.held_ms.store(2000, Ordering::SeqCst);
+    fixture.wait_status("/none/1", KEY, 503).await;
+    fixture.wait_status("/chat/1", "other", 503).await;
+    fixture.held_ms.store(0, Ordering::SeqCst);
+    fixture.wait_status("/none/1", KEY, 404).await;
+    fixture.wait_status("/chat/1", "other", 401).await;
+}
+
 #[rstest]
 #[tokio::test]
 async fn report_behind() {
