--- /dev/null
+++ b/crates/log/tests/founding_adversary.rs
@@ -0,0 +1,221 @@
+//! Founding of a log under an adversary that delivers any message that was ever sent, in any order and
+//! any number of times, and empties disks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hollowbarrow_log::{LogReplica, LogStorage, MemoryStorage, ReplicaConfig, VoteRecord};
+use hollowbarrow_schema::{
+    ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogMessage, Term,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+const ELECTION: Duration = Duration::from_millis(100);
+
+struct Adversary {
+    now: Instant,
+    ids: Vec<DaemonId>,
+    replicas: BTreeMap<DaemonId, LogReplica<MemoryStorage>>,
+    sent: Vec<(DaemonId, DaemonId, LogMessage)>,
+    fresh: Vec<usize>,
+    lives: BTreeMap<DaemonId, u64>,
+    emptied: BTreeSet<DaemonId>,
+    leaders: BTreeMap<Term, (DaemonId, u64)>,
+    committed: BTreeMap<u64, (Term, String)>,
+    rng: ChaCha8Rng,
+}
+
+impl Adversary {
+    fn config(&self, id: &DaemonId, seed: u64) -> ReplicaConfig {
+        ReplicaConfig::new(id, &self.ids, &self.ids).with_election(ELECTION).with_seed(seed)
+    }
+
+    fn new(voters: usize, earlier: u8, seed: u64) -> Self {
+        let ids: Vec<DaemonId> =
+            ["a", "b", "c", "d", "e"][..voters].iter().map(|id| DaemonId::from(*id)).collect();
+        let now = Instant::now();
+        let mut new = Self {
+            now,
+            ids: ids.clone(),
+            replicas: BTreeMap::new(),
+            sent: Vec::new(),
+            fresh: Vec::new(),
+            lives: BTreeMap::new(),
+            emptied: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for id in ids {
+            let mut storage = MemoryStorage::new().with_durable(true);
+            if earlier > 0 && new.rng.random_bool(0.5) {
+                // A folder of an earlier release that had votes, no disk id and no entries.
+                let term = Term(new.rng.random_range(0..4));
+                let initialised = earlier > 1;
+                let vote = VoteRecord { term, initialised, ..VoteRecord::default() };
+                storage.set_vote(vote).expect("memory takes it");
+            }
+            new.start(&id, storage);
+        }
+        new
+    }
+
+    fn start(&mut self, id: &DaemonId, storage: MemoryStorage) {
+        let seed = self.rng.random_range(0..u64::MAX);
+        let replica = LogReplica::new(self.config(id, seed), storage, self.now);
+        self.replicas.insert(id.clone(), replica);
+    }
+
+    fn flush(&mut self, id: &DaemonId) -> Result<(), String> {
+        let now = self.now;
+        let replica = self.replicas.get_mut(id).expect("known");
+        for (to, message) in replica.flush(now) {
+            if self.ids.contains(&to) {
+                self.fresh.push(self.sent.len());
+                self.sent.push((id.clone(), to, message));
+            }
+        }
+        let life = *self.lives.entry(id.clone()).or_default();
+        if replica.is_leader() {
+            let term = replica.term();
+            let leader = (id.clone(), life);
+            let known = self.leaders.entry(term).or_insert_with(|| leader.clone());
+            if *known != leader {
+                return Err(format!("term {} has two leaders: {known:?} and {leader:?}", *term));
+            }
+        }
+        for entry in replica.take_committed() {
+            let found = (entry.term, format!("{:?}", entry.payload));
+            let known = self.committed.entry(*entry.index).or_insert_with(|| found.clone());
+            if *known != found {
+                return Err(format!("index {} has {known:?} and {found:?}", *entry.index));
+            }
+        }
+        // A disk that the committed log names is no emptied one any more.
+        let replica = &self.replicas[id];
+        let last = *replica.storage().window().last_index();
+        if last > 0 && *replica.commit() == last && replica.fault().is_none() {
+            self.emptied.remove(id);
+        }
+        Ok(())
+    }
+
+    fn act(&mut self) -> Result<(), String> {
+        let id = self.ids[self.rng.random_range(0..self.ids.len())].clone();
+        match self.rng.random_range(0..1000) {
+            0..60 => {
+                let replica = self.replicas.get_mut(&id).expect("known");
+                self.now = self.now.max(replica.next_deadline());
+                replica.tick(self.now);
+                self.flush(&id)
+            }
+            60..72 => {
+                let bearable = (self.ids.len() - 1) / 2;
+                if !self.emptied.contains(&id) && self.emptied.len() >= bearable {
+                    return Ok(());
+                }
+                self.emptied.insert(id.clone());
+                *self.lives.entry(id.clone()).or_default() += 1;
+                self.start(&id, MemoryStorage::new().with_durable(true));
+                self.flush(&id)
+            }
+            72..80 => {
+                let replica = self.replicas.remove(&id).expect("known");
+                self.start(&id, replica.into_storage());
+                self.flush(&id)
+            }
+            80..100 => {
+                let number = self.rng.random_range(0..u64::MAX);
+                let sweep = ClaimCommand::Sweep(ClaimSweep { now_ms: number, retain_ms: 0 });
+                let now = self.now;
+                let replica = self.replicas.get_mut(&id).expect("known");
+                replica.propose(vec![EntryPayload::Claim(sweep)], now);
+                self.flush(&id)
+            }
+            number => {
+                let position = if number < 700 && !self.fresh.is_empty() {
+                    let recent = self.fresh.len().saturating_sub(12);
+                    let at = self.rng.random_range(recent..self.fresh.len());
+                    self.fresh.remove(at)
+                } else if self.sent.is_empty() {
+                    return Ok(());
+                } else {
+                    self.rng.random_range(0..self.sent.len())
+                };
+                let (from, to, message) = self.sent[position].clone();
+                self.now += Duration::from_millis(self.rng.random_range(0..8));
+                let now = self.now;
+                self.replicas.get_mut(&to).expect("known").step(&from, message, now);
+                self.flush(&to)
+            }
+        }
+    }
+}
+
+/// Longest time from the last fault until there is a leader that has committed an entry.
+const FOUNDED_WITHIN: Duration = Duration::from_secs(20);
+
+impl Adversary {
+    /// Delivers all further messages at once and in order until a leader has committed an entry.
+    fn settle(&mut self) -> Result<(), String> {
+        self.fresh.clear();
+        let until = self.now + FOUNDED_WITHIN;
+        while !self.replicas.values().any(LogReplica::is_current) {
+            let next = self.replicas.iter().map(|(id, one)| (one.next_deadline(), id.clone())).min();
+            let (due, id) = next.expect("there are voters");
+            self.now = self.now.max(due);
+            if self.now > until {
+                let state = |one: &LogReplica<MemoryStorage>| {
+                    let window = one.storage().window();
+                    let last = (*window.last_term(), *window.last_index());
+                    format!("{} last {last:?} {:?} {:?}", one.id(), one.storage().vote(), one.fault())
+                };
+                let states: Vec<String> = self.replicas.values().map(state).collect();
+                return Err(format!("no leader: {states:#?}"));
+            }
+            let now = self.now;
+            self.replicas.get_mut(&id).expect("known").tick(now);
+            self.flush(&id)?;
+            while !self.fresh.is_empty() {
+                let (from, to, message) = self.sent[self.fresh.remove(0)].clone();
+                self.replicas.get_mut(&to).expect("known").step(&from, message, now);
+                self.flush(&to)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Guards against two leaders of one term, and committed entries that are lost, if messages of former
+/// lives arrive at any time.
+#[rstest]
+#[case::one(1, 0)]
+#[case::two(2, 0)]
+#[case::three(3, 0)]
+#[case::five(5, 0)]
+#[case::three_with_earlier_folders(3, 1)]
+#[case::three_with_earlier_quorum(3, 2)]
+#[case::five_with_earlier_folders(5, 1)]
+#[case::five_with_earlier_quorum(5, 2)]
+fn log_founded_once_under_adversary(#[case] voters: usize, #[case] earlier: u8) {
+    let draws: u64 = std::env::var("HB_DRAWS").ok().and_then(|n| n.parse().ok()).unwrap_or(2000);
+    let (mut led, mut committed, mut failed) = (0, 0, Vec::new());
+    for seed in 0..draws {
+        let mut adversary = Adversary::new(voters, earlier, seed);
+        let acts = adversary.rng.random_range(0..600);
+        let acted = (0..acts).try_for_each(|_| adversary.act());
+        let result = acted.and_then(|()| adversary.settle());
+        led += usize::from(!adversary.leaders.is_empty());
+        committed += usize::from(!adversary.committed.is_empty());
+        if let Err(error) = result {
+            failed.push(format!("seed {seed}: {error}"));
+        }
+    }
+    let doubled = failed.iter().filter(|one| !one.contains("no leader")).count();
+    println!("{doubled} unsafe, {} in all", failed.len());
+    println!("{voters} voters ({earlier}): {draws} draws, {led} led, {committed} committed");
+    assert!(failed.is_empty(), "{} failed: {:#?}", failed.len(), &failed[..failed.len().min(1)]);
+}
