--- a/crates/log/tests/founding_adversary.rs
+++ b/crates/log/tests/founding_adversary.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_log::{LogReplica, LogStorage, MemoryStorage, ReplicaConfig, VoteRecord};
-use hollowbarrow_schema::{
-    ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogMessage, Term,
-};
+use hollowbarrow_schema::{ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogMessage, Term};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -164,14 +162,20 @@
         self.fresh.clear();
         let until = self.now + FOUNDED_WITHIN;
         while !self.replicas.values().any(LogReplica::is_current) {
-            let next = self.replicas.iter().map(|(id, one)| (one.next_deadline(), id.clone())).min();
+            let next =
+                self.replicas.iter().map(|(id, one)| (one.next_deadline(), id.clone())).min();
             let (due, id) = next.expect("there are voters");
             self.now = self.now.max(due);
             if self.now > until {
                 let state = |one: &LogReplica<MemoryStorage>| {
                     let window = one.storage().window();
                     let last = (*window.last_term(), *window.last_index());
-                    format!("{} last {last:?} {:?} {:?}", one.id(), one.storage().vote(), one.fault())
+                    format!(
+                        "{} last {last:?} {:?} {:?}",
+                        one.id(),
+                        one.storage().vote(),
+                        one.fault()
+                    )
                 };
                 let states: Vec<String> = self.replicas.values().map(state).collect();
                 return Err(format!("no leader: {states:#?}"));
@@ -219,3 +223,58 @@
     println!("{voters} voters ({earlier}): {draws} draws, {led} led, {committed} committed");
     assert!(failed.is_empty(), "{} failed: {:#?}", failed.len(), &failed[..failed.len().min(1)]);
 }
+
+/// Guards against a log that is never founded because the only disk with an entry was emptied before,
+/// and nobody can elect it or found without it. Two of five disks are emptied, nothing is committed.
+#[rstest]
+fn founding_after_entry_on_emptied_disk() -> Result<(), String> {
+    let mut cluster = Adversary::new(5, 0, 1);
+    let mut appends = Vec::new();
+    let leader = loop {
+        if let Some(leader) = cluster.replicas.values().find(|one| one.is_leader()) {
+            break leader.id().clone();
+        }
+        let next = cluster.replicas.iter().map(|(id, one)| (one.next_deadline(), id.clone())).min();
+        let (due, id) = next.expect("there are voters");
+        cluster.now = cluster.now.max(due);
+        let now = cluster.now;
+        cluster.replicas.get_mut(&id).expect("known").tick(now);
+        cluster.flush(&id)?;
+        while !cluster.fresh.is_empty() {
+            let (from, to, message) = cluster.sent[cluster.fresh.remove(0)].clone();
+            if matches!(message, LogMessage::Append(_)) {
+                appends.push((from, to, message));
+                continue;
+            }
+            cluster.replicas.get_mut(&to).expect("known").step(&from, message, now);
+            cluster.flush(&to)?;
+        }
+    };
+    let other = cluster.ids.iter().find(|id| **id != leader).expect("there are others").clone();
+    cluster.start(&other, MemoryStorage::new().with_durable(true));
+    let now = cluster.now;
+    for (from, _, message) in appends.into_iter().filter(|(_, to, _)| *to == other) {
+        cluster.replicas.get_mut(&other).expect("known").step(&from, message, now);
+    }
+    cluster.flush(&other)?;
+    cluster.start(&leader, MemoryStorage::new().with_durable(true));
+    assert!(cluster.committed.is_empty(), "nothing was acknowledged");
+    cluster.settle()
+}
+
+/// Guards against a log that is never founded because a voter of an earlier release, which has voted
+/// and has no entry, is elected by disks that the log then does not name.
+#[rstest]
+#[case::three(3)]
+#[case::five(5)]
+fn founding_with_voter_of_earlier_release(#[case] voters: usize) -> Result<(), String> {
+    for seed in 0..20 {
+        let mut cluster = Adversary::new(voters, 0, seed);
+        let mut storage = MemoryStorage::new().with_durable(true);
+        let vote = VoteRecord { term: Term(1), initialised: true, ..VoteRecord::default() };
+        storage.set_vote(vote).expect("memory takes it");
+        cluster.start(&DaemonId::from("a"), storage);
+        cluster.settle().map_err(|error| format!("seed {seed}: {error}"))?;
+    }
+    Ok(())
+}
