Elect a leader that does not found by voters that the log names alone

After a release was changed while a log was being founded, no log was founded at all: of three or five voters one had an empty folder of the earlier release, which says that it may vote.

Cause: a candidate counted founders' votes in every trial. One with such a folder may stand without founding, so a majority of founders' votes before all had agreed elected it as an ordinary leader. Its first entry named no disk, no voter counted after that, and nobody's log was empty any more.

Change: votes of founders count for a founding campaign only. Any other one needs a majority of voters that the log names.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -155,6 +155,8 @@
         /// In the first trial after a leader's silence: that leader, which may still lead.
         leader: Option<DaemonId>,
         granted: BTreeSet<DaemonId>,
+        /// Those of them whose disks the log names; only these elect a leader that does not found.
+        named: BTreeSet<DaemonId>,
         founding: bool,
     },
     Leader(LeaderRole),
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -37,7 +37,8 @@
         }
         let leader = self.suspected_leader(trial);
         let granted = BTreeSet::from([self.config.id.clone()]);
-        self.role = ReplicaRole::Candidate { trial, leader, granted, founding };
+        let named = granted.clone();
+        self.role = ReplicaRole::Candidate { trial, leader, granted, named, founding };
         let window = self.storage.window();
         let request = VoteRequest {
             term,
@@ -147,7 +148,9 @@
         let founder = self.may_found()
             && reply.disk.id.is_some()
             && self.founding_disk(from, reply.trial) == reply.disk.id;
-        let ReplicaRole::Candidate { trial, granted, .. } = &mut self.role else { return };
+        let ReplicaRole::Candidate { trial, granted, named: by_named, .. } = &mut self.role else {
+            return;
+        };
         if *trial != reply.trial {
             return;
         }
@@ -155,16 +158,22 @@
         if reply.granted && reply.term == term && (named || founder) {
             granted.insert(from.clone());
         }
+        if reply.granted && reply.term == term && named {
+            by_named.insert(from.clone());
+        }
         self.count_votes(now);
     }
 
     pub(super) fn count_votes(&mut self, now: Instant) {
-        let ReplicaRole::Candidate { trial, granted, founding, .. } = &self.role else {
+        let ReplicaRole::Candidate { trial, granted, named, founding, .. } = &self.role else {
             return;
         };
-        let votes = self.voters.ids().iter().filter(|voter| granted.contains(*voter)).count();
-        let majority = votes >= self.voters.majority();
-        let elected = majority && self.is_quorum_member();
+        let is_majority = |votes: &BTreeSet<DaemonId>| {
+            let votes = self.voters.ids().iter().filter(|voter| votes.contains(*voter)).count();
+            votes >= self.voters.majority()
+        };
+        let majority = is_majority(granted);
+        let elected = is_majority(named) && self.is_quorum_member();
         let unanimous = self.may_found() && self.is_founding_unanimous();
         match (*trial, *founding) {
             (true, _) if majority && unanimous => self.campaign(now, false, true),
