Take only a newer report of another process for a restart

A late report of a node's former process, in another daemon's digest, was taken for another restart: it ended a backoff that the new process had just asked for, and other zones were told of it for 10 s.

Cause: reports were compared by the process alone, while the table of leases ignores older ones.

Change: a report shows a restart only if it is at least as new as the latest one, in probes and digests alike.

shows_restart_by_newer_report is new; there was no such function before, so it did not fail on the code before.

--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -15,7 +15,7 @@
     ZoneTable,
 };
 use hollowbarrow_state::ConfigState;
-use hollowbarrow_zone::{FailureDetector, LeaseTable, NodeObservation, RestartTable};
+use hollowbarrow_zone::{FailureDetector, LeaseTable, NodeObservation, RestartTable, digest_time};
 use tokio::time::Instant;
 
 use crate::digest::{expand_set, extract_set};
@@ -166,8 +166,7 @@
         observation: NodeObservation,
         now: Instant,
     ) {
-        let known = self.leases.observation(id);
-        let restarted = known.is_some_and(|known| known.start != observation.start)
+        let restarted = self.leases.shows_restart(id, observation.start, observation.seen)
             || self.gone.contains_key(id);
         if restarted {
             self.record_restart(id, now);
@@ -240,9 +239,10 @@
         // Without an echo the time of sending is unknown, so the ages cannot be used.
         if let Some(base) = base {
             for node in &digest.nodes {
-                let known = self.leases.observation(&node.n);
-                let restarted = known.is_some_and(|known| known.start != node.s);
-                let returned = known.is_none() && self.gone.contains_key(&node.n);
+                let restarted = digest_time(node, base, held)
+                    .is_some_and(|seen| self.leases.shows_restart(&node.n, node.s, seen));
+                let returned =
+                    self.leases.observation(&node.n).is_none() && self.gone.contains_key(&node.n);
                 self.leases.observe_digest(node, base, held);
                 if let Some(observation) = self.leases.observation(&node.n) {
                     self.detector.record_answer(&node.n, observation.seen);
--- a/crates/zone/src/lease.rs
+++ b/crates/zone/src/lease.rs
@@ -88,6 +88,12 @@
     seen: Instant,
 }
 
+/// Returns the earliest time at which a node can have sent the report in another daemon's digest.
+/// `base` and `lead` are as for [`LeaseTable::observe_digest`].
+pub fn digest_time(digest: &NodeDigest, base: Instant, lead: Duration) -> Option<Instant> {
+    (base + lead).checked_sub(Duration::from_millis(u64::from(digest.a)))
+}
+
 impl LeaseTable {
     /// Creates an empty table with the length of a heartbeat's lease.
     pub fn new(lease: Duration) -> Self {
@@ -114,6 +120,12 @@
         self.observations.is_empty()
     }
 
+    /// Returns whether a report shows that the node runs another process than the one known. A
+    /// report that is older than the latest one shows nothing.
+    pub fn shows_restart(&self, node: &NodeId, start: StartId, seen: Instant) -> bool {
+        self.observations.get(node).is_some_and(|known| known.start != start && known.seen <= seen)
+    }
+
     /// Records an observation unless a later one is known.
     pub fn observe(&mut self, node: &NodeId, observation: NodeObservation) {
         let known = self.observations.get(node);
@@ -130,8 +142,7 @@
     /// before it sent the digest. The digest was therefore sent at `base + lead` or later, and the
     /// node cannot have sent its report earlier than `base + lead - age`.
     pub fn observe_digest(&mut self, digest: &NodeDigest, base: Instant, lead: Duration) {
-        let age = Duration::from_millis(u64::from(digest.a));
-        let Some(seen) = (base + lead).checked_sub(age) else { return };
+        let Some(seen) = digest_time(digest, base, lead) else { return };
         let observation = NodeObservation {
             start: digest.s,
             epoch: digest.e,
--- a/crates/zone/src/lib.rs
+++ b/crates/zone/src/lib.rs
@@ -29,7 +29,7 @@
 pub use authority::{AuthorityMember, TableStanding, TableStore};
 pub use config::AuthorityConfig;
 pub use detector::{FailureDetector, MASS_SILENCE_LEASES};
-pub use lease::{LeaseTable, NodeObservation, ServingRefusal};
+pub use lease::{LeaseTable, NodeObservation, ServingRefusal, digest_time};
 pub use lifecycle::{
     Draining, Failed, Forming, LifecycleState, Loading, Ready, Released, ReplicaLifecycle, Serving,
 };
--- a/crates/zone/tests/lease.rs
+++ b/crates/zone/tests/lease.rs
@@ -197,3 +197,18 @@
     let now = started + if start == 1 { LEASE * 2 } else { Duration::ZERO };
     assert_eq!(table.may_be_renewed(&allocation(1, 5), LEASE * 4, now), expected);
 }
+
+/// Guards against a late report of the former process that is taken for another restart.
+#[rstest]
+#[case::newer_other_process(2, 10, true)]
+#[case::newer_same_process(1, 10, false)]
+#[case::older_other_process(2, -10, false)]
+fn shows_restart_by_newer_report(#[case] start: u64, #[case] ms: i64, #[case] expected: bool) {
+    let known = Instant::now() + LEASE;
+    let mut table = LeaseTable::new(LEASE);
+    let shift = Duration::from_millis(ms.unsigned_abs());
+    let seen = if ms < 0 { known - shift } else { known + shift };
+    assert!(!table.shows_restart(&node(0), StartId(start), seen), "no report is known");
+    table.observe(&node(0), observation(1, 5, true, known));
+    assert_eq!(table.shows_restart(&node(0), StartId(start), seen), expected);
+}
