Send single runs again for the requests of the latest list only

A gateway sent the single runs of every request that a leader had ever listed for as long as runs count, an hour: 320 records in 2 s in due_single_runs_of_former_lists, where a list holds 64. By calculation that is about 24 KB/s in the worst case, and 4 KB/s is the aim for all control messages of a daemon.

Cause: that a request was once listed was never forgotten.

Change: of the requests that were ever listed, the 64 that were listed last count as listed. That is as many as a list holds, so evidence against a request of the latest list is still told to the next leader.

due_single_runs_of_former_lists failed before and passes now; the 34 tests of crashes in routing and the 17 in the gateway pass, among them quarantine_survives_loss_of_controllers and _of_observers.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -174,13 +174,15 @@
 
     /// Returns whether the record is due to be sent: at once if it has changed, and otherwise at
     /// intervals. A record with a single run is sent again only for a limited time, unless it is
-    /// part of the evidence against a request. An answer is sent again while a daemon publishes the
-    /// request although it should have received the answer.
-    fn is_due(&self, now: Instant) -> bool {
+    /// part of the evidence against a request that was published at this time or later. An answer is
+    /// sent again while a daemon publishes the request although it should have received the answer.
+    fn is_due(&self, published_since: Option<Instant>, now: Instant) -> bool {
         let Some(last_sent) = self.last_sent else { return true };
         let within = |at: Instant, time: Duration| now.saturating_duration_since(at) < time;
         let fresh = self.last_end().is_some_and(|ended| within(ended, SINGLE_RUN_RESEND_TIME));
-        let evidence = self.runs.len() > 1 || (self.published.is_some() && self.answered.is_none());
+        let listed =
+            self.published.is_some_and(|at| published_since.is_none_or(|since| at >= since));
+        let evidence = self.runs.len() > 1 || (listed && self.answered.is_none());
         let lacking = self.published.is_some_and(|at| at >= last_sent + RESEND_INTERVAL);
         !within(last_sent, RESEND_INTERVAL) && (fresh || evidence || lacking)
     }
@@ -348,8 +350,9 @@
     /// Returns the records that are due to be sent now: those that have changed, and those not sent
     /// for a while.
     pub fn due(&mut self, now: Instant) -> Vec<CrashRecord> {
+        let since = self.latest_list_time();
         let mut due: Vec<_> =
-            self.requests.iter_mut().filter(|(_, entry)| entry.is_due(now)).collect();
+            self.requests.iter_mut().filter(|(_, entry)| entry.is_due(since, now)).collect();
         // Requests most likely to be quarantined come first, and of these the most recent.
         due.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.suspicion()));
         due.truncate(MAX_SENT_RECORDS);
@@ -361,6 +364,19 @@
         records
     }
 
+    /// Returns since when the requests of the latest list were published, `None` if no more requests
+    /// than a list holds were ever published. Lists change, and only the latest one's requests are
+    /// still known to crash upstreams.
+    fn latest_list_time(&self) -> Option<Instant> {
+        let mut times: Vec<Instant> =
+            self.requests.values().filter_map(|entry| entry.published).collect();
+        if times.len() <= MAX_SENT_QUARANTINES {
+            return None;
+        }
+        times.sort_unstable();
+        Some(times[times.len() - MAX_SENT_QUARANTINES])
+    }
+
     /// Returns the records of these quarantined requests that are due to be published now, so that
     /// those who receive them can tell them to the next leader.
     pub fn evidence_due(&mut self, quarantined: &[HeldRequest], now: Instant) -> Vec<CrashRecord> {
