Say in three comments what the code does, not what was seen

Comments only: the suspicion by split bursts, the interval of evidence and the load pattern of dated messages.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -57,9 +57,8 @@
 /// clears the request.
 const ANSWERED_BEFORE: QuarantineRule = QuarantineRule { runs: 6, base: Duration::from_secs(10) };
 /// Number of runs of a request that was never answered after which it is suspected, and sent only
-/// as a probe request, although they are fewer pieces of evidence than a quarantine requires. When
-/// duplicates crashed two upstreams at once and a third one later, or one and then two, that was
-/// neither a burst nor three consecutive runs, and the next duplicates were sent by every daemon.
+/// as a probe request, although they are less evidence than a quarantine requires: runs that end two
+/// at once and one later, or one and then two, are neither a burst nor three consecutive runs.
 const SUSPECTED_RUNS: usize = 3;
 /// Number of these runs that must be consecutive. One loss interrupts many runs at once.
 const SUSPECTED_SEQUENCE: usize = 2;
@@ -88,7 +87,7 @@
 /// second of control messages.
 const SINGLE_RUN_RESEND_TIME: Duration = Duration::from_secs(10);
 /// Interval after which the records of a quarantined request are published again, for gateways that
-/// have started since. 64 requests with three runs each take 2 KB a second.
+/// have started since.
 const EVIDENCE_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval after which a record is sent again, in case the message was lost or its receivers have
 /// departed.
--- a/crates/routing/src/transit.rs
+++ b/crates/routing/src/transit.rs
@@ -5,8 +5,8 @@
 //! have no common zero, but the message with the shortest way shows how they relate: any other one
 //! was on its way for at least as much longer as its receipt is later.
 //!
-//! Load pattern: a gateway was cut off from all controllers and still received the views that had
-//! been sent before. It took them for new ones, and denied a route that had been added since.
+//! Load pattern: a daemon that is cut off may still receive messages that were sent before. Dated by
+//! their receipt they would show that it knows the newest state.
 //!
 //! Trade-off: the shortest way itself is not known and counts as zero. It is compared over the
 //! last one to two [`WINDOW`]s, so that clocks that drift do not age all messages.
