Refuse a claim to an attempt that has released it

Cause: a release removed the claim, or did nothing where there was none, and left no mark by which a later open could be known to be an old one.

The log of claims now remembers each release for the retention time of claims, and answers not_held to an open of that attempt. Attempts are drawn anew for each request, so no attempt that runs opens after its release.

Tests: open_after_release (2 cases) and sweep_removes_releases failed before. claim_once held that a free key is granted to whoever asks; for an attempt that has released the key it now holds the opposite, and failed before. All else that it checks is unchanged.

--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -8,7 +8,8 @@
 //! Invariants: a key is granted to one attempt only, until that attempt
 //! releases it (no byte was sent) or it is removed after the retention time; an
 //! open claim whose lifetime has passed becomes unknown and is never granted
-//! again.
+//! again; an attempt that has released its claim is not granted it again within
+//! the retention time, also if its request to open arrives after the release.
 
 use std::collections::BTreeMap;
 
@@ -40,6 +41,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimState {
     records: BTreeMap<ClaimKey, ClaimRecord>,
+    /// Attempts that have released a claim, with the time of the release by the log's clock; none
+    /// until the next sweep.
+    #[serde(default)]
+    released: BTreeMap<(ClaimKey, String), Option<u64>>,
     now_ms: u64,
 }
 
@@ -54,9 +59,9 @@
         self.records.len()
     }
 
-    /// Returns whether no key has a claim.
+    /// Returns whether there is nothing that a sweep could remove.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.records.is_empty() && self.released.is_empty()
     }
 
     /// Returns the time of the log's clock in milliseconds.
@@ -75,6 +80,9 @@
     }
 
     fn open(&mut self, open: &ClaimOpen) -> ClaimOutcome {
+        if self.released.contains_key(&(open.key.clone(), open.attempt.clone())) {
+            return ClaimOutcome::NotHeld;
+        }
         let Some(record) = self.records.get(&open.key) else {
             let record = ClaimRecord {
                 fingerprint: open.fingerprint,
@@ -113,6 +121,7 @@
     }
 
     fn release(&mut self, release: &ClaimRelease) -> ClaimOutcome {
+        self.released.entry((release.key.clone(), release.attempt.clone())).or_default();
         match self.record_of_attempt(&release.key, &release.attempt) {
             Some(record)
                 if matches!(record.phase, ClaimPhase::Open { .. } | ClaimPhase::Unknown) =>
@@ -142,12 +151,14 @@
                 record.phase = ClaimPhase::Unknown;
             }
         }
+        let retained = |since: Option<u64>| {
+            since.is_none_or(|since| now.saturating_sub(since) < sweep.retain_ms)
+        };
         self.records.retain(|_, record| {
-            matches!(record.phase, ClaimPhase::Open { .. })
-                || record
-                    .opened_ms
-                    .is_none_or(|opened| now.saturating_sub(opened) < sweep.retain_ms)
+            matches!(record.phase, ClaimPhase::Open { .. }) || retained(record.opened_ms)
         });
+        self.released.values_mut().for_each(|at| *at = at.or(Some(now)));
+        self.released.retain(|_, at| retained(*at));
         ClaimOutcome::Closed
     }
 }
--- a/crates/state/tests/machines.rs
+++ b/crates/state/tests/machines.rs
@@ -84,6 +84,7 @@
         let mut now = 1_000_000;
         let mut holder: BTreeMap<u8, u8> = BTreeMap::new();
         let mut closed_keys: BTreeSet<u8> = BTreeSet::new();
+        let mut released: BTreeSet<(u8, u8)> = BTreeSet::new();
         for (key, attempt, kind, elapsed_ms) in steps {
             let name = ClaimKey(key.to_string());
             let attempt_id = attempt.to_string();
@@ -92,6 +93,9 @@
                     let open = ClaimOpen { key: name, fingerprint: 1, attempt: attempt_id, lifetime_ms: 2000 };
                     let granted = state.apply_command(&ClaimCommand::Open(open)) == ClaimOutcome::Granted;
                     match holder.get(&key) {
+                        _ if released.contains(&(key, attempt)) => {
+                            prop_assert!(!granted, "an attempt that had released the claim was granted it");
+                        }
                         None => {
                             prop_assert!(granted, "a free key was not granted");
                             holder.insert(key, attempt);
@@ -113,6 +117,7 @@
                 3 => {
                     let release = ClaimRelease { key: name, attempt: attempt_id };
                     let freed = state.apply_command(&ClaimCommand::Release(release)) == ClaimOutcome::Closed;
+                    released.insert((key, attempt));
                     if freed {
                         prop_assert_eq!(holder.remove(&key), Some(attempt), "another attempt's claim was released");
                         prop_assert!(!closed_keys.contains(&key), "a closed claim was released");
@@ -174,3 +179,34 @@
     };
     assert_eq!(state.apply_command(&ClaimCommand::Open(other)), ClaimOutcome::Mismatch);
 }
+
+fn release(attempt: &str) -> ClaimCommand {
+    ClaimCommand::Release(ClaimRelease { key: ClaimKey::from("k"), attempt: attempt.to_owned() })
+}
+
+/// Guards against a key that no request can use, since a request to open its claim arrived after the
+/// release.
+#[rstest]
+#[case::never_opened(false)]
+#[case::opened_twice(true)]
+fn open_after_release(#[case] opened: bool) {
+    let mut state = ClaimState::new();
+    if opened {
+        assert_eq!(state.apply_command(&open("first")), ClaimOutcome::Granted);
+    }
+    state.apply_command(&release("first"));
+    assert_eq!(state.apply_command(&open("first")), ClaimOutcome::NotHeld);
+    assert_eq!(state.apply_command(&open("second")), ClaimOutcome::Granted);
+}
+
+#[rstest]
+fn sweep_removes_releases() {
+    let mut state = ClaimState::new();
+    state.apply_command(&release("first"));
+    assert!(!state.is_empty(), "a sweep is needed");
+    state.apply_command(&sweep(1_000));
+    state.apply_command(&sweep(60_999));
+    assert_eq!(state.apply_command(&open("first")), ClaimOutcome::NotHeld);
+    state.apply_command(&sweep(61_000));
+    assert!(state.is_empty());
+}
