--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -6,6 +6,10 @@
 //! synced. The files `vote` and `snapshot` are replaced by writing a new file,
 //! syncing it, renaming it over the old one and syncing the folder.
 //!
+//! The last record of each write also holds, after its body, the index up to which the log was known
+//! to be committed then. That index is never above the entries that precede it, so a log that lost
+//! its tail names none of the entries that it lost. Releases that do not know it ignore it.
+//!
 //! Invariants: after a crash the last segment may end with a torn record, which
 //! is cut off when the segment is opened. An invalid record that is followed by
 //! a valid one is damage: opening fails, because cutting there could drop
@@ -44,7 +48,8 @@
     window: EntryWindow,
     segment: File,
     segment_path: PathBuf,
-    pending: Vec<u8>,
+    /// Bodies of the records that are not written yet.
+    pending: Vec<Vec<u8>>,
 }
 
 impl FileStorage {
@@ -81,21 +86,30 @@
     }
 
     fn push_record(&mut self, record: &SegmentRecord) -> Result<(), StoreLogError> {
-        let body = encode(record)?;
-        push_framed(&mut self.pending, &body);
+        self.pending.push(encode(record)?);
         Ok(())
     }
 
+    /// Frames the bodies of records, the last one followed by the committed index.
+    fn frame_all(&self, bodies: &[Vec<u8>]) -> Result<Vec<u8>, StoreLogError> {
+        let committed = encode(&self.window.committed())?;
+        let mut bytes = Vec::new();
+        for (position, body) in bodies.iter().enumerate() {
+            let last = position + 1 == bodies.len();
+            push_framed(&mut bytes, body, if last { &committed } else { &[] });
+        }
+        Ok(bytes)
+    }
+
     /// Writes the entries after the snapshot to a new segment and removes the older segments.
     fn roll_segment(&mut self) -> Result<(), StoreLogError> {
         let old = list_segments(&self.folder)?;
         let first = *self.window.snapshot_index() + 1;
         let path = segment_path(&self.folder, first);
-        let mut bytes = Vec::new();
-        for entry in self.window.entries_from(LogIndex(first), usize::MAX) {
-            push_framed(&mut bytes, &encode(&SegmentRecord::Entry(Box::new(entry.clone())))?);
-        }
-        replace_file(&path, &bytes)?;
+        let entries = self.window.entries_from(LogIndex(first), usize::MAX);
+        let bodies = entries.map(|entry| encode(&SegmentRecord::Entry(Box::new(entry.clone()))));
+        let bodies: Vec<Vec<u8>> = bodies.collect::<Result<_, _>>()?;
+        replace_file(&path, &self.frame_all(&bodies)?)?;
         self.segment = open_segment(&path)?;
         self.segment_path = path.clone();
         self.pending.clear();
@@ -145,12 +159,17 @@
         self.roll_segment()
     }
 
+    fn set_committed(&mut self, index: LogIndex) {
+        self.window.set_committed(index);
+    }
+
     fn sync(&mut self) -> Result<(), StoreLogError> {
         if self.pending.is_empty() {
             return Ok(());
         }
+        let bytes = self.frame_all(&self.pending)?;
         let path = &self.segment_path;
-        self.segment.write_all(&self.pending).map_err(|e| access("write", path, e))?;
+        self.segment.write_all(&bytes).map_err(|e| access("write", path, e))?;
         self.segment.sync_data().map_err(|e| access("sync", path, e))?;
         self.pending.clear();
         Ok(())
@@ -168,10 +187,15 @@
     Ok(body)
 }
 
-fn push_framed(bytes: &mut Vec<u8>, body: &[u8]) {
-    bytes.extend((body.len() as u32).to_le_bytes());
-    bytes.extend(crc32fast::hash(body).to_le_bytes());
+/// Appends a record whose body consists of two parts.
+fn push_framed(bytes: &mut Vec<u8>, body: &[u8], rest: &[u8]) {
+    let mut checksum = crc32fast::Hasher::new();
+    checksum.update(body);
+    checksum.update(rest);
+    bytes.extend(((body.len() + rest.len()) as u32).to_le_bytes());
+    bytes.extend(checksum.finalize().to_le_bytes());
     bytes.extend(body);
+    bytes.extend(rest);
 }
 
 /// Reads the framed record at an offset; returns none if it is truncated, too long or its checksum
@@ -244,15 +268,26 @@
             }
             return cut_tail(path, offset as u64);
         };
-        let record = ciborium::from_reader::<SegmentRecord, _>(body).map_err(|_| {
-            StoreLogError::UnknownRecord { path: path.to_owned(), offset: offset as u64 }
-        })?;
+        let (record, committed) = decode_record(body)
+            .ok_or(StoreLogError::UnknownRecord { path: path.to_owned(), offset: offset as u64 })?;
         apply_record(record, window)?;
+        window.set_committed(committed.unwrap_or_default());
         offset += HEADER_BYTES + body.len();
     }
     Ok(())
 }
 
+/// Decodes a record and the committed index, if one follows; returns none if they are unknown.
+fn decode_record(body: &[u8]) -> Option<(SegmentRecord, Option<LogIndex>)> {
+    let mut rest = body;
+    let record = ciborium::from_reader(&mut rest).ok()?;
+    let committed = match rest {
+        [] => None,
+        _ => Some(ciborium::from_reader(rest).ok()?),
+    };
+    Some((record, committed))
+}
+
 fn apply_record(record: SegmentRecord, window: &mut EntryWindow) -> Result<(), StoreLogError> {
     match record {
         SegmentRecord::Entry(entry) if entry.index <= window.snapshot_index() => Ok(()),
@@ -292,7 +327,7 @@
 
 fn write_small<T: Serialize>(path: &Path, value: &T) -> Result<(), StoreLogError> {
     let mut bytes = Vec::new();
-    push_framed(&mut bytes, &encode(value)?);
+    push_framed(&mut bytes, &encode(value)?, &[]);
     replace_file(path, &bytes)
 }
 
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -209,6 +209,7 @@
     pub fn new(config: ReplicaConfig, storage: S, now: Instant) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let snapshot = storage.window().snapshot_index();
+        let commit = storage.window().committed();
         let founding = FoundingProgress::new(storage.vote().founders.as_ref());
         let mut replica = Self {
             config,
@@ -216,7 +217,7 @@
             role: ReplicaRole::Follower { leader: None },
             voters: Electorate::default(),
             founding,
-            commit: snapshot,
+            commit,
             applied: snapshot,
             deadline: now,
             leader_contact: None,
@@ -381,6 +382,7 @@
     /// Syncs the storage and returns all messages, including those that had to wait for the sync.
     pub fn flush(&mut self, now: Instant) -> Vec<(DaemonId, LogMessage)> {
         if self.storage_fault().is_none() {
+            self.storage.set_committed(self.commit);
             match self.storage.sync() {
                 Ok(()) => self.record_local_sync(now),
                 Err(error) => self.fail(error.into()),
--- a/crates/log/src/storage.rs
+++ b/crates/log/src/storage.rs
@@ -119,6 +119,10 @@
     /// Fails if the snapshot may not be durable.
     fn install_snapshot(&mut self, snapshot: LogSnapshot) -> Result<(), StoreLogError>;
 
+    /// Sets the index up to which the log is known to be committed. It becomes durable together with
+    /// the next entries that are synced, and is no reason to sync by itself.
+    fn set_committed(&mut self, index: LogIndex);
+
     /// Makes all appended entries durable.
     ///
     /// # Errors
@@ -132,6 +136,7 @@
 pub struct EntryWindow {
     snapshot: Option<LogSnapshot>,
     entries: VecDeque<LogEntry>,
+    committed: LogIndex,
 }
 
 impl EntryWindow {
@@ -150,6 +155,11 @@
         self.entries.back().map_or(self.snapshot_index(), |entry| entry.index)
     }
 
+    /// Returns an index up to which the snapshot and the entries are known to be committed.
+    pub fn committed(&self) -> LogIndex {
+        self.committed.max(self.snapshot_index())
+    }
+
     /// Returns the term of the last entry or of the snapshot.
     pub fn last_term(&self) -> Term {
         self.term_at(self.last_index()).unwrap_or_default()
@@ -209,6 +219,13 @@
 
     pub(crate) fn truncate_from(&mut self, index: LogIndex) {
         self.entries.truncate(self.position(index).unwrap_or(0));
+        self.committed = self.committed.min(self.last_index());
+    }
+
+    /// Sets the index up to which entries are known to be committed; entries that are missing here
+    /// do not count.
+    pub(crate) fn set_committed(&mut self, index: LogIndex) {
+        self.committed = self.committed.max(index.min(self.last_index()));
     }
 
     pub(crate) fn set_snapshot(&mut self, snapshot: LogSnapshot) {
@@ -276,6 +293,10 @@
         Ok(())
     }
 
+    fn set_committed(&mut self, index: LogIndex) {
+        self.window.set_committed(index);
+    }
+
     fn sync(&mut self) -> Result<(), StoreLogError> {
         Ok(())
     }
@@ -310,6 +331,10 @@
         (**self).install_snapshot(snapshot)
     }
 
+    fn set_committed(&mut self, index: LogIndex) {
+        (**self).set_committed(index);
+    }
+
     fn sync(&mut self) -> Result<(), StoreLogError> {
         (**self).sync()
     }
--- a/crates/log/tests/replication.rs
+++ b/crates/log/tests/replication.rs
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 enum StorageAction {
     Append(LogEntry),
+    Commit(LogIndex),
     Truncate(LogIndex),
     Vote(hollowbarrow_log::VoteRecord),
     Snapshot(LogSnapshot),
@@ -50,6 +51,10 @@
         for action in &self.synced {
             let replayed = match action.clone() {
                 StorageAction::Append(entry) => live.append(&[entry]),
+                StorageAction::Commit(index) => {
+                    live.set_committed(index);
+                    Ok(())
+                }
                 StorageAction::Truncate(index) => live.truncate_from(index),
                 StorageAction::Vote(vote) => live.set_vote(vote),
                 StorageAction::Snapshot(snapshot) => live.install_snapshot(snapshot),
@@ -105,7 +110,14 @@
         self.live.install_snapshot(snapshot)
     }
 
+    fn set_committed(&mut self, index: LogIndex) {
+        self.live.set_committed(index);
+    }
+
     fn sync(&mut self) -> Result<(), hollowbarrow_log::StoreLogError> {
+        if !self.pending.is_empty() {
+            self.pending.push(StorageAction::Commit(self.live.window().committed()));
+        }
         self.synced.append(&mut self.pending);
         self.live.sync()
     }
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -9,7 +9,7 @@
 };
 use proptest::prelude::*;
 use rstest::rstest;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 fn entry(index: u64) -> LogEntry {
     LogEntry { index: LogIndex(index), term: Term(1), payload: EntryPayload::Noop }
@@ -178,3 +178,172 @@
     };
     assert_eq!(*storage.vote(), expected);
 }
+
+/// The records of earlier releases, and what these read of later ones.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierRecord {
+    Entry(Box<LogEntry>),
+    TruncateFrom(LogIndex),
+}
+
+/// Returns a folder whose log was synced after entries 1 to 3, with 2 committed, and after entries 4
+/// to 6, with 4 committed.
+fn filled_with_committed(folder: &Path) -> FileStorage {
+    let mut storage = FileStorage::open(folder).expect("a fresh folder opens");
+    for (last, committed) in [(3, 2), (6, 4)] {
+        let entries: Vec<LogEntry> = (last - 2..=last).map(entry).collect();
+        storage.append(&entries).expect("entries follow");
+        storage.set_committed(LogIndex(committed));
+        storage.sync().expect("the disk works");
+    }
+    storage
+}
+
+/// Guards against a voter that knows after its start only what its last snapshot holds.
+#[rstest]
+fn committed_after_restart() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    drop(filled_with_committed(folder.path()));
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    assert_eq!(storage.window().committed(), LogIndex(4));
+}
+
+#[rstest]
+fn committed_alone_is_not_written() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled_with_committed(folder.path());
+    let length = || std::fs::metadata(segment(folder.path())).expect("readable").len();
+    let before = length();
+    storage.set_committed(LogIndex(6));
+    storage.sync().expect("the disk works");
+    assert_eq!(length(), before);
+}
+
+/// The log ends after each of its bytes in turn, as a torn write leaves it: the index read is the one
+/// of a complete write before, and names no entry that is lost.
+#[rstest]
+fn committed_after_torn_write() {
+    let full = tempfile::tempdir().expect("a folder can be made");
+    drop(filled_with_committed(full.path()));
+    let bytes = std::fs::read(segment(full.path())).expect("the segment is readable");
+    let mut seen = Vec::new();
+    for length in 0..=bytes.len() {
+        let folder = tempfile::tempdir().expect("a folder can be made");
+        drop(filled(folder.path(), 0));
+        std::fs::write(segment(folder.path()), &bytes[..length]).expect("writable");
+        let storage = FileStorage::open(folder.path()).expect("a torn tail is cut off");
+        let (last, committed) = (*storage.window().last_index(), *storage.window().committed());
+        let expected = match last {
+            0..=2 => 0,
+            3..=5 => 2,
+            _ => 4,
+        };
+        assert_eq!(committed, expected, "{length} bytes, {last} entries");
+        seen.push(last);
+    }
+    seen.dedup();
+    assert_eq!(seen, vec![0, 1, 2, 3, 4, 5, 6]);
+}
+
+/// An index above the entries that are there names only those.
+#[rstest]
+fn committed_without_its_entries() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled(folder.path(), 3);
+    storage.set_committed(LogIndex(9));
+    assert_eq!(storage.window().committed(), LogIndex(3));
+    storage.truncate_from(LogIndex(3)).expect("the disk works");
+    storage.sync().expect("the disk works");
+    drop(storage);
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    assert_eq!(storage.window().committed(), LogIndex(2));
+}
+
+/// A folder that lost its entries and kept its votes and snapshot.
+#[rstest]
+fn committed_without_segments() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled_with_committed(folder.path());
+    storage.set_vote(VoteRecord::default()).expect("the disk works");
+    storage.install_snapshot(snapshot_at(2)).expect("the disk works");
+    drop(storage);
+    std::fs::remove_file(segment(folder.path())).expect("the segment can be removed");
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    assert_eq!(storage.window().committed(), LogIndex(2));
+}
+
+#[rstest]
+fn committed_after_snapshot() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled_with_committed(folder.path());
+    storage.install_snapshot(snapshot_at(3)).expect("the disk works");
+    drop(storage);
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    assert_eq!(storage.window().committed(), LogIndex(4));
+    assert_eq!(storage.window().last_index(), LogIndex(6));
+}
+
+fn snapshot_at(index: u64) -> LogSnapshot {
+    LogSnapshot {
+        index: LogIndex(index),
+        term: Term(1),
+        voters: vec!["v1".into()],
+        disks: Vec::new(),
+        state: vec![1, 2, 3],
+    }
+}
+
+/// A log of an earlier release names no committed index.
+#[rstest]
+fn open_segment_of_earlier_release() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    drop(filled(folder.path(), 0));
+    let records = [
+        EarlierRecord::Entry(Box::new(entry(1))),
+        EarlierRecord::Entry(Box::new(entry(2))),
+        EarlierRecord::TruncateFrom(LogIndex(2)),
+        EarlierRecord::Entry(Box::new(entry(2))),
+    ];
+    let bytes: Vec<u8> = records.iter().flat_map(framed).collect();
+    std::fs::write(segment(folder.path()), bytes).expect("the segment is writable");
+    let storage = FileStorage::open(folder.path()).expect("the folder is readable");
+    assert_eq!(storage.window().last_index(), LogIndex(2));
+    assert_eq!(storage.window().committed(), LogIndex(0));
+}
+
+/// An earlier release reads the records of this one.
+#[rstest]
+fn read_segment_by_earlier_release() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    drop(filled_with_committed(folder.path()));
+    let bytes = std::fs::read(segment(folder.path())).expect("the segment is readable");
+    let (mut offset, mut records) = (0, Vec::new());
+    while offset < bytes.len() {
+        let length = u32::from_le_bytes(bytes[offset..offset + 4].try_into().expect("four bytes"));
+        let body = &bytes[offset + 8..offset + 8 + length as usize];
+        let record: EarlierRecord = ciborium::from_reader(body).expect("the record is readable");
+        records.push(record);
+        offset += 8 + length as usize;
+    }
+    let expected: Vec<EarlierRecord> =
+        (1..=6).map(|index| EarlierRecord::Entry(Box::new(entry(index)))).collect();
+    assert_eq!(records, expected);
+}
+
+/// What the committed index adds to a write, whatever the number of its entries.
+#[rstest]
+#[case::first_changes(10, 1)]
+#[case::few_changes(200, 2)]
+#[case::a_day_of_changes(54_000, 3)]
+#[case::years_of_changes(50_000_000, 5)]
+fn committed_adds_few_bytes(#[case] committed: u64, #[case] added: u64) {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled(folder.path(), 0);
+    storage.install_snapshot(snapshot_at(committed)).expect("the disk works");
+    let entries = [entry(committed + 1), entry(committed + 2)];
+    storage.append(&entries).expect("entries follow");
+    storage.sync().expect("the disk works");
+    let written = std::fs::metadata(segment(folder.path())).expect("readable").len();
+    let earlier = entries.map(|entry| framed(&EarlierRecord::Entry(Box::new(entry))).len() as u64);
+    assert_eq!(written, earlier.iter().sum::<u64>() + added);
+}
--- a/crates/log/tests/support/disk.rs
+++ b/crates/log/tests/support/disk.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Debug)]
 enum DiskAction {
     Append(LogEntry),
+    Commit(LogIndex),
     Truncate(LogIndex),
     Snapshot(LogSnapshot),
 }
@@ -35,6 +36,10 @@
         for action in &self.synced {
             let replayed = match action.clone() {
                 DiskAction::Append(entry) => live.append(&[entry]),
+                DiskAction::Commit(index) => {
+                    live.set_committed(index);
+                    Ok(())
+                }
                 DiskAction::Truncate(index) => live.truncate_from(index),
                 DiskAction::Snapshot(snapshot) => live.install_snapshot(snapshot),
             };
@@ -77,7 +82,14 @@
         self.live.install_snapshot(snapshot)
     }
 
+    fn set_committed(&mut self, index: LogIndex) {
+        self.live.set_committed(index);
+    }
+
     fn sync(&mut self) -> Result<(), StoreLogError> {
+        if !self.pending.is_empty() {
+            self.pending.push(DiskAction::Commit(self.live.window().committed()));
+        }
         self.synced.append(&mut self.pending);
         self.live.sync()
     }
--- a/crates/log/tests/support/mod.rs
+++ b/crates/log/tests/support/mod.rs
@@ -241,7 +241,11 @@
         let node = self.nodes.get_mut(id).expect("known");
         let Some(disk) = node.disk.take() else { return };
         node.applied = 0;
-        node.replica = Some(LogReplica::new(config, disk, self.now));
+        let replica = LogReplica::new(config, disk, self.now);
+        if *replica.commit() > self.list.len() as u64 {
+            self.broken.get_or_insert(format!("{} starts with more than was committed", **id));
+        }
+        node.replica = Some(replica);
     }
 
     /// Stops a daemon at once, as a loss of power does: it loses what it has not synced.
@@ -278,6 +282,11 @@
         self.nodes[id].replica.is_some()
     }
 
+    /// Returns how many entries a daemon's state machine has applied since its start.
+    pub fn applied(&self, id: &DaemonId) -> u64 {
+        self.nodes[id].applied
+    }
+
     pub fn replica(&self, id: &DaemonId) -> &LogReplica<CrashStorage> {
         self.nodes[id].replica.as_ref().expect("the daemon runs")
     }
--- a/tests/platform/publishing.rs
+++ b/tests/platform/publishing.rs
@@ -209,3 +209,50 @@
         }
     }
 }
+
+/// A zone is cut off and loses power after an acknowledged change that dropped a route, and one more
+/// change. Its gateway must be served again, and must not run requests of the route: that happened
+/// by a snapshot that lay up to 16 changes behind.
+#[rstest]
+#[tokio::test]
+async fn dropped_route_not_served_in_cut_off_zone() {
+    let (mut system, _, _other_worker) =
+        start_with_changes(89, Layout::zoned_behind_proxies()).await;
+    let zone = find_follower(&system).await;
+    let fleet = Fleet::new(vec![system.controllers[zone].clone()]);
+    let _worker = Worker::start(&fleet, "p1", "bookings", false);
+    let next = LAST_VERSION + 1;
+    assert_eq!(system.replace(&configuration(next)).await, 200);
+    wait_for_version(&system, zone, next).await;
+    wait_for_controller(&system, zone, next).await;
+    let inside = [zone, CONTROLLERS + zone];
+    set_links_around(&system, &inside, (FaultMode::Blackhole, FaultMode::Blackhole));
+    system.lose_power_of(&inside, &[]);
+    for poll in 0..MAX_POLLS {
+        let id = format!("dropped-{poll}");
+        let _ = system.call(zone, &added_path(ADDED_VERSION), &id, Some(KEY)).await;
+        assert_eq!(fleet.runs(&id), 0, "the dropped route is served: {}", system.logs());
+        if system.version_at(zone).await > 0 {
+            break;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    system.call_gateway_until_served(zone, "/hold/1", "cut-off").await;
+    let id = "dropped-last";
+    let _ = system.call(zone, &added_path(ADDED_VERSION), id, Some(KEY)).await;
+    assert_eq!(fleet.runs(id), 0, "the dropped route is served: {}", system.logs());
+    let version = system.version_at(zone).await;
+    assert!(version >= LAST_VERSION, "version {version} is in force: {}", system.logs());
+}
+
+/// Waits until a controller holds this version as committed.
+async fn wait_for_controller(system: &System, controller: usize, version: u64) {
+    let line = format!("controller_configuration_version {version}");
+    for _ in 0..MAX_POLLS {
+        if system.has_metric(controller, &line).await {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("controller {controller} does not hold version {version}: {}", system.logs());
+}
