Open a log whose former segment was not removed yet

When both are there, those entries are read twice, and the second time they do not follow the last entry.

A segment holds every entry from the first one on that its name tells, because it is written whole, synced and then renamed. So reading a segment now replaces what earlier ones held from there on. A gap between two segments is refused as before.

--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -232,14 +232,17 @@
 /// Checks that no entry is missing between the snapshot and the first segment.
 fn check_first_segment(segments: &[PathBuf], window: &EntryWindow) -> Result<(), StoreLogError> {
     let expected = *window.snapshot_index() + 1;
-    let name = segments.first().and_then(|path| path.file_name()?.to_str());
-    let first = name.and_then(|name| name.strip_prefix(SEGMENT_PREFIX)?.parse::<u64>().ok());
-    match first.filter(|first| *first > expected) {
+    match segments.first().and_then(|path| first_index(path)).filter(|first| *first > expected) {
         Some(found) => Err(StoreLogError::BrokenOrder { expected, found }),
         None => Ok(()),
     }
 }
 
+/// Returns the index of a segment's first entry, which its name contains.
+fn first_index(segment: &Path) -> Option<u64> {
+    segment.file_name()?.to_str()?.strip_prefix(SEGMENT_PREFIX)?.parse().ok()
+}
+
 fn open_segment(path: &Path) -> Result<File, StoreLogError> {
     let mut file = OpenOptions::new()
         .create(true)
@@ -257,6 +260,11 @@
     File::open(path)
         .and_then(|mut file| file.read_to_end(&mut bytes))
         .map_err(|e| access("read", path, e))?;
+    if let Some(first) = first_index(path) {
+        // A segment holds every entry from its first one on; a former segment that was not removed
+        // yet may hold some of them too.
+        window.truncate_from(LogIndex(first));
+    }
     let mut offset = 0;
     while offset < bytes.len() {
         let Some(body) = framed_at(&bytes, offset).filter(|body| !body.is_empty()) else {
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -347,3 +347,25 @@
     let earlier = entries.map(|entry| framed(&EarlierRecord::Entry(Box::new(entry))).len() as u64);
     assert_eq!(written, earlier.iter().sum::<u64>() + added);
 }
+
+/// Power is lost after a new segment was written and before the former one was removed: both hold the
+/// entries after the snapshot, and the folder could not be opened.
+#[rstest]
+fn open_beside_former_segment() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled_with_committed(folder.path());
+    let former = segment(folder.path());
+    let bytes = std::fs::read(&former).expect("the segment is readable");
+    storage.install_snapshot(snapshot_at(3)).expect("the disk works");
+    drop(storage);
+    assert_ne!(segment(folder.path()), former);
+    std::fs::write(&former, bytes).expect("the segment is writable");
+    let mut storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    assert_eq!(storage.window().last_index(), LogIndex(6));
+    assert_eq!(storage.window().committed(), LogIndex(4));
+    storage.append(&[entry(7)]).expect("entries follow");
+    storage.sync().expect("the disk works");
+    drop(storage);
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    assert_eq!(storage.window().last_index(), LogIndex(7));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,4 +11,5 @@
 mod reference;
 mod requests;
 mod support;
+mod unconfirmed;
 mod voter_replacement;
