--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -297,8 +297,11 @@
 }
 
 fn apply_record(record: SegmentRecord, window: &mut EntryWindow) -> Result<(), StoreLogError> {
+    let snapshot_term = window.snapshot().map(|snapshot| snapshot.term);
     match record {
         SegmentRecord::Entry(entry) if entry.index <= window.snapshot_index() => Ok(()),
+        // Terms never go down in a log, so this entry belongs to one that the snapshot replaced.
+        SegmentRecord::Entry(entry) if Some(entry.term) < snapshot_term => Ok(()),
         SegmentRecord::Entry(entry) => window.push(*entry),
         SegmentRecord::TruncateFrom(index) => {
             window.truncate_from(index);
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -369,3 +369,29 @@
     let storage = FileStorage::open(folder.path()).expect("the folder opens again");
     assert_eq!(storage.window().last_index(), LogIndex(7));
 }
+
+/// Power is lost after a leader's snapshot was stored that does not continue the log here, and before
+/// the entries that it replaces were removed. They must not follow the snapshot: a candidate with as
+/// many of them would count as up to date.
+#[rstest]
+fn open_with_entries_that_snapshot_replaced() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled(folder.path(), 6);
+    let former = segment(folder.path());
+    let bytes = std::fs::read(&former).expect("the segment is readable");
+    let snapshot = LogSnapshot { term: Term(2), ..snapshot_at(4) };
+    storage.install_snapshot(snapshot).expect("the disk works");
+    drop(storage);
+    std::fs::remove_file(segment(folder.path())).expect("the segment can be removed");
+    std::fs::write(&former, bytes).expect("the segment is writable");
+    let mut storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    let window = storage.window();
+    assert_eq!((window.last_index(), window.last_term()), (LogIndex(4), Term(2)));
+    let next = LogEntry { term: Term(2), ..entry(5) };
+    storage.append(&[next]).expect("entries follow");
+    storage.sync().expect("the disk works");
+    drop(storage);
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    let window = storage.window();
+    assert_eq!((window.last_index(), window.last_term()), (LogIndex(5), Term(2)));
+}
