Store the first entries of a log only once committed where it names another disk

Callers saw: no log is founded, so nothing can be configured or claimed, although all voters run. Five voters, two disks emptied while the log is founded: one of them receives the first entry, which names its former disk, and the leader, which alone has it besides, is emptied next.

Cause: the voter with the entry is not counted, since the log does not name its disk, and it agrees to no founders, since its log is not empty; founders need all voters. Nobody else has the entry, so nobody that the log names can lead.

Change: a voter with an empty log whose disk the leader's log does not name answers such entries as a voter that stores nothing of them, until the leader has committed the first one. It is in no quorum of that log, so no commit waits for it, and it can still agree to founders. No disk gives up what it has stored, and the founding's argument is as it was: no disk that a log names is concerned. Rejected without a run: to let the voter discard or replace the entry, since nothing on its disk tells an uncommitted entry from the last copy of a log (docs/decisions/log.md, The first entries).

--- a/crates/log/src/replica/founding.rs
+++ b/crates/log/src/replica/founding.rs
@@ -16,10 +16,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hollowbarrow_schema::{DaemonId, DiskId, Founders, Term, VoteReply, VoteRequest, VoterDisk};
+use hollowbarrow_schema::{
+    AppendRequest, DaemonId, DiskId, Founders, Term, VoteReply, VoteRequest, VoterDisk,
+};
 use tokio::time::Instant;
 
-use super::LogReplica;
+use super::{BATCH_ENTRIES, LogReplica};
+use crate::electorate::Electorate;
 use crate::storage::{LogStorage, VoteRecord};
 
 /// What a replica whose log is empty knows of the other voters.
@@ -64,6 +67,23 @@
             && self.storage_fault().is_none()
     }
 
+    /// Returns whether this replica stores the first entries of a log only once the first one is
+    /// committed, because the leader's log does not name its disk.
+    ///
+    /// Such a disk is in no quorum of that log, so the leader does not need it. If it held an entry
+    /// that is committed nowhere, and all other disks that held it were emptied, this replica could
+    /// neither be elected nor agree to other founders. A full batch is stored, since an entry that it
+    /// does not contain may name the disk.
+    pub(super) fn awaits_first_commit(&self, request: &AppendRequest) -> bool {
+        if *request.commit > 0 || request.entries.len() >= BATCH_ENTRIES || !self.may_agree() {
+            return false;
+        }
+        let entries = request.entries.iter().rev();
+        let named = entries.filter_map(|entry| Electorate::from_payload(&entry.payload)).next();
+        let voters = named.as_ref().unwrap_or(&self.voters);
+        !voters.counts(&self.config.id, &self.storage.vote().identity())
+    }
+
     /// Returns the founders that this replica holds.
     pub(super) fn founders(&self) -> Option<&Founders> {
         self.storage.vote().founders.as_ref()
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -84,6 +84,9 @@
             let hint = self.conflict_hint(request.previous_index);
             return self.answer_append(from, request.term, false, hint, request.round);
         }
+        if self.awaits_first_commit(&request) {
+            return self.answer_append(from, request.term, true, LogIndex(0), request.round);
+        }
         let matched = LogIndex(*request.previous_index + request.entries.len() as u64);
         if !self.store_entries(request.entries) {
             return;
