Elect a voter with an empty log by founders only, whatever its folder says

Callers saw: no log is founded although all voters run, at a first start over folders of an earlier release that was founding at that moment. Two of three voters have such folders, they elect a leader, and the disk of one of them is emptied.

Cause: a vote file of an earlier release that says that its disk was part of the quorum counts where the log names no disk, and an empty log names none.

Change: a replica whose log is empty is elected by founders only, whose leader names all disks in its first entry. This takes one way to be elected away and adds none: votes and agreements are counted as before. A voter with such a vote file may found whatever the settings say now, since three of them that are told not to found would not get a leader otherwise. What it costs: two such voters that are told not to found led without the third before, and wait for it now, as all others did.

--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -173,7 +173,8 @@
             votes >= self.voters.majority()
         };
         let majority = is_majority(granted);
-        let elected = is_majority(named) && self.is_quorum_member();
+        // A leader whose log is empty would append a first entry that names no disk.
+        let elected = !self.is_blank() && is_majority(named) && self.is_quorum_member();
         let unanimous = self.may_found() && self.is_founding_unanimous();
         match (*trial, *founding) {
             (true, _) if majority && unanimous => self.campaign(now, false, true),
--- a/crates/log/src/replica/founding.rs
+++ b/crates/log/src/replica/founding.rs
@@ -55,8 +55,12 @@
 
 impl<S: LogStorage> LogReplica<S> {
     /// Returns whether this replica may found a log with others whose logs are also empty.
+    ///
+    /// A disk that an earlier release recorded as part of the quorum was in use when its log was
+    /// founded, whatever the settings say now.
     pub(super) fn may_found(&self) -> bool {
-        self.storage.vote().founder && self.may_agree()
+        let vote = self.storage.vote();
+        (vote.founder || vote.initialised) && self.may_agree()
     }
 
     /// Returns whether this replica may be one of the founders of a log.
