Use no endpoint by a configuration that no leader confirmed since the start

What callers saw: an entry daemon that restarted sent requests to an external endpoint that had been deleted while it was down. Two voters were in contact and no leader could be elected, since one of them had lost its disk and the third, which held the deletion, was down.

Cause: a daemon acted on what its log held after the start without asking how old that may be. Only the refusal of an unknown model asked for a leader's confirmation.

A daemon now keeps the standing of its configuration: confirmed once a leader has shown since the start that it is complete, cut off if no majority of the voters' zones is heard, and waiting otherwise and for the first five election times. While it waits, requests go to no external endpoint, which only the configuration names. Replicas and services are served as before, by zones' tables and the platform's list. A request for an endpoint waits while the daemon is starting, as for an upstream whose lease is unconfirmed, and is refused with 503 and Retry-After after that. The confirmed routes are set before the standing says so.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -225,6 +225,8 @@
             let message = "the deadline passed before an upstream had capacity";
             return Err(CallerError::not_run(ErrorCode::DeadlinePassed, message));
         }
+        // Read before the routes: those of a confirmed configuration are set before it counts as such.
+        let standing = core.standing.get();
         let routes = core.routes();
         let entries = match &request.kind {
             RequestKind::Completion { model, .. } => routes.model(model),
@@ -232,7 +234,8 @@
         };
         let mut candidates = {
             let fleet = core.fleet();
-            let open = entries.iter().filter_map(|entry| entry.to_candidate(&fleet, now));
+            let allowed = entries.iter().filter(|entry| entry.is_allowed(standing));
+            let open = allowed.filter_map(|entry| entry.to_candidate(&fleet, now));
             open.collect::<Vec<RouteCandidate>>()
         };
         let backoff = drop_backed_off(core, &mut candidates, now);
@@ -349,7 +352,10 @@
         let fleet = core.fleet();
         entries.iter().any(|entry| entry.is_unconfirmed(&fleet, now))
     };
-    if is_unconfirmed {
+    let standing = core.standing.get();
+    let awaits_leader =
+        core.is_starting(now) && entries.iter().any(|entry| !entry.is_allowed(standing));
+    if is_unconfirmed || awaits_leader {
         return UpstreamOutlook::Unconfirmed;
     }
     let RequestKind::Completion { model, .. } = &request.kind else { return UpstreamOutlook::None };
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::config_standing::SharedStanding;
 use crate::fleet::FleetView;
 use crate::proposals::PendingCalls;
 use crate::routes::RouteIndex;
@@ -67,6 +68,8 @@
     pub(crate) telemetry: Telemetry,
     pub(crate) timer_delays: Mutex<TimerDelays>,
     pub(crate) started: Instant,
+    /// Whether the configuration held may be acted on.
+    pub(crate) standing: SharedStanding,
     pub(crate) ready: AtomicBool,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: AtomicU32,
@@ -135,7 +138,7 @@
     }
 
     /// Returns for how long a sign of a leader, or of another daemon, is valid.
-    fn confirmation_validity(&self) -> Duration {
+    pub(crate) fn confirmation_validity(&self) -> Duration {
         Duration::from_millis(CONFIRMATION_ELECTIONS * self.settings.timing.election_ms)
     }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
 
 use crate::callers::serve_callers;
 use crate::claims::sweep_claims;
+use crate::config_standing::{SharedStanding, follow_standing};
 use crate::core::DaemonCore;
 use crate::digest::{handle_digest, send_digests};
 use crate::fleet::FleetView;
@@ -202,6 +203,7 @@
         tokio::spawn(maintain_quotas(Arc::clone(&core)));
         tokio::spawn(sweep_claims(Arc::clone(&core)));
         tokio::spawn(follow_config(Arc::clone(&core)));
+        tokio::spawn(follow_standing(Arc::clone(&core)));
         tokio::spawn(prune_upstream_state(Arc::clone(&core)));
         tokio::spawn(maintain_permits(Arc::clone(&core)));
         tokio::spawn(serve_callers(Arc::clone(&core), listeners.callers, stopped));
@@ -292,6 +294,7 @@
         telemetry,
         timer_delays: Mutex::default(),
         started: now,
+        standing: SharedStanding::default(),
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         in_flight: AtomicU32::new(0),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller_request;
 mod callers;
 mod claims;
+mod config_standing;
 mod core;
 mod daemon;
 mod digest;
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -10,6 +10,7 @@
 use hollowbarrow_zone::MASS_SILENCE_LEASES;
 use tokio::time::Instant;
 
+use crate::config_standing::ConfigStanding;
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
 use crate::permits::limit_name;
@@ -138,6 +139,13 @@
 }
 
 impl RouteEntry {
+    /// Returns whether requests may be sent to this upstream by a configuration of this standing. Only
+    /// the configuration names external endpoints; zones' tables name replicas, and the platform's
+    /// list names services.
+    pub(crate) fn is_allowed(&self, standing: ConfigStanding) -> bool {
+        standing != ConfigStanding::Waiting || !matches!(self.target, RouteTarget::Endpoint)
+    }
+
     /// Returns until when requests may be sent to this upstream, `None` if they may not.
     pub(crate) fn usable_until(&self, fleet: &FleetView, now: Instant) -> Option<Instant> {
         match &self.target {
