Tell a controller at a new address which leader to follow

What callers saw: nothing at first. A controller that takes the place of a lost one at a new address was never admitted as a voter while the leader was no seed, so the deployment bore one lost disk less than promised; with one more loss than it bore, no change could be made and restarted gateways answered 503.

Cause: a new controller says hello to the seeds of its settings, and the leader's views name those that said hello to the leader. A leader that is no seed and the new controller never hear of each other.

Fix: the hello of a controller names the leader that it follows. Any seed that runs tells the new controller, which says hello to the leader; the leader then sends it the log and admits it.

The test system takes numbers of controllers, spares and losses now; existing layouts are as they were.

--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -39,7 +39,7 @@
         if leaders.is_empty() && !to_all {
             continue;
         }
-        let hello = build_hello(&core, to_all);
+        let hello = build_hello(&core, leader, to_all);
         if to_all {
             core.links().send_to_all(&others, FleetMessage::Controller(hello.clone()));
         }
@@ -56,7 +56,11 @@
 
 /// Builds a hello without loads and crash records. Renewed registrations are taken only for a hello
 /// to all controllers, since each renewal is sent once.
-fn build_hello(core: &ControllerCore, with_beats: bool) -> ControllerHello {
+fn build_hello(
+    core: &ControllerCore,
+    leader: Option<DaemonId>,
+    with_beats: bool,
+) -> ControllerHello {
     let mut fleet = core.fleet();
     ControllerHello {
         zone: core.settings.zone.clone(),
@@ -64,6 +68,7 @@
         beats: if with_beats { fleet.take_beats() } else { Vec::new() },
         gateways: fleet.count_primary_gateways(),
         served: fleet.has_served(),
+        leader,
         loads: None,
         crashes: Vec::new(),
     }
@@ -122,6 +127,9 @@
         }
         PeerMessage::Fleet(FleetMessage::Controller(hello)) => {
             core.learn_controller(from);
+            if let Some(leader) = &hello.leader {
+                core.learn_controller(leader);
+            }
             core.fleet().record_controller(from, hello, now);
         }
         PeerMessage::Fleet(FleetMessage::View(view)) => {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -583,6 +583,9 @@
     pub crashes: ::std::vec::Vec<CrashRecord>,
     ///Number of gateways whose primary controller this is.
     pub gateways: u32,
+    ///Leader that the sender follows; a controller that has just started may not know it.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub leader: ::std::option::Option<DaemonId>,
     ///Sums over those gateways; sent to the leader only, or to all controllers while no leader is known; none in other messages.
     pub loads: ::std::option::Option<::std::vec::Vec<WorkerLoad>>,
     ///True once any gateway has reported load at a worker, to this controller or to another one.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -20,6 +20,7 @@
 mod restarted_worker;
 mod silence;
 mod soak;
+mod spares;
 mod stale_gateway;
 mod system;
 mod worker;
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -20,16 +20,25 @@
 pub const HOST: &str = "camp.example";
 pub const KEY: &str = "key-of-family";
 
-/// Number of controllers of each system. Their daemon numbers come first.
+/// Number of controllers of a system, unless its layout says otherwise. Their daemon numbers come
+/// first.
 pub const CONTROLLERS: usize = 3;
+/// Number of zones of a system that is spread over zones.
+const ZONES: usize = 3;
 
 /// Composition of a system.
 #[derive(Clone, Copy, Debug)]
 pub struct Layout {
+    /// Number of controllers.
+    pub controllers: usize,
+    /// Number of controllers, counted from the last, that are not started with the others.
+    pub spares: usize,
+    /// Number of controllers that may be lost at once, with their disks.
+    pub losses: u32,
     /// Number of gateways.
     pub gateways: u8,
-    /// Whether the daemons are spread over three zones with one controller each, instead of sharing
-    /// one zone.
+    /// Whether the daemons are spread over three zones with as many controllers each, instead of
+    /// sharing one zone.
     pub zoned: bool,
     /// Whether a proxy runs in front of each daemon's mesh port.
     pub proxied: bool,
@@ -41,13 +50,21 @@
 impl Layout {
     /// Returns two gateways and the controllers in one zone, without proxies.
     pub fn plain() -> Self {
-        Self { gateways: 2, zoned: false, proxied: false, seeds: CONTROLLERS }
+        Self {
+            controllers: CONTROLLERS,
+            spares: 0,
+            losses: 1,
+            gateways: 2,
+            zoned: false,
+            proxied: false,
+            seeds: CONTROLLERS,
+        }
     }
 
     /// Returns three gateways, each in a zone with one controller, and a proxy in front of each
     /// daemon.
     pub fn zoned_behind_proxies() -> Self {
-        Self { gateways: 3, zoned: true, proxied: true, seeds: CONTROLLERS }
+        Self { gateways: 3, zoned: true, proxied: true, ..Self::plain() }
     }
 
     /// Returns two gateways and the controllers in one zone, with the first controller as the only
@@ -56,10 +73,18 @@
         Self { seeds: 1, ..Self::plain() }
     }
 
+    /// Returns a number of controllers, of which so many may be lost at once, and one gateway. Three
+    /// of the controllers are seeds.
+    pub fn with_controllers(controllers: usize, losses: u32) -> Self {
+        Self { controllers, losses, gateways: 1, ..Self::plain() }
+    }
+
     /// Returns the zone of a daemon. Daemon numbers start at 1.
     fn zone(self, number: u8) -> &'static str {
-        let zones = ["a", "b", "c"];
-        let index = if self.zoned { usize::from(number - 1) % CONTROLLERS } else { 0 };
+        let zones: [_; ZONES] = ["a", "b", "c"];
+        let number = usize::from(number - 1);
+        let position = number.checked_sub(self.controllers).unwrap_or(number);
+        let index = if self.zoned { position % ZONES } else { 0 };
         zones[index]
     }
 }
@@ -174,26 +199,31 @@
         Self::start_with(block, Layout::plain())
     }
 
-    /// Starts three controllers and the gateways of a layout.
+    /// Starts the controllers and the gateways of a layout.
     pub fn start_with(block: u8, layout: Layout) -> Self {
         let folder = tempfile::tempdir().expect("a temporary directory can be created");
         let ip = |number: u8| format!("127.77.{block}.{number}");
         let bind_ip = |number: u8| format!("127.78.{block}.{number}");
-        let count = CONTROLLERS as u8 + layout.gateways;
+        let first_gateway = layout.controllers as u8 + 1;
+        let count = layout.controllers as u8 + layout.gateways;
         let bind_ips: Vec<String> = (1..=count).map(bind_ip).collect();
         let [mesh, control, callers, ready, metrics_port] = free_ports_at(&bind_ips);
         let mut links = Vec::new();
-        let controllers: Vec<String> = (1..=3).map(|n| format!("{}:{control}", ip(n))).collect();
-        let gateways: Vec<String> = (4..=count).map(|n| format!("{}:{callers}", ip(n))).collect();
-        let readiness: Vec<String> = (4..=count).map(|n| format!("{}:{ready}", ip(n))).collect();
+        let controllers: Vec<String> =
+            (1..first_gateway).map(|n| format!("{}:{control}", ip(n))).collect();
+        let gateways: Vec<String> =
+            (first_gateway..=count).map(|n| format!("{}:{callers}", ip(n))).collect();
+        let readiness: Vec<String> =
+            (first_gateway..=count).map(|n| format!("{}:{ready}", ip(n))).collect();
         let metrics: Vec<String> =
             (1..=count).map(|n| format!("{}:{metrics_port}", ip(n))).collect();
         let mut daemons = Vec::new();
         for number in 1..=count {
-            let controller = usize::from(number) <= CONTROLLERS;
+            let controller = number < first_gateway;
             let mut settings = json!({"name": format!("d{number}"), "zone": layout.zone(number),
                 "ip": ip(number), "mesh_port": mesh, "seeds": controllers[..layout.seeds],
-                "metrics": metrics[usize::from(number) - 1], "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true});
+                "metrics": metrics[usize::from(number) - 1], "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true,
+                "losses": layout.losses});
             if layout.proxied {
                 settings["bind_ip"] = json!(bind_ip(number));
                 let at = |ip: String| format!("{ip}:{mesh}").parse().expect("the address is valid");
@@ -205,8 +235,8 @@
                 settings["control"] = json!(controllers[usize::from(number) - 1]);
                 settings["data"] = json!(folder.path().join(format!("data{number}")));
             } else {
-                settings["callers"] = json!(gateways[usize::from(number) - 4]);
-                settings["readiness"] = json!(readiness[usize::from(number) - 4]);
+                settings["callers"] = json!(gateways[usize::from(number - first_gateway)]);
+                settings["readiness"] = json!(readiness[usize::from(number - first_gateway)]);
             }
             let path = folder.path().join(format!("d{number}.json"));
             std::fs::write(&path, settings.to_string()).expect("settings can be written");
@@ -217,7 +247,10 @@
                 log_start: 0,
                 child: None,
             };
-            daemon.start();
+            let spare = controller && usize::from(number) > layout.controllers - layout.spares;
+            if !spare {
+                daemon.start();
+            }
             daemons.push(daemon);
         }
         Self { daemons, controllers, gateways, readiness, metrics, links, _folder: folder }
@@ -344,7 +377,9 @@
 
     /// Returns the configuration version that a gateway uses; 0 if it has none or does not answer.
     pub async fn version_at(&self, gateway: usize) -> u64 {
-        self.metric(CONTROLLERS + gateway, "gateway_configuration_version").await.unwrap_or(0)
+        self.metric(self.controllers.len() + gateway, "gateway_configuration_version")
+            .await
+            .unwrap_or(0)
     }
 
     /// Returns the value of a metric of a daemon, named without the product prefix; `None` if the
