Play the founding with even numbers of voters and with learners

The founding was looked at with three and five voters. Deployments have six and eight machines with a disk, and more daemons than the settings name as voters.

The adversary also plays four, six and eight voters, three voters with three learners and six with two; learners have a disk, may be emptied, and are proposed as voters in half of the proposals. The simulation of faults plays six voters, without and with learners. Existing cases keep their draws, bounds and checks: without learners the new code draws nothing, and the condition that a daemon counts as emptied until the log names it asks besides whether it is a voter, which all were. The message of a failure names the first entry of each voter, which tells the two causes of the last commits apart.

Found beside, in a trial: a daemon that founded the log alone and has admitted two others founds a second log in the same term once its disk is emptied, if its settings still name it as the only voter and let it found. Controllers are told not to found after the first start; entry daemons always may. No code enforces it.

--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -85,6 +85,24 @@
     assert!(cluster.replicas[&seed].fault().is_none(), "the replaced voter votes again");
 }
 
+/// Guards against a second log if the disk of the daemon that founded the first one alone is emptied:
+/// once its settings list the voters that were admitted, it waits for them, and they have entries.
+#[rstest]
+#[case::cut_off(true)]
+#[case::in_touch(false)]
+fn emptied_seed_with_all_voters_in_settings(#[case] cut: bool) {
+    let mut cluster = cluster_with_one_seed();
+    let seed = ids()[0].clone();
+    cluster.replicas.insert(seed.clone(), replica_of(&seed, true));
+    cluster.isolated = Some(seed.clone()).filter(|_| cut);
+    cluster.run(100);
+    assert!(!cluster.replicas[&seed].is_leader(), "it found a log of its own");
+    cluster.isolated = None;
+    cluster.run(300);
+    assert_ne!(cluster.leader().id(), &seed);
+    assert_eq!(cluster.replicas[&seed].commit(), cluster.leader().commit());
+}
+
 /// A voter that no settings list and that restarts with an empty disk must not vote. It could
 /// mistake the old entry that admitted it for an admission after the loss.
 #[rstest]
--- a/crates/log/tests/founding_adversary.rs
+++ b/crates/log/tests/founding_adversary.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use hollowbarrow_log::{LogReplica, LogStorage, MemoryStorage, ReplicaConfig, VoteRecord};
-use hollowbarrow_schema::{ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogMessage, Term};
+use hollowbarrow_schema::{
+    ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogIndex, LogMessage, Term,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -15,7 +17,10 @@
 
 struct Adversary {
     now: Instant,
+    /// The voters of the settings.
     ids: Vec<DaemonId>,
+    /// These voters, and daemons with a disk that a leader may admit.
+    all: Vec<DaemonId>,
     replicas: BTreeMap<DaemonId, LogReplica<MemoryStorage>>,
     sent: Vec<(DaemonId, DaemonId, LogMessage)>,
     fresh: Vec<usize>,
@@ -28,16 +33,20 @@
 
 impl Adversary {
     fn config(&self, id: &DaemonId, seed: u64) -> ReplicaConfig {
-        ReplicaConfig::new(id, &self.ids, &self.ids).with_election(ELECTION).with_seed(seed)
+        ReplicaConfig::new(id, &self.all, &self.ids).with_election(ELECTION).with_seed(seed)
     }
 
     fn new(voters: usize, earlier: u8, seed: u64) -> Self {
-        let ids: Vec<DaemonId> =
-            ["a", "b", "c", "d", "e"][..voters].iter().map(|id| DaemonId::from(*id)).collect();
+        Self::with_learners(voters, 0, earlier, seed)
+    }
+
+    fn with_learners(voters: usize, learners: usize, earlier: u8, seed: u64) -> Self {
+        let ids = ["a", "b", "c", "d", "e", "f", "g", "h"].map(DaemonId::from);
         let now = Instant::now();
         let mut new = Self {
             now,
-            ids: ids.clone(),
+            ids: ids[..voters].to_vec(),
+            all: ids[..voters + learners].to_vec(),
             replicas: BTreeMap::new(),
             sent: Vec::new(),
             fresh: Vec::new(),
@@ -47,7 +56,7 @@
             committed: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
-        for id in ids {
+        for id in new.all.clone() {
             let mut storage = MemoryStorage::new().with_durable(true);
             if earlier > 0 && new.rng.random_bool(0.5) {
                 // A folder of an earlier release that had votes, no disk id and no entries.
@@ -67,11 +76,22 @@
         self.replicas.insert(id.clone(), replica);
     }
 
+    /// Returns, in half of the draws with learners, the voters that a replica knows and a learner.
+    fn admission(&mut self, id: &DaemonId) -> Option<EntryPayload> {
+        let learners = self.all.len() - self.ids.len();
+        if learners == 0 || self.rng.random_bool(0.5) {
+            return None;
+        }
+        let learner = &self.all[self.ids.len() + self.rng.random_range(0..learners)];
+        let voters = self.replicas[id].voters().iter().chain([learner]);
+        Some(EntryPayload::Voters(voters.cloned().collect()))
+    }
+
     fn flush(&mut self, id: &DaemonId) -> Result<(), String> {
         let now = self.now;
         let replica = self.replicas.get_mut(id).expect("known");
         for (to, message) in replica.flush(now) {
-            if self.ids.contains(&to) {
+            if self.all.contains(&to) {
                 self.fresh.push(self.sent.len());
                 self.sent.push((id.clone(), to, message));
             }
@@ -95,14 +115,15 @@
         // A disk that the committed log names is no emptied one any more.
         let replica = &self.replicas[id];
         let last = *replica.storage().window().last_index();
-        if last > 0 && *replica.commit() == last && replica.fault().is_none() {
+        let voter = replica.voters().contains(id) && replica.fault().is_none();
+        if last > 0 && *replica.commit() == last && voter {
             self.emptied.remove(id);
         }
         Ok(())
     }
 
     fn act(&mut self) -> Result<(), String> {
-        let id = self.ids[self.rng.random_range(0..self.ids.len())].clone();
+        let id = self.all[self.rng.random_range(0..self.all.len())].clone();
         match self.rng.random_range(0..1000) {
             0..60 => {
                 let replica = self.replicas.get_mut(&id).expect("known");
@@ -128,9 +149,10 @@
             80..100 => {
                 let number = self.rng.random_range(0..u64::MAX);
                 let sweep = ClaimCommand::Sweep(ClaimSweep { now_ms: number, retain_ms: 0 });
+                let payload = self.admission(&id).unwrap_or(EntryPayload::Claim(sweep));
                 let now = self.now;
                 let replica = self.replicas.get_mut(&id).expect("known");
-                replica.propose(vec![EntryPayload::Claim(sweep)], now);
+                replica.propose(vec![payload], now);
                 self.flush(&id)
             }
             number => {
@@ -170,8 +192,9 @@
                 let state = |one: &LogReplica<MemoryStorage>| {
                     let window = one.storage().window();
                     let last = (*window.last_term(), *window.last_index());
+                    let first = window.entry(LogIndex(1)).map(|entry| &entry.payload);
                     format!(
-                        "{} last {last:?} {:?} {:?}",
+                        "{} last {last:?} first {first:?} {:?} {:?}",
                         one.id(),
                         one.storage().vote(),
                         one.fault()
@@ -205,22 +228,41 @@
 #[case::five_with_earlier_folders(5, 1)]
 #[case::five_with_earlier_quorum(5, 2)]
 fn log_founded_once_under_adversary(#[case] voters: usize, #[case] earlier: u8) {
+    assert_founded_once(voters, 0, earlier);
+}
+
+/// Guards against the same where half of the voters are no majority, and where daemons are admitted
+/// while or after the log is founded.
+#[rstest]
+#[case::four(4, 0)]
+#[case::six(6, 0)]
+#[case::eight(8, 0)]
+#[case::three_with_learners(3, 3)]
+#[case::six_with_learners(6, 2)]
+fn log_founded_once_under_adversary_with(#[case] voters: usize, #[case] learners: usize) {
+    assert_founded_once(voters, learners, 0);
+}
+
+fn assert_founded_once(voters: usize, learners: usize, earlier: u8) {
     let draws: u64 = std::env::var("HB_DRAWS").ok().and_then(|n| n.parse().ok()).unwrap_or(2000);
-    let (mut led, mut committed, mut failed) = (0, 0, Vec::new());
+    let (mut led, mut committed, mut admitted, mut failed) = (0, 0, 0, Vec::new());
     for seed in 0..draws {
-        let mut adversary = Adversary::new(voters, earlier, seed);
+        let mut adversary = Adversary::with_learners(voters, learners, earlier, seed);
         let acts = adversary.rng.random_range(0..600);
         let acted = (0..acts).try_for_each(|_| adversary.act());
         let result = acted.and_then(|()| adversary.settle());
         led += usize::from(!adversary.leaders.is_empty());
         committed += usize::from(!adversary.committed.is_empty());
+        let mut replicas = adversary.replicas.values();
+        admitted += usize::from(replicas.any(|one| one.voters().len() > voters));
         if let Err(error) = result {
             failed.push(format!("seed {seed}: {error}"));
         }
     }
     let doubled = failed.iter().filter(|one| !one.contains("no leader")).count();
     println!("{doubled} unsafe, {} in all", failed.len());
-    println!("{voters} voters ({earlier}): {draws} draws, {led} led, {committed} committed");
+    println!("{voters} voters, {learners} learners ({earlier}): {draws} draws");
+    println!("{led} led, {committed} committed, {admitted} admitted");
     assert!(failed.is_empty(), "{} failed: {:#?}", failed.len(), &failed[..failed.len().min(1)]);
 }
 
--- a/crates/log/tests/founding_faults.rs
+++ b/crates/log/tests/founding_faults.rs
@@ -80,6 +80,8 @@
 #[case::three_with_learners(3, 2)]
 #[case::five(5, 0)]
 #[case::five_with_learners(5, 2)]
+#[case::six(6, 0)]
+#[case::six_with_learners(6, 2)]
 fn log_founded_despite_faults(#[case] voters: usize, #[case] learners: usize) {
     assert_all_pass(&[voters], 1000, |voters, seed| founded_after_faults(voters, learners, seed));
 }
@@ -110,6 +112,8 @@
 #[case::three_with_learners(3, 2)]
 #[case::five(5, 0)]
 #[case::five_with_learners(5, 2)]
+#[case::six(6, 0)]
+#[case::six_with_learners(6, 2)]
 fn log_founded_with_one_voter_cut_off(#[case] voters: usize, #[case] learners: usize) {
     assert_all_pass(&[voters], 200, |voters, seed| founded_without_one(voters, learners, seed));
 }
@@ -140,6 +144,8 @@
 #[case::five(5, false)]
 #[case::three_founding_again(3, true)]
 #[case::five_founding_again(5, true)]
+#[case::six(6, false)]
+#[case::six_founding_again(6, true)]
 fn log_founded_once_with_lost_disk(#[case] voters: usize, #[case] again: bool) {
     assert_all_pass(&[voters], 300, |voters, seed| founded_once(voters, seed, again));
 }
@@ -234,6 +240,8 @@
 #[case::five(5, LATE)]
 #[case::three_slow_disks(3, Network::ROUGH)]
 #[case::five_slow_disks(5, Network::ROUGH)]
+#[case::six(6, LATE)]
+#[case::six_slow_disks(6, Network::ROUGH)]
 fn log_founded_once_over_emptied_disks(#[case] voters: usize, #[case] network: Network) {
     assert_all_pass(&[voters], 1000, |voters, seed| {
         founded_over_emptied_disks(voters, seed, network)
