Apply what a log holds as committed before it is published as applied

What callers saw: a daemon that restarted in a zone that was cut off refused requests for an endpoint that its configuration names ("none is known"), for as long as nothing else made it build its routes anew.

Cause: at the start a driver published the committed index of its storage as the applied one, and applied the entries after its first input or timeout. The task that follows the applied index read the empty state, and as the index did not change again, read it no more.

The driver now applies what the storage holds before it publishes anything.

start_publishes_only_what_is_applied fails on the code before (index 3 published, nothing applied) and passes; the other tests of reopening pass.

--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -270,6 +270,8 @@
 
 impl<M: StateMachine> DriverWorker<M> {
     fn run(mut self, inputs: &Receiver<DriverInput>) {
+        // What the storage holds as committed is published as applied, so it is applied first.
+        self.apply_committed();
         loop {
             self.publish();
             let deadline = self.reopen.unwrap_or(self.replica.next_deadline());
--- a/crates/log/tests/reopen.rs
+++ b/crates/log/tests/reopen.rs
@@ -114,3 +114,29 @@
     assert!(view.lost_disk, "fault {:?}, leads {}, was at {}", view.fault, view.leads, *committed);
     driver.stop();
 }
+
+/// Guards against a state that is published as applied before it is: whoever waited for the index read
+/// an empty state, and nothing told of the change afterwards.
+#[rstest]
+fn start_publishes_only_what_is_applied() {
+    let parent = tempfile::tempdir().expect("a temporary folder");
+    let folder = parent.path().join("log");
+    let driver = start(&folder);
+    assert!(wait_for(|| driver.view().current), "it leads");
+    for now_ms in 1..=3 {
+        let sweep = ClaimSweep { now_ms, retain_ms: 0 };
+        let outcome = driver.propose(EntryPayload::Claim(ClaimCommand::Sweep(sweep)));
+        assert!(outcome.recv_timeout(TIMEOUT).is_ok(), "an entry is committed");
+    }
+    driver.stop();
+    assert!(wait_for(|| driver.watch().has_changed().is_err()), "the thread ends");
+    let id = DaemonId::from("a");
+    let replica = ReplicaConfig::new(&id, &[], std::slice::from_ref(&id))
+        .with_election(Duration::from_secs(60));
+    let config = DriverConfig::new(replica, Some(folder));
+    let driver = LogDriver::start(config, Listed(Vec::new()), |_, _| {}).expect("it starts");
+    assert!(wait_for(|| *driver.view().applied > 0), "it knows what was committed");
+    let published = driver.view().applied;
+    assert_eq!(driver.read(|machine| machine.0.last().copied()), Some(published));
+    driver.stop();
+}
