Plan a zone's replicas only by a configuration confirmed since the start

What callers saw: a zone that was cut off and whose daemons all restarted, as after a loss of power, drained the replica that served there ("the group was deleted", 4.4 s after the start). Nothing served its callers from there on until the zone was back.

Cause: an authority compared the zone's table with the configuration that it held, without asking whether that was known to be current. A daemon without a disk starts with an empty one, and a voter with what it knew to be committed, which may be older than the table.

Until a leader has confirmed the configuration since the daemon's start, an authority now only dissolves replicas that were lost; it drains and forms none. A daemon that goes on running plans as before while it is cut off. What this costs: a zone that is cut off and whose authority has restarted repairs no replica until it is back.

--- a/crates/daemon/src/zone_control.rs
+++ b/crates/daemon/src/zone_control.rs
@@ -8,7 +8,8 @@
 //! table, with that allocation's epoch; a release order only to a node in no
 //! allocation, with the table's highest epoch. An order is sent only if its
 //! timeout ends before the authority's lease. A replica that can still serve is
-//! drained before its nodes are assigned to another.
+//! drained before its nodes are assigned to another. Until a leader has confirmed the
+//! configuration since the daemon's start, only replicas that were lost are dissolved.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use hollowbarrow_zone::{ReplicaName, ReplicaStage, ReplicaStages, TableStanding};
 use tokio::time::Instant;
 
+use crate::config_standing::ConfigStanding;
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
 use crate::table_change::{NodeOrderEntry, TableChange, drain_order, load_orders};
@@ -144,7 +146,11 @@
     /// Plans and changes the table; returns whether it changed.
     fn change_table(&mut self, table: &ZoneTable, now: Instant) -> bool {
         let core = Arc::clone(&self.core);
-        let plan = core.config_log.read(|config| self.plan(config, table, now));
+        let standing = core.standing.get();
+        let mut plan = core.config_log.read(|config| self.plan(config, table, now));
+        if standing != ConfigStanding::Confirmed {
+            keep_losses(&mut plan);
+        }
         let loaded = self.newly_loaded(table);
         let released = self.drained(table, now);
         let forms = self.limit_loads(&plan, table);
@@ -396,6 +402,13 @@
     }
 }
 
+/// Removes from a plan what follows from the configuration alone: it may be older than the one by
+/// which the zone's table was made, or empty.
+fn keep_losses(plan: &mut ZonePlan) {
+    plan.drains.retain(|drain| drain.reason.is_loss());
+    plan.forms.clear();
+}
+
 /// Describes how and why a replica is drained.
 pub(crate) fn describe_drain(reason: &DrainReason) -> String {
     let how = if reason.is_loss() { "dissolved at once" } else { "drained" };
--- a/tests/all/unconfirmed.rs
+++ b/tests/all/unconfirmed.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
-use crate::support::{group, nine_daemons, pause, zones};
+use crate::support::{group, nine_daemons, pause, serving_cluster, zones};
 
 /// Interval between two calls.
 const POLL_MS: u64 = 50;
@@ -148,3 +148,29 @@
     cluster.restart("a0");
     wait_used(&cluster, "a0", &endpoint).await;
 }
+
+/// A zone is cut off and all its daemons restart, so that most of them know no group. Its replica must
+/// go on serving; it was drained as one of a deleted group.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_kept_by_restarted_zone() {
+    let mut cluster = serving_cluster(nine_daemons(), 3).await;
+    cluster.set_zone_links(&zones()[0], FaultMode::Blackhole);
+    let ids = cluster.ids_in(&zones()[0]);
+    ids.iter().for_each(|id| cluster.kill(id));
+    ids.iter().for_each(|id| cluster.restart(id));
+    let started = Instant::now();
+    while started.elapsed() < OBSERVED_TIME {
+        for id in &ids {
+            let log = cluster.log(id);
+            assert!(!log.contains("event=replica_drain"), "{id} drains a replica: {log}");
+        }
+        pause(POLL_MS).await;
+    }
+    for id in &ids {
+        let reply = crate::requests::stream(cluster.caller_address(id), "prompt", 5).await;
+        assert_eq!(reply.status, 200, "{id} does not serve: {reply:?}\n{}", cluster.log(id));
+    }
+    cluster.set_zone_links(&zones()[0], FaultMode::Pass);
+    assert!(cluster.wait_serving("b0", "drafts", 3).await, "{}", cluster.log("a0"));
+}
