Choose workers by a seed that the picker is given

A gateway's picker drew from the thread's generator: the order of equal workers, whether the fractional part of a share of free slots counts, and the seed of its permits. Its tests read the machine's clock for each call, too, so that arrival rates, the age of reported progress (900 ms and 100 ms in pick_worker_with_reported_progress), ejections (800 ms) and permits depended on how fast the machine ran the test. A failure of one of these tests could not be played again, and an observed choice of a picker could not be either.

The picker now has its own generator with a seed that its creator hands in; the gateway draws it at its start. Each choice uses a fork of that generator, and what is drawn for a candidate is part of its cost, as before. The tests hand in the seed and read the clock once.

Changed tests: pick_differs_among_gateways, pick_among_many_gateways and pick_shares_slots run with 20 seeds each instead of one unknown seed, with the same bounds, so they are stricter. The others keep their assertions; their clock stands still where they did not move it. New: pick_repeatable_by_seed, which fails at seed 0 if a choice draws from the thread's generator.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -71,7 +71,9 @@
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
-            picker: Mutex::new(WorkerPicker::new(&settings.zone).with_preferences(&local)),
+            picker: Mutex::new(
+                WorkerPicker::new(&settings.zone, rand::random()).with_preferences(&local),
+            ),
             crashes: Mutex::new(CrashGuard::new().with_identity(&local)),
             duplicates: DuplicateGate::new(),
             primary: Mutex::new(PrimarySelector::new(&local, &settings.zone)),
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -23,6 +23,8 @@
     DaemonId, FleetView, ModelName, PermitAsk, PermitGrant, RequestRate, ServiceName, WorkerId,
     WorkerLoad, WorkerReport, ZoneId,
 };
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
 use crate::candidates::{Candidate, CandidateIndex};
@@ -145,11 +147,14 @@
     limits: UpstreamLimits,
     /// Request rate for each model at this gateway.
     arrivals: HashMap<(ServiceName, ModelName), ArrivalRate>,
+    rng: ChaCha8Rng,
 }
 
 impl WorkerPicker {
-    /// Creates a picker for a gateway in this zone, without workers.
-    pub fn new(zone: &ZoneId) -> Self {
+    /// Creates a picker for a gateway in this zone, without workers. The same calls on two pickers
+    /// with the same seed have the same results.
+    pub fn new(zone: &ZoneId, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
         Self {
             table: WorkerTable::new(),
             candidates: CandidateIndex::new(zone),
@@ -157,8 +162,9 @@
             local: HashMap::new(),
             reported: HashMap::new(),
             backoffs: BackoffTable::new(),
-            limits: UpstreamLimits::new(rand::random()),
+            limits: UpstreamLimits::new(rng.random()),
             arrivals: HashMap::new(),
+            rng,
         }
     }
 
@@ -252,9 +258,10 @@
         self.candidates.refresh(&self.table);
         let without_permit = self.limits.without_permit(self.gateways(), now);
         let engine = facts.service.engine.as_ref();
+        let rng = self.rng.fork();
         let picked = match engine.filter(|engine| !engine.models.is_empty()) {
-            Some(engine) => self.pick_replica(facts, engine, &without_permit, now),
-            None => self.pick_plain(facts, &without_permit, now),
+            Some(engine) => self.pick_replica(facts, engine, &without_permit, rng, now),
+            None => self.pick_plain(facts, &without_permit, rng, now),
         };
         match picked {
             Ok((worker, better_with_permit)) => {
@@ -282,6 +289,7 @@
         facts: &PickFacts<'_>,
         engine: &Engine,
         without_permit: &HashSet<String>,
+        mut rng: ChaCha8Rng,
         now: Instant,
     ) -> Result<(PickedWorker, Option<WorkerId>), NoChoice> {
         let unknown = NoChoice::Reason(NoWorker::Unknown);
@@ -312,10 +320,11 @@
         let competitors = self.competitors(local_arrivals, answered);
         let cost = |candidate: &Candidate| {
             let load = self.load_of(&candidate.id);
-            let limit = self.local_limit(candidate, engine.slots, competitors);
+            let limit = self.local_limit(candidate, engine.slots, competitors, &mut rng);
             let full = self.local_active(&candidate.id) >= limit;
             (!full).then(|| {
-                estimate(candidate).first_event_ms + f64::from(load.active) * ACTIVE_REQUEST_COST_MS
+                let active_cost = f64::from(load.active) * ACTIVE_REQUEST_COST_MS;
+                estimate(candidate).first_event_ms + active_cost + draw_bias_ms(&mut rng)
             })
         };
         let stalled = |candidate: &Candidate| {
@@ -331,6 +340,7 @@
         &self,
         facts: &PickFacts<'_>,
         without_permit: &HashSet<String>,
+        mut rng: ChaCha8Rng,
         now: Instant,
     ) -> Result<(PickedWorker, Option<WorkerId>), NoChoice> {
         let candidates = self.candidates.plain(&facts.service.name);
@@ -338,7 +348,7 @@
             let load = self.load_of(&candidate.id);
             let most = candidate.slots.max(1) * PLAIN_SLOT_FACTOR;
             let share = f64::from(load.active) / f64::from(candidate.slots.max(1));
-            (load.active < most).then_some(share * 100.0)
+            (load.active < most).then(|| share * 100.0 + draw_bias_ms(&mut rng))
         };
         let choice = self.choose(candidates, facts, without_permit, cost, |_| false, now)?;
         let worker = PickedWorker {
@@ -360,7 +370,7 @@
         candidates: &'a [Candidate],
         facts: &PickFacts<'_>,
         without_permit: &HashSet<String>,
-        cost: impl Fn(&Candidate) -> Option<f64>,
+        mut cost: impl FnMut(&Candidate) -> Option<f64>,
         stalled: impl Fn(&Candidate) -> bool,
         now: Instant,
     ) -> Result<Choice<'a>, NoChoice> {
@@ -386,8 +396,8 @@
             let distance = if candidate.same_zone { 0.0 } else { OTHER_ZONE_COST_MS };
             let kept = facts.kept.contains(&candidate.address);
             let connecting = if kept { 0.0 } else { NEW_CONNECTION_COST_MS };
-            let bias = candidate.bias_ms + rand::random::<f64>();
-            let total = cost + failing * FAILING_COST_MS + distance + connecting + bias;
+            let apart = distance + connecting + candidate.bias_ms;
+            let total = cost + failing * FAILING_COST_MS + apart;
             let needs_permit = without_permit.contains(candidate.id.as_str());
             if needs_permit {
                 need_permits.push(candidate.id.to_string());
@@ -447,11 +457,17 @@
     /// This keeps all gateways together near the worker's capacity although each sees the others'
     /// load with a delay: without free slots, a gateway begins a request only when one of its own
     /// has ended.
-    fn local_limit(&self, candidate: &Candidate, slots: u32, competitors: f64) -> u32 {
+    fn local_limit(
+        &self,
+        candidate: &Candidate,
+        slots: u32,
+        competitors: f64,
+        rng: &mut ChaCha8Rng,
+    ) -> u32 {
         let free = f64::from(slots.saturating_sub(self.view.all(&candidate.id).active));
         let share = free * FREE_SLOT_FACTOR / competitors;
         // Round up with the probability of the fractional part.
-        let share = (share + rand::random::<f64>()).floor() as u32;
+        let share = (share + rng.random::<f64>()).floor() as u32;
         self.view.local(&candidate.id).active + share
     }
 
@@ -559,3 +575,8 @@
         true
     }
 }
+
+/// Draws a cost below one millisecond, which decides among workers that are otherwise equal.
+fn draw_bias_ms(rng: &mut ChaCha8Rng) -> f64 {
+    rng.random()
+}
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -19,6 +19,10 @@
 use tokio::time::Instant;
 
 const SLOTS: u32 = 26;
+/// Seed of pickers in tests whose result must not depend on it.
+const SEED: u64 = 7;
+/// Number of seeds with which the tests of random choices are run.
+const SEEDS: u64 = 20;
 
 fn service() -> Service {
     let model = ModelSpec {
@@ -83,10 +87,14 @@
     ]
 }
 
-fn picker(reports: Vec<WorkerReport>) -> WorkerPicker {
-    let mut picker = WorkerPicker::new(&ZoneId::from("a"));
-    picker.merge(reports, Instant::now());
-    picker.apply_view(&view(1, 1, &[], &[]), Instant::now());
+fn picker(reports: Vec<WorkerReport>, now: Instant) -> WorkerPicker {
+    seeded_picker(reports, SEED, now)
+}
+
+fn seeded_picker(reports: Vec<WorkerReport>, seed: u64, now: Instant) -> WorkerPicker {
+    let mut picker = WorkerPicker::new(&ZoneId::from("a"), seed);
+    picker.merge(reports, now);
+    picker.apply_view(&view(1, 1, &[], &[]), now);
     picker
 }
 
@@ -128,15 +136,15 @@
     }
 }
 
-fn pick(picker: &mut WorkerPicker, service: &Service) -> Result<String, NoWorker> {
+fn pick(picker: &mut WorkerPicker, service: &Service, now: Instant) -> Result<String, NoWorker> {
     let model = ModelName::from("m");
     let facts = facts(service, &model);
-    picker.pick(&facts, Instant::now()).map(|worker| worker.id.to_string())
+    picker.pick(&facts, now).map(|worker| worker.id.to_string())
 }
 
-fn picked(picker: &mut WorkerPicker) -> Vec<String> {
+fn picked(picker: &mut WorkerPicker, now: Instant) -> Vec<String> {
     let service = service();
-    let mut ids: Vec<String> = (0..40).filter_map(|_| pick(picker, &service).ok()).collect();
+    let mut ids: Vec<String> = (0..40).filter_map(|_| pick(picker, &service, now).ok()).collect();
     ids.sort();
     ids.dedup();
     ids
@@ -144,38 +152,41 @@
 
 #[rstest]
 fn pick_open_heads_only() {
-    assert_eq!(picked(&mut picker(replicas())), ["a0", "b0"]);
+    let now = Instant::now();
+    assert_eq!(picked(&mut picker(replicas(), now), now), ["a0", "b0"]);
     let mut closing = replicas();
     closing[0].membership.as_mut().expect("a member").state = MembershipState::Closing;
-    assert_eq!(picked(&mut picker(closing)), ["b0"]);
+    assert_eq!(picked(&mut picker(closing, now), now), ["b0"]);
 }
 
 #[rstest]
 fn pick_skips_replica_with_leaving_member() {
+    let now = Instant::now();
     let mut leaving = replicas();
     leaving[3].leaving = true;
-    assert_eq!(picked(&mut picker(leaving)), ["a0"]);
+    assert_eq!(picked(&mut picker(leaving, now), now), ["a0"]);
 }
 
 #[rstest]
 fn pick_skips_withheld() {
-    let mut picker = picker(replicas());
-    picker.apply_view(&view(2, 1, &["a0"], &[]), Instant::now());
-    assert_eq!(picked(&mut picker), ["b0"]);
-    picker.apply_view(&view(1, 1, &[], &[]), Instant::now());
-    assert_eq!(picked(&mut picker), ["b0"], "an older view changes nothing");
+    let now = Instant::now();
+    let mut picker = picker(replicas(), now);
+    picker.apply_view(&view(2, 1, &["a0"], &[]), now);
+    assert_eq!(picked(&mut picker, now), ["b0"]);
+    picker.apply_view(&view(1, 1, &[], &[]), now);
+    assert_eq!(picked(&mut picker, now), ["b0"], "an older view changes nothing");
 }
 
 #[rstest]
 fn pick_failing_worker_last() {
-    let mut picker = picker(replicas());
-    let failing = WorkerId::from("a0");
     let now = Instant::now();
+    let mut picker = picker(replicas(), now);
+    let failing = WorkerId::from("a0");
     assert!(!picker.record_outcome(&failing, false, now));
     assert!(picker.record_outcome(&failing, false, now), "two consecutive failures eject it");
-    assert_eq!(picked(&mut picker), ["b0"]);
-    picker.apply_view(&view(2, 1, &["b0"], &[]), Instant::now());
-    assert_eq!(picked(&mut picker), ["a0"], "it is used if no other is available");
+    assert_eq!(picked(&mut picker, now), ["b0"]);
+    picker.apply_view(&view(2, 1, &["b0"], &[]), now);
+    assert_eq!(picked(&mut picker, now), ["a0"], "it is used if no other is available");
 }
 
 /// Worker `a0` has a request in flight and may be stalled; `b0` is busier and makes progress.
@@ -191,7 +202,7 @@
 ) {
     let start = Instant::now();
     let at = |ms: u64| start + Duration::from_millis(ms);
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), start);
     let (service, model) = (service(), ModelName::from("m"));
     let suspect = WorkerId::from("a0");
     picker.begin(&suspect, 10.0, start);
@@ -212,12 +223,13 @@
 #[case::lately(100, true)]
 #[case::long_ago(900, false)]
 fn pick_worker_with_reported_progress(#[case] progress_ms: u32, #[case] expected: bool) {
+    let now = Instant::now();
     let mut reported = view(2, 2, &[], &[("a0", 3), ("b0", 9)]);
     reported.loads[0].progress_ms = Some(progress_ms);
     reported.loads[1].progress_ms = Some(20);
-    let mut picker = picker(replicas());
-    picker.apply_view(&reported, Instant::now());
-    assert_eq!(picked(&mut picker).contains(&"a0".to_owned()), expected);
+    let mut picker = picker(replicas(), now);
+    picker.apply_view(&reported, now);
+    assert_eq!(picked(&mut picker, now).contains(&"a0".to_owned()), expected);
 }
 
 /// A replica with an idle connection is preferred, unless another one has far less load.
@@ -226,16 +238,17 @@
 #[case::somewhat_busier(2, true)]
 #[case::far_busier(9, false)]
 fn pick_kept_connection(#[case] busier: u32, #[case] expected: bool) {
+    let now = Instant::now();
     let mut reports = replicas();
     reports[2].address = "127.0.0.1:9001".to_owned();
-    let mut picker = picker(reports);
+    let mut picker = picker(reports, now);
     let reported = view(2, 1, &[], &[("a0", 3), ("b0", 3 + busier)]);
-    picker.apply_view(&reported, Instant::now());
+    picker.apply_view(&reported, now);
     let (service, model) = (service(), ModelName::from("m"));
     let kept = HashSet::from(["127.0.0.1:9001".parse().expect("an address")]);
     let facts = PickFacts { kept: &kept, ..facts(&service, &model) };
     for _ in 0..20 {
-        let picked = picker.pick(&facts, Instant::now()).expect("both have free slots");
+        let picked = picker.pick(&facts, now).expect("both have free slots");
         assert_eq!(picked.id == WorkerId::from("b0"), expected);
     }
 }
@@ -243,6 +256,7 @@
 /// Gateways that receive the same loads must not all choose the same replica.
 #[rstest]
 fn pick_differs_among_gateways() {
+    let now = Instant::now();
     let reports: Vec<WorkerReport> = (1..=8)
         .map(|number| report(&format!("head{number}"), number, 0, MembershipState::Open))
         .collect();
@@ -250,34 +264,58 @@
         (1..=8).map(|number| (format!("head{number}"), 3 + number % 3)).collect();
     let loads: Vec<(&str, u32)> = loads.iter().map(|(id, load)| (id.as_str(), *load)).collect();
     let reported = view(1, 80, &[], &loads);
-    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-    for number in 0..80 {
-        let local = DaemonId(format!("10.0.0.{number}:7000"));
-        let mut picker = WorkerPicker::new(&ZoneId::from("a")).with_preferences(&local);
-        picker.merge(reports.clone(), Instant::now());
-        picker.apply_view(&reported, Instant::now());
-        let picked = pick(&mut picker, &service()).expect("all have free slots");
-        *counts.entry(picked).or_default() += 1;
+    for seed in 0..SEEDS {
+        let mut seeds = ChaCha8Rng::seed_from_u64(seed);
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for number in 0..80 {
+            let local = DaemonId(format!("10.0.0.{number}:7000"));
+            let picker = WorkerPicker::new(&ZoneId::from("a"), seeds.random());
+            let mut picker = picker.with_preferences(&local);
+            picker.merge(reports.clone(), now);
+            picker.apply_view(&reported, now);
+            let picked = pick(&mut picker, &service(), now).expect("all have free slots");
+            *counts.entry(picked).or_default() += 1;
+        }
+        assert_eq!(counts.len(), 8, "seed {seed}: {counts:?}");
+        assert!(counts.values().all(|count| *count <= 24), "seed {seed}: {counts:?}");
+    }
+}
+
+/// Pickers with the same seed make the same choices among equal workers, and as often refuse a
+/// request for want of a share of the free slots; a picker with another seed does not.
+#[rstest]
+fn pick_repeatable_by_seed() {
+    let now = Instant::now();
+    let choices = |seed| {
+        let mut picker = seeded_picker(replicas(), seed, now);
+        picker.apply_view(&view(2, 80, &[], &[("a0", SLOTS - 1), ("b0", SLOTS - 1)]), now);
+        let service = service();
+        let each_second = (0..100).map(|second| now + Duration::from_secs(second));
+        each_second.map(|at| pick(&mut picker, &service, at)).collect::<Vec<_>>()
+    };
+    for seed in 0..SEEDS {
+        assert_eq!(choices(seed), choices(seed), "seed {seed}");
+        assert_ne!(choices(seed), choices(seed + 1), "seed {seed}");
     }
-    assert_eq!(counts.len(), 8, "{counts:?}");
-    assert!(counts.values().all(|count| *count <= 24), "{counts:?}");
 }
 
 #[rstest]
 fn pick_unknown_model() {
+    let now = Instant::now();
     let service = service();
     let other = ModelName::from("other");
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     let facts = facts(&service, &other);
-    let picked = picker.pick(&facts, Instant::now()).map(|worker| worker.id);
+    let picked = picker.pick(&facts, now).map(|worker| worker.id);
     assert_eq!(picked, Err(NoWorker::Unknown));
 }
 
 #[rstest]
 fn pick_full_replicas() {
-    let mut picker = picker(replicas());
-    picker.apply_view(&view(2, 3, &[], &[("a0", SLOTS), ("b0", SLOTS)]), Instant::now());
-    assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Full));
+    let now = Instant::now();
+    let mut picker = picker(replicas(), now);
+    picker.apply_view(&view(2, 3, &[], &[("a0", SLOTS), ("b0", SLOTS)]), now);
+    assert_eq!(pick(&mut picker, &service(), now), Err(NoWorker::Full));
 }
 
 /// With one request a second, only few of many gateways begin a request within the report delay. So
@@ -290,14 +328,15 @@
     #[case] active: u32,
     #[case] expected: std::ops::RangeInclusive<usize>,
 ) {
-    let service = service();
-    let mut picker = picker(replicas());
-    picker.apply_view(&view(2, 80, &[], &[("a0", active), ("b0", active)]), Instant::now());
-    let (model, start) = (ModelName::from("m"), Instant::now());
+    let (service, model, start) = (service(), ModelName::from("m"), Instant::now());
     let facts = facts(&service, &model);
-    let each_second = (0..1000).map(|second| start + Duration::from_secs(second));
-    let picked = each_second.filter(|at| picker.pick(&facts, *at).is_ok()).count();
-    assert!(expected.contains(&picked), "{picked} of 1000 were picked");
+    for seed in 0..SEEDS {
+        let mut picker = seeded_picker(replicas(), seed, start);
+        picker.apply_view(&view(2, 80, &[], &[("a0", active), ("b0", active)]), start);
+        let each_second = (0..1000).map(|second| start + Duration::from_secs(second));
+        let picked = each_second.filter(|at| picker.pick(&facts, *at).is_ok()).count();
+        assert!(expected.contains(&picked), "seed {seed}: {picked} of 1000 were picked");
+    }
 }
 
 /// Gateways begin as many requests as they may and see each other's load one round late. Together
@@ -307,13 +346,23 @@
 #[case::three(3)]
 #[case::nine(9)]
 fn pick_shares_slots(#[case] count: usize) {
-    let service = service();
-    let mut rng = ChaCha8Rng::seed_from_u64(7);
-    let mut gateways: Vec<WorkerPicker> = (0..count).map(|_| picker(replicas())).collect();
+    let slots = 2 * SLOTS as usize;
+    for seed in 0..SEEDS {
+        let most = most_in_flight(count, seed);
+        assert!(most >= slots * 3 / 4, "seed {seed}: slots stay free: {most} of {slots} used");
+        assert!(most <= slots * 3 / 2, "seed {seed}: slots are exceeded by far: {most} of {slots}");
+    }
+}
+
+/// Plays 60 rounds and returns the most requests that were in flight at once.
+fn most_in_flight(count: usize, seed: u64) -> usize {
+    let (service, now) = (service(), Instant::now());
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut gateways: Vec<WorkerPicker> =
+        (0..count).map(|_| seeded_picker(replicas(), rng.random(), now)).collect();
     let mut in_flight: Vec<Vec<WorkerId>> = vec![Vec::new(); count];
     let mut most = 0;
     for round in 0..60 {
-        let now = Instant::now();
         let reported: Vec<Vec<WorkerLoad>> =
             gateways.iter_mut().map(|gateway| gateway.loads(now)).collect();
         let sum = |id: &str| {
@@ -331,7 +380,7 @@
                 !ends
             });
             for _ in 0..20 {
-                let Ok(id) = pick(gateway, &service) else { break };
+                let Ok(id) = pick(gateway, &service, now) else { break };
                 let id = WorkerId(id);
                 gateway.begin(&id, 0.0, now);
                 in_flight.push(id);
@@ -339,13 +388,12 @@
         }
         most = most.max(in_flight.iter().map(Vec::len).sum::<usize>());
     }
-    let slots = 2 * SLOTS as usize;
-    assert!(most >= slots * 3 / 4, "slots stay free: {most} of {slots} used");
-    assert!(most <= slots * 3 / 2, "slots are exceeded by far: {most} of {slots} used");
+    most
 }
 
 /// Picks between two open heads in different zones; the near one has this many requests in flight.
 fn pick_between_zones(near_active: u32) -> String {
+    let now = Instant::now();
     let mut far = report("far0", 2, 0, MembershipState::Open);
     far.zone = ZoneId::from("b");
     far.address = "127.0.0.1:9001".to_owned();
@@ -357,10 +405,10 @@
         far,
         far_member,
     ];
-    let mut picker = picker(reports);
-    picker.apply_view(&view(2, 3, &[], &[("near0", near_active)]), Instant::now());
+    let mut picker = picker(reports, now);
+    picker.apply_view(&view(2, 3, &[], &[("near0", near_active)]), now);
     let (service, model) = (service(), ModelName::from("m"));
-    let picked = picker.pick(&facts(&service, &model), Instant::now());
+    let picked = picker.pick(&facts(&service, &model), now);
     picked.expect("a replica takes requests").id.to_string()
 }
 
@@ -380,9 +428,9 @@
 #[rstest]
 fn pick_skips_worker_in_backoff() {
     let now = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     picker.record_backoff(&WorkerId::from("a0"), BACKOFF, now);
-    assert_eq!(picked(&mut picker), ["b0"]);
+    assert_eq!(picked(&mut picker, now), ["b0"]);
     let (service, model) = (service(), ModelName::from("m"));
     let mut both = BTreeMap::new();
     for _ in 0..40 {
@@ -404,7 +452,7 @@
     #[case] expected: NoWorker,
 ) {
     let now = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     picker.record_backoff(&WorkerId::from("a0"), BACKOFF, now);
     (0..2 * in_flight).for_each(|_| picker.begin(&WorkerId::from("b0"), 10.0, now));
     let (service, model) = (service(), ModelName::from("m"));
@@ -416,10 +464,10 @@
 #[rstest]
 fn pick_skips_leaving_worker() {
     let now = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     assert!(picker.record_leaving(&WorkerId::from("a0")));
     assert!(!picker.record_leaving(&WorkerId::from("a0")), "the notice was known");
-    assert_eq!(picked(&mut picker), ["b0"]);
+    assert_eq!(picked(&mut picker, now), ["b0"]);
     picker.record_leaving(&WorkerId::from("b0"));
     let (service, model) = (service(), ModelName::from("m"));
     let facts = facts(&service, &model);
@@ -431,7 +479,7 @@
 #[rstest]
 fn pick_skips_rejecting_worker() {
     let start = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), start);
     let (service, model) = (service(), ModelName::from("m"));
     let full = WorkerId::from("a0");
     // The other worker is busy, so this one has a much lower cost.
@@ -462,8 +510,8 @@
 #[rstest]
 fn pick_recovered_worker() {
     let start = Instant::now();
-    let mut picker = picker(replicas());
-    (0..12).for_each(|_| assert!(!picked(&mut picker).is_empty()));
+    let mut picker = picker(replicas(), start);
+    (0..12).for_each(|_| assert!(!picked(&mut picker, start).is_empty()));
     for _ in 0..12 {
         picker.record_outcome(&WorkerId::from("a0"), false, start);
     }
@@ -501,10 +549,10 @@
 #[rstest]
 fn pick_limited_with_permit_only() {
     let now = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     (0..12).for_each(|_| picker.begin(&WorkerId::from("b0"), 20.0, now));
     name_limit(&mut picker, "a0", 1800, now);
-    assert_eq!(picked(&mut picker), ["b0"]);
+    assert_eq!(picked(&mut picker, now), ["b0"]);
     assert_eq!(asked(&mut picker, now), [("a0".to_owned(), 32)], "for later requests");
     issue(&mut picker, "a0", 1, None, now);
     let (service, model) = (service(), ModelName::from("m"));
@@ -526,10 +574,10 @@
 #[case::too_late(Some(101), LimitedWait::Later(Duration::from_millis(101)))]
 fn pick_fails_if_all_limited(#[case] wait_ms: Option<u32>, #[case] expected: LimitedWait) {
     let now = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     name_limit(&mut picker, "a0", 1800, now);
     name_limit(&mut picker, "b0", 1800, now);
-    assert_eq!(pick(&mut picker, &service()), Err(NoWorker::Limited(LimitedWait::Soon)));
+    assert_eq!(pick(&mut picker, &service(), now), Err(NoWorker::Limited(LimitedWait::Soon)));
     if wait_ms.is_some() {
         issue(&mut picker, "a0", 0, wait_ms, now);
         issue(&mut picker, "b0", 0, wait_ms, now);
@@ -543,7 +591,7 @@
 #[rstest]
 fn pick_skips_worker_limited_in_view() {
     let now = Instant::now();
-    let mut picker = picker(replicas());
+    let mut picker = picker(replicas(), now);
     let reported = UpstreamLimit {
         upstream: "a0".to_owned(),
         limit: Some(RequestRate(1800)),
@@ -552,5 +600,5 @@
     };
     let limits = vec![reported];
     picker.apply_view(&FleetView { limits, ..view(2, 3, &[], &[]) }, now);
-    assert_eq!(picked(&mut picker), ["b0"]);
+    assert_eq!(picked(&mut picker, now), ["b0"]);
 }
--- a/crates/measure/src/lives.rs
+++ b/crates/measure/src/lives.rs
@@ -55,7 +55,7 @@
         let heads = reports.iter().step_by(REPLICA_SIZE as usize);
         let loads: Vec<WorkerLoad> = heads.map(worker_load).collect();
         let before = resident_kb()?;
-        let mut picker = WorkerPicker::new(&ZoneId::from("zone-0"));
+        let mut picker = WorkerPicker::new(&ZoneId::from("zone-0"), 1);
         picker.merge(reports.clone(), Instant::now());
         let memory = resident_kb()?.saturating_sub(before);
         println!(
