Send the same records first among equals, whatever the order of the map

A ledger of crashes sends 16 records a message. Which of equally suspected requests were among them was decided by the order of a HashMap, which differs between ledgers, processes and runs: a simulation with more than 16 such requests, or what a daemon sent in a burst of losses, could not be played again. The same holds for which of several terminations of one moment is forgotten when there are more than 1,024.

Both are now decided by the digest and by the upstream, as in the list of quarantined requests. Nothing that is sent changes otherwise.

The choice among terminations has no test of its own: it shows in no result of a ledger except when a later report dates one of them earlier.

--- a/crates/routing/src/burst.rs
+++ b/crates/routing/src/burst.rs
@@ -53,8 +53,8 @@
         let at = self.at.entry(upstream).or_insert(ended);
         *at = ended.min(*at);
         if self.at.len() > MAX_TERMINATIONS {
-            let oldest = self.at.iter().min_by_key(|(_, at)| **at).map(|(upstream, _)| *upstream);
-            oldest.map(|upstream| self.at.remove(&upstream));
+            let oldest = self.at.iter().map(|(upstream, at)| (*at, *upstream)).min();
+            oldest.map(|(_, upstream)| self.at.remove(&upstream));
         }
     }
 
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -352,8 +352,9 @@
         let since = self.latest_list_time();
         let mut due: Vec<_> =
             self.requests.iter_mut().filter(|(_, entry)| entry.is_due(since, now)).collect();
-        // Requests most likely to be quarantined come first, and of these the most recent.
-        due.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.suspicion()));
+        // Requests most likely to be quarantined come first, and of these the most recent. Digests
+        // decide among the others, so that the result does not depend on the order of the map.
+        due.sort_by_key(|(request, entry)| std::cmp::Reverse((entry.suspicion(), **request)));
         due.truncate(MAX_SENT_RECORDS);
         let mut records = Vec::with_capacity(due.len());
         for (request, entry) in due {
--- a/crates/routing/tests/crashes.rs
+++ b/crates/routing/tests/crashes.rs
@@ -133,6 +133,23 @@
     assert!(ledger.is_empty(), "runs expire after an hour");
 }
 
+/// More requests are due than one message carries, all with as much evidence: which are sent must not
+/// differ between ledgers with the same content.
+#[rstest]
+fn due_repeatable_among_equals() {
+    let start = Instant::now();
+    let due = || {
+        let mut ledger = CrashLedger::new();
+        for number in 0..60 {
+            ledger.record_run(RequestDigest(number), run(start, number, 0, 100));
+        }
+        ledger.due(start + ms(200))
+    };
+    let first: Vec<RequestDigest> = due().iter().map(|record| record.request).collect();
+    let second: Vec<RequestDigest> = due().iter().map(|record| record.request).collect();
+    assert_eq!(first, second);
+}
+
 /// Records that daemons forward in a circle, each time with a delay, must not get younger.
 #[rstest]
 fn merge_keeps_age() {
