Keep the port at which nothing may listen in the test of refusals

refusal_told_from_silence bound a port, released it, and expected a refusal there. Between the two, any process of the machine can take the port, and the test then fails since its connection is accepted. The socket now stays bound without listening, which the kernel refuses just the same.

--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -83,9 +83,10 @@
 #[tokio::test]
 async fn refusal_told_from_silence() {
     let client = UpstreamClient::new().with_first_connect_timeout(Duration::from_millis(100));
-    let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    // The socket keeps its port, so that no other process can listen there.
+    let closed = TcpSocket::new_v4().expect("a socket can be created");
+    closed.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a free port");
     let address = closed.local_addr().expect("a bound socket has an address");
-    drop(closed);
     let refused = client.prepare(address, false).await.map(|_| ());
     assert_eq!(refused, Err(SendRequestError::Refused(address)));
 
