Take back the longer wait in the tests of keys

The test had not been seen to fail, so there is nothing that a longer wait would mend, and a wait that is easier than before is no equal replacement.

--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -21,8 +21,8 @@
     }
 }
 
-/// Returns whether a message is delivered between two daemons with the given keys within a time.
-async fn reaches(dial_keys: &[&str], accept_keys: &[&str], known: bool, limit: Duration) -> bool {
+/// Returns whether a message is delivered between two daemons with the given keys.
+async fn reaches(dial_keys: &[&str], accept_keys: &[&str], known: bool) -> bool {
     let keys = |keys: &[&str]| keys.iter().map(|key| (*key).to_owned()).collect::<Vec<_>>();
     let (one, two) = (DaemonId::from("one"), DaemonId::from("two"));
     let listeners: Vec<TcpListener> =
@@ -43,14 +43,15 @@
         },
     );
     let dialer = dialer.expect("the mesh starts");
-    let mut delivered = None;
-    wait_until(limit, || {
+    for _ in 0..60 {
         dialer.send(&two, &message(7));
-        delivered = receiver.try_recv().ok();
-        delivered.is_some()
-    })
-    .await;
-    delivered.inspect(|received| assert_eq!(*received, (one, Some(7)))).is_some()
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        if let Ok(received) = receiver.try_recv() {
+            assert_eq!(received, (one, Some(7)));
+            return true;
+        }
+    }
+    false
 }
 
 #[rstest]
@@ -66,8 +67,7 @@
     #[case] known: bool,
     #[case] reached: bool,
 ) {
-    let limit = if reached { PATIENCE } else { REFUSAL_WATCH };
-    assert_eq!(reaches(dial, accept, known, limit).await, reached);
+    assert_eq!(reaches(dial, accept, known).await, reached);
 }
 
 #[rstest]
@@ -109,8 +109,6 @@
 const ENDLESS: Duration = Duration::from_secs(3600);
 /// Limit of waiting for what must happen; no result depends on its length.
 const PATIENCE: Duration = Duration::from_secs(20);
-/// Time in which a message that must be refused is sent again and again.
-const REFUSAL_WATCH: Duration = Duration::from_millis(1500);
 /// Time in which what must not happen is waited for.
 const WATCH: Duration = Duration::from_millis(500);
 
