--- a/crates/log/tests/repeated_change.rs
+++ b/crates/log/tests/repeated_change.rs
@@ -8,8 +8,8 @@
 use hollowbarrow_schema::{DaemonId, EntryPayload, LogEntry, ProposalOutcome};
 use rstest::rstest;
 
-/// Limit of waiting for what must happen; no result depends on its length.
-const TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time for an expected change.
+const TIMEOUT: Duration = Duration::from_secs(15);
 
 struct EmptyMachine;
 
