Change the voters without a recent confirmation of the leader

After a controller had returned with an empty disk it was not a voter again within the four seconds of the promise, where messages take about as long as an election timeout. If the next disk is lost then, one voter of two counts and no controller ever leads: callers get 503 until an operator restores a disk.

In one of them the leader knew at 6.88 s before the loss of power that the returned voter does not count, and proposed its removal at 2.06 s: it waited for a confirmation less than 600 ms old, while confirmations took 0.4 to 1.3 s. The admission then came too late.

A majority has to commit each change of the voters, so a leader that was replaced changes nothing, and its proposal needs no confirmation. Only the silence of a voter is still judged with one, since a leader that was stopped has heard nobody. Nothing is proposed by a state from before a suspension.

--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -101,6 +101,13 @@
         view.current && view.confirmed.is_some_and(|at| recent(at) && not_suspended(at))
     }
 
+    /// Whether this daemon leads the log and a majority has confirmed it since the machine was last
+    /// suspended, however long ago.
+    pub(crate) fn leads_log(&self, view: &LogView, now: Instant) -> bool {
+        let not_suspended = |at: Instant| !self.suspension.was_suspended_since(at, now);
+        view.current && view.confirmed.is_some_and(not_suspended)
+    }
+
     /// The newest committed configuration.
     pub(crate) fn newest_document(&self) -> Option<DeploymentDocument> {
         self.log.read(|state| state.newest().cloned())
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -31,6 +31,7 @@
 mod sync;
 pub mod table_hashes;
 pub mod tables;
+mod voter_upkeep;
 pub mod voters;
 mod worker_updates;
 
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -10,10 +10,7 @@
     LeaderTimes, OrderTicket, ReplicaController, ReplicaTiming, TermState, WorkerStatus,
 };
 use hollowbarrow_log::LogView;
-use hollowbarrow_schema::{
-    DaemonId, EntryPayload, FleetMessage, FleetView, ProposalOutcome, ServiceName, Term, WorkerId,
-    WorkerLoad,
-};
+use hollowbarrow_schema::{FleetMessage, FleetView, ServiceName, Term, WorkerId, WorkerLoad};
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
 
@@ -23,7 +20,7 @@
 use crate::orders::{WorkerEvent, probe_worker, send_order};
 use crate::quarantine::QuarantineLog;
 use crate::sync::send_grants;
-use crate::voters::{VOTER_REPLACEMENT_TIMEOUT, VoterFacts, next_voters, voters_for};
+use crate::voter_upkeep::VoterUpkeep;
 
 /// Longest time between two steps.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
@@ -31,8 +28,6 @@
 const STEP_DELAY: Duration = Duration::from_millis(10);
 /// Time between two views for gateways, unless the set of withheld workers changes.
 const VIEW_INTERVAL: Duration = Duration::from_millis(90);
-/// Time between two checks of the voters, unless what they depend on changes.
-const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Heartbeats after which a daemon that has just started has received a report of every worker.
 const SETTLE_BEATS: f64 = 2.5;
 /// Time before the very first leader plans replicas; workers register meanwhile.
@@ -60,9 +55,6 @@
     view_due: Instant,
     withheld: Vec<WorkerId>,
     quarantine_log: QuarantineLog,
-    voters_due: Instant,
-    /// Voters, those of them that may not count, and candidates at the last check, each sorted.
-    voters_checked: [Vec<DaemonId>; 3],
     /// Last logged summary of the replicas of each service.
     logged: BTreeMap<ServiceName, String>,
 }
@@ -70,6 +62,7 @@
 /// Runs the control loop whenever this daemon leads, until the process ends.
 pub(crate) async fn run_leader(core: Arc<ControllerCore>, events: flume::Receiver<WorkerEvent>) {
     let mut terms: TermState<Leadership> = TermState::new();
+    let mut upkeep = VoterUpkeep::new();
     let mut led = false;
     loop {
         tokio::select! {
@@ -90,9 +83,10 @@
         if leads != std::mem::replace(&mut led, leads) {
             log::info!("event=leadership term={} leads={leads}", *view.term);
         }
+        upkeep.step(&core, &view, now);
         if leads {
             let leadership = terms.enter(view.term, || begin_term(&core, &view, now));
-            step(&core, leadership, &view, now);
+            step(&core, leadership, now);
         }
     }
 }
@@ -155,21 +149,11 @@
         view_due: now,
         withheld: Vec::new(),
         quarantine_log: QuarantineLog::default(),
-        voters_due: now,
-        voters_checked: Default::default(),
         logged: BTreeMap::new(),
     }
 }
 
-fn step(core: &Arc<ControllerCore>, leadership: &mut Leadership, view: &LogView, now: Instant) {
-    let mut voters = [view.voters.clone(), view.uncounted.clone(), view.candidates.clone()];
-    voters.iter_mut().for_each(|ids| ids.sort());
-    if !view.voters_pending && (now >= leadership.voters_due || voters != leadership.voters_checked)
-    {
-        leadership.voters_due = now + VOTERS_INTERVAL;
-        leadership.voters_checked = voters;
-        maintain_voters(core, view, now);
-    }
+fn step(core: &Arc<ControllerCore>, leadership: &mut Leadership, now: Instant) {
     let services = core.engine_services();
     let mut fleet = core.fleet();
     leadership.liveness.prune(fleet.table());
@@ -290,39 +274,6 @@
     }
 }
 
-fn maintain_voters(core: &ControllerCore, view: &LogView, now: Instant) {
-    let local = core.links().id();
-    let silent: Vec<DaemonId> = view
-        .contacts
-        .iter()
-        .filter(|(_, at)| now.saturating_duration_since(**at) >= VOTER_REPLACEMENT_TIMEOUT)
-        .map(|(id, _)| id.clone())
-        .collect();
-    let desired = voters_for(core.settings.losses);
-    let facts = VoterFacts {
-        desired,
-        local,
-        voters: &view.voters,
-        silent: &silent,
-        lost_disks: &view.uncounted,
-        candidates: &view.candidates,
-    };
-    let Some(voters) = next_voters(&facts) else { return };
-    let names: Vec<&str> = voters.iter().map(|voter| voter.as_str()).collect();
-    log::info!("event=voters_proposed voters={}", names.join(","));
-    let outcome = core.log.propose(EntryPayload::Voters(voters));
-    tokio::spawn(log_voters_outcome(outcome));
-}
-
-/// Logs why a proposed change of voters failed; the next check sees whether it took effect.
-async fn log_voters_outcome(outcome: flume::Receiver<ProposalOutcome>) {
-    match outcome.recv_async().await {
-        Ok(ProposalOutcome::VotersChanged) => {}
-        Ok(outcome) => log::warn!("event=voters_refused outcome={outcome:?}"),
-        Err(_) => log::warn!("event=voters_refused outcome=unknown"),
-    }
-}
-
 fn spawn_probe(core: &Arc<ControllerCore>, worker: WorkerId, address: String) {
     let core = Arc::clone(core);
     tokio::spawn(async move {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod duplicates;
 mod fleet;
 mod foreign;
+mod late_confirmations;
 mod limit;
 mod limit_check;
 mod losses;
