Do not count a vote from before a restart as an election that failed

A voter that restarts waits twice as long, and up to eight times, for its next elections if its disk holds a vote, although that election may have been won. Each voter of a log that lost power holds one. With two of three disks left, both must vote, so one such voter delays every election after the first trial.

The term of the vote on the disk now counts as seen, so only terms in which this process voted prolong its timeouts.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -189,7 +189,7 @@
     leader_gap: Duration,
     /// Number of recent terms in which this replica voted and no leader was elected in time.
     failed_votes: u32,
-    /// Last term that was counted as failed.
+    /// Last term that was counted as failed, at first that of the vote on the disk.
     last_failed_term: Term,
     /// See [`LogReplica::confirmed`].
     confirmed: Option<Instant>,
@@ -210,6 +210,8 @@
         let rng = ChaCha8Rng::seed_from_u64(config.seed);
         let snapshot = storage.window().snapshot_index();
         let founding = FoundingProgress::new(storage.vote().founders.as_ref());
+        // Elections before this start tell nothing about the delays of messages since.
+        let last_term = storage.vote().term;
         let mut replica = Self {
             config,
             storage,
@@ -227,7 +229,7 @@
             leader_term: Term(0),
             leader_gap: Duration::ZERO,
             failed_votes: 0,
-            last_failed_term: Term(0),
+            last_failed_term: last_term,
             confirmed: None,
             complete: None,
             fault: None,
--- a/crates/log/tests/elections.rs
+++ b/crates/log/tests/elections.rs
@@ -26,8 +26,15 @@
     ["a", "b", "c", "d", "e"].map(DaemonId::from).to_vec()
 }
 
-/// A voter that has just started with a log up to index `kept`, or with an empty disk.
-fn voter(id: &DaemonId, kept: Option<u64>, seed: u64, now: Instant) -> LogReplica<MemoryStorage> {
+/// A voter that has just started with a log up to index `kept` and the vote of its last election, or
+/// with an empty disk.
+fn voter(
+    id: &DaemonId,
+    kept: Option<u64>,
+    vote: Option<&DaemonId>,
+    seed: u64,
+    now: Instant,
+) -> LogReplica<MemoryStorage> {
     let config = ReplicaConfig::new(id, &ids(), &ids())
         .with_founding(false)
         .with_election(ELECTION)
@@ -37,7 +44,7 @@
     if let Some(index) = kept {
         let vote = VoteRecord {
             term: Term(3),
-            vote: None,
+            vote: vote.cloned(),
             initialised: true,
             disk: None,
             founder: false,
@@ -57,14 +64,15 @@
 }
 
 /// Returns the time until there is a leader, if two of five voters have lost their disks, the first
-/// of the others has a log up to index `first`, and messages take up to `slowest`.
-fn time_to_leader(seed: u64, slowest: Duration, first: u64) -> Duration {
+/// of the others has a log up to index `first`, the others voted for `vote` before they stopped, and
+/// messages take up to `slowest`.
+fn time_to_leader(seed: u64, slowest: Duration, first: u64, vote: Option<&DaemonId>) -> Duration {
     let start = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut replicas: BTreeMap<DaemonId, LogReplica<MemoryStorage>> = BTreeMap::new();
     for (position, id) in ids().iter().enumerate() {
         let kept = [Some(first), Some(LAST), Some(LAST), None, None][position];
-        replicas.insert(id.clone(), voter(id, kept, seed, start));
+        replicas.insert(id.clone(), voter(id, kept, vote, seed, start));
     }
     let mut in_flight: Vec<(Instant, DaemonId, DaemonId, LogMessage)> = Vec::new();
     let mut now = start;
@@ -97,10 +105,24 @@
 #[case::first_one_behind(Duration::from_millis(40), LAST - 1)]
 fn leader_before_leaderless_publication(#[case] slowest: Duration, #[case] first: u64) {
     let mut times: Vec<Duration> =
-        (0..SEEDS).map(|seed| time_to_leader(seed, slowest, first)).collect();
+        (0..SEEDS).map(|seed| time_to_leader(seed, slowest, first, None)).collect();
     times.sort();
     let late = times.iter().filter(|time| **time > LEADERLESS).count();
     let median = times[times.len() / 2];
     let longest = times[times.len() - 1];
     assert_eq!(late, 0, "late elections of {SEEDS}; median {median:?}, longest {longest:?}");
 }
+
+/// Guards against a vote from before a restart that counts as an election that failed, and doubles the
+/// time until the next one.
+#[rstest]
+#[case::fast(Duration::from_millis(5))]
+#[case::slow(Duration::from_millis(300))]
+fn leader_as_soon_with_former_vote(#[case] slowest: Duration) {
+    let former = &ids()[4];
+    for seed in 0..SEEDS {
+        let without = time_to_leader(seed, slowest, LAST, None);
+        let with = time_to_leader(seed, slowest, LAST, Some(former));
+        assert_eq!(with, without, "seed {seed}");
+    }
+}
