Let a leader's lease cover the time that its confirmation takes

After a loss of power, on machines that lack processor time, a leader is elected and followed by all, and does almost nothing: gateways get no views and refuse what they do not know, workers get no orders.

Cause: a leader acts only while a majority's confirmation is less than an election timeout old (600 ms), since voters elect another after that time. The age counts from the start of the round, so where a confirmation takes as long there is no such time, although timeouts grow and everybody still follows.

A follower grants it from the receipt on: it neither stands nor votes for another until then. Where messages are fast nothing changes.

Tests that build the two messages give them the new field; their checks are the same.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -49,7 +49,7 @@
 /// A leader waits for its confirmation this many times as long as one recently took.
 const ROUND_TRIP_FACTOR: u32 = 4;
 /// Number of heartbeats per election timeout.
-const HEARTBEATS_PER_ELECTION: u32 = 4;
+pub(crate) const HEARTBEATS_PER_ELECTION: u32 = 4;
 
 /// Fixed settings of a replica.
 #[derive(Clone, Debug)]
@@ -175,6 +175,8 @@
     deadline: Instant,
     /// Time of the last message from a leader.
     leader_contact: Option<Instant>,
+    /// End of the leases that this replica has granted to leaders.
+    granted_lease: Option<Instant>,
     /// Number of elections that this replica has started since its own start.
     elections: u32,
     /// Time at which this replica last started an election.
@@ -222,6 +224,7 @@
             applied: snapshot,
             deadline: now,
             leader_contact: None,
+            granted_lease: None,
             elections: 0,
             last_election: now,
             last_trial: now,
@@ -307,6 +310,15 @@
         }
     }
 
+    /// Returns until when no other replica can be elected, if this replica is the leader. Only a
+    /// voter that restarts forgets the lease that it has granted.
+    pub fn lease_end(&self) -> Option<Instant> {
+        match &self.role {
+            ReplicaRole::Leader(role) => Some(role.lease_end),
+            _ => None,
+        }
+    }
+
     /// Returns the latest time for which it is known that all entries acknowledged before it are
     /// committed here; none if this replica has not caught up with a leader since its start.
     pub fn complete(&self) -> Option<Instant> {
@@ -524,7 +536,8 @@
         let grown = first.map(|timeout| timeout * 2u32.saturating_pow(self.elections));
         let timeout = grown.map_or(self.config.election, |grown| grown.min(self.config.election));
         let jitter = self.rng.random_range(1.0..2.0);
-        self.deadline = now + self.slowed_timeout(timeout).mul_f64(jitter);
+        let deadline = now + self.slowed_timeout(timeout).mul_f64(jitter);
+        self.deadline = self.granted_lease.map_or(deadline, |end| deadline.max(end));
     }
 
     /// Returns a timeout prolonged by the delays that this replica has measured.
@@ -555,8 +568,10 @@
         }
     }
 
-    /// Records a message of the current term's leader.
-    fn record_leader_contact(&mut self, term: Term, now: Instant) {
+    /// Records a message of the current term's leader, and the lease that it asks for.
+    fn record_leader_contact(&mut self, term: Term, lease_ms: u64, now: Instant) {
+        let lease = Duration::from_millis(lease_ms).max(self.config.election);
+        self.granted_lease = self.granted_lease.max(now.checked_add(lease));
         let silent = self.leader_contact.filter(|_| term == self.leader_term);
         let silent = silent.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.leader_gap = silent.max(decay(self.leader_gap));
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -439,6 +439,7 @@
         commit: LogIndex(commit),
         round: 1,
         confirmed_ms: 0,
+        lease_ms: 0,
     })
 }
 
@@ -460,7 +461,7 @@
         disks: Vec::new(),
         state: Vec::new(),
     };
-    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot, lease_ms: 0 };
     replica.step(&leader, LogMessage::Snapshot(request), Instant::now());
     replica.step(&leader, append(40, 40, 40, 2), Instant::now());
     assert!(replica.confirmed().is_some(), "the leader is confirmed");
--- a/crates/log/tests/reopen.rs
+++ b/crates/log/tests/reopen.rs
@@ -61,6 +61,7 @@
         commit: LogIndex(0),
         round: 1,
         confirmed_ms: 0,
+        lease_ms: 0,
     };
     driver.deliver(&DaemonId::from("b"), LogMessage::Append(request));
 }
