Give handshake steps more time after each one that timed out

A controller that returned was connected to the leader only 7 s after its start on machines that lack processor time, so it was not admitted as a voter before the next disk was lost, and no controller could lead.

Cause: a step of the handshake has a second, then the attempt starts over. Where a round trip takes that long, attempts end at the same step again and again.

The dialer doubles the timeout of a step with each attempt that exceeds it, up to four times, until it is connected; the acceptor leaves it to the dialer. The time to open the connection stays short, so a machine that is away is tried as often as before.

connect_over_link_slower_than_step failed before ("no attempt leads to a connection" in 20 s, with the growth set to one) and passes; the other tests of the mesh pass.

--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -36,6 +36,8 @@
 const PINGS_PER_SILENCE: u32 = 4;
 /// Minimum and maximum delay before a connection is tried again.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Factor by which the timeout of a handshake step grows at most.
+const MAX_STEP_GROWTH: u32 = 4;
 const DIAL_PURPOSE: &str = "hollowbarrow dial";
 const ACCEPT_PURPOSE: &str = "hollowbarrow accept";
 const SESSION_PURPOSE: &str = "hollowbarrow session";
@@ -129,7 +131,8 @@
     }
 
     /// Sets the timeout of one handshake step or write, and the time without any received frame
-    /// after which a connection is closed.
+    /// after which a connection is closed. The timeout of a handshake step grows with each attempt
+    /// that exceeds it, up to four times, until a connection is established.
     pub fn with_timeouts(mut self, step: Duration, silence: Duration) -> Self {
         self.step_timeout = step;
         self.silence_timeout = silence;
@@ -142,6 +145,11 @@
         self
     }
 
+    /// Returns the longest timeout of a handshake step.
+    fn longest_step(&self) -> Duration {
+        self.step_timeout.saturating_mul(MAX_STEP_GROWTH)
+    }
+
     fn address_of(&self, peer: &DaemonId) -> Option<SocketAddr> {
         match self.peers.get(peer) {
             Some(address) => Some(*address),
@@ -299,9 +307,18 @@
     async fn run(self) {
         let (shortest, longest) = self.config.backoff;
         let mut pause = shortest;
+        let mut step = self.config.step_timeout;
         let mut reported = false;
         loop {
-            match self.connect().await {
+            let connected = self.connect(step).await;
+            // Where each step takes longer than its timeout, attempts that all end at the same step
+            // would never connect.
+            step = match &connected {
+                Ok(_) => self.config.step_timeout,
+                Err(ConnectPeerError::Timeout) => (step * 2).min(self.config.longest_step()),
+                Err(_) => step,
+            };
+            match connected {
                 Ok((socket, sealer)) => {
                     log::info!("event=peer_connected peer={}", *self.to);
                     (pause, reported) = (shortest, false);
@@ -339,8 +356,7 @@
         self.traffic.dropped.fetch_add(stale, Ordering::Relaxed);
     }
 
-    async fn connect(&self) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
-        let step = self.config.step_timeout;
+    async fn connect(&self, step: Duration) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
         let stream =
             within(self.config.connect_timeout, async { Ok(self.open_stream().await?) }).await?;
         stream.set_nodelay(true)?;
@@ -458,7 +474,8 @@
     async fn serve(&self, stream: TcpStream) -> Result<(), ConnectPeerError> {
         let config = &self.config;
         stream.set_nodelay(true)?;
-        let step = config.step_timeout;
+        // The dialer decides when to give up an attempt.
+        let step = config.longest_step();
         let mut socket = within(step, async { Ok(accept_async(stream).await?) }).await?;
         let accept_nonce = fresh_nonce();
         let challenge = PeerChallenge { version: PROTOCOL_VERSION, nonce: accept_nonce.clone() };
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -9,6 +9,7 @@
 use hollowbarrow_schema::{DaemonId, ForwardReply, PeerMessage, ProposalOutcome};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
 fn message(id: u64) -> PeerMessage {
     PeerMessage::Reply(ForwardReply { id, outcome: ProposalOutcome::Busy })
@@ -286,6 +287,58 @@
     assert!(used.await, "nothing is sent over the open connection");
 }
 
+/// Guards against attempts that all end at the same step, because a round trip takes longer than its
+/// timeout.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connect_over_link_slower_than_step() {
+    let ((listener, one_at), (front, two_at)) = (bind(), bind());
+    let (two_listener, behind) = bind();
+    forward_late(front, behind);
+    let to = DaemonId::from("two");
+    let config = MeshConfig::new(&DaemonId::from("one"), &[KEY.to_owned()])
+        .with_backoff(SHORT_STEP / 10, SHORT_STEP / 10)
+        .with_timeouts(SHORT_STEP, ENDLESS)
+        .with_peer(&to, two_at);
+    let one = PeerMesh::start(config, listener, |_, _| {}).expect("the mesh starts");
+    let (_two, received) = start_mesh("two", KEY, two_listener, ("one", one_at));
+    let reached = wait_until(PATIENCE, || {
+        one.send(&to, &message(1));
+        received.try_recv() == Ok(Some(1))
+    });
+    assert!(reached.await, "no attempt leads to a connection");
+}
+
+/// Timeout of a handshake step on a link whose round trips take longer, and the delay of that link in
+/// each direction.
+const SHORT_STEP: Duration = Duration::from_millis(500);
+const LINK_DELAY: Duration = Duration::from_millis(300);
+
+/// Forwards connections; each piece of data is delayed.
+fn forward_late(front: TcpListener, to: SocketAddr) {
+    front.set_nonblocking(true).expect("a listener can be set to non-blocking");
+    let front = tokio::net::TcpListener::from_std(front).expect("the runtime takes the listener");
+    tokio::spawn(async move {
+        while let Ok((near, _)) = front.accept().await {
+            let Ok(far) = tokio::net::TcpStream::connect(to).await else { continue };
+            let (near_reader, near_writer) = near.into_split();
+            let (far_reader, far_writer) = far.into_split();
+            tokio::spawn(copy_late(far_reader, near_writer));
+            tokio::spawn(copy_late(near_reader, far_writer));
+        }
+    });
+}
+
+async fn copy_late(mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut buffer = [0; 4096];
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        tokio::time::sleep(LINK_DELAY).await;
+        if to.write_all(&buffer[..length]).await.is_err() {
+            break;
+        }
+    }
+}
+
 /// What a forwarder has passed on.
 #[derive(Default)]
 struct Forwarded {
