Replace a silent voter as soon as its leader does not count it

What callers saw: nothing yet. A controller at a new address that takes the place of a lost leader counted 4.4 to 4.9 s after its start, where another disk may be lost after four. With that disk lost one of three voters is left: no change can be made and restarted gateways answer 503, for good.

Cause: a voter had to be silent for four seconds, a new leader began that time anew after the election, and the check ran twice a second. Four seconds are the whole time after which another disk may be lost.

Fix: the leader replaces a voter once it does not count it any more, after two seconds, and checks when that changes. Where no other controller follows the log nothing changes.

is_voter of the test system answers no for a controller that was killed; all its callers ask about running ones.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -61,8 +61,9 @@
     withheld: Vec<WorkerId>,
     quarantine_log: QuarantineLog,
     voters_due: Instant,
-    /// Voters, those of them that may not count, and candidates at the last check, each sorted.
-    voters_checked: [Vec<DaemonId>; 3],
+    /// Voters, those of them that may not count, those that are silent, and candidates at the last
+    /// check, each sorted.
+    voters_checked: [Vec<DaemonId>; 4],
     /// Last logged summary of the replicas of each service.
     logged: BTreeMap<ServiceName, String>,
 }
@@ -162,13 +163,15 @@
 }
 
 fn step(core: &Arc<ControllerCore>, leadership: &mut Leadership, view: &LogView, now: Instant) {
-    let mut voters = [view.voters.clone(), view.uncounted.clone(), view.candidates.clone()];
+    let silent = silent_voters(view, now);
+    let mut voters =
+        [view.voters.clone(), view.uncounted.clone(), silent.clone(), view.candidates.clone()];
     voters.iter_mut().for_each(|ids| ids.sort());
     if !view.voters_pending && (now >= leadership.voters_due || voters != leadership.voters_checked)
     {
         leadership.voters_due = now + VOTERS_INTERVAL;
         leadership.voters_checked = voters;
-        maintain_voters(core, view, now);
+        maintain_voters(core, view, &silent);
     }
     let services = core.engine_services();
     let mut fleet = core.fleet();
@@ -290,20 +293,21 @@
     }
 }
 
-fn maintain_voters(core: &ControllerCore, view: &LogView, now: Instant) {
+/// Returns the voters that have been silent for so long that they are to be replaced.
+fn silent_voters(view: &LogView, now: Instant) -> Vec<DaemonId> {
+    let is_silent = |at: Instant| now.saturating_duration_since(at) >= VOTER_REPLACEMENT_TIMEOUT;
+    let contacts = view.contacts.iter();
+    contacts.filter(|(_, at)| is_silent(**at)).map(|(id, _)| id.clone()).collect()
+}
+
+fn maintain_voters(core: &ControllerCore, view: &LogView, silent: &[DaemonId]) {
     let local = core.links().id();
-    let silent: Vec<DaemonId> = view
-        .contacts
-        .iter()
-        .filter(|(_, at)| now.saturating_duration_since(**at) >= VOTER_REPLACEMENT_TIMEOUT)
-        .map(|(id, _)| id.clone())
-        .collect();
     let desired = voters_for(core.settings.losses);
     let facts = VoterFacts {
         desired,
         local,
         voters: &view.voters,
-        silent: &silent,
+        silent,
         lost_disks: &view.uncounted,
         candidates: &view.candidates,
     };
--- a/crates/controller/src/voters.rs
+++ b/crates/controller/src/voters.rs
@@ -12,6 +12,7 @@
 
 use std::time::Duration;
 
+use hollowbarrow_log::CONTACT_TIMEOUT;
 use hollowbarrow_schema::DaemonId;
 
 /// Number of voters needed to tolerate this many losses.
@@ -21,8 +22,10 @@
 
 /// Number of voters below which none is removed: with fewer, each is needed for a majority.
 const MIN_VOTERS: usize = 3;
-/// Time without a reply after which a voter is replaced, if another controller is available.
-pub const VOTER_REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time without a reply after which a voter is replaced, if another controller is available: from
+/// then on the leader doesn't count it. A new leader waits for it again, after an election, so it must
+/// be well below the time after which a successor makes up for a lost controller.
+pub const VOTER_REPLACEMENT_TIMEOUT: Duration = CONTACT_TIMEOUT;
 
 /// Inputs of [`next_voters`].
 #[derive(Clone, Debug)]
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -28,8 +28,8 @@
 /// Delay before a failed storage is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time without a reply after which a voter no longer counts as available.
-const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a reply after which a leader no longer counts a voter as available.
+pub const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Deterministic state machine to which every replica applies the same entries.
 pub trait StateMachine: Send + Sync + 'static {
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -21,7 +21,8 @@
 mod storage;
 
 pub use driver::{
-    AppliedCallback, AppliedChange, DriverConfig, DriverInput, LogDriver, LogView, StateMachine,
+    AppliedCallback, AppliedChange, CONTACT_TIMEOUT, DriverConfig, DriverInput, LogDriver, LogView,
+    StateMachine,
 };
 pub use file::FileStorage;
 pub use replica::{LogReplica, ReplicaConfig, ReplicaFault};
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -333,14 +333,33 @@
     /// Returns whether a controller, since its last start, has logged that it is a voter with
     /// complete storage.
     pub fn is_voter(&self, index: usize) -> bool {
+        self.last_quorum(index).is_some_and(|line| {
+            line.contains(&self.mesh_prefix(index)) && line.contains("lost_disk=false")
+        })
+    }
+
+    /// Returns whether a controller, by its last logged quorum, knows another one as a voter.
+    pub fn names_voter(&self, index: usize, voter: usize) -> bool {
+        let quorum = self.last_quorum(index).unwrap_or_default();
+        let voters = quorum.split(" voters=").nth(1).unwrap_or_default();
+        voters.contains(&self.mesh_prefix(voter))
+    }
+
+    /// Returns the last quorum that a controller has logged since its last start, if it was not killed
+    /// since.
+    fn last_quorum(&self, index: usize) -> Option<String> {
         let daemon = &self.daemons[index];
+        daemon.child.as_ref()?;
         let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
         let current_log = log.get(daemon.log_start..).unwrap_or_default();
         let last = current_log.lines().rev().find(|line| line.contains("event=quorum"));
+        last.map(str::to_owned)
+    }
+
+    /// Returns the beginning of a controller's id.
+    fn mesh_prefix(&self, index: usize) -> String {
         let ip = self.controllers[index].split(':').next().unwrap_or_default();
-        last.is_some_and(|line| {
-            line.contains(&format!("{ip}:")) && line.contains("lost_disk=false")
-        })
+        format!("{ip}:")
     }
 
     /// Returns the metrics page of a daemon.
