Make a restored disk notice what it has forgotten

What callers saw: nothing reported. A voter whose disk is restored from a backup, or that lost synced data, kept its disk's id and went on counting. With the voters that hold an acknowledged change away, the others could elect a leader without it: the change was gone.

Cause: only the id tells disks apart, and a backup holds it too. The leader knows up to where that disk has acknowledged its log, and did not compare.

Fix: a leader states in its messages what the receiver's disk has acknowledged in its term. A disk that holds less draws another id and stores it, so that nobody counts it, and the leader removes and admits it as it does with an emptied one. The disk decides rather than the leader: replies may arrive in any order, and a leader that judged by them would remove sound voters. Acknowledgements to earlier leaders and votes are not known to anybody who could state them; docs/decisions/log.md says so.

The fault's text names a restored folder too. Two tests that build a request name the new field; what they check is as it was.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_schema::{DaemonId, DiskId, DiskIdentity, LogIndex};
+use hollowbarrow_schema::{Acknowledgement, DaemonId, DiskId, DiskIdentity, LogIndex};
 use tokio::time::Instant;
 
 use crate::electorate::Electorate;
@@ -146,6 +146,12 @@
         }
     }
 
+    /// Returns what the follower has acknowledged with the disk of its last reply.
+    pub(crate) fn acknowledged(&self) -> Option<Acknowledgement> {
+        let disk = self.disk.as_ref()?.id.filter(|_| *self.matched > 0)?;
+        Some(Acknowledgement { disk, index: self.matched })
+    }
+
     /// Records the disk of a reply and the round that it echoes; returns false if the reply is to be
     /// dropped, because the follower may have replaced that disk since. A new disk is accepted with
     /// the first round that no former disk has echoed, and what those had reached is dropped.
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -138,7 +138,7 @@
     #[error("this daemon is a voter but has no data folder")]
     NoDisk,
     /// The replica is a voter, and its disk is not the one that the log names.
-    #[error("the data folder is empty although the log is not; replace this voter")]
+    #[error("the data folder was emptied or restored from a copy; replace this voter")]
     LostDisk,
     /// A leader sent entries that conflict with committed entries of this replica.
     #[error("the leader's log contradicts committed entries; its voters lost their state")]
@@ -250,6 +250,15 @@
         }
     }
 
+    /// Draws another id for a disk that has forgotten what it acknowledged, so that it counts in no
+    /// quorum until it is admitted again.
+    fn replace_disk_id(&mut self) {
+        let VoteRecord { term, vote, .. } = self.storage.vote().clone();
+        let disk = Some(DiskId(rand::random()));
+        self.save_vote(VoteRecord { term, vote, disk, ..VoteRecord::default() });
+        self.refresh_fault();
+    }
+
     /// Adds a peer that was discovered after the start: it follows the log and may become a voter.
     pub fn add_peer(&mut self, peer: DaemonId) {
         if self.config.peers.insert(peer) {
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -55,12 +55,14 @@
             return;
         }
         progress.next = LogIndex(*progress.next + entries.len() as u64);
+        let acknowledged = progress.acknowledged();
         let request = AppendRequest {
             term,
             previous_index,
             previous_term,
             entries,
             commit,
+            acknowledged,
             round,
             confirmed_ms: confirmed.as_millis() as u64,
         };
@@ -78,6 +80,10 @@
         self.step_down(request.term, Some(from.clone()), now);
         let confirmed = now.checked_sub(Duration::from_millis(request.confirmed_ms));
         self.confirmed = self.confirmed.max(confirmed);
+        self.check_acknowledged(&request);
+        if self.storage_fault().is_some() {
+            return;
+        }
         let snapshot = self.storage.window().snapshot_index();
         let found = self.storage.window().term_at(request.previous_index);
         if request.previous_index >= snapshot && found != Some(request.previous_term) {
@@ -99,6 +105,25 @@
         self.answer_append(from, request.term, true, matched, request.round);
     }
 
+    /// Takes another disk id if this disk lacks what it has acknowledged to the leader of this term:
+    /// it was restored from a copy or lost data. What it acknowledged to earlier leaders is not known.
+    ///
+    /// The leader states only what it has read in a reply, and a reply is sent after its entries are
+    /// synced, so late or repeated requests don't make a sound disk lack anything.
+    fn check_acknowledged(&mut self, request: &AppendRequest) {
+        let Some(acknowledged) = &request.acknowledged else { return };
+        if self.storage.vote().disk != Some(acknowledged.disk) {
+            return;
+        }
+        let window = self.storage.window();
+        let comparable = window.snapshot_index()..=acknowledged.index;
+        let differs = comparable.contains(&request.previous_index)
+            && window.term_at(request.previous_index) != Some(request.previous_term);
+        if differs || window.last_index() < acknowledged.index {
+            self.replace_disk_id();
+        }
+    }
+
     /// Returns the index after which the leader should send entries next, following a mismatch.
     pub(super) fn conflict_hint(&self, index: LogIndex) -> LogIndex {
         let window = self.storage.window();
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -437,6 +437,7 @@
         previous_term: Term(1),
         entries: (previous + 1..=last).map(entry).collect(),
         commit: LogIndex(commit),
+        acknowledged: None,
         round: 1,
         confirmed_ms: 0,
     })
--- a/crates/log/tests/reopen.rs
+++ b/crates/log/tests/reopen.rs
@@ -59,6 +59,7 @@
         previous_term: Term(0),
         entries: Vec::new(),
         commit: LogIndex(0),
+        acknowledged: None,
         round: 1,
         confirmed_ms: 0,
     };
--- a/crates/log/tests/support/disk.rs
+++ b/crates/log/tests/support/disk.rs
@@ -27,6 +27,11 @@
 
     /// Returns the storage that a restart finds.
     pub fn crash(self) -> Self {
+        self.backup()
+    }
+
+    /// Returns a copy of what is synced.
+    pub fn backup(&self) -> Self {
         let mut live = MemoryStorage::new().with_durable(self.durable);
         if !self.durable {
             return Self::new(false);
@@ -40,7 +45,7 @@
             };
             replayed.expect("synced actions can be replayed");
         }
-        Self { synced: self.synced, pending: Vec::new(), live, durable: true }
+        Self { synced: self.synced.clone(), pending: Vec::new(), live, durable: true }
     }
 }
 
--- a/crates/log/tests/support/mod.rs
+++ b/crates/log/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use disk::CrashStorage;
+pub use disk::CrashStorage;
 
 /// Election timeout of all replicas.
 pub const ELECTION: Duration = Duration::from_millis(100);
@@ -264,6 +264,17 @@
         self.forgotten.insert(id.clone());
     }
 
+    /// Returns a copy of a running daemon's disk.
+    pub fn backup(&self, id: &DaemonId) -> CrashStorage {
+        self.replica(id).storage().backup()
+    }
+
+    /// Stops a daemon and restores its disk from a copy.
+    pub fn restore(&mut self, id: &DaemonId, copy: &CrashStorage) {
+        self.stop(id);
+        self.nodes.get_mut(id).expect("known").disk = Some(copy.backup());
+    }
+
     /// Lets a daemon count that lost its disk while the log was founded, without an admission.
     pub fn let_found(&mut self, id: &DaemonId) {
         self.forgotten.remove(id);
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -32,6 +32,19 @@
         }
     }
 }
+///Index up to which a disk holds its leader's log, as it acknowledged in the leader's term.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Acknowledgement {
+    pub disk: DiskId,
+    pub index: LogIndex,
+}
+impl ::std::convert::From<&Acknowledgement> for Acknowledgement {
+    fn from(value: &Acknowledgement) -> Self {
+        value.clone()
+    }
+}
 ///Nodes that form one replica of a group.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -152,6 +165,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct AppendRequest {
+    ///What the receiver has acknowledged to this leader.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub acknowledged: ::std::option::Option<Acknowledgement>,
     pub commit: LogIndex,
     ///Milliseconds since a majority last confirmed the leader.
     pub confirmed_ms: u64,
