--- a/crates/controller/src/voter_upkeep.rs
+++ b/crates/controller/src/voter_upkeep.rs
@@ -17,8 +17,8 @@
 /// Time between two checks of the voters, unless what they depend on changes.
 const VOTERS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Voters, those of them that may not count, and candidates, each sorted.
-type VoterLists = [Vec<DaemonId>; 3];
+/// Voters, those of them that may not count, those that are silent, and candidates, each sorted.
+type VoterLists = [Vec<DaemonId>; 4];
 
 /// What the last check of the voters was about.
 #[derive(Debug, Default)]
@@ -37,7 +37,12 @@
         if !core.leads_log(view, now) || view.voters_pending {
             return;
         }
-        let mut lists = [view.voters.clone(), view.uncounted.clone(), view.candidates.clone()];
+        let silent = match core.is_confirmed_leader(view, now) {
+            true => silent_voters(view, now),
+            false => Vec::new(),
+        };
+        let mut lists =
+            [view.voters.clone(), view.uncounted.clone(), silent.clone(), view.candidates.clone()];
         lists.iter_mut().for_each(|ids| ids.sort());
         let facts = Some((view.term, lists));
         if self.due.is_some_and(|due| now < due) && facts == self.checked {
@@ -45,20 +50,16 @@
         }
         self.due = Some(now + VOTERS_INTERVAL);
         self.checked = facts;
-        propose_voters(core, view, now);
+        propose_voters(core, view, &silent);
     }
 }
 
-fn propose_voters(core: &ControllerCore, view: &LogView, now: Instant) {
-    let silent = match core.is_confirmed_leader(view, now) {
-        true => silent_voters(view, now),
-        false => Vec::new(),
-    };
+fn propose_voters(core: &ControllerCore, view: &LogView, silent: &[DaemonId]) {
     let facts = VoterFacts {
         desired: voters_for(core.settings.losses),
         local: core.links().id(),
         voters: &view.voters,
-        silent: &silent,
+        silent,
         lost_disks: &view.uncounted,
         candidates: &view.candidates,
     };
--- a/crates/log/tests/first_entry.rs
+++ b/crates/log/tests/first_entry.rs
@@ -63,6 +63,8 @@
         commit: LogIndex(commit),
         round: 1,
         confirmed_ms: 0,
+        lease_ms: 0,
+        acknowledged: None,
     })
 }
 
--- a/crates/log/tests/leases.rs
+++ b/crates/log/tests/leases.rs
@@ -135,6 +135,7 @@
         round: 1,
         confirmed_ms: 0,
         lease_ms: lease.as_millis() as u64,
+        acknowledged: None,
     })
 }
 
