Promise nothing that a failed storage may not hold

Callers would see: an acknowledged change is gone after a loss of power.

Cause: that the storage had failed was asked where messages begin and where they are synced, not where promises are sent.

flush drops what had to wait for the sync if the storage has failed by then, whatever path has failed it.

--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -402,7 +402,8 @@
         std::mem::take(&mut self.early)
     }
 
-    /// Syncs the storage and returns all messages, including those that had to wait for the sync.
+    /// Syncs the storage and returns all messages, including those that had to wait for the sync; these
+    /// are dropped if the storage has failed.
     pub fn flush(&mut self, now: Instant) -> Vec<(DaemonId, LogMessage)> {
         if self.storage_fault().is_none() {
             self.storage.set_committed(self.commit);
@@ -411,6 +412,10 @@
                 Err(error) => self.fail(error.into()),
             }
         }
+        if self.storage_fault().is_some() {
+            // They promise what may not be stored.
+            self.late.clear();
+        }
         let mut messages = std::mem::take(&mut self.early);
         messages.append(&mut self.late);
         messages
