--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -259,7 +259,9 @@
             }
             self.refresh_voters();
             self.commit = index;
-            self.installed = true;
+            // The state may hold more than the snapshot if the storage was opened again and lacked
+            // entries.
+            self.installed = index > self.applied;
         }
         self.answer_append(from, request.term, true, self.commit, request.round);
     }
