--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -101,18 +101,26 @@
         Ok(bytes)
     }
 
+    /// Writes the entries after the snapshot to a segment, which replaces the file of that name, and goes
+    /// on there.
+    fn write_segment(&mut self, path: &Path) -> Result<(), StoreLogError> {
+        let first = LogIndex(*self.window.snapshot_index() + 1);
+        let entries = self.window.entries_from(first, usize::MAX);
+        let bodies = entries.map(|entry| encode(&SegmentRecord::Entry(Box::new(entry.clone()))));
+        let bodies: Vec<Vec<u8>> = bodies.collect::<Result<_, _>>()?;
+        replace_file(path, &self.frame_all(&bodies)?)?;
+        self.segment = open_segment(path)?;
+        self.segment_path = path.to_owned();
+        self.pending.clear();
+        Ok(())
+    }
+
     /// Writes the entries after the snapshot to a new segment and removes the older segments.
     fn roll_segment(&mut self) -> Result<(), StoreLogError> {
         let old = list_segments(&self.folder)?;
         let first = *self.window.snapshot_index() + 1;
         let path = segment_path(&self.folder, first);
-        let entries = self.window.entries_from(LogIndex(first), usize::MAX);
-        let bodies = entries.map(|entry| encode(&SegmentRecord::Entry(Box::new(entry.clone()))));
-        let bodies: Vec<Vec<u8>> = bodies.collect::<Result<_, _>>()?;
-        replace_file(&path, &self.frame_all(&bodies)?)?;
-        self.segment = open_segment(&path)?;
-        self.segment_path = path.clone();
-        self.pending.clear();
+        self.write_segment(&path)?;
         for stale in old.iter().filter(|stale| **stale != path) {
             std::fs::remove_file(stale).map_err(|e| access("remove", stale, e))?;
         }
@@ -153,6 +161,13 @@
     }
 
     fn install_snapshot(&mut self, snapshot: LogSnapshot) -> Result<(), StoreLogError> {
+        let found = self.window.term_at(snapshot.index);
+        if found.is_some_and(|term| term != snapshot.term) {
+            // Entries of another log are removed durably before the snapshot is stored, so that a
+            // crash leaves none of them behind it.
+            self.window.truncate_from(snapshot.index);
+            self.write_segment(&self.segment_path.clone())?;
+        }
         self.sync()?;
         write_small(&self.folder.join(SNAPSHOT_FILE), &snapshot)?;
         self.window.set_snapshot(snapshot);
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -395,3 +395,26 @@
     let window = storage.window();
     assert_eq!((window.last_index(), window.last_term()), (LogIndex(5), Term(2)));
 }
+
+/// Power is lost after a leader's snapshot was stored that does not continue the log here, and before
+/// the former segment was replaced. Entries of a term as late as the snapshot's, or later, must not
+/// follow it either.
+#[rstest]
+#[case::all_later(3, 3)]
+#[case::some_later(1, 3)]
+fn open_with_later_entries_that_snapshot_replaced(#[case] third: u64, #[case] fourth: u64) {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled(folder.path(), 2);
+    let with_term = |index: u64, term: u64| LogEntry { term: Term(term), ..entry(index) };
+    storage.append(&[with_term(3, third), with_term(4, fourth)]).expect("entries follow");
+    storage.sync().expect("the disk works");
+    let next = folder.path().join("log-00000000000000000003.new");
+    std::fs::create_dir(&next).expect("a folder can take the place of the next segment");
+    let snapshot = LogSnapshot { term: Term(2), ..snapshot_at(2) };
+    assert!(storage.install_snapshot(snapshot).is_err(), "the segment cannot be replaced");
+    drop(storage);
+    std::fs::remove_dir(&next).expect("it can be removed");
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    let window = storage.window();
+    assert_eq!((window.last_index(), window.last_term()), (LogIndex(2), Term(2)));
+}
