Withdraw a configuration that nobody confirmed once a majority is in contact

What callers saw: a gateway that had restarted ran a request of a route that the last acknowledged change had dropped, for as long as no leader was elected, while a majority of the voters was in contact.

Cause: a controller that is back before the others cannot tell that from being cut off. After two seconds it publishes what it holds to gateways that restarted with it. When another voter follows, it waits for a leader and publishes nothing more to gateways without a configuration, but those that had got one kept it.

A controller that has waited for a leader for two seconds in contact with a majority now tells the gateways, four times a second, which version they report. A gateway that has received no view of a leader since its start then stops using it: it is as if it had restarted now. One that has received a view goes on, as before. Less than two seconds would withdraw the configuration of a zone whose cut has just ended, for the moment until the leader confirms it. What callers lose: such gateways answer 503 with Retry-After until there is a leader, as other restarted gateways do in this state. If contact is lost again, the controller publishes as one that is cut off.

The message is new on the wire (schema: DeploymentWithdrawal). A gateway of an earlier release cannot decode it.

--- a/crates/controller/src/certainty.rs
+++ b/crates/controller/src/certainty.rs
@@ -6,6 +6,9 @@
 //! that it holds. Gateways serve with it; as they get no leader's view, they know that no one has
 //! named the newest version to them.
 //!
+//! What a controller that was cut off has sent to gateways that had started with it is withdrawn
+//! once a majority is in contact and no leader follows from that.
+//!
 //! A controller in contact with a majority of the voters waits for a leader instead, however long
 //! that takes: its own log, or that of a controller it is in contact with, may hold entries that were
 //! acknowledged and that it cannot know to be committed.
@@ -77,6 +80,31 @@
     }
 }
 
+/// The last certainty of a controller, and since when it lasts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CertaintyHistory {
+    last: ConfigCertainty,
+    since: Option<Instant>,
+}
+
+impl CertaintyHistory {
+    /// Records the certainty at `now`; returns whether it differs from the last one.
+    pub fn record(&mut self, certainty: ConfigCertainty, now: Instant) -> bool {
+        let changed = self.last != certainty;
+        if changed {
+            *self = Self { last: certainty, since: Some(now) };
+        }
+        changed
+    }
+
+    /// Returns whether gateways are to stop using what no leader has confirmed to them: the
+    /// controller waits for a leader for longer than a new contact takes to bring one.
+    pub fn withdraws_unconfirmed(&self, now: Instant) -> bool {
+        let age = self.since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.last == ConfigCertainty::Waiting && age > LEADERLESS_TIMEOUT
+    }
+}
+
 /// Returns the age up to which a hello counts as contact for a process that started or last resumed
 /// at `since`: a hello from before shows nothing about the time after.
 pub fn contact_age(since: Instant, now: Instant) -> Duration {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -22,7 +22,9 @@
 use crate::orders::WorkerEvent;
 use crate::protocol::ControlProtocol;
 use crate::reconcile::run_leader;
-use crate::sync::{handle_message, log_quorum, push_deployments, send_hellos};
+use crate::sync::{
+    handle_message, log_quorum, push_deployments, send_hellos, withdraw_unconfirmed,
+};
 use crate::worker_updates::publish_updates;
 
 /// Silence after which a voter that has just started stands for election. It is short because after
@@ -85,6 +87,7 @@
         tokio::spawn(send_hellos(Arc::clone(&core)));
         tokio::spawn(publish_updates(Arc::clone(&core)));
         tokio::spawn(push_deployments(Arc::clone(&core)));
+        tokio::spawn(withdraw_unconfirmed(Arc::clone(&core)));
         tokio::spawn(log_quorum(Arc::clone(&core)));
         tokio::spawn(run_leader(Arc::clone(&core), event_receiver));
         let metrics_core = Arc::clone(&core);
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -13,7 +13,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::certainty::{CertaintyFacts, ConfigCertainty, contact_age, hears_majority};
+use crate::certainty::{
+    CertaintyFacts, CertaintyHistory, ConfigCertainty, contact_age, hears_majority,
+};
 use crate::fleet::FleetState;
 use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::orders::WorkerEvent;
@@ -46,8 +48,8 @@
     pub(crate) parsed: Mutex<Option<Arc<Deployment>>>,
     pub(crate) encoded: Mutex<Option<EncodedDeployment>>,
     pub(crate) commits: Mutex<VersionTimes>,
-    /// Last logged certainty about the configuration, to log when it changes.
-    pub(crate) certainty: Mutex<ConfigCertainty>,
+    /// Last certainty about the configuration, and since when it lasts.
+    pub(crate) certainty: Mutex<CertaintyHistory>,
 }
 
 impl ControllerCore {
@@ -147,13 +149,18 @@
             in_contact: hears_majority(self.links().id(), &view.voters, &heard),
         };
         let certainty = facts.certainty(now);
-        self.log_certainty_change(certainty);
+        self.log_certainty_change(certainty, now);
         certainty
     }
 
-    fn log_certainty_change(&self, certainty: ConfigCertainty) {
-        let mut logged = self.certainty.lock().expect("no holder of the lock panics");
-        if std::mem::replace(&mut *logged, certainty) != certainty {
+    /// Returns whether configurations that no leader has confirmed are to be withdrawn from gateways.
+    pub(crate) fn withdraws_unconfirmed(&self, now: Instant) -> bool {
+        self.certainty.lock().expect("no holder of the lock panics").withdraws_unconfirmed(now)
+    }
+
+    fn log_certainty_change(&self, certainty: ConfigCertainty, now: Instant) {
+        let mut history = self.certainty.lock().expect("no holder of the lock panics");
+        if history.record(certainty, now) {
             let version = self.log.read(DeploymentState::version);
             log::info!("event=telling basis={certainty:?} version={version}");
         }
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -248,6 +248,13 @@
         );
     }
 
+    /// Returns the gateways that have a configuration in force, with the version that each reported.
+    pub(crate) fn held_versions(&self) -> Vec<(DaemonId, u64)> {
+        let gateways = self.gateways.iter();
+        let versions = gateways.map(|(id, known)| (id.clone(), known.delivery.reported_version()));
+        versions.filter(|(_, version)| *version > 0).collect()
+    }
+
     /// Counts the gateways that lack a configuration, and returns the longest lag.
     pub(crate) fn gateway_lags(&self, commits: &VersionTimes, now: Instant) -> GatewayLags {
         let lags = self.gateways.values().map(|gateway| gateway.delivery.lag(commits, now));
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -8,8 +8,8 @@
 use hollowbarrow_member::EncodedDeployment;
 use hollowbarrow_routing::limit_text;
 use hollowbarrow_schema::{
-    ControllerHello, DaemonId, FleetMessage, GatewayHello, LogName, PeerMessage, PermitAsk,
-    PermitGrant, WorkerReport,
+    ControllerHello, DaemonId, DeploymentWithdrawal, FleetMessage, GatewayHello, LogName,
+    PeerMessage, PermitAsk, PermitGrant, WorkerReport,
 };
 use hollowbarrow_state::DeploymentState;
 use tokio::time::Instant;
@@ -20,6 +20,8 @@
 
 /// Time between two hellos to the leader, which needs the gateways' loads.
 const LEADER_INTERVAL: Duration = Duration::from_millis(75);
+/// Time between two withdrawals of configurations that no leader has confirmed.
+const WITHDRAWAL_INTERVAL: Duration = Duration::from_millis(250);
 /// One of this many hellos goes to all controllers, the others go to the leader only.
 const HELLOS_PER_BROADCAST: u32 = 3;
 
@@ -112,6 +114,24 @@
     }
 }
 
+/// Withdraws from gateways, until the process ends, what no leader has confirmed to them, while this
+/// controller waits for one in contact with a majority of the voters.
+pub(crate) async fn withdraw_unconfirmed(core: Arc<ControllerCore>) {
+    loop {
+        tokio::time::sleep(WITHDRAWAL_INTERVAL).await;
+        let now = Instant::now();
+        core.config_certainty(now);
+        if !core.withdraws_unconfirmed(now) {
+            continue;
+        }
+        let held = core.fleet().held_versions();
+        for (gateway, version) in held {
+            let withdrawal = DeploymentWithdrawal { version };
+            core.links().send(&gateway, FleetMessage::Withdrawal(withdrawal));
+        }
+    }
+}
+
 /// Handles a message of another daemon.
 pub(crate) fn handle_message(core: &ControllerCore, from: &DaemonId, message: PeerMessage) {
     let now = Instant::now();
--- a/crates/controller/tests/certainty.rs
+++ b/crates/controller/tests/certainty.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hollowbarrow_controller::certainty::{
-    CertaintyFacts, ConfigCertainty, contact_age, hears_majority,
+    CertaintyFacts, CertaintyHistory, ConfigCertainty, contact_age, hears_majority,
 };
 use hollowbarrow_schema::DaemonId;
 use rstest::rstest;
@@ -112,3 +112,26 @@
     let facts = CertaintyFacts { since, confirmed, complete, in_contact: false };
     assert_eq!(facts.certainty(since + Duration::from_secs(1)), ConfigCertainty::Nothing);
 }
+
+/// A configuration that nobody confirmed is withdrawn only after a contact has lasted for as long as a
+/// leader usually takes to confirm one.
+#[rstest]
+#[case::contact_is_new(&[(0, ConfigCertainty::Unconfirmed), (5_000, ConfigCertainty::Waiting)], 6_900, false)]
+#[case::contact_lasts(&[(0, ConfigCertainty::Unconfirmed), (5_000, ConfigCertainty::Waiting)], 7_100, true)]
+#[case::recorded_again(&[(0, ConfigCertainty::Waiting), (3_000, ConfigCertainty::Waiting)], 3_100, true)]
+#[case::cut_off(&[(0, ConfigCertainty::Unconfirmed)], 60_000, false)]
+#[case::complete(&[(0, ConfigCertainty::Waiting), (5_000, ConfigCertainty::Complete)], 60_000, false)]
+#[case::just_started(&[(0, ConfigCertainty::Nothing)], 60_000, false)]
+fn withdraws_unconfirmed_cases(
+    #[case] recorded: &[(u64, ConfigCertainty)],
+    #[case] now_ms: u64,
+    #[case] expected: bool,
+) {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut history = CertaintyHistory::default();
+    for (ms, certainty) in recorded {
+        history.record(*certainty, at(*ms));
+    }
+    assert_eq!(history.withdraws_unconfirmed(at(now_ms)), expected);
+}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -102,6 +102,20 @@
         newer
     }
 
+    /// Stops using the active configuration if it is of this version and no leader's view has been
+    /// received since the start; returns whether it was in use.
+    ///
+    /// A configuration that a leader has confirmed since then stays in use without a leader.
+    pub(crate) fn withdraw_routes(&self, version: u64) -> bool {
+        let confirmed = self.last_view.lock().expect("no holder of the lock panics").is_some();
+        let mut routes = self.routes.write().expect("no holder of the lock panics");
+        let held = routes.as_ref().is_some_and(|table| table.version() == version);
+        if held && !confirmed {
+            *routes = None;
+        }
+        held && !confirmed
+    }
+
     /// Returns the version of the active configuration; 0 means none.
     pub(crate) fn version(&self) -> u64 {
         self.routes().map_or(0, |routes| routes.version())
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -102,6 +102,12 @@
             core.apply_view(from, &view, Instant::now());
         }
         FleetMessage::Deployment(document) => install_configuration(core, from, &document),
+        FleetMessage::Withdrawal(withdrawal) => {
+            if core.withdraw_routes(withdrawal.version) {
+                let version = withdrawal.version;
+                log::warn!("event=configuration_withdrawn version={version} from={}", **from);
+            }
+        }
         FleetMessage::PermitGrant(grant) => {
             core.picker().take_grant(&grant, Instant::now());
             core.permits_answered.notify_waiters();
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -735,6 +735,19 @@
         value.clone()
     }
 }
+///Tells a gateway that no leader confirms the configuration that it has in force, while a majority of the voters is in contact and may hold a later one. A gateway that has received no view of a leader since its start stops using it.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DeploymentWithdrawal {
+    ///Version that the gateway has reported.
+    pub version: u64,
+}
+impl ::std::convert::From<&DeploymentWithdrawal> for DeploymentWithdrawal {
+    fn from(value: &DeploymentWithdrawal) -> Self {
+        value.clone()
+    }
+}
 ///Random number that identifies the content of one data folder; a folder that was emptied gets another one.
 ///
 #[derive(
@@ -1151,6 +1164,8 @@
     PermitGrant(PermitGrant),
     #[serde(rename = "deployment")]
     Deployment(DeploymentDocument),
+    #[serde(rename = "withdrawal")]
+    Withdrawal(DeploymentWithdrawal),
     #[serde(rename = "workers")]
     Workers(::std::vec::Vec<WorkerReport>),
 }
@@ -1189,6 +1204,11 @@
         Self::Deployment(value)
     }
 }
+impl ::std::convert::From<DeploymentWithdrawal> for FleetMessage {
+    fn from(value: DeploymentWithdrawal) -> Self {
+        Self::Withdrawal(value)
+    }
+}
 impl ::std::convert::From<::std::vec::Vec<WorkerReport>> for FleetMessage {
     fn from(value: ::std::vec::Vec<WorkerReport>) -> Self {
         Self::Workers(value)
--- a/tests/platform/publishing.rs
+++ b/tests/platform/publishing.rs
@@ -256,3 +256,38 @@
     }
     panic!("controller {controller} does not hold version {version}: {}", system.logs());
 }
+
+/// A controller that was down during the last change is back alone, and a gateway that restarted with
+/// it serves by its version, as in a zone that is cut off. Another controller follows with an empty
+/// disk: in contact with it, nobody may hold the version for the last one, also where it is in force
+/// already.
+#[rstest]
+#[tokio::test]
+async fn older_version_withdrawn_once_majority_is_in_contact() {
+    let (mut system, fleet, _worker) = start_with_changes(90, Layout::plain()).await;
+    let (stale, wiped, late, restarted) = (0, 1, 2, 0);
+    let next = LAST_VERSION + 3;
+    for version in LAST_VERSION + 1..next {
+        let with_route = configuration_with(version, &[ADDED_VERSION]);
+        assert_eq!(system.replace(&with_route).await, 200);
+    }
+    wait_for_controller(&system, stale, next - 1).await;
+    system.kill_controller(stale);
+    assert_eq!(system.replace(&configuration(next)).await, 200);
+    system.kill_controller(wiped);
+    system.kill_controller(late);
+    system.lose_power_of(&[stale, CONTROLLERS + restarted], &[]);
+    wait_for_version(&system, restarted, LAST_VERSION).await;
+    system.call_gateway_until_served(restarted, "/hold/1", "alone").await;
+    system.restart_controller(wiped, true);
+    for _ in 0..MAX_POLLS {
+        if system.version_at(restarted).await == 0 {
+            break;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    watch_without_leader(&system, &fleet, restarted).await;
+    system.restart_controller(late, false);
+    wait_for_version(&system, restarted, next).await;
+    system.call_gateway_until_served(restarted, "/hold/1", "after").await;
+}
