Queue a peer's first message before the task that connects can fail

Cause: PeerMesh::send started the task that connects to a peer and queued the message after that. If the sender's thread was not scheduled in between, the first attempt could fail and drop what was queued, nothing yet; the message then stayed queued until the pause ended.

The task is now started once the message is queued.

Test: first_messages_dropped_with_failed_attempts sends a first message to each of 400 peers that refuse connections. No existing test is changed.

--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -261,15 +261,25 @@
     fn push(&self, to: &DaemonId, push: impl FnOnce(&PeerQueue) -> bool) -> bool {
         let Some(address) = self.config.address_of(to) else { return false };
         let mut dialers = self.dialers.lock().expect("no holder of the lock panics");
-        let dialer = dialers.entry(to.clone()).or_insert_with(|| self.start_dialer(to, address));
-        let queued = push(&dialer.queue);
+        let mut created = None;
+        let handle = dialers.entry(to.clone()).or_insert_with(|| {
+            let (handle, dialer) = self.create_dialer(to, address);
+            created = Some(dialer);
+            handle
+        });
+        let queued = push(&handle.queue);
+        // The message must be queued before the first attempt to connect can fail, which drops the
+        // messages queued until then.
+        if let Some(dialer) = created {
+            self.runtime.spawn(dialer.run());
+        }
         if !queued {
             self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
         }
         queued
     }
 
-    fn start_dialer(&self, to: &DaemonId, address: SocketAddr) -> DialerHandle {
+    fn create_dialer(&self, to: &DaemonId, address: SocketAddr) -> (DialerHandle, PeerDialer) {
         let (queue, messages) = new_queue();
         let accepted = Arc::<Notify>::default();
         let dialer = PeerDialer {
@@ -280,8 +290,7 @@
             accepted: Arc::clone(&accepted),
             traffic: Arc::clone(&self.traffic),
         };
-        self.runtime.spawn(dialer.run());
-        DialerHandle { queue, accepted }
+        (DialerHandle { queue, accepted }, dialer)
     }
 }
 
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -9,6 +9,7 @@
 use hollowbarrow_schema::{DaemonId, ForwardReply, PeerMessage, ProposalOutcome};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 
 fn message(id: u64) -> PeerMessage {
     PeerMessage::Reply(ForwardReply { id, outcome: ProposalOutcome::Busy })
@@ -109,6 +110,8 @@
 const ENDLESS: Duration = Duration::from_secs(3600);
 /// Limit of waiting for what must happen; no result depends on its length.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Number of peers that are each sent a first message.
+const FIRST_MESSAGES: u64 = 400;
 /// Time in which a message that must be refused is sent again and again.
 const REFUSAL_WATCH: Duration = Duration::from_millis(1500);
 /// Time in which what must not happen is waited for.
@@ -166,6 +169,33 @@
     (one, received)
 }
 
+/// Guards against a first message that outlives the failed attempt to connect which it has caused,
+/// because that attempt ended before the message was queued.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn first_messages_dropped_with_failed_attempts() {
+    // The sockets keep their ports without listening, so that connections are refused.
+    let closed: Vec<TcpSocket> = (0..FIRST_MESSAGES)
+        .map(|_| TcpSocket::new_v4().expect("a socket can be created"))
+        .collect();
+    let mut config = MeshConfig::new(&DaemonId::from("one"), &[KEY.to_owned()])
+        .with_backoff(ENDLESS, ENDLESS)
+        .with_timeouts(PATIENCE, ENDLESS);
+    let mut peers = Vec::new();
+    for (number, socket) in closed.iter().enumerate() {
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+        let address = socket.local_addr().expect("a bound socket has an address");
+        let peer = DaemonId(format!("peer{number}"));
+        config = config.with_peer(&peer, address);
+        peers.push(peer);
+    }
+    let (listener, _) = bind();
+    let one = PeerMesh::start(config, listener, |_, _| {}).expect("the mesh starts");
+    peers.iter().for_each(|peer| assert!(one.send(peer, &message(1))));
+    let dropped = || one.traffic().dropped() == FIRST_MESSAGES;
+    assert!(wait_until(PATIENCE, dropped).await, "{} dropped", one.traffic().dropped());
+}
+
 /// A daemon returns after its peers have failed to connect to it: they must connect once it has
 /// connected to them, and not only after their pause.
 #[rstest]
