--- a/crates/log/tests/reopen.rs
+++ b/crates/log/tests/reopen.rs
@@ -12,8 +12,8 @@
 };
 use rstest::rstest;
 
-/// Limit of waiting for what must happen; no result depends on its length.
-const TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time for an expected change.
+const TIMEOUT: Duration = Duration::from_secs(15);
 
 /// State machine that lists the entries that it has applied.
 struct Listed(Vec<LogIndex>);
