Say on the leader how many more disks may be lost

What operators saw: whether a deployment bore another lost disk had to be worked out from the voters that the leader counts, and nothing was logged when it bore none.

Now: controller_losses_borne and log_losses_borne, on the leader, say how many more voters may be lost with their disks; event=no_loss_borne warns when that falls to none, and event=losses_borne says when it is back. Each new leader logs the latter once, since another one may have logged the warning. A leader that has only just been elected reports none after a second, since it begins without replies.

Without the change there is no such metric. lost_disk_in_status_and_metrics checks the new metric besides what it checked.

--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -83,6 +83,7 @@
             voters: view.voters.len() as u64,
             voters_counted: view.counted as u64,
             voters_uncounted: view.uncounted.len() as u64,
+            losses_borne: view.losses_borne as u64,
             lost_disk: view.lost_disk,
             version: self.log.read(DeploymentState::version),
             workers: fleet.count_workers(),
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -28,6 +28,11 @@
         "1",
         "On the leader: voters that answer and must not count, for example after a lost disk.",
     ),
+    (
+        "controller_losses_borne",
+        "1",
+        "On the leader: further voters that may be lost, with their disks, while a majority remains.",
+    ),
     ("controller_lost_disk", "1", "1 while this controller has lost the data on its disk."),
     ("controller_configuration_version", "1", "Version of the newest committed configuration."),
     ("controller_workers", "1", "Known workers, by state: ready, leaving or gone."),
@@ -66,6 +71,7 @@
     voters: Gauge<u64>,
     voters_counted: Gauge<u64>,
     voters_uncounted: Gauge<u64>,
+    losses_borne: Gauge<u64>,
     lost_disk: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
@@ -98,6 +104,7 @@
     pub(crate) voters: u64,
     pub(crate) voters_counted: u64,
     pub(crate) voters_uncounted: u64,
+    pub(crate) losses_borne: u64,
     pub(crate) lost_disk: bool,
     pub(crate) version: u64,
     pub(crate) workers: WorkerCounts,
@@ -120,6 +127,7 @@
             voters: meter.u64_gauge("controller_voters").build(),
             voters_counted: meter.u64_gauge("controller_voters_counted").build(),
             voters_uncounted: meter.u64_gauge("controller_voters_uncounted").build(),
+            losses_borne: meter.u64_gauge("controller_losses_borne").build(),
             lost_disk: meter.u64_gauge("controller_lost_disk").build(),
             version: meter.u64_gauge("controller_configuration_version").build(),
             workers: meter.u64_gauge("controller_workers").build(),
@@ -160,6 +168,7 @@
         self.voters.record(levels.voters, &[]);
         self.voters_counted.record(levels.voters_counted, &[]);
         self.voters_uncounted.record(levels.voters_uncounted, &[]);
+        self.losses_borne.record(levels.losses_borne, &[]);
         self.lost_disk.record(levels.lost_disk.into(), &[]);
         self.version.record(levels.version, &[]);
         self.gateways.record(levels.gateways, &[]);
--- a/crates/daemon/src/operator_view.rs
+++ b/crates/daemon/src/operator_view.rs
@@ -57,12 +57,11 @@
 
 /// Returns which voters a leader counts.
 fn quorum_status(view: &LogView) -> QuorumStatus {
-    let majority = view.voters.len() / 2 + 1;
     let as_count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
     QuorumStatus {
         counted: as_count(view.counted),
         uncounted: view.uncounted.clone(),
-        losses_borne: as_count(view.counted.saturating_sub(majority)),
+        losses_borne: as_count(view.losses_borne),
     }
 }
 
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -76,6 +76,11 @@
             "1",
             "Voters that answer and must not count, for example after a lost disk; only on the log's leader.",
         ),
+        (
+            "log_losses_borne",
+            "1",
+            "Further voters that may be lost, with their disks, while a majority remains; only on the log's leader.",
+        ),
         ("stranded_accelerators", "1", "Accelerators of usable nodes in no serving replica now."),
     ]
 }
@@ -260,6 +265,7 @@
         metrics.push(("log_voters", view.voters.len()));
         metrics.push(("log_voters_counted", view.counted));
         metrics.push(("log_voters_uncounted", view.uncounted.len()));
+        metrics.push(("log_losses_borne", view.losses_borne));
     }
     metrics
         .into_iter()
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::file::FileStorage;
+use crate::losses::{LossChange, LossWatch};
 use crate::replica::{LogReplica, ReplicaConfig};
 use crate::storage::{LogStorage, MemoryStorage, StoreLogError};
 
@@ -144,6 +145,9 @@
     /// Number of voters that this leader counts and that replied recently, including itself; 0 if
     /// this replica is not the leader.
     pub counted: usize,
+    /// Number of these that may be lost, with their disks, while a majority remains; 0 if this
+    /// replica is not the leader.
+    pub losses_borne: usize,
 }
 
 /// Handle to a replica that runs on its own thread.
@@ -190,6 +194,7 @@
             reopen: None,
             timer_delay: Duration::ZERO,
             fault_since: None,
+            losses: LossWatch::default(),
         };
         std::thread::Builder::new()
             .name("log".to_owned())
@@ -266,6 +271,7 @@
     timer_delay: Duration,
     /// Since when this replica has had a fault.
     fault_since: Option<Instant>,
+    losses: LossWatch,
 }
 
 impl<M: StateMachine> DriverWorker<M> {
@@ -461,6 +467,8 @@
 
     fn publish(&mut self) {
         let now = Instant::now();
+        let counted = self.replica.counted_voters(CONTACT_TIMEOUT, now);
+        let majority = self.replica.voters().len() / 2 + 1;
         let view = LogView {
             leader: self.replica.leader().cloned(),
             leads: self.replica.is_leader(),
@@ -476,11 +484,13 @@
             voters_pending: self.replica.is_voter_change_pending(),
             candidates: self.replica.candidate_voters(CONTACT_TIMEOUT, now),
             contacts: self.replica.voter_contacts(),
-            counted: self.replica.counted_voters(CONTACT_TIMEOUT, now),
+            counted,
+            losses_borne: counted.saturating_sub(majority),
         };
         self.log_leader_change(&view);
         self.log_fault_change(&view);
         self.log_quorum_change(&view);
+        self.log_losses_change(&view, now);
         self.view.send_replace(view);
     }
 
@@ -520,6 +530,22 @@
         );
     }
 
+    /// Logs, on the leader, that it begins or ceases to bear no further lost voter.
+    fn log_losses_change(&mut self, view: &LogView, now: Instant) {
+        let (name, borne) = (self.config.name, view.losses_borne);
+        let (counted, voters) = (view.counted, view.voters.len());
+        match self.losses.observe(view.leads.then_some(borne), now) {
+            Some(LossChange::NoneBorne) => {
+                log::warn!("event=no_loss_borne log={name} counted={counted} voters={voters}");
+            }
+            Some(LossChange::SomeBorne { after }) => {
+                let after = after.as_millis();
+                log::info!("event=losses_borne log={name} borne={borne} after_ms={after}");
+            }
+            None => {}
+        }
+    }
+
     /// Logs that this replica follows another leader than before, or none, and how late its own timer
     /// was, which tells an election that a lack of processor time caused from one by a lost leader.
     fn log_leader_change(&self, view: &LogView) {
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -17,6 +17,7 @@
 mod electorate;
 mod file;
 mod leader;
+mod losses;
 mod replica;
 mod storage;
 
--- a/tests/all/voter_replacement.rs
+++ b/tests/all/voter_replacement.rs
@@ -361,6 +361,7 @@
             format!("hollowbarrow_log_voters{{log=\"{log}\"}} 3\n"),
             format!("hollowbarrow_log_voters_counted{{log=\"{log}\"}} 2\n"),
             format!("hollowbarrow_log_voters_uncounted{{log=\"{log}\"}} 1\n"),
+            format!("hollowbarrow_log_losses_borne{{log=\"{log}\"}} 0\n"),
         ] {
             assert!(metrics.contains(&line), "{line} is not in {metrics}");
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of real controller and gateway processes with stand-in workers of the platform.
 
 mod backoff;
+mod borne;
 mod changes;
 mod counted;
 mod crashing_burst;
