Show with real processes that a restored controller is admitted again

A controller's data folder is copied while it is stopped, five changes are acknowledged, and the folder is restored from the copy. The leader removes and admits it, and it says that its folder was emptied or restored.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -19,6 +19,7 @@
 mod publishing;
 mod readmission;
 mod restarted_worker;
+mod restored;
 mod silence;
 mod soak;
 mod spares;
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -1,7 +1,7 @@
 //! Runs controllers and gateways as real processes on addresses of the loopback range.
 
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -168,7 +168,21 @@
     /// Proxies in front of the daemons, each with the address that its daemon binds. Empty without
     /// proxies.
     links: Vec<(IpAddr, LinkProxy)>,
-    _folder: TempDir,
+    folder: TempDir,
+}
+
+/// Copies a folder with all that it holds.
+fn copy_folder(from: &Path, to: &Path) {
+    std::fs::create_dir_all(to).expect("a folder can be created");
+    for entry in std::fs::read_dir(from).expect("the folder can be read") {
+        let entry = entry.expect("the folder can be read");
+        let target = to.join(entry.file_name());
+        if entry.path().is_dir() {
+            copy_folder(&entry.path(), &target);
+        } else {
+            std::fs::copy(entry.path(), target).expect("a file can be copied");
+        }
+    }
 }
 
 /// Returns distinct free ports. All listeners stay bound until the last port is drawn, since two
@@ -253,7 +267,7 @@
             }
             daemons.push(daemon);
         }
-        Self { daemons, controllers, gateways, readiness, metrics, links, _folder: folder }
+        Self { daemons, controllers, gateways, readiness, metrics, links, folder }
     }
 
     /// Returns the number of daemons. The controllers come first.
@@ -312,6 +326,24 @@
         self.restart(index, wiped);
     }
 
+    /// Copies the data of a stopped controller; returns the folder of the copy.
+    pub fn copy_data(&self, index: usize) -> PathBuf {
+        let copy = self.folder.path().join(format!("copy{}", index + 1));
+        copy_folder(&self.data_folder(index), &copy);
+        copy
+    }
+
+    /// Replaces the data of a stopped controller by a copy.
+    pub fn restore_data(&self, index: usize, copy: &Path) {
+        let data = self.data_folder(index);
+        std::fs::remove_dir_all(&data).expect("the data can be removed");
+        copy_folder(copy, &data);
+    }
+
+    fn data_folder(&self, index: usize) -> PathBuf {
+        self.folder.path().join(format!("data{}", index + 1))
+    }
+
     fn restart(&mut self, index: usize, wiped: bool) {
         let daemon = &mut self.daemons[index];
         // A killed process holds its ports until it has exited.
