Keep a leader that was stopped until it has read the replies

A leader whose process did not run for longer than it waits for a confirmation stepped down as soon as it ran, before it read the replies that had arrived. Under load an election follows, which takes seconds there.

The wait for a confirmation now starts anew at the first late heartbeat since the last one that was confirmed, once, so a leader that hears nobody steps down after one more wait. Whether it may act follows from its lease, as before.

leader_kept_after_own_stall failed before in both cases ("it steps down before it has read what arrived") and passes: with replies it stays, without any it steps down.

--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -62,6 +62,9 @@
     pub(crate) round_starts: BTreeMap<u64, (Instant, Duration)>,
     /// Start of the latest round that a majority has echoed.
     pub(crate) confirmed: Instant,
+    /// When this replica's process ran again after a stall, if there was one since that round was
+    /// echoed.
+    pub(crate) resumed: Option<Instant>,
     /// End of the latest lease that a majority has granted.
     pub(crate) lease_end: Instant,
     /// Longest time that a confirmation recently took. The election itself is the first measurement.
@@ -86,6 +89,7 @@
             lease: election,
             round_starts: BTreeMap::new(),
             confirmed: now,
+            resumed: None,
             lease_end: now + election,
             round_trip: elected_within,
         }
@@ -131,6 +135,17 @@
         self.next_heartbeat = now + election / HEARTBEATS_PER_ELECTION;
     }
 
+    /// Returns for how long this leader has waited for a confirmation. Replies that arrived while its
+    /// process did not run may be unread, so the wait starts anew after the first stall.
+    pub(crate) fn unconfirmed_time(&mut self, now: Instant, election: Duration) -> Duration {
+        let late = now.saturating_duration_since(self.next_heartbeat);
+        if late >= election / HEARTBEATS_PER_ELECTION {
+            self.resumed.get_or_insert(now);
+        }
+        let since = self.resumed.map_or(self.confirmed, |resumed| resumed.max(self.confirmed));
+        now.saturating_duration_since(since)
+    }
+
     /// Updates the confirmation and the lease by the latest round that a majority of the voters has
     /// echoed.
     pub(crate) fn confirm_rounds(&mut self, local: &DaemonId, voters: &Electorate, now: Instant) {
@@ -142,6 +157,7 @@
         let confirmed = self.round_starts.get(&round).copied();
         if let Some((start, lease)) = confirmed.filter(|(start, _)| *start > self.confirmed) {
             self.confirmed = start;
+            self.resumed = None;
             // A follower grants the lease from the receipt on, which is not before the start.
             self.lease_end = self.lease_end.max(start + lease);
             let round_trip = now.saturating_duration_since(start);
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -418,8 +418,9 @@
         if now < self.next_deadline() {
             return;
         }
-        if let ReplicaRole::Leader(role) = &self.role {
-            if now.saturating_duration_since(role.confirmed) > self.confirmation_timeout(role) {
+        if let ReplicaRole::Leader(role) = &mut self.role {
+            let unconfirmed = role.unconfirmed_time(now, self.config.election);
+            if unconfirmed > self.confirmation_timeout() {
                 self.step_down(self.term(), None, now);
             } else {
                 self.name_missing_disks(now);
@@ -553,7 +554,8 @@
     }
 
     /// Returns for how long a leader waits until a majority confirms it.
-    fn confirmation_timeout(&self, role: &LeaderRole) -> Duration {
+    fn confirmation_timeout(&self) -> Duration {
+        let ReplicaRole::Leader(role) = &self.role else { return Duration::ZERO };
         let most = self.config.election * MAX_TIMEOUT_GROWTH;
         (self.config.election * 2).max((role.round_trip * ROUND_TRIP_FACTOR).min(most))
     }
