Take back leases as long as a confirmation takes

 let a leader act for up to four election timeouts after a confirmation began, so that it acts where confirmations are slow.

The fence was weaker, so the rule is the former one.

--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -95,14 +95,13 @@
         })
     }
 
-    /// Whether this daemon leads and no other can have been elected, as far as a majority's latest
-    /// confirmation shows.
+    /// Whether a majority has confirmed within the election time that this daemon leads.
     pub(crate) fn is_confirmed_leader(&self, view: &LogView, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < ELECTION_TIME;
         // While the machine was suspended another leader may have been elected, and the clock did
-        // not count that time, so a lease from before a suspension may have ended.
+        // not count that time, so a confirmation from before a suspension is not recent.
         let not_suspended = |at: Instant| !self.suspension.was_suspended_since(at, now);
-        let leased = view.lease_end.is_some_and(|end| now < end);
-        view.current && leased && view.confirmed.is_some_and(not_suspended)
+        view.current && view.confirmed.is_some_and(|at| recent(at) && not_suspended(at))
     }
 
     /// Whether this daemon leads the log and a majority has confirmed it since the machine was last
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -120,8 +120,6 @@
     pub applied: LogIndex,
     /// Latest time at which a majority confirmed the leader that this replica follows.
     pub confirmed: Option<Instant>,
-    /// If this daemon is the leader, the time before which no other daemon can be elected.
-    pub lease_end: Option<Instant>,
     /// Latest time for which it is known that all entries acknowledged before it are applied here.
     pub complete: Option<Instant>,
     /// Voting daemons.
@@ -479,7 +477,6 @@
             term: self.replica.term(),
             applied: self.replica.commit(),
             confirmed: self.replica.confirmed(),
-            lease_end: self.replica.lease_end(),
             complete: self.replica.complete(),
             voters: self.replica.voters().to_vec(),
             current: self.replica.is_current(),
--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -7,12 +7,7 @@
 use tokio::time::Instant;
 
 use crate::electorate::Electorate;
-use crate::replica::{HEARTBEATS_PER_ELECTION, decay};
-
-/// A lease lasts this many times as long as a confirmation recently took.
-const LEASE_TRIP_FACTOR: u32 = 2;
-/// Factor by which a lease exceeds the election timeout at most.
-const MAX_LEASE_GROWTH: u32 = 4;
+use crate::replica::decay;
 
 /// Replication progress of one follower.
 #[derive(Clone, Debug)]
@@ -56,17 +51,13 @@
     pub(crate) next_heartbeat: Instant,
     /// Current heartbeat round.
     pub(crate) round: u64,
-    /// Lease that followers grant with the messages of the current round.
-    pub(crate) lease: Duration,
-    /// Start times and leases of the current round and of earlier ones that are not confirmed yet.
-    pub(crate) round_starts: BTreeMap<u64, (Instant, Duration)>,
+    /// Start times of the current round and of earlier ones that are not confirmed yet.
+    pub(crate) round_starts: BTreeMap<u64, Instant>,
     /// Start of the latest round that a majority has echoed.
     pub(crate) confirmed: Instant,
     /// When this replica's process ran again after a stall, if there was one since that round was
     /// echoed.
     pub(crate) resumed: Option<Instant>,
-    /// End of the latest lease that a majority has granted.
-    pub(crate) lease_end: Instant,
     /// Longest time that a confirmation recently took. The election itself is the first measurement.
     pub(crate) round_trip: Duration,
 }
@@ -74,7 +65,6 @@
 impl LeaderRole {
     pub(crate) fn new(
         now: Instant,
-        election: Duration,
         elected_within: Duration,
         followers: impl Iterator<Item = DaemonId>,
         last: LogIndex,
@@ -86,11 +76,9 @@
             synced: LogIndex(0),
             next_heartbeat: now,
             round: 0,
-            lease: election,
             round_starts: BTreeMap::new(),
             confirmed: now,
             resumed: None,
-            lease_end: now + election,
             round_trip: elected_within,
         }
     }
@@ -125,42 +113,36 @@
         self.progress.get(follower).filter(|progress| progress.disk.as_ref().is_some_and(counts))
     }
 
-    /// Starts a heartbeat round. Its lease covers the time until the round after it is confirmed, also
-    /// if that takes longer than an election timeout.
-    pub(crate) fn start_round(&mut self, now: Instant, election: Duration) {
-        let most = election * MAX_LEASE_GROWTH;
+    /// Starts a heartbeat round.
+    pub(crate) fn start_round(&mut self, now: Instant, interval: Duration) {
         self.round += 1;
-        self.lease = election.max((self.round_trip * LEASE_TRIP_FACTOR).min(most));
-        self.round_starts.insert(self.round, (now, self.lease));
-        self.next_heartbeat = now + election / HEARTBEATS_PER_ELECTION;
+        self.round_starts.insert(self.round, now);
+        self.next_heartbeat = now + interval;
     }
 
     /// Returns for how long this leader has waited for a confirmation. Replies that arrived while its
-    /// process did not run may be unread, so the wait starts anew after the first stall.
-    pub(crate) fn unconfirmed_time(&mut self, now: Instant, election: Duration) -> Duration {
+    /// process did not run for a heartbeat interval may be unread, so the wait starts anew after the
+    /// first stall.
+    pub(crate) fn unconfirmed_time(&mut self, now: Instant, interval: Duration) -> Duration {
         let late = now.saturating_duration_since(self.next_heartbeat);
-        if late >= election / HEARTBEATS_PER_ELECTION {
+        if late >= interval {
             self.resumed.get_or_insert(now);
         }
         let since = self.resumed.map_or(self.confirmed, |resumed| resumed.max(self.confirmed));
         now.saturating_duration_since(since)
     }
 
-    /// Updates the confirmation and the lease by the latest round that a majority of the voters has
-    /// echoed.
+    /// Updates the start time of the latest round that a majority of the voters has echoed.
     pub(crate) fn confirm_rounds(&mut self, local: &DaemonId, voters: &Electorate, now: Instant) {
         let round = self.majority_value(voters, |voter| match self.counted(voter, voters) {
             _ if voter == local => self.round,
             Some(progress) => progress.round,
             None => 0,
         });
-        let confirmed = self.round_starts.get(&round).copied();
-        if let Some((start, lease)) = confirmed.filter(|(start, _)| *start > self.confirmed) {
-            self.confirmed = start;
+        if let Some(start) = self.round_starts.get(&round).filter(|at| **at > self.confirmed) {
+            self.confirmed = *start;
             self.resumed = None;
-            // A follower grants the lease from the receipt on, which is not before the start.
-            self.lease_end = self.lease_end.max(start + lease);
-            let round_trip = now.saturating_duration_since(start);
+            let round_trip = now.saturating_duration_since(*start);
             self.round_trip = round_trip.max(decay(self.round_trip));
         }
         self.round_starts = self.round_starts.split_off(&round);
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -49,7 +49,7 @@
 /// A leader waits for its confirmation this many times as long as one recently took.
 const ROUND_TRIP_FACTOR: u32 = 4;
 /// Number of heartbeats per election timeout.
-pub(crate) const HEARTBEATS_PER_ELECTION: u32 = 4;
+const HEARTBEATS_PER_ELECTION: u32 = 4;
 
 /// Fixed settings of a replica.
 #[derive(Clone, Debug)]
@@ -175,8 +175,6 @@
     deadline: Instant,
     /// Time of the last message from a leader.
     leader_contact: Option<Instant>,
-    /// End of the leases that this replica has granted to leaders.
-    granted_lease: Option<Instant>,
     /// Number of elections that this replica has started since its own start.
     elections: u32,
     /// Time at which this replica last started an election.
@@ -225,7 +223,6 @@
             applied: snapshot,
             deadline: now,
             leader_contact: None,
-            granted_lease: None,
             elections: 0,
             last_election: now,
             last_trial: now,
@@ -320,15 +317,6 @@
         }
     }
 
-    /// Returns until when no other replica can be elected, if this replica is the leader. Only a
-    /// voter that restarts forgets the lease that it has granted.
-    pub fn lease_end(&self) -> Option<Instant> {
-        match &self.role {
-            ReplicaRole::Leader(role) => Some(role.lease_end),
-            _ => None,
-        }
-    }
-
     /// Returns the latest time for which it is known that all entries acknowledged before it are
     /// committed here; none if this replica has not caught up with a leader since its start.
     pub fn complete(&self) -> Option<Instant> {
@@ -435,7 +423,8 @@
             return;
         }
         if let ReplicaRole::Leader(role) = &mut self.role {
-            let unconfirmed = role.unconfirmed_time(now, self.config.election);
+            let unconfirmed =
+                role.unconfirmed_time(now, self.config.election / HEARTBEATS_PER_ELECTION);
             if unconfirmed > self.confirmation_timeout() {
                 self.step_down(self.term(), None, now);
             } else {
@@ -553,8 +542,7 @@
         let grown = first.map(|timeout| timeout * 2u32.saturating_pow(self.elections));
         let timeout = grown.map_or(self.config.election, |grown| grown.min(self.config.election));
         let jitter = self.rng.random_range(1.0..2.0);
-        let deadline = now + self.slowed_timeout(timeout).mul_f64(jitter);
-        self.deadline = self.granted_lease.map_or(deadline, |end| deadline.max(end));
+        self.deadline = now + self.slowed_timeout(timeout).mul_f64(jitter);
     }
 
     /// Returns a timeout prolonged by the delays that this replica has measured.
@@ -586,10 +574,8 @@
         }
     }
 
-    /// Records a message of the current term's leader, and the lease that it asks for.
-    fn record_leader_contact(&mut self, term: Term, lease_ms: u64, now: Instant) {
-        let lease = Duration::from_millis(lease_ms).max(self.config.election);
-        self.granted_lease = self.granted_lease.max(now.checked_add(lease));
+    /// Records a message of the current term's leader.
+    fn record_leader_contact(&mut self, term: Term, now: Instant) {
         let silent = self.leader_contact.filter(|_| term == self.leader_term);
         let silent = silent.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.leader_gap = silent.max(decay(self.leader_gap));
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -67,7 +67,10 @@
         if self.storage_fault().is_some() || !self.storage.is_durable() {
             return;
         }
-        let follows_leader = self.is_leader() || self.granted_lease.is_some_and(|end| now < end);
+        let follows_leader = self.is_leader()
+            || self.leader_contact.is_some_and(|contact| {
+                now.saturating_duration_since(contact) < self.config.election
+            });
         if follows_leader && self.leader() != Some(from) {
             return self.answer_vote(from, request, false, None);
         }
@@ -190,8 +193,7 @@
         let last = self.storage.window().last_index();
         let followers = self.followers();
         let elected_within = now.saturating_duration_since(self.last_election);
-        let election = self.config.election;
-        let role = LeaderRole::new(now, election, elected_within, followers.into_iter(), last);
+        let role = LeaderRole::new(now, elected_within, followers.into_iter(), last);
         self.role = ReplicaRole::Leader(role);
         let entry = LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: first };
         if self.append(&[entry]) {
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -12,9 +12,10 @@
 
 impl<S: LogStorage> LogReplica<S> {
     pub(super) fn broadcast(&mut self, now: Instant, heartbeat: bool) {
+        let interval = self.config.election / HEARTBEATS_PER_ELECTION;
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         if heartbeat {
-            role.start_round(now, self.config.election);
+            role.start_round(now, interval);
             role.confirm_rounds(&self.config.id, &self.voters, now);
         }
         // Learners are in no quorum, so they get a heartbeat only once per election timeout.
@@ -35,7 +36,6 @@
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let confirmed = now.saturating_duration_since(role.confirmed);
         let round = role.round;
-        let lease_ms = role.lease.as_millis() as u64;
         let Some(progress) = role.progress.get_mut(to) else { return };
         let previous_index = LogIndex(progress.next.saturating_sub(1));
         let Some(previous_term) = window.term_at(previous_index) else {
@@ -44,7 +44,7 @@
                 .is_none_or(|sent| now.saturating_duration_since(sent) > self.config.election);
             if let (true, Some(snapshot)) = (due, window.snapshot()) {
                 progress.snapshot_sent = Some(now);
-                let request = SnapshotRequest { term, round, snapshot: snapshot.clone(), lease_ms };
+                let request = SnapshotRequest { term, round, snapshot: snapshot.clone() };
                 self.early.push((to.clone(), LogMessage::Snapshot(request)));
             }
             return;
@@ -65,7 +65,6 @@
             acknowledged,
             round,
             confirmed_ms: confirmed.as_millis() as u64,
-            lease_ms,
         };
         self.early.push((to.clone(), LogMessage::Append(request)));
     }
@@ -77,7 +76,7 @@
         if request.term < self.term() {
             return self.answer_append(from, request.term, false, LogIndex(0), request.round);
         }
-        self.record_leader_contact(request.term, request.lease_ms, now);
+        self.record_leader_contact(request.term, now);
         self.step_down(request.term, Some(from.clone()), now);
         let confirmed = now.checked_sub(Duration::from_millis(request.confirmed_ms));
         self.confirmed = self.confirmed.max(confirmed);
@@ -250,7 +249,7 @@
         if self.storage_fault().is_some() || request.term < self.term() {
             return;
         }
-        self.record_leader_contact(request.term, request.lease_ms, now);
+        self.record_leader_contact(request.term, now);
         self.step_down(request.term, Some(from.clone()), now);
         let index = request.snapshot.index;
         if index > self.commit {
--- a/crates/log/tests/driver.rs
+++ b/crates/log/tests/driver.rs
@@ -51,7 +51,7 @@
         disks: Vec::new(),
         state: b"newest".to_vec(),
     };
-    let request = SnapshotRequest { term: Term(1), round: 1, snapshot, lease_ms: 0 };
+    let request = SnapshotRequest { term: Term(1), round: 1, snapshot };
     driver.deliver(&ids[1], LogMessage::Snapshot(request));
     assert!(reports.recv_timeout(CALLBACK_TIMEOUT).is_ok(), "the snapshot was not reported");
     assert_eq!(driver.read(|machine| machine.0.clone()), b"newest");
--- a/crates/log/tests/failed_storage.rs
+++ b/crates/log/tests/failed_storage.rs
@@ -75,7 +75,6 @@
         commit: LogIndex(commit),
         round: 1,
         confirmed_ms: 0,
-        lease_ms: 0,
         acknowledged: None,
     })
 }
@@ -148,7 +147,7 @@
         disks,
         state: Vec::new(),
     };
-    let request = SnapshotRequest { term: Term(2), round: 1, snapshot, lease_ms: 0 };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
     replica.step(&"c".into(), LogMessage::Snapshot(request), now);
     let messages = replica.flush(now);
     let acknowledged = messages.iter().find_map(|(_, message)| match message {
--- a/crates/log/tests/first_entry.rs
+++ b/crates/log/tests/first_entry.rs
@@ -63,7 +63,6 @@
         commit: LogIndex(commit),
         round: 1,
         confirmed_ms: 0,
-        lease_ms: 0,
         acknowledged: None,
     })
 }
--- a/crates/log/tests/founding.rs
+++ b/crates/log/tests/founding.rs
@@ -458,7 +458,6 @@
         acknowledged: None,
         round: 1,
         confirmed_ms: 0,
-        lease_ms: 0,
     })
 }
 
@@ -480,7 +479,7 @@
         disks: Vec::new(),
         state: Vec::new(),
     };
-    let request = SnapshotRequest { term: Term(2), round: 1, snapshot, lease_ms: 0 };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
     replica.step(&leader, LogMessage::Snapshot(request), Instant::now());
     replica.step(&leader, append(40, 40, 40, 2), Instant::now());
     assert!(replica.confirmed().is_some(), "the leader is confirmed");
--- a/crates/log/tests/reopen.rs
+++ b/crates/log/tests/reopen.rs
@@ -64,7 +64,6 @@
         acknowledged: None,
         round: 1,
         confirmed_ms: 0,
-        lease_ms: 0,
     };
     driver.deliver(&DaemonId::from("b"), LogMessage::Append(request));
 }
@@ -170,7 +169,6 @@
         commit: LogIndex(last),
         round: 1,
         confirmed_ms: 0,
-        lease_ms: 0,
         acknowledged: None,
     };
     driver.deliver(&DaemonId::from("b"), LogMessage::Append(request));
@@ -196,7 +194,7 @@
         disks: vec![VoterDisk { voter: "a".into(), disk: DiskId(1) }],
         state: Vec::new(),
     };
-    let request = SnapshotRequest { term: Term(2), round: 1, snapshot, lease_ms: 0 };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
     driver.deliver(&DaemonId::from("b"), LogMessage::Snapshot(request));
     deliver_entries(&driver, 2, 4, 6);
     let done = wait_for(|| applied(&driver).contains(&LogIndex(6)));
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -172,8 +172,6 @@
     ///Milliseconds since a majority last confirmed the leader.
     pub confirmed_ms: u64,
     pub entries: ::std::vec::Vec<LogEntry>,
-    ///Milliseconds from the receipt of this message for which a follower elects no other leader.
-    pub lease_ms: u64,
     pub previous_index: LogIndex,
     pub previous_term: Term,
     ///Heartbeat round, echoed in the reply.
@@ -3321,8 +3319,6 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct SnapshotRequest {
-    ///As in AppendRequest.
-    pub lease_ms: u64,
     ///Heartbeat round, echoed in the reply.
     pub round: u64,
     pub snapshot: LogSnapshot,
