Sync what a killed process may have written before it is acknowledged

Found by a review: a process that is killed between the write of a record and its sync leaves the record in the page cache. The next start reads it, counts it as stored, and acknowledges it when the leader sends it again, without a sync of its own; a loss of power takes it away, and the disk keeps its id. Evidence: a trace of the system calls of open_after_restart, in which the second open syncs the folder and no file. The loss itself was not played.

The last segment is synced when a folder is opened. There is no test of its own: a test cannot lose the page cache. What a sync that failed leaves in the page cache is not covered.

--- a/crates/log/src/file.rs
+++ b/crates/log/src/file.rs
@@ -80,6 +80,9 @@
             .cloned()
             .unwrap_or_else(|| segment_path(folder, *window.last_index() + 1));
         let segment = open_segment(&segment_path)?;
+        // A process that was killed may have written records that it had not synced; they are in the
+        // window now, and would be acknowledged without another write.
+        segment.sync_data().map_err(|e| access("sync", &segment_path, e))?;
         sync_folder(folder)?;
         let folder = folder.to_owned();
         Ok(Self { folder, vote, window, segment, segment_path, pending: Vec::new() })
