Wait through a short stall of the links without a leader

No leader could be elected; a controller that waited in contact with a majority counted as cut off for 0.16 s, in a stall of all links, and sent version 134 to gateways that had restarted.

Cause: contact is judged by the newest hello at each moment, so a stall of two seconds looks like a cut, and one moment was enough to send.

A controller that has waited in contact goes on waiting until it has been cut off for two seconds more. One that hears nobody from its start, or loses a leader, publishes as soon as before, so a zone that is cut off is served as before.

--- a/crates/controller/src/certainty.rs
+++ b/crates/controller/src/certainty.rs
@@ -85,14 +85,34 @@
 pub struct CertaintyHistory {
     last: ConfigCertainty,
     since: Option<Instant>,
+    /// Since when a controller that waits is no longer in contact with a majority.
+    contact_lost: Option<Instant>,
 }
 
 impl CertaintyHistory {
+    /// Returns the last certainty that was recorded.
+    pub fn last(&self) -> ConfigCertainty {
+        self.last
+    }
+
     /// Records the certainty at `now`; returns whether it differs from the last one.
+    ///
+    /// A controller that waits in contact with a majority goes on waiting until it has been cut off
+    /// for as long as it waits after its start: a stall of its links, or of this process, looks like
+    /// a cut at first.
     pub fn record(&mut self, certainty: ConfigCertainty, now: Instant) -> bool {
+        let cut_off = certainty == ConfigCertainty::Unconfirmed;
+        if cut_off && self.last == ConfigCertainty::Waiting {
+            let lost = *self.contact_lost.get_or_insert(now);
+            if now.saturating_duration_since(lost) <= LEADERLESS_TIMEOUT {
+                return false;
+            }
+        } else {
+            self.contact_lost = None;
+        }
         let changed = self.last != certainty;
         if changed {
-            *self = Self { last: certainty, since: Some(now) };
+            *self = Self { last: certainty, since: Some(now), contact_lost: None };
         }
         changed
     }
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -156,9 +156,7 @@
             complete: view.complete,
             in_contact: hears_majority(self.links().id(), &view.voters, &heard),
         };
-        let certainty = facts.certainty(now);
-        self.log_certainty_change(certainty, now);
-        certainty
+        self.record_certainty(facts.certainty(now), now)
     }
 
     /// Returns whether configurations that no leader has confirmed are to be withdrawn from gateways.
@@ -166,12 +164,14 @@
         self.certainty.lock().expect("no holder of the lock panics").withdraws_unconfirmed(now)
     }
 
-    fn log_certainty_change(&self, certainty: ConfigCertainty, now: Instant) {
+    /// Records what the log and the contacts show now, and returns what follows from that.
+    fn record_certainty(&self, certainty: ConfigCertainty, now: Instant) -> ConfigCertainty {
         let mut history = self.certainty.lock().expect("no holder of the lock panics");
         if history.record(certainty, now) {
             let version = self.log.read(DeploymentState::version);
             log::info!("event=telling basis={certainty:?} version={version}");
         }
+        history.last()
     }
 
     /// Times at which configurations were committed here.
--- a/crates/controller/tests/certainty.rs
+++ b/crates/controller/tests/certainty.rs
@@ -135,3 +135,26 @@
     }
     assert_eq!(history.withdraws_unconfirmed(at(now_ms)), expected);
 }
+
+/// Guards against a configuration that a controller in contact with a majority sends in a short stall
+/// of its links, although a later one may be in force.
+#[rstest]
+#[case::stall(&[(0, ConfigCertainty::Waiting), (100, ConfigCertainty::Unconfirmed)], 260, ConfigCertainty::Waiting)]
+#[case::stalls(&[(0, ConfigCertainty::Waiting), (100, ConfigCertainty::Unconfirmed), (2_000, ConfigCertainty::Waiting)], 2_200, ConfigCertainty::Waiting)]
+#[case::cut_off(&[(0, ConfigCertainty::Waiting), (100, ConfigCertainty::Unconfirmed)], 2_101, ConfigCertainty::Unconfirmed)]
+#[case::cut_off_from_the_start(&[(0, ConfigCertainty::Nothing)], 100, ConfigCertainty::Unconfirmed)]
+#[case::after_a_leader(&[(0, ConfigCertainty::Complete)], 100, ConfigCertainty::Unconfirmed)]
+fn waiting_outlasts_short_stalls(
+    #[case] recorded: &[(u64, ConfigCertainty)],
+    #[case] now_ms: u64,
+    #[case] expected: ConfigCertainty,
+) {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut history = CertaintyHistory::default();
+    for (ms, certainty) in recorded {
+        history.record(*certainty, at(*ms));
+    }
+    history.record(ConfigCertainty::Unconfirmed, at(now_ms));
+    assert_eq!(history.last(), expected);
+}
