Take only a confirmation since the start for one

Found by a review: a daemon asked whether a leader had ever confirmed its configuration. The daemon then used a deleted endpoint, or planned by an old configuration, for good. That is by reading; no daemon was run.

The date of the confirmation is compared with the start, as controllers do.

--- a/crates/daemon/src/config_standing.rs
+++ b/crates/daemon/src/config_standing.rs
@@ -58,7 +58,8 @@
     }
 
     fn determine_standing(&self, now: Instant) -> ConfigStanding {
-        if self.config_log.view().complete.is_some() {
+        // A leader may still tell of a confirmation from before this start.
+        if self.config_log.view().complete.is_some_and(|at| at >= self.started) {
             ConfigStanding::Confirmed
         } else if self.is_starting(now) || self.voters_by_contact(now).has_majority() {
             ConfigStanding::Waiting
