--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -28,8 +28,8 @@
 /// Delay before a failed storage is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_secs(2);
 
-/// Time without a reply after which a voter no longer counts as available.
-const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a reply after which a leader no longer counts a voter as available.
+pub const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Deterministic state machine to which every replica applies the same entries.
 pub trait StateMachine: Send + Sync + 'static {
@@ -119,6 +119,8 @@
     pub applied: LogIndex,
     /// Latest time at which a majority confirmed the leader that this replica follows.
     pub confirmed: Option<Instant>,
+    /// If this daemon is the leader, the time before which no other daemon can be elected.
+    pub lease_end: Option<Instant>,
     /// Latest time for which it is known that all entries acknowledged before it are applied here.
     pub complete: Option<Instant>,
     /// Voting daemons.
@@ -270,6 +272,8 @@
 
 impl<M: StateMachine> DriverWorker<M> {
     fn run(mut self, inputs: &Receiver<DriverInput>) {
+        // What the storage holds as committed is published as applied, so it is applied first.
+        self.apply_committed();
         loop {
             self.publish();
             let deadline = self.reopen.unwrap_or(self.replica.next_deadline());
@@ -467,6 +471,7 @@
             term: self.replica.term(),
             applied: self.replica.commit(),
             confirmed: self.replica.confirmed(),
+            lease_end: self.replica.lease_end(),
             complete: self.replica.complete(),
             voters: self.replica.voters().to_vec(),
             current: self.replica.is_current(),
--- a/crates/log/src/replica/replication.rs
+++ b/crates/log/src/replica/replication.rs
@@ -12,10 +12,9 @@
 
 impl<S: LogStorage> LogReplica<S> {
     pub(super) fn broadcast(&mut self, now: Instant, heartbeat: bool) {
-        let interval = self.config.election / HEARTBEATS_PER_ELECTION;
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         if heartbeat {
-            role.start_round(now, interval);
+            role.start_round(now, self.config.election);
             role.confirm_rounds(&self.config.id, &self.voters, now);
         }
         // Learners are in no quorum, so they get a heartbeat only once per election timeout.
@@ -36,6 +35,7 @@
         let ReplicaRole::Leader(role) = &mut self.role else { return };
         let confirmed = now.saturating_duration_since(role.confirmed);
         let round = role.round;
+        let lease_ms = role.lease.as_millis() as u64;
         let Some(progress) = role.progress.get_mut(to) else { return };
         let previous_index = LogIndex(progress.next.saturating_sub(1));
         let Some(previous_term) = window.term_at(previous_index) else {
@@ -44,7 +44,7 @@
                 .is_none_or(|sent| now.saturating_duration_since(sent) > self.config.election);
             if let (true, Some(snapshot)) = (due, window.snapshot()) {
                 progress.snapshot_sent = Some(now);
-                let request = SnapshotRequest { term, round, snapshot: snapshot.clone() };
+                let request = SnapshotRequest { term, round, snapshot: snapshot.clone(), lease_ms };
                 self.early.push((to.clone(), LogMessage::Snapshot(request)));
             }
             return;
@@ -55,14 +55,17 @@
             return;
         }
         progress.next = LogIndex(*progress.next + entries.len() as u64);
+        let acknowledged = progress.acknowledged();
         let request = AppendRequest {
             term,
             previous_index,
             previous_term,
             entries,
             commit,
+            acknowledged,
             round,
             confirmed_ms: confirmed.as_millis() as u64,
+            lease_ms,
         };
         self.early.push((to.clone(), LogMessage::Append(request)));
     }
@@ -74,10 +77,14 @@
         if request.term < self.term() {
             return self.answer_append(from, request.term, false, LogIndex(0), request.round);
         }
-        self.record_leader_contact(request.term, now);
+        self.record_leader_contact(request.term, request.lease_ms, now);
         self.step_down(request.term, Some(from.clone()), now);
         let confirmed = now.checked_sub(Duration::from_millis(request.confirmed_ms));
         self.confirmed = self.confirmed.max(confirmed);
+        self.check_acknowledged(&request);
+        if self.storage_fault().is_some() {
+            return;
+        }
         let snapshot = self.storage.window().snapshot_index();
         let found = self.storage.window().term_at(request.previous_index);
         if request.previous_index >= snapshot && found != Some(request.previous_term) {
@@ -102,6 +109,25 @@
         self.answer_append(from, request.term, true, matched, request.round);
     }
 
+    /// Takes another disk id if this disk lacks what it has acknowledged to the leader of this term:
+    /// it was restored from a copy or lost data. What it acknowledged to earlier leaders is not known.
+    ///
+    /// The leader states only what it has read in a reply, and a reply is sent after its entries are
+    /// synced, so late or repeated requests don't make a sound disk lack anything.
+    fn check_acknowledged(&mut self, request: &AppendRequest) {
+        let Some(acknowledged) = &request.acknowledged else { return };
+        if self.storage.vote().disk != Some(acknowledged.disk) {
+            return;
+        }
+        let window = self.storage.window();
+        let comparable = window.snapshot_index()..=acknowledged.index;
+        let differs = comparable.contains(&request.previous_index)
+            && window.term_at(request.previous_index) != Some(request.previous_term);
+        if differs || window.last_index() < acknowledged.index {
+            self.replace_disk_id();
+        }
+    }
+
     /// Returns the index after which the leader should send entries next, following a mismatch.
     pub(super) fn conflict_hint(&self, index: LogIndex) -> LogIndex {
         let window = self.storage.window();
@@ -224,7 +250,7 @@
         if self.storage_fault().is_some() || request.term < self.term() {
             return;
         }
-        self.record_leader_contact(request.term, now);
+        self.record_leader_contact(request.term, request.lease_ms, now);
         self.step_down(request.term, Some(from.clone()), now);
         let index = request.snapshot.index;
         if index > self.commit {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -32,6 +32,19 @@
         }
     }
 }
+///Index up to which a disk holds its leader's log, as it acknowledged in the leader's term.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Acknowledgement {
+    pub disk: DiskId,
+    pub index: LogIndex,
+}
+impl ::std::convert::From<&Acknowledgement> for Acknowledgement {
+    fn from(value: &Acknowledgement) -> Self {
+        value.clone()
+    }
+}
 ///Nodes that form one replica of a group.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -152,10 +165,15 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct AppendRequest {
+    ///What the receiver has acknowledged to this leader.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub acknowledged: ::std::option::Option<Acknowledgement>,
     pub commit: LogIndex,
     ///Milliseconds since a majority last confirmed the leader.
     pub confirmed_ms: u64,
     pub entries: ::std::vec::Vec<LogEntry>,
+    ///Milliseconds from the receipt of this message for which a follower elects no other leader.
+    pub lease_ms: u64,
     pub previous_index: LogIndex,
     pub previous_term: Term,
     ///Heartbeat round, echoed in the reply.
@@ -3283,6 +3301,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct SnapshotRequest {
+    ///As in AppendRequest.
+    pub lease_ms: u64,
     ///Heartbeat round, echoed in the reply.
     pub round: u64,
     pub snapshot: LogSnapshot,
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -333,14 +333,33 @@
     /// Returns whether a controller, since its last start, has logged that it is a voter with
     /// complete storage.
     pub fn is_voter(&self, index: usize) -> bool {
+        self.last_quorum(index).is_some_and(|line| {
+            line.contains(&self.mesh_prefix(index)) && line.contains("lost_disk=false")
+        })
+    }
+
+    /// Returns whether a controller, by its last logged quorum, knows another one as a voter.
+    pub fn names_voter(&self, index: usize, voter: usize) -> bool {
+        let quorum = self.last_quorum(index).unwrap_or_default();
+        let voters = quorum.split(" voters=").nth(1).unwrap_or_default();
+        voters.contains(&self.mesh_prefix(voter))
+    }
+
+    /// Returns the last quorum that a controller has logged since its last start, if it was not killed
+    /// since.
+    fn last_quorum(&self, index: usize) -> Option<String> {
         let daemon = &self.daemons[index];
+        daemon.child.as_ref()?;
         let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
         let current_log = log.get(daemon.log_start..).unwrap_or_default();
         let last = current_log.lines().rev().find(|line| line.contains("event=quorum"));
+        last.map(str::to_owned)
+    }
+
+    /// Returns the beginning of a controller's id.
+    fn mesh_prefix(&self, index: usize) -> String {
         let ip = self.controllers[index].split(':').next().unwrap_or_default();
-        last.is_some_and(|line| {
-            line.contains(&format!("{ip}:")) && line.contains("lost_disk=false")
-        })
+        format!("{ip}:")
     }
 
     /// Returns the metrics page of a daemon.
@@ -369,10 +388,16 @@
     /// Returns whether the metrics page of a daemon contains all the lines, given without the
     /// product prefix.
     pub async fn has_metrics(&self, daemon: usize, lines: &[&str]) -> bool {
+        self.has_each_metric(daemon, lines).await.into_iter().all(|shown| shown)
+    }
+
+    /// Returns for each line, given without the product prefix, whether the metrics page of a daemon
+    /// contains it. All are looked up in the same page.
+    pub async fn has_each_metric(&self, daemon: usize, lines: &[&str]) -> Vec<bool> {
         let metrics = self.try_metrics(daemon).await.unwrap_or_default();
         let shown: Vec<&str> =
             metrics.lines().filter_map(|line| line.strip_prefix("hollowbarrow_")).collect();
-        lines.iter().all(|line| shown.contains(line))
+        lines.iter().map(|line| shown.contains(line)).collect()
     }
 
     /// Returns the configuration version that a gateway uses; 0 if it has none or does not answer.
