--- a/crates/routing/src/permits/mod.rs
+++ b/crates/routing/src/permits/mod.rs
@@ -12,6 +12,9 @@
 //! receives few requests, only the request that waits for a permit uses it, so a need expires when
 //! its request stops waiting.
 //!
+//! Several upstreams may serve a request, and only the issuer knows which of them has a permit. A
+//! need therefore names others beside the one that is asked for, and the issuer chooses.
+//!
 //! If no daemon issues permits, each daemon issues itself a small share of the limit, at times
 //! drawn at random so that daemons do not send at the same moment.
 //!
--- a/tests/all/unconfirmed.rs
+++ b/tests/all/unconfirmed.rs
@@ -150,7 +150,7 @@
 }
 
 /// A zone is cut off and all its daemons restart, so that most of them know no group. Its replica must
-/// go on serving; it was drained as one of a deleted group.
+/// go on serving, and not be drained as one of a deleted group.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn replica_kept_by_restarted_zone() {
--- a/tests/platform/spares.rs
+++ b/tests/platform/spares.rs
@@ -201,8 +201,7 @@
     assert!(taken.is_some(), "{}", system.logs());
 }
 
-/// Guards against successors that are admitted after the time from which another disk may be lost. A
-/// leader that was lost was replaced 0.4 to 0.9 s after it.
+/// Guards against successors that are admitted after the time from which another disk may be lost.
 #[rstest]
 #[case::follower(210, 4, Lost::Follower, true)]
 #[case::leader(211, 4, Lost::Leader, true)]
