--- /dev/null
+++ b/crates/log/tests/failed_storage.rs
@@ -0,0 +1,116 @@
+//! A disk that fails at one moment and works at the next.
+
+use std::time::Duration;
+
+use hollowbarrow_log::{
+    EntryWindow, LogReplica, LogStorage, MemoryStorage, ReplicaConfig, StoreLogError, VoteRecord,
+};
+use hollowbarrow_schema::{
+    AppendRequest, DaemonId, DiskId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot,
+    Term, VoterDisk, VoterSet,
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+/// A storage that refuses to store votes while `full` is set, and counts its syncs.
+struct FullDisk {
+    inner: MemoryStorage,
+    full: bool,
+    synced: LogIndex,
+}
+
+impl LogStorage for FullDisk {
+    fn is_durable(&self) -> bool {
+        true
+    }
+
+    fn vote(&self) -> &VoteRecord {
+        self.inner.vote()
+    }
+
+    fn set_vote(&mut self, vote: VoteRecord) -> Result<(), StoreLogError> {
+        if self.full && vote.term > self.inner.vote().term {
+            return Err(StoreLogError::EncodeRecord("the disk is full".to_owned()));
+        }
+        self.inner.set_vote(vote)
+    }
+
+    fn window(&self) -> &EntryWindow {
+        self.inner.window()
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StoreLogError> {
+        self.inner.append(entries)
+    }
+
+    fn truncate_from(&mut self, index: LogIndex) -> Result<(), StoreLogError> {
+        self.inner.truncate_from(index)
+    }
+
+    fn install_snapshot(&mut self, snapshot: LogSnapshot) -> Result<(), StoreLogError> {
+        self.inner.install_snapshot(snapshot)
+    }
+
+    fn set_committed(&mut self, index: LogIndex) {
+        self.inner.set_committed(index);
+    }
+
+    fn sync(&mut self) -> Result<(), StoreLogError> {
+        self.synced = self.inner.window().last_index();
+        self.inner.sync()
+    }
+}
+
+fn voters() -> Vec<DaemonId> {
+    vec!["a".into(), "b".into(), "c".into()]
+}
+
+fn append(term: u64, previous: (u64, u64), entries: Vec<LogEntry>, commit: u64) -> LogMessage {
+    LogMessage::Append(AppendRequest {
+        term: Term(term),
+        previous_index: LogIndex(previous.0),
+        previous_term: Term(previous.1),
+        entries,
+        commit: LogIndex(commit),
+        round: 1,
+        confirmed_ms: 0,
+    })
+}
+
+fn entry(index: u64, term: u64, payload: EntryPayload) -> LogEntry {
+    LogEntry { index: LogIndex(index), term: Term(term), payload }
+}
+
+/// Guards against an acknowledgement of entries that were not synced, because the vote file of a new
+/// term could not be written: such an entry is committed and gone once the storage is opened again.
+#[rstest]
+fn unsynced_entries_not_acknowledged_after_failed_vote() {
+    let now = Instant::now();
+    let mut disk = MemoryStorage::new().with_durable(true);
+    let vote = VoteRecord { disk: Some(DiskId(2)), founder: true, ..VoteRecord::default() };
+    disk.set_vote(vote).expect("memory works");
+    let storage = FullDisk { inner: disk, full: false, synced: LogIndex(0) };
+    let config =
+        ReplicaConfig::new(&"b".into(), &voters(), &voters()).with_election(Duration::from_secs(1));
+    let mut replica = LogReplica::new(config, storage, now);
+    let disks = (1..).zip(voters()).map(|(disk, voter)| VoterDisk { voter, disk: DiskId(disk) });
+    let set = VoterSet { voters: voters(), disks: disks.collect() };
+    let first = entry(1, 1, EntryPayload::VoterSet(set));
+    replica.step(&"a".into(), append(1, (0, 0), vec![first], 0), now);
+    assert!(!replica.flush(now).is_empty(), "the first entry is acknowledged");
+    let mut storage = replica.into_storage();
+    assert_eq!(storage.synced, LogIndex(1));
+    storage.full = true;
+    let config = ReplicaConfig::new(&"b".into(), &voters(), &voters());
+    let mut replica = LogReplica::new(config, storage, now);
+    let second = entry(2, 2, EntryPayload::Noop);
+    replica.step(&"c".into(), append(2, (1, 1), vec![second], 1), now);
+    let messages = replica.flush(now);
+    assert!(replica.fault().is_some(), "the storage failed");
+    let acknowledged = messages.iter().find_map(|(_, message)| match message {
+        LogMessage::AppendReply(reply) if reply.accepted => Some(reply.matched),
+        _ => None,
+    });
+    let synced = replica.storage().synced;
+    assert!(acknowledged <= Some(synced), "{acknowledged:?} acknowledged, {synced:?} synced");
+}
--- a/crates/log/tests/storage.rs
+++ b/crates/log/tests/storage.rs
@@ -395,3 +395,27 @@
     let window = storage.window();
     assert_eq!((window.last_index(), window.last_term()), (LogIndex(5), Term(2)));
 }
+
+/// As above, where the entries that the snapshot replaces have a later term than its last entry: that
+/// one was committed only together with an entry of a still later term.
+#[rstest]
+#[case::all_later(3, 3)]
+#[case::some_later(1, 3)]
+fn open_with_later_entries_that_snapshot_replaced(#[case] third: u64, #[case] fourth: u64) {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut storage = filled(folder.path(), 2);
+    let with_term = |index: u64, term: u64| LogEntry { term: Term(term), ..entry(index) };
+    storage.append(&[with_term(3, third), with_term(4, fourth)]).expect("entries follow");
+    storage.sync().expect("the disk works");
+    let former = segment(folder.path());
+    let bytes = std::fs::read(&former).expect("the segment is readable");
+    let snapshot = LogSnapshot { term: Term(2), ..snapshot_at(2) };
+    storage.install_snapshot(snapshot).expect("the disk works");
+    assert_eq!(storage.window().last_index(), LogIndex(2));
+    drop(storage);
+    std::fs::remove_file(segment(folder.path())).expect("the segment can be removed");
+    std::fs::write(&former, bytes).expect("the segment is writable");
+    let storage = FileStorage::open(folder.path()).expect("the folder opens again");
+    let window = storage.window();
+    assert_eq!((window.last_index(), window.last_term()), (LogIndex(2), Term(2)));
+}
