Trial: Show a state that lacks applied entries after a storage is opened again

A follower has applied entries up to 5, its storage fails and its folder is empty when it is opened again. The state machine is put back to 3 and then gets entry 6 only: "left: [6], right: [4, 5, 6]".

--- a/crates/log/tests/reopen.rs
+++ b/crates/log/tests/reopen.rs
@@ -3,10 +3,12 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use hollowbarrow_log::{DriverConfig, LogDriver, ReplicaConfig, StateMachine};
+use hollowbarrow_log::{
+    DriverConfig, FileStorage, LogDriver, LogStorage, ReplicaConfig, StateMachine, VoteRecord,
+};
 use hollowbarrow_schema::{
-    AppendRequest, ClaimCommand, ClaimSweep, DaemonId, EntryPayload, LogEntry, LogIndex,
-    LogMessage, ProposalOutcome, Term,
+    AppendRequest, ClaimCommand, ClaimSweep, DaemonId, DiskId, EntryPayload, LogEntry, LogIndex,
+    LogMessage, LogSnapshot, ProposalOutcome, SnapshotRequest, Term, VoterDisk, VoterSet,
 };
 use rstest::rstest;
 
@@ -140,3 +142,61 @@
     assert_eq!(driver.read(|machine| machine.0.last().copied()), Some(published));
     driver.stop();
 }
+
+fn start_follower(folder: &Path) -> LogDriver<Listed> {
+    let ids = ["a", "b", "c"].map(DaemonId::from);
+    let vote = VoteRecord { disk: Some(DiskId(1)), ..VoteRecord::default() };
+    FileStorage::open(folder).and_then(|mut disk| disk.set_vote(vote)).expect("the disk works");
+    let replica = ReplicaConfig::new(&ids[0], &ids[1..], &ids);
+    let config = DriverConfig::new(replica, Some(folder.to_owned()));
+    LogDriver::start(config, Listed(Vec::new()), |_, _| {}).expect("the driver starts")
+}
+
+/// Delivers committed entries of term 1 from a leader of a later term.
+fn deliver_entries(driver: &LogDriver<Listed>, leader_term: u64, first: u64, last: u64) {
+    let sweep = EntryPayload::Claim(ClaimCommand::Sweep(ClaimSweep { now_ms: 1, retain_ms: 0 }));
+    let voters = ["a", "b", "c"].map(DaemonId::from).to_vec();
+    let disks = vec![VoterDisk { voter: "a".into(), disk: DiskId(1) }];
+    let set = EntryPayload::VoterSet(VoterSet { voters, disks });
+    let payload = |index| if index == 1 { set.clone() } else { sweep.clone() };
+    let entry = |index| LogEntry { index: LogIndex(index), term: Term(1), payload: payload(index) };
+    let request = AppendRequest {
+        term: Term(leader_term),
+        previous_index: LogIndex(first - 1),
+        previous_term: Term(u64::from(first > 1)),
+        entries: (first..=last).map(entry).collect(),
+        commit: LogIndex(last),
+        round: 1,
+        confirmed_ms: 0,
+    };
+    driver.deliver(&DaemonId::from("b"), LogMessage::Append(request));
+}
+
+/// Guards against a state that a snapshot put back and that lacks the entries between the snapshot and
+/// what had been applied before the storage was opened again.
+#[rstest]
+fn reopen_applies_entries_after_older_snapshot() {
+    let parent = tempfile::tempdir().expect("a temporary folder");
+    let folder = parent.path().join("log");
+    let driver = start_follower(&folder);
+    deliver_entries(&driver, 1, 1, 5);
+    let applied = |driver: &LogDriver<Listed>| driver.read(|machine| machine.0.clone());
+    assert!(wait_for(|| applied(&driver).len() == 4), "the entries are applied");
+    fail_and_reopen(&driver, &folder, true);
+    let reopened = wait_for(|| !driver.view().fault.is_some_and(|fault| fault.contains("failed")));
+    assert!(reopened, "the storage is opened again");
+    let snapshot = LogSnapshot {
+        index: LogIndex(3),
+        term: Term(1),
+        voters: ["a", "b", "c"].map(DaemonId::from).to_vec(),
+        disks: vec![VoterDisk { voter: "a".into(), disk: DiskId(1) }],
+        state: Vec::new(),
+    };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
+    driver.deliver(&DaemonId::from("b"), LogMessage::Snapshot(request));
+    deliver_entries(&driver, 2, 4, 6);
+    let done = wait_for(|| applied(&driver).contains(&LogIndex(6)));
+    assert!(done, "entry 6 is not applied: {:?}, {:?}", applied(&driver), driver.view());
+    assert_eq!(applied(&driver), [4, 5, 6].map(LogIndex), "entries after the snapshot");
+    driver.stop();
+}
