--- a/crates/log/tests/failed_storage.rs
+++ b/crates/log/tests/failed_storage.rs
@@ -7,7 +7,7 @@
 };
 use hollowbarrow_schema::{
     AppendRequest, DaemonId, DiskId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot,
-    Term, VoterDisk, VoterSet,
+    SnapshotRequest, Term, VoterDisk, VoterSet,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -114,3 +114,44 @@
     let synced = replica.storage().synced;
     assert!(acknowledged <= Some(synced), "{acknowledged:?} acknowledged, {synced:?} synced");
 }
+
+/// As above, where the message of the new term is a snapshot that covers less than what is committed
+/// here, and the entries after it were not synced yet.
+#[rstest]
+fn unsynced_entries_not_acknowledged_for_snapshot_after_failed_vote() {
+    let now = Instant::now();
+    let mut disk = MemoryStorage::new().with_durable(true);
+    let vote = VoteRecord { disk: Some(DiskId(2)), founder: true, ..VoteRecord::default() };
+    disk.set_vote(vote).expect("memory works");
+    let storage = FullDisk { inner: disk, full: false, synced: LogIndex(0) };
+    let config = ReplicaConfig::new(&"b".into(), &voters(), &voters());
+    let mut replica = LogReplica::new(config, storage, now);
+    let disks = (1..).zip(voters()).map(|(disk, voter)| VoterDisk { voter, disk: DiskId(disk) });
+    let disks: Vec<VoterDisk> = disks.collect();
+    let set = VoterSet { voters: voters(), disks: disks.clone() };
+    let first = entry(1, 1, EntryPayload::VoterSet(set));
+    replica.step(&"a".into(), append(1, (0, 0), vec![first], 0), now);
+    replica.flush(now);
+    let mut storage = replica.into_storage();
+    storage.full = true;
+    let config = ReplicaConfig::new(&"b".into(), &voters(), &voters());
+    let mut replica = LogReplica::new(config, storage, now);
+    let second = entry(2, 1, EntryPayload::Noop);
+    replica.step(&"a".into(), append(1, (1, 1), vec![second], 2), now);
+    let snapshot = LogSnapshot {
+        index: LogIndex(1),
+        term: Term(1),
+        voters: voters(),
+        disks,
+        state: Vec::new(),
+    };
+    let request = SnapshotRequest { term: Term(2), round: 1, snapshot };
+    replica.step(&"c".into(), LogMessage::Snapshot(request), now);
+    let messages = replica.flush(now);
+    let acknowledged = messages.iter().find_map(|(_, message)| match message {
+        LogMessage::AppendReply(reply) if reply.accepted => Some(reply.matched),
+        _ => None,
+    });
+    let synced = replica.storage().synced;
+    assert!(acknowledged <= Some(synced), "{acknowledged:?} acknowledged, {synced:?} synced");
+}
