Trial: Show an acknowledgement of an entry that the folder does not hold

The driver sends an acknowledgement of entry 2, and the folder holds entry 1: "LogIndex(2) acknowledged, LogIndex(1) held, fault None".

--- a/crates/log/tests/failed_storage.rs
+++ b/crates/log/tests/failed_storage.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use hollowbarrow_log::{
-    EntryWindow, LogReplica, LogStorage, MemoryStorage, ReplicaConfig, StoreLogError, VoteRecord,
+    DriverConfig, EntryWindow, FileStorage, LogDriver, LogReplica, LogStorage, MemoryStorage,
+    ReplicaConfig, StateMachine, StoreLogError, VoteRecord,
 };
 use hollowbarrow_schema::{
     AppendRequest, DaemonId, DiskId, EntryPayload, LogEntry, LogIndex, LogMessage, LogSnapshot,
-    SnapshotRequest, Term, VoterDisk, VoterSet,
+    ProposalOutcome, SnapshotRequest, Term, VoterDisk, VoterSet,
 };
 use rstest::rstest;
 use tokio::time::Instant;
@@ -155,3 +156,56 @@
     let synced = replica.storage().synced;
     assert!(acknowledged <= Some(synced), "{acknowledged:?} acknowledged, {synced:?} synced");
 }
+
+struct NoState;
+
+impl StateMachine for NoState {
+    fn apply(&mut self, _: &LogEntry) -> ProposalOutcome {
+        ProposalOutcome::Held
+    }
+
+    fn to_snapshot(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn restore(&mut self, _: &[u8]) -> bool {
+        true
+    }
+}
+
+/// As the first test, with files: a folder takes the place of the file by which the vote is replaced.
+#[rstest]
+fn driver_acknowledges_only_what_its_folder_holds() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let vote = VoteRecord { disk: Some(DiskId(1)), ..VoteRecord::default() };
+    let stored = FileStorage::open(folder.path()).and_then(|mut disk| disk.set_vote(vote));
+    stored.expect("the disk works");
+    let (sender, sent) = flume::unbounded();
+    let replica = ReplicaConfig::new(&"a".into(), &voters()[1..], &voters());
+    let config = DriverConfig::new(replica, Some(folder.path().to_owned()));
+    let send = move |_: &DaemonId, message| {
+        let _ = sender.send(message);
+    };
+    let driver = LogDriver::start(config, NoState, send).expect("the driver starts");
+    let acknowledged = || {
+        std::iter::from_fn(|| sent.recv_timeout(Duration::from_secs(1)).ok()).find_map(|message| {
+            match message {
+                LogMessage::AppendReply(reply) if reply.accepted => Some(reply.matched),
+                _ => None,
+            }
+        })
+    };
+    let disks = (1..).zip(voters()).map(|(disk, voter)| VoterDisk { voter, disk: DiskId(disk) });
+    let set = VoterSet { voters: voters(), disks: disks.collect() };
+    let first = entry(1, 1, EntryPayload::VoterSet(set));
+    driver.deliver(&"b".into(), append(1, (0, 0), vec![first], 0));
+    assert_eq!(acknowledged(), Some(LogIndex(1)));
+    std::fs::create_dir(folder.path().join("vote.new")).expect("a folder can be made");
+    let second = entry(2, 2, EntryPayload::Noop);
+    driver.deliver(&"c".into(), append(2, (1, 1), vec![second], 1));
+    let matched = acknowledged().unwrap_or_default();
+    let fault = driver.view().fault;
+    driver.stop();
+    let held = FileStorage::open(folder.path()).expect("it opens").window().last_index();
+    assert!(matched <= held, "{matched:?} acknowledged, {held:?} held, fault {fault:?}");
+}
