--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -87,6 +87,23 @@
         tokio::spawn(push_deployments(Arc::clone(&core)));
         tokio::spawn(log_quorum(Arc::clone(&core)));
         tokio::spawn(run_leader(Arc::clone(&core), event_receiver));
+        tokio::spawn(async {
+            let mut second = Instant::now();
+            let (mut worst, mut sum, mut n) = (Duration::ZERO, Duration::ZERO, 0u32);
+            loop {
+                let began = Instant::now();
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let late = began.elapsed().saturating_sub(Duration::from_millis(20));
+                worst = worst.max(late);
+                sum += late;
+                n += 1;
+                if second.elapsed() > Duration::from_secs(1) {
+                    let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+                    eprintln!("TRACE at={} lag worst={} mean={}", at.as_millis(), worst.as_millis(), (sum / n).as_millis());
+                    (second, worst, sum, n) = (Instant::now(), Duration::ZERO, Duration::ZERO, 0);
+                }
+            }
+        });
         let metrics_core = Arc::clone(&core);
         serve_metrics(core.settings.metrics.as_deref(), move || metrics_core.metrics_text());
         log::info!("event=started role=controller name={}", core.settings.name);
--- a/crates/log/src/driver.rs
+++ b/crates/log/src/driver.rs
@@ -376,7 +376,14 @@
     fn send_all(&mut self, phase: Phase) {
         let messages = match phase {
             Phase::Early => self.replica.take_early(),
-            Phase::Flushed => self.replica.flush(Instant::now()),
+            Phase::Flushed => {
+                let before = Instant::now();
+                let messages = self.replica.flush(before);
+                if before.elapsed() > Duration::from_millis(50) {
+                    crate::replica::trace(format_args!("slow_flush ms={}", before.elapsed().as_millis()));
+                }
+                messages
+            }
         };
         for (to, message) in messages {
             (self.send)(&to, message);
--- a/crates/log/src/leader.rs
+++ b/crates/log/src/leader.rs
@@ -126,6 +126,7 @@
         if let Some(start) = self.round_starts.get(&round).filter(|at| **at > self.confirmed) {
             self.confirmed = *start;
             let round_trip = now.saturating_duration_since(*start);
+            crate::replica::trace(format_args!("confirmed round={round} of={} trip={}", self.round, round_trip.as_millis()));
             self.round_trip = round_trip.max(decay(self.round_trip));
         }
         self.round_starts = self.round_starts.split_off(&round);
--- a/crates/log/src/replica.rs
+++ b/crates/log/src/replica.rs
@@ -239,6 +239,7 @@
         replica.identify_disk();
         replica.refresh_voters();
         replica.reset_deadline(now);
+        trace(format_args!("start term={} vote={:?} next_in={}", *replica.term(), replica.storage.vote().vote, (replica.deadline-now).as_millis()));
         replica
     }
 
@@ -406,6 +407,7 @@
         }
         if let ReplicaRole::Leader(role) = &self.role {
             if now.saturating_duration_since(role.confirmed) > self.confirmation_timeout(role) {
+                trace(format_args!("unconfirmed_step_down age={} rt={}", now.saturating_duration_since(role.confirmed).as_millis(), role.round_trip.as_millis()));
                 self.step_down(self.term(), None, now);
             } else {
                 self.name_missing_disks(now);
@@ -414,7 +416,9 @@
             return;
         }
         self.count_failed_vote();
+        let late = now.saturating_duration_since(self.deadline).as_millis();
         self.reset_deadline(now);
+        trace(format_args!("tick late={late} next_in={} failed={} elections={} trip={} leader={:?} quorum_member={}", (self.deadline-now).as_millis(), self.failed_votes, self.elections, self.trial_trip.as_millis(), self.leader(), self.is_quorum_member()));
         if self.is_quorum_member() || self.may_found() {
             self.elections = self.elections.saturating_add(1);
             self.last_election = now;
@@ -597,6 +601,12 @@
     }
 }
 
+/// Trial trace.
+pub(crate) fn trace(text: std::fmt::Arguments<'_>) {
+    let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    eprintln!("TRACE at={} {text}", at.as_millis());
+}
+
 /// Returns what remains of a measured delay after another measurement.
 pub(crate) fn decay(delay: Duration) -> Duration {
     delay * 7 / 8
--- a/crates/log/src/replica/election.rs
+++ b/crates/log/src/replica/election.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::founding::disks_by_voter;
-use super::{LogReplica, ReplicaRole, decay};
+use super::{LogReplica, ReplicaRole, decay, trace};
 use crate::electorate::Electorate;
 use crate::leader::LeaderRole;
 use crate::storage::{LogStorage, VoteRecord};
@@ -36,6 +36,7 @@
             self.reset_deadline(now);
         }
         let leader = self.suspected_leader(trial);
+        trace(format_args!("campaign trial={trial} term={} since_election={} next_in={}", *term, now.saturating_duration_since(self.last_election).as_millis(), (self.deadline.saturating_duration_since(now)).as_millis()));
         let granted = BTreeSet::from([self.config.id.clone()]);
         let named = granted.clone();
         self.role = ReplicaRole::Candidate { trial, leader, granted, named, founding };
@@ -72,6 +73,7 @@
                 now.saturating_duration_since(contact) < self.config.election
             });
         if follows_leader && self.leader() != Some(from) {
+            trace(format_args!("asked from={} trial={} term={} follows_leader={:?} own_term={}", &**from, request.trial, *request.term, self.leader(), *self.term()));
             return self.answer_vote(from, request, false, None);
         }
         if !request.trial && request.term > self.term() {
@@ -98,6 +100,7 @@
             granted = self.save_vote(VoteRecord { term, vote, ..self.storage.vote().clone() });
             self.reset_deadline(now);
         }
+        trace(format_args!("asked from={} trial={} term={} granted={granted} current={current} free={free} yields={yields} eligible={eligible} own_term={} next_in={}", &**from, request.trial, *request.term, *self.term(), (self.deadline.saturating_duration_since(now)).as_millis()));
         let founders = self.founders().filter(|_| self.is_blank()).cloned();
         self.answer_vote(from, request, granted, founders);
     }
@@ -134,6 +137,7 @@
             let trip = now.saturating_duration_since(self.last_trial);
             self.trial_trip = trip.max(decay(self.trial_trip));
         }
+        trace(format_args!("answer from={} trial={} granted={} term={} own_term={} tries={tries} trip={}", &**from, reply.trial, reply.granted, *reply.term, *self.term(), now.saturating_duration_since(self.last_trial).as_millis()));
         let proposes = self.on_founders_reply(from, reply, now);
         if !reply.granted && reply.term > self.term() {
             return self.step_down(reply.term, None, now);
@@ -192,6 +196,7 @@
         let last = self.storage.window().last_index();
         let followers = self.followers();
         let elected_within = now.saturating_duration_since(self.last_election);
+        trace(format_args!("lead term={} elected_within={}", *self.term(), elected_within.as_millis()));
         let role = LeaderRole::new(now, elected_within, followers.into_iter(), last);
         self.role = ReplicaRole::Leader(role);
         let entry = LogEntry { index: LogIndex(*last + 1), term: self.term(), payload: first };
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -301,7 +301,11 @@
         let mut pause = shortest;
         let mut reported = false;
         loop {
-            match self.connect().await {
+            let began = tokio::time::Instant::now();
+            let result = self.connect().await;
+            let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+            eprintln!("TRACE at={} dial to={} ms={} result={:?}", at.as_millis(), *self.to, began.elapsed().as_millis(), result.as_ref().err().map(ToString::to_string));
+            match result {
                 Ok((socket, sealer)) => {
                     log::info!("event=peer_connected peer={}", *self.to);
                     (pause, reported) = (shortest, false);
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -571,6 +571,23 @@
 /// Runs one seed and returns the violated invariants.
 async fn run_seed(seed: u64, block: u8, layout: Layout, plan: Plan) -> Vec<String> {
     println!("soak seed {seed}, {plan:?}");
+    tokio::spawn(async move {
+        let mut second = Instant::now();
+        let (mut worst, mut sum, mut n) = (Duration::ZERO, Duration::ZERO, 0u32);
+        loop {
+            let began = Instant::now();
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let late = began.elapsed().saturating_sub(Duration::from_millis(20));
+            worst = worst.max(late);
+            sum += late;
+            n += 1;
+            if second.elapsed() > Duration::from_secs(1) {
+                let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+                println!("HARNESS seed={seed} at={} lag worst={} mean={}", at.as_millis(), worst.as_millis(), (sum / n).as_millis());
+                (second, worst, sum, n) = (Instant::now(), Duration::ZERO, Duration::ZERO, 0);
+            }
+        }
+    });
     let mut soak = Soak::start(block, layout, plan);
     let observer = Observer::new();
     let first = configuration(FIRST_VERSION);
--- a/tests/platform/soak/disk_losses.rs
+++ b/tests/platform/soak/disk_losses.rs
@@ -183,10 +183,13 @@
     }
 
     fn return_all(&mut self, loss: &DiskLoss) -> Stage {
+        let began = Instant::now();
         self.system.lose_power(&[loss.second]);
+        println!("TRACE lose_power took {:?}", began.elapsed());
         (0..self.system.daemon_count()).for_each(|daemon| self.record_disturbed(daemon));
         self.down.clear();
         let since = Instant::now();
+        println!("TRACE returned at={}", std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis());
         let ended = std::mem::take(&mut self.disk_losses.outage);
         ended.into_iter().for_each(|id| self.losses.end(id, since));
         Stage::Recovering { since, led: false, counted: false }
@@ -202,12 +205,14 @@
         observer: &Observer,
     ) -> Option<Stage> {
         let before = (led, counted);
+        let polled = Instant::now();
         let all = format!("controller_voters_counted {CONTROLLERS}");
         for controller in 0..CONTROLLERS {
             led |= self.system.has_metric(controller, "controller_leads 1").await;
             counted |= self.system.has_metrics(controller, &["controller_leads 1", &all]).await;
         }
         let elapsed = since.elapsed();
+        println!("TRACE poll at {elapsed:?} took {:?} led={led} counted={counted}", polled.elapsed());
         if led && counted && elapsed > CALM_TIME {
             self.disk_losses.waiting.pop_front();
             let pause = self.disk_losses.waiting.front().map_or(Duration::ZERO, |loss| loss.pause);
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -1,7 +1,7 @@
 //! Runs controllers and gateways as real processes on addresses of the loopback range.
 
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -17,6 +17,9 @@
 /// Timeout of every wait for a condition that must become true.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Environment variable with a folder to which the daemons' logs are copied when a system is
+/// dropped.
+const KEEP_LOGS: &str = "HOLLOWBARROW_KEEP_LOGS";
 pub const HOST: &str = "camp.example";
 pub const KEY: &str = "key-of-family";
 
@@ -535,6 +538,15 @@
 impl Drop for System {
     fn drop(&mut self) {
         self.daemons.iter_mut().for_each(Daemon::kill);
+        // Keeps the logs for the analysis of failed tests.
+        if let Some(log_folder) = std::env::var_os(KEEP_LOGS) {
+            let log_folder = Path::new(&log_folder);
+            let _ = std::fs::create_dir_all(log_folder);
+            for daemon in &self.daemons {
+                let name = daemon.log.file_name().expect("the log has a name");
+                let _ = std::fs::copy(&daemon.log, log_folder.join(name));
+            }
+        }
     }
 }
 
