Count connection attempts of gateways by outcome, and show their readiness

A gateway also opens its connections to workers from the address that bind_ip names, as those to other daemons: a test, or a router, can then tell gateways apart. Without bind_ip nothing changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -286,7 +286,14 @@
     }
     let limit = request.deadline().min(Instant::now() + CONNECT_TIMEOUT);
     let preparing = core.client.prepare(attempt.worker.address, true);
-    match tokio::time::timeout_at(limit, preparing).await {
+    let prepared = tokio::time::timeout_at(limit, preparing).await;
+    match &prepared {
+        Ok(Ok(lease)) if lease.is_reused() => {}
+        Ok(Ok(_)) => core.metrics.count_connect("connected"),
+        Ok(Err(SendRequestError::Refused(_))) => core.metrics.count_connect("refused"),
+        _ => core.metrics.count_connect("timed_out"),
+    }
+    match prepared {
         Ok(Ok(lease)) => Ok(lease.with_max_idle(core.most_idle(&request.service))),
         _ => {
             history.ledger.record_outcome(ErrorRan::NotRun);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -64,9 +64,7 @@
         let local = hollowbarrow_member::member_id(&settings.ip, settings.mesh_port);
         let limits = share_of(&allowance_of(&settings), 1);
         Self {
-            client: UpstreamClient::new()
-                .with_identity(protocol.identity_header())
-                .with_first_connect_timeout(FIRST_CONNECT),
+            client: new_client(&settings, protocol.as_ref()),
             budget: RetryBudget::with_limits(limits, Instant::now()),
             metrics: GatewayMetrics::new(),
             stopping: AtomicBool::new(false),
@@ -207,6 +205,7 @@
     pub(crate) fn metrics_text(&self, dropped: u64) -> String {
         self.metrics.to_text(&GatewayLevels {
             in_flight: self.in_flight().into(),
+            ready: self.is_ready(),
             version: self.version(),
             workers: self.picker().len() as u64,
             dropped,
@@ -313,6 +312,18 @@
     }
 }
 
+/// Returns the client for workers. Connections start at the address that the settings name for those
+/// to other daemons.
+fn new_client(settings: &MemberSettings, protocol: &dyn CallerProtocol) -> UpstreamClient {
+    let client = UpstreamClient::new()
+        .with_identity(protocol.identity_header())
+        .with_first_connect_timeout(FIRST_CONNECT);
+    match settings.bind_ip.as_ref().and_then(|ip| ip.parse().ok()) {
+        Some(source) => client.with_source(source),
+        None => client,
+    }
+}
+
 fn allowance_of(settings: &MemberSettings) -> RetryAllowance {
     RetryAllowance {
         permille: settings.retry_permille,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,12 @@
     ),
     ("gateway_event_gap_ms", "ms", "Time between two chunks of a stream."),
     ("gateway_repeats", "1", "Attempts after the first, by kind: again or resumed."),
+    (
+        "gateway_connects",
+        "1",
+        "Attempts to open a connection to a worker, by outcome: connected, refused or timed_out.",
+    ),
+    ("gateway_ready", "1", "1 while the gateway reports that it is ready, else 0."),
     (
         "gateway_turned_away",
         "1",
@@ -48,9 +54,11 @@
     first_event: Histogram<f64>,
     event_gap: Histogram<f64>,
     repeats: Counter<u64>,
+    connects: Counter<u64>,
     turned_away: Counter<u64>,
     limited_sends: Counter<u64>,
     in_flight: Gauge<u64>,
+    ready: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
     configuration_reading: Histogram<f64>,
@@ -60,6 +68,7 @@
 /// Current values of the gauges, read when the page is requested.
 pub(crate) struct GatewayLevels {
     pub(crate) in_flight: u64,
+    pub(crate) ready: bool,
     pub(crate) version: u64,
     pub(crate) workers: u64,
     pub(crate) dropped: u64,
@@ -74,9 +83,11 @@
             first_event: page.time_histogram("gateway_first_event_ms"),
             event_gap: page.time_histogram("gateway_event_gap_ms"),
             repeats: meter.u64_counter("gateway_repeats").build(),
+            connects: meter.u64_counter("gateway_connects").build(),
             turned_away: meter.u64_counter("gateway_turned_away").build(),
             limited_sends: meter.u64_counter("gateway_limited_sends").build(),
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
+            ready: meter.u64_gauge("gateway_ready").build(),
             version: meter.u64_gauge("gateway_configuration_version").build(),
             workers: meter.u64_gauge("gateway_workers").build(),
             configuration_reading: page.time_histogram("gateway_configuration_reading_ms"),
@@ -106,6 +117,10 @@
         self.repeats.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    pub(crate) fn count_connect(&self, outcome: &'static str) {
+        self.connects.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(crate) fn count_turned_away(&self, backoff_asked: bool) {
         self.turned_away.add(1, &[KeyValue::new("backoff_asked", backoff_asked)]);
     }
@@ -117,6 +132,7 @@
     /// Renders the page of metrics.
     pub(crate) fn to_text(&self, levels: &GatewayLevels) -> String {
         self.in_flight.record(levels.in_flight, &[]);
+        self.ready.record(levels.ready.into(), &[]);
         self.version.record(levels.version, &[]);
         self.workers.record(levels.workers, &[]);
         self.dropped.record(levels.dropped, &[]);
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1860,7 +1860,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct MemberSettings {
-    ///IP address on which the daemon listens for other daemons and from which it connects to them, if it differs from `ip`, as behind a relay or address translation.
+    ///IP address on which the daemon listens for other daemons and from which it connects to them and, if it is a gateway, to workers, if it differs from `ip`, as behind a relay or address translation.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub bind_ip: ::std::option::Option<::std::string::String>,
     ///IP address and port for callers; gateways only.
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -6,7 +6,7 @@
 //! whether the request ran.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
 /// Maximum number of idle connections kept for one upstream.
@@ -157,6 +157,8 @@
     idle: Arc<Mutex<IdleConnections>>,
     identity: RequestIdentity,
     first_connect_timeout: Duration,
+    /// Local IP address of connections; none lets the kernel choose.
+    source: Option<IpAddr>,
 }
 
 impl Default for UpstreamClient {
@@ -166,6 +168,7 @@
             idle: Arc::default(),
             identity: RequestIdentity { header, required: false },
             first_connect_timeout: CONNECT_TIMEOUT,
+            source: None,
         }
     }
 }
@@ -231,6 +234,12 @@
         self
     }
 
+    /// Sets the local IP address of connections.
+    pub fn with_source(mut self, source: IpAddr) -> Self {
+        self.source = Some(source);
+        self
+    }
+
     /// Identifies requests by the given header, which every answer must return.
     pub fn with_identity(mut self, header: HeaderName) -> Self {
         self.identity = RequestIdentity { header, required: true };
@@ -268,12 +277,12 @@
     /// Opens a TCP connection. An attempt that times out is repeated once, because the kernel
     /// retransmits a lost SYN packet only after a second.
     async fn open_stream(&self, address: SocketAddr) -> Result<TcpStream, SendRequestError> {
-        let first =
-            tokio::time::timeout(self.first_connect_timeout, TcpStream::connect(address)).await;
+        let first = self.connect_tcp(address);
+        let first = tokio::time::timeout(self.first_connect_timeout, first).await;
         let connected = match first {
             Ok(connected) => connected,
             Err(_) => {
-                let second = TcpStream::connect(address);
+                let second = self.connect_tcp(address);
                 let connected = tokio::time::timeout(CONNECT_TIMEOUT, second).await;
                 connected.map_err(|_| SendRequestError::Connect(address))?
             }
@@ -284,6 +293,13 @@
         })
     }
 
+    async fn connect_tcp(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let Some(source) = self.source else { return TcpStream::connect(address).await };
+        let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(address).await
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SendRequestError> {
         let fail = || SendRequestError::Connect(address);
         let stream = self.open_stream(address).await?;
