--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -1,12 +1,13 @@
 //! TCP proxies that inject faults into the connections between two processes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +27,12 @@
     Disconnect,
     /// Keeps connections open but forwards nothing in either direction.
     Blackhole,
+    /// Keeps connections open but forwards nothing, and drops the packets that open new ones.
+    /// Only a [`LinkProxy`] does the latter.
+    Unreachable,
+    /// Serves open connections, and drops the packets that open new ones. Only a [`LinkProxy`]
+    /// does the latter.
+    NoNewConnections,
     /// Forwards only data from the side that opened the connection.
     BlackholeReplies,
     /// Delays each buffer.
@@ -70,10 +77,54 @@
     }
 }
 
-/// A proxy to one daemon with a fault mode for each source address.
+/// A proxy to one process with a fault mode for each source address.
 #[derive(Debug)]
 pub struct LinkProxy {
+    address: SocketAddr,
     modes: Arc<SourceModes>,
+    filter: SourceFilter,
+}
+
+/// Drops packets from some sources at a listening socket, so that connections from there hang.
+#[derive(Debug)]
+struct SourceFilter {
+    listener: std::net::TcpListener,
+    dropped: Mutex<BTreeSet<Ipv4Addr>>,
+}
+
+impl SourceFilter {
+    fn new(listener: std::net::TcpListener) -> Self {
+        Self { listener, dropped: Mutex::default() }
+    }
+
+    /// Sets whether packets from a source are dropped.
+    fn set(&self, source: IpAddr, drops: bool) {
+        let IpAddr::V4(source) = source else { return };
+        let mut dropped = self.dropped.lock().expect("the mutex is not poisoned");
+        let changed = if drops { dropped.insert(source) } else { dropped.remove(&source) };
+        if changed {
+            let program = drop_program(&dropped);
+            let socket = SockRef::from(&self.listener);
+            socket.attach_filter(&program).expect("a filter can be attached to a socket");
+        }
+    }
+}
+
+/// Returns a packet filter that drops what comes from these sources.
+fn drop_program(sources: &BTreeSet<Ipv4Addr>) -> Vec<SockFilter> {
+    // Classic BPF: load the source address of the IP header, compare, return the length to accept.
+    const LOAD_ABSOLUTE: u16 = 0x20;
+    const JUMP_IF_EQUAL: u16 = 0x15;
+    const RETURN: u16 = 0x06;
+    const SOURCE_OFFSET: u32 = 0xfff0_0000 + 12;
+    let mut program = vec![SockFilter::new(LOAD_ABSOLUTE, 0, 0, SOURCE_OFFSET)];
+    for (index, source) in sources.iter().enumerate() {
+        let to_drop = u8::try_from(sources.len() - index).expect("the sources of a test are few");
+        program.push(SockFilter::new(JUMP_IF_EQUAL, to_drop, 0, u32::from(*source)));
+    }
+    program.push(SockFilter::new(RETURN, 0, 0, u32::MAX));
+    program.push(SockFilter::new(RETURN, 0, 0, 0));
+    program
 }
 
 /// Fault mode of the connections from each IP address.
@@ -99,14 +150,23 @@
         let listener =
             std::net::TcpListener::bind(address).expect("the listen address is not in use");
         listener.set_nonblocking(true).expect("a new socket can be set to non-blocking");
+        let address = listener.local_addr().expect("a bound socket has an address");
+        let filter = SourceFilter::new(listener.try_clone().expect("a socket can be cloned"));
         let modes: Arc<SourceModes> = Arc::default();
         let watched = Arc::clone(&modes);
         tokio::spawn(run_proxy(listener, target, move |source| watched.watch(source), seed));
-        Self { modes }
+        Self { address, modes, filter }
+    }
+
+    /// Returns the address on which the proxy listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Changes the fault mode of connections from an IP address, also of open ones.
     pub fn set_mode(&self, source: IpAddr, mode: FaultMode) {
+        let dropped = matches!(mode, FaultMode::Unreachable | FaultMode::NoNewConnections);
+        self.filter.set(source, dropped);
         self.modes.set(source, mode);
     }
 }
@@ -165,7 +225,8 @@
             Ok(length) => length,
         };
         let blocked = |mode: &FaultMode| {
-            *mode == FaultMode::Blackhole || (is_reply && *mode == FaultMode::BlackholeReplies)
+            matches!(mode, FaultMode::Blackhole | FaultMode::Unreachable)
+                || (is_reply && *mode == FaultMode::BlackholeReplies)
         };
         if watcher.wait_for(|mode| !blocked(mode)).await.is_err() {
             break;
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -2,8 +2,10 @@
 //! and which invariants were violated.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 
+use hollowbarrow_testkit::FaultMode;
 use tokio::time::Instant;
 
 use crate::limit_check::find_limit_breaches;
@@ -34,6 +36,10 @@
 #[derive(Default)]
 pub struct Fleet {
     pub controllers: Vec<String>,
+    /// Whether a proxy runs in front of each worker, so that daemons can be cut off from workers.
+    pub fronted: bool,
+    /// Fault mode of each gateway's connections to workers, by the gateway's source address.
+    cut_sources: Mutex<BTreeMap<IpAddr, FaultMode>>,
     stopped: Mutex<Vec<String>>,
     runs: Mutex<BTreeMap<String, u32>>,
     /// Members that were ready, by name, epoch and member list of the replica.
@@ -60,6 +66,21 @@
         Arc::new(Self { controllers, ..Self::default() })
     }
 
+    /// Creates the state of workers that have a proxy in front of them.
+    pub fn with_fronts(controllers: Vec<String>) -> Arc<Self> {
+        Arc::new(Self { controllers, fronted: true, ..Self::default() })
+    }
+
+    /// Sets the fault mode of connections from a source address to all workers.
+    pub fn set_source_mode(&self, source: IpAddr, mode: FaultMode) {
+        self.cut_sources.lock().expect("not poisoned").insert(source, mode);
+    }
+
+    /// Returns the fault mode of each source address that was set.
+    pub fn source_modes(&self) -> BTreeMap<IpAddr, FaultMode> {
+        self.cut_sources.lock().expect("not poisoned").clone()
+    }
+
     /// Returns how often a request ran.
     pub fn runs(&self, request: &str) -> u32 {
         self.runs.lock().expect("not poisoned").get(request).copied().unwrap_or_default()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod duplicates;
 mod fleet;
 mod foreign;
+mod isolation;
 mod late_confirmations;
 mod limit;
 mod limit_check;
@@ -32,8 +33,9 @@
 use std::time::Duration;
 
 use fleet::Fleet;
+use hollowbarrow_testkit::FaultMode;
 use rstest::rstest;
-use system::{KEY, Layout, System, configuration};
+use system::{CONTROLLERS, KEY, Layout, System, configuration};
 use worker::{EVENTS, Worker, event};
 
 struct Deployment {
@@ -50,6 +52,17 @@
 async fn deploy_with(block: u8, layout: Layout) -> Deployment {
     let system = System::start_with(block, layout);
     let fleet = Fleet::new(system.controllers.clone());
+    deploy_workers(system, fleet).await
+}
+
+/// Deploys workers with a proxy in front of each.
+async fn deploy_fronted(block: u8, layout: Layout) -> Deployment {
+    let system = System::start_with(block, layout);
+    let fleet = Fleet::with_fronts(system.controllers.clone());
+    deploy_workers(system, fleet).await
+}
+
+async fn deploy_workers(system: System, fleet: Arc<Fleet>) -> Deployment {
     let engines: Vec<Arc<Worker>> =
         (0..9).map(|n| Worker::start(&fleet, &format!("e{n}"), "models", true)).collect();
     let plain = Worker::start(&fleet, "p0", "bookings", false);
@@ -58,6 +71,15 @@
     Deployment { system, fleet, engines, plain }
 }
 
+impl Deployment {
+    /// Sets the fault mode of a gateway's connections to all workers.
+    fn set_worker_links(&self, gateway: usize, mode: FaultMode) {
+        let source = self.system.source(CONTROLLERS + gateway);
+        self.fleet.set_source_mode(source, mode);
+        self.engines.iter().chain([&self.plain]).for_each(|one| one.set_source_mode(source, mode));
+    }
+}
+
 fn complete_stream() -> String {
     (1..=EVENTS).map(event).collect()
 }
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -302,6 +302,11 @@
         self.links[to].1.set_mode(source, mode);
     }
 
+    /// Returns the address at which a daemon behind a proxy starts its connections.
+    pub fn source(&self, daemon: usize) -> IpAddr {
+        self.links[daemon].0
+    }
+
     /// Kills a controller.
     pub fn kill_controller(&mut self, index: usize) {
         self.daemons[index].kill();
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -3,6 +3,7 @@
 
 mod orders;
 
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use hollowbarrow_member::{
     AnswerBody, HttpAnswer, HttpHandler, HttpLimits, TruncatedAnswerError, serve_http,
 };
+use hollowbarrow_testkit::{FaultMode, LinkProxy};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -34,6 +36,8 @@
 /// Address of a new worker, with a port that the kernel chooses. No connection starts at this IP
 /// address, so that none takes the port of a killed worker before its next instance starts.
 const NEW_ADDRESS: &str = "127.76.0.1:0";
+/// Address of a new proxy in front of a worker, with a port that the kernel chooses.
+const FRONT_ADDRESS: &str = "127.75.0.1:0";
 /// Body of a request that crashes each worker that runs it.
 pub const CRASHING_BODY: &[u8] = b"{\"ends\": \"worker\"}";
 /// Run time of a crashing request before its worker terminates.
@@ -54,6 +58,16 @@
     request.rsplit_once("-by")?.1.parse().ok()
 }
 
+/// Starts a proxy in front of a worker, with the fault modes that are set.
+fn start_front(fleet: &Fleet, target: SocketAddr) -> LinkProxy {
+    let address = FRONT_ADDRESS.parse().expect("the address is valid");
+    let front = LinkProxy::start(address, target, target.port().into());
+    for (source, mode) in fleet.source_modes() {
+        front.set_mode(source, mode);
+    }
+    front
+}
+
 /// Returns one event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -85,7 +99,10 @@
     pub id: String,
     /// Start time in Unix milliseconds, if the worker reports it.
     start_ms: Option<u64>,
+    /// Address that it listens on.
     address: String,
+    /// Proxy in front of it, whose address it registers.
+    front: Option<LinkProxy>,
     service: &'static str,
     engine: bool,
     zone: &'static str,
@@ -144,12 +161,15 @@
         address: &str,
     ) -> Arc<Self> {
         let listener = bind_http(address).expect("the port is free");
-        let address = listener.local_addr().expect("the listener is bound").to_string();
+        let bound = listener.local_addr().expect("the listener is bound");
+        let front = fleet.fronted.then(|| start_front(fleet, bound));
+        let address = bound.to_string();
         let (stop, stopped) = watch::channel(false);
         let worker = Arc::new(Self {
             id: id.to_owned(),
             start_ms,
             address,
+            front,
             service,
             engine,
             zone,
@@ -206,6 +226,16 @@
         Self::start_instance(&self.fleet, &self.id, kind, start_ms, address)
     }
 
+    /// Sets the fault mode of connections from a source address.
+    pub fn set_source_mode(&self, source: IpAddr, mode: FaultMode) {
+        self.front.as_ref().expect("the worker has a proxy").set_mode(source, mode);
+    }
+
+    fn registered_address(&self) -> String {
+        let front = self.front.as_ref().map(|front| front.address().to_string());
+        front.unwrap_or_else(|| self.address.clone())
+    }
+
     /// Returns the number of heartbeats that this instance has sent, including the one in progress.
     pub fn heartbeats_sent(&self) -> u64 {
         self.seq.load(Ordering::Relaxed)
@@ -390,7 +420,7 @@
         });
         let leaving = self.leaving.load(Ordering::Relaxed);
         let reported_state = if leaving { "draining" } else { "ready" };
-        let mut body = json!({"service": self.service, "address": self.address, "zone": self.zone,
+        let mut body = json!({"service": self.service, "address": self.registered_address(), "zone": self.zone,
             "version": "v1", "cold_left_ms": 0, "slots": 8, "state": reported_state, "seq": seq + 1, "models": models, "group": group});
         if let Some(start_ms) = self.start_ms {
             body["born"] = json!(start_ms);
