--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -192,10 +192,14 @@
 
 fn handle_gateway_hello(core: &ControllerCore, from: &DaemonId, hello: GatewayHello, now: Instant) {
     let reported = hello.deployment;
-    {
+    let peers = {
         let mut fleet = core.fleet();
         fleet.record_gateway(from, hello, now);
         fleet.log_lag(from, &core.commits(), now);
+        fleet.peers_due(from, now)
+    };
+    if let Some(peers) = peers {
+        core.links().send(from, FleetMessage::Peers(peers));
     }
     if reported >= core.log.read(DeploymentState::version) {
         return;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,16 +1,16 @@
 //! Attempts to send a request to a worker, and the record that decides whether another follows.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
     AttemptLedger, DuplicateTicket, PERMIT_POLL_INTERVAL, PERMIT_WAIT_TIMEOUT,
 };
-use hollowbarrow_schema::{ErrorRan, WorkerId};
+use hollowbarrow_schema::{DaemonId, ErrorRan, WorkerId};
 use hollowbarrow_upstream::{ConnectionLease, SendRequestError, SentAnswer, UpstreamRequest};
 use tokio::time::Instant;
 
+use crate::connect::{ConnectTarget, NotConnected, REQUEST_CONNECT_TIMEOUT, take_connection};
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
 use crate::picker::{PermitWait, PickFacts};
@@ -19,9 +19,6 @@
 use crate::request::CallerRequest;
 use crate::watch::WatchError;
 
-/// Timeout for a connection to a worker: two attempts with a lost SYN. Nothing of the request has
-/// been sent by then, so another worker can be used at once.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Multiple of the objective for which a duplicate waits for the outcome of the request in
 /// progress: as long as that request may take before its worker counts as hanging. With half an
 /// objective, 14 of 15 harmless calls were refused that arrived together and ran for that long.
@@ -41,6 +38,8 @@
     last_sent: Option<Instant>,
     /// Attempt that replaces one that was given up.
     next: Option<WorkerAttempt>,
+    /// Peer that carries the connection of the last attempt, if one does.
+    carrier: Option<DaemonId>,
     /// Worker and error of each failed attempt, for logs.
     summary: String,
 }
@@ -55,6 +54,7 @@
             excluded: Vec::new(),
             last_sent: None,
             next: None,
+            carrier: None,
             summary: String::new(),
         }
     }
@@ -64,6 +64,20 @@
         self.ticket.record_progress();
     }
 
+    /// Records the peer that carries the connection of the current attempt, if one does.
+    fn record_carrier(
+        &mut self,
+        request: &CallerRequest,
+        attempt: &WorkerAttempt,
+        carrier: Option<&str>,
+    ) {
+        self.carrier = carrier.map(DaemonId::from);
+        if let Some(peer) = carrier {
+            let (id, worker) = (&request.head.id, &attempt.worker.id);
+            log::info!("event=request_carried request={id:?} worker={} peer={peer}", **worker);
+        }
+    }
+
     /// Waits until the request may be retried, at most until its deadline.
     pub(crate) async fn wait_until_repeatable(&mut self, request: &CallerRequest) {
         if let Some(until) = self.repeat_after.take() {
@@ -105,7 +119,16 @@
         worker: &WorkerId,
         error: &AttemptUpstreamError,
     ) {
-        if let (AttemptUpstreamError::ConnectionLost { .. }, Some(sent)) = (error, self.last_sent) {
+        if let Some(peer) = &self.carrier
+            && may_be_carriers_fault(error)
+        {
+            core.relays().record_unusable(peer, Instant::now());
+        }
+        // While this gateway is isolated, its own connections break whatever their workers do.
+        let own_fault = self.carrier.is_none() && core.paths().is_unreached(&request.service.name);
+        if let (AttemptUpstreamError::ConnectionLost { .. }, Some(sent)) = (error, self.last_sent)
+            && !own_fault
+        {
             core.crashes().record_crash(request.digest, worker, sent, Instant::now());
             self.repeat_after = self.ticket.record_crash();
         }
@@ -113,7 +136,9 @@
         if !self.summary.is_empty() {
             self.summary.push_str("; ");
         }
-        self.summary.push_str(&format!("{}: {error}", **worker));
+        let through = self.carrier.as_ref().map(|peer| format!(" through {}", **peer));
+        let through = through.unwrap_or_default();
+        self.summary.push_str(&format!("{}{through}: {error}", **worker));
     }
 
     /// Returns whether the request may be sent to another worker after this failure.
@@ -153,6 +178,16 @@
     }
 }
 
+/// Returns whether the peer that carries a connection may have caused an error.
+fn may_be_carriers_fault(error: &AttemptUpstreamError) -> bool {
+    matches!(
+        error,
+        AttemptUpstreamError::CarrierLost
+            | AttemptUpstreamError::NoAnswer
+            | AttemptUpstreamError::BrokenAnswer { .. }
+    )
+}
+
 /// Admits a request. Refuses it if it is quarantined, or if it is a duplicate that may not be sent
 /// in time because the request in progress neither ends nor shows progress.
 pub(crate) async fn admit_request(
@@ -270,7 +305,7 @@
 /// Connects to a worker, or reuses an idle connection. Nothing of the request has been sent when
 /// this returns.
 pub(crate) async fn connect_to_worker(
-    core: &GatewayCore,
+    core: &Arc<GatewayCore>,
     request: &CallerRequest,
     attempt: &WorkerAttempt,
     history: &mut AttemptHistory,
@@ -284,18 +319,15 @@
     if history.ledger.sends() > 1 {
         core.metrics.count_repeat(if is_resume { "resumed" } else { "again" });
     }
-    let limit = request.deadline().min(Instant::now() + CONNECT_TIMEOUT);
-    let preparing = core.client.prepare(attempt.worker.address, true);
-    let prepared = tokio::time::timeout_at(limit, preparing).await;
-    match &prepared {
-        Ok(Ok(lease)) if lease.is_reused() => {}
-        Ok(Ok(_)) => core.metrics.count_connect("connected"),
-        Ok(Err(SendRequestError::Refused(_))) => core.metrics.count_connect("refused"),
-        _ => core.metrics.count_connect("timed_out"),
-    }
-    match prepared {
-        Ok(Ok(lease)) => Ok(lease.with_max_idle(core.most_idle(&request.service))),
-        _ => {
+    let limit = request.deadline().min(Instant::now() + REQUEST_CONNECT_TIMEOUT);
+    let target = ConnectTarget::new(&request.service.name, &attempt.worker);
+    match take_connection(core, target, limit).await {
+        Ok(lease) => {
+            history.record_carrier(request, attempt, lease.carrier());
+            Ok(lease.with_max_idle(core.most_idle(&request.service)))
+        }
+        Err(NotConnected) => {
+            history.carrier = None;
             history.ledger.record_outcome(ErrorRan::NotRun);
             Err(AttemptUpstreamError::NotReached)
         }
@@ -313,7 +345,7 @@
     resume_after: Option<&str>,
 ) -> Result<SentAnswer, AttemptUpstreamError> {
     let worker = &attempt.worker;
-    // Connecting takes up to CONNECT_TIMEOUT. Meanwhile the worker may have rejected other requests
+    // Connecting takes up to REQUEST_CONNECT_TIMEOUT. Meanwhile the worker may have rejected other requests
     // and asked for a backoff.
     if core.is_backing_off(&worker.id) {
         lease.give_back();
@@ -371,6 +403,7 @@
         SendRequestError::OtherRequest(_) => {
             AttemptUpstreamError::BrokenAnswer { reason: "it is for another request", tokens: 0 }
         }
+        SendRequestError::CarrierLost => AttemptUpstreamError::CarrierLost,
         SendRequestError::NoAnswer(_) => AttemptUpstreamError::ConnectionLost { tokens: 0 },
         SendRequestError::Timeout => AttemptUpstreamError::NoAnswer,
     }
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -73,6 +73,13 @@
         self.plain.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns all candidates with their services.
+    pub(crate) fn all(&self) -> impl Iterator<Item = (&ServiceName, &Candidate)> {
+        let replicas = self.replicas.iter().map(|((service, _), all)| (service, all));
+        let every = replicas.chain(self.plain.iter());
+        every.flat_map(|(service, all)| all.iter().map(move |candidate| (service, candidate)))
+    }
+
     /// Rebuilds the index if the table has changed.
     pub(crate) fn refresh(&mut self, table: &WorkerTable) {
         if self.revision == table.revision() {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,27 +1,30 @@
 //! State and tools that all parts of a gateway share.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
 use std::time::Duration;
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
-use hollowbarrow_member::SuspensionDetector;
+use hollowbarrow_member::{MemberLinks, SuspensionDetector};
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_routing::{
-    ConfigFreshness, DuplicateGate, LimitNotice, NoticeInterval, limit_text,
+    ConfigFreshness, DuplicateGate, LimitNotice, NoticeInterval, PathChange, PathTable,
+    UpstreamPath, limit_text,
 };
-use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
+use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, ServiceName, WorkerId};
 use hollowbarrow_upstream::{UpstreamClient, UpstreamNotice};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::budget::{RetryAllowance, share_of};
+use crate::connect::ConnectTarget;
 use crate::crashes::CrashGuard;
 use crate::flight::WorkerAttempt;
 use crate::metrics::{GatewayLevels, GatewayMetrics};
-use crate::picker::{NoWorker, PickFacts, WorkerPicker};
+use crate::picker::{NoWorker, PickFacts, WorkerEndpoint, WorkerPicker};
 use crate::primary::PrimarySelector;
 use crate::protocol::{AnswerFacts, CallerProtocol};
+use crate::relays::RelayPeers;
 use crate::view_dates::ViewDates;
 
 /// Time after which a second attempt to connect to a worker starts.
@@ -32,6 +35,10 @@
 /// a change is active everywhere.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1200);
 
+/// Time for which no peer must have been able to carry a tunnel before this gateway, if it reaches no
+/// workers itself, reports that it is not ready.
+const CUT_OFF_TIME: Duration = Duration::from_millis(500);
+
 /// Shared state of a gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: MemberSettings,
@@ -53,6 +60,15 @@
     /// Notified when the issuer of permits has answered.
     pub(crate) permits_answered: Notify,
     pub(crate) in_flight: AtomicU32,
+    /// Links to other daemons, set before any request is read.
+    pub(crate) links: OnceLock<Arc<MemberLinks>>,
+    /// Which workers this gateway reaches itself.
+    paths: Mutex<PathTable<ServiceName, WorkerId>>,
+    relays: Mutex<RelayPeers>,
+    /// Notified when a path is to be checked at once.
+    pub(crate) path_check_due: Notify,
+    /// Whether the path to a silent worker is being checked.
+    checking_silence: AtomicBool,
     pub(crate) suspension: Arc<SuspensionDetector>,
     /// When the latest view that was received can have been sent by the leader.
     last_view: Mutex<Option<Instant>>,
@@ -79,6 +95,11 @@
             permits_requested: Notify::new(),
             permits_answered: Notify::new(),
             in_flight: AtomicU32::new(0),
+            links: OnceLock::new(),
+            paths: Mutex::default(),
+            relays: Mutex::new(RelayPeers::new(&settings.zone)),
+            path_check_due: Notify::new(),
+            checking_silence: AtomicBool::new(false),
             suspension: Arc::new(SuspensionDetector::new()),
             last_view: Mutex::new(None),
             view_dates: Mutex::default(),
@@ -198,7 +219,103 @@
     /// Returns whether new callers may be sent to this gateway.
     pub(crate) fn is_ready(&self) -> bool {
         let initialised = self.routes().is_some() && !self.picker().is_empty();
-        initialised && !self.was_suspended_since_view() && !self.stopping.load(Ordering::Relaxed)
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        let may_serve = initialised && !self.is_cut_off(Instant::now());
+        may_serve && !self.was_suspended_since_view() && !stopping
+    }
+
+    /// Locks the table of paths to workers.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, PathTable<ServiceName, WorkerId>> {
+        self.paths.lock().expect("no holder of the lock panics")
+    }
+
+    /// Locks the set of peers that may carry tunnels.
+    pub(crate) fn relays(&self) -> MutexGuard<'_, RelayPeers> {
+        self.relays.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns whether this gateway reaches no worker of a service, and no peer that does.
+    pub(crate) fn is_cut_off(&self, now: Instant) -> bool {
+        self.paths().is_isolated() && self.relays().failing_for(now) >= CUT_OFF_TIME
+    }
+
+    /// Records that this gateway has opened a connection of its own to a worker.
+    pub(crate) fn record_connected(&self, service: &ServiceName, worker: &WorkerId) {
+        let change = self.paths().record_connected(service, worker);
+        self.apply_path_change(change, service);
+    }
+
+    /// Records that a peer reached a worker that this gateway did not reach at that time.
+    pub(crate) fn record_bypassed(&self, target: ConnectTarget<'_>, peer: &str) {
+        let ConnectTarget { service, worker, address } = target;
+        let mut paths = self.paths();
+        let known = paths.path(service, worker) == UpstreamPath::Peer;
+        let change = paths.record_bypassed(service, worker, address);
+        drop(paths);
+        // A request on an idle connection from before would be lost.
+        self.client.drop_kept_at(address);
+        if !known {
+            log::info!("event=worker_bypassed worker={} peer={peer}", **worker);
+        }
+        self.apply_path_change(change, service);
+    }
+
+    /// Forgets bypassed workers that have left the table.
+    pub(crate) fn forget_departed(&self) {
+        let picker = self.picker();
+        let change = self.paths().retain(|_, worker| picker.is_available(worker));
+        drop(picker);
+        self.apply_path_change(change, &ServiceName::from(""));
+    }
+
+    fn apply_path_change(&self, change: PathChange, service: &ServiceName) {
+        match change {
+            PathChange::None => {}
+            PathChange::Isolated => {
+                log::warn!("event=isolated service={} version={}", **service, self.version());
+                self.client.drop_kept();
+                self.picker().clear_ejections();
+                self.path_check_due.notify_one();
+            }
+            PathChange::Reconnected => {
+                log::info!("event=reconnected service={}", **service);
+                self.client.drop_carried();
+                self.path_check_due.notify_one();
+            }
+        }
+    }
+
+    /// Records that a peer has carried a tunnel to a worker that these other peers did not reach.
+    pub(crate) fn record_carried(&self, peer: &DaemonId, others: &[DaemonId]) {
+        let now = Instant::now();
+        let mut relays = self.relays();
+        relays.record_success(peer, now);
+        others.iter().for_each(|other| relays.record_unusable(other, now));
+    }
+
+    /// Begins a check of the path to a silent worker, and returns where it listens. Returns none if a
+    /// check is in progress, if the worker is bypassed already, or if anything was received from its
+    /// service within `silence`.
+    pub(crate) fn begin_silence_check(
+        &self,
+        service: &ServiceName,
+        worker: &WorkerId,
+        silence: Duration,
+    ) -> Option<WorkerEndpoint> {
+        let endpoints = self.picker().endpoints();
+        let workers = endpoints.get(service)?;
+        let progress = workers.iter().any(|one| self.has_progress(&one.worker, silence));
+        if progress || self.paths().path(service, worker) == UpstreamPath::Peer {
+            return None;
+        }
+        let endpoint = workers.iter().find(|one| one.worker == *worker)?.clone();
+        let begun = !self.checking_silence.swap(true, Ordering::Relaxed);
+        begun.then_some(endpoint)
+    }
+
+    /// Ends the check of the path to a silent worker.
+    pub(crate) fn end_silence_check(&self) {
+        self.checking_silence.store(false, Ordering::Relaxed);
     }
 
     /// Returns the page of metrics, with this number of dropped messages.
@@ -208,6 +325,8 @@
             ready: self.is_ready(),
             version: self.version(),
             workers: self.picker().len() as u64,
+            isolated: self.paths().is_isolated(),
+            tunnels: self.tunnels().into(),
             dropped,
         })
     }
@@ -225,6 +344,11 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of tunnels that this gateway carries for others.
+    pub(crate) fn tunnels(&self) -> u32 {
+        self.links.get().map_or(0, |links| links.tunnels().open())
+    }
+
     /// Chooses a worker and counts the request there until the attempt is dropped.
     pub(crate) fn begin_attempt(
         self: &Arc<Self>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,15 @@
 //! Starts and stops a gateway.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use hollowbarrow_member::http::bind_http;
 use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
-use hollowbarrow_schema::MemberSettings;
+use hollowbarrow_peer::TunnelGate;
+use hollowbarrow_routing::UpstreamPath;
+use hollowbarrow_schema::{DaemonId, MemberSettings, TunnelRefusal};
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -14,6 +17,7 @@
 use crate::core::GatewayCore;
 use crate::intake::{CallerHandler, ReadinessHandler};
 use crate::links::{ask_for_permits, handle_message, report_to_controllers};
+use crate::path_checks::check_bypassed;
 use crate::protocol::CallerProtocol;
 
 /// Time in which load balancers notice that this gateway is not ready.
@@ -74,6 +78,7 @@
             serve_http(readiness, never, handler).await;
         });
         tokio::spawn(report_to_controllers(Arc::clone(&core), Arc::clone(&links)));
+        tokio::spawn(check_bypassed(Arc::clone(&core)));
         tokio::spawn(ask_for_permits(Arc::clone(&core), Arc::clone(&links)));
         let shown = Arc::clone(&core);
         serve_metrics(core.settings.metrics.as_deref(), move || {
@@ -91,9 +96,12 @@
         let limit = limit.checked_sub(EXIT_MARGIN).unwrap_or(limit);
         log::info!("event=stopping in_flight={}", core.in_flight());
         core.stopping.store(true, Ordering::Relaxed);
+        if let Some(links) = core.links.get() {
+            links.tunnels().stop();
+        }
         tokio::time::sleep(READINESS_PROPAGATION_TIME).await;
         self.stop.send_replace(true);
-        while core.in_flight() > 0 && Instant::now() < limit {
+        while core.in_flight() + core.tunnels() > 0 && Instant::now() < limit {
             tokio::time::sleep(DRAIN_POLL).await;
         }
         log::info!("event=stopped in_flight={}", core.in_flight());
@@ -113,14 +121,29 @@
 }
 
 fn start_links(core: &Arc<GatewayCore>) -> Result<Arc<MemberLinks>, StartLinksError> {
-    let slot: Arc<OnceLock<Arc<MemberLinks>>> = Arc::default();
-    let (handler_core, handler_slot) = (Arc::clone(core), Arc::clone(&slot));
-    let links = MemberLinks::start(&core.settings, move |from, message| {
-        if let Some(links) = handler_slot.get() {
+    let handler_core = Arc::clone(core);
+    let handler = move |from: &DaemonId, message| {
+        if let Some(links) = handler_core.links.get() {
             handle_message(&handler_core, links, from, message);
         }
-    })?;
-    let links = Arc::new(links);
-    let _ = slot.set(Arc::clone(&links));
+    };
+    let gate = WorkerGate(Arc::downgrade(core));
+    let links = Arc::new(MemberLinks::start_with_tunnels(&core.settings, handler, gate)?);
+    let _ = core.links.set(Arc::clone(&links));
     Ok(links)
 }
+
+/// Admits tunnels to the workers in the table.
+struct WorkerGate(Weak<GatewayCore>);
+
+impl TunnelGate for WorkerGate {
+    fn admit(&self, _: &DaemonId, upstream: SocketAddr) -> Result<(), TunnelRefusal> {
+        let core = self.0.upgrade().ok_or(TunnelRefusal::Stopping)?;
+        let found = core.picker().find_address(upstream);
+        let (service, worker) = found.ok_or(TunnelRefusal::UnknownUpstream)?;
+        match core.paths().path(&service, &worker) {
+            UpstreamPath::Direct => Ok(()),
+            UpstreamPath::Peer => Err(TunnelRefusal::Isolated),
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,8 +23,11 @@
     (
         "gateway_connects",
         "1",
-        "Attempts to open a connection to a worker, by outcome: connected, refused or timed_out.",
+        "Attempts to open a connection to a worker, by outcome: connected, refused or timed_out on the \
+         gateway's own path, and tunnel, peer_unreached or no_peer through a peer.",
     ),
+    ("gateway_isolated", "1", "1 while the gateway reaches no worker of a service itself, else 0."),
+    ("gateway_tunnels", "1", "Tunnels to workers that the gateway carries for other gateways."),
     ("gateway_ready", "1", "1 while the gateway reports that it is ready, else 0."),
     (
         "gateway_turned_away",
@@ -58,6 +61,8 @@
     turned_away: Counter<u64>,
     limited_sends: Counter<u64>,
     in_flight: Gauge<u64>,
+    isolated: Gauge<u64>,
+    tunnels: Gauge<u64>,
     ready: Gauge<u64>,
     version: Gauge<u64>,
     workers: Gauge<u64>,
@@ -68,6 +73,8 @@
 /// Current values of the gauges, read when the page is requested.
 pub(crate) struct GatewayLevels {
     pub(crate) in_flight: u64,
+    pub(crate) isolated: bool,
+    pub(crate) tunnels: u64,
     pub(crate) ready: bool,
     pub(crate) version: u64,
     pub(crate) workers: u64,
@@ -87,6 +94,8 @@
             turned_away: meter.u64_counter("gateway_turned_away").build(),
             limited_sends: meter.u64_counter("gateway_limited_sends").build(),
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
+            isolated: meter.u64_gauge("gateway_isolated").build(),
+            tunnels: meter.u64_gauge("gateway_tunnels").build(),
             ready: meter.u64_gauge("gateway_ready").build(),
             version: meter.u64_gauge("gateway_configuration_version").build(),
             workers: meter.u64_gauge("gateway_workers").build(),
@@ -132,6 +141,8 @@
     /// Renders the page of metrics.
     pub(crate) fn to_text(&self, levels: &GatewayLevels) -> String {
         self.in_flight.record(levels.in_flight, &[]);
+        self.isolated.record(levels.isolated.into(), &[]);
+        self.tunnels.record(levels.tunnels, &[]);
         self.ready.record(levels.ready.into(), &[]);
         self.version.record(levels.version, &[]);
         self.workers.record(levels.workers, &[]);
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -11,7 +11,7 @@
 //! estimate therefore adds the requests that this gateway has sent since, and a
 //! choice is not revised later.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,6 +28,7 @@
 use tokio::time::Instant;
 
 use crate::candidates::{Candidate, CandidateIndex};
+use crate::connect::ConnectTarget;
 use crate::estimate::{ArrivalRate, unreported_arrivals};
 use crate::loads::{LocalLoad, SharedLoad, expected_silence_ms, is_stalled};
 use crate::shared_view::SharedView;
@@ -93,6 +94,21 @@
     pub permit: Option<Permit>,
 }
 
+/// Where a worker that takes requests listens.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerEndpoint {
+    pub(crate) service: ServiceName,
+    pub(crate) worker: WorkerId,
+    pub(crate) address: SocketAddr,
+}
+
+impl WorkerEndpoint {
+    /// Returns the worker as the target of a connection.
+    pub(crate) fn target(&self) -> ConnectTarget<'_> {
+        ConnectTarget { service: &self.service, worker: &self.worker, address: self.address }
+    }
+}
+
 /// Properties of a request that decide which worker it may go to.
 #[derive(Clone, Copy, Debug)]
 pub struct PickFacts<'a> {
@@ -216,6 +232,41 @@
         self.table.is_empty()
     }
 
+    /// Returns whether a worker is in the table and has not ended.
+    pub fn is_available(&self, id: &WorkerId) -> bool {
+        self.table.get(id).is_some_and(|entry| entry.is_available())
+    }
+
+    /// Returns the worker that listens at an address and has not ended, with its service.
+    pub(crate) fn find_address(&self, address: SocketAddr) -> Option<(ServiceName, WorkerId)> {
+        let reports =
+            self.table.iter().filter(|entry| entry.is_available()).map(|entry| &entry.report);
+        let mut found = reports.filter(|report| report.address.parse() == Ok(address));
+        found.next().map(|report| (report.service.clone(), report.id.clone()))
+    }
+
+    /// Returns where the workers that take requests listen, by service.
+    pub(crate) fn endpoints(&mut self) -> BTreeMap<ServiceName, Vec<WorkerEndpoint>> {
+        self.candidates.refresh(&self.table);
+        let mut endpoints: BTreeMap<ServiceName, Vec<WorkerEndpoint>> = BTreeMap::new();
+        for (service, candidate) in self.candidates.all() {
+            endpoints.entry(service.clone()).or_default().push(WorkerEndpoint {
+                service: service.clone(),
+                worker: candidate.id.clone(),
+                address: candidate.address,
+            });
+        }
+        endpoints
+    }
+
+    /// Ends all ejections: what failed was this gateway's path to the workers.
+    pub fn clear_ejections(&mut self) {
+        for local in self.local.values_mut() {
+            local.failures = 0;
+            local.ejected_until = None;
+        }
+    }
+
     /// Removes workers without a report for longer than `silence`, and departed workers after their
     /// own retention time.
     pub fn prune(&mut self, silence: Duration, now: Instant) {
@@ -556,8 +607,9 @@
         until.is_some_and(|until| now < until)
     }
 
-    /// Records the outcome of a request at a worker; returns true if the worker is now ejected.
+    /// Records the outcome of a request at a worker; returns true if the worker is ejected from now on.
     pub fn record_outcome(&mut self, id: &WorkerId, good: bool, now: Instant) -> bool {
+        let ejected_before = self.is_ejected(id, now);
         let local = self.local.entry(id.clone()).or_default();
         local.record_result(!good, now);
         if good {
@@ -572,7 +624,7 @@
         let doublings = (local.failures - FAILURES_TO_EJECT).min(8);
         let time = (EJECTION_TIME.0 * 2u32.pow(doublings)).min(EJECTION_TIME.1);
         local.ejected_until = Some(now + time);
-        true
+        !ejected_before
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/relays.rs
@@ -0,0 +1,101 @@
+//! The peers through which this gateway may open tunnels to workers.
+//!
+//! Controllers send a sample of the other gateways at intervals, and more often while this gateway is
+//! isolated. Which of them reach a worker shows only when a tunnel is tried.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hollowbarrow_schema::{DaemonId, GatewayPlace, ZoneId};
+use rand::Rng;
+use rand::seq::SliceRandom;
+use tokio::time::Instant;
+
+/// Time for which a peer that failed to carry a tunnel is not tried again.
+const PENALTY_TIME: Duration = Duration::from_secs(1);
+/// Time after its last success for which a peer is kept that is not in the newest sample.
+const RETENTION: Duration = Duration::from_secs(10);
+/// Number of usable peers in the gateway's own zone from which on no others are tried first. Fewer
+/// could be overloaded by the gateways of a zone that is mostly isolated.
+const MIN_IN_ZONE: usize = 2;
+
+/// What is known about one peer.
+#[derive(Clone, Debug)]
+struct RelayPeer {
+    zone: ZoneId,
+    last_success: Option<Instant>,
+    unusable_until: Option<Instant>,
+}
+
+/// The peers that a gateway knows, and which of them have failed recently.
+#[derive(Clone, Debug)]
+pub struct RelayPeers {
+    zone: ZoneId,
+    peers: BTreeMap<DaemonId, RelayPeer>,
+    /// When tunnels began to fail through every peer that was tried, without a success since.
+    failing_since: Option<Instant>,
+}
+
+impl RelayPeers {
+    /// Creates an empty set for a gateway in this zone.
+    pub fn new(zone: &ZoneId) -> Self {
+        Self { zone: zone.clone(), peers: BTreeMap::new(), failing_since: None }
+    }
+
+    /// Replaces the peers by a newer sample. Peers that have carried a tunnel recently are kept.
+    pub fn replace(&mut self, places: Vec<GatewayPlace>, now: Instant) {
+        self.peers.retain(|_, peer| {
+            peer.last_success.is_some_and(|at| now.saturating_duration_since(at) < RETENTION)
+        });
+        for GatewayPlace { id, zone } in places {
+            let new = RelayPeer { zone, last_success: None, unusable_until: None };
+            self.peers.entry(id).or_insert(new);
+        }
+    }
+
+    /// Returns the usable peers in the order in which they are to be tried: those of the gateway's
+    /// own zone first if there are several, in random order.
+    pub fn candidates(&self, now: Instant, rng: &mut impl Rng) -> Vec<DaemonId> {
+        let usable = self.peers.iter().filter(|(_, peer)| peer.unusable_until <= Some(now));
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            usable.partition(|(_, peer)| peer.zone == self.zone);
+        if near.len() < MIN_IN_ZONE {
+            far.append(&mut near);
+        }
+        near.shuffle(rng);
+        far.shuffle(rng);
+        near.into_iter().chain(far).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns all peers in random order, also those that failed recently.
+    pub fn all(&self, rng: &mut impl Rng) -> Vec<DaemonId> {
+        let mut all: Vec<DaemonId> = self.peers.keys().cloned().collect();
+        all.shuffle(rng);
+        all
+    }
+
+    /// Records that a peer has carried a tunnel to a worker.
+    pub fn record_success(&mut self, id: &DaemonId, now: Instant) {
+        self.failing_since = None;
+        if let Some(peer) = self.peers.get_mut(id) {
+            (peer.last_success, peer.unusable_until) = (Some(now), None);
+        }
+    }
+
+    /// Records that a peer cannot carry tunnels now.
+    pub fn record_unusable(&mut self, id: &DaemonId, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.unusable_until = Some(now + PENALTY_TIME);
+        }
+    }
+
+    /// Records that no peer could be used for a tunnel.
+    pub fn record_none_usable(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Returns for how long no peer could be used for any tunnel; zero if the last one succeeded.
+    pub fn failing_for(&self, now: Instant) -> Duration {
+        self.failing_since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -33,7 +33,7 @@
 use crate::request::CallerRequest;
 use crate::timeouts::{event_gap_timeout, first_event_timeout};
 use crate::watch::{ProgressWatch, WatchError};
-use crate::whole::{forwarded_headers, read_answer};
+use crate::whole::{forwarded_headers, lost, read_answer};
 
 /// Multiple of the progress timeout that is allowed while the worker makes progress on other
 /// streams.
@@ -342,9 +342,7 @@
                         break ReadStep::Broken(broken("it stands still"));
                     }
                     Ok(None) if open.splitter.rest().is_empty() => break ReadStep::End,
-                    Ok(None) | Ok(Some(Err(_))) => {
-                        break ReadStep::Broken(AttemptUpstreamError::ConnectionLost { tokens: 0 });
-                    }
+                    Ok(None) | Ok(Some(Err(_))) => break ReadStep::Broken(lost(&open.lease)),
                     Ok(Some(Ok(frame))) => frame,
                 };
             let Some(bytes) = frame.data_ref() else { continue };
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{AttemptHistory, NoReplacement, reserve_replacement};
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
+use crate::path_checks::check_silent;
 use crate::request::CallerRequest;
 
 /// A wait for a worker, bounded by a progress timeout.
@@ -47,11 +48,16 @@
     ) -> Result<T, WatchError> {
         let since = Instant::now();
         tokio::pin!(awaited);
+        let timeout = self.timeout;
         if self.history.is_last(self.request) {
+            let early = (since + timeout).min(self.request.deadline());
+            if let Ok(result) = tokio::time::timeout_at(early, awaited.as_mut()).await {
+                return Ok(result);
+            }
+            self.check_path(attempt);
             let result = tokio::time::timeout_at(self.request.deadline(), awaited).await;
             return result.map_err(|_| WatchError::Deadline);
         }
-        let timeout = self.timeout;
         let mut limit = since + timeout;
         loop {
             let deadline = self.request.deadline();
@@ -62,6 +68,7 @@
             if Instant::now() >= deadline {
                 return Err(WatchError::Deadline);
             }
+            self.check_path(attempt);
             let busy = self.core.has_progress(&attempt.worker.id, timeout / 2);
             let tolerated = busy && since.elapsed() < timeout * self.busy_factor;
             limit += timeout / 2;
@@ -75,4 +82,10 @@
             }
         }
     }
+
+    /// Checks whether the silence is that of the gateway's own path.
+    fn check_path(&self, attempt: &WorkerAttempt) {
+        let service = &self.request.service.name;
+        check_silent(self.core, service, &attempt.worker.id, self.timeout / 2);
+    }
 }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hollowbarrow_member::{AnswerBody, HttpAnswer};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_upstream::{SentAnswer, is_hop_header};
+use hollowbarrow_upstream::{ConnectionLease, SentAnswer, is_hop_header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -145,9 +145,18 @@
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is too long", tokens: 0 });
         }
-        Ok(Err(_)) => return Err(AttemptUpstreamError::ConnectionLost { tokens: 0 }),
+        Ok(Err(_)) => return Err(lost(&answer.lease)),
         Ok(Ok(body)) => body.to_bytes(),
     };
     answer.lease.give_back();
     Ok(BufferedAnswer { status: answer.status, headers: answer.headers, body })
 }
+
+/// Returns the error of a connection that broke before the answer was complete.
+pub(crate) fn lost(lease: &ConnectionLease) -> AttemptUpstreamError {
+    if lease.is_carrier_lost() {
+        AttemptUpstreamError::CarrierLost
+    } else {
+        AttemptUpstreamError::ConnectionLost { tokens: 0 }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/relays.rs
@@ -0,0 +1,101 @@
+//! The peers that may carry tunnels: in which order they are tried, and which are left out.
+
+use std::time::Duration;
+
+use hollowbarrow_gateway::relays::RelayPeers;
+use hollowbarrow_schema::{DaemonId, GatewayPlace, ZoneId};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+fn places(named: &[(&str, &str)]) -> Vec<GatewayPlace> {
+    let place = |(id, zone): &(&str, &str)| GatewayPlace {
+        id: DaemonId::from(*id),
+        zone: ZoneId::from(*zone),
+    };
+    named.iter().map(place).collect()
+}
+
+fn peers_of(named: &[(&str, &str)], now: Instant) -> RelayPeers {
+    let mut peers = RelayPeers::new(&ZoneId::from("a"));
+    peers.replace(places(named), now);
+    peers
+}
+
+fn names(candidates: &[DaemonId]) -> Vec<&str> {
+    candidates.iter().map(|id| id.as_str()).collect()
+}
+
+/// Returns how often each peer is tried first, over many draws.
+fn count_first(peers: &RelayPeers, id: &str, now: Instant) -> usize {
+    let first = |seed| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        peers.candidates(now, &mut rng).first().is_some_and(|first| first.as_str() == id)
+    };
+    (0..300).filter(|seed| first(*seed)).count()
+}
+
+#[rstest]
+fn candidates_own_zone_first() {
+    let now = Instant::now();
+    let peers = peers_of(&[("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")], now);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let candidates = peers.candidates(now, &mut rng);
+    let mut near = names(&candidates[..2]);
+    near.sort_unstable();
+    assert_eq!(near, ["a1", "a2"]);
+    assert_eq!(candidates.len(), 4);
+}
+
+/// The last usable gateway of a zone must not carry the traffic of all others there.
+#[rstest]
+fn candidates_spread_if_one_in_zone() {
+    let now = Instant::now();
+    let peers = peers_of(&[("a1", "a"), ("b1", "b"), ("c1", "c")], now);
+    for id in ["a1", "b1", "c1"] {
+        let first = count_first(&peers, id, now);
+        assert!((60..140).contains(&first), "{id} is tried first {first} times of 300");
+    }
+}
+
+#[rstest]
+fn candidates_without_failed_peer() {
+    let now = Instant::now();
+    let mut peers = peers_of(&[("a1", "a"), ("a2", "a")], now);
+    peers.record_unusable(&DaemonId::from("a1"), now);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    assert_eq!(names(&peers.candidates(now, &mut rng)), ["a2"]);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(peers.candidates(later, &mut rng).len(), 2, "a peer is tried again after a second");
+    assert_eq!(peers.all(&mut rng).len(), 2);
+}
+
+/// A sample that lacks a peer which works must not take that peer away.
+#[rstest]
+fn replace_keeps_working_peer() {
+    let now = Instant::now();
+    let mut peers = peers_of(&[("a1", "a"), ("a2", "a")], now);
+    peers.record_success(&DaemonId::from("a1"), now);
+    peers.replace(places(&[("b1", "b")]), now);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut kept = peers.all(&mut rng);
+    kept.sort();
+    assert_eq!(names(&kept), ["a1", "b1"]);
+    let later = now + Duration::from_secs(11);
+    peers.replace(places(&[("b2", "b")]), later);
+    assert_eq!(names(&peers.all(&mut rng)), ["b2"]);
+}
+
+#[rstest]
+fn failing_until_success() {
+    let now = Instant::now();
+    let mut peers = peers_of(&[("a1", "a")], now);
+    assert_eq!(peers.failing_for(now), Duration::ZERO);
+    peers.record_none_usable(now);
+    let later = now + Duration::from_millis(700);
+    peers.record_none_usable(later);
+    assert_eq!(peers.failing_for(later), Duration::from_millis(700));
+    peers.record_success(&DaemonId::from("a1"), later);
+    assert_eq!(peers.failing_for(later), Duration::ZERO);
+}
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -5,7 +5,10 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use hollowbarrow_peer::{EncodedMessage, MeshConfig, MeshTraffic, PeerMesh, StartMeshError};
+use hollowbarrow_peer::{
+    EncodedMessage, MeshConfig, MeshTraffic, OpenTunnelError, PeerMesh, StartMeshError, TunnelGate,
+    TunnelServer, TunnelStream,
+};
 use hollowbarrow_schema::{
     DaemonId, DeploymentDocument, FleetMessage, LogMessage, LogName, MemberSettings, PeerMessage,
 };
@@ -79,6 +82,28 @@
     pub fn start(
         settings: &MemberSettings,
         handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
+    ) -> Result<Self, StartLinksError> {
+        Self::start_with(settings, |config, listener| PeerMesh::start(config, listener, handler))
+    }
+
+    /// Starts listening, and carries tunnels for peers to the upstreams that the gate admits.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub fn start_with_tunnels(
+        settings: &MemberSettings,
+        handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
+        gate: impl TunnelGate,
+    ) -> Result<Self, StartLinksError> {
+        Self::start_with(settings, |config, listener| {
+            PeerMesh::start_with_tunnels(config, listener, handler, gate)
+        })
+    }
+
+    fn start_with(
+        settings: &MemberSettings,
+        start: impl FnOnce(MeshConfig, TcpListener) -> Result<PeerMesh, StartMeshError>,
     ) -> Result<Self, StartLinksError> {
         let id = member_id(&settings.ip, settings.mesh_port);
         let fail = |source| StartLinksError::Listen { address: id.to_string(), source };
@@ -94,7 +119,7 @@
         if let Some(ip) = bind_ip {
             config = config.with_source(ip);
         }
-        let mesh = PeerMesh::start(config, listener, handler)?;
+        let mesh = start(config, listener)?;
         let seeds: Vec<DaemonId> = seed_ids(settings);
         Ok(Self { id, mesh, seeds, controllers: Mutex::default() })
     }
@@ -148,6 +173,24 @@
         self.mesh.send(to, &PeerMessage::Log { name: LogName::Config, message })
     }
 
+    /// Opens a tunnel through another daemon to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Nothing has been sent to the upstream then.
+    pub async fn open_tunnel(
+        &self,
+        through: &DaemonId,
+        upstream: SocketAddr,
+    ) -> Result<TunnelStream, OpenTunnelError> {
+        self.mesh.open_tunnel(through, upstream).await
+    }
+
+    /// Returns the tunnels that this daemon carries for others.
+    pub fn tunnels(&self) -> &TunnelServer {
+        self.mesh.tunnels()
+    }
+
     /// Returns the traffic counters of the connections to other daemons.
     pub fn traffic(&self) -> &MeshTraffic {
         self.mesh.traffic()
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -11,22 +11,20 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use hollowbarrow_schema::{
-    DaemonId, PROTOCOL_VERSION, PeerChallenge, PeerMessage, PeerProof, PeerWelcome,
-};
+use hollowbarrow_schema::{DaemonId, PeerMessage};
 use rand::RngExt;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::{WebSocketStream, accept_async, client_async};
 
-use crate::queue::{PeerQueue, QueuedMessages, new_queue};
-use crate::seal::{
-    EncodedMessage, FrameOpener, FrameSealer, HandshakeTranscript, NONCE_BYTES, same_code,
+use crate::handshake::{
+    AcceptedPeer, ConnectPeerError, DialTarget, PeerSocket, accept_peer, dial_peer,
 };
+use crate::queue::{PeerQueue, QueuedMessages, new_queue};
+use crate::seal::{EncodedMessage, FrameOpener, FrameSealer};
+use crate::tunnel::{OpenTunnelError, TunnelStream, open_tunnel};
+use crate::tunnel_server::{NoTunnels, TunnelGate, TunnelServer};
 
 /// Default timeout of connecting, of a handshake step and of a write.
 const STEP_TIMEOUT: Duration = Duration::from_secs(3);
@@ -38,11 +36,6 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// Factor by which the timeout of a handshake step grows at most.
 const MAX_STEP_GROWTH: u32 = 4;
-const DIAL_PURPOSE: &str = "hollowbarrow dial";
-const ACCEPT_PURPOSE: &str = "hollowbarrow accept";
-const SESSION_PURPOSE: &str = "hollowbarrow session";
-
-type PeerSocket = WebSocketStream<TcpStream>;
 type Dialers = Mutex<HashMap<DaemonId, DialerHandle>>;
 type MessageHandler = Arc<dyn Fn(&DaemonId, PeerMessage) + Send + Sync>;
 
@@ -59,33 +52,15 @@
     },
 }
 
-#[derive(Debug, Error)]
-enum ConnectPeerError {
-    #[error("the connection failed: {0}")]
-    Socket(#[from] tokio_tungstenite::tungstenite::Error),
-    #[error("the connection failed: {0}")]
-    Io(#[from] std::io::Error),
-    #[error("the peer did not respond in time")]
-    Timeout,
-    #[error("the peer uses protocol version {0}")]
-    Version(u32),
-    #[error("the peer holds none of the cluster keys")]
-    Key,
-    #[error("the peer is unknown or expected another daemon")]
-    Identity,
-    #[error("the peer violated the protocol")]
-    Protocol,
-}
-
 /// Identity of a daemon, its peers and its timeouts.
 #[derive(Clone, Debug)]
 pub struct MeshConfig {
-    id: DaemonId,
+    pub(crate) id: DaemonId,
     peers: HashMap<DaemonId, SocketAddr>,
-    keys: Vec<String>,
+    pub(crate) keys: Vec<String>,
     addressed: bool,
-    source: Option<IpAddr>,
-    connect_timeout: Duration,
+    pub(crate) source: Option<IpAddr>,
+    pub(crate) connect_timeout: Duration,
     step_timeout: Duration,
     silence_timeout: Duration,
     backoff: (Duration, Duration),
@@ -146,11 +121,11 @@
     }
 
     /// Returns the longest timeout of a handshake step.
-    fn longest_step(&self) -> Duration {
+    pub(crate) fn longest_step(&self) -> Duration {
         self.step_timeout.saturating_mul(MAX_STEP_GROWTH)
     }
 
-    fn address_of(&self, peer: &DaemonId) -> Option<SocketAddr> {
+    pub(crate) fn address_of(&self, peer: &DaemonId) -> Option<SocketAddr> {
         match self.peers.get(peer) {
             Some(address) => Some(*address),
             None if self.addressed => peer.parse().ok(),
@@ -172,6 +147,7 @@
     dialers: Arc<Dialers>,
     runtime: tokio::runtime::Handle,
     traffic: Arc<MeshTraffic>,
+    tunnels: Arc<TunnelServer>,
 }
 
 /// Queue of a dialer, and its notification that the peer has opened a connection.
@@ -209,7 +185,8 @@
 }
 
 impl PeerMesh {
-    /// Starts accepting connections; each received message is passed to the handler.
+    /// Starts accepting connections; each received message is passed to the handler. No tunnels are
+    /// carried for peers.
     ///
     /// # Errors
     ///
@@ -218,6 +195,20 @@
         config: MeshConfig,
         listener: std::net::TcpListener,
         handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
+    ) -> Result<Self, StartMeshError> {
+        Self::start_with_tunnels(config, listener, handler, NoTunnels)
+    }
+
+    /// Starts accepting connections, and carries tunnels to the upstreams that the gate admits.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener cannot be used by the runtime.
+    pub fn start_with_tunnels(
+        config: MeshConfig,
+        listener: std::net::TcpListener,
+        handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
+        gate: impl TunnelGate,
     ) -> Result<Self, StartMeshError> {
         let address = listener.local_addr().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)));
         let fail = |source| StartMeshError::Listen { address, source };
@@ -228,12 +219,14 @@
             dialers: Arc::default(),
             runtime: tokio::runtime::Handle::current(),
             traffic: Arc::default(),
+            tunnels: Arc::new(TunnelServer::new(gate)),
         };
         let acceptor = PeerAcceptor {
             config: Arc::clone(&mesh.config),
             dialers: Arc::downgrade(&mesh.dialers),
             handler: Arc::new(handler),
             traffic: Arc::clone(&mesh.traffic),
+            tunnels: Arc::clone(&mesh.tunnels),
         };
         tokio::spawn(Arc::new(acceptor).run(listener));
         Ok(mesh)
@@ -244,6 +237,26 @@
         &self.traffic
     }
 
+    /// Opens a tunnel through a peer to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Nothing has been sent to the upstream then.
+    pub async fn open_tunnel(
+        &self,
+        through: &DaemonId,
+        upstream: SocketAddr,
+    ) -> Result<TunnelStream, OpenTunnelError> {
+        let address = self.config.address_of(through).ok_or(OpenTunnelError::UnknownPeer)?;
+        let target = DialTarget { to: through, address, tunnel: Some(upstream) };
+        open_tunnel(&self.config, &target, self.config.step_timeout).await
+    }
+
+    /// Returns the tunnels that this daemon carries for its peers.
+    pub fn tunnels(&self) -> &TunnelServer {
+        &self.tunnels
+    }
+
     /// Queues a message; returns false if the queue is full or the peer has no address.
     pub fn send(&self, to: &DaemonId, message: &PeerMessage) -> bool {
         let message = EncodedMessage::new(message);
@@ -366,44 +379,9 @@
     }
 
     async fn connect(&self, step: Duration) -> Result<(PeerSocket, FrameSealer), ConnectPeerError> {
-        let stream =
-            within(self.config.connect_timeout, async { Ok(self.open_stream().await?) }).await?;
-        stream.set_nodelay(true)?;
-        let url = format!("ws://{}/peer", self.address);
-        let (mut socket, _) = within(step, async { Ok(client_async(url, stream).await?) }).await?;
-        let challenge: PeerChallenge = receive(&mut socket, step).await?;
-        if challenge.version != PROTOCOL_VERSION {
-            return Err(ConnectPeerError::Version(challenge.version));
-        }
-        let key = self.config.keys.first().ok_or(ConnectPeerError::Key)?;
-        let nonce = fresh_nonce();
-        let transcript = HandshakeTranscript {
-            from: &self.config.id,
-            to: &self.to,
-            accept_nonce: &challenge.nonce,
-            dial_nonce: &nonce,
-        };
-        let proof = PeerProof {
-            from: self.config.id.clone(),
-            to: self.to.clone(),
-            nonce: nonce.clone(),
-            mac: transcript.code(key, DIAL_PURPOSE),
-        };
-        send(&mut socket, &proof, step).await?;
-        let welcome: PeerWelcome = receive(&mut socket, step).await?;
-        if !same_code(&welcome.mac, &transcript.code(key, ACCEPT_PURPOSE)) {
-            return Err(ConnectPeerError::Key);
-        }
-        Ok((socket, FrameSealer::new(transcript.code(key, SESSION_PURPOSE))))
-    }
-
-    async fn open_stream(&self) -> std::io::Result<TcpStream> {
-        let Some(source) = self.config.source else {
-            return TcpStream::connect(self.address).await;
-        };
-        let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.bind(SocketAddr::new(source, 0))?;
-        socket.connect(self.address).await
+        let target = DialTarget { to: &self.to, address: self.address, tunnel: None };
+        let (socket, session) = dial_peer(&self.config, &target, step).await?;
+        Ok((socket, FrameSealer::new(session)))
     }
 
     /// Sends queued messages until the connection fails; returns the reason.
@@ -474,6 +452,7 @@
     dialers: Weak<Dialers>,
     handler: MessageHandler,
     traffic: Arc<MeshTraffic>,
+    tunnels: Arc<TunnelServer>,
 }
 
 impl PeerAcceptor {
@@ -503,41 +482,23 @@
     }
 
     async fn serve(&self, stream: TcpStream) -> Result<(), ConnectPeerError> {
-        let config = &self.config;
-        stream.set_nodelay(true)?;
-        // The dialer decides when to give up an attempt.
-        let step = config.longest_step();
-        let mut socket = within(step, async { Ok(accept_async(stream).await?) }).await?;
-        let accept_nonce = fresh_nonce();
-        let challenge = PeerChallenge { version: PROTOCOL_VERSION, nonce: accept_nonce.clone() };
-        send(&mut socket, &challenge, step).await?;
-        let proof: PeerProof = receive(&mut socket, step).await?;
-        if proof.to != config.id || config.address_of(&proof.from).is_none() {
-            return Err(ConnectPeerError::Identity);
+        let AcceptedPeer { mut socket, from, session, tunnel } =
+            accept_peer(&self.config, stream).await?;
+        if let Some(upstream) = tunnel {
+            self.tunnels.serve(&self.config, socket, &from, upstream).await;
+            return Ok(());
         }
-        let transcript = HandshakeTranscript {
-            from: &proof.from,
-            to: &proof.to,
-            accept_nonce: &accept_nonce,
-            dial_nonce: &proof.nonce,
-        };
-        let key = config
-            .keys
-            .iter()
-            .find(|key| same_code(&proof.mac, &transcript.code(key, DIAL_PURPOSE)))
-            .ok_or(ConnectPeerError::Key)?;
-        send(&mut socket, &PeerWelcome { mac: transcript.code(key, ACCEPT_PURPOSE) }, step).await?;
-        self.notify_dialer(&proof.from);
-        let mut opener = FrameOpener::new(transcript.code(key, SESSION_PURPOSE));
+        self.notify_dialer(&from);
+        let mut opener = FrameOpener::new(session);
         while let Some(frame) = socket.next().await {
             if let Message::Binary(bytes) = frame? {
                 self.traffic.received.fetch_add(bytes.len() as u64, Ordering::Relaxed);
                 match opener.open(&bytes) {
-                    Ok(message) => (self.handler)(&proof.from, message),
+                    Ok(message) => (self.handler)(&from, message),
                     Err(error) => {
                         log::warn!(
                             "event=peer_frame_refused peer={} reason={:?}",
-                            *proof.from,
+                            *from,
                             error.to_string()
                         );
                         return Err(ConnectPeerError::Protocol);
@@ -548,40 +509,3 @@
         Ok(())
     }
 }
-
-fn fresh_nonce() -> Vec<u8> {
-    rand::random::<[u8; NONCE_BYTES]>().to_vec()
-}
-
-async fn within<T>(
-    limit: Duration,
-    step: impl Future<Output = Result<T, ConnectPeerError>>,
-) -> Result<T, ConnectPeerError> {
-    tokio::time::timeout(limit, step).await.map_err(|_| ConnectPeerError::Timeout)?
-}
-
-async fn send<T: Serialize>(
-    socket: &mut PeerSocket,
-    value: &T,
-    limit: Duration,
-) -> Result<(), ConnectPeerError> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).map_err(|_| ConnectPeerError::Protocol)?;
-    within(limit, async { Ok(socket.send(Message::binary(bytes)).await?) }).await
-}
-
-async fn receive<T: DeserializeOwned>(
-    socket: &mut PeerSocket,
-    limit: Duration,
-) -> Result<T, ConnectPeerError> {
-    within(limit, async {
-        match socket.next().await {
-            Some(Ok(Message::Binary(bytes))) => {
-                ciborium::from_reader(&bytes[..]).map_err(|_| ConnectPeerError::Protocol)
-            }
-            Some(Err(error)) => Err(error.into()),
-            _ => Err(ConnectPeerError::Protocol),
-        }
-    })
-    .await
-}
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -53,6 +53,10 @@
         /// Number of tokens received completely.
         tokens: u32,
     },
+    /// The connection broke at the daemon that carried it for this one, which says nothing about the
+    /// upstream.
+    #[error("the connection broke at the daemon that carried it")]
+    CarrierLost,
     /// The answer was truncated, or violated the protocol after part of it was received.
     #[error("the upstream's answer broke off: {reason}")]
     BrokenAnswer {
@@ -80,6 +84,7 @@
             | Self::Refused { .. } => ErrorRan::NotRun,
             Self::DeadlinePassed { sent: false } => ErrorRan::NotRun,
             Self::NoAnswer
+            | Self::CarrierLost
             | Self::ConnectionLost { .. }
             | Self::BrokenAnswer { .. }
             | Self::DeadlinePassed { sent: true } => ErrorRan::Unknown,
@@ -102,7 +107,10 @@
     /// states when it accepts requests again; if it also counted as failing, it would not be
     /// selected at that time.
     pub fn blames_upstream(&self) -> bool {
-        !matches!(self, Self::BackedOff | Self::Refused { retry_after: Some(_), .. })
+        !matches!(
+            self,
+            Self::BackedOff | Self::CarrierLost | Self::Refused { retry_after: Some(_), .. }
+        )
     }
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1177,6 +1177,8 @@
     Controller(ControllerHello),
     #[serde(rename = "view")]
     View(FleetView),
+    #[serde(rename = "peers")]
+    Peers(::std::vec::Vec<GatewayPlace>),
     #[serde(rename = "permit_ask")]
     PermitAsk(PermitAsk),
     #[serde(rename = "permit_grant")]
@@ -1208,6 +1210,11 @@
         Self::View(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<GatewayPlace>> for FleetMessage {
+    fn from(value: ::std::vec::Vec<GatewayPlace>) -> Self {
+        Self::Peers(value)
+    }
+}
 impl ::std::convert::From<PermitAsk> for FleetMessage {
     fn from(value: PermitAsk) -> Self {
         Self::PermitAsk(value)
@@ -1325,6 +1332,9 @@
     ///Primary controller, which forwards to this gateway what the other controllers publish; none while the gateway is looking for one, in which case all controllers send to it.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub home: ::std::option::Option<DaemonId>,
+    ///Whether the gateway reaches no workers, or not those of a whole service.
+    #[serde(default)]
+    pub isolated: bool,
     ///Sent to the primary controller only, or to all controllers if there is none.
     pub loads: ::std::vec::Vec<WorkerLoad>,
     ///Hash over the gateway's table of workers.
@@ -1336,6 +1346,19 @@
         value.clone()
     }
 }
+///A gateway and its zone.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayPlace {
+    pub id: DaemonId,
+    pub zone: ZoneId,
+}
+impl ::std::convert::From<&GatewayPlace> for GatewayPlace {
+    fn from(value: &GatewayPlace) -> Self {
+        value.clone()
+    }
+}
 ///A node at whose address no process listened.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -2524,6 +2547,9 @@
     pub mac: ::std::vec::Vec<u8>,
     pub nonce: ::std::vec::Vec<u8>,
     pub to: DaemonId,
+    ///IP address and port of the upstream to which the connection is to be a tunnel; none for a connection that carries messages. The proof covers it.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub tunnel: ::std::option::Option<::std::string::String>,
 }
 impl ::std::convert::From<&PeerProof> for PeerProof {
     fn from(value: &PeerProof) -> Self {
@@ -3534,6 +3560,107 @@
         }
     }
 }
+///Why a daemon carries no tunnel: the address is not that of a known upstream, the daemon itself reaches no upstream, it does not reach this one, it carries as many tunnels as it may, or it is stopping.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum TunnelRefusal {
+    #[serde(rename = "unknown_upstream")]
+    UnknownUpstream,
+    #[serde(rename = "isolated")]
+    Isolated,
+    #[serde(rename = "unreachable")]
+    Unreachable,
+    #[serde(rename = "busy")]
+    Busy,
+    #[serde(rename = "stopping")]
+    Stopping,
+}
+impl ::std::convert::From<&Self> for TunnelRefusal {
+    fn from(value: &TunnelRefusal) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for TunnelRefusal {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::UnknownUpstream => f.write_str("unknown_upstream"),
+            Self::Isolated => f.write_str("isolated"),
+            Self::Unreachable => f.write_str("unreachable"),
+            Self::Busy => f.write_str("busy"),
+            Self::Stopping => f.write_str("stopping"),
+        }
+    }
+}
+impl ::std::str::FromStr for TunnelRefusal {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "unknown_upstream" => Ok(Self::UnknownUpstream),
+            "isolated" => Ok(Self::Isolated),
+            "unreachable" => Ok(Self::Unreachable),
+            "busy" => Ok(Self::Busy),
+            "stopping" => Ok(Self::Stopping),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for TunnelRefusal {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for TunnelRefusal {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for TunnelRefusal {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Answer to the request for a tunnel, after the proofs. Without a refusal the tunnel is open: binary frames hold the bytes in both directions, a text frame announces that the daemon is stopping, and a close frame tells how the upstream's side ended.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TunnelReply {
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub refusal: ::std::option::Option<TunnelRefusal>,
+}
+impl ::std::convert::From<&TunnelReply> for TunnelReply {
+    fn from(value: &TunnelReply) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for TunnelReply {
+    fn default() -> Self {
+        Self {
+            refusal: Default::default(),
+        }
+    }
+}
 ///Latest notice of an upstream about its rate limit.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -6,6 +6,7 @@
 //! whether the request ran.
 
 use std::collections::{HashMap, HashSet};
+use std::fmt::Debug;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
@@ -67,6 +69,10 @@
     /// Part of the request may have been written, and no complete answer head was received.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// Part of the request may have been written, and the connection broke at the daemon that
+    /// carries it.
+    #[error("no answer: the connection broke at the daemon that carries it")]
+    CarrierLost,
     /// The answer carries the id of another request, or lacks a required one.
     #[error("the answer is for request {0:?}")]
     OtherRequest(String),
@@ -117,10 +123,27 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Health of a path to an upstream that another daemon carries.
+pub trait CarrierHealth: Debug + Send + Sync {
+    /// Returns whether the path broke at the carrier, so that nothing is known about how the
+    /// upstream's side ended.
+    fn is_lost(&self) -> bool;
+
+    /// Returns whether the carrier has announced that it is stopping.
+    fn is_leaving(&self) -> bool;
+
+    /// Returns the name of the carrier.
+    fn name(&self) -> &str;
+}
+
+/// The path of a connection: `None` for one of this process's own, else the health of its carrier.
+type Carrier = Option<Arc<dyn CarrierHealth>>;
+
 /// Pooled connection without a request in progress.
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    carrier: Carrier,
     since: Instant,
     /// Keep-alive timeout that the upstream stated, if any.
     keep_alive: Option<Duration>,
@@ -134,10 +157,14 @@
     }
 
     fn is_usable(&self) -> bool {
-        self.is_fresh() && self.sender.is_ready()
+        self.is_fresh() && self.sender.is_ready() && !is_leaving(&self.carrier)
     }
 }
 
+fn is_leaving(carrier: &Carrier) -> bool {
+    carrier.as_ref().is_some_and(|carrier| carrier.is_leaving())
+}
+
 #[derive(Debug, Default)]
 struct IdleConnections {
     by_address: HashMap<SocketAddr, Vec<IdleConnection>>,
@@ -179,6 +206,7 @@
     client: UpstreamClient,
     address: SocketAddr,
     sender: Sender,
+    carrier: Carrier,
     reused: bool,
     keep_alive: Option<Duration>,
     max_idle: usize,
@@ -197,6 +225,16 @@
         self.reused
     }
 
+    /// Returns the name of the daemon that carries the connection; none if it is this process's own.
+    pub fn carrier(&self) -> Option<&str> {
+        self.carrier.as_ref().map(|carrier| carrier.name())
+    }
+
+    /// Returns whether the connection broke at the daemon that carries it.
+    pub fn is_carrier_lost(&self) -> bool {
+        self.carrier.as_ref().is_some_and(|carrier| carrier.is_lost())
+    }
+
     /// Reads a short, unneeded answer body to its end in the background, then returns the connection
     /// to the pool. A body that is too long or too slow closes the connection.
     pub fn give_back_after(self, body: Incoming) {
@@ -210,14 +248,15 @@
 
     /// Returns the connection to the pool; the answer's body must have been read to its end.
     pub fn give_back(self) {
-        if self.sender.is_closed() {
+        if self.sender.is_closed() || is_leaving(&self.carrier) {
             return;
         }
         let mut idle = self.client.idle.lock().expect("no holder of the lock panics");
         let kept = idle.by_address.entry(self.address).or_default();
         if kept.len() < self.max_idle {
             let since = Instant::now();
-            kept.push(IdleConnection { sender: self.sender, since, keep_alive: self.keep_alive });
+            let Self { sender, carrier, keep_alive, .. } = self;
+            kept.push(IdleConnection { sender, carrier, since, keep_alive });
         }
     }
 }
@@ -246,17 +285,54 @@
         self
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+    /// Takes an idle connection, either one of this process's own or one that is carried.
+    fn take_idle(&self, address: SocketAddr, carried: bool) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().expect("no holder of the lock panics");
         let kept = idle.by_address.get_mut(&address)?;
-        while let Some(connection) = kept.pop() {
+        while let Some(index) = kept.iter().rposition(|one| one.carrier.is_some() == carried) {
+            let connection = kept.remove(index);
             if connection.is_usable() {
-                return Some(connection.sender);
+                return Some(connection);
             }
         }
         None
     }
 
+    /// Takes an idle connection that another daemon carries, if there is one.
+    pub fn take_carried(&self, address: SocketAddr) -> Option<ConnectionLease> {
+        let kept = self.take_idle(address, true)?;
+        Some(self.lease(address, kept.sender, kept.carrier, true))
+    }
+
+    /// Takes one of this process's own idle connections, if there is one.
+    pub fn take_kept(&self, address: SocketAddr) -> Option<ConnectionLease> {
+        let kept = self.take_idle(address, false)?;
+        Some(self.lease(address, kept.sender, None, true))
+    }
+
+    /// Closes all idle connections that other daemons carry.
+    pub fn drop_carried(&self) {
+        self.retain_idle(|_, connection| connection.carrier.is_none());
+    }
+
+    /// Closes this process's own idle connections to one address.
+    pub fn drop_kept_at(&self, address: SocketAddr) {
+        self.retain_idle(|at, connection| *at != address || connection.carrier.is_some());
+    }
+
+    /// Closes all of this process's own idle connections.
+    pub fn drop_kept(&self) {
+        self.retain_idle(|_, connection| connection.carrier.is_some());
+    }
+
+    fn retain_idle(&self, keeps: impl Fn(&SocketAddr, &IdleConnection) -> bool) {
+        let mut idle = self.idle.lock().expect("no holder of the lock panics");
+        for (address, kept) in &mut idle.by_address {
+            kept.retain(|connection| keeps(address, connection));
+        }
+        idle.by_address.retain(|_, kept| !kept.is_empty());
+    }
+
     /// Returns the addresses that have a usable idle connection.
     pub fn idle_addresses(&self) -> HashSet<SocketAddr> {
         let idle = self.idle.lock().expect("no holder of the lock panics");
@@ -267,11 +343,10 @@
 
     /// Closes idle connections that are too old to be reused or already closed by the upstream.
     pub fn drop_expired(&self) {
-        let mut idle = self.idle.lock().expect("no holder of the lock panics");
-        for kept in idle.by_address.values_mut() {
-            kept.retain(|connection| connection.is_fresh() && !connection.sender.is_closed());
-        }
-        idle.by_address.retain(|_, kept| !kept.is_empty());
+        self.retain_idle(|_, connection| {
+            let open = !connection.sender.is_closed() && !is_leaving(&connection.carrier);
+            open && connection.is_fresh()
+        });
     }
 
     /// Opens a TCP connection. An attempt that times out is repeated once, because the kernel
@@ -300,17 +375,62 @@
         socket.connect(address).await
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, SendRequestError> {
-        let fail = || SendRequestError::Connect(address);
+    /// Opens a connection of this process's own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be established.
+    pub async fn connect(&self, address: SocketAddr) -> Result<ConnectionLease, SendRequestError> {
         let stream = self.open_stream(address).await?;
-        stream.set_nodelay(true).map_err(|_| fail())?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| fail())?;
+        stream.set_nodelay(true).map_err(|_| SendRequestError::Connect(address))?;
+        self.start_connection(address, stream, None).await
+    }
+
+    /// Uses a byte stream to an upstream that another daemon carries as a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream cannot be used.
+    pub async fn adopt(
+        &self,
+        address: SocketAddr,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        health: Arc<dyn CarrierHealth>,
+    ) -> Result<ConnectionLease, SendRequestError> {
+        self.start_connection(address, stream, Some(health)).await
+    }
+
+    async fn start_connection(
+        &self,
+        address: SocketAddr,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        carrier: Carrier,
+    ) -> Result<ConnectionLease, SendRequestError> {
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| SendRequestError::Connect(address))?;
         tokio::spawn(async move {
             // The future of the request returns the error as well.
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(self.lease(address, sender, carrier, false))
+    }
+
+    fn lease(
+        &self,
+        address: SocketAddr,
+        sender: Sender,
+        carrier: Carrier,
+        reused: bool,
+    ) -> ConnectionLease {
+        ConnectionLease {
+            client: self.clone(),
+            address,
+            sender,
+            carrier,
+            reused,
+            keep_alive: None,
+            max_idle: IDLE_PER_UPSTREAM,
+        }
     }
 
     /// Takes a pooled connection or opens one, so that the caller can make its last decisions
@@ -324,20 +444,11 @@
         address: SocketAddr,
         reuse: bool,
     ) -> Result<ConnectionLease, SendRequestError> {
-        let kept = if reuse { self.take_idle(address) } else { None };
-        let reused = kept.is_some();
-        let sender = match kept {
-            Some(sender) => sender,
-            None => self.connect(address).await?,
-        };
-        Ok(ConnectionLease {
-            client: self.clone(),
-            address,
-            sender,
-            reused,
-            keep_alive: None,
-            max_idle: IDLE_PER_UPSTREAM,
-        })
+        let kept = if reuse { self.take_kept(address) } else { None };
+        match kept {
+            Some(lease) => Ok(lease),
+            None => self.connect(address).await,
+        }
     }
 
     /// Sends a request and waits for the head of its answer until the deadline.
@@ -361,6 +472,9 @@
                 if error.take_message().is_some() {
                     return Err(SendRequestError::NotWritten);
                 }
+                if lease.is_carrier_lost() {
+                    return Err(SendRequestError::CarrierLost);
+                }
                 Err(SendRequestError::NoAnswer(error.into_error().to_string()))
             }
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -16,7 +16,8 @@
 mod platform;
 
 pub use client::{
-    ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest, is_hop_header,
+    CarrierHealth, ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest,
+    is_hop_header,
 };
 pub use engine::{EngineClient, EngineFuture, HttpEngine, ProbeNodeError, SendOrderError};
 pub use events::{EventParser, ParseEventError, StreamChunk, parse_chunk};
--- a/tests/platform/isolation.rs
+++ b/tests/platform/isolation.rs
@@ -45,13 +45,15 @@
 /// Sends requests of both kinds to a gateway at the same time, and returns how many are served.
 async fn count_served(deployment: &Deployment, gateway: usize, name: &str) -> usize {
     let system = &deployment.system;
-    let calls = (0..REQUESTS).flat_map(|number| [(number, "/chat/1"), (number, "/hold/1")]);
-    let calls = calls.map(|(number, path)| async move {
+    let calls = (0..REQUESTS).flat_map(|number| [(number, "chat"), (number, "hold")]);
+    let calls = calls.map(|(number, kind)| async move {
         tokio::time::sleep(PAUSE * number as u32).await;
-        let id = format!("{name}{path}-{number}");
-        let answer = system.call(gateway, path, &id, Some(KEY)).await;
+        // Requests with the same path would be duplicates of each other.
+        let path = format!("/{kind}/{name}-{number}");
+        let id = format!("{name}-{kind}-{number}");
+        let answer = system.call(gateway, &path, &id, Some(KEY)).await;
         let Ok(answer) = answer else { return false };
-        if path == "/chat/1" && answer.status() == 200 {
+        if kind == "chat" && answer.status() == 200 {
             assert_eq!(String::from_utf8_lossy(answer.body()), complete_stream());
         }
         answer.status() == 200
@@ -76,7 +78,8 @@
 async fn callers_of_isolated_gateway_served(#[case] block: u8, #[case] loss: Loss) {
     let deployment = start(block).await;
     // Requests before the loss leave connections behind, which are lost with the paths.
-    assert_eq!(count_served(&deployment, 0, "before").await, 2 * REQUESTS);
+    let served = count_served(&deployment, 0, "before").await;
+    assert_eq!(served, 2 * REQUESTS, "{}", deployment.system.logs());
     isolate(&deployment, 0, loss).await;
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
