Move connections over two paths into a crate of their own

Entry daemons lose their paths to upstreams as gateways do. What opens connections, knows which path works and checks it knew workers and gateways for their names only; it is the crate reach now, which knows services, upstreams and peers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hollowbarrow_reach::{NotConnected, UpstreamTarget};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
     AttemptLedger, DuplicateTicket, PERMIT_POLL_INTERVAL, PERMIT_WAIT_TIMEOUT,
@@ -10,10 +11,9 @@
 use hollowbarrow_upstream::{ConnectionLease, SendRequestError, SentAnswer, UpstreamRequest};
 use tokio::time::Instant;
 
-use crate::connect::{ConnectTarget, NotConnected, REQUEST_CONNECT_TIMEOUT, take_connection};
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
-use crate::picker::{PermitWait, PickFacts};
+use crate::picker::{PermitWait, PickFacts, PickedWorker};
 use crate::protocol::SendFacts;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
@@ -122,10 +122,10 @@
         if let Some(peer) = &self.carrier
             && may_be_carriers_fault(error)
         {
-            core.relays().record_unusable(peer, Instant::now());
+            core.reach.record_doubtful_peer(peer);
         }
         // While this gateway is isolated, its own connections break whatever their workers do.
-        let own_fault = self.carrier.is_none() && core.paths().is_unreached(&request.service.name);
+        let own_fault = self.carrier.is_none() && core.reach.is_unreached(&request.service.name);
         if let (AttemptUpstreamError::ConnectionLost { .. }, Some(sent)) = (error, self.last_sent)
             && !own_fault
         {
@@ -302,6 +302,15 @@
     attempt.map_err(Refusal::NoWorker)
 }
 
+/// Returns a worker as the target of a connection.
+pub(crate) fn target_of(request: &CallerRequest, worker: &PickedWorker) -> UpstreamTarget {
+    UpstreamTarget {
+        service: request.service.name.to_string(),
+        name: worker.id.to_string(),
+        address: worker.address,
+    }
+}
+
 /// Connects to a worker, or reuses an idle connection. Nothing of the request has been sent when
 /// this returns.
 pub(crate) async fn connect_to_worker(
@@ -319,9 +328,7 @@
     if history.ledger.sends() > 1 {
         core.metrics.count_repeat(if is_resume { "resumed" } else { "again" });
     }
-    let limit = request.deadline().min(Instant::now() + REQUEST_CONNECT_TIMEOUT);
-    let target = ConnectTarget::new(&request.service.name, &attempt.worker);
-    match take_connection(core, target, limit).await {
+    match core.reach.take(&target_of(request, &attempt.worker), request.deadline()).await {
         Ok(lease) => {
             history.record_carrier(request, attempt, lease.carrier());
             Ok(lease.with_max_idle(core.most_idle(&request.service)))
@@ -345,7 +352,7 @@
     resume_after: Option<&str>,
 ) -> Result<SentAnswer, AttemptUpstreamError> {
     let worker = &attempt.worker;
-    // Connecting takes up to REQUEST_CONNECT_TIMEOUT. Meanwhile the worker may have rejected other requests
+    // Connecting takes some time. Meanwhile the worker may have rejected other requests
     // and asked for a backoff.
     if core.is_backing_off(&worker.id) {
         lease.give_back();
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,25 +6,23 @@
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_member::{MemberLinks, SuspensionDetector};
+use hollowbarrow_reach::{PathChange, Reach, ReachObserver};
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_routing::{
-    ConfigFreshness, DuplicateGate, LimitNotice, NoticeInterval, PathChange, PathTable,
-    UpstreamPath, limit_text,
+    ConfigFreshness, DuplicateGate, LimitNotice, NoticeInterval, limit_text,
 };
-use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, ServiceName, WorkerId};
+use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
 use hollowbarrow_upstream::{UpstreamClient, UpstreamNotice};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::budget::{RetryAllowance, share_of};
-use crate::connect::ConnectTarget;
 use crate::crashes::CrashGuard;
 use crate::flight::WorkerAttempt;
 use crate::metrics::{GatewayLevels, GatewayMetrics};
-use crate::picker::{NoWorker, PickFacts, WorkerEndpoint, WorkerPicker};
+use crate::picker::{NoWorker, PickFacts, WorkerPicker};
 use crate::primary::PrimarySelector;
 use crate::protocol::{AnswerFacts, CallerProtocol};
-use crate::relays::RelayPeers;
 use crate::view_dates::ViewDates;
 
 /// Time after which a second attempt to connect to a worker starts.
@@ -35,20 +33,18 @@
 /// a change is active everywhere.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1200);
 
-/// Time for which no peer must have been able to carry a tunnel before this gateway, if it reaches no
-/// workers itself, reports that it is not ready.
-const CUT_OFF_TIME: Duration = Duration::from_millis(500);
-
 /// Shared state of a gateway.
 pub(crate) struct GatewayCore {
     pub(crate) settings: MemberSettings,
     pub(crate) protocol: Arc<dyn CallerProtocol>,
     pub(crate) client: UpstreamClient,
+    /// Connections to workers, over this gateway's own path or through peers.
+    pub(crate) reach: Arc<Reach>,
     pub(crate) budget: RetryBudget,
-    pub(crate) metrics: GatewayMetrics,
+    pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) stopping: AtomicBool,
     routes: RwLock<Option<Arc<RouteTable>>>,
-    picker: Mutex<WorkerPicker>,
+    picker: Arc<Mutex<WorkerPicker>>,
     primary: Mutex<PrimarySelector>,
     crashes: Mutex<CrashGuard>,
     /// Requests in progress, and their duplicates.
@@ -62,13 +58,6 @@
     pub(crate) in_flight: AtomicU32,
     /// Links to other daemons, set before any request is read.
     pub(crate) links: OnceLock<Arc<MemberLinks>>,
-    /// Which workers this gateway reaches itself.
-    paths: Mutex<PathTable<ServiceName, WorkerId>>,
-    relays: Mutex<RelayPeers>,
-    /// Notified when a path is to be checked at once.
-    pub(crate) path_check_due: Notify,
-    /// Whether the path to a silent worker is being checked.
-    checking_silence: AtomicBool,
     pub(crate) suspension: Arc<SuspensionDetector>,
     /// When the latest view that was received can have been sent by the leader.
     last_view: Mutex<Option<Instant>>,
@@ -79,15 +68,19 @@
     pub(crate) fn new(settings: MemberSettings, protocol: Arc<dyn CallerProtocol>) -> Self {
         let local = hollowbarrow_member::member_id(&settings.ip, settings.mesh_port);
         let limits = share_of(&allowance_of(&settings), 1);
+        let picker = WorkerPicker::new(&settings.zone, rand::random()).with_preferences(&local);
+        let picker = Arc::new(Mutex::new(picker));
+        let metrics = Arc::new(GatewayMetrics::new());
+        let client = new_client(&settings, protocol.as_ref());
+        let observer = PathObserver { metrics: Arc::clone(&metrics), picker: Arc::clone(&picker) };
         Self {
-            client: new_client(&settings, protocol.as_ref()),
+            reach: Arc::new(Reach::new(client.clone(), &settings.zone, Arc::new(observer))),
+            client,
             budget: RetryBudget::with_limits(limits, Instant::now()),
-            metrics: GatewayMetrics::new(),
+            metrics,
             stopping: AtomicBool::new(false),
             routes: RwLock::new(None),
-            picker: Mutex::new(
-                WorkerPicker::new(&settings.zone, rand::random()).with_preferences(&local),
-            ),
+            picker,
             crashes: Mutex::new(CrashGuard::new().with_identity(&local)),
             duplicates: DuplicateGate::new(),
             primary: Mutex::new(PrimarySelector::new(&local, &settings.zone)),
@@ -96,10 +89,6 @@
             permits_answered: Notify::new(),
             in_flight: AtomicU32::new(0),
             links: OnceLock::new(),
-            paths: Mutex::default(),
-            relays: Mutex::new(RelayPeers::new(&settings.zone)),
-            path_check_due: Notify::new(),
-            checking_silence: AtomicBool::new(false),
             suspension: Arc::new(SuspensionDetector::new()),
             last_view: Mutex::new(None),
             view_dates: Mutex::default(),
@@ -220,104 +209,10 @@
     pub(crate) fn is_ready(&self) -> bool {
         let initialised = self.routes().is_some() && !self.picker().is_empty();
         let stopping = self.stopping.load(Ordering::Relaxed);
-        let may_serve = initialised && !self.is_cut_off(Instant::now());
+        let may_serve = initialised && !self.reach.is_cut_off();
         may_serve && !self.was_suspended_since_view() && !stopping
     }
 
-    /// Locks the table of paths to workers.
-    pub(crate) fn paths(&self) -> MutexGuard<'_, PathTable<ServiceName, WorkerId>> {
-        self.paths.lock().expect("no holder of the lock panics")
-    }
-
-    /// Locks the set of peers that may carry tunnels.
-    pub(crate) fn relays(&self) -> MutexGuard<'_, RelayPeers> {
-        self.relays.lock().expect("no holder of the lock panics")
-    }
-
-    /// Returns whether this gateway reaches no worker of a service, and no peer that does.
-    pub(crate) fn is_cut_off(&self, now: Instant) -> bool {
-        self.paths().is_isolated() && self.relays().failing_for(now) >= CUT_OFF_TIME
-    }
-
-    /// Records that this gateway has opened a connection of its own to a worker.
-    pub(crate) fn record_connected(&self, service: &ServiceName, worker: &WorkerId) {
-        let change = self.paths().record_connected(service, worker);
-        self.apply_path_change(change, service);
-    }
-
-    /// Records that a peer reached a worker that this gateway did not reach at that time.
-    pub(crate) fn record_bypassed(&self, target: ConnectTarget<'_>, peer: &str) {
-        let ConnectTarget { service, worker, address } = target;
-        let mut paths = self.paths();
-        let known = paths.path(service, worker) == UpstreamPath::Peer;
-        let change = paths.record_bypassed(service, worker, address);
-        drop(paths);
-        // A request on an idle connection from before would be lost.
-        self.client.drop_kept_at(address);
-        if !known {
-            log::info!("event=worker_bypassed worker={} peer={peer}", **worker);
-        }
-        self.apply_path_change(change, service);
-    }
-
-    /// Forgets bypassed workers that have left the table.
-    pub(crate) fn forget_departed(&self) {
-        let picker = self.picker();
-        let change = self.paths().retain(|_, worker| picker.is_available(worker));
-        drop(picker);
-        self.apply_path_change(change, &ServiceName::from(""));
-    }
-
-    fn apply_path_change(&self, change: PathChange, service: &ServiceName) {
-        match change {
-            PathChange::None => {}
-            PathChange::Isolated => {
-                log::warn!("event=isolated service={} version={}", **service, self.version());
-                self.client.drop_kept();
-                self.picker().clear_ejections();
-                self.path_check_due.notify_one();
-            }
-            PathChange::Reconnected => {
-                log::info!("event=reconnected service={}", **service);
-                self.client.drop_carried();
-                self.path_check_due.notify_one();
-            }
-        }
-    }
-
-    /// Records that a peer has carried a tunnel to a worker that these other peers did not reach.
-    pub(crate) fn record_carried(&self, peer: &DaemonId, others: &[DaemonId]) {
-        let now = Instant::now();
-        let mut relays = self.relays();
-        relays.record_success(peer, now);
-        others.iter().for_each(|other| relays.record_unusable(other, now));
-    }
-
-    /// Begins a check of the path to a silent worker, and returns where it listens. Returns none if a
-    /// check is in progress, if the worker is bypassed already, or if anything was received from its
-    /// service within `silence`.
-    pub(crate) fn begin_silence_check(
-        &self,
-        service: &ServiceName,
-        worker: &WorkerId,
-        silence: Duration,
-    ) -> Option<WorkerEndpoint> {
-        let endpoints = self.picker().endpoints();
-        let workers = endpoints.get(service)?;
-        let progress = workers.iter().any(|one| self.has_progress(&one.worker, silence));
-        if progress || self.paths().path(service, worker) == UpstreamPath::Peer {
-            return None;
-        }
-        let endpoint = workers.iter().find(|one| one.worker == *worker)?.clone();
-        let begun = !self.checking_silence.swap(true, Ordering::Relaxed);
-        begun.then_some(endpoint)
-    }
-
-    /// Ends the check of the path to a silent worker.
-    pub(crate) fn end_silence_check(&self) {
-        self.checking_silence.store(false, Ordering::Relaxed);
-    }
-
     /// Returns the page of metrics, with this number of dropped messages.
     pub(crate) fn metrics_text(&self, dropped: u64) -> String {
         self.metrics.to_text(&GatewayLevels {
@@ -325,7 +220,7 @@
             ready: self.is_ready(),
             version: self.version(),
             workers: self.picker().len() as u64,
-            isolated: self.paths().is_isolated(),
+            isolated: self.reach.is_isolated(),
             tunnels: self.tunnels().into(),
             dropped,
         })
@@ -436,6 +331,24 @@
     }
 }
 
+/// Counts connections, and undoes what failures of this gateway's own path have done to workers.
+struct PathObserver {
+    metrics: Arc<GatewayMetrics>,
+    picker: Arc<Mutex<WorkerPicker>>,
+}
+
+impl ReachObserver for PathObserver {
+    fn record_connect(&self, outcome: &'static str) {
+        self.metrics.count_connect(outcome);
+    }
+
+    fn record_change(&self, change: PathChange) {
+        if change == PathChange::Isolated {
+            self.picker.lock().expect("no holder of the lock panics").clear_ejections();
+        }
+    }
+}
+
 /// Returns the client for workers. Connections start at the address that the settings name for those
 /// to other daemons.
 fn new_client(settings: &MemberSettings, protocol: &dyn CallerProtocol) -> UpstreamClient {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,6 @@
 use hollowbarrow_member::http::bind_http;
 use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
 use hollowbarrow_peer::TunnelGate;
-use hollowbarrow_routing::UpstreamPath;
 use hollowbarrow_schema::{DaemonId, MemberSettings, TunnelRefusal};
 use thiserror::Error;
 use tokio::sync::watch;
@@ -17,7 +16,6 @@
 use crate::core::GatewayCore;
 use crate::intake::{CallerHandler, ReadinessHandler};
 use crate::links::{ask_for_permits, handle_message, report_to_controllers};
-use crate::path_checks::check_bypassed;
 use crate::protocol::CallerProtocol;
 
 /// Time in which load balancers notice that this gateway is not ready.
@@ -78,7 +76,8 @@
             serve_http(readiness, never, handler).await;
         });
         tokio::spawn(report_to_controllers(Arc::clone(&core), Arc::clone(&links)));
-        tokio::spawn(check_bypassed(Arc::clone(&core)));
+        let (reach, picked) = (Arc::clone(&core.reach), Arc::clone(&core));
+        tokio::spawn(reach.run_checks(move || picked.picker().targets()));
         tokio::spawn(ask_for_permits(Arc::clone(&core), Arc::clone(&links)));
         let shown = Arc::clone(&core);
         serve_metrics(core.settings.metrics.as_deref(), move || {
@@ -129,6 +128,7 @@
     };
     let gate = WorkerGate(Arc::downgrade(core));
     let links = Arc::new(MemberLinks::start_with_tunnels(&core.settings, handler, gate)?);
+    core.reach.set_mesh(links.mesh().clone());
     let _ = core.links.set(Arc::clone(&links));
     Ok(links)
 }
@@ -141,9 +141,6 @@
         let core = self.0.upgrade().ok_or(TunnelRefusal::Stopping)?;
         let found = core.picker().find_address(upstream);
         let (service, worker) = found.ok_or(TunnelRefusal::UnknownUpstream)?;
-        match core.paths().path(&service, &worker) {
-            UpstreamPath::Direct => Ok(()),
-            UpstreamPath::Peer => Err(TunnelRefusal::Isolated),
-        }
+        core.reach.admit_tunnel(&service, &worker)
     }
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -43,7 +43,7 @@
                 home: primary.clone(),
                 deployment: version,
                 workers: picker.digest(),
-                isolated: core.paths().is_isolated(),
+                isolated: core.reach.is_isolated(),
                 loads: picker.loads(now),
                 crashes: Vec::new(),
             }
@@ -109,7 +109,7 @@
                 log::warn!("event=configuration_withdrawn version={version} from={}", **from);
             }
         }
-        FleetMessage::Peers(places) => core.relays().replace(places, Instant::now()),
+        FleetMessage::Peers(places) => core.reach.replace_peers(places),
         FleetMessage::PermitGrant(grant) => {
             core.picker().take_grant(&grant, Instant::now());
             core.permits_answered.notify_waiters();
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -11,11 +11,12 @@
 //! estimate therefore adds the requests that this gateway has sent since, and a
 //! choice is not revised later.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
+use hollowbarrow_reach::{ServiceTargets, UpstreamTarget};
 use hollowbarrow_routing::{
     BackoffReason, BackoffTable, LimitNotice, PERMIT_LIFETIME, Permit, UpstreamLimits,
 };
@@ -28,7 +29,6 @@
 use tokio::time::Instant;
 
 use crate::candidates::{Candidate, CandidateIndex};
-use crate::connect::ConnectTarget;
 use crate::estimate::{ArrivalRate, unreported_arrivals};
 use crate::loads::{LocalLoad, SharedLoad, expected_silence_ms, is_stalled};
 use crate::shared_view::SharedView;
@@ -94,21 +94,6 @@
     pub permit: Option<Permit>,
 }
 
-/// Where a worker that takes requests listens.
-#[derive(Clone, Debug)]
-pub(crate) struct WorkerEndpoint {
-    pub(crate) service: ServiceName,
-    pub(crate) worker: WorkerId,
-    pub(crate) address: SocketAddr,
-}
-
-impl WorkerEndpoint {
-    /// Returns the worker as the target of a connection.
-    pub(crate) fn target(&self) -> ConnectTarget<'_> {
-        ConnectTarget { service: &self.service, worker: &self.worker, address: self.address }
-    }
-}
-
 /// Properties of a request that decide which worker it may go to.
 #[derive(Clone, Copy, Debug)]
 pub struct PickFacts<'a> {
@@ -232,11 +217,6 @@
         self.table.is_empty()
     }
 
-    /// Returns whether a worker is in the table and has not ended.
-    pub fn is_available(&self, id: &WorkerId) -> bool {
-        self.table.get(id).is_some_and(|entry| entry.is_available())
-    }
-
     /// Returns the worker that listens at an address and has not ended, with its service.
     pub(crate) fn find_address(&self, address: SocketAddr) -> Option<(ServiceName, WorkerId)> {
         let reports =
@@ -245,18 +225,16 @@
         found.next().map(|report| (report.service.clone(), report.id.clone()))
     }
 
-    /// Returns where the workers that take requests listen, by service.
-    pub(crate) fn endpoints(&mut self) -> BTreeMap<ServiceName, Vec<WorkerEndpoint>> {
+    /// Returns the workers that take requests, by service.
+    pub(crate) fn targets(&mut self) -> ServiceTargets {
         self.candidates.refresh(&self.table);
-        let mut endpoints: BTreeMap<ServiceName, Vec<WorkerEndpoint>> = BTreeMap::new();
+        let mut targets = ServiceTargets::new();
         for (service, candidate) in self.candidates.all() {
-            endpoints.entry(service.clone()).or_default().push(WorkerEndpoint {
-                service: service.clone(),
-                worker: candidate.id.clone(),
-                address: candidate.address,
-            });
+            let (service, name) = (service.to_string(), candidate.id.to_string());
+            let target = UpstreamTarget { service, name, address: candidate.address };
+            targets.entry(target.service.clone()).or_default().push(target);
         }
-        endpoints
+        targets
     }
 
     /// Ends all ejections: what failed was this gateway's path to the workers.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use hollowbarrow_routing::PERMIT_WAIT_TIMEOUT;
+use hollowbarrow_schema::WorkerId;
 use tokio::time::Instant;
 
-use crate::attempt::{AttemptHistory, NoReplacement, reserve_replacement};
+use crate::attempt::{AttemptHistory, NoReplacement, reserve_replacement, target_of};
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
-use crate::path_checks::check_silent;
 use crate::request::CallerRequest;
 
 /// A wait for a worker, bounded by a progress timeout.
@@ -83,9 +83,16 @@
         }
     }
 
-    /// Checks whether the silence is that of the gateway's own path.
+    /// Checks whether the silence is that of the gateway's own path, unless it has received something
+    /// from another worker of the service.
     fn check_path(&self, attempt: &WorkerAttempt) {
-        let service = &self.request.service.name;
-        check_silent(self.core, service, &attempt.worker.id, self.timeout / 2);
+        let recent = self.timeout / 2;
+        let service: &str = &self.request.service.name;
+        let targets = self.core.picker().targets();
+        let others = targets.get(service).map_or(&[][..], Vec::as_slice);
+        let heard = |name: &str| self.core.has_progress(&WorkerId::from(name), recent);
+        if !others.iter().any(|other| heard(&other.name)) {
+            self.core.reach.check_silent(target_of(self.request, &attempt.worker));
+        }
     }
 }
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use hollowbarrow_peer::{
-    EncodedMessage, MeshConfig, MeshTraffic, OpenTunnelError, PeerMesh, StartMeshError, TunnelGate,
-    TunnelServer, TunnelStream,
+    EncodedMessage, MeshConfig, MeshTraffic, PeerMesh, StartMeshError, TunnelGate, TunnelServer,
 };
 use hollowbarrow_schema::{
     DaemonId, DeploymentDocument, FleetMessage, LogMessage, LogName, MemberSettings, PeerMessage,
@@ -173,17 +172,9 @@
         self.mesh.send(to, &PeerMessage::Log { name: LogName::Config, message })
     }
 
-    /// Opens a tunnel through another daemon to an upstream.
-    ///
-    /// # Errors
-    ///
-    /// Nothing has been sent to the upstream then.
-    pub async fn open_tunnel(
-        &self,
-        through: &DaemonId,
-        upstream: SocketAddr,
-    ) -> Result<TunnelStream, OpenTunnelError> {
-        self.mesh.open_tunnel(through, upstream).await
+    /// Returns the connections to other daemons.
+    pub fn mesh(&self) -> &PeerMesh {
+        &self.mesh
     }
 
     /// Returns the tunnels that this daemon carries for others.
--- /dev/null
+++ b/crates/reach/src/checks.rs
@@ -0,0 +1,99 @@
+//! Finds out in the background which upstreams the process's own path reaches.
+//!
+//! While upstreams are bypassed, connections to them are opened at intervals. One that is established
+//! goes to the pool of idle connections, so no request is at risk and no connection is wasted. When a
+//! request has had no answer in time, a connection to its upstream shows whether the path is lost;
+//! kept connections would not.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::connect::{CONNECT_TIMEOUT, REQUEST_CONNECT_TIMEOUT, open_direct, open_tunnel_through};
+use crate::paths::UpstreamPath;
+use crate::reach::{Reach, ServiceTargets, UpstreamTarget};
+
+/// Interval between two checks while upstreams are bypassed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Upstreams of an unreached service that are checked at a time.
+const CHECKED_OF_SERVICE: usize = 2;
+/// Bypassed upstreams of other services that are checked at a time.
+const CHECKED_BYPASSED: usize = 8;
+
+impl Reach {
+    /// Checks the paths to bypassed upstreams until the process ends. `targets` returns the upstreams
+    /// that may be connected to now.
+    pub async fn run_checks(self: Arc<Self>, targets: impl Fn() -> ServiceTargets) {
+        let mut turn = 0;
+        loop {
+            let _ = tokio::time::timeout(CHECK_INTERVAL, self.check_due.notified()).await;
+            if self.paths().is_clear() {
+                continue;
+            }
+            turn += 1;
+            let targets = targets();
+            self.retain(&targets);
+            for target in due_checks(&self, &targets, turn) {
+                tokio::spawn(check_direct(Arc::clone(&self), target));
+            }
+            if self.is_cut_off() {
+                retry_peers(&self, &targets, turn).await;
+            }
+        }
+    }
+
+    /// Checks the path to an upstream from which a request has had no answer in time, unless another
+    /// check is in progress.
+    pub fn check_silent(self: &Arc<Self>, target: UpstreamTarget) {
+        if self.path(&target) == UpstreamPath::Peer || !self.begin_silence_check() {
+            return;
+        }
+        let reach = Arc::clone(self);
+        tokio::spawn(async move {
+            let limit = Instant::now() + REQUEST_CONNECT_TIMEOUT;
+            if let Ok(lease) = reach.open(&target, limit).await {
+                lease.give_back();
+            }
+            reach.end_silence_check();
+        });
+    }
+}
+
+/// Returns the upstreams to check now: a few of each unreached service in turn, and those of other
+/// services that are bypassed.
+fn due_checks(reach: &Reach, targets: &ServiceTargets, turn: usize) -> Vec<UpstreamTarget> {
+    let paths = reach.paths();
+    let mut due = Vec::new();
+    for all in targets.iter().filter(|(service, _)| paths.is_unreached(service)).map(|(_, all)| all)
+    {
+        let in_turn = all.iter().cycle().skip(turn * CHECKED_OF_SERVICE % all.len().max(1));
+        due.extend(in_turn.take(CHECKED_OF_SERVICE.min(all.len())).cloned());
+    }
+    let bypassed = paths.bypassed().filter(|(service, ..)| !paths.is_unreached(service));
+    due.extend(bypassed.take(CHECKED_BYPASSED).map(|(service, name, address)| UpstreamTarget {
+        service: service.to_owned(),
+        name: name.to_owned(),
+        address,
+    }));
+    due
+}
+
+async fn check_direct(reach: Arc<Reach>, target: UpstreamTarget) {
+    let opening = open_direct(&reach, &target);
+    if let Ok(Ok(lease)) = tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+        lease.give_back();
+    }
+}
+
+/// Tries all peers for one upstream, also those that failed recently.
+async fn retry_peers(reach: &Reach, targets: &ServiceTargets, turn: usize) {
+    let all: Vec<&UpstreamTarget> = targets.values().flatten().collect();
+    if all.is_empty() {
+        return;
+    }
+    let peers = reach.relays().all(&mut rand::rng());
+    if let Ok(lease) = open_tunnel_through(reach, all[turn % all.len()], peers).await {
+        lease.give_back();
+    }
+}
--- /dev/null
+++ b/crates/reach/src/connect.rs
@@ -0,0 +1,242 @@
+//! Opens connections: over the process's own path, and through a peer if that one fails.
+//!
+//! Both paths are tried in the way of "Happy Eyeballs" (RFC 8305): the second starts when the first has
+//! failed or has taken long, and the one that is established first is used.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use hollowbarrow_peer::{OpenTunnelError, TunnelState, TunnelStream};
+use hollowbarrow_schema::{DaemonId, TunnelRefusal};
+use hollowbarrow_upstream::{CarrierHealth, ConnectionLease, SendRequestError};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::paths::UpstreamPath;
+use crate::reach::{Reach, UpstreamTarget};
+
+/// Timeout of a request for a connection. Nothing has been sent by then, so another upstream
+/// can be used at once. It leaves time for tunnels through two peers after [`TUNNEL_DELAY`].
+pub(crate) const REQUEST_CONNECT_TIMEOUT: Duration = Duration::from_millis(420);
+/// Timeout for a connection over the process's own path: two attempts with a lost SYN.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time without a connection after which a tunnel is opened too: a little after the attempt that
+/// follows a lost SYN.
+const TUNNEL_DELAY: Duration = Duration::from_millis(200);
+/// Timeout of a tunnel through one peer. It covers the peer's attempt to connect to the upstream.
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(180);
+/// Time after which a second peer is tried beside one that has not answered.
+const NEXT_PEER_DELAY: Duration = Duration::from_millis(40);
+/// Number of peers that must fail to reach an upstream before it counts as not reached.
+const PEERS_TO_BLAME_UPSTREAM: usize = 2;
+
+/// No connection was established; nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotConnected;
+
+impl Reach {
+    /// Takes an idle connection to an upstream, or opens one within a limit that leaves time for
+    /// another upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if neither path has led to the upstream in time.
+    pub async fn take(
+        self: &Arc<Self>,
+        target: &UpstreamTarget,
+        deadline: Instant,
+    ) -> Result<ConnectionLease, NotConnected> {
+        let kept = match self.path(target) {
+            UpstreamPath::Direct => self.client.take_kept(target.address),
+            UpstreamPath::Peer => self.client.take_carried(target.address),
+        };
+        match kept {
+            Some(lease) => Ok(lease),
+            None => self.open(target, deadline).await,
+        }
+    }
+
+    /// Opens a new connection to an upstream, within the same limit.
+    ///
+    /// One that is established later goes to the pool of idle connections: it still shows which path
+    /// works.
+    ///
+    /// # Errors
+    ///
+    /// Fails if neither path has led to the upstream in time.
+    pub async fn open(
+        self: &Arc<Self>,
+        target: &UpstreamTarget,
+        deadline: Instant,
+    ) -> Result<ConnectionLease, NotConnected> {
+        let limit = deadline.min(Instant::now() + REQUEST_CONNECT_TIMEOUT);
+        let (sender, opened) = oneshot::channel();
+        let (reach, target) = (Arc::clone(self), target.clone());
+        tokio::spawn(async move {
+            let lease = match reach.path(&target) {
+                UpstreamPath::Direct => open_either(&reach, &target).await,
+                UpstreamPath::Peer => open_tunnel(&reach, &target).await,
+            };
+            if let Err(Ok(lease)) = sender.send(lease) {
+                lease.give_back();
+            }
+        });
+        match tokio::time::timeout_at(limit, opened).await {
+            Ok(Ok(lease)) => lease,
+            _ => Err(NotConnected),
+        }
+    }
+}
+
+/// Opens a connection over both paths, the process's own first.
+async fn open_either(
+    reach: &Reach,
+    target: &UpstreamTarget,
+) -> Result<ConnectionLease, NotConnected> {
+    let direct = async {
+        let opening = open_direct(reach, target);
+        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.unwrap_or(Err(NotConnected))
+    };
+    tokio::pin!(direct);
+    let early = tokio::time::timeout(TUNNEL_DELAY, direct.as_mut()).await;
+    if let Ok(Ok(lease)) = early {
+        return Ok(lease);
+    }
+    let tunnel = bypass(reach, target);
+    tokio::pin!(tunnel);
+    if early.is_ok() {
+        return tunnel.await;
+    }
+    tokio::select! {
+        lease = direct.as_mut() => match lease {
+            Ok(lease) => Ok(lease),
+            Err(NotConnected) => tunnel.await,
+        },
+        lease = tunnel.as_mut() => match lease {
+            Ok(lease) => Ok(lease),
+            Err(NotConnected) => direct.await,
+        },
+    }
+}
+
+/// Opens a connection over the process's own path.
+pub(crate) async fn open_direct(
+    reach: &Reach,
+    target: &UpstreamTarget,
+) -> Result<ConnectionLease, NotConnected> {
+    let opened = reach.client.connect(target.address).await;
+    reach.observer.record_connect(match &opened {
+        Ok(_) => "connected",
+        Err(SendRequestError::Refused(_)) => "refused",
+        Err(_) => "timed_out",
+    });
+    let lease = opened.map_err(|_| NotConnected)?;
+    reach.record_connected(target);
+    Ok(lease)
+}
+
+/// Opens a tunnel to an upstream that the process's own path does not reach.
+async fn bypass(reach: &Reach, target: &UpstreamTarget) -> Result<ConnectionLease, NotConnected> {
+    let lease = open_tunnel(reach, target).await?;
+    reach.record_bypassed(target, lease.carrier().unwrap_or_default());
+    Ok(lease)
+}
+
+/// Opens a tunnel to an upstream through the first peer that can carry it.
+pub(crate) async fn open_tunnel(
+    reach: &Reach,
+    target: &UpstreamTarget,
+) -> Result<ConnectionLease, NotConnected> {
+    let peers = reach.relays().candidates(Instant::now(), &mut rand::rng());
+    open_tunnel_through(reach, target, peers).await
+}
+
+/// Opens a tunnel to an upstream through the first of these peers that can carry it.
+pub(crate) async fn open_tunnel_through(
+    reach: &Reach,
+    target: &UpstreamTarget,
+    peers: Vec<DaemonId>,
+) -> Result<ConnectionLease, NotConnected> {
+    let mut waiting = peers.into_iter();
+    let mut tries = FuturesUnordered::new();
+    let mut doubtful: Vec<DaemonId> = Vec::new();
+    while doubtful.len() < PEERS_TO_BLAME_UPSTREAM {
+        if tries.is_empty() {
+            let Some(peer) = waiting.next() else { break };
+            tries.push(try_peer(reach, target, peer));
+        }
+        let (peer, tried) = tokio::select! {
+            Some(tried) = tries.next() => tried,
+            () = tokio::time::sleep(NEXT_PEER_DELAY), if waiting.len() > 0 => {
+                tries.extend(waiting.next().map(|peer| try_peer(reach, target, peer)));
+                continue;
+            }
+        };
+        match tried {
+            Ok(stream) => {
+                reach.record_carried(&peer, &doubtful);
+                return adopt(reach, target, peer, stream).await;
+            }
+            Err(Some(TunnelRefusal::Unreachable)) => doubtful.push(peer),
+            Err(Some(TunnelRefusal::UnknownUpstream)) => {}
+            Err(_) => reach.relays().record_unusable(&peer, Instant::now()),
+        }
+    }
+    if doubtful.len() >= PEERS_TO_BLAME_UPSTREAM {
+        reach.observer.record_connect("peer_unreached");
+        return Err(NotConnected);
+    }
+    reach.observer.record_connect("no_peer");
+    reach.relays().record_none_usable(Instant::now());
+    Err(NotConnected)
+}
+
+/// Tries to open a tunnel through one peer. The error is the peer's refusal, if it answered.
+async fn try_peer(
+    reach: &Reach,
+    target: &UpstreamTarget,
+    peer: DaemonId,
+) -> (DaemonId, Result<TunnelStream, Option<TunnelRefusal>>) {
+    let Some(mesh) = reach.mesh.get() else { return (peer, Err(None)) };
+    let opening = mesh.open_tunnel(&peer, target.address);
+    let opened = match tokio::time::timeout(TUNNEL_TIMEOUT, opening).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(OpenTunnelError::Refused(refusal))) => Err(Some(refusal)),
+        _ => Err(None),
+    };
+    (peer, opened)
+}
+
+async fn adopt(
+    reach: &Reach,
+    target: &UpstreamTarget,
+    peer: DaemonId,
+    stream: TunnelStream,
+) -> Result<ConnectionLease, NotConnected> {
+    reach.observer.record_connect("tunnel");
+    let health = Arc::new(TunnelHealth { state: Arc::clone(stream.state()), peer });
+    reach.client.adopt(target.address, stream, health).await.map_err(|_| NotConnected)
+}
+
+/// Health of a tunnel for the pool of connections.
+#[derive(Debug)]
+struct TunnelHealth {
+    state: Arc<TunnelState>,
+    peer: DaemonId,
+}
+
+impl CarrierHealth for TunnelHealth {
+    fn is_lost(&self) -> bool {
+        self.state.is_lost()
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.state.is_leaving()
+    }
+
+    fn name(&self) -> &str {
+        &self.peer
+    }
+}
--- /dev/null
+++ b/crates/reach/src/lib.rs
@@ -0,0 +1,22 @@
+//! Connections to upstreams, over the process's own network path or through a peer.
+//!
+//! A process may lose its paths to upstreams while callers, other daemons and the upstreams themselves
+//! are well. [`Reach`] then opens connections as tunnels through peers that still reach them. Which
+//! upstream runs a request has been decided before; the path changes nothing about it.
+//!
+//! Invariants:
+//!
+//! - A failed connection counts as the process's own loss only if a peer reached the upstream.
+//! - No request is sent over the process's own path to find out whether that path works again.
+//! - An idle connection from before a loss of the path is not used after the loss was noticed.
+
+mod checks;
+mod connect;
+mod paths;
+mod reach;
+mod relays;
+
+pub use connect::NotConnected;
+pub use paths::{PathChange, PathTable, UpstreamPath};
+pub use reach::{Reach, ReachObserver, ServiceTargets, UpstreamTarget};
+pub use relays::RelayPeers;
--- a/crates/routing/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -37,39 +37,28 @@
     Reconnected,
 }
 
-/// Paths to the upstreams of one process. `S` names services and `U` upstreams.
-#[derive(Clone, Debug)]
-pub struct PathTable<S, U> {
-    /// Upstreams that were reached through a peer while this process did not reach them.
-    bypassed: BTreeMap<(S, U), SocketAddr>,
-    /// The same for each service since the last connection of this process's own to it.
-    recent: BTreeMap<S, BTreeSet<U>>,
+/// Paths to the upstreams of one process. Services and upstreams are named.
+#[derive(Clone, Debug, Default)]
+pub struct PathTable {
+    /// Upstreams that were reached through a peer while this process did not reach them, by service.
+    bypassed: BTreeMap<String, BTreeMap<String, SocketAddr>>,
+    /// The same since the last connection of this process's own to the service.
+    recent: BTreeMap<String, BTreeSet<String>>,
     /// Services from which the process is isolated.
-    isolated: BTreeSet<S>,
+    isolated: BTreeSet<String>,
     /// Services to which a connection was opened since the process became isolated from another one.
-    connected: BTreeSet<S>,
+    connected: BTreeSet<String>,
 }
 
-impl<S, U> Default for PathTable<S, U> {
-    fn default() -> Self {
-        Self {
-            bypassed: BTreeMap::new(),
-            recent: BTreeMap::new(),
-            isolated: BTreeSet::new(),
-            connected: BTreeSet::new(),
-        }
-    }
-}
-
-impl<S: Clone + Ord, U: Clone + Ord> PathTable<S, U> {
+impl PathTable {
     /// Creates a table in which all upstreams are reached directly.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Returns the path to an upstream.
-    pub fn path(&self, service: &S, upstream: &U) -> UpstreamPath {
-        let bypassed = self.bypassed.contains_key(&(service.clone(), upstream.clone()));
+    pub fn path(&self, service: &str, upstream: &str) -> UpstreamPath {
+        let bypassed = self.bypassed.get(service).is_some_and(|all| all.contains_key(upstream));
         if bypassed || self.is_unreached(service) {
             UpstreamPath::Peer
         } else {
@@ -78,9 +67,9 @@
     }
 
     /// Returns whether the whole service counts as unreached.
-    pub fn is_unreached(&self, service: &S) -> bool {
-        let any = !self.isolated.is_empty();
-        self.isolated.contains(service) || (any && !self.connected.contains(service))
+    pub fn is_unreached(&self, service: &str) -> bool {
+        self.isolated.contains(service)
+            || (!self.isolated.is_empty() && !self.connected.contains(service))
     }
 
     /// Returns whether the process is isolated from a whole service.
@@ -96,59 +85,70 @@
     /// Records that a peer reached an upstream that this process did not reach at that time.
     pub fn record_bypassed(
         &mut self,
-        service: &S,
-        upstream: &U,
+        service: &str,
+        upstream: &str,
         address: SocketAddr,
     ) -> PathChange {
-        self.bypassed.insert((service.clone(), upstream.clone()), address);
-        let recent = self.recent.entry(service.clone()).or_default();
-        recent.insert(upstream.clone());
+        let bypassed = self.bypassed.entry(service.to_owned()).or_default();
+        bypassed.insert(upstream.to_owned(), address);
+        let recent = self.recent.entry(service.to_owned()).or_default();
+        recent.insert(upstream.to_owned());
         if recent.len() < MIN_BYPASSED {
             return PathChange::None;
         }
-        self.connected.remove(service);
-        let first = self.isolated.is_empty();
-        if first {
+        let is_first = self.isolated.is_empty();
+        if is_first {
             self.connected.clear();
         }
-        self.isolated.insert(service.clone());
-        if first { PathChange::Isolated } else { PathChange::None }
+        self.connected.remove(service);
+        self.isolated.insert(service.to_owned());
+        if is_first { PathChange::Isolated } else { PathChange::None }
     }
 
     /// Records that this process opened a connection of its own to an upstream.
-    pub fn record_connected(&mut self, service: &S, upstream: &U) -> PathChange {
-        self.bypassed.remove(&(service.clone(), upstream.clone()));
+    pub fn record_connected(&mut self, service: &str, upstream: &str) -> PathChange {
+        if let Some(bypassed) = self.bypassed.get_mut(service) {
+            bypassed.remove(upstream);
+        }
+        self.bypassed.retain(|_, upstreams| !upstreams.is_empty());
         self.recent.remove(service);
         if !self.isolated.is_empty() {
-            self.connected.insert(service.clone());
+            self.connected.insert(service.to_owned());
         }
-        if !self.isolated.remove(service) || !self.isolated.is_empty() {
-            return PathChange::None;
-        }
-        self.connected.clear();
-        PathChange::Reconnected
+        let ended = self.isolated.remove(service);
+        self.end_if_none_isolated(ended)
     }
 
     /// Returns the upstreams that only a peer reached, with their services and addresses.
-    pub fn bypassed(&self) -> impl Iterator<Item = (&S, &U, SocketAddr)> {
-        self.bypassed.iter().map(|((service, upstream), address)| (service, upstream, *address))
+    pub fn bypassed(&self) -> impl Iterator<Item = (&str, &str, SocketAddr)> {
+        self.bypassed.iter().flat_map(|(service, upstreams)| {
+            let each = upstreams.iter();
+            each.map(move |(name, address)| (service.as_str(), name.as_str(), *address))
+        })
     }
 
     /// Forgets upstreams that no longer exist. Returns what that means for the process: a service
-    /// without any such upstream cannot be isolated.
-    pub fn retain(&mut self, exists: impl Fn(&S, &U) -> bool) -> PathChange {
-        self.bypassed.retain(|(service, upstream), _| exists(service, upstream));
+    /// without any bypassed upstream cannot be isolated.
+    pub fn retain(&mut self, exists: impl Fn(&str, &str) -> bool) -> PathChange {
+        self.bypassed.retain(|service, upstreams| {
+            upstreams.retain(|upstream, _| exists(service, upstream));
+            !upstreams.is_empty()
+        });
         self.recent.retain(|service, upstreams| {
             upstreams.retain(|upstream| exists(service, upstream));
             !upstreams.is_empty()
         });
-        let isolated = !self.isolated.is_empty();
-        let bypassed = &self.bypassed;
-        self.isolated.retain(|service| bypassed.keys().any(|(other, _)| other == service));
-        if isolated && self.isolated.is_empty() {
-            self.connected.clear();
-            return PathChange::Reconnected;
+        let before = self.isolated.len();
+        self.isolated.retain(|service| self.bypassed.contains_key(service));
+        let ended = self.isolated.len() < before;
+        self.end_if_none_isolated(ended)
+    }
+
+    fn end_if_none_isolated(&mut self, ended: bool) -> PathChange {
+        if !ended || !self.isolated.is_empty() {
+            return PathChange::None;
         }
-        PathChange::None
+        self.connected.clear();
+        PathChange::Reconnected
     }
 }
--- /dev/null
+++ b/crates/reach/src/reach.rs
@@ -0,0 +1,189 @@
+//! The state of a process's paths, and the reactions to its changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::Duration;
+
+use hollowbarrow_peer::PeerMesh;
+use hollowbarrow_schema::{DaemonId, GatewayPlace, TunnelRefusal, ZoneId};
+use hollowbarrow_upstream::UpstreamClient;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::paths::{PathChange, PathTable, UpstreamPath};
+use crate::relays::RelayPeers;
+
+/// Time for which no peer must have been able to carry a tunnel before a process that is isolated
+/// counts as cut off.
+const CUT_OFF_TIME: Duration = Duration::from_millis(500);
+
+/// An upstream to connect to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamTarget {
+    /// Name of what the upstream serves. Upstreams of one service are lost together if the path to
+    /// them is.
+    pub service: String,
+    /// Name of the upstream, unique within its service.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The upstreams that may be connected to, by service.
+pub type ServiceTargets = BTreeMap<String, Vec<UpstreamTarget>>;
+
+/// Is told what happens on the paths of a process.
+pub trait ReachObserver: Send + Sync {
+    /// An attempt to open a connection has ended: `connected`, `refused` or `timed_out` on the
+    /// process's own path; `tunnel`, `peer_unreached` or `no_peer` through a peer.
+    fn record_connect(&self, outcome: &'static str);
+
+    /// The process has become isolated from a whole service, or is no longer isolated from any.
+    fn record_change(&self, change: PathChange);
+}
+
+/// Opens connections to upstreams, and knows over which path each of them is reached.
+pub struct Reach {
+    pub(crate) client: UpstreamClient,
+    pub(crate) observer: Arc<dyn ReachObserver>,
+    pub(crate) mesh: OnceLock<PeerMesh>,
+    pub(crate) check_due: Notify,
+    paths: Mutex<PathTable>,
+    relays: Mutex<RelayPeers>,
+    /// Whether the path to a silent upstream is being checked.
+    checking_silence: AtomicBool,
+}
+
+impl Reach {
+    /// Creates the state of a process in this zone, which reaches all upstreams itself.
+    pub fn new(client: UpstreamClient, zone: &ZoneId, observer: Arc<dyn ReachObserver>) -> Self {
+        Self {
+            client,
+            observer,
+            mesh: OnceLock::new(),
+            check_due: Notify::new(),
+            paths: Mutex::default(),
+            relays: Mutex::new(RelayPeers::new(zone)),
+            checking_silence: AtomicBool::new(false),
+        }
+    }
+
+    /// Sets the connections to peers. Without them no tunnels are opened.
+    pub fn set_mesh(&self, mesh: PeerMesh) {
+        let _ = self.mesh.set(mesh);
+    }
+
+    /// Replaces the peers that may carry tunnels.
+    pub fn replace_peers(&self, places: impl IntoIterator<Item = GatewayPlace>) {
+        self.relays().replace(places, Instant::now());
+    }
+
+    /// Returns whether this process is isolated from a whole service.
+    pub fn is_isolated(&self) -> bool {
+        self.paths().is_isolated()
+    }
+
+    /// Returns whether this process counts as reaching no upstream of a service itself.
+    pub fn is_unreached(&self, service: &str) -> bool {
+        self.paths().is_unreached(service)
+    }
+
+    /// Returns whether this process reaches no upstream of a service, and no peer that does.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_isolated() && self.relays().failing_for(Instant::now()) >= CUT_OFF_TIME
+    }
+
+    /// Returns whether a tunnel to an upstream may be carried for a peer.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if this process would need a tunnel itself.
+    pub fn admit_tunnel(&self, service: &str, name: &str) -> Result<(), TunnelRefusal> {
+        match self.paths().path(service, name) {
+            UpstreamPath::Direct => Ok(()),
+            UpstreamPath::Peer => Err(TunnelRefusal::Isolated),
+        }
+    }
+
+    /// Records that a request over a tunnel failed in a way that its peer may have caused.
+    pub fn record_doubtful_peer(&self, peer: &DaemonId) {
+        self.relays().record_unusable(peer, Instant::now());
+    }
+
+    pub(crate) fn paths(&self) -> MutexGuard<'_, PathTable> {
+        self.paths.lock().expect("no holder of the lock panics")
+    }
+
+    pub(crate) fn relays(&self) -> MutexGuard<'_, RelayPeers> {
+        self.relays.lock().expect("no holder of the lock panics")
+    }
+
+    pub(crate) fn path(&self, target: &UpstreamTarget) -> UpstreamPath {
+        self.paths().path(&target.service, &target.name)
+    }
+
+    /// Records that this process has opened a connection of its own to an upstream.
+    pub(crate) fn record_connected(&self, target: &UpstreamTarget) {
+        let change = self.paths().record_connected(&target.service, &target.name);
+        self.apply(change, &target.service);
+    }
+
+    /// Records that a peer reached an upstream that this process did not reach at that time.
+    pub(crate) fn record_bypassed(&self, target: &UpstreamTarget, peer: &str) {
+        let UpstreamTarget { service, name, address } = target;
+        let mut paths = self.paths();
+        let known = paths.path(service, name) == UpstreamPath::Peer;
+        let change = paths.record_bypassed(service, name, *address);
+        drop(paths);
+        // A request on an idle connection from before would be lost.
+        self.client.drop_kept_at(*address);
+        if !known {
+            log::info!("event=upstream_bypassed upstream={name} service={service} peer={peer}");
+        }
+        self.apply(change, service);
+    }
+
+    /// Forgets bypassed upstreams that no longer exist.
+    pub(crate) fn retain(&self, targets: &ServiceTargets) {
+        let exists = |service: &str, name: &str| {
+            targets.get(service).is_some_and(|all| all.iter().any(|target| target.name == name))
+        };
+        let change = self.paths().retain(exists);
+        self.apply(change, "none");
+    }
+
+    /// Records that a peer has carried a tunnel to an upstream that these other peers did not reach.
+    pub(crate) fn record_carried(&self, peer: &DaemonId, others: &[DaemonId]) {
+        let now = Instant::now();
+        let mut relays = self.relays();
+        relays.record_success(peer, now);
+        others.iter().for_each(|other| relays.record_unusable(other, now));
+    }
+
+    /// Begins the check of a silent upstream, unless one is in progress.
+    pub(crate) fn begin_silence_check(&self) -> bool {
+        !self.checking_silence.swap(true, Ordering::Relaxed)
+    }
+
+    pub(crate) fn end_silence_check(&self) {
+        self.checking_silence.store(false, Ordering::Relaxed);
+    }
+
+    fn apply(&self, change: PathChange, service: &str) {
+        match change {
+            PathChange::None => return,
+            PathChange::Isolated => {
+                log::warn!("event=isolated service={service}");
+                self.client.drop_kept();
+            }
+            PathChange::Reconnected => {
+                log::info!("event=reconnected service={service}");
+                self.client.drop_carried();
+            }
+        }
+        self.observer.record_change(change);
+        self.check_due.notify_one();
+    }
+}
--- a/crates/gateway/src/relays.rs
+++ b/crates/reach/src/relays.rs
@@ -1,7 +1,6 @@
-//! The peers through which this gateway may open tunnels to workers.
+//! The peers through which a process may open tunnels to upstreams.
 //!
-//! Controllers send a sample of the other gateways at intervals, and more often while this gateway is
-//! isolated. Which of them reach a worker shows only when a tunnel is tried.
+//! Which of them reach an upstream shows only when a tunnel is tried.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,8 +14,8 @@
 const PENALTY_TIME: Duration = Duration::from_secs(1);
 /// Time after its last success for which a peer is kept that is not in the newest sample.
 const RETENTION: Duration = Duration::from_secs(10);
-/// Number of usable peers in the gateway's own zone from which on no others are tried first. Fewer
-/// could be overloaded by the gateways of a zone that is mostly isolated.
+/// Number of usable peers in the process's own zone from which on no others are tried first. Fewer
+/// could be overloaded by the daemons of a zone that is mostly isolated.
 const MIN_IN_ZONE: usize = 2;
 
 /// What is known about one peer.
@@ -27,7 +26,7 @@
     unusable_until: Option<Instant>,
 }
 
-/// The peers that a gateway knows, and which of them have failed recently.
+/// The peers that a process knows, and which of them have failed recently.
 #[derive(Clone, Debug)]
 pub struct RelayPeers {
     zone: ZoneId,
@@ -37,13 +36,13 @@
 }
 
 impl RelayPeers {
-    /// Creates an empty set for a gateway in this zone.
+    /// Creates an empty set for a process in this zone.
     pub fn new(zone: &ZoneId) -> Self {
         Self { zone: zone.clone(), peers: BTreeMap::new(), failing_since: None }
     }
 
     /// Replaces the peers by a newer sample. Peers that have carried a tunnel recently are kept.
-    pub fn replace(&mut self, places: Vec<GatewayPlace>, now: Instant) {
+    pub fn replace(&mut self, places: impl IntoIterator<Item = GatewayPlace>, now: Instant) {
         self.peers.retain(|_, peer| {
             peer.last_success.is_some_and(|at| now.saturating_duration_since(at) < RETENTION)
         });
@@ -53,7 +52,7 @@
         }
     }
 
-    /// Returns the usable peers in the order in which they are to be tried: those of the gateway's
+    /// Returns the usable peers in the order in which they are to be tried: those of the process's
     /// own zone first if there are several, in random order.
     pub fn candidates(&self, now: Instant, rng: &mut impl Rng) -> Vec<DaemonId> {
         let usable = self.peers.iter().filter(|(_, peer)| peer.unusable_until <= Some(now));
@@ -74,7 +73,7 @@
         all
     }
 
-    /// Records that a peer has carried a tunnel to a worker.
+    /// Records that a peer has carried a tunnel to an upstream.
     pub fn record_success(&mut self, id: &DaemonId, now: Instant) {
         self.failing_since = None;
         if let Some(peer) = self.peers.get_mut(id) {
--- a/crates/gateway/tests/relays.rs
+++ b/crates/reach/tests/relays.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_gateway::relays::RelayPeers;
+use hollowbarrow_reach::RelayPeers;
 use hollowbarrow_schema::{DaemonId, GatewayPlace, ZoneId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,7 +29,6 @@
 mod limit_table;
 mod limiter;
 mod limits;
-mod paths;
 mod permits;
 mod picker;
 mod prefix;
@@ -53,7 +52,6 @@
 pub use limit_table::{LimitNotice, LimitTable, NoticeInterval, limit_text};
 pub use limiter::{LimitRequestError, LimitTicket, OrganisationLimiter};
 pub use limits::UpstreamLimits;
-pub use paths::{PathChange, PathTable, UpstreamPath};
 pub use permits::{
     IssuedPermits, PERMIT_INTERVAL, PERMIT_LIFETIME, PERMIT_POLL_INTERVAL, PERMIT_WAIT_TIMEOUT,
     Permit, PermitHolder, PermitIssuer,
