Reach upstreams of entry daemons through a peer too

Daemons open connections by the crate reach, with the daemons of their settings as peers. A tunnel names its upstream by service and name instead of the address, since zones may know an upstream at different addresses; the peer looks the address up itself. Peers of the own zone and of others take turns now: with two cut-off peers of the own zone first, the upstream was blamed.

The span upstream shows the peer (through), the metric connects counts by outcome.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollowbarrow_reach::NotConnected;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
     BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey, UpstreamOutlook, WaitFacts,
     may_return_to_failed, upstream_wait_limit,
 };
-use hollowbarrow_upstream::{SentAnswer, UpstreamRequest, read_backoff};
+use hollowbarrow_upstream::{SendRequestError, SentAnswer, UpstreamRequest, read_backoff};
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use tokio::time::Instant;
@@ -18,6 +19,7 @@
 use crate::caller_request::{CallerRequest, RequestKind, headers};
 use crate::core::DaemonCore;
 use crate::duplicates::DuplicatePlace;
+use crate::paths::target_of;
 use crate::permits::{HeldPermit, PermitWait, limit_name, record_limit};
 use crate::refusals::{UPSTREAM_RETRY, to_backoff_error, to_limited_error, to_send_error};
 use crate::relay::{StreamRelay, read_complete_answer};
@@ -401,12 +403,18 @@
     streamed: bool,
     picker_guard: &PickerGuard<'_>,
 ) -> Result<AttemptAnswer, AttemptUpstreamError> {
-    let reuse = !request.not_repeatable;
-    let lease = core
-        .client
-        .prepare(entry.address, reuse)
-        .await
-        .map_err(|_| AttemptUpstreamError::NotReached)?;
+    let target = target_of(request.kind.service(), entry);
+    let connecting = async {
+        if request.not_repeatable {
+            core.reach.open(&target, request.deadline).await
+        } else {
+            core.reach.take(&target, request.deadline).await
+        }
+    };
+    let lease = connecting.await.map_err(|NotConnected| AttemptUpstreamError::NotReached)?;
+    if let Some(peer) = lease.carrier() {
+        span.set("through", peer);
+    }
     let message = to_upstream_request(request, entry, span, relay);
     // There must be no wait between these checks of lease and deadline and the sending.
     let now = Instant::now();
@@ -421,8 +429,11 @@
         return Err(AttemptUpstreamError::BackedOff);
     }
     picker_guard.record_sent();
-    let answer =
-        core.client.send(lease, &message, request.deadline).await.map_err(to_send_error)?;
+    let sent = core.client.send(lease, &message, request.deadline).await;
+    if sent.as_ref().is_err_and(|error| *error == SendRequestError::Timeout) {
+        core.reach.check_silent(target);
+    }
+    let answer = sent.map_err(to_send_error)?;
     picker_guard.record_first_byte();
     record_limit(core, &entry.key, &answer.headers, now);
     let backoff = record_backoff_notice(core, &entry.key, &answer);
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -66,6 +66,16 @@
     Plain(RouteSettings),
 }
 
+impl RequestKind {
+    /// Returns the name of the requested model or service.
+    pub(crate) fn service(&self) -> &str {
+        match self {
+            Self::Completion { model, .. } => model,
+            Self::Plain(route) => &route.service,
+        }
+    }
+}
+
 /// A validated request of a caller.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerRequest {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,6 +7,7 @@
 
 use hollowbarrow_log::LogDriver;
 use hollowbarrow_peer::PeerMesh;
+use hollowbarrow_reach::Reach;
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
     AdmissionQueue, BackoffReason, BackoffTable, ConfigFreshness, CrashTracker, DuplicateGate,
@@ -64,6 +65,8 @@
     /// Duplicates of requests that have not been answered yet.
     pub(crate) duplicates: DuplicateGate,
     pub(crate) client: UpstreamClient,
+    /// Connections to upstreams, over this daemon's own path or through peers.
+    pub(crate) reach: Arc<Reach>,
     pub(crate) engine: HttpEngine,
     pub(crate) telemetry: Telemetry,
     pub(crate) timer_delays: Mutex<TimerDelays>,
@@ -215,6 +218,18 @@
         self.authorities.lock().expect("no holder of the lock panics")
     }
 
+    /// Returns the number of tunnels that this daemon carries for peers.
+    pub(crate) fn tunnels(&self) -> u32 {
+        self.mesh.get().map_or(0, |mesh| mesh.tunnels().open())
+    }
+
+    /// Carries no new tunnels from now on.
+    pub(crate) fn stop_tunnels(&self) {
+        if let Some(mesh) = self.mesh.get() {
+            mesh.tunnels().stop();
+        }
+    }
+
     /// Sends a message to another daemon; drops it if its queue is full or the mesh has not started.
     pub(crate) fn send(&self, to: &DaemonId, message: PeerMessage) {
         if let Some(mesh) = self.mesh.get() {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::fleet::FleetView;
 use crate::observer::{probe_nodes, watch_platform};
 use crate::operator::serve_operators;
+use crate::paths::{RouteGate, new_reach};
 use crate::permits::{handle_permit_ask, handle_permit_grant, maintain_permits};
 use crate::quota::maintain_quotas;
 use crate::telemetry::Telemetry;
@@ -195,6 +196,8 @@
         let _ = listeners.callers.set_nonblocking(true);
         start_mesh(&core, listeners.peers)?;
         let operators = serve_operators(Arc::clone(&core), listeners.operators, stopped.clone())?;
+        let (reach, routed) = (Arc::clone(&core.reach), Arc::clone(&core));
+        tokio::spawn(reach.run_checks(move || routed.routes().targets()));
         tokio::spawn(watch_platform(Arc::clone(&core)));
         tokio::spawn(watch_timers(Arc::clone(&core)));
         tokio::spawn(probe_nodes(Arc::clone(&core)));
@@ -234,6 +237,7 @@
         log::info!("event=stopping in_flight={}", core.in_flight.load(Ordering::Relaxed));
         core.ready.store(false, Ordering::Relaxed);
         core.stopping.store(true, Ordering::Relaxed);
+        core.stop_tunnels();
         tokio::time::sleep(Duration::from_millis(timing.balancer_ms)).await;
         let zones: Vec<ZoneId> = core.authorities().keys().cloned().collect();
         for zone in zones {
@@ -243,7 +247,8 @@
         core.claims_log.hand_over();
         self.stop.send_replace(true);
         let limit = Instant::now() + Duration::from_millis(timing.drain_ms);
-        while core.in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < limit {
+        while core.in_flight.load(Ordering::Relaxed) + core.tunnels() > 0 && Instant::now() < limit
+        {
             tokio::time::sleep(DRAIN_POLL).await;
         }
         tokio::time::sleep(HAND_OVER_WAIT).await;
@@ -269,6 +274,8 @@
         path: settings.trace_file.clone().unwrap_or_default(),
         source,
     })?;
+    let client = UpstreamClient::new();
+    let reach = new_reach(&settings, &client, &telemetry);
     let limits = QueueLimits { slots: settings.limits.streams, waiting: settings.limits.queue };
     Ok(DaemonCore {
         config_log,
@@ -289,7 +296,8 @@
         permit_requested: Notify::new(),
         permits_granted: Notify::new(),
         duplicates: DuplicateGate::new(),
-        client: UpstreamClient::new(),
+        client,
+        reach,
         engine: HttpEngine::new(),
         telemetry,
         timer_delays: Mutex::default(),
@@ -391,11 +399,14 @@
         }
     }
     let handler_core = Arc::downgrade(core);
-    let mesh = PeerMesh::start(config, listener, move |from, message| {
+    let handler = move |from: &DaemonId, message| {
         if let Some(core) = handler_core.upgrade() {
             handle_message(&core, from, message);
         }
-    })?;
+    };
+    let gate = RouteGate(Arc::downgrade(core));
+    let mesh = PeerMesh::start_with_tunnels(config, listener, handler, gate)?;
+    core.reach.set_mesh(mesh.clone());
     let _ = core.mesh.set(mesh);
     Ok(())
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 mod observer;
 mod operator;
 mod operator_view;
+mod paths;
 mod permits;
 mod proposals;
 mod quota;
--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -5,7 +5,7 @@
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{LimitRequestError, ShedRequestError};
 use hollowbarrow_schema::{ClaimOutcome, ErrorRan};
-use hollowbarrow_upstream::SendRequestError;
+use hollowbarrow_upstream::{ConnectionLease, SendRequestError};
 
 use crate::answer::{CallerError, ErrorCode};
 use crate::proposals::ProposeEntryError;
@@ -29,10 +29,20 @@
             let reason = "it belongs to another request";
             AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 }
         }
+        SendRequestError::CarrierLost => AttemptUpstreamError::CarrierLost,
         _ => AttemptUpstreamError::ConnectionLost { tokens: 0 },
     }
 }
 
+/// Returns the error of a connection that broke after so many tokens.
+pub(crate) fn to_lost_error(lease: &ConnectionLease, tokens: u32) -> AttemptUpstreamError {
+    if lease.is_carrier_lost() {
+        AttemptUpstreamError::CarrierLost
+    } else {
+        AttemptUpstreamError::ConnectionLost { tokens }
+    }
+}
+
 /// Returns the error of a request that stays quarantined for this time.
 pub(crate) fn to_quarantine_error(left: Duration) -> CallerError {
     let message = "several upstreams crashed, one after the other, while they ran this request";
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::attempt::AttemptAnswer;
 use crate::caller_request::{CallerRequest, RequestKind};
 use crate::core::DaemonCore;
+use crate::refusals::to_lost_error;
 
 /// End marker of a stream.
 const DONE_EVENT: &str = "data: [DONE]\n\n";
@@ -127,9 +128,7 @@
                 }
                 Err(_) => return Err(self.broken_answer("no data within the idle timeout")),
                 Ok(None) => return Err(self.broken_answer("it ended without the end marker")),
-                Ok(Some(Err(_))) => {
-                    return Err(AttemptUpstreamError::ConnectionLost { tokens: self.tokens });
-                }
+                Ok(Some(Err(_))) => return Err(to_lost_error(&answer.lease, self.tokens)),
                 Ok(Some(Ok(frame))) => frame,
             };
             let Some(bytes) = frame.data_ref() else { continue };
@@ -261,7 +260,7 @@
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is too long", tokens: 0 });
         }
-        Ok(Err(_)) => return Err(AttemptUpstreamError::ConnectionLost { tokens: 0 }),
+        Ok(Err(_)) => return Err(to_lost_error(&answer.lease, 0)),
         Ok(Ok(body)) => body.to_bytes(),
     };
     answer.lease.give_back();
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hollowbarrow_reach::ServiceTargets;
 use hollowbarrow_routing::{RouteCandidate, UpstreamKey};
 use hollowbarrow_schema::{Allocation, Epoch, ModelName, NodeId, NodeState, ServiceName, ZoneId};
 use hollowbarrow_state::ConfigState;
@@ -13,6 +14,7 @@
 use crate::config_standing::ConfigStanding;
 use crate::core::DaemonCore;
 use crate::fleet::FleetView;
+use crate::paths::target_of;
 use crate::permits::limit_name;
 use crate::relay::StreamProgress;
 
@@ -125,6 +127,18 @@
         self.entries().map(|entry| limit_name(&entry.key))
     }
 
+    /// Returns the upstreams of each model and service as targets of connections.
+    pub(crate) fn targets(&self) -> ServiceTargets {
+        let models = self.models.iter().map(|(model, entries)| (model.as_str(), entries));
+        let services = self.services.iter().map(|(service, entries)| (service.as_str(), entries));
+        let each = models.chain(services);
+        let targets = each.map(|(service, entries)| {
+            let targets = entries.iter().map(|entry| target_of(service, entry));
+            (service.to_owned(), targets.collect())
+        });
+        targets.collect()
+    }
+
     fn entries(&self) -> impl Iterator<Item = &RouteEntry> {
         self.models.values().chain(self.services.values()).flatten()
     }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -34,6 +34,11 @@
     &[
         ("requests", "1", "Requests that ended, by outcome and priority class."),
         ("retries", "1", "Attempts after the first, by kind: again, resume or hedge."),
+        (
+            "connects",
+            "1",
+            "Attempts to open a connection to an upstream, by outcome: connected, refused or timed_out on the daemon's own path, and tunnel, peer_unreached or no_peer through a peer.",
+        ),
         ("queue_ms", "ms", "Time that requests waited for a slot, by priority class."),
         ("first_token_ms", "ms", "Time from a request's arrival to its first token."),
         ("token_gap_ms", "ms", "Time between two tokens of a stream."),
@@ -92,6 +97,7 @@
     tracer: opentelemetry_sdk::trace::SdkTracer,
     requests: Counter<u64>,
     retries: Counter<u64>,
+    connects: Counter<u64>,
     queue: Histogram<f64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
@@ -104,6 +110,11 @@
 }
 
 impl Telemetry {
+    /// Returns the counter of connections to upstreams.
+    pub(crate) fn connects(&self) -> Counter<u64> {
+        self.connects.clone()
+    }
+
     /// Creates the instruments, with a file for spans if a path is given.
     ///
     /// # Errors
@@ -125,6 +136,7 @@
             tracer: tracers.tracer(SCOPE),
             requests: meter.u64_counter("requests").build(),
             retries: meter.u64_counter("retries").build(),
+            connects: meter.u64_counter("connects").build(),
             queue: page.time_histogram("queue_ms"),
             first_token: page.time_histogram("first_token_ms"),
             token_gap: page.time_histogram("token_gap_ms"),
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -6,7 +6,7 @@
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
 use hollowbarrow_member::{MemberLinks, SuspensionDetector};
-use hollowbarrow_reach::{PathChange, Reach, ReachObserver};
+use hollowbarrow_reach::{ConnectTimes, PathChange, Reach, ReachObserver};
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_routing::{
     ConfigFreshness, DuplicateGate, LimitNotice, NoticeInterval, limit_text,
@@ -28,6 +28,14 @@
 /// Time after which a second attempt to connect to a worker starts.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
 
+/// Times for connections to workers. A second attempt after a lost SYN is answered within the timeout
+/// of this gateway's own path, and mostly before a tunnel is opened.
+const CONNECT_TIMES: ConnectTimes = ConnectTimes {
+    direct: Duration::from_millis(350),
+    tunnel_delay: Duration::from_millis(200),
+    request: Duration::from_millis(420),
+};
+
 /// Longest age of the leader's confirmation of the newest configuration. Together with the 600 ms
 /// for which a leader treats its own majority as valid, it stays below the two seconds within which
 /// a change is active everywhere.
@@ -74,7 +82,12 @@
         let client = new_client(&settings, protocol.as_ref());
         let observer = PathObserver { metrics: Arc::clone(&metrics), picker: Arc::clone(&picker) };
         Self {
-            reach: Arc::new(Reach::new(client.clone(), &settings.zone, Arc::new(observer))),
+            reach: Arc::new(Reach::new(
+                client.clone(),
+                CONNECT_TIMES,
+                &settings.zone,
+                Arc::new(observer),
+            )),
             client,
             budget: RetryBudget::with_limits(limits, Instant::now()),
             metrics,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -133,14 +133,13 @@
     Ok(links)
 }
 
-/// Admits tunnels to the workers in the table.
+/// Admits tunnels to the workers that take requests.
 struct WorkerGate(Weak<GatewayCore>);
 
 impl TunnelGate for WorkerGate {
-    fn admit(&self, _: &DaemonId, upstream: SocketAddr) -> Result<(), TunnelRefusal> {
+    fn admit(&self, _: &DaemonId, upstream: &str) -> Result<SocketAddr, TunnelRefusal> {
         let core = self.0.upgrade().ok_or(TunnelRefusal::Stopping)?;
-        let found = core.picker().find_address(upstream);
-        let (service, worker) = found.ok_or(TunnelRefusal::UnknownUpstream)?;
-        core.reach.admit_tunnel(&service, &worker)
+        let targets = core.picker().targets();
+        core.reach.admit_tunnel(upstream, &targets)
     }
 }
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -217,14 +217,6 @@
         self.table.is_empty()
     }
 
-    /// Returns the worker that listens at an address and has not ended, with its service.
-    pub(crate) fn find_address(&self, address: SocketAddr) -> Option<(ServiceName, WorkerId)> {
-        let reports =
-            self.table.iter().filter(|entry| entry.is_available()).map(|entry| &entry.report);
-        let mut found = reports.filter(|report| report.address.parse() == Ok(address));
-        found.next().map(|report| (report.service.clone(), report.id.clone()))
-    }
-
     /// Returns the workers that take requests, by service.
     pub(crate) fn targets(&mut self) -> ServiceTargets {
         self.candidates.refresh(&self.table);
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -59,7 +59,7 @@
     pub(crate) to: &'a DaemonId,
     pub(crate) address: SocketAddr,
     /// Upstream of the tunnel; none for a connection that carries messages.
-    pub(crate) tunnel: Option<SocketAddr>,
+    pub(crate) tunnel: Option<&'a str>,
 }
 
 /// A connection whose dialer has proved that it holds a key.
@@ -68,7 +68,7 @@
     pub(crate) from: DaemonId,
     /// Session key of the connection.
     pub(crate) session: Vec<u8>,
-    pub(crate) tunnel: Option<SocketAddr>,
+    pub(crate) tunnel: Option<String>,
 }
 
 /// Connects to a peer; returns the connection and its session key.
@@ -97,13 +97,12 @@
         accept_nonce: &challenge.nonce,
         dial_nonce: &nonce,
     };
-    let tunnel = tunnel.map(|upstream| upstream.to_string());
     let proof = PeerProof {
         from: config.id.clone(),
         to: to.clone(),
         nonce: nonce.clone(),
-        mac: transcript.code(key, &dial_purpose(tunnel.as_deref())),
-        tunnel,
+        mac: transcript.code(key, &dial_purpose(tunnel)),
+        tunnel: tunnel.map(str::to_owned),
     };
     send(&mut socket, &proof, step).await?;
     let welcome: PeerWelcome = receive(&mut socket, step).await?;
@@ -142,11 +141,9 @@
         .iter()
         .find(|key| same_code(&proof.mac, &transcript.code(key, &purpose)))
         .ok_or(ConnectPeerError::Key)?;
-    let tunnel = proof.tunnel.as_deref().map(str::parse).transpose();
-    let tunnel = tunnel.map_err(|_| ConnectPeerError::Protocol)?;
     send(&mut socket, &PeerWelcome { mac: transcript.code(key, ACCEPT_PURPOSE) }, step).await?;
     let session = transcript.code(key, SESSION_PURPOSE);
-    Ok(AcceptedPeer { socket, from: proof.from, session, tunnel })
+    Ok(AcceptedPeer { socket, from: proof.from, session, tunnel: proof.tunnel })
 }
 
 /// Opens a TCP connection from the address that the configuration names.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! A daemon can also open a tunnel through a peer to an upstream that it cannot
 //! reach itself: a byte stream in place of its own TCP connection. The handshake
-//! covers the upstream's address; the bytes are protected no more than on a
+//! covers the upstream's name; the bytes are protected no more than on a
 //! direct connection to the upstream.
 //!
 //! Invariants: a message is delivered only if it was received completely from
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -237,7 +237,7 @@
         &self.traffic
     }
 
-    /// Opens a tunnel through a peer to an upstream.
+    /// Opens a tunnel through a peer to an upstream, by the name under which the peer knows it too.
     ///
     /// # Errors
     ///
@@ -245,7 +245,7 @@
     pub async fn open_tunnel(
         &self,
         through: &DaemonId,
-        upstream: SocketAddr,
+        upstream: &str,
     ) -> Result<TunnelStream, OpenTunnelError> {
         let address = self.config.address_of(through).ok_or(OpenTunnelError::UnknownPeer)?;
         let target = DialTarget { to: through, address, tunnel: Some(upstream) };
@@ -485,7 +485,7 @@
         let AcceptedPeer { mut socket, from, session, tunnel } =
             accept_peer(&self.config, stream).await?;
         if let Some(upstream) = tunnel {
-            self.tunnels.serve(&self.config, socket, &from, upstream).await;
+            self.tunnels.serve(&self.config, socket, &from, &upstream).await;
             return Ok(());
         }
         self.notify_dialer(&from);
--- a/crates/peer/src/tunnel_server.rs
+++ b/crates/peer/src/tunnel_server.rs
@@ -39,19 +39,19 @@
 
 /// Decides which tunnels a daemon carries.
 pub trait TunnelGate: Send + Sync + 'static {
-    /// Returns whether a tunnel for a peer to an upstream's address may be opened.
+    /// Returns the address of an upstream to which a tunnel may be opened for a peer.
     ///
     /// # Errors
     ///
-    /// Returns why not.
-    fn admit(&self, peer: &DaemonId, upstream: SocketAddr) -> Result<(), TunnelRefusal>;
+    /// Returns why none may be.
+    fn admit(&self, peer: &DaemonId, upstream: &str) -> Result<SocketAddr, TunnelRefusal>;
 }
 
 /// Refuses all tunnels.
 pub(crate) struct NoTunnels;
 
 impl TunnelGate for NoTunnels {
-    fn admit(&self, _: &DaemonId, _: SocketAddr) -> Result<(), TunnelRefusal> {
+    fn admit(&self, _: &DaemonId, _: &str) -> Result<SocketAddr, TunnelRefusal> {
         Err(TunnelRefusal::UnknownUpstream)
     }
 }
@@ -95,7 +95,7 @@
         config: &MeshConfig,
         mut socket: PeerSocket,
         peer: &DaemonId,
-        upstream: SocketAddr,
+        upstream: &str,
     ) {
         let _open = self.count();
         let connected = self.connect(config, peer, upstream).await;
@@ -106,7 +106,7 @@
         match connected {
             Ok(stream) => carry(socket, stream, self.stopping.subscribe()).await,
             Err(refusal) => log::debug!(
-                "event=tunnel_refused peer={} upstream={upstream} reason={refusal:?}",
+                "event=tunnel_refused peer={} upstream={upstream:?} reason={refusal:?}",
                 **peer
             ),
         }
@@ -121,7 +121,7 @@
         &self,
         config: &MeshConfig,
         peer: &DaemonId,
-        upstream: SocketAddr,
+        upstream: &str,
     ) -> Result<TcpStream, TunnelRefusal> {
         if *self.stopping.borrow() {
             return Err(TunnelRefusal::Stopping);
@@ -129,8 +129,8 @@
         if self.open() > MAX_TUNNELS {
             return Err(TunnelRefusal::Busy);
         }
-        self.gate.admit(peer, upstream)?;
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(config, upstream));
+        let address = self.gate.admit(peer, upstream)?;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(config, address));
         let stream = connecting.await.map_err(|_| TunnelRefusal::Unreachable)?;
         let stream = stream.map_err(|_| TunnelRefusal::Unreachable)?;
         let _ = stream.set_nodelay(true);
--- a/crates/reach/src/checks.rs
+++ b/crates/reach/src/checks.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use crate::connect::{CONNECT_TIMEOUT, REQUEST_CONNECT_TIMEOUT, open_direct, open_tunnel_through};
+use crate::connect::{open_direct, open_tunnel_through};
 use crate::paths::UpstreamPath;
 use crate::reach::{Reach, ServiceTargets, UpstreamTarget};
 
@@ -51,7 +51,7 @@
         }
         let reach = Arc::clone(self);
         tokio::spawn(async move {
-            let limit = Instant::now() + REQUEST_CONNECT_TIMEOUT;
+            let limit = Instant::now() + reach.times.request;
             if let Ok(lease) = reach.open(&target, limit).await {
                 lease.give_back();
             }
@@ -81,7 +81,7 @@
 
 async fn check_direct(reach: Arc<Reach>, target: UpstreamTarget) {
     let opening = open_direct(&reach, &target);
-    if let Ok(Ok(lease)) = tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+    if let Ok(Ok(lease)) = tokio::time::timeout(reach.times.direct, opening).await {
         lease.give_back();
     }
 }
--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -17,14 +17,18 @@
 use crate::paths::UpstreamPath;
 use crate::reach::{Reach, UpstreamTarget};
 
-/// Timeout of a request for a connection. Nothing has been sent by then, so another upstream
-/// can be used at once. It leaves time for tunnels through two peers after [`TUNNEL_DELAY`].
-pub(crate) const REQUEST_CONNECT_TIMEOUT: Duration = Duration::from_millis(420);
-/// Timeout for a connection over the process's own path: two attempts with a lost SYN.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Time without a connection after which a tunnel is opened too: a little after the attempt that
-/// follows a lost SYN.
-const TUNNEL_DELAY: Duration = Duration::from_millis(200);
+/// How long the steps of opening a connection may take.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectTimes {
+    /// Timeout for a connection over the process's own path.
+    pub direct: Duration,
+    /// Time without a connection after which a tunnel is opened too.
+    pub tunnel_delay: Duration,
+    /// Timeout of a request for a connection. Nothing has been sent by then, so another upstream can
+    /// be used at once. It should leave time for tunnels through two peers after `tunnel_delay`.
+    pub request: Duration,
+}
+
 /// Timeout of a tunnel through one peer. It covers the peer's attempt to connect to the upstream.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(180);
 /// Time after which a second peer is tried beside one that has not answered.
@@ -71,7 +75,7 @@
         target: &UpstreamTarget,
         deadline: Instant,
     ) -> Result<ConnectionLease, NotConnected> {
-        let limit = deadline.min(Instant::now() + REQUEST_CONNECT_TIMEOUT);
+        let limit = deadline.min(Instant::now() + self.times.request);
         let (sender, opened) = oneshot::channel();
         let (reach, target) = (Arc::clone(self), target.clone());
         tokio::spawn(async move {
@@ -97,10 +101,10 @@
 ) -> Result<ConnectionLease, NotConnected> {
     let direct = async {
         let opening = open_direct(reach, target);
-        tokio::time::timeout(CONNECT_TIMEOUT, opening).await.unwrap_or(Err(NotConnected))
+        tokio::time::timeout(reach.times.direct, opening).await.unwrap_or(Err(NotConnected))
     };
     tokio::pin!(direct);
-    let early = tokio::time::timeout(TUNNEL_DELAY, direct.as_mut()).await;
+    let early = tokio::time::timeout(reach.times.tunnel_delay, direct.as_mut()).await;
     if let Ok(Ok(lease)) = early {
         return Ok(lease);
     }
@@ -200,7 +204,8 @@
     peer: DaemonId,
 ) -> (DaemonId, Result<TunnelStream, Option<TunnelRefusal>>) {
     let Some(mesh) = reach.mesh.get() else { return (peer, Err(None)) };
-    let opening = mesh.open_tunnel(&peer, target.address);
+    let upstream = target.full_name();
+    let opening = mesh.open_tunnel(&peer, &upstream);
     let opened = match tokio::time::timeout(TUNNEL_TIMEOUT, opening).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(OpenTunnelError::Refused(refusal))) => Err(Some(refusal)),
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -16,7 +16,7 @@
 mod reach;
 mod relays;
 
-pub use connect::NotConnected;
+pub use connect::{ConnectTimes, NotConnected};
 pub use paths::{PathChange, PathTable, UpstreamPath};
 pub use reach::{Reach, ReachObserver, ServiceTargets, UpstreamTarget};
 pub use relays::RelayPeers;
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::connect::ConnectTimes;
 use crate::paths::{PathChange, PathTable, UpstreamPath};
 use crate::relays::RelayPeers;
 
@@ -31,6 +32,18 @@
     pub address: SocketAddr,
 }
 
+impl UpstreamTarget {
+    /// Returns the name under which peers know the upstream.
+    pub(crate) fn full_name(&self) -> String {
+        format!("{}/{}", self.service, self.name)
+    }
+
+    fn is_named(&self, full_name: &str) -> bool {
+        let name = full_name.strip_prefix(self.service.as_str());
+        name.and_then(|rest| rest.strip_prefix('/')) == Some(self.name.as_str())
+    }
+}
+
 /// The upstreams that may be connected to, by service.
 pub type ServiceTargets = BTreeMap<String, Vec<UpstreamTarget>>;
 
@@ -47,6 +60,7 @@
 /// Opens connections to upstreams, and knows over which path each of them is reached.
 pub struct Reach {
     pub(crate) client: UpstreamClient,
+    pub(crate) times: ConnectTimes,
     pub(crate) observer: Arc<dyn ReachObserver>,
     pub(crate) mesh: OnceLock<PeerMesh>,
     pub(crate) check_due: Notify,
@@ -58,9 +72,15 @@
 
 impl Reach {
     /// Creates the state of a process in this zone, which reaches all upstreams itself.
-    pub fn new(client: UpstreamClient, zone: &ZoneId, observer: Arc<dyn ReachObserver>) -> Self {
+    pub fn new(
+        client: UpstreamClient,
+        times: ConnectTimes,
+        zone: &ZoneId,
+        observer: Arc<dyn ReachObserver>,
+    ) -> Self {
         Self {
             client,
+            times,
             observer,
             mesh: OnceLock::new(),
             check_due: Notify::new(),
@@ -95,14 +115,22 @@
         self.is_isolated() && self.relays().failing_for(Instant::now()) >= CUT_OFF_TIME
     }
 
-    /// Returns whether a tunnel to an upstream may be carried for a peer.
+    /// Returns the address of an upstream to which a tunnel may be carried for a peer. `targets` are
+    /// the upstreams that may be connected to now.
     ///
     /// # Errors
     ///
-    /// Refuses if this process would need a tunnel itself.
-    pub fn admit_tunnel(&self, service: &str, name: &str) -> Result<(), TunnelRefusal> {
-        match self.paths().path(service, name) {
-            UpstreamPath::Direct => Ok(()),
+    /// Refuses if the upstream is not known, or if this process would need a tunnel itself.
+    pub fn admit_tunnel(
+        &self,
+        full_name: &str,
+        targets: &ServiceTargets,
+    ) -> Result<SocketAddr, TunnelRefusal> {
+        let mut all = targets.values().flatten();
+        let target = all.find(|target| target.is_named(full_name));
+        let target = target.ok_or(TunnelRefusal::UnknownUpstream)?;
+        match self.path(target) {
+            UpstreamPath::Direct => Ok(target.address),
             UpstreamPath::Peer => Err(TunnelRefusal::Isolated),
         }
     }
--- a/crates/reach/src/relays.rs
+++ b/crates/reach/src/relays.rs
@@ -52,8 +52,9 @@
         }
     }
 
-    /// Returns the usable peers in the order in which they are to be tried: those of the process's
-    /// own zone first if there are several, in random order.
+    /// Returns the usable peers in the order in which they are to be tried, drawn at random. Peers of
+    /// the process's own zone and others take turns, because a whole zone may lose its paths at once.
+    /// One of the own zone comes first if several there are usable.
     pub fn candidates(&self, now: Instant, rng: &mut impl Rng) -> Vec<DaemonId> {
         let usable = self.peers.iter().filter(|(_, peer)| peer.unusable_until <= Some(now));
         let (mut near, mut far): (Vec<_>, Vec<_>) =
@@ -63,7 +64,12 @@
         }
         near.shuffle(rng);
         far.shuffle(rng);
-        near.into_iter().chain(far).map(|(id, _)| id.clone()).collect()
+        let (mut near, mut far) = (near.into_iter(), far.into_iter());
+        let mut ordered = Vec::new();
+        while near.len() + far.len() > 0 {
+            ordered.extend(near.next().into_iter().chain(far.next()));
+        }
+        ordered.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
     /// Returns all peers in random order, also those that failed recently.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -2547,7 +2547,7 @@
     pub mac: ::std::vec::Vec<u8>,
     pub nonce: ::std::vec::Vec<u8>,
     pub to: DaemonId,
-    ///IP address and port of the upstream to which the connection is to be a tunnel; none for a connection that carries messages. The proof covers it.
+    ///Service and name of the upstream to which the connection is to be a tunnel, as in `models/w1`; none for a connection that carries messages. The proof covers it.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub tunnel: ::std::option::Option<::std::string::String>,
 }
@@ -3560,7 +3560,7 @@
         }
     }
 }
-///Why a daemon carries no tunnel: the address is not that of a known upstream, the daemon itself reaches no upstream, it does not reach this one, it carries as many tunnels as it may, or it is stopping.
+///Why a daemon carries no tunnel: it does not know the upstream, it would need a tunnel itself, it does not reach the upstream, it carries as many tunnels as it may, or it is stopping.
 ///
 #[derive(
     ::serde::Deserialize,
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -407,6 +407,12 @@
         self.links.values().for_each(|proxy| proxy.set_mode(mode));
     }
 
+    /// Changes the fault mode of all links from a zone's daemons to nodes of other zones.
+    pub fn set_node_links(&self, zone: &ZoneId, mode: FaultMode) {
+        let from_zone = self.node_proxies.iter().filter(|((from, _), _)| from == zone);
+        from_zone.for_each(|(_, proxy)| proxy.set_mode(mode));
+    }
+
     /// Changes the fault mode of all links between a zone and other zones, links to nodes included.
     pub fn set_zone_links(&self, zone: &ZoneId, mode: FaultMode) {
         let inside = self.ids_in(zone);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crashing_while_waiting;
 mod groups;
 mod ingress;
+mod isolation;
 mod limit;
 mod reference;
 mod requests;
