Cut gateways off from all workers in the soak

They have seeds of their own, so that the other disturbances of a seed stay the same. All workers have a proxy in front of them for it.

--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -65,6 +65,8 @@
     SetLimit,
     /// Many duplicates of a request that crashes the workers that run it are sent at once.
     CrashingBurst,
+    /// A gateway is partitioned from all workers, while callers and other daemons reach it.
+    CutWorkers,
     /// All daemons are killed at once, and one controller's disk is lost.
     LosePower,
 }
@@ -109,6 +111,13 @@
 const BURST_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::CrashingBurst];
 const BURST_SEED: u64 = 0xb0057;
 
+/// Kinds of the series that partition gateways from workers, and the value that is combined with the
+/// run's seed.
+const CUT_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::CutWorkers];
+const CUT_SEED: u64 = 0xc07e;
+/// Number of these series. Several gateways may be partitioned at once.
+const CUT_SERIES: u64 = 2;
+
 /// Value that is combined with the run's seed for the power loss, and the bounds of its start time.
 const POWER_LOSS_SEED: u64 = 0x90e5;
 const POWER_LOSS_AT_MS: (u64, u64) = (2_000, 7_000);
@@ -188,6 +197,10 @@
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BURST_SEED);
     draw_series(&mut rng, &BURST_KINDS, time, &mut drawn);
+    for series in 0..CUT_SERIES {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (CUT_SEED + series));
+        draw_series(&mut rng, &CUT_KINDS, time, &mut drawn);
+    }
     drawn.push(draw_power_loss(seed));
     drawn.sort_by_key(|disturbance| disturbance.at);
     drawn
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -90,6 +90,12 @@
 /// some time after they were first stated, and over windows of several seconds.
 const LIMITED_TIME: Duration = Duration::from_secs(6);
 
+/// How the connections of a gateway to workers fail.
+const CUT_MODES: [FaultMode; 3] =
+    [FaultMode::Unreachable, FaultMode::NoNewConnections, FaultMode::Disconnect];
+/// Time for which a gateway is partitioned from workers beyond the duration of the disturbance.
+const CUT_TIME: Duration = Duration::from_secs(3);
+
 /// Which disturbances a run has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Plan {
@@ -130,6 +136,8 @@
     wiped: Option<usize>,
     /// Daemons that are stopped, suspended or terminating, each under one disturbance.
     down: Vec<usize>,
+    /// Gateways that are partitioned from all workers, each under one disturbance.
+    cut: Vec<usize>,
     /// Times of the power losses, at which all daemons lost their records of crashing requests.
     power_lost_at: Vec<Instant>,
     plan: Plan,
@@ -142,7 +150,7 @@
 impl Soak {
     fn start(block: u8, layout: Layout, plan: Plan) -> Self {
         let system = System::start_with(block, layout);
-        let fleet = Fleet::new(system.controllers.clone());
+        let fleet = Fleet::with_fronts(system.controllers.clone());
         let mut soak = Self {
             system,
             fleet,
@@ -151,6 +159,7 @@
             started_engines: 0,
             wiped: None,
             down: Vec::new(),
+            cut: Vec::new(),
             power_lost_at: Vec::new(),
             plan,
             started: Instant::now(),
@@ -209,6 +218,7 @@
                 self.wiped = Some(controller);
                 true
             }
+            DisturbanceKind::CutWorkers => self.cut_workers(disturbance),
             DisturbanceKind::KillControllers => {
                 let free = (0..CONTROLLERS).all(|daemon| !self.down.contains(&daemon));
                 free && (0..CONTROLLERS).all(|daemon| self.take_down(daemon, Signal::Kill))
@@ -309,6 +319,11 @@
             | DisturbanceKind::DelayLink => {
                 self.set_link(disturbance, FaultMode::Pass);
             }
+            DisturbanceKind::CutWorkers => {
+                let gateway = self.gateway(disturbance);
+                self.cut.retain(|cut| *cut != gateway);
+                self.set_worker_links(gateway, FaultMode::Pass);
+            }
             DisturbanceKind::KillWorker => self.replace_worker(index),
             DisturbanceKind::PartitionWorker => self.engines[index].0.set_partitioned(false),
             DisturbanceKind::LateOrders => self.engines[index].0.set_late_orders(false),
@@ -334,6 +349,28 @@
         }
     }
 
+    fn gateway(&self, disturbance: &Disturbance) -> usize {
+        disturbance.first % self.system.gateways.len()
+    }
+
+    /// Partitions a gateway from all workers, unless it is already.
+    fn cut_workers(&mut self, disturbance: &Disturbance) -> bool {
+        let gateway = self.gateway(disturbance);
+        if self.cut.contains(&gateway) {
+            return false;
+        }
+        self.cut.push(gateway);
+        self.set_worker_links(gateway, CUT_MODES[disturbance.second % CUT_MODES.len()]);
+        true
+    }
+
+    fn set_worker_links(&self, gateway: usize, mode: FaultMode) {
+        let source = self.system.source(CONTROLLERS + gateway);
+        self.fleet.set_source_mode(source, mode);
+        let engines = self.engines.iter().map(|(worker, _)| worker);
+        engines.chain(&self.plain).for_each(|worker| worker.set_source_mode(source, mode));
+    }
+
     /// Returns the engine or plain worker that the disturbance selects.
     fn worker(&self, disturbance: &Disturbance) -> &Arc<Worker> {
         let index = disturbance.first % (self.engines.len() + self.plain.len());
@@ -503,6 +540,7 @@
     match disturbance.kind {
         DisturbanceKind::LeaveUnreported => disturbance.duration + UNREPORTED_DRAIN_TIME,
         DisturbanceKind::SetLimit => disturbance.duration + LIMITED_TIME,
+        DisturbanceKind::CutWorkers => disturbance.duration + CUT_TIME,
         _ => disturbance.duration,
     }
 }
