Wait for other broken connections before a request is repeated

Where all connections of a gateway were reset at once, callers lost streams that could have continued: the next attempt took an idle connection that was broken too, and with two such attempts the limit of the route was reached.

The next attempt after a broken connection begins 5 ms later. Connections that broke at the same moment are known to be closed by then. No test of its own: which of two resets a process reads first cannot be set from outside.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts to send a request to a worker, and the record that decides whether another follows.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hollowbarrow_reach::{NotConnected, UpstreamTarget};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
@@ -26,11 +27,15 @@
 /// Divisor of a duplicate's remaining time; the quotient is its longest wait.
 const DUPLICATE_WAIT_DIVISOR: u32 = 3;
 
+/// Time after a broken connection before the next attempt: idle connections that broke at the same
+/// moment are known by then, and the attempt does not use one of them.
+const RESET_SETTLE_TIME: Duration = Duration::from_millis(5);
+
 /// The attempts at a request so far.
 pub(crate) struct AttemptHistory {
     ticket: DuplicateTicket,
-    /// Time before which the request is not retried: other gateways may report meanwhile that it
-    /// crashes workers.
+    /// Time before which the request is not retried: meanwhile other gateways may report that it
+    /// crashes workers, or broken idle connections are noticed.
     repeat_after: Option<Instant>,
     ledger: AttemptLedger,
     excluded: Vec<WorkerId>,
@@ -132,6 +137,10 @@
             core.crashes().record_crash(request.digest, worker, sent, Instant::now());
             self.repeat_after = self.ticket.record_crash();
         }
+        if matches!(error, AttemptUpstreamError::ConnectionLost { .. }) {
+            let settled = Instant::now() + RESET_SETTLE_TIME;
+            self.repeat_after = self.repeat_after.max(Some(settled));
+        }
         self.excluded.push(worker.clone());
         if !self.summary.is_empty() {
             self.summary.push_str("; ");
