Find the upstream of a tunnel without a list of all, and let callers of a cut-off gateway move

A peer that was asked for a tunnel built a list of all upstreams; it looks the one up now. A gateway that reaches neither workers nor a peer that does closes callers' connections after its answers, in addition to being not ready, so that they may be sent to another one.

--- a/crates/daemon/src/paths.rs
+++ b/crates/daemon/src/paths.rs
@@ -63,6 +63,7 @@
 impl TunnelGate for RouteGate {
     fn admit(&self, _: &DaemonId, upstream: &str) -> Result<SocketAddr, TunnelRefusal> {
         let core = self.0.upgrade().ok_or(TunnelRefusal::Stopping)?;
-        core.reach.admit_tunnel(upstream, &core.routes().targets())
+        let target = core.routes().find_target(upstream);
+        core.reach.admit_tunnel(&target.ok_or(TunnelRefusal::UnknownUpstream)?)
     }
 }
--- a/crates/daemon/src/routes.rs
+++ b/crates/daemon/src/routes.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollowbarrow_reach::ServiceTargets;
+use hollowbarrow_reach::{ServiceTargets, UpstreamTarget, is_full_name};
 use hollowbarrow_routing::{RouteCandidate, UpstreamKey};
 use hollowbarrow_schema::{Allocation, Epoch, ModelName, NodeId, NodeState, ServiceName, ZoneId};
 use hollowbarrow_state::ConfigState;
@@ -129,16 +129,27 @@
 
     /// Returns the upstreams of each model and service as targets of connections.
     pub(crate) fn targets(&self) -> ServiceTargets {
-        let models = self.models.iter().map(|(model, entries)| (model.as_str(), entries));
-        let services = self.services.iter().map(|(service, entries)| (service.as_str(), entries));
-        let each = models.chain(services);
-        let targets = each.map(|(service, entries)| {
+        let targets = self.named_entries().map(|(service, entries)| {
             let targets = entries.iter().map(|entry| target_of(service, entry));
             (service.to_owned(), targets.collect())
         });
         targets.collect()
     }
 
+    /// Returns the upstream that a peer names in its request for a tunnel.
+    pub(crate) fn find_target(&self, full_name: &str) -> Option<UpstreamTarget> {
+        self.named_entries().find_map(|(service, entries)| {
+            let named = |entry: &&RouteEntry| is_full_name(full_name, service, &entry.key.name);
+            entries.iter().find(named).map(|entry| target_of(service, entry))
+        })
+    }
+
+    fn named_entries(&self) -> impl Iterator<Item = (&str, &Vec<RouteEntry>)> {
+        let models = self.models.iter().map(|(model, entries)| (model.as_str(), entries));
+        let services = self.services.iter().map(|(service, entries)| (service.as_str(), entries));
+        models.chain(services)
+    }
+
     fn entries(&self) -> impl Iterator<Item = &RouteEntry> {
         self.models.values().chain(self.services.values()).flatten()
     }
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -8,6 +8,7 @@
 
 use hollowbarrow_fleet::WorkerTable;
 use hollowbarrow_fleet::replicas::{ReplicaKind, ReplicaName};
+use hollowbarrow_reach::UpstreamTarget;
 use hollowbarrow_schema::{
     DaemonId, DomainId, Epoch, MembershipState, ModelName, ServiceName, WorkerId, WorkerReport,
     ZoneId,
@@ -34,6 +35,14 @@
     pub(crate) bias_ms: f64,
 }
 
+impl Candidate {
+    /// Returns the worker as the target of a connection.
+    pub(crate) fn to_target(&self, service: &ServiceName) -> UpstreamTarget {
+        let (service, name) = (service.to_string(), self.id.to_string());
+        UpstreamTarget { service, name, address: self.address }
+    }
+}
+
 /// The candidates by service and model, rebuilt whenever the table of workers has changed.
 #[derive(Debug)]
 pub(crate) struct CandidateIndex {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -139,7 +139,7 @@
 impl TunnelGate for WorkerGate {
     fn admit(&self, _: &DaemonId, upstream: &str) -> Result<SocketAddr, TunnelRefusal> {
         let core = self.0.upgrade().ok_or(TunnelRefusal::Stopping)?;
-        let targets = core.picker().targets();
-        core.reach.admit_tunnel(upstream, &targets)
+        let target = core.picker().find_target(upstream);
+        core.reach.admit_tunnel(&target.ok_or(TunnelRefusal::UnknownUpstream)?)
     }
 }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -82,7 +82,8 @@
                 refusal.to_answer(DEFAULT_TIME_LEFT)
             }
         };
-        if core.stopping.load(Ordering::Relaxed) {
+        // Callers that connect anew may be sent to a gateway that can serve them.
+        if core.stopping.load(Ordering::Relaxed) || core.reach.is_cut_off() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         answer
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Engine, Service, WorkerTable};
-use hollowbarrow_reach::{ServiceTargets, UpstreamTarget};
+use hollowbarrow_reach::{ServiceTargets, UpstreamTarget, is_full_name};
 use hollowbarrow_routing::{
     BackoffReason, BackoffTable, LimitNotice, PERMIT_LIFETIME, Permit, UpstreamLimits,
 };
@@ -222,13 +222,22 @@
         self.candidates.refresh(&self.table);
         let mut targets = ServiceTargets::new();
         for (service, candidate) in self.candidates.all() {
-            let (service, name) = (service.to_string(), candidate.id.to_string());
-            let target = UpstreamTarget { service, name, address: candidate.address };
+            let target = candidate.to_target(service);
             targets.entry(target.service.clone()).or_default().push(target);
         }
         targets
     }
 
+    /// Returns the worker that a peer names in its request for a tunnel, if it takes requests.
+    pub(crate) fn find_target(&mut self, full_name: &str) -> Option<UpstreamTarget> {
+        self.candidates.refresh(&self.table);
+        let mut all = self.candidates.all();
+        let named = all.find(|(service, candidate)| {
+            is_full_name(full_name, service.as_str(), candidate.id.as_str())
+        });
+        named.map(|(service, candidate)| candidate.to_target(service))
+    }
+
     /// Ends all ejections: what failed was this gateway's path to the workers.
     pub fn clear_ejections(&mut self) {
         for local in self.local.values_mut() {
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use connect::{ConnectTimes, NotConnected};
 pub use paths::{PathChange, PathTable, UpstreamPath};
-pub use reach::{Reach, ReachObserver, ServiceTargets, UpstreamTarget};
+pub use reach::{Reach, ReachObserver, ServiceTargets, UpstreamTarget, is_full_name};
 pub use relays::RelayPeers;
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -37,11 +37,12 @@
     pub(crate) fn full_name(&self) -> String {
         format!("{}/{}", self.service, self.name)
     }
+}
 
-    fn is_named(&self, full_name: &str) -> bool {
-        let name = full_name.strip_prefix(self.service.as_str());
-        name.and_then(|rest| rest.strip_prefix('/')) == Some(self.name.as_str())
-    }
+/// Returns whether a name in a peer's request for a tunnel is that of an upstream.
+pub fn is_full_name(full_name: &str, service: &str, name: &str) -> bool {
+    let rest = full_name.strip_prefix(service);
+    rest.and_then(|rest| rest.strip_prefix('/')) == Some(name)
 }
 
 /// The upstreams that may be connected to, by service.
@@ -115,20 +116,12 @@
         self.is_isolated() && self.relays().failing_for(Instant::now()) >= CUT_OFF_TIME
     }
 
-    /// Returns the address of an upstream to which a tunnel may be carried for a peer. `targets` are
-    /// the upstreams that may be connected to now.
+    /// Returns the address of an upstream to which a tunnel may be carried for a peer.
     ///
     /// # Errors
     ///
-    /// Refuses if the upstream is not known, or if this process would need a tunnel itself.
-    pub fn admit_tunnel(
-        &self,
-        full_name: &str,
-        targets: &ServiceTargets,
-    ) -> Result<SocketAddr, TunnelRefusal> {
-        let mut all = targets.values().flatten();
-        let target = all.find(|target| target.is_named(full_name));
-        let target = target.ok_or(TunnelRefusal::UnknownUpstream)?;
+    /// Refuses if this process would need a tunnel itself.
+    pub fn admit_tunnel(&self, target: &UpstreamTarget) -> Result<SocketAddr, TunnelRefusal> {
         match self.path(target) {
             UpstreamPath::Direct => Ok(target.address),
             UpstreamPath::Peer => Err(TunnelRefusal::Isolated),
