Continue what a lost peer carried, and prefer slow peers to none

streams_complete_without_their_peer kills a peer while it carries streams of an isolated gateway.

- The resumed stream took an idle tunnel through the same peer, which was lost too.
Idle tunnels through a peer are closed once it is doubtful.
- More streams broke at once than the retry budget had saved up.
The first repetition after a lost carrier is free: no upstream failed, and a peer carries 400 tunnels at most.
- The worker of the lost tunnel was excluded, and the other one was full.
A worker is not to blame for the peer between.
- On a busy machine (load 20 to 44) all peers had been slower than 180 ms once, and none was tried for a second: 6 of 12 and 18 of 24 requests were served.
Peers that failed come last now instead of not at all, the timeout of a tunnel is 300 ms, and at most four peers are tried for a connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -141,7 +141,10 @@
             let settled = Instant::now() + RESET_SETTLE_TIME;
             self.repeat_after = self.repeat_after.max(Some(settled));
         }
-        self.excluded.push(worker.clone());
+        // A worker is as good as before if only the peer between was lost.
+        if *error != AttemptUpstreamError::CarrierLost {
+            self.excluded.push(worker.clone());
+        }
         if !self.summary.is_empty() {
             self.summary.push_str("; ");
         }
--- a/crates/reach/src/checks.rs
+++ b/crates/reach/src/checks.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use crate::connect::{open_direct, open_tunnel_through};
+use crate::connect::{open_direct, open_tunnel};
 use crate::paths::UpstreamPath;
 use crate::reach::{Reach, ServiceTargets, UpstreamTarget};
 
@@ -86,14 +86,13 @@
     }
 }
 
-/// Tries all peers for one upstream, also those that failed recently.
+/// Tries the peers for one upstream.
 async fn retry_peers(reach: &Reach, targets: &ServiceTargets, turn: usize) {
     let all: Vec<&UpstreamTarget> = targets.values().flatten().collect();
     if all.is_empty() {
         return;
     }
-    let peers = reach.relays().all(&mut rand::rng());
-    if let Ok(lease) = open_tunnel_through(reach, all[turn % all.len()], peers).await {
+    if let Ok(lease) = open_tunnel(reach, all[turn % all.len()]).await {
         lease.give_back();
     }
 }
--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -30,9 +30,11 @@
 }
 
 /// Timeout of a tunnel through one peer. It covers the peer's attempt to connect to the upstream.
-const TUNNEL_TIMEOUT: Duration = Duration::from_millis(180);
+const TUNNEL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a second peer is tried beside one that has not answered.
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(40);
+/// Number of peers that are tried for one connection.
+const MAX_PEERS: usize = 4;
 /// Number of peers that must fail to reach an upstream before it counts as not reached.
 const PEERS_TO_BLAME_UPSTREAM: usize = 2;
 
@@ -154,16 +156,7 @@
     target: &UpstreamTarget,
 ) -> Result<ConnectionLease, NotConnected> {
     let peers = reach.relays().candidates(Instant::now(), &mut rand::rng());
-    open_tunnel_through(reach, target, peers).await
-}
-
-/// Opens a tunnel to an upstream through the first of these peers that can carry it.
-pub(crate) async fn open_tunnel_through(
-    reach: &Reach,
-    target: &UpstreamTarget,
-    peers: Vec<DaemonId>,
-) -> Result<ConnectionLease, NotConnected> {
-    let mut waiting = peers.into_iter();
+    let mut waiting = peers.into_iter().take(MAX_PEERS);
     let mut tries = FuturesUnordered::new();
     let mut doubtful: Vec<DaemonId> = Vec::new();
     while doubtful.len() < PEERS_TO_BLAME_UPSTREAM {
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -128,8 +128,10 @@
         }
     }
 
-    /// Records that a request over a tunnel failed in a way that its peer may have caused.
+    /// Records that a request over a tunnel failed in a way that its peer may have caused. Other
+    /// tunnels through that peer are not used again.
     pub fn record_doubtful_peer(&self, peer: &DaemonId) {
+        self.client.drop_carried_by(peer);
         self.relays().record_unusable(peer, Instant::now());
     }
 
--- a/crates/reach/src/relays.rs
+++ b/crates/reach/src/relays.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
-/// Time for which a peer that failed to carry a tunnel is not tried again.
+/// Time for which a peer that failed to carry a tunnel is tried after the others.
 const PENALTY_TIME: Duration = Duration::from_secs(1);
 /// Time after its last success for which a peer is kept that is not in the newest sample.
 const RETENTION: Duration = Duration::from_secs(10);
@@ -52,13 +52,21 @@
         }
     }
 
-    /// Returns the usable peers in the order in which they are to be tried, drawn at random. Peers of
-    /// the process's own zone and others take turns, because a whole zone may lose its paths at once.
-    /// One of the own zone comes first if several there are usable.
+    /// Returns the peers in the order in which they are to be tried, drawn at random. Peers of the
+    /// process's own zone and others take turns, because a whole zone may lose its paths at once. One
+    /// of the own zone comes first if several there are usable. Peers that failed lately come last.
     pub fn candidates(&self, now: Instant, rng: &mut impl Rng) -> Vec<DaemonId> {
-        let usable = self.peers.iter().filter(|(_, peer)| peer.unusable_until <= Some(now));
+        let (usable, failed): (Vec<_>, Vec<_>) =
+            self.peers.iter().partition(|(_, peer)| peer.unusable_until <= Some(now));
+        let mut ordered = self.in_turn(usable, rng);
+        ordered.extend(self.in_turn(failed, rng));
+        ordered
+    }
+
+    /// Orders peers at random so that those of the process's own zone and others take turns.
+    fn in_turn(&self, peers: Vec<(&DaemonId, &RelayPeer)>, rng: &mut impl Rng) -> Vec<DaemonId> {
         let (mut near, mut far): (Vec<_>, Vec<_>) =
-            usable.partition(|(_, peer)| peer.zone == self.zone);
+            peers.into_iter().partition(|(_, peer)| peer.zone == self.zone);
         if near.len() < MIN_IN_ZONE {
             far.append(&mut near);
         }
@@ -72,13 +80,6 @@
         ordered.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns all peers in random order, also those that failed recently.
-    pub fn all(&self, rng: &mut impl Rng) -> Vec<DaemonId> {
-        let mut all: Vec<DaemonId> = self.peers.keys().cloned().collect();
-        all.shuffle(rng);
-        all
-    }
-
     /// Records that a peer has carried a tunnel to an upstream.
     pub fn record_success(&mut self, id: &DaemonId, now: Instant) {
         self.failing_since = None;
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -96,6 +96,10 @@
         if !safe || !bounded || now >= bounds.deadline {
             return false;
         }
-        error.is_unsent() || std::mem::take(&mut self.budgeted) || budget.take(now)
+        // A lost carrier breaks all its connections at once, more than a daemon has saved up, and an
+        // upstream's overload has no part in it.
+        let carrier_lost = *error == AttemptUpstreamError::CarrierLost && self.runs == 1;
+        let is_free = error.is_unsent() || carrier_lost;
+        is_free || std::mem::take(&mut self.budgeted) || budget.take(now)
     }
 }
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -315,6 +315,12 @@
         self.retain_idle(|_, connection| connection.carrier.is_none());
     }
 
+    /// Closes the idle connections that one daemon carries.
+    pub fn drop_carried_by(&self, name: &str) {
+        let by_it = |carrier: &Carrier| carrier.as_ref().is_some_and(|one| one.name() == name);
+        self.retain_idle(|_, connection| !by_it(&connection.carrier));
+    }
+
     /// Closes this process's own idle connections to one address.
     pub fn drop_kept_at(&self, address: SocketAddr) {
         self.retain_idle(|at, connection| *at != address || connection.carrier.is_some());
