Close idle tunnels through a stopping peer in entry daemons, and count connections that time out

A daemon that stops waits for the tunnels that it carries. Gateways drop idle tunnels whose peer has announced that at their next hello; entry daemons dropped them only when they needed one, so that the peer would have waited for its whole drain time (by reading; stop of an entry daemon beside an idle tunnel was not timed). The background checks of paths drop them now.

A connection that the timeout ended was not counted as timed_out, since the counting ended with it.

--- a/crates/reach/src/checks.rs
+++ b/crates/reach/src/checks.rs
@@ -28,6 +28,8 @@
         let mut turn = 0;
         loop {
             let _ = tokio::time::timeout(CHECK_INTERVAL, self.check_due.notified()).await;
+            // A peer that stops waits until its idle tunnels are closed.
+            self.client.drop_expired();
             if self.paths().is_clear() {
                 continue;
             }
@@ -80,8 +82,7 @@
 }
 
 async fn check_direct(reach: Arc<Reach>, target: UpstreamTarget) {
-    let opening = open_direct(&reach, &target);
-    if let Ok(Ok(lease)) = tokio::time::timeout(reach.times.direct, opening).await {
+    if let Ok(lease) = open_direct(&reach, &target).await {
         lease.give_back();
     }
 }
--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -101,10 +101,7 @@
     reach: &Reach,
     target: &UpstreamTarget,
 ) -> Result<ConnectionLease, NotConnected> {
-    let direct = async {
-        let opening = open_direct(reach, target);
-        tokio::time::timeout(reach.times.direct, opening).await.unwrap_or(Err(NotConnected))
-    };
+    let direct = open_direct(reach, target);
     tokio::pin!(direct);
     let early = tokio::time::timeout(reach.times.tunnel_delay, direct.as_mut()).await;
     if let Ok(Ok(lease)) = early {
@@ -132,13 +129,14 @@
     reach: &Reach,
     target: &UpstreamTarget,
 ) -> Result<ConnectionLease, NotConnected> {
-    let opened = reach.client.connect(target.address).await;
+    let connecting = reach.client.connect(target.address);
+    let opened = tokio::time::timeout(reach.times.direct, connecting).await;
     reach.observer.record_connect(match &opened {
-        Ok(_) => "connected",
-        Err(SendRequestError::Refused(_)) => "refused",
-        Err(_) => "timed_out",
+        Ok(Ok(_)) => "connected",
+        Ok(Err(SendRequestError::Refused(_))) => "refused",
+        _ => "timed_out",
     });
-    let lease = opened.map_err(|_| NotConnected)?;
+    let Ok(Ok(lease)) = opened else { return Err(NotConnected) };
     reach.record_connected(target);
     Ok(lease)
 }
