Let a killed worker behind a proxy refuse connections, and keep its address when it restarts there

The read of the whole change found that the soak had become easier: with a proxy in front of each worker, a killed worker's address still accepted connections (and closed them), where it had refused them, and a worker that restarts at its address got a new one. The proxy stops listening with its worker now, and the next instance registers the same address unless it has moved. No code of the roles has changed.

--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -91,7 +91,9 @@
 pub struct LinkProxy {
     address: SocketAddr,
     modes: Arc<SourceModes>,
-    filter: SourceFilter,
+    /// Filter of the listener; none once the proxy is closed.
+    filter: Mutex<Option<SourceFilter>>,
+    accepting: tokio::task::AbortHandle,
 }
 
 /// Drops packets from some sources at a listening socket, so that connections from there hang.
@@ -163,8 +165,9 @@
         let filter = SourceFilter::new(listener.try_clone().expect("a socket can be cloned"));
         let modes: Arc<SourceModes> = Arc::default();
         let watched = Arc::clone(&modes);
-        tokio::spawn(run_proxy(listener, target, move |source| watched.watch(source), seed));
-        Self { address, modes, filter }
+        let running = run_proxy(listener, target, move |source| watched.watch(source), seed);
+        let accepting = tokio::spawn(running).abort_handle();
+        Self { address, modes, filter: Mutex::new(Some(filter)), accepting }
     }
 
     /// Returns the address on which the proxy listens.
@@ -174,9 +177,17 @@
 
     /// Changes the fault mode of connections from an IP address, also of open ones.
     pub fn set_mode(&self, source: IpAddr, mode: FaultMode) {
-        self.filter.set(source, mode.drops_opening());
+        if let Some(filter) = &*self.filter.lock().expect("the mutex is not poisoned") {
+            filter.set(source, mode.drops_opening());
+        }
         self.modes.set(source, mode);
     }
+
+    /// Stops listening, so that new connections are refused as at a process that has ended.
+    pub fn close(&self) {
+        self.accepting.abort();
+        self.filter.lock().expect("the mutex is not poisoned").take();
+    }
 }
 
 async fn run_proxy(
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -38,6 +38,8 @@
 const NEW_ADDRESS: &str = "127.76.0.1:0";
 /// Address of a new proxy in front of a worker, with a port that the kernel chooses.
 const FRONT_ADDRESS: &str = "127.75.0.1:0";
+/// Addresses of a new worker and of the proxy in front of it.
+const NEW_ADDRESSES: (&str, &str) = (NEW_ADDRESS, FRONT_ADDRESS);
 /// Body of a request that crashes each worker that runs it.
 pub const CRASHING_BODY: &[u8] = b"{\"ends\": \"worker\"}";
 /// Run time of a crashing request before its worker terminates.
@@ -59,8 +61,8 @@
 }
 
 /// Starts a proxy in front of a worker, with the fault modes that are set.
-fn start_front(fleet: &Fleet, target: SocketAddr) -> LinkProxy {
-    let address = FRONT_ADDRESS.parse().expect("the address is valid");
+fn start_front(fleet: &Fleet, address: &str, target: SocketAddr) -> LinkProxy {
+    let address = address.parse().expect("the address is valid");
     let front = LinkProxy::start(address, target, target.port().into());
     for (source, mode) in fleet.source_modes() {
         front.set_mode(source, mode);
@@ -149,7 +151,7 @@
         engine: bool,
         zone: &'static str,
     ) -> Arc<Self> {
-        Self::start_instance(fleet, id, (service, engine, zone), None, NEW_ADDRESS)
+        Self::start_instance(fleet, id, (service, engine, zone), None, NEW_ADDRESSES)
     }
 
     /// Starts one instance of a worker at an address.
@@ -158,11 +160,11 @@
         id: &str,
         (service, engine, zone): (&'static str, bool, &'static str),
         start_ms: Option<u64>,
-        address: &str,
+        (address, front_address): (&str, &str),
     ) -> Arc<Self> {
         let listener = bind_http(address).expect("the port is free");
         let bound = listener.local_addr().expect("the listener is bound");
-        let front = fleet.fronted.then(|| start_front(fleet, bound));
+        let front = fleet.fronted.then(|| start_front(fleet, front_address, bound));
         let address = bound.to_string();
         let (stop, stopped) = watch::channel(false);
         let worker = Arc::new(Self {
@@ -203,7 +205,13 @@
         engine: bool,
         zone: &'static str,
     ) -> Arc<Self> {
-        Self::start_instance(fleet, id, (service, engine, zone), Some(FIRST_START_MS), NEW_ADDRESS)
+        Self::start_instance(
+            fleet,
+            id,
+            (service, engine, zone),
+            Some(FIRST_START_MS),
+            NEW_ADDRESSES,
+        )
     }
 
     /// Kills the worker and, after a delay, starts a new instance with the same id, at the same
@@ -222,8 +230,9 @@
         self.fleet.record_restarted(&self.id);
         let start_ms = self.start_ms.map(|start_ms| start_ms + 1000);
         let kind = (self.service, self.engine, self.zone);
-        let address = if moved { NEW_ADDRESS } else { &self.address };
-        Self::start_instance(&self.fleet, &self.id, kind, start_ms, address)
+        let registered = self.registered_address();
+        let addresses = if moved { NEW_ADDRESSES } else { (&*self.address, &*registered) };
+        Self::start_instance(&self.fleet, &self.id, kind, start_ms, addresses)
     }
 
     /// Sets the fault mode of connections from a source address.
@@ -252,6 +261,9 @@
         self.fleet.record_stopped(&self.id);
         self.fleet.set_closed(&self.id);
         self.stop.send_replace(true);
+        if let Some(front) = &self.front {
+            front.close();
+        }
     }
 
     /// Terminates the worker while it runs a request, and starts another worker after a delay.
