Send a gateway the peers that it needs, for each service, as soon as it needs them

(1) A sample of the others is sent every 5 s, and every 300 ms only to a gateway that is isolated, which it becomes only through a peer: one whose sample holds no usable peer never says so. The same holds for a gateway whose controller knew few others when the sample was drawn.

Change: hellos name the services that a gateway does not reach, or for which it has lately found no peer. The controller draws for each of these from the gateways that reach it, every 300 ms; a sample that was small is sent again as soon as a larger one can be drawn. Peers are put last for the service for which they failed. Without a need nothing is sent more often, and the hello's field is empty.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -9,13 +9,13 @@
     ControllerHello, ControllerPlace, CrashRecord, DaemonId, GatewayHello, GatewayPlace,
     HeldRequest, RequestDigest, WorkerBeat, WorkerId, WorkerLoad, WorkerReport, ZoneId,
 };
-use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
 use crate::certainty::ConfigCertainty;
 use crate::delivery::{DeliveryOffer, DeliveryRole, DeliveryState};
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
+use crate::peer_samples::{PeerCandidate, SampleSchedule, draw_sample};
 use crate::quarantine::ReleasedRequests;
 use crate::table_hashes::TableHashHistory;
 use crate::tables::TableRequests;
@@ -40,22 +40,9 @@
 /// take less.
 const LOGGED_LAG: Duration = Duration::from_millis(1000);
 
-/// Time between two samples of other gateways that a gateway is sent while it is isolated, and
-/// otherwise.
-const PEERS_INTERVAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(5));
 /// Silence after which a gateway is not in samples any more: longer than the interval between the
 /// hellos to controllers that are not primary.
 const PEER_SILENCE: Duration = Duration::from_secs(2);
-/// Gateways of the recipient's own zone in a sample, and of other zones.
-const SAMPLED_PEERS: usize = 4;
-
-/// Draws a sample of gateways for a gateway in a zone.
-fn sample_peers(mut places: Vec<GatewayPlace>, zone: &ZoneId) -> Vec<GatewayPlace> {
-    places.shuffle(&mut rand::rng());
-    let (near, far): (Vec<_>, Vec<_>) = places.into_iter().partition(|place| place.zone == *zone);
-    near.into_iter().take(SAMPLED_PEERS).chain(far.into_iter().take(SAMPLED_PEERS)).collect()
-}
-
 /// A gateway that has sent a hello.
 #[derive(Clone, Debug)]
 struct KnownGateway {
@@ -67,10 +54,10 @@
     logged_behind: bool,
     mismatches: u32,
     loads: Vec<WorkerLoad>,
-    /// Whether it reaches no worker of a service, and so can carry no tunnels.
-    isolated: bool,
+    /// Services whose workers it does not reach itself. It needs peers for them.
+    unreached: Vec<String>,
     /// When it was last sent a sample of the other gateways.
-    peers_sent: Option<Instant>,
+    samples: SampleSchedule,
 }
 
 /// A controller that has sent a hello.
@@ -234,8 +221,8 @@
         let mut delivery =
             known.map_or(DeliveryState::new(hello.deployment, now), |gateway| gateway.delivery);
         delivery.record_reported_version(hello.deployment, now);
-        let peers_sent = known.and_then(|gateway| gateway.peers_sent);
-        let GatewayHello { zone, home: primary, loads, isolated, .. } = hello;
+        let samples = known.map(|gateway| gateway.samples).unwrap_or_default();
+        let GatewayHello { zone, home: primary, loads, unreached, .. } = hello;
         let mismatches = mismatches % threshold;
         let gateway = KnownGateway {
             zone,
@@ -245,33 +232,33 @@
             logged_behind,
             mismatches,
             loads,
-            isolated,
-            peers_sent,
+            unreached,
+            samples,
         };
         self.gateways.insert(from.clone(), gateway);
     }
 
-    /// Returns a sample of the other gateways if it is due to be sent to a gateway: at intervals from
-    /// its primary controller, or from each controller while it has none.
+    /// Returns a sample of the other gateways if it is due to be sent to a gateway: from its primary
+    /// controller, or from each controller while it has none.
     pub(crate) fn peers_due(&mut self, to: &DaemonId, now: Instant) -> Option<Vec<GatewayPlace>> {
-        let gateway = self.gateways.get_mut(to)?;
-        if gateway.primary.as_ref().is_some_and(|primary| *primary != self.local) {
+        let gateway = self.gateways.get(to)?;
+        let is_primary = gateway.primary.as_ref().is_none_or(|primary| *primary == self.local);
+        let needed = !gateway.unreached.is_empty();
+        if !is_primary || !gateway.samples.is_due(needed, now) {
             return None;
         }
-        let interval = if gateway.isolated { PEERS_INTERVAL.0 } else { PEERS_INTERVAL.1 };
-        let due = |sent: Instant| now.saturating_duration_since(sent) >= interval;
-        if !gateway.peers_sent.is_none_or(due) {
-            return None;
-        }
-        gateway.peers_sent = Some(now);
-        let zone = gateway.zone.clone();
-        let others = self.gateways.iter().filter(|(id, other)| {
-            let silence = now.saturating_duration_since(other.last_received);
-            *id != to && !other.isolated && silence < PEER_SILENCE
+        let candidates = self.gateways.iter().filter(|(id, other)| {
+            *id != to && now.saturating_duration_since(other.last_received) < PEER_SILENCE
+        });
+        let candidates = candidates.map(|(id, other)| PeerCandidate {
+            id,
+            zone: &other.zone,
+            unreached: &other.unreached,
         });
-        let places =
-            others.map(|(id, other)| GatewayPlace { id: id.clone(), zone: other.zone.clone() });
-        Some(sample_peers(places.collect(), &zone))
+        let (zone, unreached) = (&gateway.zone, &gateway.unreached);
+        let sample = draw_sample(zone, unreached, candidates.collect(), &mut rand::rng());
+        let gateway = self.gateways.get_mut(to)?;
+        gateway.samples.record(needed, sample.len(), now).then_some(sample)
     }
 
     /// Logs once when a gateway falls behind for longer than [`LOGGED_LAG`], and once when it has
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod liveness;
 mod metrics;
 mod orders;
+pub mod peer_samples;
 mod pending;
 mod protocol;
 mod quarantine;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -43,7 +43,7 @@
                 home: primary.clone(),
                 deployment: version,
                 workers: picker.digest(),
-                isolated: core.reach.is_isolated(),
+                unreached: core.reach.unreached_services(),
                 loads: picker.loads(now),
                 crashes: Vec::new(),
             }
--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -153,7 +153,7 @@
     reach: &Reach,
     target: &UpstreamTarget,
 ) -> Result<ConnectionLease, NotConnected> {
-    let peers = reach.relays().candidates(Instant::now(), &mut rand::rng());
+    let peers = reach.relays().candidates(&target.service, Instant::now(), &mut rand::rng());
     let mut waiting = peers.into_iter().take(MAX_PEERS);
     let mut tries = FuturesUnordered::new();
     let mut doubtful: Vec<DaemonId> = Vec::new();
@@ -171,10 +171,13 @@
         };
         match tried {
             Ok(stream) => {
-                reach.record_carried(&peer, &doubtful);
+                reach.record_carried(&peer, target, &doubtful);
                 return adopt(reach, target, peer, stream).await;
             }
             Err(Some(TunnelRefusal::Unreachable)) => doubtful.push(peer),
+            Err(Some(TunnelRefusal::Isolated)) => {
+                reach.relays().record_unreaching(&peer, &target.service, Instant::now());
+            }
             Err(Some(TunnelRefusal::UnknownUpstream)) => {}
             Err(_) => reach.relays().record_unusable(&peer, Instant::now()),
         }
@@ -184,7 +187,7 @@
         return Err(NotConnected);
     }
     reach.observer.record_connect("no_peer");
-    reach.relays().record_none_usable(Instant::now());
+    reach.relays().record_none_usable(&target.service, Instant::now());
     Err(NotConnected)
 }
 
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -77,6 +77,11 @@
         !self.isolated.is_empty()
     }
 
+    /// Returns the services from which the process is isolated.
+    pub fn isolated(&self) -> impl Iterator<Item = &str> {
+        self.isolated.iter().map(String::as_str)
+    }
+
     /// Returns whether all upstreams are reached directly.
     pub fn is_clear(&self) -> bool {
         self.bypassed.is_empty() && self.isolated.is_empty()
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -1,6 +1,6 @@
 //! The state of a process's paths, and the reactions to its changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -106,6 +106,15 @@
         self.paths().is_isolated()
     }
 
+    /// Returns the services of which this process reaches no upstream itself, and those for which it
+    /// has lately found no peer either. It needs peers for them and can carry no tunnels to them.
+    pub fn unreached_services(&self) -> Vec<String> {
+        let mut services: BTreeSet<String> =
+            self.paths().isolated().map(ToOwned::to_owned).collect();
+        services.extend(self.relays().lacking(Instant::now()).map(ToOwned::to_owned));
+        services.into_iter().collect()
+    }
+
     /// Returns whether this process counts as reaching no upstream of a service itself.
     pub fn is_unreached(&self, service: &str) -> bool {
         self.paths().is_unreached(service)
@@ -178,11 +187,16 @@
     }
 
     /// Records that a peer has carried a tunnel to an upstream that these other peers did not reach.
-    pub(crate) fn record_carried(&self, peer: &DaemonId, others: &[DaemonId]) {
+    pub(crate) fn record_carried(
+        &self,
+        peer: &DaemonId,
+        target: &UpstreamTarget,
+        others: &[DaemonId],
+    ) {
         let now = Instant::now();
         let mut relays = self.relays();
-        relays.record_success(peer, now);
-        others.iter().for_each(|other| relays.record_unusable(other, now));
+        relays.record_success(peer, &target.service, now);
+        others.iter().for_each(|other| relays.record_unreaching(other, &target.service, now));
     }
 
     /// Begins the check of a silent upstream, unless one is in progress.
--- a/crates/reach/tests/relays.rs
+++ b/crates/reach/tests/relays.rs
@@ -31,7 +31,7 @@
 fn count_first(peers: &RelayPeers, id: &str, now: Instant) -> usize {
     let first = |seed| {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        peers.candidates(now, &mut rng).first().is_some_and(|first| first.as_str() == id)
+        peers.candidates("chat", now, &mut rng).first().is_some_and(|first| first.as_str() == id)
     };
     (0..300).filter(|seed| first(*seed)).count()
 }
@@ -43,7 +43,7 @@
     let peers = peers_of(&[("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b"), ("c1", "c")], now);
     for seed in 0..20 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let candidates = peers.candidates(now, &mut rng);
+        let candidates = peers.candidates("chat", now, &mut rng);
         let own: Vec<bool> = candidates.iter().map(|id| id.starts_with('a')).collect();
         assert_eq!(own, [true, false, true, false, true], "{candidates:?}");
     }
@@ -68,7 +68,7 @@
     peers.record_unusable(&DaemonId::from("a1"), now);
     for seed in 0..20 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let candidates = peers.candidates(now, &mut rng);
+        let candidates = peers.candidates("chat", now, &mut rng);
         assert_eq!(candidates.len(), 3);
         assert_eq!(candidates.last(), Some(&DaemonId::from("a1")));
     }
@@ -81,15 +81,15 @@
 fn replace_keeps_working_peer() {
     let now = Instant::now();
     let mut peers = peers_of(&[("a1", "a"), ("a2", "a")], now);
-    peers.record_success(&DaemonId::from("a1"), now);
+    peers.record_success(&DaemonId::from("a1"), "chat", now);
     peers.replace(places(&[("b1", "b")]), now);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let mut kept = peers.candidates(now, &mut rng);
+    let mut kept = peers.candidates("chat", now, &mut rng);
     kept.sort();
     assert_eq!(names(&kept), ["a1", "b1"]);
     let later = now + Duration::from_secs(11);
     peers.replace(places(&[("b2", "b")]), later);
-    assert_eq!(names(&peers.candidates(later, &mut rng)), ["b2"]);
+    assert_eq!(names(&peers.candidates("chat", later, &mut rng)), ["b2"]);
 }
 
 #[rstest]
@@ -97,10 +97,53 @@
     let now = Instant::now();
     let mut peers = peers_of(&[("a1", "a")], now);
     assert_eq!(peers.failing_for(now), Duration::ZERO);
-    peers.record_none_usable(now);
+    peers.record_none_usable("chat", now);
     let later = now + Duration::from_millis(700);
-    peers.record_none_usable(later);
+    peers.record_none_usable("chat", later);
     assert_eq!(peers.failing_for(later), Duration::from_millis(700));
-    peers.record_success(&DaemonId::from("a1"), later);
+    peers.record_success(&DaemonId::from("a1"), "chat", later);
     assert_eq!(peers.failing_for(later), Duration::ZERO);
 }
+
+/// A peer that lost its path to one service still reaches others.
+#[rstest]
+fn candidates_per_service() {
+    let now = Instant::now();
+    let mut peers = peers_of(&[("a1", "a"), ("a2", "a"), ("b1", "b")], now);
+    peers.record_unreaching(&DaemonId::from("a1"), "chat", now);
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let candidates = peers.candidates("chat", now, &mut rng);
+        assert_eq!(candidates.last(), Some(&DaemonId::from("a1")));
+    }
+    let first = |seed| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        peers.candidates("hold", now, &mut rng).first() == Some(&DaemonId::from("a1"))
+    };
+    assert!((0..100).any(first), "a1 is never tried first for the other service");
+}
+
+/// A newer sample must not make a peer usable that has just failed.
+#[rstest]
+fn replace_keeps_failed_peer_last() {
+    let now = Instant::now();
+    let mut peers = peers_of(&[("a1", "a"), ("a2", "a")], now);
+    peers.record_unreaching(&DaemonId::from("a1"), "chat", now);
+    peers.replace(places(&[("a1", "a"), ("a3", "a"), ("b1", "b")]), now);
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let candidates = peers.candidates("chat", now, &mut rng);
+        assert_eq!(candidates.last(), Some(&DaemonId::from("a1")));
+    }
+}
+
+#[rstest]
+fn lacking_until_success_or_timeout() {
+    let now = Instant::now();
+    let mut peers = peers_of(&[("a1", "a")], now);
+    peers.record_none_usable("chat", now);
+    peers.record_none_usable("hold", now);
+    peers.record_success(&DaemonId::from("a1"), "hold", now);
+    assert_eq!(peers.lacking(now).collect::<Vec<_>>(), ["chat"]);
+    assert_eq!(peers.lacking(now + Duration::from_secs(1)).count(), 0);
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1332,11 +1332,11 @@
     ///Primary controller, which forwards to this gateway what the other controllers publish; none while the gateway is looking for one, in which case all controllers send to it.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub home: ::std::option::Option<DaemonId>,
-    ///Whether the gateway reaches no workers, or not those of a whole service.
-    #[serde(default)]
-    pub isolated: bool,
     ///Sent to the primary controller only, or to all controllers if there is none.
     pub loads: ::std::vec::Vec<WorkerLoad>,
+    ///Services whose workers the gateway does not reach itself, or for which it has lately found no peer; it needs peers for them.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub unreached: ::std::vec::Vec<::std::string::String>,
     ///Hash over the gateway's table of workers.
     pub workers: u64,
     pub zone: ZoneId,
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -59,6 +59,8 @@
     notice_events: Mutex<Vec<NoticeEvent>>,
     /// Requests that ran in replicas, with the epoch of the replica.
     replica_runs: Mutex<Vec<(String, u64)>>,
+    /// Times at which callers ended streams before their last event, by request.
+    unfinished: Mutex<BTreeMap<String, Instant>>,
 }
 
 impl Fleet {
@@ -206,6 +208,17 @@
         }
     }
 
+    /// Records that the caller ended a stream before its last event.
+    pub fn record_unfinished(&self, request: &str) {
+        let ended = (request.to_owned(), Instant::now());
+        self.unfinished.lock().expect("not poisoned").extend([ended]);
+    }
+
+    /// Returns when the caller ended a request's stream before its last event, if it did.
+    pub fn unfinished_at(&self, request: &str) -> Option<Instant> {
+        self.unfinished.lock().expect("not poisoned").get(request).copied()
+    }
+
     /// Records that a crashing request started to run.
     pub fn record_crashing_run(&self, path: &str) {
         let run = (path.to_owned(), Instant::now());
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -96,6 +96,30 @@
     pub backoff: Option<Duration>,
 }
 
+/// Progress of one stream, which records when its caller ends it.
+struct StreamProgress {
+    fleet: Arc<Fleet>,
+    request: String,
+    next: u64,
+}
+
+impl StreamProgress {
+    /// The worker itself ends the stream.
+    fn truncated(self) -> Self {
+        let mut progress = self;
+        progress.next = EVENTS + 1;
+        progress
+    }
+}
+
+impl Drop for StreamProgress {
+    fn drop(&mut self) {
+        if self.next <= EVENTS {
+            self.fleet.record_unfinished(&self.request);
+        }
+    }
+}
+
 /// One instance of a stand-in worker.
 pub struct Worker {
     pub id: String,
@@ -501,25 +525,29 @@
         }
         let after: u64 = header("last-event-id").parse().unwrap_or_default();
         let worker = Arc::clone(self);
-        let events = unfold(after + 1, move |number| {
+        let fleet = Arc::clone(&self.fleet);
+        let progress = StreamProgress { fleet, request: id, next: after + 1 };
+        let events = unfold(progress, move |mut progress| {
             let worker = Arc::clone(&worker);
             async move {
+                let number = progress.next;
                 if number > EVENTS {
                     return None;
                 }
                 let slow = worker.slow.load(Ordering::Relaxed);
                 tokio::time::sleep(EVENT_PAUSE * if slow { 2 } else { 1 }).await;
                 if worker.stopped.load(Ordering::Relaxed) {
-                    return Some((Err(TruncatedAnswerError), EVENTS + 1));
+                    return Some((Err(TruncatedAnswerError), progress.truncated()));
                 }
                 let since = Instant::now();
                 while worker.is_stalled() {
                     if since.elapsed() > STALL_TIMEOUT {
-                        return Some((Err(TruncatedAnswerError), EVENTS + 1));
+                        return Some((Err(TruncatedAnswerError), progress.truncated()));
                     }
                     tokio::time::sleep(EVENT_PAUSE).await;
                 }
-                Some((Ok(Bytes::from(event(number))), number + 1))
+                progress.next = number + 1;
+                Some((Ok(Bytes::from(event(number))), progress))
             }
         });
         let builder = builder.header("content-type", "text/event-stream");
