Open a new connection after a lost one, and resume answers once without the retry budget

(2) A reset interrupts more answers at once than the retry budget holds; in `serve` the first resumption was free for that reason, in the gateway it was not.

Change: after a lost connection the attempts of that request open new ones, whose opening shows that the path works; the pause is gone. `serve` does the same. The first resumption of an answer that has begun is not charged, as in `serve`.

The proxies of the tests get a mode that closes connections and lets no packet of a new one through: the two steps used before let some connections in between.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -72,6 +72,9 @@
     pub(crate) span: &'a HopSpan,
     /// Whether the caller wants a stream.
     pub(crate) streamed: bool,
+    /// Whether the connection of a former attempt was lost. An idle one may have been lost with it,
+    /// without a sign of that yet.
+    pub(crate) connection_lost: bool,
     /// Place among the request's duplicates, given up while the attempt waits for an upstream. `None`
     /// if another attempt of the same request may be in progress.
     pub(crate) place: Option<&'a DuplicatePlace>,
@@ -112,15 +115,7 @@
     let key = entry.key.clone();
     let picker_guard = PickerGuard::new(core, &key, attempt.blocks).with_permit(permit);
     let progress = relay.progress();
-    let sending = send_to_upstream(
-        core,
-        request,
-        &entry,
-        &attempt_span,
-        relay,
-        attempt.streamed,
-        &picker_guard,
-    );
+    let sending = send_to_upstream(attempt, &entry, &attempt_span, relay, &picker_guard);
     let outcome = tokio::select! {
         outcome = sending => outcome,
         // A replica that lost a member cannot answer any more. Only a repeatable request is
@@ -395,17 +390,16 @@
 }
 
 async fn send_to_upstream(
-    core: &Arc<DaemonCore>,
-    request: &CallerRequest,
+    attempt: Attempt<'_>,
     entry: &RouteEntry,
     span: &HopSpan,
     relay: &mut StreamRelay,
-    streamed: bool,
     picker_guard: &PickerGuard<'_>,
 ) -> Result<AttemptAnswer, AttemptUpstreamError> {
+    let Attempt { core, request, streamed, .. } = attempt;
     let target = target_of(request.kind.service(), entry);
     let connecting = async {
-        if request.not_repeatable {
+        if request.not_repeatable || attempt.connection_lost {
             core.reach.open(&target, request.deadline).await
         } else {
             core.reach.take(&target, request.deadline).await
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -65,6 +65,8 @@
     tried: Vec<UpstreamKey>,
     /// Whether a failed attempt may have run the request.
     may_have_run: bool,
+    /// Whether the connection of an attempt was lost.
+    connection_lost: bool,
     /// Digest of the content, equal for duplicates of a request.
     pub(crate) digest: RequestDigest,
     pub(crate) waits: RequestWaits,
@@ -100,6 +102,7 @@
         upstream: None,
         tried: Vec::new(),
         may_have_run: false,
+        connection_lost: false,
         digest,
         waits: RequestWaits::default(),
     };
@@ -229,6 +232,7 @@
                 avoid: &self.tried,
                 span: &self.span,
                 streamed,
+                connection_lost: self.connection_lost,
                 place: Some(place),
             };
             let disconnected = self.link.disconnected();
@@ -264,6 +268,7 @@
                 }
             };
             self.may_have_run |= error.ran() != ErrorRan::NotRun;
+            self.connection_lost |= is_connection_lost(&error);
             let retry_at = self.record_crash(&error, selected, duplicate);
             let facts = RequestFacts {
                 repeatable: !self.request.not_repeatable,
@@ -379,6 +384,7 @@
             avoid: &[],
             span: &span,
             streamed: false,
+            connection_lost: false,
             place: None,
         };
         let first = run_plain_attempt(attempt);
@@ -406,6 +412,7 @@
             Err(AttemptError::Failed(error)) => {
                 // With two attempts, the other one failed too and may have run the request.
                 self.may_have_run |= error.ran() != ErrorRan::NotRun || self.attempts > 1;
+                self.connection_lost |= is_connection_lost(&error);
                 self.tried.extend(self.upstream.clone());
                 if let Some(until) = self.record_crash(&error, sent, duplicate) {
                     tokio::time::sleep_until(until.min(self.request.deadline)).await;
@@ -453,6 +460,10 @@
     }
 }
 
+fn is_connection_lost(error: &AttemptUpstreamError) -> bool {
+    matches!(error, AttemptUpstreamError::ConnectionLost { .. })
+}
+
 /// Returns whether an attempt was withdrawn before anything was sent.
 fn is_withdrawn(outcome: &Result<AttemptAnswer, AttemptError>) -> bool {
     matches!(outcome, Err(AttemptError::Failed(error)) if error.is_withdrawn())
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,6 @@
 //! Attempts to send a request to a worker, and the record that decides whether another follows.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use hollowbarrow_reach::{NotConnected, UpstreamTarget};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
@@ -27,20 +26,18 @@
 /// Divisor of a duplicate's remaining time; the quotient is its longest wait.
 const DUPLICATE_WAIT_DIVISOR: u32 = 3;
 
-/// Time after a broken connection before the next attempt: idle connections that broke at the same
-/// moment are known by then, and the attempt does not use one of them.
-const RESET_SETTLE_TIME: Duration = Duration::from_millis(5);
-
 /// The attempts at a request so far.
 pub(crate) struct AttemptHistory {
     ticket: DuplicateTicket,
     /// Time before which the request is not retried: meanwhile other gateways may report that it
-    /// crashes workers, or broken idle connections are noticed.
+    /// crashes workers.
     repeat_after: Option<Instant>,
     ledger: AttemptLedger,
     excluded: Vec<WorkerId>,
     /// When the last attempt began.
     last_sent: Option<Instant>,
+    /// Whether the connection of an attempt was lost.
+    connection_lost: bool,
     /// Attempt that replaces one that was given up.
     next: Option<WorkerAttempt>,
     /// Peer that carries the connection of the last attempt, if one does.
@@ -58,6 +55,7 @@
             ledger: AttemptLedger::new(),
             excluded: Vec::new(),
             last_sent: None,
+            connection_lost: false,
             next: None,
             carrier: None,
             summary: String::new(),
@@ -137,10 +135,7 @@
             core.crashes().record_crash(request.digest, worker, sent, Instant::now());
             self.repeat_after = self.ticket.record_crash();
         }
-        if matches!(error, AttemptUpstreamError::ConnectionLost { .. }) {
-            let settled = Instant::now() + RESET_SETTLE_TIME;
-            self.repeat_after = self.repeat_after.max(Some(settled));
-        }
+        self.connection_lost |= matches!(error, AttemptUpstreamError::ConnectionLost { .. });
         // A worker is as good as before if only the peer between was lost.
         if *error != AttemptUpstreamError::CarrierLost {
             self.excluded.push(worker.clone());
@@ -163,6 +158,16 @@
         self.ledger.may_repeat(&request.bounds(), error, &core.budget, Instant::now())
     }
 
+    /// Returns whether the answer that this failure interrupted may be resumed at another worker.
+    pub(crate) fn may_resume(
+        &mut self,
+        core: &GatewayCore,
+        request: &CallerRequest,
+        error: &AttemptUpstreamError,
+    ) -> bool {
+        self.ledger.may_resume(&request.bounds(), error, &core.budget, Instant::now())
+    }
+
     /// Records that an attempt is given up, and returns its error.
     pub(crate) fn record_given_up(&mut self, error: WatchError) -> AttemptUpstreamError {
         match error {
@@ -323,8 +328,8 @@
     }
 }
 
-/// Connects to a worker, or reuses an idle connection. Nothing of the request has been sent when
-/// this returns.
+/// Connects to a worker, or reuses an idle connection unless one was lost before. Nothing of the
+/// request has been sent when this returns.
 pub(crate) async fn connect_to_worker(
     core: &Arc<GatewayCore>,
     request: &CallerRequest,
@@ -340,7 +345,14 @@
     if history.ledger.sends() > 1 {
         core.metrics.count_repeat(if is_resume { "resumed" } else { "again" });
     }
-    match core.reach.take(&target_of(request, &attempt.worker), request.deadline()).await {
+    let (target, deadline) = (target_of(request, &attempt.worker), request.deadline());
+    // An idle connection may have been lost with the former attempt's, without a sign of it yet.
+    let opened = if history.connection_lost {
+        core.reach.open(&target, deadline).await
+    } else {
+        core.reach.take(&target, deadline).await
+    };
+    match opened {
         Ok(lease) => {
             history.record_carrier(request, attempt, lease.carrier());
             Ok(lease.with_max_idle(core.most_idle(&request.service)))
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -29,6 +29,8 @@
     Blackhole,
     /// Keeps connections open but forwards nothing, and drops the packets that open new ones.
     Unreachable,
+    /// Closes all connections, and drops the packets that open new ones.
+    Severed,
     /// Serves open connections, and drops the packets that open new ones.
     NoNewConnections,
     /// Forwards only data from the side that opened the connection.
@@ -48,7 +50,12 @@
 impl FaultMode {
     /// Returns whether the packets that open connections are dropped, so that connecting hangs.
     fn drops_opening(self) -> bool {
-        matches!(self, Self::Unreachable | Self::NoNewConnections)
+        matches!(self, Self::Unreachable | Self::Severed | Self::NoNewConnections)
+    }
+
+    /// Returns whether all connections are closed.
+    fn closes(self) -> bool {
+        matches!(self, Self::Disconnect | Self::Severed)
     }
 }
 
@@ -201,7 +208,7 @@
     loop {
         let Ok((client, source)) = listener.accept().await else { return };
         let watcher = watch(source.ip());
-        if *watcher.borrow() == FaultMode::Disconnect {
+        if watcher.borrow().closes() {
             continue;
         }
         connection += 1;
@@ -225,7 +232,7 @@
         forward_with_faults(server_read, client_write, watcher.clone(), true, seed ^ 0xff);
     tokio::select! {
         () = async { tokio::join!(requests, replies); } => {}
-        _ = watcher.wait_for(|mode| *mode == FaultMode::Disconnect) => {}
+        _ = watcher.wait_for(|mode| mode.closes()) => {}
     }
 }
 
--- a/tests/platform/isolation.rs
+++ b/tests/platform/isolation.rs
@@ -27,6 +27,8 @@
 const LEAVING_NOTICED: Duration = Duration::from_millis(500);
 /// Time that a worker takes for a request that may run only once.
 const SERVICE_TIME: Duration = Duration::from_millis(200);
+/// Streams in progress while all connections are lost, few enough for any of the replicas.
+const STREAMS_AT_LOSS: usize = 3;
 /// Time for which a sound worker is silent.
 const SILENCE: Duration = Duration::from_secs(1);
 
@@ -42,16 +44,13 @@
 }
 
 /// Isolates a gateway from all workers.
-async fn isolate(deployment: &Deployment, gateway: usize, loss: Loss) {
-    match loss {
-        Loss::Silent => deployment.set_worker_links(gateway, FaultMode::Unreachable),
-        Loss::Closed => {
-            deployment.set_worker_links(gateway, FaultMode::Disconnect);
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            deployment.set_worker_links(gateway, FaultMode::Unreachable);
-        }
-        Loss::OpenOnesContinue => deployment.set_worker_links(gateway, FaultMode::NoNewConnections),
-    }
+fn isolate(deployment: &Deployment, gateway: usize, loss: Loss) {
+    let mode = match loss {
+        Loss::Silent => FaultMode::Unreachable,
+        Loss::Closed => FaultMode::Severed,
+        Loss::OpenOnesContinue => FaultMode::NoNewConnections,
+    };
+    deployment.set_worker_links(gateway, mode);
 }
 
 impl Deployment {
@@ -122,7 +121,7 @@
     // Requests before the loss leave connections behind, which are lost with the paths.
     let served = count_served(&deployment, 0, "before").await;
     assert_eq!(served, 2 * REQUESTS, "{}", deployment.system.logs());
-    isolate(&deployment, 0, loss).await;
+    isolate(&deployment, 0, loss);
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     let served = count_served(&deployment, 0, "isolated").await;
@@ -134,8 +133,8 @@
 #[tokio::test]
 async fn callers_served_while_most_gateways_isolated() {
     let deployment = start(233).await;
-    isolate(&deployment, 0, Loss::Silent).await;
-    isolate(&deployment, 1, Loss::Silent).await;
+    isolate(&deployment, 0, Loss::Silent);
+    isolate(&deployment, 1, Loss::Silent);
     count_served(&deployment, 0, "at-once-0").await;
     count_served(&deployment, 1, "at-once-1").await;
     tokio::time::sleep(CONTACT_TIME).await;
@@ -152,7 +151,7 @@
 #[tokio::test]
 async fn streams_complete_without_their_peer(#[case] block: u8, #[case] signal: Signal) {
     let deployment = start(block).await;
-    isolate(&deployment, 0, Loss::Silent).await;
+    isolate(&deployment, 0, Loss::Silent);
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     let ending = async {
@@ -171,7 +170,7 @@
 #[tokio::test]
 async fn worker_notices_caller_leaving_through_peer() {
     let deployment = start(236).await;
-    isolate(&deployment, 0, Loss::Silent).await;
+    isolate(&deployment, 0, Loss::Silent);
     count_streams(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     assert!(deployment.is_isolated(0).await, "{}", deployment.system.logs());
@@ -195,7 +194,7 @@
 async fn request_run_once_without_its_peer() {
     let deployment = start(237).await;
     let system = &deployment.system;
-    isolate(&deployment, 0, Loss::Silent).await;
+    isolate(&deployment, 0, Loss::Silent);
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     assert!(deployment.is_isolated(0).await, "{}", system.logs());
@@ -257,7 +256,7 @@
 #[tokio::test]
 async fn callers_served_when_isolated_soon_after_start() {
     let deployment = start(239).await;
-    isolate(&deployment, 0, Loss::Silent).await;
+    isolate(&deployment, 0, Loss::Silent);
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     let served = count_served(&deployment, 0, "isolated").await;
@@ -291,3 +290,30 @@
         assert_eq!(served, 2 * REQUESTS, "gateway {gateway}: {}", deployment.system.logs());
     }
 }
+
+/// All connections of a gateway to workers are closed while it streams, and new ones hang.
+///
+/// Guards against a stream that is resumed on an idle connection lost at the same moment.
+#[rstest]
+#[tokio::test]
+async fn streams_complete_when_all_connections_close() {
+    let deployment = start(241).await;
+    // Leaves idle connections to the heads of both replicas behind.
+    let served = count_streams(&deployment, 0, "before").await;
+    assert_eq!(served, REQUESTS, "{}", deployment.system.logs());
+    let system = &deployment.system;
+    let calls = (0..STREAMS_AT_LOSS).map(|number| async move {
+        let (path, id) = (format!("/chat/closed-{number}"), format!("closed-{number}"));
+        let answer = system.call(0, &path, &id, Some(KEY)).await;
+        answer.map(|answer| String::from_utf8_lossy(answer.body()).into_owned())
+    });
+    let loss = async {
+        tokio::time::sleep(PAUSE).await;
+        isolate(&deployment, 0, Loss::Closed);
+    };
+    let (answers, ()) =
+        tokio::join!(hollowbarrow_testkit::join_all(calls.collect::<Vec<_>>()), loss);
+    for answer in answers {
+        assert_eq!(answer.ok(), Some(complete_stream()), "{}", system.logs());
+    }
+}
