Check the paths to other workers as soon as one is in doubt, and wait for peers that may be named

What callers saw: after resets, requests that may run only once end with 502 up to 0.7 s later ("the upstream's connection broke" after 1 ms, on an idle connection), and streams of a gateway without a usable peer are cut after three attempts that took 20 ms each.

Cause: a gateway learns that its path to a service is lost from two requests that fail, and what may run once is lost on each connection from before. And attempts that find no usable peer follow each other at once, though the controller names others within 0.3 s.

Change: a lost connection has its worker checked with a new one in the background, as silence has had; the first worker that only a peer reaches has two others of its service checked. Isolation is known before further requests are sent. Where no peer is usable, and has not been for over a second, the next attempt waits 150 ms. The log line of a stream that could not be resumed no longer says not_run if it ran.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -425,7 +425,7 @@
     picker_guard.record_sent();
     let sent = core.client.send(lease, &message, request.deadline).await;
     if sent.as_ref().is_err_and(|error| *error == SendRequestError::Timeout) {
-        core.reach.check_silent(target);
+        core.reach.check_upstream(target);
     }
     let answer = sent.map_err(to_send_error)?;
     picker_guard.record_first_byte();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts to send a request to a worker, and the record that decides whether another follows.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hollowbarrow_reach::{NotConnected, UpstreamTarget};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
@@ -26,16 +27,22 @@
 /// Divisor of a duplicate's remaining time; the quotient is its longest wait.
 const DUPLICATE_WAIT_DIVISOR: u32 = 3;
 
+/// Time before the next attempt while this gateway reaches a worker neither itself nor through a peer,
+/// and controllers may name other peers.
+const PEERS_WAIT_TIME: Duration = Duration::from_millis(150);
+
 /// The attempts at a request so far.
 pub(crate) struct AttemptHistory {
     ticket: DuplicateTicket,
     /// Time before which the request is not retried: meanwhile other gateways may report that it
-    /// crashes workers.
+    /// crashes workers, or controllers may name other peers.
     repeat_after: Option<Instant>,
     ledger: AttemptLedger,
     excluded: Vec<WorkerId>,
     /// When the last attempt began.
     last_sent: Option<Instant>,
+    /// Where the last attempt connected to.
+    last_target: Option<UpstreamTarget>,
     /// Whether the connection of an attempt was lost.
     connection_lost: bool,
     /// Attempt that replaces one that was given up.
@@ -55,6 +62,7 @@
             ledger: AttemptLedger::new(),
             excluded: Vec::new(),
             last_sent: None,
+            last_target: None,
             connection_lost: false,
             next: None,
             carrier: None,
@@ -135,7 +143,7 @@
             core.crashes().record_crash(request.digest, worker, sent, Instant::now());
             self.repeat_after = self.ticket.record_crash();
         }
-        self.connection_lost |= matches!(error, AttemptUpstreamError::ConnectionLost { .. });
+        self.record_path(core, request, error);
         // A worker is as good as before if only the peer between was lost.
         if *error != AttemptUpstreamError::CarrierLost {
             self.excluded.push(worker.clone());
@@ -148,6 +156,27 @@
         self.summary.push_str(&format!("{}{through}: {error}", **worker));
     }
 
+    /// Records what a failure may mean for this gateway's paths.
+    fn record_path(
+        &mut self,
+        core: &GatewayCore,
+        request: &CallerRequest,
+        error: &AttemptUpstreamError,
+    ) {
+        match error {
+            AttemptUpstreamError::ConnectionLost { .. } => {
+                self.connection_lost = true;
+                if let (None, Some(target)) = (&self.carrier, &self.last_target) {
+                    core.reach.check_upstream(target.clone());
+                }
+            }
+            AttemptUpstreamError::NotReached if core.reach.awaits_peers(&request.service.name) => {
+                self.repeat_after = Some(Instant::now() + PEERS_WAIT_TIME);
+            }
+            _ => {}
+        }
+    }
+
     /// Returns whether the request may be sent to another worker after this failure.
     pub(crate) fn may_repeat(
         &mut self,
@@ -341,11 +370,12 @@
         core.budget.record_request();
     }
     history.ledger.record_send();
+    let (target, deadline) = (target_of(request, &attempt.worker), request.deadline());
     history.last_sent = Some(Instant::now());
+    history.last_target = Some(target.clone());
     if history.ledger.sends() > 1 {
         core.metrics.count_repeat(if is_resume { "resumed" } else { "again" });
     }
-    let (target, deadline) = (target_of(request, &attempt.worker), request.deadline());
     // An idle connection may have been lost with the former attempt's, without a sign of it yet.
     let opened = if history.connection_lost {
         core.reach.open(&target, deadline).await
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -255,7 +255,7 @@
                 ReadStep::Broken(error) => error,
             };
             if let Err(error) = self.resume(error).await {
-                let refusal = Refusal::from_attempt(&error);
+                let refusal = self.history.to_refusal(Refusal::from_attempt(&error));
                 self.request.record_failed(&self.core, refusal, &self.history);
                 return Some(Err(TruncatedAnswerError));
             }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -92,7 +92,7 @@
         let others = targets.get(service).map_or(&[][..], Vec::as_slice);
         let heard = |name: &str| self.core.has_progress(&WorkerId::from(name), recent);
         if !others.iter().any(|other| heard(&other.name)) {
-            self.core.reach.check_silent(target_of(self.request, &attempt.worker));
+            self.core.reach.check_upstream(target_of(self.request, &attempt.worker));
         }
     }
 }
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -72,6 +72,12 @@
             || (!self.isolated.is_empty() && !self.connected.contains(service))
     }
 
+    /// Returns whether a peer reached an upstream of a service that this process did not, while it is
+    /// not known whether it reaches others.
+    pub fn is_doubtful(&self, service: &str) -> bool {
+        self.recent.contains_key(service) && !self.isolated.contains(service)
+    }
+
     /// Returns whether the process is isolated from a whole service.
     pub fn is_isolated(&self) -> bool {
         !self.isolated.is_empty()
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -20,6 +20,9 @@
 /// counts as cut off.
 const CUT_OFF_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which a process that has found no usable peer does not expect one soon.
+const PEERS_AWAITED_TIME: Duration = Duration::from_secs(1);
+
 /// An upstream to connect to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamTarget {
@@ -67,8 +70,8 @@
     pub(crate) check_due: Notify,
     paths: Mutex<PathTable>,
     relays: Mutex<RelayPeers>,
-    /// Whether the path to a silent upstream is being checked.
-    checking_silence: AtomicBool,
+    /// Whether the path to a doubtful upstream is being checked.
+    checking: AtomicBool,
 }
 
 impl Reach {
@@ -87,7 +90,7 @@
             check_due: Notify::new(),
             paths: Mutex::default(),
             relays: Mutex::new(RelayPeers::new(zone)),
-            checking_silence: AtomicBool::new(false),
+            checking: AtomicBool::new(false),
         }
     }
 
@@ -115,6 +118,13 @@
         services.into_iter().collect()
     }
 
+    /// Returns whether no peer could be used for a service just now, so that one may be found soon.
+    pub fn awaits_peers(&self, service: &str) -> bool {
+        let (relays, now) = (self.relays(), Instant::now());
+        let is_new = relays.failing_for(now) < PEERS_AWAITED_TIME;
+        is_new && relays.lacking(now).any(|lacking| lacking == service)
+    }
+
     /// Returns whether this process counts as reaching no upstream of a service itself.
     pub fn is_unreached(&self, service: &str) -> bool {
         self.paths().is_unreached(service)
@@ -173,6 +183,7 @@
         self.client.drop_kept_at(*address);
         if !known {
             log::info!("event=upstream_bypassed upstream={name} service={service} peer={peer}");
+            self.check_due.notify_one();
         }
         self.apply(change, service);
     }
@@ -199,13 +210,13 @@
         others.iter().for_each(|other| relays.record_unreaching(other, &target.service, now));
     }
 
-    /// Begins the check of a silent upstream, unless one is in progress.
-    pub(crate) fn begin_silence_check(&self) -> bool {
-        !self.checking_silence.swap(true, Ordering::Relaxed)
+    /// Begins the check of a doubtful upstream, unless one is in progress.
+    pub(crate) fn begin_check(&self) -> bool {
+        !self.checking.swap(true, Ordering::Relaxed)
     }
 
-    pub(crate) fn end_silence_check(&self) {
-        self.checking_silence.store(false, Ordering::Relaxed);
+    pub(crate) fn end_check(&self) {
+        self.checking.store(false, Ordering::Relaxed);
     }
 
     fn apply(&self, change: PathChange, service: &str) {
--- a/tests/all/voter_replacement.rs
+++ b/tests/all/voter_replacement.rs
@@ -161,7 +161,7 @@
         let shown = |log: &&str| {
             metrics.contains(&format!("hollowbarrow_log_voter_fault{{log=\"{log}\"}} 1\n"))
         };
-        if LOGS.iter().all(|log| shown(log)) {
+        if LOGS.iter().all(shown) {
             return;
         }
         assert!(started.elapsed() < RECOVERY_TIMEOUT, "a fault is not in {metrics}");
