Ask for peers only if one that was tried could not tell, and check lost connections in serve

In a deployment of two gateways the only peer of each is also its only witness: one that says that a worker is out of reach left the service lacking peers, so that retries after a crash would have waited 150 ms. It is believed if it is the only one that was tried.

Entry daemons check the path to an upstream after a lost connection as gateways do.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -424,7 +424,7 @@
     }
     picker_guard.record_sent();
     let sent = core.client.send(lease, &message, request.deadline).await;
-    if sent.as_ref().is_err_and(|error| *error == SendRequestError::Timeout) {
+    if matches!(sent, Err(SendRequestError::Timeout | SendRequestError::NoAnswer(_))) {
         core.reach.check_upstream(target);
     }
     let answer = sent.map_err(to_send_error)?;
--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -157,13 +157,17 @@
     let mut waiting = peers.into_iter().take(MAX_PEERS);
     let mut tries = FuturesUnordered::new();
     let mut doubtful: Vec<DaemonId> = Vec::new();
+    let mut ended = 0;
     while doubtful.len() < PEERS_TO_BLAME_UPSTREAM {
         if tries.is_empty() {
             let Some(peer) = waiting.next() else { break };
             tries.push(try_peer(reach, target, peer));
         }
         let (peer, tried) = tokio::select! {
-            Some(tried) = tries.next() => tried,
+            Some(tried) = tries.next() => {
+                ended += 1;
+                tried
+            }
             () = tokio::time::sleep(NEXT_PEER_DELAY), if waiting.len() > 0 => {
                 tries.extend(waiting.next().map(|peer| try_peer(reach, target, peer)));
                 continue;
@@ -182,7 +186,9 @@
             Err(_) => reach.relays().record_unusable(&peer, Instant::now()),
         }
     }
-    if doubtful.len() >= PEERS_TO_BLAME_UPSTREAM {
+    // Fewer are enough if every peer that was tried says so.
+    let unanimous = !doubtful.is_empty() && doubtful.len() == ended;
+    if doubtful.len() >= PEERS_TO_BLAME_UPSTREAM || unanimous {
         reach.observer.record_connect("peer_unreached");
         return Err(NotConnected);
     }
--- a/crates/reach/tests/paths.rs
+++ b/crates/reach/tests/paths.rs
@@ -100,3 +100,18 @@
     assert_eq!(paths.retain(|_, _| false), PathChange::Reconnected);
     assert!(paths.is_clear());
 }
+
+/// Other upstreams of a service are checked only while it is not known whether it is reached.
+#[rstest]
+fn doubtful_until_known() {
+    let mut paths = PathTable::new();
+    assert!(!paths.is_doubtful(MODELS));
+    bypass(&mut paths, MODELS, "1");
+    assert!(paths.is_doubtful(MODELS));
+    assert!(!paths.is_doubtful(BOOKINGS));
+    paths.record_connected(MODELS, "2");
+    assert!(!paths.is_doubtful(MODELS), "another upstream is reached");
+    bypass(&mut paths, MODELS, "3");
+    bypass(&mut paths, MODELS, "4");
+    assert!(!paths.is_doubtful(MODELS), "the process is isolated");
+}
