Keep the case in which connections are closed for a moment before they hang

The new mode of the proxies replaced, in the tests of isolated gateways, the two steps used before: 50 ms in which new connections are accepted and closed, then silence.

--- a/tests/platform/isolation.rs
+++ b/tests/platform/isolation.rs
@@ -41,15 +41,22 @@
     Silent,
     /// Open connections are closed, and new ones hang.
     Closed,
+    /// Open connections are closed; new ones are closed once accepted for a moment, and then hang.
+    ClosedThenSilent,
     /// Open connections continue, and new ones hang.
     OpenOnesContinue,
 }
 
 /// Isolates a gateway from all workers.
-fn isolate(deployment: &Deployment, gateway: usize, loss: Loss) {
+async fn isolate(deployment: &Deployment, gateway: usize, loss: Loss) {
     let mode = match loss {
         Loss::Silent => FaultMode::Unreachable,
         Loss::Closed => FaultMode::Severed,
+        Loss::ClosedThenSilent => {
+            deployment.set_worker_links(gateway, FaultMode::Disconnect);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            FaultMode::Unreachable
+        }
         Loss::OpenOnesContinue => FaultMode::NoNewConnections,
     };
     deployment.set_worker_links(gateway, mode);
@@ -117,13 +124,14 @@
 #[case::silent(230, Loss::Silent)]
 #[case::closed(231, Loss::Closed)]
 #[case::open_ones_continue(232, Loss::OpenOnesContinue)]
+#[case::closed_then_silent(243, Loss::ClosedThenSilent)]
 #[tokio::test]
 async fn callers_of_isolated_gateway_served(#[case] block: u8, #[case] loss: Loss) {
     let deployment = start(block).await;
     // Requests before the loss leave connections behind, which are lost with the paths.
     let served = count_served(&deployment, 0, "before").await;
     assert_eq!(served, 2 * REQUESTS, "{}", deployment.system.logs());
-    isolate(&deployment, 0, loss);
+    isolate(&deployment, 0, loss).await;
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     let served = count_served(&deployment, 0, "isolated").await;
@@ -135,8 +143,8 @@
 #[tokio::test]
 async fn callers_served_while_most_gateways_isolated() {
     let deployment = start(233).await;
-    isolate(&deployment, 0, Loss::Silent);
-    isolate(&deployment, 1, Loss::Silent);
+    isolate(&deployment, 0, Loss::Silent).await;
+    isolate(&deployment, 1, Loss::Silent).await;
     count_served(&deployment, 0, "at-once-0").await;
     count_served(&deployment, 1, "at-once-1").await;
     tokio::time::sleep(CONTACT_TIME).await;
@@ -153,7 +161,7 @@
 #[tokio::test]
 async fn streams_complete_without_their_peer(#[case] block: u8, #[case] signal: Signal) {
     let deployment = start(block).await;
-    isolate(&deployment, 0, Loss::Silent);
+    isolate(&deployment, 0, Loss::Silent).await;
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     let ending = async {
@@ -172,7 +180,7 @@
 #[tokio::test]
 async fn worker_notices_caller_leaving_through_peer() {
     let deployment = start(236).await;
-    isolate(&deployment, 0, Loss::Silent);
+    isolate(&deployment, 0, Loss::Silent).await;
     count_streams(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     assert!(deployment.is_isolated(0).await, "{}", deployment.system.logs());
@@ -196,7 +204,7 @@
 async fn request_run_once_without_its_peer() {
     let deployment = start(237).await;
     let system = &deployment.system;
-    isolate(&deployment, 0, Loss::Silent);
+    isolate(&deployment, 0, Loss::Silent).await;
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     assert!(deployment.is_isolated(0).await, "{}", system.logs());
@@ -258,7 +266,7 @@
 #[tokio::test]
 async fn callers_served_when_isolated_soon_after_start() {
     let deployment = start(239).await;
-    isolate(&deployment, 0, Loss::Silent);
+    isolate(&deployment, 0, Loss::Silent).await;
     count_served(&deployment, 0, "at-once").await;
     tokio::time::sleep(CONTACT_TIME).await;
     let served = count_served(&deployment, 0, "isolated").await;
@@ -316,7 +324,7 @@
     });
     let loss = async {
         tokio::time::sleep(PAUSE).await;
-        isolate(&deployment, 0, Loss::Closed);
+        isolate(&deployment, 0, Loss::Closed).await;
     };
     let (answers, ()) =
         tokio::join!(hollowbarrow_testkit::join_all(calls.collect::<Vec<_>>()), loss);
