Log each crash with the parts of its prompt, and list a test of a part that crashes workers

No log line told which crash was counted against which content, nor named the parts of a prompt, so that "counted against contents that do not come again" could not be told from "counted, and cleared again by what is no answer". A gateway now reads the names of the parts, and logs `crash_recorded` with them. Nothing is decided by them yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -140,6 +140,14 @@
         if let (AttemptUpstreamError::ConnectionLost { .. }, Some(sent)) = (error, self.last_sent)
             && !own_fault
         {
+            log::info!(
+                "event=crash_recorded request={:?} worker={} content={:016x} parts={:?} ran_ms={}",
+                request.head.id,
+                **worker,
+                *request.digest,
+                request.head.prompt_parts,
+                sent.elapsed().as_millis(),
+            );
             core.crashes().record_crash(request.digest, worker, sent, Instant::now());
             self.repeat_after = self.ticket.record_crash();
         }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -25,6 +25,8 @@
     pub target: String,
     /// Requested model.
     pub model: Option<ModelName>,
+    /// Names of the parts of the prompt in order; the last part is the request's own.
+    pub prompt_parts: Vec<String>,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Largest number of tokens of the answer.
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use hollowbarrow_testkit::FaultMode;
 use tokio::time::Instant;
@@ -61,6 +62,38 @@
     replica_runs: Mutex<Vec<(String, u64)>>,
     /// Times at which callers ended streams before their last event, by request.
     unfinished: Mutex<BTreeMap<String, Instant>>,
+    /// How workers crash under requests.
+    pub crash_plan: CrashPlan,
+}
+
+/// When a worker crashes under a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CrashStage {
+    /// Before it sends anything of the answer.
+    BeforeHead,
+    /// After the head of the answer.
+    #[default]
+    AfterHead,
+    /// After some events of the answer.
+    AfterEvents,
+}
+
+/// How workers crash under requests.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashPlan {
+    pub stage: CrashStage,
+    /// Delay after which a new worker replaces a crashed one.
+    pub restart_time: Duration,
+    /// Whether answers have neither a length nor chunks, so that the end of the connection is the end
+    /// of the answer.
+    pub unframed: bool,
+}
+
+impl Default for CrashPlan {
+    fn default() -> Self {
+        let restart_time = Duration::from_millis(600);
+        Self { stage: CrashStage::default(), restart_time, unframed: false }
+    }
 }
 
 impl Fleet {
@@ -68,6 +101,11 @@
         Arc::new(Self { controllers, ..Self::default() })
     }
 
+    /// Creates the state of workers that crash under requests in a given way.
+    pub fn with_crash_plan(controllers: Vec<String>, crash_plan: CrashPlan) -> Arc<Self> {
+        Arc::new(Self { controllers, crash_plan, ..Self::default() })
+    }
+
     /// Creates the state of workers that have a proxy in front of them.
     pub fn with_fronts(controllers: Vec<String>) -> Arc<Self> {
         Arc::new(Self { controllers, fronted: true, ..Self::default() })
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod changes;
 mod counted;
 mod crashing_burst;
+mod crashing_part;
 mod crashing_request;
 mod disturbance;
 mod duplicates;
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -613,6 +613,28 @@
     id: &str,
     key: Option<&str>,
     body: &'static [u8],
+) -> Result<Response<Bytes>, CallError> {
+    send_to_gateway(address, path, id, key, None, body).await
+}
+
+/// Sends a request whose prompt has these parts to the gateway at an address.
+pub async fn call_gateway_with_parts(
+    address: &str,
+    path: &str,
+    id: &str,
+    key: &str,
+    parts: &str,
+) -> Result<Response<Bytes>, CallError> {
+    send_to_gateway(address, path, id, Some(key), Some(parts), b"{}").await
+}
+
+async fn send_to_gateway(
+    address: &str,
+    path: &str,
+    id: &str,
+    key: Option<&str>,
+    parts: Option<&str>,
+    body: &'static [u8],
 ) -> Result<Response<Bytes>, CallError> {
     let mut request = Request::builder()
         .method(Method::POST)
@@ -625,6 +647,9 @@
     if let Some(key) = key {
         request = request.header("api-key", key);
     }
+    if let Some(parts) = parts {
+        request = request.header("prefix-hash", parts);
+    }
     let request = request.body(Full::new(Bytes::from_static(body))).expect("the request is valid");
     call_once(address, request, CALL_TIMEOUT).await
 }
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -2,6 +2,7 @@
 //! requests.
 
 mod orders;
+mod unframed;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -23,8 +24,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::fleet::{Fleet, Membership};
+use crate::fleet::{CrashStage, Fleet, Membership};
 use crate::notices::{NoticeEvent, WorkerNotice};
+use unframed::UnframedFront;
 
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 30;
@@ -44,8 +46,10 @@
 pub const CRASHING_BODY: &[u8] = b"{\"ends\": \"worker\"}";
 /// Run time of a crashing request before its worker terminates.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
-/// Delay after which a new worker replaces a crashed one.
-const RESTART_TIME: Duration = Duration::from_millis(600);
+/// Run time of a request that crashes its worker after some events.
+const CRASH_DELAY_IN_STREAM: Duration = Duration::from_millis(130);
+/// First digits of the ids of prompt parts that crash each worker that begins to answer them.
+pub const CRASHING_PART: &str = "dead";
 
 /// Start time of the first instance of each worker that reports it, in Unix milliseconds.
 pub const FIRST_START_MS: u64 = 1_764_720_000_000;
@@ -70,6 +74,15 @@
     front
 }
 
+/// Returns whether a request crashes each worker that begins to answer it.
+fn is_crashing(head: &Parts, body: &[u8]) -> bool {
+    let parts = head.headers.get("prefix-hash").and_then(|value| value.to_str().ok());
+    let mut parts: Vec<&str> = parts.unwrap_or_default().split(',').collect();
+    // The last part is the request's own.
+    parts.pop();
+    body == CRASHING_BODY || parts.iter().any(|part| part.starts_with(CRASHING_PART))
+}
+
 /// Returns one event of a stream.
 pub fn event(number: u64) -> String {
     format!("id: {number}\ndata: token {number}\n\n")
@@ -129,6 +142,8 @@
     address: String,
     /// Proxy in front of it, whose address it registers.
     front: Option<LinkProxy>,
+    /// Proxy in front of it whose answers have neither a length nor chunks, if there is one.
+    unframed: Option<UnframedFront>,
     service: &'static str,
     engine: bool,
     zone: &'static str,
@@ -189,6 +204,8 @@
         let listener = bind_http(address).expect("the port is free");
         let bound = listener.local_addr().expect("the listener is bound");
         let front = fleet.fronted.then(|| start_front(fleet, front_address, bound));
+        let unframed =
+            fleet.crash_plan.unframed.then(|| UnframedFront::start(front_address, bound));
         let address = bound.to_string();
         let (stop, stopped) = watch::channel(false);
         let worker = Arc::new(Self {
@@ -196,6 +213,7 @@
             start_ms,
             address,
             front,
+            unframed,
             service,
             engine,
             zone,
@@ -266,7 +284,8 @@
 
     fn registered_address(&self) -> String {
         let front = self.front.as_ref().map(|front| front.address().to_string());
-        front.unwrap_or_else(|| self.address.clone())
+        let unframed = self.unframed.as_ref().map(|front| front.address().to_string());
+        front.or(unframed).unwrap_or_else(|| self.address.clone())
     }
 
     /// Returns the number of heartbeats that this instance has sent, including the one in progress.
@@ -288,17 +307,25 @@
         if let Some(front) = &self.front {
             front.close();
         }
+        if let Some(front) = &self.unframed {
+            front.close();
+        }
     }
 
     /// Terminates the worker while it runs a request, and starts another worker after a delay.
     async fn crash_under_request(self: Arc<Self>, path: String) {
-        tokio::time::sleep(CRASH_DELAY).await;
+        let plan = self.fleet.crash_plan;
+        tokio::time::sleep(match plan.stage {
+            CrashStage::AfterEvents => CRASH_DELAY_IN_STREAM,
+            _ => CRASH_DELAY,
+        })
+        .await;
         if self.is_stopped() {
             return;
         }
         self.kill();
         let number = self.fleet.record_crash(path);
-        tokio::time::sleep(RESTART_TIME).await;
+        tokio::time::sleep(plan.restart_time).await;
         let id = format!("{}-{number}", self.id);
         Self::start_in(&self.fleet, &id, self.service, self.engine, self.zone);
     }
@@ -506,10 +533,13 @@
         }
         self.fleet.record_run(&id, membership.as_ref().map(|membership| membership.epoch));
         let builder = builder.header("response-signature", format!("{}.1", self.id));
-        if body == CRASHING_BODY {
+        let crashes = is_crashing(head, body);
+        if crashes {
             let path = head.uri.path().to_owned();
             self.fleet.record_crashing_run(&path);
             tokio::spawn(Arc::clone(self).crash_under_request(path));
+        }
+        if crashes && !(self.engine && self.fleet.crash_plan.stage == CrashStage::AfterEvents) {
             // Sends the head of the answer, but no event.
             let truncated = unfold((), |()| async {
                 tokio::time::sleep(CRASH_DELAY).await;
@@ -600,6 +630,10 @@
             }
             _ => {
                 let answer = self.answer_request(&head, &body);
+                let stage = self.fleet.crash_plan.stage;
+                if stage == CrashStage::BeforeHead && is_crashing(&head, &body) {
+                    tokio::time::sleep(LIMITS.idle).await;
+                }
                 if answer.status().is_success() {
                     let service_time = *self.service_time.lock().expect("not poisoned");
                     tokio::time::sleep(service_time).await;
