Know which answers end with their connection, and never pool such connections

What callers saw: nothing yet of this alone. Such an end looks the same whether the upstream has finished or its process has ended, so that nothing may be concluded from it alone.

`SentAnswer::framed` states whether the answer's own length, chunks or the absence of a body show where it ends. A connection whose answer it ends is not returned to the pool, whatever its state is when that is asked.

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -13,9 +13,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
@@ -117,6 +117,9 @@
     pub headers: HeaderMap,
     /// Body that has not been read yet.
     pub body: Incoming,
+    /// Whether a length, chunks or the absence of a body show where the answer ends. The end of its
+    /// connection is the end of any other answer, also where the upstream terminates within it.
+    pub framed: bool,
     /// Returns the connection to the pool after the body has been read to its end.
     pub lease: ConnectionLease,
 }
@@ -210,6 +213,8 @@
     reused: bool,
     keep_alive: Option<Duration>,
     max_idle: usize,
+    /// Whether the answer on it ends with the connection.
+    ends: bool,
 }
 
 impl ConnectionLease {
@@ -220,6 +225,11 @@
         self
     }
 
+    /// Returns whether the connection is open, as far as is known.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Returns whether the connection has carried a request before.
     pub fn is_reused(&self) -> bool {
         self.reused
@@ -248,7 +258,7 @@
 
     /// Returns the connection to the pool; the answer's body must have been read to its end.
     pub fn give_back(self) {
-        if self.sender.is_closed() || is_leaving(&self.carrier) {
+        if self.ends || self.sender.is_closed() || is_leaving(&self.carrier) {
             return;
         }
         let mut idle = self.client.idle.lock().expect("no holder of the lock panics");
@@ -436,6 +446,7 @@
             reused,
             keep_alive: None,
             max_idle: IDLE_PER_UPSTREAM,
+            ends: false,
         }
     }
 
@@ -525,7 +536,14 @@
         return Err(SendRequestError::OtherRequest(named.unwrap_or_default()));
     }
     lease.keep_alive = read_keep_alive(&parts.headers);
-    Ok(SentAnswer { status: parts.status, headers: parts.headers, body, lease })
+    let framed = is_framed(&parts.headers, &body);
+    lease.ends = !framed;
+    Ok(SentAnswer { status: parts.status, headers: parts.headers, body, framed, lease })
+}
+
+fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    let stated = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    body.is_end_stream() || stated.iter().any(|name| headers.contains_key(name))
 }
 
 /// Reads the timeout of the `Keep-Alive` header.
--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -102,3 +102,61 @@
     let silent = client.prepare(address, false).await.map(|_| ());
     assert_eq!(silent, Err(SendRequestError::Connect(address)));
 }
+
+/// Answers the first request of each connection with a body that only the end of the connection
+/// ends.
+async fn start_unframed_server(resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 4096];
+            let _ = stream.read(&mut buffer).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nthe answer").await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            if resets {
+                let _ = stream.set_zero_linger();
+            }
+        }
+    });
+    address
+}
+
+/// An answer without a length ends with its connection, which is not used again; a reset is no end.
+#[rstest]
+#[case::closed(false)]
+#[case::reset(true)]
+#[tokio::test]
+async fn unframed_answer_ends_with_connection(#[case] resets: bool) {
+    let address = start_unframed_server(resets).await;
+    let client = UpstreamClient::new();
+    let lease = client.connect(address).await.expect("the server listens");
+    let request = UpstreamRequest {
+        request_id: "r1".to_owned(),
+        method: Method::GET,
+        target: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        reuse: true,
+    };
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let answer = client.send(lease, &request, deadline).await.expect("the server answers");
+    assert!(!answer.framed);
+    let body = answer.body.collect().await;
+    assert_eq!(body.is_err(), resets);
+    if let Ok(body) = body {
+        assert_eq!(body.to_bytes(), "the answer");
+    }
+    answer.lease.give_back();
+    assert!(client.take_kept(address).is_none(), "the connection is not pooled");
+}
+
+#[rstest]
+#[tokio::test]
+async fn framed_answer_states_its_end() {
+    let (address, _) = start_server().await;
+    let client = UpstreamClient::new();
+    let lease = client.connect(address).await.expect("the server listens");
+    use_lease(&client, lease).await.give_back();
+    assert!(client.take_kept(address).is_some());
+}
