Find out what became of an upstream after a connection to it was lost

A connection ends with the process, with the path, or alone. `Reach::learn_fate` opens a new one over the own path, and through a peer if that fails or is closed at once: an upstream has terminated only if it accepts none while another one of its service does. Requests that lost connections to the same upstream share one check, and a connection that stays open is kept for later requests.

--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -142,7 +142,10 @@
 }
 
 /// Opens a tunnel to an upstream that the process's own path does not reach.
-async fn bypass(reach: &Reach, target: &UpstreamTarget) -> Result<ConnectionLease, NotConnected> {
+pub(crate) async fn bypass(
+    reach: &Reach,
+    target: &UpstreamTarget,
+) -> Result<ConnectionLease, NotConnected> {
     let lease = open_tunnel(reach, target).await?;
     reach.record_bypassed(target, lease.carrier().unwrap_or_default());
     Ok(lease)
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -8,15 +8,19 @@
 //!
 //! - A failed connection counts as the process's own loss only if a peer reached the upstream.
 //! - No request is sent over the process's own path to find out whether that path works again.
+//! - A lost connection shows that an upstream has terminated only if a new one fails on either path,
+//!   while another upstream of the service is reached.
 //! - An idle connection from before a loss of the path is not used after the loss was noticed.
 
 mod checks;
 mod connect;
+mod fate;
 mod paths;
 mod reach;
 mod relays;
 
 pub use connect::{ConnectTimes, NotConnected};
+pub use fate::UpstreamFate;
 pub use paths::{PathChange, PathTable, UpstreamPath};
 pub use reach::{Reach, ReachObserver, ServiceTargets, UpstreamTarget, is_full_name};
 pub use relays::RelayPeers;
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::connect::ConnectTimes;
+use crate::fate::FateChecks;
 use crate::paths::{PathChange, PathTable, UpstreamPath};
 use crate::relays::RelayPeers;
 
@@ -72,6 +73,7 @@
     relays: Mutex<RelayPeers>,
     /// Whether the path to a doubtful upstream is being checked.
     checking: AtomicBool,
+    pub(crate) fates: FateChecks,
 }
 
 impl Reach {
@@ -91,6 +93,7 @@
             paths: Mutex::default(),
             relays: Mutex::new(RelayPeers::new(zone)),
             checking: AtomicBool::new(false),
+            fates: FateChecks::default(),
         }
     }
 
