--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -6,7 +6,7 @@
 use hollowbarrow_fleet::DeploymentFault;
 use hollowbarrow_member::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits};
 use hollowbarrow_schema::{
-    DeploymentDocument, EntryPayload, ParseContentError, ProposalOutcome, RequestDigest, WorkerId,
+    ContentDigest, DeploymentDocument, EntryPayload, ParseContentError, ProposalOutcome, WorkerId,
     WorkerReport, read_release_path,
 };
 use http_body_util::{BodyExt, Limited};
@@ -83,7 +83,7 @@
 /// operators of this system make it.
 fn release_quarantined(
     core: &ControllerCore,
-    request: Result<RequestDigest, ParseContentError>,
+    request: Result<ContentDigest, ParseContentError>,
     path: &str,
 ) -> ControlAnswer {
     let request = match request {
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -6,8 +6,8 @@
 use hollowbarrow_fleet::{MergeOutcome, VersionTimes, WorkerTable};
 use hollowbarrow_routing::CrashLedger;
 use hollowbarrow_schema::{
-    ControllerHello, ControllerPlace, CrashRecord, DaemonId, GatewayHello, GatewayPlace,
-    HeldRequest, RequestDigest, WorkerBeat, WorkerId, WorkerLoad, WorkerReport, ZoneId,
+    ContentDigest, ControllerHello, ControllerPlace, CrashRecord, DaemonId, GatewayHello,
+    GatewayPlace, HeldRequest, WorkerBeat, WorkerId, WorkerLoad, WorkerReport, ZoneId,
 };
 use tokio::time::Instant;
 
@@ -159,9 +159,16 @@
             .retain(|_, gateway| now.duration_since(gateway.last_received) < GATEWAY_SILENCE);
     }
 
-    /// Requests that crash workers, from the records of all daemons.
-    pub(crate) fn crashes(&self) -> &CrashLedger {
-        &self.crashes
+    /// Contents that crash workers, with the gateways that may send probe requests.
+    pub(crate) fn quarantined(&mut self, now: Instant) -> Vec<HeldRequest> {
+        let mut quarantined = self.crashes.quarantined(now);
+        self.crashes.grant_probes(&mut quarantined, now);
+        quarantined
+    }
+
+    /// Number of runs that count against a content.
+    pub(crate) fn count_runs(&self, content: ContentDigest) -> usize {
+        self.crashes.count_runs(content)
     }
 
     /// Records of crashes of quarantined requests to publish to gateways now.
@@ -174,7 +181,7 @@
     }
 
     /// Releases a request from quarantine because an operator declares it harmless.
-    pub(crate) fn release(&mut self, request: RequestDigest, now: Instant) {
+    pub(crate) fn release(&mut self, request: ContentDigest, now: Instant) {
         self.crashes.contradict(request, now);
         self.released.record(request, now);
     }
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -230,8 +230,8 @@
                 .progress
                 .map(|at| now.saturating_duration_since(at).as_millis() as u32),
         });
-        let mut quarantined = fleet.crashes().quarantined(now);
-        leadership.quarantine_log.record(&quarantined);
+        let mut quarantined = fleet.quarantined(now);
+        leadership.quarantine_log.record(&quarantined, |content| fleet.count_runs(content));
         let crashes = fleet.evidence_due(&quarantined, now);
         quarantined.extend(fleet.released(now));
         let view = FleetView {
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -7,8 +7,8 @@
 use hollowbarrow_reach::NotConnected;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
-    BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey, UpstreamOutlook, WaitFacts,
-    may_return_to_failed, upstream_wait_limit,
+    AnswerProof, BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey, UpstreamOutlook,
+    WaitFacts, may_return_to_failed, upstream_wait_limit,
 };
 use hollowbarrow_upstream::{SendRequestError, SentAnswer, UpstreamRequest, read_backoff};
 use hyper::StatusCode;
@@ -36,8 +36,26 @@
 pub(crate) enum AttemptAnswer {
     /// The stream is complete and has been forwarded except for its end marker.
     Streamed,
-    /// A complete answer.
-    Complete { status: StatusCode, content_type: String, body: Bytes },
+    /// A complete answer. `framed` states whether its own length or chunks show that it is.
+    Complete { status: StatusCode, content_type: String, body: Bytes, framed: bool },
+}
+
+impl AttemptAnswer {
+    /// Returns whether its end mark, length or chunks show that the answer is complete.
+    pub(crate) fn is_framed(&self) -> bool {
+        !matches!(self, Self::Complete { framed: false, .. })
+    }
+
+    /// Returns what the answer shows about the contents of its request if it is complete; nothing if
+    /// an upstream that failed to run the request may have given it.
+    pub(crate) fn proof(&self) -> Option<AnswerProof> {
+        match self {
+            Self::Streamed => Some(AnswerProof::Success),
+            Self::Complete { status, .. } if status.is_success() => Some(AnswerProof::Success),
+            Self::Complete { status, .. } if status.is_server_error() => None,
+            Self::Complete { .. } => Some(AnswerProof::Rejection),
+        }
+    }
 }
 
 /// Why an attempt has no answer.
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -76,6 +76,20 @@
     }
 }
 
+impl RequestKind {
+    /// Returns the parts of the prompt that other requests may share, and the last one: each message
+    /// of a chat.
+    pub(crate) fn prompt_parts(&self) -> Vec<String> {
+        match self {
+            Self::Completion { body, .. } => {
+                let messages = body["messages"].as_array().map(Vec::as_slice).unwrap_or_default();
+                messages.iter().map(Value::to_string).collect()
+            }
+            Self::Plain(_) => Vec::new(),
+        }
+    }
+}
+
 /// A validated request of a caller.
 #[derive(Clone, Debug)]
 pub(crate) struct CallerRequest {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -11,10 +11,10 @@
 use hollowbarrow_routing::retry::RetryBudget;
 use hollowbarrow_routing::{
     AdmissionQueue, BackoffReason, BackoffTable, ConfigFreshness, CrashTracker, DuplicateGate,
-    LimitCoordinator, OrganisationLimiter, QuarantineState, RoutePicker, UpstreamKey,
-    UpstreamLimits, VoterContact, probe_delay,
+    LimitCoordinator, OrganisationLimiter, QuarantineState, RequestContents, RoutePicker,
+    UpstreamKey, UpstreamLimits, VoterContact, probe_delay,
 };
-use hollowbarrow_schema::{DaemonId, NodeId, PeerMessage, RequestDigest, Settings, ZoneId};
+use hollowbarrow_schema::{ContentDigest, DaemonId, NodeId, PeerMessage, Settings, ZoneId};
 use hollowbarrow_state::{ClaimState, ConfigState};
 use hollowbarrow_upstream::{HttpEngine, UpstreamClient};
 use hollowbarrow_zone::{AuthorityMember, zone_members};
@@ -119,14 +119,29 @@
     /// Returns for how long a request stays quarantined, `None` if it may be sent.
     ///
     /// After a quarantine has expired, only some daemons at a time may send probe requests.
-    pub(crate) fn quarantine_left(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
-        let expired_for = match self.crashes().quarantine_state(request, now)? {
+    pub(crate) fn quarantine_left(
+        &self,
+        contents: &RequestContents,
+        now: Instant,
+    ) -> Option<Duration> {
+        let left = |content| self.content_quarantine_left(contents, content, now);
+        contents.all().filter_map(left).max()
+    }
+
+    fn content_quarantine_left(
+        &self,
+        contents: &RequestContents,
+        content: ContentDigest,
+        now: Instant,
+    ) -> Option<Duration> {
+        let state = self.crashes().quarantine_state(content, contents.organisation(), now)?;
+        let expired_for = match state {
             QuarantineState::Active(left) => return Some(left),
             QuarantineState::Expired(expired_for) => expired_for,
         };
         let daemon = xxh3_64(self.id().as_bytes());
         let window = now.saturating_duration_since(self.started).as_secs();
-        probe_delay(daemon, request, window, self.daemons(), expired_for)
+        probe_delay(daemon, content, window, self.daemons(), expired_for)
     }
 
     /// Returns whether the local configuration contains all changes that must be in force.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
+use hollowbarrow_reach::UpstreamFate;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RequestFacts, RetryStep, decide_retry};
 use hollowbarrow_routing::{
-    DuplicateTicket, RequestContent, TerminatedRun, UpstreamKey, hash_prefix,
+    DuplicateTicket, RequestContent, RequestContents, UpstreamKey, hash_prefix,
 };
-use hollowbarrow_schema::{ClaimOutcome, ErrorRan, RequestDigest, StoredAnswer};
+use hollowbarrow_schema::{ClaimOutcome, ErrorRan, StoredAnswer};
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink};
 use crate::attempt::{
@@ -22,6 +24,7 @@
 use crate::claims::{ClaimIdentity, HeldClaim};
 use crate::core::DaemonCore;
 use crate::duplicates::{DuplicatePlace, DuplicateWait};
+use crate::lost_run::{LostRun, learn_fate};
 use crate::refusals::{
     to_attempt_error, to_claim_error, to_duplicate_error, to_limit_error, to_propose_error,
     to_quarantine_error, to_shed_error,
@@ -29,6 +32,12 @@
 use crate::relay::StreamRelay;
 use crate::telemetry::HopSpan;
 
+/// Number of lost connections of a request from which on it is retried only once it is known whether
+/// their upstreams have terminated.
+const UNCHECKED_RUNS: usize = 2;
+/// Longest wait for that.
+const CHECK_WAIT_TIME: Duration = Duration::from_millis(500);
+
 /// Times for which a request waited, for logs.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RequestWaits {
@@ -67,8 +76,12 @@
     may_have_run: bool,
     /// Whether the connection of an attempt was lost.
     connection_lost: bool,
-    /// Digest of the content, equal for duplicates of a request.
-    pub(crate) digest: RequestDigest,
+    /// Checks in progress of whether the upstreams of lost connections have terminated.
+    lost_runs: Vec<JoinHandle<()>>,
+    /// Number of lost connections.
+    lost_connections: usize,
+    /// Contents by which it is recognised if it crashes upstreams.
+    pub(crate) contents: RequestContents,
     pub(crate) waits: RequestWaits,
 }
 
@@ -91,7 +104,12 @@
         target: &request.target,
         body: &request.body,
     };
-    let digest = content.digest();
+    let contents = RequestContents::new(content.digest())
+        .with_organisation(&request.organisation.id)
+        .with_parts(
+            request.kind.service(),
+            request.kind.prompt_parts().iter().map(String::as_bytes),
+        );
     let mut run = RequestRun {
         core,
         request,
@@ -103,7 +121,9 @@
         tried: Vec::new(),
         may_have_run: false,
         connection_lost: false,
-        digest,
+        lost_runs: Vec::new(),
+        lost_connections: 0,
+        contents,
         waits: RequestWaits::default(),
     };
     let end = run.admit_and_run().await;
@@ -175,7 +195,7 @@
         let arrived = Instant::now();
         let wait = DuplicateWait {
             core: Arc::clone(&self.core),
-            digest: self.digest,
+            contents: self.contents.clone(),
             streamed: self.is_streamed(),
             deadline: self.request.deadline,
         };
@@ -218,7 +238,7 @@
         let mut relay = StreamRelay::new(&self.link, claim.is_some()).with_duplicate(duplicate);
         loop {
             // Checked before each attempt, since a further attempt may crash the next replica.
-            let quarantined = self.core.quarantine_left(self.digest, Instant::now());
+            let quarantined = self.core.quarantine_left(&self.contents, Instant::now());
             if let Some(left) = quarantined {
                 let ran = if self.may_have_run { ErrorRan::Unknown } else { ErrorRan::NotRun };
                 self.settle_failed_claim(claim, ran).await;
@@ -288,15 +308,26 @@
             if let Some(until) = retry_at {
                 tokio::time::sleep_until(until.min(self.request.deadline)).await;
             }
+            self.wait_for_checks().await;
+        }
+    }
+
+    /// Waits until it is known whether the request has crashed the upstreams of several lost
+    /// connections, since it may be quarantined then.
+    async fn wait_for_checks(&mut self) {
+        if self.lost_connections >= UNCHECKED_RUNS {
+            let checks = join_all(self.lost_runs.drain(..));
+            let _ = tokio::time::timeout(CHECK_WAIT_TIME, checks).await;
         }
     }
 
-    /// Records a crash if the last upstream's connection was lost while it ran the request.
+    /// Records a crash if the last upstream's connection was lost while it ran the request, and the
+    /// upstream turns out to have terminated.
     ///
-    /// Returns until when the request must not be retried, since its duplicates may show
-    /// meanwhile whether it crashes upstreams.
+    /// Returns until when the request must not be retried, since other requests with its contents may
+    /// show meanwhile whether they crash upstreams.
     fn record_crash(
-        &self,
+        &mut self,
         error: &AttemptUpstreamError,
         sent: Instant,
         duplicate: &DuplicateTicket,
@@ -305,10 +336,17 @@
         else {
             return None;
         };
-        let upstream = xxh3_64(format!("{}/{}", key.name, *key.epoch).as_bytes());
-        let run = TerminatedRun { upstream, sent, ended: Instant::now() };
-        self.core.crashes().record_run(self.digest, run);
-        duplicate.record_crash()
+        let run = LostRun {
+            request: self.request.id.clone(),
+            service: self.request.kind.service().to_owned(),
+            contents: self.contents.clone(),
+            upstream: key.clone(),
+            sent,
+            ended: Instant::now(),
+        };
+        self.lost_connections += 1;
+        self.lost_runs.push(tokio::spawn(run.record_if_terminated(Arc::clone(&self.core))));
+        duplicate.record_crash(|content| self.core.crashes().standing(content))
     }
 
     async fn settle_failed_claim(&self, claim: Option<HeldClaim>, ran: ErrorRan) {
@@ -328,7 +366,7 @@
         claim: Option<HeldClaim>,
         duplicate: &DuplicateTicket,
     ) -> RequestEnd {
-        self.core.crashes().record_answer(self.digest, Instant::now());
+        self.record_proof(&answer);
         // Recording the outcome of a claim takes a commit, for which duplicates need not wait.
         duplicate.record_progress();
         match answer {
@@ -343,7 +381,7 @@
                 }
                 relay.finish().await;
             }
-            AttemptAnswer::Complete { status, content_type, body } => {
+            AttemptAnswer::Complete { status, content_type, body, .. } => {
                 if let Some(held) = claim {
                     let text = String::from_utf8(body.to_vec()).ok();
                     let stored = text.map(|body| StoredAnswer {
@@ -364,6 +402,24 @@
         self.end("ok", None)
     }
 
+    /// Records what an answer shows about the contents of the request. An answer that ended with its
+    /// connection shows something only if its upstream still runs.
+    fn record_proof(&self, answer: &AttemptAnswer) {
+        let Some(proof) = answer.proof() else { return };
+        let (core, contents) = (Arc::clone(&self.core), self.contents.clone());
+        if answer.is_framed() {
+            core.crashes().record_answer(&contents, proof, Instant::now());
+            return;
+        }
+        let Some(key) = self.upstream.clone() else { return };
+        let service = self.request.kind.service().to_owned();
+        tokio::spawn(async move {
+            if learn_fate(&core, &service, &key).await == UpstreamFate::Running {
+                core.crashes().record_answer(&contents, proof, Instant::now());
+            }
+        });
+    }
+
     /// Sends the request to a second upstream when the first is slow, and uses the first complete
     /// answer.
     async fn run_hedged(&mut self, after: Duration, place: &DuplicatePlace) -> RequestEnd {
@@ -372,7 +428,7 @@
         self.attempts = 1;
         let core = Arc::clone(&self.core);
         let sent = Instant::now();
-        if core.quarantine_left(self.digest, sent).is_some() {
+        if core.quarantine_left(&self.contents, sent).is_some() {
             return self.run_attempts(None, place).await;
         }
         let request = self.request.clone();
--- a/crates/daemon/src/duplicates.rs
+++ b/crates/daemon/src/duplicates.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hollowbarrow_routing::DuplicateTicket;
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_routing::{ContentStanding, DuplicateTicket, RequestContents};
+use hollowbarrow_schema::ContentDigest;
 use tokio::time::Instant;
 
 use crate::answer::CallerError;
@@ -25,7 +25,7 @@
 #[derive(Clone)]
 pub(crate) struct DuplicateWait {
     pub(crate) core: Arc<DaemonCore>,
-    pub(crate) digest: RequestDigest,
+    pub(crate) contents: RequestContents,
     pub(crate) streamed: bool,
     pub(crate) deadline: Instant,
 }
@@ -34,8 +34,8 @@
     /// Waits until no other duplicate blocks the request; `None` if one made no progress in time.
     pub(crate) async fn enter(self) -> Option<DuplicatePlace> {
         let limit = self.limit();
-        let was_answered = || self.was_answered();
-        let ticket = self.core.duplicates.enter(self.digest, was_answered, limit).await?;
+        let standing = |content| self.standing(content);
+        let ticket = self.core.duplicates.enter(&self.contents, standing, limit).await?;
         Some(DuplicatePlace { ticket: Arc::new(ticket), wait: self, waited: Mutex::default() })
     }
 
@@ -50,8 +50,8 @@
         }
     }
 
-    fn was_answered(&self) -> bool {
-        self.core.crashes().was_answered(self.digest)
+    fn standing(&self, content: ContentDigest) -> ContentStanding {
+        self.core.crashes().standing(content)
     }
 }
 
@@ -83,13 +83,14 @@
             return Ok(false);
         }
         let started = Instant::now();
-        let regained = self.ticket.resume(|| self.wait.was_answered(), self.wait.limit()).await;
+        let standing = |content| self.wait.standing(content);
+        let regained = self.ticket.resume(standing, self.wait.limit()).await;
         *self.waited.lock().expect("no holder of the lock panics") += started.elapsed();
         if !regained {
             return Err(to_duplicate_error());
         }
         // The other duplicates may have crashed their upstreams meanwhile.
-        match self.wait.core.quarantine_left(self.wait.digest, Instant::now()) {
+        match self.wait.core.quarantine_left(&self.wait.contents, Instant::now()) {
             Some(left) => Err(to_quarantine_error(left)),
             None => Ok(true),
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod dispatch;
 mod duplicates;
 mod fleet;
+mod lost_run;
 mod observer;
 mod operator;
 mod operator_view;
--- /dev/null
+++ b/crates/daemon/src/lost_run.rs
@@ -0,0 +1,70 @@
+//! Runs whose connections were lost, and which of them count against their requests.
+//!
+//! A run counts only if its upstream cannot be connected to any more. A connection may also be lost
+//! alone, or with the path.
+
+use std::sync::Arc;
+
+use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_routing::{RequestContents, TerminatedRun, TerminationCertainty, UpstreamKey};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::core::DaemonCore;
+
+/// Number of other upstreams that are tried to find out whether the paths to all are lost.
+const OTHERS_TRIED: usize = 2;
+
+/// A run that ended with its connection.
+pub(crate) struct LostRun {
+    pub(crate) request: String,
+    /// The model or service that the upstream serves.
+    pub(crate) service: String,
+    pub(crate) contents: RequestContents,
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+}
+
+impl LostRun {
+    /// Finds out whether the upstream has terminated, and records the run against the contents of its
+    /// request if so.
+    pub(crate) async fn record_if_terminated(self, core: Arc<DaemonCore>) {
+        let certainty = match learn_fate(&core, &self.service, &self.upstream).await {
+            UpstreamFate::Running => return,
+            UpstreamFate::Terminated => TerminationCertainty::Confirmed,
+            UpstreamFate::Unknown => TerminationCertainty::Unconfirmed,
+        };
+        log::info!(
+            "event=crash_recorded request={:?} upstream={} content={:016x} parts={:x?} certainty={certainty:?}",
+            self.request,
+            self.upstream.name,
+            *self.contents.whole(),
+            self.contents.parts().iter().map(|part| **part).collect::<Vec<u64>>(),
+        );
+        let UpstreamKey { name, epoch } = &self.upstream;
+        let run = TerminatedRun {
+            upstream: xxh3_64(format!("{name}/{}", **epoch).as_bytes()),
+            sent: self.sent,
+            ended: self.ended,
+            organisation: Some(self.contents.organisation()),
+        };
+        core.crashes().record_run(&self.contents, run, certainty);
+    }
+}
+
+/// Finds out what became of an upstream of a model or service after a connection to it was lost.
+pub(crate) async fn learn_fate(
+    core: &DaemonCore,
+    service: &str,
+    upstream: &UpstreamKey,
+) -> UpstreamFate {
+    let mut others = core.routes().targets().remove(service).unwrap_or_default();
+    let index = others.iter().position(|target| target.name == upstream.name);
+    // An upstream that has no route any more is known to be lost.
+    let Some(target) = index.map(|index| others.swap_remove(index)) else {
+        return UpstreamFate::Terminated;
+    };
+    others.truncate(OTHERS_TRIED);
+    core.reach.learn_fate(&target, others).await
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -127,6 +127,10 @@
                     return Err(AttemptUpstreamError::DeadlinePassed { sent: true });
                 }
                 Err(_) => return Err(self.broken_answer("no data within the idle timeout")),
+                // An upstream whose process terminates may close its connection in order.
+                Ok(None) if !answer.framed => {
+                    return Err(to_lost_error(&answer.lease, self.tokens));
+                }
                 Ok(None) => return Err(self.broken_answer("it ended without the end marker")),
                 Ok(Some(Err(_))) => return Err(to_lost_error(&answer.lease, self.tokens)),
                 Ok(Some(Ok(frame))) => frame,
@@ -264,5 +268,6 @@
         Ok(Ok(body)) => body.to_bytes(),
     };
     answer.lease.give_back();
-    Ok(AttemptAnswer::Complete { status: answer.status, content_type, body })
+    let SentAnswer { status, framed, .. } = answer;
+    Ok(AttemptAnswer::Complete { status, content_type, body, framed })
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -237,7 +237,7 @@
             run.request.id,
             *run.request.organisation.id,
             run.request.target,
-            *run.digest,
+            *run.contents.whole(),
             end.outcome,
             end.attempts,
             waits.queue.as_millis(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use hollowbarrow_reach::{NotConnected, UpstreamTarget};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
@@ -10,10 +11,12 @@
 };
 use hollowbarrow_schema::{DaemonId, ErrorRan, WorkerId};
 use hollowbarrow_upstream::{ConnectionLease, SendRequestError, SentAnswer, UpstreamRequest};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::core::GatewayCore;
 use crate::flight::WorkerAttempt;
+use crate::lost_run::LostRun;
 use crate::picker::{PermitWait, PickFacts, PickedWorker};
 use crate::protocol::SendFacts;
 use crate::refusal::Refusal;
@@ -31,6 +34,13 @@
 /// and controllers may name other peers.
 const PEERS_WAIT_TIME: Duration = Duration::from_millis(150);
 
+/// Number of lost connections of a request from which on it is retried only once it is known whether
+/// their workers have terminated.
+const UNCHECKED_RUNS: usize = 2;
+/// Longest wait for that. A worker that refuses connections is known to have terminated once two peers
+/// have tried too.
+const CHECK_WAIT_TIME: Duration = Duration::from_millis(150);
+
 /// The attempts at a request so far.
 pub(crate) struct AttemptHistory {
     ticket: DuplicateTicket,
@@ -45,6 +55,10 @@
     last_target: Option<UpstreamTarget>,
     /// Whether the connection of an attempt was lost.
     connection_lost: bool,
+    /// Checks in progress of whether the workers of lost connections have terminated.
+    lost_runs: Vec<JoinHandle<()>>,
+    /// Number of lost connections.
+    lost_connections: usize,
     /// Attempt that replaces one that was given up.
     next: Option<WorkerAttempt>,
     /// Peer that carries the connection of the last attempt, if one does.
@@ -64,6 +78,8 @@
             last_sent: None,
             last_target: None,
             connection_lost: false,
+            lost_runs: Vec::new(),
+            lost_connections: 0,
             next: None,
             carrier: None,
             summary: String::new(),
@@ -90,7 +106,14 @@
     }
 
     /// Waits until the request may be retried, at most until its deadline.
+    ///
+    /// A request that has lost several connections waits until it is known whether it has crashed the
+    /// workers, since it may be quarantined then.
     pub(crate) async fn wait_until_repeatable(&mut self, request: &CallerRequest) {
+        if self.lost_connections >= UNCHECKED_RUNS {
+            let checks = join_all(self.lost_runs.drain(..));
+            let _ = tokio::time::timeout(CHECK_WAIT_TIME, checks).await;
+        }
         if let Some(until) = self.repeat_after.take() {
             tokio::time::sleep_until(until.min(request.deadline())).await;
         }
@@ -125,7 +148,7 @@
     /// Records a failed attempt.
     pub(crate) fn record_failure(
         &mut self,
-        core: &GatewayCore,
+        core: &Arc<GatewayCore>,
         request: &CallerRequest,
         worker: &WorkerId,
         error: &AttemptUpstreamError,
@@ -135,21 +158,8 @@
         {
             core.reach.record_doubtful_peer(peer);
         }
-        // While this gateway is isolated, its own connections break whatever their workers do.
-        let own_fault = self.carrier.is_none() && core.reach.is_unreached(&request.service.name);
-        if let (AttemptUpstreamError::ConnectionLost { .. }, Some(sent)) = (error, self.last_sent)
-            && !own_fault
-        {
-            log::info!(
-                "event=crash_recorded request={:?} worker={} content={:016x} parts={:?} ran_ms={}",
-                request.head.id,
-                **worker,
-                *request.digest,
-                request.head.prompt_parts,
-                sent.elapsed().as_millis(),
-            );
-            core.crashes().record_crash(request.digest, worker, sent, Instant::now());
-            self.repeat_after = self.ticket.record_crash();
+        if matches!(error, AttemptUpstreamError::ConnectionLost { .. }) {
+            self.record_lost_run(core, request, worker);
         }
         self.record_path(core, request, error);
         // A worker is as good as before if only the peer between was lost.
@@ -164,6 +174,26 @@
         self.summary.push_str(&format!("{}{through}: {error}", **worker));
     }
 
+    /// Records a run whose connection was lost, if its worker turns out to have terminated.
+    fn record_lost_run(
+        &mut self,
+        core: &Arc<GatewayCore>,
+        request: &CallerRequest,
+        worker: &WorkerId,
+    ) {
+        // While this gateway is isolated, its own connections break whatever their workers do.
+        let own_fault = self.carrier.is_none() && core.reach.is_unreached(&request.service.name);
+        let (Some(sent), Some(target), false) = (self.last_sent, &self.last_target, own_fault)
+        else {
+            return;
+        };
+        let run = LostRun::new(request, worker, sent, Instant::now());
+        let check = run.record_if_terminated(Arc::clone(core), target.clone());
+        self.lost_connections += 1;
+        self.lost_runs.push(tokio::spawn(check));
+        self.repeat_after = self.ticket.record_crash(|content| core.crashes().standing(content));
+    }
+
     /// Records what a failure may mean for this gateway's paths.
     fn record_path(
         &mut self,
@@ -172,12 +202,7 @@
         error: &AttemptUpstreamError,
     ) {
         match error {
-            AttemptUpstreamError::ConnectionLost { .. } => {
-                self.connection_lost = true;
-                if let (None, Some(target)) = (&self.carrier, &self.last_target) {
-                    core.reach.check_upstream(target.clone());
-                }
-            }
+            AttemptUpstreamError::ConnectionLost { .. } => self.connection_lost = true,
             AttemptUpstreamError::NotReached if core.reach.awaits_peers(&request.service.name) => {
                 self.repeat_after = Some(Instant::now() + PEERS_WAIT_TIME);
             }
@@ -238,13 +263,13 @@
     core: &GatewayCore,
     request: &CallerRequest,
 ) -> Result<DuplicateTicket, Refusal> {
-    if let Some(left) = core.crashes().quarantine_left(request.digest, Instant::now()) {
+    if let Some(left) = core.crashes().quarantine_left(&request.contents, Instant::now()) {
         return Err(Refusal::Quarantined(left));
     }
     let wait = request.route.objective.mul_f64(DUPLICATE_WAIT_FACTOR);
     let limit = Instant::now() + wait.min(request.remaining() / DUPLICATE_WAIT_DIVISOR);
-    let was_answered = || core.crashes().was_answered(request.digest);
-    let entering = core.duplicates.enter(request.digest, was_answered, limit);
+    let standing = |content| core.crashes().standing(content);
+    let entering = core.duplicates.enter(&request.contents, standing, limit);
     entering.await.ok_or(Refusal::DuplicateInProgress)
 }
 
@@ -332,7 +357,7 @@
     permit_wait: PermitWait,
 ) -> Result<WorkerAttempt, Refusal> {
     // Checked before each attempt: a further attempt could crash another replica.
-    if let Some(left) = core.crashes().quarantine_left(request.digest, Instant::now()) {
+    if let Some(left) = core.crashes().quarantine_left(&request.contents, Instant::now()) {
         return Err(Refusal::Quarantined(left));
     }
     let attempt = core.begin_attempt(&PickFacts {
@@ -343,7 +368,11 @@
         kept: &core.client.idle_addresses(),
         permit_wait,
     });
-    attempt.map_err(Refusal::NoWorker)
+    let attempt = attempt.map_err(Refusal::NoWorker)?;
+    match core.crashes().admit(&request.contents, Instant::now()) {
+        Some(left) => Err(Refusal::Quarantined(left)),
+        None => Ok(attempt),
+    }
 }
 
 /// Returns a worker as the target of a connection.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -8,8 +8,8 @@
 use hollowbarrow_fleet::{Organisation, Route, RouteTable};
 use hollowbarrow_member::http::plain_answer;
 use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits, SuspensionDetector};
-use hollowbarrow_routing::RequestContent;
-use hollowbarrow_schema::{RequestDigest, ServiceName};
+use hollowbarrow_routing::{RequestContent, RequestContents};
+use hollowbarrow_schema::ServiceName;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -179,7 +179,7 @@
 ) -> CallerRequest {
     let timeout = routed.route.timeout;
     let timeout_left = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
-    let digest = digest_request(&parts, &head, &routed, &body);
+    let contents = read_contents(&parts, &head, &routed, &body);
     CallerRequest {
         head,
         method: parts.method,
@@ -192,23 +192,28 @@
         latest_end: received + timeout_left,
         suspended_before: suspension.suspended(received),
         suspension: Arc::clone(suspension),
-        digest,
+        contents,
     }
 }
 
-fn digest_request(
+fn read_contents(
     parts: &Parts,
     head: &CallerHead,
     routed: &RoutedRequest,
     body: &Bytes,
-) -> RequestDigest {
+) -> RequestContents {
     let organisation = routed.organisation.as_ref();
+    let organisation = organisation.map_or("", |organisation| organisation.name.as_str());
     let content = RequestContent {
-        organisation: organisation.map_or("", |organisation| organisation.name.as_str()),
+        organisation,
         method: parts.method.as_str(),
         host: &head.host,
         target: &head.target,
         body,
     };
-    content.digest()
+    let model = head.model.as_ref().map_or(&**routed.service.name, |model| model.as_str());
+    let prompt_parts = head.prompt_parts.iter().map(|part| part.as_bytes());
+    RequestContents::new(content.digest())
+        .with_organisation(organisation)
+        .with_parts(model, prompt_parts)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod intake;
 mod links;
 mod loads;
+mod lost_run;
 mod metrics;
 pub mod picker;
 pub mod primary;
--- /dev/null
+++ b/crates/gateway/src/lost_run.rs
@@ -0,0 +1,85 @@
+//! Runs whose connections were lost, and which of them count against their requests.
+//!
+//! A lost connection alone does not show that a worker has terminated: the path may be lost, or the
+//! connection alone. A run counts only if its worker cannot be connected to any more.
+
+use std::sync::Arc;
+
+use hollowbarrow_reach::{UpstreamFate, UpstreamTarget};
+use hollowbarrow_routing::{RequestContents, TerminationCertainty};
+use hollowbarrow_schema::WorkerId;
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+
+use crate::core::GatewayCore;
+use crate::request::CallerRequest;
+
+/// Number of other workers of a service that are tried to find out whether the paths to all are lost.
+const OTHERS_TRIED: usize = 2;
+
+/// Finds out what became of a worker after a connection to it was lost.
+pub(crate) async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> UpstreamFate {
+    let mut others = core.picker().targets().remove(&target.service).unwrap_or_default();
+    others.retain(|other| other.name != target.name);
+    let others = others.sample(&mut rand::rng(), OTHERS_TRIED).cloned().collect();
+    core.reach.learn_fate(target, others).await
+}
+
+/// A run that ended with its connection.
+pub(crate) struct LostRun {
+    request: String,
+    contents: RequestContents,
+    /// Names of the parts of the prompt, for logs.
+    parts: Vec<String>,
+    worker: WorkerId,
+    sent: Instant,
+    ended: Instant,
+}
+
+impl LostRun {
+    pub(crate) fn new(
+        request: &CallerRequest,
+        worker: &WorkerId,
+        sent: Instant,
+        ended: Instant,
+    ) -> Self {
+        Self {
+            request: request.head.id.clone(),
+            contents: request.contents.clone(),
+            parts: request.head.prompt_parts.clone(),
+            worker: worker.clone(),
+            sent,
+            ended,
+        }
+    }
+
+    /// Finds out whether the worker has terminated, and records the run against the contents of its
+    /// request if so.
+    pub(crate) async fn record_if_terminated(self, core: Arc<GatewayCore>, target: UpstreamTarget) {
+        let fate = learn_fate(&core, &target).await;
+        core.metrics.count_lost_run(fate);
+        let certainty = match fate {
+            UpstreamFate::Running => return,
+            UpstreamFate::Terminated => TerminationCertainty::Confirmed,
+            UpstreamFate::Unknown => TerminationCertainty::Unconfirmed,
+        };
+        log::info!(
+            "event=crash_recorded request={:?} worker={} content={:016x} parts={} ran_ms={} certainty={certainty:?}",
+            self.request,
+            *self.worker,
+            *self.contents.whole(),
+            self.parts_text(),
+            (self.ended - self.sent).as_millis(),
+        );
+        let times = (self.sent, self.ended);
+        core.crashes().record_crash(&self.contents, &self.worker, times, certainty);
+    }
+
+    /// Returns the name of each part with the digest by which it is quarantined.
+    fn parts_text(&self) -> String {
+        let pairs = self.parts.iter().zip(self.contents.parts());
+        let texts: Vec<String> =
+            pairs.map(|(name, digest)| format!("{name:?}:{:016x}", **digest)).collect();
+        texts.join(",")
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hollowbarrow_reach::UpstreamFate;
 use hollowbarrow_telemetry::MetricsPage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -26,6 +27,12 @@
         "Attempts to open a connection to a worker, by outcome: connected, refused or timed_out on the \
          gateway's own path, and tunnel, peer_unreached or no_peer through a peer.",
     ),
+    (
+        "gateway_lost_runs",
+        "1",
+        "Runs whose connections to workers were lost, by what became of the worker: running, terminated \
+         or unknown.",
+    ),
     ("gateway_isolated", "1", "1 while the gateway reaches no worker of a service itself, else 0."),
     ("gateway_tunnels", "1", "Tunnels to workers that the gateway carries for other gateways."),
     ("gateway_ready", "1", "1 while the gateway reports that it is ready, else 0."),
@@ -58,6 +65,7 @@
     event_gap: Histogram<f64>,
     repeats: Counter<u64>,
     connects: Counter<u64>,
+    lost_runs: Counter<u64>,
     turned_away: Counter<u64>,
     limited_sends: Counter<u64>,
     in_flight: Gauge<u64>,
@@ -91,6 +99,7 @@
             event_gap: page.time_histogram("gateway_event_gap_ms"),
             repeats: meter.u64_counter("gateway_repeats").build(),
             connects: meter.u64_counter("gateway_connects").build(),
+            lost_runs: meter.u64_counter("gateway_lost_runs").build(),
             turned_away: meter.u64_counter("gateway_turned_away").build(),
             limited_sends: meter.u64_counter("gateway_limited_sends").build(),
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
@@ -130,6 +139,16 @@
         self.connects.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a run whose connection was lost.
+    pub(crate) fn count_lost_run(&self, fate: UpstreamFate) {
+        let fate = match fate {
+            UpstreamFate::Running => "running",
+            UpstreamFate::Terminated => "terminated",
+            UpstreamFate::Unknown => "unknown",
+        };
+        self.lost_runs.add(1, &[KeyValue::new("worker", fate)]);
+    }
+
     pub(crate) fn count_turned_away(&self, backoff_asked: bool) {
         self.turned_away.add(1, &[KeyValue::new("backoff_asked", backoff_asked)]);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use hollowbarrow_fleet::{Organisation, Route, Service};
 use hollowbarrow_member::{HttpAnswer, SuspensionDetector};
-use hollowbarrow_routing::AttemptBounds;
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_routing::{AttemptBounds, RequestContents};
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
 
@@ -34,8 +33,8 @@
     /// Total time of suspensions before the request was received.
     pub(crate) suspended_before: Duration,
     pub(crate) suspension: Arc<SuspensionDetector>,
-    /// Hash of the content; duplicates have the same one.
-    pub(crate) digest: RequestDigest,
+    /// Contents by which it is recognised if it crashes workers.
+    pub(crate) contents: RequestContents,
 }
 
 impl CallerRequest {
@@ -89,7 +88,7 @@
         log::warn!(
             "event=request_failed request={:?} content={:016x} route={} model={:?} status={} cause={} held_ms={} sends={} last={:?}",
             self.head.id,
-            *self.digest,
+            *self.contents.whole(),
             self.route.name,
             self.head.model.as_ref().map_or("", |model| model.as_str()),
             refusal.status().as_u16(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,6 +15,8 @@
 use futures_util::stream::unfold;
 use hollowbarrow_fleet::Repeatability;
 use hollowbarrow_member::{AnswerBody, HttpAnswer, TruncatedAnswerError};
+use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{ConnectionLease, SentAnswer};
 use http_body_util::BodyExt;
@@ -23,11 +25,12 @@
 use tokio::time::Instant;
 
 use crate::attempt::{
-    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker,
+    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker, target_of,
 };
 use crate::core::GatewayCore;
 use crate::events::{EventChunk, EventSplitter};
 use crate::flight::{InFlightGuard, WorkerAttempt};
+use crate::lost_run::learn_fate;
 use crate::picker::PickedWorker;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
@@ -45,6 +48,10 @@
     lease: ConnectionLease,
     attempt: WorkerAttempt,
     splitter: EventSplitter,
+    /// Whether chunks or a length show that the stream is complete.
+    framed: bool,
+    /// Whether any event was received.
+    has_events: bool,
 }
 
 /// Result of reading from a stream.
@@ -132,6 +139,8 @@
             lease: answer.lease,
             attempt,
             splitter: EventSplitter::new(),
+            framed: answer.framed,
+            has_events: false,
         });
         match self.read().await {
             ReadStep::Chunk(chunk) => {
@@ -203,8 +212,8 @@
         let failed = answer.status.is_server_error();
         let answer = read_answer(answer, self.request.deadline()).await;
         attempt.record_progress();
-        if answer.is_ok() {
-            self.core.crashes().record_answer(self.request.digest, Instant::now());
+        if let Ok(answer) = &answer {
+            answer.record_proof(&self.core, &self.request, &attempt.worker);
             self.history.record_progress();
         }
         match answer {
@@ -279,7 +288,8 @@
         if let Some(open) = self.open.take() {
             open.lease.give_back();
             self.core.record_outcome(&open.attempt.worker.id, true);
-            self.core.crashes().record_answer(self.request.digest, Instant::now());
+            let (contents, now) = (&self.request.contents, Instant::now());
+            self.core.crashes().record_answer(contents, AnswerProof::Success, now);
             self.core.metrics.count_request("streamed");
         }
     }
@@ -304,7 +314,7 @@
             log::info!(
                 "event=stream_resumed request={:?} content={:016x} from={} to={} after={:?} cause={:?}",
                 self.request.head.id,
-                *self.request.digest,
+                *self.request.contents.whole(),
                 *worker,
                 *attempt.worker.id,
                 self.last_id,
@@ -314,8 +324,15 @@
             match self.send(&attempt, after.as_deref()).await {
                 Ok(answer) if answer.status.is_success() => {
                     let splitter = EventSplitter::new();
-                    let (body, lease) = (answer.body, answer.lease);
-                    self.open = Some(OpenStream { body, lease, attempt, splitter });
+                    let SentAnswer { body, lease, framed, .. } = answer;
+                    self.open = Some(OpenStream {
+                        body,
+                        lease,
+                        attempt,
+                        splitter,
+                        framed,
+                        has_events: false,
+                    });
                     return Ok(());
                 }
                 Ok(_) => {
@@ -326,6 +343,21 @@
         }
     }
 
+    /// Returns whether a stream is complete whose body has ended.
+    ///
+    /// A stream that ends with its connection also ends so where its worker terminates between two
+    /// events. It counts as complete only while its worker still runs.
+    async fn is_complete(&self, open: &OpenStream) -> bool {
+        if !open.splitter.rest().is_empty() {
+            return false;
+        }
+        if open.framed {
+            return true;
+        }
+        let target = target_of(&self.request, &open.attempt.worker);
+        open.has_events && learn_fate(&self.core, &target).await == UpstreamFate::Running
+    }
+
     /// Reads until complete events are available.
     async fn read(&mut self) -> ReadStep {
         let after = self.last_id;
@@ -341,14 +373,17 @@
                         self.history.record_given_up(error);
                         break ReadStep::Broken(broken("it stands still"));
                     }
-                    Ok(None) if open.splitter.rest().is_empty() => break ReadStep::End,
+                    Ok(None) if self.is_complete(&open).await => break ReadStep::End,
                     Ok(None) | Ok(Some(Err(_))) => break ReadStep::Broken(lost(&open.lease)),
                     Ok(Some(Ok(frame))) => frame,
                 };
             let Some(bytes) = frame.data_ref() else { continue };
             open.attempt.record_progress();
             match open.splitter.push(bytes, after) {
-                Ok(Some(chunk)) => break ReadStep::Chunk(chunk),
+                Ok(Some(chunk)) => {
+                    open.has_events = true;
+                    break ReadStep::Chunk(chunk);
+                }
                 Ok(None) => {}
                 Err(_) => break ReadStep::Broken(broken("an event is larger than 1 MiB")),
             }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use hollowbarrow_member::{AnswerBody, HttpAnswer};
+use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{ConnectionLease, SentAnswer, is_hop_header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -12,9 +14,11 @@
 use tokio::time::Instant;
 
 use crate::attempt::{
-    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker,
+    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker, target_of,
 };
 use crate::core::GatewayCore;
+use crate::lost_run::learn_fate;
+use crate::picker::PickedWorker;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
 use crate::timeouts::answer_timeout;
@@ -28,9 +32,43 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether its own length or chunks show that it is complete.
+    framed: bool,
 }
 
 impl BufferedAnswer {
+    /// Records what the answer shows about the contents of its request. An answer that ended with its
+    /// connection shows something only if its worker still runs.
+    pub(crate) fn record_proof(
+        &self,
+        core: &Arc<GatewayCore>,
+        request: &CallerRequest,
+        worker: &PickedWorker,
+    ) {
+        let Some(proof) = self.proof() else { return };
+        if self.framed {
+            core.crashes().record_answer(&request.contents, proof, Instant::now());
+            return;
+        }
+        let (core, contents) = (Arc::clone(core), request.contents.clone());
+        let target = target_of(request, worker);
+        tokio::spawn(async move {
+            if learn_fate(&core, &target).await == UpstreamFate::Running {
+                core.crashes().record_answer(&contents, proof, Instant::now());
+            }
+        });
+    }
+
+    /// Returns what a complete answer with this status shows; nothing if a worker that failed to run
+    /// the request may have given it.
+    fn proof(&self) -> Option<AnswerProof> {
+        match self.status {
+            status if status.is_success() => Some(AnswerProof::Success),
+            status if status.is_server_error() => None,
+            _ => Some(AnswerProof::Rejection),
+        }
+    }
+
     pub(crate) fn into_http(self) -> HttpAnswer {
         let mut answer = Response::new(AnswerBody::complete(self.body));
         *answer.status_mut() = self.status;
@@ -124,8 +162,8 @@
         Ok(answer) => core.record_outcome(&worker, !answer.status.is_server_error()),
         Err(error) => core.record_failure(&worker, error),
     }
-    if answer.is_ok() {
-        core.crashes().record_answer(request.digest, Instant::now());
+    if let Ok(answer) = &answer {
+        answer.record_proof(core, request, &attempt.worker);
         history.record_progress();
     }
     answer.map_err(|error| {
@@ -149,7 +187,8 @@
         Ok(Ok(body)) => body.to_bytes(),
     };
     answer.lease.give_back();
-    Ok(BufferedAnswer { status: answer.status, headers: answer.headers, body })
+    let SentAnswer { status, headers, framed, .. } = answer;
+    Ok(BufferedAnswer { status, headers, body, framed })
 }
 
 /// Returns the error of a connection that broke before the answer was complete.
--- a/crates/gateway/tests/crashes.rs
+++ b/crates/gateway/tests/crashes.rs
@@ -3,16 +3,23 @@
 use std::time::Duration;
 
 use hollowbarrow_gateway::crashes::CrashGuard;
-use hollowbarrow_routing::CrashLedger;
-use hollowbarrow_schema::{DaemonId, FleetView, HeldRequest, RequestDigest, Term, WorkerId};
+use hollowbarrow_routing::{AnswerProof, CrashLedger, RequestContents, TerminationCertainty};
+use hollowbarrow_schema::{ContentDigest, DaemonId, FleetView, HeldRequest, Term, WorkerId};
 use rstest::rstest;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: ContentDigest = ContentDigest(7);
 
 fn view(term: u64, number: u64, held: &[u32]) -> FleetView {
-    let entry =
-        |left_ms: &u32| HeldRequest { request: REQUEST, left_ms: *left_ms, released_ms: None };
+    let entry = |left_ms: &u32| HeldRequest {
+        request: REQUEST,
+        left_ms: *left_ms,
+        organisation: None,
+        released_ms: None,
+        // The guard of a gateway without an identity.
+        prober: (*left_ms == 0).then_some(0),
+    };
     let held = held.iter().map(entry);
     FleetView {
         term: Term(term),
@@ -34,13 +41,20 @@
     Duration::from_secs(time)
 }
 
-fn is_quarantined(guard: &CrashGuard, now: Instant) -> bool {
-    guard.quarantine_left(REQUEST, now).is_some()
+fn contents() -> RequestContents {
+    RequestContents::new(REQUEST)
+}
+
+fn is_quarantined(guard: &mut CrashGuard, now: Instant) -> bool {
+    // The question alone uses up no grant of a probe request.
+    guard.quarantine_left(&contents(), now).is_some()
 }
 
 fn crash_worker(guard: &mut CrashGuard, number: u32, sent: Instant) -> Instant {
     let ended = sent + Duration::from_millis(80);
-    guard.record_crash(REQUEST, &WorkerId(format!("w{number}")), sent, ended);
+    let worker = WorkerId(format!("w{number}"));
+    let certainty = TerminationCertainty::Confirmed;
+    guard.record_crash(&contents(), &worker, (sent, ended), certainty);
     ended
 }
 
@@ -49,12 +63,12 @@
     let mut guard = CrashGuard::new();
     let mut now = Instant::now();
     for number in 0..3 {
-        assert!(!is_quarantined(&guard, now));
+        assert!(!is_quarantined(&mut guard, now));
         now = crash_worker(&mut guard, number, now);
     }
-    assert!(is_quarantined(&guard, now), "local crashes need no controller");
-    guard.record_answer(REQUEST, now);
-    assert!(!is_quarantined(&guard, now));
+    assert!(is_quarantined(&mut guard, now), "local crashes need no controller");
+    guard.record_answer(&contents(), AnswerProof::Success, now);
+    assert!(!is_quarantined(&mut guard, now));
 }
 
 /// Guards against a quarantine that outlasts the leader's decision. A gateway that has just started
@@ -72,7 +86,7 @@
         now = crash_worker(&mut guard, number, now);
     }
     assert!(
-        is_quarantined(&guard, now + Duration::from_millis(500)),
+        is_quarantined(&mut guard, now + Duration::from_millis(500)),
         "the leader has not received the crashes yet"
     );
     if publishes {
@@ -80,7 +94,7 @@
             guard.apply_view(&view(1, number, &[]), now + Duration::from_millis(100 * number));
         }
     }
-    assert_eq!(is_quarantined(&guard, now + secs(3)), !publishes);
+    assert_eq!(is_quarantined(&mut guard, now + secs(3)), !publishes);
 }
 
 #[rstest]
@@ -88,11 +102,11 @@
     let mut guard = CrashGuard::new();
     let now = Instant::now();
     guard.apply_view(&view(1, 5, &[60_000]), now);
-    assert!(is_quarantined(&guard, now + secs(59)));
+    assert!(is_quarantined(&mut guard, now + secs(59)));
     guard.apply_view(&view(1, 4, &[]), now);
-    assert!(is_quarantined(&guard, now), "an older view is ignored");
+    assert!(is_quarantined(&mut guard, now), "an older view is ignored");
     guard.apply_view(&view(1, 6, &[]), now);
-    assert!(!is_quarantined(&guard, now), "the leader has lifted the quarantine");
+    assert!(!is_quarantined(&mut guard, now), "the leader has lifted the quarantine");
 }
 
 /// Quarantines of a former leader stay until the new one has received the crash records.
@@ -103,9 +117,9 @@
     guard.apply_view(&view(1, 5, &[60_000]), now);
     guard.apply_view(&view(2, 1, &[]), now);
     guard.apply_view(&view(2, 2, &[]), now + secs(4));
-    assert!(is_quarantined(&guard, now + secs(4)));
+    assert!(is_quarantined(&mut guard, now + secs(4)));
     guard.apply_view(&view(2, 3, &[]), now + secs(6));
-    assert!(!is_quarantined(&guard, now + secs(6)));
+    assert!(!is_quarantined(&mut guard, now + secs(6)));
 }
 
 /// A probe request after the quarantine crashes the next worker: no further attempt may follow,
@@ -115,13 +129,16 @@
     let mut guard = CrashGuard::new();
     let now = Instant::now();
     guard.apply_view(&view(1, 5, &[0]), now);
-    assert!(!is_quarantined(&guard, now));
+    assert!(!is_quarantined(&mut guard, now));
     let ended = crash_worker(&mut guard, 0, now);
-    assert!(is_quarantined(&guard, ended));
+    assert!(is_quarantined(&mut guard, ended));
     guard.apply_view(&view(1, 6, &[0]), ended);
-    assert!(is_quarantined(&guard, ended), "the view predates the leader's record of the crash");
+    assert!(
+        is_quarantined(&mut guard, ended),
+        "the view predates the leader's record of the crash"
+    );
     guard.apply_view(&view(1, 7, &[240_000]), ended + secs(1));
-    assert!(is_quarantined(&guard, ended + secs(200)));
+    assert!(is_quarantined(&mut guard, ended + secs(200)));
 }
 
 /// The leader quarantines a request by crashes at gateways that saw no answer. A gateway that has
@@ -133,13 +150,16 @@
     let mut guard = CrashGuard::new();
     let now = Instant::now();
     if answered {
-        guard.record_answer(REQUEST, now);
+        guard.record_answer(&contents(), AnswerProof::Success, now);
     }
     assert!(guard.due(now).is_empty(), "answers are reported only for quarantined requests");
     guard.apply_view(&view(1, 5, &[60_000]), now + secs(1));
-    assert_eq!(is_quarantined(&guard, now + secs(1)), !answered, "the leader lacks the answer");
+    assert_eq!(is_quarantined(&mut guard, now + secs(1)), !answered, "the leader lacks the answer");
     guard.apply_view(&view(1, 6, &[60_000]), now + secs(2));
-    assert!(is_quarantined(&guard, now + secs(2)), "the leader had time to lift the quarantine");
+    assert!(
+        is_quarantined(&mut guard, now + secs(2)),
+        "the leader had time to lift the quarantine"
+    );
     let due = guard.due(now + secs(1));
     assert_eq!(due.len(), usize::from(answered));
     assert!(due.iter().all(|record| record.answered_ms == Some(1000) && record.runs.is_empty()));
@@ -150,7 +170,7 @@
 fn due_contradicts_next_leader() {
     let mut guard = CrashGuard::new();
     let mut now = Instant::now();
-    guard.record_answer(REQUEST, now);
+    guard.record_answer(&contents(), AnswerProof::Success, now);
     guard.apply_view(&view(1, 1, &[60_000]), now);
     assert_eq!(guard.due(now).len(), 1);
     now += secs(20);
@@ -162,23 +182,35 @@
     assert_eq!(due[0].answered_ms, Some(20_000));
 }
 
-/// A quarantine ends at many gateways at the same moment while duplicates arrive at all of them:
-/// only a few gateways may send a probe request.
+/// A quarantine ends at many gateways at the same moment while duplicates arrive at all of them: only
+/// the one that the leader names may send a probe request, and only one.
 #[rstest]
-fn quarantine_end_probed_by_few() {
+fn quarantine_end_probed_by_one() {
     let now = Instant::now();
-    let view = FleetView { gateways: 82, ..view(1, 5, &[0]) };
-    let guards = (0..82).map(|number| {
-        let local = DaemonId(format!("10.1.0.{number}:7000"));
-        let mut guard = CrashGuard::new().with_identity(&local);
-        guard.apply_view(&view, now);
-        guard
-    });
-    let guards: Vec<CrashGuard> = guards.collect();
-    let probing =
-        |after: Duration| guards.iter().filter(|guard| !is_quarantined(guard, now + after)).count();
-    assert!(probing(Duration::ZERO) <= 3, "{} probe at once", probing(Duration::ZERO));
-    assert_eq!(probing(secs(40)), 82, "no further crash was reported");
+    let identity = |number: usize| DaemonId(format!("10.1.0.{number}:7000"));
+    let mut guards: Vec<CrashGuard> =
+        (0..82).map(|number| CrashGuard::new().with_identity(&identity(number))).collect();
+    let mut held = view(1, 5, &[0]);
+    held.held[0].prober = Some(xxh3_64(identity(17).as_bytes()));
+    guards.iter_mut().for_each(|guard| guard.apply_view(&held, now));
+    // Without a view for a while, each gateway decides by itself: no further crash was reported.
+    for (after, expected) in [(0, 1), (1, 1), (10, 1), (40, 82)] {
+        let now = now + secs(after);
+        let probing =
+            guards.iter_mut().map(|guard| !is_quarantined(guard, now)).filter(|free| *free).count();
+        assert_eq!(probing, expected, "after {after} s");
+    }
+    assert_eq!(guards[17].admit(&contents(), now), None);
+    assert!(guards[17].admit(&contents(), now + secs(1)).is_some(), "the grant is used up");
+    held.number += 1;
+    held.held[0].prober = None;
+    guards.iter_mut().for_each(|guard| guard.apply_view(&held, now + secs(9)));
+    let probing = guards
+        .iter_mut()
+        .map(|guard| !is_quarantined(guard, now + secs(9)))
+        .filter(|free| *free)
+        .count();
+    assert_eq!(probing, 0, "no gateway is named");
 }
 
 /// An operator releases a request because the workers crashed for another reason.
@@ -190,13 +222,14 @@
         now = crash_worker(&mut guard, number, now);
     }
     guard.apply_view(&view(1, 5, &[60_000]), now);
-    assert!(is_quarantined(&guard, now));
+    assert!(is_quarantined(&mut guard, now));
     let entry = |number: u64, ms: u32| {
-        let released = HeldRequest { request: REQUEST, left_ms: 0, released_ms: Some(ms) };
-        FleetView { held: vec![released], ..view(1, number, &[]) }
+        let mut released = view(1, number, &[0]);
+        released.held[0].released_ms = Some(ms);
+        released
     };
     guard.apply_view(&entry(6, 0), now);
-    assert!(!is_quarantined(&guard, now + secs(1)));
+    assert!(!is_quarantined(&mut guard, now + secs(1)));
     let due = guard.due(now + secs(1));
     let answered = due.iter().any(|record| record.answered_ms.is_some());
     assert!(answered, "a new leader must receive the release, too");
@@ -207,7 +240,7 @@
         let age = now.saturating_duration_since(start) + Duration::from_millis(10);
         guard.apply_view(&entry(number.into(), age.as_millis() as u32), now);
     }
-    assert!(is_quarantined(&guard, now), "crashes after the release count");
+    assert!(is_quarantined(&mut guard, now), "crashes after the release count");
 }
 
 /// Interval at which the leader receives crash records and publishes views.
@@ -215,7 +248,7 @@
 
 /// Three gateways and the ledger of their leader.
 struct Fleet {
-    request: RequestDigest,
+    request: ContentDigest,
     guards: Vec<CrashGuard>,
     leader: CrashLedger,
     now: Instant,
@@ -229,7 +262,7 @@
 }
 
 impl Fleet {
-    fn new(request: RequestDigest) -> Self {
+    fn new(request: ContentDigest) -> Self {
         Self {
             request,
             guards: (0..3).map(guard).collect(),
@@ -248,7 +281,8 @@
             self.now += VIEW_INTERVAL;
             self.report();
             self.views += 1;
-            let held = self.leader.quarantined(self.now);
+            let mut held = self.leader.quarantined(self.now);
+            self.leader.grant_probes(&mut held, self.now);
             let crashes = self.leader.evidence_due(&held, self.now);
             let view = FleetView { gateways: 3, held, crashes, ..view(self.term, self.views, &[]) };
             self.guards.iter_mut().for_each(|guard| guard.apply_view(&view, self.now));
@@ -278,11 +312,13 @@
         let mut sends = 0;
         for gateway in gateways {
             let guard = &mut self.guards[*gateway];
-            if guard.quarantine_left(self.request, sent).is_none() {
+            let contents = RequestContents::new(self.request);
+            if guard.admit(&contents, sent).is_none() {
                 sends += 1;
                 self.workers += 1;
                 let worker = WorkerId(format!("w{}", self.workers));
-                guard.record_crash(self.request, &worker, sent, self.now);
+                let certainty = TerminationCertainty::Confirmed;
+                guard.record_crash(&contents, &worker, (sent, self.now), certainty);
             }
         }
         sends
@@ -296,7 +332,7 @@
 #[case::after_20_s(20)]
 fn late_duplicates_bounded_after_split_burst(#[case] pause: u64) {
     for request in 0..100 {
-        let mut fleet = Fleet::new(RequestDigest(request));
+        let mut fleet = Fleet::new(ContentDigest(request));
         fleet.run_for(secs(1));
         assert_eq!(fleet.send(&[0, 1]), 2);
         fleet.run_for(Duration::from_millis(600));
@@ -319,13 +355,13 @@
         fleet.run_for(secs(1));
     }
     fleet.run_for(secs(30));
-    let left = fleet.leader.quarantine_left(REQUEST, fleet.now).expect("it is quarantined");
+    let left = fleet.leader.quarantine_left(REQUEST, 0, fleet.now).expect("it is quarantined");
     fleet.leader = CrashLedger::new();
     for _ in 0..30 {
         fleet.now += VIEW_INTERVAL;
         fleet.report();
     }
-    let left_anew = fleet.leader.quarantine_left(REQUEST, fleet.now).unwrap_or_default();
+    let left_anew = fleet.leader.quarantine_left(REQUEST, 0, fleet.now).unwrap_or_default();
     let lost = left.saturating_sub(left_anew);
     assert!(lost < secs(3), "{left:?} were left, {left_anew:?} after the loss");
 }
@@ -339,11 +375,11 @@
         assert_eq!(fleet.send(&[gateway]), 1);
         fleet.run_for(secs(1));
     }
-    let left = fleet.leader.quarantine_left(REQUEST, fleet.now).expect("it is quarantined");
+    let left = fleet.leader.quarantine_left(REQUEST, 0, fleet.now).expect("it is quarantined");
     fleet.restart(&[0, 1]);
     fleet.now += secs(3);
     fleet.run_for(secs(1));
-    let left_anew = fleet.leader.quarantine_left(REQUEST, fleet.now).unwrap_or_default();
+    let left_anew = fleet.leader.quarantine_left(REQUEST, 0, fleet.now).unwrap_or_default();
     let lost = left.saturating_sub(left_anew);
     assert!(lost < secs(5), "{left:?} were left, {left_anew:?} after the loss");
     fleet.run_for(secs(10));
@@ -363,5 +399,5 @@
     fleet.run_for(secs(1));
     fleet.restart(&[0, 1]);
     fleet.run_for(secs(6));
-    assert_eq!(fleet.leader.quarantine_state(REQUEST, fleet.now), None);
+    assert_eq!(fleet.leader.quarantine_state(REQUEST, 0, fleet.now), None);
 }
--- a/crates/measure/src/lives.rs
+++ b/crates/measure/src/lives.rs
@@ -9,8 +9,8 @@
 use hollowbarrow_gateway::picker::{PermitWait, PickFacts, WorkerPicker};
 use hollowbarrow_routing::{BackoffTable, CrashLedger, DuplicateLimiter, TerminatedRun};
 use hollowbarrow_schema::{
-    CrashRecord, CrashedRun, DomainId, Epoch, FleetView, HeldRequest, Incarnation, MembershipState,
-    ModelName, PermitAsk, PermitGrant, PermitNeed, PermitTerms, RequestDigest, RequestRate,
+    ContentDigest, CrashRecord, CrashedRun, DomainId, Epoch, FleetView, HeldRequest, Incarnation,
+    MembershipState, ModelName, PermitAsk, PermitGrant, PermitNeed, PermitTerms, RequestRate,
     ServiceName, Term, UpstreamLimit, WorkerBeat, WorkerId, WorkerLoad, WorkerMembership,
     WorkerReport, ZoneId,
 };
@@ -85,9 +85,11 @@
         encoded_bytes(&crash_record(3))?,
         encoded_bytes(&vec![crash_record(3); 16])?,
         encoded_bytes(&HeldRequest {
-            request: RequestDigest(u64::MAX),
+            request: ContentDigest(u64::MAX),
             left_ms: 100_000,
-            released_ms: None
+            organisation: Some(u64::MAX),
+            released_ms: None,
+            prober: None,
         })?
     );
     Ok(())
@@ -112,7 +114,7 @@
     let before = resident_kb()?;
     let mut limiter = DuplicateLimiter::new();
     for number in 0..REQUESTS * MEMORY_SCALE {
-        limiter.begin(RequestDigest(number), false, Instant::now());
+        limiter.begin(ContentDigest(number), false, Instant::now());
     }
     retained.push(limiter);
     Ok(resident_kb()?.saturating_sub(before) / MEMORY_SCALE)
@@ -126,13 +128,13 @@
     let mut ledger = CrashLedger::new();
     for number in 0..TERMINATED_RUNS {
         let ended = start + Duration::from_millis(number);
-        let run = TerminatedRun { upstream: number, sent: start, ended };
+        let run = TerminatedRun { upstream: number, sent: start, ended, organisation: None };
         let request = if number < RUNS_OF_REQUEST { 0 } else { number };
-        ledger.record_run(RequestDigest(request), run);
+        ledger.record_run(ContentDigest(request), run);
     }
     let started = WallInstant::now();
     for _ in 0..ITERATIONS {
-        std::hint::black_box(ledger.quarantine_left(RequestDigest(0), start));
+        std::hint::black_box(ledger.quarantine_left(ContentDigest(0), 0, start));
     }
     started.elapsed().as_secs_f64() * 1e6 / f64::from(ITERATIONS)
 }
@@ -228,11 +230,17 @@
 }
 
 fn crash_record(runs: u64) -> CrashRecord {
-    let run = |n| CrashedRun { upstream: u64::MAX - n, sent_ms: 20_000, ended_ms: 19_000 };
+    let run = |n| CrashedRun {
+        upstream: u64::MAX - n,
+        sent_ms: 20_000,
+        ended_ms: 19_000,
+        organisation: Some(u64::MAX),
+    };
     CrashRecord {
-        request: RequestDigest(u64::MAX),
+        request: ContentDigest(u64::MAX),
         runs: (0..runs).map(run).collect(),
         answered_ms: None,
+        probe: None,
     }
 }
 
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -13,16 +13,27 @@
 //! was answered before needs more such runs. Many duplicates of a request that was never answered
 //! are distinguished from such an event by which upstreams terminated ([`crate::burst`]).
 //!
+//! Requests that differ may share a part of their prompts that upstreams cannot handle. A run counts
+//! against each content of its request: the whole, and the parts of its prompt. Harmless contents
+//! are interrupted beside it, in the same requests and in others on the same upstream, so the
+//! termination of an upstream is attributed to the content with the strongest evidence that was in
+//! progress there, and does not count against weaker ones ([`crate::attribution`]).
+//!
+//! An organisation chooses the names of the parts that it sends. Runs of one organisation therefore
+//! quarantine a part for its own requests only, and those of two for all.
+//!
 //! Runs are merged by keeping the earliest time that was reported of each, so that forwarding a
 //! record does not make it younger.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use hollowbarrow_schema::{CrashRecord, CrashedRun, HeldRequest, RequestDigest};
+use hollowbarrow_schema::{ContentDigest, CrashRecord, CrashedRun, HeldRequest};
 use tokio::time::Instant;
 
+use crate::attribution::{CrashEvidence, TerminationCauses};
 use crate::burst::{UpstreamTerminations, find_burst};
+use crate::probe_turns::ProbeTurns;
 
 /// When a request is quarantined.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +53,9 @@
 /// everything may have been lost at once. When it expires, one more duplicate is sent, which is
 /// answered or confirms the suspicion.
 const BURST_QUARANTINE: Duration = Duration::from_secs(10);
+/// Quarantine after the first run that follows a burst. The upstream of a single request is seldom
+/// lost for another reason, and each further run costs a replica.
+const CONFIRMED_BURST_QUARANTINE: Duration = Duration::from_secs(30);
 /// Time for which a daemon must have observed answers before the first run of a request to know
 /// that the request was not answered: a request that is sent often is answered within this time.
 const MIN_OBSERVATION_TIME: Duration = Duration::from_secs(10);
@@ -56,6 +70,8 @@
 /// then refused 725 times in a minute. A short quarantine allows a retry, and the first answer
 /// clears the request.
 const ANSWERED_BEFORE: QuarantineRule = QuarantineRule { runs: 6, base: Duration::from_secs(10) };
+/// Smallest number of runs from which any quarantine or suspicion follows.
+const MIN_RUNS: usize = 3;
 /// Number of runs of a request that was never answered after which it is suspected, and sent only
 /// as a probe request, although they are less evidence than a quarantine requires: runs that end two
 /// at once and one later, or one and then two, are neither a burst nor three consecutive runs.
@@ -112,10 +128,61 @@
     pub sent: Instant,
     /// When the termination of the upstream was detected.
     pub ended: Instant,
+    /// Hash of the organisation whose request it was; `None` if the content is specific to it.
+    pub organisation: Option<u64>,
+}
+
+/// Whose requests a quarantine applies to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineScope {
+    /// All requests with the content.
+    All,
+    /// Those of the organisation with this hash.
+    Organisation(u64),
+}
+
+impl QuarantineScope {
+    /// Returns the scope of a quarantine that follows from these runs.
+    fn of(runs: &[TerminatedRun]) -> Self {
+        let mut organisations = runs.iter().map(|run| run.organisation);
+        match organisations.next() {
+            Some(Some(first)) if organisations.all(|other| other == Some(first)) => {
+                Self::Organisation(first)
+            }
+            _ => Self::All,
+        }
+    }
+
+    /// Returns the scope that a message states.
+    pub fn from_message(organisation: Option<u64>) -> Self {
+        organisation.map_or(Self::All, Self::Organisation)
+    }
+
+    /// Returns whether the requests of an organisation are in the scope.
+    pub fn includes(self, organisation: u64) -> bool {
+        match self {
+            Self::All => true,
+            Self::Organisation(only) => only == organisation,
+        }
+    }
+
+    fn to_message(self) -> Option<u64> {
+        match self {
+            Self::All => None,
+            Self::Organisation(organisation) => Some(organisation),
+        }
+    }
+}
+
+/// A quarantine and the runs that it follows from.
+#[derive(Clone, Copy, Debug)]
+struct Quarantine {
+    until: Instant,
+    scope: QuarantineScope,
 }
 
 #[derive(Clone, Debug, Default)]
-struct RequestEntry {
+struct ContentEntry {
     runs: Vec<TerminatedRun>,
     answered: Option<Instant>,
     /// When another daemon last published that the request is known to crash upstreams.
@@ -124,9 +191,11 @@
     last_sent: Option<Instant>,
     /// When the record was last published as evidence; `None` if it has changed since.
     evidence_sent: Option<Instant>,
+    /// Probe requests for the content.
+    probes: ProbeTurns,
 }
 
-impl RequestEntry {
+impl ContentEntry {
     /// Adds a run, or moves a known one to an earlier time; returns false if nothing changes.
     fn add_run(&mut self, run: TerminatedRun) -> bool {
         match self.runs.iter_mut().find(|known| known.upstream == run.upstream) {
@@ -145,24 +214,21 @@
         self.runs.last().map(|run| run.ended)
     }
 
-    /// Counts the runs since the last complete answer, each sent after the previous one had ended.
-    fn chain(&self) -> usize {
-        self.chain_since(self.answered)
+    /// Returns the strength of all evidence against the content.
+    fn evidence(&self) -> CrashEvidence {
+        CrashEvidence { unanswered: self.answered.is_none(), runs: self.runs.len() }
     }
 
-    /// Counts the runs that ended after a given time, each sent after the previous one had ended.
-    fn chain_since(&self, since: Option<Instant>) -> usize {
-        let mut chain = 0;
-        let mut last: Option<Instant> = None;
-        for run in &self.runs {
-            let earlier = since.is_some_and(|since| since >= run.ended);
-            if earlier || last.is_some_and(|last| run.sent < last) {
-                continue;
-            }
-            chain += 1;
-            last = Some(run.ended);
-        }
-        chain
+    /// Returns the runs that no content with stronger evidence accounts for.
+    fn counted_runs(&self, causes: &TerminationCauses) -> Vec<TerminatedRun> {
+        let evidence = self.evidence();
+        let counts = |run: &&TerminatedRun| !causes.explains(run.upstream, evidence);
+        self.runs.iter().filter(counts).copied().collect()
+    }
+
+    /// Counts the runs since the last complete answer, each sent after the previous one had ended.
+    fn chain(&self) -> usize {
+        count_sequence(&self.runs, self.answered)
     }
 
     /// Returns the key by which requests are ordered: first by how likely they crash upstreams,
@@ -186,42 +252,73 @@
         !within(last_sent, RESEND_INTERVAL) && (fresh || evidence || lacking)
     }
 
-    /// Returns the end of the quarantine; `None` if the request is not known to crash upstreams.
-    fn quarantined_until(&self, ledger: &CrashLedger) -> Option<Instant> {
-        let quarantine = self
-            .quarantine_by_sequence(ledger)
-            .max(self.quarantine_by_burst(&ledger.terminations))
-            .max(self.is_suspected().then_some(Duration::ZERO))?;
-        self.last_end().map(|ended| ended + quarantine.min(MAX_QUARANTINE))
+    /// Returns the quarantine; `None` if the content is not known to crash upstreams.
+    fn quarantine(&self, ledger: &CrashLedger, causes: &TerminationCauses) -> Option<Quarantine> {
+        if self.runs.len() < MIN_RUNS {
+            return None;
+        }
+        let runs = self.counted_runs(causes);
+        let length = self
+            .quarantine_by_sequence(&runs, ledger)
+            .max(self.quarantine_by_burst(&runs, &ledger.terminations))
+            .max(self.is_suspected(&runs).then_some(Duration::ZERO))?;
+        let until = runs.last()?.ended + length.min(MAX_QUARANTINE);
+        Some(Quarantine { until, scope: QuarantineScope::of(&runs) })
     }
 
     /// Returns the quarantine that follows from consecutive runs.
-    fn quarantine_by_sequence(&self, ledger: &CrashLedger) -> Option<Duration> {
-        let rule = match (self.answered, self.runs.first()) {
+    fn quarantine_by_sequence(
+        &self,
+        runs: &[TerminatedRun],
+        ledger: &CrashLedger,
+    ) -> Option<Duration> {
+        let rule = match (self.answered, runs.first()) {
             (Some(_), _) => ANSWERED_BEFORE,
             (None, Some(first)) if !ledger.was_observing(first.sent) => UNOBSERVED,
             (None, _) => NEVER_ANSWERED,
         };
-        let beyond = self.chain().checked_sub(rule.runs)?;
+        let beyond = count_sequence(runs, self.answered).checked_sub(rule.runs)?;
         Some(doubled(rule.base, beyond))
     }
 
-    /// Returns whether the request may be sent only as a probe request, which is answered or adds
+    /// Returns whether the content may be sent only in a probe request, which is answered or adds
     /// the evidence that is missing.
-    fn is_suspected(&self) -> bool {
+    fn is_suspected(&self, runs: &[TerminatedRun]) -> bool {
         self.answered.is_none()
-            && self.runs.len() >= SUSPECTED_RUNS
-            && self.chain() >= SUSPECTED_SEQUENCE
+            && runs.len() >= SUSPECTED_RUNS
+            && count_sequence(runs, None) >= SUSPECTED_SEQUENCE
     }
 
     /// Returns the quarantine that follows from a burst and the runs after it.
-    fn quarantine_by_burst(&self, terminations: &UpstreamTerminations) -> Option<Duration> {
+    fn quarantine_by_burst(
+        &self,
+        runs: &[TerminatedRun],
+        terminations: &UpstreamTerminations,
+    ) -> Option<Duration> {
         if self.answered.is_some() {
             return None;
         }
-        let burst = find_burst(&self.runs, terminations)?;
-        Some(doubled(BURST_QUARANTINE, self.chain_since(Some(burst))))
+        let burst = find_burst(runs, terminations)?;
+        Some(match count_sequence(runs, Some(burst)).checked_sub(1) {
+            None => BURST_QUARANTINE,
+            Some(further) => doubled(CONFIRMED_BURST_QUARANTINE, further),
+        })
+    }
+}
+
+/// Counts the runs that ended after a given time, each sent after the previous one had ended.
+fn count_sequence(runs: &[TerminatedRun], since: Option<Instant>) -> usize {
+    let mut count = 0;
+    let mut last: Option<Instant> = None;
+    for run in runs {
+        let earlier = since.is_some_and(|since| since >= run.ended);
+        if earlier || last.is_some_and(|last| run.sent < last) {
+            continue;
+        }
+        count += 1;
+        last = Some(run.ended);
     }
+    count
 }
 
 /// Doubles a quarantine for each run beyond those that the rule requires.
@@ -232,8 +329,12 @@
 /// Requests during which upstreams terminated.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
-    requests: HashMap<RequestDigest, RequestEntry>,
+    contents: HashMap<ContentDigest, ContentEntry>,
     terminations: UpstreamTerminations,
+    /// Contents with enough runs to be quarantined.
+    repeated: BTreeSet<ContentDigest>,
+    /// Which terminations are accounted for, as of the last change.
+    causes: TerminationCauses,
     /// Since when this daemon has learnt of answers, its own and those of other daemons; `None` if
     /// it always has.
     observing_since: Option<Instant>,
@@ -257,33 +358,39 @@
     }
 
     /// Records that an upstream terminated while it ran a request.
-    pub fn record_run(&mut self, request: RequestDigest, run: TerminatedRun) {
+    pub fn record_run(&mut self, request: ContentDigest, run: TerminatedRun) {
         self.terminations.record(run.upstream, run.ended);
-        let entry = self.requests.entry(request).or_default();
+        let entry = self.contents.entry(request).or_default();
         if entry.add_run(run) {
             entry.last_sent = None;
         }
+        if entry.runs.len() >= MIN_RUNS {
+            self.repeated.insert(request);
+        }
         self.evict_surplus();
+        self.attribute();
     }
 
     /// Records that a request was answered completely. An unknown request is ignored.
-    pub fn record_answer(&mut self, request: RequestDigest, at: Instant) {
-        if let Some(entry) = self.requests.get_mut(&request) {
+    pub fn record_answer(&mut self, request: ContentDigest, at: Instant) {
+        if let Some(entry) = self.contents.get_mut(&request) {
             set_answered(entry, at);
+            self.attribute();
         }
     }
 
     /// Records that a request which another daemon suspects was answered completely here.
-    pub fn contradict(&mut self, request: RequestDigest, answered: Instant) {
-        set_answered(self.requests.entry(request).or_default(), answered);
+    pub fn contradict(&mut self, request: ContentDigest, answered: Instant) {
+        set_answered(self.contents.entry(request).or_default(), answered);
         self.evict_surplus();
+        self.attribute();
     }
 
     /// Records that another daemon has published that a request is known to crash upstreams. Runs
     /// that are known here are then sent as long as they count, since the daemons that have received
     /// them may all terminate; a contradicting answer is sent again if it was sent before.
-    pub fn record_published(&mut self, request: RequestDigest, now: Instant) {
-        if let Some(entry) = self.requests.get_mut(&request) {
+    pub fn record_published(&mut self, request: ContentDigest, now: Instant) {
+        if let Some(entry) = self.contents.get_mut(&request) {
             entry.published = Some(now);
         }
     }
@@ -291,67 +398,151 @@
     /// Merges records that another daemon sent.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         for record in records {
-            let entry = self.requests.entry(record.request).or_default();
+            let entry = self.contents.entry(record.request).or_default();
             let mut changed = false;
             for run in &record.runs {
                 let times = (time_before(run.sent_ms, now), time_before(run.ended_ms, now));
                 let (Some(sent), Some(ended)) = times else { continue };
                 self.terminations.record(run.upstream, ended);
-                changed |= entry.add_run(TerminatedRun { upstream: run.upstream, sent, ended });
+                let CrashedRun { upstream, organisation, .. } = *run;
+                changed |= entry.add_run(TerminatedRun { upstream, sent, ended, organisation });
             }
             if changed {
                 entry.last_sent = None;
             }
+            if entry.runs.len() >= MIN_RUNS {
+                self.repeated.insert(record.request);
+            }
+            if let Some(report) = &record.probe
+                && entry.probes.merge(report, now)
+            {
+                entry.last_sent = None;
+            }
             if let Some(answered) = record.answered_ms.and_then(|ms| time_before(ms, now)) {
                 set_answered(entry, answered);
             }
         }
         self.evict_surplus();
+        self.attribute();
     }
 
-    /// Returns the remaining quarantine of a request; `None` if the request may be sent.
-    pub fn quarantine_left(&self, request: RequestDigest, now: Instant) -> Option<Duration> {
-        match self.quarantine_state(request, now)? {
+    /// Returns the remaining quarantine of a content; `None` if an organisation's request with it may
+    /// be sent.
+    pub fn quarantine_left(
+        &self,
+        content: ContentDigest,
+        organisation: u64,
+        now: Instant,
+    ) -> Option<Duration> {
+        match self.quarantine_state(content, organisation, now)? {
             QuarantineState::Active(left) => Some(left),
             QuarantineState::Expired(_) => None,
         }
     }
 
-    /// Returns the quarantine of a request; `None` if the request is not known to crash upstreams.
+    /// Returns the quarantine of a content for an organisation's requests; `None` if the content is
+    /// not known to crash upstreams.
     pub fn quarantine_state(
         &self,
-        request: RequestDigest,
+        content: ContentDigest,
+        organisation: u64,
         now: Instant,
     ) -> Option<QuarantineState> {
-        let until = self.requests.get(&request)?.quarantined_until(self)?;
-        Some(match until.checked_duration_since(now) {
+        let quarantine = self.contents.get(&content)?.quarantine(self, &self.causes)?;
+        if !quarantine.scope.includes(organisation) {
+            return None;
+        }
+        Some(match quarantine.until.checked_duration_since(now) {
             Some(left) if !left.is_zero() => QuarantineState::Active(left),
-            _ => QuarantineState::Expired(now.saturating_duration_since(until)),
+            _ => QuarantineState::Expired(now.saturating_duration_since(quarantine.until)),
         })
     }
 
-    /// Returns the requests that are known to crash upstreams, the latest end of quarantine first.
+    /// Returns the contents that are known to crash upstreams, the latest end of quarantine first.
     pub fn quarantined(&self, now: Instant) -> Vec<HeldRequest> {
-        let known = |(request, entry): (&RequestDigest, &RequestEntry)| {
-            Some((entry.quarantined_until(self)?, *request))
+        let known = |(content, entry): (&ContentDigest, &ContentEntry)| {
+            let quarantine = entry.quarantine(self, &self.causes)?;
+            Some((quarantine.until, *content, quarantine.scope))
         };
-        let mut quarantined: Vec<_> = self.requests.iter().filter_map(known).collect();
-        quarantined.sort_by(|a, b| b.cmp(a));
+        let repeated =
+            self.repeated.iter().filter_map(|content| self.contents.get_key_value(content));
+        let mut quarantined: Vec<_> = repeated.filter_map(known).collect();
+        quarantined.sort_by_key(|(until, content, _)| std::cmp::Reverse((*until, *content)));
         quarantined.truncate(MAX_SENT_QUARANTINES);
-        let to_message = |(until, request): (Instant, RequestDigest)| HeldRequest {
-            request,
-            left_ms: to_ms(until.saturating_duration_since(now)),
-            released_ms: None,
+        let to_message = |(until, request, scope): (Instant, ContentDigest, QuarantineScope)| {
+            let left_ms = to_ms(until.saturating_duration_since(now));
+            let organisation = scope.to_message();
+            HeldRequest { request, left_ms, organisation, released_ms: None, prober: None }
         };
         quarantined.into_iter().map(to_message).collect()
     }
 
+    /// Returns the number of upstreams that terminated while they ran a content that was never
+    /// answered, without those that another content accounts for.
+    pub fn unanswered_runs(&self, content: ContentDigest) -> usize {
+        let answered = self.contents.get(&content).is_some_and(|entry| entry.answered.is_some());
+        if answered { 0 } else { self.count_runs(content) }
+    }
+
+    /// Returns the number of upstreams that terminated while they ran a content, without those that
+    /// another content accounts for.
+    pub fn count_runs(&self, content: ContentDigest) -> usize {
+        let entry = self.contents.get(&content);
+        entry.map_or(0, |entry| entry.counted_runs(&self.causes).len())
+    }
+
+    /// Sets which gateway may send the next probe request for each content whose quarantine has ended.
+    pub fn grant_probes(&mut self, quarantined: &mut [HeldRequest], now: Instant) {
+        for held in quarantined.iter_mut().filter(|held| held.left_ms == 0) {
+            if let Some(entry) = self.contents.get_mut(&held.request) {
+                held.prober = entry.probes.grant(entry.last_end(), now);
+            }
+        }
+    }
+
+    /// Records that a gateway received a request that could serve as a probe request.
+    pub fn record_probe_wanted(&mut self, content: ContentDigest, gateway: u64, now: Instant) {
+        let entry = self.contents.entry(content).or_default();
+        if entry.probes.record_wanted(gateway, now) {
+            entry.last_sent = None;
+        }
+        self.evict_surplus();
+    }
+
+    /// Records that a gateway sends a probe request.
+    pub fn record_probe_sent(&mut self, content: ContentDigest, gateway: u64, now: Instant) {
+        let entry = self.contents.entry(content).or_default();
+        entry.probes.record_sent(gateway, now);
+        entry.last_sent = None;
+        self.evict_surplus();
+    }
+
+    /// Attributes terminations to contents again after a change.
+    fn attribute(&mut self) {
+        let mut causes = TerminationCauses::new();
+        let none = TerminationCauses::new();
+        let contents = &self.contents;
+        self.repeated.retain(|content| contents.contains_key(content));
+        let repeated =
+            self.repeated.iter().filter_map(|content| self.contents.get_key_value(content));
+        let accused = repeated.filter(|(_, entry)| entry.quarantine(self, &none).is_some());
+        let mut accused: Vec<_> = accused.collect();
+        accused.sort_by_key(|(content, entry)| std::cmp::Reverse((entry.evidence(), **content)));
+        for (_, entry) in accused {
+            if entry.quarantine(self, &causes).is_some() {
+                let upstreams = entry.runs.iter().map(|run| run.upstream);
+                causes.record(upstreams, entry.evidence());
+            }
+        }
+        self.causes = causes;
+    }
+
     /// Returns the records that are due to be sent now: those that have changed, and those not sent
     /// for a while.
     pub fn due(&mut self, now: Instant) -> Vec<CrashRecord> {
         let since = self.latest_list_time();
         let mut due: Vec<_> =
-            self.requests.iter_mut().filter(|(_, entry)| entry.is_due(since, now)).collect();
+            self.contents.iter_mut().filter(|(_, entry)| entry.is_due(since, now)).collect();
         // Requests most likely to be quarantined come first, and of these the most recent. Digests
         // decide among the others, so that the result does not depend on the order of the map.
         due.sort_by_key(|(request, entry)| std::cmp::Reverse((entry.suspicion(), **request)));
@@ -369,7 +560,7 @@
     /// still known to crash upstreams.
     fn latest_list_time(&self) -> Option<Instant> {
         let mut times: Vec<Instant> =
-            self.requests.values().filter_map(|entry| entry.published).collect();
+            self.contents.values().filter_map(|entry| entry.published).collect();
         if times.len() <= MAX_SENT_QUARANTINES {
             return None;
         }
@@ -382,7 +573,7 @@
     pub fn evidence_due(&mut self, quarantined: &[HeldRequest], now: Instant) -> Vec<CrashRecord> {
         let mut records = Vec::new();
         for held in quarantined {
-            let Some(entry) = self.requests.get_mut(&held.request) else { continue };
+            let Some(entry) = self.contents.get_mut(&held.request) else { continue };
             let recent = |at: Instant| now.saturating_duration_since(at) < EVIDENCE_INTERVAL;
             if records.len() < MAX_SENT_RECORDS && !entry.evidence_sent.is_some_and(recent) {
                 entry.evidence_sent = Some(now);
@@ -394,50 +585,56 @@
 
     /// Makes all records due to be sent, as if they had changed.
     pub fn resend_all(&mut self) {
-        self.requests.values_mut().for_each(|entry| entry.last_sent = None);
+        self.contents.values_mut().for_each(|entry| entry.last_sent = None);
     }
 
     /// Removes the records of all requests but those selected.
-    pub fn retain(&mut self, selected: impl Fn(RequestDigest) -> bool) {
-        self.requests.retain(|request, _| selected(*request));
+    pub fn retain(&mut self, selected: impl Fn(ContentDigest) -> bool) {
+        self.contents.retain(|request, _| selected(*request));
+        self.attribute();
     }
 
     /// Removes runs that are older than the retention time.
     pub fn prune(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < RETENTION;
         self.terminations.prune(recent);
-        self.requests.retain(|_, entry| {
+        let before = self.contents.len();
+        self.contents.retain(|_, entry| {
             entry.runs.retain(|run| recent(run.ended));
-            !entry.runs.is_empty() || entry.answered.is_some_and(recent)
+            let kept = !entry.runs.is_empty() || entry.answered.is_some_and(recent);
+            kept || entry.probes.is_recent(now)
         });
+        if self.contents.len() < before {
+            self.attribute();
+        }
     }
 
     /// Returns the number of requests kept.
     pub fn len(&self) -> usize {
-        self.requests.len()
+        self.contents.len()
     }
 
     /// Returns whether no request is kept.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.contents.is_empty()
     }
 
     /// Evicts the least suspected requests if there are too many, several at once.
     fn evict_surplus(&mut self) {
-        if self.requests.len() <= MAX_REQUESTS {
+        if self.contents.len() <= MAX_REQUESTS {
             return;
         }
         let suspicion =
-            |(request, entry): (&RequestDigest, &RequestEntry)| (entry.suspicion(), *request);
-        let mut suspicions: Vec<_> = self.requests.iter().map(suspicion).collect();
+            |(request, entry): (&ContentDigest, &ContentEntry)| (entry.suspicion(), *request);
+        let mut suspicions: Vec<_> = self.contents.iter().map(suspicion).collect();
         suspicions.sort_unstable();
         for (_, request) in suspicions.iter().take(MAX_REQUESTS / EVICTION_DIVISOR) {
-            self.requests.remove(request);
+            self.contents.remove(request);
         }
     }
 }
 
-fn set_answered(entry: &mut RequestEntry, at: Instant) {
+fn set_answered(entry: &mut ContentEntry, at: Instant) {
     // When the same answer is reported again with some delay, it seems a little later each time,
     // which is no change. A later answer matters only if it follows a run.
     let matters = entry.runs.is_empty() && entry.answered.is_none()
@@ -448,17 +645,19 @@
     }
 }
 
-fn to_record(request: RequestDigest, entry: &RequestEntry, now: Instant) -> CrashRecord {
+fn to_record(request: ContentDigest, entry: &ContentEntry, now: Instant) -> CrashRecord {
     let age = |at: Instant| to_ms(now.saturating_duration_since(at));
     let to_message = |run: &TerminatedRun| CrashedRun {
         upstream: run.upstream,
         sent_ms: age(run.sent),
         ended_ms: age(run.ended),
+        organisation: run.organisation,
     };
     CrashRecord {
         request,
         runs: entry.runs.iter().map(to_message).collect(),
         answered_ms: entry.answered.map(age),
+        probe: entry.probes.to_report(now),
     }
 }
 
@@ -466,6 +665,6 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn time_before(ms: u32, now: Instant) -> Option<Instant> {
+pub(crate) fn time_before(ms: u32, now: Instant) -> Option<Instant> {
     now.checked_sub(Duration::from_millis(ms.into()))
 }
--- a/crates/routing/src/probes.rs
+++ b/crates/routing/src/probes.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_schema::ContentDigest;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of daemons per daemon that may send a probe request at first, on average. With this
@@ -29,7 +29,7 @@
 /// ago; `None` if it may send a probe request. The other arguments are those of [`may_probe`].
 pub fn probe_delay(
     daemon: u64,
-    request: RequestDigest,
+    request: ContentDigest,
     window: u64,
     daemons: u32,
     expired_for: Duration,
@@ -41,7 +41,7 @@
 /// daemon, and the quarantine expired `expired_for` ago.
 pub fn may_probe(
     daemon: u64,
-    request: RequestDigest,
+    request: ContentDigest,
     window: u64,
     daemons: u32,
     expired_for: Duration,
--- a/crates/routing/tests/copies.rs
+++ b/crates/routing/tests/copies.rs
@@ -4,13 +4,15 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use hollowbarrow_routing::{DuplicateGate, DuplicateLimiter, DuplicateStep};
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_routing::{
+    ContentStanding, DuplicateGate, DuplicateLimiter, DuplicateStep, RequestContents,
+};
+use hollowbarrow_schema::ContentDigest;
 use rstest::rstest;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: ContentDigest = ContentDigest(7);
 const PROPAGATION_TIME: Duration = Duration::from_millis(600);
 const WAIT: DuplicateStep = DuplicateStep::Wait(None);
 
@@ -18,13 +20,21 @@
     Duration::from_millis(time)
 }
 
+fn contents() -> RequestContents {
+    RequestContents::new(REQUEST)
+}
+
+fn standing_if(answered: bool) -> ContentStanding {
+    if answered { ContentStanding::Answered } else { ContentStanding::Unknown }
+}
+
 #[rstest]
 fn begin_first_alone() {
     let now = Instant::now();
     let mut limiter = DuplicateLimiter::new();
     assert_eq!(limiter.begin(REQUEST, false, now), DuplicateStep::Go);
     assert_eq!(limiter.begin(REQUEST, false, now), WAIT);
-    assert_eq!(limiter.begin(RequestDigest(8), false, now), DuplicateStep::Go, "another request");
+    assert_eq!(limiter.begin(ContentDigest(8), false, now), DuplicateStep::Go, "another request");
     limiter.record_progress(REQUEST);
     for _ in 0..100 {
         assert_eq!(
@@ -134,11 +144,12 @@
         let in_progress = Arc::clone(&in_progress);
         duplicates.spawn(async move {
             let was_answered = || answered.load(Ordering::Relaxed);
+            let standing = |_| standing_if(was_answered());
             let limit = start + ms(4000);
-            let ticket = gate.enter(REQUEST, was_answered, limit).await?;
+            let ticket = gate.enter(&contents(), standing, limit).await?;
             ticket.suspend();
             tokio::time::sleep_until(start + ms(1000 + number % 5)).await;
-            if !ticket.resume(was_answered, limit).await {
+            if !ticket.resume(standing, limit).await {
                 return None;
             }
             let beside = in_progress.fetch_add(1, Ordering::Relaxed);
@@ -161,7 +172,7 @@
     let now = Instant::now();
     let mut limiter = DuplicateLimiter::new();
     for number in 0..1000 {
-        let request = RequestDigest(number);
+        let request = ContentDigest(number);
         limiter.begin(request, false, now);
         limiter.begin(request, false, now);
         limiter.record_crash(request, now);
@@ -181,9 +192,12 @@
 async fn enter_burst(#[case] answered: bool, #[case] expected: usize) {
     let gate = DuplicateGate::new();
     let limit = Instant::now() + ms(250);
-    let first =
-        gate.enter(REQUEST, || false, limit).await.expect("the first duplicate is admitted");
-    let others = (0..39).map(|_| gate.enter(REQUEST, || false, limit));
+    let first = gate
+        .enter(&contents(), |_| ContentStanding::Unknown, limit)
+        .await
+        .expect("the first duplicate is admitted");
+    let contents = contents();
+    let others = (0..39).map(|_| gate.enter(&contents, |_| ContentStanding::Unknown, limit));
     let others = async {
         let mut tickets = Vec::new();
         for other in others {
@@ -197,7 +211,7 @@
             first.record_progress();
             return Some(first);
         }
-        first.record_crash();
+        first.record_crash(|_| ContentStanding::Unknown);
         drop(first);
         None
     };
@@ -216,13 +230,16 @@
     let answered = Arc::new(AtomicBool::new(false));
     let start = Instant::now();
     let limit = start + ms(250);
-    let first = gate.enter(REQUEST, || false, limit).await.expect("the first is admitted");
+    let first = gate
+        .enter(&contents(), |_| ContentStanding::Unknown, limit)
+        .await
+        .expect("the first is admitted");
     let mut others = JoinSet::new();
     for _ in 0..39 {
         let (gate, answered) = (gate.clone(), Arc::clone(&answered));
         others.spawn(async move {
-            let was_answered = || answered.load(Ordering::Relaxed);
-            let ticket = gate.enter(REQUEST, was_answered, limit).await;
+            let standing = |_| standing_if(answered.load(Ordering::Relaxed));
+            let ticket = gate.enter(&contents(), standing, limit).await;
             tokio::time::sleep(ms(80)).await;
             ticket.is_some()
         });
@@ -234,3 +251,86 @@
     assert_eq!(admitted, 39);
     assert_eq!(start.elapsed(), ms(160), "the others wait for the first one only");
 }
+
+/// Returns a request with its own content and a part that others share.
+fn request_with_part(number: u64) -> RequestContents {
+    let parts = [b"part".as_slice(), b"own"].into_iter();
+    RequestContents::new(ContentDigest(number)).with_parts("m", parts)
+}
+
+/// Sends thirty different requests with a part at once, of which each ends or shows progress after
+/// 80 ms, and returns after how many milliseconds each was sent.
+async fn send_thirty(standing: ContentStanding, limit: u64, progress: bool) -> Vec<u64> {
+    let gate = DuplicateGate::new();
+    let start = Instant::now();
+    let mut requests = JoinSet::new();
+    for number in 0..30 {
+        let gate = gate.clone();
+        requests.spawn(async move {
+            let contents = request_with_part(number);
+            let ticket = gate.enter(&contents, |_| standing, start + ms(limit)).await?;
+            let sent = start.elapsed().as_millis() as u64;
+            tokio::time::sleep(ms(80)).await;
+            if progress {
+                ticket.record_progress();
+                tokio::time::sleep(ms(1000)).await;
+            } else {
+                ticket.record_crash(|_| standing);
+            }
+            Some(sent)
+        });
+    }
+    let mut sent: Vec<u64> = requests.join_all().await.into_iter().flatten().collect();
+    sent.sort_unstable();
+    sent
+}
+
+/// Different requests with a part of which nothing is known wait for the first one's progress, and no
+/// longer than their limit.
+#[rstest]
+#[case::shows_progress(ContentStanding::Unknown, 250, true, 1, 80)]
+#[case::shows_nothing(ContentStanding::Unknown, 50, true, 1, 50)]
+#[case::known(ContentStanding::Answered, 250, true, 30, 0)]
+#[tokio::test(start_paused = true)]
+async fn enter_different_requests_with_part(
+    #[case] standing: ContentStanding,
+    #[case] limit: u64,
+    #[case] progress: bool,
+    #[case] first: usize,
+    #[case] others_at: u64,
+) {
+    let sent = send_thirty(standing, limit, progress).await;
+    assert_eq!(sent.len(), 30);
+    assert_eq!(sent.iter().filter(|at| **at == 0).count(), first, "{sent:?}");
+    assert!(sent[first..].iter().all(|at| *at == others_at), "{sent:?}");
+}
+
+/// Progress shows nothing about a part under which upstreams have terminated: one request at a time
+/// is sent, and the others are refused at their limit.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn enter_suspected_part_one_at_a_time() {
+    let sent = send_thirty(ContentStanding::Suspected, 250, true).await;
+    assert_eq!(sent, [0]);
+}
+
+/// A request whose upstream terminates pauses all others with an unknown part, and itself, until
+/// other daemons' records can have arrived.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn crash_pauses_requests_with_part() {
+    let gate = DuplicateGate::new();
+    let start = Instant::now();
+    let unknown = |_| ContentStanding::Unknown;
+    let limit = start + ms(250);
+    let first = gate.enter(&request_with_part(1), unknown, limit).await.expect("it is alone");
+    let until = first.record_crash(unknown).expect("its part is unknown");
+    assert_eq!(until, start + PROPAGATION_TIME);
+    drop(first);
+    let sent = gate.enter(&request_with_part(2), unknown, limit).await;
+    assert!(sent.is_some(), "a part of which nothing is known delays, and no more");
+    assert_eq!(start.elapsed(), ms(250));
+    let whole = RequestContents::new(ContentDigest(3));
+    let alone = gate.enter(&whole, unknown, limit).await.expect("it is alone");
+    assert_eq!(alone.record_crash(unknown), None, "a single request without parts is retried");
+}
--- a/crates/routing/tests/crash_bursts.rs
+++ b/crates/routing/tests/crash_bursts.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use hollowbarrow_routing::{CrashLedger, QuarantineState, TerminatedRun};
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_schema::ContentDigest;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use tokio::time::Instant;
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: ContentDigest = ContentDigest(7);
 /// Upstreams of the service, divided into zones and racks of equal size.
 const UPSTREAMS: u64 = 12;
 const ZONES: u64 = 3;
@@ -196,14 +196,14 @@
     for (number, (request, run, ended)) in scenario.truncated_runs(false).into_iter().enumerate() {
         if observes(number) {
             let (sent, ended) = (when(run.sent), when(ended));
-            let run = TerminatedRun { upstream: run.upstream, sent, ended };
-            ledger.record_run(RequestDigest(request), run);
+            let run = TerminatedRun { upstream: run.upstream, sent, ended, organisation: None };
+            ledger.record_run(ContentDigest(request), run);
         }
     }
     if let Some(answered) = scenario.answered(at) {
         ledger.contradict(REQUEST, when(answered));
     }
-    ledger.quarantine_state(REQUEST, when(at))
+    ledger.quarantine_state(REQUEST, 0, when(at))
 }
 
 const STRATEGIES: [(&str, Strategy); 7] = [
--- a/crates/routing/tests/crashes.rs
+++ b/crates/routing/tests/crashes.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use hollowbarrow_routing::{CrashLedger, QuarantineState, TerminatedRun};
-use hollowbarrow_schema::{CrashRecord, CrashedRun, RequestDigest};
+use hollowbarrow_schema::{ContentDigest, CrashRecord, CrashedRun};
 use proptest::prelude::*;
 use rstest::rstest;
 use tokio::time::Instant;
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: ContentDigest = ContentDigest(7);
 const BASE_QUARANTINE: Duration = Duration::from_secs(120);
 const MAX_QUARANTINE: Duration = Duration::from_secs(960);
 
@@ -27,7 +27,7 @@
 }
 
 fn run(start: Instant, upstream: u64, sent: u64, ended: u64) -> TerminatedRun {
-    TerminatedRun { upstream, sent: start + ms(sent), ended: start + ms(ended) }
+    TerminatedRun { upstream, sent: start + ms(sent), ended: start + ms(ended), organisation: None }
 }
 
 #[rstest]
@@ -45,7 +45,7 @@
 fn quarantine_runs(#[case] runs: &[(u64, u64)], #[case] expected: Option<Duration>) {
     let start = Instant::now();
     let last = runs.iter().map(|(_, ended)| *ended).max().expect("there are runs");
-    let left = ledger_of(start, runs).quarantine_left(REQUEST, start + ms(last));
+    let left = ledger_of(start, runs).quarantine_left(REQUEST, 0, start + ms(last));
     assert_eq!(left, expected);
 }
 
@@ -62,11 +62,11 @@
     let now = start + ms(1000);
     let last = runs.iter().map(|(_, ended)| *ended).max().expect("there are runs");
     let expected = suspected.then_some(QuarantineState::Expired(ms(1000 - last)));
-    assert_eq!(ledger.quarantine_state(REQUEST, now), expected);
+    assert_eq!(ledger.quarantine_state(REQUEST, 0, now), expected);
     let listed: Vec<u32> = ledger.quarantined(now).iter().map(|entry| entry.left_ms).collect();
     assert_eq!(listed, if suspected { vec![0] } else { Vec::new() });
     ledger.record_answer(REQUEST, now);
-    assert_eq!(ledger.quarantine_state(REQUEST, now), None, "an answer clears the request");
+    assert_eq!(ledger.quarantine_state(REQUEST, 0, now), None, "an answer clears the request");
 }
 
 #[rstest]
@@ -77,7 +77,7 @@
         ledger.record_run(REQUEST, run(start, 1, number * 100, number * 100 + 50));
     }
     assert_eq!(
-        ledger.quarantine_left(REQUEST, start + ms(600)),
+        ledger.quarantine_left(REQUEST, 0, start + ms(600)),
         None,
         "an upstream that keeps running"
     );
@@ -90,7 +90,7 @@
     let start = Instant::now();
     let mut ledger = ledger_of(start, &[(0, 100), (100, 200), (900, 1000)]);
     ledger.record_answer(REQUEST, start + ms(answered));
-    assert_eq!(ledger.quarantine_left(REQUEST, start + ms(1000)), None);
+    assert_eq!(ledger.quarantine_left(REQUEST, 0, start + ms(1000)), None);
 }
 
 /// Guards against a long quarantine of a harmless request that many callers send. It had been
@@ -108,7 +108,7 @@
     let mut ledger = ledger_of(start, &runs);
     ledger.contradict(REQUEST, start);
     let last = runs.last().expect("there are runs").1;
-    assert_eq!(ledger.quarantine_left(REQUEST, start + ms(last)), expected);
+    assert_eq!(ledger.quarantine_left(REQUEST, 0, start + ms(last)), expected);
 }
 
 #[rstest]
@@ -118,13 +118,13 @@
     let mut now = start + ms(1000);
     let mut quarantine = BASE_QUARANTINE;
     for number in 3..10 {
-        assert_eq!(ledger.quarantine_left(REQUEST, now), Some(quarantine.min(MAX_QUARANTINE)));
+        assert_eq!(ledger.quarantine_left(REQUEST, 0, now), Some(quarantine.min(MAX_QUARANTINE)));
         now += quarantine.min(MAX_QUARANTINE);
-        assert_eq!(ledger.quarantine_left(REQUEST, now), None, "a probe request may be sent");
+        assert_eq!(ledger.quarantine_left(REQUEST, 0, now), None, "a probe request may be sent");
         assert_eq!(ledger.quarantined(now).len(), 1, "the request is still known");
         ledger.record_run(
             REQUEST,
-            TerminatedRun { upstream: number, sent: now, ended: now + ms(50) },
+            TerminatedRun { upstream: number, sent: now, ended: now + ms(50), organisation: None },
         );
         now += ms(50);
         quarantine *= 2;
@@ -141,12 +141,12 @@
     let due = || {
         let mut ledger = CrashLedger::new();
         for number in 0..60 {
-            ledger.record_run(RequestDigest(number), run(start, number, 0, 100));
+            ledger.record_run(ContentDigest(number), run(start, number, 0, 100));
         }
         ledger.due(start + ms(200))
     };
-    let first: Vec<RequestDigest> = due().iter().map(|record| record.request).collect();
-    let second: Vec<RequestDigest> = due().iter().map(|record| record.request).collect();
+    let first: Vec<ContentDigest> = due().iter().map(|record| record.request).collect();
+    let second: Vec<ContentDigest> = due().iter().map(|record| record.request).collect();
     assert_eq!(first, second);
 }
 
@@ -164,7 +164,7 @@
         now += ms(2000);
     }
     for ledger in &ledgers {
-        let left = ledger.quarantine_left(REQUEST, now);
+        let left = ledger.quarantine_left(REQUEST, 0, now);
         let expected = (start + ms(1000) + BASE_QUARANTINE).checked_duration_since(now);
         let late = left.unwrap_or_default().saturating_sub(expected.unwrap_or_default());
         assert!(
@@ -181,7 +181,7 @@
     let mut gateway = CrashLedger::new();
     gateway.contradict(REQUEST, start + ms(950));
     leader.merge(&gateway.due(start + ms(1100)), start + ms(1101));
-    assert_eq!(leader.quarantine_left(REQUEST, start + ms(1101)), None);
+    assert_eq!(leader.quarantine_left(REQUEST, 0, start + ms(1101)), None);
 }
 
 #[rstest]
@@ -215,7 +215,7 @@
     let start = Instant::now();
     let mut ledger = ledger_of(start, &[(0, 100), (100, 200), (900, 1000)]);
     for request in 100..10_000 {
-        ledger.record_run(RequestDigest(request), run(start, 1, 900, 2000));
+        ledger.record_run(ContentDigest(request), run(start, 1, 900, 2000));
     }
     assert!(ledger.len() <= 4096);
     let records = ledger.due(start + ms(2000));
@@ -224,7 +224,7 @@
         records[0].request, REQUEST,
         "the most suspected request comes first, though it is the oldest"
     );
-    assert_eq!(ledger.quarantine_left(REQUEST, start + ms(1000)), Some(BASE_QUARANTINE));
+    assert_eq!(ledger.quarantine_left(REQUEST, 0, start + ms(1000)), Some(BASE_QUARANTINE));
 }
 
 /// Guards against a request that crashes one upstream after the other, without a bound. It crashes
@@ -240,8 +240,8 @@
         let gateway = &mut gateways[arrival as usize % 8];
         let mut now = start + ms(arrival * 1000);
         for _ in 0..2 {
-            if leader.quarantine_left(REQUEST, now).is_some()
-                || gateway.quarantine_left(REQUEST, now).is_some()
+            if leader.quarantine_left(REQUEST, 0, now).is_some()
+                || gateway.quarantine_left(REQUEST, 0, now).is_some()
             {
                 break;
             }
@@ -249,7 +249,12 @@
             now += ms(80);
             gateway.record_run(
                 REQUEST,
-                TerminatedRun { upstream: ended.len() as u64, sent, ended: now },
+                TerminatedRun {
+                    upstream: ended.len() as u64,
+                    sent,
+                    ended: now,
+                    organisation: None,
+                },
             );
             ended.push(now);
         }
@@ -282,8 +287,10 @@
                     upstream: number as u64,
                     sent_ms: 3000 - sent,
                     ended_ms: 3000 - sent - length,
+                    organisation: None,
                 }],
                 answered_ms: answered.map(|at| 3000 - at),
+                probe: None,
             })
             .collect();
         let mut ledger = CrashLedger::new();
@@ -295,7 +302,7 @@
         let required = if answered.is_some() { 6 } else { 3 };
         let burst = answered.is_none() && reference_burst(&runs);
         let expected = chain >= required || burst;
-        let quarantined = ledger.quarantine_left(REQUEST, now).is_some();
+        let quarantined = ledger.quarantine_left(REQUEST, 0, now).is_some();
         prop_assert_eq!(quarantined, expected, "chain {} burst {}", chain, burst);
     }
 }
@@ -357,12 +364,13 @@
         upstream,
         sent_ms: 41_700 - sent,
         ended_ms: 41_700 - ended,
+        organisation: None,
     };
     let runs = vec![
         crashed_run(1, 40_000, 40_140),
         crashed_run(2, 40_500, 40_830),
         crashed_run(3, 40_900, 41_030),
     ];
-    ledger.merge(&[CrashRecord { request: REQUEST, runs, answered_ms: None }], now);
-    assert_eq!(ledger.quarantine_left(REQUEST, start + ms(41_030)), Some(expected));
+    ledger.merge(&[CrashRecord { request: REQUEST, runs, answered_ms: None, probe: None }], now);
+    assert_eq!(ledger.quarantine_left(REQUEST, 0, start + ms(41_030)), Some(expected));
 }
--- a/crates/routing/tests/probes.rs
+++ b/crates/routing/tests/probes.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use hollowbarrow_routing::may_probe;
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_schema::ContentDigest;
 use rstest::rstest;
 
-const REQUEST: RequestDigest = RequestDigest(7);
+const REQUEST: ContentDigest = ContentDigest(7);
 
 /// Returns the number of daemons that may send a probe request in each of 2000 windows.
 fn probing(daemons: u32, expired_for: Duration) -> Vec<usize> {
--- a/crates/routing/tests/published_single_runs.rs
+++ b/crates/routing/tests/published_single_runs.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use hollowbarrow_routing::{CrashTracker, TerminatedRun};
-use hollowbarrow_schema::RequestDigest;
+use hollowbarrow_routing::{CrashTracker, RequestContents, TerminatedRun, TerminationCertainty};
+use hollowbarrow_schema::ContentDigest;
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -17,9 +17,10 @@
     let mut now = start;
     for list in 0..20 {
         for number in 0..LISTED {
-            let request = RequestDigest(list * LISTED + number);
-            let run = TerminatedRun { upstream: number, sent: now, ended: now };
-            tracker.record_run(request, run);
+            let request = ContentDigest(list * LISTED + number);
+            let run = TerminatedRun { upstream: number, sent: now, ended: now, organisation: None };
+            let contents = RequestContents::new(request);
+            tracker.record_run(&contents, run, TerminationCertainty::Confirmed);
             tracker.record_published(request, now);
         }
         now += Duration::from_secs(30);
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -588,6 +588,73 @@
         Self::SetQuota(value)
     }
 }
+///Digest of a content by which requests that crash upstreams are recognised: of a whole request, as its caller sends it again (organisation, method, host, target and body), or of one part of a prompt for one model.
+///
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct ContentDigest(pub u64);
+impl ::std::ops::Deref for ContentDigest {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<ContentDigest> for u64 {
+    fn from(value: ContentDigest) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&ContentDigest> for ContentDigest {
+    fn from(value: &ContentDigest) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for ContentDigest {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for ContentDigest {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ContentDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for ContentDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for ContentDigest {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for ContentDigest {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
 ///State that a controller sends to the other controllers several times a second.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -628,7 +695,7 @@
         value.clone()
     }
 }
-///Record of a request that has crashed upstreams.
+///Record of a content under which upstreams have crashed.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -636,7 +703,10 @@
     ///Milliseconds since a request with this digest was last answered completely; none if no such answer is known.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub answered_ms: ::std::option::Option<u32>,
-    pub request: RequestDigest,
+    ///Latest report about probe requests; none if there is no recent one.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub probe: ::std::option::Option<ProbeReport>,
+    pub request: ContentDigest,
     pub runs: ::std::vec::Vec<CrashedRun>,
 }
 impl ::std::convert::From<&CrashRecord> for CrashRecord {
@@ -651,6 +721,9 @@
 pub struct CrashedRun {
     ///Milliseconds since the upstream's termination was detected.
     pub ended_ms: u32,
+    ///Hash of the organisation whose request it was; none if the content is specific to an organisation.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub organisation: ::std::option::Option<u64>,
     ///Milliseconds since the request was sent to the upstream.
     pub sent_ms: u32,
     ///Hash of the id of the upstream's instance.
@@ -1486,17 +1559,23 @@
         value.clone()
     }
 }
-///A request that crashes the upstreams that run it, or that an operator has released from quarantine.
+///A content that crashes the upstreams that run it, or that an operator has released from quarantine.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct HeldRequest {
     ///Remaining milliseconds of quarantine, during which it is sent to no upstream; 0 if a probe request is allowed.
     pub left_ms: u32,
+    ///Hash of the only organisation whose requests are in quarantine; none if those of all are.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub organisation: ::std::option::Option<u64>,
+    ///Hash of the id of the gateway that may send the next probe request; none while no gateway may.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub prober: ::std::option::Option<u64>,
     ///Milliseconds since an operator released it, which has the same effect as an answer at that time; none if it was not released.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub released_ms: ::std::option::Option<u32>,
-    pub request: RequestDigest,
+    pub request: ContentDigest,
 }
 impl ::std::convert::From<&HeldRequest> for HeldRequest {
     fn from(value: &HeldRequest) -> Self {
@@ -2770,6 +2849,25 @@
         value.parse()
     }
 }
+///What a gateway reports about probe requests for a content whose quarantine has ended.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ProbeReport {
+    ///Hash of the gateway's id.
+    pub gateway: u64,
+    ///Milliseconds since a probe request was last sent; none if none was.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub sent_ms: ::std::option::Option<u32>,
+    ///Milliseconds since the gateway last received a request that could serve as a probe request; none if it received none.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub wanted_ms: ::std::option::Option<u32>,
+}
+impl ::std::convert::From<&ProbeReport> for ProbeReport {
+    fn from(value: &ProbeReport) -> Self {
+        value.clone()
+    }
+}
 ///Outcome of a proposal.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -2891,73 +2989,6 @@
         value.clone()
     }
 }
-///Digest of the parts of a request that are the same when its caller sends it again: organisation, method, host, target and body.
-///
-#[derive(
-    ::serde::Deserialize,
-    ::serde::Serialize,
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd
-)]
-#[serde(transparent)]
-pub struct RequestDigest(pub u64);
-impl ::std::ops::Deref for RequestDigest {
-    type Target = u64;
-    fn deref(&self) -> &u64 {
-        &self.0
-    }
-}
-impl ::std::convert::From<RequestDigest> for u64 {
-    fn from(value: RequestDigest) -> Self {
-        value.0
-    }
-}
-impl ::std::convert::From<&RequestDigest> for RequestDigest {
-    fn from(value: &RequestDigest) -> Self {
-        value.clone()
-    }
-}
-impl ::std::convert::From<u64> for RequestDigest {
-    fn from(value: u64) -> Self {
-        Self(value)
-    }
-}
-impl ::std::str::FromStr for RequestDigest {
-    type Err = <u64 as ::std::str::FromStr>::Err;
-    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
-        Ok(Self(value.parse()?))
-    }
-}
-impl ::std::convert::TryFrom<&str> for RequestDigest {
-    type Error = <u64 as ::std::str::FromStr>::Err;
-    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
-        value.parse()
-    }
-}
-impl ::std::convert::TryFrom<&String> for RequestDigest {
-    type Error = <u64 as ::std::str::FromStr>::Err;
-    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
-        value.parse()
-    }
-}
-impl ::std::convert::TryFrom<String> for RequestDigest {
-    type Error = <u64 as ::std::str::FromStr>::Err;
-    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
-        value.parse()
-    }
-}
-impl ::std::fmt::Display for RequestDigest {
-    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
-        self.0.fmt(f)
-    }
-}
 ///Requests per second, in thousandths.
 ///
 #[derive(
--- a/crates/schema/src/quarantine.rs
+++ b/crates/schema/src/quarantine.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-use crate::RequestDigest;
+use crate::ContentDigest;
 
 /// First part of the path of the call that releases a quarantined request.
 const QUARANTINE_PATH: &str = "/held/";
@@ -19,19 +19,19 @@
 /// # Errors
 ///
 /// Fails if the text is not 16 hexadecimal digits.
-pub fn parse_content(text: &str) -> Result<RequestDigest, ParseContentError> {
+pub fn parse_content(text: &str) -> Result<ContentDigest, ParseContentError> {
     let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     let number = u64::from_str_radix(text, 16).ok().filter(|_| digits);
-    number.map(RequestDigest).ok_or(ParseContentError)
+    number.map(ContentDigest).ok_or(ParseContentError)
 }
 
 /// Returns the path of the call that releases a quarantined request.
-pub fn release_path(request: RequestDigest) -> String {
+pub fn release_path(request: ContentDigest) -> String {
     format!("{QUARANTINE_PATH}{:016x}{RELEASE_PATH}", *request)
 }
 
 /// Returns the request that a call releases; none if the path is that of another call.
-pub fn read_release_path(path: &str) -> Option<Result<RequestDigest, ParseContentError>> {
+pub fn read_release_path(path: &str) -> Option<Result<ContentDigest, ParseContentError>> {
     let content = path.strip_prefix(QUARANTINE_PATH)?.strip_suffix(RELEASE_PATH)?;
     Some(parse_content(content))
 }
--- a/tests/all/crashing_request.rs
+++ b/tests/all/crashing_request.rs
@@ -134,3 +134,46 @@
         "{crashed} nodes crashed, {max_crashed} at most: {replies:?}"
     );
 }
+
+/// Requests with a message that crashes the nodes that run it, sent to all daemons in turn.
+const REQUESTS_WITH_MESSAGE: usize = 18;
+
+/// Guards against daemons that recognise whole requests only: no two of these requests are alike, and
+/// each crashed as many nodes as it has attempts.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_message_quarantined_everywhere() {
+    let cluster = serving_cluster(nine_daemons(), 6).await;
+    let ids = cluster.ids();
+    let call = async |number: usize, message: &str| {
+        let messages = json!([
+            {"role": "system", "content": "a shared instruction"},
+            {"role": "user", "content": message},
+            {"role": "user", "content": format!("question {number}")},
+        ]);
+        let body = json!({"model": "m", "stream": true, "max_tokens": 5, "messages": messages});
+        let address = cluster.caller_address(&ids[number % ids.len()]);
+        CallerCall::new(Method::POST, "/v1/chat/completions", CALLER_KEY)
+            .with_body(&body.to_string())
+            .with_timeout(Duration::from_secs(60))
+            .send(address)
+            .await
+    };
+    for number in 0..ids.len() {
+        assert_eq!(call(number, "a sound message").await.status, 200);
+    }
+    for number in 0..REQUESTS_WITH_MESSAGE {
+        call(number, CRASHING_PROMPT).await;
+    }
+    pause(PUBLISH_WAIT_MS).await;
+    let crashed = crashed_nodes(&cluster);
+    assert!(crashed <= MAX_CRASHED, "{crashed} nodes crashed");
+    for number in 0..ids.len() {
+        let reply = call(number, CRASHING_PROMPT).await;
+        assert_eq!((reply.status, reply.code().as_str()), (503, "ends_upstreams"));
+        assert_eq!(reply.ran(), "not_run");
+        let reply = call(number, "a sound message").await;
+        assert_eq!(reply.status, 200, "sound requests share the first message: {}", reply.body);
+    }
+    assert_eq!(crashed_nodes(&cluster), crashed);
+}
--- a/tests/platform/crashing_part.rs
+++ b/tests/platform/crashing_part.rs
@@ -31,6 +31,9 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Number of crashes after which the part must be known to all daemons within that time.
 const KNOWN_CRASHES: usize = 5;
+/// Number of crashes after which sound requests must be served again within twice that time. A crash
+/// under a later probe request does not defer it.
+const FIRST_CRASHES: usize = 3;
 /// Number of requests with the part that may reach workers later, over all gateways.
 const MAX_LATE: usize = 3;
 /// Share of the sound requests served before that must be served meanwhile.
@@ -51,10 +54,11 @@
 }
 
 impl Service {
-    fn path(self) -> &'static str {
+    /// Returns the path of a request, which no other one has.
+    fn path(self, number: usize) -> String {
         match self {
-            Self::Streams => "/chat/1",
-            Self::Answers => "/hold/1",
+            Self::Streams => format!("/chat/{number}"),
+            Self::Answers => format!("/hold/{number}"),
         }
     }
 }
@@ -140,7 +144,7 @@
     assert_eq!(system.replace(&repeatable).await, 200);
     system.wait_ready().await;
     for gateway in 0..GATEWAYS {
-        system.call_gateway_until_served(gateway, service.path(), "warm").await;
+        system.call_gateway_until_served(gateway, &service.path(0), "warm").await;
     }
     (system, fleet)
 }
@@ -157,7 +161,8 @@
         calls.spawn(async move {
             let sent = Instant::now();
             let id = format!("sound-{number}");
-            let answer = call_gateway_with_parts(&gateway, service.path(), &id, KEY, &parts).await;
+            let path = service.path(number);
+            let answer = call_gateway_with_parts(&gateway, &path, &id, KEY, &parts).await;
             let good = answer.is_ok_and(|answer| {
                 let body = String::from_utf8_lossy(answer.body()).into_owned();
                 let whole = service == Service::Answers || body == complete_stream();
@@ -188,8 +193,8 @@
             calls.spawn(async move {
                 let sent = Instant::now();
                 let id = format!("crashing-{number}");
-                let answer =
-                    call_gateway_with_parts(&gateway, service.path(), &id, KEY, &parts).await;
+                let path = service.path(number);
+                let answer = call_gateway_with_parts(&gateway, &path, &id, KEY, &parts).await;
                 let status = answer.map_or(0, |answer| answer.status().as_u16());
                 tally.crashing.lock().expect("not poisoned").push((sent, status));
             });
@@ -256,11 +261,12 @@
     tally.stopped.store(true, Ordering::Relaxed);
     sound.await.expect("the task does not panic");
     let crashes = fleet.crashes();
-    let known = crashes.get(KNOWN_CRASHES - 1).or(crashes.last()).map_or(attacked, |(_, at)| *at);
-    let allowed = |at: &Instant| crashes.len() < KNOWN_CRASHES || *at <= known + CONTACT_TIME;
-    let late = fleet.crashing_runs().iter().filter(|(_, at)| !allowed(at)).count();
+    let known = crashes.get(KNOWN_CRASHES - 1).map(|(_, at)| *at + CONTACT_TIME);
+    let is_late = |at: Instant| known.is_some_and(|known| at > known);
+    let late = fleet.crashing_runs().iter().filter(|(_, at)| is_late(*at)).count();
     let (before, _) = tally.share(start, attacked - Duration::from_secs(1));
-    let (after, sound) = tally.share(known + 2 * CONTACT_TIME, end);
+    let first = crashes.get(FIRST_CRASHES - 1).or(crashes.last()).map_or(attacked, |(_, at)| *at);
+    let (after, sound) = tally.share(first + 2 * CONTACT_TIME, end);
     let outcome = Outcome { crashes: crashes.len(), late, before, after, sound };
     println!(
         "{service:?} {position:?} {at_once} at once, {interlude:?}: {} crashes, {outcome:?}",
--- a/tests/platform/disturbance.rs
+++ b/tests/platform/disturbance.rs
@@ -65,6 +65,8 @@
     SetLimit,
     /// Many duplicates of a request that crashes the workers that run it are sent at once.
     CrashingBurst,
+    /// Different requests that share a part of their prompts which crashes workers are sent for a while.
+    CrashingPart,
     /// A gateway is partitioned from all workers, while callers and other daemons reach it.
     CutWorkers,
     /// All daemons are killed at once, and one controller's disk is lost.
@@ -111,6 +113,11 @@
 const BURST_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::CrashingBurst];
 const BURST_SEED: u64 = 0xb0057;
 
+/// Kinds of the series with parts that crash workers, and the value that is combined with the run's
+/// seed.
+const PART_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::CrashingPart];
+const PART_SEED: u64 = 0x9a27;
+
 /// Kinds of the series that partition gateways from workers, and the value that is combined with the
 /// run's seed.
 const CUT_KINDS: [DisturbanceKind; 1] = [DisturbanceKind::CutWorkers];
@@ -197,6 +204,8 @@
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BURST_SEED);
     draw_series(&mut rng, &BURST_KINDS, time, &mut drawn);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PART_SEED);
+    draw_series(&mut rng, &PART_KINDS, time, &mut drawn);
     for series in 0..CUT_SERIES {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (CUT_SEED + series));
         draw_series(&mut rng, &CUT_KINDS, time, &mut drawn);
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -51,9 +51,9 @@
     left: Mutex<BTreeSet<(u64, String)>>,
     /// Violated invariants that the workers observed.
     breaches: Mutex<Vec<String>>,
-    /// Times at which crashing requests started to run, with their paths.
+    /// Times at which crashing requests started to run, with their contents.
     crashing_runs: Mutex<Vec<(String, Instant)>>,
-    /// Times at which workers crashed under requests, with the paths of the requests.
+    /// Times at which workers crashed under requests, with the contents of the requests.
     crashes: Mutex<Vec<(String, Instant)>>,
     /// Requests that arrived at workers and the notices of the workers, for requests whose id names
     /// their gateway.
@@ -131,12 +131,12 @@
         self.crashes.lock().expect("not poisoned").len() as u32
     }
 
-    /// Returns the times at which crashing requests started to run, with their paths.
+    /// Returns the times at which crashing requests started to run, with their contents.
     pub fn crashing_runs(&self) -> Vec<(String, Instant)> {
         self.crashing_runs.lock().expect("not poisoned").clone()
     }
 
-    /// Returns the times at which workers crashed under requests, with the paths of the requests.
+    /// Returns the times at which workers crashed under requests, with the contents of the requests.
     pub fn crashes(&self) -> Vec<(String, Instant)> {
         self.crashes.lock().expect("not poisoned").clone()
     }
@@ -258,15 +258,15 @@
     }
 
     /// Records that a crashing request started to run.
-    pub fn record_crashing_run(&self, path: &str) {
-        let run = (path.to_owned(), Instant::now());
+    pub fn record_crashing_run(&self, content: &str) {
+        let run = (content.to_owned(), Instant::now());
         self.crashing_runs.lock().expect("not poisoned").push(run);
     }
 
     /// Records that a worker crashed under a request, and returns the number of crashes so far.
-    pub fn record_crash(&self, path: String) -> usize {
+    pub fn record_crash(&self, content: String) -> usize {
         let mut crashes = self.crashes.lock().expect("not poisoned");
-        crashes.push((path, Instant::now()));
+        crashes.push((content, Instant::now()));
         crashes.len()
     }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod crashing_request;
 mod disturbance;
 mod duplicates;
+mod false_crashes;
 mod fleet;
 mod foreign;
 mod isolation;
--- a/tests/platform/observer.rs
+++ b/tests/platform/observer.rs
@@ -14,11 +14,13 @@
 use crate::changes::{added_path, configuration_before, removed_path};
 use crate::fleet::Fleet;
 use crate::losses::Losses;
-use crate::system::{KEY, call_gateway, fetch_at, replace_at};
-use crate::worker::request_id_via;
+use crate::system::{KEY, call_gateway, call_gateway_with_parts, fetch_at, replace_at};
+use crate::worker::{SHARED_PART, request_id_via};
 
 /// Pause between two requests of the load.
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+/// Different second parts of the prompts of the load.
+const PART_COUNT: usize = 16;
 /// Pause between two changes of the configuration.
 const CHANGE_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two requests for routes that changes have added.
@@ -170,7 +172,8 @@
         let gateway = gateways[index].clone();
         let (observer, stream) = (Arc::clone(&observer), Arc::clone(&stream));
         calls.push(tokio::spawn(async move {
-            if let Ok(answer) = call_gateway(&gateway, path, &id, Some(KEY)).await {
+            let parts = format!("{SHARED_PART}:40,{:x}:100,{number:x}:30", number % PART_COUNT);
+            if let Ok(answer) = call_gateway_with_parts(&gateway, path, &id, KEY, &parts).await {
                 observer.check_answer(&id, &stream, &answer);
             }
         }));
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -38,9 +38,10 @@
     Observer, probe_removed_routes, probe_routes, read_changes, send_changes, send_load,
 };
 use crate::system::{
-    CONTROLLERS, KEY, Layout, Signal, System, call_gateway_with_body, configuration,
+    CONTROLLERS, KEY, Layout, Signal, System, call_gateway_with_body, call_gateway_with_parts,
+    configuration,
 };
-use crate::worker::{CRASHING_BODY, Worker};
+use crate::worker::{CRASHING_BODY, CRASHING_PART, SHARED_PART, Worker};
 use disk_losses::DiskLosses;
 
 /// Environment variable with the number of fresh seeds to run.
@@ -70,7 +71,14 @@
 const FOREIGN_PAUSE: Duration = Duration::from_millis(150);
 /// Number of times that a crashing request is sent.
 const CRASHING_REQUESTS: usize = 6;
-/// Time after the third crash within which all gateways must have quarantined the request.
+/// Number of crashes after which a request, and a part of prompts, must be known to crash workers.
+const KNOWN_REQUEST: usize = 3;
+const KNOWN_PART: usize = 5;
+/// Different parts that crash workers, and requests with one of them that are sent one after the
+/// other.
+const CRASHING_PARTS: usize = 3;
+const PART_REQUESTS: usize = 12;
+/// Time after that crash within which all gateways must have quarantined the content.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 /// Number of duplicates that may be sent after that, over all gateways.
 const MAX_LATE: usize = 3;
@@ -279,6 +287,11 @@
                 tokio::spawn(send_crashing_burst(disturbance.second, gateways));
                 true
             }
+            DisturbanceKind::CrashingPart => {
+                let gateways = self.system.gateways.clone();
+                tokio::spawn(send_crashing_part(disturbance.second, gateways));
+                true
+            }
             DisturbanceKind::CrashingRequest => {
                 let gateways = self.system.gateways.clone();
                 tokio::spawn(send_crashing(disturbance.second, gateways));
@@ -345,6 +358,7 @@
             DisturbanceKind::RestartWorkerAtOnce
             | DisturbanceKind::ForeignRecords
             | DisturbanceKind::CrashingRequest
+            | DisturbanceKind::CrashingPart
             | DisturbanceKind::CrashingBurst => {}
         }
     }
@@ -579,8 +593,27 @@
     let _ = futures_util::future::join_all(duplicates).await;
 }
 
-/// Counts for each path of a crashing request the duplicates that ran later than 3 s after its
-/// third crash, and the crashes.
+/// Sends different requests that share a part of their prompts which crashes the workers that begin to
+/// answer it, to one gateway after the other. They share their first part with sound requests.
+async fn send_crashing_part(number: usize, gateways: Vec<String>) {
+    let part = number % CRASHING_PARTS;
+    for request in 0..PART_REQUESTS {
+        let gateway = gateways[(number + request) % gateways.len()].clone();
+        let name = format!("part-{number}-{request}");
+        let (path, parts) = (
+            format!("/chat/{name}"),
+            format!("{SHARED_PART}:40,{CRASHING_PART}{part}:100,{number:x}{request:x}:30"),
+        );
+        // The check counts crashed workers; the answer does not matter.
+        tokio::spawn(async move {
+            let _ = call_gateway_with_parts(&gateway, &path, &name, KEY, &parts).await;
+        });
+        tokio::time::sleep(FOREIGN_PAUSE).await;
+    }
+}
+
+/// Counts for each content that crashes workers the requests that ran later than 3 s after it must be
+/// known, and the crashes.
 ///
 /// Counts between power losses separately and returns the largest pair, since a power loss erases
 /// the records of crashing requests.
@@ -594,7 +627,8 @@
     };
     let late = |path: &str, outages: usize| {
         let crash_times = of_path(path, &crashes, outages);
-        let known = crash_times.get(2).map(|third| *third + PROPAGATION_TIME);
+        let known = if path.starts_with(CRASHING_PART) { KNOWN_PART } else { KNOWN_REQUEST };
+        let known = crash_times.get(known - 1).map(|known| *known + PROPAGATION_TIME);
         let runs = of_path(path, &fleet.crashing_runs(), outages);
         let late = runs.iter().filter(|at| known.is_some_and(|known| **at > known)).count();
         (late, crash_times.len())
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -50,6 +50,8 @@
 const CRASH_DELAY_IN_STREAM: Duration = Duration::from_millis(130);
 /// First digits of the ids of prompt parts that crash each worker that begins to answer them.
 pub const CRASHING_PART: &str = "dead";
+/// Id of a prompt part that sound requests and crashing ones share.
+pub const SHARED_PART: &str = "5ead";
 
 /// Start time of the first instance of each worker that reports it, in Unix milliseconds.
 pub const FIRST_START_MS: u64 = 1_764_720_000_000;
@@ -74,13 +76,18 @@
     front
 }
 
-/// Returns whether a request crashes each worker that begins to answer it.
-fn is_crashing(head: &Parts, body: &[u8]) -> bool {
+/// Returns the content by which a request crashes each worker that begins to answer it: the path of
+/// the request, or a part of its prompt.
+fn crashing_content(head: &Parts, body: &[u8]) -> Option<String> {
     let parts = head.headers.get("prefix-hash").and_then(|value| value.to_str().ok());
     let mut parts: Vec<&str> = parts.unwrap_or_default().split(',').collect();
     // The last part is the request's own.
     parts.pop();
-    body == CRASHING_BODY || parts.iter().any(|part| part.starts_with(CRASHING_PART))
+    if body == CRASHING_BODY {
+        return Some(head.uri.path().to_owned());
+    }
+    let mut crashing = parts.into_iter().filter(|part| part.starts_with(CRASHING_PART));
+    crashing.next().map(|part| part.split(':').next().unwrap_or_default().to_owned())
 }
 
 /// Returns one event of a stream.
@@ -313,7 +320,7 @@
     }
 
     /// Terminates the worker while it runs a request, and starts another worker after a delay.
-    async fn crash_under_request(self: Arc<Self>, path: String) {
+    async fn crash_under_request(self: Arc<Self>, content: String) {
         let plan = self.fleet.crash_plan;
         tokio::time::sleep(match plan.stage {
             CrashStage::AfterEvents => CRASH_DELAY_IN_STREAM,
@@ -324,7 +331,7 @@
             return;
         }
         self.kill();
-        let number = self.fleet.record_crash(path);
+        let number = self.fleet.record_crash(content);
         tokio::time::sleep(plan.restart_time).await;
         let id = format!("{}-{number}", self.id);
         Self::start_in(&self.fleet, &id, self.service, self.engine, self.zone);
@@ -533,11 +540,11 @@
         }
         self.fleet.record_run(&id, membership.as_ref().map(|membership| membership.epoch));
         let builder = builder.header("response-signature", format!("{}.1", self.id));
-        let crashes = is_crashing(head, body);
-        if crashes {
-            let path = head.uri.path().to_owned();
-            self.fleet.record_crashing_run(&path);
-            tokio::spawn(Arc::clone(self).crash_under_request(path));
+        let crashing = crashing_content(head, body);
+        let crashes = crashing.is_some();
+        if let Some(content) = crashing {
+            self.fleet.record_crashing_run(&content);
+            tokio::spawn(Arc::clone(self).crash_under_request(content));
         }
         if crashes && !(self.engine && self.fleet.crash_plan.stage == CrashStage::AfterEvents) {
             // Sends the head of the answer, but no event.
@@ -631,8 +638,12 @@
             _ => {
                 let answer = self.answer_request(&head, &body);
                 let stage = self.fleet.crash_plan.stage;
-                if stage == CrashStage::BeforeHead && is_crashing(&head, &body) {
-                    tokio::time::sleep(LIMITS.idle).await;
+                if stage == CrashStage::BeforeHead && crashing_content(&head, &body).is_some() {
+                    while !self.is_stopped() {
+                        tokio::time::sleep(CRASH_DELAY).await;
+                    }
+                    // Closes the connection without an answer, and without a message in the output.
+                    std::panic::resume_unwind(Box::new("the worker has crashed"));
                 }
                 if answer.status().is_success() {
                     let service_time = *self.service_time.lock().expect("not poisoned");
