Send no request with an unknown part while a pause after a crash lasts

What callers saw: thirty different requests with a crashing part that arrive at once at three gateways crashed 13 and 14 of fourteen plain workers: nine at each gateway wait for the first one, and were sent when their wait was over, although the first one had crashed its worker 0.1 s before.

Cause: a request with a part of which nothing is known is sent at its limit, and the pause after a crash, within which other daemons' records arrive, was cut off at the same limit.

Change: during such a pause the request waits for its end, if that leaves it two thirds of its time, and is refused at once otherwise, as a duplicate is. `crash_pauses_requests_with_part` holds both.

--- a/crates/daemon/src/duplicates.rs
+++ b/crates/daemon/src/duplicates.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hollowbarrow_routing::{ContentStanding, DuplicateTicket, RequestContents};
+use hollowbarrow_routing::{ContentStanding, DuplicateTicket, RequestContents, WaitLimits};
 use hollowbarrow_schema::ContentDigest;
 use tokio::time::Instant;
 
@@ -33,9 +33,9 @@
 impl DuplicateWait {
     /// Waits until no other duplicate blocks the request; `None` if one made no progress in time.
     pub(crate) async fn enter(self) -> Option<DuplicatePlace> {
-        let limit = self.limit();
+        let limits = WaitLimits::until(self.limit());
         let standing = |content| self.standing(content);
-        let ticket = self.core.duplicates.enter(&self.contents, standing, limit).await?;
+        let ticket = self.core.duplicates.enter(&self.contents, standing, limits).await?;
         Some(DuplicatePlace { ticket: Arc::new(ticket), wait: self, waited: Mutex::default() })
     }
 
@@ -84,7 +84,7 @@
         }
         let started = Instant::now();
         let standing = |content| self.wait.standing(content);
-        let regained = self.ticket.resume(standing, self.wait.limit()).await;
+        let regained = self.ticket.resume(standing, WaitLimits::until(self.wait.limit())).await;
         *self.waited.lock().expect("no holder of the lock panics") += started.elapsed();
         if !regained {
             return Err(to_duplicate_error());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use hollowbarrow_reach::{NotConnected, UpstreamTarget};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
-    AttemptLedger, DuplicateTicket, PERMIT_POLL_INTERVAL, PERMIT_WAIT_TIMEOUT,
+    AttemptLedger, DuplicateTicket, PERMIT_POLL_INTERVAL, PERMIT_WAIT_TIMEOUT, WaitLimits,
 };
 use hollowbarrow_schema::{DaemonId, ErrorRan, WorkerId};
 use hollowbarrow_upstream::{ConnectionLease, SendRequestError, SentAnswer, UpstreamRequest};
@@ -267,9 +267,10 @@
         return Err(Refusal::Quarantined(left));
     }
     let wait = request.route.objective.mul_f64(DUPLICATE_WAIT_FACTOR);
-    let limit = Instant::now() + wait.min(request.remaining() / DUPLICATE_WAIT_DIVISOR);
+    let (now, most) = (Instant::now(), request.remaining() / DUPLICATE_WAIT_DIVISOR);
+    let limits = WaitLimits { others: now + wait.min(most), pause: now + most };
     let standing = |content| core.crashes().standing(content);
-    let entering = core.duplicates.enter(&request.contents, standing, limit);
+    let entering = core.duplicates.enter(&request.contents, standing, limits);
     entering.await.ok_or(Refusal::DuplicateInProgress)
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
-use hollowbarrow_member::{MemberLinks, SuspensionDetector};
+use hollowbarrow_member::{ConnectionLimiter, MemberLinks, SuspensionDetector};
 use hollowbarrow_reach::{ConnectTimes, PathChange, Reach, ReachObserver};
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_routing::{
@@ -64,6 +64,8 @@
     /// Notified when the issuer of permits has answered.
     pub(crate) permits_answered: Notify,
     pub(crate) in_flight: AtomicU32,
+    /// Connections of callers, limited while the gateway is overloaded.
+    pub(crate) connections: Arc<ConnectionLimiter>,
     /// Links to other daemons, set before any request is read.
     pub(crate) links: OnceLock<Arc<MemberLinks>>,
     pub(crate) suspension: Arc<SuspensionDetector>,
@@ -101,6 +103,7 @@
             permits_requested: Notify::new(),
             permits_answered: Notify::new(),
             in_flight: AtomicU32::new(0),
+            connections: Arc::default(),
             links: OnceLock::new(),
             suspension: Arc::new(SuspensionDetector::new()),
             last_view: Mutex::new(None),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -67,6 +67,8 @@
         let core = Arc::new(GatewayCore::new(settings, protocol));
         let links = start_links(&core)?;
         let (stop, stopped) = watch::channel(false);
+        let connections = Arc::clone(&core.connections);
+        tokio::spawn(async move { connections.run().await });
         let handler = Arc::new(CallerHandler(Arc::clone(&core)));
         tokio::spawn(serve_http(callers, stopped, handler));
         let handler = Arc::new(ReadinessHandler(Arc::clone(&core)));
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use hollowbarrow_fleet::{Organisation, Route, RouteTable};
 use hollowbarrow_member::http::plain_answer;
-use hollowbarrow_member::{HttpAnswer, HttpHandler, HttpLimits, SuspensionDetector};
+use hollowbarrow_member::{
+    ConnectionLimiter, HttpAnswer, HttpHandler, HttpLimits, SuspensionDetector,
+};
 use hollowbarrow_routing::{RequestContent, RequestContents};
 use hollowbarrow_schema::ServiceName;
 use http_body_util::{BodyExt, Limited};
@@ -64,6 +66,10 @@
         })
     }
 
+    fn limiter(&self) -> Option<&Arc<ConnectionLimiter>> {
+        Some(&self.0.connections)
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
         let core = Arc::clone(&self.0);
         let _in_flight = InFlightGuard::new(&core);
--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -24,6 +24,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::overload::ConnectionLimiter;
+
 /// Length of the listener's accept queue.
 const BACKLOG: u32 = 4096;
 /// Maximum number of headers in a request.
@@ -98,6 +100,11 @@
     /// Returns the limits for a connection that is accepted now.
     fn limits(&self) -> HttpLimits;
 
+    /// Returns the limiter of connections; `None` if all are served.
+    fn limiter(&self) -> Option<&Arc<ConnectionLimiter>> {
+        None
+    }
+
     /// Answers one request; the future is dropped if the caller disconnects.
     fn answer(
         self: Arc<Self>,
@@ -128,7 +135,8 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves connections until the stop signal.
+/// Serves connections until the stop signal. Those that the handler's limiter does not admit are closed
+/// unread.
 pub async fn serve_http<H: HttpHandler>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
@@ -143,9 +151,18 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let open = match handler.limiter().map(|limiter| limiter.open()) {
+            Some(None) => continue,
+            Some(open) => open,
+            None => None,
+        };
         let _ = stream.set_nodelay(true);
         let limits = handler.limits();
-        tokio::spawn(serve_connection(stream, limits, stop.clone(), Arc::clone(&handler)));
+        let serving = serve_connection(stream, limits, stop.clone(), Arc::clone(&handler));
+        tokio::spawn(async move {
+            serving.await;
+            drop(open);
+        });
     }
 }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -11,11 +11,13 @@
 pub mod http;
 mod links;
 mod metrics;
+mod overload;
 mod settings;
 mod suspension;
 
 pub use http::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits, TruncatedAnswerError, serve_http};
 pub use links::{EncodedDeployment, MemberLinks, StartLinksError};
 pub use metrics::serve_metrics;
+pub use overload::{ConnectionLimiter, OpenConnection};
 pub use settings::{member_id, read_member_settings, seed_ids};
 pub use suspension::{BootClock, SuspensionClock, SuspensionDetector};
--- a/crates/routing/src/copies.rs
+++ b/crates/routing/src/copies.rs
@@ -19,7 +19,7 @@
 //! Different requests that share a part of their prompts are bounded in the same way while no request
 //! with the part is known to have been answered, with three differences. A request waits no longer
 //! than its limit for others with an unknown part, and is then sent, since the part is probably
-//! harmless. If several upstreams have terminated under the part, only a complete answer releases the
+//! harmless, unless an upstream has just terminated under it. If several upstreams have terminated under the part, only a complete answer releases the
 //! others, and the limit is final: such a part may crash an upstream after the first event. And a
 //! request whose upstream terminates is not retried before records of other daemons can have arrived,
 //! also if it is alone: its part may already be known elsewhere.
@@ -51,7 +51,8 @@
     Go,
     /// The duplicate waits until another one has shown progress or ended, or until this time.
     Wait(Option<Instant>),
-    /// The same, but the request is sent at its limit: only parts block it of which nothing is known.
+    /// The same, but the request is sent at its limit: only parts block it of which nothing is known. A
+    /// time is the end of a pause.
     Defer(Option<Instant>),
 }
 
@@ -177,6 +178,10 @@
         until
     }
 
+    fn is_paused(&self, content: ContentDigest, now: Instant) -> bool {
+        self.entries.get(&content).is_some_and(|entry| entry.pause(now).is_some())
+    }
+
     /// Records that parts of answers no longer show that a content is harmless.
     fn forget_progress(&mut self, content: ContentDigest) {
         if let Some(entry) = self.entries.get_mut(&content) {
@@ -244,8 +249,9 @@
     async fn wait_to_go(
         &self,
         step: impl Fn(Instant, bool) -> DuplicateStep,
-        limit: Instant,
+        limits: WaitLimits,
     ) -> bool {
+        let WaitLimits { others: limit, pause } = limits;
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
@@ -260,13 +266,30 @@
                     }
                     until
                 }
-                DuplicateStep::Defer(until) => until.unwrap_or(limit).min(limit),
+                DuplicateStep::Defer(Some(until)) if until > pause => return false,
+                DuplicateStep::Defer(until) => until.unwrap_or(limit),
             };
             let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
 }
 
+/// Until when a request waits at the gate.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitLimits {
+    /// For other requests with the same contents.
+    pub others: Instant,
+    /// For the end of a pause after an upstream has terminated under a part.
+    pub pause: Instant,
+}
+
+impl WaitLimits {
+    /// Creates limits that are equal.
+    pub fn until(limit: Instant) -> Self {
+        Self { others: limit, pause: limit }
+    }
+}
+
 /// Admits requests as the limiter allows.
 #[derive(Clone, Debug, Default)]
 pub struct DuplicateGate {
@@ -291,7 +314,7 @@
         &self,
         limiter: &mut DuplicateLimiter,
         standing: &impl Fn(ContentDigest) -> ContentStanding,
-        is_last_try: bool,
+        (now, is_last_try): (Instant, bool),
         begin: impl Fn(&mut DuplicateLimiter, ContentDigest, bool) -> DuplicateStep,
         withdraw: impl Fn(&mut DuplicateLimiter, ContentDigest),
     ) -> DuplicateStep {
@@ -304,7 +327,8 @@
                 limiter.forget_progress(content);
             }
             let is_unknown_part = is_part && standing == ContentStanding::Unknown;
-            let free = standing == ContentStanding::Answered || (is_unknown_part && is_last_try);
+            let is_deferred = is_unknown_part && is_last_try && !limiter.is_paused(content, now);
+            let free = standing == ContentStanding::Answered || is_deferred;
             let step = match begin(limiter, content, free) {
                 DuplicateStep::Wait(until) if is_unknown_part => DuplicateStep::Defer(until),
                 step => step,
@@ -345,7 +369,7 @@
         &self,
         contents: &RequestContents,
         standing: impl Fn(ContentDigest) -> ContentStanding,
-        limit: Instant,
+        limits: WaitLimits,
     ) -> Option<DuplicateTicket> {
         let parts = contents.parts().iter().copied();
         let contents = GatedContents {
@@ -357,9 +381,9 @@
             let begin =
                 |limiter: &mut DuplicateLimiter, content, free| limiter.begin(content, free, now);
             let withdraw = |limiter: &mut DuplicateLimiter, content| limiter.end(content, now);
-            contents.begin(&mut limiter, &standing, is_last_try, begin, withdraw)
+            contents.begin(&mut limiter, &standing, (now, is_last_try), begin, withdraw)
         };
-        if !self.state.wait_to_go(step, limit).await {
+        if !self.state.wait_to_go(step, limits).await {
             return None;
         }
         let state = Arc::clone(&self.state);
@@ -397,7 +421,7 @@
     pub async fn resume(
         &self,
         standing: impl Fn(ContentDigest) -> ContentStanding,
-        limit: Instant,
+        limits: WaitLimits,
     ) -> bool {
         if !self.is_suspended() {
             return true;
@@ -407,11 +431,12 @@
             let begin =
                 |limiter: &mut DuplicateLimiter, content, free| limiter.resume(content, free, now);
             let suspend = |limiter: &mut DuplicateLimiter, content| limiter.suspend(content);
-            let step = self.contents.begin(&mut limiter, &standing, is_last_try, begin, suspend);
+            let step =
+                self.contents.begin(&mut limiter, &standing, (now, is_last_try), begin, suspend);
             self.suspended.store(step != DuplicateStep::Go, Ordering::Relaxed);
             step
         };
-        self.state.wait_to_go(step, limit).await
+        self.state.wait_to_go(step, limits).await
     }
 
     /// Records that an upstream terminated while it ran this request. Returns the time until which
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -47,7 +47,7 @@
 pub use claim_wait::{ClaimWaitFacts, VoterContact, claim_wait};
 pub use config_freshness::ConfigFreshness;
 pub use content::{RequestContent, RequestContents, digest_part};
-pub use copies::{DuplicateGate, DuplicateLimiter, DuplicateStep, DuplicateTicket};
+pub use copies::{DuplicateGate, DuplicateLimiter, DuplicateStep, DuplicateTicket, WaitLimits};
 pub use crash_tracker::{AnswerProof, ContentStanding, CrashTracker, TerminationCertainty};
 pub use crashes::{CrashLedger, QuarantineScope, QuarantineState, TerminatedRun};
 pub use limit_coordinator::{AskOutcome, LimitCoordinator};
--- a/crates/routing/tests/copies.rs
+++ b/crates/routing/tests/copies.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_routing::{
-    ContentStanding, DuplicateGate, DuplicateLimiter, DuplicateStep, RequestContents,
+    ContentStanding, DuplicateGate, DuplicateLimiter, DuplicateStep, RequestContents, WaitLimits,
 };
 use hollowbarrow_schema::ContentDigest;
 use rstest::rstest;
@@ -146,10 +146,10 @@
             let was_answered = || answered.load(Ordering::Relaxed);
             let standing = |_| standing_if(was_answered());
             let limit = start + ms(4000);
-            let ticket = gate.enter(&contents(), standing, limit).await?;
+            let ticket = gate.enter(&contents(), standing, WaitLimits::until(limit)).await?;
             ticket.suspend();
             tokio::time::sleep_until(start + ms(1000 + number % 5)).await;
-            if !ticket.resume(standing, limit).await {
+            if !ticket.resume(standing, WaitLimits::until(limit)).await {
                 return None;
             }
             let beside = in_progress.fetch_add(1, Ordering::Relaxed);
@@ -193,11 +193,12 @@
     let gate = DuplicateGate::new();
     let limit = Instant::now() + ms(250);
     let first = gate
-        .enter(&contents(), |_| ContentStanding::Unknown, limit)
+        .enter(&contents(), |_| ContentStanding::Unknown, WaitLimits::until(limit))
         .await
         .expect("the first duplicate is admitted");
     let contents = contents();
-    let others = (0..39).map(|_| gate.enter(&contents, |_| ContentStanding::Unknown, limit));
+    let others = (0..39)
+        .map(|_| gate.enter(&contents, |_| ContentStanding::Unknown, WaitLimits::until(limit)));
     let others = async {
         let mut tickets = Vec::new();
         for other in others {
@@ -231,7 +232,7 @@
     let start = Instant::now();
     let limit = start + ms(250);
     let first = gate
-        .enter(&contents(), |_| ContentStanding::Unknown, limit)
+        .enter(&contents(), |_| ContentStanding::Unknown, WaitLimits::until(limit))
         .await
         .expect("the first is admitted");
     let mut others = JoinSet::new();
@@ -239,7 +240,7 @@
         let (gate, answered) = (gate.clone(), Arc::clone(&answered));
         others.spawn(async move {
             let standing = |_| standing_if(answered.load(Ordering::Relaxed));
-            let ticket = gate.enter(&contents(), standing, limit).await;
+            let ticket = gate.enter(&contents(), standing, WaitLimits::until(limit)).await;
             tokio::time::sleep(ms(80)).await;
             ticket.is_some()
         });
@@ -268,7 +269,8 @@
         let gate = gate.clone();
         requests.spawn(async move {
             let contents = request_with_part(number);
-            let ticket = gate.enter(&contents, |_| standing, start + ms(limit)).await?;
+            let ticket =
+                gate.enter(&contents, |_| standing, WaitLimits::until(start + ms(limit))).await?;
             let sent = start.elapsed().as_millis() as u64;
             tokio::time::sleep(ms(80)).await;
             if progress {
@@ -323,13 +325,20 @@
     let start = Instant::now();
     let unknown = |_| ContentStanding::Unknown;
     let limit = start + ms(250);
-    let first = gate.enter(&request_with_part(1), unknown, limit).await.expect("it is alone");
+    let first = gate
+        .enter(&request_with_part(1), unknown, WaitLimits::until(limit))
+        .await
+        .expect("it is alone");
     let until = first.record_crash(unknown).expect("its part is unknown");
     assert_eq!(until, start + PROPAGATION_TIME);
     drop(first);
-    let sent = gate.enter(&request_with_part(2), unknown, limit).await;
-    assert!(sent.is_some(), "a part of which nothing is known delays, and no more");
-    assert_eq!(start.elapsed(), ms(250));
+    let other = request_with_part(2);
+    let refused = gate.enter(&other, unknown, WaitLimits::until(limit)).await;
+    assert!(refused.is_none(), "the pause is longer than it may wait");
+    let limits = WaitLimits { others: limit, pause: start + ms(1000) };
+    assert!(gate.enter(&other, unknown, limits).await.is_some());
+    assert_eq!(start.elapsed(), PROPAGATION_TIME);
+    let limit = WaitLimits::until(until + ms(250));
     let whole = RequestContents::new(ContentDigest(3));
     let alone = gate.enter(&whole, unknown, limit).await.expect("it is alone");
     assert_eq!(alone.record_crash(unknown), None, "a single request without parts is retried");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -29,6 +29,7 @@
 mod spares;
 mod stale_gateway;
 mod system;
+mod unframed;
 mod worker;
 
 use std::sync::Arc;
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -48,6 +48,11 @@
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 /// Run time of a request that crashes its worker after some events.
 const CRASH_DELAY_IN_STREAM: Duration = Duration::from_millis(130);
+/// Path of streams that a worker ends within an event, unless it resumes them; the event, and the bytes
+/// of it that are sent.
+pub const CUT_PATH: &str = "/chat/cut";
+const CUT_EVENT: u64 = 6;
+const CUT_BYTES: usize = 9;
 /// First digits of the ids of prompt parts that crash each worker that begins to answer them.
 pub const CRASHING_PART: &str = "dead";
 /// Id of a prompt part that sound requests and crashing ones share.
@@ -561,6 +566,7 @@
             return builder.body(AnswerBody::complete(body)).expect("the response is valid");
         }
         let after: u64 = header("last-event-id").parse().unwrap_or_default();
+        let cut = after == 0 && head.uri.path().starts_with(CUT_PATH);
         let worker = Arc::clone(self);
         let fleet = Arc::clone(&self.fleet);
         let progress = StreamProgress { fleet, request: id, next: after + 1 };
@@ -583,6 +589,10 @@
                     }
                     tokio::time::sleep(EVENT_PAUSE).await;
                 }
+                if cut && number == CUT_EVENT {
+                    let part = Bytes::from(event(number)).slice(..CUT_BYTES);
+                    return Some((Ok(part), progress.truncated()));
+                }
                 progress.next = number + 1;
                 Some((Ok(Bytes::from(event(number))), progress))
             }
