--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -185,7 +185,7 @@
 
     /// Returns whether no view has been received for this time.
     fn is_silent_for(&self, time: Duration, now: Instant) -> bool {
-        !self.last_view.is_some_and(|at| now.saturating_duration_since(at) < time)
+        self.last_view.is_none_or(|at| now.saturating_duration_since(at) >= time)
     }
 
     fn record_probe_wanted(&mut self, contents: &RequestContents, now: Instant) {
