--- a/crates/gateway/src/lost_run.rs
+++ b/crates/gateway/src/lost_run.rs
@@ -77,7 +77,14 @@
 
     /// Returns the name of each part with the digest by which it is quarantined.
     fn parts_text(&self) -> String {
-        let pairs = self.parts.iter().zip(self.contents.parts());
+        let mut names: Vec<&String> = Vec::new();
+        // The last part is the request's own, and a repeated one is quarantined once.
+        for name in self.parts.iter().rev().skip(1).rev() {
+            if !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        let pairs = names.iter().zip(self.contents.parts());
         let texts: Vec<String> =
             pairs.map(|(name, digest)| format!("{name:?}:{:016x}", **digest)).collect();
         texts.join(",")
