Count no run while no worker of the service is reached, and repeat probe requests that did not run

What callers saw: in soak_keeps_guarantees_with_lost_disks::case_2 on a content that all callers send was refused as crashing workers, 528 times in a minute, after all daemons had lost power and a gateway was cut off from the workers.

Cause, from its log: the cut-off gateway's requests with that content were lost 0 to 66 ms after they were sent, at a few workers again and again. No other worker was reached either, so these runs were recorded as Unconfirmed, which counted against contents that were never answered, and after the loss of power that was all of them. Then three probe requests in turn could not be written to their workers; each counted as in progress for 10 s, so that no outcome ever came.

Change: a run counts only if its worker accepts no connection while another one of its service does. A probe request that did not run gives its grant back, and its retry uses it.

`probe_that_did_not_run_is_repeated` fails without the second change. common_content_not_refused_after_lost_paths has two more cases, right after all daemons started anew; all five pass before and after, so the first change has no test that fails before.

--- a/crates/daemon/src/lost_run.rs
+++ b/crates/daemon/src/lost_run.rs
@@ -1,12 +1,12 @@
 //! Runs whose connections were lost, and which of them count against their requests.
 //!
-//! A run counts only if its upstream cannot be connected to any more. A connection may also be lost
-//! alone, or with the path.
+//! A run counts only if its upstream cannot be connected to any more, while another one of its service
+//! can. A connection may also be lost alone, or with the path.
 
 use std::sync::Arc;
 
 use hollowbarrow_reach::UpstreamFate;
-use hollowbarrow_routing::{RequestContents, TerminatedRun, TerminationCertainty, UpstreamKey};
+use hollowbarrow_routing::{RequestContents, TerminatedRun, UpstreamKey};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -30,13 +30,11 @@
     /// Finds out whether the upstream has terminated, and records the run against the contents of its
     /// request if so.
     pub(crate) async fn record_if_terminated(self, core: Arc<DaemonCore>) {
-        let certainty = match learn_fate(&core, &self.service, &self.upstream).await {
-            UpstreamFate::Running => return,
-            UpstreamFate::Terminated => TerminationCertainty::Confirmed,
-            UpstreamFate::Unknown => TerminationCertainty::Unconfirmed,
-        };
+        if learn_fate(&core, &self.service, &self.upstream).await != UpstreamFate::Terminated {
+            return;
+        }
         log::info!(
-            "event=crash_recorded request={:?} upstream={} content={:016x} parts={:x?} certainty={certainty:?}",
+            "event=crash_recorded request={:?} upstream={} content={:016x} parts={:x?}",
             self.request,
             self.upstream.name,
             *self.contents.whole(),
@@ -49,7 +47,7 @@
             ended: self.ended,
             organisation: Some(self.contents.organisation()),
         };
-        core.crashes().record_run(&self.contents, run, certainty);
+        core.crashes().record_run(&self.contents, run);
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -161,6 +161,9 @@
         if matches!(error, AttemptUpstreamError::ConnectionLost { .. }) {
             self.record_lost_run(core, request, worker);
         }
+        if error.ran() == ErrorRan::NotRun {
+            core.crashes().withdraw_probe(&request.contents);
+        }
         self.record_path(core, request, error);
         // A worker is as good as before if only the peer between was lost.
         if *error != AttemptUpstreamError::CarrierLost {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -11,7 +11,7 @@
 
 use hollowbarrow_routing::{
     AnswerProof, ContentStanding, CrashLedger, CrashTracker, QuarantineScope, RequestContents,
-    TerminatedRun, TerminationCertainty,
+    TerminatedRun,
 };
 use hollowbarrow_schema::{
     ContentDigest, CrashRecord, DaemonId, FleetView, HeldRequest, Term, WorkerId,
@@ -209,19 +209,30 @@
         }
     }
 
+    /// Records that a request did not run. If it was to be a probe request, its retry or another request
+    /// may be one.
+    pub fn withdraw_probe(&mut self, contents: &RequestContents) {
+        for content in contents.all() {
+            let quarantine = self.from_leader.get_mut(&content);
+            if quarantine.is_some_and(|quarantine| quarantine.probe_sent.take().is_some()) {
+                self.watch.withdraw_probe(content);
+            }
+        }
+    }
+
     /// Records that a worker's process terminated while running a request, with the times at which
     /// the request was sent to it and the connection was lost.
     pub fn record_crash(
         &mut self,
         contents: &RequestContents,
         worker: &WorkerId,
-        (sent, now): (Instant, Instant),
-        certainty: TerminationCertainty,
+        sent: Instant,
+        now: Instant,
     ) {
         let upstream = xxh3_64(worker.as_bytes());
         let organisation = Some(contents.organisation());
         let run = TerminatedRun { upstream, sent, ended: now, organisation };
-        self.watch.record_run(contents, run, certainty);
+        self.watch.record_run(contents, run);
         for content in contents.all() {
             if self.watch.quarantine_left(content, contents.organisation(), now).is_some() {
                 self.local_crashes.insert(content, now);
--- a/crates/gateway/src/lost_run.rs
+++ b/crates/gateway/src/lost_run.rs
@@ -1,12 +1,13 @@
 //! Runs whose connections were lost, and which of them count against their requests.
 //!
 //! A lost connection alone does not show that a worker has terminated: the path may be lost, or the
-//! connection alone. A run counts only if its worker cannot be connected to any more.
+//! connection alone. A run counts only if its worker cannot be connected to any more, while another one
+//! of the service can.
 
 use std::sync::Arc;
 
 use hollowbarrow_reach::{UpstreamFate, UpstreamTarget};
-use hollowbarrow_routing::{RequestContents, TerminationCertainty};
+use hollowbarrow_routing::RequestContents;
 use hollowbarrow_schema::WorkerId;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
@@ -58,21 +59,18 @@
     pub(crate) async fn record_if_terminated(self, core: Arc<GatewayCore>, target: UpstreamTarget) {
         let fate = learn_fate(&core, &target).await;
         core.metrics.count_lost_run(fate);
-        let certainty = match fate {
-            UpstreamFate::Running => return,
-            UpstreamFate::Terminated => TerminationCertainty::Confirmed,
-            UpstreamFate::Unknown => TerminationCertainty::Unconfirmed,
-        };
+        if fate != UpstreamFate::Terminated {
+            return;
+        }
         log::info!(
-            "event=crash_recorded request={:?} worker={} content={:016x} parts={} ran_ms={} certainty={certainty:?}",
+            "event=crash_recorded request={:?} worker={} content={:016x} parts={} ran_ms={}",
             self.request,
             *self.worker,
             *self.contents.whole(),
             self.parts_text(),
             (self.ended - self.sent).as_millis(),
         );
-        let times = (self.sent, self.ended);
-        core.crashes().record_crash(&self.contents, &self.worker, times, certainty);
+        core.crashes().record_crash(&self.contents, &self.worker, self.sent, self.ended);
     }
 
     /// Returns the name of each part with the digest by which it is quarantined.
--- a/crates/routing/src/crash_tracker.rs
+++ b/crates/routing/src/crash_tracker.rs
@@ -59,16 +59,6 @@
     Rejection,
 }
 
-/// How certain it is that an upstream terminated during a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TerminationCertainty {
-    /// Other upstreams of its service are still reached.
-    Confirmed,
-    /// The paths to all upstreams of the service may be lost instead. The run then counts only against
-    /// contents that were never answered, since all others are interrupted by such a loss too.
-    Unconfirmed,
-}
-
 /// Whether a content is known to be harmless at this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ContentStanding {
@@ -100,20 +90,11 @@
     /// that of the request.
     ///
     /// Parts that this daemon has answered are accused only if it has answered all of them.
-    pub fn record_run(
-        &mut self,
-        contents: &RequestContents,
-        run: TerminatedRun,
-        certainty: TerminationCertainty,
-    ) {
-        let confirmed = certainty == TerminationCertainty::Confirmed;
-        let whole = contents.whole();
-        if confirmed || self.last_answer(whole).is_none() {
-            self.ledger.record_run(whole, TerminatedRun { organisation: None, ..run });
-            self.contradict(whole);
-        }
+    pub fn record_run(&mut self, contents: &RequestContents, run: TerminatedRun) {
+        self.ledger.record_run(contents.whole(), TerminatedRun { organisation: None, ..run });
+        self.contradict(contents.whole());
         let mut accused = self.unanswered_parts(contents);
-        if accused.is_empty() && confirmed {
+        if accused.is_empty() {
             accused = contents.parts().to_vec();
         }
         let organisation = Some(contents.organisation());
@@ -192,6 +173,11 @@
         self.ledger.record_probe_sent(content, gateway, now);
     }
 
+    /// Records that a probe request of this gateway did not run after all.
+    pub fn withdraw_probe(&mut self, content: ContentDigest) {
+        self.ledger.withdraw_probe(content);
+    }
+
     /// Merges records that another daemon sent.
     pub fn merge(&mut self, records: &[CrashRecord], now: Instant) {
         self.ledger.merge(records, now);
--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -517,6 +517,13 @@
         self.evict_surplus();
     }
 
+    /// Records that a gateway's probe request did not run after all.
+    pub fn withdraw_probe(&mut self, content: ContentDigest) {
+        if let Some(entry) = self.contents.get_mut(&content) {
+            entry.probes.withdraw();
+        }
+    }
+
     /// Attributes terminations to contents again after a change.
     fn attribute(&mut self) {
         let mut causes = TerminationCauses::new();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -48,7 +48,7 @@
 pub use config_freshness::ConfigFreshness;
 pub use content::{RequestContent, RequestContents, digest_part};
 pub use copies::{DuplicateGate, DuplicateLimiter, DuplicateStep, DuplicateTicket, WaitLimits};
-pub use crash_tracker::{AnswerProof, ContentStanding, CrashTracker, TerminationCertainty};
+pub use crash_tracker::{AnswerProof, ContentStanding, CrashTracker};
 pub use crashes::{CrashLedger, QuarantineScope, QuarantineState, TerminatedRun};
 pub use limit_coordinator::{AskOutcome, LimitCoordinator};
 pub use limit_table::{LimitNotice, LimitTable, NoticeInterval, limit_text};
--- a/crates/routing/src/probe_turns.rs
+++ b/crates/routing/src/probe_turns.rs
@@ -52,6 +52,11 @@
         self.sent = Some((gateway, now));
     }
 
+    /// Forgets the last probe request, which did not run.
+    pub(crate) fn withdraw(&mut self) {
+        self.sent = None;
+    }
+
     /// Merges a report; returns whether it is newer than what was known.
     pub(crate) fn merge(&mut self, report: &ProbeReport, now: Instant) -> bool {
         let later = |known: &mut Option<(u64, Instant)>, ms: Option<u32>| {
