Try more workers before the paths to all are taken for lost, those that sent something last first

Their output was not kept.

Cause, as far as it is known: two other workers were tried, drawn at random among those that controllers report, of which several may have just crashed too; where both had, a real crash counted for nothing.

Change: up to six are tried, one after the other, those from which something came last first. A check ends with the first that accepts a connection, so a crash costs no more connections than before.

--- a/crates/daemon/src/lost_run.rs
+++ b/crates/daemon/src/lost_run.rs
@@ -12,8 +12,9 @@
 
 use crate::core::DaemonCore;
 
-/// Number of other upstreams that are tried to find out whether the paths to all are lost.
-const OTHERS_TRIED: usize = 2;
+/// Number of other upstreams that are tried, one after the other, to find out whether the paths to all
+/// are lost.
+const OTHERS_TRIED: usize = 6;
 
 /// A run that ended with its connection.
 pub(crate) struct LostRun {
--- a/crates/gateway/src/lost_run.rs
+++ b/crates/gateway/src/lost_run.rs
@@ -4,25 +4,32 @@
 //! connection alone. A run counts only if its worker cannot be connected to any more, while another one
 //! of the service can.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 
 use hollowbarrow_reach::{UpstreamFate, UpstreamTarget};
 use hollowbarrow_routing::RequestContents;
 use hollowbarrow_schema::WorkerId;
-use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
 use crate::core::GatewayCore;
 use crate::request::CallerRequest;
 
-/// Number of other workers of a service that are tried to find out whether the paths to all are lost.
-const OTHERS_TRIED: usize = 2;
+/// Number of other workers of a service that are tried, one after the other, to find out whether the
+/// paths to all are lost. Several may have terminated that controllers still report.
+const OTHERS_TRIED: usize = 6;
 
-/// Finds out what became of a worker after a connection to it was lost.
+/// Finds out what became of a worker after a connection to it was lost. Other workers that have sent
+/// something most recently are tried first.
 pub(crate) async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> UpstreamFate {
-    let mut others = core.picker().targets().remove(&target.service).unwrap_or_default();
-    others.retain(|other| other.name != target.name);
-    let others = others.sample(&mut rand::rng(), OTHERS_TRIED).cloned().collect();
+    let others = {
+        let mut picker = core.picker();
+        let mut others = picker.targets().remove(&target.service).unwrap_or_default();
+        others.retain(|other| other.name != target.name);
+        others.sort_by_key(|other| Reverse(picker.progress(&WorkerId::from(other.name.as_str()))));
+        others.truncate(OTHERS_TRIED);
+        others
+    };
     core.reach.learn_fate(target, others).await
 }
 
