Attribute terminations only when a quarantine is asked for

Cause: each recorded run attributed all terminations anew, which decides twice for each content with three runs or more whether it came in a burst. A lost head interrupts dozens of requests with several contents each.

Change: a change of the ledger only forgets the attribution, and the next question computes it. Contents that are evicted are no longer looked at.

--- a/crates/routing/src/crashes.rs
+++ b/crates/routing/src/crashes.rs
@@ -25,7 +25,9 @@
 //! Runs are merged by keeping the earliest time that was reported of each, so that forwarding a
 //! record does not make it younger.
 
+use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollowbarrow_schema::{ContentDigest, CrashRecord, CrashedRun, HeldRequest};
@@ -333,8 +335,8 @@
     terminations: UpstreamTerminations,
     /// Contents with enough runs to be quarantined.
     repeated: BTreeSet<ContentDigest>,
-    /// Which terminations are accounted for, as of the last change.
-    causes: TerminationCauses,
+    /// Which terminations are accounted for; `None` since the last change.
+    causes: RefCell<Option<Arc<TerminationCauses>>>,
     /// Since when this daemon has learnt of answers, its own and those of other daemons; `None` if
     /// it always has.
     observing_since: Option<Instant>,
@@ -368,14 +370,14 @@
             self.repeated.insert(request);
         }
         self.evict_surplus();
-        self.attribute();
+        self.causes.take();
     }
 
     /// Records that a request was answered completely. An unknown request is ignored.
     pub fn record_answer(&mut self, request: ContentDigest, at: Instant) {
         if let Some(entry) = self.contents.get_mut(&request) {
             set_answered(entry, at);
-            self.attribute();
+            self.causes.take();
         }
     }
 
@@ -383,7 +385,7 @@
     pub fn contradict(&mut self, request: ContentDigest, answered: Instant) {
         set_answered(self.contents.entry(request).or_default(), answered);
         self.evict_surplus();
-        self.attribute();
+        self.causes.take();
     }
 
     /// Records that another daemon has published that a request is known to crash upstreams. Runs
@@ -423,7 +425,7 @@
             }
         }
         self.evict_surplus();
-        self.attribute();
+        self.causes.take();
     }
 
     /// Returns the remaining quarantine of a content; `None` if an organisation's request with it may
@@ -448,7 +450,11 @@
         organisation: u64,
         now: Instant,
     ) -> Option<QuarantineState> {
-        let quarantine = self.contents.get(&content)?.quarantine(self, &self.causes)?;
+        let entry = self.contents.get(&content)?;
+        if entry.runs.len() < MIN_RUNS {
+            return None;
+        }
+        let quarantine = entry.quarantine(self, &self.causes())?;
         if !quarantine.scope.includes(organisation) {
             return None;
         }
@@ -460,13 +466,12 @@
 
     /// Returns the contents that are known to crash upstreams, the latest end of quarantine first.
     pub fn quarantined(&self, now: Instant) -> Vec<HeldRequest> {
+        let causes = self.causes();
         let known = |(content, entry): (&ContentDigest, &ContentEntry)| {
-            let quarantine = entry.quarantine(self, &self.causes)?;
+            let quarantine = entry.quarantine(self, &causes)?;
             Some((quarantine.until, *content, quarantine.scope))
         };
-        let repeated =
-            self.repeated.iter().filter_map(|content| self.contents.get_key_value(content));
-        let mut quarantined: Vec<_> = repeated.filter_map(known).collect();
+        let mut quarantined: Vec<_> = self.repeated_contents().filter_map(known).collect();
         quarantined.sort_by_key(|(until, content, _)| std::cmp::Reverse((*until, *content)));
         quarantined.truncate(MAX_SENT_QUARANTINES);
         let to_message = |(until, request, scope): (Instant, ContentDigest, QuarantineScope)| {
@@ -488,7 +493,7 @@
     /// another content accounts for.
     pub fn count_runs(&self, content: ContentDigest) -> usize {
         let entry = self.contents.get(&content);
-        entry.map_or(0, |entry| entry.counted_runs(&self.causes).len())
+        entry.map_or(0, |entry| entry.counted_runs(&self.causes()).len())
     }
 
     /// Sets which gateway may send the next probe request for each content whose quarantine has ended.
@@ -524,15 +529,19 @@
         }
     }
 
-    /// Attributes terminations to contents again after a change.
-    fn attribute(&mut self) {
+    /// Returns which terminations are accounted for, and computes it after a change.
+    fn causes(&self) -> Arc<TerminationCauses> {
+        let mut causes = self.causes.borrow_mut();
+        Arc::clone(causes.get_or_insert_with(|| Arc::new(self.attribute())))
+    }
+
+    /// Attributes terminations to contents.
+    fn attribute(&self) -> TerminationCauses {
         let mut causes = TerminationCauses::new();
         let none = TerminationCauses::new();
-        let contents = &self.contents;
-        self.repeated.retain(|content| contents.contains_key(content));
-        let repeated =
-            self.repeated.iter().filter_map(|content| self.contents.get_key_value(content));
-        let accused = repeated.filter(|(_, entry)| entry.quarantine(self, &none).is_some());
+        let accused = self.repeated_contents().filter(|(_, entry)| {
+            entry.runs.len() >= MIN_RUNS && entry.quarantine(self, &none).is_some()
+        });
         let mut accused: Vec<_> = accused.collect();
         accused.sort_by_key(|(content, entry)| std::cmp::Reverse((entry.evidence(), **content)));
         for (_, entry) in accused {
@@ -541,7 +550,11 @@
                 causes.record(upstreams, entry.evidence());
             }
         }
-        self.causes = causes;
+        causes
+    }
+
+    fn repeated_contents(&self) -> impl Iterator<Item = (&ContentDigest, &ContentEntry)> {
+        self.repeated.iter().filter_map(|content| self.contents.get_key_value(content))
     }
 
     /// Returns the records that are due to be sent now: those that have changed, and those not sent
@@ -598,7 +611,7 @@
     /// Removes the records of all requests but those selected.
     pub fn retain(&mut self, selected: impl Fn(ContentDigest) -> bool) {
         self.contents.retain(|request, _| selected(*request));
-        self.attribute();
+        self.causes.take();
     }
 
     /// Removes runs that are older than the retention time.
@@ -612,7 +625,9 @@
             kept || entry.probes.is_recent(now)
         });
         if self.contents.len() < before {
-            self.attribute();
+            let contents = &self.contents;
+            self.repeated.retain(|content| contents.contains_key(content));
+            self.causes.take();
         }
     }
 
@@ -638,6 +653,8 @@
         for (_, request) in suspicions.iter().take(MAX_REQUESTS / EVICTION_DIVISOR) {
             self.contents.remove(request);
         }
+        let contents = &self.contents;
+        self.repeated.retain(|content| contents.contains_key(content));
     }
 }
 
