--- a/review/1/case.py
+++ b/review/1/case.py
@@ -109,7 +109,8 @@
 system, started = System(), []
 try:
     system.start()
-    started = [start_worker(system, number) for number in range(1, WORKERS + 1)]
+    for number in range(1, WORKERS + 1):
+        started.append(start_worker(system, number))
     code, text = run(system)
 finally:
     for process in started:
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # A worker crashes in the middle of an answer without a length. TROUBLE=0: it does not crash.
 cd "$(dirname "$0")"
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout -k 10 110 python3 case.py
+exec timeout --preserve-status -k 8 110 python3 case.py
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # compile. This checks that each of them can be read by the Python of the machine.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - common/*.py [0-9]/*.py <<'CHECK'
+python3 - common/*.py [0-9]/*.py observed/*.py <<'CHECK'
 import ast, sys
 for path in sys.argv[1:]:
     ast.parse(open(path, encoding="utf-8").read(), path)
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -13,6 +13,8 @@
     def __init__(self, record):
         self.record, self.lock = record, threading.RLock()
         self.workers, self.breaks = {}, []
+        # Whether a client has sent a request: until then, loads take a tenth of their time.
+        self.asked = False
 
     def check_join(self, worker, group, epoch):
         """Rule TWO: a worker takes a join of another group while the head of its group is open or
@@ -108,7 +110,7 @@
             return 202
         if order["op"] == "stage":
             self.taken += 1
-            self.later(self.times["load_s"] / 10, self.end_stage, order["model"])
+            self.later(self.load_time(), self.end_stage, order["model"])
             return 202
         if not named:
             return 409
@@ -130,11 +132,13 @@
             return 200
         return 400
 
+    def load_time(self):
+        return self.times["load_s"] if self.fleet.asked else self.times["load_s"] / 10
+
     def join_time(self, model):
-        """Before the first request, loads take a tenth of their time."""
         if model == self.last_model:
             return 0.2
-        return self.times["warm_s"] if model in self.staged else self.times["load_s"] / 10
+        return self.times["warm_s"] if model in self.staged else self.load_time()
 
     def later(self, seconds, done, *values):
         def run():
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -16,12 +16,23 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BINARY = ROOT / "target" / "release" / "hollowbarrow"
 HOST = "camp.example"
 
 
+def exit_unable(*error):
+    """Ends a case that fails by itself with the code of one that could not run."""
+    traceback.print_exception(*error)
+    sys.stderr.flush()
+    os._exit(2)
+
+
+sys.excepthook = exit_unable
+
+
 class Record:
     """The record of a run: what was sent, answered and run, with the time since the start."""
 
@@ -91,7 +102,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         block = random.randint(2, 250)
         ips = [f"127.81.{block}.{n}" for n in range(1, 4 + gateways)]
-        ports = {name: free_port(ips) for name in ("mesh", "control", "callers", "ready", "metrics")}
+        behind = [ip.replace("127.81.", "127.83.") for ip in ips]
+        ports = {name: free_port(ips + behind) for name in ("mesh", "control", "callers", "ready", "metrics")}
         self.control = [(ip, ports["control"]) for ip in ips[:3]]
         self.callers = [(ip, ports["callers"]) for ip in ips[3:]]
         self.ready = [(ip, ports["ready"]) for ip in ips[3:]]
--- a/review/observed/lost_head.py
+++ b/review/observed/lost_head.py
@@ -19,7 +19,8 @@
 from standins import (HOST, Record, System, call, control_call, end_on_signal, finish, plain_config,
                       plain_route, request_id, send_whole)
 
-TIMES = {"load_s": 2.0, "warm_s": 0.2, "form_s": 0.3}
+# The larger model of the site ariake-roam.
+TIMES = {"load_s": 16.0, "warm_s": 1.6, "form_s": 0.3}
 # One of six workers is lost (0.167). A group has four members.
 WORKERS, SIZE = 6, 4
 PER_S = 5.0
@@ -52,7 +53,7 @@
     config = plain_config(version, [route], ["model-pool"])
     config["services"][0]["engine"] = {
         "slots": 26, "kv_capacity_tokens": 1590000, "stride": 7,
-        "models": [{"name": "small", "size": SIZE, "share": 1.0, "pace": 1.0,
+        "models": [{"name": "m0", "size": SIZE, "share": 1.0, "pace": 1.0,
                     "load_s": TIMES["load_s"], "warm_s": TIMES["warm_s"]}],
         "step_ms": 5.95, "per_seq_ms": 0.0445, "context_per_k": 0.00813, "read_per_s": 50700.0,
         "pairs_per_m": 0.368, "chunk": 2048, "report_lag_ms": 200.0, "loads_per_s": 4.5,
@@ -70,7 +71,7 @@
         try:
             status, headers, _ = call(
                 system.callers[(number + tries) % len(system.callers)], "POST", "/text/x", "{}",
-                {"Host": HOST, "Request-Id": name, "Deadline-Ms": "4000", "Model": "small",
+                {"Host": HOST, "Request-Id": name, "Deadline-Ms": "4000", "Model": "m0",
                  "Token-Usage": "100,10", "Prefix-Hash": f"{name}:100"}, 5)
         except OSError as error:
             status, headers = str(error)[:40], {}
@@ -105,6 +106,7 @@
         return 2, "the case could not run: the system is not ready"
     time.sleep(6.0)
     begun = record.now()
+    fleet.asked = True
     threading.Thread(target=load, args=(system,), daemon=True).start()
     time.sleep(BEFORE_S)
     heads = [one for one in workers if one.membership and one.membership["state"] == "open"]
