Tell what became of the worker of an answer without a length

No log line and no metric told how such an answer had ended: the connection could have been closed in order, or its reset could have been lost on the way to the caller.

A gateway already looks at the worker after an answer without a length or chunks, for the quarantine of contents. What it finds is counted now (gateway_unframed_answers) and, unless the worker runs, logged with the request's id (answer_doubtful).

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,12 @@
         "Runs whose connections to workers were lost, by what became of the worker: running, terminated \
          or unknown.",
     ),
+    (
+        "gateway_unframed_answers",
+        "1",
+        "Answers without a length or chunks that ended with their connections, by what became of the \
+         worker: running, terminated or unknown.",
+    ),
     ("gateway_isolated", "1", "1 while the gateway reaches no worker of a service itself, else 0."),
     ("gateway_tunnels", "1", "Tunnels to workers that the gateway carries for other gateways."),
     ("gateway_ready", "1", "1 while the gateway reports that it is ready, else 0."),
@@ -66,6 +72,7 @@
     repeats: Counter<u64>,
     connects: Counter<u64>,
     lost_runs: Counter<u64>,
+    unframed_answers: Counter<u64>,
     turned_away: Counter<u64>,
     limited_sends: Counter<u64>,
     in_flight: Gauge<u64>,
@@ -100,6 +107,7 @@
             repeats: meter.u64_counter("gateway_repeats").build(),
             connects: meter.u64_counter("gateway_connects").build(),
             lost_runs: meter.u64_counter("gateway_lost_runs").build(),
+            unframed_answers: meter.u64_counter("gateway_unframed_answers").build(),
             turned_away: meter.u64_counter("gateway_turned_away").build(),
             limited_sends: meter.u64_counter("gateway_limited_sends").build(),
             in_flight: meter.u64_gauge("gateway_in_flight").build(),
@@ -141,12 +149,12 @@
 
     /// Counts a run whose connection was lost.
     pub(crate) fn count_lost_run(&self, fate: UpstreamFate) {
-        let fate = match fate {
-            UpstreamFate::Running => "running",
-            UpstreamFate::Terminated => "terminated",
-            UpstreamFate::Unknown => "unknown",
-        };
-        self.lost_runs.add(1, &[KeyValue::new("worker", fate)]);
+        self.lost_runs.add(1, &[KeyValue::new("worker", fate.name())]);
+    }
+
+    /// Counts an answer that ended with its connection.
+    pub(crate) fn count_unframed_answer(&self, fate: UpstreamFate) {
+        self.unframed_answers.add(1, &[KeyValue::new("worker", fate.name())]);
     }
 
     pub(crate) fn count_turned_away(&self, backoff_asked: bool) {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -45,15 +45,24 @@
         request: &CallerRequest,
         worker: &PickedWorker,
     ) {
-        let Some(proof) = self.proof() else { return };
         if self.framed {
-            core.crashes().record_answer(&request.contents, proof, Instant::now());
+            if let Some(proof) = self.proof() {
+                core.crashes().record_answer(&request.contents, proof, Instant::now());
+            }
             return;
         }
         let (core, contents) = (Arc::clone(core), request.contents.clone());
-        let target = target_of(request, worker);
+        let (target, id) = (target_of(request, worker), request.head.id.clone());
+        let (proof, bytes) = (self.proof(), self.body.len());
         tokio::spawn(async move {
-            if learn_fate(&core, &target).await == UpstreamFate::Running {
+            let fate = learn_fate(&core, &target).await;
+            core.metrics.count_unframed_answer(fate);
+            if fate != UpstreamFate::Running {
+                let worker = target.name;
+                log::warn!(
+                    "event=answer_doubtful request={id:?} worker={worker} bytes={bytes} fate={fate:?}"
+                );
+            } else if let Some(proof) = proof {
                 core.crashes().record_answer(&contents, proof, Instant::now());
             }
         });
--- a/crates/reach/src/fate.rs
+++ b/crates/reach/src/fate.rs
@@ -30,6 +30,17 @@
     Unknown,
 }
 
+impl UpstreamFate {
+    /// Returns its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Terminated => "terminated",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 type FateCheck = Shared<BoxFuture<'static, UpstreamFate>>;
 
 /// Checks in progress, by the full name of the upstream.
