--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowbarrow_reach::NotConnected;
+use hollowbarrow_reach::{InstanceProbe, NotConnected};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_routing::{
     AnswerProof, BackoffReason, PERMIT_LIFETIME, RouteCandidate, UpstreamKey, UpstreamOutlook,
@@ -25,6 +25,7 @@
 use crate::relay::{StreamRelay, read_complete_answer};
 use crate::routes::{RouteEntry, RouteTarget};
 use crate::telemetry::HopSpan;
+use crate::upstream_state::probe_of;
 
 /// Pause before upstreams are checked again when none has capacity.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -36,18 +37,13 @@
 pub(crate) enum AttemptAnswer {
     /// The stream is complete and has been forwarded except for its end marker.
     Streamed,
-    /// A complete answer. `framed` states whether its own length or chunks show that it is.
-    Complete { status: StatusCode, content_type: String, body: Bytes, framed: bool },
+    /// A complete answer.
+    Complete { status: StatusCode, content_type: String, body: Bytes },
 }
 
 impl AttemptAnswer {
-    /// Returns whether its end mark, length or chunks show that the answer is complete.
-    pub(crate) fn is_framed(&self) -> bool {
-        !matches!(self, Self::Complete { framed: false, .. })
-    }
-
-    /// Returns what the answer shows about the contents of its request if it is complete; nothing if
-    /// an upstream that failed to run the request may have given it.
+    /// Returns what the answer shows about the contents of its request; nothing if an upstream that
+    /// failed to run the request may have given it.
     pub(crate) fn proof(&self) -> Option<AnswerProof> {
         match self {
             Self::Streamed => Some(AnswerProof::Success),
@@ -66,10 +62,17 @@
     NotAttempted(CallerError),
 }
 
+/// An upstream that was tried.
+pub(crate) struct TriedUpstream {
+    pub(crate) key: UpstreamKey,
+    /// Recognises the process that was tried.
+    pub(crate) probe: Arc<dyn InstanceProbe>,
+}
+
 /// How an attempt ended.
 pub(crate) struct AttemptEnd {
     /// The upstream that was tried, if any.
-    pub(crate) upstream: Option<UpstreamKey>,
+    pub(crate) upstream: Option<TriedUpstream>,
     pub(crate) outcome: Result<AttemptAnswer, AttemptError>,
     /// When the upstream was selected, or none was; the request was sent later, if at all.
     pub(crate) selected: Instant,
@@ -131,9 +134,10 @@
     let attempt_span = span.child("upstream");
     attempt_span.set("upstream", &entry.key.name);
     let key = entry.key.clone();
+    let probe = probe_of(core, &entry);
     let picker_guard = PickerGuard::new(core, &key, attempt.blocks).with_permit(permit);
     let progress = relay.progress();
-    let sending = send_to_upstream(attempt, &entry, &attempt_span, relay, &picker_guard);
+    let sending = send_to_upstream(attempt, (&entry, &probe), &attempt_span, relay, &picker_guard);
     let outcome = tokio::select! {
         outcome = sending => outcome,
         // A replica that lost a member cannot answer any more. Only a repeatable request is
@@ -149,7 +153,7 @@
         attempt_span.set("error", &error.to_string());
     }
     drop(picker_guard);
-    end(Some(key), outcome.map_err(AttemptError::Failed))
+    end(Some(TriedUpstream { key, probe }), outcome.map_err(AttemptError::Failed))
 }
 
 impl Attempt<'_> {
@@ -409,7 +413,7 @@
 
 async fn send_to_upstream(
     attempt: Attempt<'_>,
-    entry: &RouteEntry,
+    (entry, probe): (&RouteEntry, &Arc<dyn InstanceProbe>),
     span: &HopSpan,
     relay: &mut StreamRelay,
     picker_guard: &PickerGuard<'_>,
@@ -443,7 +447,7 @@
     picker_guard.record_sent();
     let sent = core.client.send(lease, &message, request.deadline).await;
     if matches!(sent, Err(SendRequestError::Timeout | SendRequestError::NoAnswer(_))) {
-        core.reach.check_upstream(target);
+        core.reach.check_upstream(target.clone());
     }
     let answer = sent.map_err(to_send_error)?;
     picker_guard.record_first_byte();
@@ -470,7 +474,7 @@
         let reason = "the resumed answer is not a stream";
         return Err(AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 });
     }
-    read_complete_answer(core, request, answer).await
+    read_complete_answer(core, request, answer, (&target, probe)).await
 }
 
 /// Returns whether an engine reports with this status that it did not run the request, as the
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_reach::InstanceProbe;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RequestFacts, RetryStep, decide_retry};
 use hollowbarrow_routing::{
     DuplicateTicket, RequestContent, RequestContents, UpstreamKey, hash_prefix,
@@ -18,13 +18,13 @@
 
 use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink};
 use crate::attempt::{
-    Attempt, AttemptAnswer, AttemptEnd, AttemptError, run_attempt, run_plain_attempt,
+    Attempt, AttemptAnswer, AttemptEnd, AttemptError, TriedUpstream, run_attempt, run_plain_attempt,
 };
 use crate::caller_request::{CallerRequest, RequestKind};
 use crate::claims::{ClaimIdentity, HeldClaim};
 use crate::core::DaemonCore;
 use crate::duplicates::{DuplicatePlace, DuplicateWait};
-use crate::lost_run::{LostRun, learn_fate};
+use crate::lost_run::LostRun;
 use crate::refusals::{
     to_attempt_error, to_claim_error, to_duplicate_error, to_limit_error, to_propose_error,
     to_quarantine_error, to_shed_error,
@@ -71,6 +71,8 @@
     pub(crate) blocks: Vec<u64>,
     pub(crate) attempts: u32,
     pub(crate) upstream: Option<UpstreamKey>,
+    /// Recognises the process of that upstream.
+    probe: Option<Arc<dyn InstanceProbe>>,
     tried: Vec<UpstreamKey>,
     /// Whether a failed attempt may have run the request.
     may_have_run: bool,
@@ -118,6 +120,7 @@
         blocks,
         attempts: 0,
         upstream: None,
+        probe: None,
         tried: Vec::new(),
         may_have_run: false,
         connection_lost: false,
@@ -263,19 +266,19 @@
                     return self.end("cancelled", Some(ErrorRan::Unknown));
                 }
             };
-            let AttemptEnd { upstream: key, outcome, selected, upstream_wait, duplicate_wait } =
-                tried;
+            let AttemptEnd { upstream, outcome, selected, upstream_wait, duplicate_wait } = tried;
             self.waits.upstream += upstream_wait;
             self.waits.duplicate += duplicate_wait;
             let withdrawn = is_withdrawn(&outcome);
             if withdrawn {
                 self.attempts -= 1;
             }
-            if let Some(key) = key {
+            if let Some(TriedUpstream { key, probe }) = upstream {
                 if !withdrawn {
                     self.tried.push(key.clone());
                 }
                 self.upstream = Some(key);
+                self.probe = Some(probe);
             }
             let error = match outcome {
                 Ok(answer) => return self.finish(answer, &mut relay, claim, duplicate).await,
@@ -332,7 +335,8 @@
         sent: Instant,
         duplicate: &DuplicateTicket,
     ) -> Option<Instant> {
-        let (AttemptUpstreamError::ConnectionLost { .. }, Some(key)) = (error, &self.upstream)
+        let (AttemptUpstreamError::ConnectionLost { .. }, Some(key), Some(probe)) =
+            (error, &self.upstream, &self.probe)
         else {
             return None;
         };
@@ -341,6 +345,7 @@
             service: self.request.kind.service().to_owned(),
             contents: self.contents.clone(),
             upstream: key.clone(),
+            probe: Arc::clone(probe),
             sent,
             ended: Instant::now(),
         };
@@ -366,7 +371,9 @@
         claim: Option<HeldClaim>,
         duplicate: &DuplicateTicket,
     ) -> RequestEnd {
-        self.record_proof(&answer);
+        if let Some(proof) = answer.proof() {
+            self.core.crashes().record_answer(&self.contents, proof, Instant::now());
+        }
         // Recording the outcome of a claim takes a commit, for which duplicates need not wait.
         duplicate.record_progress();
         match answer {
@@ -402,24 +409,6 @@
         self.end("ok", None)
     }
 
-    /// Records what an answer shows about the contents of the request. An answer that ended with its
-    /// connection shows something only if its upstream still runs.
-    fn record_proof(&self, answer: &AttemptAnswer) {
-        let Some(proof) = answer.proof() else { return };
-        let (core, contents) = (Arc::clone(&self.core), self.contents.clone());
-        if answer.is_framed() {
-            core.crashes().record_answer(&contents, proof, Instant::now());
-            return;
-        }
-        let Some(key) = self.upstream.clone() else { return };
-        let service = self.request.kind.service().to_owned();
-        tokio::spawn(async move {
-            if learn_fate(&core, &service, &key).await == UpstreamFate::Running {
-                core.crashes().record_answer(&contents, proof, Instant::now());
-            }
-        });
-    }
-
     /// Sends the request to a second upstream when the first is slow, and uses the first complete
     /// answer.
     async fn run_hedged(&mut self, after: Duration, place: &DuplicatePlace) -> RequestEnd {
@@ -446,7 +435,7 @@
         let first = run_plain_attempt(attempt);
         tokio::pin!(first);
         let early = tokio::time::timeout(after, first.as_mut()).await;
-        let AttemptEnd { upstream: key, outcome, upstream_wait, .. } = match early {
+        let AttemptEnd { upstream, outcome, upstream_wait, .. } = match early {
             Ok(done) => done,
             Err(_) if core.budget.take(Instant::now()) => {
                 self.attempts = 2;
@@ -461,7 +450,10 @@
             Err(_) => first.await,
         };
         self.waits.upstream += upstream_wait;
-        self.upstream = key;
+        if let Some(TriedUpstream { key, probe }) = upstream {
+            self.upstream = Some(key);
+            self.probe = Some(probe);
+        }
         let mut relay = StreamRelay::new(&self.link, false);
         match outcome {
             Ok(answer) => self.finish(answer, &mut relay, None, duplicate).await,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod table_change;
 mod telemetry;
 mod timers;
+mod upstream_state;
 mod voter_change;
 mod zone_authority;
 mod zone_control;
--- a/crates/daemon/src/lost_run.rs
+++ b/crates/daemon/src/lost_run.rs
@@ -1,11 +1,12 @@
 //! Runs whose connections were lost, and which of them count against their requests.
 //!
-//! A run counts only if its upstream cannot be connected to any more, while another one of its service
-//! can. A connection may also be lost alone, or with the path.
+//! A run counts only if another process answers in its upstream's place, or if the upstream cannot be
+//! connected to any more while another one of its service can. A connection may also be lost alone, or
+//! with the path.
 
 use std::sync::Arc;
 
-use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_reach::{InstanceProbe, UpstreamFate};
 use hollowbarrow_routing::{RequestContents, TerminatedRun, UpstreamKey};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -23,6 +24,8 @@
     pub(crate) service: String,
     pub(crate) contents: RequestContents,
     pub(crate) upstream: UpstreamKey,
+    /// Recognises the process that ran the request.
+    pub(crate) probe: Arc<dyn InstanceProbe>,
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
 }
@@ -31,7 +34,7 @@
     /// Finds out whether the upstream has terminated, and records the run against the contents of its
     /// request if so.
     pub(crate) async fn record_if_terminated(self, core: Arc<DaemonCore>) {
-        if learn_fate(&core, &self.service, &self.upstream).await != UpstreamFate::Terminated {
+        if self.learn_fate(&core).await != UpstreamFate::Terminated {
             return;
         }
         log::info!(
@@ -50,20 +53,16 @@
         };
         core.crashes().record_run(&self.contents, run);
     }
-}
 
-/// Finds out what became of an upstream of a model or service after a connection to it was lost.
-pub(crate) async fn learn_fate(
-    core: &DaemonCore,
-    service: &str,
-    upstream: &UpstreamKey,
-) -> UpstreamFate {
-    let mut others = core.routes().targets().remove(service).unwrap_or_default();
-    let index = others.iter().position(|target| target.name == upstream.name);
-    // An upstream that has no route any more is known to be lost.
-    let Some(target) = index.map(|index| others.swap_remove(index)) else {
-        return UpstreamFate::Terminated;
-    };
-    others.truncate(OTHERS_TRIED);
-    core.reach.learn_fate(&target, others).await
+    /// Finds out what became of the process that ran the request.
+    async fn learn_fate(&self, core: &DaemonCore) -> UpstreamFate {
+        let mut others = core.routes().targets().remove(&self.service).unwrap_or_default();
+        let index = others.iter().position(|target| target.name == self.upstream.name);
+        // An upstream that has no route any more is known to be lost.
+        let Some(target) = index.map(|index| others.swap_remove(index)) else {
+            return UpstreamFate::Terminated;
+        };
+        others.truncate(OTHERS_TRIED);
+        core.reach.learn_fate(&target, &self.probe, others).await
+    }
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollowbarrow_reach::{InstanceProbe, UpstreamTarget};
 use hollowbarrow_routing::DuplicateTicket;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{EventParser, SentAnswer, StreamChunk, parse_chunk};
@@ -22,6 +23,7 @@
 use crate::caller_request::{CallerRequest, RequestKind};
 use crate::core::DaemonCore;
 use crate::refusals::to_lost_error;
+use crate::upstream_state::UnframedAnswer;
 
 /// End marker of a stream.
 const DONE_EVENT: &str = "data: [DONE]\n\n";
@@ -245,29 +247,37 @@
     }
 }
 
-/// Reads a complete answer, within the deadline and the size limit.
+/// Reads a complete answer, within the deadline and the size limit. An answer that ends with its
+/// connection is lost unless its upstream still runs.
 pub(crate) async fn read_complete_answer(
     core: &DaemonCore,
     request: &CallerRequest,
     answer: SentAnswer,
+    upstream: (&UpstreamTarget, &Arc<dyn InstanceProbe>),
 ) -> Result<AttemptAnswer, AttemptUpstreamError> {
     let limit = usize::try_from(core.settings.limits.answer_bytes).unwrap_or(usize::MAX);
-    let content_type = answer
-        .headers
+    let SentAnswer { status, headers, body, framed, lease } = answer;
+    let (target, probe) = upstream;
+    let unframed = (!framed).then(|| UnframedAnswer::new(core, target, probe));
+    let content_type = headers
         .get("content-type")
         .and_then(|kind| kind.to_str().ok())
         .unwrap_or("application/octet-stream")
         .to_owned();
-    let reading = Limited::new(answer.body, limit).collect();
+    let reading = Limited::new(body, limit).collect();
     let body = match tokio::time::timeout_at(request.deadline, reading).await {
         Err(_) => return Err(AttemptUpstreamError::DeadlinePassed { sent: true }),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is too long", tokens: 0 });
         }
-        Ok(Err(_)) => return Err(to_lost_error(&answer.lease, 0)),
+        Ok(Err(_)) => return Err(to_lost_error(&lease, 0)),
         Ok(Ok(body)) => body.to_bytes(),
     };
-    answer.lease.give_back();
-    let SentAnswer { status, framed, .. } = answer;
-    Ok(AttemptAnswer::Complete { status, content_type, body, framed })
+    if let Some(unframed) = unframed
+        && !unframed.is_complete(core, request, body.len()).await
+    {
+        return Err(to_lost_error(&lease, 0));
+    }
+    lease.give_back();
+    Ok(AttemptAnswer::Complete { status, content_type, body })
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hollowbarrow_log::LogView;
+use hollowbarrow_reach::InstanceState;
 use hollowbarrow_schema::{ErrorRan, GroupName, LogName, Urgency};
 use hollowbarrow_telemetry::MetricsPage;
 use hyper::Request;
@@ -39,6 +40,11 @@
             "1",
             "Attempts to open a connection to an upstream, by outcome: connected, refused or timed_out on the daemon's own path, and tunnel, peer_unreached or no_peer through a peer.",
         ),
+        (
+            "unframed_answers",
+            "1",
+            "Answers without a length or chunks that ended with their connections, by what the upstream was found to be: running, so that the answer is complete, or silent, replaced, refused or unreached.",
+        ),
         ("queue_ms", "ms", "Time that requests waited for a slot, by priority class."),
         ("first_token_ms", "ms", "Time from a request's arrival to its first token."),
         ("token_gap_ms", "ms", "Time between two tokens of a stream."),
@@ -98,6 +104,7 @@
     requests: Counter<u64>,
     retries: Counter<u64>,
     connects: Counter<u64>,
+    unframed_answers: Counter<u64>,
     queue: Histogram<f64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
@@ -137,6 +144,7 @@
             requests: meter.u64_counter("requests").build(),
             retries: meter.u64_counter("retries").build(),
             connects: meter.u64_counter("connects").build(),
+            unframed_answers: meter.u64_counter("unframed_answers").build(),
             queue: page.time_histogram("queue_ms"),
             first_token: page.time_histogram("first_token_ms"),
             token_gap: page.time_histogram("token_gap_ms"),
@@ -170,6 +178,11 @@
         self.queue.record(waited.as_secs_f64() * 1000.0, &class);
     }
 
+    /// Counts an answer that ended with its connection, by the state of its upstream.
+    pub(crate) fn record_unframed_answer(&self, state: InstanceState) {
+        self.unframed_answers.add(1, &[KeyValue::new("upstream", state.name())]);
+    }
+
     pub(crate) fn record_retry(&self, kind: &'static str) {
         self.retries.add(1, &[KeyValue::new("kind", kind)]);
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::protocol::SendFacts;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
+use crate::timeouts::answer_timeout;
 use crate::watch::WatchError;
 
 /// Multiple of the objective for which a duplicate waits for the outcome of the request in
@@ -240,6 +241,17 @@
         self.ledger.is_last(&request.bounds())
     }
 
+    /// Returns until when a worker is waited for that does not answer a check after its answer has ended.
+    /// Nothing is gained by giving up the last attempt earlier.
+    pub(crate) fn check_limit(&self, request: &CallerRequest) -> Instant {
+        let deadline = request.deadline();
+        if self.is_last(request) {
+            return deadline;
+        }
+        let timeout = answer_timeout(request.remaining(), request.route.objective);
+        deadline.min(Instant::now() + timeout)
+    }
+
     /// Returns the refusal for the caller when no further attempt follows. It never states that the
     /// request did not run if a worker may have run it.
     pub(crate) fn to_refusal(&self, refusal: Refusal) -> Refusal {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,9 @@
 mod view_dates;
 mod watch;
 mod whole;
+mod worker_state;
+
+pub use hollowbarrow_reach::InstanceReply;
 
 pub use gateway::{Gateway, StartGatewayError};
 pub use metrics::GATEWAY_METRICS;
--- a/crates/gateway/src/lost_run.rs
+++ b/crates/gateway/src/lost_run.rs
@@ -1,8 +1,8 @@
 //! Runs whose connections were lost, and which of them count against their requests.
 //!
 //! A lost connection alone does not show that a worker has terminated: the path may be lost, or the
-//! connection alone. A run counts only if its worker cannot be connected to any more, while another one
-//! of the service can.
+//! connection alone. A run counts only if another instance answers in its worker's place, or if the worker
+//! cannot be connected to any more while another one of the service can.
 
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -14,6 +14,7 @@
 
 use crate::core::GatewayCore;
 use crate::request::CallerRequest;
+use crate::worker_state::probe_of;
 
 /// Number of other workers of a service that are tried, one after the other, to find out whether the
 /// paths to all are lost. Several may have terminated that controllers still report.
@@ -21,7 +22,7 @@
 
 /// Finds out what became of a worker after a connection to it was lost. Other workers that have sent
 /// something most recently are tried first.
-pub(crate) async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> UpstreamFate {
+async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> UpstreamFate {
     let others = {
         let mut picker = core.picker();
         let mut others = picker.targets().remove(&target.service).unwrap_or_default();
@@ -30,7 +31,8 @@
         others.truncate(OTHERS_TRIED);
         others
     };
-    core.reach.learn_fate(target, others).await
+    let probe = probe_of(core, &WorkerId::from(target.name.as_str()));
+    core.reach.learn_fate(target, &probe, others).await
 }
 
 /// A run that ended with its connection.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_reach::{InstanceState, UpstreamFate};
 use hollowbarrow_telemetry::MetricsPage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -36,8 +36,8 @@
     (
         "gateway_unframed_answers",
         "1",
-        "Answers without a length or chunks that ended with their connections, by what became of the \
-         worker: running, terminated or unknown.",
+        "Answers without a length or chunks that ended with their connections, by what the worker was found \
+         to be: running, so that the answer is complete, or silent, replaced, refused or unreached.",
     ),
     ("gateway_isolated", "1", "1 while the gateway reaches no worker of a service itself, else 0."),
     ("gateway_tunnels", "1", "Tunnels to workers that the gateway carries for other gateways."),
@@ -153,8 +153,8 @@
     }
 
     /// Counts an answer that ended with its connection.
-    pub(crate) fn count_unframed_answer(&self, fate: UpstreamFate) {
-        self.unframed_answers.add(1, &[KeyValue::new("worker", fate.name())]);
+    pub(crate) fn count_unframed_answer(&self, state: InstanceState) {
+        self.unframed_answers.add(1, &[KeyValue::new("worker", state.name())]);
     }
 
     pub(crate) fn count_turned_away(&self, backoff_asked: bool) {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Deployment, DeploymentFault};
+use hollowbarrow_reach::InstanceReply;
 use hollowbarrow_schema::{ModelName, WorkerId};
-use hollowbarrow_upstream::UpstreamNotice;
+use hollowbarrow_upstream::{UpstreamCall, UpstreamNotice};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, StatusCode, header::HeaderName};
 use thiserror::Error;
@@ -106,4 +107,15 @@
 
     /// Parses the head of a worker's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+
+    /// Encodes a call that runs nothing at a worker and is answered with its identity.
+    fn write_probe(&self, worker: &WorkerId) -> UpstreamCall;
+
+    /// Returns which instance of a worker answered such a call.
+    fn read_probe_answer(
+        &self,
+        worker: &WorkerId,
+        status: StatusCode,
+        body: &[u8],
+    ) -> InstanceReply;
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,7 +15,6 @@
 use futures_util::stream::unfold;
 use hollowbarrow_fleet::Repeatability;
 use hollowbarrow_member::{AnswerBody, HttpAnswer, TruncatedAnswerError};
-use hollowbarrow_reach::UpstreamFate;
 use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{ConnectionLease, SentAnswer};
@@ -25,18 +24,18 @@
 use tokio::time::Instant;
 
 use crate::attempt::{
-    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker, target_of,
+    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker,
 };
 use crate::core::GatewayCore;
 use crate::events::{EventChunk, EventSplitter};
 use crate::flight::{InFlightGuard, WorkerAttempt};
-use crate::lost_run::learn_fate;
 use crate::picker::PickedWorker;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
 use crate::timeouts::{event_gap_timeout, first_event_timeout};
 use crate::watch::{ProgressWatch, WatchError};
 use crate::whole::{forwarded_headers, lost, read_answer};
+use crate::worker_state::UnframedAnswer;
 
 /// Multiple of the progress timeout that is allowed while the worker makes progress on other
 /// streams.
@@ -48,10 +47,12 @@
     lease: ConnectionLease,
     attempt: WorkerAttempt,
     splitter: EventSplitter,
-    /// Whether chunks or a length show that the stream is complete.
-    framed: bool,
+    /// Set if neither chunks nor a length show that the stream is complete.
+    unframed: Option<UnframedAnswer>,
     /// Whether any event was received.
     has_events: bool,
+    /// Number of bytes that were received.
+    bytes: usize,
 }
 
 /// Result of reading from a stream.
@@ -134,14 +135,7 @@
         let (mut head, ()) = Response::new(()).into_parts();
         head.status = answer.status;
         head.headers = forwarded_headers(&answer.headers);
-        self.open = Some(OpenStream {
-            body: answer.body,
-            lease: answer.lease,
-            attempt,
-            splitter: EventSplitter::new(),
-            framed: answer.framed,
-            has_events: false,
-        });
+        self.open = Some(self.open_stream(answer, attempt));
         match self.read().await {
             ReadStep::Chunk(chunk) => {
                 self.record_chunk(&chunk);
@@ -158,6 +152,21 @@
         }
     }
 
+    /// Returns the stream of an answer whose head was received.
+    fn open_stream(&self, answer: SentAnswer, attempt: WorkerAttempt) -> OpenStream {
+        let unframed = (!answer.framed)
+            .then(|| UnframedAnswer::new(&self.core, &self.request, &attempt.worker));
+        OpenStream {
+            body: answer.body,
+            lease: answer.lease,
+            attempt,
+            splitter: EventSplitter::new(),
+            unframed,
+            has_events: false,
+            bytes: 0,
+        }
+    }
+
     /// Sends the request, and abandons the worker at the progress timeout.
     async fn send(
         &mut self,
@@ -210,10 +219,11 @@
     ) -> BeginStep {
         let worker = attempt.worker.id.clone();
         let failed = answer.status.is_server_error();
-        let answer = read_answer(answer, self.request.deadline()).await;
+        let (core, request) = (&self.core, &self.request);
+        let answer = read_answer(core, request, &attempt.worker, &self.history, answer).await;
         attempt.record_progress();
         if let Ok(answer) = &answer {
-            answer.record_proof(&self.core, &self.request, &attempt.worker);
+            answer.record_proof(&self.core, &self.request);
             self.history.record_progress();
         }
         match answer {
@@ -323,16 +333,7 @@
             let after = self.last_id.map(|id| id.to_string());
             match self.send(&attempt, after.as_deref()).await {
                 Ok(answer) if answer.status.is_success() => {
-                    let splitter = EventSplitter::new();
-                    let SentAnswer { body, lease, framed, .. } = answer;
-                    self.open = Some(OpenStream {
-                        body,
-                        lease,
-                        attempt,
-                        splitter,
-                        framed,
-                        has_events: false,
-                    });
+                    self.open = Some(self.open_stream(answer, attempt));
                     return Ok(());
                 }
                 Ok(_) => {
@@ -346,16 +347,14 @@
     /// Returns whether a stream is complete whose body has ended.
     ///
     /// A stream that ends with its connection also ends so where its worker terminates between two
-    /// events. It counts as complete only while its worker still runs.
+    /// events. It counts as complete only if its worker still runs.
     async fn is_complete(&self, open: &OpenStream) -> bool {
         if !open.splitter.rest().is_empty() {
             return false;
         }
-        if open.framed {
-            return true;
-        }
-        let target = target_of(&self.request, &open.attempt.worker);
-        open.has_events && learn_fate(&self.core, &target).await == UpstreamFate::Running
+        let Some(unframed) = &open.unframed else { return true };
+        let until = self.history.check_limit(&self.request);
+        open.has_events && unframed.is_complete(&self.core, &self.request, open.bytes, until).await
     }
 
     /// Reads until complete events are available.
@@ -378,6 +377,7 @@
                     Ok(Some(Ok(frame))) => frame,
                 };
             let Some(bytes) = frame.data_ref() else { continue };
+            open.bytes += bytes.len();
             open.attempt.record_progress();
             match open.splitter.push(bytes, after) {
                 Ok(Some(chunk)) => {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use hollowbarrow_member::{AnswerBody, HttpAnswer};
-use hollowbarrow_reach::UpstreamFate;
 use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{ConnectionLease, SentAnswer, is_hop_header};
@@ -14,15 +13,15 @@
 use tokio::time::Instant;
 
 use crate::attempt::{
-    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker, target_of,
+    AttemptHistory, admit_request, choose_worker, connect_to_worker, send_to_worker,
 };
 use crate::core::GatewayCore;
-use crate::lost_run::learn_fate;
 use crate::picker::PickedWorker;
 use crate::refusal::Refusal;
 use crate::request::CallerRequest;
 use crate::timeouts::answer_timeout;
 use crate::watch::ProgressWatch;
+use crate::worker_state::UnframedAnswer;
 
 /// Size limit of a buffered answer.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -32,40 +31,14 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
-    /// Whether its own length or chunks show that it is complete.
-    framed: bool,
 }
 
 impl BufferedAnswer {
-    /// Records what the answer shows about the contents of its request. An answer that ended with its
-    /// connection shows something only if its worker still runs.
-    pub(crate) fn record_proof(
-        &self,
-        core: &Arc<GatewayCore>,
-        request: &CallerRequest,
-        worker: &PickedWorker,
-    ) {
-        if self.framed {
-            if let Some(proof) = self.proof() {
-                core.crashes().record_answer(&request.contents, proof, Instant::now());
-            }
-            return;
+    /// Records what the answer shows about the contents of its request.
+    pub(crate) fn record_proof(&self, core: &GatewayCore, request: &CallerRequest) {
+        if let Some(proof) = self.proof() {
+            core.crashes().record_answer(&request.contents, proof, Instant::now());
         }
-        let (core, contents) = (Arc::clone(core), request.contents.clone());
-        let (target, id) = (target_of(request, worker), request.head.id.clone());
-        let (proof, bytes) = (self.proof(), self.body.len());
-        tokio::spawn(async move {
-            let fate = learn_fate(&core, &target).await;
-            core.metrics.count_unframed_answer(fate);
-            if fate != UpstreamFate::Running {
-                let worker = target.name;
-                log::warn!(
-                    "event=answer_doubtful request={id:?} worker={worker} bytes={bytes} fate={fate:?}"
-                );
-            } else if let Some(proof) = proof {
-                core.crashes().record_answer(&contents, proof, Instant::now());
-            }
-        });
     }
 
     /// Returns what a complete answer with this status shows; nothing if a worker that failed to run
@@ -159,7 +132,7 @@
             };
             let waited = watch.wait(&attempt, sending).await;
             match history.record_send_result(waited) {
-                Ok(answer) => read_answer(answer, request.deadline()).await,
+                Ok(answer) => read_answer(core, request, &attempt.worker, history, answer).await,
                 Err(error) => Err(error),
             }
         }
@@ -172,7 +145,7 @@
         Err(error) => core.record_failure(&worker, error),
     }
     if let Ok(answer) = &answer {
-        answer.record_proof(core, request, &attempt.worker);
+        answer.record_proof(core, request);
         history.record_progress();
     }
     answer.map_err(|error| {
@@ -181,23 +154,33 @@
     })
 }
 
-/// Reads an answer to its end and returns its connection for reuse.
+/// Reads an answer to its end and returns its connection for reuse. An answer that ends with its
+/// connection is lost unless its worker still runs.
 pub(crate) async fn read_answer(
+    core: &GatewayCore,
+    request: &CallerRequest,
+    worker: &PickedWorker,
+    history: &AttemptHistory,
     answer: SentAnswer,
-    deadline: Instant,
 ) -> Result<BufferedAnswer, AttemptUpstreamError> {
-    let reading = Limited::new(answer.body, MAX_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout_at(deadline, reading).await {
+    let SentAnswer { status, headers, body, framed, lease } = answer;
+    let unframed = (!framed).then(|| UnframedAnswer::new(core, request, worker));
+    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let body = match tokio::time::timeout_at(request.deadline(), reading).await {
         Err(_) => return Err(AttemptUpstreamError::DeadlinePassed { sent: true }),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is too long", tokens: 0 });
         }
-        Ok(Err(_)) => return Err(lost(&answer.lease)),
+        Ok(Err(_)) => return Err(lost(&lease)),
         Ok(Ok(body)) => body.to_bytes(),
     };
-    answer.lease.give_back();
-    let SentAnswer { status, headers, framed, .. } = answer;
-    Ok(BufferedAnswer { status, headers, body, framed })
+    if let Some(unframed) = unframed
+        && !unframed.is_complete(core, request, body.len(), history.check_limit(request)).await
+    {
+        return Err(lost(&lease));
+    }
+    lease.give_back();
+    Ok(BufferedAnswer { status, headers, body })
 }
 
 /// Returns the error of a connection that broke before the answer was complete.
--- a/crates/reach/src/connect.rs
+++ b/crates/reach/src/connect.rs
@@ -54,16 +54,20 @@
         target: &UpstreamTarget,
         deadline: Instant,
     ) -> Result<ConnectionLease, NotConnected> {
-        let kept = match self.path(target) {
-            UpstreamPath::Direct => self.client.take_kept(target.address),
-            UpstreamPath::Peer => self.client.take_carried(target.address),
-        };
-        match kept {
+        match self.take_idle(target) {
             Some(lease) => Ok(lease),
             None => self.open(target, deadline).await,
         }
     }
 
+    /// Takes an idle connection to an upstream, if there is one over its path.
+    pub(crate) fn take_idle(&self, target: &UpstreamTarget) -> Option<ConnectionLease> {
+        match self.path(target) {
+            UpstreamPath::Direct => self.client.take_kept(target.address),
+            UpstreamPath::Peer => self.client.take_carried(target.address),
+        }
+    }
+
     /// Opens a new connection to an upstream, within the same limit.
     ///
     /// One that is established later goes to the pool of idle connections: it still shows which path
@@ -115,28 +119,41 @@
     tokio::select! {
         lease = direct.as_mut() => match lease {
             Ok(lease) => Ok(lease),
-            Err(NotConnected) => tunnel.await,
+            Err(_) => tunnel.await,
         },
         lease = tunnel.as_mut() => match lease {
             Ok(lease) => Ok(lease),
-            Err(NotConnected) => direct.await,
+            Err(NotConnected) => direct.await.map_err(|_| NotConnected),
         },
     }
 }
 
+/// Why no connection over the process's own path was established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoDirect {
+    /// The address refused it.
+    Refused,
+    /// It was not established in time, or failed otherwise.
+    TimedOut,
+}
+
 /// Opens a connection over the process's own path.
 pub(crate) async fn open_direct(
     reach: &Reach,
     target: &UpstreamTarget,
-) -> Result<ConnectionLease, NotConnected> {
+) -> Result<ConnectionLease, NoDirect> {
     let connecting = reach.client.connect(target.address);
-    let opened = tokio::time::timeout(reach.times.direct, connecting).await;
+    let opened = match tokio::time::timeout(reach.times.direct, connecting).await {
+        Ok(Ok(lease)) => Ok(lease),
+        Ok(Err(SendRequestError::Refused(_))) => Err(NoDirect::Refused),
+        _ => Err(NoDirect::TimedOut),
+    };
     reach.observer.record_connect(match &opened {
-        Ok(Ok(_)) => "connected",
-        Ok(Err(SendRequestError::Refused(_))) => "refused",
-        _ => "timed_out",
+        Ok(_) => "connected",
+        Err(NoDirect::Refused) => "refused",
+        Err(NoDirect::TimedOut) => "timed_out",
     });
-    let Ok(Ok(lease)) = opened else { return Err(NotConnected) };
+    let lease = opened?;
     reach.record_connected(target);
     Ok(lease)
 }
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -13,9 +13,11 @@
 use tokio::time::Instant;
 
 use crate::connect::ConnectTimes;
-use crate::fate::FateChecks;
+use crate::fate::UpstreamFate;
+use crate::instance::InstanceState;
 use crate::paths::{PathChange, PathTable, UpstreamPath};
 use crate::relays::RelayPeers;
+use crate::shared_checks::SharedChecks;
 
 /// Time for which no peer must have been able to carry a tunnel before a process that is isolated
 /// counts as cut off.
@@ -73,7 +75,8 @@
     relays: Mutex<RelayPeers>,
     /// Whether the path to a doubtful upstream is being checked.
     checking: AtomicBool,
-    pub(crate) fates: FateChecks,
+    pub(crate) fate_checks: Arc<SharedChecks<UpstreamFate>>,
+    pub(crate) instance_checks: Arc<SharedChecks<InstanceState>>,
 }
 
 impl Reach {
@@ -93,7 +96,8 @@
             paths: Mutex::default(),
             relays: Mutex::new(RelayPeers::new(zone)),
             checking: AtomicBool::new(false),
-            fates: FateChecks::default(),
+            fate_checks: Arc::default(),
+            instance_checks: Arc::default(),
         }
     }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -245,6 +245,43 @@
         self.carrier.as_ref().is_some_and(|carrier| carrier.is_lost())
     }
 
+    /// Returns the address of the upstream.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a message and waits for the head of its answer until the deadline.
+    pub(crate) async fn exchange(
+        &mut self,
+        message: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, SendRequestError> {
+        let answer = tokio::time::timeout_at(deadline, self.sender.try_send_request(message));
+        match answer.await {
+            Err(_) => Err(SendRequestError::Timeout),
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(mut error)) => {
+                // hyper returns the message only if no part of it was written.
+                if error.take_message().is_some() {
+                    return Err(SendRequestError::NotWritten);
+                }
+                if self.is_carrier_lost() {
+                    return Err(SendRequestError::CarrierLost);
+                }
+                Err(SendRequestError::NoAnswer(error.into_error().to_string()))
+            }
+        }
+    }
+
+    /// Records what the head of an answer states about the connection. Returns whether the answer is
+    /// framed.
+    pub(crate) fn record_head(&mut self, headers: &HeaderMap, body: &Incoming) -> bool {
+        self.keep_alive = read_keep_alive(headers);
+        let framed = is_framed(headers, body);
+        self.ends = !framed;
+        framed
+    }
+
     /// Reads a short, unneeded answer body to its end in the background, then returns the connection
     /// to the pool. A body that is too long or too slow closes the connection.
     pub fn give_back_after(self, body: Incoming) {
@@ -480,21 +517,13 @@
         deadline: Instant,
     ) -> Result<SentAnswer, SendRequestError> {
         let message = to_message(lease.address, request, &self.identity.header)?;
-        let answer = tokio::time::timeout_at(deadline, lease.sender.try_send_request(message));
-        match answer.await {
-            Err(_) => Err(SendRequestError::Timeout),
-            Ok(Ok(response)) => check_identity(response, request, lease, &self.identity),
-            Ok(Err(mut error)) => {
-                // hyper returns the message only if no part of it was written.
-                if error.take_message().is_some() {
-                    return Err(SendRequestError::NotWritten);
-                }
-                if lease.is_carrier_lost() {
-                    return Err(SendRequestError::CarrierLost);
-                }
-                Err(SendRequestError::NoAnswer(error.into_error().to_string()))
-            }
-        }
+        let response = lease.exchange(message, deadline).await?;
+        check_identity(response, request, lease, &self.identity)
+    }
+
+    /// Returns the header that carries the id of a request.
+    pub(crate) fn identity_header(&self) -> &HeaderName {
+        &self.identity.header
     }
 }
 
@@ -535,9 +564,7 @@
         let named = named.map(|named| String::from_utf8_lossy(named.as_bytes()).into_owned());
         return Err(SendRequestError::OtherRequest(named.unwrap_or_default()));
     }
-    lease.keep_alive = read_keep_alive(&parts.headers);
-    let framed = is_framed(&parts.headers, &body);
-    lease.ends = !framed;
+    let framed = lease.record_head(&parts.headers, &body);
     Ok(SentAnswer { status: parts.status, headers: parts.headers, body, framed, lease })
 }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use crate::call::UpstreamCall;
 use crate::client::{SendRequestError, UpstreamClient, UpstreamRequest};
 
 /// Path of the health probe.
@@ -100,6 +101,23 @@
     }
 }
 
+/// Returns the call that requests a node's report.
+pub fn report_call() -> UpstreamCall {
+    UpstreamCall { method: Method::GET, target: REPORT_TARGET, headers: HeaderMap::new() }
+}
+
+/// Parses the answer to a request for a node's report.
+///
+/// # Errors
+///
+/// Fails if the answer has another status than 200 or is not a report.
+pub fn parse_report(status: StatusCode, body: &[u8]) -> Result<NodeReport, ProbeNodeError> {
+    if status != StatusCode::OK {
+        return Err(ProbeNodeError::NotReport);
+    }
+    serde_json::from_slice(body).map_err(|_| ProbeNodeError::NotReport)
+}
+
 fn plain_request(method: Method, target: &str, body: Bytes) -> UpstreamRequest {
     let mut headers = HeaderMap::new();
     if !body.is_empty() {
@@ -124,10 +142,7 @@
         Box::pin(async move {
             let request = plain_request(Method::GET, REPORT_TARGET, Bytes::new());
             let (status, body) = self.call(address, request, timeout).await?;
-            if status != StatusCode::OK {
-                return Err(ProbeNodeError::NotReport);
-            }
-            serde_json::from_slice(&body).map_err(|_| ProbeNodeError::NotReport)
+            parse_report(status, &body)
         })
     }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -9,17 +9,22 @@
 //! Invariant: an answer is passed on as complete only if its HTTP framing marks
 //! it as complete.
 
+mod call;
 mod client;
 mod engine;
 mod events;
 mod notice;
 mod platform;
 
+pub use call::{CallAnswer, UpstreamCall};
 pub use client::{
     CarrierHealth, ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest,
     is_hop_header,
 };
-pub use engine::{EngineClient, EngineFuture, HttpEngine, ProbeNodeError, SendOrderError};
+pub use engine::{
+    EngineClient, EngineFuture, HttpEngine, ProbeNodeError, SendOrderError, parse_report,
+    report_call,
+};
 pub use events::{EventParser, ParseEventError, StreamChunk, parse_chunk};
 pub use notice::{ReadBackoffError, ReadLimitError, UpstreamNotice, read_backoff, read_limit};
 pub use platform::{ListNodesError, list_nodes};
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,4 +13,5 @@
 mod requests;
 mod support;
 mod unconfirmed;
+mod unframed;
 mod voter_replacement;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod notices;
 mod observer;
 mod publishing;
+mod raw_worker;
 mod readmission;
 mod restarted_worker;
 mod restored;
--- /dev/null
+++ b/tests/platform/raw_worker.rs
@@ -0,0 +1,192 @@
+//! Plain workers that write their answers byte by byte, and whose process can end within one.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hollowbarrow_member::http::call_once;
+use hollowbarrow_testkit::{
+    FaultMode, LinkProxy, RawAnswer, RawEnd, RawHandler, RawRequest, RawUpstream,
+};
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde_json::json;
+use tokio::sync::Notify;
+
+const HEARTBEAT: Duration = Duration::from_millis(200);
+const WORKER_ADDRESS: &str = "127.76.0.1:0";
+const FRONT_ADDRESS: &str = "127.75.0.1:0";
+
+/// Bytes of a whole answer.
+const ANSWER_BYTES: usize = 20_000;
+
+/// How workers answer the requests of a test.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerPlan {
+    /// With a length.
+    Framed,
+    /// Without a length, and then this.
+    Whole(RawEnd),
+    /// The first worker that is asked sends this many bytes without a length, and holds the connection.
+    /// All others answer without a length.
+    Part(usize),
+}
+
+/// What the workers of a test share.
+pub struct RawFleet {
+    controllers: Vec<String>,
+    plan: Mutex<AnswerPlan>,
+    runs: Mutex<BTreeMap<String, u32>>,
+    /// Worker that holds a part of an answer.
+    holder: Mutex<Option<String>>,
+    held: Notify,
+    fronted: bool,
+}
+
+impl RawFleet {
+    pub fn new(controllers: Vec<String>, fronted: bool) -> Arc<Self> {
+        Arc::new(Self {
+            controllers,
+            plan: Mutex::new(AnswerPlan::Framed),
+            runs: Mutex::default(),
+            holder: Mutex::default(),
+            held: Notify::new(),
+            fronted,
+        })
+    }
+
+    /// Answers requests in this way from now on.
+    pub fn set_plan(&self, plan: AnswerPlan) {
+        *self.plan.lock().expect("not poisoned") = plan;
+    }
+
+    /// Returns how often a request ran.
+    pub fn runs(&self, request: &str) -> u32 {
+        self.runs.lock().expect("not poisoned").get(request).copied().unwrap_or_default()
+    }
+
+    /// Waits until a worker holds a part of an answer, and returns its id.
+    pub async fn wait_for_holder(&self) -> String {
+        self.held.notified().await;
+        self.holder.lock().expect("not poisoned").clone().expect("a worker holds an answer")
+    }
+
+    /// Runs a request at a worker.
+    fn run(&self, worker: &str, request: &str) -> RawAnswer {
+        *self.runs.lock().expect("not poisoned").entry(request.to_owned()).or_default() += 1;
+        let head = format!("200 OK\r\nrequest-id: {request}\r\nresponse-signature: {worker}.1\r\n");
+        let body = whole_answer(request);
+        match *self.plan.lock().expect("not poisoned") {
+            AnswerPlan::Framed => RawAnswer::framed(&head, &body),
+            AnswerPlan::Whole(end) => RawAnswer::unframed(&head, &body, end),
+            AnswerPlan::Part(bytes) => {
+                let mut holder = self.holder.lock().expect("not poisoned");
+                if holder.is_some() {
+                    return RawAnswer::unframed(&head, &body, RawEnd::Close);
+                }
+                *holder = Some(worker.to_owned());
+                self.held.notify_one();
+                RawAnswer::unframed(&head, &body[..bytes], RawEnd::Hold)
+            }
+        }
+    }
+}
+
+/// Returns the whole answer to a request.
+pub fn whole_answer(request: &str) -> String {
+    let line = format!("{request} part of a report\n");
+    line.repeat(ANSWER_BYTES / line.len())
+}
+
+/// A running raw worker of the service `bookings`.
+pub struct RawWorker {
+    pub id: String,
+    pub upstream: RawUpstream,
+    front: Option<LinkProxy>,
+    stopped: AtomicBool,
+    seq: AtomicU64,
+    fleet: Arc<RawFleet>,
+}
+
+impl RawWorker {
+    /// Starts a worker.
+    pub fn start(fleet: &Arc<RawFleet>, id: &str) -> Arc<Self> {
+        let address = WORKER_ADDRESS.parse().expect("the address is valid");
+        let upstream = RawUpstream::start(address, handler(fleet, id));
+        let front = fleet.fronted.then(|| {
+            let front: SocketAddr = FRONT_ADDRESS.parse().expect("the address is valid");
+            let target = upstream.address();
+            LinkProxy::start(front, target, target.port().into())
+        });
+        let worker = Arc::new(Self {
+            id: id.to_owned(),
+            upstream,
+            front,
+            stopped: AtomicBool::new(false),
+            seq: AtomicU64::new(0),
+            fleet: Arc::clone(fleet),
+        });
+        tokio::spawn(Arc::clone(&worker).send_heartbeats());
+        worker
+    }
+
+    /// Sends no more heartbeats.
+    pub fn silence(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Ends the process, while another one with this id already listens at its address.
+    pub fn replace(&self, id: &str) {
+        self.silence();
+        self.upstream.replace(handler(&self.fleet, id));
+    }
+
+    /// Sets the fault mode of connections from a source address.
+    pub fn set_source_mode(&self, source: IpAddr, mode: FaultMode) {
+        self.front.as_ref().expect("the worker has a proxy").set_mode(source, mode);
+    }
+
+    async fn send_heartbeats(self: Arc<Self>) {
+        while !self.stopped.load(Ordering::Relaxed) {
+            self.register().await;
+            tokio::time::sleep(HEARTBEAT).await;
+        }
+    }
+
+    async fn register(&self) {
+        let address = self.front.as_ref().map_or(self.upstream.address(), LinkProxy::address);
+        let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
+        let body = json!({"service": "bookings", "address": address.to_string(), "zone": "a",
+            "version": "v1", "cold_left_ms": 0, "slots": 8, "state": "ready", "seq": seq,
+            "models": [], "group": null});
+        for controller in &self.fleet.controllers {
+            let request = Request::builder()
+                .method(Method::POST)
+                .uri(format!("/-/instances/{}/heartbeat", self.id))
+                .header("host", controller)
+                .body(Full::new(body.to_string().into()))
+                .expect("the request is valid");
+            let answer = call_once(controller, request, Duration::from_secs(1)).await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns what answers the requests of an instance.
+fn handler(fleet: &Arc<RawFleet>, id: &str) -> RawHandler {
+    let (fleet, id) = (Arc::clone(fleet), id.to_owned());
+    Arc::new(move |request: &RawRequest| {
+        let wanted = request.header("target-instance");
+        if !wanted.is_empty() && wanted != id {
+            return RawAnswer::framed("421 Misdirected Request\r\nnot-executed: 1\r\n", "");
+        }
+        match request.target.as_str() {
+            "/-/report" => RawAnswer::framed("200 OK\r\n", "{}"),
+            _ => fleet.run(&id, request.header("request-id")),
+        }
+    })
+}
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -460,6 +460,16 @@
         self.daemons.iter().map(read).collect::<Vec<_>>().join("\n----\n")
     }
 
+    /// Waits until a daemon has logged a line with this text. Lines are written some time after their
+    /// event.
+    pub async fn wait_for_log(&self, text: &str) {
+        let deadline = Instant::now() + WAIT_TIMEOUT;
+        while !self.logs().contains(text) {
+            assert!(Instant::now() < deadline, "{text} is not logged: {}", self.logs());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Replaces the configuration at the first controller that accepts or rejects it, and returns
     /// the status of that answer.
     pub async fn replace(&self, configuration: &Value) -> u16 {
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -1,11 +1,16 @@
 //! Answers that have neither a length nor chunks, and end with their connection.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowbarrow_testkit::{FaultMode, RawEnd};
 use rstest::rstest;
 
 use crate::complete_stream;
 use crate::deploy_workers;
 use crate::fleet::{CrashPlan, Fleet};
-use crate::system::{KEY, Layout, System};
+use crate::raw_worker::{AnswerPlan, RawFleet, RawWorker, whole_answer};
+use crate::system::{CONTROLLERS, KEY, Layout, System, configuration};
 use crate::worker::CUT_PATH;
 
 /// Requests of each kind.
@@ -42,3 +47,197 @@
         assert_eq!(deployment.fleet.runs(&id), 2, "{}", system.logs());
     }
 }
+
+/// Route kinds of the platform.
+const REPEATABLE: &str = "idempotent";
+const NOT_REPEATABLE: &str = "non_idempotent";
+
+/// Bytes of a part of an answer.
+const PART_BYTES: usize = 10_000;
+/// Time for which the listener of a process outlives its connections.
+const LISTENER_TIME: Duration = Duration::from_millis(20);
+
+/// Answers of a service with a length, which the retry budget and idle connections need.
+const FRAMED_REQUESTS: usize = 20;
+
+/// Number of concurrent requests that open connections to all workers.
+const IDLE_CONNECTIONS: usize = 12;
+
+/// A system before raw workers.
+struct RawDeployment {
+    system: System,
+    fleet: Arc<RawFleet>,
+    workers: Vec<Arc<RawWorker>>,
+}
+
+impl RawDeployment {
+    /// Starts a system whose plain service has a route of this kind.
+    async fn start(block: u8, layout: Layout, kind: &str) -> Self {
+        let system = System::start_with(block, layout);
+        let fleet = RawFleet::new(system.controllers.clone(), layout.proxied);
+        let start = |number| RawWorker::start(&fleet, &format!("r{number}"));
+        let workers: Vec<Arc<RawWorker>> = (0..3).map(start).collect();
+        let mut configuration = configuration(3);
+        configuration["routes"][1]["kind"] = kind.into();
+        configuration["routes"][1]["max_attempts"] = 2.into();
+        assert_eq!(system.replace(&configuration).await, 200);
+        system.wait_ready().await;
+        for gateway in 0..system.gateways.len() {
+            system.call_gateway_until_served(gateway, "/hold/warm", "warm").await;
+        }
+        for number in 0..FRAMED_REQUESTS {
+            let id = format!("framed-{number}");
+            let answer = system.call(0, "/hold/1", &id, Some(KEY)).await;
+            assert!(answer.is_ok(), "{}", system.logs());
+        }
+        Self { system, fleet, workers }
+    }
+
+    /// Sends framed requests at once, so that there is an idle connection to each worker.
+    async fn open_idle_connections(&self) {
+        let calls = (0..IDLE_CONNECTIONS).map(|number| {
+            let id = format!("idle-{number}");
+            async move { self.system.call(0, "/hold/1", &id, Some(KEY)).await }
+        });
+        futures_util::future::join_all(calls).await;
+    }
+
+    fn worker(&self, id: &str) -> &RawWorker {
+        self.workers.iter().find(|worker| worker.id == id).expect("the worker was started")
+    }
+
+    /// Sends a request whose first worker sends a part of its answer, and is then lost. Returns the
+    /// status and the body that the caller gets.
+    async fn lose_within_answer(&self, bytes: usize, loss: Loss) -> (u16, String) {
+        self.fleet.set_plan(AnswerPlan::Part(bytes));
+        let losing = async {
+            let holder = self.fleet.wait_for_holder().await;
+            // The part arrives before the connection ends.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            self.lose(self.worker(&holder), loss).await;
+        };
+        let calling = self.system.call(0, "/hold/1", "half", Some(KEY));
+        let (answer, ()) = tokio::join!(calling, losing);
+        let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", self.system.logs()));
+        let body = String::from_utf8_lossy(answer.body()).into_owned();
+        (answer.status().as_u16(), body)
+    }
+
+    async fn lose(&self, holder: &RawWorker, loss: Loss) {
+        holder.silence();
+        match loss {
+            Loss::Terminated => holder.upstream.terminate(),
+            Loss::ListenerLast => holder.upstream.terminate_listener_last(LISTENER_TIME).await,
+            Loss::Replaced => holder.replace("next"),
+            Loss::All => self.workers.iter().for_each(|worker| {
+                worker.silence();
+                worker.upstream.terminate();
+            }),
+        }
+    }
+
+    /// Checks that a sound answer was forwarded, and that its request ran once.
+    async fn assert_served_once(&self, gateway: usize, id: &str) {
+        let answer = self.system.call(gateway, "/hold/1", id, Some(KEY)).await;
+        let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", self.system.logs()));
+        let body = String::from_utf8_lossy(answer.body());
+        assert_eq!(body, whole_answer(id), "{}", self.system.logs());
+        assert_eq!(answer.status().as_u16(), 200);
+        assert_eq!(self.fleet.runs(id), 1, "{}", self.system.logs());
+    }
+}
+
+/// How a worker is lost within an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// Its process terminates.
+    Terminated,
+    /// The same, and its listener is closed some time after its connections.
+    ListenerLast,
+    /// Its process terminates while a new instance already listens at its address.
+    Replaced,
+    /// All workers of the service terminate.
+    All,
+}
+
+/// Guards against a part of an answer without a length that is forwarded as a complete one, because the
+/// connection of a terminated worker ends in order.
+#[rstest]
+#[case::terminated(217, PART_BYTES, Loss::Terminated)]
+#[case::listener_last(218, PART_BYTES, Loss::ListenerLast)]
+#[case::replaced(219, PART_BYTES, Loss::Replaced)]
+#[case::nothing_received(220, 0, Loss::Terminated)]
+#[tokio::test]
+async fn cut_answer_repeated(#[case] block: u8, #[case] bytes: usize, #[case] loss: Loss) {
+    let deployment = RawDeployment::start(block, Layout::plain(), REPEATABLE).await;
+    let (status, body) = deployment.lose_within_answer(bytes, loss).await;
+    assert_eq!((status, body), (200, whole_answer("half")), "{}", deployment.system.logs());
+    assert_eq!(deployment.fleet.runs("half"), 2);
+    deployment.system.wait_for_log("event=answer_doubtful request=\"half\" worker=").await;
+}
+
+/// Guards against the same where the request may run only once. It may have run, so the caller is not
+/// told that it did not.
+#[rstest]
+#[case::terminated(221, PART_BYTES, Loss::Terminated)]
+#[case::listener_last(222, PART_BYTES, Loss::ListenerLast)]
+#[case::replaced(223, PART_BYTES, Loss::Replaced)]
+#[case::nothing_received(224, 0, Loss::Terminated)]
+#[case::all_lost(225, PART_BYTES, Loss::All)]
+#[tokio::test]
+async fn cut_answer_not_forwarded(#[case] block: u8, #[case] bytes: usize, #[case] loss: Loss) {
+    let deployment = RawDeployment::start(block, Layout::plain(), NOT_REPEATABLE).await;
+    let (status, _) = deployment.lose_within_answer(bytes, loss).await;
+    assert!([502, 504].contains(&status), "{status}: {}", deployment.system.logs());
+    assert_eq!(deployment.fleet.runs("half"), 1);
+}
+
+/// Guards against a part of an answer that is forwarded as a complete one after all workers of the
+/// service were lost.
+#[rstest]
+#[tokio::test]
+async fn cut_answer_not_forwarded_without_workers() {
+    let deployment = RawDeployment::start(226, Layout::plain(), REPEATABLE).await;
+    let (status, body) = deployment.lose_within_answer(PART_BYTES, Loss::All).await;
+    assert!(status >= 500, "{status} {body}: {}", deployment.system.logs());
+}
+
+/// Guards against the same where a peer carries the connection.
+#[rstest]
+#[case::repeated(227, REPEATABLE)]
+#[case::not_repeated(228, NOT_REPEATABLE)]
+#[tokio::test]
+async fn cut_answer_through_peer(#[case] block: u8, #[case] kind: &str) {
+    let deployment = RawDeployment::start(block, Layout::zoned_behind_proxies(), kind).await;
+    let source = deployment.system.source(CONTROLLERS);
+    let cut = |worker: &Arc<RawWorker>| worker.set_source_mode(source, FaultMode::Severed);
+    deployment.workers.iter().for_each(cut);
+    deployment.system.call_gateway_until_served(0, "/hold/1", "carried").await;
+    let (status, body) = deployment.lose_within_answer(PART_BYTES, Loss::Terminated).await;
+    deployment.system.wait_for_log("event=request_carried request=\"half\"").await;
+    if kind == REPEATABLE {
+        assert_eq!((status, body), (200, whole_answer("half")), "{}", deployment.system.logs());
+        return;
+    }
+    assert!([502, 504].contains(&status), "{status}: {}", deployment.system.logs());
+    assert_eq!(deployment.fleet.runs("half"), 1);
+}
+
+/// Guards against sound answers that are lost, or whose requests run twice, because their worker does
+/// not answer a check in the usual way.
+#[rstest]
+#[case::runs_on(229, REPEATABLE, RawEnd::Close)]
+#[case::runs_on_once(244, NOT_REPEATABLE, RawEnd::Close)]
+#[case::ends_after(245, REPEATABLE, RawEnd::CloseAndExit(Duration::from_millis(200)))]
+#[case::ends_after_once(246, NOT_REPEATABLE, RawEnd::CloseAndExit(Duration::from_millis(200)))]
+#[case::stands_still(247, REPEATABLE, RawEnd::CloseAndStandStill)]
+#[case::stands_still_once(248, NOT_REPEATABLE, RawEnd::CloseAndStandStill)]
+#[case::leaves(249, REPEATABLE, RawEnd::CloseWithoutListener(Duration::from_millis(300)))]
+#[case::leaves_once(250, NOT_REPEATABLE, RawEnd::CloseWithoutListener(Duration::from_millis(300)))]
+#[tokio::test]
+async fn sound_answer_served_once(#[case] block: u8, #[case] kind: &str, #[case] end: RawEnd) {
+    let deployment = RawDeployment::start(block, Layout::plain(), kind).await;
+    deployment.open_idle_connections().await;
+    deployment.fleet.set_plan(AnswerPlan::Whole(end));
+    deployment.assert_served_once(0, "sound").await;
+}
