Take only chunks at the end of a transfer encoding for the end of an answer

Cause: an answer with any `Transfer-Encoding` header counted as framed, so that its worker was not looked at. Found by reading, while the same cause was looked for on related paths; no caller has reported it.

Test: unframed_answer_ends_with_connection failed in its two new cases before (2 of 2) and passes; chunked_answer_is_framed holds the other side.

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -569,8 +569,20 @@
 }
 
 fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
-    let stated = [CONTENT_LENGTH, TRANSFER_ENCODING];
-    body.is_end_stream() || stated.iter().any(|name| headers.contains_key(name))
+    if body.is_end_stream() {
+        return true;
+    }
+    // A transfer encoding takes the place of a length.
+    match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(encodings) => ends_with_chunks(encodings),
+        None => headers.contains_key(CONTENT_LENGTH),
+    }
+}
+
+/// Returns whether the last one of these transfer encodings is `chunked`.
+fn ends_with_chunks(encodings: &HeaderValue) -> bool {
+    let last = encodings.to_str().ok().and_then(|text| text.rsplit(',').next());
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Reads the timeout of the `Keep-Alive` header.
--- a/crates/upstream/tests/connections.rs
+++ b/crates/upstream/tests/connections.rs
@@ -105,14 +105,15 @@
 
 /// Answers the first request of each connection with a body that only the end of the connection
 /// ends.
-async fn start_unframed_server(resets: bool) -> SocketAddr {
+async fn start_unframed_server(head: &'static str, resets: bool) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
     let address = listener.local_addr().expect("a bound socket has an address");
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut buffer = [0; 4096];
             let _ = stream.read(&mut buffer).await;
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nthe answer").await;
+            let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\nthe answer");
+            let _ = stream.write_all(answer.as_bytes()).await;
             tokio::time::sleep(Duration::from_millis(50)).await;
             if resets {
                 let _ = stream.set_zero_linger();
@@ -123,12 +124,16 @@
 }
 
 /// An answer without a length ends with its connection, which is not used again; a reset is no end.
+///
+/// Guards against taking an answer for framed whose transfer encoding has no chunks.
 #[rstest]
-#[case::closed(false)]
-#[case::reset(true)]
+#[case::closed("", false)]
+#[case::reset("", true)]
+#[case::encoded("transfer-encoding: gzip\r\n", false)]
+#[case::encoded_beside_length("content-length: 10\r\ntransfer-encoding: identity\r\n", false)]
 #[tokio::test]
-async fn unframed_answer_ends_with_connection(#[case] resets: bool) {
-    let address = start_unframed_server(resets).await;
+async fn unframed_answer_ends_with_connection(#[case] head: &'static str, #[case] resets: bool) {
+    let address = start_unframed_server(head, resets).await;
     let client = UpstreamClient::new();
     let lease = client.connect(address).await.expect("the server listens");
     let request = UpstreamRequest {
@@ -160,3 +165,27 @@
     use_lease(&client, lease).await.give_back();
     assert!(client.take_kept(address).is_some());
 }
+
+/// Chunks show the end of an answer where they are its last transfer encoding.
+#[rstest]
+#[case::chunked("chunked")]
+#[case::after_others("gzip, Chunked")]
+#[tokio::test]
+async fn chunked_answer_is_framed(#[case] encoding: &str) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket has an address");
+    let head = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: {encoding}\r\n\r\n");
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client connects");
+        let mut buffer = [0; 4096];
+        let _ = stream.read(&mut buffer).await;
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(b"3\r\nall\r\n0\r\n\r\n").await;
+        stream
+    });
+    let client = UpstreamClient::new();
+    let lease = client.connect(address).await.expect("the server listens");
+    use_lease(&client, lease).await.give_back();
+    assert!(client.take_kept(address).is_some());
+    drop(serving);
+}
