Record progress of a worker only where an answer has come

Cause: a gateway recorded progress of a worker at the end of each whole attempt, also of one that could not connect. While answers of a head make progress the leader takes its members for running, however long they are silent. So the head was neither probed again nor replaced, and the attempts went on failing.

Evidence: silent_worker_progresses is new.

Change: progress is recorded for an answer that was read, in streams for a part of one, and not for a failed attempt or a refusal.

--- a/crates/controller/src/liveness.rs
+++ b/crates/controller/src/liveness.rs
@@ -97,6 +97,8 @@
     pub standing: WorkerStatus,
     /// Whether it should be probed now.
     pub probe: bool,
+    /// Whether only the progress of answers shows that it runs.
+    pub shown_by_progress: bool,
 }
 
 impl LivenessTracker {
@@ -114,7 +116,7 @@
     ) -> Assessment {
         let probe = self.probes.get(&entry.report.id).copied().unwrap_or_default();
         let silence = facts.now.saturating_duration_since(entry.last_received);
-        let settled = |standing| Assessment { standing, probe: false };
+        let settled = |standing| Assessment { standing, probe: false, shown_by_progress: false };
         if probe.replaced || facts.terminated.contains(&entry.report.id) {
             return settled(WorkerStatus::Dead);
         }
@@ -125,7 +127,8 @@
             let due = probe
                 .sent
                 .is_none_or(|at| facts.now.saturating_duration_since(at) >= PROBE_INTERVAL);
-            return Assessment { standing: WorkerStatus::Lost, probe: due && !probe.in_progress };
+            let probe = due && !probe.in_progress;
+            return Assessment { probe, ..settled(WorkerStatus::Lost) };
         }
         if entry.report.gone || entry.report.leaving {
             let terminated = silence > DEPARTURE_TIMEOUT;
@@ -139,14 +142,18 @@
         let overdue = silence > facts.heartbeat.mul_f64(PROBE_AFTER_BEATS);
         let answered = probe.answered.is_some_and(|at| at > entry.last_received);
         let lost = probe.silent >= LOST_PROBES;
-        if !(overdue || stalled || lost) || (head.is_some() && progressing(PROGRESS_VALIDITY)) {
+        if !(overdue || stalled || lost) {
             return settled(WorkerStatus::Usable);
         }
+        if head.is_some() && progressing(PROGRESS_VALIDITY) {
+            return Assessment { shown_by_progress: true, ..settled(WorkerStatus::Usable) };
+        }
         let pause = if lost { LOST_PROBE_INTERVAL } else { PROBE_INTERVAL };
         let due = probe.sent.is_none_or(|at| facts.now.saturating_duration_since(at) >= pause);
         let answered_recently = answered && !stalled && !due;
         let standing = if lost { WorkerStatus::Lost } else { WorkerStatus::Usable };
-        Assessment { standing, probe: due && !probe.in_progress && !answered_recently }
+        let probe = due && !probe.in_progress && !answered_recently;
+        Assessment { probe, ..settled(standing) }
     }
 
     /// Records that a probe is sent.
--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::replicas::WorkerState;
+use hollowbarrow_fleet::workers::WorkerEntry;
 use hollowbarrow_fleet::{
     LeaderTimes, OrderTicket, ReplicaController, ReplicaTiming, TermState, WorkerStatus,
 };
@@ -57,6 +58,9 @@
     quarantine_log: QuarantineLog,
     /// Last logged summary of the replicas of each service.
     logged: BTreeMap<ServiceName, String>,
+    /// Last report of each worker whose silence has been logged, because only the progress of answers
+    /// shows that it runs.
+    logged_silences: HashMap<WorkerId, Instant>,
 }
 
 /// Runs the control loop whenever this daemon leads, until the process ends.
@@ -150,6 +154,7 @@
         withheld: Vec::new(),
         quarantine_log: QuarantineLog::default(),
         logged: BTreeMap::new(),
+        logged_silences: HashMap::new(),
     }
 }
 
@@ -157,6 +162,7 @@
     let services = core.engine_services();
     let mut fleet = core.fleet();
     leadership.liveness.prune(fleet.table());
+    leadership.logged_silences.retain(|worker, _| fleet.table().get(worker).is_some());
     let uses = fleet.uses(now);
     let heartbeat = core.heartbeat();
     let terminated = find_terminated(fleet.table(), heartbeat);
@@ -172,6 +178,9 @@
         if assessment.probe {
             probes.push((worker.clone(), entry.report.address.clone()));
         }
+        if assessment.shown_by_progress {
+            log_silence(&mut leadership.logged_silences, entry, head, now);
+        }
         standings.insert(worker.clone(), assessment.standing);
     }
     for (worker, address) in probes {
@@ -254,6 +263,25 @@
     }
 }
 
+/// Logs that a silent worker is known to run only by the progress of answers, once for each silence.
+fn log_silence(
+    logged: &mut HashMap<WorkerId, Instant>,
+    entry: &WorkerEntry,
+    head: Option<&WorkerId>,
+    now: Instant,
+) {
+    let worker = &entry.report.id;
+    if logged.insert(worker.clone(), entry.last_received) == Some(entry.last_received) {
+        return;
+    }
+    let silent_ms = now.saturating_duration_since(entry.last_received).as_millis();
+    let head = head.map_or("none", |head| head.as_str());
+    log::info!(
+        "event=silent_worker_progresses worker={} head={head} silent_ms={silent_ms}",
+        **worker
+    );
+}
+
 /// Issues the permits that are due.
 fn issue_due(core: &ControllerCore, term: Term, fleet: &FleetState, now: Instant) {
     let grants = {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -221,8 +221,8 @@
         let failed = answer.status.is_server_error();
         let (core, request) = (&self.core, &self.request);
         let answer = read_answer(core, request, &attempt.worker, &self.history, answer).await;
-        attempt.record_progress();
         if let Ok(answer) = &answer {
+            attempt.record_progress();
             answer.record_proof(&self.core, &self.request);
             self.history.record_progress();
         }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -139,12 +139,13 @@
         Err(error) => Err(error),
     };
     let worker = attempt.worker.id.clone();
-    attempt.record_progress();
     match &answer {
         Ok(answer) => core.record_outcome(&worker, !answer.status.is_server_error()),
         Err(error) => core.record_failure(&worker, error),
     }
+    // A failed attempt is no sign that the worker runs.
     if let Ok(answer) = &answer {
+        attempt.record_progress();
         answer.record_proof(core, request);
         history.record_progress();
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod limit;
 mod limit_check;
 mod losses;
+mod lost_head;
 mod lost_power;
 mod notices;
 mod observer;
