Wait at a stop until the answers to all requests are written

Cause: a request counted as in flight until it had been handled. The connection then still writes the answer, as fast as the caller reads, and the process exited as soon as nothing was in flight.

Evidence: `stopped in_flight=0` in the log, 2.5 s after `stopping`.

Change: a connection on which a request was read counts until it is closed; after the stop signal that is as soon as its last answer is written. The same for entry daemons. The limits of a stop are as before.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,8 +6,8 @@
 //! that its outcome is recorded.
 
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -76,7 +76,10 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let header_time = Duration::from_millis(core.settings.limits.header_ms);
+    // The connection is counted until it is dropped with its service.
+    let used = OnceLock::new();
     let service = service_fn(move |request| {
+        used.get_or_init(|| UsedConnection::new(&core));
         let core = Arc::clone(&core);
         async move { Ok::<_, Infallible>(answer_caller(core, request).await) }
     });
@@ -134,6 +137,22 @@
     run_request(core, request, link, span).await;
 }
 
+/// Counts a connection on which a request was read, until it is closed.
+struct UsedConnection(Arc<DaemonCore>);
+
+impl UsedConnection {
+    fn new(core: &Arc<DaemonCore>) -> Self {
+        core.used_connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(core))
+    }
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        self.0.used_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 struct InFlightGuard(Arc<DaemonCore>);
 
 impl Drop for InFlightGuard {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -76,6 +76,8 @@
     pub(crate) ready: AtomicBool,
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: AtomicU32,
+    /// Connections of callers on which a request was read, until they are closed.
+    pub(crate) used_connections: AtomicU32,
     /// Whether any loss dissolves every replica of the zone; for comparisons only.
     pub(crate) rebuild_all: bool,
 }
@@ -238,6 +240,12 @@
         self.mesh.get().map_or(0, |mesh| mesh.tunnels().open())
     }
 
+    /// Returns whether a daemon that is stopping still runs requests, writes answers or carries tunnels.
+    pub(crate) fn is_busy(&self) -> bool {
+        let counts = [&self.in_flight, &self.used_connections];
+        self.tunnels() > 0 || counts.iter().any(|count| count.load(Ordering::Relaxed) > 0)
+    }
+
     /// Carries no new tunnels from now on.
     pub(crate) fn stop_tunnels(&self) {
         if let Some(mesh) = self.mesh.get() {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -230,7 +230,7 @@
     }
 
     /// Stops gracefully: turns readiness off, serves until the load balancer has noticed that,
-    /// hands over its roles, waits for requests in flight, and returns.
+    /// hands over its roles, waits until the answers to all requests are written, and returns.
     pub async fn stop(&self) {
         let core = &self.core;
         let timing = &core.settings.timing;
@@ -247,15 +247,16 @@
         core.claims_log.hand_over();
         self.stop.send_replace(true);
         let limit = Instant::now() + Duration::from_millis(timing.drain_ms);
-        while core.in_flight.load(Ordering::Relaxed) + core.tunnels() > 0 && Instant::now() < limit
-        {
+        while core.is_busy() && Instant::now() < limit {
             tokio::time::sleep(DRAIN_POLL).await;
         }
         tokio::time::sleep(HAND_OVER_WAIT).await;
         core.config_log.stop();
         core.claims_log.stop();
         core.telemetry.flush();
-        log::info!("event=stopped in_flight={}", core.in_flight.load(Ordering::Relaxed));
+        let unwritten = core.used_connections.load(Ordering::Relaxed);
+        let in_flight = core.in_flight.load(Ordering::Relaxed);
+        log::info!("event=stopped in_flight={in_flight} unwritten={unwritten}");
     }
 }
 
@@ -306,6 +307,7 @@
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         in_flight: AtomicU32::new(0),
+        used_connections: AtomicU32::new(0),
         rebuild_all: false,
         settings,
     })
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
-use hollowbarrow_member::{ConnectionLimiter, MemberLinks, SuspensionDetector};
+use hollowbarrow_member::{ConnectionLimiter, MemberLinks, SuspensionDetector, UsedConnections};
 use hollowbarrow_reach::{ConnectTimes, PathChange, Reach, ReachObserver};
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_routing::{
@@ -66,6 +66,8 @@
     pub(crate) in_flight: AtomicU32,
     /// Connections of callers, limited while the gateway is overloaded.
     pub(crate) connections: Arc<ConnectionLimiter>,
+    /// Connections of callers on which a request was read.
+    pub(crate) used_connections: UsedConnections,
     /// Links to other daemons, set before any request is read.
     pub(crate) links: OnceLock<Arc<MemberLinks>>,
     pub(crate) suspension: Arc<SuspensionDetector>,
@@ -104,6 +106,7 @@
             permits_answered: Notify::new(),
             in_flight: AtomicU32::new(0),
             connections: Arc::default(),
+            used_connections: UsedConnections::default(),
             links: OnceLock::new(),
             suspension: Arc::new(SuspensionDetector::new()),
             last_view: Mutex::new(None),
@@ -260,6 +263,11 @@
         self.links.get().map_or(0, |links| links.tunnels().open())
     }
 
+    /// Returns whether a gateway that is stopping still runs requests, writes answers or carries tunnels.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.in_flight() + self.tunnels() + self.used_connections.count() > 0
+    }
+
     /// Chooses a worker and counts the request there until the attempt is dropped.
     pub(crate) fn begin_attempt(
         self: &Arc<Self>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -90,7 +90,7 @@
     }
 
     /// Stops gracefully: reports not ready, serves until load balancers have noticed that, and
-    /// returns when the requests in flight have ended or the stop time is over.
+    /// returns when the answers to all requests are written or the stop time is over.
     pub async fn stop(&self) {
         let core = &self.core;
         let limit = Instant::now() + Duration::from_millis(core.settings.stop_ms.into());
@@ -102,10 +102,11 @@
         }
         tokio::time::sleep(READINESS_PROPAGATION_TIME).await;
         self.stop.send_replace(true);
-        while core.in_flight() + core.tunnels() > 0 && Instant::now() < limit {
+        while core.is_busy() && Instant::now() < limit {
             tokio::time::sleep(DRAIN_POLL).await;
         }
-        log::info!("event=stopped in_flight={}", core.in_flight());
+        let unwritten = core.used_connections.count();
+        log::info!("event=stopped in_flight={} unwritten={unwritten}", core.in_flight());
     }
 }
 
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -8,7 +8,7 @@
 use hollowbarrow_fleet::{Organisation, Route, RouteTable};
 use hollowbarrow_member::http::plain_answer;
 use hollowbarrow_member::{
-    ConnectionLimiter, HttpAnswer, HttpHandler, HttpLimits, SuspensionDetector,
+    ConnectionLimiter, HttpAnswer, HttpHandler, HttpLimits, SuspensionDetector, UsedConnections,
 };
 use hollowbarrow_routing::{RequestContent, RequestContents};
 use hollowbarrow_schema::ServiceName;
@@ -70,6 +70,10 @@
         Some(&self.0.connections)
     }
 
+    fn used_connections(&self) -> Option<&UsedConnections> {
+        Some(&self.0.used_connections)
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
         let core = Arc::clone(&self.0);
         let _in_flight = InFlightGuard::new(&core);
--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -1,13 +1,14 @@
 //! HTTP server with limits per connection, and single HTTP calls.
 //!
-//! Invariant: after the stop signal no connection accepts another request, and
-//! requests in progress run to completion.
+//! Invariant: after the stop signal no connection accepts another request,
+//! requests in progress run to completion, and a connection is closed once its
+//! last answer is written.
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use tokio::sync::watch;
 
 use crate::overload::ConnectionLimiter;
+use crate::used::UsedConnections;
 
 /// Length of the listener's accept queue.
 const BACKLOG: u32 = 4096;
@@ -105,6 +107,11 @@
         None
     }
 
+    /// Returns what counts the connections on which a request was read, if they are counted.
+    fn used_connections(&self) -> Option<&UsedConnections> {
+        None
+    }
+
     /// Answers one request; the future is dropped if the caller disconnects.
     fn answer(
         self: Arc<Self>,
@@ -177,7 +184,10 @@
     mut stop: watch::Receiver<bool>,
     handler: Arc<H>,
 ) {
+    // The connection is counted until it is dropped with its service.
+    let used = OnceLock::new();
     let service = service_fn(move |request| {
+        used.get_or_init(|| handler.used_connections().map(UsedConnections::begin));
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.answer(request).await) }
     });
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -14,6 +14,7 @@
 mod overload;
 mod settings;
 mod suspension;
+mod used;
 
 pub use http::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits, TruncatedAnswerError, serve_http};
 pub use links::{EncodedDeployment, MemberLinks, StartLinksError};
@@ -21,3 +22,4 @@
 pub use overload::{ConnectionLimiter, OpenConnection};
 pub use settings::{member_id, read_member_settings, seed_ids};
 pub use suspension::{BootClock, SuspensionClock, SuspensionDetector};
+pub use used::{UsedConnection, UsedConnections};
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -27,6 +27,7 @@
 mod restarted_worker;
 mod restored;
 mod silence;
+mod slow_caller;
 mod soak;
 mod spares;
 mod stale_gateway;
--- a/tests/platform/raw_worker.rs
+++ b/tests/platform/raw_worker.rs
@@ -15,6 +15,8 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use crate::system::{KEY, Layout, System, configuration};
+
 const HEARTBEAT: Duration = Duration::from_millis(200);
 const WORKER_ADDRESS: &str = "127.76.0.1:0";
 const FRONT_ADDRESS: &str = "127.75.0.1:0";
@@ -22,11 +24,23 @@
 /// Bytes of a whole answer.
 const ANSWER_BYTES: usize = 20_000;
 
+/// Route kinds of the platform.
+pub const REPEATABLE: &str = "idempotent";
+pub const NOT_REPEATABLE: &str = "non_idempotent";
+
+/// Answers of a service with a length, which the retry budget and idle connections need.
+const FRAMED_REQUESTS: usize = 20;
+
+/// Number of concurrent requests that open connections to all workers.
+const IDLE_CONNECTIONS: usize = 12;
+
 /// How workers answer the requests of a test.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerPlan {
     /// With a length.
     Framed,
+    /// With a length, and so many bytes.
+    Long(usize),
     /// Without a length, and then this.
     Whole(RawEnd),
     /// The first worker that is asked sends this many bytes without a length, and holds the connection.
@@ -80,6 +94,7 @@
         let body = whole_answer(request);
         match *self.plan.lock().expect("not poisoned") {
             AnswerPlan::Framed => RawAnswer::framed(&head, &body),
+            AnswerPlan::Long(bytes) => RawAnswer::framed(&head, &long_answer(request, bytes)),
             AnswerPlan::Whole(end) => RawAnswer::unframed(&head, &body, end),
             AnswerPlan::Part(bytes) => {
                 let mut holder = self.holder.lock().expect("not poisoned");
@@ -96,8 +111,13 @@
 
 /// Returns the whole answer to a request.
 pub fn whole_answer(request: &str) -> String {
+    long_answer(request, ANSWER_BYTES)
+}
+
+/// Returns an answer of at most so many bytes.
+pub fn long_answer(request: &str, bytes: usize) -> String {
     let line = format!("{request} part of a report\n");
-    line.repeat(ANSWER_BYTES / line.len())
+    line.repeat(bytes / line.len())
 }
 
 /// A running raw worker of the service `bookings`.
@@ -190,3 +210,47 @@
         }
     })
 }
+
+/// A system whose plain service runs on raw workers.
+pub struct RawDeployment {
+    pub system: System,
+    pub fleet: Arc<RawFleet>,
+    pub workers: Vec<Arc<RawWorker>>,
+}
+
+impl RawDeployment {
+    /// Starts a system whose plain service has a route of this kind.
+    pub async fn start(block: u8, layout: Layout, kind: &str) -> Self {
+        let system = System::start_with(block, layout);
+        let fleet = RawFleet::new(system.controllers.clone(), layout.proxied);
+        let start = |number| RawWorker::start(&fleet, &format!("r{number}"));
+        let workers: Vec<Arc<RawWorker>> = (0..3).map(start).collect();
+        let mut configuration = configuration(3);
+        configuration["routes"][1]["kind"] = kind.into();
+        configuration["routes"][1]["max_attempts"] = 2.into();
+        assert_eq!(system.replace(&configuration).await, 200);
+        system.wait_ready().await;
+        for gateway in 0..system.gateways.len() {
+            system.call_gateway_until_served(gateway, "/hold/warm", "warm").await;
+        }
+        for number in 0..FRAMED_REQUESTS {
+            let id = format!("framed-{number}");
+            let answer = system.call(0, "/hold/1", &id, Some(KEY)).await;
+            assert!(answer.is_ok(), "{}", system.logs());
+        }
+        Self { system, fleet, workers }
+    }
+
+    /// Sends framed requests at once, so that there is an idle connection to each worker.
+    pub async fn open_idle_connections(&self) {
+        let calls = (0..IDLE_CONNECTIONS).map(|number| {
+            let id = format!("idle-{number}");
+            async move { self.system.call(0, "/hold/1", &id, Some(KEY)).await }
+        });
+        futures_util::future::join_all(calls).await;
+    }
+
+    pub fn worker(&self, id: &str) -> &RawWorker {
+        self.workers.iter().find(|worker| worker.id == id).expect("the worker was started")
+    }
+}
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -9,8 +9,10 @@
 use crate::complete_stream;
 use crate::deploy_workers;
 use crate::fleet::{CrashPlan, Fleet};
-use crate::raw_worker::{AnswerPlan, RawFleet, RawWorker, whole_answer};
-use crate::system::{CONTROLLERS, KEY, Layout, System, configuration};
+use crate::raw_worker::{
+    AnswerPlan, NOT_REPEATABLE, REPEATABLE, RawDeployment, RawWorker, whole_answer,
+};
+use crate::system::{CONTROLLERS, KEY, Layout, System};
 use crate::worker::CUT_PATH;
 
 /// Requests of each kind.
@@ -48,64 +50,12 @@
     }
 }
 
-/// Route kinds of the platform.
-const REPEATABLE: &str = "idempotent";
-const NOT_REPEATABLE: &str = "non_idempotent";
-
 /// Bytes of a part of an answer.
 const PART_BYTES: usize = 10_000;
 /// Time for which the listener of a process outlives its connections.
 const LISTENER_TIME: Duration = Duration::from_millis(20);
 
-/// Answers of a service with a length, which the retry budget and idle connections need.
-const FRAMED_REQUESTS: usize = 20;
-
-/// Number of concurrent requests that open connections to all workers.
-const IDLE_CONNECTIONS: usize = 12;
-
-/// A system before raw workers.
-struct RawDeployment {
-    system: System,
-    fleet: Arc<RawFleet>,
-    workers: Vec<Arc<RawWorker>>,
-}
-
 impl RawDeployment {
-    /// Starts a system whose plain service has a route of this kind.
-    async fn start(block: u8, layout: Layout, kind: &str) -> Self {
-        let system = System::start_with(block, layout);
-        let fleet = RawFleet::new(system.controllers.clone(), layout.proxied);
-        let start = |number| RawWorker::start(&fleet, &format!("r{number}"));
-        let workers: Vec<Arc<RawWorker>> = (0..3).map(start).collect();
-        let mut configuration = configuration(3);
-        configuration["routes"][1]["kind"] = kind.into();
-        configuration["routes"][1]["max_attempts"] = 2.into();
-        assert_eq!(system.replace(&configuration).await, 200);
-        system.wait_ready().await;
-        for gateway in 0..system.gateways.len() {
-            system.call_gateway_until_served(gateway, "/hold/warm", "warm").await;
-        }
-        for number in 0..FRAMED_REQUESTS {
-            let id = format!("framed-{number}");
-            let answer = system.call(0, "/hold/1", &id, Some(KEY)).await;
-            assert!(answer.is_ok(), "{}", system.logs());
-        }
-        Self { system, fleet, workers }
-    }
-
-    /// Sends framed requests at once, so that there is an idle connection to each worker.
-    async fn open_idle_connections(&self) {
-        let calls = (0..IDLE_CONNECTIONS).map(|number| {
-            let id = format!("idle-{number}");
-            async move { self.system.call(0, "/hold/1", &id, Some(KEY)).await }
-        });
-        futures_util::future::join_all(calls).await;
-    }
-
-    fn worker(&self, id: &str) -> &RawWorker {
-        self.workers.iter().find(|worker| worker.id == id).expect("the worker was started")
-    }
-
     /// Sends a request whose first worker sends a part of its answer, and is then lost. Returns the
     /// status and the body that the caller gets.
     async fn lose_within_answer(&self, bytes: usize, loss: Loss) -> (u16, String) {
