Let only the leader that proposed the first configuration act as the first leader

Cause: at the first start a leader takes all reports since the start of its process for reports of its term, as nobody can have ordered anything before. A second leader took itself for the first one for as long as no request had been reported.

Change: the state of the log keeps the term in which the first configuration was proposed. Nothing is ordered without a configuration, so that the leader of that term is the first which can have ordered anything. Later ones wait for reports of their own term.

--- a/crates/controller/src/reconcile.rs
+++ b/crates/controller/src/reconcile.rs
@@ -127,10 +127,11 @@
 fn begin_term(core: &ControllerCore, view: &LogView, now: Instant) -> Leadership {
     let heartbeat = core.heartbeat();
     let settling = heartbeat.mul_f64(SETTLE_BEATS);
-    // At the first start there is nothing to take over, and later a leader whose process has run
-    // for a while has received reports of every worker.
-    let first = is_first_start(core, &core.fleet());
-    let settle = if first {
+    let first_start = is_first_start(core, &core.fleet());
+    let first_leader = first_start && !core.log.read(|state| state.is_older_than(view.term));
+    // The first leader has nothing to take over, and a later one whose process has run for a while has
+    // received reports of every worker.
+    let settle = if first_leader {
         FIRST_SETTLE_TIME
     } else if now.duration_since(core.started) > settling {
         SHORT_SETTLE_TIME
@@ -144,10 +145,11 @@
         liveness: LivenessTracker::new(),
         replicas: BTreeMap::new(),
         times: LeaderTimes {
-            // At the first start no earlier leader can have ordered anything.
-            term_start: if first { core.started } else { now },
+            // Nothing is ordered without a configuration, so that no earlier leader than the first one
+            // can have ordered anything.
+            term_start: if first_leader { core.started } else { now },
             settled: now + settle,
-            loads_from: if first { now } else { now + window },
+            loads_from: if first_start { now } else { now + window },
         },
         view_number: 0,
         view_due: now,
--- a/crates/state/src/deployment.rs
+++ b/crates/state/src/deployment.rs
@@ -7,7 +7,7 @@
 //! never changes.
 
 use hollowbarrow_log::StateMachine;
-use hollowbarrow_schema::{DeploymentDocument, EntryPayload, LogEntry, ProposalOutcome};
+use hollowbarrow_schema::{DeploymentDocument, EntryPayload, LogEntry, ProposalOutcome, Term};
 use serde::{Deserialize, Serialize};
 
 use crate::{restore_cbor, to_cbor};
@@ -16,6 +16,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeploymentState {
     newest: Option<DeploymentDocument>,
+    /// Term of the leader that proposed the first configuration. Unknown in the snapshots of releases
+    /// that did not store it.
+    #[serde(default)]
+    first_term: Option<Term>,
 }
 
 impl DeploymentState {
@@ -33,6 +37,12 @@
     pub fn version(&self) -> u64 {
         self.newest.as_ref().map_or(0, |document| document.version)
     }
+
+    /// Returns whether there may have been a configuration before this term, so that another leader may
+    /// have acted on one.
+    pub fn is_older_than(&self, term: Term) -> bool {
+        self.newest.is_some() && self.first_term != Some(term)
+    }
 }
 
 impl StateMachine for DeploymentState {
@@ -40,6 +50,9 @@
         if let EntryPayload::Deployment(document) = &entry.payload
             && document.version > self.version()
         {
+            if self.newest.is_none() {
+                self.first_term = Some(entry.term);
+            }
             self.newest = Some(document.clone());
         }
         ProposalOutcome::Held
--- a/crates/state/tests/machines.rs
+++ b/crates/state/tests/machines.rs
@@ -5,10 +5,10 @@
 use hollowbarrow_log::StateMachine;
 use hollowbarrow_schema::{
     ChangeId, ChangeOutcome, ClaimClose, ClaimCommand, ClaimKey, ClaimOpen, ClaimOutcome,
-    ClaimRelease, ClaimSweep, ConfigChange, ConfigCommand, EndpointSpec, LogIndex, ModelName,
-    Revision, StoredAnswer,
+    ClaimRelease, ClaimSweep, ConfigChange, ConfigCommand, DeploymentDocument, EndpointSpec,
+    EntryPayload, LogEntry, LogIndex, ModelName, Revision, StoredAnswer, Term,
 };
-use hollowbarrow_state::{ClaimState, ConfigState};
+use hollowbarrow_state::{ClaimState, ConfigState, DeploymentState};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -210,3 +210,27 @@
     state.apply_command(&sweep(61_000));
     assert!(state.is_empty());
 }
+
+/// A leader finds out whether another one may have acted on a configuration.
+#[rstest]
+#[case::none(&[], 1, false)]
+#[case::own_term(&[(2, 3)], 2, false)]
+#[case::own_term_replaced(&[(2, 3), (2, 4)], 2, false)]
+#[case::earlier_term(&[(1, 3)], 2, true)]
+#[case::earlier_term_replaced(&[(1, 3), (2, 4)], 2, true)]
+fn configuration_older_than_term(
+    #[case] entries: &[(u64, u64)],
+    #[case] term: u64,
+    #[case] expected: bool,
+) {
+    let mut state = DeploymentState::new();
+    for (index, (term, version)) in (1..).zip(entries) {
+        let document = DeploymentDocument { version: *version, text: String::new() };
+        let payload = EntryPayload::Deployment(document);
+        state.apply(&LogEntry { index: LogIndex(index), term: Term(*term), payload });
+    }
+    assert_eq!(state.is_older_than(Term(term)), expected);
+    let mut restored = DeploymentState::new();
+    assert!(restored.restore(&state.to_snapshot()));
+    assert_eq!(restored.is_older_than(Term(term)), expected);
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod disturbance;
 mod duplicates;
 mod false_crashes;
+mod first_start;
 mod fleet;
 mod foreign;
 mod isolation;
