Join workers that start again under a cut to the other side of it in tests

A fault of the stand-in, traced by the review: a worker that crashed under a request starts again by itself, with the fault modes of the moment, and neither the soak nor another test holds it, so that the end of a cut never reached it. Heads that a gateway could not reach any more were such workers.

Change: the fleet keeps the proxies of all workers that it started, and sets a fault mode at each of them. The modes that a worker starts with are set under the same lock. No check is changed.

--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hollowbarrow_testkit::FaultMode;
+use hollowbarrow_testkit::{FaultMode, LinkProxy};
 use tokio::time::Instant;
 
 use crate::limit_check::find_limit_breaches;
@@ -41,6 +41,8 @@
     pub fronted: bool,
     /// Fault mode of each gateway's connections to workers, by the gateway's source address.
     cut_sources: Mutex<BTreeMap<IpAddr, FaultMode>>,
+    /// Proxies in front of all workers that were started.
+    fronts: Mutex<Vec<Arc<LinkProxy>>>,
     stopped: Mutex<Vec<String>>,
     runs: Mutex<BTreeMap<String, u32>>,
     /// Members that were ready, by name, epoch and member list of the replica.
@@ -111,14 +113,20 @@
         Arc::new(Self { controllers, fronted: true, ..Self::default() })
     }
 
-    /// Sets the fault mode of connections from a source address to all workers.
+    /// Sets the fault mode of connections from a source address to all workers, also to those that
+    /// start later.
     pub fn set_source_mode(&self, source: IpAddr, mode: FaultMode) {
-        self.cut_sources.lock().expect("not poisoned").insert(source, mode);
+        let mut modes = self.cut_sources.lock().expect("not poisoned");
+        modes.insert(source, mode);
+        let fronts = self.fronts.lock().expect("not poisoned");
+        fronts.iter().for_each(|front| front.set_mode(source, mode));
     }
 
-    /// Returns the fault mode of each source address that was set.
-    pub fn source_modes(&self) -> BTreeMap<IpAddr, FaultMode> {
-        self.cut_sources.lock().expect("not poisoned").clone()
+    /// Adds the proxy in front of a worker, and sets its fault modes.
+    pub fn add_front(&self, front: &Arc<LinkProxy>) {
+        let modes = self.cut_sources.lock().expect("not poisoned");
+        modes.iter().for_each(|(source, mode)| front.set_mode(*source, *mode));
+        self.fronts.lock().expect("not poisoned").push(Arc::clone(front));
     }
 
     /// Returns how often a request ran.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -83,7 +83,6 @@
     fn set_worker_links(&self, gateway: usize, mode: FaultMode) {
         let source = self.system.source(CONTROLLERS + gateway);
         self.fleet.set_source_mode(source, mode);
-        self.engines.iter().chain([&self.plain]).for_each(|one| one.set_source_mode(source, mode));
     }
 }
 
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -381,8 +381,6 @@
     fn set_worker_links(&self, gateway: usize, mode: FaultMode) {
         let source = self.system.source(CONTROLLERS + gateway);
         self.fleet.set_source_mode(source, mode);
-        let engines = self.engines.iter().map(|(worker, _)| worker);
-        engines.chain(&self.plain).for_each(|worker| worker.set_source_mode(source, mode));
     }
 
     /// Returns the engine or plain worker that the disturbance selects.
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -72,12 +72,10 @@
 }
 
 /// Starts a proxy in front of a worker, with the fault modes that are set.
-fn start_front(fleet: &Fleet, address: &str, target: SocketAddr) -> LinkProxy {
+fn start_front(fleet: &Fleet, address: &str, target: SocketAddr) -> Arc<LinkProxy> {
     let address = address.parse().expect("the address is valid");
-    let front = LinkProxy::start(address, target, target.port().into());
-    for (source, mode) in fleet.source_modes() {
-        front.set_mode(source, mode);
-    }
+    let front = Arc::new(LinkProxy::start(address, target, target.port().into()));
+    fleet.add_front(&front);
     front
 }
 
@@ -153,7 +151,7 @@
     /// Address that it listens on.
     address: String,
     /// Proxy in front of it, whose address it registers.
-    front: Option<LinkProxy>,
+    front: Option<Arc<LinkProxy>>,
     /// Proxy in front of it whose answers have neither a length nor chunks, if there is one.
     unframed: Option<UnframedFront>,
     service: &'static str,
