Let only a connection that was answered on vouch for an instance that stands still

What callers could see: half of an answer as a complete one, where another process takes over the listener of one that terminated within its answer, and has not answered yet. Found by reading the check; nobody has seen it.

Cause: an idle connection that stays open beside a new one counts as a sign of the instance. The pool also has connections that were opened by a check of the path and carried nothing; the kernel may hold such a one for a listener that outlives the process.

Change: a connection knows whether the upstream has answered on it, and only such a one counts.

--- a/crates/reach/src/instance.rs
+++ b/crates/reach/src/instance.rs
@@ -5,7 +5,7 @@
 //! connection for a process that has just terminated, and another instance may have the address.
 //!
 //! A process that stands still answers nothing, but the kernel keeps its connections open. It counts as
-//! running if a connection from before stays open beside a new one.
+//! running if a connection on which it has answered before stays open beside a new one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -170,6 +170,7 @@
     let Some(lease) = reach.take_idle(target) else {
         return ask_anew(reach, target, probe, ANSWER_TIMEOUT).await;
     };
+    let has_answered = lease.has_answered();
     let kept = ask(reach, lease, probe);
     tokio::pin!(kept);
     match tokio::time::timeout(SHORT_SILENCE, kept.as_mut()).await {
@@ -188,7 +189,10 @@
         state = anew.as_mut() => state,
     };
     let stays_open = tokio::time::timeout(EVENT_TIME, kept).await.is_err();
-    if state == InstanceState::Silent && stays_open { InstanceState::Running } else { state }
+    if state == InstanceState::Silent && has_answered && stays_open {
+        return InstanceState::Running;
+    }
+    state
 }
 
 /// Asks on a new connection, over either path.
--- a/crates/reach/tests/upstreams/instance.rs
+++ b/crates/reach/tests/upstreams/instance.rs
@@ -59,6 +59,19 @@
     assert_eq!(reach.check_instance(&upstream.target, &probe("w1")).await, expected);
 }
 
+/// An idle connection on which nothing was answered may have been accepted by the kernel alone.
+#[rstest]
+#[tokio::test]
+async fn check_on_unused_connection() {
+    let reach = new_reach();
+    let upstream = Upstream::start(Manner::Silent, "w1").await;
+    let limit = Instant::now() + Duration::from_secs(20);
+    let opened = reach.open(&upstream.target, limit).await;
+    opened.expect("the upstream accepts connections").give_back();
+    let state = reach.check_instance(&upstream.target, &probe("w1")).await;
+    assert_eq!(state, InstanceState::Silent);
+}
+
 /// Guards against taking the surplus answer to an earlier request for a sign of life.
 #[rstest]
 #[tokio::test]
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -150,6 +150,8 @@
     since: Instant,
     /// Keep-alive timeout that the upstream stated, if any.
     keep_alive: Option<Duration>,
+    /// Whether the upstream has answered on it.
+    answered: bool,
 }
 
 impl IdleConnection {
@@ -213,6 +215,8 @@
     reused: bool,
     keep_alive: Option<Duration>,
     max_idle: usize,
+    /// Whether the upstream has answered on it.
+    answered: bool,
     /// Whether the answer on it ends with the connection.
     ends: bool,
 }
@@ -230,6 +234,11 @@
         !self.sender.is_closed()
     }
 
+    /// Returns whether the upstream has answered on the connection, so that its process has accepted it.
+    pub fn has_answered(&self) -> bool {
+        self.answered
+    }
+
     /// Returns whether the connection has carried a request before.
     pub fn is_reused(&self) -> bool {
         self.reused
@@ -277,6 +286,7 @@
     /// framed.
     pub(crate) fn record_head(&mut self, headers: &HeaderMap, body: &Incoming) -> bool {
         self.keep_alive = read_keep_alive(headers);
+        self.answered = true;
         let framed = is_framed(headers, body);
         self.ends = !framed;
         framed
@@ -302,8 +312,8 @@
         let kept = idle.by_address.entry(self.address).or_default();
         if kept.len() < self.max_idle {
             let since = Instant::now();
-            let Self { sender, carrier, keep_alive, .. } = self;
-            kept.push(IdleConnection { sender, carrier, since, keep_alive });
+            let Self { sender, carrier, keep_alive, answered, .. } = self;
+            kept.push(IdleConnection { sender, carrier, since, keep_alive, answered });
         }
     }
 }
@@ -347,14 +357,12 @@
 
     /// Takes an idle connection that another daemon carries, if there is one.
     pub fn take_carried(&self, address: SocketAddr) -> Option<ConnectionLease> {
-        let kept = self.take_idle(address, true)?;
-        Some(self.lease(address, kept.sender, kept.carrier, true))
+        self.take_idle(address, true).map(|kept| self.lease_kept(address, kept))
     }
 
     /// Takes one of this process's own idle connections, if there is one.
     pub fn take_kept(&self, address: SocketAddr) -> Option<ConnectionLease> {
-        let kept = self.take_idle(address, false)?;
-        Some(self.lease(address, kept.sender, None, true))
+        self.take_idle(address, false).map(|kept| self.lease_kept(address, kept))
     }
 
     /// Closes all idle connections that other daemons carry.
@@ -465,28 +473,28 @@
             // The future of the request returns the error as well.
             let _ = connection.await;
         });
-        Ok(self.lease(address, sender, carrier, false))
+        Ok(self.lease(address, sender, carrier))
     }
 
-    fn lease(
-        &self,
-        address: SocketAddr,
-        sender: Sender,
-        carrier: Carrier,
-        reused: bool,
-    ) -> ConnectionLease {
+    fn lease(&self, address: SocketAddr, sender: Sender, carrier: Carrier) -> ConnectionLease {
         ConnectionLease {
             client: self.clone(),
             address,
             sender,
             carrier,
-            reused,
+            reused: false,
             keep_alive: None,
             max_idle: IDLE_PER_UPSTREAM,
+            answered: false,
             ends: false,
         }
     }
 
+    fn lease_kept(&self, address: SocketAddr, kept: IdleConnection) -> ConnectionLease {
+        let IdleConnection { sender, carrier, answered, .. } = kept;
+        ConnectionLease { reused: true, answered, ..self.lease(address, sender, carrier) }
+    }
+
     /// Takes a pooled connection or opens one, so that the caller can make its last decisions
     /// directly before the request is sent.
     ///
