--- a/tests/platform/raw_worker.rs
+++ b/tests/platform/raw_worker.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 
 use crate::system::{KEY, Layout, System, configuration};
+use crate::worker::{EVENTS, event};
 
 const HEARTBEAT: Duration = Duration::from_millis(200);
 const WORKER_ADDRESS: &str = "127.76.0.1:0";
@@ -27,6 +28,7 @@
 /// Route kinds of the platform.
 pub const REPEATABLE: &str = "idempotent";
 pub const NOT_REPEATABLE: &str = "non_idempotent";
+pub const STREAM: &str = "streaming";
 
 /// Answers of a service with a length, which the retry budget and idle connections need.
 const FRAMED_REQUESTS: usize = 20;
@@ -37,7 +39,7 @@
 /// How workers answer the requests of a test.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerPlan {
-    /// With a length.
+    /// With the events of a stream, and a length.
     Framed,
     /// With a length, and so many bytes.
     Long(usize),
@@ -46,6 +48,8 @@
     /// The first worker that is asked sends this many bytes without a length, and holds the connection.
     /// All others answer without a length.
     Part(usize),
+    /// The same with a stream and so many of its events.
+    Events(u64),
 }
 
 /// What the workers of a test share.
@@ -88,24 +92,39 @@
     }
 
     /// Runs a request at a worker.
-    fn run(&self, worker: &str, request: &str) -> RawAnswer {
+    fn run(&self, worker: &str, asked: &RawRequest) -> RawAnswer {
+        let request = asked.header("request-id");
         *self.runs.lock().expect("not poisoned").entry(request.to_owned()).or_default() += 1;
         let head = format!("200 OK\r\nrequest-id: {request}\r\nresponse-signature: {worker}.1\r\n");
         let body = whole_answer(request);
         match *self.plan.lock().expect("not poisoned") {
-            AnswerPlan::Framed => RawAnswer::framed(&head, &body),
+            AnswerPlan::Framed => RawAnswer::framed(&head, &events_between(0, EVENTS)),
             AnswerPlan::Long(bytes) => RawAnswer::framed(&head, &long_answer(request, bytes)),
             AnswerPlan::Whole(end) => RawAnswer::unframed(&head, &body, end),
-            AnswerPlan::Part(bytes) => {
-                let mut holder = self.holder.lock().expect("not poisoned");
-                if holder.is_some() {
-                    return RawAnswer::unframed(&head, &body, RawEnd::Close);
-                }
-                *holder = Some(worker.to_owned());
-                self.held.notify_one();
+            AnswerPlan::Part(bytes) if self.holds(worker) => {
                 RawAnswer::unframed(&head, &body[..bytes], RawEnd::Hold)
             }
+            AnswerPlan::Part(_) => RawAnswer::unframed(&head, &body, RawEnd::Close),
+            AnswerPlan::Events(events) => {
+                let head = format!("{head}content-type: text/event-stream\r\n");
+                let after: u64 = asked.header("last-event-id").parse().unwrap_or_default();
+                if self.holds(worker) {
+                    return RawAnswer::unframed(&head, &events_between(0, events), RawEnd::Hold);
+                }
+                RawAnswer::unframed(&head, &events_between(after, EVENTS), RawEnd::Close)
+            }
+        }
+    }
+
+    /// Returns whether a worker is the first that is asked, which holds its answer.
+    fn holds(&self, worker: &str) -> bool {
+        let mut holder = self.holder.lock().expect("not poisoned");
+        if holder.is_some() {
+            return false;
         }
+        *holder = Some(worker.to_owned());
+        self.held.notify_one();
+        true
     }
 }
 
@@ -114,6 +133,11 @@
     long_answer(request, ANSWER_BYTES)
 }
 
+/// Returns the events of a stream after one and up to another.
+fn events_between(after: u64, last: u64) -> String {
+    (after + 1..=last).map(event).collect()
+}
+
 /// Returns an answer of at most so many bytes.
 pub fn long_answer(request: &str, bytes: usize) -> String {
     let line = format!("{request} part of a report\n");
@@ -206,7 +230,7 @@
         }
         match request.target.as_str() {
             "/-/report" => RawAnswer::framed("200 OK\r\n", "{}"),
-            _ => fleet.run(&id, request.header("request-id")),
+            _ => fleet.run(&id, request),
         }
     })
 }
@@ -228,6 +252,7 @@
         let mut configuration = configuration(3);
         configuration["routes"][1]["kind"] = kind.into();
         configuration["routes"][1]["max_attempts"] = 2.into();
+        configuration["routes"][1]["stream_resume"] = (kind == STREAM).into();
         assert_eq!(system.replace(&configuration).await, 200);
         system.wait_ready().await;
         for gateway in 0..system.gateways.len() {
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -10,7 +10,7 @@
 use crate::deploy_workers;
 use crate::fleet::{CrashPlan, Fleet};
 use crate::raw_worker::{
-    AnswerPlan, NOT_REPEATABLE, REPEATABLE, RawDeployment, RawWorker, whole_answer,
+    AnswerPlan, NOT_REPEATABLE, REPEATABLE, RawDeployment, RawWorker, STREAM, whole_answer,
 };
 use crate::system::{CONTROLLERS, KEY, Layout, System};
 use crate::worker::CUT_PATH;
@@ -58,8 +58,8 @@
 impl RawDeployment {
     /// Sends a request whose first worker sends a part of its answer, and is then lost. Returns the
     /// status and the body that the caller gets.
-    async fn lose_within_answer(&self, bytes: usize, loss: Loss) -> (u16, String) {
-        self.fleet.set_plan(AnswerPlan::Part(bytes));
+    async fn lose_within_answer(&self, plan: AnswerPlan, loss: Loss) -> (u16, String) {
+        self.fleet.set_plan(plan);
         let losing = async {
             let holder = self.fleet.wait_for_holder().await;
             // The part arrives before the connection ends.
@@ -120,7 +120,7 @@
 #[tokio::test]
 async fn cut_answer_repeated(#[case] block: u8, #[case] bytes: usize, #[case] loss: Loss) {
     let deployment = RawDeployment::start(block, Layout::plain(), REPEATABLE).await;
-    let (status, body) = deployment.lose_within_answer(bytes, loss).await;
+    let (status, body) = deployment.lose_within_answer(AnswerPlan::Part(bytes), loss).await;
     assert_eq!((status, body), (200, whole_answer("half")), "{}", deployment.system.logs());
     assert_eq!(deployment.fleet.runs("half"), 2);
     deployment.system.wait_for_log("event=answer_doubtful request=\"half\" worker=").await;
@@ -137,7 +137,7 @@
 #[tokio::test]
 async fn cut_answer_not_forwarded(#[case] block: u8, #[case] bytes: usize, #[case] loss: Loss) {
     let deployment = RawDeployment::start(block, Layout::plain(), NOT_REPEATABLE).await;
-    let (status, _) = deployment.lose_within_answer(bytes, loss).await;
+    let (status, _) = deployment.lose_within_answer(AnswerPlan::Part(bytes), loss).await;
     assert!([502, 504].contains(&status), "{status}: {}", deployment.system.logs());
     assert_eq!(deployment.fleet.runs("half"), 1);
 }
@@ -148,7 +148,8 @@
 #[tokio::test]
 async fn cut_answer_not_forwarded_without_workers() {
     let deployment = RawDeployment::start(226, Layout::plain(), REPEATABLE).await;
-    let (status, body) = deployment.lose_within_answer(PART_BYTES, Loss::All).await;
+    let (status, body) =
+        deployment.lose_within_answer(AnswerPlan::Part(PART_BYTES), Loss::All).await;
     assert!(status >= 500, "{status} {body}: {}", deployment.system.logs());
 }
 
@@ -163,7 +164,8 @@
     let cut = |worker: &Arc<RawWorker>| worker.set_source_mode(source, FaultMode::Severed);
     deployment.workers.iter().for_each(cut);
     deployment.system.call_gateway_until_served(0, "/hold/1", "carried").await;
-    let (status, body) = deployment.lose_within_answer(PART_BYTES, Loss::Terminated).await;
+    let (status, body) =
+        deployment.lose_within_answer(AnswerPlan::Part(PART_BYTES), Loss::Terminated).await;
     deployment.system.wait_for_log("event=request_carried request=\"half\"").await;
     if kind == REPEATABLE {
         assert_eq!((status, body), (200, whole_answer("half")), "{}", deployment.system.logs());
@@ -173,6 +175,19 @@
     assert_eq!(deployment.fleet.runs("half"), 1);
 }
 
+/// Guards against the same for a stream that ends between two events: the rest comes from another worker.
+#[rstest]
+#[case::terminated(169, Loss::Terminated)]
+#[case::listener_last(170, Loss::ListenerLast)]
+#[case::replaced(171, Loss::Replaced)]
+#[tokio::test]
+async fn cut_stream_resumed(#[case] block: u8, #[case] loss: Loss) {
+    let deployment = RawDeployment::start(block, Layout::plain(), STREAM).await;
+    let (status, body) = deployment.lose_within_answer(AnswerPlan::Events(6), loss).await;
+    assert_eq!((status, body), (200, complete_stream()), "{}", deployment.system.logs());
+    assert_eq!(deployment.fleet.runs("half"), 2);
+}
+
 /// Guards against sound answers that are lost, or whose requests run twice, because their worker does
 /// not answer a check in the usual way.
 #[rstest]
