Reset the connection of a truncated stream towards callers of HTTP/1.0

What callers could see: a stream that a gateway could not complete, as its workers are gone, ends in order. To a caller of HTTP/1.0, who gets no chunks, that is the end of the answer: 6 of 30 events as a complete stream.

Cause: a connection whose answer fails is closed, and only chunks tell a truncated answer from a complete one.

Change: such a connection is reset, where the request's version has no chunks. Towards HTTP/1.1 it is closed as before, which loses nothing of what was sent.

Test: cut_stream_reset_for_old_caller fails on (1 of 1: the part arrives without an error) and passes.

--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -1,13 +1,18 @@
 //! HTTP server with limits per connection, and single HTTP calls.
 //!
-//! Invariant: after the stop signal no connection accepts another request,
-//! requests in progress run to completion, and a connection is closed once its
-//! last answer is written.
+//! Invariants:
+//!
+//! - After the stop signal no connection accepts another request, requests in
+//!   progress run to completion, and a connection is closed once its last answer
+//!   is written.
+//! - The connection of a truncated answer is reset where its end in order would
+//!   be the end of the answer, as in HTTP/1.0.
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -19,7 +24,7 @@
 use hyper::client::conn::http1 as client;
 use hyper::server::conn::http1 as server;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -186,24 +191,31 @@
 ) {
     // The connection is counted until it is dropped with its service.
     let used = OnceLock::new();
-    let service = service_fn(move |request| {
+    // Whether the end of the connection is the end of a streamed answer.
+    let unframed = Arc::new(AtomicBool::new(false));
+    let seen = Arc::clone(&unframed);
+    let service = service_fn(move |request: Request<Incoming>| {
         used.get_or_init(|| handler.used_connections().map(UsedConnections::begin));
+        seen.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.answer(request).await) }
     });
-    let connection = server::Builder::new()
+    let mut connection = server::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.head_bytes)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => {}
+    let served = tokio::select! {
+        served = &mut connection => served,
         () = wait_for_stop(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
+    };
+    let truncated = served.is_err_and(|error| error.is_user());
+    if truncated && unframed.load(Ordering::Relaxed) {
+        let _ = connection.into_parts().io.into_inner().set_zero_linger();
     }
 }
 
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -5,6 +5,8 @@
 
 use hollowbarrow_testkit::{FaultMode, RawEnd};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::complete_stream;
 use crate::deploy_workers;
@@ -12,7 +14,7 @@
 use crate::raw_worker::{
     AnswerPlan, NOT_REPEATABLE, REPEATABLE, RawDeployment, RawWorker, STREAM, whole_answer,
 };
-use crate::system::{CONTROLLERS, KEY, Layout, System};
+use crate::system::{CONTROLLERS, HOST, KEY, Layout, System};
 use crate::worker::CUT_PATH;
 
 /// Requests of each kind.
@@ -188,6 +190,34 @@
     assert_eq!(deployment.fleet.runs("half"), 2);
 }
 
+/// Guards against a cut stream that looks complete to a caller of HTTP/1.0, for whom the end of the connection
+/// is the end of the answer.
+#[rstest]
+#[tokio::test]
+async fn cut_stream_reset_for_old_caller() {
+    let deployment = RawDeployment::start(172, Layout::plain(), STREAM).await;
+    deployment.fleet.set_plan(AnswerPlan::Events(6));
+    let losing = async {
+        deployment.fleet.wait_for_holder().await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        deployment.workers.iter().for_each(|worker| worker.upstream.terminate());
+    };
+    let calling = async {
+        let mut stream = TcpStream::connect(&deployment.system.gateways[0]).await?;
+        let request = format!(
+            "POST /hold/1 HTTP/1.0\r\nhost: {HOST}\r\nrequest-id: old\r\napi-key: {KEY}\r\n\
+             content-length: 2\r\n\r\n{{}}"
+        );
+        stream.write_all(request.as_bytes()).await?;
+        let mut received = Vec::new();
+        stream.read_to_end(&mut received).await?;
+        Ok::<_, std::io::Error>(String::from_utf8_lossy(&received).into_owned())
+    };
+    let (called, ()) = tokio::join!(calling, losing);
+    let error = called.expect_err("the answer is cut");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset, "{}", deployment.system.logs());
+}
+
 /// Guards against sound answers that are lost, or whose requests run twice, because their worker does
 /// not answer a check in the usual way.
 #[rstest]
