--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -31,7 +31,7 @@
 use tokio::sync::watch;
 
 use crate::overload::ConnectionLimiter;
-use crate::used::UsedConnections;
+use crate::used_connections::UsedConnections;
 
 /// Length of the listener's accept queue.
 const BACKLOG: u32 = 4096;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -14,7 +14,7 @@
 mod overload;
 mod settings;
 mod suspension;
-mod used;
+mod used_connections;
 
 pub use http::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits, TruncatedAnswerError, serve_http};
 pub use links::{EncodedDeployment, MemberLinks, StartLinksError};
@@ -22,4 +22,4 @@
 pub use overload::{ConnectionLimiter, OpenConnection};
 pub use settings::{member_id, read_member_settings, seed_ids};
 pub use suspension::{BootClock, SuspensionClock, SuspensionDetector};
-pub use used::{UsedConnection, UsedConnections};
+pub use used_connections::{UsedConnection, UsedConnections};
