--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -19,6 +19,12 @@
 
 /// Requests of each kind.
 const REQUESTS: usize = 12;
+/// Bytes of a part of an answer.
+const PART_BYTES: usize = 10_000;
+/// Time from the end of an answer until its process ends, in which the process can be asked.
+const EXIT_DELAY: Duration = Duration::from_millis(1000);
+/// Time for which the listener of a process outlives its connections.
+const LISTENER_TIME: Duration = Duration::from_millis(20);
 
 /// Guards against answers that are cut, or taken for cut, because only their connection ends them.
 /// Streams that end within an event were broken off, and are resumed.
@@ -52,13 +58,6 @@
     }
 }
 
-/// Bytes of a part of an answer.
-const PART_BYTES: usize = 10_000;
-/// Time from the end of an answer until its process ends, in which the process can be asked.
-const EXIT_DELAY: Duration = Duration::from_millis(1000);
-/// Time for which the listener of a process outlives its connections.
-const LISTENER_TIME: Duration = Duration::from_millis(20);
-
 impl RawDeployment {
     /// Sends a request whose first worker sends a part of its answer, and is then lost. Returns the
     /// status and the body that the caller gets.
