Log on gateways that no leader's views arrive, and add tests of seeds that are gone

A gateway without views was silent until it refused an unknown route. It now logs views_missing and views_received, and controller_learned; gateway_view_age_ms and gateway_controllers tell the same.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -136,7 +136,7 @@
     ///
     /// A configuration that a leader has confirmed since then stays in use without a leader.
     pub(crate) fn withdraw_routes(&self, version: u64) -> bool {
-        let confirmed = self.last_view.lock().expect("no holder of the lock panics").is_some();
+        let confirmed = self.last_view().is_some();
         let mut routes = self.routes.write().expect("no holder of the lock panics");
         let held = routes.as_ref().is_some_and(|table| table.version() == version);
         if held && !confirmed {
@@ -164,7 +164,7 @@
 
     /// Returns what this gateway knows about the age of its active configuration.
     pub(crate) fn config_freshness(&self, now: Instant) -> ConfigFreshness {
-        let last_view = *self.last_view.lock().expect("no holder of the lock panics");
+        let last_view = self.last_view();
         ConfigFreshness {
             version: self.version(),
             known: self.known().newest(),
@@ -172,9 +172,14 @@
         }
     }
 
+    /// Returns when the latest view that was received can have been sent.
+    pub(crate) fn last_view(&self) -> Option<Instant> {
+        *self.last_view.lock().expect("no holder of the lock panics")
+    }
+
     /// Returns whether the machine was suspended since the last current view.
     fn was_suspended_since_view(&self) -> bool {
-        let last = *self.last_view.lock().expect("no holder of the lock panics");
+        let last = self.last_view();
         last.is_some_and(|last| self.suspension.was_suspended_since(last, Instant::now()))
     }
 
@@ -238,6 +243,8 @@
             in_flight: self.in_flight().into(),
             ready: self.is_ready(),
             version: self.version(),
+            view_age: self.last_view().map(|at| Instant::now().saturating_duration_since(at)),
+            controllers: self.links.get().map_or(0, |links| links.controllers().len() as u64),
             workers: self.picker().len() as u64,
             isolated: self.reach.is_isolated(),
             tunnels: self.tunnels().into(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod attempt;
 pub mod budget;
 mod candidates;
+pub mod contact;
 mod core;
 pub mod crashes;
 mod estimate;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -9,6 +9,7 @@
 use hollowbarrow_schema::{DaemonId, DeploymentDocument, FleetMessage, GatewayHello, PeerMessage};
 use tokio::time::Instant;
 
+use crate::contact::{ContactChange, ContactTracker};
 use crate::core::GatewayCore;
 
 /// Interval between hellos to the primary controller.
@@ -29,11 +30,13 @@
     let mut ticks = tokio::time::interval(HELLO_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut number = 0u32;
+    let mut contact = ContactTracker::new(Instant::now());
     loop {
         ticks.tick().await;
         number = number.wrapping_add(1);
         let now = Instant::now();
         let version = core.version();
+        log_contact(contact.observe(core.last_view(), now), &core, &links);
         let primary = core.primary(now);
         let hello = {
             let mut picker = core.picker();
@@ -72,6 +75,23 @@
     }
 }
 
+/// Logs that a leader's views no longer arrive, or do again.
+fn log_contact(change: Option<ContactChange>, core: &GatewayCore, links: &MemberLinks) {
+    let (version, known) = (core.version(), links.controllers().len());
+    match change {
+        Some(ContactChange::Lost) => {
+            log::warn!("event=views_missing version={version} controllers={known}");
+        }
+        Some(ContactChange::Regained { after }) => {
+            let after = after.as_millis();
+            log::info!(
+                "event=views_received version={version} controllers={known} after_ms={after}"
+            );
+        }
+        None => {}
+    }
+}
+
 /// Sends this gateway's needs for permits, the permits that it returns and the limits that it has
 /// learnt to the issuer of permits, until the process ends.
 pub(crate) async fn ask_for_permits(core: Arc<GatewayCore>, links: Arc<MemberLinks>) {
@@ -99,7 +119,7 @@
     match message {
         FleetMessage::Workers(reports) => core.picker().merge(reports, Instant::now()),
         FleetMessage::View(view) => {
-            links.learn_controllers(view.controllers.iter().map(|place| &place.id));
+            learn_controllers(links, view.controllers.iter().map(|place| &place.id));
             core.apply_view(from, &view, Instant::now());
         }
         FleetMessage::Deployment(document) => install_configuration(core, from, &document),
@@ -118,6 +138,12 @@
     }
 }
 
+fn learn_controllers<'a>(links: &MemberLinks, ids: impl IntoIterator<Item = &'a DaemonId>) {
+    for new in links.learn_controllers(ids) {
+        log::info!("event=controller_learned id={}", *new);
+    }
+}
+
 fn install_configuration(core: &GatewayCore, from: &DaemonId, document: &DeploymentDocument) {
     if document.version <= core.version() {
         return;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,13 @@
     ("gateway_limited_sends", "1", "Requests sent to workers that have stated a rate limit."),
     ("gateway_in_flight", "1", "Requests in flight."),
     ("gateway_configuration_version", "1", "Version of the active configuration."),
+    (
+        "gateway_view_age_ms",
+        "ms",
+        "Age of the leader's latest view; absent until a view is received. While it grows, the gateway \
+         does not learn of newer configurations.",
+    ),
+    ("gateway_controllers", "1", "Controllers that the gateway knows, including those that are gone."),
     ("gateway_workers", "1", "Workers in the table, including departed ones."),
     (
         "gateway_configuration_reading_ms",
@@ -80,6 +87,8 @@
     tunnels: Gauge<u64>,
     ready: Gauge<u64>,
     version: Gauge<u64>,
+    view_age: Gauge<u64>,
+    controllers: Gauge<u64>,
     workers: Gauge<u64>,
     configuration_reading: Histogram<f64>,
     dropped: Gauge<u64>,
@@ -92,6 +101,8 @@
     pub(crate) tunnels: u64,
     pub(crate) ready: bool,
     pub(crate) version: u64,
+    pub(crate) view_age: Option<Duration>,
+    pub(crate) controllers: u64,
     pub(crate) workers: u64,
     pub(crate) dropped: u64,
 }
@@ -115,6 +126,8 @@
             tunnels: meter.u64_gauge("gateway_tunnels").build(),
             ready: meter.u64_gauge("gateway_ready").build(),
             version: meter.u64_gauge("gateway_configuration_version").build(),
+            view_age: meter.u64_gauge("gateway_view_age_ms").build(),
+            controllers: meter.u64_gauge("gateway_controllers").build(),
             workers: meter.u64_gauge("gateway_workers").build(),
             configuration_reading: page.time_histogram("gateway_configuration_reading_ms"),
             dropped: meter.u64_gauge("gateway_messages_dropped").build(),
@@ -172,6 +185,10 @@
         self.tunnels.record(levels.tunnels, &[]);
         self.ready.record(levels.ready.into(), &[]);
         self.version.record(levels.version, &[]);
+        if let Some(age) = levels.view_age {
+            self.view_age.record(age.as_millis() as u64, &[]);
+        }
+        self.controllers.record(levels.controllers, &[]);
         self.workers.record(levels.workers, &[]);
         self.dropped.record(levels.dropped, &[]);
         self.page.to_text()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -27,6 +27,7 @@
 mod readmission;
 mod restarted_worker;
 mod restored;
+mod seeds;
 mod silence;
 mod slow_caller;
 mod soak;
--- a/tests/platform/spares.rs
+++ b/tests/platform/spares.rs
@@ -101,7 +101,7 @@
 
 /// Waits until the leader counts so many voters, none of which is a lost controller that it has not
 /// admitted since; returns how long that took.
-async fn wait_until_replaced(
+pub async fn wait_until_replaced(
     system: &System,
     voters: u64,
     lost: &[usize],
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -307,6 +307,21 @@
         self.links[daemon].0
     }
 
+    /// Changes the controllers that a daemon's settings name as seeds. A daemon that runs is not
+    /// notified.
+    pub fn set_seeds(&self, daemon: usize, seeds: &[usize]) {
+        let path = &self.daemons[daemon].settings;
+        let text = std::fs::read_to_string(path).expect("settings can be read");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
+        settings["seeds"] = seeds.iter().map(|seed| json!(self.controllers[*seed])).collect();
+        std::fs::write(path, settings.to_string()).expect("settings can be written");
+    }
+
+    /// Kills these daemons.
+    pub fn kill_all(&mut self, daemons: &[usize]) {
+        daemons.iter().for_each(|index| self.daemons[*index].kill());
+    }
+
     /// Kills a controller.
     pub fn kill_controller(&mut self, index: usize) {
         self.daemons[index].kill();
