Let controllers say hello to the voters that their log names

What callers saw: requests of a removed route still run at gateways, after an acknowledged change, once the one controller that they knew had ended.

Cause: controllers find each other by seeds and by hellos. After a restart, a controller whose live seeds do not name the leader, and whom the leader's seeds do not name, was linked to it as a voter only. The log carries configurations, but neither views nor the state of workers; the gateways of that controller got configurations and learnt of no other controller. Class: contact that exists on one level and is taken for contact on another.

Now a controller says hello to each voter and to the leader that its log names. Hellos are mutual, and the leader sends its views to every controller that it knows.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::acquaintance::learn_voters;
 use crate::api::ControlHandler;
 use crate::core::{ControllerCore, ELECTION_TIME};
 use crate::fleet::FleetState;
@@ -84,6 +85,7 @@
         let (stop, stopped) = watch::channel(false);
         let handler = Arc::new(ControlHandler(Arc::clone(&core)));
         tokio::spawn(serve_http(listener, stopped, handler));
+        tokio::spawn(learn_voters(Arc::clone(&core)));
         tokio::spawn(send_hellos(Arc::clone(&core)));
         tokio::spawn(publish_updates(Arc::clone(&core)));
         tokio::spawn(push_deployments(Arc::clone(&core)));
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,7 @@
 //! - A configuration that a controller sends to gateways is committed, and is as new as what the
 //!   leader had committed, unless the controller is cut off from a majority of the voters.
 
+mod acquaintance;
 mod api;
 pub mod certainty;
 mod controller;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,7 +56,11 @@
         "Age of the leader's latest view; absent until a view is received. While it grows, the gateway \
          does not learn of newer configurations.",
     ),
-    ("gateway_controllers", "1", "Controllers that the gateway knows, including those that are gone."),
+    (
+        "gateway_controllers",
+        "1",
+        "Controllers that the gateway knows, including those that are gone.",
+    ),
     ("gateway_workers", "1", "Workers in the table, including departed ones."),
     (
         "gateway_configuration_reading_ms",
