Let controllers remember gateways and each other over restarts

Cause: a gateway finds controllers by its seeds and nobody looks for a gateway: controllers forget it 5 s after its last hello, and at once when they restart. Class: state by which daemons find each other that a restart loses.

It sends the controllers to each gateway that has been silent for 2 s, and a gateway takes the sender of any message for a controller. The book is a hint: a damaged or missing file changes nothing else. Connections to gateways that are forgotten end, where they were tried for as long as the process ran.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -15,8 +15,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use crate::acquaintance::learn_voters;
+use crate::acquaintance::{call_silent_gateways, learn_voters, load_contacts, store_contacts};
 use crate::api::ControlHandler;
+use crate::contacts::ContactBook;
 use crate::core::{ControllerCore, ELECTION_TIME};
 use crate::fleet::FleetState;
 use crate::metrics::ControllerMetrics;
@@ -86,6 +87,8 @@
         let handler = Arc::new(ControlHandler(Arc::clone(&core)));
         tokio::spawn(serve_http(listener, stopped, handler));
         tokio::spawn(learn_voters(Arc::clone(&core)));
+        tokio::spawn(call_silent_gateways(Arc::clone(&core)));
+        tokio::spawn(store_contacts(Arc::clone(&core), data.into()));
         tokio::spawn(send_hellos(Arc::clone(&core)));
         tokio::spawn(publish_updates(Arc::clone(&core)));
         tokio::spawn(push_deployments(Arc::clone(&core)));
@@ -119,6 +122,7 @@
     let applied = Arc::new(Notify::new());
     let log = start_log(&settings, data, &links, &applied)?;
     let now = Instant::now();
+    let record = load_contacts(data);
     let local = hollowbarrow_member::member_id(&settings.ip, settings.mesh_port);
     let fleet = Mutex::new(FleetState::new(&local, &settings.zone));
     Ok(ControllerCore {
@@ -133,6 +137,7 @@
         suspension: SuspensionDetector::new(),
         links,
         fleet,
+        contacts: Mutex::new(ContactBook::new(&record, now)),
         pending: Mutex::default(),
         limits: Mutex::default(),
         parsed: Mutex::new(None),
@@ -189,5 +194,7 @@
         }
     })?;
     let _ = core.links.set(links);
+    let known = core.contacts().to_record().controllers;
+    known.iter().for_each(|id| core.learn_controller(id));
     Ok(())
 }
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -16,6 +16,7 @@
 use crate::certainty::{
     CertaintyFacts, CertaintyHistory, ConfigCertainty, contact_age, hears_majority,
 };
+use crate::contacts::ContactBook;
 use crate::fleet::FleetState;
 use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::orders::WorkerEvent;
@@ -42,6 +43,8 @@
     pub(crate) suspension: SuspensionDetector,
     pub(crate) links: Arc<OnceLock<MemberLinks>>,
     pub(crate) fleet: Mutex<FleetState>,
+    /// Daemons that this controller has been in contact with.
+    pub(crate) contacts: Mutex<ContactBook>,
     pub(crate) pending: Mutex<PendingReports>,
     /// Limits of workers, and the permits that this controller issues while it leads.
     pub(crate) limits: Mutex<LimitCoordinator>,
@@ -61,6 +64,10 @@
         self.fleet.lock().expect("no holder of the lock panics")
     }
 
+    pub(crate) fn contacts(&self) -> MutexGuard<'_, ContactBook> {
+        self.contacts.lock().expect("no holder of the lock panics")
+    }
+
     pub(crate) fn pending(&self) -> MutexGuard<'_, PendingReports> {
         self.pending.lock().expect("no holder of the lock panics")
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,6 +17,8 @@
 mod acquaintance;
 mod api;
 pub mod certainty;
+pub mod contact_file;
+pub mod contacts;
 mod controller;
 mod core;
 pub mod delivery;
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -150,6 +150,7 @@
             if let Some(leader) = &hello.leader {
                 core.learn_controller(leader);
             }
+            core.contacts().hear_controller(from, now);
             core.fleet().record_controller(from, hello, now);
         }
         PeerMessage::Fleet(FleetMessage::View(view)) => {
@@ -192,6 +193,7 @@
 
 fn handle_gateway_hello(core: &ControllerCore, from: &DaemonId, hello: GatewayHello, now: Instant) {
     let reported = hello.deployment;
+    core.contacts().hear_gateway(from, now);
     let peers = {
         let mut fleet = core.fleet();
         fleet.record_gateway(from, hello, now);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -116,12 +116,15 @@
     message: PeerMessage,
 ) {
     let PeerMessage::Fleet(message) = message else { return };
+    // Only controllers send messages to gateways.
+    learn_controllers(links, [from]);
     match message {
         FleetMessage::Workers(reports) => core.picker().merge(reports, Instant::now()),
         FleetMessage::View(view) => {
             learn_controllers(links, view.controllers.iter().map(|place| &place.id));
             core.apply_view(from, &view, Instant::now());
         }
+        FleetMessage::Controllers(known) => learn_controllers(links, &known),
         FleetMessage::Deployment(document) => install_configuration(core, from, &document),
         FleetMessage::Withdrawal(withdrawal) => {
             if core.withdraw_routes(withdrawal.version) {
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -279,6 +279,12 @@
         self.push(to, |queue| queue.push_newest(message.clone()))
     }
 
+    /// Drops what is queued for a peer and closes the connection to it. The next message opens another
+    /// one.
+    pub fn forget(&self, peer: &DaemonId) {
+        self.dialers.lock().expect("no holder of the lock panics").remove(peer);
+    }
+
     fn push(&self, to: &DaemonId, push: impl FnOnce(&PeerQueue) -> bool) -> bool {
         let Some(address) = self.config.address_of(to) else { return false };
         let mut dialers = self.dialers.lock().expect("no holder of the lock panics");
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -441,3 +441,38 @@
         }
     });
 }
+
+/// Guards against connections that are tried for as long as the process runs, to daemons that are gone.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn forget_ends_attempts_to_connect() {
+    let (one, two) = (DaemonId::from("one"), DaemonId::from("two"));
+    let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = gone.local_addr().expect("a bound listener has an address");
+    let attempts = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&attempts);
+    tokio::spawn(async move {
+        while gone.accept().await.is_ok() {
+            counted.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    let pause = Duration::from_millis(10);
+    let config = MeshConfig::new(&one, &[KEY.to_owned()]).with_peer(&two, address);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let config = config.with_backoff(pause, pause);
+    let mesh = PeerMesh::start(config, listener, |_, _| {}).expect("the mesh starts");
+    let wait_for_attempts = async |number: usize| {
+        while attempts.load(Ordering::SeqCst) < number {
+            tokio::time::sleep(pause).await;
+        }
+    };
+    mesh.send(&two, &message(1));
+    wait_for_attempts(3).await;
+    mesh.forget(&two);
+    tokio::time::sleep(30 * pause).await;
+    let after = attempts.load(Ordering::SeqCst);
+    tokio::time::sleep(30 * pause).await;
+    assert_eq!(attempts.load(Ordering::SeqCst), after, "a forgotten peer is not connected to");
+    mesh.send(&two, &message(2));
+    wait_for_attempts(after + 1).await;
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -588,6 +588,29 @@
         Self::SetQuota(value)
     }
 }
+///Daemons that a controller has been in contact with, as stored in its data folder.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ContactRecord {
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub controllers: ::std::vec::Vec<DaemonId>,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub gateways: ::std::vec::Vec<DaemonId>,
+}
+impl ::std::convert::From<&ContactRecord> for ContactRecord {
+    fn from(value: &ContactRecord) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for ContactRecord {
+    fn default() -> Self {
+        Self {
+            controllers: Default::default(),
+            gateways: Default::default(),
+        }
+    }
+}
 ///Digest of a content by which requests that crash upstreams are recognised: of a whole request, as its caller sends it again (organisation, method, host, target and body), or of one part of a prompt for one model.
 ///
 #[derive(
@@ -1250,6 +1273,8 @@
     Controller(ControllerHello),
     #[serde(rename = "view")]
     View(FleetView),
+    #[serde(rename = "controllers")]
+    Controllers(::std::vec::Vec<DaemonId>),
     #[serde(rename = "peers")]
     Peers(::std::vec::Vec<GatewayPlace>),
     #[serde(rename = "permit_ask")]
@@ -1283,6 +1308,11 @@
         Self::View(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<DaemonId>> for FleetMessage {
+    fn from(value: ::std::vec::Vec<DaemonId>) -> Self {
+        Self::Controllers(value)
+    }
+}
 impl ::std::convert::From<::std::vec::Vec<GatewayPlace>> for FleetMessage {
     fn from(value: ::std::vec::Vec<GatewayPlace>) -> Self {
         Self::Peers(value)
