Read the seeds in the settings file again while daemons run

What callers saw: a gateway whose settings named only controllers that did not run answered 503 also after the platform had corrected the file.

Cause: settings were read at the start only, though the platform may rewrite them at any time, with or without a signal.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -9,7 +9,7 @@
 use hollowbarrow_member::{
     MemberLinks, StartLinksError, SuspensionDetector, serve_http, serve_metrics,
 };
-use hollowbarrow_schema::{EntryPayload, MemberSettings};
+use hollowbarrow_schema::{DaemonId, EntryPayload, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
@@ -101,6 +101,11 @@
         Ok(Self { core, stop })
     }
 
+    /// Replaces the controllers that the settings name as seeds.
+    pub fn replace_seeds(&self, seeds: Vec<DaemonId>) {
+        self.core.links().replace_seeds(seeds);
+    }
+
     /// Shuts down gracefully: hands leadership over, stops the listener and the log, and returns.
     pub async fn stop(&self) {
         log::info!("event=stopping");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -89,6 +89,13 @@
         Ok(Self { core, stop })
     }
 
+    /// Replaces the controllers that the settings name as seeds.
+    pub fn replace_seeds(&self, seeds: Vec<DaemonId>) {
+        if let Some(links) = self.core.links.get() {
+            links.replace_seeds(seeds);
+        }
+    }
+
     /// Stops gracefully: reports not ready, serves until load balancers have noticed that, and
     /// returns when the answers to all requests are written or the stop time is over.
     pub async fn stop(&self) {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! The id of a daemon is the address under which other daemons reach it, so
 //! that a message can be sent to any id that was received. Daemons discover
-//! each other from a few seeds and from the ids in later messages.
+//! each other from a few seeds, which the platform may change while they run, and from the ids in
+//! later messages.
 //!
 //! Invariant: a message to another daemon may be lost; the sender repeats all
 //! state that matters.
@@ -12,6 +13,7 @@
 mod links;
 mod metrics;
 mod overload;
+mod seeds;
 mod settings;
 mod suspension;
 mod used_connections;
@@ -20,6 +22,7 @@
 pub use links::{EncodedDeployment, MemberLinks, StartLinksError};
 pub use metrics::serve_metrics;
 pub use overload::{ConnectionLimiter, OpenConnection};
+pub use seeds::follow_seeds;
 pub use settings::{member_id, read_member_settings, seed_ids};
 pub use suspension::{BootClock, SuspensionClock, SuspensionDetector};
 pub use used_connections::{UsedConnection, UsedConnections};
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -68,7 +68,7 @@
 pub struct MemberLinks {
     id: DaemonId,
     mesh: PeerMesh,
-    seeds: Vec<DaemonId>,
+    seeds: Mutex<Vec<DaemonId>>,
     controllers: Mutex<BTreeSet<DaemonId>>,
 }
 
@@ -119,7 +119,7 @@
             config = config.with_source(ip);
         }
         let mesh = start(config, listener)?;
-        let seeds: Vec<DaemonId> = seed_ids(settings);
+        let seeds = Mutex::new(seed_ids(settings));
         Ok(Self { id, mesh, seeds, controllers: Mutex::default() })
     }
 
@@ -128,16 +128,17 @@
         &self.id
     }
 
-    /// Returns the daemons that the settings name as seeds.
-    pub fn seeds(&self) -> &[DaemonId] {
-        &self.seeds
+    /// Replaces the daemons that the settings name as seeds.
+    pub fn replace_seeds(&self, seeds: Vec<DaemonId>) {
+        *self.seeds.lock().expect("no holder of the lock panics") = seeds;
     }
 
     /// Returns the learned controllers followed by the seeds, without duplicates and without this
     /// daemon.
     pub fn controllers(&self) -> Vec<DaemonId> {
         let known = self.lock();
-        let all = known.iter().chain(self.seeds.iter().filter(|seed| !known.contains(*seed)));
+        let seeds = self.seeds.lock().expect("no holder of the lock panics");
+        let all = known.iter().chain(seeds.iter().filter(|seed| !known.contains(*seed)));
         all.filter(|id| **id != self.id).cloned().collect()
     }
 
--- a/src/commands/member.rs
+++ b/src/commands/member.rs
@@ -6,7 +6,7 @@
 use clap::{Arg, ArgMatches, Command};
 use hollowbarrow_controller::Controller;
 use hollowbarrow_gateway::Gateway;
-use hollowbarrow_member::read_member_settings;
+use hollowbarrow_member::{follow_seeds, read_member_settings, seed_ids};
 use hollowbarrow_platform::{PlatformControl, PlatformRequests};
 use hollowbarrow_schema::MemberSettings;
 use hollowbarrow_telemetry::start_logging;
@@ -47,11 +47,15 @@
 }
 
 pub(crate) fn run_gateway(arguments: &ArgMatches) -> CommandResult {
-    let settings = load_member_settings(text(arguments, "settings"))?;
+    let path = text(arguments, "settings");
+    let settings = load_member_settings(path)?;
+    let seeds = seed_ids(&settings);
     let logger = start_logging(text(arguments, "log")).context("cannot start logging")?;
     start_runtime()?.block_on(async {
         let protocol = Arc::new(PlatformRequests::new());
-        let gateway = Gateway::start(settings, protocol).context("cannot start")?;
+        let gateway = Arc::new(Gateway::start(settings, protocol).context("cannot start")?);
+        let changed = Arc::clone(&gateway);
+        tokio::spawn(follow_seeds(path.into(), seeds, move |seeds| changed.replace_seeds(seeds)));
         wait_for_signal().await.context("cannot wait for signals")?;
         gateway.stop().await;
         anyhow::Ok(())
@@ -61,11 +65,15 @@
 }
 
 pub(crate) fn run_controller(arguments: &ArgMatches) -> CommandResult {
-    let settings = load_member_settings(text(arguments, "settings"))?;
+    let path = text(arguments, "settings");
+    let settings = load_member_settings(path)?;
+    let seeds = seed_ids(&settings);
     let logger = start_logging(text(arguments, "log")).context("cannot start logging")?;
     start_runtime()?.block_on(async {
         let protocol = Arc::new(PlatformControl::new());
-        let controller = Controller::start(settings, protocol).context("cannot start")?;
+        let controller = Arc::new(Controller::start(settings, protocol).context("cannot start")?);
+        let changed = Arc::clone(&controller);
+        tokio::spawn(follow_seeds(path.into(), seeds, move |seeds| changed.replace_seeds(seeds)));
         wait_for_signal().await.context("cannot wait for signals")?;
         controller.stop().await;
         anyhow::Ok(())
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -46,8 +46,8 @@
     Ok(())
 }
 
-/// Waits for SIGTERM or SIGINT. SIGHUP is only logged: settings are not read again, because what
-/// can change at run time comes from other daemons.
+/// Waits for SIGTERM or SIGINT. SIGHUP is only logged: what can change at run time comes from other
+/// daemons, except for the seeds of gateways and controllers, which are read again without a signal.
 pub(crate) async fn wait_for_signal() -> std::io::Result<()> {
     let mut reload = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
--- a/tests/platform/seeds.rs
+++ b/tests/platform/seeds.rs
@@ -143,3 +143,26 @@
         assert!(follows, "gateway {gateway} follows an older version: {}", system.logs());
     }
 }
+
+/// Guards against daemons that keep the seeds of their start: a gateway whose settings named only
+/// controllers that never ran found none after its settings had been corrected.
+#[rstest]
+#[tokio::test]
+async fn gateway_served_after_seeds_are_corrected() {
+    let spares = SUCCESSORS.len();
+    let layout = Layout { spares, gateways: 2, ..Layout::with_controllers(6, 1) };
+    let mut system = System::start_with(124, layout);
+    system.kill_all(&GATEWAYS[..1]);
+    system.set_seeds(GATEWAYS[0], &SUCCESSORS);
+    let fleet = Fleet::new(system.controllers.clone());
+    let _worker = Worker::start(&fleet, "p0", "bookings", false);
+    system.lose_power_of(&GATEWAYS[..1], &[]);
+    assert_eq!(system.replace(&configuration(FIRST_VERSION)).await, 200);
+    system.call_gateway_until_served(1, "/hold/1", "other").await;
+    tokio::time::sleep(CONTACT_TIME).await;
+    assert_eq!(system.version_at(0).await, 0, "the gateway knows a controller: {}", system.logs());
+    system.set_seeds(GATEWAYS[0], &SEEDS);
+    let limit = CONTACT_TIME + APPLY_TIME;
+    let found = has_version(&system, 0, FIRST_VERSION, limit).await;
+    assert!(found, "the gateway finds no controller: {}", system.logs());
+}
