Bound what an upstream's bytes without end cost

What callers saw: requests that waited until their deadline while their worker sent informational answers, or digits of a chunk's size, without end; gateways and entry daemons read them at full speed meanwhile, by a whole core in the tests, and sound requests beside them were late.

Cause: only the content of bodies was bounded, by 8 MiB for each answer and without a limit for all of them together. HTTP/1.1 has room for bytes without end in more places, and content in chunks of one byte took several times its size, since each frame kept a read buffer.

Now the bytes of a connection are set against the content that they carry: 256 KiB and three bytes for each byte of content, then it is closed. This needs no list of places. Whole answers are read into one buffer, heads have 64 KiB, and all answers that are read at once share 32 MiB beyond 64 KiB each; where that is used up, the one with more than its share fails.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,7 +18,7 @@
     DaemonId, FleetMessage, LogMessage, LogName, PeerMessage, Settings, StartId, ZoneId, ZoneTable,
 };
 use hollowbarrow_state::{ClaimState, ConfigState};
-use hollowbarrow_upstream::{HttpEngine, UpstreamClient};
+use hollowbarrow_upstream::{AnswerBudget, HttpEngine, UpstreamClient};
 use hollowbarrow_zone::{AuthorityConfig, AuthorityMember, TableStore};
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
@@ -40,6 +40,8 @@
 use crate::zone_authority::{handle_authority_message, with_authority};
 use crate::zone_control::control_zones;
 
+/// Number of answers of the longest length for which there is memory at the same time.
+const LONGEST_ANSWERS_AT_ONCE: usize = 2;
 /// Largest number of prompt blocks for which the picker records the upstreams that cache them.
 const PREFIX_BLOCKS: usize = 65_536;
 /// Length of the queue of callers' connections that wait to be accepted.
@@ -275,7 +277,9 @@
         path: settings.trace_file.clone().unwrap_or_default(),
         source,
     })?;
-    let client = UpstreamClient::new();
+    let answer_bytes = usize::try_from(settings.limits.answer_bytes).unwrap_or(usize::MAX);
+    let budget = AnswerBudget::new(answer_bytes.saturating_mul(LONGEST_ANSWERS_AT_ONCE));
+    let client = UpstreamClient::new().with_answer_budget(budget);
     let reach = new_reach(&settings, &client, &telemetry);
     let limits = QueueLimits { slots: settings.limits.streams, waiting: settings.limits.queue };
     Ok(DaemonCore {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -12,8 +12,8 @@
 use hollowbarrow_reach::{InstanceProbe, UpstreamTarget};
 use hollowbarrow_routing::DuplicateTicket;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_upstream::{EventParser, SentAnswer, StreamChunk, parse_chunk};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hollowbarrow_upstream::{EventParser, ReadBodyError, SentAnswer, StreamChunk, parse_chunk};
+use http_body_util::BodyExt;
 use hyper::Response;
 use serde_json::Value;
 use tokio::time::Instant;
@@ -264,14 +264,18 @@
         .and_then(|kind| kind.to_str().ok())
         .unwrap_or("application/octet-stream")
         .to_owned();
-    let reading = Limited::new(body, limit).collect();
+    let reading = body.read_within(limit);
     let body = match tokio::time::timeout_at(request.deadline, reading).await {
         Err(_) => return Err(AttemptUpstreamError::DeadlinePassed { sent: true }),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Err(ReadBodyError::TooLong)) => {
             return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is too long", tokens: 0 });
         }
+        Ok(Err(ReadBodyError::OverBudget(_))) => {
+            let reason = "it is too long beside the others that are read";
+            return Err(AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 });
+        }
         Ok(Err(_)) => return Err(to_lost_error(&lease, 0)),
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     if let Some(unframed) = unframed
         && !unframed.is_complete(core, request, body.len()).await
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,10 +17,9 @@
 use hollowbarrow_member::{AnswerBody, HttpAnswer, TruncatedAnswerError};
 use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_upstream::{ConnectionLease, SentAnswer};
+use hollowbarrow_upstream::{ConnectionLease, SentAnswer, UpstreamBody};
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::attempt::{
@@ -43,7 +42,7 @@
 
 /// A worker's stream that is currently read.
 struct OpenStream {
-    body: Incoming,
+    body: UpstreamBody,
     lease: ConnectionLease,
     attempt: WorkerAttempt,
     splitter: EventSplitter,
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -6,8 +6,7 @@
 use hollowbarrow_member::{AnswerBody, HttpAnswer};
 use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
-use hollowbarrow_upstream::{ConnectionLease, SentAnswer, is_hop_header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hollowbarrow_upstream::{ConnectionLease, ReadBodyError, SentAnswer, is_hop_header};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::Instant;
@@ -166,14 +165,18 @@
 ) -> Result<BufferedAnswer, AttemptUpstreamError> {
     let SentAnswer { status, headers, body, framed, lease } = answer;
     let unframed = (!framed).then(|| UnframedAnswer::new(core, request, worker));
-    let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let reading = body.read_within(MAX_ANSWER_BYTES);
     let body = match tokio::time::timeout_at(request.deadline(), reading).await {
         Err(_) => return Err(AttemptUpstreamError::DeadlinePassed { sent: true }),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Err(ReadBodyError::TooLong)) => {
             return Err(AttemptUpstreamError::BrokenAnswer { reason: "it is too long", tokens: 0 });
         }
+        Ok(Err(ReadBodyError::OverBudget(_))) => {
+            let reason = "it is too long beside the others that are read";
+            return Err(AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 });
+        }
         Ok(Err(_)) => return Err(lost(&lease)),
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     if let Some(unframed) = unframed
         && !unframed.is_complete(core, request, body.len(), history.check_limit(request)).await
--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -19,6 +19,7 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use hollowbarrow_upstream::{MAX_HEAD_BYTES, MeteredStream};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1 as client;
@@ -257,8 +258,10 @@
         _ => return Err(CallError::Unreached),
     };
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) =
-        client::handshake(TokioIo::new(stream)).await.map_err(|_| CallError::Unreached)?;
+    let stream = TokioIo::new(MeteredStream::new(stream));
+    let mut builder = client::Builder::new();
+    let handshake = builder.max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
+    let (mut sender, connection) = handshake.map_err(|_| CallError::Unreached)?;
     let driver = tokio::spawn(async move {
         // `send_request` returns the error as well.
         let _ = connection.await;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -22,7 +22,7 @@
 pub use cluster::{CALLER_KEY, Cluster, ClusterConfig, OPERATOR_KEY};
 pub use fleet::{FleetConfig, StandinFleet};
 pub use join::join_all;
-pub use model::{CRASHING_PROMPT, ModelConfig, expected_token};
+pub use model::{CRASHING_PROMPT, ENDLESS_PROMPT, ModelConfig, expected_token};
 pub use proxy::{FaultMode, FaultProxy, LinkProxy};
 pub use raw::{RawAnswer, RawEnd, RawHandler, RawRequest, RawUpstream};
 pub use record::{RunHistory, RunRecord};
--- a/crates/testkit/src/model.rs
+++ b/crates/testkit/src/model.rs
@@ -33,6 +33,10 @@
 
 /// Prompt that crashes each model worker that starts to run it.
 pub const CRASHING_PROMPT: &str = "end the worker";
+/// Prompt whose first stream gets stuck within an event that never ends.
+pub const ENDLESS_PROMPT: &str = "send without end";
+/// Pause between two bytes of such an event.
+const ENDLESS_PAUSE: Duration = Duration::from_millis(20);
 
 /// Timing and limits of a stand-in model worker.
 #[derive(Clone, Debug)]
@@ -354,6 +358,9 @@
                 let _ = sender.send(Err(TruncatedBody)).await;
                 return;
             }
+            if job.prompt.contains(ENDLESS_PROMPT) && job.resume_from == 0 && index > 0 {
+                return send_endless_event(&sender).await;
+            }
             let text = expected_token(&job.prompt, index);
             let chunk = json!({
                 "id": job.request_id,
@@ -388,6 +395,15 @@
     }
 }
 
+/// Sends an event that never ends, until the connection is closed.
+async fn send_endless_event(sender: &ChunkSender) {
+    let mut bytes = "data: ";
+    while sender.send(Ok(Bytes::from(bytes))).await.is_ok() {
+        bytes = "x";
+        tokio::time::sleep(ENDLESS_PAUSE).await;
+    }
+}
+
 /// Counts a request as part of the batch until it is dropped.
 struct BatchGuard {
     node: Arc<ModelNode>,
--- a/crates/testkit/src/raw.rs
+++ b/crates/testkit/src/raw.rs
@@ -1,7 +1,7 @@
 //! A stand-in upstream that writes its answers byte by byte, and whose process can end within one.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -11,6 +11,8 @@
 
 /// Largest request that is read.
 const MAX_REQUEST_BYTES: usize = 64 << 10;
+/// Bytes that are written at once where they have no end.
+const ENDLESS_BLOCK_BYTES: usize = 16 << 10;
 /// Pause between two looks at whether the process stands still.
 const STILL_POLL: Duration = Duration::from_millis(5);
 
@@ -56,6 +58,9 @@
     CloseAndExit(Duration),
     /// It closes the connection in order, and the process stands still from then on.
     CloseAndStandStill,
+    /// It sends these bytes over and over again, with a pause after each time or as fast as they are
+    /// taken, until the connection is closed.
+    Endless(&'static str, Option<Duration>),
 }
 
 /// An answer of a raw upstream.
@@ -94,6 +99,8 @@
 struct RawProcess {
     connections: Mutex<Vec<AbortHandle>>,
     stands_still: AtomicBool,
+    /// Connections on which bytes are sent without end.
+    endless: AtomicUsize,
     accepting: Mutex<Option<AbortHandle>>,
 }
 
@@ -138,6 +145,11 @@
         self.address
     }
 
+    /// Returns on how many connections bytes are sent without end.
+    pub fn endless_connections(&self) -> usize {
+        self.process.endless.load(Ordering::Relaxed)
+    }
+
     /// Ends the process: its listener and its connections are closed.
     pub fn terminate(&self) {
         self.process.close_listener();
@@ -197,6 +209,12 @@
                 process.stands_still.store(true, Ordering::Relaxed);
                 return;
             }
+            RawEnd::Endless(unit, pause) => {
+                process.endless.fetch_add(1, Ordering::Relaxed);
+                send_endless(&mut stream, unit, pause).await;
+                process.endless.fetch_sub(1, Ordering::Relaxed);
+                return;
+            }
             RawEnd::CloseAndExit(after) => {
                 drop(stream);
                 tokio::time::sleep(after).await;
@@ -208,6 +226,19 @@
     }
 }
 
+/// Sends bytes over and over again until the connection is closed.
+async fn send_endless(stream: &mut TcpStream, unit: &str, pause: Option<Duration>) {
+    let block = match pause {
+        Some(_) => unit.as_bytes().to_vec(),
+        None => unit.as_bytes().repeat(ENDLESS_BLOCK_BYTES / unit.len()),
+    };
+    while stream.write_all(&block).await.is_ok() {
+        if let Some(pause) = pause {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
 /// Reads a request; `None` at the end of the connection.
 async fn read_request(stream: &mut TcpStream) -> Option<RawRequest> {
     let mut bytes = Vec::new();
--- a/crates/upstream/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams that run no request.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use tokio::time::Instant;
@@ -51,12 +51,12 @@
             return Err(SendRequestError::OtherRequest(id));
         }
         lease.record_head(&parts.headers, &body);
-        let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let reading = lease.bound_body(body).read_within(MAX_ANSWER_BYTES);
         let body = tokio::time::timeout_at(deadline, reading).await;
         let body = body.map_err(|_| SendRequestError::Timeout)?;
         let body = body.map_err(|error| SendRequestError::NoAnswer(error.to_string()))?;
         lease.give_back();
-        Ok(CallAnswer { status: parts.status, body: body.to_bytes() })
+        Ok(CallAnswer { status: parts.status, body })
     }
 }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -23,6 +23,10 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
+use crate::answer_budget::AnswerBudget;
+use crate::body::UpstreamBody;
+use crate::meter::{AnswerMeter, MAX_HEAD_BYTES, MeteredStream};
+
 /// Maximum number of idle connections kept for one upstream.
 const IDLE_PER_UPSTREAM: usize = 32;
 /// Maximum idle time of a connection if the upstream does not state one.
@@ -116,7 +120,7 @@
     /// Answer headers.
     pub headers: HeaderMap,
     /// Body that has not been read yet.
-    pub body: Incoming,
+    pub body: UpstreamBody,
     /// Whether a length, chunks or the absence of a body show where the answer ends. The end of its
     /// connection is the end of any other answer, also where the upstream terminates within it.
     pub framed: bool,
@@ -146,6 +150,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    meter: Arc<AnswerMeter>,
     carrier: Carrier,
     since: Instant,
     /// Keep-alive timeout that the upstream stated, if any.
@@ -189,6 +194,7 @@
     idle: Arc<Mutex<IdleConnections>>,
     identity: RequestIdentity,
     first_connect_timeout: Duration,
+    budget: AnswerBudget,
     /// Local IP address of connections; none lets the kernel choose.
     source: Option<IpAddr>,
 }
@@ -200,6 +206,7 @@
             idle: Arc::default(),
             identity: RequestIdentity { header, required: false },
             first_connect_timeout: CONNECT_TIMEOUT,
+            budget: AnswerBudget::default(),
             source: None,
         }
     }
@@ -211,6 +218,7 @@
     client: UpstreamClient,
     address: SocketAddr,
     sender: Sender,
+    meter: Arc<AnswerMeter>,
     carrier: Carrier,
     reused: bool,
     keep_alive: Option<Duration>,
@@ -265,6 +273,7 @@
         message: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendRequestError> {
+        self.meter.reset();
         let answer = tokio::time::timeout_at(deadline, self.sender.try_send_request(message));
         match answer.await {
             Err(_) => Err(SendRequestError::Timeout),
@@ -292,11 +301,16 @@
         framed
     }
 
+    /// Returns the body of the answer on this connection, bounded in memory.
+    pub(crate) fn bound_body(&self, body: Incoming) -> UpstreamBody {
+        UpstreamBody::new(body, Arc::clone(&self.meter), self.client.budget.begin())
+    }
+
     /// Reads a short, unneeded answer body to its end in the background, then returns the connection
     /// to the pool. A body that is too long or too slow closes the connection.
-    pub fn give_back_after(self, body: Incoming) {
+    pub fn give_back_after(self, body: UpstreamBody) {
         tokio::spawn(async move {
-            let reading = Limited::new(body, SHORT_ANSWER_BYTES).collect();
+            let reading = body.read_within(SHORT_ANSWER_BYTES);
             if let Ok(Ok(_)) = tokio::time::timeout(CONNECT_TIMEOUT, reading).await {
                 self.give_back();
             }
@@ -312,8 +326,8 @@
         let kept = idle.by_address.entry(self.address).or_default();
         if kept.len() < self.max_idle {
             let since = Instant::now();
-            let Self { sender, carrier, keep_alive, answered, .. } = self;
-            kept.push(IdleConnection { sender, carrier, since, keep_alive, answered });
+            let Self { sender, meter, carrier, keep_alive, answered, .. } = self;
+            kept.push(IdleConnection { sender, meter, carrier, since, keep_alive, answered });
         }
     }
 }
@@ -336,6 +350,12 @@
         self
     }
 
+    /// Sets the memory for answers that are read at the same time.
+    pub fn with_answer_budget(mut self, budget: AnswerBudget) -> Self {
+        self.budget = budget;
+        self
+    }
+
     /// Identifies requests by the given header, which every answer must return.
     pub fn with_identity(mut self, header: HeaderName) -> Self {
         self.identity = RequestIdentity { header, required: true };
@@ -467,20 +487,30 @@
         stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         carrier: Carrier,
     ) -> Result<ConnectionLease, SendRequestError> {
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let meter = Arc::<AnswerMeter>::default();
+        let stream = MeteredStream::with_meter(stream, Arc::clone(&meter));
+        let mut builder = http1::Builder::new();
+        let handshake = builder.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendRequestError::Connect(address))?;
         tokio::spawn(async move {
             // The future of the request returns the error as well.
             let _ = connection.await;
         });
-        Ok(self.lease(address, sender, carrier))
+        Ok(self.lease(address, sender, meter, carrier))
     }
 
-    fn lease(&self, address: SocketAddr, sender: Sender, carrier: Carrier) -> ConnectionLease {
+    fn lease(
+        &self,
+        address: SocketAddr,
+        sender: Sender,
+        meter: Arc<AnswerMeter>,
+        carrier: Carrier,
+    ) -> ConnectionLease {
         ConnectionLease {
             client: self.clone(),
             address,
             sender,
+            meter,
             carrier,
             reused: false,
             keep_alive: None,
@@ -491,8 +521,8 @@
     }
 
     fn lease_kept(&self, address: SocketAddr, kept: IdleConnection) -> ConnectionLease {
-        let IdleConnection { sender, carrier, answered, .. } = kept;
-        ConnectionLease { reused: true, answered, ..self.lease(address, sender, carrier) }
+        let IdleConnection { sender, meter, carrier, answered, .. } = kept;
+        ConnectionLease { reused: true, answered, ..self.lease(address, sender, meter, carrier) }
     }
 
     /// Takes a pooled connection or opens one, so that the caller can make its last decisions
@@ -573,6 +603,7 @@
         return Err(SendRequestError::OtherRequest(named.unwrap_or_default()));
     }
     let framed = lease.record_head(&parts.headers, &body);
+    let body = lease.bound_body(body);
     Ok(SentAnswer { status: parts.status, headers: parts.headers, body, framed, lease })
 }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use hollowbarrow_schema::{FencedOrder, NodeReport, OrderRefusal};
-use http_body_util::{BodyExt, Limited};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 use thiserror::Error;
@@ -90,12 +89,10 @@
         let exchange = async {
             let lease = self.client.prepare(address, request.reuse).await?;
             let answer = self.client.send(lease, &request, deadline).await?;
-            let body = Limited::new(answer.body, MAX_REPORT_BYTES)
-                .collect()
-                .await
-                .map_err(|error| SendRequestError::NoAnswer(error.to_string()))?;
+            let body = answer.body.read_within(MAX_REPORT_BYTES).await;
+            let body = body.map_err(|error| SendRequestError::NoAnswer(error.to_string()))?;
             answer.lease.give_back();
-            Ok((answer.status, body.to_bytes()))
+            Ok((answer.status, body))
         };
         tokio::time::timeout_at(deadline, exchange).await.map_err(|_| SendRequestError::Timeout)?
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod crashing_request;
 mod crashing_while_waiting;
+mod endless;
 mod groups;
 mod ingress;
 mod isolation;
--- a/tests/all/raw_nodes.rs
+++ b/tests/all/raw_nodes.rs
@@ -29,6 +29,20 @@
     Long(usize),
     /// The first node that is asked sends this much, and holds the connection.
     Part(&'static str),
+    /// All send these bytes, and then the second ones without end, to requests with the key
+    /// [`ENDLESS_KEY`]. The others are answered without a length.
+    Endless(&'static str, &'static str),
+    /// All answer, and send their reports like that.
+    EndlessReports(&'static str, &'static str),
+}
+
+/// Key of the requests to which bytes are sent without end.
+pub const ENDLESS_KEY: &str = "endless";
+
+/// Returns an answer that goes on without end.
+fn endless(first: &str, unit: &'static str) -> RawAnswer {
+    let bytes = first.as_bytes().to_vec();
+    RawAnswer { bytes, end: RawEnd::Endless(unit, None), rest: Vec::new() }
 }
 
 /// What the raw nodes share.
@@ -42,10 +56,13 @@
 impl RawNodes {
     fn run(&self, node: &NodeId, request: &RawRequest) -> RawAnswer {
         let key = request.header("idempotency-key").to_owned();
-        *self.runs.lock().expect("not poisoned").entry(key).or_default() += 1;
+        *self.runs.lock().expect("not poisoned").entry(key.clone()).or_default() += 1;
         let head = "200 OK\r\ncontent-type: text/plain\r\n";
         let part = match *self.plan.lock().expect("not poisoned") {
-            Plan::Whole => return RawAnswer::unframed(head, WHOLE, RawEnd::Close),
+            Plan::Endless(first, unit) if key == ENDLESS_KEY => return endless(first, unit),
+            Plan::Whole | Plan::Endless(..) | Plan::EndlessReports(..) => {
+                return RawAnswer::unframed(head, WHOLE, RawEnd::Close);
+            }
             Plan::Long(bytes) => return RawAnswer::framed(head, &"x".repeat(bytes)),
             Plan::Part(part) => part,
         };
@@ -69,6 +86,10 @@
         if request.target != "/hollowbarrow/v1/report" {
             return nodes.run(&node, request);
         }
+        let plan = *nodes.plan.lock().expect("not poisoned");
+        if let Plan::EndlessReports(first, unit) = plan {
+            return endless(first, unit);
+        }
         let report = json!({"node": *node, "start": start, "epoch": 0, "state": "ready"});
         RawAnswer::framed("200 OK\r\ncontent-type: application/json\r\n", &report.to_string())
     })
--- a/tests/all/requests.rs
+++ b/tests/all/requests.rs
@@ -26,7 +26,7 @@
         .await
 }
 
-fn is_expected_answer(reply: &CallReply, prompt: &str, count: u32) -> bool {
+pub fn is_expected_answer(reply: &CallReply, prompt: &str, count: u32) -> bool {
     let messages = json!([{"role": "user", "content": prompt}]).to_string();
     let (tokens, done) = reply.tokens();
     let expected: Vec<String> = (0..count).map(|n| expected_token(&messages, n)).collect();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod crashing_request;
 mod disturbance;
 mod duplicates;
+mod endless;
 mod false_crashes;
 mod first_start;
 mod fleet;
--- a/tests/platform/raw_worker.rs
+++ b/tests/platform/raw_worker.rs
@@ -33,6 +33,9 @@
 /// Answers of a service with a length, which the retry budget and idle connections need.
 const FRAMED_REQUESTS: usize = 20;
 
+/// Events of a stream before the one without end.
+const FIRST_EVENTS: u64 = 3;
+
 /// Number of concurrent requests that open connections to all workers.
 const IDLE_CONNECTIONS: usize = 12;
 
@@ -50,8 +53,38 @@
     Part(usize),
     /// The same with a stream and so many of its events.
     Events(u64),
+    /// All workers send bytes without end to requests whose id begins with [`ENDLESS`]; the others are
+    /// answered with a length.
+    Endless(EndlessPart),
+    /// The first worker that is asked sends a few events, and then bytes of another one without end.
+    EndlessEvent(&'static str, Option<Duration>),
 }
 
+/// An answer within or after which bytes have no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndlessPart {
+    /// Whether the status line and the headers that name the request come first.
+    pub headed: bool,
+    /// What precedes the bytes without end.
+    pub first: &'static str,
+    /// The bytes that come over and over again, with this pause.
+    pub unit: &'static str,
+    pub pause: Option<Duration>,
+    /// Whether calls that run nothing are answered so too.
+    pub calls: bool,
+}
+
+impl EndlessPart {
+    fn answer(&self, head: &str) -> RawAnswer {
+        let head = if self.headed { format!("HTTP/1.1 {head}") } else { String::new() };
+        let bytes = format!("{head}{}", self.first).into_bytes();
+        RawAnswer { bytes, end: RawEnd::Endless(self.unit, self.pause), rest: Vec::new() }
+    }
+}
+
+/// Beginning of the ids of requests to which bytes are sent without end.
+pub const ENDLESS: &str = "endless";
+
 /// What the workers of a test share.
 pub struct RawFleet {
     controllers: Vec<String>,
@@ -105,6 +138,17 @@
                 RawAnswer::unframed(&head, &body[..bytes], RawEnd::Hold)
             }
             AnswerPlan::Part(_) => RawAnswer::unframed(&head, &body, RawEnd::Close),
+            AnswerPlan::Endless(part) if request.starts_with(ENDLESS) => part.answer(&head),
+            AnswerPlan::Endless(_) => RawAnswer::framed(&head, &events_between(0, EVENTS)),
+            AnswerPlan::EndlessEvent(unit, pause) => {
+                let head = format!("{head}content-type: text/event-stream\r\n");
+                let after: u64 = asked.header("last-event-id").parse().unwrap_or_default();
+                if self.holds(worker) {
+                    let end = RawEnd::Endless(unit, pause);
+                    return RawAnswer::unframed(&head, &events_between(0, FIRST_EVENTS), end);
+                }
+                RawAnswer::framed(&head, &events_between(after, EVENTS))
+            }
             AnswerPlan::Events(events) => {
                 let head = format!("{head}content-type: text/event-stream\r\n");
                 let after: u64 = asked.header("last-event-id").parse().unwrap_or_default();
@@ -116,6 +160,14 @@
         }
     }
 
+    /// Returns the answer to a call that runs nothing.
+    fn answer_call(&self) -> RawAnswer {
+        match *self.plan.lock().expect("not poisoned") {
+            AnswerPlan::Endless(part) if part.calls => part.answer("200 OK\r\n"),
+            _ => RawAnswer::framed("200 OK\r\n", "{}"),
+        }
+    }
+
     /// Returns whether a worker is the first that is asked, which holds its answer.
     fn holds(&self, worker: &str) -> bool {
         let mut holder = self.holder.lock().expect("not poisoned");
@@ -229,7 +281,7 @@
             return RawAnswer::framed("421 Misdirected Request\r\nnot-executed: 1\r\n", "");
         }
         match request.target.as_str() {
-            "/-/report" => RawAnswer::framed("200 OK\r\n", "{}"),
+            "/-/report" => fleet.answer_call(),
             _ => fleet.run(&id, request),
         }
     })
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -16,6 +16,8 @@
 
 /// Timeout of every wait for a condition that must become true.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Unit of processor time in the files of the kernel.
+const TICKS_PER_SECOND: u64 = 100;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 pub const HOST: &str = "camp.example";
 pub const KEY: &str = "key-of-family";
@@ -317,6 +319,29 @@
         std::fs::write(path, settings.to_string()).expect("settings can be written");
     }
 
+    /// Returns a figure in kilobytes of a daemon's process, as the kernel shows it.
+    pub fn memory_kb(&self, daemon: usize, name: &str) -> u64 {
+        let id = self.daemons[daemon].child.as_ref().expect("the daemon runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+        let status = status.expect("the process can be read");
+        let line = status.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+        let value = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        value.expect("the kernel shows the figure")
+    }
+
+    /// Returns the processor time that a daemon's process has used.
+    pub fn processor_time(&self, daemon: usize) -> Duration {
+        let id = self.daemons[daemon].child.as_ref().expect("the daemon runs").id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat"));
+        let stat = stat.expect("the process can be read");
+        // The name in parentheses may hold blanks; user and system time are the 12th and 13th figure
+        // after it.
+        let rest = stat.rsplit(')').next().unwrap_or_default();
+        let ticks = rest.split_whitespace().skip(11).take(2);
+        let ticks: u64 = ticks.map(|figure| figure.parse::<u64>().expect("a number")).sum();
+        Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND)
+    }
+
     /// Kills these daemons.
     pub fn kill_all(&mut self, daemons: &[usize]) {
         daemons.iter().for_each(|index| self.daemons[*index].kill());
