Take only complete events for progress of a stream

What callers saw: streams that stood still until their deadline while their worker sent an event without end, although another worker could have gone on.

Cause: each frame counted as progress, so that the time of an event began anew with every byte. The gateway also scanned the whole event again for each frame: 1 MiB in frames of one byte took hours by calculation.

Now the wait is for complete events that the caller lacks, and bytes that complete none are no progress, also in serve. A scan goes on where the last one ended. A worker that sends 8 MiB without such an event is given up.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -122,13 +122,15 @@
         let mut parser = EventParser::new();
         let mut received_bytes = 0;
         let mut finished = false;
+        // Bytes that complete no event are no progress.
+        let mut last_event = Instant::now();
         loop {
-            let wait = request.deadline.min(Instant::now() + idle);
+            let wait = request.deadline.min(last_event + idle);
             let frame = match tokio::time::timeout_at(wait, answer.body.frame()).await {
                 Err(_) if Instant::now() >= request.deadline => {
                     return Err(AttemptUpstreamError::DeadlinePassed { sent: true });
                 }
-                Err(_) => return Err(self.broken_answer("no data within the idle timeout")),
+                Err(_) => return Err(self.broken_answer("no event within the idle timeout")),
                 // An upstream whose process terminates may close its connection in order.
                 Ok(None) if !answer.framed => {
                     return Err(to_lost_error(&answer.lease, self.tokens));
@@ -144,6 +146,9 @@
             }
             let events =
                 parser.push(bytes).map_err(|_| self.broken_answer("it is not an event stream"))?;
+            if !events.is_empty() {
+                last_event = Instant::now();
+            }
             for event in events {
                 let chunk = parse_chunk(&event)
                     .map_err(|_| self.broken_answer("an event is not a completion chunk"))?;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffered: BytesMut,
+    /// Offset up to which no event ends.
+    scanned: usize,
 }
 
 impl EventSplitter {
@@ -48,8 +50,9 @@
         self.buffered.extend_from_slice(bytes);
         let mut chunk = BytesMut::new();
         let mut last_id = None;
-        while let Some(end) = find_event_end(&self.buffered) {
+        while let Some(end) = self.find_event_end() {
             let event = self.buffered.split_to(end);
+            self.scanned = 0;
             let id = event_id(&event);
             if let (Some(id), Some(after)) = (id, after)
                 && id <= after
@@ -70,20 +73,27 @@
     pub fn rest(&self) -> &[u8] {
         &self.buffered
     }
-}
 
-/// Returns the end of the first event, which is after an empty line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(offset) = bytes[start..].iter().position(|byte| *byte == b'\n') {
-        let line = start + offset + 1;
-        match &bytes[line..] {
-            [b'\n', ..] => return Some(line + 1),
-            [b'\r', b'\n', ..] => return Some(line + 2),
-            _ => start = line,
+    /// Returns the end of the first event, which is after an empty line.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let bytes = &self.buffered;
+        let mut start = self.scanned;
+        while let Some(offset) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+            let line = start + offset + 1;
+            match &bytes[line..] {
+                [b'\n', ..] => return Some(line + 1),
+                [b'\r', b'\n', ..] => return Some(line + 2),
+                // The next bytes tell whether the line is empty.
+                [] | [b'\r'] => {
+                    self.scanned = line - 1;
+                    return None;
+                }
+                _ => start = line,
+            }
         }
+        self.scanned = bytes.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -40,20 +40,72 @@
 /// streams.
 const BUSY_FACTOR: u32 = 3;
 
+/// Bytes that a worker may send without a complete event that the caller lacks.
+const MAX_SKIPPED_BYTES: usize = 8 << 20;
+
 /// A worker's stream that is currently read.
 struct OpenStream {
-    body: UpstreamBody,
+    source: EventSource,
     lease: ConnectionLease,
     attempt: WorkerAttempt,
-    splitter: EventSplitter,
     /// Set if neither chunks nor a length show that the stream is complete.
     unframed: Option<UnframedAnswer>,
+}
+
+/// The body of a worker's stream, split into events.
+struct EventSource {
+    body: UpstreamBody,
+    splitter: EventSplitter,
     /// Whether any event was received.
     has_events: bool,
     /// Number of bytes that were received.
     bytes: usize,
 }
 
+/// Why no further events can be read.
+enum ReadEventsError {
+    /// The connection broke.
+    Lost,
+    /// The bytes are no stream of events, for this reason.
+    Broken(&'static str),
+}
+
+impl EventSource {
+    fn new(body: UpstreamBody) -> Self {
+        Self { body, splitter: EventSplitter::new(), has_events: false, bytes: 0 }
+    }
+
+    /// Reads until complete events are available, without those up to `after`; `None` at the end of the
+    /// body.
+    async fn next(&mut self, after: Option<u64>) -> Result<Option<EventChunk>, ReadEventsError> {
+        let mut skipped = 0;
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|_| ReadEventsError::Lost)?;
+            let Some(bytes) = frame.data_ref() else { continue };
+            self.bytes += bytes.len();
+            skipped += bytes.len();
+            let chunk = self.splitter.push(bytes, after);
+            let chunk = chunk.map_err(|_| broken_events("an event is larger than 1 MiB"))?;
+            let held = self.body.hold_buffered(self.splitter.rest().len()).await;
+            held.map_err(|_| {
+                broken_events("an event is too large beside the others that are read")
+            })?;
+            if chunk.is_some() {
+                self.has_events = true;
+                return Ok(chunk);
+            }
+            if skipped > MAX_SKIPPED_BYTES {
+                return Err(broken_events("it has no further event"));
+            }
+        }
+        Ok(None)
+    }
+}
+
+fn broken_events(reason: &'static str) -> ReadEventsError {
+    ReadEventsError::Broken(reason)
+}
+
 /// Result of reading from a stream.
 enum ReadStep {
     Chunk(EventChunk),
@@ -155,15 +207,8 @@
     fn open_stream(&self, answer: SentAnswer, attempt: WorkerAttempt) -> OpenStream {
         let unframed = (!answer.framed)
             .then(|| UnframedAnswer::new(&self.core, &self.request, &attempt.worker));
-        OpenStream {
-            body: answer.body,
-            lease: answer.lease,
-            attempt,
-            splitter: EventSplitter::new(),
-            unframed,
-            has_events: false,
-            bytes: 0,
-        }
+        let source = EventSource::new(answer.body);
+        OpenStream { source, lease: answer.lease, attempt, unframed }
     }
 
     /// Sends the request, and abandons the worker at the progress timeout.
@@ -348,43 +393,35 @@
     /// A stream that ends with its connection also ends so where its worker terminates between two
     /// events. It counts as complete only if its worker still runs.
     async fn is_complete(&self, open: &OpenStream) -> bool {
-        if !open.splitter.rest().is_empty() {
+        let source = &open.source;
+        if !source.splitter.rest().is_empty() {
             return false;
         }
         let Some(unframed) = &open.unframed else { return true };
         let until = self.history.check_limit(&self.request);
-        open.has_events && unframed.is_complete(&self.core, &self.request, open.bytes, until).await
+        source.has_events
+            && unframed.is_complete(&self.core, &self.request, source.bytes, until).await
     }
 
-    /// Reads until complete events are available.
+    /// Reads until complete events are available. Bytes that complete no event are no progress.
     async fn read(&mut self) -> ReadStep {
         let after = self.last_id;
         let Some(mut open) = self.open.take() else { return ReadStep::End };
-        let step = loop {
-            let frame =
-                match self.watch(&open.attempt.worker).wait(&open.attempt, open.body.frame()).await
-                {
-                    Err(error @ WatchError::Deadline) => {
-                        break ReadStep::Broken(self.history.record_given_up(error));
-                    }
-                    Err(error @ WatchError::NoProgress(_)) => {
-                        self.history.record_given_up(error);
-                        break ReadStep::Broken(broken("it stands still"));
-                    }
-                    Ok(None) if self.is_complete(&open).await => break ReadStep::End,
-                    Ok(None) | Ok(Some(Err(_))) => break ReadStep::Broken(lost(&open.lease)),
-                    Ok(Some(Ok(frame))) => frame,
-                };
-            let Some(bytes) = frame.data_ref() else { continue };
-            open.bytes += bytes.len();
-            open.attempt.record_progress();
-            match open.splitter.push(bytes, after) {
-                Ok(Some(chunk)) => {
-                    open.has_events = true;
-                    break ReadStep::Chunk(chunk);
-                }
-                Ok(None) => {}
-                Err(_) => break ReadStep::Broken(broken("an event is larger than 1 MiB")),
+        let watch = self.watch(&open.attempt.worker);
+        let step = match watch.wait(&open.attempt, open.source.next(after)).await {
+            Ok(Ok(Some(chunk))) => {
+                open.attempt.record_progress();
+                ReadStep::Chunk(chunk)
+            }
+            Ok(Ok(None)) if self.is_complete(&open).await => ReadStep::End,
+            Ok(Ok(None) | Err(ReadEventsError::Lost)) => ReadStep::Broken(lost(&open.lease)),
+            Ok(Err(ReadEventsError::Broken(reason))) => ReadStep::Broken(broken(reason)),
+            Err(error @ WatchError::Deadline) => {
+                ReadStep::Broken(self.history.record_given_up(error))
+            }
+            Err(error @ WatchError::NoProgress(_)) => {
+                self.history.record_given_up(error);
+                ReadStep::Broken(broken("it stands still"))
             }
         };
         self.open = Some(open);
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -43,10 +43,20 @@
     assert!(splitter.push(b"x", None).is_err());
 }
 
+/// Guards against a scan of the whole buffer for each byte of an event without end.
+#[rstest]
+fn push_scans_each_byte_once() {
+    let mut splitter = EventSplitter::new();
+    for _ in 0..1 << 20 {
+        assert_eq!(splitter.push(b"x", None), Ok(None));
+    }
+}
+
 proptest! {
     #[test]
-    fn push_any_split(count in 1u64..12, lengths in proptest::collection::vec(1usize..40, 1..60)) {
-        let text: String = (1..=count).map(|number| event(number, "\n")).collect();
+    fn push_any_split(carriage_returns: bool, count in 1u64..12, lengths in proptest::collection::vec(1usize..40, 1..60)) {
+        let end = if carriage_returns { "\r\n" } else { "\n" };
+        let text: String = (1..=count).map(|number| event(number, end)).collect();
         let mut splitter = EventSplitter::new();
         let mut out = Vec::new();
         let mut last = None;
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1696,7 +1696,7 @@
     ///Timeout in milliseconds for a caller to send its headers.
     #[serde(default = "defaults::default_u64::<u64, 10000>")]
     pub header_ms: u64,
-    ///Idle timeout in milliseconds of a streamed answer: the longest time without data from the upstream.
+    ///Idle timeout in milliseconds of a streamed answer: the longest time without a complete event from the upstream.
     #[serde(default = "defaults::default_u64::<u64, 60000>")]
     pub idle_ms: u64,
     ///Largest answer of a non-repeatable request that is kept for callers that send the request again.
--- a/tests/all/endless.rs
+++ b/tests/all/endless.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use hollowbarrow_testkit::RawUpstream;
+use hollowbarrow_testkit::{ENDLESS_PROMPT, RawUpstream};
 use rstest::rstest;
+use serde_json::json;
 use tokio::time::Instant;
 
 use crate::raw_nodes::{ENDLESS_KEY, Plan, RawCluster, WHOLE};
-use crate::support::pause;
+use crate::requests::{is_expected_answer, stream};
+use crate::support::{nine_daemons, pause, serving_cluster};
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 const NO_LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n";
@@ -70,3 +72,20 @@
     pause(CLOSE_TIME_MS).await;
     assert_eq!(cluster.endless_connections(), 0, "connections stay open");
 }
+
+/// Guards against streams that wait until their deadline, since each byte of an event without end counted
+/// as progress.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_resumed_after_endless_event() {
+    let limits = json!({"idle_ms": 1000});
+    let cluster = serving_cluster(nine_daemons().with_limits(limits), 6).await;
+    let reply = stream(cluster.caller_address("a0"), ENDLESS_PROMPT, 20).await;
+    let log = cluster.log("a0");
+    assert!(
+        is_expected_answer(&reply, ENDLESS_PROMPT, 20),
+        "{} {}: {log}",
+        reply.status,
+        reply.body
+    );
+}
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
+use crate::complete_stream;
 use crate::raw_worker::{
     AnswerPlan, ENDLESS, EndlessPart, NOT_REPEATABLE, REPEATABLE, RawDeployment, RawWorker, STREAM,
 };
@@ -189,3 +190,25 @@
         assert!(memory < MEMORY_KB, "{memory} KB of memory at most");
     }
 }
+
+/// Guards against streams that wait until their deadline, since each byte of an event without end counted
+/// as progress.
+#[rstest]
+#[case::event(152, "x", SLOW)]
+#[case::event_fast(153, "x", None)]
+#[case::known_events(154, "id: 1\ndata: x\n\n", SLOW)]
+#[tokio::test]
+async fn stream_resumed_after_endless_event(
+    #[case] block: u8,
+    #[case] unit: &'static str,
+    #[case] pause: Option<Duration>,
+) {
+    let deployment = RawDeployment::start(block, Layout::plain(), STREAM).await;
+    deployment.fleet.set_plan(AnswerPlan::EndlessEvent(unit, pause));
+    let system = &deployment.system;
+    let answer = system.call(0, "/hold/1", "resumed", Some(KEY)).await;
+    let answer = answer.unwrap_or_else(|error| panic!("{error}: {}", system.logs()));
+    let body = String::from_utf8_lossy(answer.body());
+    assert_eq!(body, complete_stream(), "{}", system.logs());
+    assert_eq!(deployment.fleet.runs("resumed"), 2);
+}
