Log what became of each lost run

Crashes under requests were recorded late on busy machines, and a log did not tell what the runs in between were taken for. run_lost names the fate, what the call to the instance showed, and how long the check took.

--- a/crates/daemon/src/lost_run.rs
+++ b/crates/daemon/src/lost_run.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use hollowbarrow_reach::{InstanceProbe, UpstreamFate};
+use hollowbarrow_reach::{FateReport, InstanceProbe, UpstreamFate};
 use hollowbarrow_routing::{RequestContents, TerminatedRun, UpstreamKey};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,7 +34,18 @@
     /// Finds out whether the upstream has terminated, and records the run against the contents of its
     /// request if so.
     pub(crate) async fn record_if_terminated(self, core: Arc<DaemonCore>) {
-        if self.learn_fate(&core).await != UpstreamFate::Terminated {
+        let report = self.learn_fate(&core).await;
+        let fate = report.map_or(UpstreamFate::Terminated, |report| report.fate);
+        log::info!(
+            "event=run_lost request={:?} upstream={} fate={} state={} ran_ms={} checked_ms={}",
+            self.request,
+            self.upstream.name,
+            fate.name(),
+            report.map_or("withdrawn", |report| report.state.name()),
+            (self.ended - self.sent).as_millis(),
+            self.ended.elapsed().as_millis(),
+        );
+        if fate != UpstreamFate::Terminated {
             return;
         }
         log::info!(
@@ -54,15 +65,13 @@
         core.crashes().record_run(&self.contents, run);
     }
 
-    /// Finds out what became of the process that ran the request.
-    async fn learn_fate(&self, core: &DaemonCore) -> UpstreamFate {
+    /// Finds out what became of the process that ran the request; `None` if its upstream has no route any
+    /// more, and is therefore known to be lost.
+    async fn learn_fate(&self, core: &DaemonCore) -> Option<FateReport> {
         let mut others = core.routes().targets().remove(&self.service).unwrap_or_default();
         let index = others.iter().position(|target| target.name == self.upstream.name);
-        // An upstream that has no route any more is known to be lost.
-        let Some(target) = index.map(|index| others.swap_remove(index)) else {
-            return UpstreamFate::Terminated;
-        };
+        let target = others.swap_remove(index?);
         others.truncate(OTHERS_TRIED);
-        core.reach.learn_fate(&target, &self.probe, others).await
+        Some(core.reach.learn_fate(&target, &self.probe, others).await)
     }
 }
--- a/crates/gateway/src/lost_run.rs
+++ b/crates/gateway/src/lost_run.rs
@@ -7,7 +7,7 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
-use hollowbarrow_reach::{UpstreamFate, UpstreamTarget};
+use hollowbarrow_reach::{FateReport, UpstreamFate, UpstreamTarget};
 use hollowbarrow_routing::RequestContents;
 use hollowbarrow_schema::WorkerId;
 use tokio::time::Instant;
@@ -22,7 +22,7 @@
 
 /// Finds out what became of a worker after a connection to it was lost. Other workers that have sent
 /// something most recently are tried first.
-async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> UpstreamFate {
+async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> FateReport {
     let others = {
         let mut picker = core.picker();
         let mut others = picker.targets().remove(&target.service).unwrap_or_default();
@@ -66,8 +66,17 @@
     /// Finds out whether the worker has terminated, and records the run against the contents of its
     /// request if so.
     pub(crate) async fn record_if_terminated(self, core: Arc<GatewayCore>, target: UpstreamTarget) {
-        let fate = learn_fate(&core, &target).await;
+        let FateReport { fate, state } = learn_fate(&core, &target).await;
         core.metrics.count_lost_run(fate);
+        log::info!(
+            "event=run_lost request={:?} worker={} fate={} state={} ran_ms={} checked_ms={}",
+            self.request,
+            *self.worker,
+            fate.name(),
+            state.name(),
+            (self.ended - self.sent).as_millis(),
+            self.ended.elapsed().as_millis(),
+        );
         if fate != UpstreamFate::Terminated {
             return;
         }
--- a/crates/reach/src/fate.rs
+++ b/crates/reach/src/fate.rs
@@ -17,6 +17,10 @@
 /// after its first connections.
 const EXIT_TIME: Duration = Duration::from_millis(30);
 
+/// The report of a check that has panicked.
+const FAILED_CHECK: FateReport =
+    FateReport { fate: UpstreamFate::Unknown, state: InstanceState::Unreached };
+
 /// What became of an instance of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamFate {
@@ -39,6 +43,15 @@
     }
 }
 
+/// The outcome of a check of an upstream's instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FateReport {
+    /// What became of the instance.
+    pub fate: UpstreamFate,
+    /// What the call to it showed.
+    pub state: InstanceState,
+}
+
 impl Reach {
     /// Finds out whether an instance still runs after a connection to it was lost. Requests that lost
     /// their connections to the same instance share one check.
@@ -50,21 +63,19 @@
         target: &UpstreamTarget,
         probe: &Arc<dyn InstanceProbe>,
         others: Vec<UpstreamTarget>,
-    ) -> UpstreamFate {
+    ) -> FateReport {
         let name = format!("{}#{}", target.full_name(), probe.instance());
         let (reach, target, probe) = (Arc::clone(self), target.clone(), Arc::clone(probe));
-        let check = async move { find_fate(&reach, &target, &probe, &others).await };
-        self.fate_checks.share(name, check).await.unwrap_or(UpstreamFate::Unknown)
+        let check = async move {
+            let state = reach.check_instance(&target, &probe).await;
+            FateReport { fate: find_fate(&reach, state, &others).await, state }
+        };
+        self.fate_checks.share(name, check).await.unwrap_or(FAILED_CHECK)
     }
 }
 
-async fn find_fate(
-    reach: &Arc<Reach>,
-    target: &UpstreamTarget,
-    probe: &Arc<dyn InstanceProbe>,
-    others: &[UpstreamTarget],
-) -> UpstreamFate {
-    match reach.check_instance(target, probe).await {
+async fn find_fate(reach: &Reach, state: InstanceState, others: &[UpstreamTarget]) -> UpstreamFate {
+    match state {
         InstanceState::Running | InstanceState::Silent => return UpstreamFate::Running,
         InstanceState::Replaced => return UpstreamFate::Terminated,
         InstanceState::Refused | InstanceState::Unreached => {}
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::connect::ConnectTimes;
-use crate::fate::UpstreamFate;
+use crate::fate::FateReport;
 use crate::instance::InstanceState;
 use crate::paths::{PathChange, PathTable, UpstreamPath};
 use crate::relays::RelayPeers;
@@ -75,7 +75,7 @@
     relays: Mutex<RelayPeers>,
     /// Whether the path to a doubtful upstream is being checked.
     checking: AtomicBool,
-    pub(crate) fate_checks: Arc<SharedChecks<UpstreamFate>>,
+    pub(crate) fate_checks: Arc<SharedChecks<FateReport>>,
     pub(crate) instance_checks: Arc<SharedChecks<InstanceState>>,
 }
 
--- a/crates/reach/tests/upstreams/fate.rs
+++ b/crates/reach/tests/upstreams/fate.rs
@@ -31,6 +31,7 @@
     let probe = probe("w1");
     // Requests that lost their connections together share the outcome.
     let asked = (0..3).map(|_| reach.learn_fate(&lost.target, &probe, others.clone()));
-    let fates = futures_util::future::join_all(asked).await;
+    let reports = futures_util::future::join_all(asked).await;
+    let fates: Vec<UpstreamFate> = reports.iter().map(|report| report.fate).collect();
     assert_eq!(fates, [expected; 3]);
 }
