Let a check of a lost connection end with a termination that is known

Cause of the delay: since a request shares only a check that begins after its own connection was lost, so that the checks of a worker's requests follow each other. That is needed where the worker may still run; one that has terminated does not run again. Now a check that waits takes over such an outcome.

--- a/crates/reach/src/fate.rs
+++ b/crates/reach/src/fate.rs
@@ -12,6 +12,7 @@
 use crate::instance::{InstanceProbe, InstanceState};
 use crate::paths::UpstreamPath;
 use crate::reach::{Reach, UpstreamTarget};
+use crate::shared_checks::CheckResult;
 
 /// Time for which a new connection must stay open. A process that exits closes its listener some time
 /// after its first connections.
@@ -52,6 +53,13 @@
     pub state: InstanceState,
 }
 
+impl CheckResult for FateReport {
+    /// An instance that has terminated does not run again.
+    fn is_final(&self) -> bool {
+        self.fate == UpstreamFate::Terminated
+    }
+}
+
 impl Reach {
     /// Finds out whether an instance still runs after a connection to it was lost. Requests that lost
     /// their connections to the same instance share one check.
--- a/crates/reach/src/instance.rs
+++ b/crates/reach/src/instance.rs
@@ -18,6 +18,7 @@
 use crate::connect::{NoDirect, NotConnected, bypass, open_direct, open_tunnel};
 use crate::paths::UpstreamPath;
 use crate::reach::{Reach, UpstreamTarget};
+use crate::shared_checks::CheckResult;
 
 /// Time without an answer after which a connection counts as silent if there is another one to tell
 /// by.
@@ -92,6 +93,13 @@
     }
 }
 
+impl CheckResult for InstanceState {
+    /// An instance that is replaced does not run again.
+    fn is_final(&self) -> bool {
+        *self == Self::Replaced
+    }
+}
+
 /// Checks an instance later, unless it is dropped before.
 #[derive(Debug)]
 pub struct InstanceWatch(AbortHandle);
--- a/crates/reach/src/shared_checks.rs
+++ b/crates/reach/src/shared_checks.rs
@@ -1,8 +1,8 @@
 //! Checks that several callers share.
 //!
 //! Invariants: a caller shares only a check that begins after it has asked, because the outcome of an
-//! earlier one may be older than what the caller has observed. Of each name at most one check runs and
-//! one waits.
+//! earlier one may be older than what the caller has observed. An outcome that cannot change holds for
+//! all that have asked before it was known. Of each name at most one check runs and one waits.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -13,6 +13,12 @@
 /// The outcome of a check; `None` if the check has panicked.
 type CheckOutcome<T> = Shared<BoxFuture<'static, Option<T>>>;
 
+/// The outcome of a check.
+pub(crate) trait CheckResult: Clone + Send + Sync + 'static {
+    /// Returns whether no later check of the same name can have another outcome.
+    fn is_final(&self) -> bool;
+}
+
 /// The checks of one name.
 struct CheckSlots<T> {
     running: CheckOutcome<T>,
@@ -29,9 +35,10 @@
     }
 }
 
-impl<T: Clone + Send + Sync + 'static> SharedChecks<T> {
+impl<T: CheckResult> SharedChecks<T> {
     /// Returns the outcome of a check that begins from now on: of the one that waits, if there is one,
-    /// or else of this one. Returns `None` if the check has panicked.
+    /// or else of this one. If the one that runs has a final outcome, that is returned instead. Returns
+    /// `None` if the check has panicked.
     pub(crate) async fn share(
         self: &Arc<Self>,
         name: String,
@@ -57,7 +64,7 @@
         outcome.await
     }
 
-    /// Starts a check that begins when the previous one has ended.
+    /// Starts a check that begins when the previous one has ended, unless that has a final outcome.
     fn start(
         self: &Arc<Self>,
         name: String,
@@ -66,11 +73,15 @@
     ) -> CheckOutcome<T> {
         let checks = Arc::clone(self);
         let task = tokio::spawn(async move {
+            let mut known = None;
             if let Some(previous) = previous {
-                previous.await;
+                known = previous.await.filter(T::is_final);
                 checks.begin_waiting(&name);
             }
-            let outcome = check.await;
+            let outcome = match known {
+                Some(outcome) => outcome,
+                None => check.await,
+            };
             checks.end_running(&name);
             outcome
         });
--- a/crates/reach/tests/upstreams/fate.rs
+++ b/crates/reach/tests/upstreams/fate.rs
@@ -35,3 +35,24 @@
     let fates: Vec<UpstreamFate> = reports.iter().map(|report| report.fate).collect();
     assert_eq!(fates, [expected; 3]);
 }
+
+/// Guards against crashes that are recorded late where several requests run on the worker: each check of
+/// a lost connection began only after the one before, though that had shown that the worker is gone.
+#[tokio::test]
+async fn termination_shared_with_later_requests() {
+    let reach = new_reach();
+    let lost = Upstream::start(Manner::Refuses, "w1").await;
+    let other = Upstream::start(Manner::Silent, "w2").await;
+    let probe = probe("w1");
+    let others = vec![other.target.clone()];
+    let first = reach.learn_fate(&lost.target, &probe, others.clone());
+    let later = async {
+        while other.accepted() == 0 {
+            tokio::task::yield_now().await;
+        }
+        reach.learn_fate(&lost.target, &probe, others.clone()).await
+    };
+    let (first, later) = tokio::join!(first, later);
+    assert_eq!((first.fate, later.fate), (UpstreamFate::Terminated, UpstreamFate::Terminated));
+    assert_eq!(other.accepted(), 1, "the later request has waited for a check of its own");
+}
--- a/crates/reach/tests/upstreams/support.rs
+++ b/crates/reach/tests/upstreams/support.rs
@@ -120,6 +120,11 @@
         self.state.calls.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections that were accepted.
+    pub fn accepted(&self) -> usize {
+        self.state.accepted.load(Ordering::Relaxed)
+    }
+
     /// Waits until a change of the manner has had its effect on the listener.
     async fn settle(&self) {
         let refuses = *self.manner.borrow() == Manner::Refuses;
