--- a/tests/platform/seeds.rs
+++ b/tests/platform/seeds.rs
@@ -166,3 +166,32 @@
     let found = has_version(&system, 0, FIRST_VERSION, limit).await;
     assert!(found, "the gateway finds no controller: {}", system.logs());
 }
+
+/// Guards against gateways that follow an older version than one that was acknowledged directly before
+/// all controllers lost power, and the one that had acknowledged it its disk.
+#[rstest]
+#[case::gateways_kept(false, 125)]
+#[case::gateways_lost(true, 126)]
+#[tokio::test]
+async fn last_change_followed_after_power_lost(#[case] all: bool, #[case] block: u8) {
+    let (mut system, _fleet, _worker) = start_without_seeds(block).await;
+    let last = FIRST_VERSION + 3;
+    for version in FIRST_VERSION + 1..=last {
+        assert_eq!(system.replace(&configuration(version)).await, 200);
+    }
+    let mut leader = None;
+    for controller in SUCCESSORS {
+        if system.has_metric(controller, "controller_leads 1").await {
+            leader = Some(controller);
+        }
+    }
+    let leader = leader.unwrap_or_else(|| panic!("no controller leads: {}", system.logs()));
+    assert_eq!(system.replace(&configuration(last + 1)).await, 200);
+    let lost = if all { [&SUCCESSORS[..], &GATEWAYS[..]].concat() } else { SUCCESSORS.to_vec() };
+    system.lose_power_of(&lost, &[leader]);
+    for gateway in 0..GATEWAYS.len() {
+        let limit = CONTACT_TIME + APPLY_TIME;
+        let follows = has_version(&system, gateway, last + 1, limit).await;
+        assert!(follows, "gateway {gateway} follows an older version: {}", system.logs());
+    }
+}
