Try members that take no requests to tell a lost path from a crash

Cause: to tell a crash from a lost path the gateway connects to other workers of the service, but only to those that take requests, which are the heads of replicas. Heads are what crashes, several within a moment. Class: evidence that is sought among those that the fault has struck.

Members of replicas that take no requests are tried after the heads, over the gateway's own path: peers know only heads. Those that the leader withholds are left out. Entry daemons draw the ones that they try.

--- a/crates/daemon/src/lost_run.rs
+++ b/crates/daemon/src/lost_run.rs
@@ -6,8 +6,9 @@
 
 use std::sync::Arc;
 
-use hollowbarrow_reach::{FateReport, InstanceProbe, UpstreamFate};
+use hollowbarrow_reach::{FateReport, InstanceProbe, OtherUpstreams, UpstreamFate};
 use hollowbarrow_routing::{RequestContents, TerminatedRun, UpstreamKey};
+use rand::seq::SliceRandom;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -71,7 +72,10 @@
         let mut others = core.routes().targets().remove(&self.service).unwrap_or_default();
         let index = others.iter().position(|target| target.name == self.upstream.name);
         let target = others.swap_remove(index?);
+        // The same ones each time may all have terminated.
+        others.shuffle(&mut rand::rng());
         others.truncate(OTHERS_TRIED);
+        let others = OtherUpstreams { serving: others, idle: Vec::new() };
         Some(core.reach.learn_fate(&target, &self.probe, others).await)
     }
 }
--- a/crates/gateway/src/lost_run.rs
+++ b/crates/gateway/src/lost_run.rs
@@ -2,14 +2,16 @@
 //!
 //! A lost connection alone does not show that a worker has terminated: the path may be lost, or the
 //! connection alone. A run counts only if another instance answers in its worker's place, or if the worker
-//! cannot be connected to any more while another one of the service can.
+//! cannot be connected to any more while another one of the service can. Heads of replicas may all
+//! terminate at the same moment, so other members are tried too.
 
 use std::cmp::Reverse;
 use std::sync::Arc;
 
-use hollowbarrow_reach::{FateReport, UpstreamFate, UpstreamTarget};
+use hollowbarrow_reach::{FateReport, OtherUpstreams, UpstreamFate, UpstreamTarget};
 use hollowbarrow_routing::RequestContents;
 use hollowbarrow_schema::WorkerId;
+use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
 use crate::core::GatewayCore;
@@ -17,19 +19,25 @@
 use crate::worker_state::probe_of;
 
 /// Number of other workers of a service that are tried, one after the other, to find out whether the
-/// paths to all are lost. Several may have terminated that controllers still report.
-const OTHERS_TRIED: usize = 6;
+/// paths to all are lost: some that take requests, and some that do not. Several may have terminated that
+/// controllers still report.
+const SERVING_TRIED: usize = 4;
+const IDLE_TRIED: usize = 4;
 
 /// Finds out what became of a worker after a connection to it was lost. Other workers that have sent
 /// something most recently are tried first.
 async fn learn_fate(core: &GatewayCore, target: &UpstreamTarget) -> FateReport {
     let others = {
         let mut picker = core.picker();
-        let mut others = picker.targets().remove(&target.service).unwrap_or_default();
-        others.retain(|other| other.name != target.name);
-        others.sort_by_key(|other| Reverse(picker.progress(&WorkerId::from(other.name.as_str()))));
-        others.truncate(OTHERS_TRIED);
-        others
+        let mut serving = picker.targets().remove(&target.service).unwrap_or_default();
+        serving.retain(|other| other.name != target.name);
+        serving.sort_by_key(|other| Reverse(picker.progress(&WorkerId::from(other.name.as_str()))));
+        serving.truncate(SERVING_TRIED);
+        let mut idle = picker.idle_targets(&target.service);
+        idle.retain(|other| other.name != target.name);
+        idle.shuffle(&mut rand::rng());
+        idle.truncate(IDLE_TRIED);
+        OtherUpstreams { serving, idle }
     };
     let probe = probe_of(core, &WorkerId::from(target.name.as_str()));
     core.reach.learn_fate(target, &probe, others).await
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -228,6 +228,23 @@
         targets
     }
 
+    /// Returns the workers of a service that are members of replicas and take no requests, for
+    /// connections on which nothing is sent. Those that are withheld may have terminated and are left
+    /// out.
+    pub fn idle_targets(&self, service: &str) -> Vec<UpstreamTarget> {
+        let reports = self.table.iter().filter(|entry| entry.is_available());
+        let members = reports.map(|entry| &entry.report).filter(|report| {
+            let head = report.membership.as_ref().is_none_or(|membership| membership.rank == 0);
+            *report.service == service && !head && !self.view.is_withheld(&report.id)
+        });
+        let target = |report: &WorkerReport| {
+            let address = report.address.parse().ok()?;
+            let (service, name) = (service.to_owned(), report.id.to_string());
+            Some(UpstreamTarget { service, name, address })
+        };
+        members.filter_map(target).collect()
+    }
+
     /// Returns the worker that a peer names in its request for a tunnel, if it takes requests.
     pub(crate) fn find_target(&mut self, full_name: &str) -> Option<UpstreamTarget> {
         self.candidates.refresh(&self.table);
--- a/crates/gateway/tests/picker.rs
+++ b/crates/gateway/tests/picker.rs
@@ -602,3 +602,17 @@
     picker.apply_view(&FleetView { limits, ..view(2, 3, &[], &[]) }, now);
     assert_eq!(picked(&mut picker, now), ["b0"]);
 }
+
+/// Members that run are reached although all heads have terminated.
+#[rstest]
+fn idle_targets_are_members_that_may_run() {
+    let now = Instant::now();
+    let mut gone = report("c1", 3, 1, MembershipState::Ready);
+    gone.gone = true;
+    let mut picker = picker([replicas(), vec![gone]].concat(), now);
+    picker.apply_view(&view(2, 1, &["b1"], &[]), now);
+    let names: Vec<String> =
+        picker.idle_targets("chat").into_iter().map(|target| target.name).collect();
+    assert_eq!(names, ["a1"]);
+    assert!(picker.idle_targets("other").is_empty());
+}
--- a/crates/reach/src/fate.rs
+++ b/crates/reach/src/fate.rs
@@ -18,6 +18,15 @@
 /// after its first connections.
 const EXIT_TIME: Duration = Duration::from_millis(30);
 
+/// Some other upstreams of a service, by which a lost path is told from a lost upstream.
+#[derive(Clone, Debug, Default)]
+pub struct OtherUpstreams {
+    /// Upstreams that take requests, so that peers know them too.
+    pub serving: Vec<UpstreamTarget>,
+    /// Upstreams that only accept connections. They are tried if none of the former is reached.
+    pub idle: Vec<UpstreamTarget>,
+}
+
 /// The report of a check that has panicked.
 const FAILED_CHECK: FateReport =
     FateReport { fate: UpstreamFate::Unknown, state: InstanceState::Unreached };
@@ -64,13 +73,13 @@
     /// Finds out whether an instance still runs after a connection to it was lost. Requests that lost
     /// their connections to the same instance share one check.
     ///
-    /// `others` are some other upstreams of its service; without any, an upstream that accepts no
-    /// connections counts as terminated.
+    /// Without other upstreams of its service, an upstream that accepts no connections counts as
+    /// terminated.
     pub async fn learn_fate(
         self: &Arc<Self>,
         target: &UpstreamTarget,
         probe: &Arc<dyn InstanceProbe>,
-        others: Vec<UpstreamTarget>,
+        others: OtherUpstreams,
     ) -> FateReport {
         let name = format!("{}#{}", target.full_name(), probe.instance());
         let (reach, target, probe) = (Arc::clone(self), target.clone(), Arc::clone(probe));
@@ -82,20 +91,25 @@
     }
 }
 
-async fn find_fate(reach: &Reach, state: InstanceState, others: &[UpstreamTarget]) -> UpstreamFate {
+async fn find_fate(reach: &Reach, state: InstanceState, others: &OtherUpstreams) -> UpstreamFate {
     match state {
         InstanceState::Running | InstanceState::Silent => return UpstreamFate::Running,
         InstanceState::Replaced => return UpstreamFate::Terminated,
         InstanceState::Refused | InstanceState::Unreached => {}
     }
-    if others.is_empty() {
+    if others.serving.is_empty() && others.idle.is_empty() {
         return UpstreamFate::Terminated;
     }
-    for other in others {
+    for other in &others.serving {
         if accepts_connections(reach, other).await {
             return UpstreamFate::Terminated;
         }
     }
+    for other in &others.idle {
+        if stays_open(open_direct(reach, other).await.map_err(|_| NotConnected)).await {
+            return UpstreamFate::Terminated;
+        }
+    }
     UpstreamFate::Unknown
 }
 
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -25,7 +25,7 @@
 mod shared_checks;
 
 pub use connect::{ConnectTimes, NotConnected};
-pub use fate::{FateReport, UpstreamFate};
+pub use fate::{FateReport, OtherUpstreams, UpstreamFate};
 pub use instance::{InstanceProbe, InstanceReply, InstanceState, InstanceWatch};
 pub use paths::{PathChange, PathTable, UpstreamPath};
 pub use reach::{Reach, ReachObserver, ServiceTargets, UpstreamTarget, is_full_name};
--- a/crates/reach/tests/upstreams/fate.rs
+++ b/crates/reach/tests/upstreams/fate.rs
@@ -1,6 +1,6 @@
 //! What became of an upstream to which a connection was lost, without peers.
 
-use hollowbarrow_reach::UpstreamFate;
+use hollowbarrow_reach::{OtherUpstreams, UpstreamFate};
 use rstest::rstest;
 
 use crate::support::{Manner, Upstream, new_reach, probe};
@@ -28,6 +28,7 @@
     if let Some(other) = other {
         others.push(Upstream::start(other, "w2").await.target.clone());
     }
+    let others = OtherUpstreams { serving: others, idle: Vec::new() };
     let probe = probe("w1");
     // Requests that lost their connections together share the outcome.
     let asked = (0..3).map(|_| reach.learn_fate(&lost.target, &probe, others.clone()));
@@ -44,7 +45,7 @@
     let lost = Upstream::start(Manner::Refuses, "w1").await;
     let other = Upstream::start(Manner::Silent, "w2").await;
     let probe = probe("w1");
-    let others = vec![other.target.clone()];
+    let others = OtherUpstreams { serving: vec![other.target.clone()], idle: Vec::new() };
     let first = reach.learn_fate(&lost.target, &probe, others.clone());
     let later = async {
         while other.accepted() == 0 {
@@ -56,3 +57,20 @@
     assert_eq!((first.fate, later.fate), (UpstreamFate::Terminated, UpstreamFate::Terminated));
     assert_eq!(other.accepted(), 1, "the later request has waited for a check of its own");
 }
+
+/// Guards against crashes that count as lost paths because all upstreams that take requests have
+/// terminated, though others of the service run.
+#[rstest]
+#[case::idle_runs(Manner::Silent, UpstreamFate::Terminated)]
+#[case::idle_refuses(Manner::Refuses, UpstreamFate::Unknown)]
+#[tokio::test]
+async fn fate_without_serving_upstreams(#[case] idle: Manner, #[case] expected: UpstreamFate) {
+    let reach = new_reach();
+    let lost = Upstream::start(Manner::Refuses, "w1").await;
+    let serving = Upstream::start(Manner::Refuses, "w2").await;
+    let idle = Upstream::start(idle, "w3").await;
+    let others =
+        OtherUpstreams { serving: vec![serving.target.clone()], idle: vec![idle.target.clone()] };
+    let report = reach.learn_fate(&lost.target, &probe("w1"), others).await;
+    assert_eq!(report.fate, expected);
+}
