Drop events that a worker repeats within one frame

Cause: events up to the last one that the caller has are dropped, but that was the last one of earlier frames. Whether a repeat came through depended on how the bytes arrived. Now it is also the last one of the same frame.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -37,7 +37,7 @@
     }
 
     /// Adds bytes and returns the events that are complete now. Events numbered up to `after`, which
-    /// the reader already has, are dropped.
+    /// the reader already has, are dropped, and so are those numbered no higher than an earlier one.
     ///
     /// # Errors
     ///
@@ -54,9 +54,7 @@
             let event = self.buffered.split_to(end);
             self.scanned = 0;
             let id = event_id(&event);
-            if let (Some(id), Some(after)) = (id, after)
-                && id <= after
-            {
+            if id.is_some() && id <= last_id.max(after) {
                 continue;
             }
             last_id = id.or(last_id);
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -34,6 +34,18 @@
     assert_eq!(chunk.bytes, event(6, "\n"));
 }
 
+/// Guards against an event that reaches the reader twice because its worker sends both at once.
+#[rstest]
+fn push_drops_repeated_events() {
+    let text =
+        event(1, "\n") + &event(2, "\n") + &event(1, "\n") + &event(2, "\n") + &event(3, "\n");
+    let mut splitter = EventSplitter::new();
+    let chunk = splitter.push(text.as_bytes(), None).expect("within the size limit");
+    let chunk = chunk.expect("three are new");
+    assert_eq!(chunk.bytes, event(1, "\n") + &event(2, "\n") + &event(3, "\n"));
+    assert_eq!(chunk.last_id, Some(3));
+}
+
 #[rstest]
 fn push_bounds_incomplete_event() {
     let mut splitter = EventSplitter::new();
