--- a/crates/upstream/src/meter.rs
+++ b/crates/upstream/src/meter.rs
@@ -17,9 +17,8 @@
 /// Bytes of an answer that need not be content: its head, a full read buffer, what the body's reader has
 /// not taken yet, and trailers.
 const FREE_BYTES: u64 = 4 * MAX_HEAD_BYTES as u64;
-/// Bytes for each byte of content. A chunk of one byte takes six, which is more, so that only some
-/// thousand chunks of that size are read; an event of a stream in a chunk of its own takes less than two
-/// for each.
+/// Bytes for each byte of content. An event of a stream in a chunk of its own takes less than two. A chunk
+/// of one byte takes six, so that only some ten thousand of these are read.
 const BYTES_PER_CONTENT: u64 = 3;
 
 /// Counts the bytes of one answer.
@@ -57,7 +56,7 @@
 }
 
 impl<S> MeteredStream<S> {
-    /// Wraps the connection for a single answer, of whose content as much is read as is free.
+    /// Wraps a connection for a single short answer, whose content counts like all other bytes.
     pub fn new(stream: S) -> Self {
         Self::with_meter(stream, Arc::default())
     }
