Tests of clients outside the limits, before the product changes

Crowds of real connections on loopback against real processes: bodies in large chunks, in chunks of one byte, announced and one byte short, whole, endless or far over the limit; answers that nobody reads; silent connections and parts of heads at each address of each role; frames to the mesh before its handshake; JSON that takes many times its length once it is parsed. Each test holds one crowd against one process and checks that all processes live, that its resident memory stays below that of its machine (96 MB in the settings) and its descriptors below the limit of the process (256), and that ordinary requests, readiness, metrics and the configuration are served beside the crowd and after it. One such test runs at a time, in a test program of its own.

The settings get `memory_mb` and `descriptors`, which are read and not applied yet, so that the crowds can be small.

--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1705,6 +1705,9 @@
     ///Maximum number of replicas that load from the weights store concurrently in one availability zone.
     #[serde(default = "defaults::default_u64::<u32, 4>")]
     pub loads: u32,
+    ///Memory of the machine in MB, part of which may hold what clients have sent or have not read yet.
+    #[serde(default = "defaults::default_u64::<u32, 256>")]
+    pub memory_mb: u32,
     ///Maximum number of waiting requests in each priority class.
     #[serde(default = "defaults::default_u64::<u32, 1024>")]
     pub queue: u32,
@@ -1728,6 +1731,7 @@
             idle_ms: defaults::default_u64::<u64, 60000>(),
             kept_answer_bytes: defaults::default_u64::<u64, 65536>(),
             loads: defaults::default_u64::<u32, 4>(),
+            memory_mb: defaults::default_u64::<u32, 256>(),
             queue: defaults::default_u64::<u32, 1024>(),
             streams: defaults::default_u64::<u32, 512>(),
         }
@@ -2006,6 +2010,9 @@
     ///Folder for durable state; controllers only.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub data: ::std::option::Option<::std::string::String>,
+    ///Descriptors that the process may open, if these are fewer than the limit of the operating system.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub descriptors: ::std::option::Option<u32>,
     ///True only at the first start of the system, when the seeds become the first voters.
     #[serde(default)]
     pub found: bool,
@@ -2020,6 +2027,9 @@
     ///Number n of controllers that may be lost at the same time, including their disks; the log has 2n + 1 voters.
     #[serde(default = "defaults::default_u64::<u32, 1>")]
     pub losses: u32,
+    ///Memory of the machine in MB, part of which may hold what clients have sent or have not read yet.
+    #[serde(default = "defaults::default_u64::<u32, 256>")]
+    pub memory_mb: u32,
     ///Port for traffic between daemons; the same on every node.
     pub mesh_port: u16,
     ///IP address and port on which `/metrics` serves the process's metrics; if absent, they are not served.
@@ -4168,6 +4178,7 @@
             idle_ms: 60000_u64,
             kept_answer_bytes: 65536_u64,
             loads: 4_u32,
+            memory_mb: 256_u32,
             queue: 1024_u32,
             streams: 512_u32,
         }
--- a/tests/platform/system.rs
+++ b/tests/platform/system.rs
@@ -47,6 +47,10 @@
     /// Number of controllers that the settings name as seeds, counted from the first. The seeds
     /// found the log.
     pub seeds: usize,
+    /// Memory of each daemon's machine in MB, if the settings state it.
+    pub memory_mb: Option<u32>,
+    /// Descriptors that each daemon may open, if its process has a limit of its own.
+    pub descriptors: Option<u32>,
 }
 
 impl Layout {
@@ -60,6 +64,8 @@
             zoned: false,
             proxied: false,
             seeds: CONTROLLERS,
+            memory_mb: None,
+            descriptors: None,
         }
     }
 
@@ -122,6 +128,7 @@
     log: PathBuf,
     /// Length of the log file when the process was last started.
     log_start: usize,
+    descriptors: Option<u32>,
     child: Option<Child>,
 }
 
@@ -130,7 +137,8 @@
         let written = std::fs::metadata(&self.log).map_or(0, |metadata| metadata.len());
         self.log_start = usize::try_from(written).expect("the log length fits into usize");
         let log = std::fs::File::options().create(true).append(true).open(&self.log);
-        let child = Command::new(env!("CARGO_BIN_EXE_hollowbarrow"))
+        let child = self
+            .command()
             .arg(self.role)
             .arg("--settings")
             .arg(&self.settings)
@@ -140,6 +148,16 @@
         self.child = Some(child.expect("the binary starts"));
     }
 
+    /// Returns the command of the program; a shell lowers the limit of descriptors, if there is one, and
+    /// becomes the program.
+    fn command(&self) -> Command {
+        let program = env!("CARGO_BIN_EXE_hollowbarrow");
+        let Some(descriptors) = self.descriptors else { return Command::new(program) };
+        let mut shell = Command::new("sh");
+        shell.arg("-c").arg(format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"")).arg(program);
+        shell
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -170,6 +188,8 @@
     /// Proxies in front of the daemons, each with the address that its daemon binds. Empty without
     /// proxies.
     links: Vec<(IpAddr, LinkProxy)>,
+    #[allow(dead_code, reason = "only tests of crowds look at it")]
+    mesh_port: u16,
     folder: TempDir,
 }
 
@@ -240,6 +260,9 @@
                 "ip": ip(number), "mesh_port": mesh, "seeds": controllers[..layout.seeds],
                 "metrics": metrics[usize::from(number) - 1], "cluster_keys": ["test"], "heartbeat_ms": 200, "found": true,
                 "losses": layout.losses});
+            if let Some(memory) = layout.memory_mb {
+                settings["memory_mb"] = json!(memory);
+            }
             if layout.proxied {
                 settings["bind_ip"] = json!(bind_ip(number));
                 let at = |ip: String| format!("{ip}:{mesh}").parse().expect("the address is valid");
@@ -261,6 +284,7 @@
                 settings: path,
                 log: folder.path().join(format!("d{number}.log")),
                 log_start: 0,
+                descriptors: layout.descriptors,
                 child: None,
             };
             let spare = controller && usize::from(number) > layout.controllers - layout.spares;
@@ -269,7 +293,7 @@
             }
             daemons.push(daemon);
         }
-        Self { daemons, controllers, gateways, readiness, metrics, links, folder }
+        Self { daemons, controllers, gateways, readiness, metrics, links, mesh_port: mesh, folder }
     }
 
     /// Returns the number of daemons. The controllers come first.
@@ -433,10 +457,13 @@
         last.map(str::to_owned)
     }
 
-    /// Returns the beginning of a controller's id.
+    /// Returns the beginning of a daemon's id.
     fn mesh_prefix(&self, index: usize) -> String {
-        let ip = self.controllers[index].split(':').next().unwrap_or_default();
-        format!("{ip}:")
+        format!("{}:", self.ip_of(index))
+    }
+
+    fn ip_of(&self, daemon: usize) -> &str {
+        self.metrics[daemon].split(':').next().unwrap_or_default()
     }
 
     /// Returns the metrics page of a daemon.
@@ -622,6 +649,36 @@
     }
 }
 
+#[allow(dead_code, reason = "only tests of crowds look at these")]
+impl System {
+    /// Returns the number of descriptors that a daemon's process has open.
+    pub fn open_descriptors(&self, daemon: usize) -> usize {
+        let id = self.daemons[daemon].child.as_ref().expect("the daemon runs").id();
+        let open = std::fs::read_dir(format!("/proc/{id}/fd"));
+        open.expect("the process can be read").count()
+    }
+
+    /// Returns whether a daemon's process still runs.
+    pub fn is_running(&mut self, daemon: usize) -> bool {
+        self.daemons[daemon].is_running()
+    }
+
+    /// Returns the address at which a daemon's metrics are served.
+    pub fn metrics_address(&self, daemon: usize) -> &str {
+        &self.metrics[daemon]
+    }
+
+    /// Returns the address at which a daemon listens for other daemons.
+    pub fn mesh_address(&self, daemon: usize) -> String {
+        format!("{}:{}", self.ip_of(daemon), self.mesh_port)
+    }
+
+    /// Returns the address at which a gateway's readiness is checked.
+    pub fn readiness_address(&self, gateway: usize) -> &str {
+        &self.readiness[gateway]
+    }
+}
+
 /// Replaces the configuration at one controller. Returns the status, or 0 without an answer.
 pub async fn replace_at(controller: &str, body: &Bytes) -> u16 {
     let request = Request::builder()
