Bound the memory and the descriptors that clients of gateways and controllers use

What callers saw: a gateway or a controller that ran out of memory, and with it their requests; or no answer at all, while silent connections held all descriptors of the process.

Cause: each connection had limits, the process had none. Bodies were collected as the frames in which they came, and a frame keeps the connection's whole read buffer; answers that nobody reads stayed in the write buffers; each listener accepted until the kernel refused.

The new crate `ingress` holds the HTTP server and one gate for all listeners of a process. The gate has a budget of bytes (three eighths of `memory_mb`) for bodies, heads, answers that are not read and the connections themselves, taken as bytes arrive, and a quota of connections for each listener, from the process's own limit of descriptors. While neither is used up nothing is closed, however slow a client is. Then the connection that has waited for its client for longest is closed: for a new connection one without any request first, for memory one with data first. A request in progress whose client reads is never given up. The first 64 KiB of a request may use a quarter of the budget that larger ones may not. An incomplete body that is given up is answered with 503 and a Retry-After; its request did not run. A length that is announced above the limit is refused before the body is read.

Bodies above 64 KiB have a private mapping each.

An alternative was to count allocations of the whole process; it cannot tell which client to give up. A limit by address was not taken: clients share them.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::DeploymentFault;
-use hollowbarrow_member::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits};
+use hollowbarrow_ingress::{
+    AnswerBody, HttpAnswer, HttpHandler, HttpLimits, ReadRequestError, RequestBody,
+};
 use hollowbarrow_schema::{
     ContentDigest, DeploymentDocument, EntryPayload, ParseContentError, ProposalOutcome, WorkerId,
     WorkerReport, read_release_path,
 };
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use tokio::time::Instant;
 
@@ -24,8 +25,11 @@
 /// Characters of a worker's name that are logged.
 const MAX_LOGGED_NAME: usize = 64;
 /// Bounds on connections of workers and operators.
-const CONTROL_LIMITS: HttpLimits =
-    HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
+const CONTROL_LIMITS: HttpLimits = HttpLimits {
+    head_bytes: 16 << 10,
+    header: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
 /// Time limit for committing a configuration.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time limit for a majority to confirm the leader before the configuration is read.
@@ -41,24 +45,10 @@
         CONTROL_LIMITS
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> HttpAnswer {
         let core = &self.0;
         let (head, body) = request.into_parts();
-        let answer = match Limited::new(body, MAX_CALL_BYTES).collect().await {
-            Ok(body) => {
-                let path = head.uri.path();
-                match read_release_path(path).filter(|_| head.method == Method::POST) {
-                    Some(request) => release_quarantined(core, request, path),
-                    None => {
-                        let call = core.protocol.read_call(&head, &body.to_bytes());
-                        answer_call(core, call, path).await
-                    }
-                }
-            }
-            Err(_) => {
-                ControlAnswer::Invalid(vec!["the body is too large or was truncated".to_owned()])
-            }
-        };
+        let answer = read_and_answer(core, &head, body).await;
         let (status, headers, body) = core.protocol.write_answer(&answer);
         let mut response = Response::new(AnswerBody::complete(body));
         *response.status_mut() = status;
@@ -67,6 +57,20 @@
     }
 }
 
+async fn read_and_answer(core: &ControllerCore, head: &Parts, body: RequestBody) -> ControlAnswer {
+    let path = head.uri.path();
+    match body.read_within(MAX_CALL_BYTES).await {
+        Ok(body) => match read_release_path(path).filter(|_| head.method == Method::POST) {
+            Some(request) => release_quarantined(core, request, path),
+            None => answer_call(core, core.protocol.read_call(head, &body), path).await,
+        },
+        Err(ReadRequestError::Overloaded(_)) => {
+            ControlAnswer::Unavailable("there is no memory for the call")
+        }
+        Err(error) => ControlAnswer::Invalid(vec![error.to_string()]),
+    }
+}
+
 async fn answer_call(core: &ControllerCore, call: ControlCall, path: &str) -> ControlAnswer {
     match call {
         ControlCall::Report(report) => register_worker(core, *report),
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -4,11 +4,9 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
+use hollowbarrow_ingress::{ProcessGate, bind_http, serve_http};
 use hollowbarrow_log::{AppliedChange, DriverConfig, LogDriver, ReplicaConfig, StoreLogError};
-use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{
-    MemberLinks, StartLinksError, SuspensionDetector, serve_http, serve_metrics,
-};
+use hollowbarrow_member::{MemberLinks, StartLinksError, SuspensionDetector, serve_metrics};
 use hollowbarrow_schema::{DaemonId, EntryPayload, MemberSettings};
 use hollowbarrow_state::DeploymentState;
 use thiserror::Error;
@@ -85,7 +83,7 @@
         start_links(&core)?;
         let (stop, stopped) = watch::channel(false);
         let handler = Arc::new(ControlHandler(Arc::clone(&core)));
-        tokio::spawn(serve_http(listener, stopped, handler));
+        tokio::spawn(serve_http(listener, stopped, handler, core.gate.clients("control")));
         tokio::spawn(learn_voters(Arc::clone(&core)));
         tokio::spawn(call_silent_gateways(Arc::clone(&core)));
         tokio::spawn(store_contacts(Arc::clone(&core), data.into()));
@@ -96,7 +94,8 @@
         tokio::spawn(log_quorum(Arc::clone(&core)));
         tokio::spawn(run_leader(Arc::clone(&core), event_receiver));
         let metrics_core = Arc::clone(&core);
-        serve_metrics(core.settings.metrics.as_deref(), move || metrics_core.metrics_text());
+        let gate = core.gate.checks("metrics");
+        serve_metrics(core.settings.metrics.as_deref(), gate, move || metrics_core.metrics_text());
         log::info!("event=started role=controller name={}", core.settings.name);
         Ok(Self { core, stop })
     }
@@ -135,6 +134,7 @@
         log,
         changed: Notify::new(),
         updates_due: Notify::new(),
+        gate: ProcessGate::new(settings.memory_mb, settings.descriptors),
         metrics: ControllerMetrics::new(),
         applied,
         events,
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{Deployment, Service, VersionTimes};
+use hollowbarrow_ingress::ProcessGate;
 use hollowbarrow_log::{LogDriver, LogView};
 use hollowbarrow_member::{EncodedDeployment, MemberLinks, SuspensionDetector};
 use hollowbarrow_routing::LimitCoordinator;
@@ -39,6 +40,8 @@
     pub(crate) updates_due: Notify,
     pub(crate) events: flume::Sender<WorkerEvent>,
     pub(crate) metrics: ControllerMetrics,
+    /// Admits the connections of all listeners.
+    pub(crate) gate: ProcessGate,
     pub(crate) started: Instant,
     pub(crate) suspension: SuspensionDetector,
     pub(crate) links: Arc<OnceLock<MemberLinks>>,
@@ -86,6 +89,7 @@
         let now = Instant::now();
         let fleet = self.fleet();
         let lags = fleet.gateway_lags(&self.commits(), now);
+        self.metrics.record_clients(&self.gate);
         self.metrics.to_text(&ControllerLevels {
             leads: self.is_confirmed_leader(&view, now),
             term: *view.term,
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{OrderOutcome, WorkerOrder};
+use hollowbarrow_ingress::{ClientMetrics, ProcessGate};
 use hollowbarrow_telemetry::MetricsPage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge};
@@ -80,6 +81,7 @@
     gateway_lag: Gauge<u64>,
     configurations: Counter<u64>,
     dropped: Gauge<u64>,
+    clients: ClientMetrics,
 }
 
 /// Number of workers by last reported state.
@@ -136,6 +138,7 @@
             gateway_lag: meter.u64_gauge("controller_gateway_lag_ms").build(),
             configurations: meter.u64_counter("controller_configurations_sent").build(),
             dropped: meter.u64_gauge("controller_messages_dropped").build(),
+            clients: ClientMetrics::new(&page),
             page,
         }
     }
@@ -161,6 +164,11 @@
         self.configurations.add(gateways as u64, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Records what workers and operators make the controller hold.
+    pub(crate) fn record_clients(&self, gate: &ProcessGate) {
+        self.clients.record(gate);
+    }
+
     /// Records the gauges and returns the metrics page in the text format.
     pub(crate) fn to_text(&self, levels: &ControllerLevels) -> String {
         self.leads.record(levels.leads.into(), &[]);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use hollowbarrow_fleet::{RouteTable, Service, VersionTimes};
-use hollowbarrow_member::{ConnectionLimiter, MemberLinks, SuspensionDetector, UsedConnections};
+use hollowbarrow_ingress::{ConnectionLimiter, ProcessGate, UsedConnections};
+use hollowbarrow_member::{MemberLinks, SuspensionDetector};
 use hollowbarrow_reach::{ConnectTimes, PathChange, Reach, ReachObserver};
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RetryBudget};
 use hollowbarrow_routing::{
     ConfigFreshness, DuplicateGate, LimitNotice, NoticeInterval, limit_text,
 };
 use hollowbarrow_schema::{DaemonId, FleetView, MemberSettings, WorkerId};
-use hollowbarrow_upstream::{UpstreamClient, UpstreamNotice};
+use hollowbarrow_upstream::{AnswerBudget, UpstreamClient, UpstreamNotice};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -64,6 +65,8 @@
     /// Notified when the issuer of permits has answered.
     pub(crate) permits_answered: Notify,
     pub(crate) in_flight: AtomicU32,
+    /// Admits the connections of all listeners.
+    pub(crate) gate: ProcessGate,
     /// Connections of callers, limited while the gateway is overloaded.
     pub(crate) connections: Arc<ConnectionLimiter>,
     /// Connections of callers on which a request was read.
@@ -83,7 +86,8 @@
         let picker = WorkerPicker::new(&settings.zone, rand::random()).with_preferences(&local);
         let picker = Arc::new(Mutex::new(picker));
         let metrics = Arc::new(GatewayMetrics::new());
-        let client = new_client(&settings, protocol.as_ref());
+        let gate = ProcessGate::new(settings.memory_mb, settings.descriptors);
+        let client = new_client(&settings, &gate, protocol.as_ref());
         let observer = PathObserver { metrics: Arc::clone(&metrics), picker: Arc::clone(&picker) };
         Self {
             reach: Arc::new(Reach::new(
@@ -105,6 +109,7 @@
             permits_requested: Notify::new(),
             permits_answered: Notify::new(),
             in_flight: AtomicU32::new(0),
+            gate,
             connections: Arc::default(),
             used_connections: UsedConnections::default(),
             links: OnceLock::new(),
@@ -239,6 +244,7 @@
 
     /// Returns the page of metrics, with this number of dropped messages.
     pub(crate) fn metrics_text(&self, dropped: u64) -> String {
+        self.metrics.record_clients(&self.gate);
         self.metrics.to_text(&GatewayLevels {
             in_flight: self.in_flight().into(),
             ready: self.is_ready(),
@@ -382,8 +388,13 @@
 
 /// Returns the client for workers. Connections start at the address that the settings name for those
 /// to other daemons.
-fn new_client(settings: &MemberSettings, protocol: &dyn CallerProtocol) -> UpstreamClient {
+fn new_client(
+    settings: &MemberSettings,
+    gate: &ProcessGate,
+    protocol: &dyn CallerProtocol,
+) -> UpstreamClient {
     let client = UpstreamClient::new()
+        .with_answer_budget(AnswerBudget::new(gate.memory().answer_bytes()))
         .with_identity(protocol.identity_header())
         .with_first_connect_timeout(FIRST_CONNECT);
     match settings.bind_ip.as_ref().and_then(|ip| ip.parse().ok()) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
-use hollowbarrow_member::http::bind_http;
-use hollowbarrow_member::{MemberLinks, StartLinksError, serve_http, serve_metrics};
+use hollowbarrow_ingress::{bind_http, serve_http};
+use hollowbarrow_member::{MemberLinks, StartLinksError, serve_metrics};
 use hollowbarrow_peer::TunnelGate;
 use hollowbarrow_schema::{DaemonId, MemberSettings, TunnelRefusal};
 use thiserror::Error;
@@ -70,19 +70,21 @@
         let connections = Arc::clone(&core.connections);
         tokio::spawn(async move { connections.run().await });
         let handler = Arc::new(CallerHandler(Arc::clone(&core)));
-        tokio::spawn(serve_http(callers, stopped, handler));
+        tokio::spawn(serve_http(callers, stopped, handler, core.gate.clients("callers")));
         let handler = Arc::new(ReadinessHandler(Arc::clone(&core)));
+        let gate = core.gate.checks("readiness");
         tokio::spawn(async move {
             // Readiness checks are answered until the process ends: nothing is sent on this channel.
             let (_open, never) = watch::channel(false);
-            serve_http(readiness, never, handler).await;
+            serve_http(readiness, never, handler, gate).await;
         });
         tokio::spawn(report_to_controllers(Arc::clone(&core), Arc::clone(&links)));
         let (reach, picked) = (Arc::clone(&core.reach), Arc::clone(&core));
         tokio::spawn(reach.run_checks(move || picked.picker().targets()));
         tokio::spawn(ask_for_permits(Arc::clone(&core), Arc::clone(&links)));
         let shown = Arc::clone(&core);
-        serve_metrics(core.settings.metrics.as_deref(), move || {
+        let gate = core.gate.checks("metrics");
+        serve_metrics(core.settings.metrics.as_deref(), gate, move || {
             shown.metrics_text(links.traffic().dropped())
         });
         log::info!("event=started role=gateway name={}", core.settings.name);
@@ -136,8 +138,9 @@
             handle_message(&handler_core, links, from, message);
         }
     };
-    let gate = WorkerGate(Arc::downgrade(core));
-    let links = Arc::new(MemberLinks::start_with_tunnels(&core.settings, handler, gate)?);
+    let workers = WorkerGate(Arc::downgrade(core));
+    let links = MemberLinks::start_with_tunnels(&core.settings, handler, workers)?;
+    let links = Arc::new(links);
     core.reach.set_mesh(links.mesh().clone());
     let _ = core.links.set(Arc::clone(&links));
     Ok(links)
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -6,14 +6,13 @@
 
 use bytes::Bytes;
 use hollowbarrow_fleet::{Organisation, Route, RouteTable};
-use hollowbarrow_member::http::plain_answer;
-use hollowbarrow_member::{
-    ConnectionLimiter, HttpAnswer, HttpHandler, HttpLimits, SuspensionDetector, UsedConnections,
+use hollowbarrow_ingress::{
+    ConnectionLimiter, HttpAnswer, HttpHandler, HttpLimits, ReadRequestError, RequestBody,
+    UsedConnections, plain_answer,
 };
+use hollowbarrow_member::SuspensionDetector;
 use hollowbarrow_routing::{RequestContent, RequestContents};
 use hollowbarrow_schema::ServiceName;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
@@ -30,8 +29,11 @@
 
 /// Limits of connections before a configuration is active; its head size is also a lower bound on
 /// the configured one.
-const INITIAL_LIMITS: HttpLimits =
-    HttpLimits { head_bytes: 32 << 10, idle: Duration::from_secs(15) };
+const INITIAL_LIMITS: HttpLimits = HttpLimits {
+    head_bytes: 32 << 10,
+    header: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
 
 /// Answers readiness checks.
 pub(crate) struct ReadinessHandler(pub(crate) Arc<GatewayCore>);
@@ -41,7 +43,7 @@
         INITIAL_LIMITS
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> HttpAnswer {
         let (head, _) = request.into_parts();
         if !self.0.protocol.is_readiness_check(&head) {
             return plain_answer(StatusCode::NOT_FOUND, "no such path");
@@ -62,7 +64,7 @@
         self.0.routes().map_or(INITIAL_LIMITS, |routes| {
             let limits = routes.limits();
             let head_bytes = limits.header_bytes.max(INITIAL_LIMITS.head_bytes);
-            HttpLimits { head_bytes, idle: limits.idle_timeout }
+            HttpLimits { head_bytes, header: limits.idle_timeout, idle: limits.idle_timeout }
         })
     }
 
@@ -74,7 +76,7 @@
         Some(&self.0.used_connections)
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> HttpAnswer {
         let core = Arc::clone(&self.0);
         let _in_flight = InFlightGuard::new(&core);
         let mut answer = match read_request(&core, request).await {
@@ -104,7 +106,7 @@
 /// request has none.
 async fn read_request(
     core: &GatewayCore,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<CallerRequest, (String, Refusal)> {
     let received = Instant::now();
     let (parts, body) = request.into_parts();
@@ -170,12 +172,16 @@
     &route.split[0].0
 }
 
-async fn read_body(body: Incoming, limit: usize, routed: &RoutedRequest) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match tokio::time::timeout(routed.route.timeout, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        _ => Err(Refusal::BodyTruncated),
+async fn read_body(
+    body: RequestBody,
+    limit: usize,
+    routed: &RoutedRequest,
+) -> Result<Bytes, Refusal> {
+    match tokio::time::timeout(routed.route.timeout, body.read_within(limit)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ReadRequestError::TooLong(_))) => Err(Refusal::TooLarge),
+        Ok(Err(ReadRequestError::Overloaded(_))) => Err(Refusal::Overloaded),
+        Ok(Err(ReadRequestError::Truncated(_))) | Err(_) => Err(Refusal::BodyTruncated),
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hollowbarrow_ingress::{ClientMetrics, ProcessGate};
 use hollowbarrow_reach::{InstanceState, UpstreamFate};
 use hollowbarrow_telemetry::MetricsPage;
 use opentelemetry::KeyValue;
@@ -96,6 +97,7 @@
     workers: Gauge<u64>,
     configuration_reading: Histogram<f64>,
     dropped: Gauge<u64>,
+    clients: ClientMetrics,
 }
 
 /// Current values of the gauges, read when the page is requested.
@@ -135,6 +137,7 @@
             workers: meter.u64_gauge("gateway_workers").build(),
             configuration_reading: page.time_histogram("gateway_configuration_reading_ms"),
             dropped: meter.u64_gauge("gateway_messages_dropped").build(),
+            clients: ClientMetrics::new(&page),
             page,
         }
     }
@@ -182,6 +185,11 @@
         self.limited_sends.add(1, &[]);
     }
 
+    /// Records what callers make the gateway hold.
+    pub(crate) fn record_clients(&self, gate: &ProcessGate) {
+        self.clients.record(gate);
+    }
+
     /// Renders the page of metrics.
     pub(crate) fn to_text(&self, levels: &GatewayLevels) -> String {
         self.in_flight.record(levels.in_flight, &[]);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hollowbarrow_member::{AnswerBody, HttpAnswer};
+use hollowbarrow_ingress::{AnswerBody, HttpAnswer};
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_schema::ErrorRan;
 use hyper::header::RETRY_AFTER;
@@ -35,6 +35,8 @@
     BadKey,
     /// The body is larger than the limit.
     TooLarge,
+    /// There is no memory for the body beside those of other requests.
+    Overloaded,
     /// The body was truncated or too slow.
     BodyTruncated,
     /// The request crashed workers and is quarantined for this time.
@@ -70,6 +72,7 @@
             Self::BodyTruncated => StatusCode::REQUEST_TIMEOUT,
             Self::NoDeployment
             | Self::ConfigurationBehind
+            | Self::Overloaded
             | Self::Quarantined(_)
             | Self::DuplicateInProgress
             | Self::NoWorker(_)
@@ -98,6 +101,7 @@
             Self::ConfigurationBehind => "configuration_behind",
             Self::BadKey => "bad_key",
             Self::TooLarge => "too_large",
+            Self::Overloaded => "overloaded",
             Self::BodyTruncated => "body_cut",
             Self::Quarantined(_) => "ends_workers",
             Self::DuplicateInProgress => "copy_under_way",
@@ -120,9 +124,10 @@
                 let delay = retry_delay(left, rand::random());
                 Some(delay.max(wait + retry_jitter(left, rand::random())))
             }
-            Self::NoDeployment | Self::DuplicateInProgress | Self::NoWorker(_) => {
-                Some(retry_delay(left, rand::random()))
-            }
+            Self::NoDeployment
+            | Self::Overloaded
+            | Self::DuplicateInProgress
+            | Self::NoWorker(_) => Some(retry_delay(left, rand::random())),
             Self::Quarantined(quarantine) => Some(quarantine),
             Self::NotRun => Some(REJECTED_RETRY_DELAY),
             Self::ConfigurationBehind => Some(CONFIGURATION_RETRY_DELAY),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use hollowbarrow_fleet::{Organisation, Route, Service};
-use hollowbarrow_member::{HttpAnswer, SuspensionDetector};
+use hollowbarrow_ingress::HttpAnswer;
+use hollowbarrow_member::SuspensionDetector;
 use hollowbarrow_routing::{AttemptBounds, RequestContents};
 use hyper::{HeaderMap, Method};
 use tokio::time::Instant;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use hollowbarrow_fleet::Repeatability;
-use hollowbarrow_member::{AnswerBody, HttpAnswer, TruncatedAnswerError};
+use hollowbarrow_ingress::{AnswerBody, HttpAnswer, TruncatedAnswerError};
 use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{ConnectionLease, SentAnswer, UpstreamBody};
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hollowbarrow_member::{AnswerBody, HttpAnswer};
+use hollowbarrow_ingress::{AnswerBody, HttpAnswer};
 use hollowbarrow_routing::AnswerProof;
 use hollowbarrow_routing::retry::AttemptUpstreamError;
 use hollowbarrow_upstream::{ConnectionLease, ReadBodyError, SentAnswer, is_hop_header};
--- a/crates/member/src/overload.rs
+++ b/crates/ingress/src/overload.rs
@@ -110,6 +110,12 @@
         Some(OpenConnection(Arc::clone(self)))
     }
 
+    /// Counts a new connection as open that takes the place of one that is being closed.
+    pub fn open_in_place(self: &Arc<Self>) -> OpenConnection {
+        self.state().open += 1;
+        OpenConnection(Arc::clone(self))
+    }
+
     /// Records by how much a timer was late.
     pub fn record_delay(&self, delay: Duration, now: Instant) {
         self.state().record_delay(delay, now);
--- a/crates/member/tests/overload.rs
+++ b/crates/ingress/tests/overload.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowbarrow_member::{ConnectionLimiter, OpenConnection};
+use hollowbarrow_ingress::{ConnectionLimiter, OpenConnection};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,5 +1,5 @@
 //! Code shared by gateways and controllers: settings, links to other daemons,
-//! HTTP, metrics and detection of suspensions.
+//! HTTP calls, metrics and detection of suspensions.
 //!
 //! The id of a daemon is the address under which other daemons reach it, so
 //! that a message can be sent to any id that was received. Daemons discover
@@ -12,17 +12,12 @@
 pub mod http;
 mod links;
 mod metrics;
-mod overload;
 mod seeds;
 mod settings;
 mod suspension;
-mod used_connections;
 
-pub use http::{AnswerBody, HttpAnswer, HttpHandler, HttpLimits, TruncatedAnswerError, serve_http};
 pub use links::{EncodedDeployment, MemberLinks, StartLinksError};
 pub use metrics::serve_metrics;
-pub use overload::{ConnectionLimiter, OpenConnection};
 pub use seeds::follow_seeds;
 pub use settings::{member_id, read_member_settings, seed_ids};
 pub use suspension::{BootClock, SuspensionClock, SuspensionDetector};
-pub use used_connections::{UsedConnection, UsedConnections};
--- a/crates/member/src/metrics.rs
+++ b/crates/member/src/metrics.rs
@@ -3,15 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hollowbarrow_ingress::{
+    HttpAnswer, HttpHandler, HttpLimits, ListenerGate, RequestBody, bind_http, plain_answer,
+    serve_http,
+};
 use hyper::{Request, StatusCode};
 use tokio::sync::watch;
 
-use crate::http::{HttpAnswer, HttpHandler, HttpLimits, bind_http, plain_answer, serve_http};
-
 /// Path under which the metrics are served.
 const METRICS_PATH: &str = "/metrics";
-const LIMITS: HttpLimits = HttpLimits { head_bytes: 8 << 10, idle: Duration::from_secs(15) };
+const LIMITS: HttpLimits = HttpLimits {
+    head_bytes: 8 << 10,
+    header: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
 
 /// Answers metrics requests with the text that a function returns.
 struct MetricsHandler<F>(F);
@@ -21,7 +26,7 @@
         LIMITS
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> HttpAnswer {
         if request.uri().path() == METRICS_PATH {
             plain_answer(StatusCode::OK, (self.0)())
         } else {
@@ -33,7 +38,11 @@
 /// Serves the metrics page on an address, if one is given, until the process exits.
 ///
 /// If the address cannot be listened on, a warning is logged and the process runs without metrics.
-pub fn serve_metrics(address: Option<&str>, page: impl Fn() -> String + Send + Sync + 'static) {
+pub fn serve_metrics(
+    address: Option<&str>,
+    gate: ListenerGate,
+    page: impl Fn() -> String + Send + Sync + 'static,
+) {
     let Some(address) = address else { return };
     match bind_http(address) {
         Ok(listener) => {
@@ -41,7 +50,7 @@
                 // Metrics are served until the process exits. The sender is kept alive, because
                 // dropping it would stop the server.
                 let (_stop_sender, stop) = watch::channel(false);
-                serve_http(listener, stop, Arc::new(MetricsHandler(page))).await;
+                serve_http(listener, stop, Arc::new(MetricsHandler(page)), gate).await;
             });
         }
         Err(error) => {
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -11,13 +11,13 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use hollowbarrow_member::http::{bind_http, call_once};
-use hollowbarrow_member::{
-    AnswerBody, HttpAnswer, HttpHandler, HttpLimits, TruncatedAnswerError, serve_http,
+use hollowbarrow_ingress::{
+    AnswerBody, HttpAnswer, HttpHandler, HttpLimits, ListenerGate, RequestBody,
+    TruncatedAnswerError, bind_http, serve_http,
 };
+use hollowbarrow_member::http::call_once;
 use hollowbarrow_testkit::{FaultMode, LinkProxy};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response};
 use serde_json::{Value, json};
@@ -33,7 +33,11 @@
 /// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
 const HEARTBEAT: Duration = Duration::from_millis(200);
-const LIMITS: HttpLimits = HttpLimits { head_bytes: 16 << 10, idle: Duration::from_secs(15) };
+const LIMITS: HttpLimits = HttpLimits {
+    head_bytes: 16 << 10,
+    header: Duration::from_secs(15),
+    idle: Duration::from_secs(15),
+};
 
 /// Address of a new worker, with a port that the kernel chooses. No connection starts at this IP
 /// address, so that none takes the port of a killed worker before its next instance starts.
@@ -244,7 +248,7 @@
             fleet: Arc::clone(fleet),
             stop,
         });
-        tokio::spawn(serve_http(listener, stopped, Arc::clone(&worker)));
+        tokio::spawn(serve_http(listener, stopped, Arc::clone(&worker), ListenerGate::unbounded()));
         tokio::spawn(Arc::clone(&worker).send_heartbeats());
         worker
     }
@@ -605,7 +609,7 @@
         LIMITS
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> HttpAnswer {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> HttpAnswer {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let control = head.uri.path().starts_with("/-/");
--- a/tests/platform/worker/unframed.rs
+++ b/tests/platform/worker/unframed.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use hollowbarrow_member::http::bind_http;
+use hollowbarrow_ingress::bind_http;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
