Answer calls that do not exist before their bodies are read

What operators saw: a controller that read up to 16 MiB of a call only to answer 404; a crowd of such calls took one to 214 MB.

Cause: the head of a call was interpreted together with its body.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -16,12 +16,14 @@
 use tokio::time::Instant;
 
 use crate::core::ControllerCore;
-use crate::protocol::{ControlAnswer, ControlCall};
+use crate::protocol::{CallKind, ControlAnswer, ControlCall};
 use crate::records::{RecordFault, check_report, check_start};
 use crate::sync::{accept_report, publish_report};
 
-/// Largest body of a call.
-const MAX_CALL_BYTES: usize = 16 << 20;
+/// Largest configuration.
+const MAX_CONFIGURATION_BYTES: usize = 16 << 20;
+/// Largest body of all other calls.
+const MAX_RECORD_BYTES: usize = 1 << 20;
 /// Characters of a worker's name that are logged.
 const MAX_LOGGED_NAME: usize = 64;
 /// Bounds on connections of workers and operators.
@@ -57,13 +59,19 @@
     }
 }
 
+/// Answers a call. The body of one that does not exist is not read.
 async fn read_and_answer(core: &ControllerCore, head: &Parts, body: RequestBody) -> ControlAnswer {
     let path = head.uri.path();
-    match body.read_within(MAX_CALL_BYTES).await {
-        Ok(body) => match read_release_path(path).filter(|_| head.method == Method::POST) {
-            Some(request) => release_quarantined(core, request, path),
-            None => answer_call(core, core.protocol.read_call(head, &body), path).await,
-        },
+    if let Some(request) = read_release_path(path).filter(|_| head.method == Method::POST) {
+        return release_quarantined(core, request, path);
+    }
+    let limit = match core.protocol.call_kind(head) {
+        CallKind::Replace => MAX_CONFIGURATION_BYTES,
+        CallKind::Record | CallKind::Fetch => MAX_RECORD_BYTES,
+        CallKind::Unknown => return ControlAnswer::Unknown,
+    };
+    match body.read_within(limit).await {
+        Ok(body) => answer_call(core, core.protocol.read_call(head, &body), path).await,
         Err(ReadRequestError::Overloaded(_)) => {
             ControlAnswer::Unavailable("there is no memory for the call")
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -42,5 +42,5 @@
 pub use controller::{Controller, StartControllerError};
 pub use liveness::ProbeOutcome;
 pub use metrics::CONTROLLER_METRICS;
-pub use protocol::{ControlAnswer, ControlCall, ControlProtocol, WorkerMessage};
+pub use protocol::{CallKind, ControlAnswer, ControlCall, ControlProtocol, WorkerMessage};
 pub use records::{RecordFault, RecordProblem};
--- a/crates/controller/src/protocol.rs
+++ b/crates/controller/src/protocol.rs
@@ -28,6 +28,19 @@
     Unknown,
 }
 
+/// What the head of a call asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A call under a worker's name.
+    Record,
+    /// An operator replaces the configuration.
+    Replace,
+    /// An operator reads the newest configuration.
+    Fetch,
+    /// The call does not exist.
+    Unknown,
+}
+
 /// The answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlAnswer {
@@ -67,6 +80,9 @@
     /// Lists all faults of the text.
     fn read_deployment(&self, text: &str) -> Result<Deployment, Vec<DeploymentFault>>;
 
+    /// Returns what the head of a call asks for, before its body is read.
+    fn call_kind(&self, head: &Parts) -> CallKind;
+
     /// Parses a call.
     fn read_call(&self, head: &Parts, body: &[u8]) -> ControlCall;
 
