Apply the time limit of heads that the configuration states

What operators saw: `header_timeout_ms` had no effect; a head could take as long as a connection may rest, 15 s on the deployments.

A connection at rest still has the idle time, which `resting_connection_kept` checks.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -64,7 +64,7 @@
         self.0.routes().map_or(INITIAL_LIMITS, |routes| {
             let limits = routes.limits();
             let head_bytes = limits.header_bytes.max(INITIAL_LIMITS.head_bytes);
-            HttpLimits { head_bytes, header: limits.idle_timeout, idle: limits.idle_timeout }
+            HttpLimits { head_bytes, header: limits.header_timeout, idle: limits.idle_timeout }
         })
     }
 
