Bound what connections to the mesh hold before they have authenticated

What operators saw: anyone who reaches the mesh port could take a gateway or a controller to 259 MB with 16 connections, without any key.

Cause: a message of the handshake could have 64 MiB, as those of authenticated daemons may, and the listener accepted without a bound. A message of the handshake has 16 KiB at most now, the limits for messages hold from the end of the handshake on, and the gate admits so many connections in their handshake, the oldest of which makes room for a new one.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -191,7 +191,7 @@
 
 fn start_links(core: &Arc<ControllerCore>) -> Result<(), StartLinksError> {
     let handler_core = Arc::downgrade(core);
-    let links = MemberLinks::start(&core.settings, move |from, message| {
+    let links = MemberLinks::start(&core.settings, &core.gate, move |from, message| {
         if let Some(core) = handler_core.upgrade()
             && core.links.get().is_some()
         {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -139,7 +139,7 @@
         }
     };
     let workers = WorkerGate(Arc::downgrade(core));
-    let links = MemberLinks::start_with_tunnels(&core.settings, handler, workers)?;
+    let links = MemberLinks::start_with_tunnels(&core.settings, &core.gate, handler, workers)?;
     let links = Arc::new(links);
     core.reach.set_mesh(links.mesh().clone());
     let _ = core.links.set(Arc::clone(&links));
--- a/crates/member/src/links.rs
+++ b/crates/member/src/links.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
+use hollowbarrow_ingress::ProcessGate;
 use hollowbarrow_peer::{
     EncodedMessage, MeshConfig, MeshTraffic, PeerMesh, StartMeshError, TunnelGate, TunnelServer,
 };
@@ -80,9 +81,12 @@
     /// Fails if the address cannot be listened on.
     pub fn start(
         settings: &MemberSettings,
+        gate: &ProcessGate,
         handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
     ) -> Result<Self, StartLinksError> {
-        Self::start_with(settings, |config, listener| PeerMesh::start(config, listener, handler))
+        Self::start_with(settings, gate, |config, listener| {
+            PeerMesh::start(config, listener, handler)
+        })
     }
 
     /// Starts listening, and carries tunnels for peers to the upstreams that the gate admits.
@@ -92,16 +96,18 @@
     /// Fails if the address cannot be listened on.
     pub fn start_with_tunnels(
         settings: &MemberSettings,
+        gate: &ProcessGate,
         handler: impl Fn(&DaemonId, PeerMessage) + Send + Sync + 'static,
-        gate: impl TunnelGate,
+        tunnel_gate: impl TunnelGate,
     ) -> Result<Self, StartLinksError> {
-        Self::start_with(settings, |config, listener| {
-            PeerMesh::start_with_tunnels(config, listener, handler, gate)
+        Self::start_with(settings, gate, |config, listener| {
+            PeerMesh::start_with_tunnels(config, listener, handler, tunnel_gate)
         })
     }
 
     fn start_with(
         settings: &MemberSettings,
+        gate: &ProcessGate,
         start: impl FnOnce(MeshConfig, TcpListener) -> Result<PeerMesh, StartMeshError>,
     ) -> Result<Self, StartLinksError> {
         let id = member_id(&settings.ip, settings.mesh_port);
@@ -114,7 +120,8 @@
         let mut config = MeshConfig::new(&id, &settings.cluster_keys)
             .with_addressed_peers()
             .with_connect_timeout(CONNECT_TIMEOUT)
-            .with_timeouts(STEP_TIMEOUT, SILENCE_TIMEOUT);
+            .with_timeouts(STEP_TIMEOUT, SILENCE_TIMEOUT)
+            .with_gate(gate.handshakes());
         if let Some(ip) = bind_ip {
             config = config.with_source(ip);
         }
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 use crate::mesh::MeshConfig;
@@ -26,6 +26,9 @@
 /// tunnels.
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
+/// Largest message of a dialer that has not proved yet that it holds a key.
+const HANDSHAKE_BYTES: usize = 16 << 10;
+
 pub(crate) type PeerSocket = WebSocketStream<TcpStream>;
 
 /// Why a connection to or from a peer failed.
@@ -37,6 +40,9 @@
     /// The TCP connection failed.
     #[error("the connection failed: {0}")]
     Io(#[from] std::io::Error),
+    /// The gate closed the connection for others before the handshake was complete.
+    #[error("the connection was closed for others")]
+    Displaced,
     /// A step of the handshake took too long.
     #[error("the peer did not respond in time")]
     Timeout,
@@ -120,7 +126,10 @@
     stream.set_nodelay(true)?;
     // The dialer decides when to give up an attempt.
     let step = config.longest_step();
-    let upgrading = async { Ok(accept_async_with_config(stream, Some(socket_config())).await?) };
+    let bounded = socket_config()
+        .max_message_size(Some(HANDSHAKE_BYTES))
+        .max_frame_size(Some(HANDSHAKE_BYTES));
+    let upgrading = async { Ok(accept_async_with_config(stream, Some(bounded)).await?) };
     let mut socket = within(step, upgrading).await?;
     let accept_nonce = fresh_nonce();
     let challenge = PeerChallenge { version: PROTOCOL_VERSION, nonce: accept_nonce.clone() };
@@ -143,6 +152,10 @@
         .ok_or(ConnectPeerError::Key)?;
     send(&mut socket, &PeerWelcome { mac: transcript.code(key, ACCEPT_PURPOSE) }, step).await?;
     let session = transcript.code(key, SESSION_PURPOSE);
+    // A dialer sends nothing before the welcome, so nothing that was read is lost.
+    let stream = socket.into_inner();
+    let socket =
+        WebSocketStream::from_raw_socket(stream, Role::Server, Some(socket_config())).await;
     Ok(AcceptedPeer { socket, from: proof.from, session, tunnel: proof.tunnel })
 }
 
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
+use hollowbarrow_ingress::{ClientConnection, ListenerGate};
 use hollowbarrow_schema::{DaemonId, PeerMessage};
 use rand::RngExt;
 use thiserror::Error;
@@ -64,6 +65,7 @@
     step_timeout: Duration,
     silence_timeout: Duration,
     backoff: (Duration, Duration),
+    gate: ListenerGate,
 }
 
 impl MeshConfig {
@@ -79,6 +81,7 @@
             step_timeout: STEP_TIMEOUT,
             silence_timeout: PONG_TIMEOUT,
             backoff: BACKOFF,
+            gate: ListenerGate::unbounded(),
         }
     }
 
@@ -120,6 +123,12 @@
         self
     }
 
+    /// Sets the gate for connections whose dialers have not proved yet that they hold a key.
+    pub fn with_gate(mut self, gate: ListenerGate) -> Self {
+        self.gate = gate;
+        self
+    }
+
     /// Returns the longest timeout of a handshake step.
     pub(crate) fn longest_step(&self) -> Duration {
         self.step_timeout.saturating_mul(MAX_STEP_GROWTH)
@@ -464,11 +473,13 @@
 impl PeerAcceptor {
     async fn run(self: Arc<Self>, listener: TcpListener) {
         loop {
+            self.config.gate.ready().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    let Some(dialer) = self.config.gate.open() else { continue };
                     let acceptor = Arc::clone(&self);
                     tokio::spawn(async move {
-                        if let Err(error) = acceptor.serve(stream).await {
+                        if let Err(error) = acceptor.serve(stream, dialer).await {
                             log::debug!("event=peer_refused reason={:?}", error.to_string());
                         }
                     });
@@ -487,9 +498,16 @@
         }
     }
 
-    async fn serve(&self, stream: TcpStream) -> Result<(), ConnectPeerError> {
-        let AcceptedPeer { mut socket, from, session, tunnel } =
-            accept_peer(&self.config, stream).await?;
+    async fn serve(
+        &self,
+        stream: TcpStream,
+        dialer: ClientConnection,
+    ) -> Result<(), ConnectPeerError> {
+        let AcceptedPeer { mut socket, from, session, tunnel } = tokio::select! {
+            accepted = accept_peer(&self.config, stream) => accepted?,
+            () = dialer.handle().closing() => return Err(ConnectPeerError::Displaced),
+        };
+        drop(dialer);
         if let Some(upstream) = tunnel {
             self.tunnels.serve(&self.config, socket, &from, &upstream).await;
             return Ok(());
--- a/tests/platform/stale_gateway.rs
+++ b/tests/platform/stale_gateway.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use hollowbarrow_ingress::ProcessGate;
 use hollowbarrow_member::{MemberLinks, read_member_settings};
 use hollowbarrow_schema::{
     ControllerPlace, DaemonId, DeploymentDocument, FleetMessage, FleetView, PeerMessage, Term,
@@ -43,12 +44,16 @@
             read_member_settings("test", &settings.to_string()).expect("the settings are valid");
         let reports: Arc<(AtomicU64, AtomicU64)> = Arc::default();
         let counters = Arc::clone(&reports);
-        let links = MemberLinks::start(&settings, move |_, message| {
-            if let PeerMessage::Fleet(FleetMessage::Gateway(hello)) = message {
-                counters.0.fetch_add(1, Ordering::SeqCst);
-                counters.1.store(hello.deployment, Ordering::SeqCst);
-            }
-        });
+        let links = MemberLinks::start(
+            &settings,
+            &ProcessGate::new(settings.memory_mb, settings.descriptors),
+            move |_, message| {
+                if let PeerMessage::Fleet(FleetMessage::Gateway(hello)) = message {
+                    counters.0.fetch_add(1, Ordering::SeqCst);
+                    counters.1.store(hello.deployment, Ordering::SeqCst);
+                }
+            },
+        );
         Self { links: links.expect("the address is free"), reports }
     }
 
