Serve callers and operators of entry daemons through the gate

What callers and operators saw: an entry daemon (`hollowbarrow serve`) that 40 callers with unfinished bodies took to 190 MB, and silent connections that kept callers out or, at the operators' address, took a descriptor and a thread each.

Cause: the ingress was a second HTTP server with a bound on connections that silent ones could use up, and without one on memory. The operators' interface ran on rouille, which starts a thread for each connection, has no time limits and no bound.

New error code for callers: `overloaded`, 503, not run, Retry-After 1 s.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -1,94 +1,46 @@
 //! Answers to callers: complete and streamed bodies, and errors in the JSON format of engines.
 
-use std::pin::Pin;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream::poll_fn;
+use hollowbarrow_ingress::{AnswerBody, HttpAnswer, TruncatedAnswerError};
 use hollowbarrow_schema::{ErrorAnswer, ErrorBody, ErrorRan};
-use hyper::body::{Body, Frame, SizeHint};
 use hyper::{Response, StatusCode};
-use thiserror::Error;
 use tokio::sync::mpsc;
 
 /// Chunks of an answer that may be buffered for a slow caller.
 const BODY_CHANNEL_CAPACITY: usize = 32;
 
-/// An answer that ended before it was complete; the caller's connection is closed.
-#[derive(Clone, Copy, Debug, Error)]
-#[error("the answer was truncated")]
-pub(crate) struct TruncatedAnswerError;
-
 /// Sends the chunks of a streamed answer.
 pub(crate) type ChunkSender = mpsc::Sender<Result<Bytes, TruncatedAnswerError>>;
 
-/// Body of an answer.
-pub(crate) enum AnswerBody {
-    /// The complete body, until it is sent.
-    Complete(Option<Bytes>),
-    /// Chunks from a channel; the answer is complete when the channel closes.
-    Chunks(mpsc::Receiver<Result<Bytes, TruncatedAnswerError>>),
+/// Returns the sender of a streamed body's chunks, and the body; it is complete when the sender is dropped.
+fn chunked_body() -> (ChunkSender, AnswerBody) {
+    let (sender, mut receiver) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+    let chunks = poll_fn(move |context| receiver.poll_recv(context));
+    (sender, AnswerBody::Chunks(Box::pin(chunks)))
 }
 
-impl AnswerBody {
-    pub(crate) fn complete(bytes: impl Into<Bytes>) -> Self {
-        Self::Complete(Some(bytes.into()))
-    }
-
-    pub(crate) fn chunks() -> (ChunkSender, Self) {
-        let (sender, receiver) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-        (sender, Self::Chunks(receiver))
-    }
-}
-
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = TruncatedAnswerError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswerError>>> {
-        match &mut *self {
-            Self::Complete(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Chunks(receiver) => {
-                receiver.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
-            Self::Chunks(_) => SizeHint::default(),
-        }
-    }
-}
-
-/// An answer to a caller.
-pub(crate) type CallerAnswer = Response<AnswerBody>;
-
 /// Connection to a caller: carries its one answer and, if that is streamed, the chunks.
 #[derive(Debug)]
 pub(crate) struct CallerLink {
-    answer: mpsc::Sender<CallerAnswer>,
+    answer: mpsc::Sender<HttpAnswer>,
     answer_sent: AtomicBool,
     chunks: OnceLock<ChunkSender>,
 }
 
 impl CallerLink {
     /// Creates a link and the receiver of its answer.
-    pub(crate) fn new() -> (Self, mpsc::Receiver<CallerAnswer>) {
+    pub(crate) fn new() -> (Self, mpsc::Receiver<HttpAnswer>) {
         let (answer, receiver) = mpsc::channel(1);
         (Self { answer, answer_sent: AtomicBool::new(false), chunks: OnceLock::new() }, receiver)
     }
 
     /// Sends the answer, unless one was sent before.
-    pub(crate) fn send_answer(&self, answer: CallerAnswer) {
+    pub(crate) fn send_answer(&self, answer: HttpAnswer) {
         if !self.answer_sent.swap(true, Ordering::Relaxed) {
             let _ = self.answer.try_send(answer);
         }
@@ -96,7 +48,7 @@
 
     /// Sends the head of a streamed answer, whose chunks follow.
     pub(crate) fn start(&self, head: hyper::http::response::Builder) {
-        let (sender, body) = AnswerBody::chunks();
+        let (sender, body) = chunked_body();
         if self.chunks.set(sender).is_ok() {
             self.send_answer(head.body(body).expect("the headers are valid"));
         }
@@ -150,6 +102,8 @@
     LengthRequired = StatusCode::LENGTH_REQUIRED, "length_required", "invalid_request_error";
     /// The body is larger than the limit.
     TooLarge = StatusCode::PAYLOAD_TOO_LARGE, "too_large", "invalid_request_error";
+    /// There is no memory for the request beside others.
+    Overloaded = StatusCode::SERVICE_UNAVAILABLE, "overloaded", "server_error";
     /// The body was not received in time.
     TooSlow = StatusCode::REQUEST_TIMEOUT, "too_slow", "invalid_request_error";
     /// The path does not exist.
@@ -241,7 +195,7 @@
     }
 
     /// Returns the error as an answer with this request id.
-    pub(crate) fn to_answer(&self, request_id: &str) -> CallerAnswer {
+    pub(crate) fn to_answer(&self, request_id: &str) -> HttpAnswer {
         let (status, ..) = self.code.details();
         let mut builder = Response::builder()
             .status(status)
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollowbarrow_ingress::{OverloadedError, ReadRequestError, RequestBody};
 use hollowbarrow_schema::{
     ModelName, OrganisationSettings, RouteSettings, Settings, Urgency, keys,
 };
 use hollowbarrow_upstream::is_hop_header;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
@@ -48,6 +47,9 @@
 /// Timeout for receiving a caller's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Retry-After delay of requests for which there was no memory.
+const OVERLOAD_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Kind of a request.
 #[derive(Clone, Debug)]
 pub(crate) enum RequestKind {
@@ -155,7 +157,7 @@
 pub(crate) async fn read_request(
     settings: &Settings,
     id: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<CallerRequest, CallerError> {
     let (parts, body) = request.into_parts();
     check_framing(&parts.headers)?;
@@ -213,21 +215,24 @@
     path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, CallerError> {
+fn overloaded(error: OverloadedError) -> CallerError {
+    CallerError::not_run(ErrorCode::Overloaded, error.to_string())
+        .with_retry_after(OVERLOAD_RETRY_DELAY)
+}
+
+async fn read_body(body: RequestBody, limit: u64) -> Result<Bytes, CallerError> {
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
-    match collected.await {
-        Err(_) => {
-            Err(CallerError::not_run(ErrorCode::TooSlow, "the body was not received in time"))
-        }
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is larger than {limit} bytes");
-            Err(CallerError::not_run(ErrorCode::TooLarge, message))
-        }
-        Ok(Err(_)) => {
-            Err(CallerError::not_run(ErrorCode::BadRequest, "the body was not received completely"))
-        }
+    let refuse = |code, message: &str| CallerError::not_run(code, message);
+    match tokio::time::timeout(BODY_TIMEOUT, body.read_within(limit)).await {
+        Ok(Ok(body)) => Ok(body),
+        Err(_) => Err(refuse(ErrorCode::TooSlow, "the body was not received in time")),
+        Ok(Err(error)) => Err(match error {
+            ReadRequestError::TooLong(_) => refuse(ErrorCode::TooLarge, &error.to_string()),
+            ReadRequestError::Overloaded(error) => overloaded(error),
+            ReadRequestError::Truncated(_) => {
+                refuse(ErrorCode::BadRequest, "the body was not received completely")
+            }
+        }),
     }
 }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use hollowbarrow_ingress::{ProcessGate, UsedConnections};
 use hollowbarrow_log::LogDriver;
 use hollowbarrow_peer::PeerMesh;
 use hollowbarrow_reach::Reach;
@@ -77,7 +78,9 @@
     pub(crate) stopping: AtomicBool,
     pub(crate) in_flight: AtomicU32,
     /// Connections of callers on which a request was read, until they are closed.
-    pub(crate) used_connections: AtomicU32,
+    pub(crate) used_connections: UsedConnections,
+    /// Admits the connections of all listeners.
+    pub(crate) gate: ProcessGate,
     /// Whether any loss dissolves every replica of the zone; for comparisons only.
     pub(crate) rebuild_all: bool,
 }
@@ -242,8 +245,8 @@
 
     /// Returns whether a daemon that is stopping still runs requests, writes answers or carries tunnels.
     pub(crate) fn is_busy(&self) -> bool {
-        let counts = [&self.in_flight, &self.used_connections];
-        self.tunnels() > 0 || counts.iter().any(|count| count.load(Ordering::Relaxed) > 0)
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        self.tunnels() + in_flight + self.used_connections.count() > 0
     }
 
     /// Carries no new tunnels from now on.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,12 +1,13 @@
 //! Assembles, starts and stops a daemon.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::Duration;
 
+use hollowbarrow_ingress::{ProcessGate, UsedConnections, bind_http, serve_http};
 use hollowbarrow_log::{DriverConfig, LogDriver, ReplicaConfig, StoreLogError};
 use hollowbarrow_peer::{MeshConfig, PeerMesh, StartMeshError};
 use hollowbarrow_routing::retry::RetryBudget;
@@ -21,17 +22,18 @@
 use hollowbarrow_upstream::{AnswerBudget, HttpEngine, UpstreamClient};
 use hollowbarrow_zone::{AuthorityConfig, AuthorityMember, TableStore};
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use crate::callers::serve_callers;
+use crate::callers::CallerHandler;
 use crate::claims::sweep_claims;
 use crate::config_standing::{SharedStanding, follow_standing};
 use crate::core::DaemonCore;
 use crate::digest::{handle_digest, send_digests};
 use crate::fleet::FleetView;
 use crate::observer::{probe_nodes, watch_platform};
-use crate::operator::serve_operators;
+use crate::operator::OperatorHandler;
 use crate::paths::{RouteGate, new_reach};
 use crate::permits::{handle_permit_ask, handle_permit_grant, maintain_permits};
 use crate::quota::maintain_quotas;
@@ -44,8 +46,6 @@
 const LONGEST_ANSWERS_AT_ONCE: usize = 2;
 /// Largest number of prompt blocks for which the picker records the upstreams that cache them.
 const PREFIX_BLOCKS: usize = 65_536;
-/// Length of the queue of callers' connections that wait to be accepted.
-const CALLER_BACKLOG: u32 = 4096;
 /// Interval at which the state of removed upstreams is pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between two checks for requests in flight during shutdown.
@@ -66,14 +66,6 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The operators' interface cannot be served.
-    #[error("cannot serve operators on {address}: {reason}")]
-    Operators {
-        /// The configured address.
-        address: SocketAddr,
-        /// Cause.
-        reason: String,
-    },
     /// A log's data folder cannot be opened.
     #[error("cannot open the log {name}")]
     OpenLog {
@@ -99,8 +91,8 @@
 #[derive(Debug)]
 pub struct DaemonListeners {
     callers: TcpListener,
-    peers: TcpListener,
-    operators: SocketAddr,
+    peers: std::net::TcpListener,
+    operators: TcpListener,
 }
 
 impl DaemonListeners {
@@ -110,52 +102,27 @@
     ///
     /// Fails if an address cannot be bound; the error names the setting.
     pub fn bind(settings: &Settings) -> Result<Self, StartDaemonError> {
-        let bind = |field: &'static str, address: &str| {
-            TcpListener::bind(address).map_err(|source| StartDaemonError::Listen {
-                field,
-                address: address.to_owned(),
-                source,
-            })
+        let fail = |field: &'static str, address: &str| {
+            let address = address.to_owned();
+            move |source| StartDaemonError::Listen { field, address, source }
         };
-        let callers = listen_with_backlog(&settings.listen).map_err(|source| {
-            let address = settings.listen.clone();
-            StartDaemonError::Listen { field: "listen", address, source }
-        })?;
+        let Settings { listen, peer_listen, operator_listen, .. } = settings;
         Ok(Self {
-            callers,
-            peers: bind("peer_listen", &settings.peer_listen)?,
-            operators: settings.operator_listen.parse().map_err(|_| StartDaemonError::Listen {
-                field: "operator_listen",
-                address: settings.operator_listen.clone(),
-                source: std::io::Error::from(std::io::ErrorKind::InvalidInput),
-            })?,
+            callers: bind_http(listen).map_err(fail("listen", listen))?,
+            peers: std::net::TcpListener::bind(peer_listen)
+                .map_err(fail("peer_listen", peer_listen))?,
+            operators: bind_http(operator_listen)
+                .map_err(fail("operator_listen", operator_listen))?,
         })
     }
 
     /// Uses an already bound socket for connections from other daemons.
-    pub fn with_peers(mut self, peers: TcpListener) -> Self {
+    pub fn with_peers(mut self, peers: std::net::TcpListener) -> Self {
         self.peers = peers;
         self
     }
 }
 
-/// Listens for callers with a backlog long enough for bursts.
-///
-/// With the standard library's backlog of 128, those of 400 simultaneous callers that exceed it
-/// would wait a second until they retry the connection.
-fn listen_with_backlog(address: &str) -> std::io::Result<TcpListener> {
-    let invalid = || std::io::Error::from(std::io::ErrorKind::InvalidInput);
-    let address: SocketAddr = address.parse().map_err(|_| invalid())?;
-    let socket = if address.is_ipv4() {
-        tokio::net::TcpSocket::new_v4()?
-    } else {
-        tokio::net::TcpSocket::new_v6()?
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(CALLER_BACKLOG)?.into_std()
-}
-
 /// A running daemon.
 pub struct Daemon {
     core: Arc<DaemonCore>,
@@ -189,15 +156,17 @@
     ) -> Result<Self, StartDaemonError> {
         let core = Arc::new(DaemonCore { rebuild_all, ..build_core(settings)? });
         let (stop, stopped) = watch::channel(false);
-        let callers =
-            listeners.callers.local_addr().map_err(|source| StartDaemonError::Listen {
-                field: "listen",
-                address: core.settings.listen.clone(),
-                source,
-            })?;
-        let _ = listeners.callers.set_nonblocking(true);
-        start_mesh(&core, listeners.peers)?;
-        let operators = serve_operators(Arc::clone(&core), listeners.operators, stopped.clone())?;
+        let DaemonListeners { callers, peers, operators } = listeners;
+        start_mesh(&core, peers)?;
+        let bound = |listener: &TcpListener, field, address: &str| {
+            let address = address.to_owned();
+            let fail = |source| StartDaemonError::Listen { field, address, source };
+            listener.local_addr().map_err(fail)
+        };
+        let (callers_listener, operators_listener) = (callers, operators);
+        let callers = bound(&callers_listener, "listen", &core.settings.listen)?;
+        let operators =
+            bound(&operators_listener, "operator_listen", &core.settings.operator_listen)?;
         let (reach, routed) = (Arc::clone(&core.reach), Arc::clone(&core));
         tokio::spawn(reach.run_checks(move || routed.routes().targets()));
         tokio::spawn(watch_platform(Arc::clone(&core)));
@@ -211,7 +180,12 @@
         tokio::spawn(follow_standing(Arc::clone(&core)));
         tokio::spawn(prune_upstream_state(Arc::clone(&core)));
         tokio::spawn(maintain_permits(Arc::clone(&core)));
-        tokio::spawn(serve_callers(Arc::clone(&core), listeners.callers, stopped));
+        let gate = core.gate.clients_within("callers", core.settings.limits.connections);
+        let handler = Arc::new(CallerHandler(Arc::clone(&core)));
+        tokio::spawn(serve_http(callers_listener, stopped.clone(), handler, gate));
+        let gate = core.gate.checks_within("operators", core.settings.limits.connections);
+        let handler = Arc::new(OperatorHandler(Arc::clone(&core)));
+        tokio::spawn(serve_http(operators_listener, stopped, handler, gate));
         core.ready.store(true, Ordering::Relaxed);
         log::info!(
             "event=started id={} zone={} callers={callers} operators={operators}",
@@ -256,7 +230,7 @@
         core.config_log.stop();
         core.claims_log.stop();
         core.telemetry.flush();
-        let unwritten = core.used_connections.load(Ordering::Relaxed);
+        let unwritten = core.used_connections.count();
         let in_flight = core.in_flight.load(Ordering::Relaxed);
         log::info!("event=stopped in_flight={in_flight} unwritten={unwritten}");
     }
@@ -311,7 +285,8 @@
         ready: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
         in_flight: AtomicU32::new(0),
-        used_connections: AtomicU32::new(0),
+        used_connections: UsedConnections::default(),
+        gate: ProcessGate::new(settings.limits.memory_mb, None),
         rebuild_all: false,
         settings,
     })
@@ -396,9 +371,13 @@
     }
 }
 
-fn start_mesh(core: &Arc<DaemonCore>, listener: TcpListener) -> Result<(), StartDaemonError> {
+fn start_mesh(
+    core: &Arc<DaemonCore>,
+    listener: std::net::TcpListener,
+) -> Result<(), StartDaemonError> {
     let settings = &core.settings;
-    let mut config = MeshConfig::new(&settings.id, &settings.cluster_keys);
+    let mut config =
+        MeshConfig::new(&settings.id, &settings.cluster_keys).with_gate(core.gate.handshakes());
     for peer in settings.peers.iter().filter(|peer| peer.id != settings.id) {
         if let Ok(address) = peer.address.parse() {
             config = config.with_peer(&peer.id, address);
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
+use hollowbarrow_ingress::{AnswerBody, HttpAnswer};
 use hollowbarrow_reach::InstanceProbe;
 use hollowbarrow_routing::retry::{AttemptUpstreamError, RequestFacts, RetryStep, decide_retry};
 use hollowbarrow_routing::{
@@ -16,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::answer::{AnswerBody, CallerAnswer, CallerError, CallerLink};
+use crate::answer::{CallerError, CallerLink};
 use crate::attempt::{
     Attempt, AttemptAnswer, AttemptEnd, AttemptError, TriedUpstream, run_attempt, run_plain_attempt,
 };
@@ -517,7 +518,7 @@
     matches!(outcome, Err(AttemptError::Failed(error)) if error.is_withdrawn())
 }
 
-fn complete_answer(id: &str, status: StatusCode, content_type: &str, body: Bytes) -> CallerAnswer {
+fn complete_answer(id: &str, status: StatusCode, content_type: &str, body: Bytes) -> HttpAnswer {
     let mut builder = Response::builder().status(status).header("x-request-id", id);
     if let Ok(kind) = HeaderValue::try_from(content_type) {
         builder = builder.header("content-type", kind);
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,28 +1,25 @@
-//! The operators' HTTP interface.
-//!
-//! It is small and rarely used, so it is served by a synchronous HTTP library
-//! with one thread per request. Everything except readiness and metrics requires
-//! an operator's key.
-
-use std::io::Read;
-use std::net::SocketAddr;
+//! The operators' HTTP interface. Everything except readiness and metrics requires an operator's key.
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hollowbarrow_ingress::{
+    AnswerBody, HttpAnswer, HttpHandler, HttpLimits, ReadRequestError, RequestBody, plain_answer,
+};
 use hollowbarrow_peer::{MeshTraffic, PeerMesh};
 use hollowbarrow_schema::settings::{ReadSettingsError, read_document};
 use hollowbarrow_schema::{
     ChangeOutcome, ConfigChange, ConfigCommand, DaemonId, EntryPayload, FieldFault, GroupName,
     LogName, OperatorFault, ProposalOutcome, VoterChange, keys, read_release_path,
 };
-use rouille::{Request, Response};
-use tokio::runtime::Handle;
-use tokio::sync::watch;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::core::DaemonCore;
-use crate::daemon::StartDaemonError;
 use crate::operator_view::{daemon_status, dry_run, explain_group, group_statuses, node_statuses};
 use crate::proposals::ProposeEntryError;
 use crate::telemetry::log_metrics;
@@ -31,59 +28,59 @@
 /// Timeout for a change's outcome.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest document that an operator may send.
-const MAX_DOCUMENT_BYTES: u64 = 1 << 20;
-/// Interval at which the server checks whether it must stop.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Serves operators on a separate thread until shutdown; returns the bound address.
-pub(crate) fn serve_operators(
-    core: Arc<DaemonCore>,
-    address: SocketAddr,
-    stop: watch::Receiver<bool>,
-) -> Result<SocketAddr, StartDaemonError> {
-    let runtime = Handle::current();
-    let server = rouille::Server::new(address, move |request| answer(&core, &runtime, request))
-        .map_err(|error| StartDaemonError::Operators { address, reason: error.to_string() })?;
-    let bound = server.server_addr();
-    std::thread::Builder::new()
-        .name("operators".to_owned())
-        .spawn(move || {
-            while !*stop.borrow() {
-                server.poll_timeout(STOP_POLL_INTERVAL);
-            }
-        })
-        .map_err(|error| StartDaemonError::Operators { address, reason: error.to_string() })?;
-    Ok(bound)
-}
+const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+/// Bounds on operators' connections.
+const LIMITS: HttpLimits = HttpLimits {
+    head_bytes: 16 << 10,
+    header: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
 
-fn answer(core: &Arc<DaemonCore>, runtime: &Handle, request: &Request) -> Response {
-    let path = request.url();
-    match (request.method(), path.as_str()) {
-        ("GET", "/ready") => {
-            let ready = core.ready.load(Ordering::Relaxed);
-            let answer = Response::text(if ready { "ready\n" } else { "not ready\n" });
-            answer.with_status_code(if ready { 200 } else { 503 })
-        }
-        ("GET", "/metrics") => {
-            let traffic = core.mesh.get().map(PeerMesh::traffic);
-            let sent = traffic.map_or(0, MeshTraffic::sent);
-            let received = traffic.map_or(0, MeshTraffic::received);
-            Response::text(format!(
-                "{}{}{}hollowbarrow_peer_bytes_sent {sent}\nhollowbarrow_peer_bytes_received {received}\n",
-                core.telemetry.to_text(),
-                log_metrics(LogName::Config, &core.config_log.view()),
-                log_metrics(LogName::Claims, &core.claims_log.view()),
-            ))
+/// Answers operators.
+pub(crate) struct OperatorHandler(pub(crate) Arc<DaemonCore>);
+
+impl HttpHandler for OperatorHandler {
+    fn limits(&self) -> HttpLimits {
+        LIMITS
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> HttpAnswer {
+        let core = &self.0;
+        let (head, body) = request.into_parts();
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, "/ready") if core.ready.load(Ordering::Relaxed) => {
+                plain_answer(StatusCode::OK, "ready\n")
+            }
+            (&Method::GET, "/ready") => {
+                plain_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+            }
+            (&Method::GET, "/metrics") => plain_answer(StatusCode::OK, metrics_text(core)),
+            _ => match authenticate_operator(core, &head.headers) {
+                Some(operator) => answer_operator(core, &head, body, &operator).await,
+                None => fault(
+                    StatusCode::UNAUTHORIZED,
+                    "bad_key",
+                    "a valid operator key is required as Bearer token",
+                ),
+            },
         }
-        (method, path) => match authenticate_operator(core, request) {
-            Some(operator) => answer_operator(core, runtime, request, (method, path), &operator),
-            None => fault(401, "bad_key", "a valid operator key is required as Bearer token"),
-        },
     }
 }
 
-fn authenticate_operator(core: &DaemonCore, request: &Request) -> Option<String> {
-    let key = request.header("Authorization")?.strip_prefix("Bearer ")?;
+fn metrics_text(core: &DaemonCore) -> String {
+    let traffic = core.mesh.get().map(PeerMesh::traffic);
+    let sent = traffic.map_or(0, MeshTraffic::sent);
+    let received = traffic.map_or(0, MeshTraffic::received);
+    format!(
+        "{}{}{}hollowbarrow_peer_bytes_sent {sent}\nhollowbarrow_peer_bytes_received {received}\n",
+        core.telemetry.to_text(&core.gate),
+        log_metrics(LogName::Config, &core.config_log.view()),
+        log_metrics(LogName::Claims, &core.claims_log.view()),
+    )
+}
+
+fn authenticate_operator(core: &DaemonCore, headers: &HeaderMap) -> Option<String> {
+    let key = headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")?;
     let operators = core.settings.operators.iter();
     operators
         .filter(|operator| keys::is_known_key(key, &operator.keys))
@@ -91,104 +88,125 @@
         .next()
 }
 
-fn answer_operator(
+async fn answer_operator(
     core: &Arc<DaemonCore>,
-    runtime: &Handle,
-    request: &Request,
-    endpoint: (&str, &str),
+    head: &Parts,
+    body: RequestBody,
     operator: &str,
-) -> Response {
-    match endpoint {
-        ("GET", "/status") => Response::json(&daemon_status(core)),
-        ("GET", "/nodes") => Response::json(&node_statuses(core)),
-        ("GET", "/groups") => Response::json(&group_statuses(core)),
-        ("GET", path) if path.starts_with("/explain/") => {
-            let name = GroupName::from(path.trim_start_matches("/explain/"));
-            match explain_group(core, &name) {
-                Some(explanation) => Response::json(&explanation),
-                None => fault(404, "no_such_group", &format!("there is no group {}", *name)),
-            }
-        }
-        ("POST", path) if let Some(request) = read_release_path(path) => match request {
+) -> HttpAnswer {
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, "/status") => json_answer(StatusCode::OK, &daemon_status(core)),
+        (&Method::GET, "/nodes") => json_answer(StatusCode::OK, &node_statuses(core)),
+        (&Method::GET, "/groups") => json_answer(StatusCode::OK, &group_statuses(core)),
+        (&Method::GET, path) if path.starts_with("/explain/") => explain(core, path),
+        (&Method::POST, path) if let Some(request) = read_release_path(path) => match request {
             Ok(request) => {
                 core.crashes().release(request, Instant::now());
                 log::warn!("event=request_released content={:016x} by={operator:?}", *request);
-                Response::json(&serde_json::json!({}))
+                json_answer(StatusCode::OK, &serde_json::json!({}))
             }
-            Err(error) => fault(400, "bad_request", &error.to_string()),
+            Err(error) => bad_request(&error.to_string()),
         },
-        ("POST", "/changes") => match read_body::<ConfigChange>(request, "ConfigChange") {
-            Ok(change) => {
-                let change = ConfigChange { author: operator.to_owned(), ..change };
-                submit_change(core, runtime, change)
+        (&Method::POST, "/changes") => {
+            match read_body::<ConfigChange>(body, "ConfigChange").await {
+                Ok(change) => {
+                    let change = ConfigChange { author: operator.to_owned(), ..change };
+                    submit_change(core, change).await
+                }
+                Err(answer) => answer,
             }
-            Err(response) => response,
-        },
-        ("POST", "/dry-run") => match read_body::<ConfigCommand>(request, "ConfigCommand") {
-            Ok(command) => Response::json(&dry_run(core, &command)),
-            Err(response) => response,
-        },
-        ("POST", "/voters") => match read_body::<VoterChange>(request, "VoterChange") {
-            Ok(change) => change_voters(core, runtime, &change),
-            Err(response) => response,
+        }
+        (&Method::POST, "/dry-run") => {
+            match read_body::<ConfigCommand>(body, "ConfigCommand").await {
+                Ok(command) => json_answer(StatusCode::OK, &dry_run(core, &command)),
+                Err(answer) => answer,
+            }
+        }
+        (&Method::POST, "/voters") => match read_body::<VoterChange>(body, "VoterChange").await {
+            Ok(change) => change_voters(core, &change).await,
+            Err(answer) => answer,
         },
-        _ => fault(404, "no_such_path", "the path does not exist"),
+        _ => fault(StatusCode::NOT_FOUND, "no_such_path", "the path does not exist"),
+    }
+}
+
+fn explain(core: &DaemonCore, path: &str) -> HttpAnswer {
+    let name = GroupName::from(path.trim_start_matches("/explain/"));
+    match explain_group(core, &name) {
+        Some(explanation) => json_answer(StatusCode::OK, &explanation),
+        None => {
+            fault(StatusCode::NOT_FOUND, "no_such_group", &format!("there is no group {}", *name))
+        }
     }
 }
 
-fn fault(status: u16, code: &str, message: &str) -> Response {
+fn json_answer(status: StatusCode, body: &impl Serialize) -> HttpAnswer {
+    let text = serde_json::to_vec(body).expect("an answer serialises to JSON");
+    let builder = Response::builder().status(status).header(CONTENT_TYPE, "application/json");
+    builder.body(AnswerBody::complete(text)).expect("the headers are valid")
+}
+
+fn fault(status: StatusCode, code: &str, message: &str) -> HttpAnswer {
     let fault =
         OperatorFault { code: code.to_owned(), message: message.to_owned(), faults: Vec::new() };
-    Response::json(&fault).with_status_code(status)
+    json_answer(status, &fault)
+}
+
+fn bad_request(message: &str) -> HttpAnswer {
+    fault(StatusCode::BAD_REQUEST, "bad_request", message)
 }
 
-fn faults(status: u16, message: &str, faults: Vec<FieldFault>) -> Response {
+fn faults(status: StatusCode, message: &str, faults: Vec<FieldFault>) -> HttpAnswer {
     let fault = OperatorFault { code: "invalid".to_owned(), message: message.to_owned(), faults };
-    Response::json(&fault).with_status_code(status)
+    json_answer(status, &fault)
 }
 
-fn read_text(request: &Request) -> Result<String, Response> {
-    let mut text = String::new();
-    let body = request.data().ok_or_else(|| fault(400, "bad_request", "the body is missing"))?;
-    match body.take(MAX_DOCUMENT_BYTES).read_to_string(&mut text) {
-        Ok(_) => Ok(text),
-        Err(error) => Err(fault(400, "bad_request", &error.to_string())),
+async fn read_text(body: RequestBody) -> Result<String, HttpAnswer> {
+    match body.read_within(MAX_DOCUMENT_BYTES).await {
+        Ok(bytes) => {
+            let text = std::str::from_utf8(&bytes).map(str::to_owned);
+            text.map_err(|error| bad_request(&error.to_string()))
+        }
+        Err(ReadRequestError::Overloaded(error)) => {
+            Err(fault(StatusCode::SERVICE_UNAVAILABLE, "overloaded", &error.to_string()))
+        }
+        Err(error) => Err(bad_request(&error.to_string())),
     }
 }
 
-fn read_body<T: serde::de::DeserializeOwned>(
-    request: &Request,
+async fn read_body<T: serde::de::DeserializeOwned>(
+    body: RequestBody,
     definition: &str,
-) -> Result<T, Response> {
-    let text = read_text(request)?;
+) -> Result<T, HttpAnswer> {
+    let text = read_text(body).await?;
     read_document("the request", &text, definition).map_err(|error: ReadSettingsError| {
         let message = error.to_string();
-        faults(400, &message, error.faults)
+        faults(StatusCode::BAD_REQUEST, &message, error.faults)
     })
 }
 
-fn submit_change(core: &Arc<DaemonCore>, runtime: &Handle, change: ConfigChange) -> Response {
+async fn submit_change(core: &Arc<DaemonCore>, change: ConfigChange) -> HttpAnswer {
     let deadline = Instant::now() + CHANGE_TIMEOUT;
-    let proposed =
-        runtime.block_on(core.propose(LogName::Config, EntryPayload::Config(change), deadline));
-    match proposed {
+    match core.propose(LogName::Config, EntryPayload::Config(change), deadline).await {
         Ok(ProposalOutcome::Config(outcome)) => {
             let status = match &outcome {
-                ChangeOutcome::Accepted(_) => 200,
-                ChangeOutcome::Conflict(_) => 409,
-                ChangeOutcome::Invalid(_) => 422,
+                ChangeOutcome::Accepted(_) => StatusCode::OK,
+                ChangeOutcome::Conflict(_) => StatusCode::CONFLICT,
+                ChangeOutcome::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
             };
-            Response::json(&outcome).with_status_code(status)
-        }
-        Ok(_) | Err(ProposeEntryError::Unknown) => {
-            fault(504, "unknown", "the outcome is unknown; send the same change again")
+            json_answer(status, &outcome)
         }
-        Err(error) => fault(503, "no_leader", &error.to_string()),
+        Ok(_) | Err(ProposeEntryError::Unknown) => fault(
+            StatusCode::GATEWAY_TIMEOUT,
+            "unknown",
+            "the outcome is unknown; send the same change again",
+        ),
+        Err(error) => fault(StatusCode::SERVICE_UNAVAILABLE, "no_leader", &error.to_string()),
     }
 }
 
 /// Changes the voters of both logs; waits until their leaders have taken each step.
-fn change_voters(core: &Arc<DaemonCore>, runtime: &Handle, change: &VoterChange) -> Response {
+async fn change_voters(core: &Arc<DaemonCore>, change: &VoterChange) -> HttpAnswer {
     let known = |id: &DaemonId| core.settings.peers.iter().any(|peer| peer.id == *id);
     let unknown = [("remove", &change.remove), ("add", &change.add)]
         .into_iter()
@@ -201,15 +219,23 @@
         })
         .collect::<Vec<_>>();
     if !unknown.is_empty() {
-        return faults(422, "the change of voters names an unknown daemon", unknown);
+        return faults(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "the change of voters names an unknown daemon",
+            unknown,
+        );
     }
     let deadline = Instant::now() + CHANGE_TIMEOUT;
-    match runtime.block_on(core.change_voters(change, deadline)) {
-        Ok(voters) => Response::json(&voters),
-        Err(error @ ChangeVotersError::Refused { .. }) => fault(409, "busy", &error.to_string()),
-        Err(ChangeVotersError::Propose(ProposeEntryError::Unknown)) => {
-            fault(504, "unknown", "the outcome is unknown; send the same change again")
+    match core.change_voters(change, deadline).await {
+        Ok(voters) => json_answer(StatusCode::OK, &voters),
+        Err(error @ ChangeVotersError::Refused { .. }) => {
+            fault(StatusCode::CONFLICT, "busy", &error.to_string())
         }
-        Err(error) => fault(503, "no_leader", &error.to_string()),
+        Err(ChangeVotersError::Propose(ProposeEntryError::Unknown)) => fault(
+            StatusCode::GATEWAY_TIMEOUT,
+            "unknown",
+            "the outcome is unknown; send the same change again",
+        ),
+        Err(error) => fault(StatusCode::SERVICE_UNAVAILABLE, "no_leader", &error.to_string()),
     }
 }
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -9,12 +9,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use hollowbarrow_ingress::{ClientMetrics, ProcessGate, RequestBody};
 use hollowbarrow_log::LogView;
 use hollowbarrow_reach::InstanceState;
 use hollowbarrow_schema::{ErrorRan, GroupName, LogName, Urgency};
 use hollowbarrow_telemetry::MetricsPage;
 use hyper::Request;
-use hyper::body::Incoming;
 use opentelemetry::metrics::{Counter, Histogram, UpDownCounter};
 use opentelemetry::trace::{
     SpanContext, SpanId, TraceContextExt, TraceFlags, TraceId, TraceState, Tracer, TracerProvider,
@@ -98,6 +98,7 @@
 
 /// Traces and metrics of one daemon.
 pub(crate) struct Telemetry {
+    clients: ClientMetrics,
     page: MetricsPage,
     tracers: SdkTracerProvider,
     tracer: opentelemetry_sdk::trace::SdkTracer,
@@ -154,13 +155,14 @@
             stranded_time: meter.f64_counter("stranded_accelerator_seconds").build(),
             stranded: meter.i64_up_down_counter("stranded_accelerators").build(),
             stranded_now: Mutex::new(0),
+            clients: ClientMetrics::new(&page),
             page,
             tracers,
         })
     }
 
     /// Starts the daemon's first span of a request, as a child of the caller's span if it sent one.
-    pub(crate) fn start_ingress_span(&self, request: &Request<Incoming>, id: &str) -> HopSpan {
+    pub(crate) fn start_ingress_span(&self, request: &Request<RequestBody>, id: &str) -> HopSpan {
         let parent = request
             .headers()
             .get(TRACE_PARENT)
@@ -269,7 +271,8 @@
     }
 
     /// Returns all metrics as text, one line each: name, labels and value.
-    pub(crate) fn to_text(&self) -> String {
+    pub(crate) fn to_text(&self, gate: &ProcessGate) -> String {
+        self.clients.record(gate);
         self.page.to_text()
     }
 
