Tests and pages of the gate, and its settings on the platform

- Which connections the gate closes is tested with a paused clock (13 cases of crates/ingress/tests/gate.rs); one fault that they would find: a connection at rest that is closed before a body that has stalled.
- The crowds stand below tests/platform, since they speak the platform's words, as a test program of their own; nothing else in them has changed.

--- a/crates/ingress/src/gate.rs
+++ b/crates/ingress/src/gate.rs
@@ -446,7 +446,7 @@
     }
 
     /// Records that the head of a request is complete, and whether a body follows.
-    pub(crate) fn begin_request(&self, has_body: bool) {
+    pub fn begin_request(&self, has_body: bool) {
         let phase = if has_body { Phase::Body } else { Phase::Running };
         self.set_phase(phase);
     }
@@ -457,18 +457,18 @@
     /// # Errors
     ///
     /// Fails if the gate is closing the connection already.
-    pub(crate) fn run_request(&self) -> Result<(), OverloadedError> {
+    pub fn run_request(&self) -> Result<(), OverloadedError> {
         self.set_phase(Phase::Running);
         if self.is_closing() { Err(OverloadedError) } else { Ok(()) }
     }
 
     /// Records that a request was answered.
-    pub(crate) fn end_request(&self) {
+    pub fn end_request(&self) {
         self.set_phase(Phase::Resting);
     }
 
     /// Records bytes of a body.
-    pub(crate) fn record_body(&self, bytes: usize) {
+    pub fn record_body(&self, bytes: usize) {
         self.update(|open, now| {
             open.progress += bytes;
             if open.progress >= PROGRESS_BYTES {
@@ -478,7 +478,7 @@
     }
 
     /// Records that the client does not read, or reads again.
-    pub(crate) fn set_unread(&self, unread: bool) {
+    pub fn set_unread(&self, unread: bool) {
         self.update(|open, now| open.unread_since = unread.then_some(now));
     }
 
--- a/tests/all/reference.rs
+++ b/tests/all/reference.rs
@@ -9,6 +9,7 @@
 use hollowbarrow_controller::CONTROLLER_METRICS;
 use hollowbarrow_daemon::{error_catalogue, metric_catalogue};
 use hollowbarrow_gateway::GATEWAY_METRICS;
+use hollowbarrow_ingress::CLIENT_METRICS;
 use rstest::rstest;
 use serde_json::Value;
 
@@ -95,6 +96,10 @@
     for (name, unit, meaning) in GATEWAY_METRICS.iter().chain(CONTROLLER_METRICS) {
         let _ = writeln!(page, "| `{name}` | {unit} | {meaning} |");
     }
+    page.push_str("\n## Every process\n\n| metric | unit | meaning |\n|---|---|---|\n");
+    for (name, unit, meaning) in CLIENT_METRICS {
+        let _ = writeln!(page, "| `{name}` | {unit} | {meaning} |");
+    }
     check_page("metrics.md", &page);
 }
 
--- a/tests/crowds/main.rs
+++ b/tests/platform/crowds/main.rs
@@ -8,7 +8,7 @@
 mod heads;
 mod serve;
 #[allow(dead_code, reason = "other tests use the rest")]
-#[path = "../platform/system.rs"]
+#[path = "../system.rs"]
 mod system;
 mod worker;
 
