Let refusals reach clients that still send, and free descriptors at once

What callers saw: a client that sends a body above the limit got a broken connection in place of 413, since a connection that is closed with unread bytes is reset. Cause: the connection was closed as soon as the answer was written. What such a client still sends is discarded for up to half a second now, within the connection's own descriptor.

That time is not given to a connection that is closed because its descriptor is needed for a new one: with it, a crowd that stalls within bodies would let only as many new connections in as can end in half a second.

--- a/crates/ingress/src/gate.rs
+++ b/crates/ingress/src/gate.rs
@@ -95,6 +95,8 @@
 #[derive(Debug, Default)]
 struct Wake {
     closing: AtomicBool,
+    /// Whether its descriptor is needed, so that there is no time for an answer.
+    at_once: AtomicBool,
     notify: Notify,
 }
 
@@ -166,6 +168,14 @@
         self.log.record_closed(listener.name, self.held, now);
     }
 
+    /// Closes a connection whose descriptor is needed.
+    fn close_at_once(&mut self, id: u64, now: Instant) {
+        if let Some(open) = self.connections.get(&id) {
+            open.wake.at_once.store(true, Ordering::Relaxed);
+        }
+        self.close(id, now);
+    }
+
     /// Adds to or takes from the bytes that a connection holds.
     fn change_held(&mut self, id: u64, old: usize, new: usize) {
         self.held = self.held - old + new;
@@ -321,7 +331,7 @@
         let listener = &state.listeners[self.index];
         if listener.open - listener.closing >= listener.quota {
             let replaced = state.replaceable(self.index)?;
-            state.close(replaced, now);
+            state.close_at_once(replaced, now);
         }
         let id = state.next;
         if state.make_room(id, 0, CONNECTION_BYTES, now) == Growth::Refused {
@@ -401,13 +411,27 @@
         self.wake.closing.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the gate closes the connection because its descriptor is needed.
+    pub(crate) fn is_closing_at_once(&self) -> bool {
+        self.wake.at_once.load(Ordering::Relaxed)
+    }
+
     /// Waits until the gate closes the connection.
     pub async fn closing(&self) {
+        self.woken(Self::is_closing).await;
+    }
+
+    /// Waits until the gate closes the connection because its descriptor is needed.
+    pub(crate) async fn closing_at_once(&self) {
+        self.woken(Self::is_closing_at_once).await;
+    }
+
+    async fn woken(&self, condition: impl Fn(&Self) -> bool) {
         loop {
             let notified = self.wake.notify.notified();
             tokio::pin!(notified);
             notified.as_mut().enable();
-            if self.is_closing() {
+            if condition(self) {
                 return;
             }
             notified.await;
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
@@ -37,8 +38,11 @@
 const MAX_HEADERS: usize = 100;
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Time in which the refusal of an incomplete request must be written.
+/// Time in which the refusal of an incomplete request must be written, and in which its client may go on
+/// sending after that.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
+/// Bytes that are read at once to be discarded.
+const DISCARD_BYTES: usize = 8 << 10;
 /// Time without progress after which an incomplete request makes room for a new connection while the
 /// process is overloaded.
 const OVERLOAD_STALL: Duration = Duration::from_secs(1);
@@ -143,6 +147,15 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
+/// What the requests of a connection have shown that matters when it ends.
+#[derive(Debug, Default)]
+struct ConnectionFacts {
+    /// Whether the end of the connection is the end of a streamed answer.
+    unframed: AtomicBool,
+    /// Whether a request was answered before its body was read.
+    body_unread: AtomicBool,
+}
+
 async fn serve_connection<H: HttpHandler>(
     stream: TcpStream,
     client: ClientConnection,
@@ -150,17 +163,14 @@
     handler: Arc<H>,
 ) {
     let limits = handler.limits();
-    let handle = client.handle().clone();
+    let facts = Arc::<ConnectionFacts>::default();
     // The connection is counted until it is dropped with its service.
     let used = OnceLock::new();
-    // Whether the end of the connection is the end of a streamed answer.
-    let unframed = Arc::new(AtomicBool::new(false));
-    let seen = Arc::clone(&unframed);
+    let (handle, seen) = (client.handle().clone(), Arc::clone(&facts));
     let service = service_fn(move |request: Request<Incoming>| {
         used.get_or_init(|| handler.used_connections().map(UsedConnections::begin));
-        seen.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
-        let (handler, handle) = (Arc::clone(&handler), handle.clone());
-        async move { Ok::<_, Infallible>(answer(handler, handle, request).await) }
+        let (handler, handle, seen) = (Arc::clone(&handler), handle.clone(), Arc::clone(&seen));
+        async move { Ok::<_, Infallible>(answer(handler, handle, &seen, request).await) }
     });
     let handle = client.handle();
     let gated = GatedStream::new(stream, handle.clone(), limits.header);
@@ -170,13 +180,10 @@
         .max_buf_size(limits.head_bytes)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(gated), service);
-    let stopping = async {
-        wait_for_stop(&mut stop).await;
-    };
     let served = tokio::select! {
         served = &mut connection => Some(served),
         () = handle.closing() => None,
-        () = stopping => {
+        () = wait_for_stop(&mut stop) => {
             Pin::new(&mut connection).graceful_shutdown();
             tokio::select! {
                 served = &mut connection => Some(served),
@@ -184,30 +191,45 @@
             }
         }
     };
-    let reset = match served {
-        Some(served) => {
-            let truncated = served.is_err_and(|error| error.is_user());
-            truncated && unframed.load(Ordering::Relaxed)
-        }
-        None if handle.is_reading_body() => {
+    let reset = match &served {
+        Some(Err(error)) => error.is_user() && facts.unframed.load(Ordering::Relaxed),
+        Some(Ok(())) => false,
+        None if handle.is_reading_body() && !handle.is_closing_at_once() => {
             // The reader of the body fails, and its refusal is written.
             let _ = tokio::time::timeout(REFUSAL_TIME, &mut connection).await;
             false
         }
         None => handle.is_unread(),
     };
+    let stream = connection.into_parts().io.into_inner().into_inner();
     if reset {
-        let _ = connection.into_parts().io.into_inner().into_inner().set_zero_linger();
+        let _ = stream.set_zero_linger();
+    } else if facts.body_unread.load(Ordering::Relaxed) {
+        tokio::select! {
+            () = discard(stream) => {}
+            () = tokio::time::sleep(REFUSAL_TIME) => {}
+            () = handle.closing_at_once() => {}
+        }
     }
 }
 
+/// Reads until the client closes the connection. If it were closed with unread bytes, the reset would
+/// take the answer from a client that still sends.
+async fn discard(mut stream: TcpStream) {
+    let mut buffer = [0; DISCARD_BYTES];
+    while matches!(stream.read(&mut buffer).await, Ok(1..)) {}
+}
+
 async fn answer<H: HttpHandler>(
     handler: Arc<H>,
     client: ClientHandle,
+    facts: &ConnectionFacts,
     request: Request<Incoming>,
 ) -> hyper::Response<GatedBody> {
+    facts.unframed.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
     client.begin_request(!request.body().is_end_stream());
     let request = request.map(|body| RequestBody::new(body, client.clone()));
     let answer: HttpAnswer = handler.answer(request).await;
+    facts.body_unread.store(client.is_reading_body(), Ordering::Relaxed);
     answer.map(|body| GatedBody::new(body, client))
 }
--- a/tests/platform/crowds/connections.rs
+++ b/tests/platform/crowds/connections.rs
@@ -16,6 +16,10 @@
 /// Connections of a crowd, more than twice what a process can open.
 const CLIENTS: usize = 600;
 
+/// A request that lacks a part of its body.
+const PART_OF_BODY: &str = "POST /hold/1 HTTP/1.1\r\nhost: camp.example\r\nrequest-id: part\r\n\
+    api-key: key-of-family\r\ncontent-length: 100\r\n\r\n{";
+
 /// Address that a crowd presses on.
 #[derive(Clone, Copy, Debug)]
 enum Target {
@@ -62,6 +66,7 @@
 #[case::controller_mesh(27, Target::ControllerMesh, "")]
 #[case::part_of_head(28, Target::Callers, "POST /hold/1 HTTP/1.1\r\nhost: ")]
 #[case::part_of_head_at_control(29, Target::Control, "POST / HTTP/1.1\r\nhost: ")]
+#[case::part_of_body(37, Target::Callers, PART_OF_BODY)]
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_bounded(
     #[case] block: u8,
--- a/tests/platform/crowds/heads.rs
+++ b/tests/platform/crowds/heads.rs
@@ -14,6 +14,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time limit of a connection at rest, far longer than a test.
 const IDLE_TIMEOUT_MS: u64 = 600_000;
+/// Clients that send a body above the limit, one after the other.
+const SENDERS: usize = 8;
 /// Pieces of a slow body.
 const PIECES: usize = 8;
 
@@ -90,6 +92,22 @@
     assert_eq!(read_status(&mut stream).await, "HTTP/1.1 200");
 }
 
+/// Guards against refusals that are lost because the connection is reset while its client still sends.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_reaches_sender() {
+    let (deployment, _) = deploy(36).await;
+    let gateway = &deployment.system.gateways[0];
+    for number in 0..SENDERS {
+        let mut stream = TcpStream::connect(gateway).await.expect("the gateway listens");
+        let body = vec![b'x'; BODY_BYTES * 2];
+        let head = head(&format!("large-{number}"), body.len() as u64);
+        stream.write_all(head.as_bytes()).await.expect("the head can be sent");
+        stream.write_all(&body).await.expect("the body can be sent");
+        assert_eq!(read_status(&mut stream).await, "HTTP/1.1 413");
+    }
+}
+
 /// Guards against bodies that are read although their announced length is above the limit.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
