Count only refusals as refused, and play crowds at all addresses at once

What operators saw: `clients_refused` also grew when a finished answer found the budget used up, though nobody was refused. Cause: it was counted where room is looked for. It is counted now where a connection or a request is turned away.

--- a/crates/ingress/src/gate.rs
+++ b/crates/ingress/src/gate.rs
@@ -196,16 +196,19 @@
             return Growth::Granted;
         }
         while wanted - self.closing_bytes > limit {
-            let Some(stalled) = self.yielding(id, small, now) else {
-                self.refused += 1;
-                self.log.record_refused(self.held, now);
-                return Growth::Refused;
-            };
-            self.close(stalled, now);
+            match self.yielding(id, small, now) {
+                Some(stalled) => self.close(stalled, now),
+                None => return Growth::Refused,
+            }
         }
         Growth::Pending
     }
 
+    fn record_refused(&mut self, now: Instant) {
+        self.refused += 1;
+        self.log.record_refused(self.held, now);
+    }
+
     fn remove(&mut self, id: u64) {
         let Some(removed) = self.connections.remove(&id) else { return };
         let listener = &mut self.listeners[removed.listener];
@@ -230,7 +233,7 @@
 pub struct GateLevels {
     /// Bytes that are held for clients.
     pub held_bytes: usize,
-    /// Requests that were refused because there was no memory for them.
+    /// Connections and requests that were refused because there was no memory for them.
     pub refused: u64,
     /// Listeners, with their open connections and how many were closed for others.
     pub listeners: Vec<ListenerLevels>,
@@ -335,6 +338,7 @@
         }
         let id = state.next;
         if state.make_room(id, 0, CONNECTION_BYTES, now) == Growth::Refused {
+            state.record_refused(now);
             return None;
         }
         state.next += 1;
@@ -570,6 +574,9 @@
 
     /// Holds so many bytes that are in memory already, and closes stalled connections for them.
     pub fn set(&mut self, bytes: usize) {
+        if bytes == self.bytes {
+            return;
+        }
         let mut state = self.handle.gate.state();
         if bytes > self.bytes {
             state.make_room(self.handle.id, self.bytes, bytes, Instant::now());
@@ -583,11 +590,16 @@
     }
 
     fn try_grow(&mut self, bytes: usize) -> Growth {
+        let now = Instant::now();
         let mut state = self.handle.gate.state();
-        let growth = state.make_room(self.handle.id, self.bytes, bytes, Instant::now());
-        if growth == Growth::Granted {
-            state.change_held(self.handle.id, self.bytes, bytes);
-            self.bytes = bytes;
+        let growth = state.make_room(self.handle.id, self.bytes, bytes, now);
+        match growth {
+            Growth::Granted => {
+                state.change_held(self.handle.id, self.bytes, bytes);
+                self.bytes = bytes;
+            }
+            Growth::Refused => state.record_refused(now),
+            Growth::Pending => {}
         }
         growth
     }
@@ -595,8 +607,6 @@
 
 impl Drop for ByteHold {
     fn drop(&mut self) {
-        if self.bytes > 0 {
-            self.set(0);
-        }
+        self.set(0);
     }
 }
--- a/crates/ingress/src/pressure.rs
+++ b/crates/ingress/src/pressure.rs
@@ -22,7 +22,7 @@
         self.log(listener, held, now);
     }
 
-    /// Records that a request was refused for want of memory.
+    /// Records that a connection or a request was refused for want of memory.
     pub(crate) fn record_refused(&mut self, held: usize, now: Instant) {
         self.refused += 1;
         self.log("-", held, now);
--- a/crates/ingress/src/process.rs
+++ b/crates/ingress/src/process.rs
@@ -20,7 +20,7 @@
     (
         "clients_refused",
         "1",
-        "Requests that were refused since the start because there was no memory for them.",
+        "Connections and requests that were refused since the start for want of memory.",
     ),
     (
         "clients_held_bytes",
--- a/tests/platform/crowds/connections.rs
+++ b/tests/platform/crowds/connections.rs
@@ -6,8 +6,10 @@
 
 use crate::client::{ClientScript, Crowd, Repeats};
 use crate::system::{CONTROLLERS, call_gateway};
-use crate::{CROWD_TIME, DESCRIPTORS, Deployment, gateway_daemon};
+use crate::{BODY_BYTES, CROWD_TIME, DESCRIPTORS, Deployment, gateway_daemon};
 
+/// Clients with unfinished bodies beside the silent ones of a crowd at all addresses.
+const LARGE_CLIENTS: usize = 40;
 /// Connections of a crowd that sends frames to the mesh, and bytes of a frame.
 const FRAME_CLIENTS: usize = 16;
 const FRAME_BYTES: usize = 15 << 20;
@@ -113,8 +115,37 @@
     deployment.withstand(target.daemon(), &address, crowd, &long_frame()).await;
 }
 
-/// Guards against connections that never end after callers have left, and against refusals of as many
-/// callers as the descriptors allow.
+/// Guards against crowds at several addresses that together take more than each of them may.
+#[rstest]
+#[case::gateway(38, &[Target::Callers, Target::Readiness, Target::GatewayMetrics, Target::GatewayMesh])]
+#[case::controller(39, &[Target::Control, Target::ControllerMetrics, Target::ControllerMesh])]
+#[tokio::test(flavor = "multi_thread")]
+async fn all_addresses_at_once(#[case] block: u8, #[case] targets: &[Target]) {
+    let mut deployment = Deployment::start(block).await;
+    let daemon = targets[0].daemon();
+    let head = "POST /hold/1 HTTP/1.1\r\nhost: camp.example\r\nrequest-id: part\r\n\
+        api-key: key-of-family\r\ncontent-length: 4194304\r\n\r\n";
+    let bodies = ClientScript::new(head).with_unit(vec![b'x'; BODY_BYTES - 1], Repeats::Times(1));
+    let address = targets[0].address(&deployment);
+    let mut crowds = vec![Crowd::start(&address, LARGE_CLIENTS, &bodies)];
+    for target in targets {
+        let address = target.address(&deployment);
+        crowds.push(Crowd::start(&address, CLIENTS / targets.len(), &ClientScript::new("")));
+    }
+    tokio::time::sleep(CROWD_TIME).await;
+    deployment.assert_ordinary_served().await;
+    deployment.system.wait_ready().await;
+    assert!(deployment.system.metrics(daemon).await.contains("hollowbarrow_"));
+    assert_eq!(deployment.system.fetch().await["version"], 3);
+    deployment.assert_within_bounds(daemon);
+    for crowd in crowds {
+        crowd.leave().await;
+    }
+    deployment.assert_ordinary_served().await;
+    deployment.assert_within_bounds(daemon);
+}
+
+/// Guards against refusals of ordinary callers who are far fewer than the descriptors allow.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn ordinary_callers_at_once() {
