Count a body as complete also when its handler reads the frames itself

Cause: handlers that read the frames of a body themselves, as the stand-in workers of the tests do, left their connection in the state "the body is incomplete". Such a connection may be closed for others while its request runs, and after an answer that was cut it discarded input for half a second in place of being closed, so that gateways saw crashes half a second late, when no other worker was left to tell a crash from a lost path. Gateways, controllers and entry daemons read bodies whole and were not affected.

The end of a body is recorded where the frames end now, and after a cut answer nothing is discarded.

--- a/crates/ingress/src/request.rs
+++ b/crates/ingress/src/request.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests, read into one buffer within the bounds of the gate.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -108,7 +108,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Pin::new(&mut self.incoming).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        if frame.is_none() && self.client.run_request().is_err() {
+            // The connection is dropped, and the request is not run.
+            return Poll::Pending;
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -204,7 +204,9 @@
     let stream = connection.into_parts().io.into_inner().into_inner();
     if reset {
         let _ = stream.set_zero_linger();
-    } else if facts.body_unread.load(Ordering::Relaxed) {
+    } else if !served.is_some_and(|served| served.is_err())
+        && facts.body_unread.load(Ordering::Relaxed)
+    {
         tokio::select! {
             () = discard(stream) => {}
             () = tokio::time::sleep(REFUSAL_TIME) => {}
