--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -204,7 +204,7 @@
     let stream = connection.into_parts().io.into_inner().into_inner();
     if reset {
         let _ = stream.set_zero_linger();
-    } else if !served.is_some_and(|served| served.is_err())
+    } else if served.is_none_or(|served| served.is_ok())
         && facts.body_unread.load(Ordering::Relaxed)
     {
         tokio::select! {
