--- a/review/stand/late_orders.rs
+++ b/review/stand/late_orders.rs
@@ -118,9 +118,6 @@
     ));
     let group = serves().expect("it is open");
     let (head, member) = if group.members[0] == one.id { (&one, &two) } else { (&two, &one) };
-    system.wait_ready(Duration::from_secs(5));
-    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
-    send_requests(&system, Arc::clone(&stop), Arc::clone(&served));
     let Some(leader) = system.leader() else { return 2 };
     system.signal(leader, "TERM");
     member.drain(Duration::from_millis(2000));
@@ -149,7 +146,10 @@
     wait(&record, "a group with the third worker is open", 40.0, || {
         formed() || !fleet.broken().is_empty()
     });
-    std::thread::sleep(Duration::from_secs(2));
+    // The traffic starts.
+    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+    send_requests(&system, Arc::clone(&stop), Arc::clone(&served));
+    std::thread::sleep(Duration::from_secs(3));
     stop.store(true, Ordering::Relaxed);
     record.line(format!("{} requests were served", served.load(Ordering::Relaxed)));
     let broken = fleet.broken();
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -10,12 +10,16 @@
 use crate::http::{Connection, Message, call, compose, wire};
 use crate::system::{HEARTBEAT, Record};
 
+/// Bound of the site: `stall_ms`.
+const STALL: Duration = Duration::from_millis(4000);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     Joining,
     Ready,
     Open,
     Closing,
+    Broken,
 }
 
 impl Stage {
@@ -25,6 +29,7 @@
             Self::Ready => "ready",
             Self::Open => "open",
             Self::Closing => "closing",
+            Self::Broken => "broken",
         }
     }
 }
@@ -438,7 +443,7 @@
         self.fleet.record.line(format!("worker {} is ready in {}", self.id, order.group));
     }
 
-    fn become_open(&self, order: &Order) {
+    fn become_open(self: &Arc<Self>, order: &Order) {
         let mut state = self.lock();
         let named = state.group.as_mut().filter(|group| group.epoch == order.epoch && group.name == order.group);
         let Some(group) = named.filter(|group| group.stage == Stage::Ready) else { return };
@@ -446,6 +451,33 @@
         self.tell(&mut state);
         drop(state);
         self.fleet.record.line(format!("worker {} is open in {} as its head", self.id, order.group));
+        let (worker, order) = (Arc::clone(self), order.clone());
+        std::thread::spawn(move || worker.watch_members(&order));
+    }
+
+    /// Breaks the group of an open head once a member has been missing for too long.
+    fn watch_members(&self, order: &Order) {
+        let mut complete = Instant::now();
+        loop {
+            std::thread::sleep(Duration::from_millis(50));
+            let Some(group) = self.serves().filter(|group| group.name == order.group) else { return };
+            let is_there = |id: &String| {
+                let worker = self.fleet.worker(id).filter(|worker| worker.is_alive());
+                worker.and_then(|worker| worker.group()).is_some_and(|other| other.name == group.name)
+            };
+            if group.members.iter().all(is_there) {
+                complete = Instant::now();
+            } else if complete.elapsed() >= STALL {
+                let mut state = self.lock();
+                if let Some(group) = state.group.as_mut().filter(|group| group.name == order.group) {
+                    group.stage = Stage::Broken;
+                }
+                self.tell(&mut state);
+                drop(state);
+                self.fleet.record.line(format!("worker {}'s group {} breaks", self.id, order.group));
+                return;
+            }
+        }
     }
 
     fn finish_closing(&self, order: &Order) {
