--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -204,7 +204,10 @@
     let until = Instant::now() + limit;
     let mut connection = Connection::open(address, limit).ok()?;
     let host = address.to_string();
-    let mut all = vec![("Host", host.as_str()), ("Connection", "close")];
+    let mut all = vec![("Connection", "close")];
+    if headers.iter().all(|(key, _)| *key != "Host") {
+        all.push(("Host", host.as_str()));
+    }
     all.extend_from_slice(headers);
     if !connection.write(&compose(&format!("{method} {path} HTTP/1.1"), &all, body)) {
         return None;
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case against processes of the project: `stand CASE FOLDER RECORD`. The exit status is 1 if the
 //! rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod first_start;
 mod http;
 mod late_orders;
 mod lost_notice;
@@ -17,6 +18,7 @@
     record.line(format!("case {case}, trouble {trouble}"));
     let folder = Path::new(folder);
     let status = match case.as_str() {
+        "first-start" => first_start::play(folder, record, trouble),
         "late-orders" => late_orders::play(folder, record, trouble),
         "lost-notice" => lost_notice::play(folder, record, trouble),
         _ => 2,
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -54,6 +54,7 @@
 
 /// How large a system is, and what its settings say.
 pub struct Layout {
+    /// Number of controllers, with those that are added later.
     pub controllers: u8,
     pub gateways: u8,
     pub zones: Vec<&'static str>,
@@ -138,6 +139,14 @@
 
     /// Starts all processes with the settings of a first start.
     pub fn start(&mut self) {
+        self.prepare();
+        for index in 0..self.daemons.len() {
+            self.start_daemon(index);
+        }
+    }
+
+    /// Writes the settings of a first start for all processes.
+    pub fn prepare(&mut self) {
         let controllers = self.layout.controllers;
         for number in 1..=controllers + self.layout.gateways {
             let is_controller = number <= controllers;
@@ -155,16 +164,19 @@
             self.daemons.push(daemon);
             self.write_settings(usize::from(number - 1), true);
         }
-        for index in 0..self.daemons.len() {
-            self.start_daemon(index);
-        }
     }
 
     /// Writes the settings of a daemon as the template of the deploy file has them.
     pub fn write_settings(&self, index: usize, found: bool) {
+        self.write_settings_with(index, found, &[0, 1, 2]);
+    }
+
+    /// Writes the settings of a daemon with these controllers as seeds.
+    pub fn write_settings_with(&self, index: usize, found: bool, seeds: &[usize]) {
         let daemon = &self.daemons[index];
         let ip = daemon.ip;
-        let seeds: Vec<String> = self.controllers().iter().map(|at| format!("\"{at}\"")).collect();
+        let all = self.controllers();
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}\"", all[*seed])).collect();
         let zone = self.zone(match daemon.role {
             "controller" => index,
             _ => index - usize::from(self.layout.controllers),
