--- a/review/stand/late_orders.rs
+++ b/review/stand/late_orders.rs
@@ -77,17 +77,21 @@
 pub fn play(folder: &Path, record: Record, trouble: bool) -> i32 {
     let layout = Layout { controllers: 3, gateways: 2, zones: vec!["aarhus-a", "aarhus-b", "vejle-c"] };
     let mut system = System::new(folder, layout, record.clone());
-    let models = vec![Model { name: "m1", size: 2, load_s: 12.0, warm_s: 1.1 }];
+    let models = vec![Model { name: "m1", load_s: 12.0, warm_s: 1.1 }];
     // Two orders of the head get no answer: its first join and its first open. They are carried out
     // 11.7 s and 9.5 s later.
     let count = Arc::new((AtomicU32::new(0), AtomicU32::new(0)));
     let counted = Arc::clone(&count);
+    let (joined, opened) = (AtomicBool::new(false), AtomicBool::new(false));
     let late: Late = Arc::new(move |order: &Order| {
         counted.0.fetch_add(1, Ordering::Relaxed);
-        let first = trouble && order.worker == HEAD && order.repeat == 0 && order.fence == 1;
+        let concerned = trouble && order.worker == HEAD;
+        let first = |seen: &AtomicBool| !seen.swap(true, Ordering::Relaxed);
         let delay = match order.op.as_str() {
-            "join" if first && order.members.len() == 2 => Some(Duration::from_millis(11_700)),
-            "open" if first => Some(Duration::from_millis(9_500)),
+            "join" if concerned && order.members.len() == 2 && first(&joined) => {
+                Some(Duration::from_millis(11_700))
+            }
+            "open" if concerned && first(&opened) => Some(Duration::from_millis(9_500)),
             _ => None,
         };
         counted.1.fetch_add(u32::from(delay.is_some()), Ordering::Relaxed);
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -40,7 +40,6 @@
 pub struct Group {
     pub name: String,
     pub epoch: u64,
-    pub model: String,
     pub members: Vec<String>,
     pub rank: usize,
     pub stage: Stage,
@@ -50,7 +49,6 @@
 #[derive(Clone, Debug)]
 pub struct Model {
     pub name: &'static str,
-    pub size: usize,
     pub load_s: f64,
     pub warm_s: f64,
 }
@@ -92,7 +90,6 @@
 pub struct Run {
     pub at: f64,
     pub worker: String,
-    pub request: String,
 }
 
 impl Fleet {
@@ -322,7 +319,6 @@
                 state.group = Some(Group {
                     name: order.group.clone(),
                     epoch: order.epoch,
-                    model: model.clone(),
                     members: order.members.clone(),
                     rank,
                     stage: Stage::Joining,
@@ -679,7 +675,7 @@
 /// Runs a request of a service without groups.
 fn run_plain(worker: &Arc<Worker>, connection: &mut Connection, request: &Message, id: &str) -> bool {
     let fleet = &worker.fleet;
-    let run = Run { at: fleet.record.now(), worker: worker.id.clone(), request: id.to_owned() };
+    let run = Run { at: fleet.record.now(), worker: worker.id.clone() };
     fleet.record.line(format!("request {id} runs at worker {}", worker.id));
     fleet.runs.lock().unwrap().push(run);
     std::thread::sleep(Duration::from_millis(15));
