--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -224,8 +224,8 @@
                 daemon.child = Some(child);
             }
             Err(error) => {
-                self.record.line(format!("{} can't be started: {error}", daemon.name));
-                std::process::exit(2);
+                // The others are ended when the system is dropped.
+                panic!("{} can't be started: {error}", daemon.name);
             }
         }
     }
