Acknowledge a worker's departure once other daemons hold it

The controller that had answered was killed at that moment.

Cause: the call was answered once the table in the memory of one process held the departure. The report was only queued for the others. A worker that has deregistered sends nothing more, so nothing ever repeated it.

Change: controllers and gateways reply to a report of a departure once their table holds it (FleetMessage::Departures; version 6 of the protocol). Daemons send a departure back to whoever tells them of the worker as available, so that one which only gateways hold is not lost with its controller.

Why it works: a departure that was acknowledged no longer depends on the process or disk of the one that acknowledged it.

Ruled out: a synced file before the answer (holds only if the process returns with its disk), an entry of the log (a zone that is cut off would acknowledge none).

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::core::ControllerCore;
+use crate::departure_sync::secure_departure;
 use crate::protocol::{CallKind, ControlAnswer, ControlCall};
 use crate::records::{RecordFault, check_report, check_start};
 use crate::sync::{accept_report, publish_report};
@@ -87,8 +88,8 @@
 
 async fn answer_call(core: &ControllerCore, call: ControlCall, path: &str) -> ControlAnswer {
     match call {
-        ControlCall::Report(report) => register_worker(core, *report),
-        ControlCall::Remove(worker) => remove_worker(core, &worker),
+        ControlCall::Report(report) => register_worker(core, *report).await,
+        ControlCall::Remove(worker) => remove_worker(core, &worker).await,
         ControlCall::Replace(text) => replace_deployment(core, text, path).await,
         ControlCall::Fetch => fetch_deployment(core, path).await,
         ControlCall::Unreadable(reason) => ControlAnswer::Invalid(vec![reason]),
@@ -116,13 +117,17 @@
     ControlAnswer::Accepted
 }
 
-fn register_worker(core: &ControllerCore, report: WorkerReport) -> ControlAnswer {
+async fn register_worker(core: &ControllerCore, report: WorkerReport) -> ControlAnswer {
     let deployment = core.deployment();
     let checked = check_report(&report, core.fleet().table(), deployment.as_deref());
     if let Err(fault) = checked {
         return reject_record(core, &report.id, &fault);
     }
+    let (worker, leaves) = (report.id.clone(), report.leaving);
     accept_report(core, report);
+    if leaves {
+        secure_departure(core, &worker).await;
+    }
     ControlAnswer::Accepted
 }
 
@@ -137,7 +142,7 @@
     ControlAnswer::Invalid(vec![fault.to_string()])
 }
 
-fn remove_worker(core: &ControllerCore, worker: &WorkerId) -> ControlAnswer {
+async fn remove_worker(core: &ControllerCore, worker: &WorkerId) -> ControlAnswer {
     let (checked, known, superseded) = {
         let fleet = core.fleet();
         let table = fleet.table();
@@ -160,6 +165,7 @@
         log::info!("event=worker_removed worker={}", **worker);
         publish_report(core, report);
     }
+    secure_departure(core, worker).await;
     ControlAnswer::Accepted
 }
 
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::certainty::ConfigCertainty;
 use crate::delivery::{DeliveryOffer, DeliveryRole, DeliveryState};
+use crate::departures::{CONTACT_TIMEOUT, ReachableDaemons};
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::peer_samples::{PeerCandidate, SampleSchedule, draw_sample};
@@ -141,11 +142,21 @@
         outcome
     }
 
-    /// Merges reports relayed by another controller; returns those that changed the table.
-    pub(crate) fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) -> Vec<WorkerReport> {
-        let mut changed = reports;
-        changed.retain(|report| self.table.merge(report.clone(), now) == MergeOutcome::Changed);
-        changed
+    /// Merges reports from another daemon; returns those that changed the table.
+    pub(crate) fn merge(&mut self, reports: &[WorkerReport], now: Instant) -> Vec<WorkerReport> {
+        let table = &mut self.table;
+        let changed = reports
+            .iter()
+            .filter(|report| table.merge((*report).clone(), now) == MergeOutcome::Changed);
+        changed.cloned().collect()
+    }
+
+    /// Daemons from which confirmations of departures can be expected.
+    pub(crate) fn reachable(&self, now: Instant) -> ReachableDaemons {
+        ReachableDaemons {
+            controllers: self.controllers(CONTACT_TIMEOUT, now),
+            gateways: self.attached_gateways().into_iter().collect(),
+        }
     }
 
     pub(crate) fn remove(&mut self, id: &WorkerId, now: Instant) -> Option<WorkerReport> {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -22,6 +22,8 @@
 mod controller;
 mod core;
 pub mod delivery;
+mod departure_sync;
+pub mod departures;
 mod fleet;
 pub mod liveness;
 mod metrics;
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowbarrow_fleet::MergeOutcome;
+use hollowbarrow_fleet::{MergeOutcome, TableReply};
 use hollowbarrow_member::EncodedDeployment;
 use hollowbarrow_routing::limit_text;
 use hollowbarrow_schema::{
@@ -17,6 +17,7 @@
 use crate::certainty::ConfigCertainty;
 use crate::core::ControllerCore;
 use crate::delivery::DeliveryOffer;
+use crate::departure_sync::record_confirmations;
 
 /// Time between two hellos to the leader, which needs the gateways' loads.
 const LEADER_INTERVAL: Duration = Duration::from_millis(75);
@@ -161,7 +162,12 @@
             core.links().send_to_all(&gateways, FleetMessage::View(view));
         }
         PeerMessage::Fleet(FleetMessage::PermitAsk(ask)) => issue_permits(core, from, &ask, now),
-        PeerMessage::Fleet(FleetMessage::Workers(reports)) => relay_updates(core, reports, now),
+        PeerMessage::Fleet(FleetMessage::Workers(reports)) => {
+            relay_updates(core, from, &reports, now);
+        }
+        PeerMessage::Fleet(FleetMessage::Departures(departures)) => {
+            record_confirmations(core, from, &departures);
+        }
         _ => log::debug!("event=message_refused peer={}", **from),
     }
 }
@@ -225,14 +231,29 @@
     }
 }
 
-/// Merges worker reports of another controller and relays those that changed the table to gateways.
-fn relay_updates(core: &ControllerCore, reports: Vec<WorkerReport>, now: Instant) {
-    let changed = core.fleet().merge(reports, now);
+/// Merges worker reports of another daemon and replies to them. Those that changed the table go to
+/// gateways, and also to the other controllers if the sender is a gateway.
+fn relay_updates(core: &ControllerCore, from: &DaemonId, reports: &[WorkerReport], now: Instant) {
+    let (changed, reply) = {
+        let mut fleet = core.fleet();
+        let changed = fleet.merge(reports, now);
+        (changed, TableReply::new(fleet.table(), reports))
+    };
+    reply.into_messages().for_each(|message| {
+        core.links().send(from, message);
+    });
     if changed.is_empty() {
         return;
     }
+    let relayed = core.links().controllers().contains(from);
     let mut pending = core.pending();
-    changed.into_iter().for_each(|report| pending.add_relayed(report));
+    for report in changed {
+        if relayed {
+            pending.add_relayed(report);
+        } else {
+            pending.add_local(report);
+        }
+    }
     drop(pending);
     core.updates_due.notify_one();
     core.changed.notify_one();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod replicas;
 pub mod routes;
+pub mod table_reply;
 pub mod term;
 pub mod versions;
 pub mod workers;
@@ -37,6 +38,7 @@
     WorkerStatus,
 };
 pub use routes::RouteTable;
+pub use table_reply::TableReply;
 pub use term::TermState;
 pub use versions::VersionTimes;
 pub use workers::{MergeOutcome, WorkerTable};
--- a/crates/fleet/src/workers.rs
+++ b/crates/fleet/src/workers.rs
@@ -16,7 +16,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hollowbarrow_schema::{Incarnation, ServiceName, WorkerBeat, WorkerId, WorkerReport};
+use hollowbarrow_schema::{
+    Incarnation, ServiceName, WorkerBeat, WorkerDeparture, WorkerId, WorkerReport,
+};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -254,6 +256,18 @@
         true
     }
 
+    /// Returns the departure that this table holds of a worker: one that has been superseded counts
+    /// as deregistered, since it gets no requests either.
+    pub fn departure(&self, id: &WorkerId) -> Option<WorkerDeparture> {
+        let departure = |gone| WorkerDeparture { worker: id.clone(), gone };
+        let superseded = || self.newest_instance(id.name()).map(|_| departure(true));
+        let Some(entry) = self.get(id) else { return superseded() };
+        if entry.report.gone || entry.superseded {
+            return Some(departure(true));
+        }
+        entry.report.leaving.then(|| departure(false))
+    }
+
     /// Marks a worker as departed. Returns the report to forward if the worker was available.
     pub fn remove(&mut self, id: &WorkerId, now: Instant) -> Option<WorkerReport> {
         let entry = self.entries.get(id)?;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -119,7 +119,12 @@
     // Only controllers send messages to gateways.
     learn_controllers(links, [from]);
     match message {
-        FleetMessage::Workers(reports) => core.picker().merge(reports, Instant::now()),
+        FleetMessage::Workers(reports) => {
+            let reply = core.picker().merge(reports, Instant::now());
+            reply.into_messages().for_each(|message| {
+                links.send(from, message);
+            });
+        }
         FleetMessage::View(view) => {
             learn_controllers(links, view.controllers.iter().map(|place| &place.id));
             core.apply_view(from, &view, Instant::now());
@@ -137,7 +142,10 @@
             core.picker().take_grant(&grant, Instant::now());
             core.permits_answered.notify_waiters();
         }
-        FleetMessage::Gateway(_) | FleetMessage::Controller(_) | FleetMessage::PermitAsk(_) => {}
+        FleetMessage::Gateway(_)
+        | FleetMessage::Controller(_)
+        | FleetMessage::PermitAsk(_)
+        | FleetMessage::Departures(_) => {}
     }
 }
 
--- a/crates/gateway/src/picker.rs
+++ b/crates/gateway/src/picker.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollowbarrow_fleet::{Engine, Service, WorkerTable};
+use hollowbarrow_fleet::{Engine, Service, TableReply, WorkerTable};
 use hollowbarrow_reach::{ServiceTargets, UpstreamTarget, is_full_name};
 use hollowbarrow_routing::{
     BackoffReason, BackoffTable, LimitNotice, PERMIT_LIFETIME, Permit, UpstreamLimits,
@@ -175,11 +175,12 @@
         self
     }
 
-    /// Merges workers' reports into the table.
-    pub fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) {
-        for report in reports {
-            self.table.merge(report, now);
+    /// Merges workers' reports into the table; returns the reply to their sender.
+    pub fn merge(&mut self, reports: Vec<WorkerReport>, now: Instant) -> TableReply {
+        for report in &reports {
+            self.table.merge(report.clone(), now);
         }
+        TableReply::new(&self.table, &reports)
     }
 
     /// Applies a view of the leading controller, unless it is older than the current one. Returns
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1287,6 +1287,8 @@
     Withdrawal(DeploymentWithdrawal),
     #[serde(rename = "workers")]
     Workers(::std::vec::Vec<WorkerReport>),
+    #[serde(rename = "departures")]
+    Departures(::std::vec::Vec<WorkerDeparture>),
 }
 impl ::std::convert::From<&Self> for FleetMessage {
     fn from(value: &FleetMessage) -> Self {
@@ -1343,6 +1345,11 @@
         Self::Workers(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<WorkerDeparture>> for FleetMessage {
+    fn from(value: ::std::vec::Vec<WorkerDeparture>) -> Self {
+        Self::Departures(value)
+    }
+}
 ///State that the leading controller publishes to every gateway, through the gateway's primary controller or a controller of the gateway's zone.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -3933,6 +3940,20 @@
         value.clone()
     }
 }
+///Confirms that the sender holds the departure of a worker, so that it remains known if the controller that received it is lost.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerDeparture {
+    ///True if the worker has deregistered; false if it has only reported that it accepts no new requests.
+    pub gone: bool,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&WorkerDeparture> for WorkerDeparture {
+    fn from(value: &WorkerDeparture) -> Self {
+        value.clone()
+    }
+}
 ///Id of one instance of a registered worker: the name under which it registers and, if it reports one, its start time.
 ///
 #[derive(
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -22,7 +22,7 @@
 pub use quarantine::{ParseContentError, parse_content, read_release_path, release_path};
 
 /// Version of the messages between daemons; both ends of a connection must use the same one.
-pub const PROTOCOL_VERSION: u32 = 5;
+pub const PROTOCOL_VERSION: u32 = 6;
 
 /// Label by which operators drain a node.
 pub const DRAIN_LABEL: &str = "drain";
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod crashing_burst;
 mod crashing_part;
 mod crashing_request;
+mod departures;
 mod disturbance;
 mod duplicates;
 mod endless;
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -173,6 +173,8 @@
     leaving_unreported: AtomicBool,
     /// Whether it has deregistered. It still serves requests.
     deregistered: AtomicBool,
+    /// Whether it sends no more heartbeats.
+    silent: AtomicBool,
     /// Whether it streams events at half the usual rate.
     slow: AtomicBool,
     /// Whether it runs requests and never answers them.
@@ -238,6 +240,7 @@
             leaving: AtomicBool::new(false),
             leaving_unreported: AtomicBool::new(false),
             deregistered: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             slow: AtomicBool::new(false),
             unresponsive: AtomicBool::new(false),
             service_time: Mutex::default(),
@@ -433,6 +436,25 @@
         self.call_controllers("deregister", body.unwrap_or_default().into()).await;
     }
 
+    /// Sends no more heartbeats. It answers everything as before.
+    pub fn stop_heartbeats(&self) {
+        self.silent.store(true, Ordering::Relaxed);
+    }
+
+    /// Deregisters at one controller, without a notice in its answers to requests; returns the
+    /// status.
+    pub async fn deregister_at(&self, controller: &str) -> u16 {
+        self.call_controller(controller, "deregister", Bytes::new()).await
+    }
+
+    /// Reports to one controller that it takes no new requests, without a notice in its answers to
+    /// requests; returns the status.
+    pub async fn report_draining_to(&self, controller: &str) -> u16 {
+        let mut heartbeat = self.heartbeat();
+        heartbeat["state"] = "draining".into();
+        self.call_controller(controller, "heartbeat", heartbeat.to_string().into()).await
+    }
+
     /// Returns whether it was killed.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
@@ -462,8 +484,8 @@
 
     /// Sends a heartbeat to the first controller that accepts it.
     async fn register(&self) {
-        let silent =
-            self.partitioned.load(Ordering::Relaxed) || self.deregistered.load(Ordering::Relaxed);
+        let flags = [&self.partitioned, &self.deregistered, &self.silent];
+        let silent = flags.iter().any(|flag| flag.load(Ordering::Relaxed));
         if self.is_stopped() || silent {
             return;
         }
@@ -473,19 +495,25 @@
     /// Sends a call of this worker to the first controller that accepts it.
     async fn call_controllers(&self, call: &str, body: Bytes) {
         for controller in &self.fleet.controllers {
-            let request = Request::builder()
-                .method(Method::POST)
-                .uri(format!("/-/instances/{}/{call}", self.id))
-                .header("host", controller)
-                .body(Full::new(body.clone()))
-                .expect("the request is valid");
-            let answer = call_once(controller, request, Duration::from_secs(1)).await;
-            if answer.is_ok_and(|answer| answer.status().is_success()) {
+            let status = self.call_controller(controller, call, body.clone()).await;
+            if (200..300).contains(&status) {
                 return;
             }
         }
     }
 
+    /// Sends a call of this worker to a controller; returns the status, 0 without an answer.
+    async fn call_controller(&self, controller: &str, call: &str, body: Bytes) -> u16 {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("/-/instances/{}/{call}", self.id))
+            .header("host", controller)
+            .body(Full::new(body))
+            .expect("the request is valid");
+        let answer = call_once(controller, request, Duration::from_secs(1)).await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
     fn heartbeat(&self) -> Value {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed);
         let state = self.lock();
