Take no answer whose status is none of HTTP

What callers saw: a worker's 101, 600, 700 or 999 as the answer to their request, with its body and signature.

Cause: the parser accepts any three digits from 100 on, and gateways and entry daemons forward each status that they don't act on themselves.

Evidence: before, invalid_status_not_forwarded fails in 8 of 8 cases (length, chunks, neither, streams, through another gateway), each at 101, as 000 and 099 get 502; invalid_head_not_forwarded fails at an entry daemon; call_once_invalid_answer fails in 3 of 8 cases (orders and probes).

Change: a status outside 200 to 599 fails the exchange on a connection to an upstream, and a call of a controller. 1xx come before the final answer, and 101 answers an Upgrade, which nobody here sends (RFC 9110, section 15).

Why it works: all requests, checks and tunnels use that exchange, all orders and probes that call.

Heads that stop midway were right before: cut_head_not_forwarded passes in 8 of 8 cases before and after. They had no test.

--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -29,6 +29,10 @@
             let reason = "it belongs to another request";
             AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 }
         }
+        SendRequestError::InvalidStatus(_) => {
+            let reason = "its status is not valid";
+            AttemptUpstreamError::BrokenAnswer { reason, tokens: 0 }
+        }
         SendRequestError::CarrierLost => AttemptUpstreamError::CarrierLost,
         _ => AttemptUpstreamError::ConnectionLost { tokens: 0 },
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -507,6 +507,9 @@
         SendRequestError::OtherRequest(_) => {
             AttemptUpstreamError::BrokenAnswer { reason: "it is for another request", tokens: 0 }
         }
+        SendRequestError::InvalidStatus(_) => {
+            AttemptUpstreamError::BrokenAnswer { reason: "its status is not valid", tokens: 0 }
+        }
         SendRequestError::CarrierLost => AttemptUpstreamError::CarrierLost,
         SendRequestError::NoAnswer(_) => AttemptUpstreamError::ConnectionLost { tokens: 0 },
         SendRequestError::Timeout => AttemptUpstreamError::NoAnswer,
--- a/crates/member/src/http.rs
+++ b/crates/member/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowbarrow_upstream::{MAX_HEAD_BYTES, MeteredStream};
+use hollowbarrow_upstream::{MAX_HEAD_BYTES, MeteredStream, is_final_status};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1 as client;
 use hyper::{Request, Response};
@@ -63,6 +63,9 @@
     });
     let exchange = async {
         let answer = sender.send_request(request).await.map_err(|_| CallError::NoAnswer)?;
+        if !is_final_status(answer.status()) {
+            return Err(CallError::NoAnswer);
+        }
         let (parts, body) = answer.into_parts();
         let body = Limited::new(body, CALL_BYTES).collect().await;
         let body = body.map_err(|_| CallError::NoAnswer)?.to_bytes();
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -58,6 +58,12 @@
     HOP_HEADERS.contains(&name.as_str())
 }
 
+/// Returns whether a status may end the exchange of a request without `Upgrade` (RFC 9110, section
+/// 15). Interim answers come before the one with this status.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// How far a request got before it failed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SendRequestError {
@@ -80,6 +86,9 @@
     /// The answer carries the id of another request, or lacks a required one.
     #[error("the answer is for request {0:?}")]
     OtherRequest(String),
+    /// The answer has a status that no request without `Upgrade` may get.
+    #[error("the answer has the invalid status {0}")]
+    InvalidStatus(u16),
     /// The request cannot be written as HTTP.
     #[error("the request cannot be written: {0}")]
     Unwritable(String),
@@ -277,7 +286,8 @@
         let answer = tokio::time::timeout_at(deadline, self.sender.try_send_request(message));
         match answer.await {
             Err(_) => Err(SendRequestError::Timeout),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final_status(response.status()) => Ok(response),
+            Ok(Ok(response)) => Err(SendRequestError::InvalidStatus(response.status().as_u16())),
             Ok(Err(mut error)) => {
                 // hyper returns the message only if no part of it was written.
                 if error.take_message().is_some() {
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -24,7 +24,7 @@
 pub use call::{CallAnswer, UpstreamCall};
 pub use client::{
     CarrierHealth, ConnectionLease, SendRequestError, SentAnswer, UpstreamClient, UpstreamRequest,
-    is_hop_header,
+    is_final_status, is_hop_header,
 };
 pub use engine::{
     EngineClient, EngineFuture, HttpEngine, ProbeNodeError, SendOrderError, parse_report,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crashing_while_waiting;
 mod endless;
 mod groups;
+mod heads;
 mod ingress;
 mod isolation;
 mod limit;
--- a/tests/all/raw_nodes.rs
+++ b/tests/all/raw_nodes.rs
@@ -32,6 +32,9 @@
     /// All send these bytes, and then the second ones without end, to requests with the key
     /// [`ENDLESS_KEY`]. The others are answered without a length.
     Endless(&'static str, &'static str),
+    /// All send these bytes and close the connection for requests with the key [`INVALID_KEY`]. The
+    /// others are answered without a length.
+    Invalid(&'static str),
     /// All answer, and send their reports like that.
     EndlessReports(&'static str, &'static str),
 }
@@ -39,6 +42,9 @@
 /// Key of the requests to which bytes are sent without end.
 pub const ENDLESS_KEY: &str = "endless";
 
+/// Key of the requests whose answers are no answers.
+pub const INVALID_KEY: &str = "invalid";
+
 /// Returns an answer that goes on without end.
 fn endless(first: &str, unit: &'static str) -> RawAnswer {
     let bytes = first.as_bytes().to_vec();
@@ -60,7 +66,11 @@
         let head = "200 OK\r\ncontent-type: text/plain\r\n";
         let part = match *self.plan.lock().expect("not poisoned") {
             Plan::Endless(first, unit) if key == ENDLESS_KEY => return endless(first, unit),
-            Plan::Whole | Plan::Endless(..) | Plan::EndlessReports(..) => {
+            Plan::Invalid(bytes) if key == INVALID_KEY => {
+                let bytes = bytes.as_bytes().to_vec();
+                return RawAnswer { bytes, end: RawEnd::Close, rest: Vec::new() };
+            }
+            Plan::Whole | Plan::Endless(..) | Plan::Invalid(_) | Plan::EndlessReports(..) => {
                 return RawAnswer::unframed(head, WHOLE, RawEnd::Close);
             }
             Plan::Long(bytes) => return RawAnswer::framed(head, &"x".repeat(bytes)),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod first_start;
 mod fleet;
 mod foreign;
+mod heads;
 mod isolation;
 mod late_confirmations;
 mod limit;
--- a/tests/platform/raw_worker.rs
+++ b/tests/platform/raw_worker.rs
@@ -56,10 +56,49 @@
     /// All workers send bytes without end to requests whose id begins with [`ENDLESS`]; the others are
     /// answered with a length.
     Endless(EndlessPart),
+    /// With this status line, in this form.
+    Status(&'static str, AnswerForm),
+    /// With a head that stops before the last byte of this text, or of the whole head. Its connection
+    /// is then closed.
+    CutHead(&'static str, AnswerForm),
     /// The first worker that is asked sends a few events, and then bytes of another one without end.
     EndlessEvent(&'static str, Option<Duration>),
 }
 
+/// How the body of an answer is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// By a length.
+    Length,
+    /// By chunks.
+    Chunks,
+    /// By the end of the connection.
+    Connection,
+    /// By a length; the body is a stream of events.
+    Events,
+    /// By the end of the connection; the body is a stream of events.
+    EventsToConnection,
+}
+
+impl AnswerForm {
+    /// Returns the head after the status line, without a blank line, and the body.
+    fn write(self, request: &str) -> (String, String) {
+        let (body, events) = (whole_answer(request), events_between(0, EVENTS));
+        let event_stream = "content-type: text/event-stream\r\n";
+        let length = |body: &str| format!("content-length: {}\r\n", body.len());
+        match self {
+            Self::Length => (length(&body), body),
+            Self::Chunks => {
+                let chunks = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+                ("transfer-encoding: chunked\r\n".to_owned(), chunks)
+            }
+            Self::Connection => (String::new(), body),
+            Self::Events => (format!("{event_stream}{}", length(&events)), events),
+            Self::EventsToConnection => (event_stream.to_owned(), events),
+        }
+    }
+}
+
 /// An answer within or after which bytes have no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndlessPart {
@@ -140,6 +179,18 @@
             AnswerPlan::Part(_) => RawAnswer::unframed(&head, &body, RawEnd::Close),
             AnswerPlan::Endless(part) if request.starts_with(ENDLESS) => part.answer(&head),
             AnswerPlan::Endless(_) => RawAnswer::framed(&head, &events_between(0, EVENTS)),
+            AnswerPlan::Status(status, form) => {
+                let (rest, body) = form.write(request);
+                let named = head.split_once("\r\n").map_or("", |(_, named)| named);
+                RawAnswer::unframed(&format!("{status}\r\n{named}{rest}"), &body, RawEnd::Close)
+            }
+            AnswerPlan::CutHead(last, form) => {
+                let (rest, _) = form.write(request);
+                let whole = format!("HTTP/1.1 {head}{rest}\r\n");
+                let end = whole.find(last).expect("the head has the text") + last.len() - 1;
+                let bytes = whole.into_bytes()[..end].to_vec();
+                RawAnswer { bytes, end: RawEnd::Close, rest: Vec::new() }
+            }
             AnswerPlan::EndlessEvent(unit, pause) => {
                 let head = format!("{head}content-type: text/event-stream\r\n");
                 let after: u64 = asked.header("last-event-id").parse().unwrap_or_default();
