Test bytes without end in answers to probes and through tunnels

What had no test: controllers that probe workers which send bytes without end, and six of the places of HTTP/1.1 where another gateway carries the bytes. No health path is called: daemons ask workers for reports alone, and these are what the tests cover. No product code changes.

--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -11,7 +11,7 @@
 use crate::raw_worker::{
     AnswerPlan, ENDLESS, EndlessPart, NOT_REPEATABLE, REPEATABLE, RawDeployment, RawWorker, STREAM,
 };
-use crate::system::{CONTROLLERS, KEY, Layout};
+use crate::system::{CONTROLLERS, KEY, Layout, configuration};
 
 /// Requests at once to which workers send bytes without end, half of what the workers take.
 const REQUESTS: usize = 12;
@@ -29,6 +29,10 @@
 /// Time in which a gateway is observed after the last answer, and the processor time that it may use.
 const CALM_TIME: Duration = Duration::from_secs(2);
 const CALM_PROCESSOR_TIME: Duration = Duration::from_millis(500);
+/// Time in which silent workers are probed several times.
+const PROBED_TIME: Duration = Duration::from_secs(4);
+/// Version of a configuration that is sent beside the probes.
+const LATER_VERSION: u64 = 9;
 /// Pause between two bytes of a worker that sends them slowly.
 const SLOW: Option<Duration> = Some(Duration::from_millis(20));
 
@@ -173,6 +177,12 @@
 #[case::informational(149, REPEATABLE, INFORMATIONAL)]
 #[case::no_length(150, REPEATABLE, NO_LENGTH)]
 #[case::event(151, STREAM, EVENT)]
+#[case::status_line(191, REPEATABLE, STATUS_LINE)]
+#[case::headers(192, NOT_REPEATABLE, HEADERS)]
+#[case::chunk_size(193, REPEATABLE, CHUNK_SIZE)]
+#[case::small_chunks(194, REPEATABLE, SMALL_CHUNKS)]
+#[case::trailers(195, REPEATABLE, TRAILERS)]
+#[case::length(196, NOT_REPEATABLE, LENGTH)]
 #[tokio::test]
 async fn endless_answers_through_peer_bounded(
     #[case] block: u8,
@@ -191,6 +201,32 @@
     }
 }
 
+/// Guards against controllers that keep what workers send without end in answer to probes, or are kept
+/// from their other work by it.
+#[rstest]
+#[case::informational(197, INFORMATIONAL)]
+#[case::headers(198, HEADERS)]
+#[case::chunk_size(199, CHUNK_SIZE)]
+#[case::no_length(127, NO_LENGTH)]
+#[tokio::test]
+async fn endless_reports_bounded(#[case] block: u8, #[case] part: EndlessPart) {
+    let deployment = RawDeployment::start(block, Layout::plain(), REPEATABLE).await;
+    let system = &deployment.system;
+    deployment.fleet.set_plan(AnswerPlan::Endless(part));
+    // Workers that register no more are probed.
+    deployment.workers.iter().for_each(|worker| worker.silence());
+    tokio::time::sleep(PROBED_TIME).await;
+    let probes = system.logs().matches("event=worker_probed").count();
+    assert!(probes >= deployment.workers.len(), "{probes} probes: {}", system.logs());
+    let open = deployment.endless_connections();
+    assert!(open <= deployment.workers.len(), "{open} connections are open: {}", system.logs());
+    assert_eq!(system.replace(&configuration(LATER_VERSION)).await, 200, "{}", system.logs());
+    for controller in 0..CONTROLLERS {
+        let memory = system.memory_kb(controller, "VmHWM");
+        assert!(memory < MEMORY_KB, "{memory} KB of memory at most");
+    }
+}
+
 /// Guards against streams that wait until their deadline, since each byte of an event without end counted
 /// as progress.
 #[rstest]
