Acknowledge the release of a request once other controllers hold it

What operators saw: a release from quarantine that was answered with success, while the request stayed refused for minutes. The leader that had answered was lost.

Cause: as for departures. The release was in the leader's memory alone until its next view, and nobody repeats what was acknowledged.

Change: the leader passes the release on to the other controllers, which take it over, confirm it and publish it should they lead, and answers as for departures. The ledger of departures becomes one of facts that are held.

Ruled out: an entry of the log, as for departures; by contradicting evidence alone, which the next leader may not have.

Looked at what else is acknowledged: configurations, changes and claims are on the synced disks of a majority, registrations are repeated by their workers. Open: a release at an entry daemon (docs/decisions/departures.md).

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::core::ControllerCore;
-use crate::departure_sync::secure_departure;
+use crate::holder_sync::{secure_departure, secure_release};
 use crate::protocol::{CallKind, ControlAnswer, ControlCall};
 use crate::records::{RecordFault, check_report, check_start};
 use crate::sync::{accept_report, publish_report};
@@ -64,7 +64,7 @@
 async fn read_and_answer(core: &ControllerCore, head: &Parts, body: RequestBody) -> ControlAnswer {
     let path = head.uri.path();
     if let Some(request) = read_release_path(path).filter(|_| head.method == Method::POST) {
-        return release_quarantined(core, request, path);
+        return release_quarantined(core, request, path).await;
     }
     let limit = match core.protocol.call_kind(head) {
         CallKind::Replace => MAX_CONFIGURATION_BYTES,
@@ -100,7 +100,7 @@
 
 /// Releases a request from quarantine. This call has the same form on every platform, since only
 /// operators of this system make it.
-fn release_quarantined(
+async fn release_quarantined(
     core: &ControllerCore,
     request: Result<ContentDigest, ParseContentError>,
     path: &str,
@@ -112,8 +112,10 @@
     if !core.log.view().leads {
         return core.redirect_to_leader(path);
     }
-    core.fleet().release(request, Instant::now());
+    let now = Instant::now();
+    core.fleet().release(request, now);
     log::warn!("event=request_released content={:016x} by=operator", *request);
+    secure_release(core, request, now).await;
     ControlAnswer::Accepted
 }
 
--- a/crates/controller/src/core.rs
+++ b/crates/controller/src/core.rs
@@ -18,8 +18,8 @@
     CertaintyFacts, CertaintyHistory, ConfigCertainty, contact_age, hears_majority,
 };
 use crate::contacts::ContactBook;
-use crate::departures::DepartureLedger;
 use crate::fleet::FleetState;
+use crate::holders::HolderLedger;
 use crate::metrics::{ControllerLevels, ControllerMetrics};
 use crate::orders::WorkerEvent;
 use crate::pending::PendingReports;
@@ -39,8 +39,8 @@
     pub(crate) applied: Arc<Notify>,
     /// Notified when there are worker updates to send out.
     pub(crate) updates_due: Notify,
-    /// Notified when another daemon has confirmed that it holds a departure.
-    pub(crate) departure_confirmed: Notify,
+    /// Notified when another daemon has confirmed that it holds what is about to be acknowledged.
+    pub(crate) confirmed: Notify,
     pub(crate) events: flume::Sender<WorkerEvent>,
     pub(crate) metrics: ControllerMetrics,
     /// Admits the connections of all listeners.
@@ -52,7 +52,7 @@
     /// Daemons that this controller has been in contact with.
     pub(crate) contacts: Mutex<ContactBook>,
     pub(crate) pending: Mutex<PendingReports>,
-    pub(crate) departures: Mutex<DepartureLedger>,
+    pub(crate) holders: Mutex<HolderLedger>,
     /// Limits of workers, and the permits that this controller issues while it leads.
     pub(crate) limits: Mutex<LimitCoordinator>,
     pub(crate) parsed: Mutex<Option<Arc<Deployment>>>,
@@ -79,8 +79,8 @@
         self.pending.lock().expect("no holder of the lock panics")
     }
 
-    pub(crate) fn departures(&self) -> MutexGuard<'_, DepartureLedger> {
-        self.departures.lock().expect("no holder of the lock panics")
+    pub(crate) fn holders(&self) -> MutexGuard<'_, HolderLedger> {
+        self.holders.lock().expect("no holder of the lock panics")
     }
 
     pub(crate) fn limits(&self) -> MutexGuard<'_, LimitCoordinator> {
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -13,7 +13,7 @@
 
 use crate::certainty::ConfigCertainty;
 use crate::delivery::{DeliveryOffer, DeliveryRole, DeliveryState};
-use crate::departures::{CONTACT_TIMEOUT, ReachableDaemons};
+use crate::holders::{CONTACT_TIMEOUT, ReachableDaemons};
 use crate::liveness::WorkerUse;
 use crate::metrics::{GatewayLags, WorkerCounts};
 use crate::peer_samples::{PeerCandidate, SampleSchedule, draw_sample};
@@ -151,7 +151,7 @@
         changed.cloned().collect()
     }
 
-    /// Daemons from which confirmations of departures can be expected.
+    /// Daemons from which confirmations can be expected.
     pub(crate) fn reachable(&self, now: Instant) -> ReachableDaemons {
         ReachableDaemons {
             controllers: self.controllers(CONTACT_TIMEOUT, now),
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -54,9 +54,9 @@
         "Configurations sent to gateways, by cause: committed or lacking.",
     ),
     (
-        "controller_departures_unconfirmed",
+        "controller_acknowledged_unconfirmed",
         "1",
-        "Departures of workers that were acknowledged although too few daemons had confirmed them.",
+        "Departures and releases acknowledged although too few daemons had confirmed them.",
     ),
     (
         "controller_messages_dropped",
@@ -85,7 +85,7 @@
     gateways_behind: Gauge<u64>,
     gateway_lag: Gauge<u64>,
     configurations: Counter<u64>,
-    unconfirmed_departures: Counter<u64>,
+    unconfirmed: Counter<u64>,
     dropped: Gauge<u64>,
     clients: ClientMetrics,
 }
@@ -143,7 +143,7 @@
             gateways_behind: meter.u64_gauge("controller_gateways_behind").build(),
             gateway_lag: meter.u64_gauge("controller_gateway_lag_ms").build(),
             configurations: meter.u64_counter("controller_configurations_sent").build(),
-            unconfirmed_departures: meter.u64_counter("controller_departures_unconfirmed").build(),
+            unconfirmed: meter.u64_counter("controller_acknowledged_unconfirmed").build(),
             dropped: meter.u64_gauge("controller_messages_dropped").build(),
             clients: ClientMetrics::new(&page),
             page,
@@ -171,8 +171,8 @@
         self.configurations.add(gateways as u64, &[KeyValue::new("cause", cause)]);
     }
 
-    pub(crate) fn count_unconfirmed_departure(&self) {
-        self.unconfirmed_departures.add(1, &[]);
+    pub(crate) fn count_unconfirmed(&self) {
+        self.unconfirmed.add(1, &[]);
     }
 
     /// Records what workers and operators make the controller hold.
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -17,7 +17,8 @@
 use crate::certainty::ConfigCertainty;
 use crate::core::ControllerCore;
 use crate::delivery::DeliveryOffer;
-use crate::departure_sync::record_confirmations;
+use crate::holder_sync::{record_confirmations, take_releases};
+use crate::holders::HeldFact;
 
 /// Time between two hellos to the leader, which needs the gateways' loads.
 const LEADER_INTERVAL: Duration = Duration::from_millis(75);
@@ -166,7 +167,13 @@
             relay_updates(core, from, &reports, now);
         }
         PeerMessage::Fleet(FleetMessage::Departures(departures)) => {
-            record_confirmations(core, from, &departures);
+            record_confirmations(core, from, departures.into_iter().map(HeldFact::from));
+        }
+        PeerMessage::Fleet(FleetMessage::Releases(releases)) => {
+            take_releases(core, from, &releases, now);
+        }
+        PeerMessage::Fleet(FleetMessage::ReleasesHeld(requests)) => {
+            record_confirmations(core, from, requests.into_iter().map(HeldFact::Released));
         }
         _ => log::debug!("event=message_refused peer={}", **from),
     }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -145,7 +145,9 @@
         FleetMessage::Gateway(_)
         | FleetMessage::Controller(_)
         | FleetMessage::PermitAsk(_)
-        | FleetMessage::Departures(_) => {}
+        | FleetMessage::Departures(_)
+        | FleetMessage::Releases(_)
+        | FleetMessage::ReleasesHeld(_) => {}
     }
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1289,6 +1289,10 @@
     Workers(::std::vec::Vec<WorkerReport>),
     #[serde(rename = "departures")]
     Departures(::std::vec::Vec<WorkerDeparture>),
+    #[serde(rename = "releases")]
+    Releases(::std::vec::Vec<QuarantineRelease>),
+    #[serde(rename = "releases_held")]
+    ReleasesHeld(::std::vec::Vec<ContentDigest>),
 }
 impl ::std::convert::From<&Self> for FleetMessage {
     fn from(value: &FleetMessage) -> Self {
@@ -1350,6 +1354,16 @@
         Self::Departures(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<QuarantineRelease>> for FleetMessage {
+    fn from(value: ::std::vec::Vec<QuarantineRelease>) -> Self {
+        Self::Releases(value)
+    }
+}
+impl ::std::convert::From<::std::vec::Vec<ContentDigest>> for FleetMessage {
+    fn from(value: ::std::vec::Vec<ContentDigest>) -> Self {
+        Self::ReleasesHeld(value)
+    }
+}
 ///State that the leading controller publishes to every gateway, through the gateway's primary controller or a controller of the gateway's zone.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
@@ -2949,6 +2963,20 @@
         Self::Claim(value)
     }
 }
+///An operator's release of a request from quarantine.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct QuarantineRelease {
+    ///Milliseconds since the release.
+    pub age_ms: u32,
+    pub request: ContentDigest,
+}
+impl ::std::convert::From<&QuarantineRelease> for QuarantineRelease {
+    fn from(value: &QuarantineRelease) -> Self {
+        value.clone()
+    }
+}
 ///Which voters of a log its leader counts.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Eq, PartialEq)]
--- a/tests/platform/crashing_request.rs
+++ b/tests/platform/crashing_request.rs
@@ -9,11 +9,17 @@
 
 use std::time::Duration;
 
+use hollowbarrow_member::http::call_once;
+use hollowbarrow_schema::{parse_content, release_path};
+use hollowbarrow_testkit::FaultMode;
+use http_body_util::Full;
+use hyper::{Method, Request};
 use rstest::rstest;
 
-use crate::system::{CONTROLLERS, KEY, Signal, System};
+use crate::departures::{HELD_TIME, find_leader, set_links_from};
+use crate::system::{CONTROLLERS, KEY, Layout, Signal, System};
 use crate::worker::{CRASHING_BODY, Worker};
-use crate::{Deployment, deploy, wait_for_replicas};
+use crate::{Deployment, deploy_with, wait_for_replicas};
 
 /// Engine workers in addition to those of every deployment: one more replica and its spares.
 const MORE_ENGINES: usize = 6;
@@ -25,6 +31,10 @@
 const RETRIES: usize = 8;
 /// Time after the third crash within which all gateways know of the quarantine.
 const PROPAGATION_TIME: Duration = Duration::from_millis(1500);
+/// Time limit of a release.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of times that the request is sent after its release, over some ten seconds.
+const MAX_CALLS_AFTER_RELEASE: usize = 60;
 /// Pause between two sends of the request.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -40,7 +50,11 @@
 
 /// Starts a deployment with four replicas.
 async fn deploy_replicas(block: u8) -> Deployment {
-    let mut deployment = deploy(block).await;
+    deploy_replicas_with(block, Layout::plain()).await
+}
+
+async fn deploy_replicas_with(block: u8, layout: Layout) -> Deployment {
+    let mut deployment = deploy_with(block, layout).await;
     for number in 0..MORE_ENGINES {
         let id = format!("more-{number}");
         let worker = Worker::start(&deployment.fleet, &id, "models", true);
@@ -140,6 +154,19 @@
     system.call_until_served("/chat/1", "after").await;
 }
 
+/// Sends the request until it is quarantined everywhere; returns the digest of its content.
+async fn quarantine(system: &System) -> String {
+    let prefix = "event=request_held content=";
+    for number in 0..RETRIES {
+        call_crashing(system, 0, &format!("first-{number}")).await;
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let logs = system.logs();
+    let content = logs.split(prefix).nth(1).map(|rest| &rest[..16]);
+    content.unwrap_or_else(|| panic!("the request is not quarantined: {logs}")).to_owned()
+}
+
 /// An operator releases a quarantined request through any controller, and it runs again at any
 /// gateway.
 #[rstest]
@@ -150,16 +177,7 @@
 async fn crashing_request_released(#[case] block: u8, #[case] controller: usize) {
     let deployment = deploy_replicas(block).await;
     let system = &deployment.system;
-    let prefix = "event=request_held content=";
-    for number in 0..RETRIES {
-        call_crashing(system, 0, &format!("first-{number}")).await;
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-    tokio::time::sleep(PROPAGATION_TIME).await;
-    let logs = system.logs();
-    let content = logs.split(prefix).nth(1).map(|rest| &rest[..16]);
-    let content =
-        content.unwrap_or_else(|| panic!("the request is not quarantined: {logs}")).to_owned();
+    let content = quarantine(system).await;
     let server = format!("http://{}", system.controllers[controller]);
     let crashes = deployment.fleet.crash_count();
     let release = tokio::task::spawn_blocking(move || {
@@ -178,3 +196,45 @@
     assert!(deployment.fleet.runs("again") > 0, "{}", system.logs());
     assert!(deployment.fleet.crash_count() > crashes);
 }
+
+/// Guards against a release that was acknowledged and is lost with the leader: only its own memory had
+/// it, and the request stayed quarantined.
+#[rstest]
+#[tokio::test]
+async fn release_kept_after_lost_leader() {
+    let mut deployment = deploy_replicas_with(128, Layout::zoned_behind_proxies()).await;
+    let content = quarantine(&deployment.system).await;
+    let leader = find_leader(&deployment.system).await;
+    set_links_from(&deployment.system, leader, FaultMode::Blackhole);
+    let address = deployment.system.controllers[leader].clone();
+    let mut release = tokio::spawn(async move {
+        let digest = parse_content(&content).expect("the log has the digest");
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(release_path(digest))
+            .header("host", &address)
+            .body(Full::default())
+            .expect("the request is valid");
+        call_once(&address, request, RELEASE_TIMEOUT).await
+    });
+    let answer = match tokio::time::timeout(HELD_TIME, &mut release).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            set_links_from(&deployment.system, leader, FaultMode::Pass);
+            release.await
+        }
+    };
+    deployment.system.kill_controller(leader);
+    set_links_from(&deployment.system, leader, FaultMode::Stale);
+    let answer = answer.expect("the call ends").expect("the release is answered");
+    assert!(answer.status().is_success(), "{}", deployment.system.logs());
+    for number in 0..MAX_CALLS_AFTER_RELEASE {
+        let id = format!("released-{number}");
+        call_crashing(&deployment.system, 1, &id).await;
+        if deployment.fleet.runs(&id) > 0 {
+            return;
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    panic!("the request stays quarantined: {}", deployment.system.logs());
+}
--- a/tests/platform/departures.rs
+++ b/tests/platform/departures.rs
@@ -23,7 +23,7 @@
 /// Time within which a worker must have its acknowledgement.
 const ACK_TIME: Duration = Duration::from_secs(1);
 /// Time for which the messages of the acknowledging controller are held up.
-const HELD_TIME: Duration = Duration::from_millis(250);
+pub const HELD_TIME: Duration = Duration::from_millis(250);
 /// Time after which a lost controller is started again.
 const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Pause between two requests of a caller.
@@ -80,7 +80,8 @@
     }
 }
 
-async fn find_leader(system: &System) -> usize {
+/// Returns the controller that leads.
+pub async fn find_leader(system: &System) -> usize {
     for _ in 0..MAX_POLLS {
         for controller in 0..CONTROLLERS {
             if system.has_metric(controller, "controller_leads 1").await {
@@ -103,7 +104,7 @@
 }
 
 /// Sets the fault mode of all connections that a daemon opens to others.
-fn set_links_from(system: &System, daemon: usize, mode: FaultMode) {
+pub fn set_links_from(system: &System, daemon: usize, mode: FaultMode) {
     let others = (0..system.daemon_count()).filter(|other| *other != daemon);
     others.for_each(|other| system.set_link(daemon, other, mode));
 }
