Expect late orders of former leaders at the start of a term

Two late orders of the former leader had opened the replica again that its successor had ended.

Cause: a leader remembers its own unanswered joins for as long as they may come late, and takes what a former leader had under way for nothing. The answer to its leave made it ignore what the head reported of that epoch from then on.

Evidence: step_late_orders_of_former_leader, with simulated workers that report each change at once, fails in 4 of 4 cases before: "w0 joined 2097153 while 1048579 was open", also where the leader has the report before it plans.

Change: until the longest delay of an order has passed since the start of a term, no epoch of a former term counts as ended. The head is told to leave once more before it joins anything; the other members leave instead of being joined directly.

Why it works: an open head is seen as what it reports, and a worker that reports a replica which may still serve leaves it first.

Ruled out: waiting with all joins for that time (13 s without repairs after each change of the leader); a standby epoch for each worker that leaves (an order more, and lost where it is unanswered itself).

--- a/crates/fleet/src/replicas/lifecycle.rs
+++ b/crates/fleet/src/replicas/lifecycle.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hollowbarrow_schema::{Epoch, MembershipState, ModelName, WorkerId, WorkerReport};
+use tokio::time::Instant;
 
 use super::names::{ReplicaKind, ReplicaName};
 use super::orders::{OrderTicket, WorkerOrder};
-use super::{Replica, ReplicaController, ReplicaPhase, StepView, WorkerStatus};
+use super::{EPOCH_TERM_SHIFT, Replica, ReplicaController, ReplicaPhase, StepView, WorkerStatus};
 
 /// Transition of a replica in one step.
 enum Transition {
@@ -26,12 +27,12 @@
             match self.next_phase(replica, view) {
                 Transition::Stay => {}
                 Transition::Move(phase) => self.enter(epoch, phase),
-                Transition::Release(reason) => self.release(epoch, reason),
+                Transition::Release(reason) => self.release(epoch, reason, view.now),
                 Transition::HeadLeft => {
                     if let Some(replica) = self.replicas.get_mut(&epoch) {
                         replica.head_left = true;
                     }
-                    self.release(epoch, "the head has left");
+                    self.release(epoch, "the head has left", view.now);
                 }
             }
         }
@@ -59,7 +60,7 @@
         }
     }
 
-    fn release(&mut self, epoch: Epoch, reason: &str) {
+    fn release(&mut self, epoch: Epoch, reason: &str, now: Instant) {
         if let Some(replica) = self.replicas.remove(&epoch) {
             log::info!(
                 "event=replica_released replica={} reason={reason:?}",
@@ -67,7 +68,7 @@
             );
             // A head that may still carry out a late join of this epoch may rejoin the replica
             // after it has left.
-            let may_rejoin = self.may_still_join(replica.head(), epoch);
+            let may_rejoin = self.may_still_join(replica.head(), epoch, now);
             if !may_rejoin && (replica.head_left || !replica.opened) {
                 self.vacated.insert(epoch);
             }
@@ -75,8 +76,16 @@
     }
 
     /// Returns whether an unanswered join of a worker may still be carried out under an epoch.
-    pub(super) fn may_still_join(&self, worker: &WorkerId, epoch: Epoch) -> bool {
-        self.unanswered_joins.get(worker.name()).is_some_and(|joins| joins.contains_key(&epoch))
+    pub(super) fn may_still_join(&self, worker: &WorkerId, epoch: Epoch, now: Instant) -> bool {
+        let joins = self.unanswered_joins.get(worker.name());
+        joins.is_some_and(|joins| joins.contains_key(&epoch)) || self.may_be_joined_late(epoch, now)
+    }
+
+    /// Returns whether orders of a former leader may still be carried out under an epoch. Which of
+    /// them were left unanswered is not known to this leader.
+    fn may_be_joined_late(&self, epoch: Epoch, now: Instant) -> bool {
+        let former = *epoch >> EPOCH_TERM_SHIFT < *self.term;
+        former && now < self.times.term_start + self.timing.max_order_delay
     }
 
     /// Returns whether a late join may put a worker back into a replica that it has left and whose
@@ -88,10 +97,10 @@
 
     /// Releases a forming replica of which a member has seen a newer epoch. Its members are
     /// planned again under a higher epoch.
-    pub(super) fn abandon_forming(&mut self, epoch: Epoch) {
+    pub(super) fn abandon_forming(&mut self, epoch: Epoch, now: Instant) {
         let forming = self.replicas.get(&epoch).is_some_and(|replica| !replica.opened);
         if forming {
-            self.release(epoch, "a member has seen a newer epoch");
+            self.release(epoch, "a member has seen a newer epoch", now);
         }
     }
 
--- a/crates/fleet/src/replicas/mod.rs
+++ b/crates/fleet/src/replicas/mod.rs
@@ -12,6 +12,8 @@
 //!   replica itself, or after the head of that replica has left it.
 //! - A worker is ordered into another replica only after it has reported its
 //!   membership within the current term.
+//! - What a worker reports of a replica is ignored only once no join of that
+//!   replica can be carried out late, neither of this leader nor of a former one.
 //! - A worker has at most one order in flight, over all its instances.
 //! - A superseded instance is a lost member, and the next instance is a
 //!   different worker.
@@ -269,14 +271,14 @@
         match (&ticket.order, outcome) {
             (WorkerOrder::Leave { .. }, outcome) if outcome.is_settled() => {
                 // A worker that may still carry out a late join has to leave again after it.
-                if !self.may_still_join(&ticket.worker, epoch) {
+                if !self.may_still_join(&ticket.worker, epoch, now) {
                     self.departed.insert(ticket.worker.clone(), epoch);
                 }
                 if let Some(replica) = self.replicas.get_mut(&epoch) {
                     replica.head_left |= *replica.head() == ticket.worker;
                 }
             }
-            (WorkerOrder::Join { .. }, OrderOutcome::Fenced) => self.abandon_forming(epoch),
+            (WorkerOrder::Join { .. }, OrderOutcome::Fenced) => self.abandon_forming(epoch, now),
             (WorkerOrder::Join { .. }, OrderOutcome::Unknown) => {
                 let name = ticket.worker.name().to_owned();
                 let joins = self.unanswered_joins.entry(name).or_default();
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -14,7 +14,7 @@
 use proptest::prelude::*;
 use rand::RngExt;
 use rstest::rstest;
-use simulation::{Simulation, new_leader};
+use simulation::{SimulatedWorker, Simulation, new_leader};
 
 const WORKERS: usize = 9;
 const SIZE: usize = 3;
@@ -96,6 +96,49 @@
     assert_eq!(simulation.serving(), 2, "a replica was disbanded");
 }
 
+/// Guards against a head that is ordered into another replica while it is open again: late orders of
+/// the former leader had opened the replica that its successor had ended, and the successor ignored
+/// what the head reported of it. `watched` states that the successor acts meanwhile.
+#[rstest]
+#[case::soon(Duration::from_millis(2500), true)]
+#[case::last(Duration::from_millis(8400), true)]
+#[case::soon_unwatched(Duration::from_millis(2500), false)]
+#[case::last_unwatched(Duration::from_millis(8400), false)]
+fn step_late_orders_of_former_leader(#[case] delay: Duration, #[case] watched: bool) {
+    let mut simulation = Simulation::new(4, 2, 2);
+    simulation.report_all();
+    let mut controller = new_leader(1, simulation.now, MAX_ORDER_DELAY);
+    for _ in 0..60 {
+        simulation.advance();
+        simulation.step(&mut controller, 0.0);
+    }
+    assert_eq!(simulation.serving(), 1);
+    let head = simulation.workers.iter().position(SimulatedWorker::is_open).expect("it serves");
+    let opened = delay + Duration::from_millis(400);
+    simulation.repeat_late(head, delay, opened);
+    simulation.terminate(1 - head);
+    let mut next = new_leader(2, simulation.now, MAX_ORDER_DELAY);
+    let repeated = simulation.now + opened;
+    let mut left = false;
+    while simulation.now < repeated {
+        simulation.advance();
+        left |= simulation.workers[head].membership.is_none();
+        if watched || !left {
+            simulation.step(&mut next, 0.0);
+        }
+    }
+    assert!(left, "the successor ends the replica");
+    assert!(watched || simulation.workers[head].is_open(), "it is open again");
+    simulation.start_worker();
+    simulation.start_worker();
+    for _ in 0..150 {
+        simulation.step(&mut next, 0.0);
+        simulation.advance();
+    }
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.serving(), 1, "a replica is formed with another worker");
+}
+
 /// Name under which a terminated worker is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Replacement {
