--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -361,33 +361,6 @@
         self.workers.push(next);
     }
 
-    /// Lets a head carry out once more, after these delays, the join and the opening of the replica
-    /// that it serves, as if it had left the first of each unanswered.
-    pub fn repeat_late(&mut self, index: usize, join: Duration, open: Duration) {
-        let worker = &mut self.workers[index];
-        let held = worker.membership.clone().expect("the worker is a member of a replica");
-        let (name, members) = (held.name, held.members);
-        worker
-            .late_orders
-            .push((self.now + join, WorkerOrder::Join { name: name.clone(), members }));
-        worker.late_orders.push((self.now + open, WorkerOrder::Open { name }));
-    }
-
-    /// Terminates a worker for good.
-    pub fn terminate(&mut self, index: usize) {
-        self.workers[index].alive = false;
-        self.workers[index].membership = None;
-    }
-
-    /// Starts a worker that holds the weights on its host.
-    pub fn start_worker(&mut self) {
-        let mut next = SimulatedWorker::new(format!("w{}", self.started));
-        next.staged = true;
-        next.report(self.now);
-        self.started += 1;
-        self.workers.push(next);
-    }
-
     /// Runs one step of a leader on the last reports. `faults` is the probability that an order is
     /// delivered with a fault.
     pub fn step(&mut self, controller: &mut ReplicaController, faults: f64) {
@@ -479,6 +452,36 @@
     }
 }
 
+#[allow(dead_code, reason = "only tests of late orders use these")]
+impl Simulation {
+    /// Lets a head carry out once more, after these delays, the join and the opening of the replica
+    /// that it serves, as if it had left the first of each unanswered.
+    pub fn repeat_late(&mut self, index: usize, join: Duration, open: Duration) {
+        let worker = &mut self.workers[index];
+        let held = worker.membership.clone().expect("the worker is a member of a replica");
+        let (name, members) = (held.name, held.members);
+        worker
+            .late_orders
+            .push((self.now + join, WorkerOrder::Join { name: name.clone(), members }));
+        worker.late_orders.push((self.now + open, WorkerOrder::Open { name }));
+    }
+
+    /// Terminates a worker for good.
+    pub fn terminate(&mut self, index: usize) {
+        self.workers[index].alive = false;
+        self.workers[index].membership = None;
+    }
+
+    /// Starts a worker that holds the weights on its host.
+    pub fn start_worker(&mut self) {
+        let mut next = SimulatedWorker::new(format!("w{}", self.started));
+        next.staged = true;
+        next.report(self.now);
+        self.started += 1;
+        self.workers.push(next);
+    }
+}
+
 /// Creates a leader that treats its set of workers as complete after half a second, and that
 /// expects orders to be delayed by at most `max_order_delay`.
 pub fn new_leader(term: u64, now: Instant, max_order_delay: Duration) -> ReplicaController {
