Send a departure again at the interval alone, and only departures

What was wrong, found by reading: each confirmation of any departure made every waiting call publish its own again, so that calls of workers that leave at once multiply what is sent to all daemons. And a daemon that was told of an instance which a later one has superseded sent its report back as if it had departed.

A reply holds reports of departures only.

Evidence: reply_to_superseded_worker fails before and passes; the 17 cases of departures and releases in the program platform and the other 9 of table_reply pass. The number of messages was not measured.

--- a/crates/controller/src/holder_sync.rs
+++ b/crates/controller/src/holder_sync.rs
@@ -50,14 +50,23 @@
 }
 
 async fn wait_until_held(core: &ControllerCore, fact: &HeldFact, publish: impl Fn()) {
+    while !is_held_elsewhere(core, fact) {
+        publish();
+        let confirmed = wait_for_confirmations(core, fact);
+        if tokio::time::timeout(REPEAT_INTERVAL, confirmed).await.is_ok() {
+            return;
+        }
+    }
+}
+
+async fn wait_for_confirmations(core: &ControllerCore, fact: &HeldFact) {
     loop {
         // Registered before the check, so that a confirmation in between is not missed.
         let confirmed = core.confirmed.notified();
         if is_held_elsewhere(core, fact) {
             return;
         }
-        publish();
-        let _ = tokio::time::timeout(REPEAT_INTERVAL, confirmed).await;
+        confirmed.await;
     }
 }
 
--- a/crates/fleet/src/table_reply.rs
+++ b/crates/fleet/src/table_reply.rs
@@ -19,10 +19,11 @@
         let mut reply = Self::default();
         for report in reports {
             let Some(departure) = table.departure(&report.id) else { continue };
-            if report.gone || report.leaving {
+            if is_departed(report) {
                 reply.held.push(departure);
             } else {
-                reply.lacking.extend(table.get(&report.id).map(|entry| entry.report.clone()));
+                let held = table.get(&report.id).map(|entry| &entry.report);
+                reply.lacking.extend(held.filter(|held| is_departed(held)).cloned());
             }
         }
         reply
@@ -35,3 +36,7 @@
         lacking.into_iter().chain(held)
     }
 }
+
+fn is_departed(report: &WorkerReport) -> bool {
+    report.gone || report.leaving
+}
--- a/crates/fleet/tests/table_reply.rs
+++ b/crates/fleet/tests/table_reply.rs
@@ -77,6 +77,14 @@
     assert_eq!(reply.lacking, expected.into_iter().collect::<Vec<_>>());
 }
 
+/// Guards against a report that names a superseded instance as available, sent as if it were a
+/// departure.
+#[rstest]
+fn reply_to_superseded_worker() {
+    let held = [report("w1@4", 5, false, false), report("w1@5", 1, false, false)];
+    assert_eq!(reply_of(&held, report("w1@4", 6, false, false)), TableReply::default());
+}
+
 #[rstest]
 fn into_messages_of_reply() {
     assert_eq!(TableReply::default().into_messages().count(), 0);
