Forget who held a departure that was taken back

Cause: the holders were pruned only when the next departure was secured, and by then the table says again that the worker leaves.

Change: confirmations are forgotten when a report changes the table, so that they end with the departure.

--- a/crates/controller/src/holder_sync.rs
+++ b/crates/controller/src/holder_sync.rs
@@ -13,7 +13,7 @@
 /// table holds none.
 pub(crate) async fn secure_departure(core: &ControllerCore, worker: &WorkerId) {
     let Some(departure) = core.fleet().table().departure(worker) else { return };
-    core.holders().prune(core.fleet().table());
+    forget_withdrawn(core);
     let publish = || {
         let report = core.fleet().table().get(worker).map(|entry| entry.report.clone());
         if let Some(report) = report {
@@ -23,6 +23,12 @@
     secure(core, HeldFact::from(departure), publish).await;
 }
 
+/// Forgets who holds the departures of workers that have taken them back. A later departure needs
+/// confirmations of its own.
+pub(crate) fn forget_withdrawn(core: &ControllerCore) {
+    core.holders().prune(core.fleet().table());
+}
+
 /// Waits until other daemons hold the release of a request from quarantine.
 pub(crate) async fn secure_release(core: &ControllerCore, request: ContentDigest, at: Instant) {
     let publish = || {
--- a/crates/controller/src/sync.rs
+++ b/crates/controller/src/sync.rs
@@ -17,7 +17,7 @@
 use crate::certainty::ConfigCertainty;
 use crate::core::ControllerCore;
 use crate::delivery::DeliveryOffer;
-use crate::holder_sync::{record_confirmations, take_releases};
+use crate::holder_sync::{forget_withdrawn, record_confirmations, take_releases};
 use crate::holders::HeldFact;
 
 /// Time between two hellos to the leader, which needs the gateways' loads.
@@ -252,6 +252,7 @@
     if changed.is_empty() {
         return;
     }
+    forget_withdrawn(core);
     let relayed = core.links().controllers().contains(from);
     let mut pending = core.pending();
     for report in changed {
@@ -283,6 +284,7 @@
         log::warn!("event=worker_recounted worker={} seq={} recount={recount}", *id, report.seq);
     }
     log::debug!("event=worker_changed worker={} seq={}", *id, report.seq);
+    forget_withdrawn(core);
     publish_report(core, report);
 }
 
--- a/tests/platform/departures.rs
+++ b/tests/platform/departures.rs
@@ -67,6 +67,8 @@
 enum Departure {
     /// It takes no new requests.
     Draining,
+    /// The same, after it has taken an earlier such report back.
+    DrainingAgain,
     /// It deregisters.
     Gone,
 }
@@ -74,7 +76,9 @@
 impl Departure {
     async fn report(self, worker: &Worker, controller: &str) -> u16 {
         match self {
-            Self::Draining => worker.report_draining_to(controller).await,
+            Self::Draining | Self::DrainingAgain => {
+                worker.report_state_to(controller, "draining").await
+            }
             Self::Gone => worker.deregister_at(controller).await,
         }
     }
@@ -162,6 +166,7 @@
 #[case::leader_wiped(160, Acknowledger::Leader, Return::Wiped, Departure::Gone)]
 #[case::leader_never(161, Acknowledger::Leader, Return::Never, Departure::Gone)]
 #[case::draining_never(162, Acknowledger::FirstFollower, Return::Never, Departure::Draining)]
+#[case::draining_again(129, Acknowledger::FirstFollower, Return::Never, Departure::DrainingAgain)]
 #[tokio::test]
 async fn departure_kept_after_lost_controller(
     #[case] block: u8,
@@ -174,6 +179,12 @@
     let lost = choose(&deployment.system, acknowledger).await;
     leaving.stop_heartbeats();
     let controller = deployment.system.controllers[lost].clone();
+    if let Departure::DrainingAgain = departure {
+        for state in ["draining", "ready"] {
+            assert_eq!(leaving.report_state_to(&controller, state).await, 200);
+            tokio::time::sleep(HELD_TIME).await;
+        }
+    }
     set_links_from(&deployment.system, lost, FaultMode::Blackhole);
     let worker = Arc::clone(&leaving);
     let mut reported = tokio::spawn(async move { departure.report(&worker, &controller).await });
--- a/tests/platform/worker.rs
+++ b/tests/platform/worker.rs
@@ -447,11 +447,11 @@
         self.call_controller(controller, "deregister", Bytes::new()).await
     }
 
-    /// Reports to one controller that it takes no new requests, without a notice in its answers to
-    /// requests; returns the status.
-    pub async fn report_draining_to(&self, controller: &str) -> u16 {
+    /// Reports a state to one controller, without a notice in its answers to requests; returns the
+    /// status.
+    pub async fn report_state_to(&self, controller: &str, state: &str) -> u16 {
         let mut heartbeat = self.heartbeat();
-        heartbeat["state"] = "draining".into();
+        heartbeat["state"] = state.into();
         self.call_controller(controller, "heartbeat", heartbeat.to_string().into()).await
     }
 
